--- /dev/null
+++ b/cmd/trefoilctl/main.go
@@ -0,0 +1,4 @@
+// Command trefoilctl is the tool for operators and batch users.
+package main
+
+func main() {}
--- /dev/null
+++ b/pkg/adapter/store/store.go
@@ -0,0 +1,86 @@
+// Package store is the interface to the platform's object API, and its HTTP client.
+package store
+
+import (
+	"context"
+
+	"github.com/zeebo/errs"
+)
+
+// Error is the class of all errors of this package.
+var Error = errs.Class("store")
+
+// Errors that a Store returns; test with errors.Is.
+var (
+	// ErrNotFound means that the object does not exist.
+	ErrNotFound = Error.New("object not found")
+	// ErrConflict means that the condition of a write did not hold; the write was not applied.
+	ErrConflict = Error.New("revision conflict")
+	// ErrUnavailable means that the call was not applied.
+	ErrUnavailable = Error.New("unavailable")
+	// ErrUnknown means that a write may have been applied.
+	ErrUnknown = Error.New("outcome unknown")
+	// ErrTooLarge means that the value is larger than MaxValueBytes.
+	ErrTooLarge = Error.New("value too large")
+	// ErrCompacted means that a watch starts before the oldest revision kept.
+	ErrCompacted = Error.New("revision compacted")
+)
+
+// MaxValueBytes is the largest value that the object API takes.
+const MaxValueBytes = 1 << 20
+
+// Conditions of a write beside a positive object revision.
+const (
+	// CreateOnly applies the write only if the object does not exist.
+	CreateOnly int64 = 0
+	// AnyRevision applies the write without a condition.
+	AnyRevision int64 = -1
+)
+
+// Object is a stored value. Revision is the store revision of its last write.
+type Object struct {
+	Key      string
+	Value    []byte
+	Revision int64
+}
+
+// Page is one answer to List, ordered by key.
+type Page struct {
+	Objects []Object
+	// Next is the key to pass as after for the next page; empty on the last page.
+	Next string
+	// Revision is the store revision that the page was read at.
+	Revision int64
+}
+
+// EventType says what a watch event reports.
+type EventType string
+
+// Event types.
+const (
+	EventPut    EventType = "put"
+	EventDelete EventType = "delete"
+	// EventSync carries only a revision up to which the watch is complete.
+	EventSync EventType = "sync"
+)
+
+// Event is one change below a watched prefix.
+type Event struct {
+	Type   EventType
+	Object Object
+}
+
+// Store is the object API. All methods may block for as long as ctx allows.
+type Store interface {
+	// Get returns one object, or ErrNotFound.
+	Get(ctx context.Context, key string) (Object, error)
+	// List returns up to limit objects below prefix with keys above after.
+	List(ctx context.Context, prefix, after string, limit int) (Page, error)
+	// Put writes value if the object's revision equals expect, and returns the new revision.
+	Put(ctx context.Context, key string, value []byte, expect int64) (int64, error)
+	// Delete removes the object if its revision equals expect.
+	Delete(ctx context.Context, key string, expect int64) error
+	// Watch sends the changes below prefix after revision from, in order. The channel closes when the
+	// watch breaks or ctx ends; the caller resumes from the last revision seen.
+	Watch(ctx context.Context, prefix string, from int64) (<-chan Event, error)
+}
--- /dev/null
+++ b/pkg/explain/explain.go
@@ -0,0 +1,79 @@
+// Package explain keeps a bounded log of decisions with their reasons and the values they were taken on.
+package explain
+
+import (
+	"sync"
+	"time"
+)
+
+// Entry is one decision. Empty subject fields are not indexed.
+type Entry struct {
+	Time     time.Time `json:"time"`
+	Node     string    `json:"node"`
+	Request  string    `json:"request,omitempty"`
+	Job      string    `json:"job,omitempty"`
+	Item     string    `json:"item,omitempty"`
+	Upstream string    `json:"upstream,omitempty"`
+	// Decision names what was decided, such as "place", "retry" or "drop".
+	Decision string `json:"decision"`
+	Reason   string `json:"reason"`
+	// Values are the inputs of the decision.
+	Values map[string]any `json:"values,omitempty"`
+}
+
+// Query selects entries; an empty field matches any value.
+type Query struct {
+	Request, Job, Item, Upstream string
+}
+
+func (q Query) matches(e *Entry) bool {
+	return (q.Request == "" || q.Request == e.Request) && (q.Job == "" || q.Job == e.Job) &&
+		(q.Item == "" || q.Item == e.Item) && (q.Upstream == "" || q.Upstream == e.Upstream)
+}
+
+// Log is a ring of the latest entries of one node. It is safe for concurrent use.
+type Log struct {
+	node string
+	now  func() time.Time
+
+	mu   sync.Mutex
+	ring []Entry
+	next int
+	full bool
+}
+
+// NewLog returns a log that keeps capacity entries.
+func NewLog(node string, capacity int, now func() time.Time) *Log {
+	return &Log{node: node, now: now, ring: make([]Entry, capacity)}
+}
+
+// Record stores e with the node's name and the present time.
+func (l *Log) Record(e Entry) {
+	e.Node, e.Time = l.node, l.now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.ring[l.next] = e
+	l.next++
+	if l.next == len(l.ring) {
+		l.next, l.full = 0, true
+	}
+}
+
+// Find returns the matching entries, oldest first.
+func (l *Log) Find(q Query) []Entry {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var found []Entry
+	visit := func(part []Entry) {
+		for i := range part {
+			if q.matches(&part[i]) {
+				found = append(found, part[i])
+			}
+		}
+	}
+	if l.full {
+		visit(l.ring[l.next:])
+	}
+	visit(l.ring[:l.next])
+	return found
+}
