Add the caller identity to the shared serving types

Cause: the batch handlers and the gateway need one form of the identity. Change: Identity and the request id travel in the request context.

--- /dev/null
+++ b/pkg/serving/identity.go
@@ -0,0 +1,50 @@
+package serving
+
+import (
+	"context"
+	"slices"
+
+	"trefoilplank.example/api"
+)
+
+// Identity is the authenticated caller of an HTTP request.
+type Identity struct {
+	Institution string
+	Caller      string
+	Grants      api.Grants
+}
+
+// MayUseModel reports whether the caller is granted the model or adapter.
+func (i Identity) MayUseModel(name string) bool { return slices.Contains(i.Grants.Models, name) }
+
+// MayUseService reports whether the caller is granted the plain service.
+func (i Identity) MayUseService(name string) bool { return slices.Contains(i.Grants.Services, name) }
+
+type contextKey int
+
+const (
+	identityKey contextKey = iota
+	requestIDKey
+)
+
+// WithIdentity returns a context that carries the identity; the gateway sets it before it calls a mounted handler.
+func WithIdentity(ctx context.Context, i Identity) context.Context {
+	return context.WithValue(ctx, identityKey, i)
+}
+
+// IdentityFrom returns the identity of the caller.
+func IdentityFrom(ctx context.Context) (Identity, bool) {
+	i, ok := ctx.Value(identityKey).(Identity)
+	return i, ok
+}
+
+// WithRequestID returns a context that carries the request id.
+func WithRequestID(ctx context.Context, id string) context.Context {
+	return context.WithValue(ctx, requestIDKey, id)
+}
+
+// RequestIDFrom returns the request id, or "".
+func RequestIDFrom(ctx context.Context) string {
+	id, _ := ctx.Value(requestIDKey).(string)
+	return id
+}
