--- a/standin/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package standin holds small replacements of the outside systems, for development and tests.
-package standin
--- /dev/null
+++ b/standin/engine/run.go
@@ -0,0 +1,109 @@
+package engine
+
+import (
+	"encoding/binary"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"time"
+
+	"crypto/sha256"
+)
+
+// resumeWindow is how long a run can be resumed after its end, and how long one without a reader goes on.
+const resumeWindow = 5 * time.Second
+
+// blockTokens is the number of prompt tokens in one block of the prefix cache.
+const blockTokens = 16
+
+// charsPerToken is the number of characters counted as one prompt token.
+const charsPerToken = 4
+
+type runState int
+
+const (
+	stateWaiting runState = iota
+	stateRunning
+	stateDone
+	stateCancelled
+	stateCrashed
+)
+
+// run is one sequence. The engine's lock guards the fields below updated.
+type run struct {
+	id           string
+	request      *http.Request
+	body         []byte
+	model        string
+	chat         bool
+	promptTokens int
+	blocks       []uint64
+	output       []string
+
+	updated   chan struct{}
+	row       int
+	state     runState
+	generated int
+	// readers counts the connections that wait for this run.
+	readers int
+}
+
+func (r *run) kvTokens() int { return r.promptTokens + r.generated }
+
+// notify wakes all readers.
+func (r *run) notify() {
+	close(r.updated)
+	r.updated = make(chan struct{})
+}
+
+// completionRequest holds the request fields that the stand-in understands.
+type completionRequest struct {
+	Model               string          `json:"model"`
+	Messages            json.RawMessage `json:"messages"`
+	Prompt              json.RawMessage `json:"prompt"`
+	MaxTokens           int             `json:"max_tokens"`
+	MaxCompletionTokens int             `json:"max_completion_tokens"`
+	Stream              bool            `json:"stream"`
+	// IgnoreEOS asks for exactly max_tokens tokens.
+	IgnoreEOS bool `json:"ignore_eos"`
+}
+
+// vocabulary is what the generated text is made of.
+var vocabulary = strings.Fields(`the letter confirms that employment began in spring and ended with good conduct
+work title composer share right matched entry broadcast minute draft statement line register total due period`)
+
+// newRun builds the run of a request; its output depends only on model, prompt and token limit.
+func newRun(id string, request *http.Request, body []byte, c completionRequest, chat bool) *run {
+	prompt := c.Prompt
+	if chat {
+		prompt = c.Messages
+	}
+	limit := c.MaxTokens
+	if limit == 0 {
+		limit = c.MaxCompletionTokens
+	}
+	r := &run{
+		id: id, request: request, body: body, model: c.Model, chat: chat, row: -1,
+		promptTokens: max(1, len(prompt)/charsPerToken), updated: make(chan struct{}),
+	}
+	r.blocks = prefixBlocks(c.Model, prompt)
+	r.output = generate(c.Model, prompt, limit, c.IgnoreEOS)
+	return r
+}
+
+// generate returns the tokens of the answer, each with its trailing space.
+func generate(model string, prompt []byte, limit int, exact bool) []string {
+	sum := sha256.Sum256(append([]byte(model+"\x00"), prompt...))
+	rng := rand.New(rand.NewPCG(binary.BigEndian.Uint64(sum[:8]), binary.BigEndian.Uint64(sum[8:16])))
+	n := 16 + rng.IntN(33)
+	if limit > 0 && (exact || limit < n) {
+		n = limit
+	}
+	tokens := []string{fmt.Sprintf("[%x] ", sum[:4])}
+	for len(tokens) < n {
+		tokens = append(tokens, vocabulary[rng.IntN(len(vocabulary))]+" ")
+	}
+	return tokens
+}
