Add the sample fleet and the node settings

Cause: dev and serve need the stand-ins started together, and settings that are checked as a whole. Change: devfleet starts both sample deployments; Settings.Check reports every fault in one answer.

--- /dev/null
+++ b/pkg/node/settings.go
@@ -0,0 +1,155 @@
+// Package node builds one node from its settings: adapters, controllers, and the listeners for callers, operators and peers.
+package node
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"regexp"
+	"strings"
+	"time"
+)
+
+// Settings are the flags of one node; each has an environment variable TREFOILPLANK_<FLAG>.
+type Settings struct {
+	Name             string `long:"name" env:"TREFOILPLANK_NAME" description:"name of the node, unique in the fleet"`
+	AvailabilityZone string `long:"availability-zone" env:"TREFOILPLANK_AVAILABILITY_ZONE" description:"availability zone of the node's VM"`
+	Region           string `long:"region" env:"TREFOILPLANK_REGION" description:"region of the availability zone"`
+	Listen           string `long:"listen" env:"TREFOILPLANK_LISTEN" default:"127.0.0.1:8080" description:"IP:port for callers"`
+	AdminListen      string `long:"admin-listen" env:"TREFOILPLANK_ADMIN_LISTEN" default:"127.0.0.1:8081" description:"IP:port for operators, /debug/vars, /healthz and /readyz"`
+	PeerListen       string `long:"peer-listen" env:"TREFOILPLANK_PEER_LISTEN" default:"127.0.0.1:8082" description:"IP:port for other nodes"`
+	Store            string `long:"store" env:"TREFOILPLANK_STORE" description:"IP:port or URL of the object API"`
+	VMList           string `long:"vm-list" env:"TREFOILPLANK_VM_LIST" description:"IP:port or URL of the platform's VM list (optional)"`
+	WeightStore      string `long:"weight-store" env:"TREFOILPLANK_WEIGHT_STORE" description:"IP:port or URL of the weight store (optional)"`
+	DataDir          string `long:"data-dir" env:"TREFOILPLANK_DATA_DIR" description:"data folder on VMs that have a disk (optional)"`
+
+	DrainTimeout time.Duration `long:"drain-timeout" env:"TREFOILPLANK_DRAIN_TIMEOUT" default:"10m" description:"longest time that a drain waits for requests in progress"`
+	AddressTTL   time.Duration `long:"address-ttl" env:"TREFOILPLANK_ADDRESS_TTL" default:"5s" description:"time for which callers keep an address answer"`
+
+	OperatorKey     string `long:"operator-key" env:"TREFOILPLANK_OPERATOR_KEY" description:"bearer key of operators"`
+	OperatorKeyFile string `long:"operator-key-file" env:"TREFOILPLANK_OPERATOR_KEY_FILE" description:"file that holds the operators' bearer key"`
+	PeerSecret      string `long:"peer-secret" env:"TREFOILPLANK_PEER_SECRET" description:"secret that all nodes share"`
+	PeerSecretFile  string `long:"peer-secret-file" env:"TREFOILPLANK_PEER_SECRET_FILE" description:"file that holds the secret that all nodes share"`
+
+	TLSCert     string `long:"tls-cert" env:"TREFOILPLANK_TLS_CERT" description:"certificate file for callers and operators; reloaded on change"`
+	TLSKey      string `long:"tls-key" env:"TREFOILPLANK_TLS_KEY" description:"key file of --tls-cert"`
+	PeerTLSCert string `long:"peer-tls-cert" env:"TREFOILPLANK_PEER_TLS_CERT" description:"certificate file for other nodes (mutual TLS)"`
+	PeerTLSKey  string `long:"peer-tls-key" env:"TREFOILPLANK_PEER_TLS_KEY" description:"key file of --peer-tls-cert"`
+	PeerTLSCA   string `long:"peer-tls-ca" env:"TREFOILPLANK_PEER_TLS_CA" description:"CA file that other nodes' certificates are checked against"`
+
+	Verbosity int    `short:"v" long:"verbosity" env:"TREFOILPLANK_VERBOSITY" default:"0" description:"log verbosity, 0 to 10"`
+	LogFormat string `long:"log-format" env:"TREFOILPLANK_LOG_FORMAT" choice:"text" choice:"json" default:"text" description:"log format"`
+}
+
+// SettingsError lists all faults of the settings.
+type SettingsError []string
+
+// Error returns the faults, one a line.
+func (e SettingsError) Error() string { return strings.Join(e, "\n") }
+
+var namePattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9.]{0,62}$`)
+
+// minSecretBytes is the shortest accepted key or secret; shorter ones can be guessed.
+const minSecretBytes = 12
+
+// Check reads the key files and returns a SettingsError with every fault.
+func (s *Settings) Check() error {
+	var e SettingsError
+	add := func(format string, args ...any) { e = append(e, fmt.Sprintf(format, args...)) }
+	if !namePattern.MatchString(s.Name) {
+		add("--name: %q must be 1 to 63 letters, digits or '.' (request ids are NAME-ULID)", s.Name)
+	}
+	if s.AvailabilityZone == "" {
+		add("--availability-zone: is missing")
+	}
+	if s.Store == "" {
+		add("--store: is missing")
+	}
+	s.checkListeners(add)
+	s.OperatorKey = secret(add, "operator-key", s.OperatorKey, s.OperatorKeyFile)
+	s.PeerSecret = secret(add, "peer-secret", s.PeerSecret, s.PeerSecretFile)
+	s.checkFiles(add)
+	if s.DrainTimeout <= 0 {
+		add("--drain-timeout: must be above 0")
+	}
+	if s.AddressTTL < time.Second {
+		add("--address-ttl: must be at least 1s")
+	}
+	if s.Verbosity < 0 || s.Verbosity > 10 {
+		add("-v: must be between 0 and 10")
+	}
+	if len(e) == 0 {
+		return nil
+	}
+	return e
+}
+
+func (s *Settings) checkListeners(add func(string, ...any)) {
+	seen := map[string]string{}
+	for _, l := range []struct{ flag, address string }{
+		{"listen", s.Listen}, {"admin-listen", s.AdminListen}, {"peer-listen", s.PeerListen},
+	} {
+		host, port, err := net.SplitHostPort(l.address)
+		switch {
+		case err != nil:
+			add("--%s: %q must be IP:port", l.flag, l.address)
+		case net.ParseIP(host) == nil:
+			add("--%s: %q must hold an IP number", l.flag, l.address)
+		case seen[l.address] != "" && port != "0":
+			add("--%s: %q is also the address of --%s", l.flag, l.address, seen[l.address])
+		}
+		seen[l.address] = l.flag
+	}
+}
+
+// secret returns the value given directly or in a file.
+func secret(add func(string, ...any), flag, value, file string) string {
+	if value != "" && file != "" {
+		add("--%s: only one of --%s and --%s-file may be given", flag, flag, flag)
+		return ""
+	}
+	if file != "" {
+		data, err := os.ReadFile(file)
+		if err != nil {
+			add("--%s-file: %v", flag, err)
+			return ""
+		}
+		value = strings.TrimSpace(string(data))
+	}
+	if len(value) < minSecretBytes {
+		add("--%s: must have at least %d characters", flag, minSecretBytes)
+	}
+	return value
+}
+
+func (s *Settings) checkFiles(add func(string, ...any)) {
+	if (s.TLSCert == "") != (s.TLSKey == "") {
+		add("--tls-cert and --tls-key: both or none must be given")
+	}
+	given := 0
+	for _, f := range []string{s.PeerTLSCert, s.PeerTLSKey, s.PeerTLSCA} {
+		if f != "" {
+			given++
+		}
+	}
+	if given != 0 && given != 3 {
+		add("--peer-tls-cert, --peer-tls-key and --peer-tls-ca: all or none must be given")
+	}
+	files := []struct{ flag, name string }{
+		{"tls-cert", s.TLSCert}, {"tls-key", s.TLSKey}, {"peer-tls-cert", s.PeerTLSCert},
+		{"peer-tls-key", s.PeerTLSKey}, {"peer-tls-ca", s.PeerTLSCA},
+	}
+	for _, f := range files {
+		if f.name == "" {
+			continue
+		}
+		if _, err := os.Stat(f.name); err != nil {
+			add("--%s: %v", f.flag, err)
+		}
+	}
+	if s.DataDir != "" {
+		if info, err := os.Stat(s.DataDir); err != nil || !info.IsDir() {
+			add("--data-dir: %q is not a folder", s.DataDir)
+		}
+	}
+}
--- /dev/null
+++ b/pkg/node/settings_test.go
@@ -0,0 +1,31 @@
+package node
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against a start that names only the first wrong setting.
+func TestCheckListsEveryFault(t *testing.T) {
+	s := Settings{
+		Name: "bad name", Listen: "localhost:80", AdminListen: "127.0.0.1:1", PeerListen: "127.0.0.1:1",
+		OperatorKey: "short", PeerSecret: "long enough secret", TLSCert: "/does/not/exist",
+		DrainTimeout: time.Second, AddressTTL: time.Second,
+	}
+	err := s.Check()
+	faults, ok := err.(SettingsError)
+	assert.Assert(t, ok)
+	assert.Equal(t, len(faults), 8, err.Error())
+}
+
+// Guards against good settings being refused.
+func TestCheckAcceptsGoodSettings(t *testing.T) {
+	s := Settings{
+		Name: "node1", AvailabilityZone: "a", Store: "127.0.0.1:1", Listen: "127.0.0.1:0", AdminListen: "127.0.0.1:0",
+		PeerListen: "127.0.0.1:0", OperatorKey: "operator key 1", PeerSecret: "long enough secret",
+		DrainTimeout: time.Second, AddressTTL: time.Second,
+	}
+	assert.NilError(t, s.Check())
+}
--- /dev/null
+++ b/standin/devfleet/devfleet.go
@@ -0,0 +1,153 @@
+// Package devfleet starts all stand-ins on 127.0.0.1 and describes them in a sample register with rules.
+package devfleet
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+
+	"trefoilplank.example/api"
+	"trefoilplank.example/standin/engine"
+	"trefoilplank.example/standin/objectapi"
+	"trefoilplank.example/standin/plainservice"
+	"trefoilplank.example/standin/vmlist"
+	"trefoilplank.example/standin/weightstore"
+)
+
+// weightTransfersPerSecond is the rate of the weight store stand-in.
+const weightTransfersPerSecond = 4
+
+// Fleet is a set of running stand-ins.
+type Fleet struct {
+	StoreAddress       string
+	VMListAddress      string
+	WeightStoreAddress string
+	Register           api.Register
+	Rules              api.Rules
+	// Keys holds one bearer key for each institution.
+	Keys map[string]string
+
+	servers []*http.Server
+	engines []*engine.Engine
+}
+
+// deployment describes one institution's part of the sample fleet.
+type deployment struct {
+	institution, displayName string
+	zones                    []string
+	model, service           string
+	engines, services        int
+	rules                    api.InstitutionRules
+}
+
+// Start starts the stand-ins; seed drives their random choices.
+func Start(seed uint64) (*Fleet, error) {
+	f := &Fleet{Keys: map[string]string{}, Register: api.Register{Kind: api.KindRegister}, Rules: api.Rules{Kind: api.KindRules}}
+	var err error
+	if f.StoreAddress, err = f.serve(objectapi.New(seed)); err != nil {
+		return nil, err
+	}
+	for _, d := range deployments() {
+		if err := f.add(d, seed); err != nil {
+			f.Close()
+			return nil, err
+		}
+	}
+	var vms []string
+	for _, u := range f.Register.Upstreams {
+		vms = append(vms, u.VM)
+	}
+	if f.VMListAddress, err = f.serve(vmlist.New(vms...)); err != nil {
+		f.Close()
+		return nil, err
+	}
+	if f.WeightStoreAddress, err = f.serve(weightstore.New(weightTransfersPerSecond)); err != nil {
+		f.Close()
+		return nil, err
+	}
+	return f, nil
+}
+
+// serve listens on a free port of 127.0.0.1 and returns the address.
+func (f *Fleet) serve(h http.Handler) (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	s := &http.Server{Handler: h}
+	f.servers = append(f.servers, s)
+	go func() { _ = s.Serve(l) }()
+	return l.Addr().String(), nil
+}
+
+// add starts one deployment's upstreams and describes them.
+func (f *Fleet) add(d deployment, seed uint64) error {
+	sum := sha256.Sum256(fmt.Appendf(nil, "%s %d", d.institution, seed))
+	key := "dev-" + d.institution + "-" + hex.EncodeToString(sum[:8])
+	f.Keys[d.institution] = key
+	digest := sha256.Sum256([]byte(key))
+	r := &f.Register
+	r.Institutions = append(r.Institutions, api.Institution{Name: d.institution, DisplayName: d.displayName})
+	r.Callers = append(r.Callers, api.Caller{
+		Name: d.institution + "-desk", Institution: d.institution, KeyDigests: []string{hex.EncodeToString(digest[:])},
+		Grants: api.Grants{Models: []string{d.model}, Services: []string{d.service}, Batch: true},
+	})
+	r.Models = append(r.Models, api.Model{Name: d.model, Version: "v1", MinReplicas: 1})
+	r.Versions = append(r.Versions, api.Version{Model: d.model, Name: "v1", WeightsBytes: 1 << 30})
+	f.Rules.Institutions = append(f.Rules.Institutions, d.rules)
+	for i := range d.engines {
+		if err := f.addEngine(d, i, seed); err != nil {
+			return err
+		}
+	}
+	for i := range d.services {
+		address, err := f.serve(plainservice.New(d.service))
+		if err != nil {
+			return err
+		}
+		name := fmt.Sprintf("%s-%d", d.service, i)
+		r.Upstreams = append(r.Upstreams, api.Upstream{
+			Name: name, Address: address, VM: "vm-" + name, AvailabilityZone: d.zones[i%len(d.zones)],
+			Kind: api.UpstreamService, Service: d.service,
+		})
+	}
+	return nil
+}
+
+func (f *Fleet) addEngine(d deployment, i int, seed uint64) error {
+	name := fmt.Sprintf("%s-%d", d.model, i)
+	// Every other engine ignores fencing tokens, as some deployments' engines do.
+	fencing := api.FencingEnforced
+	if i%2 == 1 {
+		fencing = api.FencingIgnored
+	}
+	e := engine.New(engine.Options{
+		Name: name, Models: map[string]string{d.model: "v1"}, EnforceFencing: fencing == api.FencingEnforced,
+		Seed: seed + uint64(i),
+	})
+	f.engines = append(f.engines, e)
+	address, err := f.serve(e)
+	if err != nil {
+		return err
+	}
+	f.Register.Upstreams = append(f.Register.Upstreams, api.Upstream{
+		Name: name, Address: address, VM: "vm-" + name, AvailabilityZone: d.zones[i%len(d.zones)],
+		Kind: api.UpstreamEngine, Models: []string{d.model}, Fencing: fencing,
+	})
+	return nil
+}
+
+// Close ends all stand-ins.
+func (f *Fleet) Close() error {
+	var errs []error
+	for _, s := range f.servers {
+		errs = append(errs, s.Close())
+	}
+	for _, e := range f.engines {
+		e.Close()
+	}
+	return errors.Join(errs...)
+}
