Add admission of online and batch work, and per-institution limits

Cause: the gateway and batch parts need admission to build against. Change: a queue per upstream (rank, weighted share, deadline) with slots at its rendezvous owner, Acquire/Wait/Release/Load over the peer interface, a local estimate when the owner is silent, batch runs on idle slots with preemption, and rate and concurrency limits that use the node's fair share. The concurrency limit is the reported slots. Placement is random, limits are not yet granted by demand.

--- /dev/null
+++ b/pkg/controller/admission/controller.go
@@ -0,0 +1,202 @@
+// Package admission drives the admission decisions: it serves the queues and slots of the upstreams that this
+// node owns, and acquires slots from the owners of the others.
+package admission
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/zeebo/errs"
+
+	"trefoilplank.example/api"
+	"trefoilplank.example/pkg/adapter/peer"
+	"trefoilplank.example/pkg/blackboard"
+	decision "trefoilplank.example/pkg/decision/admission"
+	"trefoilplank.example/pkg/explain"
+	"trefoilplank.example/pkg/serving"
+)
+
+// Error is the class of the errors of this package.
+var Error = errs.Class("admission")
+
+const (
+	// ownerSilence is how long a serving node waits for an owner's answer to Acquire (design section 6.1).
+	ownerSilence = 5 * time.Millisecond
+	// waitPoll bounds one Wait call, so that a paused owner is noticed.
+	waitPoll = 200 * time.Millisecond
+	// waitSilence is what a Wait call may take beyond its poll time.
+	waitSilence = 50 * time.Millisecond
+	// releaseTimeout bounds the call that returns a slot; a lost call is repaired by the held-slot exchange.
+	releaseTimeout = time.Second
+	// queueTick is the interval at which waiting items are checked against their deadlines and preempted runs
+	// against their grace.
+	queueTick = 5 * time.Millisecond
+	// syncInterval is the interval of the held-slot exchange and of the checks on lost nodes.
+	syncInterval = 500 * time.Millisecond
+	// heldGrace is how long a granted slot stays reserved for a node that does not list it as held.
+	heldGrace = 2 * time.Second
+	// defaultLimit is the concurrency limit of an upstream that has not reported its slots.
+	defaultLimit = 4
+)
+
+// Observer knows the health, load and cache contents of upstreams.
+type Observer interface {
+	// Report takes the result of a run on the upstream as evidence for its health.
+	Report(upstream string, r serving.RunResult)
+	// Learn takes the owner's view of an upstream that this node does not poll.
+	Learn(upstream string, s blackboard.UpstreamStatus)
+	// Cached returns the number of leading blocks of a prompt that the upstream has cached; -1 when not known.
+	Cached(upstream string, hashes []uint64) int
+}
+
+// Options are the collaborators of a Controller.
+type Options struct {
+	// Self is the name of this node.
+	Self  string
+	Board *blackboard.Board
+	Peers peer.Caller
+	// Registrar gets the receiver "Admission"; nil when the node has no peers.
+	Registrar peer.Registrar
+	// Batch supplies items for idle slots; nil when the node runs no batch work.
+	Batch serving.BatchSource
+	// Log records decisions; nil records none.
+	Log *explain.Log
+	// Observer may be nil.
+	Observer Observer
+	// Seed makes random choices repeatable; 0 takes a random one.
+	Seed uint64
+}
+
+// Controller implements serving.Slots. It is safe for concurrent use.
+type Controller struct {
+	Options
+
+	// mu guards the maps; it is taken before no other lock of this package.
+	mu       sync.Mutex
+	owned    map[string]*owned
+	held     map[string]*heldSlot
+	views    map[string]*view
+	silent   map[string]silence
+	random   *rand.Rand
+	batchCtx context.Context
+	stopped  bool
+	fills    sync.WaitGroup
+}
+
+var _ serving.Slots = (*Controller)(nil)
+
+// New returns a controller and registers its receiver; Run must be running for batch work and expiry.
+func New(o Options) (*Controller, error) {
+	if o.Seed == 0 {
+		o.Seed = rand.Uint64()
+	}
+	c := &Controller{
+		Options: o, owned: map[string]*owned{}, held: map[string]*heldSlot{}, views: map[string]*view{},
+		silent: map[string]silence{}, random: rand.New(rand.NewPCG(o.Seed, 1)),
+	}
+	if o.Registrar != nil {
+		if err := o.Registrar.Register("Admission", &Service{c}); err != nil {
+			return nil, Error.Wrap(err)
+		}
+	}
+	return c, nil
+}
+
+// Run exchanges held slots, expires those of lost nodes and fills idle slots until ctx ends. Batch runs in
+// progress are cancelled by the end of ctx.
+func (c *Controller) Run(ctx context.Context) error {
+	c.mu.Lock()
+	c.batchCtx = ctx
+	c.mu.Unlock()
+	tick := time.NewTicker(syncInterval)
+	defer tick.Stop()
+	for {
+		var stock <-chan struct{}
+		if c.Batch != nil {
+			stock = c.Batch.Waiting()
+		}
+		members, config := c.Board.Members.Changed(c.revision()), c.Board.Config.Changed(c.configRevision())
+		c.sync(ctx)
+		select {
+		case <-ctx.Done():
+			c.mu.Lock()
+			c.stopped = true
+			c.mu.Unlock()
+			c.fills.Wait()
+			return nil
+		case <-tick.C:
+		case <-stock:
+		case <-members:
+		case <-config:
+		}
+	}
+}
+
+func (c *Controller) revision() int64 {
+	_, r := c.Board.Members.Get()
+	return r
+}
+
+func (c *Controller) configRevision() int64 {
+	_, r := c.Board.Config.Get()
+	return r
+}
+
+// sync brings the owned upstreams in line with members and configuration, and refills idle slots.
+func (c *Controller) sync(ctx context.Context) {
+	members := c.Board.Members.Value()
+	cfg := c.Board.Config.Value()
+	for _, u := range cfg.Register.Upstreams {
+		if decision.Owner(u.Name, members) == c.Self {
+			c.upstream(u.Name)
+		}
+	}
+	for _, o := range c.ownedList() {
+		o.sync(members, cfg)
+		if ctx.Err() == nil {
+			o.fill()
+		}
+	}
+	c.exchange(ctx, members)
+}
+
+func (c *Controller) ownedList() []*owned {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	list := make([]*owned, 0, len(c.owned))
+	for _, o := range c.owned {
+		list = append(list, o)
+	}
+	return list
+}
+
+// upstream returns the state of an upstream of which this node acts as owner. A node acts as owner whenever
+// it is asked, since the asking node may have newer members; two owners for a moment cost only efficiency.
+func (c *Controller) upstream(name string) *owned {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	o, ok := c.owned[name]
+	if !ok {
+		o = newOwned(c, name)
+		c.owned[name] = o
+	}
+	return o
+}
+
+// find returns the upstream of that name in the register.
+func (c *Controller) find(name string) (api.Upstream, bool) {
+	for _, u := range c.Board.Config.Value().Register.Upstreams {
+		if u.Name == name {
+			return u, true
+		}
+	}
+	return api.Upstream{}, false
+}
+
+func (c *Controller) record(e explain.Entry) {
+	if c.Log != nil {
+		c.Log.Record(e)
+	}
+}
--- /dev/null
+++ b/pkg/controller/admission/fake_test.go
@@ -0,0 +1,161 @@
+package admission
+
+import (
+	"bytes"
+	"context"
+	"encoding/gob"
+	"fmt"
+	"reflect"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"trefoilplank.example/api"
+	"trefoilplank.example/pkg/adapter/peer"
+	"trefoilplank.example/pkg/blackboard"
+	"trefoilplank.example/pkg/explain"
+	"trefoilplank.example/pkg/serving"
+)
+
+// network is a fake peer transport: calls go through gob as in net/rpc; nodes can be dead or paused.
+type network struct {
+	mu     sync.Mutex
+	nodes  map[string]*fakeNode
+	faults map[string]string
+	calls  map[string]int
+}
+
+type fakeNode struct {
+	net       *network
+	name      string
+	board     *blackboard.Board
+	log       *explain.Log
+	receivers map[string]reflect.Value
+	c         *Controller
+}
+
+func (n *fakeNode) Register(name string, receiver any) error {
+	n.receivers[name] = reflect.ValueOf(receiver)
+	return nil
+}
+
+func copyGob(dst, src any) error {
+	var b bytes.Buffer
+	if err := gob.NewEncoder(&b).Encode(src); err != nil {
+		return err
+	}
+	return gob.NewDecoder(&b).Decode(dst)
+}
+
+func (n *network) fault(node, kind string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.faults[node] = kind
+}
+
+func (n *network) count(method string) int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.calls[method]
+}
+
+func (n *fakeNode) Call(ctx context.Context, node, method string, args, reply any) error {
+	n.net.mu.Lock()
+	n.net.calls[method]++
+	target, fault := n.net.nodes[node], n.net.faults[node]
+	if fault == "" {
+		fault = n.net.faults[n.name]
+	}
+	n.net.mu.Unlock()
+	if target == nil || fault == "dead" {
+		return peer.ErrUnreachable
+	}
+	receiver, name, _ := strings.Cut(method, ".")
+	done := make(chan error, 1)
+	m := target.receivers[receiver].MethodByName(name)
+	in, out := reflect.New(m.Type().In(0).Elem()), reflect.New(m.Type().In(1).Elem())
+	if err := copyGob(in.Interface(), args); err != nil {
+		return err
+	}
+	go func() {
+		for fault == "paused" {
+			time.Sleep(10 * time.Millisecond)
+			n.net.mu.Lock()
+			fault = n.net.faults[node]
+			n.net.mu.Unlock()
+		}
+		err, _ := m.Call([]reflect.Value{in, out})[0].Interface().(error)
+		done <- err
+	}()
+	select {
+	case err := <-done:
+		if err != nil {
+			return err
+		}
+		return copyGob(reply, out.Interface())
+	case <-ctx.Done():
+		return peer.ErrTimeout
+	}
+}
+
+func (n *fakeNode) CallAddress(context.Context, string, string, any, any) error {
+	return peer.ErrUnreachable
+}
+
+// cluster returns running nodes over the given register and rules; batch may be nil.
+func cluster(t *testing.T, nodes int, cfg api.Config, batch func(node string) serving.BatchSource) *network {
+	n := &network{nodes: map[string]*fakeNode{}, faults: map[string]string{}, calls: map[string]int{}}
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	t.Cleanup(func() { cancel(); wg.Wait() })
+	for i := range nodes {
+		name := fmt.Sprintf("n%d", i)
+		n.nodes[name] = &fakeNode{net: n, name: name, board: blackboard.New(), receivers: map[string]reflect.Value{},
+			log: explain.NewLog(name, 4096, time.Now)}
+	}
+	n.members()
+	for name, node := range n.nodes {
+		node.board.Config.Set(cfg)
+		o := Options{Self: name, Board: node.board, Peers: node, Registrar: node, Log: node.log, Seed: 7}
+		if batch != nil {
+			o.Batch = batch(name)
+		}
+		c, err := New(o)
+		assert.NilError(t, err)
+		node.c = c
+		wg.Add(1)
+		go func() { defer wg.Done(); _ = c.Run(ctx) }()
+	}
+	return n
+}
+
+// members sets the live members on all nodes, leaving out the named ones.
+func (n *network) members(without ...string) {
+	live := map[string]blackboard.Member{}
+	for name := range n.nodes {
+		live[name] = blackboard.Member{Name: name, AvailabilityZone: "z1"}
+	}
+	for _, w := range without {
+		delete(live, w)
+	}
+	for name, node := range n.nodes {
+		node.board.Members.Set(blackboard.Members{Self: name, Live: live})
+	}
+}
+
+// engines returns a register with upstreams e0, e1, ... of one model.
+func engines(count int) api.Config {
+	var cfg api.Config
+	for i := range count {
+		cfg.Register.Upstreams = append(cfg.Register.Upstreams, api.Upstream{
+			Name: fmt.Sprintf("e%d", i), Kind: api.UpstreamEngine, Models: []string{"m"}, AvailabilityZone: "z1"})
+	}
+	return cfg
+}
+
+func request(id string) serving.Request {
+	return serving.Request{ID: id, Institution: "board", Model: "m", Share: 1, Deadline: time.Now().Add(10 * time.Second)}
+}
--- /dev/null
+++ b/pkg/controller/admission/messages.go
@@ -0,0 +1,129 @@
+package admission
+
+import (
+	"time"
+
+	"trefoilplank.example/pkg/blackboard"
+	decision "trefoilplank.example/pkg/decision/admission"
+	"trefoilplank.example/pkg/serving"
+)
+
+// Work describes a request to an admission owner. Times are relative, since clocks of nodes differ.
+type Work struct {
+	ID          string
+	Institution string
+	Class       string
+	Rank        int
+	Share       float64
+	Cost        float64
+	Batch       bool
+	Alone       bool
+	// DeadlineIn is the time left until the answer is due; 0 means no deadline.
+	DeadlineIn time.Duration
+}
+
+func workOf(r serving.Request, now time.Time) Work {
+	w := Work{ID: r.ID, Institution: r.Institution, Class: r.Class, Rank: r.Rank, Share: r.Share,
+		Cost: float64(r.MaxTokens) + float64(r.PromptTokens)/promptTokensPerToken, Batch: r.Batch, Alone: r.Alone}
+	if !r.Deadline.IsZero() {
+		w.DeadlineIn = max(1, r.Deadline.Sub(now))
+	}
+	return w
+}
+
+// promptTokensPerToken weighs prompt tokens in the cost of a request: engines process prompts in parallel, so a
+// prompt token takes a small part of the time of a generated one.
+const promptTokensPerToken = 16
+
+func (w Work) item(node string, now time.Time) decision.Item {
+	it := decision.Item{ID: w.ID, Node: node, Institution: w.Institution, Class: w.Class, Rank: w.Rank,
+		Share: w.Share, Cost: w.Cost, Batch: w.Batch, Alone: w.Alone}
+	if w.DeadlineIn > 0 {
+		it.Deadline = now.Add(w.DeadlineIn)
+	}
+	return it
+}
+
+// Status is an owner's answer on a request.
+type Status string
+
+// Answers of an owner.
+const (
+	StatusGranted Status = "granted"
+	StatusQueued  Status = "queued"
+	StatusRefused Status = "refused"
+	// StatusUnknown means that the owner does not know the ticket: it restarted or gave the upstream away.
+	StatusUnknown Status = "unknown"
+)
+
+// AcquireArgs asks the owner of an upstream for a slot.
+type AcquireArgs struct {
+	Upstream string
+	Node     string
+	Work     Work
+	// MayWait lets the owner queue the request; otherwise it grants or refuses at once.
+	MayWait bool
+	// PrefixHashes let the owner say how much of the prompt the upstream has cached.
+	PrefixHashes []uint64
+}
+
+// AcquireReply answers AcquireArgs and WaitArgs.
+type AcquireReply struct {
+	Status     Status
+	Reason     string
+	Wait       time.Duration
+	RetryAfter time.Duration
+	// CachedBlocks is the number of leading blocks of the prompt in the upstream's cache; -1 when not known.
+	CachedBlocks int
+	// Loads are the upstreams of this owner, so that the node learns without polling.
+	Loads []Load
+}
+
+// WaitArgs waits for the decision on a queued request.
+type WaitArgs struct {
+	Upstream string
+	Node     string
+	ID       string
+	// Poll is how long the owner keeps the call when nothing is decided.
+	Poll time.Duration
+}
+
+// ReleaseArgs returns a slot or a place in the queue.
+type ReleaseArgs struct {
+	Upstream string
+	Node     string
+	Work     Work
+	Usage    serving.Usage
+}
+
+// ReleaseReply carries the owner's loads.
+type ReleaseReply struct{ Loads []Load }
+
+// HeldSlot is a slot that a serving node uses.
+type HeldSlot struct {
+	Upstream string
+	Work     Work
+}
+
+// LoadArgs reports the slots that a node holds on upstreams of the callee and asks for the load of all of them.
+type LoadArgs struct {
+	Node string
+	Held []HeldSlot
+}
+
+// LoadReply answers LoadArgs.
+type LoadReply struct{ Loads []Load }
+
+// Load is an owner's view of one upstream.
+type Load struct {
+	Upstream string
+	Limit    int
+	Online   int
+	Batch    int
+	Waiting  int
+	// Hold is the smoothed time that online work holds a slot.
+	Hold time.Duration
+	// Age is how old the upstream's own report in Observed is.
+	Age      time.Duration
+	Observed blackboard.UpstreamStatus
+}
--- /dev/null
+++ b/pkg/controller/admission/view.go
@@ -0,0 +1,116 @@
+package admission
+
+import (
+	"time"
+
+	"trefoilplank.example/pkg/blackboard"
+	decision "trefoilplank.example/pkg/decision/admission"
+)
+
+// view is what this node knows of an upstream, from its owner's replies and its own use since.
+type view struct {
+	load Load
+	at   time.Time
+	// delta is the number of slots that this node took less those it returned since at.
+	delta int
+	// inFlight is the number of slots that this node holds; local counts those granted on the local estimate.
+	inFlight, local int
+}
+
+// silence is an owner that gave no answer. Calls to it are skipped until the given time.
+type silence struct {
+	until time.Time
+	pause time.Duration
+}
+
+const (
+	minSilence = 50 * time.Millisecond
+	maxSilence = time.Second
+)
+
+// view returns the entry of an upstream; c.mu is held.
+func (c *Controller) view(name string) *view {
+	v, ok := c.views[name]
+	if !ok {
+		v = &view{}
+		c.views[name] = v
+	}
+	return v
+}
+
+// loads returns the load of the upstreams that this node owns; full adds what the upstreams report.
+func (c *Controller) loads(full bool) []Load {
+	members := c.Board.Members.Value()
+	observed := c.Board.Upstreams.Value()
+	var out []Load
+	for _, o := range c.ownedList() {
+		if decision.Owner(o.name, members) != c.Self {
+			continue
+		}
+		l := o.load()
+		st := observed[o.name]
+		if !st.ReportedAt.IsZero() {
+			l.Age = time.Since(st.ReportedAt)
+		}
+		if full {
+			l.Observed = st
+		} else {
+			l.Observed = blackboard.UpstreamStatus{Health: st.Health}
+		}
+		out = append(out, l)
+	}
+	return out
+}
+
+func (o *owned) load() Load {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	l := Load{Upstream: o.name, Limit: o.state.Limit(), Hold: o.state.Hold()}
+	l.Online, l.Batch, l.Waiting = o.state.Counts()
+	return l
+}
+
+// absorb takes the loads of an owner's reply.
+func (c *Controller) absorb(loads []Load) {
+	now := time.Now()
+	c.mu.Lock()
+	for _, l := range loads {
+		v := c.view(l.Upstream)
+		if l.Observed.Reason == "" && l.Observed.ReportedAt.IsZero() {
+			health := l.Observed.Health
+			l.Observed = v.load.Observed
+			l.Observed.Health = health
+		}
+		v.load, v.at, v.delta = l, now, 0
+	}
+	c.mu.Unlock()
+	if c.Observer == nil {
+		return
+	}
+	for _, l := range loads {
+		c.Observer.Learn(l.Upstream, l.Observed)
+	}
+}
+
+// ownerSilent notes that an owner gave no answer; each further silence doubles the pause.
+func (c *Controller) ownerSilent(owner string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.silent[owner]
+	s.pause = min(max(2*s.pause, minSilence), maxSilence)
+	s.until = time.Now().Add(s.pause)
+	c.silent[owner] = s
+}
+
+// isSilent reports whether calls to the owner are skipped now.
+func (c *Controller) isSilent(owner string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return time.Now().Before(c.silent[owner].until)
+}
+
+func (c *Controller) ownerAnswered(owner string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.silent, owner)
+}
--- /dev/null
+++ b/pkg/decision/admission/owner.go
@@ -0,0 +1,54 @@
+package admission
+
+import (
+	"math"
+	"time"
+
+	"trefoilplank.example/pkg/blackboard"
+	"trefoilplank.example/pkg/decision/rendezvous"
+)
+
+// Owner returns the node that owns admission of the upstream: the rendezvous choice over the live members that
+// do not drain, or over all when every member drains. It returns self while no member is known.
+func Owner(upstream string, m blackboard.Members) string {
+	nodes := make([]string, 0, len(m.Live))
+	for name, member := range m.Live {
+		if !member.Draining {
+			nodes = append(nodes, name)
+		}
+	}
+	if len(nodes) == 0 {
+		for name := range m.Live {
+			nodes = append(nodes, name)
+		}
+	}
+	if len(nodes) == 0 {
+		return m.Self
+	}
+	return rendezvous.Owner("admission/"+upstream, nodes)
+}
+
+// LocalBound returns how many online requests a node may run on an upstream at one time without its owner: the
+// node's equal part of the limit, at least one.
+func LocalBound(limit, liveNodes int) int {
+	return max(1, int(math.Ceil(float64(limit)/float64(max(1, liveNodes)))))
+}
+
+// StartBy returns the latest time at which a start meets both the deadline, given the expected run time, and
+// the first-token objective, given the expected first-token time. An objective of 0 is none. It is never
+// before the time of arrival, since an idle upstream is always worth a try before the deadline.
+func StartBy(now, deadline time.Time, run, objective, firstToken time.Duration) time.Time {
+	var by time.Time
+	if !deadline.IsZero() {
+		by = deadline.Add(-run)
+	}
+	if objective > 0 {
+		if o := now.Add(objective - firstToken); by.IsZero() || o.Before(by) {
+			by = o
+		}
+	}
+	if !by.IsZero() && by.Before(now) {
+		by = now
+	}
+	return by
+}
--- /dev/null
+++ b/pkg/decision/admission/state.go
@@ -0,0 +1,306 @@
+package admission
+
+import (
+	"fmt"
+	"sort"
+	"time"
+)
+
+// Kind says what was decided.
+type Kind string
+
+// Kinds of decision.
+const (
+	Grant Kind = "grant"
+	Wait  Kind = "wait"
+	// Drop gives a request up before it ran.
+	Drop Kind = "drop"
+	// Preempt ends a batch run so that online work gets its slot.
+	Preempt Kind = "preempt"
+)
+
+// Decision is one outcome with its reason.
+type Decision struct {
+	Kind   Kind
+	Item   Item
+	Reason string
+	// Queued is the time that a granted or dropped item waited.
+	Queued time.Duration
+	// Wait is the expected time to a slot, for Wait and Drop.
+	Wait time.Duration
+	// RetryAfter is when a dropped request is useful again.
+	RetryAfter time.Duration
+}
+
+// Settings are the fixed parameters of a State.
+type Settings struct {
+	// MaxQueue bounds the waiting items.
+	MaxQueue int
+	// PreemptGrace is how long a preempted run may hold its slot. Then the slot counts as free, since a lost
+	// cancellation must not keep online work waiting.
+	PreemptGrace time.Duration
+	// MinRetryAfter is the least retry time of a dropped request.
+	MinRetryAfter time.Duration
+	// AloneWait bounds the wait of a request that runs alone, since it keeps the upstream empty meanwhile.
+	AloneWait time.Duration
+}
+
+// DefaultSettings returns the parameters in use.
+func DefaultSettings() Settings {
+	return Settings{MaxQueue: 256, PreemptGrace: 20 * time.Millisecond, MinRetryAfter: time.Second, AloneWait: 10 * time.Second}
+}
+
+// holding is an occupied slot.
+type holding struct {
+	item      Item
+	since     time.Time
+	preempted time.Time
+	tokens    int
+	resumable bool
+}
+
+// State holds the slots and the queue of one upstream. It is not safe for concurrent use.
+type State struct {
+	set     Settings
+	limit   int
+	running map[string]*holding
+	queue   Queue
+	// hold is the smoothed time that online work holds a slot.
+	hold time.Duration
+	// peak is the most slots in use since TakePeak.
+	peak int
+}
+
+// NewState returns an upstream with a concurrency limit of limit slots.
+func NewState(set Settings, limit int) *State {
+	return &State{set: set, limit: max(1, limit), running: map[string]*holding{}}
+}
+
+// Limit returns the concurrency limit.
+func (s *State) Limit() int { return s.limit }
+
+// Counts returns the slots held by online and by batch work and the number of waiting items.
+func (s *State) Counts() (online, batch, waiting int) {
+	for _, h := range s.running {
+		if h.item.Batch {
+			batch++
+		} else {
+			online++
+		}
+	}
+	return online, batch, s.queue.Len()
+}
+
+// TakePeak returns the most slots in use since the last call.
+func (s *State) TakePeak() int {
+	p := s.peak
+	s.peak = len(s.running)
+	return p
+}
+
+// SetLimit changes the limit and hands out what it frees. A lower limit interrupts nothing.
+func (s *State) SetLimit(now time.Time, limit int) []Decision {
+	s.limit = max(1, limit)
+	return s.Advance(now)
+}
+
+// ObserveHold learns how long online work holds a slot.
+func (s *State) ObserveHold(d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	if s.hold == 0 {
+		s.hold = d
+	}
+	s.hold += (d - s.hold) / 8
+}
+
+// ExpectedWait estimates the time until an item would get a slot.
+func (s *State) ExpectedWait(now time.Time, it Item) time.Duration {
+	ahead := s.queue.Ahead(it)
+	if free := s.limit - s.occupied(now); free > 0 && ahead < free {
+		return 0
+	}
+	if _, batch, _ := s.Counts(); ahead < batch && !it.Batch {
+		return s.set.PreemptGrace
+	}
+	return time.Duration(float64(s.hold) * float64(ahead+1) / float64(s.limit))
+}
+
+// occupied counts the slots in use; preempted runs count until their grace ends.
+func (s *State) occupied(now time.Time) int {
+	n := 0
+	for _, h := range s.running {
+		if h.preempted.IsZero() || now.Sub(h.preempted) < s.set.PreemptGrace {
+			n++
+		}
+	}
+	return n
+}
+
+// Offer takes a new request. Without mayWait it is dropped unless it gets a slot at once. The first decision
+// returned is always about the item itself.
+func (s *State) Offer(now time.Time, it Item, mayWait bool) []Decision {
+	if h, ok := s.running[it.ID]; ok {
+		return []Decision{{Kind: Grant, Item: h.item, Reason: "slot already granted"}}
+	}
+	wait := s.ExpectedWait(now, it)
+	if d, refused := s.refuse(now, it, wait, mayWait); refused {
+		return []Decision{d}
+	}
+	s.queue.Push(now, it)
+	own := Decision{Kind: Wait, Item: it, Wait: wait, Reason: fmt.Sprintf("all %d slots in use", s.limit)}
+	var rest []Decision
+	for _, d := range s.Advance(now) {
+		if d.Item.ID == it.ID {
+			own = d
+			continue
+		}
+		rest = append(rest, d)
+	}
+	if own.Kind == Wait && s.queue.Len() > s.set.MaxQueue {
+		worst, _ := s.queue.Worst()
+		s.queue.Remove(worst.ID)
+		d := s.drop(now, worst, "queue full")
+		if worst.ID == it.ID {
+			own = d
+		} else {
+			rest = append(rest, d)
+		}
+	}
+	return append([]Decision{own}, rest...)
+}
+
+// refuse decides whether an item is dropped on arrival.
+func (s *State) refuse(now time.Time, it Item, wait time.Duration, mayWait bool) (Decision, bool) {
+	switch {
+	case !it.Deadline.IsZero() && !now.Before(it.Deadline):
+		return s.drop(now, it, "deadline has passed"), true
+	case !it.StartBy.IsZero() && now.Add(wait).After(it.StartBy):
+		return s.drop(now, it, fmt.Sprintf("expected wait of %v is too long for deadline or objective", wait)), true
+	case !mayWait && (wait > 0 || it.Alone && len(s.running) > 0):
+		return s.drop(now, it, "no slot is free"), true
+	}
+	return Decision{}, false
+}
+
+func (s *State) drop(now time.Time, it Item, reason string) Decision {
+	d := Decision{Kind: Drop, Item: it, Reason: reason, Wait: s.ExpectedWait(now, it)}
+	if !it.enqueued.IsZero() {
+		d.Queued = now.Sub(it.enqueued)
+	}
+	d.RetryAfter = max(s.set.MinRetryAfter, d.Wait)
+	return d
+}
+
+// Release frees the slot of a request or takes it out of the queue.
+func (s *State) Release(now time.Time, id string) []Decision {
+	delete(s.running, id)
+	s.queue.Remove(id)
+	return s.Advance(now)
+}
+
+// Advance drops what can no longer be served in time and hands free slots to waiting items.
+func (s *State) Advance(now time.Time) []Decision {
+	out := s.expire(now)
+	for {
+		it, ok := s.queue.Peek()
+		if !ok || s.aloneRuns() {
+			return out
+		}
+		if free := s.occupied(now) == 0 || !it.Alone && s.occupied(now) < s.limit; !free {
+			return append(out, s.preempt(now, it.Alone)...)
+		}
+		s.queue.Pop()
+		s.hold1(now, it)
+		out = append(out, Decision{Kind: Grant, Item: it, Queued: now.Sub(it.enqueued), Reason: "slot free"})
+	}
+}
+
+func (s *State) hold1(now time.Time, it Item) {
+	s.running[it.ID] = &holding{item: it, since: now}
+	s.peak = max(s.peak, len(s.running))
+}
+
+func (s *State) aloneRuns() bool {
+	if len(s.running) != 1 {
+		return false
+	}
+	for _, h := range s.running {
+		return h.item.Alone
+	}
+	return false
+}
+
+func (s *State) expire(now time.Time) []Decision {
+	var out []Decision
+	for _, it := range append([]Item(nil), s.queue.Items()...) {
+		reason := ""
+		switch {
+		case !it.Deadline.IsZero() && !now.Before(it.Deadline):
+			reason = "deadline passed in the queue"
+		case !it.StartBy.IsZero() && now.After(it.StartBy):
+			reason = "too late to meet deadline or objective"
+		case it.Alone && now.Sub(it.enqueued) > s.set.AloneWait:
+			reason = "upstream did not become empty for a run alone"
+		}
+		if reason != "" {
+			s.queue.Remove(it.ID)
+			out = append(out, s.drop(now, it, reason))
+		}
+	}
+	return out
+}
+
+// preempt chooses one batch run for each waiting online item that has none yet, or all for a run alone.
+func (s *State) preempt(now time.Time, all bool) []Decision {
+	var candidates []*holding
+	pending := 0
+	for _, h := range s.running {
+		switch {
+		case !h.item.Batch:
+		case !h.preempted.IsZero():
+			pending++
+		default:
+			candidates = append(candidates, h)
+		}
+	}
+	need := -pending
+	for i := range s.queue.Items() {
+		if !s.queue.Items()[i].Batch {
+			need++
+		}
+	}
+	if all {
+		need = len(candidates)
+	}
+	sort.Slice(candidates, func(i, j int) bool { return candidates[i].lessLoss(candidates[j]) })
+	var out []Decision
+	for _, h := range candidates[:max(0, min(need, len(candidates)))] {
+		h.preempted = now
+		out = append(out, Decision{Kind: Preempt, Item: h.item, Reason: fmt.Sprintf("least work lost: %.0f tokens", h.loss())})
+	}
+	return out
+}
+
+// resumeOverhead is the part of a resumable run's tokens that moving it costs, an estimate of KV export and
+// import against recomputing.
+const resumeOverhead = 0.05
+
+// loss is the work in tokens that preempting the run throws away.
+func (h *holding) loss() float64 {
+	if h.resumable {
+		return float64(h.tokens) * resumeOverhead
+	}
+	return float64(h.tokens)
+}
+
+func (h *holding) lessLoss(o *holding) bool {
+	if x, y := h.loss(), o.loss(); x != y {
+		return x < y
+	}
+	if !h.since.Equal(o.since) {
+		return h.since.After(o.since)
+	}
+	return h.item.ID < o.item.ID
+}
