Add the operators' interface and trefoilctl in a first working form

Cause: operators had no way to change or see the configuration. Change: operator.New serves apply (findings, If-Match, Idempotency-Key, dry run with changes per object, 412, 503 with outcome), the documents in force with ETag, status, explain and burn collected from live members, drain, health and expvar without the command line, which may hold secrets. No tests yet.

--- /dev/null
+++ b/pkg/ctl/ctl.go
@@ -0,0 +1,139 @@
+// Package ctl is the operators' and batch users' command line, trefoilctl.
+package ctl
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/zeebo/errs"
+)
+
+// Exit statuses.
+const (
+	exitDone   = 0
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+// usageError is the class of errors in the use of the command line.
+var usageError = errs.Class("usage")
+
+// globals are the flags of all commands.
+type globals struct {
+	Server       string `long:"server" env:"TREFOILCTL_SERVER" default:"127.0.0.1:18081" value-name:"ADDRESS" description:"operators' address of any node"`
+	CallerServer string `long:"caller-server" env:"TREFOILCTL_CALLER_SERVER" default:"127.0.0.1:18080" value-name:"ADDRESS" description:"callers' address of any node"`
+	Key          string `long:"key" env:"TREFOILCTL_KEY" value-name:"KEY" description:"operator key"`
+	CallerKey    string `long:"caller-key" env:"TREFOILCTL_CALLER_KEY" value-name:"KEY" description:"bearer key of a calling service, for addresses and job"`
+	Timeout      int    `long:"timeout" env:"TREFOILCTL_TIMEOUT" default:"60" value-name:"SECONDS" description:"longest wait for one answer"`
+	JSON         bool   `long:"json" env:"TREFOILCTL_JSON" description:"print JSON as the server sent it"`
+	Version      bool   `long:"version" description:"print the version and exit"`
+}
+
+// app is what commands run with.
+type app struct {
+	globals
+	stdin          io.Reader
+	stdout, stderr io.Writer
+}
+
+// command is one entry of the command table. data holds the flags and, for a command that runs, implements
+// flags.Commander.
+type command struct {
+	name, short, long string
+	data              any
+	subcommands       []command
+}
+
+// none is the data of a command that only has subcommands.
+type none struct{}
+
+// commands returns the command table.
+func commands(a *app) []command {
+	return []command{
+		{name: "apply", short: "Apply register and rules documents", long: applyHelp, data: &applyCommand{app: a}},
+		{name: "diff", short: "Show what documents would change", long: diffHelp, data: &diffCommand{app: a}},
+		{name: "get", short: "Print the register or rules in force", long: getHelp, data: &getCommand{app: a}},
+		{name: "status", short: "Show problems first, then nodes and objects", long: statusHelp, data: &statusCommand{app: a}},
+		{name: "explain", short: "Show the decisions about a request, job, item or upstream", long: explainHelp, data: &explainCommand{app: a}},
+		{name: "drain", short: "Make the node at --server leave", long: drainHelp, data: &drainCommand{app: a}},
+		{name: "addresses", short: "Show the node addresses that callers are given", long: addressesHelp, data: &addressesCommand{app: a}},
+		{name: "job", short: "Work with batch jobs", data: &none{}, subcommands: jobCommands(a)},
+		{name: "report", short: "Write reports", data: &none{}, subcommands: []command{
+			{name: "burn", short: "Show the burn of service-level objectives", long: burnHelp, data: &burnCommand{app: a}},
+		}},
+	}
+}
+
+// Run executes one command line without the program name and returns the exit status.
+func Run(args []string, stdin io.Reader, stdout, stderr io.Writer) int {
+	a := &app{stdin: stdin, stdout: stdout, stderr: stderr}
+	p := flags.NewNamedParser("trefoilctl", flags.HelpFlag|flags.PassDoubleDash)
+	p.ShortDescription = "operate a Trefoilplank fleet"
+	p.LongDescription = topHelp
+	_, err := p.AddGroup("Global options", "", &a.globals)
+	for _, c := range commands(a) {
+		err = errors.Join(err, add(p.Command, c))
+	}
+	if err != nil {
+		_, _ = fmt.Fprintln(stderr, "trefoilctl:", err)
+		return exitFailed
+	}
+	p.SubcommandsOptional = true
+	p.CommandHandler = func(c flags.Commander, rest []string) error {
+		if a.Version {
+			return printVersion(a)
+		}
+		if c == nil && len(rest) > 0 {
+			return usageError.New("unknown command %q; see trefoilctl --help", rest[0])
+		}
+		if c == nil {
+			return usageError.New("a command is needed; see trefoilctl --help")
+		}
+		return c.Execute(rest)
+	}
+	_, err = p.ParseArgs(args)
+	return exitStatus(err, stdout, stderr)
+}
+
+func add(parent *flags.Command, c command) error {
+	made, err := parent.AddCommand(c.name, c.short, c.long, c.data)
+	if err != nil {
+		return err
+	}
+	for _, sub := range c.subcommands {
+		if err := add(made, sub); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// exitStatus prints err and returns the exit status for it.
+func exitStatus(err error, stdout, stderr io.Writer) int {
+	var flagError *flags.Error
+	switch {
+	case err == nil:
+		return exitDone
+	case errors.As(err, &flagError) && flagError.Type == flags.ErrHelp:
+		_, _ = fmt.Fprintln(stdout, flagError.Message)
+		return exitDone
+	case errors.As(err, &flagError), usageError.Has(err):
+		_, _ = fmt.Fprintln(stderr, "trefoilctl:", err)
+		return exitUsage
+	}
+	_, _ = fmt.Fprintln(stderr, "trefoilctl:", err)
+	return exitFailed
+}
+
+// isTerminal reports whether w is a terminal, where progress bars make sense.
+func isTerminal(w io.Writer) bool {
+	f, ok := w.(*os.File)
+	if !ok {
+		return false
+	}
+	info, err := f.Stat()
+	return err == nil && info.Mode()&os.ModeCharDevice != 0
+}
--- /dev/null
+++ b/pkg/ctl/help.go
@@ -0,0 +1,133 @@
+package ctl
+
+import (
+	"encoding/json"
+	"fmt"
+	"runtime"
+	"runtime/debug"
+)
+
+// Long help texts with examples.
+const (
+	topHelp = `trefoilctl operates a Trefoilplank fleet and submits batch jobs to it.
+
+Every flag of the global options can be set by an environment variable TREFOILCTL_<FLAG>, such as
+TREFOILCTL_KEY. Exit status: 0 done, 1 refused or failed, 2 wrong usage.
+
+Examples:
+  trefoilctl --server 10.0.0.5:18081 status
+  trefoilctl diff -f rules.yaml && trefoilctl apply -f rules.yaml --if-match 7
+  trefoilctl explain request mu-3-01JD8Z4M0H7T6B1K5Q2W9XYZAB
+
+Completion for bash:
+  _trefoilctl() { COMPREPLY=($(GO_FLAGS_COMPLETION=1 "${COMP_WORDS[0]}" "${COMP_WORDS[@]:1:$COMP_CWORD}")); }
+  complete -F _trefoilctl trefoilctl`
+
+	applyHelp = `Checks all documents and accepts all of them or none. A change that got no answer is sent again with the
+same idempotency key, so that it is made once.
+
+Examples:
+  trefoilctl apply -f register.yaml -f rules.yaml
+  trefoilctl apply -f rules.yaml --if-match 7 --dry-run
+  trefoilctl get rules | edit | trefoilctl apply -f -`
+
+	diffHelp = `Checks documents against the configuration in force and shows what they would change, per object:
++ added, - removed, ~ changed with its fields.
+
+Example:
+  trefoilctl diff -f register.yaml`
+
+	getHelp = `Prints a document in force, in a form that can be edited and applied again. The version goes to
+standard error.
+
+Example:
+  trefoilctl get register --yaml > register.yaml`
+
+	statusHelp = `Shows problems first, each with its cause, since when, what the system does about it and what an operator
+can do; then nodes with the version in force, institutions, models, upstreams and jobs.
+
+Examples:
+  trefoilctl status
+  trefoilctl status --exit-code || page-someone`
+
+	explainHelp = `Shows the decisions about one subject in order of time, with the reason and the values of each.
+
+Examples:
+  trefoilctl explain request mu-3-01JD8Z4M0H7T6B1K5Q2W9XYZAB
+  trefoilctl explain upstream engine-7 --json`
+
+	drainHelp = `Makes the node at --server leave: it is no longer given to callers, and nothing in progress is cut.
+
+Example:
+  trefoilctl --server 10.0.0.5:18081 drain`
+
+	addressesHelp = `Shows the addresses that a caller is given, nearest first. Needs --caller-key.
+
+Example:
+  trefoilctl addresses --availability-zone triolet`
+
+	submitHelp = `Uploads a file with one request a line and starts a job on it. Needs --caller-key.
+
+Examples:
+  trefoilctl job submit lines.jsonl --completion-window 48h
+  trefoilctl job submit lines.jsonl --wait`
+
+	resultsHelp = `Writes the completed items of a job, one JSON object a line.
+
+Examples:
+  trefoilctl job results batch_01 -o out.jsonl
+  trefoilctl job results batch_01 --errors`
+
+	burnHelp = `Shows, for each institution and objective, how fast the error budget is spent over 5 m, 1 h, 6 h and 3 d.
+At burn 1 the budget lasts exactly its period.
+
+Examples:
+  trefoilctl report burn
+  trefoilctl report burn --html reports/`
+)
+
+// buildVersion is set by -ldflags "-X trefoilplank.example/pkg/ctl.buildVersion=...".
+var buildVersion = "development"
+
+// versionInfo describes the binary.
+type versionInfo struct {
+	Version  string `json:"version"`
+	Go       string `json:"go"`
+	Platform string `json:"platform"`
+	Revision string `json:"revision,omitempty"`
+	Time     string `json:"time,omitempty"`
+	Modified bool   `json:"modified"`
+}
+
+func readVersion() versionInfo {
+	v := versionInfo{Version: buildVersion, Go: runtime.Version(), Platform: runtime.GOOS + "/" + runtime.GOARCH}
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return v
+	}
+	for _, s := range info.Settings {
+		switch s.Key {
+		case "vcs.revision":
+			v.Revision = s.Value
+		case "vcs.time":
+			v.Time = s.Value
+		case "vcs.modified":
+			v.Modified = s.Value == "true"
+		}
+	}
+	return v
+}
+
+func printVersion(a *app) error {
+	v := readVersion()
+	if a.JSON {
+		b, err := json.Marshal(v)
+		if err != nil {
+			return err
+		}
+		return a.printJSON(b)
+	}
+	_, err := fmt.Fprintf(a.stdout, "trefoilctl %s (%s, %s, revision %s, modified %t)\n",
+		v.Version, v.Go, v.Platform, orDash(v.Revision), v.Modified)
+	return err
+}
--- /dev/null
+++ b/pkg/ctl/report.go
@@ -0,0 +1,52 @@
+package ctl
+
+import (
+	"fmt"
+	"text/tabwriter"
+	"time"
+
+	decision "trefoilplank.example/pkg/decision/burn"
+	"trefoilplank.example/pkg/operator"
+)
+
+type burnCommand struct {
+	*app `no-flag:"yes"`
+	HTML string `long:"html" value-name:"DIR" description:"also write one page per institution with plots into DIR"`
+}
+
+// Execute shows the burn.
+func (c *burnCommand) Execute([]string) error {
+	body, _, err := c.admin(call{method: "GET", path: "/v1/admin/burn"})
+	if err != nil {
+		return c.refused(body, err)
+	}
+	return show(c.app, body, c.print)
+}
+
+func (c *burnCommand) print(r operator.BurnReport) error {
+	for _, s := range r.Unanswered {
+		_, _ = fmt.Fprintf(c.stderr, "no answer from %s: %s\n", s.Node, s.Error)
+	}
+	return c.table(func(w *tabwriter.Writer) {
+		row(w, "INSTITUTION", "OBJECTIVE", "WITHIN", "TARGET", "BURN 5m", "BURN 1h", "BURN 6h", "BURN 3d", "REQUESTS 3d", "ALERTS")
+		for _, o := range r.Objectives {
+			cells := []any{o.Institution, o.Objective, time.Duration(o.Latency), o.Target}
+			for _, win := range decision.Windows {
+				cells = append(cells, fmt.Sprintf("%.2f", o.Windows[win.String()].BurnRate))
+			}
+			row(w, append(cells, o.Windows["3d"].Total(), alertText(o.Alerts))...)
+		}
+	})
+}
+
+func alertText(a decision.Alerts) string {
+	switch {
+	case a.Fast && a.Slow:
+		return "FAST SLOW"
+	case a.Fast:
+		return "FAST"
+	case a.Slow:
+		return "SLOW"
+	}
+	return "-"
+}
--- /dev/null
+++ b/pkg/operator/apply.go
@@ -0,0 +1,212 @@
+package operator
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/oklog/ulid/v2"
+	"k8s.io/klog/v2"
+
+	"trefoilplank.example/api"
+	"trefoilplank.example/pkg/adapter/store"
+	"trefoilplank.example/pkg/config"
+)
+
+// storeRetryAfter is the wait proposed after a store failure. Most slow periods of the store end sooner, and a
+// resend of the same key is safe at any time.
+const storeRetryAfter = 5 * time.Second
+
+// ApplyResult is the answer to an accepted or checked apply.
+type ApplyResult struct {
+	// Version is the accepted version; for a dry run the version that the documents were checked against.
+	Version int64 `json:"version"`
+	// Key identifies the change when it is sent again.
+	Key     string   `json:"idempotency_key,omitempty"`
+	DryRun  bool     `json:"dry_run,omitempty"`
+	Changes []Change `json:"changes"`
+}
+
+// findingsBody is the answer to documents with faults. Error repeats the findings in the form of other errors.
+type findingsBody struct {
+	Findings api.Findings    `json:"findings"`
+	Error    api.ErrorDetail `json:"error"`
+}
+
+// raceBody is the answer to a change that was made on an old version.
+type raceBody struct {
+	Version int64           `json:"version"`
+	Error   api.ErrorDetail `json:"error"`
+}
+
+func (s *server) apply(w http.ResponseWriter, r *http.Request) {
+	change, docs, ok := s.readChange(w, r)
+	if !ok {
+		return
+	}
+	dryRun, _ := strconv.ParseBool(r.URL.Query().Get("dry_run"))
+	current := s.Board.Config.Value()
+	next := merge(current, change)
+	if f := docs.Check(next); len(f) > 0 && (dryRun || !s.knownChange(r.Context(), change.Key)) {
+		writeFindings(w, f)
+		return
+	}
+	if dryRun {
+		s.dryRun(w, change, current, next)
+		return
+	}
+	version, err := s.Config.Apply(r.Context(), change)
+	if err != nil {
+		s.applyFailed(w, change.Key, err)
+		return
+	}
+	klog.InfoS("Configuration accepted", "version", version, "who", change.Who, "key", change.Key)
+	w.Header().Set("ETag", etag(version))
+	writeJSON(w, http.StatusOK, ApplyResult{Version: version, Key: change.Key, Changes: Diff(current, next)})
+}
+
+// readChange reads the documents and headers of a call, or answers the call and returns false.
+func (s *server) readChange(w http.ResponseWriter, r *http.Request) (config.Change, *api.Documents, bool) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxDocumentBytes))
+	if tooLarge := new(http.MaxBytesError); errors.As(err, &tooLarge) {
+		writeError(w, api.Errorf(http.StatusRequestEntityTooLarge, api.CodeTooLarge, api.NotRun,
+			"documents are larger than %d bytes", tooLarge.Limit))
+		return config.Change{}, nil, false
+	}
+	if err != nil {
+		writeError(w, api.Errorf(http.StatusBadRequest, api.CodeMalformed, api.NotRun, "reading the documents: %v", err))
+		return config.Change{}, nil, false
+	}
+	ifMatch, err := parseIfMatch(r.Header.Get("If-Match"))
+	if err != nil {
+		writeError(w, api.Errorf(http.StatusBadRequest, api.CodeMalformed, api.NotRun, "%v", err))
+		return config.Change{}, nil, false
+	}
+	docs, findings := api.Decode(body)
+	if len(findings) > 0 {
+		writeFindings(w, findings)
+		return config.Change{}, nil, false
+	}
+	key := r.Header.Get(api.HeaderIdempotencyKey)
+	if key == "" {
+		// A key of our own lets the accepter recognise its own write when the store loses the answer.
+		key = ulid.Make().String()
+	}
+	who := r.Header.Get("Trefoil-Operator")
+	if who == "" {
+		who = "operator@" + r.RemoteAddr
+	}
+	return config.Change{Register: docs.Register, Rules: docs.Rules, IfMatch: ifMatch, Key: key, Who: who}, docs, true
+}
+
+// parseIfMatch reads a version or an entity tag; 0 stands for any version.
+func parseIfMatch(h string) (int64, error) {
+	h = strings.Trim(strings.TrimPrefix(strings.TrimSpace(h), "W/"), `"`)
+	if h == "" || h == "*" {
+		return 0, nil
+	}
+	v, err := strconv.ParseInt(h, 10, 64)
+	if err != nil || v < 0 {
+		return 0, fmt.Errorf("If-Match %q is not a version", h)
+	}
+	return v, nil
+}
+
+func etag(version int64) string { return fmt.Sprintf("%q", strconv.FormatInt(version, 10)) }
+
+// merge returns the configuration that the change would bring into force.
+func merge(current api.Config, c config.Change) api.Config {
+	if c.Register != nil {
+		current.Register = *c.Register
+	}
+	if c.Rules != nil {
+		current.Rules = *c.Rules
+	}
+	return current
+}
+
+// knownChange reports whether a change with this key was accepted before. Its documents may no longer fit the
+// configuration in force, and a resend must still get the first answer.
+func (s *server) knownChange(ctx context.Context, key string) bool {
+	history, err := s.Config.History(ctx)
+	if err != nil {
+		return false
+	}
+	for _, h := range history {
+		if h.Key == key {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *server) dryRun(w http.ResponseWriter, c config.Change, current, next api.Config) {
+	accepted := max(s.Config.Accepted(), current.Version)
+	if c.IfMatch != 0 && c.IfMatch != accepted {
+		s.applyFailed(w, "", &config.RaceError{Current: accepted})
+		return
+	}
+	writeJSON(w, http.StatusOK, ApplyResult{Version: current.Version, DryRun: true, Changes: Diff(current, next)})
+}
+
+// applyFailed answers a change that was not, or perhaps not, accepted.
+func (s *server) applyFailed(w http.ResponseWriter, key string, err error) {
+	var findings api.Findings
+	var race *config.RaceError
+	var reuse *config.KeyReuseError
+	switch {
+	case errors.As(err, &findings):
+		writeFindings(w, findings)
+	case errors.As(err, &race):
+		e := api.Errorf(http.StatusPreconditionFailed, api.CodeVersionRace, api.NotRun, "%v", race)
+		w.Header().Set("ETag", etag(race.Current))
+		w.Header().Set(api.HeaderOutcome, string(e.Outcome))
+		writeJSON(w, e.Status, raceBody{Version: race.Current, Error: e.Body().Error})
+	case errors.As(err, &reuse):
+		writeError(w, api.Errorf(http.StatusConflict, api.CodeConflict, api.NotRun, "%v", reuse))
+	case errors.Is(err, store.ErrUnavailable):
+		e := api.Errorf(http.StatusServiceUnavailable, api.CodeStore, api.NotRun, "the change was not accepted: %v", err)
+		e.RetryAfter = storeRetryAfter
+		writeError(w, e)
+	default:
+		// An error of any other kind, such as the end of the call's context, leaves open whether the head was written.
+		e := api.Errorf(http.StatusServiceUnavailable, api.CodeStore, api.Unknown,
+			"the change may have been accepted; send it again with Idempotency-Key %q: %v", key, err)
+		e.RetryAfter = storeRetryAfter
+		w.Header().Set(api.HeaderIdempotencyKey, key)
+		writeError(w, e)
+	}
+}
+
+func writeFindings(w http.ResponseWriter, f api.Findings) {
+	e := api.Errorf(http.StatusUnprocessableEntity, api.CodeInvalid, api.NotRun, "the documents have %d findings", len(f))
+	w.Header().Set(api.HeaderOutcome, string(e.Outcome))
+	writeJSON(w, e.Status, findingsBody{Findings: f, Error: e.Body().Error})
+}
+
+func (s *server) register(w http.ResponseWriter, r *http.Request) {
+	c := s.Board.Config.Value()
+	c.Register.Kind = api.KindRegister
+	s.document(w, r, c.Version, c.Register)
+}
+
+func (s *server) rules(w http.ResponseWriter, r *http.Request) {
+	c := s.Board.Config.Value()
+	c.Rules.Kind = api.KindRules
+	s.document(w, r, c.Version, c.Rules)
+}
+
+// document writes a document in force, so that it can be edited and applied again.
+func (s *server) document(w http.ResponseWriter, r *http.Request, version int64, doc any) {
+	w.Header().Set("ETag", etag(version))
+	if r.Header.Get("If-None-Match") == etag(version) {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
+	writeJSON(w, http.StatusOK, doc)
+}
--- /dev/null
+++ b/pkg/operator/views.go
@@ -0,0 +1,148 @@
+package operator
+
+import (
+	"encoding/json"
+	"net/http"
+	"slices"
+	"sort"
+	"strings"
+	"time"
+
+	"trefoilplank.example/api"
+	"trefoilplank.example/pkg/burn"
+	decision "trefoilplank.example/pkg/decision/burn"
+	"trefoilplank.example/pkg/explain"
+)
+
+// Explanation is the answer to an explain call.
+type Explanation struct {
+	Entries []explain.Entry `json:"entries"`
+	// Unanswered are the nodes whose entries are missing.
+	Unanswered []Silent `json:"unanswered"`
+}
+
+func (s *server) explain(w http.ResponseWriter, r *http.Request) {
+	v := r.URL.Query()
+	q := explain.Query{Request: v.Get("request"), Job: v.Get("job"), Item: v.Get("item"), Upstream: v.Get("upstream")}
+	if q == (explain.Query{}) {
+		writeError(w, api.Errorf(http.StatusBadRequest, api.CodeMalformed, api.NotRun,
+			"one of request, job, item or upstream is needed"))
+		return
+	}
+	answers := ask(r.Context(), s, s.explainNodes(q), "Explain.Get", q, func() ExplainReply {
+		b, _ := json.Marshal(s.local.Explain(q))
+		return ExplainReply{b}
+	})
+	out := Explanation{Entries: []explain.Entry{}}
+	for i, a := range answers {
+		if a.err != nil {
+			continue
+		}
+		var entries []explain.Entry
+		if answers[i].err = json.Unmarshal(a.reply.JSON, &entries); answers[i].err == nil {
+			out.Entries = append(out.Entries, entries...)
+		}
+	}
+	out.Unanswered = silentOf(answers)
+	sort.SliceStable(out.Entries, func(i, j int) bool { return out.Entries[i].Time.Before(out.Entries[j].Time) })
+	writeJSON(w, http.StatusOK, out)
+}
+
+// explainNodes returns the nodes that may know about q. In a large fleet a request is only asked for at the node
+// that its id names, which took it in, as long as that node is live.
+func (s *server) explainNodes(q explain.Query) []string {
+	nodes := s.liveNodes()
+	if n := nodeOfRequest(q.Request); len(nodes) > fanOutLimit && slices.Contains(nodes, n) {
+		return []string{n}
+	}
+	return nodes
+}
+
+// nodeOfRequest returns the node in a request id of the form NODE-ULID, or "".
+func nodeOfRequest(id string) string {
+	if i := strings.LastIndexByte(id, '-'); i > 0 {
+		return id[:i]
+	}
+	return ""
+}
+
+// BurnReport is the answer to a burn call.
+type BurnReport struct {
+	Objectives []ObjectiveBurn `json:"objectives"`
+	// Nodes says since when each node has counted; a window that starts earlier holds less than its length.
+	Nodes      []NodeSince `json:"nodes"`
+	Unanswered []Silent    `json:"unanswered"`
+}
+
+// NodeSince says since when a node has counted.
+type NodeSince struct {
+	Node  string    `json:"node"`
+	Since time.Time `json:"since"`
+}
+
+// ObjectiveBurn is the burn of one objective over all nodes.
+type ObjectiveBurn struct {
+	Institution string       `json:"institution"`
+	Objective   string       `json:"objective"`
+	Class       string       `json:"class,omitempty"`
+	Metric      api.Metric   `json:"metric"`
+	Latency     api.Duration `json:"latency"`
+	Target      float64      `json:"target"`
+	// ErrorBudget is the part of requests that may miss the objective.
+	ErrorBudget float64               `json:"error_budget"`
+	Windows     map[string]WindowBurn `json:"windows"`
+	Alerts      decision.Alerts       `json:"alerts"`
+}
+
+// WindowBurn is the use of the error budget in one window.
+type WindowBurn struct {
+	decision.Count
+	BadPart float64 `json:"bad_part"`
+	// BurnRate is BadPart / ErrorBudget: above 1 the budget does not last its period.
+	BurnRate float64 `json:"burn_rate"`
+}
+
+func (s *server) burn(w http.ResponseWriter, r *http.Request) {
+	args := burn.GetArgs{Institution: r.URL.Query().Get("institution")}
+	answers := ask(r.Context(), s, s.liveNodes(), "Burn.Get", args, func() burn.GetReply {
+		if s.Burn == nil {
+			return burn.GetReply{}
+		}
+		return s.Burn.Get(args)
+	})
+	report := BurnReport{Objectives: []ObjectiveBurn{}, Nodes: []NodeSince{}, Unanswered: silentOf(answers)}
+	sums := map[burn.Key]decision.Counts{}
+	for _, a := range answers {
+		if a.err != nil {
+			continue
+		}
+		report.Nodes = append(report.Nodes, NodeSince{a.node, a.reply.Since})
+		for _, row := range a.reply.Rows {
+			sums[row.Key] = sums[row.Key].Add(row.Counts)
+		}
+	}
+	for _, i := range s.Board.Config.Value().Rules.Institutions {
+		if args.Institution != "" && args.Institution != i.Institution {
+			continue
+		}
+		for _, o := range i.Objectives {
+			report.Objectives = append(report.Objectives, objectiveBurn(i.Institution, o, sums[burn.Key{Institution: i.Institution, Objective: o.Name}]))
+		}
+	}
+	writeJSON(w, http.StatusOK, report)
+}
+
+func objectiveBurn(institution string, o api.Objective, c decision.Counts) ObjectiveBurn {
+	b := ObjectiveBurn{
+		Institution: institution, Objective: o.Name, Class: o.Class, Metric: o.Metric, Latency: o.Latency,
+		Target: o.Target, ErrorBudget: 1 - o.Target, Windows: map[string]WindowBurn{}, Alerts: decision.Judge(c, o.Target),
+	}
+	for _, win := range decision.Windows {
+		x := WindowBurn{Count: c[win], BurnRate: decision.Rate(c[win], o.Target)}
+		if t := c[win].Total(); t > 0 {
+			x.BadPart = float64(c[win].Bad) / float64(t)
+		}
+		b.Windows[win.String()] = x
+	}
+	return b
+}
