Add the caller interface and the upstream client

Callers need one HTTP entry for inference and plain services. The gateway identifies callers by key digest, reads the request, gets a slot, calls the upstream and answers with the contract's headers and outcomes. The client matches answers by the echoed request id, hands crossed answers to the call they belong to, resumes cut streams after comparing the overlap, and tells a dead upstream from a broken connection.

--- /dev/null
+++ b/pkg/adapter/engine/engine.go
@@ -0,0 +1,244 @@
+// Package engine calls model engines: whole and streamed answers, resumption of a cut stream, and cancellation.
+// It implements serving.Invoker for engines and for plain services.
+package engine
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/tmaxmax/go-sse"
+	"github.com/zeebo/errs"
+
+	"trefoilplank.example/api"
+	"trefoilplank.example/pkg/adapter/service"
+	"trefoilplank.example/pkg/serving"
+)
+
+const (
+	// maxEventBytes bounds one event of a stream.
+	maxEventBytes = 1 << 20
+	// maxResumes bounds the resumptions of one stream without a new event in between.
+	maxResumes = 3
+	// resumeDelay is the delay before the second resumption; it doubles and is jittered.
+	resumeDelay = 50 * time.Millisecond
+)
+
+// done is the payload that ends a whole stream.
+var done = []byte("[DONE]")
+
+// Client is a serving.Invoker.
+type Client struct{ http *service.Client }
+
+var _ serving.Invoker = (*Client)(nil)
+
+// New returns a client that makes its calls through c.
+func New(c *service.Client) *Client { return &Client{http: c} }
+
+// Do implements serving.Invoker.
+func (c *Client) Do(ctx context.Context, u api.Upstream, call serving.Call) (*serving.Result, error) {
+	res, err := c.http.Do(ctx, u, call)
+	if err != nil || u.Kind != api.UpstreamEngine {
+		return res, err
+	}
+	var body struct {
+		Usage struct {
+			CompletionTokens int `json:"completion_tokens"`
+		} `json:"usage"`
+	}
+	if res.Status < 300 && json.Unmarshal(res.Body, &body) != nil {
+		return nil, errs.Combine(serving.ErrMismatch, service.Error.New("engine answer is not JSON"))
+	}
+	res.Tokens = body.Usage.CompletionTokens
+	return res, nil
+}
+
+// Cancel implements serving.Invoker. A plain service learns of it by its closed connection.
+func (c *Client) Cancel(ctx context.Context, u api.Upstream, requestID string) error {
+	if u.Kind != api.UpstreamEngine {
+		return nil
+	}
+	body, err := json.Marshal(map[string]string{"request_id": requestID})
+	if err != nil {
+		return err
+	}
+	_, err = c.http.Do(ctx, u, serving.Call{
+		RequestID: requestID, Method: http.MethodPost, Path: "/v1/cancel", Body: body,
+		Header: http.Header{"Content-Type": {"application/json"}},
+	})
+	return err
+}
+
+// Stream implements serving.Invoker. When the connection is cut but the engine lives, it resumes the stream and
+// hands over the events that follow. An answer other than 200 is returned as a whole without an event.
+func (c *Client) Stream(ctx context.Context, u api.Upstream, call serving.Call, emit func(serving.StreamEvent) error) (*serving.Result, error) {
+	s := &stream{id: call.RequestID, emit: emit, start: time.Now(), last: -1}
+	a, err := c.http.Open(ctx, u, call)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { a.Close() }()
+	if a.StatusCode != http.StatusOK {
+		return c.http.Read(ctx, u, a, s.start)
+	}
+	header := a.Header
+	for failures := 0; ; failures++ {
+		before := s.events
+		err := s.read(a)
+		if err == nil {
+			return s.result(header), nil
+		}
+		if ctx.Err() != nil {
+			return nil, errs.Combine(serving.ErrInterrupted, context.Cause(ctx))
+		}
+		if s.stop != nil {
+			return nil, s.stop
+		}
+		if s.events > before {
+			failures = 0
+		}
+		if failures >= maxResumes {
+			return nil, errs.Combine(serving.ErrInterrupted, err)
+		}
+		a.Close()
+		if a, err = c.resume(ctx, u, s, failures, err); err != nil {
+			return nil, err
+		}
+	}
+}
+
+// resume opens the stream again at the last event that was received, so that the overlap can be compared.
+func (c *Client) resume(ctx context.Context, u api.Upstream, s *stream, failures int, cause error) (*service.Answer, error) {
+	if failures > 0 {
+		delay := resumeDelay << (failures - 1)
+		select {
+		case <-time.After(delay/2 + rand.N(delay)):
+		case <-ctx.Done():
+		}
+	}
+	a, err := c.http.Open(ctx, u, serving.Call{
+		RequestID: s.id, Method: http.MethodGet,
+		Path: "/v1/streams/" + url.PathEscape(s.id) + "?offset=" + strconv.Itoa(max(s.last, 0)),
+	})
+	switch {
+	case err != nil && ctx.Err() != nil:
+		return noAnswer, err
+	case err != nil:
+		if !c.http.Alive(ctx, u) {
+			return noAnswer, errs.Combine(serving.ErrUpstreamDied, serving.ErrInterrupted, cause)
+		}
+		return noAnswer, errs.Combine(serving.ErrInterrupted, err, cause)
+	case a.StatusCode == http.StatusOK:
+		s.rewind()
+		return a, nil
+	case a.StatusCode == http.StatusNotFound || a.StatusCode == http.StatusGone:
+		// An engine that no longer knows a stream cut a moment ago has restarted in between.
+		a.Close()
+		return noAnswer, errs.Combine(serving.ErrUpstreamDied, serving.ErrInterrupted, cause)
+	default:
+		a.Close()
+		return noAnswer, errs.Combine(serving.ErrInterrupted, service.Error.New("resume answered %d", a.StatusCode), cause)
+	}
+}
+
+// noAnswer stands for an answer that was closed already.
+var noAnswer = service.Closed()
+
+// stream is the state of one streamed answer over all its connections.
+type stream struct {
+	id    string
+	emit  func(serving.StreamEvent) error
+	start time.Time
+
+	// last is the offset of the last event, -1 before the first; tail holds the events at that offset.
+	last   int
+	tail   [][]byte
+	replay [][]byte
+	events int
+	first  time.Time
+	latest time.Time
+	// stop is an error after which the stream must not be resumed.
+	stop error
+}
+
+// rewind expects the events at the last offset to come again.
+func (s *stream) rewind() { s.replay = s.tail }
+
+// read hands over the events of one connection; nil means that the stream is whole.
+func (s *stream) read(a *service.Answer) error {
+	for ev, err := range sse.Read(a.Body, &sse.ReadConfig{MaxEventSize: maxEventBytes}) {
+		if err != nil {
+			return err
+		}
+		data := []byte(ev.Data)
+		if bytes.Equal(data, done) {
+			if len(s.replay) > 0 {
+				s.stop = errs.Combine(serving.ErrMismatch, service.Error.New("resumed stream lacks the last event"))
+				return s.stop
+			}
+			return nil
+		}
+		if ev.Type == "error" {
+			s.stop = errs.Combine(serving.ErrInterrupted, service.Error.New("engine reported %s", data))
+			return s.stop
+		}
+		if err := s.event(data); err != nil {
+			s.stop = err
+			return err
+		}
+	}
+	return service.Error.New("stream ended without its end mark")
+}
+
+// event checks one event against the request and the events before it and hands it over.
+func (s *stream) event(data []byte) error {
+	var chunk struct {
+		ID     string `json:"id"`
+		Offset *int   `json:"offset"`
+	}
+	if err := json.Unmarshal(data, &chunk); err != nil {
+		return errs.Combine(serving.ErrMismatch, err)
+	}
+	if chunk.ID != s.id {
+		return errs.Combine(serving.ErrMismatch, service.Error.New("chunk of request %q", chunk.ID))
+	}
+	offset := max(s.last, 0)
+	if chunk.Offset != nil {
+		offset = *chunk.Offset
+	}
+	if len(s.replay) > 0 {
+		if !bytes.Equal(s.replay[0], data) {
+			return errs.Combine(serving.ErrMismatch, service.Error.New("resumed stream differs at offset %d", offset))
+		}
+		s.replay = s.replay[1:]
+		return nil
+	}
+	if offset < s.last {
+		return errs.Combine(serving.ErrMismatch, service.Error.New("offset %d after %d", offset, s.last))
+	}
+	s.latest = time.Now()
+	if s.events == 0 {
+		s.first = s.latest
+	}
+	if offset != s.last {
+		s.tail = nil
+	}
+	s.last, s.events, s.tail = offset, s.events+1, append(s.tail, data)
+	return s.emit(serving.StreamEvent{Data: data, Offset: offset})
+}
+
+func (s *stream) result(header http.Header) *serving.Result {
+	r := &serving.Result{Status: http.StatusOK, Header: header, Tokens: s.events}
+	if s.events > 0 {
+		r.FirstToken = s.first.Sub(s.start)
+	}
+	if s.events > 1 {
+		r.BetweenTokens = s.latest.Sub(s.first) / time.Duration(s.events-1)
+	}
+	return r
+}
--- /dev/null
+++ b/pkg/adapter/service/death.go
@@ -0,0 +1,169 @@
+package service
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"os"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/zeebo/errs"
+
+	"trefoilplank.example/api"
+	"trefoilplank.example/pkg/serving"
+)
+
+const (
+	// probeTimeout bounds the call that asks whether an upstream still answers.
+	probeTimeout = 250 * time.Millisecond
+	// siblingWait is how long the other calls of an upstream may take to break as well when it dies.
+	siblingWait = 30 * time.Millisecond
+)
+
+// flight is a call in progress.
+type flight struct {
+	owner        *flights
+	upstream, id string
+	answers      chan *Answer
+	failed       chan error
+	started      time.Time
+	// brokenAt is when the connection broke, guarded by owner.mu.
+	brokenAt time.Time
+	once     sync.Once
+}
+
+// flights holds the calls in progress of all upstreams.
+type flights struct {
+	mu         sync.Mutex
+	byUpstream map[string][]*flight
+}
+
+func (s *flights) add(upstream, id string) *flight {
+	f := &flight{
+		owner: s, upstream: upstream, id: id, started: time.Now(),
+		answers: make(chan *Answer, 1), failed: make(chan error, 2),
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.byUpstream == nil {
+		s.byUpstream = map[string][]*flight{}
+	}
+	s.byUpstream[upstream] = append(s.byUpstream[upstream], f)
+	return f
+}
+
+// end removes the call and drops an answer that nobody took.
+func (f *flight) end() {
+	f.once.Do(func() {
+		s := f.owner
+		s.mu.Lock()
+		left := slices.DeleteFunc(s.byUpstream[f.upstream], func(o *flight) bool { return o == f })
+		if len(left) == 0 {
+			delete(s.byUpstream, f.upstream)
+		} else {
+			s.byUpstream[f.upstream] = left
+		}
+		s.mu.Unlock()
+		select {
+		case a := <-f.answers:
+			a.Body.Close()
+			a.cancel()
+		default:
+		}
+	})
+}
+
+// deliver hands an answer to the call with that id; false when there is none or it has an answer already.
+func (s *flights) deliver(upstream, id string, a *Answer) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, f := range s.byUpstream[upstream] {
+		if f.id == id {
+			select {
+			case f.answers <- a:
+				return true
+			default:
+			}
+		}
+	}
+	return false
+}
+
+// siblings counts the other calls that were in progress when f broke, by whether they broke as well.
+func (s *flights) siblings(f *flight) (broken, alive int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, o := range s.byUpstream[f.upstream] {
+		switch {
+		case o == f || o.started.After(f.brokenAt):
+		case o.brokenAt.IsZero():
+			alive++
+		default:
+			broken++
+		}
+	}
+	return broken, alive
+}
+
+// evidence is what a call saw of its own connection before it broke.
+type evidence struct {
+	// reused is set when the connection had served another call before.
+	reused bool
+	// answered is set when the headers of the answer had arrived.
+	answered bool
+}
+
+// broken decides whether a broken connection means that the upstream died. A dead upstream refuses a new
+// connection or breaks all its calls together. An upstream that answers a probe and keeps its other calls lives.
+// A single call that breaks without an answer on a fresh connection counts as a death although the probe
+// succeeds, because a process that restarts quickly looks the same and the price of that error is only that the
+// request next runs alone.
+func (c *Client) broken(ctx context.Context, u api.Upstream, f *flight, e evidence, cause error) error {
+	c.flights.mu.Lock()
+	f.brokenAt = time.Now()
+	c.flights.mu.Unlock()
+	if c.dead(ctx, u, f, e) {
+		return errs.Combine(serving.ErrUpstreamDied, serving.ErrInterrupted, cause)
+	}
+	return errs.Combine(serving.ErrInterrupted, cause)
+}
+
+func (c *Client) dead(ctx context.Context, u api.Upstream, f *flight, e evidence) bool {
+	if !c.Alive(ctx, u) {
+		return true
+	}
+	timer := time.NewTimer(siblingWait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	switch broken, alive := c.flights.siblings(f); {
+	case alive > 0:
+		return false
+	case broken > 0:
+		return true
+	default:
+		return !e.reused && !e.answered
+	}
+}
+
+// Alive asks the upstream for its load on a connection of its own. A probe that times out counts as alive: a
+// slow or unreachable upstream is not known to have died.
+func (c *Client) Alive(ctx context.Context, u api.Upstream) bool {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), probeTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+u.Address+"/load", nil)
+	if err != nil {
+		return false
+	}
+	req.Close = true
+	resp, err := c.transport.RoundTrip(req)
+	if err != nil {
+		return errors.Is(err, context.DeadlineExceeded) || errors.Is(err, os.ErrDeadlineExceeded)
+	}
+	resp.Body.Close()
+	return true
+}
--- /dev/null
+++ b/pkg/gateway/execute.go
@@ -0,0 +1,193 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"trefoilplank.example/api"
+	"trefoilplank.example/pkg/decision/retry"
+	"trefoilplank.example/pkg/explain"
+	"trefoilplank.example/pkg/serving"
+)
+
+const (
+	// retryAfter is the retry time of answers whose cause passes quickly.
+	retryAfter = time.Second
+	// cancelTimeout bounds the call that cancels a run.
+	cancelTimeout = 2 * time.Second
+)
+
+// attempt is the result of one run on one upstream.
+type attempt struct {
+	upstream string
+	res      *serving.Result
+	err      error
+}
+
+// execute runs the job until it has an answer or is given up.
+func (g *Gateway) execute(ctx context.Context, j *job) (*serving.Result, error) {
+	for {
+		a, err := g.attempt(ctx, j)
+		if err != nil {
+			return nil, g.giveUp(ctx, j, err)
+		}
+		if a.err == nil && !retryableStatus(a.res.Status) {
+			g.succeeded()
+			return a.res, nil
+		}
+		d := g.decideRetry(j, a)
+		g.record(j, a.upstream, "retry", d.Reason, map[string]any{
+			"retry": d.Retry, "attempt": j.attempts, "begun": j.begun, "error": errorText(a),
+		})
+		if !d.Retry {
+			if a.err == nil {
+				return a.res, nil
+			}
+			return nil, g.giveUp(ctx, j, a.err)
+		}
+		j.req.Exclude = append(j.req.Exclude, a.upstream)
+		select {
+		case <-time.After(d.Delay):
+		case <-ctx.Done():
+			return nil, g.giveUp(ctx, j, context.Cause(ctx))
+		}
+	}
+}
+
+// retryableStatus reports whether an answer says that the upstream could not serve, rather than that the
+// request is wrong.
+func retryableStatus(status int) bool {
+	switch status {
+	case http.StatusTooManyRequests, http.StatusInternalServerError, http.StatusBadGateway,
+		http.StatusServiceUnavailable, http.StatusGatewayTimeout:
+		return true
+	}
+	return false
+}
+
+func errorText(a attempt) string {
+	if a.err != nil {
+		return a.err.Error()
+	}
+	return http.StatusText(a.res.Status)
+}
+
+// attempt gets a slot and runs the job on its upstream once. An error means that no run took place.
+func (g *Gateway) attempt(ctx context.Context, j *job) (attempt, error) {
+	slot, err := g.Slots.Acquire(ctx, j.req)
+	if err != nil {
+		return attempt{}, err
+	}
+	return g.run(ctx, j, slot), nil
+}
+
+// run calls the upstream of the slot, then returns the slot and reports the end of the run.
+func (g *Gateway) run(ctx context.Context, j *job, slot *serving.Slot) attempt {
+	a := attempt{upstream: slot.Upstream.Name}
+	start := time.Now()
+	if j.stream {
+		a.res, a.err = g.Invoker.Stream(ctx, slot.Upstream, j.call, j.events.emit)
+	} else {
+		a.res, a.err = g.Invoker.Do(ctx, slot.Upstream, j.call)
+	}
+	usage := usageOf(ctx, a, time.Since(start))
+	g.Slots.Release(slot, usage)
+	if a.err != nil && !errors.Is(a.err, serving.ErrNotStarted) && usage.Result == serving.RunCancelled {
+		g.cancel(j, slot.Upstream)
+	}
+	return a
+}
+
+func usageOf(ctx context.Context, a attempt, took time.Duration) serving.Usage {
+	u := serving.Usage{Duration: took}
+	switch {
+	case a.err == nil && a.res.Status < 500 && a.res.Status != http.StatusTooManyRequests:
+		u.Result = serving.RunOK
+		u.FirstToken, u.BetweenTokens, u.Tokens = a.res.FirstToken, a.res.BetweenTokens, a.res.Tokens
+	case a.err == nil:
+		u.Result = serving.RunRejected
+	case errors.Is(a.err, serving.ErrNotStarted):
+		u.Result = serving.RunNotStarted
+	case errors.Is(a.err, serving.ErrUpstreamDied):
+		u.Result = serving.RunDied
+	case ctx.Err() != nil || errors.Is(a.err, errCallerGone):
+		u.Result = serving.RunCancelled
+	default:
+		u.Result = serving.RunDied
+	}
+	return u
+}
+
+// cancel stops a run that nobody waits for.
+func (g *Gateway) cancel(j *job, u api.Upstream) {
+	klog.V(1).InfoS("Cancelling run", "request", j.req.ID, "upstream", u.Name)
+	g.record(j, u.Name, "cancel", "nobody waits for the answer", nil)
+	go func() {
+		ctx, stop := context.WithTimeout(context.Background(), cancelTimeout)
+		defer stop()
+		if err := g.Invoker.Cancel(ctx, u, j.req.ID); err != nil {
+			klog.V(1).InfoS("Cancel failed", "request", j.req.ID, "upstream", u.Name, "err", err)
+		}
+	}()
+}
+
+func (g *Gateway) succeeded() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.budget.Success(time.Now())
+}
+
+// decideRetry counts a failed attempt and decides whether there is another one.
+func (g *Gateway) decideRetry(j *job, a attempt) retry.Decision {
+	j.attempts++
+	died := errors.Is(a.err, serving.ErrUpstreamDied)
+	if died {
+		j.deaths++
+	}
+	if a.err == nil || !errors.Is(a.err, serving.ErrNotStarted) {
+		j.begun = true
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return retry.Decide(retry.Attempt{
+		Number: j.attempts, Started: j.begun, Repeatable: j.repeatable, Died: died, Deaths: j.deaths,
+		PassedOn: j.stream && j.events.started(), Left: time.Until(j.req.Deadline),
+	}, g.budget, time.Now(), g.Random())
+}
+
+// giveUp turns the last error into the one that the caller gets, with the outcome of all attempts.
+func (g *Gateway) giveUp(ctx context.Context, j *job, err error) error {
+	var e *api.Error
+	switch {
+	case errors.As(err, &e):
+		copied := *e
+		e = &copied
+	case ctx.Err() != nil || errors.Is(err, context.DeadlineExceeded):
+		e = api.Errorf(http.StatusGatewayTimeout, api.CodeDeadline, api.NotRun, "the deadline has passed")
+		e.RetryAfter = retryAfter
+	case errors.Is(err, serving.ErrNotStarted):
+		e = api.Errorf(http.StatusServiceUnavailable, api.CodeNoCapacity, api.NotRun, "no upstream could be reached")
+		e.RetryAfter = retryAfter
+	default:
+		j.begun = true
+		e = api.Errorf(http.StatusBadGateway, api.CodeUpstream, api.Unknown, "the upstream gave no whole answer")
+		e.RetryAfter = retryAfter
+	}
+	if j.begun && e.Outcome == api.NotRun {
+		e.Outcome = api.Unknown
+	}
+	g.record(j, "", "give-up", e.Message, map[string]any{"outcome": e.Outcome, "status": e.Status, "attempts": j.attempts})
+	klog.V(1).InfoS("Request given up", "request", j.req.ID, "institution", j.req.Institution, "code", e.Code,
+		"outcome", e.Outcome, "attempts", j.attempts, "err", err)
+	return e
+}
+
+func (g *Gateway) record(j *job, upstream, decision, reason string, values map[string]any) {
+	g.Explain.Record(explain.Entry{
+		Request: j.req.ID, Upstream: upstream, Decision: decision, Reason: reason, Values: values,
+	})
+}
--- /dev/null
+++ b/pkg/gateway/gateway.go
@@ -0,0 +1,165 @@
+// Package gateway is the interface to callers over HTTP. It authenticates a request, runs it on an upstream
+// through admission, and answers with the headers, codes and outcomes of the external contract.
+//
+// What may be repeated: inference requests, and GET, HEAD and OPTIONS calls of plain services, unless the caller
+// set Trefoil-Non-Idempotent. Any other call of a plain service is sent again only if no upstream can have begun
+// it. An Idempotency-Key does not change that, because it says how the caller names the request and not that the
+// service recognises a repetition; the key lets a resend join the run or get the first answer, also when that
+// answer is an error with the outcome unknown.
+//
+// A request with an Idempotency-Key goes on for a while after its caller has gone, so that a resend can join it.
+// Any other run is cancelled at the upstream when its caller disconnects.
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/oklog/ulid/v2"
+	"k8s.io/klog/v2"
+
+	"trefoilplank.example/api"
+	"trefoilplank.example/pkg/blackboard"
+	"trefoilplank.example/pkg/decision/retry"
+	"trefoilplank.example/pkg/explain"
+	"trefoilplank.example/pkg/serving"
+)
+
+// Limiter holds an institution's limits over all nodes. A limiter that also bounds concurrency implements
+// Releaser as well.
+type Limiter interface {
+	// Take returns nil or an *api.Error with status 429.
+	Take(ctx context.Context, institution string) error
+}
+
+// Releaser ends a request that Take admitted.
+type Releaser interface {
+	Release(institution string)
+}
+
+// Options are the parts that a gateway works with. Limiter, Quarantine and Explain may be nil.
+type Options struct {
+	// Node is the name of this node; it prefixes request ids.
+	Node       string
+	Board      *blackboard.Board
+	Slots      serving.Slots
+	Invoker    serving.Invoker
+	Limiter    Limiter
+	Quarantine serving.Quarantine
+	Explain    *explain.Log
+	// AddressTTL is how long callers may keep an address answer.
+	AddressTTL time.Duration
+	// MaxBodyBytes bounds the body of inference and service calls.
+	MaxBodyBytes int64
+	// Timeout is the deadline of a request that names none; MaxTimeout bounds the one it names.
+	Timeout, MaxTimeout time.Duration
+	// Random returns a number in [0,1).
+	Random func() float64
+}
+
+// Defaults of Options.
+const (
+	DefaultAddressTTL   = 5 * time.Second
+	DefaultMaxBodyBytes = 8 << 20
+	DefaultTimeout      = 2 * time.Minute
+	DefaultMaxTimeout   = 15 * time.Minute
+)
+
+func (o *Options) setDefaults() {
+	setDefault(&o.AddressTTL, DefaultAddressTTL)
+	setDefault(&o.MaxBodyBytes, DefaultMaxBodyBytes)
+	setDefault(&o.Timeout, DefaultTimeout)
+	setDefault(&o.MaxTimeout, DefaultMaxTimeout)
+	if o.Random == nil {
+		o.Random = rand.Float64
+	}
+	if o.Explain == nil {
+		o.Explain = explain.NewLog(o.Node, 1, time.Now)
+	}
+}
+
+func setDefault[T comparable](v *T, value T) {
+	var zero T
+	if *v == zero {
+		*v = value
+	}
+}
+
+// Gateway serves callers. It implements http.Handler.
+type Gateway struct {
+	Options
+	mux        *http.ServeMux
+	identities atomic.Pointer[identities]
+
+	mu     sync.Mutex
+	budget *retry.Budget
+
+	// active counts the requests in progress.
+	active atomic.Int64
+	// answersUntil is the unix time in nanoseconds at which the last address answer runs out.
+	answersUntil atomic.Int64
+}
+
+// New returns a gateway.
+func New(o Options) *Gateway {
+	o.setDefaults()
+	g := &Gateway{Options: o, mux: http.NewServeMux(), budget: retry.NewBudget(retry.DefaultShare, retry.Reserve)}
+	g.mux.HandleFunc("GET /v1/models", g.models)
+	g.mux.HandleFunc("GET /v1/addresses", g.addresses)
+	g.mux.HandleFunc("POST /v1/chat/completions", g.inference)
+	g.mux.HandleFunc("POST /v1/completions", g.inference)
+	return g
+}
+
+// Mount adds a handler of another part. It runs after authentication, with the identity and the request id in
+// its context. It must be called before the gateway serves.
+func (g *Gateway) Mount(pattern string, h http.Handler) { g.mux.Handle(pattern, h) }
+
+// Active returns the number of requests in progress.
+func (g *Gateway) Active() int64 { return g.active.Load() }
+
+// servicePrefix is handled before the mux, which would redirect paths that are not in their shortest form.
+const servicePrefix = "/v1/services/"
+
+// ServeHTTP implements http.Handler.
+func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	g.active.Add(1)
+	defer g.active.Add(-1)
+	id := g.Node + "-" + ulid.Make().String()
+	w.Header().Set(api.HeaderRequestID, id)
+	ctx := serving.WithRequestID(r.Context(), id)
+	defer func() {
+		if p := recover(); p != nil {
+			if p == http.ErrAbortHandler {
+				panic(p)
+			}
+			klog.ErrorS(nil, "Handler panicked", "request", id, "path", r.URL.Path, "panic", p)
+			WriteError(w, r.WithContext(ctx), api.Errorf(http.StatusInternalServerError, api.CodeInternal, api.Unknown,
+				"internal error"))
+		}
+	}()
+	if g.Board.Draining.Value() {
+		// The caller takes its next request to another node.
+		w.Header().Set("Connection", "close")
+	}
+	who, err := g.identify(r)
+	if err != nil {
+		WriteError(w, r.WithContext(ctx), err)
+		return
+	}
+	r = r.WithContext(serving.WithIdentity(ctx, who))
+	if strings.HasPrefix(r.URL.Path, servicePrefix) {
+		g.service(w, r)
+		return
+	}
+	if _, pattern := g.mux.Handler(r); pattern == "" {
+		WriteError(w, r, api.Errorf(http.StatusNotFound, api.CodeNotFound, api.NotRun, "no such path or method"))
+		return
+	}
+	g.mux.ServeHTTP(w, r)
+}
--- /dev/null
+++ b/pkg/gateway/handlers.go
@@ -0,0 +1,171 @@
+package gateway
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"time"
+
+	"trefoilplank.example/api"
+	"trefoilplank.example/pkg/serving"
+)
+
+// models lists the models and adapters that the caller is granted.
+func (g *Gateway) models(w http.ResponseWriter, r *http.Request) {
+	who, _ := serving.IdentityFrom(r.Context())
+	type model struct {
+		ID      string `json:"id"`
+		Object  string `json:"object"`
+		OwnedBy string `json:"owned_by"`
+	}
+	list := []model{}
+	register := g.Board.Config.Value().Register
+	for _, m := range register.Models {
+		if who.MayUseModel(m.Name) {
+			list = append(list, model{ID: m.Name, Object: "model", OwnedBy: "trefoilplank"})
+		}
+	}
+	for _, a := range register.Adapters {
+		if who.MayUseModel(a.Name) {
+			list = append(list, model{ID: a.Name, Object: "model", OwnedBy: a.Model})
+		}
+	}
+	writeJSON(w, map[string]any{"object": "list", "data": list})
+}
+
+// addressAnswer is the body of GET /v1/addresses.
+type addressAnswer struct {
+	Addresses  []nodeAddress `json:"addresses"`
+	TTLSeconds int           `json:"ttl_seconds"`
+	Version    int64         `json:"version"`
+}
+
+type nodeAddress struct {
+	Address          string `json:"address"`
+	AvailabilityZone string `json:"availability_zone"`
+}
+
+func (g *Gateway) addresses(w http.ResponseWriter, r *http.Request) {
+	zone := r.URL.Query().Get("availability_zone")
+	members := g.Board.Members.Value()
+	answer := addressAnswer{
+		Addresses: []nodeAddress{}, TTLSeconds: int(g.AddressTTL / time.Second),
+		Version: g.Board.Config.Value().Version,
+	}
+	for _, near := range []bool{true, false} {
+		for _, m := range members.Live {
+			if m.Draining || (m.AvailabilityZone == zone) != near {
+				continue
+			}
+			answer.Addresses = append(answer.Addresses, nodeAddress{m.Address, m.AvailabilityZone})
+		}
+	}
+	g.answersUntil.Store(time.Now().Add(g.AddressTTL).UnixNano())
+	writeJSON(w, answer)
+}
+
+func (g *Gateway) inference(w http.ResponseWriter, r *http.Request) {
+	j, err := g.inferenceJob(w, r)
+	if err != nil {
+		WriteError(w, r, err)
+		return
+	}
+	g.serve(w, r, j)
+}
+
+func (g *Gateway) service(w http.ResponseWriter, r *http.Request) {
+	j, err := g.serviceJob(w, r)
+	if err != nil {
+		WriteError(w, r, err)
+		return
+	}
+	g.serve(w, r, j)
+}
+
+// serve takes the institution's limits, runs the job and answers.
+func (g *Gateway) serve(w http.ResponseWriter, r *http.Request, j *job) {
+	if g.Limiter != nil {
+		if err := g.Limiter.Take(r.Context(), j.req.Institution); err != nil {
+			WriteError(w, r, err)
+			return
+		}
+		if l, ok := g.Limiter.(Releaser); ok {
+			defer l.Release(j.req.Institution)
+		}
+	}
+	ctx, stop := j.deadline(r.Context())
+	defer stop()
+	if j.stream {
+		j.events = newEventWriter(w)
+	}
+	res, err := g.execute(ctx, j)
+	g.answer(w, r, j, res, err)
+}
+
+// answer writes the result of a job that is not yet written.
+func (g *Gateway) answer(w http.ResponseWriter, r *http.Request, j *job, res *serving.Result, err error) {
+	switch {
+	case err != nil && j.stream && j.events.started():
+		j.events.fail(r, err)
+	case err != nil:
+		WriteError(w, r, err)
+	case j.stream && res.Status == http.StatusOK:
+		j.events.finish()
+	case j.engine() && res.Status >= 300:
+		WriteError(w, r, engineError(res))
+	default:
+		writeResult(w, res)
+	}
+}
+
+// engineError turns an engine's own refusal into an error of the contract.
+func engineError(res *serving.Result) error {
+	status, code := res.Status, api.CodeInvalid
+	switch {
+	case status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable:
+		status, code = http.StatusServiceUnavailable, api.CodeNoCapacity
+	case status >= 500 || status < 400:
+		status, code = http.StatusBadGateway, api.CodeUpstream
+	case status == http.StatusBadRequest:
+		code = api.CodeMalformed
+	case status == http.StatusNotFound:
+		code = api.CodeNotFound
+	case status == http.StatusRequestEntityTooLarge:
+		code = api.CodeTooLarge
+	}
+	e := api.Errorf(status, code, api.Failed, "the engine answered %d: %s", res.Status, engineMessage(res.Body))
+	if status >= 500 {
+		e.RetryAfter = retryAfter
+	}
+	return e
+}
+
+// maxMessageBytes bounds the part of an engine's error body that is passed on.
+const maxMessageBytes = 1000
+
+func engineMessage(body []byte) string {
+	var known struct {
+		Error struct {
+			Message string `json:"message"`
+		} `json:"error"`
+	}
+	if json.Unmarshal(body, &known) == nil && known.Error.Message != "" {
+		return known.Error.Message
+	}
+	return string(bytes.ToValidUTF8(body[:min(len(body), maxMessageBytes)], nil))
+}
+
+// writeResult passes an upstream's whole answer on.
+func writeResult(w http.ResponseWriter, res *serving.Result) {
+	copyHeader(w.Header(), res.Header)
+	if res.Status >= 300 {
+		w.Header().Set(api.HeaderOutcome, string(api.Failed))
+	}
+	w.Header().Set("Content-Length", itoa(len(res.Body)))
+	w.WriteHeader(res.Status)
+	_, _ = w.Write(res.Body)
+}
+
+// errCallerGone ends a stream whose caller can't be written to.
+var errCallerGone = errors.New("the caller has gone")
