Add the store client, peer transport, lease and configuration chain in a first working form

Cause: the other parts need a store client, calls between nodes, a fencing token, live members and an accepted configuration to build on. Change: HTTP store client with budget, priorities, coalescing and read-back of lost answers; net/rpc transport with HMAC handshake and typed errors; lease holder and takeover rule; configuration accepted by a conditional update of config/head, spread by relays and a tree. Members come from the lease objects alone so far.

--- /dev/null
+++ b/pkg/adapter/peer/dispatch.go
@@ -0,0 +1,135 @@
+package peer
+
+import (
+	"fmt"
+	"go/token"
+	"reflect"
+	"strings"
+	"sync"
+
+	"k8s.io/klog/v2"
+)
+
+// dispatchMethod is the one method that net/rpc itself knows.
+const dispatchMethod = "Dispatcher.Invoke"
+
+// method is one exported method of a receiver with the form func(args A, reply *R) error.
+type method struct {
+	name     string
+	function reflect.Value
+	argType  reflect.Type
+	// replyType is the type that the reply argument points to.
+	replyType reflect.Type
+}
+
+// newArgs returns an argument to call with and a pointer to decode it into.
+func (m *method) newArgs() (args reflect.Value, pointer any) {
+	if m.argType.Kind() == reflect.Pointer {
+		p := reflect.New(m.argType.Elem())
+		return p, p.Interface()
+	}
+	p := reflect.New(m.argType)
+	return p.Elem(), p.Interface()
+}
+
+func (m *method) newReply() reflect.Value {
+	p := reflect.New(m.replyType)
+	switch m.replyType.Kind() {
+	case reflect.Map:
+		p.Elem().Set(reflect.MakeMap(m.replyType))
+	case reflect.Slice:
+		p.Elem().Set(reflect.MakeSlice(m.replyType, 0, 0))
+	}
+	return p
+}
+
+// call runs the method; a panic becomes an error, so that one faulty request does not end the node.
+func (m *method) call(args, reply reflect.Value) (err error) {
+	defer func() {
+		if p := recover(); p != nil {
+			klog.Errorf("peer method %s panicked: %v", m.name, p)
+			err = Error.New("method %s panicked: %v", m.name, p)
+		}
+	}()
+	err, _ = m.function.Call([]reflect.Value{args, reply})[0].Interface().(error)
+	return err
+}
+
+// Invocation is the argument of the dispatcher's net/rpc method; serverCodec fills it.
+type Invocation struct {
+	method  *method
+	args    reflect.Value
+	unknown string
+}
+
+// Result is its reply; serverCodec sends what it holds. Both are exported only because net/rpc requires it.
+type Result struct {
+	reply any
+	err   error
+}
+
+// dispatcher holds the registered receivers.
+type dispatcher struct {
+	mu      sync.RWMutex
+	methods map[string]*method
+}
+
+// find returns the method with a name such as "Admission.Acquire", or nil.
+func (d *dispatcher) find(name string) *method {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return d.methods[name]
+}
+
+var errorType = reflect.TypeFor[error]()
+
+// register adds the methods of receiver that have the net/rpc form.
+func (d *dispatcher) register(name string, receiver any) error {
+	v := reflect.ValueOf(receiver)
+	if !v.IsValid() || name == "" || strings.Contains(name, ".") {
+		return Error.New("receiver %q is not valid", name)
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	found := 0
+	for i := range v.NumMethod() {
+		m := v.Type().Method(i)
+		t := v.Method(i).Type()
+		if t.NumIn() != 2 || t.NumOut() != 1 || t.Out(0) != errorType || t.In(1).Kind() != reflect.Pointer ||
+			!exportedOrBuiltin(t.In(0)) || !exportedOrBuiltin(t.In(1)) {
+			continue
+		}
+		full := name + "." + m.Name
+		if _, ok := d.methods[full]; ok {
+			return Error.New("method %s is registered twice", full)
+		}
+		d.methods[full] = &method{name: full, function: v.Method(i), argType: t.In(0), replyType: t.In(1).Elem()}
+		found++
+	}
+	if found == 0 {
+		return Error.New("receiver %q has no method of the form func(args, *reply) error", name)
+	}
+	return nil
+}
+
+func exportedOrBuiltin(t reflect.Type) bool {
+	for t.Kind() == reflect.Pointer {
+		t = t.Elem()
+	}
+	return token.IsExported(t.Name()) || t.PkgPath() == ""
+}
+
+// receiver is what net/rpc sees of the dispatcher.
+type receiver struct{}
+
+// Invoke runs one invocation. Its own error is always nil; the method's error travels in the result.
+func (receiver) Invoke(in *Invocation, out *Result) error {
+	if in.method == nil {
+		out.err = fmt.Errorf("%w %q", ErrUnknownMethod, in.unknown)
+		return nil
+	}
+	reply := in.method.newReply()
+	out.err = in.method.call(in.args, reply)
+	out.reply = reply.Interface()
+	return nil
+}
--- /dev/null
+++ b/pkg/adapter/peer/server.go
@@ -0,0 +1,120 @@
+package peer
+
+import (
+	"crypto/tls"
+	"errors"
+	"net"
+	"net/rpc"
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+)
+
+// Server accepts connections of peers that know the shared secret and runs the methods of registered receivers.
+type Server struct {
+	secret   []byte
+	tls      *tls.Config
+	dispatch *dispatcher
+	rpc      *rpc.Server
+
+	mu     sync.Mutex
+	closed bool
+	open   map[net.Conn]struct{}
+	listen map[net.Listener]struct{}
+}
+
+var _ Registrar = (*Server)(nil)
+
+// NewServer returns a server; tls may be nil.
+func NewServer(secret string, tls *tls.Config) *Server {
+	s := &Server{
+		secret: []byte(secret), tls: tls,
+		dispatch: &dispatcher{methods: map[string]*method{}},
+		rpc:      rpc.NewServer(),
+		open:     map[net.Conn]struct{}{},
+		listen:   map[net.Listener]struct{}{},
+	}
+	if err := s.rpc.RegisterName("Dispatcher", receiver{}); err != nil {
+		panic(err)
+	}
+	return s
+}
+
+// Register adds the exported methods of receiver that have the net/rpc form, as name.METHOD.
+func (s *Server) Register(name string, receiver any) error {
+	return s.dispatch.register(name, receiver)
+}
+
+// Serve accepts connections until the listener fails or Close is called, after which it returns nil.
+func (s *Server) Serve(l net.Listener) error {
+	s.mu.Lock()
+	if s.closed {
+		s.mu.Unlock()
+		return l.Close()
+	}
+	s.listen[l] = struct{}{}
+	s.mu.Unlock()
+	for {
+		conn, err := l.Accept()
+		if err == nil {
+			go s.serve(conn)
+			continue
+		}
+		if s.isClosed() || errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		// Accept fails for a moment when file descriptors run out; the listener itself stays usable.
+		klog.Warningf("peer listener %s: %v", l.Addr(), err)
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
+func (s *Server) isClosed() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.closed
+}
+
+// track adds or removes a connection; it reports false when the server is closed.
+func (s *Server) track(conn net.Conn, add bool) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if add && !s.closed {
+		s.open[conn] = struct{}{}
+	} else {
+		delete(s.open, conn)
+	}
+	return !s.closed
+}
+
+func (s *Server) serve(conn net.Conn) {
+	defer conn.Close()
+	if s.tls != nil {
+		conn = tls.Server(conn, s.tls)
+	}
+	if !s.track(conn, true) {
+		return
+	}
+	defer s.track(conn, false)
+	if err := serverHandshake(conn, s.secret); err != nil {
+		klog.V(1).Infof("peer handshake from %s: %v", conn.RemoteAddr(), err)
+		return
+	}
+	s.rpc.ServeCodec(&serverCodec{stream: newStream(conn), dispatch: s.dispatch})
+}
+
+// Close ends the listeners and all connections.
+func (s *Server) Close() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
+	var list []error
+	for l := range s.listen {
+		list = append(list, l.Close())
+	}
+	for c := range s.open {
+		c.Close()
+	}
+	return errors.Join(list...)
+}
--- /dev/null
+++ b/pkg/adapter/store/watch.go
@@ -0,0 +1,142 @@
+package store
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+)
+
+// maxEventBytes bounds one watch line: the largest value in base64 with room for its key.
+const maxEventBytes = 2 * MaxValueBytes
+
+// Watch implements Store.
+func (c *Client) Watch(ctx context.Context, prefix string, from int64) (<-chan Event, error) {
+	if err := c.reads.take(ctx); err != nil {
+		return nil, unavailable(err)
+	}
+	query := url.Values{"prefix": {prefix}, "from": {strconv.FormatInt(from, 10)}}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+"/watch?"+query.Encode(), nil)
+	if err != nil {
+		return nil, unavailable(err)
+	}
+	calls.Add("watch", 1)
+	resp, err := c.http.Do(req)
+	if err != nil {
+		calls.Add("watch_failed", 1)
+		return nil, unavailable(err)
+	}
+	if resp.StatusCode != http.StatusOK {
+		resp.Body.Close()
+		return nil, readError(statusError(resp.StatusCode, nil))
+	}
+	events := make(chan Event)
+	go func() {
+		defer close(events)
+		defer resp.Body.Close()
+		lines := bufio.NewScanner(resp.Body)
+		lines.Buffer(nil, maxEventBytes)
+		for lines.Scan() {
+			e, err := decodeEvent(lines.Bytes())
+			if err != nil {
+				return
+			}
+			select {
+			case events <- e:
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+	return events, nil
+}
+
+func decodeEvent(line []byte) (Event, error) {
+	var w wireObject
+	if err := json.Unmarshal(line, &w); err != nil {
+		return Event{}, Error.Wrap(err)
+	}
+	switch w.Type {
+	case EventPut, EventDelete, EventSync:
+		return Event{Type: w.Type, Object: Object{Key: w.Key, Value: w.Value, Revision: w.Revision}}, nil
+	}
+	return Event{}, Error.New("unknown event type %q", w.Type)
+}
+
+// ListAll reads all pages below prefix. Revision is that of the first page, so that a watch from it misses nothing.
+func ListAll(ctx context.Context, s Store, prefix string) (Page, error) {
+	var all Page
+	for after := ""; ; {
+		p, err := s.List(ctx, prefix, after, listPageSize)
+		if err != nil {
+			return Page{}, err
+		}
+		if after == "" {
+			all.Revision = p.Revision
+		}
+		all.Objects = append(all.Objects, p.Objects...)
+		if p.Next == "" {
+			return all, nil
+		}
+		after = p.Next
+	}
+}
+
+const (
+	// listPageSize is the number of objects a page that ListAll asks for.
+	listPageSize = 500
+	// followRetryMax bounds the time between attempts, so that a store that returns is noticed within seconds.
+	followRetryMax = 5 * time.Second
+)
+
+// Update is what Follow reports: the whole state after a list, or one event.
+type Update struct {
+	// Full is set when Objects holds everything below the prefix.
+	Full    bool
+	Objects []Object
+	Event   Event
+}
+
+// Follow calls handle with everything below prefix and then with each change, until ctx ends. It resumes a
+// broken watch from the last revision seen and lists again only when that revision was compacted.
+func Follow(ctx context.Context, s Store, prefix string, handle func(Update)) error {
+	wait := newBackOff()
+	wait.MaxInterval = followRetryMax
+	revision, listed := int64(0), false
+	for ctx.Err() == nil {
+		err := func() error {
+			if !listed {
+				page, err := ListAll(ctx, s, prefix)
+				if err != nil {
+					return err
+				}
+				handle(Update{Full: true, Objects: page.Objects})
+				revision, listed = page.Revision, true
+			}
+			events, err := s.Watch(ctx, prefix, revision)
+			if err != nil {
+				return err
+			}
+			for e := range events {
+				wait.Reset()
+				revision = max(revision, e.Object.Revision)
+				if e.Type != EventSync {
+					handle(Update{Event: e})
+				}
+			}
+			return fmt.Errorf("watch of %q ended", prefix)
+		}()
+		if errors.Is(err, ErrCompacted) {
+			listed = false
+		}
+		if sleep(ctx, wait.NextBackOff()) != nil {
+			break
+		}
+	}
+	return ctx.Err()
+}
--- /dev/null
+++ b/pkg/controller/confsync/apply.go
@@ -0,0 +1,222 @@
+package confsync
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/oklog/ulid/v2"
+	"k8s.io/klog/v2"
+
+	"trefoilplank.example/api"
+	"trefoilplank.example/pkg/adapter/store"
+	"trefoilplank.example/pkg/config"
+	"trefoilplank.example/pkg/decision/confchain"
+)
+
+const (
+	// maxRaces bounds the attempts of a change without IfMatch that meets other changes.
+	maxRaces = 10
+	// cleanTimeout bounds the removal of old payloads after a change.
+	cleanTimeout = 10 * time.Second
+	// sweepEvery is the number of versions between two searches for payloads left behind, and sweepLimit the
+	// number of objects that a search reads.
+	sweepEvery, sweepLimit = 64, 16
+)
+
+// errRaced means that another change moved the head first and this one was not accepted.
+var errRaced = confchain.Error.New("another change was accepted first")
+
+// Apply implements config.Accepter.
+func (c *Controller) Apply(ctx context.Context, change config.Change) (int64, error) {
+	digest, err := confchain.ChangeDigest(change)
+	if err != nil {
+		return 0, err
+	}
+	c.applying.Lock()
+	defer c.applying.Unlock()
+	for range maxRaces {
+		version, err := c.attempt(ctx, change, digest)
+		if !errors.Is(err, errRaced) {
+			return version, err
+		}
+	}
+	return 0, fmt.Errorf("%w: %d other changes were accepted first", store.ErrUnavailable, maxRaces)
+}
+
+// attempt makes one attempt to have the change accepted.
+func (c *Controller) attempt(ctx context.Context, change config.Change, digest string) (int64, error) {
+	head, revision, err := c.readForUpdate(ctx)
+	if err != nil {
+		return 0, notAccepted(err)
+	}
+	if version, err := head.Check(change, digest); version > 0 || err != nil {
+		return version, err
+	}
+	base, err := c.base(ctx, head)
+	if err != nil {
+		return 0, notAccepted(err)
+	}
+	next := confchain.Merge(base, change, head.NextVersion(c.Accepted()))
+	documents := api.Documents{Register: change.Register, Rules: change.Rules}
+	if findings := documents.Check(next); len(findings) > 0 {
+		return 0, findings
+	}
+	payload, err := confchain.Encode(next)
+	if err != nil {
+		return 0, err
+	}
+	p := confchain.Proposal{
+		Version: next.Version, Change: digest, Digest: confchain.Digest(payload.JSON), Attempt: ulid.Make().String(),
+		Key: change.Key, Who: change.Who, When: time.Now(),
+	}
+	if p.Chunks, err = c.writeChunks(ctx, p, payload); err != nil {
+		return 0, notAccepted(err)
+	}
+	after := head.Append(p)
+	err = c.writeHead(ctx, after, revision, p.Attempt)
+	if errors.Is(err, errRaced) {
+		c.background.Go(func() error { c.removeAttempt(p); return nil })
+	}
+	if err != nil {
+		return 0, err
+	}
+	c.accepted(after, payload)
+	return p.Version, nil
+}
+
+// notAccepted reports a failure before the head was written. Whatever became of the call that failed, the
+// change is not accepted, so the error must not match store.ErrUnknown.
+func notAccepted(err error) error {
+	return fmt.Errorf("%w: not accepted: %v", store.ErrUnavailable, err)
+}
+
+// readForUpdate reads the head with a read that began after this call.
+func (c *Controller) readForUpdate(ctx context.Context) (confchain.Head, int64, error) {
+	o, err := c.store.Get(store.WithFresh(ctx), confchain.HeadKey)
+	if errors.Is(err, store.ErrNotFound) {
+		return confchain.Head{}, store.CreateOnly, nil
+	}
+	if err != nil {
+		return confchain.Head{}, 0, err
+	}
+	head, err := confchain.Decode(o.Value)
+	return head, o.Revision, err
+}
+
+// base returns the configuration that the head accepted, bringing it into force here when it is new.
+func (c *Controller) base(ctx context.Context, head confchain.Head) (api.Config, error) {
+	if head.Version() == 0 {
+		return api.Config{}, nil
+	}
+	p, err := c.payload(ctx, head.History[0], "")
+	if err != nil {
+		return api.Config{}, err
+	}
+	if err := c.install(head.History[0], p); err != nil {
+		return api.Config{}, err
+	}
+	return p.Config()
+}
+
+func (c *Controller) writeChunks(ctx context.Context, p confchain.Proposal, payload confchain.Payload) (int, error) {
+	data, err := payload.Compress()
+	if err != nil {
+		return 0, err
+	}
+	chunks := confchain.Split(data)
+	keys, err := confchain.Entry{Record: config.Record{Version: p.Version}, Attempt: p.Attempt, Chunks: len(chunks)}.ChunkKeys()
+	if err != nil {
+		return 0, err
+	}
+	for i, k := range keys {
+		if _, err := c.store.Put(ctx, k, chunks[i], store.CreateOnly); err != nil {
+			return 0, err
+		}
+	}
+	return len(chunks), nil
+}
+
+// writeHead moves the head. After a lost answer it looks for the attempt in the head's history: when the head has
+// moved on without it, the conditional write can't be applied any more.
+func (c *Controller) writeHead(ctx context.Context, head confchain.Head, expect int64, attempt string) error {
+	_, err := c.store.Put(ctx, confchain.HeadKey, head.Encode(), expect)
+	switch {
+	case errors.Is(err, store.ErrConflict):
+		return errRaced
+	case !errors.Is(err, store.ErrUnknown):
+		return err
+	}
+	current, revision, readErr := c.readForUpdate(ctx)
+	if readErr != nil || revision == expect {
+		return err
+	}
+	if _, ok := current.FindAttempt(attempt); ok {
+		return nil
+	}
+	if len(current.History) < confchain.MaxHistory || current.History[len(current.History)-1].Version <= head.Version() {
+		return errRaced
+	}
+	return err
+}
+
+// accepted brings an own change into force and passes it on.
+func (c *Controller) accepted(head confchain.Head, payload confchain.Payload) {
+	base := c.InForce()
+	if err := c.install(head.History[0], payload); err != nil {
+		klog.Errorf("configuration version %d: %v", head.Version(), err)
+		return
+	}
+	c.spread(base, c.view().Origin(c.self))
+	c.background.Go(func() error { c.clean(head); return nil })
+}
+
+// removeAttempt deletes the chunks of an attempt that is known not to be accepted.
+func (c *Controller) removeAttempt(p confchain.Proposal) {
+	ctx, cancel := context.WithTimeout(context.Background(), cleanTimeout)
+	defer cancel()
+	keys, err := confchain.Entry{Record: config.Record{Version: p.Version}, Attempt: p.Attempt, Chunks: p.Chunks}.ChunkKeys()
+	for _, k := range keys {
+		if err == nil {
+			err = c.store.Delete(store.WithPriority(ctx, store.PriorityStatus), k, store.AnyRevision)
+		}
+	}
+	if err != nil {
+		klog.V(1).Infof("remove payload of a change that was not accepted: %v", err)
+	}
+}
+
+// clean deletes the payload of the version that no node needs any more. Now and then it also looks for payloads
+// that nodes left behind when they died in an attempt.
+func (c *Controller) clean(head confchain.Head) {
+	ctx, cancel := context.WithTimeout(store.WithPriority(context.Background(), store.PriorityStatus), cleanTimeout)
+	defer cancel()
+	var keys []string
+	if len(head.History) > confchain.KeptPayloads {
+		keys, _ = head.History[confchain.KeptPayloads].ChunkKeys()
+	}
+	if head.Version()%sweepEvery == 0 {
+		page, err := c.store.List(ctx, confchain.DataPrefix, "", sweepLimit)
+		for _, o := range page.Objects {
+			if v, ok := confchain.ChunkVersion(o.Key); err == nil && ok && v <= head.Version()-confchain.KeptPayloads {
+				keys = append(keys, o.Key)
+			}
+		}
+	}
+	for _, k := range keys {
+		if err := c.store.Delete(ctx, k, store.AnyRevision); err != nil && !errors.Is(err, store.ErrNotFound) {
+			klog.V(1).Infof("remove old configuration payload: %v", err)
+			return
+		}
+	}
+}
+
+// History implements config.Accepter.
+func (c *Controller) History(ctx context.Context) ([]config.Record, error) {
+	head, _, err := c.readForUpdate(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return head.Records(), nil
+}
--- /dev/null
+++ b/pkg/controller/confsync/confsync.go
@@ -0,0 +1,393 @@
+// Package confsync accepts changes of the configuration and brings the accepted version into force on this node.
+package confsync
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+	"k8s.io/klog/v2"
+
+	"trefoilplank.example/api"
+	"trefoilplank.example/pkg/adapter/peer"
+	"trefoilplank.example/pkg/adapter/store"
+	"trefoilplank.example/pkg/blackboard"
+	"trefoilplank.example/pkg/config"
+	"trefoilplank.example/pkg/decision/confchain"
+	"trefoilplank.example/pkg/decision/dissemination"
+)
+
+const (
+	// pushTimeout is how long a child in the tree may take before its own children are served directly.
+	pushTimeout = time.Second
+	// fetchTimeout bounds the transfer of a whole configuration.
+	fetchTimeout = 5 * time.Second
+	// secondRelayDelay lets the head of the zone push first; the second relay only fills in for it.
+	secondRelayDelay = time.Second
+	// inlineBytes is the largest delta that a push carries; larger ones are fetched by nodes that need them.
+	inlineBytes = 32 << 10
+	// keptInMemory is the number of payloads kept to compute deltas from.
+	keptInMemory = 4
+	// startRetry is the time between attempts to learn a first version.
+	startRetry = 500 * time.Millisecond
+)
+
+// Controller keeps the configuration of one node. It implements config.Accepter.
+type Controller struct {
+	store store.Store
+	board *blackboard.Board
+	peers peer.Caller
+	self  string
+	// applying serializes the changes made through this node.
+	applying   sync.Mutex
+	background errgroup.Group
+
+	mu    sync.Mutex
+	known confchain.Known
+	// inForce is the entry of the version in force; its payload is the newest in payloads.
+	inForce  confchain.Entry
+	payloads map[int64]confchain.Payload
+	// ready is closed once known.Ready is set.
+	ready chan struct{}
+	// fetching holds the version that a fetch in progress will bring.
+	fetching int64
+}
+
+var _ config.Accepter = (*Controller)(nil)
+
+// New returns a controller. Register its Receiver as "Config" with the peer server.
+func New(s store.Store, b *blackboard.Board, peers peer.Caller, self string) *Controller {
+	return &Controller{
+		store: s, board: b, peers: peers, self: self,
+		payloads: map[int64]confchain.Payload{0: emptyPayload()}, ready: make(chan struct{}),
+	}
+}
+
+func emptyPayload() confchain.Payload {
+	p, err := confchain.Encode(api.Config{})
+	if err != nil {
+		panic(err)
+	}
+	return p
+}
+
+// Ready returns a channel that is closed once this node knows the configuration in force.
+func (c *Controller) Ready() <-chan struct{} { return c.ready }
+
+// Accepted implements config.Accepter.
+func (c *Controller) Accepted() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.known.Version
+}
+
+// InForce returns the version in force on this node.
+func (c *Controller) InForce() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.inForce.Version
+}
+
+// Run learns the first version and then follows changes until ctx ends.
+func (c *Controller) Run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return c.start(ctx) })
+	group.Go(func() error { return c.relay(ctx) })
+	group.Go(func() error { return c.catchUp(ctx) })
+	err := group.Wait()
+	_ = c.background.Wait()
+	return err
+}
+
+// view returns the live members.
+func (c *Controller) view() dissemination.View {
+	members := c.board.Members.Value()
+	list := []dissemination.Member{}
+	for _, name := range slices.Sorted(maps.Keys(members.Live)) {
+		list = append(list, dissemination.Member{Name: name, AvailabilityZone: members.Live[name].AvailabilityZone})
+	}
+	return dissemination.NewView(list)
+}
+
+// start reads the first version from the store, or from a quorum of the zone's peers while the store is down.
+func (c *Controller) start(ctx context.Context) error {
+	for ctx.Err() == nil {
+		err := c.readHead(ctx)
+		if err == nil {
+			return nil
+		}
+		if c.startFromPeers(ctx) {
+			return nil
+		}
+		klog.Warningf("no configuration yet: %v", err)
+		wait(ctx, startRetry+rand.N(startRetry))
+	}
+	return ctx.Err()
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
+// readHead takes the accepted version from the store; an empty store is version 0.
+func (c *Controller) readHead(ctx context.Context) error {
+	o, err := c.store.Get(ctx, confchain.HeadKey)
+	if errors.Is(err, store.ErrNotFound) {
+		c.markReady(0)
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	head, err := confchain.Decode(o.Value)
+	if err != nil {
+		return err
+	}
+	return c.take(ctx, head.History[0], "")
+}
+
+// markReady records that this node knows the accepted version.
+func (c *Controller) markReady(version int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	wasReady := c.known.Ready
+	c.known = c.known.Advance(version, true)
+	if !wasReady {
+		close(c.ready)
+		if c.inForce.Version == 0 {
+			c.board.Config.Set(api.Config{})
+		}
+	}
+}
+
+// startFromPeers takes the highest version that a quorum of the zone's peers knows.
+func (c *Controller) startFromPeers(ctx context.Context) bool {
+	peers := c.view().Peers(c.self)
+	type reply struct {
+		from string
+		DigestReply
+	}
+	replies := make(chan reply, len(peers))
+	for _, p := range peers {
+		go func() {
+			ctx, cancel := context.WithTimeout(ctx, pushTimeout)
+			defer cancel()
+			var r DigestReply
+			if c.peers.Call(ctx, p, "Config.Digest", &DigestArgs{}, &r) != nil {
+				r = DigestReply{}
+			}
+			replies <- reply{p, r}
+		}()
+	}
+	var answers []confchain.PeerAnswer
+	var best reply
+	for range peers {
+		r := <-replies
+		answers = append(answers, confchain.PeerAnswer{Version: r.Entry.Version, Ready: r.Ready})
+		if r.Ready && r.Entry.Version > best.Entry.Version {
+			best = r
+		}
+	}
+	version, ok := confchain.Quorum(len(peers), answers)
+	if !ok {
+		return false
+	}
+	if version == 0 {
+		c.markReady(0)
+		return true
+	}
+	return c.take(ctx, best.Entry, best.from) == nil
+}
+
+// relay watches the head while this node is a relay of its zone. All other nodes learn versions from peers.
+func (c *Controller) relay(ctx context.Context) error {
+	for ctx.Err() == nil {
+		_, revision := c.board.Members.Get()
+		changed := c.board.Members.Changed(revision)
+		if c.view().RelayRank(c.self) < 0 {
+			select {
+			case <-changed:
+			case <-ctx.Done():
+			}
+			continue
+		}
+		watching, cancel := context.WithCancel(ctx)
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			_ = store.Follow(watching, c.store, confchain.HeadKey, func(u store.Update) { c.seen(watching, u) })
+		}()
+		for ctx.Err() == nil && c.view().RelayRank(c.self) >= 0 {
+			_, revision := c.board.Members.Get()
+			select {
+			case <-c.board.Members.Changed(revision):
+			case <-ctx.Done():
+			}
+		}
+		cancel()
+		<-done
+	}
+	return ctx.Err()
+}
+
+// seen handles the head as the watch reports it.
+func (c *Controller) seen(ctx context.Context, u store.Update) {
+	value := u.Event.Object.Value
+	if u.Full {
+		if len(u.Objects) == 0 {
+			c.markReady(0)
+			return
+		}
+		value = u.Objects[0].Value
+	} else if u.Event.Type != store.EventPut {
+		return
+	}
+	head, err := confchain.Decode(value)
+	if err != nil {
+		klog.Errorf("%s: %v", confchain.HeadKey, err)
+		return
+	}
+	entry := head.History[0]
+	base := c.InForce()
+	if !confchain.Takes(base, entry.Version) {
+		return
+	}
+	if err := c.take(ctx, entry, ""); err != nil {
+		klog.Warningf("configuration version %d: %v", entry.Version, err)
+		return
+	}
+	view := c.view()
+	if view.RelayRank(c.self) > 0 {
+		wait(ctx, secondRelayDelay)
+	}
+	c.spread(base, view.Zone(c.self))
+}
+
+// catchUp fetches from a live member that has a newer version in force, which the membership exchange reports.
+func (c *Controller) catchUp(ctx context.Context) error {
+	for ctx.Err() == nil {
+		members, revision := c.board.Members.Get()
+		best := blackboard.Member{ConfigVersion: c.InForce()}
+		for _, m := range members.Live {
+			if m.Name != c.self && m.ConfigVersion > best.ConfigVersion {
+				best = m
+			}
+		}
+		if best.Name != "" {
+			if err := c.pull(ctx, best.Name); err != nil {
+				klog.V(1).Infof("fetch from %s: %v", best.Name, err)
+				wait(ctx, startRetry+rand.N(startRetry))
+				continue
+			}
+		}
+		select {
+		case <-c.board.Members.Changed(revision):
+		case <-ctx.Done():
+		}
+	}
+	return ctx.Err()
+}
+
+// pull asks a peer for its version and takes it.
+func (c *Controller) pull(ctx context.Context, from string) error {
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	var r DigestReply
+	if err := c.peers.Call(ctx, from, "Config.Digest", &DigestArgs{}, &r); err != nil {
+		return err
+	}
+	return c.take(ctx, r.Entry, from)
+}
+
+// take brings an accepted version into force, with the payload from a peer or, failing that, from the store.
+func (c *Controller) take(ctx context.Context, e confchain.Entry, from string) error {
+	c.mu.Lock()
+	c.known = c.known.Advance(e.Version, false)
+	have := c.inForce.Version
+	c.mu.Unlock()
+	if !confchain.Takes(have, e.Version) {
+		c.markReady(have)
+		return nil
+	}
+	payload, err := c.payload(ctx, e, from)
+	if err != nil {
+		return err
+	}
+	return c.install(e, payload)
+}
+
+func (c *Controller) payload(ctx context.Context, e confchain.Entry, from string) (confchain.Payload, error) {
+	c.mu.Lock()
+	p, ok := c.payloads[e.Version]
+	c.mu.Unlock()
+	if ok && p.Verify(e) == nil {
+		return p, nil
+	}
+	var fault error
+	if from != "" {
+		p, err := c.fetch(ctx, e, from)
+		if err == nil {
+			return p, nil
+		}
+		fault = err
+	}
+	p, err := c.load(ctx, e)
+	return p, errors.Join(fault, err)
+}
+
+// install puts a payload into force unless a newer one is; versions only grow.
+func (c *Controller) install(e confchain.Entry, p confchain.Payload) error {
+	if err := p.Verify(e); err != nil {
+		return err
+	}
+	next, err := p.Config()
+	if err != nil {
+		return err
+	}
+	c.mu.Lock()
+	if confchain.Takes(c.inForce.Version, e.Version) {
+		c.inForce = e
+		c.payloads[e.Version] = p
+		for v := range c.payloads {
+			if len(c.payloads) > keptInMemory && v == slices.Min(slices.Collect(maps.Keys(c.payloads))) {
+				delete(c.payloads, v)
+			}
+		}
+		c.board.Config.Set(next)
+	}
+	c.mu.Unlock()
+	c.markReady(e.Version)
+	return nil
+}
+
+// load reads the payload of an entry from the store.
+func (c *Controller) load(ctx context.Context, e confchain.Entry) (confchain.Payload, error) {
+	keys, err := e.ChunkKeys()
+	if err != nil {
+		return confchain.Payload{}, err
+	}
+	var data []byte
+	for _, k := range keys {
+		o, err := c.store.Get(ctx, k)
+		if err != nil {
+			return confchain.Payload{}, fmt.Errorf("%s: %w", k, err)
+		}
+		data = append(data, o.Value...)
+	}
+	p, err := confchain.Decompress(e.Version, data)
+	if err != nil {
+		return confchain.Payload{}, err
+	}
+	return p, p.Verify(e)
+}
--- /dev/null
+++ b/pkg/controller/confsync/receiver.go
@@ -0,0 +1,188 @@
+package confsync
+
+import (
+	"context"
+
+	"k8s.io/klog/v2"
+
+	"trefoilplank.example/pkg/decision/confchain"
+	"trefoilplank.example/pkg/decision/dissemination"
+)
+
+// Receiver holds the methods that peers call.
+type Receiver struct{ c *Controller }
+
+// Receiver returns what to register as "Config".
+func (c *Controller) Receiver() *Receiver { return &Receiver{c} }
+
+// PushArgs announces an accepted version.
+type PushArgs struct {
+	From  string
+	Entry confchain.Entry
+	// Base is the version that Delta applies to; Delta is empty when the receiver is to fetch.
+	Base  int64
+	Delta []byte
+	Route dissemination.Route
+}
+
+// PushReply confirms that the announcement arrived.
+type PushReply struct {
+	// Version is the newest version that the receiver knows.
+	Version int64
+}
+
+// DigestArgs asks for the version in force.
+type DigestArgs struct{}
+
+// DigestReply is the version in force. Ready is false while the node does not know a version.
+type DigestReply struct {
+	Ready bool
+	Entry confchain.Entry
+}
+
+// FetchArgs asks for the payload of a version. Have is the version in force at the caller.
+type FetchArgs struct{ Version, Have int64 }
+
+// FetchReply carries a payload: a delta to Base, or the whole when Whole is set.
+type FetchReply struct {
+	Whole bool
+	Base  int64
+	Data  []byte
+}
+
+// Push takes an announced version and passes it on. It answers before the version is in force, so that a slow
+// transfer does not look like a dead node.
+func (r *Receiver) Push(args *PushArgs, reply *PushReply) error {
+	c := r.c
+	c.mu.Lock()
+	fresh := confchain.Takes(max(c.inForce.Version, c.fetching), args.Entry.Version)
+	if fresh {
+		c.fetching = args.Entry.Version
+	}
+	c.known = c.known.Advance(args.Entry.Version, false)
+	reply.Version = c.known.Version
+	c.mu.Unlock()
+	if fresh {
+		c.background.Go(func() error { c.receive(args); return nil })
+	}
+	return nil
+}
+
+func (c *Controller) receive(args *PushArgs) {
+	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
+	defer cancel()
+	err := c.applyDelta(args)
+	if err != nil {
+		err = c.take(ctx, args.Entry, args.From)
+	}
+	if err != nil {
+		klog.Warningf("configuration version %d from %s: %v", args.Entry.Version, args.From, err)
+		c.mu.Lock()
+		c.fetching = min(c.fetching, c.inForce.Version)
+		c.mu.Unlock()
+		return
+	}
+	c.spread(args.Base, c.view().Forward(c.self, args.Route))
+}
+
+// applyDelta takes the version that a push carries itself.
+func (c *Controller) applyDelta(args *PushArgs) error {
+	c.mu.Lock()
+	base, ok := c.payloads[args.Base]
+	c.mu.Unlock()
+	if !ok || len(args.Delta) == 0 {
+		return confchain.Error.New("no delta to a version that is kept")
+	}
+	p, err := confchain.ApplyDelta(base, args.Entry.Version, args.Delta)
+	if err != nil {
+		return err
+	}
+	return c.install(args.Entry, p)
+}
+
+// Digest returns the version in force.
+func (r *Receiver) Digest(_ *DigestArgs, reply *DigestReply) error {
+	r.c.mu.Lock()
+	defer r.c.mu.Unlock()
+	reply.Ready, reply.Entry = r.c.known.Ready, r.c.inForce
+	return nil
+}
+
+// Fetch returns a payload, as a delta when the version that the caller has is still kept.
+func (r *Receiver) Fetch(args *FetchArgs, reply *FetchReply) error {
+	c := r.c
+	c.mu.Lock()
+	p, ok := c.payloads[args.Version]
+	base, hasBase := c.payloads[args.Have]
+	c.mu.Unlock()
+	if !ok {
+		return confchain.Error.New("version %d is not kept", args.Version)
+	}
+	var err error
+	if hasBase && args.Have > 0 {
+		reply.Base = args.Have
+		reply.Data, err = p.Delta(base)
+	} else {
+		reply.Whole = true
+		reply.Data, err = p.Compress()
+	}
+	return err
+}
+
+// fetch asks a peer for the payload of an entry.
+func (c *Controller) fetch(ctx context.Context, e confchain.Entry, from string) (confchain.Payload, error) {
+	var reply FetchReply
+	args := FetchArgs{Version: e.Version, Have: c.InForce()}
+	if err := c.peers.Call(ctx, from, "Config.Fetch", &args, &reply); err != nil {
+		return confchain.Payload{}, err
+	}
+	var p confchain.Payload
+	var err error
+	if reply.Whole {
+		p, err = confchain.Decompress(e.Version, reply.Data)
+	} else {
+		c.mu.Lock()
+		base, ok := c.payloads[reply.Base]
+		c.mu.Unlock()
+		if !ok {
+			return confchain.Payload{}, confchain.Error.New("base version %d is not kept", reply.Base)
+		}
+		p, err = confchain.ApplyDelta(base, e.Version, reply.Data)
+	}
+	if err != nil {
+		return confchain.Payload{}, err
+	}
+	return p, p.Verify(e)
+}
+
+// spread sends the version in force along steps. A child that does not answer is replaced by its own children.
+func (c *Controller) spread(base int64, steps []dissemination.Step) {
+	if len(steps) == 0 {
+		return
+	}
+	c.mu.Lock()
+	args := PushArgs{From: c.self, Entry: c.inForce, Base: base}
+	from, ok := c.payloads[base]
+	to := c.payloads[c.inForce.Version]
+	c.mu.Unlock()
+	if ok {
+		if delta, err := to.Delta(from); err == nil && len(delta) <= inlineBytes {
+			args.Delta = delta
+		}
+	}
+	for _, s := range steps {
+		c.background.Go(func() error { c.send(args, s); return nil })
+	}
+}
+
+func (c *Controller) send(args PushArgs, s dissemination.Step) {
+	ctx, cancel := context.WithTimeout(context.Background(), pushTimeout)
+	defer cancel()
+	args.Route = s.Route
+	if err := c.peers.Call(ctx, s.To, "Config.Push", &args, &PushReply{}); err == nil {
+		return
+	}
+	for _, next := range c.view().Adopt(c.self, s) {
+		c.background.Go(func() error { c.send(args, next); return nil })
+	}
+}
--- /dev/null
+++ b/pkg/controller/lease/observer.go
@@ -0,0 +1,74 @@
+package lease
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"trefoilplank.example/pkg/adapter/store"
+	"trefoilplank.example/pkg/decision/lease"
+)
+
+// Observer decides on takeovers from lease objects. It reads an object only when it is asked about its node and
+// a read can change the decision, so a healthy holder costs at most one read per lease duration.
+type Observer struct {
+	store  store.Store
+	params lease.Params
+
+	mu        sync.Mutex
+	sightings map[string]lease.Sighting
+}
+
+// NewObserver returns an observer.
+func NewObserver(s store.Store, p lease.Params) *Observer {
+	return &Observer{store: s, params: p, sightings: map[string]lease.Sighting{}}
+}
+
+// MayTake decides whether this node may take over a role record that refers to holder and token. It returns a
+// decision that is not allowed at once, with the time to wait before asking again; it does not block for it.
+// inFlight is 0 unless the effects go to an upstream that ignores fencing tokens.
+func (o *Observer) MayTake(ctx context.Context, holder string, token int64, inFlight time.Duration) (lease.Takeover, error) {
+	d := o.params.MayTake(o.sighting(holder), token, time.Now(), inFlight)
+	if d.Allowed || !d.LookAgain || d.Wait > 0 {
+		return d, nil
+	}
+	if err := o.look(ctx, holder); err != nil {
+		return lease.Takeover{Reason: "the holder's lease could not be read"}, err
+	}
+	return o.params.MayTake(o.sighting(holder), token, time.Now(), inFlight), nil
+}
+
+func (o *Observer) sighting(holder string) lease.Sighting {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.sightings[holder]
+}
+
+func (o *Observer) look(ctx context.Context, holder string) error {
+	start, key := time.Now(), lease.Prefix+holder
+	// Confirmed is the start of the read, so the read must not be one that began earlier.
+	object, err := o.store.Get(store.WithFresh(ctx), key)
+	if err != nil && !errors.Is(err, store.ErrNotFound) {
+		return err
+	}
+	var record *lease.Record
+	if err == nil {
+		r, err := lease.Decode(key, object.Value, object.Revision)
+		if err != nil {
+			return err
+		}
+		record = &r
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.sightings[holder] = o.sightings[holder].See(record, object.Revision, start, time.Now())
+	return nil
+}
+
+// Forget drops what is known of nodes that no role record refers to any more.
+func (o *Observer) Forget(holder string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	delete(o.sightings, holder)
+}
--- /dev/null
+++ b/pkg/decision/lease/takeover.go
@@ -0,0 +1,83 @@
+package lease
+
+import "time"
+
+// Sighting is what an observer knows of another node's lease object, by its own clock. The zero Sighting
+// means that the object was never read.
+type Sighting struct {
+	// Present is false when the object did not exist.
+	Present  bool
+	Token    int64
+	Revision int64
+	Released bool
+	// Since is when this revision, or the absence, was first seen: the end of the read that showed it.
+	Since time.Time
+	// TokenSince is when this token was first seen.
+	TokenSince time.Time
+	// Confirmed is the start of the last read that showed no change.
+	Confirmed time.Time
+}
+
+// See returns the sighting after a read that began at start and ended at end. A nil record means that the
+// object does not exist.
+func (s Sighting) See(r *Record, revision int64, start, end time.Time) Sighting {
+	next := Sighting{Revision: revision, Since: end, TokenSince: end, Confirmed: start}
+	if r != nil {
+		next.Present, next.Token, next.Released = true, r.Token, r.Released
+	}
+	if s.Since.IsZero() || s.Present != next.Present {
+		return next
+	}
+	if s.Token == next.Token {
+		next.TokenSince = s.TokenSince
+	}
+	if s.Revision == next.Revision {
+		next.Since = s.Since
+	}
+	return next
+}
+
+// Takeover is the decision on a role record that refers to a node and its token.
+type Takeover struct {
+	Allowed bool
+	Reason  string
+	// Wait is the time until the decision can change without a change of the lease; 0 with LookAgain means now.
+	Wait time.Duration
+	// LookAgain asks for another read of the lease object after Wait.
+	LookAgain bool
+}
+
+// MayTake decides at now whether another node may act in place of the holder that had token. The taker's own
+// token must be larger than token, which the caller's conditional update of the role record carries. Where
+// an upstream ignores tokens, inFlight is the longest time that an order sent by the holder can still take effect.
+func (p Params) MayTake(s Sighting, token int64, now time.Time, inFlight time.Duration) Takeover {
+	if s.Since.IsZero() {
+		return Takeover{Reason: "the holder's lease was not read yet", LookAgain: true}
+	}
+	if s.Present && s.Token < token {
+		return Takeover{Reason: "the lease read is older than the role record", LookAgain: true}
+	}
+	if s.Present && s.Token == token && s.Released {
+		return after(s.Since, inFlight, now, "the holder released its lease")
+	}
+	wait := p.TakeoverAfter() + inFlight
+	if !s.Present {
+		return after(s.Since, wait, now, "the holder's lease object is gone")
+	}
+	if s.Token > token {
+		return after(s.TokenSince, wait, now, "the holder restarted or lost its token")
+	}
+	if s.Confirmed.Sub(s.Since) >= wait {
+		return Takeover{Allowed: true, Reason: "the holder's lease expired"}
+	}
+	return Takeover{
+		Reason: "the holder's lease may still be valid", LookAgain: true, Wait: max(0, wait-now.Sub(s.Since)),
+	}
+}
+
+func after(since time.Time, wait time.Duration, now time.Time, reason string) Takeover {
+	if left := wait - now.Sub(since); left > 0 {
+		return Takeover{Reason: reason + ", but may still act", Wait: left}
+	}
+	return Takeover{Allowed: true, Reason: reason}
+}
