Add rate and concurrency grants by demand

Cause: a fair share of limit / live nodes leaves tokens unused where one node gets most of an institution's requests.

--- /dev/null
+++ b/pkg/decision/ratelimit/ledger.go
@@ -0,0 +1,162 @@
+// Package ratelimit divides an institution's rate and concurrency limits among the nodes: the limit owner keeps
+// a Ledger and hands out short grants by demand, each node spends from a Purse.
+package ratelimit
+
+import (
+	"math"
+	"time"
+
+	"trefoilplank.example/api"
+)
+
+// Parameters of grants.
+const (
+	// GrantLife is how long a node may spend granted tokens.
+	GrantLife = time.Second
+	// SlotLife is how long granted concurrency stays reserved without a renewal.
+	SlotLife = 3 * time.Second
+	// grantAhead is the time for which a grant covers a node's demand.
+	grantAhead = 200 * time.Millisecond
+	// demandLife is how long the demand of a silent node counts.
+	demandLife = time.Second
+)
+
+// Limit is an institution's bound over all nodes.
+type Limit struct {
+	// Rate is in requests per second; not above 0 means no bound.
+	Rate  float64
+	Burst float64
+	// Concurrency is in requests; 0 means no bound.
+	Concurrency int
+}
+
+// LimitOf returns the limit that the rules state.
+func LimitOf(r api.Rate) Limit {
+	l := Limit{Rate: r.RequestsPerSecond, Burst: float64(r.Burst), Concurrency: r.Concurrency}
+	if l.Burst <= 0 {
+		l.Burst = math.Max(1, l.Rate)
+	}
+	return l
+}
+
+// Ask is a node's request for a grant.
+type Ask struct {
+	// Demand is the node's recent rate in requests per second.
+	Demand float64
+	// Want is the number of tokens asked for and Returned the number of granted ones not spent.
+	Want, Returned float64
+	// InFlight is the number of requests in flight and WantSlots the concurrency asked for, including these.
+	InFlight, WantSlots int
+}
+
+// Grant answers an Ask.
+type Grant struct {
+	// Tokens may be spent within GrantLife.
+	Tokens float64
+	// Slots is the concurrency that the node may use until SlotLife has passed.
+	Slots int
+	// RetryAfter is when tokens are expected again, if none were granted.
+	RetryAfter time.Duration
+}
+
+// account is what the owner knows of one node.
+type account struct {
+	demand float64
+	// credit is the part of the bucket that is reserved for the node while others ask.
+	credit float64
+	slots  int
+	heard  time.Time
+}
+
+// Ledger is the owner's side for one institution. It is not safe for concurrent use.
+type Ledger struct {
+	tokens  float64
+	at      time.Time
+	started bool
+	nodes   map[string]*account
+}
+
+// NewLedger returns a ledger whose bucket is full at its first use.
+func NewLedger() *Ledger { return &Ledger{nodes: map[string]*account{}} }
+
+// refill adds the tokens of the time since the last call and credits them to the nodes by demand.
+func (l *Ledger) refill(now time.Time, lim Limit) {
+	if !l.started {
+		l.tokens, l.at, l.started = lim.Burst, now, true
+	}
+	added := lim.Rate * max(0, now.Sub(l.at)).Seconds()
+	l.at = now
+	l.tokens = math.Min(lim.Burst, l.tokens+added)
+	sum := 0.0
+	for name, acc := range l.nodes {
+		switch silent := now.Sub(acc.heard); {
+		case silent > SlotLife:
+			delete(l.nodes, name)
+		case silent > demandLife:
+			acc.demand, acc.credit = 0, 0
+		default:
+			sum += acc.demand
+		}
+	}
+	for _, acc := range l.nodes {
+		if sum > 0 {
+			part := acc.demand / sum
+			acc.credit = math.Min(acc.credit+added*part, math.Max(1, lim.Rate*part*grantAhead.Seconds()))
+		}
+	}
+}
+
+// reserved returns the credit of the other nodes.
+func (l *Ledger) reserved(acc *account) float64 {
+	sum := 0.0
+	for _, o := range l.nodes {
+		if o != acc {
+			sum += o.credit
+		}
+	}
+	return sum
+}
+
+// Grant decides on a node's ask. When tokens are short, each node gets its part by demand.
+func (l *Ledger) Grant(now time.Time, lim Limit, node string, a Ask) Grant {
+	acc, ok := l.nodes[node]
+	if !ok {
+		acc = &account{}
+		l.nodes[node] = acc
+	}
+	acc.heard = now
+	l.refill(now, lim)
+	acc.demand = math.Max(a.Demand, 0)
+	g := Grant{Slots: l.grantSlots(now, lim, acc, a)}
+	if lim.Rate <= 0 {
+		g.Tokens = math.Max(0, a.Want)
+		return g
+	}
+	l.tokens = math.Min(lim.Burst, l.tokens+math.Max(0, a.Returned))
+	if a.Want <= 0 {
+		return g
+	}
+	g.Tokens = math.Floor(math.Min(a.Want, math.Max(0, l.tokens-l.reserved(acc))))
+	l.tokens -= g.Tokens
+	acc.credit = math.Max(0, acc.credit-g.Tokens)
+	if g.Tokens <= 0 {
+		missing := 1 + l.reserved(acc) - l.tokens
+		g.RetryAfter = time.Duration(missing / lim.Rate * float64(time.Second))
+	}
+	return g
+}
+
+// grantSlots decides on concurrency. A node never gets less than it has in flight, since that can't be undone.
+func (l *Ledger) grantSlots(now time.Time, lim Limit, acc *account, a Ask) int {
+	if lim.Concurrency <= 0 {
+		return a.WantSlots
+	}
+	others := 0
+	for _, o := range l.nodes {
+		if o != acc && now.Sub(o.heard) <= SlotLife {
+			others += o.slots
+		}
+	}
+	acc.slots = max(a.InFlight, min(a.WantSlots, lim.Concurrency-others))
+	return acc.slots
+}
