Test the upstream faults and take limits through Take and Enter

Cause: the paths for dying, cutting and crossing upstreams had no test, and the limiter bounds concurrency as well. Change: fake upstreams bring the faults about; the limiter interface has Enter with a leave function.

--- a/pkg/gateway/fakes_test.go
+++ b/pkg/gateway/fakes_test.go
@@ -133,7 +133,9 @@
 	w.Header().Set("Content-Type", "text/event-stream")
 	for i := from; i < to; i++ {
 		fmt.Fprintf(w, "data: {\"id\":%q,\"offset\":%d,\"text\":\"t%d\"}\n\n", id, i, i)
-		w.(http.Flusher).Flush()
+		if http.NewResponseController(w).Flush() != nil {
+			return
+		}
 		time.Sleep(f.gap)
 	}
 	if whole {
--- /dev/null
+++ b/pkg/gateway/faults_test.go
@@ -0,0 +1,206 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/assert/cmp"
+
+	"trefoilplank.example/api"
+	"trefoilplank.example/pkg/serving"
+)
+
+type faultFunc = func(*fakeUpstream, http.ResponseWriter, *http.Request, []byte) bool
+
+func cutBefore(_ *fakeUpstream, w http.ResponseWriter, _ *http.Request, _ []byte) bool {
+	cut(w)
+	return true
+}
+
+func crashBefore(f *fakeUpstream, _ http.ResponseWriter, _ *http.Request, _ []byte) bool {
+	f.crash()
+	return true
+}
+
+func truncate(_ *fakeUpstream, w http.ResponseWriter, _ *http.Request, _ []byte) bool {
+	w.Header().Set("Content-Length", "100")
+	_, _ = w.Write([]byte(`{"half":`))
+	_ = http.NewResponseController(w).Flush()
+	cut(w)
+	return true
+}
+
+func otherID(_ *fakeUpstream, w http.ResponseWriter, _ *http.Request, _ []byte) bool {
+	w.Header().Set("X-Request-Id", "someone-else")
+	fmt.Fprint(w, `{"answer":"of another caller"}`)
+	return true
+}
+
+// Guards against lost answers and second runs for each way in which an upstream can fail: a repeatable request is
+// answered by another upstream, one that must not be repeated is reported unknown after a single run, and one
+// that did not start is run elsewhere in any case.
+func TestUpstreamFaults(t *testing.T) {
+	for name, fault := range map[string]faultFunc{
+		"cut": cutBefore, "crash": crashBefore, "truncated": truncate, "other id": otherID,
+	} {
+		t.Run(name, func(t *testing.T) {
+			e1, e2 := newUpstream(t, "e1", api.UpstreamEngine), newUpstream(t, "e2", api.UpstreamEngine)
+			s1, s2 := newUpstream(t, "s1", api.UpstreamService), newUpstream(t, "s2", api.UpstreamService)
+			e1.fault, s1.fault = fault, fault
+			f := newFixture(t, nil, e1, e2, s1, s2)
+			r := f.chat("hello")
+			assert.Equal(t, r.status, 200, r.body)
+			assert.Assert(t, cmp.Contains(r.body, "hello"))
+			assert.Equal(t, e1.runCount()+e2.runCount(), 2)
+			f.slots.next = 2
+			r = f.send(context.Background(), "POST", "/v1/services/status/charge", "5")
+			assert.Equal(t, r.status, 502, r.body)
+			assert.Equal(t, r.outcome, "unknown")
+			assert.Equal(t, s1.runCount(), 1)
+			assert.Equal(t, s2.runCount(), 0)
+			assert.Equal(t, f.slots.inUse(), 0)
+		})
+	}
+	t.Run("down", func(t *testing.T) {
+		s1, s2 := newUpstream(t, "s1", api.UpstreamService), newUpstream(t, "s2", api.UpstreamService)
+		s1.crash()
+		f := newFixture(t, nil, s1, s2)
+		r := f.send(context.Background(), "POST", "/v1/services/status/charge", "5")
+		assert.Equal(t, r.status, 200, r.body)
+		assert.Equal(t, s2.runCount(), 1)
+	})
+}
+
+// Guards against answers that reach the wrong caller: two calls in flight get each other's body and echoed id,
+// and each caller still gets its own answer, also for calls that must not be repeated.
+func TestCrossedAnswers(t *testing.T) {
+	s := newUpstream(t, "s1", api.UpstreamService)
+	type held struct {
+		id   string
+		body []byte
+		swap chan held
+	}
+	waiting := make(chan held)
+	s.fault = func(_ *fakeUpstream, w http.ResponseWriter, r *http.Request, body []byte) bool {
+		me := held{r.Header.Get("X-Request-Id"), body, make(chan held, 1)}
+		var other held
+		select {
+		case waiting <- me:
+			other = <-me.swap
+		case other = <-waiting:
+			other.swap <- me
+		}
+		w.Header().Set("X-Request-Id", other.id)
+		fmt.Fprintf(w, "answer for %s", other.body)
+		return true
+	}
+	f := newFixture(t, nil, s)
+	var group sync.WaitGroup
+	for i := range 10 {
+		group.Go(func() {
+			r := f.send(context.Background(), "POST", "/v1/services/status/charge", fmt.Sprint("n", i))
+			assert.Check(t, cmp.Equal(r.body, fmt.Sprint("answer for n", i)))
+		})
+	}
+	group.Wait()
+	assert.Equal(t, s.runCount(), 10)
+}
+
+// Guards against a stream that is joined wrongly or reported whole after its connection was cut.
+func TestStreamCut(t *testing.T) {
+	cutAfter := func(n int, then func(*fakeUpstream, string)) faultFunc {
+		return func(f *fakeUpstream, w http.ResponseWriter, r *http.Request, _ []byte) bool {
+			id := r.Header.Get("X-Request-Id")
+			f.mu.Lock()
+			f.streams[id] = true
+			f.mu.Unlock()
+			f.stream(w, id, 0, n, false)
+			then(f, id)
+			cut(w)
+			return true
+		}
+	}
+	forget := func(f *fakeUpstream, id string) {
+		f.mu.Lock()
+		delete(f.streams, id)
+		f.mu.Unlock()
+	}
+	for _, c := range []struct {
+		name   string
+		fault  faultFunc
+		whole  bool
+		tokens int
+	}{
+		{"engine lives", cutAfter(2, func(*fakeUpstream, string) {}), true, 5},
+		{"engine restarted", cutAfter(2, forget), false, 2},
+		{"engine died", cutAfter(2, func(f *fakeUpstream, _ string) { go f.crash(); time.Sleep(20 * time.Millisecond) }), false, 2},
+		{"cut before the first event", cutAfter(0, forget), true, 5},
+		{"other stream", func(f *fakeUpstream, w http.ResponseWriter, _ *http.Request, _ []byte) bool {
+			f.stream(w, "someone-else", 0, 5, true)
+			return true
+		}, true, 5},
+		{"engine reports an error", func(f *fakeUpstream, w http.ResponseWriter, r *http.Request, _ []byte) bool {
+			f.stream(w, r.Header.Get("X-Request-Id"), 0, 2, false)
+			fmt.Fprint(w, "event: error\ndata: {}\n\n")
+			return true
+		}, false, 2},
+		{"ended without its end mark", cutAfter(5, forget), false, 5},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			e1, e2 := newUpstream(t, "e1", api.UpstreamEngine), newUpstream(t, "e2", api.UpstreamEngine)
+			e1.tokens, e2.tokens, e1.fault = 5, 5, c.fault
+			f := newFixture(t, nil, e1, e2)
+			r := f.chatStream("hello")
+			assert.Equal(t, r.status, 200, r.body)
+			for i := range c.tokens {
+				assert.Equal(t, strings.Count(r.body, fmt.Sprintf(`"offset":%d,`, i)), 1, r.body)
+			}
+			assert.Equal(t, strings.Count(r.body, `"offset":`), c.tokens, r.body)
+			assert.Equal(t, strings.Contains(r.body, "[DONE]"), c.whole, r.body)
+			assert.Equal(t, strings.Contains(r.body, "event: error"), !c.whole, r.body)
+			if !c.whole {
+				assert.Assert(t, cmp.Contains(r.body, `"outcome":"unknown"`))
+				assert.Equal(t, e2.runCount(), 0)
+			}
+		})
+	}
+}
+
+// Guards against runs that go on for a caller that has gone.
+func TestDisconnectCancels(t *testing.T) {
+	e := newUpstream(t, "e1", api.UpstreamEngine)
+	e.tokens, e.gap = 1000, 5*time.Millisecond
+	f := newFixture(t, nil, e)
+	ctx, stop := context.WithTimeout(context.Background(), 60*time.Millisecond)
+	defer stop()
+	r := f.send(ctx, "POST", "/v1/chat/completions", chatBody("hello", true))
+	assert.ErrorContains(t, r.err, "deadline")
+	eventually(t, "the run is cancelled and its slot returned", func() bool {
+		return e.cancelCount() == 1 && f.slots.inUse() == 0
+	})
+	assert.Equal(t, f.slots.released[0].Result, serving.RunCancelled)
+}
+
+// Guards against an answer after the deadline, and against the wrong outcome of a request that was running.
+func TestDeadline(t *testing.T) {
+	e := newUpstream(t, "e1", api.UpstreamEngine)
+	release := make(chan struct{})
+	e.fault = func(*fakeUpstream, http.ResponseWriter, *http.Request, []byte) bool {
+		<-release
+		return false
+	}
+	defer close(release)
+	f := newFixture(t, nil, e)
+	start := time.Now()
+	r := f.chat("hello", api.HeaderTimeoutMs, "80")
+	assert.Equal(t, r.status, 504, r.body)
+	assert.Equal(t, r.outcome, "unknown")
+	assert.Assert(t, time.Since(start) < time.Second)
+	eventually(t, "the run is cancelled", func() bool { return e.cancelCount() == 1 })
+}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -30,16 +30,12 @@
 	"trefoilplank.example/pkg/serving"
 )
 
-// Limiter holds an institution's limits over all nodes. A limiter that also bounds concurrency implements
-// Releaser as well.
+// Limiter holds an institution's limits over all nodes. Errors are *api.Error with status 429.
 type Limiter interface {
-	// Take returns nil or an *api.Error with status 429.
+	// Take books one request against the request rate.
 	Take(ctx context.Context, institution string) error
-}
-
-// Releaser ends a request that Take admitted.
-type Releaser interface {
-	Release(institution string)
+	// Enter books one request in flight; leave ends it.
+	Enter(ctx context.Context, institution string) (leave func(), err error)
 }
 
 // Options are the parts that a gateway works with. Limiter, Quarantine and Explain may be nil.
--- a/pkg/gateway/handlers.go
+++ b/pkg/gateway/handlers.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"errors"
 	"net/http"
@@ -85,15 +86,12 @@
 
 // serve takes the institution's limits, runs the job and answers.
 func (g *Gateway) serve(w http.ResponseWriter, r *http.Request, j *job) {
-	if g.Limiter != nil {
-		if err := g.Limiter.Take(r.Context(), j.req.Institution); err != nil {
-			WriteError(w, r, err)
-			return
-		}
-		if l, ok := g.Limiter.(Releaser); ok {
-			defer l.Release(j.req.Institution)
-		}
+	leave, err := g.enter(r.Context(), j.req.Institution)
+	if err != nil {
+		WriteError(w, r, err)
+		return
 	}
+	defer leave()
 	ctx, stop := j.deadline(r.Context())
 	defer stop()
 	if j.stream {
@@ -103,6 +101,17 @@
 	g.answer(w, r, j, res, err)
 }
 
+// enter books the request against the institution's limits.
+func (g *Gateway) enter(ctx context.Context, institution string) (leave func(), err error) {
+	if g.Limiter == nil {
+		return func() {}, nil
+	}
+	if err := g.Limiter.Take(ctx, institution); err != nil {
+		return nil, err
+	}
+	return g.Limiter.Enter(ctx, institution)
+}
+
 // answer writes the result of a job that is not yet written.
 func (g *Gateway) answer(w http.ResponseWriter, r *http.Request, j *job, res *serving.Result, err error) {
 	switch {
