Check the log format with the other settings

Cause: repeated choice tags are what go-flags asks for and the linter refuses. Change: Check names an unknown format beside all other faults.

--- a/pkg/logs/logs.go
+++ b/pkg/logs/logs.go
@@ -3,6 +3,7 @@
 
 import (
 	"flag"
+	"fmt"
 	"log/slog"
 	"os"
 	"strconv"
@@ -10,6 +11,15 @@
 	"k8s.io/klog/v2"
 )
 
+// CheckFormat returns an error for a format that Setup does not know.
+func CheckFormat(format string) error {
+	switch format {
+	case "", "text", "json":
+		return nil
+	}
+	return fmt.Errorf("%q is not text or json", format)
+}
+
 // Setup selects the format, "text" or "json", and the verbosity from 0 to 10.
 func Setup(format string, verbosity int) {
 	flags := flag.NewFlagSet("klog", flag.ContinueOnError)
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -8,7 +8,6 @@
 	"fmt"
 	"net"
 	"net/http"
-	"strings"
 	"sync/atomic"
 	"time"
 
@@ -280,11 +279,3 @@
 	n.left.Store(true)
 	klog.InfoS("Node drained", "node", n.settings.Name)
 }
-
-// baseURL returns the URL of an address that may be given as IP:port or URL.
-func baseURL(address string) string {
-	if address == "" || strings.Contains(address, "://") {
-		return address
-	}
-	return "http://" + address
-}
--- a/pkg/node/settings.go
+++ b/pkg/node/settings.go
@@ -8,6 +8,8 @@
 	"regexp"
 	"strings"
 	"time"
+
+	"trefoilplank.example/pkg/logs"
 )
 
 // Settings are the flags of one node; each has an environment variable TREFOILPLANK_<FLAG>.
@@ -38,7 +40,7 @@
 	PeerTLSCA   string `long:"peer-tls-ca" env:"TREFOILPLANK_PEER_TLS_CA" description:"CA file that other nodes' certificates are checked against"`
 
 	Verbosity int    `short:"v" long:"verbosity" env:"TREFOILPLANK_VERBOSITY" default:"0" description:"log verbosity, 0 to 10"`
-	LogFormat string `long:"log-format" env:"TREFOILPLANK_LOG_FORMAT" choice:"text" choice:"json" default:"text" description:"log format"`
+	LogFormat string `long:"log-format" env:"TREFOILPLANK_LOG_FORMAT" default:"text" description:"log format, text or json"`
 }
 
 // SettingsError lists all faults of the settings.
@@ -78,6 +80,9 @@
 	if s.Verbosity < 0 || s.Verbosity > 10 {
 		add("-v: must be between 0 and 10")
 	}
+	if err := logs.CheckFormat(s.LogFormat); err != nil {
+		add("--log-format: %v", err)
+	}
 	if len(e) == 0 {
 		return nil
 	}
--- a/standin/dev/dev.go
+++ b/standin/dev/dev.go
@@ -15,6 +15,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"trefoilplank.example/api"
+	"trefoilplank.example/pkg/logs"
 	"trefoilplank.example/pkg/node"
 	"trefoilplank.example/standin/devfleet"
 )
@@ -26,7 +27,7 @@
 	Seed      uint64 `long:"seed" env:"TREFOILPLANK_DEV_SEED" default:"1" description:"seed of keys and of the stand-ins' random choices"`
 	Demo      bool   `long:"demo" description:"run a mixed workload against the fleet, print what happened and exit"`
 	Verbosity int    `short:"v" long:"verbosity" env:"TREFOILPLANK_VERBOSITY" default:"0" description:"log verbosity, 0 to 10"`
-	LogFormat string `long:"log-format" env:"TREFOILPLANK_LOG_FORMAT" choice:"text" choice:"json" default:"text" description:"log format"`
+	LogFormat string `long:"log-format" env:"TREFOILPLANK_LOG_FORMAT" default:"text" description:"log format, text or json"`
 }
 
 const (
@@ -50,6 +51,9 @@
 	if last := o.BasePort + portsPerNode*o.Nodes; o.BasePort < 1 || last > 65535 {
 		e = append(e, fmt.Sprintf("--base-port: ports %d to %d must lie between 1 and 65535", o.BasePort, last))
 	}
+	if err := logs.CheckFormat(o.LogFormat); err != nil {
+		e = append(e, fmt.Sprintf("--log-format: %v", err))
+	}
 	if len(e) == 0 {
 		return nil
 	}
