--- a/pkg/controller/admission/batch.go
+++ b/pkg/controller/admission/batch.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"trefoilplank.example/pkg/decision/admission"
 	"trefoilplank.example/pkg/serving"
 )
 
@@ -22,17 +21,13 @@
 		return
 	}
 	u, ok := o.c.find(o.name)
-	if !ok || !o.c.mayFill(o.name, u) {
+	if !ok || !o.c.mayFill(o.name, u) || !o.c.beginFill() {
 		return
 	}
+	defer o.c.fills.Done()
 	o.mu.Lock()
-	if o.filling {
-		o.mu.Unlock()
-		return
-	}
-	o.filling = true
-	defer func() { o.filling = false; o.mu.Unlock() }()
-	for o.state.BatchRoom(time.Now(), o.allowance()) > 0 {
+	defer o.mu.Unlock()
+	for o.state.BatchRoom(time.Now(), o.batchSlots) > 0 {
 		run, ok := o.c.Batch.Next(u)
 		if !ok {
 			return
@@ -45,15 +40,12 @@
 func (o *owned) start(run serving.BatchRun, s *serving.Slot) {
 	now := time.Now()
 	r := run.Request()
-	w := workOf(r, now)
+	w := workOf(r, o.c.ticket(), now)
 	w.Batch = true
-	o.state.StartBatch(now, w.item(o.c.Self, now), o.allowance())
-	o.c.mu.Lock()
-	parent := o.c.batchCtx
+	o.state.StartBatch(now, w.item(o.c.Self, now), o.batchSlots)
+	ctx, cancel := context.WithCancelCause(o.c.batchContext())
+	o.runs[w.Ticket] = &batchRun{run: run, cancel: cancel}
 	o.c.fills.Add(1)
-	o.c.mu.Unlock()
-	ctx, cancel := context.WithCancelCause(parent)
-	o.runs[r.ID] = &batchRun{run: run, cancel: cancel}
 	go func() {
 		defer o.c.fills.Done()
 		usage := run.Run(ctx, s)
@@ -66,9 +58,9 @@
 func (o *owned) finish(a *ReleaseArgs) {
 	now := time.Now()
 	o.mu.Lock()
-	delete(o.runs, a.Work.ID)
+	delete(o.runs, a.Work.Ticket)
 	o.learn(now, a)
-	o.apply(now, o.state.Release(now, a.Work.ID))
+	o.apply(now, o.state.Release(now, a.Work.Ticket))
 	o.mu.Unlock()
 	if o.c.Observer != nil {
 		o.c.Observer.Report(o.name, a.Usage.Result)
@@ -76,10 +68,19 @@
 	o.fill()
 }
 
-// allowance returns the batch slots that are permitted now; o.mu is held.
-func (o *owned) allowance() int { return o.state.Limit() }
+// beginFill registers a filling pass; false after Run has ended. The caller ends it by fills.Done.
+func (c *Controller) beginFill() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.batchCtx == nil || c.stopped || c.batchCtx.Err() != nil {
+		return false
+	}
+	c.fills.Add(1)
+	return true
+}
 
-// startBy returns the latest useful start of an item; o.mu is held.
-func (o *owned) startBy(now time.Time, it admission.Item) time.Time {
-	return admission.StartBy(now, it.Deadline, 0, 0, 0)
+func (c *Controller) batchContext() context.Context {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.batchCtx
 }
--- a/pkg/controller/admission/client.go
+++ b/pkg/controller/admission/client.go
@@ -2,13 +2,10 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
 	"time"
 
 	"trefoilplank.example/api"
-	"trefoilplank.example/pkg/adapter/peer"
-	"trefoilplank.example/pkg/blackboard"
 	decision "trefoilplank.example/pkg/decision/admission"
 	"trefoilplank.example/pkg/explain"
 	"trefoilplank.example/pkg/serving"
@@ -19,57 +16,92 @@
 	upstream string
 	work     Work
 	local    bool
+	prefix   []uint64
+	// toldTo is the owner that knows of the slot.
+	toldTo string
 }
 
-// maxTries bounds the upstreams that are asked for a free slot before the request queues at one of them.
-const maxTries = 3
+const (
+	// maxTries bounds the upstreams that are asked before the request queues at the one with the shortest wait.
+	maxTries = 3
+	// maxRounds bounds how often a request starts over because an owner was lost while it waited.
+	maxRounds = 8
+)
 
 // Acquire implements serving.Slots.
 func (c *Controller) Acquire(ctx context.Context, r serving.Request) (*serving.Slot, error) {
 	began := time.Now()
 	var last *AcquireReply
-	exclude := append([]string(nil), r.Exclude...)
-	for round := 0; round < maxTries; round++ {
-		order := c.place(r, exclude)
-		if len(order) == 0 {
-			break
-		}
-		if len(order) > maxTries {
-			order = order[:maxTries]
-		}
-		for _, u := range order {
-			reply, local := c.ask(ctx, u, r, false)
-			if slot := c.take(u, r, reply, local, began); slot != nil {
-				return slot, nil
-			}
-			last = latest(last, reply)
-		}
-		u := c.shortest(order)
-		reply := c.enqueue(ctx, u, r)
-		if slot := c.take(u, r, reply, false, began); slot != nil {
+	for range maxRounds {
+		slot, reply := c.round(ctx, r, began)
+		if slot != nil {
 			return slot, nil
 		}
 		if ctx.Err() != nil {
 			return nil, refusal(r, http.StatusGatewayTimeout, api.CodeDeadline, "the request was given up while it waited for a slot", 0)
 		}
-		last = latest(last, reply)
+		last = reply
 		if reply == nil || reply.Status != StatusUnknown {
-			exclude = append(exclude, u.Name)
+			break
 		}
 	}
 	if last == nil {
-		c.record(explain.Entry{Request: r.ID, Decision: "refuse", Reason: "no upstream is available"})
-		return nil, refusal(r, http.StatusServiceUnavailable, api.CodeNoCapacity, "no upstream is available", time.Second)
+		last = &AcquireReply{Reason: "no upstream is available"}
 	}
 	c.record(explain.Entry{Request: r.ID, Decision: "refuse", Reason: last.Reason})
 	return nil, refusal(r, http.StatusServiceUnavailable, api.CodeNoCapacity, last.Reason, last.RetryAfter)
 }
 
-func latest(last, reply *AcquireReply) *AcquireReply {
-	if reply != nil {
-		return reply
+// round tries the best upstreams for a short wait, each refusal with its expected wait, then queues at the one
+// with the shortest. It returns the slot or the reply that decided against one.
+func (c *Controller) round(ctx context.Context, r serving.Request, began time.Time) (*serving.Slot, *AcquireReply) {
+	exclude := append([]string(nil), r.Exclude...)
+	var best *placed
+	var bestReply, refused *AcquireReply
+	for range maxTries {
+		order := c.place(r, exclude)
+		if len(order) == 0 || ctx.Err() != nil {
+			break
+		}
+		u := order[0]
+		exclude = append(exclude, u.Upstream.Name)
+		reply, work, local := c.acquire(ctx, u.Upstream, r, patience(order, bestReply))
+		if slot := c.take(u, r, reply, work, local, began); slot != nil {
+			return slot, nil
+		}
+		switch {
+		case reply == nil:
+		case reply.Status == StatusUnknown:
+			return nil, reply
+		case !reply.Elsewhere:
+			refused = reply
+		case bestReply == nil || reply.Wait < bestReply.Wait:
+			best, bestReply = &u, reply
+		}
+	}
+	if best == nil || ctx.Err() != nil {
+		return nil, refused
 	}
-	return last
+	reply, work, local := c.acquire(ctx, best.Upstream, r, decision.Unlimited)
+	if slot := c.take(*best, r, reply, work, local, began); slot != nil {
+		return slot, nil
+	}
+	if reply == nil {
+		reply = &AcquireReply{Status: StatusUnknown, Reason: "the upstream's admission owner is silent"}
+	}
+	return nil, reply
+}
+
+// patience is the longest wait to accept at the first upstream of the order: what the best other one offers.
+func patience(order []placed, refused *AcquireReply) time.Duration {
+	wait := decision.Unlimited
+	for _, o := range order[1:] {
+		wait = min(wait, o.Wait)
+	}
+	if refused != nil {
+		wait = min(wait, refused.Wait)
+	}
+	return wait
 }
 
 func refusal(r serving.Request, status int, code api.Code, reason string, retry time.Duration) *api.Error {
@@ -78,32 +110,62 @@
 	return e
 }
 
-// ask offers the request to the owner of the upstream. A nil reply means that the owner is silent; local says
-// that the local estimate permits a run without it.
-func (c *Controller) ask(ctx context.Context, u api.Upstream, r serving.Request, mayWait bool) (reply *AcquireReply, local bool) {
-	owner := decision.Owner(u.Name, c.Board.Members.Value())
-	args := &AcquireArgs{Upstream: u.Name, Node: c.Self, Work: workOf(r, time.Now()), MayWait: mayWait, PrefixHashes: r.PrefixHashes}
-	reply = &AcquireReply{}
+// acquire offers the request to the owner of the upstream and waits if it is queued. A nil reply means that the
+// owner is silent; local says that the local estimate permits a run without it.
+func (c *Controller) acquire(ctx context.Context, u api.Upstream, r serving.Request, maxWait time.Duration) (reply *AcquireReply, work Work, local bool) {
+	owner := c.owner(u.Name)
+	work = workOf(r, c.ticket(), time.Now())
 	if c.isSilent(owner) {
-		return nil, c.allowLocal(u, r)
+		return nil, work, c.allowLocal(u, r)
 	}
+	args := &AcquireArgs{Upstream: u.Name, Node: c.Self, Work: work, MaxWait: maxWait, PrefixHashes: r.PrefixHashes}
+	reply = &AcquireReply{}
 	callCtx, cancel := context.WithTimeout(ctx, ownerSilence)
 	err := c.call(callCtx, owner, "Acquire", args, reply)
 	cancel()
-	if err == nil {
-		c.ownerAnswered(owner)
-		c.absorb(reply.Loads)
-		return reply, false
-	}
-	if errors.Is(err, peer.ErrTimeout) || errors.Is(err, context.DeadlineExceeded) || ctx.Err() != nil {
+	if err != nil {
 		// The owner may have granted the slot.
-		c.giveBack(owner, u.Name, args.Work, serving.Usage{})
+		c.giveBack(owner, u.Name, work, serving.Usage{})
+		if ctx.Err() != nil {
+			return nil, work, false
+		}
+		c.ownerSilent(owner)
+		return nil, work, c.allowLocal(u, r)
+	}
+	c.ownerAnswered(owner)
+	c.absorb(reply.Loads)
+	if c.Observer != nil && reply.CacheTrust > 0 && owner != c.Self {
+		c.Observer.LearnCached(u.Name, r.PrefixHashes, reply.CachedBlocks, reply.CacheTrust)
+	}
+	if reply.Status == StatusQueued {
+		reply = c.wait(ctx, owner, u.Name, work)
 	}
-	if ctx.Err() != nil {
-		return nil, false
+	return reply, work, false
+}
+
+// wait waits for the decision on a queued request. StatusUnknown means that the owner was lost.
+func (c *Controller) wait(ctx context.Context, owner, upstream string, w Work) *AcquireReply {
+	for {
+		reply := &AcquireReply{}
+		args := &WaitArgs{Upstream: upstream, Node: c.Self, Ticket: w.Ticket, Poll: waitPoll}
+		callCtx, cancel := context.WithTimeout(ctx, waitPoll+waitSilence)
+		err := c.call(callCtx, owner, "Wait", args, reply)
+		cancel()
+		if err == nil && ctx.Err() == nil {
+			c.absorb(reply.Loads)
+			if reply.Status != StatusQueued {
+				return reply
+			}
+			if c.owner(upstream) == owner {
+				continue
+			}
+		}
+		c.giveBack(owner, upstream, w, serving.Usage{})
+		if err != nil && ctx.Err() == nil {
+			c.ownerSilent(owner)
+		}
+		return &AcquireReply{Status: StatusUnknown, Reason: "the upstream's admission owner was lost"}
 	}
-	c.ownerSilent(owner)
-	return nil, c.allowLocal(u, r)
 }
 
 // allowLocal decides on a run without the owner.
@@ -123,66 +185,39 @@
 }
 
 // take books a granted slot.
-func (c *Controller) take(u api.Upstream, r serving.Request, reply *AcquireReply, local bool, began time.Time) *serving.Slot {
+func (c *Controller) take(u placed, r serving.Request, reply *AcquireReply, work Work, local bool, began time.Time) *serving.Slot {
 	if !local && (reply == nil || reply.Status != StatusGranted) {
 		return nil
 	}
-	slot := &serving.Slot{Upstream: u, RequestID: r.ID, Queued: time.Since(began)}
-	reason := "owner granted a slot"
+	queued := time.Since(began)
+	slot := &serving.Slot{Upstream: u.Upstream, RequestID: r.ID, Queued: queued}
+	reason := "owner granted a slot; " + u.Reason
 	if local {
-		reason = "owner is silent; local estimate permits the run"
+		reason = "owner is silent and the local estimate permits the run; " + u.Reason
 	} else {
-		slot.Owner = decision.Owner(u.Name, c.Board.Members.Value())
+		slot.Owner = c.owner(u.Upstream.Name)
 	}
+	work.Queued = queued
 	c.mu.Lock()
-	v := c.view(u.Name)
+	v := c.view(u.Upstream.Name)
 	v.inFlight++
 	if local {
 		v.local++
 		v.delta++
 	}
-	c.held[r.ID] = &heldSlot{upstream: u.Name, work: workOf(r, time.Now()), local: local}
+	c.held[slot] = &heldSlot{upstream: u.Upstream.Name, work: work, local: local, prefix: r.PrefixHashes, toldTo: slot.Owner}
 	c.mu.Unlock()
-	c.record(explain.Entry{Request: r.ID, Upstream: u.Name, Decision: "admit", Reason: reason,
+	c.record(explain.Entry{Request: r.ID, Upstream: u.Upstream.Name, Decision: "admit", Reason: reason,
 		Values: map[string]any{"owner": slot.Owner, "queued_ms": slot.Queued.Milliseconds()}})
 	return slot
 }
 
-// enqueue queues the request at the upstream and waits for the decision.
-func (c *Controller) enqueue(ctx context.Context, u api.Upstream, r serving.Request) *AcquireReply {
-	reply, _ := c.ask(ctx, u, r, true)
-	if reply == nil || reply.Status != StatusQueued {
-		return reply
-	}
-	owner := decision.Owner(u.Name, c.Board.Members.Value())
-	for {
-		next := &AcquireReply{}
-		args := &WaitArgs{Upstream: u.Name, Node: c.Self, ID: r.ID, Poll: waitPoll}
-		callCtx, cancel := context.WithTimeout(ctx, waitPoll+waitSilence)
-		err := c.call(callCtx, owner, "Wait", args, next)
-		cancel()
-		moved := decision.Owner(u.Name, c.Board.Members.Value()) != owner
-		switch {
-		case err == nil && next.Status != StatusQueued:
-			c.absorb(next.Loads)
-			return next
-		case ctx.Err() != nil || err != nil || moved:
-			c.giveBack(owner, u.Name, workOf(r, time.Now()), serving.Usage{})
-			if err != nil && ctx.Err() == nil {
-				c.ownerSilent(owner)
-			}
-			return &AcquireReply{Status: StatusUnknown, Reason: "the upstream's admission owner was lost"}
-		}
-		c.absorb(next.Loads)
-	}
-}
-
 // Release implements serving.Slots.
 func (c *Controller) Release(s *serving.Slot, u serving.Usage) {
 	c.mu.Lock()
-	h, ok := c.held[s.RequestID]
+	h, ok := c.held[s]
 	if ok {
-		delete(c.held, s.RequestID)
+		delete(c.held, s)
 		v := c.view(h.upstream)
 		v.inFlight--
 		v.delta--
@@ -196,8 +231,11 @@
 	}
 	if c.Observer != nil {
 		c.Observer.Report(h.upstream, u.Result)
+		if u.Result == serving.RunOK && len(h.prefix) > 0 {
+			c.Observer.Ran(h.upstream, h.prefix)
+		}
 	}
-	c.giveBack(decision.Owner(h.upstream, c.Board.Members.Value()), h.upstream, h.work, u)
+	c.giveBack(c.owner(h.upstream), h.upstream, h.work, u)
 }
 
 // giveBack returns a slot or a place in the queue without blocking. A lost call is repaired by the exchange of
@@ -208,14 +246,27 @@
 		_ = (&Service{c}).Release(args, &ReleaseReply{})
 		return
 	}
-	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
-		defer cancel()
-		reply := &ReleaseReply{}
-		if c.call(ctx, owner, "Release", args, reply) == nil {
-			c.absorb(reply.Loads)
+	c.background.Go(func() {
+		for range releaseTries {
+			ctx, cancel := context.WithTimeout(c.life, releaseTimeout)
+			reply := &ReleaseReply{}
+			err := c.call(ctx, owner, "Release", args, reply)
+			cancel()
+			if err == nil {
+				c.absorb(reply.Loads)
+				return
+			}
+			select {
+			case <-c.life.Done():
+				return
+			case <-time.After(releaseTimeout):
+			}
+			if owner = c.owner(upstream); owner == c.Self {
+				_ = (&Service{c}).Release(args, &ReleaseReply{})
+				return
+			}
 		}
-	}()
+	})
 }
 
 // call calls the receiver of a node; the own node is called in process.
@@ -234,38 +285,3 @@
 	}
 	return Error.New("no method %s", method)
 }
-
-// place returns the upstreams that can run the request, best first.
-func (c *Controller) place(r serving.Request, exclude []string) []api.Upstream {
-	skip := map[string]bool{}
-	for _, n := range exclude {
-		skip[n] = true
-	}
-	observed := c.Board.Upstreams.Value()
-	var order []api.Upstream
-	for _, u := range c.Board.Config.Value().Register.Upstreams {
-		h := observed[u.Name].Health
-		if !skip[u.Name] && !u.Leaving && u.Serves(r.Model, r.Service) && h != blackboard.HealthEjected && h != blackboard.HealthLeaving {
-			order = append(order, u)
-		}
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.random.Shuffle(len(order), func(i, j int) { order[i], order[j] = order[j], order[i] })
-	return order
-}
-
-// shortest returns the upstream with the shortest expected wait.
-func (c *Controller) shortest(order []api.Upstream) api.Upstream {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	best, least := order[0], -1.0
-	for _, u := range order {
-		v := c.view(u.Name)
-		l := float64(v.load.Waiting+1) / float64(max(1, v.load.Limit)) * max(v.load.Hold.Seconds(), 1e-3)
-		if least < 0 || l < least {
-			best, least = u, l
-		}
-	}
-	return best
-}
--- a/pkg/controller/admission/controller.go
+++ b/pkg/controller/admission/controller.go
@@ -4,8 +4,10 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/zeebo/errs"
@@ -13,7 +15,6 @@
 	"trefoilplank.example/api"
 	"trefoilplank.example/pkg/adapter/peer"
 	"trefoilplank.example/pkg/blackboard"
-	decision "trefoilplank.example/pkg/decision/admission"
 	"trefoilplank.example/pkg/explain"
 	"trefoilplank.example/pkg/serving"
 )
@@ -30,11 +31,20 @@
 	waitSilence = 50 * time.Millisecond
 	// releaseTimeout bounds the call that returns a slot; a lost call is repaired by the held-slot exchange.
 	releaseTimeout = time.Second
+	releaseTries   = 3
 	// queueTick is the interval at which waiting items are checked against their deadlines and preempted runs
 	// against their grace.
 	queueTick = 5 * time.Millisecond
-	// syncInterval is the interval of the held-slot exchange and of the checks on lost nodes.
-	syncInterval = 500 * time.Millisecond
+	// syncInterval is the interval of the checks on lost nodes, old tickets and stale views.
+	syncInterval = time.Second
+	// reportInterval is the interval at which an owner is told the slots held on its upstreams. It only repairs
+	// lost calls: a lost node is known from the members, and a moved owner is told at once.
+	reportInterval = 5 * time.Second
+	// staleView is the age from which the load of an upstream is asked for, one owner per syncInterval, so that
+	// the traffic does not grow with the number of nodes times upstreams.
+	staleView = 5 * time.Second
+	// takeover is how long a new owner leaves room for slots that it was not yet told of.
+	takeover = 100 * time.Millisecond
 	// heldGrace is how long a granted slot stays reserved for a node that does not list it as held.
 	heldGrace = 2 * time.Second
 	// defaultLimit is the concurrency limit of an upstream that has not reported its slots.
@@ -47,8 +57,13 @@
 	Report(upstream string, r serving.RunResult)
 	// Learn takes the owner's view of an upstream that this node does not poll.
 	Learn(upstream string, s blackboard.UpstreamStatus)
-	// Cached returns the number of leading blocks of a prompt that the upstream has cached; -1 when not known.
-	Cached(upstream string, hashes []uint64) int
+	// Cached returns the number of leading blocks of a prompt that the upstream is believed to have cached, and
+	// the trust in that between 0 and 1.
+	Cached(upstream string, hashes []uint64) (blocks int, trust float64)
+	// Ran notes that the upstream has just run a prompt and so has its blocks cached.
+	Ran(upstream string, hashes []uint64)
+	// LearnCached takes the owner's answer on a prompt: so many leading blocks are cached, the others are not.
+	LearnCached(upstream string, hashes []uint64, blocks int, trust float64)
 }
 
 // Options are the collaborators of a Controller.
@@ -72,17 +87,27 @@
 // Controller implements serving.Slots. It is safe for concurrent use.
 type Controller struct {
 	Options
+	ownerOf owners
+	tickets atomic.Int64
 
 	// mu guards the maps; it is taken before no other lock of this package.
-	mu       sync.Mutex
-	owned    map[string]*owned
-	held     map[string]*heldSlot
-	views    map[string]*view
-	silent   map[string]silence
+	mu     sync.Mutex
+	owned  map[string]*owned
+	held   map[*serving.Slot]*heldSlot
+	views  map[string]*view
+	silent map[string]silence
+	// told is when each owner was last told the held slots; talked marks owners that were asked since.
+	told     map[string]time.Time
+	talked   map[string]bool
 	random   *rand.Rand
 	batchCtx context.Context
-	stopped  bool
-	fills    sync.WaitGroup
+	// life ends with Run; background counts calls to other nodes that nobody waits for.
+	life       context.Context
+	end        context.CancelFunc
+	background sync.WaitGroup
+	// stopped is set when Run has ended; fills counts batch runs and filling passes.
+	stopped bool
+	fills   sync.WaitGroup
 }
 
 var _ serving.Slots = (*Controller)(nil)
@@ -93,9 +118,11 @@
 		o.Seed = rand.Uint64()
 	}
 	c := &Controller{
-		Options: o, owned: map[string]*owned{}, held: map[string]*heldSlot{}, views: map[string]*view{},
-		silent: map[string]silence{}, random: rand.New(rand.NewPCG(o.Seed, 1)),
+		Options: o, owned: map[string]*owned{}, held: map[*serving.Slot]*heldSlot{}, views: map[string]*view{},
+		silent: map[string]silence{}, told: map[string]time.Time{},
+		talked: map[string]bool{}, random: rand.New(rand.NewPCG(o.Seed, 1)),
 	}
+	c.life, c.end = context.WithCancel(context.Background())
 	if o.Registrar != nil {
 		if err := o.Registrar.Register("Admission", &Service{c}); err != nil {
 			return nil, Error.Wrap(err)
@@ -117,7 +144,9 @@
 		if c.Batch != nil {
 			stock = c.Batch.Waiting()
 		}
-		members, config := c.Board.Members.Changed(c.revision()), c.Board.Config.Changed(c.configRevision())
+		_, m := c.Board.Members.Get()
+		_, cfg := c.Board.Config.Get()
+		_, u := c.Board.Upstreams.Get()
 		c.sync(ctx)
 		select {
 		case <-ctx.Done():
@@ -125,41 +154,34 @@
 			c.stopped = true
 			c.mu.Unlock()
 			c.fills.Wait()
+			c.end()
+			c.background.Wait()
 			return nil
 		case <-tick.C:
 		case <-stock:
-		case <-members:
-		case <-config:
+		case <-c.Board.Members.Changed(m):
+		case <-c.Board.Config.Changed(cfg):
+		case <-c.Board.Upstreams.Changed(u):
 		}
 	}
 }
 
-func (c *Controller) revision() int64 {
-	_, r := c.Board.Members.Get()
-	return r
-}
-
-func (c *Controller) configRevision() int64 {
-	_, r := c.Board.Config.Get()
-	return r
-}
-
 // sync brings the owned upstreams in line with members and configuration, and refills idle slots.
 func (c *Controller) sync(ctx context.Context) {
 	members := c.Board.Members.Value()
 	cfg := c.Board.Config.Value()
 	for _, u := range cfg.Register.Upstreams {
-		if decision.Owner(u.Name, members) == c.Self {
+		if c.owner(u.Name) == c.Self {
 			c.upstream(u.Name)
 		}
 	}
 	for _, o := range c.ownedList() {
-		o.sync(members, cfg)
+		o.sync(members)
 		if ctx.Err() == nil {
 			o.fill()
 		}
 	}
-	c.exchange(ctx, members)
+	c.exchange(ctx)
 }
 
 func (c *Controller) ownedList() []*owned {
@@ -195,6 +217,11 @@
 	return api.Upstream{}, false
 }
 
+// ticket returns an id that no other attempt to get a slot has.
+func (c *Controller) ticket() string {
+	return fmt.Sprintf("%s/%x/%d", c.Self, c.Seed, c.tickets.Add(1))
+}
+
 func (c *Controller) record(e explain.Entry) {
 	if c.Log != nil {
 		c.Log.Record(e)
--- a/pkg/controller/admission/exchange.go
+++ b/pkg/controller/admission/exchange.go
@@ -4,25 +4,63 @@
 	"context"
 	"time"
 
-	"trefoilplank.example/pkg/blackboard"
 	decision "trefoilplank.example/pkg/decision/admission"
 )
 
 // exchangeTimeout bounds one exchange of held slots.
 const exchangeTimeout = time.Second
 
-// exchange reports held slots to the owners of their upstreams and learns their loads.
-func (c *Controller) exchange(ctx context.Context, members blackboard.Members) {
+// exchange tells owners the slots that this node holds on their upstreams, and learns loads. An owner is told
+// when it takes an upstream over, at reportInterval while slots are held, and once after the last call to it.
+func (c *Controller) exchange(ctx context.Context) {
+	now := time.Now()
 	byOwner := map[string][]HeldSlot{}
+	due := map[string]bool{}
 	c.mu.Lock()
 	for _, h := range c.held {
-		owner := decision.Owner(h.upstream, members)
+		owner := c.owner(h.upstream)
 		byOwner[owner] = append(byOwner[owner], HeldSlot{Upstream: h.upstream, Work: h.work})
+		if h.toldTo != owner {
+			due[owner] = true
+		}
+		h.toldTo = owner
+	}
+	for owner := range c.talked {
+		due[owner] = due[owner] || now.Sub(c.told[owner]) >= reportInterval
+	}
+	for owner := range byOwner {
+		due[owner] = due[owner] || now.Sub(c.told[owner]) >= reportInterval
+	}
+	if stale := c.stalest(now); stale != "" {
+		due[stale] = true
+	}
+	for owner, is := range due {
+		if !is {
+			continue
+		}
+		c.told[owner] = now
+		if len(byOwner[owner]) == 0 {
+			delete(c.talked, owner)
+		}
+		c.background.Go(func() { c.report(ctx, owner, byOwner[owner]) })
 	}
 	c.mu.Unlock()
-	for owner, held := range byOwner {
-		go c.report(ctx, owner, held)
+}
+
+// stalest returns the owner whose loads are the oldest, if they are older than staleView and it was not asked
+// within that time; c.mu is held.
+func (c *Controller) stalest(now time.Time) string {
+	owner, oldest := "", staleView
+	for _, u := range c.Board.Config.Value().Register.Upstreams {
+		name := c.owner(u.Name)
+		if name == c.Self || now.Sub(c.told[name]) < staleView {
+			continue
+		}
+		if age := now.Sub(c.view(u.Name).at); age > oldest {
+			owner, oldest = name, age
+		}
 	}
+	return owner
 }
 
 func (c *Controller) report(ctx context.Context, owner string, held []HeldSlot) {
@@ -41,7 +79,7 @@
 	defer o.mu.Unlock()
 	held := make([]decision.Item, 0, len(works))
 	for _, w := range works {
-		if _, gone := o.cancelled[w.ID]; !gone {
+		if _, gone := o.cancelled[w.Ticket]; !gone {
 			held = append(held, w.item(node, now))
 		}
 	}
--- a/pkg/controller/admission/fake_test.go
+++ b/pkg/controller/admission/fake_test.go
@@ -25,7 +25,6 @@
 	mu     sync.Mutex
 	nodes  map[string]*fakeNode
 	faults map[string]string
-	calls  map[string]int
 }
 
 type fakeNode struct {
@@ -56,15 +55,8 @@
 	n.faults[node] = kind
 }
 
-func (n *network) count(method string) int {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.calls[method]
-}
-
 func (n *fakeNode) Call(ctx context.Context, node, method string, args, reply any) error {
 	n.net.mu.Lock()
-	n.net.calls[method]++
 	target, fault := n.net.nodes[node], n.net.faults[node]
 	if fault == "" {
 		fault = n.net.faults[n.name]
@@ -107,7 +99,7 @@
 
 // cluster returns running nodes over the given register and rules; batch may be nil.
 func cluster(t *testing.T, nodes int, cfg api.Config, batch func(node string) serving.BatchSource) *network {
-	n := &network{nodes: map[string]*fakeNode{}, faults: map[string]string{}, calls: map[string]int{}}
+	n := &network{nodes: map[string]*fakeNode{}, faults: map[string]string{}}
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
 	t.Cleanup(func() { cancel(); wg.Wait() })
--- a/pkg/controller/admission/learn.go
+++ b/pkg/controller/admission/learn.go
@@ -6,28 +6,86 @@
 	"trefoilplank.example/api"
 	"trefoilplank.example/pkg/blackboard"
 	decision "trefoilplank.example/pkg/decision/admission"
+	"trefoilplank.example/pkg/decision/health"
+	"trefoilplank.example/pkg/explain"
+	"trefoilplank.example/pkg/serving"
 )
 
+// weightLife is how long the online_tail_weight of an institution applies to an upstream after its last run.
+const weightLife = time.Minute
+
 // learn takes the measurements of a finished run; o.mu is held.
-func (o *owned) learn(_ time.Time, a *ReleaseArgs) {
-	if !a.Work.Batch {
-		o.state.ObserveHold(a.Usage.Duration)
+func (o *owned) learn(now time.Time, a *ReleaseArgs) {
+	u := a.Usage
+	if a.Work.Batch || (u.Result != serving.RunOK && u.Result != "") || u.Duration <= 0 {
+		return
+	}
+	s := decision.Sample{Queued: a.Work.Queued, FirstToken: u.FirstToken, BetweenTokens: u.BetweenTokens, Duration: u.Duration, Tokens: u.Tokens}
+	o.state.ObserveHold(u.Duration)
+	o.estimates.Observe(s)
+	rules := o.c.Board.Config.Value().Rules
+	objectives := decision.ObjectivesOf(rules, a.Work.Institution, a.Work.Class)
+	if ratio, mayMiss, ok := objectives.Ratio(s, &o.estimates); ok {
+		o.tuner.Observe(now, ratio, mayMiss)
+	}
+	if r, ok := rules.ForInstitution(a.Work.Institution); ok {
+		if r.OnlineTailWeight >= o.weight || now.Sub(o.weightAt) > weightLife {
+			o.weight, o.weightAt = r.OnlineTailWeight, now
+		}
+	}
+	o.tune(now, o.pressure())
+}
+
+// pressure is the urgency of batch work that this upstream can run.
+func (o *owned) pressure() float64 {
+	u, ok := o.c.find(o.name)
+	if !ok || o.c.Batch == nil {
+		return 0
+	}
+	most := 0.0
+	for _, m := range u.Models {
+		most = max(most, o.c.Batch.Pressure(m))
 	}
+	return most
 }
 
-// adjust follows the upstream's reported slots; o.mu is held.
-func (o *owned) adjust(now time.Time, _ api.Config) {
-	if st, ok := o.c.Board.Upstreams.Value()[o.name]; ok && st.Slots > 0 && st.Slots != o.state.Limit() {
-		o.apply(now, o.state.SetLimit(now, st.Slots))
+// tune sets limit and batch allowance by the latest observations; o.mu is held.
+func (o *owned) tune(now time.Time, pressure float64) {
+	st := o.c.Board.Upstreams.Value()[o.name]
+	_, batch, _ := o.state.Counts()
+	out := o.tuner.Update(now, decision.TunerInput{Slots: st.Slots, Peak: o.state.Peak(), Batch: batch,
+		Weight: o.weight, Pressure: pressure, Hold: o.state.Hold()})
+	limit := out.Limit
+	if part := health.Part(st.Health, now.Sub(st.Since)); part > 0 && part < 1 {
+		limit = max(1, int(part*float64(limit)))
 	}
+	if now.Before(o.takeoverUntil) {
+		return
+	}
+	if out.Tail > 0 {
+		o.state.ResetPeak()
+	}
+	if out.Reason != "" {
+		o.c.record(explain.Entry{Upstream: o.name, Decision: "tune", Reason: out.Reason, Values: map[string]any{
+			"limit": limit, "batch_slots": out.BatchSlots, "tail": out.Tail, "weight": o.weight, "pressure": pressure}})
+	}
+	o.batchSlots = min(out.BatchSlots, limit)
+	if limit != o.state.Limit() {
+		o.apply(now, o.state.SetLimit(now, limit))
+	}
+	o.refreshProgress()
+	o.apply(now, o.state.TrimBatch(now, o.batchSlots))
+}
+
+// startBy returns the latest useful start of a request; o.mu is held.
+func (o *owned) startBy(now time.Time, w Work, it decision.Item) time.Time {
+	objective := decision.ObjectivesOf(o.c.Board.Config.Value().Rules, w.Institution, w.Class).FirstToken
+	return decision.StartBy(now, it.Deadline, o.estimates.Run(w.MaxTokens), time.Duration(objective.Latency), o.estimates.FirstToken)
 }
 
 // mayFill reports whether this node may start batch work on the upstream.
 func (c *Controller) mayFill(name string, u api.Upstream) bool {
-	c.mu.Lock()
-	running := c.batchCtx != nil && !c.stopped && c.batchCtx.Err() == nil
-	c.mu.Unlock()
 	h := c.Board.Upstreams.Value()[name].Health
-	return running && !u.Leaving && h != blackboard.HealthEjected && h != blackboard.HealthLeaving &&
-		decision.Owner(name, c.Board.Members.Value()) == c.Self
+	return !u.Leaving && h != blackboard.HealthEjected && h != blackboard.HealthLeaving &&
+		c.owner(name) == c.Self
 }
--- a/pkg/controller/admission/messages.go
+++ b/pkg/controller/admission/messages.go
@@ -10,7 +10,10 @@
 
 // Work describes a request to an admission owner. Times are relative, since clocks of nodes differ.
 type Work struct {
-	ID          string
+	// Ticket is unique for each attempt to get a slot, so that an attempt that was given up and a later one of
+	// the same request don't meet.
+	Ticket      string
+	Request     string
 	Institution string
 	Class       string
 	Rank        int
@@ -18,13 +21,17 @@
 	Cost        float64
 	Batch       bool
 	Alone       bool
+	// MaxTokens bounds the answer; 0 is unknown.
+	MaxTokens int
+	// Queued is the time waited for the slot, in Release.
+	Queued time.Duration
 	// DeadlineIn is the time left until the answer is due; 0 means no deadline.
 	DeadlineIn time.Duration
 }
 
-func workOf(r serving.Request, now time.Time) Work {
-	w := Work{ID: r.ID, Institution: r.Institution, Class: r.Class, Rank: r.Rank, Share: r.Share,
-		Cost: float64(r.MaxTokens) + float64(r.PromptTokens)/promptTokensPerToken, Batch: r.Batch, Alone: r.Alone}
+func workOf(r serving.Request, ticket string, now time.Time) Work {
+	w := Work{Ticket: ticket, Request: r.ID, Institution: r.Institution, Class: r.Class, Rank: r.Rank, Share: r.Share,
+		Cost: float64(r.MaxTokens) + float64(r.PromptTokens)/promptTokensPerToken, Batch: r.Batch, Alone: r.Alone, MaxTokens: r.MaxTokens}
 	if !r.Deadline.IsZero() {
 		w.DeadlineIn = max(1, r.Deadline.Sub(now))
 	}
@@ -36,7 +43,7 @@
 const promptTokensPerToken = 16
 
 func (w Work) item(node string, now time.Time) decision.Item {
-	it := decision.Item{ID: w.ID, Node: node, Institution: w.Institution, Class: w.Class, Rank: w.Rank,
+	it := decision.Item{ID: w.Ticket, Request: w.Request, Node: node, Institution: w.Institution, Class: w.Class, Rank: w.Rank,
 		Share: w.Share, Cost: w.Cost, Batch: w.Batch, Alone: w.Alone}
 	if w.DeadlineIn > 0 {
 		it.Deadline = now.Add(w.DeadlineIn)
@@ -61,20 +68,26 @@
 	Upstream string
 	Node     string
 	Work     Work
-	// MayWait lets the owner queue the request; otherwise it grants or refuses at once.
-	MayWait bool
+	// MaxWait is the longest expected wait at which the owner may queue the request; 0 means a slot at once or
+	// a refusal.
+	MaxWait time.Duration
 	// PrefixHashes let the owner say how much of the prompt the upstream has cached.
 	PrefixHashes []uint64
 }
 
 // AcquireReply answers AcquireArgs and WaitArgs.
 type AcquireReply struct {
-	Status     Status
-	Reason     string
+	Status Status
+	Reason string
+	// Wait is the expected time to a slot on this upstream.
 	Wait       time.Duration
 	RetryAfter time.Duration
-	// CachedBlocks is the number of leading blocks of the prompt in the upstream's cache; -1 when not known.
+	// Elsewhere marks a refusal that only MaxWait caused.
+	Elsewhere bool
+	// CachedBlocks is the number of leading blocks of the prompt in the upstream's cache, with the owner's trust
+	// in that; trust 0 is no statement.
 	CachedBlocks int
+	CacheTrust   float64
 	// Loads are the upstreams of this owner, so that the node learns without polling.
 	Loads []Load
 }
@@ -83,7 +96,7 @@
 type WaitArgs struct {
 	Upstream string
 	Node     string
-	ID       string
+	Ticket   string
 	// Poll is how long the owner keeps the call when nothing is decided.
 	Poll time.Duration
 }
@@ -123,6 +136,8 @@
 	Waiting  int
 	// Hold is the smoothed time that online work holds a slot.
 	Hold time.Duration
+	// BatchSlots is how many slots batch work may use.
+	BatchSlots int
 	// Age is how old the upstream's own report in Observed is.
 	Age      time.Duration
 	Observed blackboard.UpstreamStatus
--- a/pkg/controller/admission/owner.go
+++ b/pkg/controller/admission/owner.go
@@ -1,11 +1,11 @@
 package admission
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"time"
 
-	"trefoilplank.example/api"
 	"trefoilplank.example/pkg/blackboard"
 	decision "trefoilplank.example/pkg/decision/admission"
 	"trefoilplank.example/pkg/explain"
@@ -17,16 +17,23 @@
 	c    *Controller
 	name string
 
-	mu      sync.Mutex
-	state   *decision.State
-	tickets map[string]*ticket
-	runs    map[string]*batchRun
+	mu    sync.Mutex
+	state *decision.State
+	tuner *decision.Tuner
+	// estimates are of online runs; batchSlots is the present batch allowance.
+	estimates  decision.Estimates
+	batchSlots int
+	// weight is the online_tail_weight that applies: the largest of the institutions heard of late.
+	weight   float64
+	weightAt time.Time
+	tickets  map[string]*ticket
+	runs     map[string]*batchRun
 	// cancelled holds the ids of requests that were released before they were asked for, since calls may
 	// overtake each other.
 	cancelled map[string]time.Time
 	ticking   bool
-	filling   bool
-	lastUsed  time.Time
+	// takeoverUntil is when slots granted by a former owner are known.
+	takeoverUntil time.Time
 }
 
 // ticket is a request that waits in the queue. decided has room for the one decision.
@@ -45,15 +52,22 @@
 // ticketLife is how long a decision or a cancellation is kept for a call that is under way.
 const ticketLife = 5 * time.Second
 
+// newOwned returns the admission of an upstream; c.mu is held. A node that takes over from another owner
+// starts at the limit that this one had learned, and leaves room for the slots that were held at the last
+// reply until the serving nodes have reported them.
 func newOwned(c *Controller, name string) *owned {
-	limit := defaultLimit
-	if st, ok := c.Board.Upstreams.Value()[name]; ok && st.Slots > 0 {
-		limit = st.Slots
+	limit, free := defaultLimit, defaultLimit
+	if st := c.Board.Upstreams.Value()[name]; st.Slots > 0 {
+		limit, free = st.Slots, st.Slots
 	}
-	return &owned{
-		c: c, name: name, state: decision.NewState(decision.DefaultSettings(), limit),
-		tickets: map[string]*ticket{}, runs: map[string]*batchRun{}, cancelled: map[string]time.Time{},
+	o := &owned{c: c, name: name, tickets: map[string]*ticket{}, runs: map[string]*batchRun{}, cancelled: map[string]time.Time{}}
+	if v, ok := c.views[name]; ok && v.load.Limit > 0 {
+		limit = v.load.Limit
+		free = max(1, limit-v.load.Online-v.load.Batch)
+		o.takeoverUntil = time.Now().Add(takeover)
 	}
+	o.state, o.tuner, o.batchSlots = decision.NewState(decision.DefaultSettings(), free), decision.NewTuner(limit), free
+	return o
 }
 
 // acquire offers a request to the upstream.
@@ -61,26 +75,31 @@
 	now := time.Now()
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.lastUsed = now
-	if _, ok := o.cancelled[a.Work.ID]; ok {
+	if _, ok := o.cancelled[a.Work.Ticket]; ok {
 		reply.Status, reply.Reason = StatusRefused, "request was given up"
 		return
 	}
+	if reason := o.closed(a.MaxWait); reason != "" {
+		reply.Status, reply.Reason, reply.RetryAfter = StatusRefused, reason, time.Second
+		return
+	}
 	it := a.Work.item(a.Node, now)
-	it.StartBy = o.startBy(now, it)
+	it.StartBy = o.startBy(now, a.Work, it)
 	o.refreshProgress()
-	decisions := o.state.Offer(now, it, a.MayWait)
+	decisions := o.state.Offer(now, it, a.MaxWait)
 	own := decisions[0]
 	if own.Kind == decision.Wait {
 		o.tickets[it.ID] = &ticket{decided: make(chan decision.Decision, 1)}
 	}
-	o.explain(own)
+	if !own.Elsewhere {
+		o.explain(own)
+	}
 	o.apply(now, decisions[1:])
 	reply.fill(own)
 }
 
 func (r *AcquireReply) fill(d decision.Decision) {
-	r.Reason, r.Wait, r.RetryAfter = d.Reason, d.Wait, d.RetryAfter
+	r.Reason, r.Wait, r.RetryAfter, r.Elsewhere = d.Reason, d.Wait, d.RetryAfter, d.Elsewhere
 	switch d.Kind {
 	case decision.Grant:
 		r.Status = StatusGranted
@@ -94,7 +113,7 @@
 // wait returns the decision on a queued request, or StatusQueued after the poll time.
 func (o *owned) wait(a *WaitArgs, reply *AcquireReply) {
 	o.mu.Lock()
-	t, ok := o.tickets[a.ID]
+	t, ok := o.tickets[a.Ticket]
 	o.mu.Unlock()
 	if !ok {
 		reply.Status, reply.Reason = StatusUnknown, "no such ticket"
@@ -103,10 +122,14 @@
 	timer := time.NewTimer(a.Poll)
 	defer timer.Stop()
 	select {
-	case d := <-t.decided:
+	case d, ok := <-t.decided:
+		if !ok {
+			reply.Status, reply.Reason = StatusUnknown, "the queue was closed"
+			return
+		}
 		reply.fill(d)
 		o.mu.Lock()
-		delete(o.tickets, a.ID)
+		delete(o.tickets, a.Ticket)
 		o.mu.Unlock()
 	case <-timer.C:
 		reply.Status = StatusQueued
@@ -118,9 +141,9 @@
 	now := time.Now()
 	o.mu.Lock()
 	o.learn(now, a)
-	delete(o.tickets, a.Work.ID)
-	o.cancelled[a.Work.ID] = now
-	o.apply(now, o.state.Release(now, a.Work.ID))
+	delete(o.tickets, a.Work.Ticket)
+	o.cancelled[a.Work.Ticket] = now
+	o.apply(now, o.state.Release(now, a.Work.Ticket))
 	o.mu.Unlock()
 	o.fill()
 }
@@ -161,7 +184,7 @@
 }
 
 // sync frees the slots of lost nodes and forgets old tickets. An owner that lost the role hands its queue back.
-func (o *owned) sync(members blackboard.Members, cfg api.Config) {
+func (o *owned) sync(members blackboard.Members) {
 	now := time.Now()
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -171,8 +194,12 @@
 			o.apply(now, o.state.DropNode(now, n))
 		}
 	}
-	if decision.Owner(o.name, members) != o.c.Self {
-		for _, d := range o.state.Evict(now, "another node owns the upstream now") {
+	if why := o.closed(decision.Unlimited); why != "" || o.c.owner(o.name) != o.c.Self {
+		for _, d := range o.state.Evict(now, cmp.Or(why, "another node owns the upstream now")) {
+			o.explain(d)
+			if t, ok := o.tickets[d.Item.ID]; ok {
+				close(t.decided)
+			}
 			delete(o.tickets, d.Item.ID)
 		}
 	}
@@ -186,7 +213,23 @@
 			delete(o.cancelled, id)
 		}
 	}
-	o.adjust(now, cfg)
+	o.tune(now, o.pressure())
+}
+
+// closed returns why the upstream takes no work, or "". An ejected upstream takes work from a node that knows
+// no better one.
+func (o *owned) closed(maxWait time.Duration) string {
+	st := o.c.Board.Upstreams.Value()[o.name]
+	u, ok := o.c.find(o.name)
+	switch {
+	case !ok:
+		return "the register does not list the upstream"
+	case u.Leaving || st.Health == blackboard.HealthLeaving:
+		return "the upstream is leaving"
+	case st.Health == blackboard.HealthEjected && maxWait != decision.Unlimited:
+		return "the upstream is ejected"
+	}
+	return ""
 }
 
 func (o *owned) explain(d decision.Decision) {
@@ -195,7 +238,7 @@
 	}
 	online, batch, waiting := o.state.Counts()
 	o.c.record(explain.Entry{
-		Request: d.Item.ID, Upstream: o.name, Decision: string(d.Kind), Reason: d.Reason,
+		Request: d.Item.Request, Upstream: o.name, Decision: string(d.Kind), Reason: d.Reason,
 		Values: map[string]any{"limit": o.state.Limit(), "online": online, "batch": batch, "waiting": waiting,
 			"queued_ms": d.Queued.Milliseconds(), "wait_ms": d.Wait.Milliseconds(), "class": d.Item.Class},
 	})
--- /dev/null
+++ b/pkg/controller/admission/place.go
@@ -0,0 +1,78 @@
+package admission
+
+import (
+	"slices"
+	"time"
+
+	"trefoilplank.example/api"
+	"trefoilplank.example/pkg/decision/placement"
+	"trefoilplank.example/pkg/explain"
+	"trefoilplank.example/pkg/serving"
+)
+
+// placed is an upstream with the reason for its place in the order.
+type placed struct {
+	api.Upstream
+	placement.Choice
+}
+
+// place returns the upstreams that can run the request, best first.
+func (c *Controller) place(r serving.Request, exclude []string) []placed {
+	in := placement.Input{AvailabilityZone: c.zone(), PrefixHashes: r.PrefixHashes, Alone: r.Alone}
+	byName := map[string]api.Upstream{}
+	now := time.Now()
+	observed := c.Board.Upstreams.Value()
+	for _, u := range c.Board.Config.Value().Register.Upstreams {
+		if !u.Serves(r.Model, r.Service) || u.Leaving {
+			continue
+		}
+		byName[u.Name] = u
+		st := observed[u.Name]
+		cand := placement.Candidate{
+			Name: u.Name, AvailabilityZone: u.AvailabilityZone, Health: st.Health, HealthFor: now.Sub(st.Since),
+			Excluded:  slices.Contains(exclude, u.Name),
+			NotLoaded: u.Kind == api.UpstreamEngine && st.LoadedModels != nil && !slices.Contains(st.LoadedModels, r.Model),
+		}
+		c.figures(&cand, now, c.owner(u.Name) == c.Self)
+		if c.Observer != nil && len(r.PrefixHashes) > 0 {
+			cand.CachedBlocks, cand.CacheTrust = c.Observer.Cached(u.Name, r.PrefixHashes)
+		}
+		in.Candidates = append(in.Candidates, cand)
+	}
+	c.mu.Lock()
+	choices := placement.Choose(in, c.random)
+	c.mu.Unlock()
+	out := make([]placed, len(choices))
+	for i, ch := range choices {
+		out[i] = placed{Upstream: byName[ch.Name], Choice: ch}
+	}
+	if len(out) > 0 {
+		c.record(explain.Entry{Request: r.ID, Upstream: out[0].Upstream.Name, Decision: "place", Reason: out[0].Reason,
+			Values: map[string]any{"candidates": len(in.Candidates), "usable": len(out), "expected_wait_ms": out[0].Wait.Milliseconds(),
+				"expected_first_token_ms": out[0].Cost.Milliseconds()}})
+	}
+	return out
+}
+
+// figures fills in the load of a candidate: this node's own state when it owns it, else its owner's last reply.
+func (c *Controller) figures(cand *placement.Candidate, now time.Time, own bool) {
+	if own {
+		l := c.upstream(cand.Name).load()
+		cand.Known, cand.Limit, cand.Online, cand.Batch, cand.Waiting, cand.Hold = true, l.Limit, l.Online, l.Batch, l.Waiting, l.Hold
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	v := c.view(cand.Name)
+	cand.Limit, cand.Delta = defaultLimit, v.delta
+	if !v.at.IsZero() {
+		l := v.load
+		cand.Known, cand.Age = true, now.Sub(v.at)
+		cand.Limit, cand.Online, cand.Batch, cand.Waiting, cand.Hold = l.Limit, l.Online, l.Batch, l.Waiting, l.Hold
+	}
+}
+
+func (c *Controller) zone() string {
+	m := c.Board.Members.Value()
+	return m.Live[c.Self].AvailabilityZone
+}
--- a/pkg/controller/admission/service.go
+++ b/pkg/controller/admission/service.go
@@ -8,11 +8,15 @@
 // Acquire offers a request to an upstream of this node.
 func (s *Service) Acquire(a *AcquireArgs, reply *AcquireReply) error {
 	s.c.upstream(a.Upstream).acquire(a, reply)
-	reply.CachedBlocks = -1
 	if s.c.Observer != nil && len(a.PrefixHashes) > 0 {
-		reply.CachedBlocks = s.c.Observer.Cached(a.Upstream, a.PrefixHashes)
+		reply.CachedBlocks, reply.CacheTrust = s.c.Observer.Cached(a.Upstream, a.PrefixHashes)
 	}
-	reply.Loads = s.c.loads(false)
+	only := ""
+	if reply.Status == StatusGranted {
+		// The load of other upstreams matters only to a request that must look elsewhere.
+		only = a.Upstream
+	}
+	reply.Loads = s.c.loads(only, false)
 	return nil
 }
 
@@ -23,8 +27,7 @@
 func (s *Service) Wait(a *WaitArgs, reply *AcquireReply) error {
 	a.Poll = min(max(a.Poll, 0), maxPoll)
 	s.c.upstream(a.Upstream).wait(a, reply)
-	reply.CachedBlocks = -1
-	reply.Loads = s.c.loads(false)
+	reply.Loads = s.c.loads("", false)
 	return nil
 }
 
@@ -34,7 +37,7 @@
 	if s.c.Observer != nil && a.Usage.Result != "" && a.Node != s.c.Self {
 		s.c.Observer.Report(a.Upstream, a.Usage.Result)
 	}
-	reply.Loads = s.c.loads(false)
+	reply.Loads = s.c.loads("", false)
 	return nil
 }
 
@@ -50,6 +53,6 @@
 	for _, o := range s.c.ownedList() {
 		o.reconcile(a.Node, byUpstream[o.name])
 	}
-	reply.Loads = s.c.loads(true)
+	reply.Loads = s.c.loads("", true)
 	return nil
 }
--- a/pkg/controller/admission/view.go
+++ b/pkg/controller/admission/view.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"trefoilplank.example/pkg/blackboard"
-	decision "trefoilplank.example/pkg/decision/admission"
 )
 
 // view is what this node knows of an upstream, from its owner's replies and its own use since.
@@ -26,6 +25,8 @@
 const (
 	minSilence = 50 * time.Millisecond
 	maxSilence = time.Second
+	// maxLoads bounds the loads in one reply; at the two-year target a node owns 4 upstreams.
+	maxLoads = 32
 )
 
 // view returns the entry of an upstream; c.mu is held.
@@ -38,15 +39,18 @@
 	return v
 }
 
-// loads returns the load of the upstreams that this node owns; full adds what the upstreams report.
-func (c *Controller) loads(full bool) []Load {
-	members := c.Board.Members.Value()
+// loads returns the load of the upstreams that this node owns, or of the one named only; full adds what the
+// upstreams report.
+func (c *Controller) loads(only string, full bool) []Load {
 	observed := c.Board.Upstreams.Value()
 	var out []Load
 	for _, o := range c.ownedList() {
-		if decision.Owner(o.name, members) != c.Self {
+		if only != "" && o.name != only || c.owner(o.name) != c.Self {
 			continue
 		}
+		if len(out) == maxLoads {
+			break
+		}
 		l := o.load()
 		st := observed[o.name]
 		if !st.ReportedAt.IsZero() {
@@ -65,7 +69,7 @@
 func (o *owned) load() Load {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	l := Load{Upstream: o.name, Limit: o.state.Limit(), Hold: o.state.Hold()}
+	l := Load{Upstream: o.name, Limit: o.state.Limit(), Hold: o.state.Hold(), BatchSlots: o.batchSlots}
 	l.Online, l.Batch, l.Waiting = o.state.Counts()
 	return l
 }
@@ -113,4 +117,5 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	delete(c.silent, owner)
+	c.talked[owner] = true
 }
--- a/pkg/decision/admission/holdings.go
+++ b/pkg/decision/admission/holdings.go
@@ -8,7 +8,7 @@
 		return false
 	}
 	it.Batch = true
-	s.hold1(now, it)
+	s.occupy(now, it)
 	return true
 }
 
@@ -69,7 +69,7 @@
 		if _, ok := s.running[it.ID]; !ok {
 			s.queue.Remove(it.ID)
 			it.Node = node
-			s.hold1(now, it)
+			s.occupy(now, it)
 		}
 	}
 	for id, h := range s.running {
@@ -95,3 +95,15 @@
 
 // Hold returns the smoothed time that online work holds a slot.
 func (s *State) Hold() time.Duration { return s.hold }
+
+// TrimBatch preempts batch runs above the allowance, so that a lower allowance takes effect before long items
+// end.
+func (s *State) TrimBatch(now time.Time, allowance int) []Decision {
+	over := -allowance
+	for _, h := range s.running {
+		if h.item.Batch && h.preempted.IsZero() {
+			over++
+		}
+	}
+	return s.preemptN(now, over, "batch allowance is down")
+}
--- a/pkg/decision/admission/owner.go
+++ b/pkg/decision/admission/owner.go
@@ -2,15 +2,20 @@
 
 import (
 	"math"
+	"sort"
 	"time"
 
 	"trefoilplank.example/pkg/blackboard"
 	"trefoilplank.example/pkg/decision/rendezvous"
 )
 
-// Owner returns the node that owns admission of the upstream: the rendezvous choice over the live members that
-// do not drain, or over all when every member drains. It returns self while no member is known.
+// Owner returns the node that owns admission of the upstream under the given members.
 func Owner(upstream string, m blackboard.Members) string {
+	return OwnerAmong(upstream, PossibleOwners(m), m.Self)
+}
+
+// PossibleOwners returns, in order, the live members that do not drain, or all when every member drains.
+func PossibleOwners(m blackboard.Members) []string {
 	nodes := make([]string, 0, len(m.Live))
 	for name, member := range m.Live {
 		if !member.Draining {
@@ -22,8 +27,14 @@
 			nodes = append(nodes, name)
 		}
 	}
+	sort.Strings(nodes)
+	return nodes
+}
+
+// OwnerAmong returns the rendezvous choice among nodes, or self while no member is known.
+func OwnerAmong(upstream string, nodes []string, self string) string {
 	if len(nodes) == 0 {
-		return m.Self
+		return self
 	}
 	return rendezvous.Owner("admission/"+upstream, nodes)
 }
--- a/pkg/decision/admission/queue.go
+++ b/pkg/decision/admission/queue.go
@@ -10,7 +10,9 @@
 
 // Item is one request as the queue sees it. Times are of the owner's clock.
 type Item struct {
-	ID string
+	// ID is unique for each attempt of a request to get a slot, Request the request's own id.
+	ID      string
+	Request string
 	// Node is the serving node that asked, which releases the slot.
 	Node        string
 	Institution string
--- a/pkg/decision/admission/state.go
+++ b/pkg/decision/admission/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"sort"
 	"time"
 )
@@ -28,6 +29,9 @@
 	Queued time.Duration
 	// Wait is the expected time to a slot, for Wait and Drop.
 	Wait time.Duration
+	// Elsewhere marks a drop that only the caller's longest wait caused; the request may come again with a longer
+	// one.
+	Elsewhere bool
 	// RetryAfter is when a dropped request is useful again.
 	RetryAfter time.Duration
 }
@@ -67,7 +71,7 @@
 	queue   Queue
 	// hold is the smoothed time that online work holds a slot.
 	hold time.Duration
-	// peak is the most slots in use since TakePeak.
+	// peak is the most slots in use since ResetPeak.
 	peak int
 }
 
@@ -91,12 +95,11 @@
 	return online, batch, s.queue.Len()
 }
 
-// TakePeak returns the most slots in use since the last call.
-func (s *State) TakePeak() int {
-	p := s.peak
-	s.peak = len(s.running)
-	return p
-}
+// Peak returns the most slots in use since ResetPeak.
+func (s *State) Peak() int { return s.peak }
+
+// ResetPeak starts a new observation of the peak.
+func (s *State) ResetPeak() { s.peak = len(s.running) }
 
 // SetLimit changes the limit and hands out what it frees. A lower limit interrupts nothing.
 func (s *State) SetLimit(now time.Time, limit int) []Decision {
@@ -106,19 +109,13 @@
 
 // ObserveHold learns how long online work holds a slot.
 func (s *State) ObserveHold(d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	if s.hold == 0 {
-		s.hold = d
-	}
-	s.hold += (d - s.hold) / 8
+	smooth(&s.hold, d)
 }
 
 // ExpectedWait estimates the time until an item would get a slot.
 func (s *State) ExpectedWait(now time.Time, it Item) time.Duration {
 	ahead := s.queue.Ahead(it)
-	if free := s.limit - s.occupied(now); free > 0 && ahead < free {
+	if free := s.limit - s.occupied(now); ahead < free && !s.aloneRuns() {
 		return 0
 	}
 	if _, batch, _ := s.Counts(); ahead < batch && !it.Batch {
@@ -138,14 +135,17 @@
 	return n
 }
 
-// Offer takes a new request. Without mayWait it is dropped unless it gets a slot at once. The first decision
-// returned is always about the item itself.
-func (s *State) Offer(now time.Time, it Item, mayWait bool) []Decision {
+// Unlimited as the longest wait lets a request queue however long it takes.
+const Unlimited time.Duration = math.MaxInt64
+
+// Offer takes a new request. It is dropped if its expected wait is above maxWait. The first decision returned is
+// always about the item itself.
+func (s *State) Offer(now time.Time, it Item, maxWait time.Duration) []Decision {
 	if h, ok := s.running[it.ID]; ok {
 		return []Decision{{Kind: Grant, Item: h.item, Reason: "slot already granted"}}
 	}
 	wait := s.ExpectedWait(now, it)
-	if d, refused := s.refuse(now, it, wait, mayWait); refused {
+	if d, refused := s.refuse(now, it, wait, maxWait); refused {
 		return []Decision{d}
 	}
 	s.queue.Push(now, it)
@@ -172,14 +172,16 @@
 }
 
 // refuse decides whether an item is dropped on arrival.
-func (s *State) refuse(now time.Time, it Item, wait time.Duration, mayWait bool) (Decision, bool) {
+func (s *State) refuse(now time.Time, it Item, wait, maxWait time.Duration) (Decision, bool) {
 	switch {
 	case !it.Deadline.IsZero() && !now.Before(it.Deadline):
 		return s.drop(now, it, "deadline has passed"), true
 	case !it.StartBy.IsZero() && now.Add(wait).After(it.StartBy):
 		return s.drop(now, it, fmt.Sprintf("expected wait of %v is too long for deadline or objective", wait)), true
-	case !mayWait && (wait > 0 || it.Alone && len(s.running) > 0):
-		return s.drop(now, it, "no slot is free"), true
+	case wait > maxWait || it.Alone && len(s.running) > 0 && maxWait != Unlimited:
+		d := s.drop(now, it, fmt.Sprintf("expected wait of %v is above the %v of another upstream", wait, maxWait))
+		d.Elsewhere = true
+		return d, true
 	}
 	return Decision{}, false
 }
@@ -212,12 +214,12 @@
 			return append(out, s.preempt(now, it.Alone)...)
 		}
 		s.queue.Pop()
-		s.hold1(now, it)
+		s.occupy(now, it)
 		out = append(out, Decision{Kind: Grant, Item: it, Queued: now.Sub(it.enqueued), Reason: "slot free"})
 	}
 }
 
-func (s *State) hold1(now time.Time, it Item) {
+func (s *State) occupy(now time.Time, it Item) {
 	s.running[it.ID] = &holding{item: it, since: now}
 	s.peak = max(s.peak, len(s.running))
 }
@@ -254,31 +256,37 @@
 
 // preempt chooses one batch run for each waiting online item that has none yet, or all for a run alone.
 func (s *State) preempt(now time.Time, all bool) []Decision {
-	var candidates []*holding
-	pending := 0
-	for _, h := range s.running {
-		switch {
-		case !h.item.Batch:
-		case !h.preempted.IsZero():
-			pending++
-		default:
-			candidates = append(candidates, h)
-		}
+	if all {
+		return s.preemptN(now, len(s.running), "a suspect request runs alone")
 	}
-	need := -pending
-	for i := range s.queue.Items() {
-		if !s.queue.Items()[i].Batch {
+	need := 0
+	for _, it := range s.queue.Items() {
+		if !it.Batch {
 			need++
 		}
 	}
-	if all {
-		need = len(candidates)
+	for _, h := range s.running {
+		if !h.preempted.IsZero() {
+			need--
+		}
+	}
+	return s.preemptN(now, need, "online work waits")
+}
+
+// preemptN ends up to n batch runs, those first that lose the least work.
+func (s *State) preemptN(now time.Time, n int, why string) []Decision {
+	var candidates []*holding
+	for _, h := range s.running {
+		if h.item.Batch && h.preempted.IsZero() {
+			candidates = append(candidates, h)
+		}
 	}
 	sort.Slice(candidates, func(i, j int) bool { return candidates[i].lessLoss(candidates[j]) })
 	var out []Decision
-	for _, h := range candidates[:max(0, min(need, len(candidates)))] {
+	for _, h := range candidates[:max(0, min(n, len(candidates)))] {
 		h.preempted = now
-		out = append(out, Decision{Kind: Preempt, Item: h.item, Reason: fmt.Sprintf("least work lost: %.0f tokens", h.loss())})
+		reason := fmt.Sprintf("%s; this run loses the least work: %.0f tokens", why, h.loss())
+		out = append(out, Decision{Kind: Preempt, Item: h.item, Reason: reason})
 	}
 	return out
 }
--- a/pkg/decision/health/health.go
+++ b/pkg/decision/health/health.go
@@ -19,9 +19,10 @@
 	ejectScore    = 2.0
 	halfLife      = 5 * time.Second
 	successRelief = 0.5
-	// minRatioRuns and maxFailures eject an upstream that answers but fails most runs.
-	minRatioRuns = 10
-	maxFailures  = 0.5
+	// minRatioRuns and maxFailures eject an upstream that answers with errors. The bounds are high, since the
+	// requests of one caller may be at fault on every upstream.
+	minRatioRuns = 20
+	maxFailures  = 0.8
 	// baseEjection doubles with each ejection that follows within forgetAfter of the return.
 	baseEjection = 2 * time.Second
 	maxEjection  = time.Minute
@@ -33,7 +34,7 @@
 
 // Weights of evidence. A refused connection is the strongest: two of them eject.
 var weights = map[serving.RunResult]float64{
-	serving.RunNotStarted: 1, serving.RunDied: 1, serving.RunRejected: 0.2,
+	serving.RunNotStarted: 1, serving.RunDied: 1, serving.RunRejected: 0,
 }
 
 // Tracker is the judgement on one upstream. It is not safe for concurrent use.
@@ -101,7 +102,7 @@
 	}
 	t.failures++
 	t.score += w
-	if t.score > ejectScore-0.1 {
+	if w > 0 && t.score > ejectScore-0.1 {
 		return t.eject(now, fmt.Sprintf("evidence %.1f after a run that ended %q", t.score, r), random)
 	}
 	if t.runs >= minRatioRuns && t.failures/t.runs > maxFailures {
