Spend rate and concurrency grants of the limit owner

Cause: limits were the node's fair share, so one busy node got 1/8. Change: Limits.Grant at the rendezvous owner; a node asks ahead of need, shares concurrent asks, falls back to its fair share after 5 ms silence, renews concurrency every second.

--- a/pkg/controller/limits/limits.go
+++ b/pkg/controller/limits/limits.go
@@ -1,20 +1,40 @@
-// Package limits holds the rate and concurrency limits of institutions over all nodes.
+// Package limits drives the rate and concurrency limits of institutions over all nodes: it serves grants for the
+// institutions that this node owns and spends grants of the owners of the others.
 package limits
 
 import (
 	"context"
+	"maps"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
-	"golang.org/x/time/rate"
+	"github.com/zeebo/errs"
+	"golang.org/x/sync/singleflight"
 
 	"trefoilplank.example/api"
 	"trefoilplank.example/pkg/adapter/peer"
 	"trefoilplank.example/pkg/blackboard"
+	"trefoilplank.example/pkg/decision/ratelimit"
+	"trefoilplank.example/pkg/decision/rendezvous"
 	"trefoilplank.example/pkg/explain"
 )
 
+// Error is the class of the errors of this package.
+var Error = errs.Class("limits")
+
+const (
+	// ownerSilence is how long a request waits for the limit owner's answer (design section 6.1).
+	ownerSilence = 5 * time.Millisecond
+	// silencePause is how long a silent owner is not asked again.
+	silencePause = 100 * time.Millisecond
+	// renewInterval keeps concurrency grants well within ratelimit.SlotLife.
+	renewInterval = time.Second
+	// idleAfter is when the purse and ledger of an institution without requests are forgotten.
+	idleAfter = time.Minute
+)
+
 // Options are the collaborators of a Controller.
 type Options struct {
 	// Self is the name of this node.
@@ -30,68 +50,256 @@
 // Controller applies the limits on this node. It is safe for concurrent use.
 type Controller struct {
 	Options
-	mu       sync.Mutex
-	buckets  map[string]*rate.Limiter
-	inFlight map[string]int
+	flight singleflight.Group
+
+	mu      sync.Mutex
+	purses  map[string]*purse
+	ledgers map[string]*ledger
+	silent  map[string]time.Time
+
+	life       context.Context
+	end        context.CancelFunc
+	background sync.WaitGroup
+}
+
+type purse struct {
+	ratelimit.Purse
+	used time.Time
+	// asking is set while a grant is asked for ahead of need.
+	asking bool
+}
+
+type ledger struct {
+	*ratelimit.Ledger
+	used time.Time
 }
 
-// New returns a controller.
+// New returns a controller and registers its receiver.
 func New(o Options) (*Controller, error) {
-	return &Controller{Options: o, buckets: map[string]*rate.Limiter{}, inFlight: map[string]int{}}, nil
+	c := &Controller{Options: o, purses: map[string]*purse{}, ledgers: map[string]*ledger{}, silent: map[string]time.Time{}}
+	c.life, c.end = context.WithCancel(context.Background())
+	if o.Registrar != nil {
+		if err := o.Registrar.Register("Limits", &Service{c}); err != nil {
+			return nil, Error.Wrap(err)
+		}
+	}
+	return c, nil
 }
 
-// Run keeps grants current until ctx ends.
+// Run renews concurrency grants until ctx ends.
 func (c *Controller) Run(ctx context.Context) error {
-	<-ctx.Done()
-	return nil
+	tick := time.NewTicker(renewInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			c.end()
+			c.background.Wait()
+			return nil
+		case <-tick.C:
+			c.renew()
+		}
+	}
+}
+
+// renew renews the concurrency of busy institutions and forgets idle ones.
+func (c *Controller) renew() {
+	now := time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	maps.DeleteFunc(c.ledgers, func(_ string, l *ledger) bool { return now.Sub(l.used) > idleAfter })
+	maps.DeleteFunc(c.purses, func(_ string, p *purse) bool { return p.InFlight() == 0 && now.Sub(p.used) > idleAfter })
+	for institution, p := range c.purses {
+		if lim := c.limit(institution); lim.Concurrency > 0 && p.InFlight() > 0 {
+			c.askAhead(institution, p)
+		}
+	}
+}
+
+// limit returns the limit of an institution in the configuration in force.
+func (c *Controller) limit(institution string) ratelimit.Limit {
+	rules, _ := c.Board.Config.Value().Rules.ForInstitution(institution)
+	return ratelimit.LimitOf(rules.Rate)
+}
+
+// purse returns the purse of an institution; c.mu is held.
+func (c *Controller) purse(institution string, now time.Time) *purse {
+	p, ok := c.purses[institution]
+	if !ok {
+		p = &purse{}
+		c.purses[institution] = p
+	}
+	p.used = now
+	return p
 }
 
 // Take books one request of the institution. An error is an *api.Error with status 429 and a retry time.
-func (c *Controller) Take(_ context.Context, institution string) error {
-	rules, ok := c.Board.Config.Value().Rules.ForInstitution(institution)
-	if !ok || rules.Rate.RequestsPerSecond <= 0 {
+func (c *Controller) Take(ctx context.Context, institution string) error {
+	lim := c.limit(institution)
+	if lim.Rate <= 0 {
 		return nil
 	}
-	share := 1 / float64(max(1, len(c.Board.Members.Value().Live)))
-	burst := float64(rules.Rate.Burst)
-	if burst == 0 {
-		burst = rules.Rate.RequestsPerSecond
-	}
 	c.mu.Lock()
-	l, ok := c.buckets[institution]
-	if !ok {
-		l = rate.NewLimiter(0, 0)
-		c.buckets[institution] = l
+	defer c.mu.Unlock()
+	p := c.purse(institution, time.Now())
+	p.Arrive(time.Now())
+	v, retry := p.Take(time.Now())
+	for tries := 0; v == ratelimit.AskOwner && tries < 2; tries++ {
+		c.mu.Unlock()
+		err := c.ask(ctx, institution, 1, 0)
+		c.mu.Lock()
+		if err != nil {
+			ok, retry := p.TakeFairShare(time.Now(), lim, c.liveNodes())
+			if ok {
+				return nil
+			}
+			return c.refuse(institution, "request rate", "limit owner is silent; fair share is used up", retry)
+		}
+		v, retry = p.Take(time.Now())
 	}
-	l.SetLimit(rate.Limit(rules.Rate.RequestsPerSecond * share))
-	l.SetBurst(max(1, int(burst*share)))
-	c.mu.Unlock()
-	if l.Allow() {
+	if v == ratelimit.Pass {
+		if p.Low(time.Now()) {
+			c.askAhead(institution, p)
+		}
 		return nil
 	}
-	return refusal(institution, "request rate", time.Second)
+	return c.refuse(institution, "request rate", "limit over all nodes is reached", max(retry, time.Duration(float64(time.Second)/lim.Rate)))
 }
 
-// Enter books one request in flight; leave ends it. An error is an *api.Error with status 429.
-func (c *Controller) Enter(_ context.Context, institution string) (leave func(), err error) {
-	rules, _ := c.Board.Config.Value().Rules.ForInstitution(institution)
-	bound := rules.Rate.Concurrency
+// Enter books one request in flight; leave ends it. An error is an *api.Error with status 429 and a retry time.
+func (c *Controller) Enter(ctx context.Context, institution string) (leave func(), err error) {
+	lim := c.limit(institution)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	share := max(1, bound/max(1, len(c.Board.Members.Value().Live)))
-	if bound > 0 && c.inFlight[institution] >= share {
-		return nil, refusal(institution, "concurrency", time.Second)
+	p := c.purse(institution, time.Now())
+	ok := p.Enter(time.Now(), lim)
+	if !ok {
+		c.mu.Unlock()
+		err := c.ask(ctx, institution, 0, slotsAhead)
+		c.mu.Lock()
+		if err != nil {
+			ok = p.EnterFairShare(time.Now(), lim, c.liveNodes())
+		} else {
+			ok = p.Enter(time.Now(), lim)
+		}
+	}
+	if !ok {
+		return nil, c.refuse(institution, "concurrency", "limit over all nodes is reached", time.Second)
 	}
-	c.inFlight[institution]++
 	return sync.OnceFunc(func() {
 		c.mu.Lock()
 		defer c.mu.Unlock()
-		c.inFlight[institution]--
+		p.Leave()
 	}), nil
 }
 
-func refusal(institution, what string, retry time.Duration) *api.Error {
+// slotsAhead is the concurrency asked for beyond the requests in flight: one more than needed at once, so that
+// a steady arrival asks the owner every second time, and little is held idle.
+const slotsAhead = 2
+
+// ask asks the limit owner for a grant. Concurrent calls for an institution share one call to the owner.
+func (c *Controller) ask(ctx context.Context, institution string, least float64, moreSlots int) error {
+	key := institution
+	if moreSlots > 0 {
+		key += "\x00slots"
+	}
+	_, err, _ := c.flight.Do(key, func() (any, error) {
+		return nil, c.askOnce(context.WithoutCancel(ctx), institution, least, moreSlots)
+	})
+	return err
+}
+
+func (c *Controller) askOnce(ctx context.Context, institution string, least float64, moreSlots int) error {
+	owner := c.owner(institution)
+	now := time.Now()
+	c.mu.Lock()
+	if now.Before(c.silent[owner]) {
+		c.mu.Unlock()
+		return peer.ErrUnreachable
+	}
+	p := c.purse(institution, now)
+	args := &GrantArgs{Node: c.Self, Institution: institution, Ask: p.Ask(now, least, moreSlots)}
+	c.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, ownerSilence)
+	defer cancel()
+	reply := &GrantReply{}
+	var err error
+	if owner == c.Self {
+		err = (&Service{c}).Grant(args, reply)
+	} else {
+		err = c.Peers.Call(ctx, owner, "Limits.Grant", args, reply)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if err != nil {
+		c.silent[owner] = time.Now().Add(silencePause)
+		return Error.Wrap(err)
+	}
+	delete(c.silent, owner)
+	p.Granted(time.Now(), reply.Grant)
+	return nil
+}
+
+// askAhead asks for a grant without making the request wait; c.mu is held.
+func (c *Controller) askAhead(institution string, p *purse) {
+	if p.asking || c.life.Err() != nil {
+		return
+	}
+	p.asking = true
+	c.background.Go(func() {
+		_ = c.ask(c.life, institution, 1, 0)
+		c.mu.Lock()
+		p.asking = false
+		c.mu.Unlock()
+	})
+}
+
+// owner returns the limit owner of an institution.
+func (c *Controller) owner(institution string) string {
+	m := c.Board.Members.Value()
+	if len(m.Live) == 0 {
+		return c.Self
+	}
+	return rendezvous.Owner("limits/"+institution, slices.Collect(maps.Keys(m.Live)))
+}
+
+func (c *Controller) liveNodes() int { return len(c.Board.Members.Value().Live) }
+
+func (c *Controller) refuse(institution, what, why string, retry time.Duration) *api.Error {
+	if c.Log != nil {
+		c.Log.Record(explain.Entry{Decision: "limit", Reason: what + ": " + why,
+			Values: map[string]any{"institution": institution, "retry_after_ms": retry.Milliseconds()}})
+	}
 	e := api.Errorf(http.StatusTooManyRequests, api.CodeRateLimited, api.NotRun, "%s limit of institution %s reached", what, institution)
 	e.RetryAfter = retry
 	return e
 }
+
+// GrantArgs asks the limit owner of an institution for a grant.
+type GrantArgs struct {
+	Node        string
+	Institution string
+	Ask         ratelimit.Ask
+}
+
+// GrantReply answers GrantArgs.
+type GrantReply struct{ Grant ratelimit.Grant }
+
+// Service is the net/rpc receiver "Limits".
+type Service struct{ c *Controller }
+
+// Grant decides on a node's ask.
+func (s *Service) Grant(a *GrantArgs, reply *GrantReply) error {
+	now := time.Now()
+	lim := s.c.limit(a.Institution)
+	s.c.mu.Lock()
+	defer s.c.mu.Unlock()
+	l, ok := s.c.ledgers[a.Institution]
+	if !ok {
+		l = &ledger{Ledger: ratelimit.NewLedger()}
+		s.c.ledgers[a.Institution] = l
+	}
+	l.used = now
+	reply.Grant = l.Grant(now, lim, a.Node, a.Ask)
+	return nil
+}
--- /dev/null
+++ b/pkg/controller/limits/limits_test.go
@@ -0,0 +1,147 @@
+package limits
+
+import (
+	"bytes"
+	"context"
+	"encoding/gob"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"trefoilplank.example/api"
+	"trefoilplank.example/pkg/adapter/peer"
+	"trefoilplank.example/pkg/blackboard"
+)
+
+// network is a fake peer transport between the controllers of a test; nodes in silent give no answer.
+type network struct {
+	mu     sync.Mutex
+	nodes  map[string]*Controller
+	silent map[string]bool
+	calls  int
+}
+
+func (n *network) Call(ctx context.Context, node, _ string, args, reply any) error {
+	n.mu.Lock()
+	n.calls++
+	c, silent := n.nodes[node], n.silent[node]
+	n.mu.Unlock()
+	if silent {
+		<-ctx.Done()
+		return peer.ErrTimeout
+	}
+	var b bytes.Buffer
+	a := &GrantArgs{}
+	if err := errors.Join(gob.NewEncoder(&b).Encode(args), gob.NewDecoder(&b).Decode(a)); err != nil {
+		return err
+	}
+	return (&Service{c}).Grant(a, reply.(*GrantReply))
+}
+
+func (n *network) CallAddress(context.Context, string, string, any, any) error {
+	return peer.ErrUnreachable
+}
+
+func cluster(t *testing.T, count int, r api.Rate) *network {
+	n := &network{nodes: map[string]*Controller{}, silent: map[string]bool{}}
+	live := map[string]blackboard.Member{}
+	for i := range count {
+		live[fmt.Sprint("n", i)] = blackboard.Member{}
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	t.Cleanup(func() { cancel(); wg.Wait() })
+	for name := range live {
+		b := blackboard.New()
+		b.Members.Set(blackboard.Members{Self: name, Live: live})
+		b.Config.Set(api.Config{Rules: api.Rules{Institutions: []api.InstitutionRules{{Institution: "board", Rate: r}}}})
+		c, err := New(Options{Self: name, Board: b, Peers: n})
+		assert.NilError(t, err)
+		n.nodes[name] = c
+		wg.Go(func() { _ = c.Run(ctx) })
+	}
+	return n
+}
+
+// Guards against limits that hold per node only, and against a node that can't use what others leave: all
+// requests arrive at one node, which must pass the whole limit and no more.
+func TestOneNodeUsesWholeRate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := cluster(t, 8, api.Rate{RequestsPerSecond: 100, Burst: 20})
+		passed := 0
+		var last error
+		for range 2000 {
+			time.Sleep(5 * time.Millisecond)
+			if err := n.nodes["n0"].Take(context.Background(), "board"); err == nil {
+				passed++
+			} else {
+				last = err
+			}
+		}
+		assert.Assert(t, passed >= 950 && passed <= 1020, "passed %d in 10 s", passed)
+		var e *api.Error
+		assert.Assert(t, errors.As(last, &e) && e.Status == 429 && e.Outcome == api.NotRun && e.RetryAfter > 0, "%v", last)
+		t.Logf("passed %d of 1000 + 20, owner calls %d", passed, n.calls)
+	})
+}
+
+// Guards against a silent limit owner that stops or frees an institution: each node gets its fair share.
+func TestSilentOwnerLeavesFairShare(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := cluster(t, 4, api.Rate{RequestsPerSecond: 100, Burst: 8})
+		owner := n.nodes["n0"].owner("board")
+		n.silent[owner] = true
+		node := "n0"
+		if owner == node {
+			node = "n1"
+		}
+		passed, longest := 0, time.Duration(0)
+		for range 1000 {
+			time.Sleep(10 * time.Millisecond)
+			began := time.Now()
+			if n.nodes[node].Take(context.Background(), "board") == nil {
+				passed++
+			}
+			longest = max(longest, time.Since(began))
+		}
+		assert.Assert(t, passed >= 240 && passed <= 275, "passed %d in 10 s of the node's 25/s", passed)
+		assert.Assert(t, longest <= ownerSilence)
+	})
+}
+
+// Guards against concurrency that holds per node only, and against slots that a lost node keeps for ever.
+func TestConcurrencyOverNodesAndLostNode(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := cluster(t, 3, api.Rate{Concurrency: 6})
+		owner := n.nodes["n0"].owner("board")
+		var others []*Controller
+		for name, c := range n.nodes {
+			if name != owner {
+				others = append(others, c)
+			}
+		}
+		in, leaves := 0, []func(){}
+		for i := range 20 {
+			if leave, err := others[i%2].Enter(context.Background(), "board"); err == nil {
+				in++
+				leaves = append(leaves, leave)
+			}
+		}
+		assert.Equal(t, in, 6)
+		leaves[0]()
+		_, err := others[0].Enter(context.Background(), "board")
+		assert.NilError(t, err, "a place that was left is free again")
+		others[1].end()
+		others[1].mu.Lock()
+		clear(others[1].purses)
+		others[1].mu.Unlock()
+		time.Sleep(5 * time.Second)
+		_, err = others[0].Enter(context.Background(), "board")
+		assert.NilError(t, err, "slots of a lost node must expire")
+	})
+}
