Keep the round trip of a call whose answer came on another connection

A call that got its answer by way of another connection ended its own round trip, which carried the other call's answer.

--- a/pkg/adapter/service/death.go
+++ b/pkg/adapter/service/death.go
@@ -29,6 +29,12 @@
 	answers      chan *Answer
 	failed       chan error
 	started      time.Time
+	// leave unties the round trip from the caller's context; cancel ends it.
+	leave  func() bool
+	cancel context.CancelFunc
+	// settled and abandon are guarded by owner.mu.
+	settled bool
+	abandon *time.Timer
 	// brokenAt is when the connection broke, guarded by owner.mu.
 	brokenAt time.Time
 	once     sync.Once
@@ -54,6 +60,25 @@
 	return f
 }
 
+// abandonAfter ends the round trip of a call that has its answer already, unless headers arrive before.
+func (f *flight) abandonAfter(d time.Duration) {
+	f.owner.mu.Lock()
+	defer f.owner.mu.Unlock()
+	if !f.settled {
+		f.abandon = time.AfterFunc(d, f.cancel)
+	}
+}
+
+// settle records that the headers of an answer arrived on the call's own connection.
+func (f *flight) settle() {
+	f.owner.mu.Lock()
+	defer f.owner.mu.Unlock()
+	f.settled = true
+	if f.abandon != nil {
+		f.abandon.Stop()
+	}
+}
+
 // end removes the call and drops an answer that nobody took.
 func (f *flight) end() {
 	f.once.Do(func() {
--- a/pkg/adapter/service/service.go
+++ b/pkg/adapter/service/service.go
@@ -67,6 +67,8 @@
 type Answer struct {
 	*http.Response
 	flight *flight
+	// via is the call on whose connection the answer arrived.
+	via    *flight
 	cancel context.CancelFunc
 	detach func() bool
 }
@@ -123,7 +125,9 @@
 // Open sends the call and returns its answer once the headers arrived. The caller closes the answer.
 func (c *Client) Open(ctx context.Context, u api.Upstream, call serving.Call) (*Answer, error) {
 	f := c.flights.add(u.Name, call.RequestID)
-	go c.roundTrip(ctx, u, call, f)
+	run, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	f.leave, f.cancel = context.AfterFunc(ctx, cancel), cancel
+	go c.roundTrip(ctx, run, cancel, u, call, f)
 	a, err := c.await(ctx, u, f)
 	if err != nil {
 		f.end()
@@ -137,7 +141,12 @@
 	for {
 		select {
 		case a := <-f.answers:
+			// The own connection may still carry the answer of the call whose connection carried this one.
+			f.leave()
 			a.flight = f
+			if a.via != f {
+				f.abandonAfter(matchWait)
+			}
 			a.detach = context.AfterFunc(ctx, a.cancel)
 			return a, nil
 		case err := <-f.failed:
@@ -154,15 +163,13 @@
 }
 
 // roundTrip sends the call and delivers the answer to the call that it belongs to.
-func (c *Client) roundTrip(ctx context.Context, u api.Upstream, call serving.Call, f *flight) {
-	run, cancel := context.WithCancel(context.WithoutCancel(ctx))
-	stop := context.AfterFunc(ctx, cancel)
+func (c *Client) roundTrip(ctx, run context.Context, cancel context.CancelFunc, u api.Upstream, call serving.Call, f *flight) {
 	var p progress
 	resp, err := c.send(run, u, call, &p)
 	if err != nil {
-		stop()
+		f.leave()
+		f.failed <- c.classify(ctx, run, u, f, &p, err)
 		cancel()
-		f.failed <- c.classify(ctx, u, f, &p, err)
 		return
 	}
 	echo := resp.Header.Get(api.HeaderUpstreamRequestID)
@@ -170,8 +177,9 @@
 		// A refusal from a layer below the application carries no id; it is an answer to this connection.
 		echo = call.RequestID
 	}
-	a := &Answer{Response: resp, cancel: cancel}
-	stop()
+	f.settle()
+	a := &Answer{Response: resp, cancel: cancel, via: f}
+	f.leave()
 	if echo != call.RequestID {
 		f.failed <- serving.ErrMismatch
 	}
@@ -205,11 +213,11 @@
 }
 
 // classify turns an error of a round trip into one of package serving.
-func (c *Client) classify(ctx context.Context, u api.Upstream, f *flight, p *progress, err error) error {
+func (c *Client) classify(ctx, run context.Context, u api.Upstream, f *flight, p *progress, err error) error {
 	if !p.connected.Load() || !p.wrote.Load() || nothingWritten(err) {
 		return errs.Combine(serving.ErrNotStarted, err)
 	}
-	if ctx.Err() != nil {
+	if run.Err() != nil {
 		return errs.Combine(serving.ErrInterrupted, context.Cause(ctx))
 	}
 	return c.broken(ctx, u, f, evidence{reused: p.reused.Load()}, err)
