Add the plan of the reconciler as a pure function

Cause: nothing compared the register with what engines hold. Change: MakePlan returns the next load, unload, role and drain orders, the most needed model first, at most one for each upstream, spread over availability zones, one replica at a time until the version is proven and a tenth of the replicas after that, and never below the serving minimum. A property drives two models on 2 to 9 engines from any mix to the end. Surplus now leaves among outdated replicas first, and the wanted number is at least the serving minimum.

--- /dev/null
+++ b/pkg/decision/reconcile/plan.go
@@ -0,0 +1,305 @@
+package reconcile
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+)
+
+// changingPart is the part of a model's replicas that may change at once after the version is proven. A tenth
+// rolls 500 replicas out in ten load times and leaves nine tenths of the capacity.
+const changingPart = 10
+
+// planner holds the state of one planning pass.
+type planner struct {
+	plan      Plan
+	models    map[string]*Model
+	upstreams []*Upstream
+	// ordered are the upstreams that have an order in this plan.
+	ordered map[string]bool
+	// serving counts the serving replicas that remain after the orders planned so far.
+	serving map[string]int
+}
+
+// MakePlan returns the next orders. Orders never take a model that has its serving minimum below it, and an
+// upstream whose last change has not ended gets no order.
+func MakePlan(in Input) Plan {
+	p := &planner{
+		plan: Plan{Replicas: map[string]Replicas{}}, models: map[string]*Model{},
+		ordered: map[string]bool{}, serving: map[string]int{},
+	}
+	for i := range in.Upstreams {
+		p.upstreams = append(p.upstreams, &in.Upstreams[i])
+	}
+	slices.SortFunc(p.upstreams, func(a, b *Upstream) int { return cmp.Compare(a.Name, b.Name) })
+	for i := range in.Models {
+		m := &in.Models[i]
+		p.models[m.Name] = m
+		p.count(m)
+	}
+	for _, m := range p.byNeed(in.Models) {
+		p.model(m)
+	}
+	for _, u := range p.upstreams {
+		p.roles(u)
+		p.strays(u)
+		p.adapters(u)
+	}
+	return p.plan
+}
+
+// count fills in the replica counts of a model.
+func (p *planner) count(m *Model) {
+	r := Replicas{Want: m.Replicas}
+	eligible := 0
+	for _, u := range p.upstreams {
+		if u.Leaving || u.State == nil || !slices.Contains(u.Models, m.Name) {
+			continue
+		}
+		eligible++
+		if u.Serves(m.Name) {
+			r.Serving++
+			if u.upToDate(m.Name, m.Target()) {
+				r.UpToDate++
+			}
+		}
+		if _, loading := u.State.Loading[m.Name]; loading || u.Claimed {
+			r.Changing++
+		}
+	}
+	if r.Want == 0 {
+		r.Want = eligible
+	}
+	r.Want = max(r.Want, m.Min)
+	p.plan.Replicas[m.Name] = r
+	p.serving[m.Name] = r.Serving
+}
+
+// byNeed orders the models: those below their serving minimum first, then by the missing part of their replicas.
+func (p *planner) byNeed(models []Model) []*Model {
+	order := make([]*Model, len(models))
+	for i := range models {
+		order[i] = &models[i]
+	}
+	need := func(m *Model) float64 {
+		r := p.plan.Replicas[m.Name]
+		missing := float64(r.Want-r.Serving) / float64(max(r.Want, 1))
+		if r.Serving < m.Min {
+			missing += 1 + float64(m.Min-r.Serving)/float64(m.Min)
+		}
+		return missing
+	}
+	slices.SortStableFunc(order, func(a, b *Model) int {
+		return cmp.Or(cmp.Compare(need(b), need(a)), cmp.Compare(a.Name, b.Name))
+	})
+	return order
+}
+
+// allowance returns how many more replicas of the model may begin a change.
+func (p *planner) allowance(m *Model) int {
+	r := p.plan.Replicas[m.Name]
+	limit := 1
+	if m.Proven {
+		limit = max(1, r.Want/changingPart)
+	}
+	// A model below its serving minimum may use as many loads as it lacks replicas.
+	return max(limit, m.Min-r.Serving) - r.Changing
+}
+
+// holders are the upstreams of one model, by what they hold.
+type holders struct{ current, outdated, spare []*Upstream }
+
+func (p *planner) holders(m *Model) holders {
+	var h holders
+	for _, u := range p.upstreams {
+		switch {
+		case u.Leaving || u.State == nil || !slices.Contains(u.Models, m.Name):
+		case !u.holds(m.Name):
+			h.spare = append(h.spare, u)
+		case u.upToDate(m.Name, m.Target()):
+			h.current = append(h.current, u)
+		default:
+			h.outdated = append(h.outdated, u)
+		}
+	}
+	return h
+}
+
+// model plans the loads and unloads of one model.
+func (p *planner) model(m *Model) {
+	h := p.holders(m)
+	r := p.plan.Replicas[m.Name]
+	total := len(h.current) + len(h.outdated)
+	allowed := p.allowance(m)
+	loaded := p.loadSpares(m, h, r.Want-total, allowed, fmt.Sprintf("%d of %d replicas hold the model", total, r.Want))
+	total, allowed = total+loaded, allowed-loaded
+	p.unloadSurplus(m, h, total-r.Want)
+	allowed -= p.update(m, h.outdated, allowed)
+	p.surge(m, h, total-r.Want, allowed)
+}
+
+// loadSpares loads the target version on up to n spare upstreams, the emptiest availability zone first.
+func (p *planner) loadSpares(m *Model, h holders, n, allowed int, reason string) int {
+	if n <= 0 {
+		return 0
+	}
+	zones := map[string]int{}
+	for _, u := range slices.Concat(h.current, h.outdated) {
+		zones[u.AvailabilityZone]++
+	}
+	spares, done := slices.Clone(h.spare), 0
+	for done < min(n, allowed) && len(spares) > 0 {
+		best := slices.MinFunc(spares, func(a, b *Upstream) int {
+			return cmp.Or(cmp.Compare(failedBefore(a, m), failedBefore(b, m)),
+				cmp.Compare(zones[a.AvailabilityZone], zones[b.AvailabilityZone]), cmp.Compare(a.Name, b.Name))
+		})
+		spares = slices.DeleteFunc(spares, func(u *Upstream) bool { return u == best })
+		if p.order(best, Order{Kind: Load, Model: m.Name, Version: m.Target(), Reason: reason}) {
+			zones[best.AvailabilityZone]++
+			done++
+		}
+	}
+	if done < n {
+		p.wait(m.Name, "", fmt.Sprintf("%d more replicas wanted, %d may begin to load now, %d upstreams without the model",
+			n, max(allowed, 0), len(h.spare)))
+	}
+	return done
+}
+
+func failedBefore(u *Upstream, m *Model) int {
+	if v, failed := u.State.Failed[m.Name]; failed && v == m.Target() {
+		return 1
+	}
+	return 0
+}
+
+// unloadSurplus unloads replicas above the desired number, outdated ones first, then from full availability zones.
+func (p *planner) unloadSurplus(m *Model, h holders, n int) {
+	list := h.outdated
+	if len(list) == 0 {
+		// While outdated replicas remain, unloading a current one would undo the surge that replaces them.
+		list = h.current
+	}
+	for _, u := range p.fullestZoneFirst(m, list) {
+		if n <= 0 {
+			return
+		}
+		if u.Serves(m.Name) && p.serving[m.Name]-1 < p.plan.Replicas[m.Name].Want {
+			continue
+		}
+		if p.order(u, Order{Kind: Unload, Model: m.Name, Reason: fmt.Sprintf("%d replicas above the desired number", n)}) {
+			n--
+		}
+	}
+}
+
+// update loads the target version in place of another one, and returns the number of orders.
+func (p *planner) update(m *Model, outdated []*Upstream, allowed int) int {
+	reason := fmt.Sprintf("version %q is desired", m.Target())
+	if m.Stopped && m.Previous != "" {
+		reason = fmt.Sprintf("going back to version %q, since version %q failed", m.Previous, m.Version)
+	}
+	done, held := 0, 0
+	for _, u := range p.fullestZoneFirst(m, outdated) {
+		if done >= allowed {
+			break
+		}
+		if p.ordered[u.Name] {
+			continue
+		}
+		if u.Serves(m.Name) && p.serving[m.Name]-1 < m.Min {
+			held++
+			continue
+		}
+		if p.order(u, Order{Kind: Load, Model: m.Name, Version: m.Target(), Reason: reason}) {
+			done++
+		}
+	}
+	if held > 0 && done == 0 {
+		p.wait(m.Name, "", fmt.Sprintf("version %q waits: %d replicas serve, the serving minimum is %d",
+			m.Target(), p.serving[m.Name], m.Min))
+	}
+	return done
+}
+
+// surge loads one replica more than desired when outdated replicas can't be taken out of service otherwise.
+func (p *planner) surge(m *Model, h holders, surplus, allowed int) {
+	if surplus > 0 || allowed <= 0 || len(h.spare) == 0 {
+		return
+	}
+	for _, u := range h.outdated {
+		if u.Serves(m.Name) && !p.ordered[u.Name] && p.serving[m.Name]-1 < m.Min {
+			p.loadSpares(m, h, 1, allowed, "one replica more, so that an outdated one can leave service")
+			return
+		}
+	}
+}
+
+// fullestZoneFirst orders upstreams so that replicas that do not serve come first, then those in the availability
+// zone with the most serving replicas.
+func (p *planner) fullestZoneFirst(m *Model, list []*Upstream) []*Upstream {
+	zones := map[string]int{}
+	for _, u := range p.upstreams {
+		if u.Serves(m.Name) && !p.ordered[u.Name] {
+			zones[u.AvailabilityZone]++
+		}
+	}
+	rest, ordered := slices.Clone(list), make([]*Upstream, 0, len(list))
+	key := func(u *Upstream) int {
+		if !u.Serves(m.Name) {
+			return -1 << 30
+		}
+		return -zones[u.AvailabilityZone]
+	}
+	for len(rest) > 0 {
+		best := slices.MinFunc(rest, func(a, b *Upstream) int {
+			return cmp.Or(cmp.Compare(key(a), key(b)), cmp.Compare(a.Name, b.Name))
+		})
+		zones[best.AvailabilityZone]--
+		ordered = append(ordered, best)
+		rest = slices.DeleteFunc(rest, func(u *Upstream) bool { return u == best })
+	}
+	return ordered
+}
+
+// order adds o to the plan unless the upstream can't take an order now, and reports whether it did.
+func (p *planner) order(u *Upstream, o Order) bool {
+	if !u.TakesOrders || u.State == nil || p.ordered[u.Name] {
+		return false
+	}
+	if u.Claimed || len(u.State.Loading) > 0 {
+		p.wait(o.Model, u.Name, "another change of the upstream has not ended")
+		return false
+	}
+	if u.Blocked != "" {
+		p.wait(o.Model, u.Name, u.Blocked)
+		return false
+	}
+	o.Upstream = u.Name
+	o.Disrupts = p.disrupted(u, o)
+	for _, m := range o.Disrupts {
+		p.serving[m]--
+	}
+	p.ordered[u.Name] = true
+	p.plan.Orders = append(p.plan.Orders, o)
+	return true
+}
+
+// disrupted returns the models that u serves and o takes out of service.
+func (p *planner) disrupted(u *Upstream, o Order) []string {
+	var models []string
+	for _, m := range slices.Sorted(maps.Keys(p.models)) {
+		if !u.Serves(m) || o.Adapter != "" {
+			continue
+		}
+		if o.Kind == Role || ((o.Kind == Load || o.Kind == Unload) && o.Model == m) {
+			models = append(models, m)
+		}
+	}
+	return models
+}
+
+func (p *planner) wait(model, upstream, reason string) {
+	p.plan.Waits = append(p.plan.Waits, Wait{Model: model, Upstream: upstream, Reason: reason})
+}
