--- /dev/null
+++ b/pkg/bench/experiment.go
@@ -0,0 +1,71 @@
+package bench
+
+import (
+	"context"
+	"time"
+)
+
+// Experiment compares variants under the same planned calls.
+type Experiment struct {
+	Profile Profile
+	// Rate is the average number of calls a second.
+	Rate        float64
+	Length      time.Duration
+	Repetitions int
+	Seed        uint64
+	// Variants run one after the other within each repetition, so that all see the same state of the machine.
+	Variants []Variant
+	// Progress is called with the number of calls done; may be nil.
+	Progress func(done int)
+}
+
+// Variant is one side of an experiment.
+type Variant struct {
+	Target Target
+	// Around, if not nil, is called before each run of the variant; the returned function ends what it started.
+	Around func(ctx context.Context) (func() error, error)
+}
+
+// Calls returns the number of calls that the experiment plans.
+func (e Experiment) Calls() int {
+	total := 0
+	for i := range e.Repetitions {
+		total += len(e.Profile.Schedule(e.Rate, e.Length, e.Seed+uint64(i))) * len(e.Variants)
+	}
+	return total
+}
+
+// Run runs all repetitions and returns one result for each variant, in order.
+func (e Experiment) Run(ctx context.Context) ([]*Result, error) {
+	results := make([]*Result, len(e.Variants))
+	for i, v := range e.Variants {
+		results[i] = newResult(v.Target.Name)
+	}
+	progress := func() {}
+	if e.Progress != nil {
+		progress = func() { e.Progress(1) }
+	}
+	for repetition := range e.Repetitions {
+		plan := e.Profile.Schedule(e.Rate, e.Length, e.Seed+uint64(repetition))
+		for i, v := range e.Variants {
+			r, err := e.runVariant(ctx, v, plan, progress)
+			if err != nil {
+				return nil, err
+			}
+			results[i].merge(r)
+		}
+	}
+	return results, ctx.Err()
+}
+
+func (e Experiment) runVariant(ctx context.Context, v Variant, plan []Arrival, progress func()) (*Result, error) {
+	if v.Around != nil {
+		end, err := v.Around(ctx)
+		if err != nil {
+			return nil, err
+		}
+		r := Run(ctx, v.Target, e.Profile, plan, progress)
+		return r, end()
+	}
+	return Run(ctx, v.Target, e.Profile, plan, progress), nil
+}
--- /dev/null
+++ b/pkg/bench/run.go
@@ -0,0 +1,160 @@
+package bench
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Target is what one variant of an experiment calls.
+type Target struct {
+	Name string
+	// Addresses are IP:port; calls take them in turn.
+	Addresses []string
+	Key       string
+	// Direct drops the service prefix, for calls straight to an upstream.
+	Direct bool
+}
+
+// maxInFlight bounds the calls in flight of one run, so that a dead target can't exhaust the machine.
+const maxInFlight = 4096
+
+// callTimeout bounds one call.
+const callTimeout = 60 * time.Second
+
+// Run sends the planned calls to a target and returns what they saw. Progress is called after each call.
+func Run(ctx context.Context, t Target, p Profile, plan []Arrival, progress func()) *Result {
+	client := &http.Client{
+		Timeout: callTimeout,
+		Transport: &http.Transport{
+			MaxIdleConnsPerHost: maxInFlight, MaxIdleConns: 0, IdleConnTimeout: time.Minute, DisableCompression: true,
+		},
+	}
+	defer client.CloseIdleConnections()
+	r := newResult(t.Name)
+	slots := make(chan struct{}, maxInFlight)
+	var wg sync.WaitGroup
+	start := time.Now()
+	for i, a := range plan {
+		if !sleepUntil(ctx, start.Add(a.At)) {
+			break
+		}
+		slots <- struct{}{}
+		wg.Go(func() {
+			defer func() { <-slots }()
+			c := call{client: client, target: t, profile: p, arrival: a, address: t.Addresses[i%len(t.Addresses)]}
+			r.add(a.Share, c.run(ctx, start.Add(a.At)))
+			progress()
+		})
+	}
+	wg.Wait()
+	r.Seconds = time.Since(start).Seconds()
+	return r
+}
+
+func sleepUntil(ctx context.Context, at time.Time) bool {
+	wait := time.Until(at)
+	if wait <= 0 {
+		return ctx.Err() == nil
+	}
+	select {
+	case <-time.After(wait):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// outcome is what one call saw. Times count from the intended start.
+type outcome struct {
+	firstToken, whole, betweenTokens time.Duration
+	tokens                           int
+	status                           int
+	err                              error
+}
+
+type call struct {
+	client  *http.Client
+	target  Target
+	profile Profile
+	arrival Arrival
+	address string
+}
+
+func (c call) request(ctx context.Context) (*http.Request, error) {
+	a := c.arrival
+	if a.Share.Kind == KindLookup {
+		path := fmt.Sprintf("/v1/services/%s/record/%x", c.profile.Service, a.Unique)
+		if c.target.Direct {
+			path = fmt.Sprintf("/record/%x", a.Unique)
+		}
+		return http.NewRequestWithContext(ctx, http.MethodGet, "http://"+c.address+path, nil)
+	}
+	body, err := json.Marshal(map[string]any{
+		"model": c.profile.Model, "max_tokens": a.Share.MaxTokens, "ignore_eos": true, "stream": a.Share.Kind == KindStream,
+		"messages": []map[string]string{{"role": "user", "content": c.profile.prompt(a.Share, a.Prefix, a.Unique)}},
+	})
+	if err != nil {
+		return nil, err
+	}
+	return http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.address+"/v1/chat/completions", bytes.NewReader(body))
+}
+
+func (c call) run(ctx context.Context, intended time.Time) outcome {
+	r, err := c.request(ctx)
+	if err != nil {
+		return outcome{err: err}
+	}
+	r.Header.Set("Authorization", "Bearer "+c.target.Key)
+	r.Header.Set("X-Request-Id", fmt.Sprintf("bench-%x", c.arrival.Unique))
+	answer, err := c.client.Do(r)
+	if err != nil {
+		return outcome{err: err}
+	}
+	defer answer.Body.Close()
+	o := outcome{status: answer.StatusCode}
+	if c.arrival.Share.Kind == KindStream && answer.StatusCode == http.StatusOK {
+		c.readStream(answer.Body, intended, &o)
+	} else {
+		_, o.err = io.Copy(io.Discard, answer.Body)
+		o.firstToken = time.Since(intended)
+	}
+	o.whole = time.Since(intended)
+	return o
+}
+
+// readStream reads a stream of server-sent events to its end.
+func (c call) readStream(body io.Reader, intended time.Time, o *outcome) {
+	scanner := bufio.NewScanner(body)
+	scanner.Buffer(make([]byte, 64<<10), 1<<20)
+	var first, last time.Time
+	for scanner.Scan() {
+		data, ok := strings.CutPrefix(scanner.Text(), "data: ")
+		if !ok {
+			continue
+		}
+		if data == "[DONE]" {
+			if o.tokens > 1 {
+				o.betweenTokens = last.Sub(first) / time.Duration(o.tokens-1)
+			}
+			return
+		}
+		last = time.Now()
+		if o.tokens == 0 {
+			first = last
+			o.firstToken = first.Sub(intended)
+		}
+		o.tokens++
+	}
+	o.err = Error.New("stream ended without [DONE]")
+	if err := scanner.Err(); err != nil {
+		o.err = err
+	}
+}
