Ask the limit owner less often when tokens are scarce

Cause: an institution over its limit made a node ask for every token. Change: after a grant smaller than asked for, the node refuses for 20 to 50 ms before it asks again; the owner keeps the credit meanwhile.

--- a/pkg/controller/limits/limits_test.go
+++ b/pkg/controller/limits/limits_test.go
@@ -86,7 +86,7 @@
 		assert.Assert(t, passed >= 950 && passed <= 1020, "passed %d in 10 s", passed)
 		var e *api.Error
 		assert.Assert(t, errors.As(last, &e) && e.Status == 429 && e.Outcome == api.NotRun && e.RetryAfter > 0, "%v", last)
-		t.Logf("passed %d of 1000 + 20, owner calls %d", passed, n.calls)
+		assert.Assert(t, n.calls <= 600, "an institution over its limit costs %d owner calls in 10 s", n.calls)
 	})
 }
 
--- a/pkg/decision/ratelimit/purse.go
+++ b/pkg/decision/ratelimit/purse.go
@@ -22,8 +22,10 @@
 type Purse struct {
 	tokens  float64
 	expires time.Time
-	// emptyUntil is when the owner expects tokens again.
+	// emptyUntil is when to ask again after a grant that was smaller than asked for.
 	emptyUntil time.Time
+	// wanted is what the last ask was for.
+	wanted     float64
 	slots      int
 	slotsUntil time.Time
 	inFlight   int
@@ -36,8 +38,12 @@
 	demand    float64
 }
 
-// maxRefuse bounds how long a refusal of the owner is repeated without asking again.
-const maxRefuse = 50 * time.Millisecond
+// minRefuse and maxRefuse bound how long a refusal of the owner is repeated without asking again. The lower
+// bound limits a node to 50 asks/s for an institution that is over its limit; credits at the owner last longer.
+const (
+	minRefuse = 20 * time.Millisecond
+	maxRefuse = 50 * time.Millisecond
+)
 
 // demandWindow is the smoothing time of the demand.
 const demandWindow = 500 * time.Millisecond
@@ -87,6 +93,7 @@
 	}
 	p.tokens = 0
 	a.Want = math.Max(least, math.Ceil(a.Demand*grantAhead.Seconds()))
+	p.wanted = a.Want
 	return a
 }
 
@@ -94,8 +101,8 @@
 func (p *Purse) Granted(now time.Time, g Grant) {
 	p.tokens += g.Tokens
 	p.expires = now.Add(GrantLife)
-	if g.Tokens < 1 && g.RetryAfter > 0 {
-		p.emptyUntil = now.Add(min(g.RetryAfter, maxRefuse))
+	if g.Tokens < p.wanted {
+		p.emptyUntil = now.Add(max(minRefuse, min(g.RetryAfter, maxRefuse)))
 	}
 	p.slots, p.slotsUntil = g.Slots, now.Add(SlotLife)
 }
