Isolate requests that crash upstreams over all nodes

Cause: a request that crashes every upstream and is resent would take the fleet down one upstream at a time. Change: an unproven fingerprint runs once at a time, a suspect runs alone, and a crash of that trial quarantines it. The check runs beside admission.

--- /dev/null
+++ b/pkg/gateway/admit.go
@@ -0,0 +1,153 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"trefoilplank.example/api"
+	"trefoilplank.example/pkg/serving"
+)
+
+// checkGrace is how long a slot is kept while the verdict on the request is still open.
+const checkGrace = 20 * time.Millisecond
+
+// verdict is the answer of the quarantine.
+type verdict struct {
+	serving.Verdict
+	retry time.Duration
+}
+
+// admit asks the quarantine and admission at the same time and returns a slot that suits the verdict.
+func (g *Gateway) admit(ctx context.Context, j *job) (*serving.Slot, error) {
+	if g.Quarantine == nil {
+		return g.acquire(ctx, j, false)
+	}
+	checkCtx, stopCheck := context.WithCancel(ctx)
+	defer stopCheck()
+	verdicts := make(chan verdict, 1)
+	go func() {
+		v, retry := g.Quarantine.Check(checkCtx, j.req.Fingerprint, j.req.ID)
+		verdicts <- verdict{v, retry}
+	}()
+	// A verdict usually arrives before the slot; only a request that has to wait for an equal one has none yet.
+	slot, err, v := g.acquireBeside(ctx, j, verdicts, stopCheck)
+	if err == nil || v.Verdict == serving.VerdictQuarantined {
+		err = refusal(v)
+	}
+	if err == nil && v.Verdict == serving.VerdictSuspect && slot != nil {
+		g.giveBack(slot)
+		slot = nil
+	}
+	if err == nil && slot == nil {
+		slot, err = g.acquire(ctx, j, v.Verdict == serving.VerdictSuspect)
+	}
+	if err != nil {
+		if slot != nil {
+			g.giveBack(slot)
+		}
+		if v.Verdict != serving.VerdictQuarantined && v.retry == 0 {
+			g.Quarantine.Finished(ctx, j.req.Fingerprint, j.req.ID, "", false)
+		}
+		return nil, err
+	}
+	return slot, nil
+}
+
+// acquireBeside acquires a slot while the verdict is open. It returns without a slot when the verdict needs
+// another kind of slot or none, or takes longer than checkGrace after the slot.
+func (g *Gateway) acquireBeside(ctx context.Context, j *job, verdicts <-chan verdict, stopCheck func()) (*serving.Slot, error, verdict) {
+	type acquired struct {
+		slot *serving.Slot
+		err  error
+	}
+	acquireCtx, stop := context.WithCancel(ctx)
+	defer stop()
+	slots := make(chan acquired, 1)
+	go func() {
+		slot, err := g.acquire(acquireCtx, j, false)
+		slots <- acquired{slot, err}
+	}()
+	// drop gives back a slot that is granted after it is no longer wanted.
+	drop := func() {
+		stop()
+		go func() {
+			if a := <-slots; a.slot != nil {
+				g.giveBack(a.slot)
+			}
+		}()
+	}
+	select {
+	case v := <-verdicts:
+		if v.Verdict != serving.VerdictClear {
+			drop()
+			return nil, nil, v
+		}
+		a := <-slots
+		return a.slot, a.err, v
+	case a := <-slots:
+		if a.err != nil {
+			stopCheck()
+			return nil, a.err, <-verdicts
+		}
+		timer := time.NewTimer(checkGrace)
+		defer timer.Stop()
+		select {
+		case v := <-verdicts:
+			return a.slot, nil, v
+		case <-timer.C:
+			g.giveBack(a.slot)
+			return nil, nil, <-verdicts
+		}
+	}
+}
+
+// refusal returns the error of a verdict that lets the request not run.
+func refusal(v verdict) error {
+	switch {
+	case v.Verdict == serving.VerdictQuarantined:
+		err := api.Errorf(http.StatusUnprocessableEntity, api.CodeQuarantined, api.NotRun,
+			"this request crashed the upstreams that ran it")
+		err.RetryAfter = v.retry
+		return err
+	case v.retry > 0:
+		err := api.Errorf(http.StatusServiceUnavailable, api.CodeNoCapacity, api.NotRun,
+			"an equal request that may crash upstreams is running")
+		err.RetryAfter = v.retry
+		return err
+	}
+	return nil
+}
+
+// acquire gets a slot, alone on its upstream if asked.
+func (g *Gateway) acquire(ctx context.Context, j *job, alone bool) (*serving.Slot, error) {
+	req := j.req
+	req.Alone = alone
+	slot, err := g.Slots.Acquire(ctx, req)
+	if err != nil {
+		return nil, err
+	}
+	g.record(j, slot.Upstream.Name, "slot", "granted", map[string]any{
+		"owner": slot.Owner, "queued": slot.Queued.String(), "alone": alone, "attempt": j.attempts + 1,
+	})
+	return slot, nil
+}
+
+func (g *Gateway) giveBack(slot *serving.Slot) {
+	g.Slots.Release(slot, serving.Usage{Result: serving.RunCancelled})
+}
+
+// finished reports the end of a run to the quarantine. A run that was cancelled or cut without a death of the
+// upstream says nothing about the request.
+func (g *Gateway) finished(ctx context.Context, j *job, a attempt) {
+	if g.Quarantine == nil {
+		return
+	}
+	upstream := a.upstream
+	died := errors.Is(a.err, serving.ErrUpstreamDied)
+	if a.err != nil && !died {
+		upstream = ""
+	}
+	g.Quarantine.Finished(ctx, j.req.Fingerprint, j.req.ID, upstream, died)
+}
--- a/pkg/gateway/execute.go
+++ b/pkg/gateway/execute.go
@@ -39,6 +39,10 @@
 			g.succeeded()
 			return a.res, nil
 		}
+		if ctx.Err() != nil {
+			j.note(a)
+			return nil, g.giveUp(ctx, j, context.Cause(ctx))
+		}
 		d := g.decideRetry(j, a)
 		g.record(j, a.upstream, "retry", d.Reason, map[string]any{
 			"retry": d.Retry, "attempt": j.attempts, "begun": j.begun, "error": errorText(a),
@@ -78,7 +82,7 @@
 
 // attempt gets a slot and runs the job on its upstream once. An error means that no run took place.
 func (g *Gateway) attempt(ctx context.Context, j *job) (attempt, error) {
-	slot, err := g.Slots.Acquire(ctx, j.req)
+	slot, err := g.admit(ctx, j)
 	if err != nil {
 		return attempt{}, err
 	}
@@ -96,6 +100,7 @@
 	}
 	usage := usageOf(ctx, a, time.Since(start))
 	g.Slots.Release(slot, usage)
+	g.finished(ctx, j, a)
 	if a.err != nil && !errors.Is(a.err, serving.ErrNotStarted) && usage.Result == serving.RunCancelled {
 		g.cancel(j, slot.Upstream)
 	}
@@ -141,16 +146,21 @@
 	g.budget.Success(time.Now())
 }
 
-// decideRetry counts a failed attempt and decides whether there is another one.
-func (g *Gateway) decideRetry(j *job, a attempt) retry.Decision {
+// note counts a failed attempt.
+func (j *job) note(a attempt) {
 	j.attempts++
-	died := errors.Is(a.err, serving.ErrUpstreamDied)
-	if died {
+	if errors.Is(a.err, serving.ErrUpstreamDied) {
 		j.deaths++
 	}
 	if a.err == nil || !errors.Is(a.err, serving.ErrNotStarted) {
 		j.begun = true
 	}
+}
+
+// decideRetry counts a failed attempt and decides whether there is another one.
+func (g *Gateway) decideRetry(j *job, a attempt) retry.Decision {
+	j.note(a)
+	died := errors.Is(a.err, serving.ErrUpstreamDied)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return retry.Decide(retry.Attempt{
@@ -179,6 +189,10 @@
 	}
 	if j.begun && e.Outcome == api.NotRun {
 		e.Outcome = api.Unknown
+		if e.Code == api.CodeQuarantined {
+			// Each of its runs ended with its upstream.
+			e.Outcome = api.Failed
+		}
 	}
 	g.record(j, "", "give-up", e.Message, map[string]any{"outcome": e.Outcome, "status": e.Status, "attempts": j.attempts})
 	klog.V(1).InfoS("Request given up", "request", j.req.ID, "institution", j.req.Institution, "code", e.Code,
