Detect node failures by heartbeats and spread membership over relays and trees

Cause: members came from lease records alone, so a dead node stayed live for 30 s and an outage of the store left the view unverified. Change: pure table of statements ordered by incarnation, sequence and status; heartbeats along a ring in each zone, suspicion with refutation, digests, and news over a tree of degree 8. Lease records only raise a doubt that a failed call must confirm; the VM list only confirms. Heads read a share of the records each; dead nodes are tried again so that partitions heal. Result: 7 failure tests on virtual time pass: a dead node is out of all 8 other views within 7 s, 300 s without the store remove nobody, a two-minute partition heals within 40 s.

--- a/pkg/adapter/peer/client.go
+++ b/pkg/adapter/peer/client.go
@@ -23,8 +23,9 @@
 	dialTimeout = 2 * time.Second
 	// DefaultCallTimeout bounds a call whose context has no deadline.
 	DefaultCallTimeout = 10 * time.Second
-	// redialMax is the longest time between two connects to a peer that does not answer.
-	redialMax = 2 * time.Second
+	// redialMax is the longest time between two connects to a peer that does not answer, plus up to half of it.
+	// It stays below the time that failure detection gives a node to be heard again.
+	redialMax = time.Second
 	// idleTimeout closes connections that no call used, so that pairs out of use hold none.
 	idleTimeout = 5 * time.Minute
 )
@@ -63,7 +64,7 @@
 // Call implements Caller.
 func (c *Client) Call(ctx context.Context, node, method string, args, reply any) error {
 	if node == c.o.Self && c.o.Server != nil {
-		return c.o.Server.callLocal(ctx, method, args, reply)
+		return c.o.Server.CallLocal(ctx, method, args, reply)
 	}
 	address, ok := c.o.Resolve(node)
 	if !ok {
@@ -133,9 +134,9 @@
 	return fmt.Errorf("%w: %w: %v", ErrTimeout, ErrConnectionLost, call.Error)
 }
 
-// callLocal runs a method of this process. Arguments and reply are copied by gob, as for a remote call, so that
+// CallLocal runs a method of this process. Arguments and reply are copied by gob, as for a remote call, so that
 // both sides never share memory.
-func (s *Server) callLocal(ctx context.Context, name string, args, reply any) error {
+func (s *Server) CallLocal(ctx context.Context, name string, args, reply any) error {
 	m := s.dispatch.find(name)
 	if m == nil {
 		return fmt.Errorf("%w %q", ErrUnknownMethod, name)
--- /dev/null
+++ b/pkg/adapter/peer/peertest/network.go
@@ -0,0 +1,118 @@
+// Package peertest is an in-process network of peers for tests. It opens no connection, so it works with
+// testing/synctest.
+package peertest
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"sync/atomic"
+
+	"trefoilplank.example/pkg/adapter/peer"
+)
+
+// Network connects nodes by address. Its faults can be changed at any time.
+type Network struct {
+	mu      sync.Mutex
+	servers map[string]*peer.Server
+	down    map[string]bool
+	paused  map[string]bool
+	cut     func(from, to string) bool
+	// loseAnswers makes the next calls take effect and time out.
+	loseAnswers int
+	// Calls counts the calls that reached a server.
+	Calls atomic.Int64
+}
+
+// New returns a network without nodes.
+func New() *Network {
+	return &Network{servers: map[string]*peer.Server{}, down: map[string]bool{}, paused: map[string]bool{}}
+}
+
+// Listen adds a server at an address, in place of an earlier one.
+func (n *Network) Listen(address string, s *peer.Server) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.servers[address] = s
+	delete(n.down, address)
+}
+
+// SetDown makes calls from and to an address fail at once.
+func (n *Network) SetDown(address string, down bool) { n.set(n.down, address, down) }
+
+// SetPaused makes calls to an address get no answer until the caller gives up.
+func (n *Network) SetPaused(address string, paused bool) { n.set(n.paused, address, paused) }
+
+func (n *Network) set(m map[string]bool, address string, v bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	m[address] = v
+}
+
+// SetCut makes calls between the pairs that cut selects fail; nil heals all.
+func (n *Network) SetCut(cut func(from, to string) bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cut = cut
+}
+
+// LoseAnswers makes the next count calls take effect and then time out.
+func (n *Network) LoseAnswers(count int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.loseAnswers = count
+}
+
+// plan decides what happens to one call.
+func (n *Network) plan(from, to string) (s *peer.Server, silent, lose bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.servers[to] == nil || n.down[to] || n.down[from] || n.cut != nil && n.cut(from, to) {
+		return nil, false, false
+	}
+	if n.paused[to] || n.paused[from] {
+		return nil, true, false
+	}
+	lose = n.loseAnswers > 0
+	if lose {
+		n.loseAnswers--
+	}
+	return n.servers[to], false, lose
+}
+
+// Caller is a node's side of the network.
+type Caller struct {
+	Network *Network
+	Address string
+	Resolve func(node string) (string, bool)
+}
+
+var _ peer.Caller = (*Caller)(nil)
+
+// Call implements peer.Caller.
+func (c *Caller) Call(ctx context.Context, node, method string, args, reply any) error {
+	address, ok := c.Resolve(node)
+	if !ok {
+		return fmt.Errorf("%w %q", peer.ErrUnknownNode, node)
+	}
+	return c.CallAddress(ctx, address, method, args, reply)
+}
+
+// CallAddress implements peer.Caller.
+func (c *Caller) CallAddress(ctx context.Context, address, method string, args, reply any) error {
+	s, silent, lose := c.Network.plan(c.Address, address)
+	if silent {
+		<-ctx.Done()
+		return fmt.Errorf("%w: %w", peer.ErrTimeout, ctx.Err())
+	}
+	if s == nil {
+		return fmt.Errorf("%w: %s", peer.ErrUnreachable, address)
+	}
+	c.Network.Calls.Add(1)
+	err := s.CallLocal(ctx, method, args, reply)
+	if lose {
+		return errors.Join(peer.ErrTimeout, peer.ErrConnectionLost)
+	}
+	return err
+}
--- /dev/null
+++ b/pkg/adapter/store/storetest/faulty.go
@@ -0,0 +1,151 @@
+// Package storetest wraps a store with faults for tests.
+package storetest
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+
+	"trefoilplank.example/pkg/adapter/store"
+)
+
+// Faulty passes calls to a store and injects outages and lost answers.
+type Faulty struct {
+	inner store.Store
+
+	mu     sync.Mutex
+	down   bool
+	lose   int
+	outage chan struct{}
+	before func(key string)
+	// Calls counts all calls, and Watches the watches among them.
+	Calls, Watches atomic.Int64
+}
+
+var _ store.Store = (*Faulty)(nil)
+
+// New wraps a store.
+func New(inner store.Store) *Faulty { return &Faulty{inner: inner, outage: make(chan struct{})} }
+
+// SetDown begins or ends an outage; watches break when it begins.
+func (f *Faulty) SetDown(down bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if down && !f.down {
+		close(f.outage)
+	} else if !down && f.down {
+		f.outage = make(chan struct{})
+	}
+	f.down = down
+}
+
+// LoseAnswers makes the next count writes take effect and return ErrUnknown.
+func (f *Faulty) LoseAnswers(count int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.lose = count
+}
+
+// BeforePut calls hook before each write reaches the store.
+func (f *Faulty) BeforePut(hook func(key string)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.before = hook
+}
+
+func (f *Faulty) state() (down bool, outage chan struct{}) {
+	f.Calls.Add(1)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.down, f.outage
+}
+
+func (f *Faulty) losesAnswer() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.lose == 0 {
+		return false
+	}
+	f.lose--
+	return true
+}
+
+// Get implements store.Store.
+func (f *Faulty) Get(ctx context.Context, key string) (store.Object, error) {
+	if down, _ := f.state(); down {
+		return store.Object{}, store.ErrUnavailable
+	}
+	return f.inner.Get(ctx, key)
+}
+
+// List implements store.Store.
+func (f *Faulty) List(ctx context.Context, prefix, after string, limit int) (store.Page, error) {
+	if down, _ := f.state(); down {
+		return store.Page{}, store.ErrUnavailable
+	}
+	return f.inner.List(ctx, prefix, after, limit)
+}
+
+// Put implements store.Store.
+func (f *Faulty) Put(ctx context.Context, key string, value []byte, expect int64) (int64, error) {
+	f.mu.Lock()
+	hook := f.before
+	f.mu.Unlock()
+	if hook != nil {
+		hook(key)
+	}
+	if down, _ := f.state(); down {
+		return 0, store.ErrUnavailable
+	}
+	revision, err := f.inner.Put(ctx, key, value, expect)
+	if err == nil && f.losesAnswer() {
+		return 0, store.ErrUnknown
+	}
+	return revision, err
+}
+
+// Delete implements store.Store.
+func (f *Faulty) Delete(ctx context.Context, key string, expect int64) error {
+	if down, _ := f.state(); down {
+		return store.ErrUnavailable
+	}
+	return f.inner.Delete(ctx, key, expect)
+}
+
+// Watch implements store.Store.
+func (f *Faulty) Watch(ctx context.Context, prefix string, from int64) (<-chan store.Event, error) {
+	down, outage := f.state()
+	if down {
+		return nil, store.ErrUnavailable
+	}
+	f.Watches.Add(1)
+	ctx, cancel := context.WithCancel(ctx)
+	events, err := f.inner.Watch(ctx, prefix, from)
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	out := make(chan store.Event)
+	go func() {
+		defer cancel()
+		defer close(out)
+		for {
+			select {
+			case e, ok := <-events:
+				if !ok {
+					return
+				}
+				select {
+				case out <- e:
+				case <-outage:
+					return
+				case <-ctx.Done():
+					return
+				}
+			case <-outage:
+				return
+			}
+		}
+	}()
+	return out, nil
+}
--- a/pkg/controller/confsync/apply.go
+++ b/pkg/controller/confsync/apply.go
@@ -77,7 +77,7 @@
 	after := head.Append(p)
 	err = c.writeHead(ctx, after, revision, p.Attempt)
 	if errors.Is(err, errRaced) {
-		c.background.Go(func() error { c.removeAttempt(p); return nil })
+		go c.removeAttempt(p)
 	}
 	if err != nil {
 		return 0, err
@@ -169,7 +169,7 @@
 		return
 	}
 	c.spread(base, c.view().Origin(c.self))
-	c.background.Go(func() error { c.clean(head); return nil })
+	go c.clean(head)
 }
 
 // removeAttempt deletes the chunks of an attempt that is known not to be accepted.
--- a/pkg/controller/confsync/confsync.go
+++ b/pkg/controller/confsync/confsync.go
@@ -45,8 +45,7 @@
 	peers peer.Caller
 	self  string
 	// applying serializes the changes made through this node.
-	applying   sync.Mutex
-	background errgroup.Group
+	applying sync.Mutex
 
 	mu    sync.Mutex
 	known confchain.Known
@@ -100,20 +99,11 @@
 	group.Go(func() error { return c.start(ctx) })
 	group.Go(func() error { return c.relay(ctx) })
 	group.Go(func() error { return c.catchUp(ctx) })
-	err := group.Wait()
-	_ = c.background.Wait()
-	return err
+	return group.Wait()
 }
 
 // view returns the live members.
-func (c *Controller) view() dissemination.View {
-	members := c.board.Members.Value()
-	list := []dissemination.Member{}
-	for _, name := range slices.Sorted(maps.Keys(members.Live)) {
-		list = append(list, dissemination.Member{Name: name, AvailabilityZone: members.Live[name].AvailabilityZone})
-	}
-	return dissemination.NewView(list)
-}
+func (c *Controller) view() dissemination.View { return dissemination.ViewOf(c.board.Members.Value()) }
 
 // start reads the first version from the store, or from a quorum of the zone's peers while the store is down.
 func (c *Controller) start(ctx context.Context) error {
--- a/pkg/controller/confsync/receiver.go
+++ b/pkg/controller/confsync/receiver.go
@@ -63,7 +63,7 @@
 	reply.Version = c.known.Version
 	c.mu.Unlock()
 	if fresh {
-		c.background.Go(func() error { c.receive(args); return nil })
+		go c.receive(args)
 	}
 	return nil
 }
@@ -171,7 +171,7 @@
 		}
 	}
 	for _, s := range steps {
-		c.background.Go(func() error { c.send(args, s); return nil })
+		go c.send(args, s)
 	}
 }
 
@@ -183,6 +183,6 @@
 		return
 	}
 	for _, next := range c.view().Adopt(c.self, s) {
-		c.background.Go(func() error { c.send(args, next); return nil })
+		go c.send(args, next)
 	}
 }
--- /dev/null
+++ b/pkg/controller/membership/membership_test.go
@@ -0,0 +1,242 @@
+package membership_test
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"trefoilplank.example/api"
+	"trefoilplank.example/pkg/adapter/peer"
+	"trefoilplank.example/pkg/adapter/peer/peertest"
+	"trefoilplank.example/pkg/adapter/store/memstore"
+	"trefoilplank.example/pkg/adapter/store/storetest"
+	"trefoilplank.example/pkg/blackboard"
+	leasectl "trefoilplank.example/pkg/controller/lease"
+	"trefoilplank.example/pkg/controller/membership"
+	"trefoilplank.example/pkg/decision/lease"
+)
+
+// fleet is a set of nodes that share a store and a network.
+type fleet struct {
+	t       *testing.T
+	store   *storetest.Faulty
+	network *peertest.Network
+	nodes   map[string]*node
+	starts  int64
+}
+
+type node struct {
+	board   *blackboard.Board
+	members *membership.Controller
+	lease   *leasectl.Controller
+	stop    context.CancelFunc
+}
+
+func newFleet(t *testing.T) *fleet {
+	return &fleet{t: t, store: storetest.New(memstore.New()), network: peertest.New(), nodes: map[string]*node{}}
+}
+
+// start starts or restarts a node; its zone is the part of the name before "-".
+func (f *fleet) start(name string, seeds ...string) *node {
+	f.starts++
+	zone, _, _ := strings.Cut(name, "-")
+	self := lease.Record{Name: name, AvailabilityZone: zone, Address: name + ":1", PeerAddress: name, Incarnation: f.starts}
+	board, server := blackboard.New(), peer.NewServer("", nil)
+	caller := &peertest.Caller{Network: f.network, Address: name, Resolve: membership.Resolve(board)}
+	n := &node{board: board, lease: leasectl.New(f.store, board, self, lease.Default)}
+	n.members = membership.New(membership.Options{Store: f.store, Board: board, Peers: caller, Self: self, Seeds: seeds})
+	assert.NilError(f.t, server.Register("Membership", n.members.Receiver()))
+	f.network.Listen(name, server)
+	ctx, cancel := context.WithCancel(f.t.Context())
+	n.stop = cancel
+	go n.members.Run(ctx)
+	go n.lease.Run(ctx)
+	f.nodes[name] = n
+	return n
+}
+
+// kill stops a node without a word.
+func (f *fleet) kill(name string) {
+	f.nodes[name].stop()
+	f.network.SetDown(name, true)
+	delete(f.nodes, name)
+}
+
+func (f *fleet) stopAll() {
+	for _, n := range f.nodes {
+		n.stop()
+	}
+}
+
+// expect checks the live set of each running node.
+func (f *fleet) expect(names ...string) {
+	f.t.Helper()
+	slices.Sort(names)
+	for name, n := range f.nodes {
+		got := slices.Sorted(maps.Keys(n.board.Members.Value().Live))
+		assert.DeepEqual(f.t, got, names)
+		_ = name
+	}
+}
+
+func (f *fleet) startZones(zones, perZone int) []string {
+	var names []string
+	for z := range zones {
+		for i := range perZone {
+			names = append(names, fmt.Sprintf("z%d-%d", z, i))
+			f.start(names[len(names)-1])
+		}
+	}
+	time.Sleep(15 * time.Second)
+	return names
+}
+
+func without(names []string, drop ...string) []string {
+	return slices.DeleteFunc(slices.Clone(names), func(n string) bool { return slices.Contains(drop, n) })
+}
+
+// TestDeadNodeLeavesLiveSet guards against a dead node staying in the live set until its lease expires, and
+// against a restarted node staying out of it.
+func TestDeadNodeLeavesLiveSet(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		defer f.stopAll()
+		names := f.startZones(3, 3)
+		f.expect(names...)
+		f.kill("z1-1")
+		time.Sleep(7 * time.Second)
+		f.expect(without(names, "z1-1")...)
+		f.start("z1-1")
+		time.Sleep(5 * time.Second)
+		f.expect(names...)
+	})
+}
+
+// TestPausedNode guards against a paused node blaming others when it resumes, and against it staying removed.
+func TestPausedNode(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		defer f.stopAll()
+		names := f.startZones(2, 4)
+		f.network.SetPaused("z0-2", true)
+		time.Sleep(12 * time.Second)
+		for name, n := range f.nodes {
+			if name != "z0-2" {
+				_, ok := n.board.Members.Value().Live["z0-2"]
+				assert.Assert(t, !ok, "%s still has the paused node", name)
+			}
+		}
+		f.network.SetPaused("z0-2", false)
+		time.Sleep(30 * time.Second)
+		f.expect(names...)
+	})
+}
+
+// TestStoreOutageKeepsLiveSet guards against an outage of the store, and the stale leases after it, emptying the
+// live set.
+func TestStoreOutageKeepsLiveSet(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		defer f.stopAll()
+		names := f.startZones(2, 3)
+		f.store.SetDown(true)
+		for range 30 {
+			time.Sleep(10 * time.Second)
+			f.expect(names...)
+		}
+		f.kill("z1-2")
+		time.Sleep(8 * time.Second)
+		f.expect(without(names, "z1-2")...)
+		f.start("z1-2", "z0-0")
+		time.Sleep(8 * time.Second)
+		f.expect(names...)
+		f.store.SetDown(false)
+		for range 10 {
+			time.Sleep(10 * time.Second)
+			f.expect(names...)
+		}
+	})
+}
+
+// TestPartitionHeals guards against two sides of a partition that never find each other again.
+func TestPartitionHeals(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		defer f.stopAll()
+		names := f.startZones(2, 3)
+		f.network.SetCut(func(from, to string) bool { return from[:2] != to[:2] })
+		time.Sleep(2 * time.Minute)
+		for name, n := range f.nodes {
+			assert.Equal(t, len(n.board.Members.Value().Live), 3, name)
+		}
+		f.network.SetCut(nil)
+		time.Sleep(40 * time.Second)
+		f.expect(names...)
+	})
+}
+
+// TestDrainAndLeave guards against the drain flag or a regular stop staying unknown to other nodes.
+func TestDrainAndLeave(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		defer f.stopAll()
+		names := f.startZones(2, 3)
+		f.nodes["z0-1"].board.Draining.Set(true)
+		time.Sleep(2 * time.Second)
+		for name, n := range f.nodes {
+			assert.Assert(t, n.board.Members.Value().Live["z0-1"].Draining, name)
+		}
+		f.nodes["z0-1"].members.Leave(t.Context())
+		f.kill("z0-1")
+		time.Sleep(2 * time.Second)
+		f.expect(without(names, "z0-1")...)
+	})
+}
+
+// TestVMListOnlyConfirms guards against the lagging VM list removing a node that answers.
+func TestVMListOnlyConfirms(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		defer f.stopAll()
+		names := f.startZones(1, 4)
+		for _, n := range f.nodes {
+			n.board.VMs.Set(map[string]blackboard.VMState{"z0-1": blackboard.VMLost, "z0-2": blackboard.VMLive})
+		}
+		time.Sleep(10 * time.Second)
+		f.expect(names...)
+		f.kill("z0-2")
+		time.Sleep(7 * time.Second)
+		f.expect(without(names, "z0-2")...)
+	})
+}
+
+// TestVersionsTravel guards against the status of a node's configuration version staying unknown in other zones.
+func TestVersionsTravel(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		defer f.stopAll()
+		f.startZones(2, 4)
+		for name, n := range f.nodes {
+			if name != "z0-3" {
+				n.board.Config.Set(api.Config{Version: 7})
+			}
+		}
+		time.Sleep(12 * time.Second)
+		for name, n := range f.nodes {
+			for _, m := range n.board.Members.Value().Live {
+				want := int64(7)
+				if m.Name == "z0-3" {
+					want = 0
+				}
+				assert.Equal(t, m.ConfigVersion, want, "%s at %s", m.Name, name)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/pkg/controller/membership/receiver.go
@@ -0,0 +1,179 @@
+package membership
+
+import (
+	"time"
+
+	"trefoilplank.example/pkg/decision/dissemination"
+	"trefoilplank.example/pkg/decision/membership"
+)
+
+// maxUpdates bounds the statements taken from one message; the two-year target has 380 nodes.
+const maxUpdates = 10_000
+
+// Receiver holds the methods that peers call.
+type Receiver struct{ c *Controller }
+
+// Receiver returns what to register as "Membership".
+func (c *Controller) Receiver() *Receiver { return &Receiver{c} }
+
+// ExchangeArgs is a heartbeat.
+type ExchangeArgs struct {
+	From  string
+	Stamp membership.Stamp
+	// About is what the sender believes of the receiver.
+	About membership.Stamp
+	// Version is the configuration version in force at the sender.
+	Version int64
+	// Digest is the sum of the sender's table digests.
+	Digest uint64
+}
+
+// ExchangeReply answers a heartbeat.
+type ExchangeReply struct {
+	Stamp    membership.Stamp
+	Draining bool
+	// Self is the whole statement of the receiver, when the sender knows another incarnation of it.
+	Self *membership.Update
+	// You is what the receiver believes of the sender; a zero incarnation means that it does not know it.
+	You     membership.Stamp
+	Version int64
+	Digest  uint64
+}
+
+// PushArgs carries news along a tree. A zero Route is not passed on.
+type PushArgs struct {
+	Updates  []membership.Update
+	Versions *Versions
+	Route    dissemination.Route
+}
+
+// Versions reports the configuration version in force on the nodes of one zone.
+type Versions struct {
+	AvailabilityZone string
+	// At orders the reports of one zone: Unix milliseconds at the head of the zone.
+	At int64
+	// Version is in force on all nodes of the zone but those in Behind.
+	Version int64
+	Behind  map[string]int64
+}
+
+// PushReply is empty.
+type PushReply struct{}
+
+// SyncArgs asks for the statements in the parts of the table that differ.
+type SyncArgs struct{ Digests membership.Digests }
+
+// SyncReply holds them.
+type SyncReply struct {
+	Digests membership.Digests
+	Updates []membership.Update
+}
+
+// ReportArgs tells the head of the zone which configuration version is in force on a node.
+type ReportArgs struct {
+	From    string
+	Version int64
+}
+
+// Exchange answers a heartbeat.
+func (r *Receiver) Exchange(args *ExchangeArgs, reply *ExchangeReply) error {
+	c, now := r.c, time.Now()
+	c.mu.Lock()
+	news := c.table.Refute(args.About, now)
+	news = append(news, c.table.Heard(args.From, args.Stamp, c.drainingOf(args.From), args.Version, now)...)
+	self := c.table.Self()
+	reply.Stamp, reply.Draining = self.Stamp, self.Draining
+	if args.About.Incarnation != self.Incarnation {
+		reply.Self = &self
+	}
+	if you, ok := c.table.Get(args.From); ok {
+		reply.You = you.Stamp
+	}
+	reply.Version, reply.Digest = c.version(), c.table.Digests().Sum()
+	c.publish()
+	c.mu.Unlock()
+	c.announce(news)
+	return nil
+}
+
+// drainingOf keeps the flag that is known; a heartbeat does not carry it.
+func (c *Controller) drainingOf(name string) bool {
+	u, _ := c.table.Get(name)
+	return u.Draining
+}
+
+// Push takes news and passes on what is new here.
+func (r *Receiver) Push(args *PushArgs, _ *PushReply) error {
+	if len(args.Updates) > maxUpdates {
+		return membership.Error.New("%d updates in one message", len(args.Updates))
+	}
+	c := r.c
+	fresh, news := c.merge(args.Updates)
+	versions := args.Versions
+	if versions != nil && !c.takeVersions(*versions) {
+		versions = nil
+	}
+	c.announce(news)
+	if (len(fresh) > 0 || versions != nil) && args.Route.Stage != "" {
+		c.send(PushArgs{Updates: fresh, Versions: versions}, c.view().Forward(c.name, args.Route))
+	}
+	return nil
+}
+
+// merge takes statements and returns those that were new, and news of this node itself.
+func (c *Controller) merge(updates []membership.Update) (fresh, news []membership.Update) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	for _, u := range updates {
+		isFresh, own := c.table.Merge(u, now)
+		if isFresh {
+			fresh = append(fresh, u)
+		}
+		news = append(news, own...)
+	}
+	c.publish()
+	return fresh, news
+}
+
+// takeVersions takes a zone's report; false when it is not newer than the last one.
+func (c *Controller) takeVersions(v Versions) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if v.At <= c.reports[v.AvailabilityZone] {
+		return false
+	}
+	c.reports[v.AvailabilityZone] = v.At
+	for _, m := range c.table.Live().Live {
+		if m.AvailabilityZone != v.AvailabilityZone {
+			continue
+		}
+		version, ok := v.Behind[m.Name]
+		if !ok {
+			version = v.Version
+		}
+		c.table.SetVersion(m.Name, version)
+	}
+	c.publish()
+	return true
+}
+
+// Sync returns the statements in the parts of the table that differ from the caller's.
+func (r *Receiver) Sync(args *SyncArgs, reply *SyncReply) error {
+	c := r.c
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	reply.Digests, reply.Updates = c.table.Digests(), c.table.Differing(args.Digests)
+	return nil
+}
+
+// Report takes the version in force on a node of the zone.
+func (r *Receiver) Report(args *ReportArgs, _ *PushReply) error {
+	c := r.c
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.table.SetVersion(args.From, args.Version)
+	c.versionsDue = true
+	c.publish()
+	return nil
+}
--- a/pkg/decision/dissemination/view.go
+++ b/pkg/decision/dissemination/view.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"slices"
 
+	"trefoilplank.example/pkg/blackboard"
 	"trefoilplank.example/pkg/decision/rendezvous"
 )
 
@@ -48,6 +49,15 @@
 	return v
 }
 
+// ViewOf returns the view of the live members.
+func ViewOf(m blackboard.Members) View {
+	list := make([]Member, 0, len(m.Live))
+	for name, member := range m.Live {
+		list = append(list, Member{Name: name, AvailabilityZone: member.AvailabilityZone})
+	}
+	return NewView(list)
+}
+
 // Relays returns the relays of a zone; the first of them is the zone's head.
 func (v View) Relays(zone string) []string {
 	return rendezvous.Top("relay/"+zone, v.members[zone], RelaysPerZone)
@@ -186,3 +196,20 @@
 	}
 	return candidates[random.IntN(len(candidates))]
 }
+
+// Slice returns the range of names (above after, up to until; until "" is open) whose lease records the head of a
+// zone reads. The heads share the records, so that no node reads those of the whole fleet.
+func (v View) Slice(self string) (after, until string) {
+	all := slices.Sorted(maps.Keys(v.zoneOf))
+	i, n := slices.Index(v.zones, v.zoneOf[self]), len(v.zones)
+	if i < 0 {
+		return "", ""
+	}
+	if i > 0 {
+		after = all[i*len(all)/n]
+	}
+	if i < n-1 {
+		until = all[(i+1)*len(all)/n]
+	}
+	return after, until
+}
--- /dev/null
+++ b/pkg/decision/membership/probe.go
@@ -0,0 +1,206 @@
+package membership
+
+import (
+	"cmp"
+	"encoding/binary"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/zeebo/xxh3"
+
+	"trefoilplank.example/pkg/decision/lease"
+)
+
+const (
+	// successors is the number of nodes that each node sends heartbeats to, so that each node has two observers.
+	successors = 2
+	// maxExtraProbes bounds the probes of nodes under doubt, so that a lost zone does not cause a burst.
+	maxExtraProbes = 8
+	// Buckets is the number of parts that a table's digest is compared in.
+	Buckets = 16
+	// maxClockSkew is the age by the wall clock from which a lease record of an unknown node is taken as left over.
+	maxClockSkew = 5 * time.Minute
+	// recordAge is how long a lease record of a removed node stays in the store.
+	recordAge = 10 * time.Minute
+)
+
+// Targets returns the nodes to send a heartbeat to in a round: one of the two successors in turn, and nodes under
+// doubt. Successors are in the own zone when it has others; a ring needs no agreement on who observes whom.
+func (t *Table) Targets(round int) []string {
+	ring := t.ring()
+	var targets []string
+	if len(ring) > 0 {
+		targets = append(targets, ring[round%min(successors, len(ring))])
+	}
+	extra := 0
+	for _, name := range slices.Sorted(maps.Keys(t.nodes)) {
+		r := t.nodes[name]
+		doubt := r.retry || r.Status == Alive && r.misses > 0 || r.Status == Suspect && r.raised
+		if doubt && name != t.self && !slices.Contains(targets, name) && extra < maxExtraProbes {
+			targets = append(targets, name)
+			extra++
+		}
+	}
+	return targets
+}
+
+// ring returns the other live nodes of the zone, or of the fleet when the zone has none, starting after self.
+func (t *Table) ring() []string {
+	zone := t.nodes[t.self].AvailabilityZone
+	var same, all []string
+	for name, r := range t.nodes {
+		if name == t.self || r.Status >= Dead {
+			continue
+		}
+		all = append(all, name)
+		if r.AvailabilityZone == zone {
+			same = append(same, name)
+		}
+	}
+	if len(same) == 0 {
+		same = all
+	}
+	own := xxh3.HashString(t.self)
+	slices.SortFunc(same, func(a, b string) int {
+		// Distances from self on the ring of hash values; subtraction wraps around.
+		return cmp.Or(cmp.Compare(xxh3.HashString(a)-own, xxh3.HashString(b)-own), cmp.Compare(a, b))
+	})
+	return same
+}
+
+// Lost returns a removed node to try again, so that parts of the fleet that lost contact find each other; "" if none.
+func (t *Table) Lost(random *rand.Rand) string {
+	var dead []string
+	for name, r := range t.nodes {
+		if r.Status == Dead {
+			dead = append(dead, name)
+		}
+	}
+	if len(dead) == 0 {
+		return ""
+	}
+	slices.Sort(dead)
+	return dead[random.IntN(len(dead))]
+}
+
+// StoreFailed notes that the store did not answer. Until it has answered for a whole lease, leases are no evidence.
+func (t *Table) StoreFailed() { t.storeSince = time.Time{} }
+
+// StoreAnswered notes that the store answered at now.
+func (t *Table) StoreAnswered(now time.Time) {
+	if t.storeSince.IsZero() {
+		t.storeSince = now
+	}
+}
+
+// Lease takes a lease record as read from the store at now. A node whose lease ran out is put under doubt, and
+// only a call without answer makes it suspect. remove is set for a record that should be deleted.
+func (t *Table) Lease(l lease.Record, revision int64, now time.Time) (news []Update, remove bool) {
+	r, ok := t.nodes[l.Name]
+	if !ok || l.Incarnation > r.Incarnation && l.Name != t.self {
+		if l.Released || now.Sub(l.Expiry) > maxClockSkew {
+			return nil, now.Sub(l.Expiry) > recordAge
+		}
+		u := fromLease(l)
+		if fresh, _ := t.Merge(u, now); fresh {
+			news = append(news, u)
+			t.nodes[l.Name].retry = true
+		}
+		r = t.nodes[l.Name]
+	}
+	if r == nil || l.Name == t.self {
+		return news, false
+	}
+	if r.leaseRevision != revision {
+		renewed := r.leaseRevision != 0
+		r.leaseRevision, r.leaseSeen = revision, now
+		// A removed node that renews its lease is alive and out of contact with those that removed it.
+		r.retry = r.retry || renewed && r.Status == Dead && !l.Released
+	}
+	if l.Incarnation == r.Incarnation && r.Status < Dead && (l.Released || l.Draining && !r.Draining) {
+		u := r.Update
+		u.Draining = true
+		if l.Released {
+			u.Status = Left
+			t.Merge(u, now)
+		}
+		r.Draining = true
+		news = append(news, u)
+	}
+	t.doubtLease(r, now)
+	return news, r.Status >= Dead && now.Sub(r.leaseSeen) > recordAge
+}
+
+func (t *Table) doubtLease(r *record, now time.Time) {
+	expired := !t.storeSince.IsZero() && !t.storeSince.After(r.leaseSeen) && now.Sub(r.leaseSeen) >= t.p.LeaseTimeout
+	if expired && r.Status == Alive && r.misses == 0 && now.Sub(r.heard) >= t.p.LeaseTimeout/2 {
+		r.misses = 1
+	}
+}
+
+// fromLease returns the statement that a lease record makes.
+func fromLease(l lease.Record) Update {
+	return Update{
+		Name: l.Name, AvailabilityZone: l.AvailabilityZone, Region: l.Region, Address: l.Address,
+		AdminAddress: l.AdminAddress, PeerAddress: l.PeerAddress, Stamp: Stamp{Incarnation: l.Incarnation}, Draining: l.Draining,
+	}
+}
+
+// Digests are hashes of the parts of a table; equal tables have equal digests.
+type Digests [Buckets]uint64
+
+// Sum returns one hash over all parts.
+func (d Digests) Sum() uint64 {
+	b := make([]byte, 0, 8*Buckets)
+	for _, x := range d {
+		b = binary.LittleEndian.AppendUint64(b, x)
+	}
+	return xxh3.Hash(b)
+}
+
+func bucket(name string) int { return int(xxh3.HashString(name) % Buckets) }
+
+// Digests returns the digests of the live part of the table. Removed nodes are left out, since tables forget them
+// at different times.
+func (t *Table) Digests() Digests {
+	var d Digests
+	for name, r := range t.nodes {
+		if r.Status >= Dead {
+			continue
+		}
+		// Addition makes the digest independent of the order.
+		line := name + "\x00" + strconv.FormatInt(r.Incarnation, 36) + "\x00" + strconv.FormatInt(r.Seq, 36) + "\x00" + strconv.FormatBool(r.Draining)
+		d[bucket(name)] += xxh3.HashString(line)
+	}
+	return d
+}
+
+// Differing returns all statements, also about removed nodes, in the parts in which the tables differ.
+func (t *Table) Differing(theirs Digests) []Update {
+	mine := t.Digests()
+	var updates []Update
+	for _, name := range slices.Sorted(maps.Keys(t.nodes)) {
+		if b := bucket(name); mine[b] != theirs[b] {
+			updates = append(updates, t.nodes[name].Update)
+		}
+	}
+	return updates
+}
+
+// NewerThan returns the own statements in the parts that differ that override those in updates or are missing there.
+func (t *Table) NewerThan(theirs Digests, updates []Update) []Update {
+	known := map[string]Stamp{}
+	for _, u := range updates {
+		known[u.Name] = u.Stamp
+	}
+	var newer []Update
+	for _, u := range t.Differing(theirs) {
+		if s, ok := known[u.Name]; !ok && u.Status < Dead || ok && u.Newer(s) {
+			newer = append(newer, u)
+		}
+	}
+	return newer
+}
