--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"net"
@@ -14,17 +15,21 @@
 	"golang.org/x/sync/errgroup"
 	"k8s.io/klog/v2"
 
+	"trefoilplank.example/api"
 	"trefoilplank.example/pkg/adapter/engine"
 	"trefoilplank.example/pkg/adapter/peer"
 	"trefoilplank.example/pkg/adapter/service"
 	"trefoilplank.example/pkg/adapter/store"
+	"trefoilplank.example/pkg/batch/handler"
 	"trefoilplank.example/pkg/blackboard"
 	"trefoilplank.example/pkg/burn"
 	"trefoilplank.example/pkg/controller/admission"
+	"trefoilplank.example/pkg/controller/batch"
 	"trefoilplank.example/pkg/controller/confsync"
 	"trefoilplank.example/pkg/controller/lease"
 	"trefoilplank.example/pkg/controller/limits"
 	"trefoilplank.example/pkg/controller/membership"
+	"trefoilplank.example/pkg/controller/quarantine"
 	leasedecision "trefoilplank.example/pkg/decision/lease"
 	"trefoilplank.example/pkg/explain"
 	"trefoilplank.example/pkg/gateway"
@@ -59,6 +64,8 @@
 	limits     *limits.Controller
 	admission  *admission.Controller
 	invoker    *engine.Client
+	quarantine *quarantine.Controller
+	batch      *batch.Controller
 	gateway    *gateway.Gateway
 	burn       *burn.Recorder
 	operator   http.Handler
@@ -134,7 +141,10 @@
 	n.store = store.NewClient(n.settings.Store, store.Options{})
 	self := n.record()
 	n.lease = lease.New(n.store, n.board, self, leasedecision.Default)
-	n.members = membership.New(n.store, n.board, self)
+	n.members = membership.New(membership.Options{Store: n.store, Board: n.board, Peers: n.peerClient, Self: self})
+	if err := n.peerServer.Register("Membership", n.members.Receiver()); err != nil {
+		return err
+	}
 	n.config = confsync.New(n.store, n.board, n.peerClient, n.settings.Name)
 	if err := n.peerServer.Register("Config", n.config.Receiver()); err != nil {
 		return err
@@ -149,7 +159,10 @@
 func (n *Node) buildPeers() error {
 	s := n.settings
 	server := peer.NewServer(s.PeerSecret, nil)
-	options := peer.ClientOptions{Self: s.Name, Server: server, Secret: s.PeerSecret, Resolve: n.resolve}
+	options := peer.ClientOptions{
+		Self: s.Name, Server: server, Secret: s.PeerSecret, Resolve: membership.Resolve(n.board),
+		Observe: func(node string, answered bool) { n.members.Observe(node, answered) },
+	}
 	if s.PeerTLSCert != "" {
 		config, err := peer.LoadTLS(s.PeerTLSCert, s.PeerTLSKey, s.PeerTLSCA)
 		if err != nil {
@@ -162,12 +175,6 @@
 	return nil
 }
 
-// resolve returns the peer address of a live node.
-func (n *Node) resolve(name string) (string, bool) {
-	m, ok := n.board.Members.Value().Live[name]
-	return m.PeerAddress, ok
-}
-
 func (n *Node) buildServing() (err error) {
 	name := n.settings.Name
 	n.limits, err = limits.New(limits.Options{
@@ -177,19 +184,50 @@
 		return err
 	}
 	n.invoker = engine.New(service.New())
+	n.quarantine, err = quarantine.New(quarantine.Options{Self: name, Board: n.board, Peers: n.peerClient, Explain: n.log}, n.peerServer)
+	if err != nil {
+		return err
+	}
+	if err := n.buildBatch(); err != nil {
+		return err
+	}
 	n.admission, err = admission.New(admission.Options{
-		Self: name, Board: n.board, Peers: n.peerClient, Registrar: n.peerServer, Log: n.log,
+		Self: name, Board: n.board, Peers: n.peerClient, Registrar: n.peerServer, Log: n.log, Batch: n.batch,
 	})
 	if err != nil {
 		return err
 	}
 	n.gateway = gateway.New(gateway.Options{
-		Node: name, Board: n.board, Slots: n.admission, Invoker: n.invoker, Limiter: n.limits, Explain: n.log,
-		AddressTTL: n.settings.AddressTTL,
+		Node: name, Board: n.board, Slots: n.admission, Invoker: n.invoker, Limiter: n.limits, Quarantine: n.quarantine,
+		Explain: n.log, AddressTTL: n.settings.AddressTTL,
 	})
+	files := handler.New(handler.Options{Store: n.store, Rules: n.rules, Canceller: n.batch})
+	for _, pattern := range []string{"/v1/files", "/v1/files/", "/v1/batches", "/v1/batches/"} {
+		n.gateway.Mount(pattern, files)
+	}
 	return nil
 }
 
+func (n *Node) rules() api.Rules { return n.board.Config.Value().Rules }
+
+func (n *Node) buildBatch() (err error) {
+	n.batch, err = batch.New(batch.Options{
+		Node: n.settings.Name, Store: n.store, Board: n.board, Invoker: n.invoker, Quarantine: n.quarantine,
+		Peers: n.peerClient, Explain: n.log, LeaseNumber: leaseNumber,
+	})
+	if err != nil {
+		return err
+	}
+	return n.peerServer.Register("Batch", n.batch.Receiver())
+}
+
+// leaseNumber reads the fencing token of a lease object.
+func leaseNumber(value []byte) (int64, error) {
+	var r leasedecision.Record
+	err := json.Unmarshal(value, &r)
+	return r.Token, err
+}
+
 func (n *Node) buildOperator() error {
 	digest := sha256.Sum256([]byte(n.settings.OperatorKey))
 	options := operator.Options{
@@ -223,7 +261,7 @@
 	group, working := errgroup.WithContext(working)
 	for name, run := range map[string]func(context.Context) error{
 		"lease": n.lease.Run, "membership": n.members.Run, "config": n.config.Run,
-		"limits": n.limits.Run, "admission": n.admission.Run,
+		"limits": n.limits.Run, "admission": n.admission.Run, "batch": n.batch.Run,
 	} {
 		group.Go(func() error { return ignoreEnd(working, name, run(working)) })
 	}
