Observe health, load and cache contents of upstreams

Cause: placement had no health, no slots and no cache contents. Change: an observer polls the upstreams that this node owns (/load 250 ms, /cache/events 500 ms, /state 5 s) over a Prober with an HTTP form, judges health from runs, polls, the register and the VM list, takes the owners' replies for the other upstreams, and writes the Upstreams section at most every 50 ms, or at once when health changes. The owner cache moves here.

--- a/pkg/controller/admission/controller.go
+++ b/pkg/controller/admission/controller.go
@@ -15,6 +15,7 @@
 	"trefoilplank.example/api"
 	"trefoilplank.example/pkg/adapter/peer"
 	"trefoilplank.example/pkg/blackboard"
+	"trefoilplank.example/pkg/controller/upstreams"
 	"trefoilplank.example/pkg/explain"
 	"trefoilplank.example/pkg/serving"
 )
@@ -87,7 +88,7 @@
 // Controller implements serving.Slots. It is safe for concurrent use.
 type Controller struct {
 	Options
-	ownerOf owners
+	ownerOf upstreams.Owners
 	tickets atomic.Int64
 
 	// mu guards the maps; it is taken before no other lock of this package.
@@ -110,7 +111,10 @@
 	fills   sync.WaitGroup
 }
 
-var _ serving.Slots = (*Controller)(nil)
+var (
+	_ serving.Slots = (*Controller)(nil)
+	_ Observer      = (*upstreams.Observer)(nil)
+)
 
 // New returns a controller and registers its receiver; Run must be running for batch work and expiry.
 func New(o Options) (*Controller, error) {
@@ -207,6 +211,9 @@
 	return o
 }
 
+// owner returns the admission owner of the upstream.
+func (c *Controller) owner(upstream string) string { return c.ownerOf.Of(&c.Board.Members, upstream) }
+
 // find returns the upstream of that name in the register.
 func (c *Controller) find(name string) (api.Upstream, bool) {
 	for _, u := range c.Board.Config.Value().Register.Upstreams {
--- a/pkg/controller/admission/fake_test.go
+++ b/pkg/controller/admission/fake_test.go
@@ -118,8 +118,9 @@
 		c, err := New(o)
 		assert.NilError(t, err)
 		node.c = c
-		wg.Add(1)
-		go func() { defer wg.Done(); _ = c.Run(ctx) }()
+	}
+	for _, node := range n.nodes {
+		wg.Go(func() { _ = node.c.Run(ctx) })
 	}
 	return n
 }
--- a/pkg/controller/admission/view.go
+++ b/pkg/controller/admission/view.go
@@ -78,7 +78,12 @@
 func (c *Controller) absorb(loads []Load) {
 	now := time.Now()
 	c.mu.Lock()
-	for _, l := range loads {
+	for i := range loads {
+		if o := &loads[i].Observed; !o.ReportedAt.IsZero() {
+			// Clocks of nodes differ; the age does not.
+			o.ReportedAt = now.Add(-loads[i].Age)
+		}
+		l := loads[i]
 		v := c.view(l.Upstream)
 		if l.Observed.Reason == "" && l.Observed.ReportedAt.IsZero() {
 			health := l.Observed.Health
--- /dev/null
+++ b/pkg/controller/upstreams/observer.go
@@ -0,0 +1,280 @@
+// Package upstreams observes the upstreams: it polls those whose admission this node owns, judges the health of
+// all by the runs of this node and by their owners' replies, and writes the Upstreams section.
+package upstreams
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/zeebo/errs"
+
+	"trefoilplank.example/api"
+	"trefoilplank.example/pkg/blackboard"
+	"trefoilplank.example/pkg/decision/health"
+	"trefoilplank.example/pkg/decision/placement"
+	"trefoilplank.example/pkg/explain"
+	"trefoilplank.example/pkg/serving"
+)
+
+// Error is the class of the errors of this package.
+var Error = errs.Class("upstreams")
+
+const (
+	loadInterval  = 250 * time.Millisecond
+	cacheInterval = 500 * time.Millisecond
+	stateInterval = 5 * time.Second
+	probeTimeout  = time.Second
+	// flushInterval bounds how often the section is written, since each write copies the map of up to 1,500
+	// upstreams. A change of health is written at once.
+	flushInterval = 50 * time.Millisecond
+	// learnedLife is how long an owner's word on health holds without a new one.
+	learnedLife = 30 * time.Second
+	// eventTrust is the trust that a block is absent when the event log does not list it.
+	eventTrust = 0.9
+)
+
+// Options are the collaborators of an Observer.
+type Options struct {
+	Self  string
+	Board *blackboard.Board
+	// Prober reads observations; nil polls nothing.
+	Prober Prober
+	// Log records changes of health; nil records none.
+	Log *explain.Log
+	// Seed makes jitter repeatable; 0 takes a random one.
+	Seed uint64
+}
+
+// Observer is safe for concurrent use.
+type Observer struct {
+	Options
+	owners Owners
+
+	mu      sync.Mutex
+	entries map[string]*entry
+	random  *rand.Rand
+	dirty   chan struct{}
+}
+
+// entry is what is known of one upstream.
+type entry struct {
+	tracker *health.Tracker
+	status  blackboard.UpstreamStatus
+	cache   *placement.CacheIndex
+	// learned is the owner's word on health and learnedAt its time.
+	learned   blackboard.UpstreamHealth
+	learnedAt time.Time
+	// stop ends polling; nil while another node owns the upstream.
+	stop context.CancelFunc
+}
+
+// New returns an observer; Run must be running for polling.
+func New(o Options) *Observer {
+	if o.Seed == 0 {
+		o.Seed = rand.Uint64()
+	}
+	return &Observer{Options: o, entries: map[string]*entry{}, random: rand.New(rand.NewPCG(o.Seed, 2)),
+		dirty: make(chan struct{}, 1)}
+}
+
+// Run polls owned upstreams and keeps the section current until ctx ends.
+func (o *Observer) Run(ctx context.Context) error {
+	var polls sync.WaitGroup
+	defer polls.Wait()
+	tick := time.NewTicker(time.Second)
+	defer tick.Stop()
+	flush := time.NewTicker(flushInterval)
+	defer flush.Stop()
+	for {
+		_, members := o.Board.Members.Get()
+		_, config := o.Board.Config.Get()
+		_, vms := o.Board.VMs.Get()
+		o.sync(ctx, &polls)
+		for again := true; again; {
+			again = false
+			select {
+			case <-ctx.Done():
+				return nil
+			case <-o.Board.Members.Changed(members):
+			case <-o.Board.Config.Changed(config):
+			case <-o.Board.VMs.Changed(vms):
+			case <-tick.C:
+			case <-flush.C:
+				again = true
+				select {
+				case <-o.dirty:
+					o.publish()
+				default:
+				}
+			}
+		}
+	}
+}
+
+// sync follows register, members and VM list: it starts and stops polling and marks leaving upstreams.
+func (o *Observer) sync(ctx context.Context, polls *sync.WaitGroup) {
+	now := time.Now()
+	vms := o.Board.VMs.Value()
+	listed := map[string]bool{}
+	o.mu.Lock()
+	for _, u := range o.Board.Config.Value().Register.Upstreams {
+		listed[u.Name] = true
+		e := o.entry(u.Name)
+		o.changed(u.Name, e, e.tracker.SetLeaving(now, u.Leaving || vms[u.VM] == blackboard.VMLeaving, leavingReason(u)))
+		o.changed(u.Name, e, e.tracker.Advance(now))
+		owned := o.Prober != nil && o.owners.Of(&o.Board.Members, u.Name) == o.Self
+		switch {
+		case owned && e.stop == nil:
+			pollCtx, stop := context.WithCancel(ctx)
+			e.stop = stop
+			polls.Go(func() { o.poll(pollCtx, u) })
+		case !owned && e.stop != nil:
+			e.stop()
+			e.stop = nil
+		}
+	}
+	for name, e := range o.entries {
+		if !listed[name] {
+			if e.stop != nil {
+				e.stop()
+			}
+			delete(o.entries, name)
+		}
+	}
+	o.mu.Unlock()
+	o.publish()
+}
+
+func leavingReason(u api.Upstream) string {
+	if u.Leaving {
+		return "the register marks the upstream as leaving"
+	}
+	return "its VM is leaving"
+}
+
+// entry returns the entry of an upstream; o.mu is held.
+func (o *Observer) entry(name string) *entry {
+	e, ok := o.entries[name]
+	if !ok {
+		e = &entry{tracker: health.New(time.Now()), cache: placement.NewCacheIndex()}
+		o.entries[name] = e
+	}
+	return e
+}
+
+// changed records a change of health and asks for a write of the section; o.mu is held.
+func (o *Observer) changed(name string, e *entry, is bool) bool {
+	if !is {
+		return false
+	}
+	state, _, reason := e.tracker.State()
+	if state == blackboard.HealthEjected {
+		// An upstream that broke off has probably lost its cache.
+		e.cache.Reset()
+	}
+	if o.Log != nil {
+		o.Log.Record(explain.Entry{Upstream: name, Decision: "health", Reason: reason, Values: map[string]any{"health": string(state)}})
+	}
+	return true
+}
+
+// publish writes the section.
+func (o *Observer) publish() {
+	now := time.Now()
+	o.mu.Lock()
+	out := make(map[string]blackboard.UpstreamStatus, len(o.entries))
+	for name, e := range o.entries {
+		out[name] = e.current(now)
+	}
+	o.mu.Unlock()
+	o.Board.Upstreams.Set(out)
+}
+
+// current joins this node's judgement with the owner's: the one that allows less work holds.
+func (e *entry) current(now time.Time) blackboard.UpstreamStatus {
+	st := e.status
+	st.Health, st.Since, st.Reason = e.tracker.State()
+	if now.Sub(e.learnedAt) < learnedLife && health.Worse(e.learned, st.Health) {
+		st.Health, st.Since, st.Reason = e.learned, e.learnedAt, "judgement of its admission owner"
+	}
+	return st
+}
+
+// touch asks for a write of the section at the next flush.
+func (o *Observer) touch() {
+	select {
+	case o.dirty <- struct{}{}:
+	default:
+	}
+}
+
+// Report takes the result of a run as evidence.
+func (o *Observer) Report(upstream string, r serving.RunResult) {
+	o.mu.Lock()
+	e := o.entry(upstream)
+	changed := o.changed(upstream, e, e.tracker.Report(time.Now(), r, o.random))
+	o.mu.Unlock()
+	if changed {
+		o.publish()
+	}
+}
+
+// Learn takes the owner's view of an upstream that this node does not poll.
+func (o *Observer) Learn(upstream string, s blackboard.UpstreamStatus) {
+	now := time.Now()
+	o.mu.Lock()
+	e := o.entry(upstream)
+	if e.stop != nil {
+		o.mu.Unlock()
+		return
+	}
+	changed := s.Health != e.learned
+	e.learned = s.Health
+	if changed || s.Health != blackboard.HealthSlow {
+		e.learnedAt = now
+	}
+	if !s.ReportedAt.IsZero() {
+		s.Health, s.Since, s.Reason = "", time.Time{}, ""
+		e.status = s
+		o.touch()
+	}
+	o.mu.Unlock()
+	if changed {
+		o.publish()
+	}
+}
+
+// Cached returns the number of leading blocks of a prompt that the upstream is believed to have cached, and the
+// trust in that.
+func (o *Observer) Cached(upstream string, hashes []uint64) (blocks int, trust float64) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	e, ok := o.entries[upstream]
+	if !ok {
+		return 0, 0
+	}
+	blocks, trust = e.cache.Match(time.Now(), hashes)
+	if blocks == 0 && e.stop != nil && e.cache.After() > 0 {
+		return 0, eventTrust
+	}
+	return blocks, trust
+}
+
+// Ran notes that the upstream has just run a prompt and so has its blocks cached.
+func (o *Observer) Ran(upstream string, hashes []uint64) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.entry(upstream).cache.Note(time.Now(), hashes)
+}
+
+// LearnCached takes the owner's answer on a prompt: so many leading blocks are cached, the others are not.
+func (o *Observer) LearnCached(upstream string, hashes []uint64, blocks int, _ float64) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	c := o.entry(upstream).cache
+	blocks = min(max(blocks, 0), len(hashes))
+	c.Note(time.Now(), hashes[:blocks])
+	c.Forget(hashes[blocks:])
+}
--- /dev/null
+++ b/pkg/controller/upstreams/owners.go
@@ -0,0 +1,39 @@
+package upstreams
+
+import (
+	"slices"
+	"sync"
+
+	"trefoilplank.example/pkg/blackboard"
+	"trefoilplank.example/pkg/decision/admission"
+)
+
+// Owners caches the admission owner of each upstream, since a placement over 500 upstreams and 380 members would
+// otherwise hash 190,000 pairs. The cache is dropped when the set of possible owners changes. The zero value is
+// ready for use.
+type Owners struct {
+	mu       sync.Mutex
+	revision int64
+	nodes    []string
+	byName   map[string]string
+}
+
+// Of returns the owner of the upstream under the present members.
+func (o *Owners) Of(section *blackboard.Section[blackboard.Members], upstream string) string {
+	members, revision := section.Get()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.byName == nil || revision != o.revision {
+		nodes := admission.PossibleOwners(members)
+		if o.byName == nil || !slices.Equal(nodes, o.nodes) {
+			o.nodes, o.byName = nodes, map[string]string{}
+		}
+		o.revision = revision
+	}
+	owner, ok := o.byName[upstream]
+	if !ok {
+		owner = admission.OwnerAmong(upstream, o.nodes, members.Self)
+		o.byName[upstream] = owner
+	}
+	return owner
+}
--- /dev/null
+++ b/pkg/controller/upstreams/poll.go
@@ -0,0 +1,99 @@
+package upstreams
+
+import (
+	"context"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"trefoilplank.example/api"
+)
+
+// poll reads load, state and cache events of one upstream until ctx ends.
+func (o *Observer) poll(ctx context.Context, u api.Upstream) {
+	tick := time.NewTicker(loadInterval)
+	defer tick.Stop()
+	var stateAt, cacheAt time.Time
+	for {
+		now := time.Now()
+		if ok := o.pollLoad(ctx, u); ok && u.Kind == api.UpstreamEngine {
+			if now.Sub(stateAt) >= stateInterval {
+				stateAt = now
+				o.pollState(ctx, u)
+			}
+			if now.Sub(cacheAt) >= cacheInterval {
+				cacheAt = now
+				o.pollCache(ctx, u)
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+	}
+}
+
+func (o *Observer) pollLoad(ctx context.Context, u api.Upstream) bool {
+	probeCtx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	l, err := o.Prober.Load(probeCtx, u)
+	if ctx.Err() != nil {
+		return false
+	}
+	now := time.Now()
+	o.mu.Lock()
+	e := o.entry(u.Name)
+	changed := o.changed(u.Name, e, e.tracker.Poll(now, err == nil, o.random))
+	if err == nil {
+		if l.At.IsZero() || l.At.After(now) {
+			l.At = now
+		}
+		st := &e.status
+		st.Running, st.Waiting, st.Slots, st.KVUsed, st.KVCapacity, st.ReportedAt = l.Running, l.Waiting, l.Slots, l.KVUsed, l.KVCapacity, l.At
+		o.touch()
+	}
+	o.mu.Unlock()
+	if changed {
+		o.publish()
+	}
+	if err != nil {
+		klog.V(1).InfoS("Load poll failed", "upstream", u.Name, "err", err)
+	}
+	return err == nil
+}
+
+func (o *Observer) pollState(ctx context.Context, u api.Upstream) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	s, err := o.Prober.State(ctx, u)
+	if err != nil {
+		klog.V(1).InfoS("State poll failed", "upstream", u.Name, "err", err)
+		return
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.entry(u.Name).status.LoadedModels = s.Models
+	o.touch()
+}
+
+func (o *Observer) pollCache(ctx context.Context, u api.Upstream) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	o.mu.Lock()
+	after := o.entry(u.Name).cache.After()
+	o.mu.Unlock()
+	ev, err := o.Prober.CacheEvents(ctx, u, after)
+	if err != nil {
+		klog.V(1).InfoS("Cache event poll failed", "upstream", u.Name, "err", err)
+		return
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	c := o.entry(u.Name).cache
+	if ev.Next > 0 && ev.Next < after {
+		// The engine restarted with an empty cache and a new sequence.
+		c.Reset()
+	}
+	c.Apply(time.Now(), ev.Events)
+}
--- /dev/null
+++ b/pkg/controller/upstreams/prober.go
@@ -0,0 +1,137 @@
+package upstreams
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"trefoilplank.example/api"
+	"trefoilplank.example/pkg/decision/placement"
+)
+
+// Load is an upstream's own load report.
+type Load struct {
+	Running, Waiting, Slots int
+	KVUsed, KVCapacity      int
+	// At is when the upstream measured it; zero when it did not say.
+	At time.Time
+}
+
+// State is what an engine has loaded.
+type State struct {
+	Models []string
+}
+
+// Events are cache events after a sequence number.
+type Events struct {
+	Events []placement.CacheEvent
+	// Next is the engine's latest sequence number; smaller than asked for after a restart. 0 when not given.
+	Next int64
+}
+
+// Prober reads observations from upstreams.
+type Prober interface {
+	Load(ctx context.Context, u api.Upstream) (Load, error)
+	// State and CacheEvents are asked of engines only.
+	State(ctx context.Context, u api.Upstream) (State, error)
+	CacheEvents(ctx context.Context, u api.Upstream, after int64) (Events, error)
+}
+
+// HTTPProber reads /load, /state and /cache/events (design section 3.3).
+type HTTPProber struct {
+	// Client is used for all calls; nil is http.DefaultClient.
+	Client *http.Client
+}
+
+// maxProbeBytes bounds one answer.
+const maxProbeBytes = 4 << 20
+
+func (p *HTTPProber) get(ctx context.Context, u api.Upstream, path string, into any) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+u.Address+path, nil)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	client := p.Client
+	if client == nil {
+		client = http.DefaultClient
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return Error.New("GET %s: status %d", path, resp.StatusCode)
+	}
+	return Error.Wrap(json.NewDecoder(io.LimitReader(resp.Body, maxProbeBytes)).Decode(into))
+}
+
+// moment is a time as RFC 3339 text, or as a number of seconds or milliseconds since 1970.
+type moment struct{ time.Time }
+
+func (m *moment) UnmarshalJSON(b []byte) error {
+	if len(b) > 0 && b[0] == '"' {
+		return m.Time.UnmarshalJSON(b)
+	}
+	n, err := strconv.ParseFloat(string(b), 64)
+	if err != nil {
+		return fmt.Errorf("time %s is neither text nor a number", b)
+	}
+	if n > 1e11 {
+		n /= 1e3
+	}
+	m.Time = time.UnixMicro(int64(n * 1e6))
+	return nil
+}
+
+// Load implements Prober.
+func (p *HTTPProber) Load(ctx context.Context, u api.Upstream) (Load, error) {
+	var body struct {
+		Running    int    `json:"running"`
+		Waiting    int    `json:"waiting"`
+		Slots      int    `json:"slots"`
+		KVUsed     int    `json:"kv_used"`
+		KVCapacity int    `json:"kv_capacity"`
+		At         moment `json:"at"`
+	}
+	err := p.get(ctx, u, "/load", &body)
+	return Load{Running: body.Running, Waiting: body.Waiting, Slots: body.Slots, KVUsed: body.KVUsed,
+		KVCapacity: body.KVCapacity, At: body.At.Time}, err
+}
+
+// State implements Prober.
+func (p *HTTPProber) State(ctx context.Context, u api.Upstream) (State, error) {
+	var body struct {
+		Models   []string `json:"models"`
+		Adapters []string `json:"adapters"`
+	}
+	err := p.get(ctx, u, "/state", &body)
+	if body.Models == nil {
+		body.Models = []string{}
+	}
+	return State{Models: append(body.Models, body.Adapters...)}, err
+}
+
+// CacheEvents implements Prober.
+func (p *HTTPProber) CacheEvents(ctx context.Context, u api.Upstream, after int64) (Events, error) {
+	var body struct {
+		Events []struct {
+			Seq    int64                    `json:"seq"`
+			Type   placement.CacheEventKind `json:"type"`
+			Hashes []uint64                 `json:"hashes"`
+		} `json:"events"`
+		Next int64 `json:"next"`
+	}
+	if err := p.get(ctx, u, fmt.Sprintf("/cache/events?after=%d", after), &body); err != nil {
+		return Events{}, err
+	}
+	out := Events{Next: body.Next}
+	for _, e := range body.Events {
+		out.Events = append(out.Events, placement.CacheEvent{Seq: e.Seq, Kind: e.Type, Hashes: e.Hashes})
+	}
+	return out, nil
+}
--- a/pkg/decision/placement/cache.go
+++ b/pkg/decision/placement/cache.go
@@ -89,6 +89,13 @@
 	}
 }
 
+// Forget removes blocks that the upstream is known not to have.
+func (c *CacheIndex) Forget(hashes []uint64) {
+	for _, h := range hashes {
+		c.blocks.Remove(h)
+	}
+}
+
 // Reset forgets everything, after a restart of the engine.
 func (c *CacheIndex) Reset() {
 	c.blocks.Purge()
