Release starved parts only and settle uncertain claims

Cause: a part was given back when it waited for its share behind other jobs, a claim of unknown outcome could leave a part with a node that did not know of it, and the results of recovered items were counted without the lock. Change: a part is starved only if the node served none of its targets for 30 s; uncertain claims and releases are settled by GiveBack; a job is read before its first claim; lines are parsed outside the lock; findings are streamed and bounded to 120 bytes a line.

--- a/pkg/batch/filestore/upload.go
+++ b/pkg/batch/filestore/upload.go
@@ -12,6 +12,7 @@
 	"hash"
 	"io"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/zeebo/xxh3"
@@ -28,6 +29,8 @@
 	MaxFileBytes = 4 << 30
 	// chunkBytes bounds the lines of one chunk, and so the memory that a part of a job takes when it is loaded.
 	chunkBytes = 4 << 20
+	// maxMessage bounds what is kept of the fault of a line, in bytes.
+	maxMessage = 120
 )
 
 // Finding says what is wrong with a line.
@@ -196,6 +199,9 @@
 
 // find keeps one copy of each message: a file may have 530,000 lines with the same fault.
 func (u *Upload) find(at int, message string) {
+	if len(message) > maxMessage {
+		message = strings.ToValidUTF8(message[:maxMessage], "") + "..."
+	}
 	if m, ok := u.messages[message]; ok {
 		message = m
 	} else {
--- a/pkg/batch/handler/files.go
+++ b/pkg/batch/handler/files.go
@@ -59,9 +59,15 @@
 		Purpose: filestore.PurposeBatch, Created: now, Expires: now.Add(h.Retention)}
 	u := &filestore.Upload{Store: h.Store, Meta: m, Models: id.Grants.Models, Services: id.Grants.Services,
 		DigestOnly: earlier != nil}
-	if err = readForm(ctx, reader, u); err == nil && earlier != nil {
+	err = readForm(ctx, reader, u)
+	var findings filestore.Findings
+	switch {
+	case earlier != nil && errors.As(err, &findings):
+		// The earlier body was valid, so this is another one.
+		err = keyReused()
+	case err == nil && earlier != nil:
 		m, err = h.sameFile(ctx, earlier, m.Digest)
-	} else if err == nil {
+	case err == nil:
 		m, err = h.acceptFile(ctx, m)
 	}
 	if !u.DigestOnly {
--- a/pkg/batch/handler/handler.go
+++ b/pkg/batch/handler/handler.go
@@ -3,9 +3,11 @@
 package handler
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"net/http"
 	"time"
 
@@ -94,14 +96,6 @@
 	}
 }
 
-// findingsBody is an error body that also lists the invalid lines.
-type findingsBody struct {
-	Error struct {
-		api.ErrorDetail
-		Findings filestore.Findings `json:"findings"`
-	} `json:"error"`
-}
-
 func writeError(w http.ResponseWriter, r *http.Request, err error) {
 	e := asError(err)
 	e.RequestID = serving.RequestIDFrom(r.Context())
@@ -112,9 +106,34 @@
 		writeJSON(w, r, e.Status, e.Body())
 		return
 	}
-	var body findingsBody
-	body.Error.ErrorDetail, body.Error.Findings = e.Body().Error, findings
-	writeJSON(w, r, e.Status, body)
+	if err := writeFindings(w, e, findings); err != nil {
+		klog.V(2).InfoS("Caller connection closed before the whole answer", "err", err)
+	}
+}
+
+// writeFindings writes an error body that also lists the invalid lines, as `error.findings`. They are encoded
+// one by one, since there may be 530,000.
+func writeFindings(w http.ResponseWriter, e *api.Error, findings filestore.Findings) error {
+	detail, err := json.Marshal(e.Body().Error)
+	if err != nil {
+		return err
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(e.Status)
+	out := bufio.NewWriter(w)
+	fmt.Fprintf(out, `{"error":%s,"findings":[`, detail[:len(detail)-1])
+	for i, f := range findings {
+		text, err := json.Marshal(f)
+		if err != nil {
+			return err
+		}
+		if i > 0 {
+			out.WriteByte(',')
+		}
+		out.Write(text)
+	}
+	out.WriteString("]}}\n")
+	return out.Flush()
 }
 
 // asError gives an error its HTTP form. A store error that may hide a write is unknown; all others mean that
--- a/pkg/batch/jobstore/parts.go
+++ b/pkg/batch/jobstore/parts.go
@@ -118,6 +118,35 @@
 	return h, nil
 }
 
+// GiveBack releases a part that names holder, whatever wrote that. It returns the token of the released part,
+// or 0 if the part does not name holder. No part of the program may hold the part at the same time.
+func (s Jobs) GiveBack(ctx context.Context, job string, index int, holder jobstate.Holder) (int64, error) {
+	o, err := objects.Get(ctx, s.Store, partKey(job, index))
+	if errors.Is(err, store.ErrNotFound) {
+		return 0, nil
+	}
+	if err != nil {
+		return 0, err
+	}
+	p, err := DecodePart(o.Value)
+	if err != nil {
+		return 0, err
+	}
+	next, err := p.Release(holder, p.Token)
+	if err != nil {
+		return 0, nil
+	}
+	value, err := json.Marshal(next)
+	if err != nil {
+		return 0, Error.Wrap(err)
+	}
+	_, err = objects.Update(ctx, s.Store, partKey(job, index), value, o.Revision)
+	if errors.Is(err, store.ErrConflict) {
+		return 0, nil
+	}
+	return p.Token, err
+}
+
 // Part returns the record as last written.
 func (h *Held) Part() jobstate.Part { return h.part }
 
--- a/pkg/controller/batch/claim.go
+++ b/pkg/controller/batch/claim.go
@@ -8,6 +8,7 @@
 
 	"k8s.io/klog/v2"
 
+	"trefoilplank.example/pkg/adapter/store"
 	"trefoilplank.example/pkg/batch/jobstore"
 	"trefoilplank.example/pkg/decision/batchfill"
 	"trefoilplank.example/pkg/decision/jobstate"
@@ -22,6 +23,10 @@
 	// relistMax bounds the time until a part of a lost node is found: the node must see the holder's lease
 	// unchanged in two listings that are leaseTime apart.
 	relistMax = 20 * time.Second
+	// claimPause is the least time between two rounds that found nothing to claim.
+	claimPause = 50 * time.Millisecond
+	// confirmRetry is the pause until a job is looked for again whose summary came first.
+	confirmRetry = 200 * time.Millisecond
 	// claimRetry is the pause after the store gave no answer.
 	claimRetry = time.Second
 )
@@ -52,6 +57,7 @@
 				break
 			}
 			if !claimed {
+				sleep(ctx, claimPause)
 				break
 			}
 		}
@@ -70,6 +76,12 @@
 // claimNext takes one part, or reports that none is wanted or to be had.
 func (c *Controller) claimNext(ctx context.Context) (bool, error) {
 	for _, w := range c.wants(time.Now()) {
+		if ok, err := c.confirm(ctx, w.sum); err != nil || !ok {
+			if err != nil {
+				return false, err
+			}
+			continue
+		}
 		if w.relist {
 			if !c.reads.Allow() {
 				continue
@@ -113,7 +125,7 @@
 	}
 	var jobs []batchfill.Job
 	for _, j := range c.open {
-		if !j.ended && !j.sum.AllDone() && now.Before(j.sum.Deadline) && len(j.targets(asked)) > 0 {
+		if !j.ended && !now.Before(j.waitUntil) && !j.sum.AllDone() && now.Before(j.sum.Deadline) && len(j.targets(asked)) > 0 {
 			rules, _ := config.Rules.ForInstitution(j.sum.Institution)
 			jobs = append(jobs, j.fill(rules.Share, now))
 		}
@@ -121,7 +133,7 @@
 	var list []wanted
 	for _, n := range c.ledger.Order(jobs, now) {
 		j := c.open[jobs[n].ID]
-		take, reason := batchfill.Take(c.stock(j.targets(asked)), j.sum.ID)
+		take, reason := batchfill.Take(c.stock(j.targets(asked)), j.sum.ID, j.sum.Items/max(j.sum.Parts, 1))
 		if !take {
 			continue
 		}
@@ -169,7 +181,8 @@
 	var parts []int
 	for i := range j.sum.Parts {
 		_, held := j.held[i]
-		if !held && !j.sum.Done.Has(i) && c.parts[partID{j.sum.ID, i}] == nil {
+		id := partID{j.sum.ID, i}
+		if !held && !j.sum.Done.Has(i) && c.parts[id] == nil && !c.givingBack[id] {
 			parts = append(parts, i)
 		}
 	}
@@ -192,6 +205,7 @@
 		return err
 	}
 	held := map[int]int64{}
+	live := c.Board.Members.Value().Live
 	over := map[jobstate.Holder]bool{}
 	var done []int
 	for i, p := range parts {
@@ -203,7 +217,10 @@
 		case p.Holder != nil:
 			lost, known := over[*p.Holder]
 			if !known {
-				lost = c.lost(ctx, *p.Holder)
+				// A node that is not a live member is looked up in any case, the others within the read budget: they
+				// may be cut off from the store.
+				_, member := live[p.Holder.Node]
+				lost = (!member || c.reads.Allow()) && c.lost(ctx, *p.Holder)
 				over[*p.Holder] = lost
 			}
 			if !lost {
@@ -250,42 +267,81 @@
 		c.mu.Unlock()
 		return false, nil
 	case errors.Is(err, jobstore.ErrEnded):
-		return false, c.notAccepted(ctx, w.sum)
+		c.giveBack(w.sum, index, holder)
+		c.jobEnded(w.sum.ID)
+		return false, nil
 	case err != nil:
+		c.giveBack(w.sum, index, holder)
 		return false, err
 	}
 	p, err := c.load(ctx, in, w.sum, held, holder)
 	if err != nil {
-		if err := held.Release(ctx); err != nil {
-			klog.V(2).InfoS("Could not give a part back", "job", w.sum.ID, "part", index, "err", err)
-		}
+		c.giveBack(w.sum, index, holder)
 		return false, err
 	}
 	c.explain(w.sum.ID, "", "", "claim", w.reason, map[string]any{"part": index, "token": held.Part().Token, "items": p.remaining})
 	c.mu.Lock()
 	c.parts[p.id] = p
-	c.pending += len(p.group.Lines)
+	for i, o := range p.recovered {
+		p.finish(i, o)
+	}
+	p.recovered = nil
 	c.announce()
 	c.mu.Unlock()
 	c.tasks.Go(func() { p.commitLoop(ctx) })
 	return true, nil
 }
 
-// notAccepted deals with a job that takes no results: one whose creation is not complete is left alone for a
-// while, another is finished.
-func (c *Controller) notAccepted(ctx context.Context, sum jobstate.Summary) error {
+// confirm reads the job once before the first claim, since its summary is written before it.
+func (c *Controller) confirm(ctx context.Context, sum jobstate.Summary) (bool, error) {
+	c.mu.Lock()
+	j := c.open[sum.ID]
+	known := j == nil || j.confirmed
+	c.mu.Unlock()
+	if known {
+		return j != nil, nil
+	}
 	_, err := c.jobs.Get(ctx, sum.Institution, sum.ID)
-	if err == nil {
-		c.jobEnded(sum.ID)
-		return nil
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case errors.Is(err, store.ErrNotFound):
+		j.waitUntil = time.Now().Add(confirmRetry)
+		return false, nil
+	case err != nil:
+		return false, err
 	}
+	j.confirmed = true
+	return true, nil
+}
+
+// giveBack releases a part whose record may name this node, until that is settled or the node stops.
+func (c *Controller) giveBack(sum jobstate.Summary, index int, holder jobstate.Holder) {
+	id := partID{sum.ID, index}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if j := c.open[sum.ID]; j != nil {
-		for i := range sum.Parts {
-			j.held[i] = 0
-		}
-		j.relistAt = time.Now().Add(relistMin)
+	if c.givingBack[id] {
+		return
 	}
-	return nil
+	c.givingBack[id] = true
+	ctx := c.ctx
+	c.tasks.Go(func() {
+		delay := claimRetry
+		for {
+			token, err := c.jobs.GiveBack(ctx, sum.ID, index, holder)
+			if err == nil && token > 0 {
+				err = c.jobs.ChangeSummary(ctx, sum.ID, func(s jobstate.Summary) (jobstate.Summary, bool) {
+					return s.Release(index, token)
+				})
+			}
+			if err == nil || ctx.Err() != nil {
+				break
+			}
+			sleep(ctx, delay/2+rand.N(delay))
+			delay = min(2*delay, commitRetryMax)
+		}
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		delete(c.givingBack, id)
+	})
 }
--- a/pkg/controller/batch/commit.go
+++ b/pkg/controller/batch/commit.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -118,11 +119,11 @@
 		return partWork{over: true}
 	}
 	stopping = stopping || c.stopping()
-	idle := len(p.running) == 0 && p.remaining > 0 && (stopping || time.Since(p.progressAt) >= idleRelease)
+	idle := len(p.running) == 0 && p.remaining > 0 && (stopping || p.starved(time.Now()))
 	complete := p.remaining == 0 || idle
 	items := len(p.group.Items)
 	due := jobstate.CommitDue(p.rng.Size, items, len(p.group.Lines), time.Since(p.groupAt), complete)
-	w := partWork{release: idle, commit: due || len(p.starts) > 0 || p.unsettled}
+	w := partWork{release: idle, commit: due || len(p.starts) > 0 || p.unsettled || idle && len(p.group.Attempts) > 0}
 	if !w.commit || p.unsettled {
 		return w
 	}
@@ -251,11 +252,17 @@
 	}
 	// No item is handed out any more, whatever the outcome: the write may take effect after an error.
 	p.drop(errPartLost)
+	if j := c.open[p.id.job]; j != nil {
+		// This node leaves the part to others until it next lists the parts.
+		j.held[p.id.index] = math.MaxInt64
+	}
 	c.mu.Unlock()
 	token := p.held.Part().Token
 	if err := p.held.Release(ctx); err != nil {
-		// Others take the part over when this node's lease is over, or this node finds it again.
 		klog.V(2).InfoS("Could not give a part back", "job", p.id.job, "part", p.id.index, "err", err)
+		if !fatal(err) {
+			c.giveBack(p.sum, p.id.index, p.holder)
+		}
 		return errPartLost
 	}
 	c.explain(p.id.job, "", "", "release", "no upstream of this node had an idle slot for the part", map[string]any{"part": p.id.index})
--- a/pkg/controller/batch/controller.go
+++ b/pkg/controller/batch/controller.go
@@ -35,8 +35,8 @@
 const (
 	// demandAge is how long an upstream's request for work counts. Admission is woken more often, so that the
 	// request of an upstream that the node still owns is renewed.
-	demandAge = time.Minute
-	wakeEvery = 20 * time.Second
+	demandAge = 30 * time.Second
+	wakeEvery = 10 * time.Second
 	// idleRelease is the time without progress after which a part is given back.
 	idleRelease = 30 * time.Second
 	// readRate and readBurst bound the reads of the search for work, in calls per second and node: with 380 nodes
@@ -88,6 +88,10 @@
 	ledger  batchfill.Ledger
 	demand  map[string]demand
 	waiting chan struct{}
+	// served is when an item of a target was last taken from stock.
+	served map[string]time.Time
+	// givingBack are parts whose record may name this node although it doesn't hold them.
+	givingBack map[partID]bool
 	// pending is the size of the results that wait to be committed.
 	pending int
 	// storeDown is set while commits get no answer from the store.
@@ -136,6 +140,7 @@
 		reads:  rate.NewLimiter(readRate, readBurst), wakeup: make(chan struct{}, 1),
 		ctx: context.Background(), open: map[string]*openJob{}, parts: map[partID]*part{},
 		demand: map[string]demand{}, waiting: make(chan struct{}),
+		served: map[string]time.Time{}, givingBack: map[partID]bool{},
 	}, nil
 }
 
--- a/pkg/controller/batch/part.go
+++ b/pkg/controller/batch/part.go
@@ -63,6 +63,8 @@
 	// unsettled is set while held has a write of unknown outcome, which is to record inflight.
 	unsettled bool
 	inflight  jobstore.Group
+	// recovered are results of non-idempotent items that an earlier holder may have started.
+	recovered map[int]*line.Output
 	// progressAt is when a run of the part last started or ended.
 	progressAt time.Time
 	over       bool
@@ -132,7 +134,7 @@
 	}
 	p := &part{c: c, id: partID{sum.ID, record.Index}, sum: sum, rng: rng, held: held, holder: holder,
 		signal: make(chan struct{}, 1), items: make([]item, rng.Size), ready: map[string][]int{},
-		running: map[int]struct{}{}, progressAt: time.Now()}
+		running: map[int]struct{}{}, progressAt: time.Now(), recovered: map[int]*line.Output{}}
 	p.ctx, p.cancel = context.WithCancelCause(context.Background())
 	for i := range p.items {
 		if !record.Done.Has(i) {
@@ -149,12 +151,12 @@
 	parsed, err := line.Parse(raw)
 	if err != nil {
 		// The upload checked the line, so this is a fault of storage; the item still ends.
-		p.finish(i, &line.Output{Error: &line.Failure{Code: "internal", Message: err.Error(), Outcome: api.NotRun}})
+		p.recovered[i] = &line.Output{Error: &line.Failure{Code: "internal", Message: err.Error(), Outcome: api.NotRun}}
 		return
 	}
 	if record.Started.Has(i) {
-		p.finish(i, &line.Output{CustomID: parsed.CustomID, Error: &line.Failure{Code: string(api.CodeUpstream),
-			Message: "a node failed while it ran this non-idempotent item", Outcome: api.Unknown}})
+		p.recovered[i] = &line.Output{CustomID: parsed.CustomID, Error: &line.Failure{Code: string(api.CodeUpstream),
+			Message: "a node failed while it ran this non-idempotent item", Outcome: api.Unknown}}
 		return
 	}
 	// The copy lets the rest of the chunk be collected.
@@ -214,6 +216,20 @@
 	})
 }
 
+// starved reports that the part has items to run and that this node ran none of their targets for idleRelease;
+// c.mu is held. A part that waits for its share behind other jobs, or for the delay of a retry, is not starved.
+func (p *part) starved(now time.Time) bool {
+	if len(p.ready) == 0 || now.Sub(p.progressAt) < idleRelease {
+		return false
+	}
+	for target := range p.ready {
+		if now.Sub(p.c.served[target]) < idleRelease {
+			return false
+		}
+	}
+	return true
+}
+
 // kick makes the committer look at the part.
 func (p *part) kick() {
 	select {
--- a/pkg/controller/batch/run.go
+++ b/pkg/controller/batch/run.go
@@ -215,6 +215,8 @@
 		r.c.mu.Lock()
 		it := &r.p.items[r.index]
 		it.failures++
+		// The durable start mark of a run that did not start serves the next run.
+		it.marked = r.item.NonIdempotent && ending == jobstate.EndNotStarted
 		it.attempts = step.Attempts
 		// A clear verdict at the next check lifts this; until then the item runs alone.
 		it.suspect = it.suspect || ending == jobstate.EndDied || ending == jobstate.EndDiedAlone
--- a/pkg/controller/batch/source.go
+++ b/pkg/controller/batch/source.go
@@ -1,6 +1,7 @@
 package batch
 
 import (
+	"slices"
 	"time"
 
 	"trefoilplank.example/api"
@@ -14,19 +15,33 @@
 // Next implements serving.BatchSource. A caller that can't run the item, such as one that must run alone on a
 // busy upstream, calls Run with a context that ended with cause serving.ErrPreempted.
 func (c *Controller) Next(u api.Upstream) (serving.BatchRun, bool) {
+	p, i, job := c.take(u)
+	if p == nil {
+		return nil, false
+	}
+	// Parsing and hashing a line of up to 1 MiB takes milliseconds, so they are done without the lock.
+	r := c.newRun(p, i)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ledger.Add(job, r.cost())
+	return r, true
+}
+
+// take removes an item that u can run from stock; the part is nil when there is none.
+func (c *Controller) take(u api.Upstream) (*part, int, batchfill.Job) {
 	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.demand[u.Name] = demand{upstream: u, at: now}
 	if c.stopping() || c.pending >= pendingBytes || !c.mayRun() {
-		return nil, false
+		return nil, 0, batchfill.Job{}
 	}
 	config := c.Board.Config.Value()
 	targets := targetsOf(u, config.Register.Adapters)
 	jobs, first := c.candidates(targets, config.Rules, now)
 	if len(jobs) == 0 {
 		c.wake()
-		return nil, false
+		return nil, 0, batchfill.Job{}
 	}
 	job := jobs[c.ledger.Order(jobs, now)[0]]
 	p := first[job.ID]
@@ -41,13 +56,12 @@
 			// The claim loop refills before the stock is empty; this is the last item for the target.
 			c.wake()
 		}
-		r := c.newRun(p, i, config)
-		c.ledger.Add(job, r.cost())
 		p.running[i] = struct{}{}
 		p.progressAt = now
-		return r, true
+		c.served[target] = now
+		return p, i, job
 	}
-	return nil, false
+	return nil, 0, batchfill.Job{}
 }
 
 // mayRun reports whether items may be started: under a valid lease, or while the store is down, when the lease
@@ -100,12 +114,13 @@
 	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	adapters := c.Board.Config.Value().Register.Adapters
 	most := 0.0
 	for _, j := range c.open {
-		for _, m := range j.sum.Models {
-			if m == model && !j.ended {
-				most = max(most, j.fill(1, now).Pressure(now))
-			}
+		if !j.ended && slices.ContainsFunc(j.sum.Models, func(m string) bool {
+			return m == model || slices.ContainsFunc(adapters, func(a api.Adapter) bool { return a.Name == m && a.Model == model })
+		}) {
+			most = max(most, j.fill(1, now).Pressure(now))
 		}
 	}
 	return most
@@ -118,14 +133,19 @@
 	return c.waiting
 }
 
-// newRun builds the run of item i of p; c.mu is held.
-func (c *Controller) newRun(p *part, i int, config api.Config) *run {
+// newRun builds the run of item i of p.
+func (c *Controller) newRun(p *part, i int) *run {
+	config := c.Board.Config.Value()
+	c.mu.Lock()
+	it := p.items[i]
+	p.items[i].requestID = ""
+	c.mu.Unlock()
 	// The line was parsed when the part was loaded, so it is valid.
-	parsed, err := line.Parse(p.items[i].raw)
+	parsed, err := line.Parse(it.raw)
 	if err != nil {
 		parsed = &line.Item{}
 	}
-	r := &run{c: c, p: p, index: i, item: parsed, suspect: p.items[i].suspect, charge: p.items[i].attempts, failures: p.items[i].failures}
+	r := &run{c: c, p: p, index: i, item: parsed, suspect: it.suspect, charge: it.attempts, failures: it.failures}
 	base, adapter := parsed.Model, ""
 	for _, a := range config.Register.Adapters {
 		if a.Name == parsed.Model {
@@ -138,10 +158,10 @@
 		ID: c.Node + "-" + ulid.Make().String(), Institution: p.sum.Institution, Caller: p.sum.Caller,
 		Class: class, Rank: rank, Share: rules.Share, Model: base, Adapter: adapter, Service: parsed.Service, Batch: true,
 		Deadline: p.sum.Deadline, PromptTokens: parsed.PromptTokens, MaxTokens: parsed.MaxTokens,
-		Fingerprint: c.Fingerprint(p.sum.Institution, parsed.Model+parsed.Service, parsed.Body), Alone: p.items[i].suspect,
+		Fingerprint: c.Fingerprint(p.sum.Institution, parsed.Model+parsed.Service, parsed.Body), Alone: it.suspect,
 	}
-	if id := p.items[i].requestID; id != "" {
-		r.request.ID, p.items[i].requestID = id, ""
+	if it.requestID != "" {
+		r.request.ID = it.requestID
 	}
 	return r
 }
--- a/pkg/controller/batch/watch.go
+++ b/pkg/controller/batch/watch.go
@@ -26,6 +26,9 @@
 	// seenAt and seenDone are the first observation, for the rate of the whole fleet.
 	seenAt   time.Time
 	seenDone int
+	// confirmed is set once the job record was read; waitUntil is when it is looked for again.
+	confirmed bool
+	waitUntil time.Time
 	// ended is set when the job accepts no more results.
 	ended bool
 	// checkedAt is when this node last tried to finish the job.
@@ -67,6 +70,11 @@
 				revision, delay = seen, watchRetryMin
 			}
 		}
+		if err != nil && ctx.Err() == nil {
+			c.mu.Lock()
+			c.storeDown = true
+			c.mu.Unlock()
+		}
 		if errors.Is(err, store.ErrCompacted) {
 			revision = -1
 		}
@@ -119,6 +127,9 @@
 	if err != nil {
 		return from, err
 	}
+	c.mu.Lock()
+	c.storeDown = false
+	c.mu.Unlock()
 	for e := range events {
 		switch e.Type {
 		case store.EventPut:
--- a/pkg/decision/batchfill/batchfill.go
+++ b/pkg/decision/batchfill/batchfill.go
@@ -139,13 +139,17 @@
 
 // Bounds of the local stock.
 const (
-	// StockJobs is the number of jobs from which a node holds at least one part when it may, so that shares
-	// between them can be kept item by item.
-	StockJobs = 16
+	// minJobs and maxJobs bound the number of jobs from which a node holds a part, so that shares between them
+	// can be kept item by item: two for each running item. For small parts the bounds are smallFactor higher,
+	// so that a lot of 20 never waits for the end of a part of 1,000.
+	minJobs     = 4
+	maxJobs     = 16
+	smallFactor = 4
+	smallPart   = 200
 	// StockBytes bounds the input lines held in memory.
 	StockBytes = 32 << 20
 	// lowItems is the stock for a model below which the node takes one more part.
-	lowItems = 8
+	lowItems = 4
 )
 
 // Stock is what a node holds.
@@ -158,13 +162,17 @@
 	Items, Running int
 }
 
-// Take says whether the node should claim a part of the job at this place in the order, and why.
-func Take(s Stock, job string) (bool, string) {
+// Take says whether the node should claim a part of the job, of about size items, and why.
+func Take(s Stock, job string, size int) (bool, string) {
 	held := s.Parts[job]
+	limit := min(max(minJobs, 2*s.Running), maxJobs)
+	if size <= smallPart {
+		limit *= smallFactor
+	}
 	switch {
 	case s.Bytes >= StockBytes:
 		return false, "stock is full"
-	case held == 0 && len(s.Parts) < StockJobs:
+	case held == 0 && len(s.Parts) < limit:
 		return true, "no part of the job is held"
 	case s.Items < max(lowItems, s.Running):
 		return true, "stock is low"
