Add the model test of the job state machine with its store driver

Cause: exactly-once recording must hold when the owner crashes or is paused past its lease, an answer or request is lost, or the store is down. Change: faultstore injects the faults; a model of workers runs a job of 20 items with each fault at each store call, and pairs by rapid.

--- /dev/null
+++ b/pkg/batch/jobstore/model_test.go
@@ -0,0 +1,317 @@
+package jobstore
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"trefoilplank.example/pkg/adapter/store/memstore"
+	"trefoilplank.example/pkg/batch/faultstore"
+	"trefoilplank.example/pkg/batch/filestore"
+	"trefoilplank.example/pkg/batch/line"
+	"trefoilplank.example/pkg/decision/jobstate"
+)
+
+// event is a fault at the nth store call of the workers.
+type event struct {
+	step int
+	kind string
+}
+
+// kinds are the faults: the worker crashes before the call, is paused before it until another worker has
+// finished the job, or the store fails. "outage" lasts longer than the retries of one call.
+var kinds = []string{"crash", "pause", "lose-answer", "lose-request", "outage"}
+
+const outageCalls = 8
+
+// model runs one job of items with workers that take over from each other. Items with index%3 == 1 are
+// non-idempotent.
+type model struct {
+	mem    *memstore.Store
+	store  *faultstore.Store
+	jobs   Jobs
+	sum    jobstate.Summary
+	plan   []jobstate.Range
+	events map[int]string
+	step   int
+	down   int
+	// workers counts started workers; over tells whose lease is over.
+	workers int
+	over    map[string]bool
+	runs    map[string]int
+	// durable is the result that a worker was told to be recorded, by item.
+	durable map[string]string
+}
+
+type crash struct{}
+
+func inputLines(items int) string {
+	var b strings.Builder
+	for i := range items {
+		header := ""
+		if i%3 == 1 {
+			header = `,"headers":{"Trefoil-Non-Idempotent":"true"}`
+		}
+		fmt.Fprintf(&b, `{"custom_id":"item-%d","method":"POST","url":"/v1/services/ledger/charge","body":{"n":%d}%s}`+"\n", i, i, header)
+	}
+	return b.String()
+}
+
+func newModel(items int, events []event) (*model, error) {
+	ctx := context.Background()
+	m := &model{mem: memstore.New(), events: map[int]string{}, over: map[string]bool{}, runs: map[string]int{}, durable: map[string]string{}}
+	for _, e := range events {
+		m.events[e.step] = e.kind
+	}
+	meta := &filestore.Meta{ID: filestore.NewID(), Institution: "agencia", Purpose: filestore.PurposeBatch}
+	up := &filestore.Upload{Store: m.mem, Meta: meta, Services: []string{"ledger"}}
+	if err := up.Read(ctx, strings.NewReader(inputLines(items))); err != nil {
+		return nil, err
+	}
+	if err := filestore.Create(ctx, m.mem, meta); err != nil {
+		return nil, err
+	}
+	m.plan = jobstate.Plan(meta.ChunkLines())
+	now := time.Now()
+	id := NewID()
+	m.sum = jobstate.Summary{ID: id, Institution: "agencia", InputFile: meta.ID, Items: items, Parts: len(m.plan), Created: now, Deadline: now.Add(time.Hour)}
+	j := jobstate.Job{ID: id, Institution: "agencia", InputFile: meta.ID, Status: jobstate.InProgress, Items: items,
+		Parts: len(m.plan), Created: now, Deadline: now.Add(time.Hour)}
+	if _, err := (Jobs{Store: m.mem}).Create(ctx, j, m.sum); err != nil {
+		return nil, err
+	}
+	m.store = &faultstore.Store{Store: m.mem, Before: m.before}
+	m.jobs = Jobs{Store: m.store}
+	return m, nil
+}
+
+func (m *model) before(faultstore.Op) faultstore.Fault {
+	m.step++
+	if m.down > 0 {
+		m.down--
+		return faultstore.Down
+	}
+	kind := m.events[m.step]
+	delete(m.events, m.step)
+	switch kind {
+	case "crash":
+		panic(crash{})
+	case "pause":
+		// The lease is over while the worker is paused between its lease check and the call.
+		m.over[fmt.Sprint("worker-", m.workers)] = true
+		m.work()
+	case "lose-answer":
+		return faultstore.LoseAnswer
+	case "lose-request":
+		return faultstore.LoseRequest
+	case "outage":
+		m.down = outageCalls
+		return faultstore.Down
+	}
+	return faultstore.None
+}
+
+// work runs workers until one has finished the job.
+func (m *model) work() {
+	for range 10 {
+		m.workers++
+		name := fmt.Sprint("worker-", m.workers)
+		finished := m.worker(name)
+		m.over[name] = true
+		if finished {
+			return
+		}
+	}
+}
+
+// worker runs all parts of the job and reports whether the job is final; false after a crash.
+func (m *model) worker(name string) (finished bool) {
+	defer func() {
+		if e := recover(); e != nil {
+			if _, ok := e.(crash); !ok {
+				panic(e)
+			}
+		}
+	}()
+	ctx := context.Background()
+	holder := jobstate.Holder{Node: name, Lease: 1}
+	lost := func(_ context.Context, h jobstate.Holder) bool { return m.over[h.Node] }
+	for range 20 {
+		for i, r := range m.plan {
+			held, err := m.jobs.Claim(ctx, m.sum, i, r.Size, holder, func() bool { return true }, lost)
+			if err == nil {
+				m.runPart(ctx, name, held, r)
+			}
+		}
+		if _, err := m.jobs.Finish(ctx, m.sum, time.Now(), time.Hour); err == nil {
+			return true
+		}
+	}
+	return false
+}
+
+// runPart commits one or two items at a time, as the controller does.
+func (m *model) runPart(ctx context.Context, name string, held *Held, r jobstate.Range) {
+	record := held.Part()
+	var group Group
+	for i := range r.Size {
+		if record.Done.Has(i) {
+			continue
+		}
+		id := fmt.Sprint("item-", r.Item+i)
+		o := line.Output{ID: id, CustomID: id}
+		switch {
+		case record.Started.Has(i):
+			o.Error = &line.Failure{Code: "unknown"}
+		default:
+			if (r.Item+i)%3 == 1 && !m.commit(ctx, held, Group{Starts: []int{i}}) {
+				return
+			}
+			m.runs[id]++
+			o.Response = &line.Response{StatusCode: 200, RequestID: name}
+		}
+		if group.Items == nil {
+			group.Items = map[int]bool{}
+		}
+		group.Items[i] = o.OK()
+		group.Lines, _ = line.Append(group.Lines, &o)
+		if len(group.Items) == 2 || held.Part().Done.Count()+len(group.Items) == r.Size {
+			if !m.commit(ctx, held, group) {
+				return
+			}
+			_ = line.Select(group.Lines, false, func(l []byte) error {
+				var o line.Output
+				err := json.Unmarshal(l, &o)
+				m.durable[o.CustomID] = o.Response.RequestID
+				return err
+			})
+			group = Group{}
+		}
+	}
+}
+
+// commit repeats until the outcome is known and reports whether the group is recorded.
+func (m *model) commit(ctx context.Context, held *Held, g Group) bool {
+	for range 20 {
+		var err error
+		if held.Unsettled() {
+			err = held.Settle(ctx)
+		} else {
+			err = held.Commit(ctx, g)
+		}
+		switch {
+		case err == nil:
+			return true
+		case errors.Is(err, ErrLost), errors.Is(err, ErrEnded), errors.Is(err, jobstate.ErrState):
+			return false
+		}
+	}
+	return false
+}
+
+// check compares the files of the finished job with what the workers did.
+func (m *model) check(items int) error {
+	ctx := context.Background()
+	jobs := Jobs{Store: m.mem}
+	j, err := jobs.Get(ctx, "agencia", m.sum.ID)
+	if err != nil {
+		return err
+	}
+	if j.Status != jobstate.Completed || j.Counts.Completed+j.Counts.Failed != items {
+		return fmt.Errorf("job ended as %s with %+v", j.Status, j.Counts)
+	}
+	seen := map[string]bool{}
+	for _, file := range []string{j.OutputFile, j.ErrorFile} {
+		if file == "" {
+			continue
+		}
+		meta, err := filestore.Get(ctx, m.mem, file)
+		if err != nil {
+			return err
+		}
+		var content bytes.Buffer
+		if err := jobs.Content(ctx, meta, &content); err != nil {
+			return err
+		}
+		for l := range bytes.Lines(content.Bytes()) {
+			var o line.Output
+			if err := json.Unmarshal(l, &o); err != nil {
+				return err
+			}
+			if seen[o.CustomID] {
+				return fmt.Errorf("%s has two results", o.CustomID)
+			}
+			seen[o.CustomID] = true
+			if told := m.durable[o.CustomID]; told != "" && (o.Response == nil || o.Response.RequestID != told) {
+				return fmt.Errorf("%s was recorded by %s and then replaced: %s", o.CustomID, told, l)
+			}
+		}
+	}
+	for i := range items {
+		id := fmt.Sprint("item-", i)
+		if !seen[id] {
+			return fmt.Errorf("%s has no result", id)
+		}
+		if i%3 == 1 && m.runs[id] > 1 {
+			return fmt.Errorf("non-idempotent %s ran %d times", id, m.runs[id])
+		}
+	}
+	if _, _, err := jobs.Summary(ctx, j.ID); err == nil {
+		return errors.New("the summary of the final job remains")
+	}
+	return nil
+}
+
+// play runs one job with the events and returns the number of store calls.
+func play(t *testing.T, items int, events ...event) (steps int, err error) {
+	synctest.Test(t, func(t *testing.T) {
+		m, e := newModel(items, events)
+		assert.NilError(t, e)
+		m.work()
+		if err = m.check(items); err != nil {
+			err = fmt.Errorf("%v: %w", events, err)
+		}
+		steps = m.step
+	})
+	return steps, err
+}
+
+// modelItems gives eight parts, of which some have a non-idempotent item and some two commits.
+const modelItems = 20
+
+// Guards against an item that is lost, recorded twice or, if non-idempotent, run twice when one fault happens
+// at any single store call.
+func TestSingleFaultAtEveryStep(t *testing.T) {
+	steps, err := play(t, modelItems)
+	assert.NilError(t, err)
+	t.Logf("%d store calls without a fault", steps)
+	for step := 1; step <= steps; step++ {
+		for _, kind := range kinds {
+			_, err := play(t, modelItems, event{step, kind})
+			assert.NilError(t, err)
+		}
+	}
+}
+
+// Guards against the same when two faults happen, the second possibly during recovery from the first.
+func TestPairsOfFaults(t *testing.T) {
+	steps, err := play(t, modelItems)
+	assert.NilError(t, err)
+	rapid.Check(t, func(rt *rapid.T) {
+		var events []event
+		for range 2 {
+			events = append(events, event{rapid.IntRange(1, 2*steps).Draw(rt, "step"), rapid.SampledFrom(kinds).Draw(rt, "kind")})
+		}
+		_, err := play(t, modelItems, events...)
+		assert.NilError(rt, err)
+	})
+}
