Add the reconcile controller with fenced orders and the weight transfers

Cause: the plan had no driver; two nodes must not take replicas out of service together, and a paused node must not send a late order. Change: the rendezvous choice for a group of upstreams that share models reads /state, plans and sends orders under a lease per upstream (orders/UPSTREAM) and a conditional roll-out record per model (rollouts/MODEL) that holds claims, failures and the version to go back to. Upstream gets a role; status joins the reports of several parts of a node. A holder paused past its lease sends nothing, and its successor at an engine that ignores tokens orders no earlier than 25.15 s after it first saw the lease. A failing version is tried twice and rolled back.

--- a/api/register.go
+++ b/api/register.go
@@ -93,7 +93,9 @@
 	// Models are the models that an engine may be ordered to load.
 	Models []string `json:"models,omitempty"`
 	// Service is the name of the plain service that an upstream of kind service belongs to.
-	Service string  `json:"service,omitempty"`
+	Service string `json:"service,omitempty"`
+	// Role is the role that an engine is ordered to take, such as "prefill"; empty leaves the role alone.
+	Role    string  `json:"role,omitempty"`
 	Fencing Fencing `json:"fencing,omitempty"`
 	// Leaving marks an upstream that must receive no new work.
 	Leaving bool `json:"leaving,omitempty"`
--- /dev/null
+++ b/pkg/controller/reconcile/controller_test.go
@@ -0,0 +1,201 @@
+package reconcile
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"trefoilplank.example/api"
+	"trefoilplank.example/pkg/adapter/store"
+	"trefoilplank.example/pkg/adapter/weights"
+)
+
+// Guards against a roll-out that takes the model below its serving minimum, or that leaves leases or claims behind.
+func TestRollOutKeepsTheMinimum(t *testing.T) {
+	for name, lose := range map[string]bool{"store answers": false, "store loses every answer": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFixture(t, 4, 3, "v2", api.FencingEnforced, "n1")
+				f.store.loseAnswers = lose
+				f.pass("n1", 120)
+				assert.DeepEqual(t, f.fleet.versions(), map[string]int{"v2": 4})
+				assert.Equal(t, f.fleet.lowest, 3)
+				for u := range f.fleet.engines {
+					assert.Equal(t, len(f.fleet.orders(u)), 1, "orders must not be repeated: %v", f.fleet.orders(u))
+					var r leaseRecord
+					o, err := f.store.Store.Get(context.Background(), leaseKey(u))
+					assert.NilError(t, err)
+					assert.NilError(t, json.Unmarshal(o.Value, &r))
+					assert.Assert(t, r.Released)
+				}
+				assert.Equal(t, len(f.nodes["n1"].rollouts.cache["m"].Claims), 0)
+				assert.Equal(t, len(f.nodes["n1"].Status(context.Background()).Problems), 0)
+			})
+		})
+	}
+}
+
+// Guards against a broken version that is loaded on replica after replica.
+func TestFailingVersionGoesBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, 4, 2, "v2", api.FencingEnforced, "n1")
+		f.fleet.bad = "v2"
+		f.pass("n1", 200)
+		assert.DeepEqual(t, f.fleet.versions(), map[string]int{"v1": 4})
+		tries := 0
+		for u := range f.fleet.engines {
+			tries += len(f.fleet.orders(u))
+		}
+		assert.Equal(t, tries, 2, "the version must be tried as often as the failure limit")
+		assert.Assert(t, f.decided("n1", "roll-back"))
+		problems := f.nodes["n1"].Status(context.Background()).Problems
+		assert.Equal(t, len(problems), 1)
+		assert.Assert(t, strings.Contains(problems[0].Cause, `version "v2" failed 2 times`), problems[0].Cause)
+		assert.Assert(t, problems[0].System != "" && problems[0].Operator != "" && !problems[0].Since.IsZero())
+	})
+}
+
+// Guards against a replica that loads the new version, dies with it, and is followed by the others.
+func TestReplicaThatDiesInProbationGoesBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, 4, 2, "v2", api.FencingEnforced, "n1")
+		for range 200 {
+			f.pass("n1", 1)
+			f.eject("n1", "v2")
+		}
+		assert.DeepEqual(t, f.fleet.versions(), map[string]int{"v1": 4})
+		assert.Assert(t, f.decided("n1", "replica-failed") && f.decided("n1", "roll-back"))
+	})
+}
+
+// Guards against giving up, or repeating the same token, when an engine has seen a larger one.
+func TestEngineRefusesAnOldToken(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, 2, 0, "v2", api.FencingEnforced, "n1")
+		c := f.nodes["n1"]
+		f.pass("n1", 1)
+		// Another holder's larger token reaches the engine after this node took its lease.
+		for _, e := range f.fleet.engines {
+			e.Fencing = 50
+		}
+		f.pass("n1", 1)
+		assert.Assert(t, f.decided("n1", "order-refused"))
+		assert.Assert(t, len(c.Status(context.Background()).Problems) > 0, "the backoff must show in status")
+		f.pass("n1", 60)
+		assert.DeepEqual(t, f.fleet.versions(), map[string]int{"v2": 2})
+		for _, e := range f.fleet.engines {
+			assert.Assert(t, e.tokens[len(e.tokens)-1] > 50)
+		}
+	})
+}
+
+// Guards against a holder that was paused past its lease and still sends its order, at an engine that ignores
+// tokens, and against a successor that does not wait for the old holder or does not read the state first.
+func TestPausedHolderSendsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, 1, 0, "v2", api.FencingIgnored, "n1", "n2")
+		f.pass("n1", 1)
+		pause := make(chan struct{})
+		f.store.pause = pause
+		f.renew("n1")
+		go f.nodes["n1"].Sync(context.Background())
+		synctest.Wait()
+		start := time.Now()
+		for len(f.fleet.orders("u0")) == 0 {
+			f.pass("n2", 1)
+			assert.Assert(t, time.Since(start) < 2*time.Minute, "the successor never takes over")
+		}
+		// 15 s lease, 1 % clock rate, 10 s in flight; the holder's write is older than the first look at it.
+		assert.Assert(t, time.Since(start) >= 25150*time.Millisecond, "took over after %s", time.Since(start))
+		f.renew("n1")
+		close(pause)
+		synctest.Wait()
+		f.pass("n2", 30)
+		assert.DeepEqual(t, f.fleet.orders("u0"), []string{`2 load m version "v2"`})
+		assert.Assert(t, f.decided("n1", "order-withheld"))
+	})
+}
+
+// Guards against two nodes that both believe to reconcile a model and together take it below its minimum.
+func TestTwoOwnersKeepTheMinimum(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, 3, 2, "v2", api.FencingEnforced, "n1", "n2")
+		f.fleet.lag = 5 * time.Second
+		f.pass("n2", 1)
+		// The nodes would choose the same replica otherwise.
+		f.nodes["n2"].engines["u0"].blockedUntil = time.Now().Add(time.Hour)
+		for range 150 {
+			f.renew("n1")
+			f.nodes["n1"].Sync(context.Background())
+			f.pass("n2", 1)
+		}
+		assert.Assert(t, f.fleet.lowest >= 2, "lowest was %d", f.fleet.lowest)
+		assert.DeepEqual(t, f.fleet.versions(), map[string]int{"v2": 3})
+	})
+}
+
+// Guards against orders while the store can't fence them, and against a stall after it is back.
+func TestStoreDown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, 2, 1, "v2", api.FencingEnforced, "n1")
+		f.store.down = true
+		f.pass("n1", 10)
+		for u := range f.fleet.engines {
+			assert.Equal(t, len(f.fleet.orders(u)), 0)
+		}
+		assert.Assert(t, len(f.nodes["n1"].Status(context.Background()).Problems) > 0)
+		f.store.down = false
+		f.pass("n1", 60)
+		assert.DeepEqual(t, f.fleet.versions(), map[string]int{"v2": 2})
+	})
+}
+
+// Guards against orders that go out above the weight store's rate, and against missing weights that stop serving.
+func TestWeightStoreRefuses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, 2, 1, "v2", api.FencingEnforced, "n1")
+		f.weights.begin = func() error { return &weights.BusyError{RetryAfter: time.Second} }
+		f.pass("n1", 10)
+		assert.DeepEqual(t, f.fleet.versions(), map[string]int{"v1": 2})
+		o := f.nodes["n1"].Status(context.Background()).Objects[0]
+		assert.Assert(t, strings.Contains(o.Why, "over the weight store's rate"), o.Why)
+		f.weights.begin = func() error { return weights.ErrMissing }
+		f.pass("n1", 60)
+		for u := range f.fleet.engines {
+			assert.Equal(t, len(f.fleet.orders(u)), 0)
+		}
+		assert.Assert(t, f.decided("n1", "roll-back"))
+	})
+}
+
+// Guards against orders to an engine that answers 404 on /state.
+func TestEngineWithoutOrders(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, 2, 1, "v2", api.FencingEnforced, "n1")
+		for _, e := range f.fleet.engines {
+			e.noOrders = true
+		}
+		f.pass("n1", 10)
+		_, err := f.store.Store.Get(context.Background(), leaseKey("u0"))
+		assert.ErrorIs(t, err, store.ErrNotFound)
+		assert.Equal(t, len(f.nodes["n1"].Status(context.Background()).Problems), 0)
+	})
+}
+
+// Guards against a node that keeps its leases when it drains, so that its successor has to wait.
+func TestDrainReleasesLeases(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, 1, 0, "v2", api.FencingIgnored, "n1", "n2")
+		f.pass("n1", 1)
+		assert.Assert(t, f.nodes["n1"].leases.held["u0"] != nil)
+		f.board["n1"].Draining.Set(true)
+		f.pass("n1", 1)
+		f.pass("n2", 2)
+		assert.Equal(t, len(f.fleet.orders("u0")), 1)
+	})
+}
--- /dev/null
+++ b/pkg/controller/reconcile/fake_test.go
@@ -0,0 +1,243 @@
+package reconcile
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"trefoilplank.example/api"
+	"trefoilplank.example/pkg/adapter/store"
+	"trefoilplank.example/pkg/adapter/store/memstore"
+	"trefoilplank.example/pkg/blackboard"
+	"trefoilplank.example/pkg/decision/reconcile"
+	"trefoilplank.example/pkg/explain"
+)
+
+// fakeEngine obeys orders; a load takes loadTime and fails for the versions in bad.
+type fakeEngine struct {
+	reconcile.State
+	enforce, noOrders bool
+	// out is set while the engine serves nothing because of a load.
+	out    bool
+	log    []string
+	tokens []int64
+}
+
+// fakeFleet is a set of engines behind the Engines interface.
+type fakeFleet struct {
+	mu       sync.Mutex
+	engines  map[string]*fakeEngine
+	bad      string
+	loadTime time.Duration
+	// lag is the time after which the state shows a load.
+	lag time.Duration
+	// lowest is the smallest number of engines that served model m at any order.
+	lowest int
+}
+
+func (f *fakeFleet) State(_ context.Context, u api.Upstream) (reconcile.State, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	e := f.engines[u.Name]
+	if e.noOrders {
+		return reconcile.State{}, ErrNoOrders
+	}
+	s := e.State
+	s.Models, s.Loading, s.Failed = clone(s.Models), clone(s.Loading), clone(s.Failed)
+	return s, nil
+}
+
+func clone(m map[string]string) map[string]string {
+	out := map[string]string{}
+	for k, v := range m {
+		out[k] = v
+	}
+	return out
+}
+
+func (f *fakeFleet) Order(ctx context.Context, u api.Upstream, token int64, o reconcile.Order) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if ctx.Err() != nil {
+		return fmt.Errorf("%w: %w", ErrUnknown, ctx.Err())
+	}
+	e := f.engines[u.Name]
+	e.log, e.tokens = append(e.log, fmt.Sprintf("%d %s", token, describe(o))), append(e.tokens, token)
+	if e.enforce && token < e.Fencing {
+		return ErrStaleToken
+	}
+	e.Fencing = max(e.Fencing, token)
+	if o.Kind == reconcile.Load {
+		e.out = true
+		if f.lag == 0 {
+			e.Loading[o.Model] = o.Version
+		} else {
+			time.AfterFunc(f.lag, func() { f.show(e, o) })
+		}
+		time.AfterFunc(f.loadTime, func() { f.loaded(e, o) })
+	}
+	serving := 0
+	for _, x := range f.engines {
+		if x.Models["m"] != "" && !x.out {
+			serving++
+		}
+	}
+	f.lowest = min(f.lowest, serving)
+	return nil
+}
+
+func (f *fakeFleet) show(e *fakeEngine, o reconcile.Order) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	e.Loading[o.Model] = o.Version
+}
+
+func (f *fakeFleet) loaded(e *fakeEngine, o reconcile.Order) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(e.Loading, o.Model)
+	e.out = false
+	if o.Version == f.bad {
+		e.Failed[o.Model] = o.Version
+		return
+	}
+	delete(e.Failed, o.Model)
+	e.Models[o.Model] = o.Version
+}
+
+// eject reports the engines that serve the version as ejected to the node.
+func (f *fixture) eject(node, version string) {
+	f.fleet.mu.Lock()
+	defer f.fleet.mu.Unlock()
+	health := map[string]blackboard.UpstreamStatus{}
+	for u, e := range f.fleet.engines {
+		if e.Models["m"] == version {
+			health[u] = blackboard.UpstreamStatus{Health: blackboard.HealthEjected}
+		}
+	}
+	f.board[node].Upstreams.Set(health)
+}
+
+// versions counts the engines by version of model m.
+func (f *fakeFleet) versions() map[string]int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := map[string]int{}
+	for _, e := range f.engines {
+		n[e.Models["m"]]++
+	}
+	return n
+}
+
+func (f *fakeFleet) orders(name string) []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]string(nil), f.engines[name].log...)
+}
+
+// faultyStore fails or loses answers of calls on demand.
+type faultyStore struct {
+	*memstore.Store
+	down, loseAnswers bool
+	// pause holds the next writer of a roll-out record after its write, until it is closed.
+	pause chan struct{}
+}
+
+func (s *faultyStore) Get(ctx context.Context, key string) (store.Object, error) {
+	if s.down {
+		return store.Object{}, store.ErrUnavailable
+	}
+	return s.Store.Get(ctx, key)
+}
+
+func (s *faultyStore) Put(ctx context.Context, key string, value []byte, expect int64) (int64, error) {
+	if s.down {
+		return 0, store.ErrUnavailable
+	}
+	revision, err := s.Store.Put(ctx, key, value, expect)
+	if pause := s.pause; pause != nil && strings.HasPrefix(key, "rollouts/") {
+		s.pause = nil
+		<-pause
+	}
+	if err == nil && s.loseAnswers {
+		return 0, store.ErrUnknown
+	}
+	return revision, err
+}
+
+// fakeWeights grants every transfer, unless begin says otherwise.
+type fakeWeights struct{ begin func() error }
+
+func (w *fakeWeights) Begin(context.Context, string, string) error {
+	if w.begin != nil {
+		return w.begin()
+	}
+	return nil
+}
+
+// fixture is a fleet with one controller for each node name.
+type fixture struct {
+	t       *testing.T
+	fleet   *fakeFleet
+	store   *faultyStore
+	weights *fakeWeights
+	board   map[string]*blackboard.Board
+	log     map[string]*explain.Log
+	nodes   map[string]*Controller
+}
+
+// newFixture starts n engines that hold version v1 of model m; desired is the version in the register.
+func newFixture(t *testing.T, n, minimum int, desired string, fencing api.Fencing, nodes ...string) *fixture {
+	f := &fixture{
+		t: t, store: &faultyStore{Store: memstore.New()}, weights: &fakeWeights{},
+		fleet: &fakeFleet{engines: map[string]*fakeEngine{}, loadTime: 20 * time.Second, lowest: n},
+		board: map[string]*blackboard.Board{}, log: map[string]*explain.Log{}, nodes: map[string]*Controller{},
+	}
+	r := api.Register{Models: []api.Model{{Name: "m", Version: desired, MinReplicas: minimum}}}
+	for i := range n {
+		name := fmt.Sprintf("u%d", i)
+		r.Upstreams = append(r.Upstreams, api.Upstream{
+			Name: name, AvailabilityZone: "abc"[i%3 : i%3+1], Kind: api.UpstreamEngine, Models: []string{"m"}, Fencing: fencing,
+		})
+		f.fleet.engines[name] = &fakeEngine{enforce: fencing == api.FencingEnforced, State: reconcile.State{
+			Models: map[string]string{"m": "v1"}, Loading: map[string]string{}, Failed: map[string]string{}, Role: "serve",
+		}}
+	}
+	for _, node := range nodes {
+		b := blackboard.New()
+		b.Config.Set(api.Config{Version: 1, Register: r})
+		f.board[node], f.log[node] = b, explain.NewLog(node, 1000, time.Now)
+		f.nodes[node] = New(Options{
+			Node: node, Board: b, Store: f.store, Engines: f.fleet, Weights: f.weights, Explain: f.log[node],
+		})
+		f.renew(node)
+	}
+	return f
+}
+
+// renew renews a node's own lease.
+func (f *fixture) renew(node string) {
+	f.board[node].Lease.Set(blackboard.Lease{Number: 1, Deadline: time.Now().Add(30 * time.Second)})
+}
+
+// pass makes n passes of a node, two seconds apart, with the node's lease renewed.
+func (f *fixture) pass(node string, n int) {
+	for range n {
+		f.renew(node)
+		f.nodes[node].Sync(context.Background())
+		time.Sleep(2 * time.Second)
+	}
+}
+
+// decided reports whether a node recorded the decision.
+func (f *fixture) decided(node, decision string) bool {
+	for _, e := range f.log[node].Find(explain.Query{}) {
+		if e.Decision == decision {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/pkg/controller/reconcile/rollout.go
@@ -0,0 +1,114 @@
+package reconcile
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"maps"
+	"slices"
+	"time"
+
+	"trefoilplank.example/pkg/adapter/store"
+)
+
+// rollout is the object rollouts/MODEL. Its conditional update is what keeps two nodes that both believe to
+// reconcile a model from taking replicas out of service at the same time.
+type rollout struct {
+	// Version is the desired version that Previous and Failures refer to.
+	Version  string    `json:"version"`
+	Previous string    `json:"previous,omitempty"`
+	Failures []failure `json:"failures,omitempty"`
+	// Stopped is set when the version failed too often; replicas then go back to Previous.
+	Stopped bool      `json:"stopped,omitempty"`
+	Since   time.Time `json:"since"`
+	// Claims are the upstreams that leave service for a change, with the node that ordered it.
+	Claims map[string]string `json:"claims,omitempty"`
+}
+
+// failure is a replica on which the version failed.
+type failure struct {
+	Upstream string    `json:"upstream"`
+	Reason   string    `json:"reason"`
+	At       time.Time `json:"at"`
+}
+
+// rollouts caches the records. Every change is conditional on the cached revision, so that a stale cache costs a
+// conflict and never a wrong write.
+type rollouts struct {
+	store store.Store
+	cache map[string]*cachedRollout
+}
+
+type cachedRollout struct {
+	rollout
+	revision int64
+}
+
+func rolloutKey(model string) string { return "rollouts/" + model }
+
+// get returns the record of a model, empty if there is none.
+func (r *rollouts) get(ctx context.Context, model string) (rollout, error) {
+	if c := r.cache[model]; c != nil {
+		return c.rollout, nil
+	}
+	c := &cachedRollout{}
+	o, err := r.store.Get(ctx, rolloutKey(model))
+	switch {
+	case errors.Is(err, store.ErrNotFound):
+		c.revision = store.CreateOnly
+	case err != nil:
+		return rollout{}, err
+	default:
+		if err := json.Unmarshal(o.Value, &c.rollout); err != nil {
+			return rollout{}, Error.Wrap(err)
+		}
+		c.revision = o.Revision
+	}
+	r.cache[model] = c
+	return c.rollout, nil
+}
+
+// forget makes the next get read the store.
+func (r *rollouts) forget(model string) { delete(r.cache, model) }
+
+// update changes a record. After an error the cache is dropped, and the caller must plan again on a new read.
+func (r *rollouts) update(ctx context.Context, model string, change func(*rollout)) error {
+	if _, err := r.get(ctx, model); err != nil {
+		return err
+	}
+	c := r.cache[model]
+	next := c.rollout
+	next.Claims = maps.Clone(next.Claims)
+	if next.Claims == nil {
+		next.Claims = map[string]string{}
+	}
+	next.Failures = slices.Clone(next.Failures)
+	change(&next)
+	value, err := json.Marshal(next)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	revision, err := r.store.Put(ctx, rolloutKey(model), value, c.revision)
+	if errors.Is(err, store.ErrUnknown) {
+		revision, err = r.readBack(ctx, model, value)
+	}
+	if err != nil {
+		r.forget(model)
+		return err
+	}
+	r.cache[model] = &cachedRollout{rollout: next, revision: revision}
+	return nil
+}
+
+// readBack finds out whether a write whose answer was lost took effect.
+func (r *rollouts) readBack(ctx context.Context, model string, wrote []byte) (int64, error) {
+	o, err := r.store.Get(ctx, rolloutKey(model))
+	if err != nil {
+		return 0, err
+	}
+	if !bytes.Equal(o.Value, wrote) {
+		return 0, store.ErrConflict
+	}
+	return o.Revision, nil
+}
--- a/pkg/operator/observed.go
+++ b/pkg/operator/observed.go
@@ -43,6 +43,8 @@
 		o.Desired = "leaving"
 	}
 	if x, ok := s.Board.Upstreams.Value()[u.Name]; ok {
+		// The health that this node observes is joined with what other parts report.
+		o.Part = "health"
 		o.Observed, o.LastChange, o.Why = string(x.Health), x.Since, x.Reason
 	}
 	return o
--- a/pkg/operator/status/status.go
+++ b/pkg/operator/status/status.go
@@ -21,6 +21,8 @@
 type Object struct {
 	Kind Kind   `json:"kind"`
 	Name string `json:"name"`
+	// Part names the part that reports, such as "reconcile"; reports of several parts are joined.
+	Part string `json:"-"`
 	// Desired and Observed are short texts in the same terms, so that they can be compared by eye.
 	Desired  string `json:"desired"`
 	Observed string `json:"observed"`
--- a/pkg/operator/statusview.go
+++ b/pkg/operator/statusview.go
@@ -1,9 +1,11 @@
 package operator
 
 import (
+	"cmp"
 	"net/http"
 	"slices"
 	"sort"
+	"strings"
 
 	"trefoilplank.example/pkg/operator/status"
 )
@@ -103,25 +105,67 @@
 	})
 }
 
-// overlay replaces the register's view of an object by the report of the part responsible for it. When two
-// nodes report the same object, as at a change of owner, the later change wins.
+// overlay joins the register's view of objects with the reports of the parts responsible for them. When two nodes
+// report for the same part of an object, as at a change of owner, the later change wins.
 func overlay(base, reported []status.Object) []status.Object {
-	index := map[string]int{}
-	out := append([]status.Object{}, base...)
-	for i, o := range out {
-		index[o.Name] = i
-	}
-	fromReport := map[string]bool{}
+	type partKey struct{ name, part string }
+	latest := map[partKey]status.Object{}
 	for _, o := range reported {
-		i, ok := index[o.Name]
-		switch {
-		case !ok:
-			index[o.Name] = len(out)
-			out = append(out, o)
-		case !fromReport[o.Name] || o.LastChange.After(out[i].LastChange):
-			out[i] = o
+		k := partKey{o.Name, o.Part}
+		if x, ok := latest[k]; !ok || o.LastChange.After(x.LastChange) {
+			latest[k] = o
+		}
+	}
+	parts := map[string][]status.Object{}
+	for k, o := range latest {
+		parts[k.name] = append(parts[k.name], o)
+	}
+	out := []status.Object{}
+	known := map[string]bool{}
+	for _, b := range base {
+		known[b.Name] = true
+		out = append(out, joinParts(b, parts[b.Name]))
+	}
+	names := map[string]bool{}
+	for name := range parts {
+		names[name] = true
+	}
+	for _, name := range sortedKeys(names) {
+		if !known[name] {
+			out = append(out, joinParts(status.Object{Kind: parts[name][0].Kind, Name: name}, parts[name]))
 		}
-		fromReport[o.Name] = true
 	}
 	return out
 }
+
+// joinParts puts the reports of an object's parts into one, in order of part. What a part reports takes the place
+// of a base without an observation.
+func joinParts(base status.Object, parts []status.Object) status.Object {
+	if len(parts) == 0 {
+		return base
+	}
+	slices.SortFunc(parts, func(a, b status.Object) int { return cmp.Compare(a.Part, b.Part) })
+	if base.Part != "" {
+		parts = append([]status.Object{base}, parts...)
+	}
+	out := parts[0]
+	for _, p := range parts[1:] {
+		out.Desired = joinText(out.Desired, p.Desired)
+		out.Observed = joinText(out.Observed, p.Observed)
+		out.Why = joinText(out.Why, p.Why)
+		if p.LastChange.After(out.LastChange) {
+			out.LastChange = p.LastChange
+		}
+		if p.Node != "" && p.Node != out.Node {
+			out.Node = joinText(out.Node, p.Node)
+		}
+	}
+	return out
+}
+
+func joinText(a, b string) string {
+	if a == "" || b == "" || a == b {
+		return a + strings.TrimPrefix(b, a)
+	}
+	return a + "; " + b
+}
