Wire the upstream observer and the reconciler into the node

Cause: upstreams that are down kept getting work, and nothing observed them. Change: health, load and cache polling and the reconciler run in every node.

--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -20,6 +20,7 @@
 	"trefoilplank.example/pkg/adapter/peer"
 	"trefoilplank.example/pkg/adapter/service"
 	"trefoilplank.example/pkg/adapter/store"
+	"trefoilplank.example/pkg/adapter/weights"
 	"trefoilplank.example/pkg/batch/handler"
 	"trefoilplank.example/pkg/blackboard"
 	"trefoilplank.example/pkg/burn"
@@ -30,10 +31,13 @@
 	"trefoilplank.example/pkg/controller/limits"
 	"trefoilplank.example/pkg/controller/membership"
 	"trefoilplank.example/pkg/controller/quarantine"
+	"trefoilplank.example/pkg/controller/reconcile"
+	"trefoilplank.example/pkg/controller/upstreams"
 	leasedecision "trefoilplank.example/pkg/decision/lease"
 	"trefoilplank.example/pkg/explain"
 	"trefoilplank.example/pkg/gateway"
 	"trefoilplank.example/pkg/operator"
+	"trefoilplank.example/pkg/operator/status"
 )
 
 const (
@@ -66,6 +70,8 @@
 	invoker    *engine.Client
 	quarantine *quarantine.Controller
 	batch      *batch.Controller
+	observer   *upstreams.Observer
+	reconcile  *reconcile.Controller
 	gateway    *gateway.Gateway
 	burn       *burn.Recorder
 	operator   http.Handler
@@ -149,6 +155,7 @@
 	if err := n.peerServer.Register("Config", n.config.Receiver()); err != nil {
 		return err
 	}
+	n.buildReconcile()
 	n.burn = burn.NewRecorder(&n.board.Config, time.Now)
 	if err := n.buildServing(); err != nil {
 		return err
@@ -191,8 +198,10 @@
 	if err := n.buildBatch(); err != nil {
 		return err
 	}
+	n.observer = upstreams.New(upstreams.Options{Self: name, Board: n.board, Prober: &upstreams.HTTPProber{Client: http.DefaultClient}, Log: n.log})
 	n.admission, err = admission.New(admission.Options{
 		Self: name, Board: n.board, Peers: n.peerClient, Registrar: n.peerServer, Log: n.log, Batch: n.batch,
+		Observer: n.observer,
 	})
 	if err != nil {
 		return err
@@ -208,6 +217,16 @@
 	return nil
 }
 
+func (n *Node) buildReconcile() {
+	options := reconcile.Options{
+		Node: n.settings.Name, Board: n.board, Store: n.store, Engines: reconcile.NewHTTPEngines(), Explain: n.log,
+	}
+	if n.settings.WeightStore != "" {
+		options.Weights = weights.New(n.settings.WeightStore, time.Now)
+	}
+	n.reconcile = reconcile.New(options)
+}
+
 func (n *Node) rules() api.Rules { return n.board.Config.Value().Rules }
 
 func (n *Node) buildBatch() (err error) {
@@ -233,6 +252,7 @@
 	options := operator.Options{
 		Node: n.settings.Name, Board: n.board, Config: n.config, Peers: n.peerClient, Explain: n.log, Burn: n.burn,
 		KeyDigests: []string{hex.EncodeToString(digest[:])}, Ready: n.ready,
+		Providers: []status.Provider{n.reconcile},
 	}
 	n.operator = operator.New(options)
 	return operator.NewLocal(options).Register(n.peerServer)
@@ -262,6 +282,7 @@
 	for name, run := range map[string]func(context.Context) error{
 		"lease": n.lease.Run, "membership": n.members.Run, "config": n.config.Run,
 		"limits": n.limits.Run, "admission": n.admission.Run, "batch": n.batch.Run,
+		"upstreams": n.observer.Run, "reconcile": func(ctx context.Context) error { n.reconcile.Run(ctx); return nil },
 	} {
 		group.Go(func() error { return ignoreEnd(working, name, run(working)) })
 	}
