--- a/pkg/controller/admission/fake_test.go
+++ b/pkg/controller/admission/fake_test.go
@@ -97,8 +97,8 @@
 	return peer.ErrUnreachable
 }
 
-// cluster returns running nodes over the given register and rules; batch may be nil.
-func cluster(t *testing.T, nodes int, cfg api.Config, batch func(node string) serving.BatchSource) *network {
+// cluster returns running nodes over the given register and rules; adjust may change the options of a node.
+func cluster(t testing.TB, nodes int, cfg api.Config, adjust func(o *Options)) *network {
 	n := &network{nodes: map[string]*fakeNode{}, faults: map[string]string{}}
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
@@ -112,8 +112,8 @@
 	for name, node := range n.nodes {
 		node.board.Config.Set(cfg)
 		o := Options{Self: name, Board: node.board, Peers: node, Registrar: node, Log: node.log, Seed: 7}
-		if batch != nil {
-			o.Batch = batch(name)
+		if adjust != nil {
+			adjust(&o)
 		}
 		c, err := New(o)
 		assert.NilError(t, err)
