Count time waited at other upstreams against the objective

Change: the owner counts from the arrival at the serving node; a request dropped from a queue is refused at once.

--- a/pkg/controller/admission/client.go
+++ b/pkg/controller/admission/client.go
@@ -65,13 +65,13 @@
 		}
 		u := order[0]
 		exclude = append(exclude, u.Upstream.Name)
-		reply, work, local := c.acquire(ctx, u.Upstream, r, patience(order, bestReply))
+		reply, work, local := c.acquire(ctx, u.Upstream, r, began, patience(order, bestReply))
 		if slot := c.take(u, r, reply, work, local, began); slot != nil {
 			return slot, nil
 		}
 		switch {
 		case reply == nil:
-		case reply.Status == StatusUnknown:
+		case reply.Status == StatusUnknown, reply.Waited:
 			return nil, reply
 		case !reply.Elsewhere:
 			refused = reply
@@ -82,7 +82,7 @@
 	if best == nil || ctx.Err() != nil {
 		return nil, refused
 	}
-	reply, work, local := c.acquire(ctx, best.Upstream, r, decision.Unlimited)
+	reply, work, local := c.acquire(ctx, best.Upstream, r, began, decision.Unlimited)
 	if slot := c.take(*best, r, reply, work, local, began); slot != nil {
 		return slot, nil
 	}
@@ -112,9 +112,10 @@
 
 // acquire offers the request to the owner of the upstream and waits if it is queued. A nil reply means that the
 // owner is silent; local says that the local estimate permits a run without it.
-func (c *Controller) acquire(ctx context.Context, u api.Upstream, r serving.Request, maxWait time.Duration) (reply *AcquireReply, work Work, local bool) {
+func (c *Controller) acquire(ctx context.Context, u api.Upstream, r serving.Request, began time.Time, maxWait time.Duration) (reply *AcquireReply, work Work, local bool) {
 	owner := c.owner(u.Name)
 	work = workOf(r, c.ticket(), time.Now())
+	work.Queued = time.Since(began)
 	if c.isSilent(owner) {
 		return nil, work, c.allowLocal(u, r)
 	}
@@ -139,6 +140,7 @@
 	}
 	if reply.Status == StatusQueued {
 		reply = c.wait(ctx, owner, u.Name, work)
+		reply.Waited = true
 	}
 	return reply, work, false
 }
--- a/pkg/controller/admission/learn.go
+++ b/pkg/controller/admission/learn.go
@@ -80,7 +80,7 @@
 // startBy returns the latest useful start of a request; o.mu is held.
 func (o *owned) startBy(now time.Time, w Work, it decision.Item) time.Time {
 	objective := decision.ObjectivesOf(o.c.Board.Config.Value().Rules, w.Institution, w.Class).FirstToken
-	return decision.StartBy(now, it.Deadline, o.estimates.Run(w.MaxTokens), time.Duration(objective.Latency), o.estimates.FirstToken)
+	return decision.StartBy(now, now.Add(-w.Queued), it.Deadline, o.estimates.Run(w.MaxTokens), time.Duration(objective.Latency), o.estimates.FirstToken)
 }
 
 // mayFill reports whether this node may start batch work on the upstream.
--- a/pkg/controller/admission/messages.go
+++ b/pkg/controller/admission/messages.go
@@ -23,7 +23,7 @@
 	Alone       bool
 	// MaxTokens bounds the answer; 0 is unknown.
 	MaxTokens int
-	// Queued is the time waited for the slot, in Release.
+	// Queued is the time waited so far in Acquire, and for the slot in Release.
 	Queued time.Duration
 	// DeadlineIn is the time left until the answer is due; 0 means no deadline.
 	DeadlineIn time.Duration
@@ -84,6 +84,9 @@
 	RetryAfter time.Duration
 	// Elsewhere marks a refusal that only MaxWait caused.
 	Elsewhere bool
+	// Waited is set by the serving node for a reply to Wait. A request that was dropped from a queue has used up
+	// its time and is not offered to another upstream.
+	Waited bool
 	// CachedBlocks is the number of leading blocks of the prompt in the upstream's cache, with the owner's trust
 	// in that; trust 0 is no statement.
 	CachedBlocks int
--- a/pkg/decision/admission/owner.go
+++ b/pkg/decision/admission/owner.go
@@ -46,15 +46,15 @@
 }
 
 // StartBy returns the latest time at which a start meets both the deadline, given the expected run time, and
-// the first-token objective, given the expected first-token time. An objective of 0 is none. It is never
-// before the time of arrival, since an idle upstream is always worth a try before the deadline.
-func StartBy(now, deadline time.Time, run, objective, firstToken time.Duration) time.Time {
+// the first-token objective of a request that arrived at the given time, given the expected first-token time.
+// An objective of 0 is none. It is never before now, since an idle upstream is worth a try before the deadline.
+func StartBy(now, arrived, deadline time.Time, run, objective, firstToken time.Duration) time.Time {
 	var by time.Time
 	if !deadline.IsZero() {
 		by = deadline.Add(-run)
 	}
 	if objective > 0 {
-		if o := now.Add(objective - firstToken); by.IsZero() || o.Before(by) {
+		if o := arrived.Add(objective - firstToken); by.IsZero() || o.Before(by) {
 			by = o
 		}
 	}
