Serve keyed requests and claim non-idempotent ones durably

Cause: a request that must not be repeated may be resent through any node, while the store fails or loses answers. Change: the gateway joins, replays or runs keyed requests, and claims marked ones in claims/BUCKET with one conditional update a group just before the first byte. After a lost answer the group is applied again to what is read back; a claim whose request did not run is withdrawn.

--- a/pkg/gateway/admit.go
+++ b/pkg/gateway/admit.go
@@ -32,7 +32,7 @@
 		verdicts <- verdict{v, retry}
 	}()
 	// A verdict usually arrives before the slot; only a request that has to wait for an equal one has none yet.
-	slot, err, v := g.acquireBeside(ctx, j, verdicts, stopCheck)
+	slot, v, err := g.acquireBeside(ctx, j, verdicts, stopCheck)
 	if err == nil || v.Verdict == serving.VerdictQuarantined {
 		err = refusal(v)
 	}
@@ -57,7 +57,7 @@
 
 // acquireBeside acquires a slot while the verdict is open. It returns without a slot when the verdict needs
 // another kind of slot or none, or takes longer than checkGrace after the slot.
-func (g *Gateway) acquireBeside(ctx context.Context, j *job, verdicts <-chan verdict, stopCheck func()) (*serving.Slot, error, verdict) {
+func (g *Gateway) acquireBeside(ctx context.Context, j *job, verdicts <-chan verdict, stopCheck func()) (*serving.Slot, verdict, error) {
 	type acquired struct {
 		slot *serving.Slot
 		err  error
@@ -82,23 +82,23 @@
 	case v := <-verdicts:
 		if v.Verdict != serving.VerdictClear {
 			drop()
-			return nil, nil, v
+			return nil, v, nil
 		}
 		a := <-slots
-		return a.slot, a.err, v
+		return a.slot, v, a.err
 	case a := <-slots:
 		if a.err != nil {
 			stopCheck()
-			return nil, a.err, <-verdicts
+			return nil, <-verdicts, a.err
 		}
 		timer := time.NewTimer(checkGrace)
 		defer timer.Stop()
 		select {
 		case v := <-verdicts:
-			return a.slot, nil, v
+			return a.slot, v, nil
 		case <-timer.C:
 			g.giveBack(a.slot)
-			return nil, nil, <-verdicts
+			return nil, <-verdicts, nil
 		}
 	}
 }
--- a/pkg/gateway/execute.go
+++ b/pkg/gateway/execute.go
@@ -86,6 +86,11 @@
 	if err != nil {
 		return attempt{}, err
 	}
+	if err := g.claim(ctx, j); err != nil {
+		g.giveBack(slot)
+		g.finished(ctx, j, attempt{upstream: slot.Upstream.Name, err: err})
+		return attempt{}, err
+	}
 	return g.run(ctx, j, slot), nil
 }
 
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -25,6 +25,8 @@
 
 	"trefoilplank.example/api"
 	"trefoilplank.example/pkg/blackboard"
+	"trefoilplank.example/pkg/controller/claims"
+	"trefoilplank.example/pkg/controller/idempotency"
 	"trefoilplank.example/pkg/decision/retry"
 	"trefoilplank.example/pkg/explain"
 	"trefoilplank.example/pkg/serving"
@@ -38,16 +40,19 @@
 	Enter(ctx context.Context, institution string) (leave func(), err error)
 }
 
-// Options are the parts that a gateway works with. Limiter, Quarantine and Explain may be nil.
+// Options are the parts that a gateway works with. Limiter, Quarantine, Idempotency and Explain may be nil;
+// without Claims every request marked non-idempotent is refused.
 type Options struct {
 	// Node is the name of this node; it prefixes request ids.
-	Node       string
-	Board      *blackboard.Board
-	Slots      serving.Slots
-	Invoker    serving.Invoker
-	Limiter    Limiter
-	Quarantine serving.Quarantine
-	Explain    *explain.Log
+	Node        string
+	Board       *blackboard.Board
+	Slots       serving.Slots
+	Invoker     serving.Invoker
+	Limiter     Limiter
+	Quarantine  serving.Quarantine
+	Idempotency *idempotency.Controller
+	Claims      *claims.Controller
+	Explain     *explain.Log
 	// AddressTTL is how long callers may keep an address answer.
 	AddressTTL time.Duration
 	// MaxBodyBytes bounds the body of inference and service calls.
--- a/pkg/gateway/handlers.go
+++ b/pkg/gateway/handlers.go
@@ -94,11 +94,24 @@
 	defer leave()
 	ctx, stop := j.deadline(r.Context())
 	defer stop()
+	if j.call.IdempotencyKey != "" && g.Idempotency != nil {
+		g.serveKeyed(ctx, w, r, j)
+		return
+	}
+	g.runAndAnswer(ctx, w, r, j)
+}
+
+// runAndAnswer runs the job, answers, and returns the result.
+func (g *Gateway) runAndAnswer(ctx context.Context, w http.ResponseWriter, r *http.Request, j *job) (*serving.Result, error) {
 	if j.stream {
 		j.events = newEventWriter(w)
 	}
 	res, err := g.execute(ctx, j)
+	if err != nil {
+		g.withdraw(ctx, j, err)
+	}
 	g.answer(w, r, j, res, err)
+	return res, err
 }
 
 // enter books the request against the institution's limits.
