--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -59,6 +59,8 @@
 	MaxBodyBytes int64
 	// Timeout is the deadline of a request that names none; MaxTimeout bounds the one it names.
 	Timeout, MaxTimeout time.Duration
+	// MemberLoad returns the requests in progress on a node, negative if unknown; nil spreads callers evenly.
+	MemberLoad func(node string) float64
 	// Random returns a number in [0,1).
 	Random func() float64
 }
--- a/pkg/gateway/handlers.go
+++ b/pkg/gateway/handlers.go
@@ -5,10 +5,12 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"maps"
 	"net/http"
 	"time"
 
 	"trefoilplank.example/api"
+	"trefoilplank.example/pkg/decision/address"
 	"trefoilplank.example/pkg/serving"
 )
 
@@ -48,21 +50,26 @@
 }
 
 func (g *Gateway) addresses(w http.ResponseWriter, r *http.Request) {
-	zone := r.URL.Query().Get("availability_zone")
+	// A node that drains waits for the answers that name it. The time is stored before the look at Draining, so
+	// that a drain that begins in between either is seen here or sees the time.
+	g.answersUntil.Store(time.Now().Add(g.AddressTTL).UnixNano())
 	members := g.Board.Members.Value()
+	live := maps.Clone(members.Live)
+	self := live[members.Self]
+	if g.Board.Draining.Value() {
+		// The member list may not show the own drain yet.
+		delete(live, members.Self)
+	}
 	answer := addressAnswer{
 		Addresses: []nodeAddress{}, TTLSeconds: int(g.AddressTTL / time.Second),
 		Version: g.Board.Config.Value().Version,
 	}
-	for _, near := range []bool{true, false} {
-		for _, m := range members.Live {
-			if m.Draining || (m.AvailabilityZone == zone) != near {
-				continue
-			}
-			answer.Addresses = append(answer.Addresses, nodeAddress{m.Address, m.AvailabilityZone})
-		}
+	for _, m := range address.Decide(address.Question{
+		AvailabilityZone: r.URL.Query().Get("availability_zone"), Region: self.Region, Members: live,
+		VMs: g.Board.VMs.Value(), Load: g.MemberLoad, Random: g.Random,
+	}) {
+		answer.Addresses = append(answer.Addresses, nodeAddress{m.Address, m.AvailabilityZone})
 	}
-	g.answersUntil.Store(time.Now().Add(g.AddressTTL).UnixNano())
 	writeJSON(w, answer)
 }
 
