Hedge short lookups and test the retry budget

Cause: a status lookup on a stalled upstream makes a clerk wait for the whole stall, and the budget had no test. A rapid property bounds the retries in any window, another one what may be repeated at all.

--- /dev/null
+++ b/pkg/decision/retry/retry_test.go
@@ -0,0 +1,92 @@
+package retry
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// Guards against retries above the budget in any window, whatever the order of successes and failures.
+func TestBudget(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		share := rapid.Float64Range(0, 0.5).Draw(t, "share")
+		reserve := float64(rapid.IntRange(0, 5).Draw(t, "reserve"))
+		b := NewBudget(share, reserve)
+		now := time.Unix(5000, 0)
+		var successes, retries []time.Time
+		for range rapid.IntRange(1, 300).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 900).Draw(t, "ms")) * time.Millisecond)
+			recent := func(all []time.Time, within time.Duration) (n int) {
+				for _, at := range all {
+					if now.Sub(at) < within {
+						n++
+					}
+				}
+				return n
+			}
+			if rapid.Bool().Draw(t, "success") {
+				b.Success(now)
+				successes = append(successes, now)
+				continue
+			}
+			// The window moves by whole slots, so that it covers between nine and ten of them.
+			const slot = Window / slots
+			if b.Take(now) {
+				retries = append(retries, now)
+				spent := float64(recent(retries, Window-slot))
+				assert.Assert(t, spent <= reserve+share*float64(recent(successes, Window)))
+			} else {
+				spent := float64(recent(retries, Window))
+				assert.Assert(t, spent+1 > reserve+share*float64(recent(successes, Window-slot)))
+			}
+		}
+	})
+}
+
+// Guards the rules on what may be repeated: never a part of an answer, never a begun request that must not run
+// twice, never past the deadline, never without end.
+func TestDecide(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a := Attempt{
+			Number: rapid.IntRange(1, 6).Draw(t, "number"), Started: rapid.Bool().Draw(t, "started"),
+			Repeatable: rapid.Bool().Draw(t, "repeatable"), PassedOn: rapid.Bool().Draw(t, "passed on"),
+			Died: rapid.Bool().Draw(t, "died"), Deaths: rapid.IntRange(1, 3).Draw(t, "deaths"),
+			Left: time.Duration(rapid.IntRange(-10, 500).Draw(t, "left")) * time.Millisecond,
+		}
+		reserve := float64(rapid.IntRange(0, 1).Draw(t, "reserve"))
+		b := NewBudget(0, reserve)
+		d := Decide(a, b, time.Unix(5000, 0), rapid.Float64Range(0, 0.999).Draw(t, "random"))
+		forbidden := a.PassedOn || (a.Started && !a.Repeatable) || a.Number >= MaxAttempts || a.Left < MinTimeLeft
+		free := !a.Started || (a.Died && a.Deaths == 1)
+		assert.Assert(t, !d.Retry || !forbidden, "%+v %+v", a, d)
+		assert.Assert(t, !d.Retry || free || reserve == 1)
+		assert.Assert(t, !d.Retry || a.Left >= d.Delay+MinTimeLeft)
+		assert.Assert(t, d.Reason != "")
+		if !forbidden && (free || reserve == 1) && a.Left > 2*maxDelay {
+			assert.Assert(t, d.Retry, "%+v %+v", a, d)
+		}
+	})
+}
+
+// Guards against hedges of services whose lookups are slow or not yet known.
+func TestHedgeDelay(t *testing.T) {
+	var d Durations
+	for range minSamples - 1 {
+		d.Add(10 * time.Millisecond)
+	}
+	_, ok := d.HedgeDelay()
+	assert.Assert(t, !ok)
+	// The delay is computed at each 20th duration, here at the 220th.
+	for i := range samples + 1 {
+		d.Add(time.Duration(i) * time.Millisecond / 10)
+	}
+	delay, ok := d.HedgeDelay()
+	assert.Assert(t, ok && delay > 18*time.Millisecond && delay < 20*time.Millisecond, "%s", delay)
+	for range samples {
+		d.Add(MaxHedge + time.Millisecond)
+	}
+	_, ok = d.HedgeDelay()
+	assert.Assert(t, !ok)
+}
--- a/pkg/gateway/execute.go
+++ b/pkg/gateway/execute.go
@@ -91,6 +91,9 @@
 		g.finished(ctx, j, attempt{upstream: slot.Upstream.Name, err: err})
 		return attempt{}, err
 	}
+	if j.hedge {
+		return g.runHedged(ctx, j, slot), nil
+	}
 	return g.run(ctx, j, slot), nil
 }
 
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -101,6 +101,9 @@
 
 	mu     sync.Mutex
 	budget *retry.Budget
+	hedges *retry.Budget
+	// lookups holds the durations of lookups by service.
+	lookups map[string]*retry.Durations
 
 	// active counts the requests in progress.
 	active atomic.Int64
@@ -111,7 +114,11 @@
 // New returns a gateway.
 func New(o Options) *Gateway {
 	o.setDefaults()
-	g := &Gateway{Options: o, mux: http.NewServeMux(), budget: retry.NewBudget(retry.DefaultShare, retry.Reserve)}
+	g := &Gateway{
+		Options: o, mux: http.NewServeMux(), lookups: map[string]*retry.Durations{},
+		budget: retry.NewBudget(retry.DefaultShare, retry.Reserve),
+		hedges: retry.NewBudget(retry.HedgeShare, retry.HedgeReserve),
+	}
 	g.mux.HandleFunc("GET /v1/models", g.models)
 	g.mux.HandleFunc("GET /v1/addresses", g.addresses)
 	g.mux.HandleFunc("POST /v1/chat/completions", g.inference)
--- /dev/null
+++ b/pkg/gateway/hedge_test.go
@@ -0,0 +1,56 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"trefoilplank.example/api"
+	"trefoilplank.example/pkg/serving"
+)
+
+// Guards against a lookup that waits for a stalled upstream, against hedges of calls that must not run twice, and
+// against slots that a cancelled run keeps.
+func TestHedge(t *testing.T) {
+	s1, s2 := newUpstream(t, "s1", api.UpstreamService), newUpstream(t, "s2", api.UpstreamService)
+	stall := func(_ *fakeUpstream, _ http.ResponseWriter, r *http.Request, _ []byte) bool {
+		if r.URL.Query().Has("stall") {
+			select {
+			case <-time.After(400 * time.Millisecond):
+			case <-r.Context().Done():
+			}
+		}
+		return false
+	}
+	s1.fault = stall
+	f := newFixture(t, nil, s1, s2)
+	get := func(method, query string) (time.Duration, reply) {
+		f.slots.mu.Lock()
+		f.slots.next = 0
+		f.slots.mu.Unlock()
+		start := time.Now()
+		r := f.send(context.Background(), method, "/v1/services/status/x?"+query, "")
+		return time.Since(start), r
+	}
+	for range 40 {
+		f.learnLookup("status", attempt{res: &serving.Result{Status: 200}}, 30*time.Millisecond)
+	}
+	took, r := get("GET", "stall")
+	assert.Equal(t, r.status, 200, r.body)
+	assert.Assert(t, took < 200*time.Millisecond, "%s", took)
+	assert.Equal(t, s2.runCount(), 1)
+	took, _ = get("POST", "stall")
+	assert.Assert(t, took >= 400*time.Millisecond, "%s", took)
+	assert.Equal(t, s2.runCount(), 1)
+	eventually(t, "the loser gave its slot back", func() bool { return f.slots.inUse() == 0 })
+	cancelled := 0
+	for _, u := range f.slots.released {
+		if u.Result == serving.RunCancelled {
+			cancelled++
+		}
+	}
+	assert.Equal(t, cancelled, 1)
+}
