--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -25,6 +25,8 @@
 
 	"trefoilplank.example/api"
 	"trefoilplank.example/pkg/blackboard"
+	"trefoilplank.example/pkg/controller/claims"
+	"trefoilplank.example/pkg/controller/idempotency"
 	"trefoilplank.example/pkg/decision/retry"
 	"trefoilplank.example/pkg/explain"
 	"trefoilplank.example/pkg/serving"
@@ -38,22 +40,27 @@
 	Enter(ctx context.Context, institution string) (leave func(), err error)
 }
 
-// Options are the parts that a gateway works with. Limiter, Quarantine and Explain may be nil.
+// Options are the parts that a gateway works with. Limiter, Quarantine, Idempotency and Explain may be nil;
+// without Claims every request marked non-idempotent is refused.
 type Options struct {
 	// Node is the name of this node; it prefixes request ids.
-	Node       string
-	Board      *blackboard.Board
-	Slots      serving.Slots
-	Invoker    serving.Invoker
-	Limiter    Limiter
-	Quarantine serving.Quarantine
-	Explain    *explain.Log
+	Node        string
+	Board       *blackboard.Board
+	Slots       serving.Slots
+	Invoker     serving.Invoker
+	Limiter     Limiter
+	Quarantine  serving.Quarantine
+	Idempotency *idempotency.Controller
+	Claims      *claims.Controller
+	Explain     *explain.Log
 	// AddressTTL is how long callers may keep an address answer.
 	AddressTTL time.Duration
 	// MaxBodyBytes bounds the body of inference and service calls.
 	MaxBodyBytes int64
 	// Timeout is the deadline of a request that names none; MaxTimeout bounds the one it names.
 	Timeout, MaxTimeout time.Duration
+	// MemberLoad returns the requests in progress on a node, negative if unknown; nil spreads callers evenly.
+	MemberLoad func(node string) float64
 	// Random returns a number in [0,1).
 	Random func() float64
 }
@@ -94,6 +101,9 @@
 
 	mu     sync.Mutex
 	budget *retry.Budget
+	hedges *retry.Budget
+	// lookups holds the durations of lookups by service.
+	lookups map[string]*retry.Durations
 
 	// active counts the requests in progress.
 	active atomic.Int64
@@ -104,7 +114,11 @@
 // New returns a gateway.
 func New(o Options) *Gateway {
 	o.setDefaults()
-	g := &Gateway{Options: o, mux: http.NewServeMux(), budget: retry.NewBudget(retry.DefaultShare, retry.Reserve)}
+	g := &Gateway{
+		Options: o, mux: http.NewServeMux(), lookups: map[string]*retry.Durations{},
+		budget: retry.NewBudget(retry.DefaultShare, retry.Reserve),
+		hedges: retry.NewBudget(retry.HedgeShare, retry.HedgeReserve),
+	}
 	g.mux.HandleFunc("GET /v1/models", g.models)
 	g.mux.HandleFunc("GET /v1/addresses", g.addresses)
 	g.mux.HandleFunc("POST /v1/chat/completions", g.inference)
