Keep the group of a committer that waits after a store failure

Cause: the committer took the pending group and then skipped the commit while it waited after a failure, so results were lost until another node took the part over, and runs that wanted a start mark kept their slot. Change: nothing is taken out while the committer waits; such runs are refused.

--- a/pkg/controller/batch/commit.go
+++ b/pkg/controller/batch/commit.go
@@ -73,11 +73,11 @@
 		case <-p.signal:
 		case <-check.C:
 		}
-		work := p.next(ctx.Err() != nil)
+		work := p.next(ctx.Err() != nil, time.Now().Before(retryAt))
 		if work.over {
 			return
 		}
-		if !work.commit && !work.release || time.Now().Before(retryAt) && ctx.Err() == nil {
+		if !work.commit && !work.release {
 			continue
 		}
 		err := p.step(ctx, work)
@@ -105,8 +105,9 @@
 	marks                 []startMark
 }
 
-// next decides what is due, and takes the group out of the part when it is to be committed.
-func (p *part) next(stopping bool) partWork {
+// next decides what is due, and takes the group out of the part when it is to be committed. While the committer
+// waits after a failure, nothing is due and runs that want a start mark are refused, so that they free their slots.
+func (p *part) next(stopping, waits bool) partWork {
 	c := p.c
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -118,6 +119,13 @@
 		p.drop(errPartLost)
 		return partWork{over: true}
 	}
+	if waits && !stopping {
+		for _, s := range p.starts {
+			s.result <- errNoMark
+		}
+		p.starts = nil
+		return partWork{}
+	}
 	stopping = stopping || c.stopping()
 	idle := len(p.running) == 0 && p.remaining > 0 && (stopping || p.starved(time.Now()))
 	complete := p.remaining == 0 || idle
@@ -183,6 +191,13 @@
 	c := p.c
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	for _, s := range w.marks {
+		if err != nil || p.over {
+			s.result <- errNoMark
+		} else {
+			s.result <- nil
+		}
+	}
 	if p.over {
 		// drop counted only the group that was in the part.
 		c.pending -= len(w.group.Lines)
@@ -190,13 +205,6 @@
 	}
 	p.unsettled = p.held.Unsettled()
 	c.storeDown = err != nil && !fatal(err)
-	for _, s := range w.marks {
-		if err != nil {
-			s.result <- errNoMark
-		} else {
-			s.result <- nil
-		}
-	}
 	switch {
 	case err == nil:
 		c.pending -= len(w.group.Lines)
--- a/pkg/controller/batch/fakes_test.go
+++ b/pkg/controller/batch/fakes_test.go
@@ -62,6 +62,13 @@
 	return f.runs[id]
 }
 
+// total returns the number of items that ran.
+func (f *fakeInvoker) total() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.runs)
+}
+
 var testConfig = api.Config{
 	Version: 1,
 	Register: api.Register{
@@ -214,13 +221,16 @@
 	t.Helper()
 	end := time.Now().Add(limit)
 	for {
-		o := n.show(t, job)
-		switch o.Status {
-		case "completed", "cancelled", "expired", "failed":
-			return o
+		w := n.do(httptest.NewRequest(http.MethodGet, "/v1/batches/"+job, nil))
+		if w.Code != http.StatusServiceUnavailable {
+			o := decode(t, w, http.StatusOK)
+			switch o.Status {
+			case "completed", "cancelled", "expired", "failed":
+				return o
+			}
 		}
 		if time.Now().After(end) {
-			t.Fatalf("job is still %s after %v: %+v", o.Status, limit, o)
+			t.Fatalf("job is not final after %v: %s", limit, w.Body.String())
 		}
 		time.Sleep(100 * time.Millisecond)
 	}
