--- a/pkg/adapter/peer/server.go
+++ b/pkg/adapter/peer/server.go
@@ -58,7 +58,7 @@
 	for {
 		conn, err := l.Accept()
 		if err == nil {
-			go s.serve(conn)
+			go s.ServeConn(conn)
 			continue
 		}
 		if s.isClosed() || errors.Is(err, net.ErrClosed) {
@@ -88,7 +88,8 @@
 	return !s.closed
 }
 
-func (s *Server) serve(conn net.Conn) {
+// ServeConn serves one connection until it ends.
+func (s *Server) ServeConn(conn net.Conn) {
 	defer conn.Close()
 	if s.tls != nil {
 		conn = tls.Server(conn, s.tls)
--- /dev/null
+++ b/pkg/adapter/store/client_test.go
@@ -0,0 +1,359 @@
+package store_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"trefoilplank.example/pkg/adapter/store"
+	"trefoilplank.example/pkg/adapter/store/memstore"
+)
+
+// wire serves a memstore in the HTTP form without a network. fault decides on each request.
+type wire struct {
+	*memstore.Store
+	requests atomic.Int64
+	fault    func(n int64, r *http.Request) fault
+}
+
+type fault int
+
+const (
+	none fault = iota
+	refused
+	unavailable
+	answerLost
+	requestLost
+)
+
+var errReset = errors.New("connection reset")
+
+func (w *wire) RoundTrip(r *http.Request) (*http.Response, error) {
+	n := w.requests.Add(1)
+	f := none
+	if w.fault != nil {
+		f = w.fault(n, r)
+	}
+	switch f {
+	case refused:
+		return nil, &net.OpError{Op: "dial", Err: errors.New("connection refused")}
+	case unavailable:
+		return &http.Response{StatusCode: 503, Body: io.NopCloser(strings.NewReader("down"))}, nil
+	case requestLost:
+		return nil, errReset
+	}
+	out := httptest.NewRecorder()
+	w.serve(out, r)
+	if f == answerLost {
+		return nil, errReset
+	}
+	return out.Result(), nil
+}
+
+func (w *wire) serve(out http.ResponseWriter, r *http.Request) {
+	key := strings.TrimPrefix(r.URL.Path, "/objects/")
+	expect := store.AnyRevision
+	if h := r.Header.Get("If-Revision"); h != "" {
+		expect, _ = strconv.ParseInt(h, 10, 64)
+	}
+	var err error
+	switch {
+	case r.URL.Path == "/objects":
+		limit, _ := strconv.Atoi(r.URL.Query().Get("limit"))
+		p, _ := w.List(r.Context(), r.URL.Query().Get("prefix"), r.URL.Query().Get("after"), limit)
+		list := []map[string]any{}
+		for _, o := range p.Objects {
+			list = append(list, map[string]any{"key": o.Key, "value": o.Value, "revision": o.Revision})
+		}
+		json.NewEncoder(out).Encode(map[string]any{"objects": list, "next": p.Next, "revision": p.Revision})
+	case r.Method == http.MethodGet:
+		var o store.Object
+		if o, err = w.Get(r.Context(), key); err == nil {
+			out.Header().Set("Object-Revision", strconv.FormatInt(o.Revision, 10))
+			out.Write(o.Value)
+		}
+	case r.Method == http.MethodPut:
+		var revision int64
+		value, _ := io.ReadAll(r.Body)
+		if revision, err = w.Put(r.Context(), key, value, expect); err == nil {
+			out.Header().Set("Object-Revision", strconv.FormatInt(revision, 10))
+		}
+	case r.Method == http.MethodDelete:
+		err = w.Delete(r.Context(), key, expect)
+	}
+	switch {
+	case errors.Is(err, store.ErrNotFound):
+		out.WriteHeader(404)
+	case errors.Is(err, store.ErrConflict):
+		out.WriteHeader(409)
+	}
+}
+
+func newWire(o store.Options) (*wire, *store.Client) {
+	w := &wire{Store: memstore.New()}
+	o.Transport = w
+	return w, store.NewClient("127.0.0.1:1", o)
+}
+
+// TestRoundTrip guards against a fault in the wire form of any call.
+func TestRoundTrip(t *testing.T) {
+	_, c := newWire(store.Options{})
+	ctx := t.Context()
+	revision, err := c.Put(ctx, "a/b c%", []byte("one"), store.CreateOnly)
+	assert.NilError(t, err)
+	_, err = c.Put(ctx, "a/b c%", []byte("two"), store.CreateOnly)
+	assert.ErrorIs(t, err, store.ErrConflict)
+	o, err := c.Get(ctx, "a/b c%")
+	assert.NilError(t, err)
+	assert.DeepEqual(t, o, store.Object{Key: "a/b c%", Value: []byte("one"), Revision: revision})
+	_, err = c.Put(ctx, "a/c", nil, store.AnyRevision)
+	assert.NilError(t, err)
+	p, err := c.List(ctx, "a/", "", 1)
+	assert.NilError(t, err)
+	assert.Equal(t, p.Next, "a/b c%")
+	all, err := store.ListAll(ctx, c, "a/")
+	assert.NilError(t, err)
+	assert.Equal(t, len(all.Objects), 2)
+	assert.NilError(t, c.Delete(ctx, "a/c", store.AnyRevision))
+	_, err = c.Get(ctx, "a/c")
+	assert.ErrorIs(t, err, store.ErrNotFound)
+	_, err = c.Put(ctx, "big", make([]byte, store.MaxValueBytes+1), store.AnyRevision)
+	assert.ErrorIs(t, err, store.ErrTooLarge)
+}
+
+// TestLostAnswers guards against a write whose answer was lost being reported as not applied, or applied twice.
+func TestLostAnswers(t *testing.T) {
+	once := func(kind fault) func(int64, *http.Request) fault {
+		return func(n int64, r *http.Request) fault {
+			if n == 1 {
+				return kind
+			}
+			return none
+		}
+	}
+	after := func(kind fault) func(int64, *http.Request) fault {
+		return func(n int64, _ *http.Request) fault {
+			if n == 1 {
+				return kind
+			}
+			return refused
+		}
+	}
+	tests := []struct {
+		name   string
+		expect int64
+		fault  func(int64, *http.Request) fault
+		want   error
+		writes int64
+	}{
+		{"conditional, answer lost", store.CreateOnly, once(answerLost), nil, 1},
+		{"conditional, request lost", store.CreateOnly, once(requestLost), nil, 1},
+		{"unconditional, answer lost", store.AnyRevision, once(answerLost), store.ErrUnknown, 1},
+		{"unconditional, request lost", store.AnyRevision, once(requestLost), store.ErrUnknown, 0},
+		{"refused once", store.AnyRevision, once(refused), nil, 1},
+		{"status 503 once", store.CreateOnly, once(unavailable), nil, 1},
+		{"answer lost, then down", store.CreateOnly, after(answerLost), store.ErrUnknown, 1},
+		{"down", store.CreateOnly, after(refused), store.ErrUnavailable, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w, c := newWire(store.Options{})
+				w.fault = tt.fault
+				_, err := c.Put(t.Context(), "k", []byte("v"), tt.expect)
+				if tt.want == nil {
+					assert.NilError(t, err)
+				} else {
+					assert.ErrorIs(t, err, tt.want)
+				}
+				assert.Equal(t, w.Revision(), tt.writes)
+				assert.Assert(t, !(errors.Is(err, store.ErrUnknown) && errors.Is(err, store.ErrUnavailable)))
+			})
+		})
+	}
+}
+
+// TestLostAnswerThenOverwritten guards against claiming that a write was not applied after another one replaced it.
+func TestLostAnswerThenOverwritten(t *testing.T) {
+	w, c := newWire(store.Options{})
+	w.fault = func(n int64, r *http.Request) fault {
+		if n == 1 {
+			return answerLost
+		}
+		if n == 2 {
+			_, err := w.Put(t.Context(), "k", []byte("other"), store.AnyRevision)
+			assert.NilError(t, err)
+		}
+		return none
+	}
+	_, err := c.Put(t.Context(), "k", []byte("v"), store.CreateOnly)
+	assert.ErrorIs(t, err, store.ErrUnknown)
+}
+
+// TestReadsAreShared guards against equal reads in flight each costing a call, and against a read after a write
+// returning the value from before it.
+func TestReadsAreShared(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w, c := newWire(store.Options{})
+		_, err := w.Put(t.Context(), "k", []byte("old"), store.AnyRevision)
+		assert.NilError(t, err)
+		w.fault = func(_ int64, r *http.Request) fault {
+			if r.Method == http.MethodGet {
+				time.Sleep(time.Second)
+			}
+			return none
+		}
+		values := make(chan string, 10)
+		for range 10 {
+			go func() {
+				o, _ := c.Get(t.Context(), "k")
+				values <- string(o.Value)
+			}()
+		}
+		synctest.Wait()
+		assert.Equal(t, w.requests.Load(), int64(1))
+		_, err = c.Put(t.Context(), "k", []byte("new"), store.AnyRevision)
+		assert.NilError(t, err)
+		o, err := c.Get(t.Context(), "k")
+		assert.NilError(t, err)
+		assert.Equal(t, string(o.Value), "new")
+		assert.Equal(t, w.requests.Load(), int64(3))
+		for range 10 {
+			<-values
+		}
+	})
+}
+
+// TestPriorities guards against a lease renewal waiting behind status reads and data writes.
+func TestPriorities(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, c := newWire(store.Options{WritesPerSecond: 10})
+		data := store.WithPriority(t.Context(), store.PriorityData)
+		for range 100 {
+			go c.Put(data, "data", nil, store.AnyRevision)
+		}
+		synctest.Wait()
+		began := time.Now()
+		_, err := c.Put(store.WithPriority(t.Context(), store.PriorityLease), "lease", nil, store.AnyRevision)
+		assert.NilError(t, err)
+		assert.Equal(t, time.Since(began), time.Duration(0))
+		time.Sleep(time.Minute)
+	})
+}
+
+// TestFollowResumes guards against a change that is missed or reported out of order when a watch breaks, and
+// against a new list after each break.
+func TestFollowResumes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		s := &broken{Store: memstore.New()}
+		seen := map[string]int64{}
+		go store.Follow(ctx, s, "k", func(u store.Update) {
+			for _, o := range append(u.Objects, u.Event.Object) {
+				assert.Check(t, seen[o.Key] <= o.Revision)
+				seen[o.Key] = o.Revision
+			}
+		})
+		for i := range 50 {
+			_, err := s.Put(ctx, "k"+strconv.Itoa(i%7), []byte{byte(i)}, store.AnyRevision)
+			assert.NilError(t, err)
+			time.Sleep(300 * time.Millisecond)
+		}
+		time.Sleep(time.Minute)
+		for i := range 7 {
+			o, err := s.Get(ctx, "k"+strconv.Itoa(i))
+			assert.NilError(t, err)
+			assert.Equal(t, seen[o.Key], o.Revision)
+		}
+		assert.Equal(t, s.lists.Load(), int64(2), "one at the start and one after the compaction")
+	})
+}
+
+// broken ends each watch after one event and compacts once.
+type broken struct {
+	*memstore.Store
+	lists, watches atomic.Int64
+}
+
+func (b *broken) List(ctx context.Context, prefix, after string, limit int) (store.Page, error) {
+	b.lists.Add(1)
+	return b.Store.List(ctx, prefix, after, limit)
+}
+
+func (b *broken) Watch(ctx context.Context, prefix string, from int64) (<-chan store.Event, error) {
+	if b.watches.Add(1) == 10 {
+		return nil, store.ErrCompacted
+	}
+	inner, cancel := context.WithCancel(ctx)
+	events, err := b.Store.Watch(inner, prefix, from)
+	out := make(chan store.Event)
+	go func() {
+		defer cancel()
+		defer close(out)
+		if e, ok := <-events; ok {
+			select {
+			case out <- e:
+			case <-ctx.Done():
+			}
+		}
+	}()
+	return out, err
+}
+
+// FuzzWire guards against a panic or a value out of thin air on answers that the store garbled.
+func FuzzWire(f *testing.F) {
+	f.Add(200, "3", []byte(`{"objects":[{"key":"a","value":"AA==","revision":1}],"next":"","revision":4}`))
+	f.Add(200, "", []byte(`{"type":"put","key":"a","value":"AA==","revision":1}`))
+	f.Add(503, "x", []byte("down"))
+	f.Fuzz(func(t *testing.T, status int, revision string, body []byte) {
+		if status < 200 || status > 599 {
+			return
+		}
+		c := store.NewClient("127.0.0.1:1", store.Options{Transport: garbled{status, revision, body}})
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Millisecond)
+		defer cancel()
+		o, err := c.Get(ctx, "k")
+		if err == nil && (status >= 300 || !bytes.Equal(o.Value, body)) {
+			t.Fatalf("status %d gave %v", status, o)
+		}
+		p, err := c.List(ctx, "k", "", 10)
+		if err == nil && status >= 300 {
+			t.Fatalf("status %d gave %v", status, p)
+		}
+		events, err := c.Watch(ctx, "k", 0)
+		if err == nil {
+			for e := range events {
+				if e.Type != store.EventPut && e.Type != store.EventDelete && e.Type != store.EventSync {
+					t.Fatalf("event %v", e)
+				}
+			}
+		}
+	})
+}
+
+type garbled struct {
+	status   int
+	revision string
+	body     []byte
+}
+
+func (g garbled) RoundTrip(*http.Request) (*http.Response, error) {
+	return &http.Response{
+		StatusCode: g.status, Body: io.NopCloser(bytes.NewReader(g.body)),
+		Header: http.Header{"Object-Revision": {g.revision}},
+	}, nil
+}
