--- a/pkg/adapter/peer/client.go
+++ b/pkg/adapter/peer/client.go
@@ -134,15 +134,16 @@
 	return fmt.Errorf("%w: %w: %v", ErrTimeout, ErrConnectionLost, call.Error)
 }
 
-// CallLocal runs a method of this process. Arguments and reply are copied by gob, as for a remote call, so that
-// both sides never share memory.
+// CallLocal runs a method of this process. Where the caller's types are the method's own, nothing is encoded:
+// receivers must not keep or change what their arguments refer to, nor return what they change later. That holds
+// for remote calls too, whose replies are encoded after the method has returned.
 func (s *Server) CallLocal(ctx context.Context, name string, args, reply any) error {
 	m := s.dispatch.find(name)
 	if m == nil {
 		return fmt.Errorf("%w %q", ErrUnknownMethod, name)
 	}
-	in, pointer := m.newArgs()
-	if err := copyValue(args, pointer); err != nil {
+	in, err := m.localArgs(args)
+	if err != nil {
 		return err
 	}
 	out := m.newReply()
@@ -153,17 +154,33 @@
 		if err != nil {
 			return err
 		}
-		copied := reflect.New(reflect.TypeOf(reply).Elem())
+	case <-ctx.Done():
+		return fmt.Errorf("%w: %w: %s in process", ErrTimeout, ctx.Err(), name)
+	}
+	target := reflect.ValueOf(reply).Elem()
+	if target.Type() != m.replyType {
+		copied := reflect.New(target.Type())
 		if err := copyValue(out.Interface(), copied.Interface()); err != nil {
 			return err
 		}
-		reflect.ValueOf(reply).Elem().Set(copied.Elem())
-		return nil
-	case <-ctx.Done():
-		return fmt.Errorf("%w: %w: %s in process", ErrTimeout, ctx.Err(), name)
+		out = copied
+	}
+	target.Set(out.Elem())
+	return nil
+}
+
+// localArgs returns a copy of the caller's arguments in the method's type.
+func (m *method) localArgs(args any) (reflect.Value, error) {
+	in, pointer := m.newArgs()
+	from, to := reflect.Indirect(reflect.ValueOf(args)), reflect.ValueOf(pointer).Elem()
+	if from.IsValid() && from.Type() == to.Type() {
+		to.Set(from)
+		return in, nil
 	}
+	return in, copyValue(args, pointer)
 }
 
+// copyValue converts between types that gob holds to be the same.
 func copyValue(from, to any) error {
 	var b bytes.Buffer
 	if err := gob.NewEncoder(&b).Encode(from); err != nil {
