Test the lease and takeover rules with delayed writes and clocks that drift

Cause: the rule that no effect follows a takeover rests on the order of several clocks and delayed messages. Change: rapid property over a holder and a taker with clocks up to 0.99 % off, delayed, lost and conflicting writes, delayed reads, pauses and restarts.

--- /dev/null
+++ b/pkg/decision/lease/lease_test.go
@@ -0,0 +1,257 @@
+package lease_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"trefoilplank.example/pkg/blackboard"
+	"trefoilplank.example/pkg/decision/lease"
+)
+
+// world holds one holder and one taker with clocks of their own, and the lease object between them.
+type world struct {
+	now time.Duration
+	// rates are the clocks' speeds against real time.
+	holderRate, takerRate float64
+
+	object   *lease.Record
+	revision int64
+
+	state   lease.State
+	pending []write
+	reads   []read
+	seen    lease.Sighting
+	// taken is the largest token that the taker acts in place of.
+	taken int64
+}
+
+// write is a renewal or acquisition on its way; applied says that the store has seen it.
+type write struct {
+	action   lease.Action
+	token    int64
+	expect   int64
+	sent     time.Time
+	applied  bool
+	failed   bool
+	revision int64
+}
+
+// read is a read by the taker on its way.
+type read struct {
+	start    time.Time
+	done     bool
+	record   *lease.Record
+	revision int64
+}
+
+var epoch = time.Unix(1e9, 0)
+
+func (w *world) holderNow() time.Time {
+	return epoch.Add(time.Duration(float64(w.now) * w.holderRate))
+}
+
+func (w *world) takerNow() time.Time {
+	return epoch.Add(time.Hour + time.Duration(float64(w.now)*w.takerRate))
+}
+
+// send begins what the holder has to do; at most one write of it is on its way.
+func (w *world) send() {
+	if len(w.pending) > 0 {
+		return
+	}
+	switch action, _ := lease.Default.Next(w.state, w.holderNow()); action {
+	case lease.ActionAcquire:
+		w.state = lease.State{}
+		w.pending = append(w.pending, write{action: action, expect: w.revision, sent: w.holderNow()})
+	case lease.ActionRenew:
+		w.pending = append(w.pending, write{action: action, token: w.state.Token, expect: w.state.Revision, sent: w.holderNow()})
+	}
+}
+
+// apply lets the store see a pending write.
+func (w *world) apply() {
+	for i := range w.pending {
+		p := &w.pending[i]
+		if p.applied || p.failed {
+			continue
+		}
+		if p.failed = p.expect != w.revision; p.failed {
+			continue
+		}
+		w.revision++
+		p.applied, p.revision = true, w.revision
+		r := lease.Record{Name: "n", Token: p.token}
+		if r.Token == 0 {
+			r.Token = w.revision
+		}
+		w.object = &r
+	}
+}
+
+// answer delivers the answers of writes that were seen.
+func (w *world) answer() {
+	for _, p := range w.pending {
+		switch {
+		case p.failed:
+			w.state = lease.State{}
+		case p.applied && p.action == lease.ActionAcquire:
+			w.state = lease.Default.Acquired(p.sent, p.revision)
+		case p.applied:
+			w.state = lease.Default.Renewed(w.state, p.sent, w.holderNow(), p.revision)
+		}
+	}
+	w.pending = nil
+}
+
+func (w *world) readBegins() { w.reads = append(w.reads, read{start: w.takerNow()}) }
+
+func (w *world) readAtStore() {
+	for i := range w.reads {
+		if r := &w.reads[i]; !r.done {
+			r.done, r.record, r.revision = true, w.object, w.revision
+		}
+	}
+}
+
+func (w *world) readEnds() {
+	for _, r := range w.reads {
+		if r.done {
+			w.seen = w.seen.See(r.record, r.revision, r.start, w.takerNow())
+		}
+	}
+	w.reads = nil
+}
+
+func (w *world) look() {
+	w.readBegins()
+	w.readAtStore()
+	w.readEnds()
+}
+
+// take returns 1 if the taker may act in place of the token that it saw.
+func (w *world) take() int {
+	if w.seen.Token == 0 || !lease.Default.MayTake(w.seen, w.seen.Token, w.takerNow(), 0).Allowed {
+		return 0
+	}
+	w.taken = max(w.taken, w.seen.Token)
+	return 1
+}
+
+// TestNoEffectAfterTakeover guards against a holder that acts after another node took over, with delayed and lost
+// writes, delayed reads, pauses, restarts and clocks at both ends of the allowed error.
+func TestNoEffectAfterTakeover(t *testing.T) {
+	takeovers := 0
+	rapid.Check(t, func(t *rapid.T) {
+		rate := rapid.SampledFrom([]float64{1 - 0.0099, 1, 1 + 0.0099})
+		w := &world{holderRate: rate.Draw(t, "holder clock"), takerRate: rate.Draw(t, "taker clock")}
+		lastToken := int64(0)
+		t.Repeat(map[string]func(*rapid.T){
+			"time": func(t *rapid.T) {
+				w.now += time.Duration(rapid.IntRange(1, 12_000).Draw(t, "ms")) * time.Millisecond
+			},
+			"long pause": func(t *rapid.T) {
+				w.now += time.Duration(rapid.IntRange(28_000, 32_000).Draw(t, "ms")) * time.Millisecond
+			},
+			"send":          func(*rapid.T) { w.send() },
+			"apply":         func(*rapid.T) { w.apply() },
+			"answer":        func(*rapid.T) { w.apply(); w.answer() },
+			"renew":         func(*rapid.T) { w.send(); w.apply(); w.answer() },
+			"restart":       func(*rapid.T) { w.state, w.pending = lease.State{}, nil },
+			"lose":          func(*rapid.T) { w.pending = nil },
+			"read begins":   func(*rapid.T) { w.readBegins() },
+			"read at store": func(*rapid.T) { w.readAtStore() },
+			"read ends":     func(*rapid.T) { w.readEnds() },
+			"look":          func(*rapid.T) { w.look() },
+			"wait and take": func(t *rapid.T) {
+				w.look()
+				// Around the end of the wait by the taker's clock, with renewals in between or not.
+				w.now += time.Duration(rapid.IntRange(29_500, 31_500).Draw(t, "ms")) * time.Millisecond
+				w.look()
+				takeovers += w.take()
+			},
+			"renewal sent in time is delayed": func(t *rapid.T) {
+				w.look()
+				w.now += time.Duration(rapid.IntRange(27_000, 28_900).Draw(t, "ms")) * time.Millisecond
+				w.send()
+				w.now += time.Duration(rapid.IntRange(1_000, 5_000).Draw(t, "ms")) * time.Millisecond
+				w.look()
+				takeovers += w.take()
+			},
+			"take": func(*rapid.T) { takeovers += w.take() },
+			"": func(t *rapid.T) {
+				held := w.state.Lease()
+				if lease.Holds(held, w.holderNow()) {
+					if held.Number <= w.taken {
+						t.Fatalf("the holder acts under token %d after token %d was taken over", held.Number, w.taken)
+					}
+					if held.Number < lastToken {
+						t.Fatalf("token %d follows token %d", held.Number, lastToken)
+					}
+					lastToken = held.Number
+				}
+			},
+		})
+	})
+	assert.Assert(t, takeovers > 0, "the property was never exercised")
+}
+
+// TestMayTake guards against a takeover that is too early, or that never comes.
+func TestMayTake(t *testing.T) {
+	at := func(s float64) time.Time { return epoch.Add(time.Duration(s * float64(time.Second))) }
+	record := func(token int64, released bool) *lease.Record { return &lease.Record{Token: token, Released: released} }
+	unread := lease.Sighting{}
+	held := unread.See(record(5, false), 9, at(0), at(1))
+	tests := []struct {
+		name     string
+		seen     lease.Sighting
+		now      float64
+		inFlight time.Duration
+		allowed  bool
+		look     bool
+	}{
+		{"never read", unread, 100, 0, false, true},
+		{"just seen", held, 2, 0, false, true},
+		{"old sighting without a second read", held, 60, 0, false, true},
+		{"second read too early", held.See(record(5, false), 9, at(30), at(40)), 60, 0, false, true},
+		{"second read late enough", held.See(record(5, false), 9, at(31.4), at(31.5)), 31.5, 0, true, false},
+		{"renewed in between", held.See(record(5, false), 10, at(31.4), at(31.5)), 31.5, 0, false, true},
+		{"order may be in flight", held.See(record(5, false), 9, at(31.4), at(31.5)), 31.5, 10 * time.Second, false, true},
+		{"released", held.See(record(5, true), 10, at(2), at(3)), 3, 0, true, false},
+		{"released, order in flight", held.See(record(5, true), 10, at(2), at(3)), 4, 10 * time.Second, false, false},
+		{"restarted just now", held.See(record(12, false), 12, at(2), at(3)), 4, 0, false, false},
+		{"restarted long ago", held.See(record(12, false), 12, at(2), at(3)), 34, 0, true, false},
+		{"removed just now", held.See(nil, 0, at(2), at(3)), 4, 0, false, false},
+		{"removed long ago", held.See(nil, 0, at(2), at(3)), 34, 0, true, false},
+		{"older than the role record", unread.See(record(4, false), 4, at(0), at(1)), 60, 0, false, true},
+	}
+	for _, tt := range tests {
+		d := lease.Default.MayTake(tt.seen, 5, at(tt.now), tt.inFlight)
+		assert.Equal(t, d.Allowed, tt.allowed, "%s: %s", tt.name, d.Reason)
+		assert.Equal(t, d.LookAgain, tt.look, "%s: %s", tt.name, d.Reason)
+	}
+}
+
+// TestSuspendedVM guards against a lease that outlives a suspension, which the monotonic clock does not count.
+func TestSuspendedVM(t *testing.T) {
+	now := time.Now()
+	l := blackboard.Lease{Number: 1, Deadline: now.Add(time.Minute)}
+	assert.Assert(t, lease.Holds(l, now.Add(30*time.Second)))
+	// Without its monotonic reading the time shows what the wall clock shows after a suspension.
+	assert.Assert(t, !lease.Holds(l, now.Add(2*time.Minute).Round(0)))
+	assert.Assert(t, !lease.Holds(blackboard.Lease{Deadline: now.Add(time.Minute)}, now))
+}
+
+// FuzzDecode guards against a panic on a garbled lease object, or a token above the object's revision.
+func FuzzDecode(f *testing.F) {
+	f.Add("nodes/a", lease.Record{Name: "a", Token: 3}.Encode(), int64(7))
+	f.Add("nodes/a", []byte("{}"), int64(0))
+	f.Fuzz(func(t *testing.T, key string, value []byte, revision int64) {
+		r, err := lease.Decode(key, value, revision)
+		if err == nil && (lease.Prefix+r.Name != key || r.Token > revision || r.Token < 0) {
+			t.Fatalf("%+v at revision %d of %q", r, revision, key)
+		}
+	})
+}
