--- a/pkg/controller/confsync/confsync.go
+++ b/pkg/controller/confsync/confsync.go
@@ -34,8 +34,11 @@
 	inlineBytes = 32 << 10
 	// keptInMemory is the number of payloads kept to compute deltas from.
 	keptInMemory = 4
-	// startRetry is the time between attempts to learn a first version.
-	startRetry = 500 * time.Millisecond
+	// startRetry is the time between the first attempts to learn a version; it doubles up to startRetryMax, so
+	// that nodes that start in an outage do not add to it.
+	startRetry, startRetryMax = 500 * time.Millisecond, 4 * time.Second
+	// relayDelay keeps a node that knows no members yet from taking itself for its zone's relay.
+	relayDelay = 3 * time.Second
 )
 
 // Controller keeps the configuration of one node. It implements config.Accepter.
@@ -107,7 +110,7 @@
 
 // start reads the first version from the store, or from a quorum of the zone's peers while the store is down.
 func (c *Controller) start(ctx context.Context) error {
-	for ctx.Err() == nil {
+	for pause := startRetry; ctx.Err() == nil; pause = min(2*pause, startRetryMax) {
 		err := c.readHead(ctx)
 		if err == nil {
 			return nil
@@ -115,8 +118,10 @@
 		if c.startFromPeers(ctx) {
 			return nil
 		}
-		klog.Warningf("no configuration yet: %v", err)
-		wait(ctx, startRetry+rand.N(startRetry))
+		if pause == startRetry {
+			klog.Warningf("no configuration yet: %v", err)
+		}
+		wait(ctx, pause+rand.N(pause))
 	}
 	return ctx.Err()
 }
@@ -144,10 +149,15 @@
 	if err != nil {
 		return err
 	}
-	return c.take(ctx, head.History[0], "")
+	if err := c.take(ctx, head.History[0], ""); err != nil {
+		return err
+	}
+	c.markReady(head.Version())
+	return nil
 }
 
-// markReady records that this node knows the accepted version.
+// markReady records that this node learned the accepted version from the store or from a quorum. A version that
+// a single peer sent comes into force, but does not make the node ready, since that peer may be behind.
 func (c *Controller) markReady(version int64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -197,11 +207,17 @@
 		c.markReady(0)
 		return true
 	}
-	return c.take(ctx, best.Entry, best.from) == nil
+	if err := c.take(ctx, best.Entry, best.from); err != nil {
+		klog.Warningf("configuration version %d from %s: %v", version, best.from, err)
+		return false
+	}
+	c.markReady(version)
+	return true
 }
 
 // relay watches the head while this node is a relay of its zone. All other nodes learn versions from peers.
 func (c *Controller) relay(ctx context.Context) error {
+	wait(ctx, relayDelay)
 	for ctx.Err() == nil {
 		_, revision := c.board.Members.Get()
 		changed := c.board.Members.Changed(revision)
@@ -250,13 +266,14 @@
 	}
 	entry := head.History[0]
 	base := c.InForce()
-	if !confchain.Takes(base, entry.Version) {
-		return
-	}
 	if err := c.take(ctx, entry, ""); err != nil {
 		klog.Warningf("configuration version %d: %v", entry.Version, err)
 		return
 	}
+	c.markReady(entry.Version)
+	if !confchain.Takes(base, entry.Version) {
+		return
+	}
 	view := c.view()
 	if view.RelayRank(c.self) > 0 {
 		wait(ctx, secondRelayDelay)
@@ -307,7 +324,6 @@
 	have := c.inForce.Version
 	c.mu.Unlock()
 	if !confchain.Takes(have, e.Version) {
-		c.markReady(have)
 		return nil
 	}
 	payload, err := c.payload(ctx, e, from)
@@ -357,7 +373,6 @@
 		c.board.Config.Set(next)
 	}
 	c.mu.Unlock()
-	c.markReady(e.Version)
 	return nil
 }
 
--- a/pkg/controller/membership/join.go
+++ b/pkg/controller/membership/join.go
@@ -21,8 +21,8 @@
 	// leaseReadInterval is the time between two reads of lease records by the head of a zone. Watching them
 	// instead would bring every renewal to every relay: 17 KB/s with 380 nodes.
 	leaseReadInterval = 10 * time.Second
-	// joinRetry is the time between attempts to learn the first members.
-	joinRetry = time.Second
+	// joinRetry is the time between the first attempts to learn members; it doubles up to joinRetryMax.
+	joinRetry, joinRetryMax = time.Second, 4 * time.Second
 	// pageSize is the number of lease records in one read; the share of one zone at the two-year target is 48.
 	pageSize = 200
 	// maxSeeds bounds the addresses that are kept over a restart.
@@ -31,13 +31,15 @@
 
 // join learns the first members from the store, or from seeds and cached addresses while it is down.
 func (c *Controller) join(ctx context.Context) {
-	for ctx.Err() == nil {
+	for pause := joinRetry; ctx.Err() == nil; pause = min(2*pause, joinRetryMax) {
 		err := c.readSlice(ctx, "", "")
 		if err == nil || c.joinPeers(ctx) {
 			break
 		}
-		klog.Warningf("no members known yet: %v", err)
-		wait(ctx, joinRetry+rand.N(joinRetry))
+		if pause == joinRetry {
+			klog.Warningf("no members known yet: %v", err)
+		}
+		wait(ctx, pause+rand.N(pause))
 	}
 	c.mu.Lock()
 	self := c.table.Self()
