--- a/api/outcome.go
+++ b/api/outcome.go
@@ -97,4 +97,6 @@
 	HeaderIdempotencyKey = "Idempotency-Key"
 	// HeaderUpstreamRequestID carries the request id to an upstream and back.
 	HeaderUpstreamRequestID = "X-Request-Id"
+	// HeaderUpstreamCustomID carries a batch item's custom id to an upstream, for its logs.
+	HeaderUpstreamCustomID = "X-Custom-Id"
 )
--- a/pkg/adapter/service/service.go
+++ b/pkg/adapter/service/service.go
@@ -113,6 +113,9 @@
 		req.Header[name] = values
 	}
 	req.Header.Set(api.HeaderUpstreamRequestID, call.RequestID)
+	if call.CustomID != "" {
+		req.Header.Set(api.HeaderUpstreamCustomID, call.CustomID)
+	}
 	if call.IdempotencyKey != "" {
 		req.Header.Set(api.HeaderIdempotencyKey, call.IdempotencyKey)
 	}
--- /dev/null
+++ b/pkg/node/build.go
@@ -0,0 +1,180 @@
+package node
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"trefoilplank.example/api"
+	"trefoilplank.example/pkg/adapter/engine"
+	"trefoilplank.example/pkg/adapter/peer"
+	"trefoilplank.example/pkg/adapter/service"
+	"trefoilplank.example/pkg/adapter/store"
+	"trefoilplank.example/pkg/adapter/weights"
+	"trefoilplank.example/pkg/batch/handler"
+	"trefoilplank.example/pkg/burn"
+	"trefoilplank.example/pkg/controller/admission"
+	"trefoilplank.example/pkg/controller/batch"
+	"trefoilplank.example/pkg/controller/claims"
+	"trefoilplank.example/pkg/controller/confsync"
+	"trefoilplank.example/pkg/controller/drain"
+	"trefoilplank.example/pkg/controller/idempotency"
+	"trefoilplank.example/pkg/controller/lease"
+	"trefoilplank.example/pkg/controller/limits"
+	"trefoilplank.example/pkg/controller/membership"
+	"trefoilplank.example/pkg/controller/quarantine"
+	"trefoilplank.example/pkg/controller/reconcile"
+	"trefoilplank.example/pkg/controller/upstreams"
+	leasedecision "trefoilplank.example/pkg/decision/lease"
+	"trefoilplank.example/pkg/gateway"
+	"trefoilplank.example/pkg/gateway/tlsfiles"
+	"trefoilplank.example/pkg/operator"
+	"trefoilplank.example/pkg/operator/status"
+)
+
+func (n *Node) build() error {
+	if err := n.buildPeers(); err != nil {
+		return err
+	}
+	if n.settings.TLSCert != "" {
+		files, err := tlsfiles.Load(n.settings.TLSCert, n.settings.TLSKey)
+		if err != nil {
+			return err
+		}
+		n.tls = files.Config()
+	}
+	n.store = store.NewClient(n.settings.Store, store.Options{})
+	self := n.record()
+	n.lease = lease.New(n.store, n.board, self, leasedecision.Default)
+	n.members = membership.New(membership.Options{Store: n.store, Board: n.board, Peers: n.peerClient, Self: self})
+	if err := n.peerServer.Register("Membership", n.members.Receiver()); err != nil {
+		return err
+	}
+	n.config = confsync.New(n.store, n.board, n.peerClient, n.settings.Name)
+	if err := n.peerServer.Register("Config", n.config.Receiver()); err != nil {
+		return err
+	}
+	n.buildReconcile()
+	n.burn = burn.NewRecorder(&n.board.Config, time.Now)
+	if err := n.buildServing(); err != nil {
+		return err
+	}
+	return n.buildOperator()
+}
+
+func (n *Node) buildPeers() error {
+	s := n.settings
+	server := peer.NewServer(s.PeerSecret, nil)
+	options := peer.ClientOptions{
+		Self: s.Name, Server: server, Secret: s.PeerSecret, Resolve: membership.Resolve(n.board),
+		Observe: func(node string, answered bool) { n.members.Observe(node, answered) },
+	}
+	if s.PeerTLSCert != "" {
+		config, err := peer.LoadTLS(s.PeerTLSCert, s.PeerTLSKey, s.PeerTLSCA)
+		if err != nil {
+			return err
+		}
+		server = peer.NewServer(s.PeerSecret, config)
+		options.Server, options.TLS = server, config
+	}
+	n.peerServer, n.peerClient = server, peer.NewClient(options)
+	return nil
+}
+
+func (n *Node) buildServing() (err error) {
+	name := n.settings.Name
+	n.limits, err = limits.New(limits.Options{
+		Self: name, Board: n.board, Peers: n.peerClient, Registrar: n.peerServer, Log: n.log,
+	})
+	if err != nil {
+		return err
+	}
+	n.upstreamCalls = service.New()
+	n.invoker = engine.New(n.upstreamCalls)
+	n.quarantine, err = quarantine.New(quarantine.Options{Self: name, Board: n.board, Peers: n.peerClient, Explain: n.log}, n.peerServer)
+	if err != nil {
+		return err
+	}
+	if err := n.buildKeys(); err != nil {
+		return err
+	}
+	if err := n.buildBatch(); err != nil {
+		return err
+	}
+	n.observer = upstreams.New(upstreams.Options{Self: name, Board: n.board, Prober: &upstreams.HTTPProber{Client: http.DefaultClient}, Log: n.log})
+	n.admission, err = admission.New(admission.Options{
+		Self: name, Board: n.board, Peers: n.peerClient, Registrar: n.peerServer, Log: n.log, Batch: n.batch,
+		Observer: n.observer,
+	})
+	if err != nil {
+		return err
+	}
+	n.gateway = gateway.New(gateway.Options{
+		Node: name, Board: n.board, Slots: n.admission, Invoker: n.invoker, Limiter: n.limits, Quarantine: n.quarantine,
+		Idempotency: n.idempotency, Claims: n.claims, Explain: n.log, AddressTTL: n.settings.AddressTTL,
+	})
+	n.drainer = drain.New(drain.Options{
+		Board: n.board, AnswersUntil: n.gateway.AnswersUntil, AddressTTL: n.settings.AddressTTL,
+		Active: n.gateway.Active, Timeout: n.settings.DrainTimeout,
+	})
+	files := handler.New(handler.Options{Store: n.store, Rules: n.rules, Canceller: n.batch})
+	for _, pattern := range []string{"/v1/files", "/v1/files/", "/v1/batches", "/v1/batches/"} {
+		n.gateway.Mount(pattern, files)
+	}
+	return nil
+}
+
+func (n *Node) buildReconcile() {
+	options := reconcile.Options{
+		Node: n.settings.Name, Board: n.board, Store: n.store, Engines: reconcile.NewHTTPEngines(), Explain: n.log,
+	}
+	if n.settings.WeightStore != "" {
+		options.Weights = weights.New(n.settings.WeightStore, time.Now)
+	}
+	n.reconcile = reconcile.New(options)
+}
+
+func (n *Node) rules() api.Rules { return n.board.Config.Value().Rules }
+
+// buildKeys builds what recognises a request that is sent again.
+func (n *Node) buildKeys() (err error) {
+	n.idempotency, err = idempotency.New(idempotency.Options{Self: n.settings.Name, Board: n.board, Peers: n.peerClient}, n.peerServer)
+	if err != nil {
+		return err
+	}
+	n.claims, err = claims.New(claims.Options{Self: n.settings.Name, Board: n.board, Peers: n.peerClient, Store: n.store}, n.peerServer)
+	return err
+}
+
+func (n *Node) buildBatch() (err error) {
+	n.batch, err = batch.New(batch.Options{
+		Node: n.settings.Name, Store: n.store, Board: n.board, Invoker: n.invoker, Quarantine: n.quarantine,
+		Peers: n.peerClient, Explain: n.log, LeaseNumber: leaseNumber,
+	})
+	if err != nil {
+		return err
+	}
+	return n.peerServer.Register("Batch", n.batch.Receiver())
+}
+
+// leaseNumber reads the fencing token of a lease object.
+func leaseNumber(value []byte) (int64, error) {
+	var r leasedecision.Record
+	err := json.Unmarshal(value, &r)
+	return r.Token, err
+}
+
+func (n *Node) buildOperator() error {
+	digest := sha256.Sum256([]byte(n.settings.OperatorKey))
+	options := operator.Options{
+		Node: n.settings.Name, Board: n.board, Config: n.config, Peers: n.peerClient, Explain: n.log, Burn: n.burn,
+		KeyDigests: []string{hex.EncodeToString(digest[:])}, Ready: n.ready,
+		Drain:     func() { go func() { _ = n.drainer.Drain(context.Background()) }() },
+		Providers: []status.Provider{n.reconcile},
+	}
+	n.operator = operator.New(options)
+	return operator.NewLocal(options).Register(n.peerServer)
+}
--- a/standin/dev/demo.go
+++ b/standin/dev/demo.go
@@ -62,7 +62,7 @@
 
 func report(out io.Writer, online *onlineStats, promises []promise) error {
 	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(table, "\nONLINE\tCALLS\tWHOLE\tREFUSED\tP50\tP99\tMAX")
+	fmt.Fprintln(table, "\nONLINE\tCALLS\tWHOLE\tERROR\tP50\tP99\tMAX")
 	for _, row := range online.rows() {
 		fmt.Fprintln(table, row)
 	}
--- a/standin/dev/demobatch.go
+++ b/standin/dev/demobatch.go
@@ -128,7 +128,7 @@
 			}
 		}
 	}
-	p.held = after == 0
+	p.held = after == 0 && started > 0 && started < cancelledItems
 	p.detail = fmt.Sprintf("%d of %d items had started, %d started after the answer", started, cancelledItems, after)
 	return p, nil
 }
--- a/standin/dev/demoonline.go
+++ b/standin/dev/demoonline.go
@@ -24,6 +24,7 @@
 
 // onlineRow counts the calls of one kind.
 type onlineRow struct {
+	// refused counts answers and streams that end with an error which says what became of the request.
 	calls, whole, refused int
 	times                 *hdrhistogram.Histogram
 	firstFault            string
@@ -155,6 +156,10 @@
 		fault = fmt.Sprintf("status %d: %s", a.status, a.body)
 	default:
 		text, done := streamText(string(a.body))
+		if !done && strings.Contains(string(a.body), "event: error") {
+			d.online.add(kindStream, took, true, "")
+			return
+		}
 		if !done {
 			fault = "stream does not end with [DONE]: " + string(a.body[max(0, len(a.body)-300):])
 		} else if !d.online.sameText(prompt, text) {
@@ -208,7 +213,7 @@
 func (d *demo) onlinePromises() []promise {
 	d.online.mu.Lock()
 	defer d.online.mu.Unlock()
-	p := promise{text: "each caller got the whole answer to its own request", held: true}
+	p := promise{text: "each caller got the whole answer to its own request, or an error", held: true}
 	calls, whole := 0, 0
 	for kind, r := range d.online.kinds {
 		calls, whole = calls+r.calls, whole+r.whole
@@ -219,7 +224,7 @@
 	}
 	if p.held {
 		p.held = whole > 0
-		p.detail = fmt.Sprintf("%d of %d calls whole, the rest refused as not-run", whole, calls)
+		p.detail = fmt.Sprintf("%d of %d calls whole, the rest answered with an error", whole, calls)
 	}
 	return []promise{p, d.lookupPromise()}
 }
