Add scenarios over separate node processes

Cause: the promises must be shown with kills, pauses and outages of real processes. Change: testscript commands start stand-ins and nodes, send signals, set faults, run checked background load and count executions; the daemon's command line is a package, so that scripts can run it.

--- /dev/null
+++ b/cmd/internal/daemon/daemon.go
@@ -0,0 +1,119 @@
+// Package daemon is the command line of trefoilplank.
+package daemon
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/jessevdk/go-flags"
+	"k8s.io/klog/v2"
+
+	"trefoilplank.example/pkg/logs"
+	"trefoilplank.example/pkg/node"
+	"trefoilplank.example/pkg/version"
+	"trefoilplank.example/standin/dev"
+)
+
+// Exit statuses.
+const (
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+type serveCommand struct{ node.Settings }
+
+// Execute runs one node until it is told to stop.
+func (c *serveCommand) Execute([]string) error {
+	if err := c.Check(); err != nil {
+		return &usageError{err}
+	}
+	logs.Setup(c.LogFormat, c.Verbosity)
+	ctx, stop := untilSignal()
+	defer stop()
+	n, err := node.New(c.Settings)
+	if err != nil {
+		return err
+	}
+	return n.Run(ctx)
+}
+
+type devCommand struct{ dev.Options }
+
+// Execute runs the development fleet until it is told to stop, or the demo.
+func (c *devCommand) Execute([]string) error {
+	if err := c.Check(); err != nil {
+		return &usageError{err}
+	}
+	logs.Setup(c.LogFormat, c.Verbosity)
+	ctx, stop := untilSignal()
+	defer stop()
+	return dev.Run(ctx, c.Options, os.Stdout)
+}
+
+type versionCommand struct{}
+
+// Execute prints version and build information.
+func (*versionCommand) Execute([]string) error {
+	fmt.Println(version.String("trefoilplank"))
+	return nil
+}
+
+// usageError marks an error that is the fault of flags or environment.
+type usageError struct{ error }
+
+// untilSignal returns a context that ends with SIGINT or SIGTERM; a second signal kills the process.
+func untilSignal() (context.Context, func()) {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	context.AfterFunc(ctx, stop)
+	return ctx, stop
+}
+
+const serveHelp = `Runs one node. Every VM runs the same program; each flag has an environment variable TREFOILPLANK_<FLAG>.
+
+Example:
+  trefoilplank serve --name node1 --availability-zone pamplemousses --region mu-north \
+    --listen 10.0.0.1:8080 --admin-listen 10.0.0.1:8081 --peer-listen 10.0.0.1:8082 \
+    --store 10.0.1.1:9000 --operator-key-file /etc/trefoilplank/operator.key \
+    --peer-secret-file /etc/trefoilplank/peer.secret`
+
+const devHelp = `Runs N nodes and all stand-ins in this process, on 127.0.0.1, with a sample register and rules applied.
+
+Examples:
+  trefoilplank dev
+  trefoilplank dev --nodes 5 --base-port 19000
+  trefoilplank dev --demo`
+
+// Run executes the command line of this process and returns its exit status.
+func Run() int {
+	defer klog.Flush()
+	parser := flags.NewNamedParser("trefoilplank", flags.Default&^flags.PrintErrors)
+	must(parser.AddCommand("serve", "run one node", serveHelp, &serveCommand{}))
+	must(parser.AddCommand("dev", "run a development fleet", devHelp, &devCommand{}))
+	must(parser.AddCommand("version", "print version and build information", "Prints version and build information.", &versionCommand{}))
+	_, err := parser.Parse()
+	var flagErr *flags.Error
+	var usage *usageError
+	switch {
+	case err == nil:
+		return 0
+	case errors.As(err, &flagErr) && flagErr.Type == flags.ErrHelp:
+		fmt.Println(err)
+		return 0
+	case errors.As(err, &flagErr), errors.As(err, &usage):
+		fmt.Fprintln(os.Stderr, err)
+		return exitUsage
+	default:
+		fmt.Fprintln(os.Stderr, err)
+		return exitFailed
+	}
+}
+
+func must(_ *flags.Command, err error) {
+	if err != nil {
+		panic(err)
+	}
+}
--- /dev/null
+++ b/cmd/scenarios/fleet_test.go
@@ -0,0 +1,248 @@
+package scenarios
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"trefoilplank.example/standin/devfleet"
+)
+
+const (
+	operatorKey = "scenario-operator-key"
+	peerSecret  = "scenario-peer-secret"
+	// startTimeout bounds the start of a process on a busy machine.
+	startTimeout = 30 * time.Second
+)
+
+type fleetKey struct{}
+
+// fleet holds the stand-ins and the node processes of one script.
+type fleet struct {
+	standins *devfleet.Fleet
+	mu       sync.Mutex
+	nodes    map[string]*process
+	loads    map[string]*loadRun
+}
+
+// process is one trefoilplank serve.
+type process struct {
+	cmd            *exec.Cmd
+	address, admin string
+	done           chan struct{}
+	log            *logTail
+}
+
+func newFleet() *fleet { return &fleet{nodes: map[string]*process{}, loads: map[string]*loadRun{}} }
+
+func fleetOf(ts *testscript.TestScript) *fleet { return ts.Value(fleetKey{}).(*fleet) }
+
+func (f *fleet) close() {
+	for _, l := range f.loads {
+		l.cancel()
+	}
+	for _, p := range f.nodes {
+		// A stopped process takes the kill too.
+		_ = p.cmd.Process.Kill()
+		<-p.done
+	}
+	if f.standins != nil {
+		_ = f.standins.Close()
+	}
+}
+
+// standins starts all stand-ins and writes register.json and rules.json.
+func standins(ts *testscript.TestScript, _ bool, _ []string) {
+	f := fleetOf(ts)
+	var err error
+	f.standins, err = devfleet.Start(1)
+	ts.Check(err)
+	for name, document := range map[string]any{"register.json": f.standins.Register, "rules.json": f.standins.Rules} {
+		data, err := json.MarshalIndent(document, "", "  ")
+		ts.Check(err)
+		ts.Check(os.WriteFile(ts.MkAbs(name), data, 0o600))
+	}
+	ts.Setenv("STORE", f.standins.StoreAddress)
+	ts.Setenv("TREFOILCTL_KEY", operatorKey)
+	for institution, key := range f.standins.Keys {
+		ts.Setenv("KEY_"+institution, key)
+	}
+	ts.Setenv("TREFOILCTL_CALLER_KEY", f.standins.Keys["board"])
+}
+
+// startNode starts one node process: node NAME ZONE [FLAG...].
+func startNode(ts *testscript.TestScript, _ bool, args []string) {
+	if len(args) < 2 {
+		ts.Fatalf("usage: node NAME ZONE [FLAG...]")
+	}
+	f, name := fleetOf(ts), args[0]
+	flags := append([]string{
+		"serve", "--name", name, "--availability-zone", args[1], "--region", "test", "--log-format", "json",
+		"--listen", "127.0.0.1:0", "--admin-listen", "127.0.0.1:0", "--peer-listen", "127.0.0.1:0",
+		"--store", f.standins.StoreAddress, "--vm-list", f.standins.VMListAddress, "--weight-store", f.standins.WeightStoreAddress,
+		"--operator-key", operatorKey, "--peer-secret", peerSecret, "--address-ttl", "1s",
+	}, args[2:]...)
+	binary, err := lookPath(ts, "trefoilplank")
+	ts.Check(err)
+	p := &process{cmd: exec.Command(binary, flags...), done: make(chan struct{}), log: &logTail{}}
+	stderr, err := p.cmd.StderrPipe()
+	ts.Check(err)
+	ts.Check(p.cmd.Start())
+	f.nodes[name] = p
+	served := make(chan [2]string, 1)
+	go p.follow(stderr, served)
+	select {
+	case a := <-served:
+		p.address, p.admin = a[0], a[1]
+	case <-p.done:
+		ts.Fatalf("node %s ended at its start:\n%s", name, p.log)
+	case <-time.After(startTimeout):
+		ts.Fatalf("node %s does not serve after %s:\n%s", name, startTimeout, p.log)
+	}
+	ts.Setenv(name, p.address)
+	ts.Setenv(name+"_admin", p.admin)
+	ts.Setenv("TREFOILCTL_SERVER", p.admin)
+	ts.Setenv("TREFOILCTL_CALLER_SERVER", p.address)
+}
+
+// lookPath finds a program in the script's PATH.
+func lookPath(ts *testscript.TestScript, name string) (string, error) {
+	for _, dir := range filepath.SplitList(ts.Getenv("PATH")) {
+		path := filepath.Join(dir, name)
+		if info, err := os.Stat(path); err == nil && !info.IsDir() {
+			return path, nil
+		}
+	}
+	return "", fmt.Errorf("%s is not in PATH", name)
+}
+
+// follow reads a process's log until it ends and reports its addresses.
+func (p *process) follow(stderr io.Reader, served chan<- [2]string) {
+	scanner := bufio.NewScanner(stderr)
+	scanner.Buffer(nil, 1<<20)
+	for scanner.Scan() {
+		p.log.add(scanner.Text())
+		var line struct{ Msg, Address, AdminAddress string }
+		if json.Unmarshal(scanner.Bytes(), &line) == nil && line.Msg == "Node serves" {
+			served <- [2]string{line.Address, line.AdminAddress}
+		}
+	}
+	_ = p.cmd.Wait()
+	close(p.done)
+}
+
+// logTail keeps the last lines of a log.
+type logTail struct {
+	mu    sync.Mutex
+	lines []string
+}
+
+func (l *logTail) add(line string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.lines = append(l.lines, line)
+	l.lines = l.lines[max(0, len(l.lines)-200):]
+}
+
+// String returns the lines kept.
+func (l *logTail) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return strings.Join(l.lines, "\n")
+}
+
+func (f *fleet) node(ts *testscript.TestScript, name string) *process {
+	p := f.nodes[name]
+	if p == nil {
+		ts.Fatalf("there is no node %q", name)
+	}
+	return p
+}
+
+// ready waits until the named nodes are ready and know each other: ready NAME...
+func ready(ts *testscript.TestScript, _ bool, names []string) {
+	f := fleetOf(ts)
+	deadline := time.Now().Add(startTimeout)
+	for _, name := range names {
+		p := f.node(ts, name)
+		for !p.isReady(len(names)) {
+			if time.Now().After(deadline) {
+				ts.Fatalf("node %s is not ready:\n%s", name, p.log)
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+	}
+}
+
+func (p *process) isReady(members int) bool {
+	r, err := http.Get("http://" + p.admin + "/readyz")
+	if err != nil {
+		return false
+	}
+	_ = r.Body.Close()
+	if r.StatusCode != http.StatusOK {
+		return false
+	}
+	q, _ := http.NewRequest(http.MethodGet, "http://"+p.admin+"/v1/admin/status", nil)
+	q.Header.Set("Authorization", "Bearer "+operatorKey)
+	if r, err = http.DefaultClient.Do(q); err != nil {
+		return false
+	}
+	defer r.Body.Close()
+	var status struct{ Nodes []struct{ Answered bool } }
+	if json.NewDecoder(r.Body).Decode(&status) != nil {
+		return false
+	}
+	answered := 0
+	for _, n := range status.Nodes {
+		if n.Answered {
+			answered++
+		}
+	}
+	return answered >= members
+}
+
+var signals = map[string]syscall.Signal{
+	"KILL": syscall.SIGKILL, "TERM": syscall.SIGTERM, "INT": syscall.SIGINT, "STOP": syscall.SIGSTOP, "CONT": syscall.SIGCONT,
+}
+
+// signalNode sends a signal: signal NAME KILL|TERM|INT|STOP|CONT.
+func signalNode(ts *testscript.TestScript, _ bool, args []string) {
+	if len(args) != 2 || signals[args[1]] == 0 {
+		ts.Fatalf("usage: signal NAME KILL|TERM|INT|STOP|CONT")
+	}
+	p := fleetOf(ts).node(ts, args[0])
+	ts.Check(p.cmd.Process.Signal(signals[args[1]]))
+	if args[1] == "KILL" {
+		<-p.done
+	}
+}
+
+// exited waits until a node has ended with status 0: exited NAME DURATION.
+func exited(ts *testscript.TestScript, _ bool, args []string) {
+	if len(args) != 2 {
+		ts.Fatalf("usage: exited NAME DURATION")
+	}
+	limit, err := time.ParseDuration(args[1])
+	ts.Check(err)
+	p := fleetOf(ts).node(ts, args[0])
+	select {
+	case <-p.done:
+	case <-time.After(limit):
+		ts.Fatalf("node %s has not ended after %s:\n%s", args[0], limit, p.log)
+	}
+	if code := p.cmd.ProcessState.ExitCode(); code != 0 {
+		ts.Fatalf("node %s ended with status %d:\n%s", args[0], code, p.log)
+	}
+}
--- /dev/null
+++ b/cmd/scenarios/load_test.go
@@ -0,0 +1,207 @@
+package scenarios
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+// loadRun is a background load of online calls that checks every answer.
+type loadRun struct {
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+
+	mu sync.Mutex
+	// calls = whole + errors + broken + violations. errors are answers that say what became of the request; broken
+	// are connections that ended without an answer; violations are answers that are cut or belong to another request.
+	calls, whole, errors, broken, violations int
+	first                                    string
+	lookups                                  *hdrhistogram.Histogram
+	texts                                    map[string]string
+}
+
+// load runs online calls in the background: load start ID INSTITUTION WORKERS NODE..., load stop ID.
+// An INSTITUTION is board or agencia. Workers take the nodes in turn.
+func load(ts *testscript.TestScript, _ bool, args []string) {
+	f := fleetOf(ts)
+	switch {
+	case len(args) >= 5 && args[0] == "start":
+		var workers int
+		_, err := fmt.Sscan(args[3], &workers)
+		ts.Check(err)
+		var addresses []string
+		for _, name := range args[4:] {
+			addresses = append(addresses, f.node(ts, name).address)
+		}
+		f.loads[args[1]] = f.startLoad(args[2], workers, addresses)
+	case len(args) == 2 && args[0] == "stop":
+		l := f.loads[args[1]]
+		if l == nil {
+			ts.Fatalf("there is no load %q", args[1])
+		}
+		l.cancel()
+		l.wg.Wait()
+		fmt.Fprintf(ts.Stdout(), "calls=%d whole=%d errors=%d broken=%d violations=%d lookup_p99_ms=%d\n", l.calls, l.whole, l.errors,
+			l.broken, l.violations, l.lookups.ValueAtQuantile(99)/1000)
+		if l.first != "" {
+			fmt.Fprintln(ts.Stdout(), "first:", l.first)
+		}
+		if l.whole == 0 {
+			ts.Fatalf("load %s got no whole answer: %s", args[1], l.first)
+		}
+	default:
+		ts.Fatalf("usage: load start ID INSTITUTION WORKERS NODE... | load stop ID")
+	}
+}
+
+func (f *fleet) startLoad(institution string, workers int, addresses []string) *loadRun {
+	ctx, cancel := context.WithCancel(context.Background())
+	l := &loadRun{cancel: cancel, lookups: hdrhistogram.New(1, time.Minute.Microseconds(), 3), texts: map[string]string{}}
+	model, service := "reference-summary", "status"
+	if institution == "agencia" {
+		model, service = "rights-tagger", "portal"
+	}
+	for w := range workers {
+		l.wg.Go(func() {
+			for n := w; ctx.Err() == nil; n++ {
+				c := loadCall{run: l, key: f.standins.Keys[institution], address: addresses[n%len(addresses)], model: model, service: service, n: n}
+				c.chat()
+				c.stream()
+				c.lookup()
+			}
+		})
+	}
+	return l
+}
+
+type loadCall struct {
+	run                          *loadRun
+	key, address, model, service string
+	n                            int
+}
+
+func (c loadCall) do(method, path, body string) (*http.Response, []byte, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+c.address+path, strings.NewReader(body))
+	if err != nil {
+		return nil, nil, err
+	}
+	r.Header.Set("Authorization", "Bearer "+c.key)
+	answer, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return nil, nil, err
+	}
+	defer answer.Body.Close()
+	data, err := io.ReadAll(answer.Body)
+	return answer, data, err
+}
+
+// judge counts one answer; text is the answer's text for a prompt, ok whether the answer has its whole form.
+func (c loadCall) judge(answer *http.Response, data []byte, err error, prompt string, read func([]byte) (string, bool)) {
+	l := c.run
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.calls++
+	switch {
+	case err != nil:
+		l.broken++
+		l.note("broken: " + err.Error())
+		return
+	case answer.StatusCode != http.StatusOK:
+		if answer.Header.Get("Trefoil-Outcome") == "" {
+			l.violations++
+		}
+		l.errors++
+		l.note(fmt.Sprintf("status %d: %s", answer.StatusCode, data))
+		return
+	case strings.Contains(string(data), "event: error"):
+		if strings.Contains(string(data), "[DONE]") {
+			l.violations++
+		}
+		l.errors++
+		l.note(string(data[max(0, len(data)-300):]))
+		return
+	}
+	text, ok := read(data)
+	first, known := l.texts[prompt]
+	if !known && ok {
+		l.texts[prompt] = text
+		first = text
+	}
+	if !ok || text != first {
+		l.violations++
+		l.note(fmt.Sprintf("violation: prompt %q: %s", prompt, data))
+		return
+	}
+	l.whole++
+}
+
+func (l *loadRun) note(text string) {
+	if l.first == "" {
+		l.first = text
+	}
+}
+
+func (c loadCall) prompt() string { return fmt.Sprintf("letter %d for %s", c.n%5, c.model) }
+
+func (c loadCall) chat() {
+	body := fmt.Sprintf(`{"model":%q,"max_tokens":10,"messages":[{"role":"user","content":%q}]}`, c.model, c.prompt())
+	answer, data, err := c.do(http.MethodPost, "/v1/chat/completions", body)
+	c.judge(answer, data, err, c.prompt(), func(data []byte) (string, bool) {
+		var a struct {
+			Choices []struct{ Message struct{ Content string } }
+		}
+		if json.Unmarshal(data, &a) != nil || len(a.Choices) != 1 {
+			return "", false
+		}
+		return a.Choices[0].Message.Content, true
+	})
+}
+
+func (c loadCall) stream() {
+	body := fmt.Sprintf(`{"model":%q,"stream":true,"max_tokens":10,"messages":[{"role":"user","content":%q}]}`, c.model, c.prompt())
+	answer, data, err := c.do(http.MethodPost, "/v1/chat/completions", body)
+	c.judge(answer, data, err, c.prompt(), func(data []byte) (string, bool) {
+		var text strings.Builder
+		for _, line := range strings.Split(string(data), "\n") {
+			payload, ok := strings.CutPrefix(line, "data: ")
+			if !ok {
+				continue
+			}
+			if payload == "[DONE]" {
+				return text.String(), true
+			}
+			var a struct {
+				Choices []struct{ Delta struct{ Content string } }
+			}
+			if json.Unmarshal([]byte(payload), &a) != nil || len(a.Choices) != 1 {
+				return "", false
+			}
+			text.WriteString(a.Choices[0].Delta.Content)
+		}
+		return "", false
+	})
+}
+
+func (c loadCall) lookup() {
+	path := fmt.Sprintf("/record/%d", c.n)
+	began := time.Now()
+	answer, data, err := c.do(http.MethodGet, "/v1/services/"+c.service+path, "")
+	took := time.Since(began)
+	c.judge(answer, data, err, path, func(data []byte) (string, bool) {
+		var a struct{ Path string }
+		return a.Path, json.Unmarshal(data, &a) == nil && a.Path == path
+	})
+	c.run.mu.Lock()
+	defer c.run.mu.Unlock()
+	_ = c.run.lookups.RecordValue(took.Microseconds())
+}
