Grant concurrency for all waiting requests

Cause: requests that arrived together shared one ask for two slots, and the third was refused although the institution was far below its limit. Change: an ask counts all waiting requests, and a request asks again until the owner grants fewer slots than asked for. Result: 64 simultaneous requests at a limit of 500 all pass; the new test fails on the old code.

--- a/pkg/controller/limits/limits.go
+++ b/pkg/controller/limits/limits.go
@@ -172,18 +172,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	p := c.purse(institution, time.Now())
-	ok := p.Enter(time.Now(), lim)
-	if !ok {
-		c.mu.Unlock()
-		err := c.ask(ctx, institution, 0, slotsAhead)
-		c.mu.Lock()
-		if err != nil {
-			ok = p.EnterFairShare(time.Now(), lim, c.liveNodes())
-		} else {
-			ok = p.Enter(time.Now(), lim)
-		}
-	}
-	if !ok {
+	if !p.Enter(time.Now(), lim) && !c.enterWithGrant(ctx, institution, p, lim) {
 		return nil, c.refuse(institution, "concurrency", "limit over all nodes is reached", time.Second)
 	}
 	return sync.OnceFunc(func() {
@@ -193,6 +182,27 @@
 	}), nil
 }
 
+// enterWithGrant asks the owner for slots until the request has one or the owner grants fewer than asked for. One
+// answer may not be enough: an ask that was sent before the request arrived does not count it. c.mu is held.
+func (c *Controller) enterWithGrant(ctx context.Context, institution string, p *purse, lim ratelimit.Limit) bool {
+	p.Wait(1)
+	defer p.Wait(-1)
+	for {
+		c.mu.Unlock()
+		err := c.ask(ctx, institution, 0, slotsAhead)
+		c.mu.Lock()
+		if err != nil {
+			return p.EnterFairShare(time.Now(), lim, c.liveNodes())
+		}
+		if p.Enter(time.Now(), lim) {
+			return true
+		}
+		if p.Short() || ctx.Err() != nil {
+			return false
+		}
+	}
+}
+
 // slotsAhead is the concurrency asked for beyond the requests in flight: one more than needed at once, so that
 // a steady arrival asks the owner every second time, and little is held idle.
 const slotsAhead = 2
--- a/pkg/controller/limits/limits_test.go
+++ b/pkg/controller/limits/limits_test.go
@@ -145,3 +145,28 @@
 		assert.NilError(t, err, "slots of a lost node must expire")
 	})
 }
+
+// Guards against refusals below the limit when many requests arrive at once, and against more than the limit:
+// requests that share one ask to the owner used to get two slots together.
+func TestSimultaneousRequestsUseWholeConcurrency(t *testing.T) {
+	for _, limit := range []int{10, 500} {
+		synctest.Test(t, func(t *testing.T) {
+			const arrivals = 64
+			n := cluster(t, 3, api.Rate{Concurrency: limit})
+			var mu sync.Mutex
+			passed := 0
+			var wg sync.WaitGroup
+			for i := range arrivals {
+				wg.Go(func() {
+					if _, err := n.nodes[fmt.Sprint("n", i%2)].Enter(context.Background(), "board"); err == nil {
+						mu.Lock()
+						defer mu.Unlock()
+						passed++
+					}
+				})
+			}
+			wg.Wait()
+			assert.Equal(t, passed, min(limit, arrivals))
+		})
+	}
+}
--- a/pkg/decision/ratelimit/purse.go
+++ b/pkg/decision/ratelimit/purse.go
@@ -29,6 +29,10 @@
 	slots      int
 	slotsUntil time.Time
 	inFlight   int
+	// waiting counts the requests that wait for a slot, and wantedSlots is what the last ask was for.
+	waiting, wantedSlots int
+	// short is set when the owner granted fewer slots than asked for.
+	short bool
 	// fallback is the fair-share bucket for times without an owner.
 	fallback float64
 	filledAt time.Time
@@ -87,7 +91,8 @@
 // Ask returns what to ask the owner for, with at least least tokens. Unspent tokens go back with it, so that the
 // ask must be followed by Granted or Failed.
 func (p *Purse) Ask(now time.Time, least float64, moreSlots int) Ask {
-	a := Ask{Demand: p.Demand(now), InFlight: p.inFlight, WantSlots: p.inFlight + moreSlots}
+	a := Ask{Demand: p.Demand(now), InFlight: p.inFlight, WantSlots: p.inFlight + p.waiting + moreSlots}
+	p.wantedSlots = a.WantSlots
 	if now.Before(p.expires) {
 		a.Returned = p.tokens
 	}
@@ -105,6 +110,7 @@
 		p.emptyUntil = now.Add(max(minRefuse, min(g.RetryAfter, maxRefuse)))
 	}
 	p.slots, p.slotsUntil = g.Slots, now.Add(SlotLife)
+	p.short = g.Slots < p.wantedSlots
 }
 
 // TakeFairShare spends from the node's equal part of the limit, for times when the owner is silent.
@@ -138,6 +144,12 @@
 	return true
 }
 
+// Wait changes the number of requests that wait for a slot by n.
+func (p *Purse) Wait(n int) { p.waiting += n }
+
+// Short reports whether the last grant held fewer slots than asked for, so that the limit is reached.
+func (p *Purse) Short() bool { return p.short }
+
 // EnterFairShare books a request in flight against the node's equal part, for times without an owner. Slots
 // that the owner granted before it fell silent still count.
 func (p *Purse) EnterFairShare(now time.Time, lim Limit, liveNodes int) bool {
