--- a/pkg/controller/admission/model_test.go
+++ b/pkg/controller/admission/model_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -98,7 +99,8 @@
 		cached++
 	}
 	e.hits, e.blocks = e.hits+cached, e.blocks+len(hashes)
-	for _, h := range hashes {
+	// The last blocks of a prompt are evicted first, as in engines that keep blocks as a tree of prefixes.
+	for _, h := range slices.Backward(hashes) {
 		e.clock++
 		e.cache[h] = e.clock
 	}
--- a/pkg/controller/admission/service.go
+++ b/pkg/controller/admission/service.go
@@ -10,6 +10,10 @@
 	s.c.upstream(a.Upstream).acquire(a, reply)
 	if s.c.Observer != nil && len(a.PrefixHashes) > 0 {
 		reply.CachedBlocks, reply.CacheTrust = s.c.Observer.Cached(a.Upstream, a.PrefixHashes)
+		if reply.Status == StatusGranted {
+			// The prompt is in the cache before its event arrives.
+			s.c.Observer.Ran(a.Upstream, a.PrefixHashes)
+		}
 	}
 	only := ""
 	if reply.Status == StatusGranted {
--- a/pkg/controller/upstreams/observer.go
+++ b/pkg/controller/upstreams/observer.go
@@ -276,5 +276,5 @@
 	c := o.entry(upstream).cache
 	blocks = min(max(blocks, 0), len(hashes))
 	c.Note(time.Now(), hashes[:blocks])
-	c.Forget(hashes[blocks:])
+	c.Forget(time.Now(), hashes[blocks:])
 }
--- a/pkg/decision/placement/placement.go
+++ b/pkg/decision/placement/placement.go
@@ -69,7 +69,7 @@
 	// zoneCost is the round trip between zones (design section 1.1).
 	zoneCost = time.Millisecond
 	// crowding is the first-token delay of a full engine against an empty one.
-	crowding = 40 * time.Millisecond
+	crowding = 10 * time.Millisecond
 	// ageScale is the age at which a load figure counts half; the rest is the mean of the group.
 	ageScale = 2 * time.Second
 	// preemptWait is the expected time for a batch run to leave its slot.
