Keep a suspect apart from preempted runs that linger

Cause: a property test found a request granted beside a suspect: a batch run past its preemption grace was still there, and the check for a run alone counted only a single holder. Change: any holder that runs alone closes the upstream, and it starts only once no run is left.

--- a/pkg/decision/admission/state.go
+++ b/pkg/decision/admission/state.go
@@ -210,7 +210,12 @@
 		if !ok || s.aloneRuns() {
 			return out
 		}
-		if free := s.occupied(now) == 0 || !it.Alone && s.occupied(now) < s.limit; !free {
+		free := s.occupied(now) < s.limit
+		if it.Alone {
+			// A suspect may crash the upstream, so that even a preempted run must be gone first.
+			free = len(s.running) == 0
+		}
+		if !free {
 			return append(out, s.preempt(now, it.Alone)...)
 		}
 		s.queue.Pop()
@@ -225,11 +230,10 @@
 }
 
 func (s *State) aloneRuns() bool {
-	if len(s.running) != 1 {
-		return false
-	}
 	for _, h := range s.running {
-		return h.item.Alone
+		if h.item.Alone {
+			return true
+		}
 	}
 	return false
 }
