--- a/pkg/gateway/admit.go
+++ b/pkg/gateway/admit.go
@@ -24,15 +24,8 @@
 	if g.Quarantine == nil {
 		return g.acquire(ctx, j, false)
 	}
-	checkCtx, stopCheck := context.WithCancel(ctx)
-	defer stopCheck()
-	verdicts := make(chan verdict, 1)
-	go func() {
-		v, retry := g.Quarantine.Check(checkCtx, j.req.Fingerprint, j.req.ID)
-		verdicts <- verdict{v, retry}
-	}()
 	// A verdict usually arrives before the slot; only a request that has to wait for an equal one has none yet.
-	slot, v, err := g.acquireBeside(ctx, j, verdicts, stopCheck)
+	slot, v, err := g.acquireBeside(ctx, j)
 	if err == nil || v.Verdict == serving.VerdictQuarantined {
 		err = refusal(v)
 	}
@@ -55,51 +48,38 @@
 	return slot, nil
 }
 
-// acquireBeside acquires a slot while the verdict is open. It returns without a slot when the verdict needs
-// another kind of slot or none, or takes longer than checkGrace after the slot.
-func (g *Gateway) acquireBeside(ctx context.Context, j *job, verdicts <-chan verdict, stopCheck func()) (*serving.Slot, verdict, error) {
-	type acquired struct {
-		slot *serving.Slot
-		err  error
-	}
-	acquireCtx, stop := context.WithCancel(ctx)
-	defer stop()
-	slots := make(chan acquired, 1)
+// acquireBeside asks for the verdict and acquires a slot meanwhile. It returns without a slot when the verdict comes
+// first and needs another kind of slot or none, or when it takes longer than checkGrace after the slot.
+func (g *Gateway) acquireBeside(ctx context.Context, j *job) (*serving.Slot, verdict, error) {
+	checkCtx, stopCheck := context.WithCancel(ctx)
+	defer stopCheck()
+	acquireCtx, stopAcquire := context.WithCancel(ctx)
+	defer stopAcquire()
+	fingerprint, id := j.req.Fingerprint, j.req.ID
+	verdicts := make(chan verdict, 1)
 	go func() {
-		slot, err := g.acquire(acquireCtx, j, false)
-		slots <- acquired{slot, err}
+		v, retry := g.Quarantine.Check(checkCtx, fingerprint, id)
+		if v != serving.VerdictClear {
+			stopAcquire()
+		}
+		verdicts <- verdict{v, retry}
 	}()
-	// drop gives back a slot that is granted after it is no longer wanted.
-	drop := func() {
-		stop()
-		go func() {
-			if a := <-slots; a.slot != nil {
-				g.giveBack(a.slot)
-			}
-		}()
+	slot, err := g.acquire(acquireCtx, j, false)
+	if err != nil {
+		if acquireCtx.Err() != nil && ctx.Err() == nil {
+			return nil, <-verdicts, nil
+		}
+		stopCheck()
+		return nil, <-verdicts, err
 	}
+	timer := time.NewTimer(checkGrace)
+	defer timer.Stop()
 	select {
 	case v := <-verdicts:
-		if v.Verdict != serving.VerdictClear {
-			drop()
-			return nil, v, nil
-		}
-		a := <-slots
-		return a.slot, v, a.err
-	case a := <-slots:
-		if a.err != nil {
-			stopCheck()
-			return nil, <-verdicts, a.err
-		}
-		timer := time.NewTimer(checkGrace)
-		defer timer.Stop()
-		select {
-		case v := <-verdicts:
-			return a.slot, v, nil
-		case <-timer.C:
-			g.giveBack(a.slot)
-			return nil, <-verdicts, nil
-		}
+		return slot, v, nil
+	case <-timer.C:
+		g.giveBack(slot)
+		return nil, <-verdicts, nil
 	}
 }
 
--- a/pkg/gateway/identity.go
+++ b/pkg/gateway/identity.go
@@ -16,10 +16,11 @@
 // notReadyRetry is the retry time of a node without a configuration.
 const notReadyRetry = time.Second
 
-// identities indexes the callers of one configuration by key digest.
+// identities indexes one configuration: the callers by key digest, and the names of the plain services.
 type identities struct {
 	revision int64
 	byDigest map[string]serving.Identity
+	services map[string]bool
 }
 
 // identify returns the caller whose bearer key the request carries.
@@ -32,7 +33,12 @@
 	}
 	index := g.identities.Load()
 	if index == nil || index.revision != revision {
-		index = &identities{revision: revision, byDigest: map[string]serving.Identity{}}
+		index = &identities{revision: revision, byDigest: map[string]serving.Identity{}, services: map[string]bool{}}
+		for _, u := range config.Register.Upstreams {
+			if u.Kind == api.UpstreamService {
+				index.services[u.Service] = true
+			}
+		}
 		for _, c := range config.Register.Callers {
 			for _, d := range c.KeyDigests {
 				index.byDigest[d] = serving.Identity{Institution: c.Institution, Caller: c.Name, Grants: c.Grants}
--- a/pkg/gateway/prompt/prompt.go
+++ b/pkg/gateway/prompt/prompt.go
@@ -10,6 +10,11 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
+	"math"
+	"slices"
+	"strconv"
+	"unicode/utf8"
 
 	"github.com/zeebo/xxh3"
 )
@@ -35,52 +40,67 @@
 	// PromptTokens is an estimate from the size of the text.
 	PromptTokens int
 	text         []byte
-	canonical    []byte
+	value        any
 }
 
 // Parse reads a chat or completion request. Fields that it does not know are left to the upstream.
 func Parse(raw []byte, chat bool) (*Body, error) {
-	fields, err := object(raw)
+	v, err := decode(raw)
 	if err != nil {
-		return nil, err
+		return nil, fmt.Errorf("not JSON: %w", err)
 	}
-	b := &Body{MaxTokens: DefaultMaxTokens}
-	if err := field(fields, "model", &b.Model); err != nil {
-		return nil, err
+	fields, ok := v.(map[string]any)
+	if !ok {
+		return nil, errors.New("not a JSON object")
 	}
-	if b.Model == "" {
-		return nil, errors.New("model is missing")
+	if keys(raw) != len(fields) {
+		// The upstream may take the other occurrence and serve a model that the caller is not granted.
+		return nil, errors.New("a field occurs twice")
 	}
-	if err := field(fields, "stream", &b.Stream); err != nil {
-		return nil, err
+	b := &Body{MaxTokens: DefaultMaxTokens, value: v}
+	if b.Model, ok = fields["model"].(string); !ok || b.Model == "" {
+		return nil, errors.New("model is missing or not a string")
+	}
+	switch stream := fields["stream"].(type) {
+	case nil:
+	case bool:
+		b.Stream = stream
+	default:
+		return nil, errors.New("stream is not true or false")
 	}
 	for _, name := range []string{"max_tokens", "max_completion_tokens"} {
-		n := 0
-		if err := field(fields, name, &n); err != nil {
+		if err := b.maxTokens(name, fields[name]); err != nil {
 			return nil, err
 		}
-		if n < 0 {
-			return nil, fmt.Errorf("%s is negative", name)
-		}
-		if n > 0 {
-			b.MaxTokens = n
-		}
 	}
 	if chat {
 		b.text, err = messages(fields["messages"])
+	} else if fields["prompt"] == nil {
+		err = errors.New("prompt is missing")
 	} else {
-		b.text, err = promptText(fields["prompt"])
-	}
-	if err != nil {
-		return nil, err
+		b.text = plain(nil, fields["prompt"])
 	}
 	b.PromptTokens = len(b.text)/bytesPerToken + 1
-	b.canonical, err = Canonical(raw)
 	return b, err
 }
 
+func (b *Body) maxTokens(name string, v any) error {
+	if v == nil {
+		return nil
+	}
+	number, _ := v.(json.Number)
+	n, err := number.Int64()
+	if err != nil || n < 0 || n > math.MaxInt32 {
+		return fmt.Errorf("%s is not a whole number of tokens", name)
+	}
+	if n > 0 {
+		b.MaxTokens = int(n)
+	}
+	return nil
+}
+
 // Canonical returns the canonical form of the body.
-func (b *Body) Canonical() []byte { return b.canonical }
+func (b *Body) Canonical() []byte { return appendValue(nil, b.value) }
 
 // PrefixHashes returns chained hashes of the blocks of the prompt for a model and adapter; the last block may be
 // partial and is left out, since its hash changes with every added character.
@@ -115,6 +135,14 @@
 
 // Canonical returns the JSON value with sorted keys and without insignificant space; numbers keep their text.
 func Canonical(raw []byte) ([]byte, error) {
+	v, err := decode(raw)
+	if err != nil {
+		return nil, err
+	}
+	return appendValue(nil, v), nil
+}
+
+func decode(raw []byte) (any, error) {
 	dec := json.NewDecoder(bytes.NewReader(raw))
 	dec.UseNumber()
 	var v any
@@ -127,7 +155,52 @@
 	if deeper(v, maxDepth) {
 		return nil, fmt.Errorf("nested more than %d levels", maxDepth)
 	}
-	return json.Marshal(v)
+	return v, nil
+}
+
+// appendValue appends the canonical form of a decoded value.
+func appendValue(b []byte, v any) []byte {
+	switch v := v.(type) {
+	case map[string]any:
+		b = append(b, '{')
+		for i, k := range slices.Sorted(maps.Keys(v)) {
+			if i > 0 {
+				b = append(b, ',')
+			}
+			b = append(appendString(b, k), ':')
+			b = appendValue(b, v[k])
+		}
+		return append(b, '}')
+	case []any:
+		b = append(b, '[')
+		for i, e := range v {
+			if i > 0 {
+				b = append(b, ',')
+			}
+			b = appendValue(b, e)
+		}
+		return append(b, ']')
+	case string:
+		return appendString(b, v)
+	case json.Number:
+		return append(b, v...)
+	case bool:
+		return strconv.AppendBool(b, v)
+	}
+	return append(b, "null"...)
+}
+
+func appendString(b []byte, s string) []byte {
+	for i := range len(s) {
+		if c := s[i]; c < ' ' || c == '"' || c == '\\' || c >= utf8.RuneSelf {
+			// A string always has a JSON form.
+			quoted, _ := json.Marshal(s)
+			return append(b, quoted...)
+		}
+	}
+	b = append(b, '"')
+	b = append(b, s...)
+	return append(b, '"')
 }
 
 func deeper(v any, levels int) bool {
@@ -151,89 +224,55 @@
 	return false
 }
 
-// object splits a JSON object by exact key. A key that occurs twice is an error, because the upstream may take
-// the other occurrence and serve a model that the caller is not granted.
-func object(raw []byte) (map[string]json.RawMessage, error) {
-	dec := json.NewDecoder(bytes.NewReader(raw))
-	t, err := dec.Token()
-	if err != nil {
-		return nil, fmt.Errorf("not JSON: %w", err)
-	}
-	if t != json.Delim('{') {
-		return nil, errors.New("not a JSON object")
-	}
-	fields := map[string]json.RawMessage{}
-	for dec.More() {
-		t, err := dec.Token()
-		if err != nil {
-			return nil, fmt.Errorf("not JSON: %w", err)
-		}
-		name, ok := t.(string)
-		if !ok {
-			return nil, errors.New("not a JSON object")
-		}
-		if _, twice := fields[name]; twice {
-			return nil, fmt.Errorf("field %q occurs twice", name)
-		}
-		var value json.RawMessage
-		if err := dec.Decode(&value); err != nil {
-			return nil, fmt.Errorf("not JSON: %w", err)
+// keys counts the keys of a valid JSON object, with repetitions.
+func keys(raw []byte) (n int) {
+	depth := 0
+	for i := 0; i < len(raw); i++ {
+		switch raw[i] {
+		case '"':
+			for i++; raw[i] != '"'; i++ {
+				if raw[i] == '\\' {
+					i++
+				}
+			}
+		case '{', '[':
+			depth++
+		case '}', ']':
+			depth--
+		case ':':
+			if depth == 1 {
+				n++
+			}
 		}
-		fields[name] = value
 	}
-	if _, err := dec.Token(); err != nil {
-		return nil, fmt.Errorf("not JSON: %w", err)
-	}
-	return fields, nil
-}
-
-func field(fields map[string]json.RawMessage, name string, into any) error {
-	raw, ok := fields[name]
-	if !ok {
-		return nil
-	}
-	if err := json.Unmarshal(raw, into); err != nil {
-		return fmt.Errorf("%s: %w", name, err)
-	}
-	return nil
+	return n
 }
 
 // messages returns the text of a chat in the order in which an engine sees it.
-func messages(raw json.RawMessage) ([]byte, error) {
-	var list []struct {
-		Role    string          `json:"role"`
-		Content json.RawMessage `json:"content"`
-	}
-	if err := json.Unmarshal(raw, &list); err != nil {
-		return nil, fmt.Errorf("messages: %w", err)
-	}
-	if len(list) == 0 {
-		return nil, errors.New("messages is empty")
+func messages(v any) ([]byte, error) {
+	list, ok := v.([]any)
+	if !ok || len(list) == 0 {
+		return nil, errors.New("messages is missing or empty")
 	}
 	var text []byte
-	for _, m := range list {
-		text = append(text, m.Role...)
-		text = append(text, '\n')
-		text = append(text, plain(m.Content)...)
-		text = append(text, '\n')
+	for _, e := range list {
+		m, ok := e.(map[string]any)
+		if !ok {
+			return nil, errors.New("a message is not an object")
+		}
+		role, _ := m["role"].(string)
+		text = append(append(text, role...), '\n')
+		text = append(plain(text, m["content"]), '\n')
 	}
 	return text, nil
 }
 
-func promptText(raw json.RawMessage) ([]byte, error) {
-	if len(raw) == 0 || string(raw) == "null" {
-		return nil, errors.New("prompt is missing")
-	}
-	return plain(raw), nil
-}
-
-// plain returns the characters of a JSON string, or the JSON text of any other value.
-func plain(raw json.RawMessage) []byte {
-	var s string
-	if json.Unmarshal(raw, &s) == nil {
-		return []byte(s)
+// plain appends the characters of a string, or the canonical form of any other value.
+func plain(text []byte, v any) []byte {
+	if s, ok := v.(string); ok {
+		return append(text, s...)
 	}
-	return raw
+	return appendValue(text, v)
 }
 
 // Digest identifies a request under an idempotency key; other than a fingerprint it resists deliberate collisions.
--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -49,6 +49,9 @@
 // engine reports whether the request goes to a model engine.
 func (j *job) engine() bool { return j.req.Model != "" }
 
+// named reports whether the request may be recognised when it comes again.
+func (j *job) named() bool { return j.marked || j.call.IdempotencyKey != "" }
+
 // readBody reads the body within the size and time limits.
 func (g *Gateway) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
 	control := http.NewResponseController(w)
@@ -156,8 +159,11 @@
 	j.repeatable = !j.marked
 	j.req.PromptTokens, j.req.MaxTokens = body.PromptTokens, body.MaxTokens
 	j.req.PrefixHashes = body.PrefixHashes(j.req.Model, j.req.Adapter)
-	j.req.Fingerprint = prompt.Fingerprint(who.Institution, body.Model, string(body.Canonical()))
-	j.digest = prompt.Digest(r.Method, r.URL.Path, string(body.Canonical()))
+	canonical := string(body.Canonical())
+	j.req.Fingerprint = prompt.Fingerprint(who.Institution, body.Model, canonical)
+	if j.named() {
+		j.digest = prompt.Digest(r.Method, r.URL.Path, canonical)
+	}
 	j.call.Path = r.URL.Path
 	j.call.Header.Set("Content-Type", "application/json")
 	j.call.Header.Del("Accept-Encoding")
@@ -189,8 +195,7 @@
 	if !who.MayUseService(name) {
 		return nil, api.Errorf(http.StatusForbidden, api.CodeForbidden, api.NotRun, "service %q is not granted", name)
 	}
-	known := func(u api.Upstream) bool { return u.Serves("", name) }
-	if !slices.ContainsFunc(g.Board.Config.Value().Register.Upstreams, known) {
+	if index := g.identities.Load(); index == nil || !index.services[name] {
 		return nil, api.Errorf(http.StatusNotFound, api.CodeNotFound, api.NotRun, "no service %q", name)
 	}
 	body, err := g.readBody(w, r)
@@ -210,7 +215,9 @@
 		j.call.Path += "?" + r.URL.RawQuery
 	}
 	j.req.Fingerprint = prompt.Fingerprint(who.Institution, name, r.Method, j.call.Path, string(body))
-	j.digest = prompt.Digest(r.Method, r.URL.RequestURI(), string(body))
+	if j.named() {
+		j.digest = prompt.Digest(r.Method, r.URL.RequestURI(), string(body))
+	}
 	g.classify(j)
 	return j, nil
 }
