Test files and batches through the handlers and fuzz lines and records

Cause: resends, lost answers and hostile input were not tested. Change: tests of findings, round trip, listing, resend races through two nodes with store faults, and of the truth of outcomes; fuzz targets for lines, output lines and stored records. A path segment ".." of a service URL is refused in its decoded form too.

--- /dev/null
+++ b/pkg/batch/handler/handler_test.go
@@ -0,0 +1,254 @@
+package handler
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"mime/multipart"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"trefoilplank.example/api"
+	"trefoilplank.example/pkg/adapter/store/memstore"
+	"trefoilplank.example/pkg/batch/faultstore"
+	"trefoilplank.example/pkg/serving"
+)
+
+var clerk = serving.Identity{Institution: "board", Caller: "dossiers",
+	Grants: api.Grants{Models: []string{"summary"}, Services: []string{"status"}, Batch: true}}
+
+func call(h http.Handler, id serving.Identity, r *http.Request) *httptest.ResponseRecorder {
+	w := httptest.NewRecorder()
+	h.ServeHTTP(w, r.WithContext(serving.WithRequestID(serving.WithIdentity(r.Context(), id), "a-1")))
+	return w
+}
+
+func form(purpose, content, key string) *http.Request {
+	var body bytes.Buffer
+	f := multipart.NewWriter(&body)
+	part, _ := f.CreateFormFile("file", "in.jsonl")
+	_, _ = io.WriteString(part, content)
+	_ = f.WriteField("purpose", purpose)
+	_ = f.Close()
+	r := httptest.NewRequest(http.MethodPost, "/v1/files", &body)
+	r.Header.Set("Content-Type", f.FormDataContentType())
+	r.Header.Set(api.HeaderIdempotencyKey, key)
+	return r
+}
+
+func chat(id string) string {
+	return fmt.Sprintf(`{"custom_id":%q,"method":"POST","url":"/v1/chat/completions","body":{"model":"summary","messages":[]}}`+"\n", id)
+}
+
+func batch(file, key, metadata string) *http.Request {
+	r := httptest.NewRequest(http.MethodPost, "/v1/batches", strings.NewReader(
+		fmt.Sprintf(`{"input_file_id":%q,"endpoint":"/v1/chat/completions","completion_window":"24h","metadata":{"x":%q}}`, file, metadata)))
+	r.Header.Set(api.HeaderIdempotencyKey, key)
+	return r
+}
+
+type answer struct {
+	ID    string
+	Error struct {
+		Code, Message, Outcome, RequestID string
+		Findings                          []struct {
+			Line    int
+			Message string
+		}
+	}
+	Data    []struct{ ID string }
+	HasMore bool `json:"has_more"`
+}
+
+func read(t *testing.T, w *httptest.ResponseRecorder, status int) answer {
+	t.Helper()
+	assert.Equal(t, w.Code, status, w.Body.String())
+	var a answer
+	assert.NilError(t, json.Unmarshal(w.Body.Bytes(), &a))
+	return a
+}
+
+// Guards against a partly accepted file and against findings that are reported one by one.
+func TestAllInvalidLinesAreReported(t *testing.T) {
+	s := &faultstore.Store{Store: memstore.New()}
+	h := New(Options{Store: s})
+	long := `{"custom_id":"long","method":"POST","url":"/v1/completions","body":{"model":"summary","prompt":"` + strings.Repeat("x", 1<<20) + `"}}` + "\n"
+	content := chat("1") + "no JSON\n" + chat("3") + chat("1") + "\n" + long +
+		`{"custom_id":"7","method":"POST","url":"/v1/embeddings","body":{}}` + "\n" +
+		`{"custom_id":"8","method":"POST","url":"/v1/services/ledger/charge","body":{}}` + "\n" +
+		`{"custom_id":"9","method":"GET","url":"/v1/services/status/case/1"}` + "\n" +
+		strings.Replace(chat("10"), "summary", "rights", 1) + strings.Replace(chat("11"), "POST", "GET", 1)
+	a := read(t, call(h, clerk, form("batch", content, "")), http.StatusBadRequest)
+	var lines []int
+	for _, f := range a.Error.Findings {
+		lines = append(lines, f.Line)
+	}
+	assert.DeepEqual(t, lines, []int{2, 4, 5, 6, 7, 8, 10, 11})
+	assert.Equal(t, a.Error.Outcome, "not-run")
+	page, err := s.List(context.Background(), "", "", 0)
+	assert.NilError(t, err)
+	assert.Equal(t, len(page.Objects), 0, "%v", page.Objects)
+}
+
+// Guards against a file whose content changes on the way through the store, and against access across
+// institutions.
+func TestFileRoundTrip(t *testing.T) {
+	h := New(Options{Store: memstore.New()})
+	var content strings.Builder
+	for i := range 2500 {
+		content.WriteString(chat(fmt.Sprint(i)))
+	}
+	id := read(t, call(h, clerk, form("batch", content.String(), "")), http.StatusOK).ID
+	get := func(as serving.Identity, path string) *httptest.ResponseRecorder {
+		return call(h, as, httptest.NewRequest(http.MethodGet, path, nil))
+	}
+	assert.Equal(t, get(clerk, "/v1/files/"+id+"/content").Body.String(), content.String())
+	other := clerk
+	other.Institution = "agencia"
+	read(t, get(other, "/v1/files/"+id), http.StatusNotFound)
+	read(t, get(other, "/v1/files/"+id+"/content"), http.StatusNotFound)
+	read(t, call(h, other, batch(id, "", "")), http.StatusNotFound)
+	other = clerk
+	other.Grants.Models = nil
+	read(t, call(h, other, batch(id, "", "")), http.StatusForbidden)
+	other.Grants.Batch = false
+	read(t, call(h, other, form("batch", content.String(), "")), http.StatusForbidden)
+	read(t, call(h, clerk, form("fine-tune", chat("1"), "")), http.StatusBadRequest)
+	read(t, get(clerk, "/v1/batches/batch_0"), http.StatusNotFound)
+}
+
+// Guards against a listing that skips or repeats jobs, or is not newest first.
+func TestListBatches(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := New(Options{Store: memstore.New()})
+		file := read(t, call(h, clerk, form("batch", chat("1"), "")), http.StatusOK).ID
+		var want, got []string
+		for range 7 {
+			want = append([]string{read(t, call(h, clerk, batch(file, "", "")), http.StatusOK).ID}, want...)
+		}
+		for after, more := "", true; more; after = got[len(got)-1] {
+			a := read(t, call(h, clerk, httptest.NewRequest(http.MethodGet, "/v1/batches?limit=3&after="+after, nil)), http.StatusOK)
+			more = a.HasMore
+			for _, d := range a.Data {
+				got = append(got, d.ID)
+			}
+		}
+		assert.Equal(t, len(got), 7)
+		seen := map[string]bool{}
+		for i, id := range got {
+			assert.Assert(t, !seen[id])
+			seen[id] = true
+			// Jobs of one millisecond have no order among them.
+			assert.Assert(t, i == 0 || id[:16] <= got[i-1][:16])
+		}
+	})
+}
+
+// Guards against a resend that makes a second file or job, and against an error that claims `not-run` for a job
+// that exists: concurrent resends through two nodes, with store faults.
+func TestResendRaces(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		faults := map[int]faultstore.Fault{}
+		for range rapid.IntRange(0, 6).Draw(rt, "faults") {
+			first := rapid.IntRange(1, 60).Draw(rt, "call")
+			f := rapid.SampledFrom([]faultstore.Fault{faultstore.Down, faultstore.LoseAnswer, faultstore.LoseRequest}).Draw(rt, "fault")
+			for n := range rapid.IntRange(1, 8).Draw(rt, "length") {
+				faults[first+n] = f
+			}
+		}
+		resends := rapid.IntRange(2, 4).Draw(rt, "resends")
+		synctest.Test(t, func(t *testing.T) {
+			mem := memstore.New()
+			var mu sync.Mutex
+			calls := 0
+			s := &faultstore.Store{Store: mem, Before: func(faultstore.Op) faultstore.Fault {
+				mu.Lock()
+				defer mu.Unlock()
+				calls++
+				return faults[calls]
+			}}
+			nodes := []*Handler{New(Options{Store: s}), New(Options{Store: s})}
+			// send repeats each call until it succeeds and returns the ids of all answers.
+			send := func(request func() *http.Request) map[string]bool {
+				ids := map[string]bool{}
+				var group sync.WaitGroup
+				for n := range resends {
+					group.Go(func() {
+						for range 30 {
+							w := call(nodes[n%2], clerk, request())
+							if w.Code == http.StatusOK {
+								a := read(t, w, http.StatusOK)
+								mu.Lock()
+								defer mu.Unlock()
+								ids[a.ID] = true
+								return
+							}
+							assert.Check(t, w.Code == http.StatusServiceUnavailable, w.Body.String())
+						}
+						assert.Check(t, false, "no success in 30 tries")
+					})
+				}
+				group.Wait()
+				return ids
+			}
+			files := send(func() *http.Request { return form("batch", chat("1"), "key") })
+			assert.Equal(t, len(files), 1, "%v", files)
+			var file string
+			for file = range files {
+			}
+			jobs := send(func() *http.Request { return batch(file, "key", "same") })
+			assert.Equal(t, len(jobs), 1, "%v", jobs)
+			clear(faults)
+			for _, h := range nodes {
+				read(t, call(h, clerk, form("batch", chat("2"), "key")), http.StatusConflict)
+				read(t, call(h, clerk, form("batch", "no JSON", "key")), http.StatusConflict)
+				read(t, call(h, clerk, batch(file, "key", "other")), http.StatusConflict)
+				list := read(t, call(h, clerk, httptest.NewRequest(http.MethodGet, "/v1/batches", nil)), http.StatusOK)
+				assert.Equal(t, len(list.Data), 1)
+				assert.Equal(t, call(h, clerk, httptest.NewRequest(http.MethodGet, "/v1/files/"+file+"/content", nil)).Body.String(), chat("1"))
+			}
+		})
+	})
+}
+
+// Guards against an outcome that is not true: `not-run` for a job that exists then.
+func TestOutcomeOfLostAnswers(t *testing.T) {
+	for first := 1; first <= 12; first++ {
+		for _, fault := range []faultstore.Fault{faultstore.Down, faultstore.LoseAnswer, faultstore.LoseRequest} {
+			synctest.Test(t, func(t *testing.T) {
+				calls, active := 0, false
+				s := &faultstore.Store{Store: memstore.New(), Before: func(faultstore.Op) faultstore.Fault {
+					if !active {
+						return faultstore.None
+					}
+					if calls++; calls < first {
+						return faultstore.None
+					}
+					return fault
+				}}
+				h := New(Options{Store: s})
+				file := read(t, call(h, clerk, form("batch", chat("1"), "")), http.StatusOK).ID
+				active = true
+				w := call(h, clerk, batch(file, "", ""))
+				active = false
+				list := read(t, call(h, clerk, httptest.NewRequest(http.MethodGet, "/v1/batches", nil)), http.StatusOK)
+				switch {
+				case w.Code == http.StatusOK:
+					assert.Equal(t, len(list.Data), 1)
+				default:
+					assert.Equal(t, w.Code, http.StatusServiceUnavailable)
+					assert.Assert(t, w.Header().Get(api.HeaderOutcome) == "unknown" || len(list.Data) == 0, "fault %d from call %d", fault, first)
+				}
+			})
+		}
+	}
+}
--- a/pkg/batch/line/line.go
+++ b/pkg/batch/line/line.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"net/http"
 	"net/url"
-	"path"
 	"strings"
 
 	"trefoilplank.example/api"
@@ -133,8 +132,11 @@
 		return fmt.Errorf("url names no service")
 	}
 	rest = "/" + rest
-	if p := path.Clean(rest); p != rest && p+"/" != rest {
-		return fmt.Errorf("url path is not in its shortest form")
+	for segment := range strings.SplitSeq(u.Path, "/") {
+		// The decoded path is checked, since an upstream decodes it too.
+		if segment == "." || segment == ".." {
+			return fmt.Errorf("url path has a %q segment", segment)
+		}
 	}
 	if u.RawQuery != "" {
 		rest += "?" + u.RawQuery
--- /dev/null
+++ b/pkg/batch/line/line_test.go
@@ -0,0 +1,64 @@
+package line
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/url"
+	"slices"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against panics on hostile lines, and against a path that leaves the service or names another host.
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(`{"custom_id":"a","method":"POST","url":"/v1/chat/completions","body":{"model":"m","messages":[]}}`))
+	f.Add([]byte(`{"custom_id":"a","method":"GET","url":"/v1/services/status/case/1?x=1","headers":{"trefoil-non-idempotent":"true"}}`))
+	f.Add([]byte(`{"custom_id":"a","method":"GET","url":"/v1/services/status/../x"}`))
+	f.Add([]byte(`{"custom_id":"a","method":"GET","url":"/v1/services/status/%2e%2E/x"}`))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		i, err := Parse(raw)
+		if err != nil {
+			return
+		}
+		assert.Assert(t, (i.Model == "") != (i.Service == ""))
+		decoded, err := url.PathUnescape(strings.SplitN(i.Path, "?", 2)[0])
+		assert.NilError(t, err)
+		assert.Assert(t, strings.HasPrefix(i.Path, "/") && !slices.Contains(strings.Split(decoded, "/"), ".."), i.Path)
+		assert.Assert(t, i.CustomID != "")
+		// What was accepted is accepted again from its own JSON form, as the same call.
+		text, err := json.Marshal(i)
+		assert.NilError(t, err)
+		if len(text) > MaxLineBytes {
+			return
+		}
+		again, err := Parse(text)
+		assert.NilError(t, err, "%s", text)
+		assert.Equal(t, again.Path, i.Path)
+		assert.Equal(t, again.NonIdempotent, i.NonIdempotent)
+	})
+}
+
+// Guards against an answer of an upstream that breaks the lines of an output file.
+func FuzzOutput(f *testing.F) {
+	f.Add("a", []byte(`{"x":1}`), 200)
+	f.Add("b\n", []byte("no\nJSON"), 500)
+	f.Add("", []byte("\xff\"\\"), 0)
+	f.Fuzz(func(t *testing.T, id string, body []byte, status int) {
+		o := &Output{ID: "1", CustomID: id, Response: &Response{StatusCode: status, Body: Body(body)}}
+		stored, err := Append(nil, o)
+		assert.NilError(t, err)
+		stored, err = Append(stored, &Output{CustomID: id, Error: &Failure{Code: "x"}})
+		assert.NilError(t, err)
+		var lines int
+		for _, errorFile := range []bool{false, true} {
+			assert.NilError(t, Select(stored, errorFile, func(l []byte) error {
+				lines++
+				assert.Equal(t, bytes.Count(l, []byte("\n")), 1)
+				return json.Unmarshal(l, &Output{})
+			}))
+		}
+		assert.Equal(t, lines, 2)
+	})
+}
--- a/pkg/decision/batchfill/batchfill.go
+++ b/pkg/decision/batchfill/batchfill.go
@@ -160,7 +160,7 @@
 	// Parts counts the parts held of each job, Waiting their items that are ready to run.
 	Parts   map[string]int
 	Waiting map[string]int
-	Bytes int
+	Bytes   int
 	// Items and Running count the items that wait and that run of the targets (models and services) that a
 	// job needs.
 	Items, Running int
