Shorten the head's history and pass a received delta on unchanged

Cause: the head grew to 39.8 KB, which each relay receives at each change; each node computed the delta (8.9 ms) again before it passed a change on. Change: versions without a kept payload lose their digest, attempt and chunk count; the change digest has 128 bits; a lost answer counts as not accepted only when the history still would show the attempt.

--- a/pkg/controller/confsync/apply.go
+++ b/pkg/controller/confsync/apply.go
@@ -58,7 +58,7 @@
 	if err != nil {
 		return 0, notAccepted(err)
 	}
-	next := confchain.Merge(base, change, head.NextVersion(c.Accepted()))
+	next := confchain.Merge(base, change, head.NextVersion(c.highestKnown()))
 	documents := api.Documents{Register: change.Register, Rules: change.Rules}
 	if findings := documents.Check(next); len(findings) > 0 {
 		return 0, findings
@@ -86,6 +86,15 @@
 	return p.Version, nil
 }
 
+// highestKnown returns the highest version that this node or a live member knows.
+func (c *Controller) highestKnown() int64 {
+	version := c.Accepted()
+	for _, m := range c.board.Members.Value().Live {
+		version = max(version, m.ConfigVersion)
+	}
+	return version
+}
+
 // notAccepted reports a failure before the head was written. Whatever became of the call that failed, the
 // change is not accepted, so the error must not match store.ErrUnknown.
 func notAccepted(err error) error {
@@ -152,10 +161,10 @@
 	if readErr != nil || revision == expect {
 		return err
 	}
-	if _, ok := current.FindAttempt(attempt); ok {
+	switch found, complete := current.FindAttempt(head.Version(), attempt); {
+	case found:
 		return nil
-	}
-	if len(current.History) < confchain.MaxHistory || current.History[len(current.History)-1].Version <= head.Version() {
+	case complete:
 		return errRaced
 	}
 	return err
--- a/pkg/controller/confsync/receiver.go
+++ b/pkg/controller/confsync/receiver.go
@@ -71,18 +71,19 @@
 func (c *Controller) receive(args *PushArgs) {
 	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
 	defer cancel()
-	err := c.applyDelta(args)
-	if err != nil {
-		err = c.take(ctx, args.Entry, args.From)
+	steps := c.view().Forward(c.self, args.Route)
+	if c.applyDelta(args) == nil {
+		c.deliver(PushArgs{From: c.self, Entry: args.Entry, Base: args.Base, Delta: args.Delta}, steps)
+		return
 	}
-	if err != nil {
+	if err := c.take(ctx, args.Entry, args.From); err != nil {
 		klog.Warningf("configuration version %d from %s: %v", args.Entry.Version, args.From, err)
 		c.mu.Lock()
 		c.fetching = min(c.fetching, c.inForce.Version)
 		c.mu.Unlock()
 		return
 	}
-	c.spread(args.Base, c.view().Forward(c.self, args.Route))
+	c.spread(args.Base, steps)
 }
 
 // applyDelta takes the version that a push carries itself.
@@ -155,7 +156,7 @@
 	return p, p.Verify(e)
 }
 
-// spread sends the version in force along steps. A child that does not answer is replaced by its own children.
+// spread announces the version in force along steps.
 func (c *Controller) spread(base int64, steps []dissemination.Step) {
 	if len(steps) == 0 {
 		return
@@ -170,11 +171,17 @@
 			args.Delta = delta
 		}
 	}
+	c.deliver(args, steps)
+}
+
+// deliver starts to send an announcement along steps.
+func (c *Controller) deliver(args PushArgs, steps []dissemination.Step) {
 	for _, s := range steps {
 		go c.send(args, s)
 	}
 }
 
+// send announces a version to one node. A child that does not answer is replaced by its own children.
 func (c *Controller) send(args PushArgs, s dissemination.Step) {
 	ctx, cancel := context.WithTimeout(context.Background(), pushTimeout)
 	defer cancel()
@@ -182,7 +189,5 @@
 	if err := c.peers.Call(ctx, s.To, "Config.Push", &args, &PushReply{}); err == nil {
 		return
 	}
-	for _, next := range c.view().Adopt(c.self, s) {
-		go c.send(args, next)
-	}
+	c.deliver(args, c.view().Adopt(c.self, s))
 }
--- a/pkg/decision/confchain/chain.go
+++ b/pkg/decision/confchain/chain.go
@@ -22,8 +22,9 @@
 	HeadKey = "config/head"
 	// DataPrefix is the prefix of payload chunks.
 	DataPrefix = "config/data/"
-	// MaxHistory is the number of versions that the head remembers, at about 150 bytes each. At 2,800 changes a
-	// day it covers an hour, within which the key of a resent change is recognised.
+	// MaxHistory is the number of versions that the head remembers, at about 160 bytes each, which each relay
+	// receives at each change. At 2,800 changes a day it covers an hour, within which the key of a resent change
+	// is recognised.
 	MaxHistory = 128
 	// KeptPayloads is the number of versions whose payload stays in the store.
 	KeptPayloads = 8
@@ -34,12 +35,13 @@
 	config.Record
 	// Change is the digest of the change's documents, which tells a resend from another change with the same key.
 	Change string `json:"change"`
-	// Digest is the SHA-256 digest of the payload, hex.
-	Digest string `json:"digest"`
+	// Digest is the SHA-256 digest of the payload, hex. It, Attempt and Chunks are empty on versions whose payload
+	// is no longer kept.
+	Digest string `json:"digest,omitempty"`
 	// Attempt is unique to one attempt to write the head and part of the chunks' keys.
-	Attempt string `json:"attempt"`
+	Attempt string `json:"attempt,omitempty"`
 	// Chunks is the number of payload chunks.
-	Chunks int `json:"chunks"`
+	Chunks int `json:"chunks,omitempty"`
 }
 
 // Head is the value of the head object. History is newest first; its first entry is the accepted version.
@@ -73,7 +75,7 @@
 	}
 	for i, e := range h.History {
 		switch {
-		case e.Version <= 0 || e.Chunks <= 0 || e.Attempt == "":
+		case e.Version <= 0 || i < KeptPayloads && (e.Chunks <= 0 || e.Attempt == "" || e.Digest == ""):
 			return Head{}, Error.New("entry %d is not complete", i)
 		case i > 0 && e.Version >= h.History[i-1].Version:
 			return Head{}, Error.New("version %d follows version %d", h.History[i-1].Version, e.Version)
@@ -94,14 +96,21 @@
 	return records
 }
 
-// FindAttempt returns the entry that one attempt wrote, which proves that its write was applied.
-func (h Head) FindAttempt(attempt string) (Entry, bool) {
+// FindAttempt looks for the entry that one attempt to accept a version wrote. found proves that its write was
+// applied. Otherwise complete tells whether the entry would still be there if it had been.
+func (h Head) FindAttempt(version int64, attempt string) (found, complete bool) {
 	for _, e := range h.History {
+		if e.Attempt == "" {
+			return false, false
+		}
 		if e.Attempt == attempt {
-			return e, true
+			return true, true
+		}
+		if e.Version <= version {
+			return false, true
 		}
 	}
-	return Entry{}, false
+	return false, len(h.History) < MaxHistory
 }
 
 // ChangeDigest identifies the documents of a change.
@@ -113,7 +122,8 @@
 	if err != nil {
 		return "", Error.Wrap(err)
 	}
-	return Digest(b), nil
+	// 128 bits tell apart the changes that one operator's key is used for.
+	return Digest(b)[:32], nil
 }
 
 // Digest returns the SHA-256 digest in hex.
@@ -175,6 +185,11 @@
 		Record: config.Record{Version: p.Version, Key: p.Key, Who: p.Who, When: p.When.UTC().Truncate(time.Millisecond)},
 		Change: p.Change, Digest: p.Digest, Attempt: p.Attempt, Chunks: p.Chunks,
 	}
-	kept := h.History[:min(len(h.History), MaxHistory-1)]
-	return Head{History: append([]Entry{e}, kept...)}
+	next := Head{History: append([]Entry{e}, h.History[:min(len(h.History), MaxHistory-1)]...)}
+	// One more than is kept, whose payload the accepting node deletes.
+	for i := KeptPayloads + 1; i < len(next.History); i++ {
+		old := &next.History[i]
+		old.Digest, old.Attempt, old.Chunks = "", "", 0
+	}
+	return next
 }
