--- a/cmd/scenarios/fleet_test.go
+++ b/cmd/scenarios/fleet_test.go
@@ -31,7 +31,6 @@
 // fleet holds the stand-ins and the node processes of one script.
 type fleet struct {
 	standins *devfleet.Fleet
-	mu       sync.Mutex
 	nodes    map[string]*process
 	loads    map[string]*loadRun
 }
