--- a/cmd/scenarios/fleet_test.go
+++ b/cmd/scenarios/fleet_test.go
@@ -32,18 +32,21 @@
 type fleet struct {
 	standins *devfleet.Fleet
 	nodes    map[string]*process
+	started  map[string]int
 	loads    map[string]*loadRun
 }
 
 // process is one trefoilplank serve.
 type process struct {
-	cmd            *exec.Cmd
-	address, admin string
-	done           chan struct{}
-	log            *logTail
+	cmd                  *exec.Cmd
+	address, admin, peer string
+	done                 chan struct{}
+	log                  *logTail
 }
 
-func newFleet() *fleet { return &fleet{nodes: map[string]*process{}, loads: map[string]*loadRun{}} }
+func newFleet() *fleet {
+	return &fleet{nodes: map[string]*process{}, started: map[string]int{}, loads: map[string]*loadRun{}}
+}
 
 func fleetOf(ts *testscript.TestScript) *fleet { return ts.Value(fleetKey{}).(*fleet) }
 
@@ -91,6 +94,7 @@
 		"--listen", "127.0.0.1:0", "--admin-listen", "127.0.0.1:0", "--peer-listen", "127.0.0.1:0",
 		"--store", f.standins.StoreAddress, "--vm-list", f.standins.VMListAddress, "--weight-store", f.standins.WeightStoreAddress,
 		"--operator-key", operatorKey, "--peer-secret", peerSecret, "--address-ttl", "1s",
+		"--lease-duration", "6s",
 	}, args[2:]...)
 	binary, err := lookPath(ts, "trefoilplank")
 	ts.Check(err)
@@ -99,11 +103,11 @@
 	ts.Check(err)
 	ts.Check(p.cmd.Start())
 	f.nodes[name] = p
-	served := make(chan [2]string, 1)
+	served := make(chan [3]string, 1)
 	go p.follow(stderr, served)
 	select {
 	case a := <-served:
-		p.address, p.admin = a[0], a[1]
+		p.address, p.admin, p.peer = a[0], a[1], a[2]
 	case <-p.done:
 		ts.Fatalf("node %s ended at its start:\n%s", name, p.log)
 	case <-time.After(startTimeout):
@@ -111,6 +115,7 @@
 	}
 	ts.Setenv(name, p.address)
 	ts.Setenv(name+"_admin", p.admin)
+	ts.Setenv(name+"_peer", p.peer)
 	ts.Setenv("TREFOILCTL_SERVER", p.admin)
 	ts.Setenv("TREFOILCTL_CALLER_SERVER", p.address)
 }
@@ -127,14 +132,14 @@
 }
 
 // follow reads a process's log until it ends and reports its addresses.
-func (p *process) follow(stderr io.Reader, served chan<- [2]string) {
+func (p *process) follow(stderr io.Reader, served chan<- [3]string) {
 	scanner := bufio.NewScanner(stderr)
 	scanner.Buffer(nil, 1<<20)
 	for scanner.Scan() {
 		p.log.add(scanner.Text())
-		var line struct{ Msg, Address, AdminAddress string }
+		var line struct{ Msg, Address, AdminAddress, PeerAddress string }
 		if json.Unmarshal(scanner.Bytes(), &line) == nil && line.Msg == "Node serves" {
-			served <- [2]string{line.Address, line.AdminAddress}
+			served <- [3]string{line.Address, line.AdminAddress, line.PeerAddress}
 		}
 	}
 	_ = p.cmd.Wait()
--- a/pkg/node/build.go
+++ b/pkg/node/build.go
@@ -48,8 +48,8 @@
 	}
 	n.store = store.NewClient(n.settings.Store, store.Options{})
 	self := n.record()
-	n.lease = lease.New(n.store, n.board, self, leasedecision.Default)
-	n.members = membership.New(membership.Options{Store: n.store, Board: n.board, Peers: n.peerClient, Self: self})
+	n.lease = lease.New(n.store, n.board, self, n.leaseParams())
+	n.members = membership.New(membership.Options{Store: n.store, Board: n.board, Peers: n.peerClient, Self: self, Seeds: n.settings.Join})
 	if err := n.peerServer.Register("Membership", n.members.Receiver()); err != nil {
 		return err
 	}
@@ -65,6 +65,15 @@
 	return n.buildOperator()
 }
 
+// leaseParams returns the lease times; a third of the duration between renewals allows two lost ones.
+func (n *Node) leaseParams() leasedecision.Params {
+	p := leasedecision.Default
+	p.Duration = n.settings.LeaseDuration
+	p.Renew = p.Duration / 3
+	p.Margin = p.Duration / 30
+	return p
+}
+
 func (n *Node) buildPeers() error {
 	s := n.settings
 	server := peer.NewServer(s.PeerSecret, nil)
@@ -130,6 +139,7 @@
 func (n *Node) buildReconcile() {
 	options := reconcile.Options{
 		Node: n.settings.Name, Board: n.board, Store: n.store, Engines: reconcile.NewHTTPEngines(), Explain: n.log,
+		LeaseDuration: n.settings.LeaseDuration,
 	}
 	if n.settings.WeightStore != "" {
 		options.Weights = weights.New(n.settings.WeightStore, time.Now)
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -162,7 +162,8 @@
 	group.Go(func() error { return closed(n.drainer.Serve(callers, n.secured(n.callers), callers.Serve)) })
 	group.Go(func() error { return closed(operators.Serve(n.secured(n.operators))) })
 	group.Go(func() error { return closed(n.peerServer.Serve(n.peers)) })
-	klog.InfoS("Node serves", "node", n.settings.Name, "address", n.Address(), "adminAddress", n.AdminAddress())
+	klog.InfoS("Node serves", "node", n.settings.Name, "address", n.Address(), "adminAddress", n.AdminAddress(),
+		"peerAddress", n.peers.Addr().String())
 	select {
 	case <-ctx.Done():
 		_ = n.drainer.Drain(working)
--- a/pkg/node/settings.go
+++ b/pkg/node/settings.go
@@ -25,6 +25,9 @@
 	WeightStore      string `long:"weight-store" env:"TREFOILPLANK_WEIGHT_STORE" description:"IP:port or URL of the weight store (optional)"`
 	DataDir          string `long:"data-dir" env:"TREFOILPLANK_DATA_DIR" description:"data folder on VMs that have a disk (optional)"`
 
+	Join          []string      `long:"join" env:"TREFOILPLANK_JOIN" env-delim:"," description:"peer address (IP:port) of another node, to start without the store; may be given several times"`
+	LeaseDuration time.Duration `long:"lease-duration" env:"TREFOILPLANK_LEASE_DURATION" default:"30s" description:"how long a node's lease lasts without renewal; the same on all nodes"`
+
 	DrainTimeout time.Duration `long:"drain-timeout" env:"TREFOILPLANK_DRAIN_TIMEOUT" default:"10m" description:"longest time that a drain waits for requests in progress"`
 	AddressTTL   time.Duration `long:"address-ttl" env:"TREFOILPLANK_ADDRESS_TTL" default:"5s" description:"time for which callers keep an address answer"`
 
@@ -54,6 +57,9 @@
 // minSecretBytes is the shortest accepted key or secret; shorter ones can be guessed.
 const minSecretBytes = 12
 
+// minLeaseDuration leaves room for a renewal that the store answers after a second.
+const minLeaseDuration = 5 * time.Second
+
 // Check reads the key files and returns a SettingsError with every fault.
 func (s *Settings) Check() error {
 	var e SettingsError
@@ -77,6 +83,14 @@
 	if s.AddressTTL < time.Second {
 		add("--address-ttl: must be at least 1s")
 	}
+	if s.LeaseDuration < minLeaseDuration {
+		add("--lease-duration: must be at least %s", minLeaseDuration)
+	}
+	for _, address := range s.Join {
+		if _, _, err := net.SplitHostPort(address); err != nil {
+			add("--join: %q must be IP:port", address)
+		}
+	}
 	if s.Verbosity < 0 || s.Verbosity > 10 {
 		add("-v: must be between 0 and 10")
 	}
--- a/pkg/node/settings_test.go
+++ b/pkg/node/settings_test.go
@@ -12,7 +12,7 @@
 	s := Settings{
 		Name: "bad name", Listen: "localhost:80", AdminListen: "127.0.0.1:1", PeerListen: "127.0.0.1:1",
 		OperatorKey: "short", PeerSecret: "long enough secret", TLSCert: "/does/not/exist",
-		DrainTimeout: time.Second, AddressTTL: time.Second,
+		DrainTimeout: time.Second, LeaseDuration: time.Minute, AddressTTL: time.Second,
 	}
 	err := s.Check()
 	faults, ok := err.(SettingsError)
@@ -25,7 +25,7 @@
 	s := Settings{
 		Name: "node1", AvailabilityZone: "a", Store: "127.0.0.1:1", Listen: "127.0.0.1:0", AdminListen: "127.0.0.1:0",
 		PeerListen: "127.0.0.1:0", OperatorKey: "operator key 1", PeerSecret: "long enough secret",
-		DrainTimeout: time.Second, AddressTTL: time.Second,
+		DrainTimeout: time.Second, LeaseDuration: time.Minute, AddressTTL: time.Second,
 	}
 	assert.NilError(t, s.Check())
 }
--- a/standin/dev/dev.go
+++ b/standin/dev/dev.go
@@ -40,6 +40,8 @@
 	// addressTTL is short, so that Ctrl-C ends the fleet quickly.
 	addressTTL   = time.Second
 	drainTimeout = 30 * time.Second
+	// leaseDuration is short, so that the work of a lost node is taken over within a demonstration.
+	leaseDuration = 10 * time.Second
 )
 
 // Check returns every fault of the options.
@@ -173,7 +175,7 @@
 		Name: fmt.Sprintf("node%d", i), AvailabilityZone: zone.Name, Region: zone.Region,
 		Listen: listen(0), AdminListen: listen(1), PeerListen: listen(2),
 		Store: standins.StoreAddress, VMList: standins.VMListAddress, WeightStore: standins.WeightStoreAddress,
-		DrainTimeout: drainTimeout, AddressTTL: addressTTL,
+		DrainTimeout: drainTimeout, AddressTTL: addressTTL, LeaseDuration: leaseDuration,
 		OperatorKey: operatorKey, PeerSecret: secretFor("peer", o.Seed),
 	}
 }
--- a/standin/engine/http.go
+++ b/standin/engine/http.go
@@ -243,7 +243,7 @@
 		}
 	}
 	return map[string]any{
-		"id": r.id, "object": object, "created": time.Now().Unix(), "model": r.model,
+		"id": r.id, "object": object, "created": r.created, "model": r.model,
 		"choices": []any{choice}, "usage": r.usage(),
 	}
 }
@@ -259,7 +259,7 @@
 		choice["text"] = r.output[i]
 	}
 	event := map[string]any{
-		"id": r.id, "object": object, "created": time.Now().Unix(), "model": r.model, "offset": i,
+		"id": r.id, "object": object, "created": r.created, "model": r.model, "offset": i,
 		"choices": []any{choice},
 	}
 	if i == len(r.output)-1 {
--- a/standin/engine/run.go
+++ b/standin/engine/run.go
@@ -44,6 +44,8 @@
 	promptTokens int
 	blocks       []uint64
 	output       []string
+	// created is the same in all events, so that a resumed stream repeats what was sent before.
+	created int64
 
 	updated   chan struct{}
 	row       int
@@ -89,6 +91,7 @@
 	}
 	r := &run{
 		id: id, request: request, body: body, model: c.Model, chat: chat, row: -1,
+		created:      time.Now().Unix(),
 		promptTokens: max(1, len(text)/charsPerToken), updated: make(chan struct{}),
 	}
 	if parsed, err := prompt.Parse(body, chat); err == nil {
