Move ownership safely and place bursts over preemptible slots

Cause, from the failure tests: a new owner granted slots that were in use (3 of 3 waiting requests, then 1 for its own slots); a limit without reported slots drifted up; a Wait call outlived its given-up ticket; in a burst equal to all slots, 1 or 2 of 12 requests queued behind online work until their deadline while batch work ran elsewhere (an unknown hold time gave a wait of 0, and the last offer used old waits). Change: a new owner grants nothing until every member has reported its slots, at most 100 ms, and requests go elsewhere; an owner that lost the role ends its batch runs and forgets the upstream; each offer is placed on the loads of the last refusal, up to 5 offers.

--- a/pkg/controller/admission/client.go
+++ b/pkg/controller/admission/client.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"time"
@@ -17,13 +18,11 @@
 	work     Work
 	local    bool
 	prefix   []uint64
-	// toldTo is the owner that knows of the slot.
-	toldTo string
 }
 
 const (
-	// maxTries bounds the upstreams that are asked before the request queues at the one with the shortest wait.
-	maxTries = 3
+	// maxTries bounds the offers of a request; the last one queues it however long the wait.
+	maxTries = 5
 	// maxRounds bounds how often a request starts over because an owner was lost while it waited.
 	maxRounds = 8
 )
@@ -52,56 +51,50 @@
 	return nil, refusal(r, http.StatusServiceUnavailable, api.CodeNoCapacity, last.Reason, last.RetryAfter)
 }
 
-// round tries the best upstreams for a short wait, each refusal with its expected wait, then queues at the one
-// with the shortest. It returns the slot or the reply that decided against one.
+// round offers the request to the best upstream for as long a wait as the next best offers. A refusal brings the
+// present loads, after which the order is made anew; the last try accepts any wait. It returns the slot or the
+// reply that decided against one.
 func (c *Controller) round(ctx context.Context, r serving.Request, began time.Time) (*serving.Slot, *AcquireReply) {
 	exclude := append([]string(nil), r.Exclude...)
-	var best *placed
-	var bestReply, refused *AcquireReply
-	for range maxTries {
+	offered := map[string]time.Duration{}
+	var refused *AcquireReply
+	for try := range maxTries {
 		order := c.place(r, exclude)
 		if len(order) == 0 || ctx.Err() != nil {
 			break
 		}
-		u := order[0]
-		exclude = append(exclude, u.Upstream.Name)
-		reply, work, local := c.acquire(ctx, u.Upstream, r, began, patience(order, bestReply))
+		u, maxWait := order[0], decision.Unlimited
+		if try < maxTries-1 {
+			maxWait = patience(order, offered[order[0].Upstream.Name])
+		}
+		reply, work, local := c.acquire(ctx, u.Upstream, r, began, maxWait)
 		if slot := c.take(u, r, reply, work, local, began); slot != nil {
 			return slot, nil
 		}
 		switch {
 		case reply == nil:
+			exclude = append(exclude, u.Upstream.Name)
+			refused = cmp.Or(refused, &AcquireReply{Reason: "the upstream's admission owner is silent"})
 		case reply.Status == StatusUnknown, reply.Waited:
 			return nil, reply
-		case !reply.Elsewhere:
+		case reply.Elsewhere:
+			offered[u.Upstream.Name] = reply.Wait
+		default:
+			exclude = append(exclude, u.Upstream.Name)
 			refused = reply
-		case bestReply == nil || reply.Wait < bestReply.Wait:
-			best, bestReply = &u, reply
 		}
 	}
-	if best == nil || ctx.Err() != nil {
-		return nil, refused
-	}
-	reply, work, local := c.acquire(ctx, best.Upstream, r, began, decision.Unlimited)
-	if slot := c.take(*best, r, reply, work, local, began); slot != nil {
-		return slot, nil
-	}
-	if reply == nil {
-		reply = &AcquireReply{Status: StatusUnknown, Reason: "the upstream's admission owner is silent"}
-	}
-	return nil, reply
+	return nil, refused
 }
 
-// patience is the longest wait to accept at the first upstream of the order: what the best other one offers.
-func patience(order []placed, refused *AcquireReply) time.Duration {
+// patience is the longest wait to accept at the first upstream of the order: what the best other one offers, or
+// a little more than it offered itself when it was asked before and is still the best.
+func patience(order []placed, offered time.Duration) time.Duration {
 	wait := decision.Unlimited
 	for _, o := range order[1:] {
 		wait = min(wait, o.Wait)
 	}
-	if refused != nil {
-		wait = min(wait, refused.Wait)
-	}
-	return wait
+	return max(wait, offered+offered/4)
 }
 
 func refusal(r serving.Request, status int, code api.Code, reason string, retry time.Duration) *api.Error {
@@ -207,7 +200,7 @@
 		v.local++
 		v.delta++
 	}
-	c.held[slot] = &heldSlot{upstream: u.Upstream.Name, work: work, local: local, prefix: r.PrefixHashes, toldTo: slot.Owner}
+	c.held[slot] = &heldSlot{upstream: u.Upstream.Name, work: work, local: local, prefix: r.PrefixHashes}
 	c.mu.Unlock()
 	c.record(explain.Entry{Request: r.ID, Upstream: u.Upstream.Name, Decision: "admit", Reason: reason,
 		Values: map[string]any{"owner": slot.Owner, "queued_ms": slot.Queued.Milliseconds()}})
--- a/pkg/controller/admission/controller.go
+++ b/pkg/controller/admission/controller.go
@@ -44,7 +44,7 @@
 	// staleView is the age from which the load of an upstream is asked for, one owner per syncInterval, so that
 	// the traffic does not grow with the number of nodes times upstreams.
 	staleView = 5 * time.Second
-	// takeover is how long a new owner leaves room for slots that it was not yet told of.
+	// takeover is how long a new owner grants nothing while members have not reported the slots that they hold.
 	takeover = 100 * time.Millisecond
 	// heldGrace is how long a granted slot stays reserved for a node that does not list it as held.
 	heldGrace = 2 * time.Second
@@ -98,10 +98,12 @@
 	views  map[string]*view
 	silent map[string]silence
 	// told is when each owner was last told the held slots; talked marks owners that were asked since.
-	told     map[string]time.Time
-	talked   map[string]bool
-	random   *rand.Rand
-	batchCtx context.Context
+	told   map[string]time.Time
+	talked map[string]bool
+	// lastOwner is the owner of each upstream at the last exchange.
+	lastOwner map[string]string
+	random    *rand.Rand
+	batchCtx  context.Context
 	// life ends with Run; background counts calls to other nodes that nobody waits for.
 	life       context.Context
 	end        context.CancelFunc
@@ -124,7 +126,7 @@
 	c := &Controller{
 		Options: o, owned: map[string]*owned{}, held: map[*serving.Slot]*heldSlot{}, views: map[string]*view{},
 		silent: map[string]silence{}, told: map[string]time.Time{},
-		talked: map[string]bool{}, random: rand.New(rand.NewPCG(o.Seed, 1)),
+		talked: map[string]bool{}, lastOwner: map[string]string{}, random: rand.New(rand.NewPCG(o.Seed, 1)),
 	}
 	c.life, c.end = context.WithCancel(context.Background())
 	if o.Registrar != nil {
@@ -180,7 +182,10 @@
 		}
 	}
 	for _, o := range c.ownedList() {
-		o.sync(members)
+		if o.sync(members) {
+			c.forget(o)
+			continue
+		}
 		if ctx.Err() == nil {
 			o.fill()
 		}
@@ -188,6 +193,15 @@
 	c.exchange(ctx)
 }
 
+// forget drops the state of an upstream that another node owns. Slots in it are reported to the new owner.
+func (c *Controller) forget(o *owned) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.owned[o.name] == o {
+		delete(c.owned, o.name)
+	}
+}
+
 func (c *Controller) ownedList() []*owned {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/pkg/controller/admission/exchange.go
+++ b/pkg/controller/admission/exchange.go
@@ -20,10 +20,6 @@
 	for _, h := range c.held {
 		owner := c.owner(h.upstream)
 		byOwner[owner] = append(byOwner[owner], HeldSlot{Upstream: h.upstream, Work: h.work})
-		if h.toldTo != owner {
-			due[owner] = true
-		}
-		h.toldTo = owner
 	}
 	for owner := range c.talked {
 		due[owner] = due[owner] || now.Sub(c.told[owner]) >= reportInterval
@@ -31,6 +27,12 @@
 	for owner := range byOwner {
 		due[owner] = due[owner] || now.Sub(c.told[owner]) >= reportInterval
 	}
+	for _, u := range c.Board.Config.Value().Register.Upstreams {
+		// A new owner waits for the report of every member, also of those that hold nothing.
+		owner := c.owner(u.Name)
+		due[owner] = due[owner] || c.lastOwner[u.Name] != owner
+		c.lastOwner[u.Name] = owner
+	}
 	if stale := c.stalest(now); stale != "" {
 		due[stale] = true
 	}
@@ -74,6 +76,13 @@
 
 // reconcile replaces the slots that a node holds on this upstream.
 func (o *owned) reconcile(node string, works []Work) {
+	if o.takeSlots(node, works) {
+		o.fill()
+	}
+}
+
+// takeSlots reports whether a new owner now knows the slots of all members.
+func (o *owned) takeSlots(node string, works []Work) bool {
 	now := time.Now()
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -84,4 +93,16 @@
 		}
 	}
 	o.apply(now, o.state.Reconcile(now, node, held, heldGrace))
+	if o.reported == nil {
+		return false
+	}
+	o.reported[node] = true
+	for name := range o.c.Board.Members.Value().Live {
+		if !o.reported[name] {
+			return false
+		}
+	}
+	o.reported = nil
+	o.apply(now, o.state.Freeze(now, now))
+	return true
 }
--- /dev/null
+++ b/pkg/controller/admission/failure_test.go
@@ -0,0 +1,292 @@
+package admission
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"trefoilplank.example/api"
+	"trefoilplank.example/pkg/blackboard"
+	"trefoilplank.example/pkg/decision/admission"
+	"trefoilplank.example/pkg/explain"
+	"trefoilplank.example/pkg/serving"
+)
+
+func (n *network) owner(upstream string) string {
+	return admission.Owner(upstream, n.nodes["n0"].board.Members.Value())
+}
+
+// others returns the nodes other than the named one, in order.
+func (n *network) others(name string) (out []*fakeNode) {
+	for i := range len(n.nodes) {
+		if node := n.nodes[fmt.Sprint("n", i)]; node.name != name {
+			out = append(out, node)
+		}
+	}
+	return out
+}
+
+func acquire(t *testing.T, n *fakeNode, id string) *serving.Slot {
+	s, err := n.c.Acquire(context.Background(), request(id))
+	assert.NilError(t, err)
+	return s
+}
+
+func notRun(t *testing.T, err error) *api.Error {
+	var e *api.Error
+	assert.Assert(t, errors.As(err, &e) && e.Outcome == api.NotRun && e.RetryAfter >= time.Second, "%v", err)
+	return e
+}
+
+// Guards against online work that waits for a paused owner, against local grants without bound, and against a
+// slot that the owner granted while it was paused and that nobody uses.
+func TestPausedOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := cluster(t, 3, engines(1), nil)
+		time.Sleep(10 * time.Second)
+		owner := n.owner("e0")
+		node := n.others(owner)[0]
+		n.fault(owner, "paused")
+		began := time.Now()
+		first := acquire(t, node, "r0")
+		assert.Equal(t, first.Owner, "")
+		assert.Assert(t, time.Since(began) <= ownerSilence)
+		slots := []*serving.Slot{first}
+		for i := range 9 {
+			if s, err := node.c.Acquire(context.Background(), request(fmt.Sprint("l", i))); err == nil {
+				slots = append(slots, s)
+			} else {
+				notRun(t, err)
+			}
+		}
+		assert.Equal(t, len(slots), 2, "bound of the local estimate: limit 4 over 3 nodes, rounded up")
+		batch := request("b")
+		batch.Batch = true
+		_, err := node.c.Acquire(context.Background(), batch)
+		notRun(t, err)
+		n.fault(owner, "")
+		time.Sleep(10 * time.Second)
+		l := n.nodes[owner].c.upstream("e0").load()
+		assert.Equal(t, l.Online, 2, "the owner must know the local grants and no lost ones")
+		for _, s := range slots {
+			node.c.Release(s, serving.Usage{Result: serving.RunOK})
+		}
+		time.Sleep(time.Second)
+		assert.Equal(t, n.nodes[owner].c.upstream("e0").load().Online, 0)
+	})
+}
+
+// Guards against requests that stay queued at a node that lost the role, and against a new owner that grants
+// slots which are in use.
+func TestOwnerMovesWhileRequestsWait(t *testing.T) {
+	for _, how := range []string{"drains", "dies"} {
+		t.Run(how, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				n := cluster(t, 4, engines(1), nil)
+				time.Sleep(10 * time.Second)
+				old := n.owner("e0")
+				rest := n.others(old)
+				var held []*serving.Slot
+				for i := range defaultLimit {
+					held = append(held, acquire(t, rest[i%3], fmt.Sprint("h", i)))
+				}
+				var got atomic.Int32
+				for i := range 3 {
+					go func() {
+						acquire(t, rest[i], fmt.Sprint("q", i))
+						got.Add(1)
+					}()
+				}
+				time.Sleep(50 * time.Millisecond)
+				if how == "dies" {
+					n.fault(old, "dead")
+				}
+				n.members(old)
+				time.Sleep(1500 * time.Millisecond)
+				over := int(got.Load())
+				assert.Equal(t, over, 0, "the new owner granted slots that are in use")
+				for i, s := range held {
+					rest[i%3].c.Release(s, serving.Usage{Result: serving.RunOK, Duration: time.Second})
+				}
+				time.Sleep(100 * time.Millisecond)
+				assert.Equal(t, int(got.Load()), 3)
+			})
+		})
+	}
+}
+
+// Guards against slots that a lost serving node keeps.
+func TestLostServingNodeFreesItsSlots(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := cluster(t, 3, engines(1), nil)
+		owner := n.owner("e0")
+		lost, other := n.others(owner)[0], n.others(owner)[1]
+		for i := range defaultLimit {
+			acquire(t, lost, fmt.Sprint("h", i))
+		}
+		n.fault(lost.name, "dead")
+		n.members(lost.name)
+		began := time.Now()
+		acquire(t, other, "r")
+		assert.Assert(t, time.Since(began) < 10*time.Millisecond, "waited %v", time.Since(began))
+		assert.Assert(t, len(n.nodes[owner].log.Find(explain.Query{Upstream: "e0"})) > 0, "no reason was recorded")
+	})
+}
+
+// Guards against a request that is held until its deadline although it can't be served, and against a slot that
+// goes to a caller who has gone away.
+func TestGivenUpRequestsAreAnsweredAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := cluster(t, 2, engines(1), nil)
+		node := n.nodes["n0"]
+		for i := range defaultLimit {
+			s := acquire(t, node, fmt.Sprint("w", i))
+			time.Sleep(3 * time.Second)
+			node.c.Release(s, serving.Usage{Result: serving.RunOK, FirstToken: time.Second, Duration: 3 * time.Second})
+		}
+		for i := range defaultLimit {
+			acquire(t, node, fmt.Sprint("h", i))
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+		defer cancel()
+		_, err := node.c.Acquire(ctx, request("gone"))
+		assert.Equal(t, notRun(t, err).Code, api.CodeDeadline)
+		r := request("late")
+		r.Deadline = time.Now().Add(500 * time.Millisecond)
+		began := time.Now()
+		_, err = node.c.Acquire(context.Background(), r)
+		assert.Equal(t, notRun(t, err).Status, 503)
+		assert.Assert(t, time.Since(began) < 10*time.Millisecond)
+		assert.Equal(t, n.nodes[n.owner("e0")].c.upstream("e0").load().Waiting, 0)
+	})
+}
+
+// Guards against an upstream that still gets work after it was marked as leaving, and against requests that stay
+// in its queue.
+func TestLeavingUpstreamGetsNothingNew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := cluster(t, 3, engines(2), nil)
+		for _, node := range n.nodes {
+			node.board.Upstreams.Set(map[string]blackboard.UpstreamStatus{"e0": {Health: blackboard.HealthLeaving}})
+		}
+		for i := range defaultLimit {
+			assert.Equal(t, acquire(t, n.nodes["n0"], fmt.Sprint("r", i)).Upstream.Name, "e1")
+		}
+	})
+}
+
+// fakeBatch is an endless stock of items that generate one token per interval.
+type fakeBatch struct {
+	interval time.Duration
+	taken    atomic.Int64
+	mu       sync.Mutex
+	lost     []int
+	stock    chan struct{}
+}
+
+type fakeRun struct {
+	b      *fakeBatch
+	id     int64
+	tokens atomic.Int64
+}
+
+func (b *fakeBatch) Next(api.Upstream) (serving.BatchRun, bool) {
+	return &fakeRun{b: b, id: b.taken.Add(1)}, true
+}
+func (b *fakeBatch) Pressure(string) float64  { return 0 }
+func (b *fakeBatch) Waiting() <-chan struct{} { return b.stock }
+func (r *fakeRun) Progress() (int, bool)      { return int(r.tokens.Load()), false }
+func (r *fakeRun) Request() serving.Request {
+	return serving.Request{ID: fmt.Sprint("batch-", r.id), Institution: "agencia", Model: "m", Batch: true}
+}
+
+// Run frees its slot at the end of the token during which it is cancelled, as an engine does.
+func (r *fakeRun) Run(ctx context.Context, _ *serving.Slot) serving.Usage {
+	for r.tokens.Load() < 100 {
+		time.Sleep(r.b.interval)
+		if ctx.Err() != nil {
+			if errors.Is(context.Cause(ctx), serving.ErrPreempted) {
+				r.b.mu.Lock()
+				r.b.lost = append(r.b.lost, int(r.tokens.Load()))
+				r.b.mu.Unlock()
+			}
+			return serving.Usage{Result: serving.RunCancelled}
+		}
+		r.tokens.Add(1)
+	}
+	return serving.Usage{Result: serving.RunOK, Duration: 100 * r.b.interval, Tokens: 100}
+}
+
+// Guards against online work that waits behind a batch backlog: a burst as large as all slots gets them within
+// one token interval + 10 ms, by ending the youngest runs, and batch work takes the slots back afterwards.
+func TestOnlineBurstPreemptsBatch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := &fakeBatch{interval: 15 * time.Millisecond, stock: make(chan struct{})}
+		n := cluster(t, 3, engines(3), func(o *Options) { o.Batch = b })
+		time.Sleep(time.Second)
+		count := func() (online, batch int) {
+			for i := range 3 {
+				l := n.nodes[n.owner(fmt.Sprint("e", i))].c.upstream(fmt.Sprint("e", i)).load()
+				online, batch = online+l.Online, batch+l.Batch
+			}
+			return online, batch
+		}
+		_, batch := count()
+		assert.Equal(t, batch, 3*defaultLimit, "idle slots must be filled")
+		var wg sync.WaitGroup
+		var mu sync.Mutex
+		var longest time.Duration
+		slots := map[*serving.Slot]*Controller{}
+		for i := range 3 * defaultLimit {
+			wg.Go(func() {
+				c := n.nodes[fmt.Sprint("n", i%3)].c
+				began := time.Now()
+				s := acquire(t, n.nodes[fmt.Sprint("n", i%3)], fmt.Sprint("r", i))
+				mu.Lock()
+				defer mu.Unlock()
+				longest = max(longest, time.Since(began))
+				slots[s] = c
+			})
+		}
+		wg.Wait()
+		assert.Assert(t, longest <= b.interval+10*time.Millisecond, "slowest online request waited %v", longest)
+		online, batch := count()
+		assert.Assert(t, online == 3*defaultLimit && batch == 0, "%d online, %d batch", online, batch)
+		for s, c := range slots {
+			c.Release(s, serving.Usage{Result: serving.RunOK, Duration: time.Second})
+		}
+		time.Sleep(50 * time.Millisecond)
+		_, batch = count()
+		assert.Equal(t, batch, 3*defaultLimit, "batch work must take idle slots back")
+	})
+}
+
+// Guards against a suspect that runs beside others, and against work that starts while it runs.
+func TestSuspectRunsAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := &fakeBatch{interval: 15 * time.Millisecond, stock: make(chan struct{})}
+		n := cluster(t, 2, engines(1), func(o *Options) { o.Batch = b })
+		time.Sleep(time.Second)
+		other := acquire(t, n.nodes["n0"], "r")
+		time.AfterFunc(time.Second, func() { n.nodes["n0"].c.Release(other, serving.Usage{Result: serving.RunOK}) })
+		suspect := request("suspect")
+		suspect.Alone = true
+		s, err := n.nodes["n1"].c.Acquire(context.Background(), suspect)
+		assert.NilError(t, err)
+		l := n.nodes[n.owner("e0")].c.upstream("e0").load()
+		assert.Assert(t, l.Online == 1 && l.Batch == 0, "%+v", l)
+		time.Sleep(time.Second)
+		l = n.nodes[n.owner("e0")].c.upstream("e0").load()
+		assert.Assert(t, l.Online == 1 && l.Batch == 0, "work started beside the suspect: %+v", l)
+		n.nodes["n1"].c.Release(s, serving.Usage{Result: serving.RunDied})
+		time.Sleep(100 * time.Millisecond)
+		assert.Equal(t, n.nodes[n.owner("e0")].c.upstream("e0").load().Batch, defaultLimit)
+	})
+}
--- a/pkg/controller/admission/learn.go
+++ b/pkg/controller/admission/learn.go
@@ -59,9 +59,6 @@
 	if part := health.Part(st.Health, now.Sub(st.Since)); part > 0 && part < 1 {
 		limit = max(1, int(part*float64(limit)))
 	}
-	if now.Before(o.takeoverUntil) {
-		return
-	}
 	if out.Tail > 0 {
 		o.state.ResetPeak()
 	}
--- a/pkg/controller/admission/owner.go
+++ b/pkg/controller/admission/owner.go
@@ -32,8 +32,8 @@
 	// overtake each other.
 	cancelled map[string]time.Time
 	ticking   bool
-	// takeoverUntil is when slots granted by a former owner are known.
-	takeoverUntil time.Time
+	// reported holds the nodes that have reported their slots to a new owner; nil when that is no longer awaited.
+	reported map[string]bool
 }
 
 // ticket is a request that waits in the queue. decided has room for the one decision.
@@ -53,20 +53,23 @@
 const ticketLife = 5 * time.Second
 
 // newOwned returns the admission of an upstream; c.mu is held. A node that takes over from another owner
-// starts at the limit that this one had learned, and leaves room for the slots that were held at the last
-// reply until the serving nodes have reported them.
+// starts at the limit that this one had learned, and grants nothing until the other members have reported the
+// slots that they hold, or for the time of takeover. Requests go to other upstreams meanwhile.
 func newOwned(c *Controller, name string) *owned {
-	limit, free := defaultLimit, defaultLimit
+	limit := defaultLimit
 	if st := c.Board.Upstreams.Value()[name]; st.Slots > 0 {
-		limit, free = st.Slots, st.Slots
+		limit = st.Slots
 	}
-	o := &owned{c: c, name: name, tickets: map[string]*ticket{}, runs: map[string]*batchRun{}, cancelled: map[string]time.Time{}}
 	if v, ok := c.views[name]; ok && v.load.Limit > 0 {
 		limit = v.load.Limit
-		free = max(1, limit-v.load.Online-v.load.Batch)
-		o.takeoverUntil = time.Now().Add(takeover)
 	}
-	o.state, o.tuner, o.batchSlots = decision.NewState(decision.DefaultSettings(), free), decision.NewTuner(limit), free
+	o := &owned{c: c, name: name, tickets: map[string]*ticket{}, runs: map[string]*batchRun{}, cancelled: map[string]time.Time{},
+		state: decision.NewState(decision.DefaultSettings(), limit), tuner: decision.NewTuner(limit), batchSlots: limit}
+	if len(c.Board.Members.Value().Live) > 1 {
+		o.reported = map[string]bool{}
+		o.state.Freeze(time.Now(), time.Now().Add(takeover))
+		time.AfterFunc(takeover, o.tick)
+	}
 	return o
 }
 
@@ -141,7 +144,12 @@
 	now := time.Now()
 	o.mu.Lock()
 	o.learn(now, a)
-	delete(o.tickets, a.Work.Ticket)
+	if t, ok := o.tickets[a.Work.Ticket]; ok {
+		if t.done.IsZero() {
+			close(t.decided)
+		}
+		delete(o.tickets, a.Work.Ticket)
+	}
 	o.cancelled[a.Work.Ticket] = now
 	o.apply(now, o.state.Release(now, a.Work.Ticket))
 	o.mu.Unlock()
@@ -183,8 +191,9 @@
 	}
 }
 
-// sync frees the slots of lost nodes and forgets old tickets. An owner that lost the role hands its queue back.
-func (o *owned) sync(members blackboard.Members) {
+// sync frees the slots of lost nodes and forgets old tickets. An owner that lost the role hands its queue back
+// and ends its batch runs, since the new owner fills the slots; gone is true when nothing is left.
+func (o *owned) sync(members blackboard.Members) (gone bool) {
 	now := time.Now()
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -203,6 +212,10 @@
 			delete(o.tickets, d.Item.ID)
 		}
 	}
+	if o.c.owner(o.name) != o.c.Self {
+		o.apply(now, o.state.TrimBatch(now, 0))
+		return len(o.runs) == 0
+	}
 	for id, t := range o.tickets {
 		if !t.done.IsZero() && now.Sub(t.done) > ticketLife {
 			delete(o.tickets, id)
@@ -214,6 +227,7 @@
 		}
 	}
 	o.tune(now, o.pressure())
+	return false
 }
 
 // closed returns why the upstream takes no work, or "". An ejected upstream takes work from a node that knows
--- a/pkg/decision/admission/holdings.go
+++ b/pkg/decision/admission/holdings.go
@@ -14,13 +14,20 @@
 
 // BatchRoom returns how many batch runs may start: none while online work waits or a suspect runs alone.
 func (s *State) BatchRoom(now time.Time, allowance int) int {
-	if s.queue.Len() > 0 || s.aloneRuns() {
+	if s.queue.Len() > 0 || s.aloneRuns() || now.Before(s.frozen) {
 		return 0
 	}
 	_, batch, _ := s.Counts()
 	return min(allowance-batch, s.limit-len(s.running))
 }
 
+// Freeze grants nothing until the given time. A new owner uses it until it knows the slots in use. An earlier time
+// than before ends the freeze.
+func (s *State) Freeze(now, until time.Time) []Decision {
+	s.frozen = until
+	return s.Advance(now)
+}
+
 // SetProgress notes how much work a batch run would lose.
 func (s *State) SetProgress(id string, tokens int, resumable bool) {
 	if h, ok := s.running[id]; ok {
--- a/pkg/decision/admission/state.go
+++ b/pkg/decision/admission/state.go
@@ -43,15 +43,21 @@
 	// PreemptGrace is how long a preempted run may hold its slot. Then the slot counts as free, since a lost
 	// cancellation must not keep online work waiting.
 	PreemptGrace time.Duration
+	// PreemptWait is the expected time for a preempted run to leave: about half a token interval.
+	PreemptWait time.Duration
 	// MinRetryAfter is the least retry time of a dropped request.
 	MinRetryAfter time.Duration
 	// AloneWait bounds the wait of a request that runs alone, since it keeps the upstream empty meanwhile.
 	AloneWait time.Duration
+	// UnknownHold stands for the time that a slot is held until a run was seen.
+	UnknownHold time.Duration
 }
 
 // DefaultSettings returns the parameters in use.
 func DefaultSettings() Settings {
-	return Settings{MaxQueue: 256, PreemptGrace: 20 * time.Millisecond, MinRetryAfter: time.Second, AloneWait: 10 * time.Second}
+	return Settings{MaxQueue: 256, PreemptGrace: 20 * time.Millisecond,
+		PreemptWait: 10 * time.Millisecond, MinRetryAfter: time.Second,
+		AloneWait: 10 * time.Second, UnknownHold: 500 * time.Millisecond}
 }
 
 // holding is an occupied slot.
@@ -71,6 +77,8 @@
 	queue   Queue
 	// hold is the smoothed time that online work holds a slot.
 	hold time.Duration
+	// frozen is until when nothing is granted, since slots may be in use that are not known here.
+	frozen time.Time
 	// peak is the most slots in use since ResetPeak.
 	peak int
 }
@@ -115,13 +123,20 @@
 // ExpectedWait estimates the time until an item would get a slot.
 func (s *State) ExpectedWait(now time.Time, it Item) time.Duration {
 	ahead := s.queue.Ahead(it)
+	if now.Before(s.frozen) {
+		return s.frozen.Sub(now)
+	}
 	if free := s.limit - s.occupied(now); ahead < free && !s.aloneRuns() {
 		return 0
 	}
 	if _, batch, _ := s.Counts(); ahead < batch && !it.Batch {
-		return s.set.PreemptGrace
+		return s.set.PreemptWait
+	}
+	hold := s.hold
+	if hold == 0 {
+		hold = s.set.UnknownHold
 	}
-	return time.Duration(float64(s.hold) * float64(ahead+1) / float64(s.limit))
+	return time.Duration(float64(hold) * float64(ahead+1) / float64(s.limit))
 }
 
 // occupied counts the slots in use; preempted runs count until their grace ends.
@@ -207,7 +222,7 @@
 	out := s.expire(now)
 	for {
 		it, ok := s.queue.Peek()
-		if !ok || s.aloneRuns() {
+		if !ok || s.aloneRuns() || now.Before(s.frozen) {
 			return out
 		}
 		free := s.occupied(now) < s.limit
--- a/pkg/decision/admission/tuner.go
+++ b/pkg/decision/admission/tuner.go
@@ -114,8 +114,10 @@
 		out.Reason = t.step(in, out.Tail, ceiling)
 		t.restart(now, in, out.Reason)
 	case n < fewSamples && age >= windowMax:
-		// Too little online work to be harmed: both values drift back.
-		t.limit = math.Min(ceiling, t.limit+math.Max(1, limitIncrease*t.limit))
+		// Too little online work to be harmed: both values drift back, the limit only to slots that are known.
+		if in.Slots > 0 {
+			t.limit = math.Min(ceiling, t.limit+math.Max(1, limitIncrease*t.limit))
+		}
 		t.allowance = math.Min(1, t.allowance+idleIncrease)
 		t.restart(now, in, "")
 	}
