--- a/pkg/controller/claims/bucket.go
+++ b/pkg/controller/claims/bucket.go
@@ -99,17 +99,19 @@
 func (b *bucket) commit(group []*operation) {
 	ctx, stop := context.WithTimeout(context.Background(), commitTimeout)
 	defer stop()
+	failed := false
 	for try := range storeTries {
-		if try > 0 && !pause(ctx) {
+		if failed && !pause(ctx) {
 			break
 		}
 		if !b.loaded && b.load(ctx) != nil {
+			failed = true
 			continue
 		}
 		next, changed := b.apply(group)
 		if changed {
 			if b.write(ctx, next) != nil {
-				b.loaded = false
+				b.loaded, failed = false, true
 				continue
 			}
 		} else if stale(group) && try == 0 {
