Keep the outcome of a run whose resumption could not start

Cause: a stream that was cut by the death of its engine ended with the outcome not-run, because the refused connection of the resumption passed for that of the run; a test of the resumption change showed it. A cancel order also shared the run's id, so that its answer could be taken for the run's. Change: errors of a resumption keep no kind, an error with several causes counts as begun if any does, and a cancel order has an id of its own. A failed resumption is tried again unless the engine died. HEAD and 204 answers keep their form.

--- a/pkg/adapter/engine/engine.go
+++ b/pkg/adapter/engine/engine.go
@@ -6,6 +6,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"math/rand/v2"
 	"net/http"
 	"net/url"
@@ -67,8 +68,9 @@
 	if err != nil {
 		return err
 	}
+	// The order has an id of its own, since its answer must not be taken for that of the run.
 	_, err = c.http.Do(ctx, u, serving.Call{
-		RequestID: requestID, Method: http.MethodPost, Path: "/v1/cancel", Body: body,
+		RequestID: requestID + "-cancel", Method: http.MethodPost, Path: "/v1/cancel", Body: body,
 		Header: http.Header{"Content-Type": {"application/json"}},
 	})
 	return err
@@ -87,8 +89,7 @@
 		return c.http.Read(ctx, u, a, s.start)
 	}
 	header := a.Header
-	for failures := 0; ; failures++ {
-		before := s.events
+	for {
 		err := s.read(a)
 		if err == nil {
 			return s.result(header), nil
@@ -99,51 +100,66 @@
 		if s.stop != nil {
 			return nil, s.stop
 		}
-		if s.events > before {
-			failures = 0
-		}
-		if failures >= maxResumes {
-			return nil, errs.Combine(serving.ErrInterrupted, err)
-		}
 		a.Close()
-		if a, err = c.resume(ctx, u, s, failures, err); err != nil {
+		if a, err = c.resume(ctx, u, s, err); err != nil {
 			return nil, err
 		}
 	}
 }
 
-// resume opens the stream again at the last event that was received, so that the overlap can be compared.
-func (c *Client) resume(ctx context.Context, u api.Upstream, s *stream, failures int, cause error) (*service.Answer, error) {
-	if failures > 0 {
-		delay := resumeDelay << (failures - 1)
-		select {
-		case <-time.After(delay/2 + rand.N(delay)):
-		case <-ctx.Done():
+// resume opens the stream again. It tries a few times unless the engine turns out to have died.
+func (c *Client) resume(ctx context.Context, u api.Upstream, s *stream, cause error) (*service.Answer, error) {
+	if s.events > s.resumedAt {
+		s.resumes = 0
+	}
+	s.resumedAt = s.events
+	for ; s.resumes < maxResumes; s.resumes++ {
+		if s.resumes > 0 {
+			delay := resumeDelay << (s.resumes - 1)
+			select {
+			case <-time.After(delay/2 + rand.N(delay)):
+			case <-ctx.Done():
+				return noAnswer, errs.Combine(serving.ErrInterrupted, context.Cause(ctx))
+			}
+		}
+		a, err := c.reopen(ctx, u, s)
+		if err == nil {
+			s.rewind()
+			s.resumes++
+			return a, nil
+		}
+		cause = errs.Combine(err, cause)
+		if errors.Is(err, serving.ErrUpstreamDied) || ctx.Err() != nil {
+			break
 		}
 	}
+	return noAnswer, errs.Combine(serving.ErrInterrupted, cause)
+}
+
+// reopen asks for the stream from the last event that was received on, so that the overlap can be compared.
+func (c *Client) reopen(ctx context.Context, u api.Upstream, s *stream) (*service.Answer, error) {
 	a, err := c.http.Open(ctx, u, serving.Call{
 		RequestID: s.id, Method: http.MethodGet,
 		Path: "/v1/streams/" + url.PathEscape(s.id) + "?offset=" + strconv.Itoa(max(s.last, 0)),
 	})
-	switch {
-	case err != nil && ctx.Err() != nil:
-		return noAnswer, err
-	case err != nil:
-		if !c.http.Alive(ctx, u) {
-			return noAnswer, errs.Combine(serving.ErrUpstreamDied, serving.ErrInterrupted, cause)
+	if err != nil {
+		// The kind of this error is that of the resumption; the run itself has begun.
+		err = service.Error.New("resume: %v", err)
+		if ctx.Err() == nil && !c.http.Alive(ctx, u) {
+			return nil, errs.Combine(serving.ErrUpstreamDied, err)
 		}
-		return noAnswer, errs.Combine(serving.ErrInterrupted, err, cause)
-	case a.StatusCode == http.StatusOK:
-		s.rewind()
+		return nil, err
+	}
+	if a.StatusCode == http.StatusOK {
 		return a, nil
-	case a.StatusCode == http.StatusNotFound || a.StatusCode == http.StatusGone:
+	}
+	a.Close()
+	err = service.Error.New("resume answered %d", a.StatusCode)
+	if a.StatusCode == http.StatusNotFound || a.StatusCode == http.StatusGone {
 		// An engine that no longer knows a stream cut a moment ago has restarted in between.
-		a.Close()
-		return noAnswer, errs.Combine(serving.ErrUpstreamDied, serving.ErrInterrupted, cause)
-	default:
-		a.Close()
-		return noAnswer, errs.Combine(serving.ErrInterrupted, service.Error.New("resume answered %d", a.StatusCode), cause)
+		return nil, errs.Combine(serving.ErrUpstreamDied, err)
 	}
+	return nil, err
 }
 
 // noAnswer stands for an answer that was closed already.
@@ -160,8 +176,10 @@
 	tail   [][]byte
 	replay [][]byte
 	events int
-	first  time.Time
-	latest time.Time
+	// resumes counts the resumptions since the last new event, resumedAt the events at the last one.
+	resumes, resumedAt int
+	first              time.Time
+	latest             time.Time
 	// stop is an error after which the stream must not be resumed.
 	stop error
 }
--- a/pkg/adapter/service/death.go
+++ b/pkg/adapter/service/death.go
@@ -35,9 +35,9 @@
 	// settled and abandon are guarded by owner.mu.
 	settled bool
 	abandon *time.Timer
+	ended   bool
 	// brokenAt is when the connection broke, guarded by owner.mu.
 	brokenAt time.Time
-	once     sync.Once
 }
 
 // flights holds the calls in progress of all upstreams.
@@ -81,36 +81,53 @@
 
 // end removes the call and drops an answer that nobody took.
 func (f *flight) end() {
-	f.once.Do(func() {
-		s := f.owner
-		s.mu.Lock()
-		left := slices.DeleteFunc(s.byUpstream[f.upstream], func(o *flight) bool { return o == f })
-		if len(left) == 0 {
-			delete(s.byUpstream, f.upstream)
-		} else {
-			s.byUpstream[f.upstream] = left
-		}
-		s.mu.Unlock()
-		select {
-		case a := <-f.answers:
-			a.Body.Close()
-			a.cancel()
-		default:
-		}
-	})
+	s := f.owner
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if f.ended {
+		return
+	}
+	f.ended = true
+	left := slices.DeleteFunc(s.byUpstream[f.upstream], func(o *flight) bool { return o == f })
+	if len(left) == 0 {
+		delete(s.byUpstream, f.upstream)
+	} else {
+		s.byUpstream[f.upstream] = left
+	}
+	select {
+	case a := <-f.answers:
+		a.Body.Close()
+		a.cancel()
+	default:
+	}
+}
+
+// take gives the call its answer; false when it has one already or has ended.
+func (f *flight) take(a *Answer) bool {
+	f.owner.mu.Lock()
+	defer f.owner.mu.Unlock()
+	return f.takeLocked(a)
+}
+
+func (f *flight) takeLocked(a *Answer) bool {
+	if f.ended {
+		return false
+	}
+	select {
+	case f.answers <- a:
+		return true
+	default:
+		return false
+	}
 }
 
-// deliver hands an answer to the call with that id; false when there is none or it has an answer already.
+// deliver hands an answer to a call with that id; false when there is none that waits.
 func (s *flights) deliver(upstream, id string, a *Answer) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, f := range s.byUpstream[upstream] {
-		if f.id == id {
-			select {
-			case f.answers <- a:
-				return true
-			default:
-			}
+		if f.id == id && f.takeLocked(a) {
+			return true
 		}
 	}
 	return false
--- a/pkg/adapter/service/service.go
+++ b/pkg/adapter/service/service.go
@@ -180,10 +180,14 @@
 	f.settle()
 	a := &Answer{Response: resp, cancel: cancel, via: f}
 	f.leave()
-	if echo != call.RequestID {
+	taken := false
+	if echo == call.RequestID {
+		taken = f.take(a)
+	} else {
 		f.failed <- serving.ErrMismatch
+		taken = c.flights.deliver(u.Name, echo, a)
 	}
-	if !c.flights.deliver(u.Name, echo, a) {
+	if !taken {
 		resp.Body.Close()
 		cancel()
 	}
@@ -245,7 +249,7 @@
 		return nil, c.broken(ctx, u, a.flight, evidence{answered: true}, err)
 	case len(body) > MaxBodyBytes:
 		return nil, errs.Combine(serving.ErrMismatch, Error.New("answer above %d bytes", MaxBodyBytes))
-	case a.ContentLength < 0 && len(a.TransferEncoding) == 0 && !json.Valid(body):
+	case a.ContentLength < 0 && len(a.TransferEncoding) == 0 && a.Request.Method != http.MethodHead && !json.Valid(body):
 		// Such a body ends where the connection ends, which a dying upstream does as well.
 		return nil, errs.Combine(serving.ErrMismatch, Error.New("answer without a length"))
 	}
--- a/pkg/gateway/execute.go
+++ b/pkg/gateway/execute.go
@@ -109,7 +109,7 @@
 	usage := usageOf(ctx, a, time.Since(start))
 	g.Slots.Release(slot, usage)
 	g.finished(ctx, j, a)
-	if a.err != nil && !errors.Is(a.err, serving.ErrNotStarted) && usage.Result == serving.RunCancelled {
+	if a.err != nil && !notStarted(a.err) && usage.Result == serving.RunCancelled {
 		g.cancel(j, slot.Upstream)
 	}
 	return a
@@ -123,7 +123,7 @@
 		u.FirstToken, u.BetweenTokens, u.Tokens = a.res.FirstToken, a.res.BetweenTokens, a.res.Tokens
 	case a.err == nil:
 		u.Result = serving.RunRejected
-	case errors.Is(a.err, serving.ErrNotStarted):
+	case notStarted(a.err):
 		u.Result = serving.RunNotStarted
 	case errors.Is(a.err, serving.ErrUpstreamDied):
 		u.Result = serving.RunDied
@@ -154,13 +154,20 @@
 	g.budget.Success(time.Now())
 }
 
+// notStarted reports that no upstream can have begun the request. An error that holds several causes counts as
+// begun if any of them does.
+func notStarted(err error) bool {
+	return errors.Is(err, serving.ErrNotStarted) && !errors.Is(err, serving.ErrInterrupted) &&
+		!errors.Is(err, serving.ErrMismatch) && !errors.Is(err, serving.ErrUpstreamDied)
+}
+
 // note counts a failed attempt.
 func (j *job) note(a attempt) {
 	j.attempts++
 	if errors.Is(a.err, serving.ErrUpstreamDied) {
 		j.deaths++
 	}
-	if a.err == nil || !errors.Is(a.err, serving.ErrNotStarted) {
+	if a.err == nil || !notStarted(a.err) {
 		j.begun = true
 	}
 }
@@ -187,7 +194,7 @@
 	case ctx.Err() != nil || errors.Is(err, context.DeadlineExceeded):
 		e = api.Errorf(http.StatusGatewayTimeout, api.CodeDeadline, api.NotRun, "the deadline has passed")
 		e.RetryAfter = retryAfter
-	case errors.Is(err, serving.ErrNotStarted):
+	case notStarted(err):
 		e = api.Errorf(http.StatusServiceUnavailable, api.CodeNoCapacity, api.NotRun, "no upstream could be reached")
 		e.RetryAfter = retryAfter
 	default:
--- a/pkg/gateway/fakes_test.go
+++ b/pkg/gateway/fakes_test.go
@@ -42,6 +42,8 @@
 	runs      []string
 	cancelled []string
 	streams   map[string]bool
+	// refuseResume is the number of resumptions whose connection is cut.
+	refuseResume int
 }
 
 func newUpstream(t testing.TB, name string, kind api.UpstreamKind) *fakeUpstream {
@@ -92,7 +94,13 @@
 	case strings.HasPrefix(r.URL.Path, "/v1/streams/"):
 		f.mu.Lock()
 		known := f.streams[strings.TrimPrefix(r.URL.Path, "/v1/streams/")]
+		f.refuseResume--
+		refuse := f.refuseResume >= 0
 		f.mu.Unlock()
+		if refuse {
+			cut(w)
+			return
+		}
 		if !known {
 			http.NotFound(w, r)
 			return
--- a/pkg/gateway/faults_test.go
+++ b/pkg/gateway/faults_test.go
@@ -141,6 +141,10 @@
 		{"engine restarted", cutAfter(2, forget), false, 2},
 		{"engine died", cutAfter(2, func(f *fakeUpstream, _ string) { go f.crash(); time.Sleep(20 * time.Millisecond) }), false, 2},
 		{"cut before the first event", cutAfter(0, forget), true, 5},
+		{"resumption fails twice", func(f *fakeUpstream, w http.ResponseWriter, r *http.Request, body []byte) bool {
+			f.refuseResume = 2
+			return cutAfter(2, func(*fakeUpstream, string) {})(f, w, r, body)
+		}, true, 5},
 		{"other stream", func(f *fakeUpstream, w http.ResponseWriter, _ *http.Request, _ []byte) bool {
 			f.stream(w, "someone-else", 0, 5, true)
 			return true
@@ -172,6 +176,36 @@
 	}
 }
 
+// Guards against a run whose answer is taken for that of the order to cancel it, and the form of answers without a
+// body.
+func TestCancelDuringRunAndEmptyAnswers(t *testing.T) {
+	e, s := newUpstream(t, "e1", api.UpstreamEngine), newUpstream(t, "s1", api.UpstreamService)
+	e.fault = slow(50 * time.Millisecond)
+	s.fault = func(_ *fakeUpstream, w http.ResponseWriter, r *http.Request, _ []byte) bool {
+		if r.Method == http.MethodDelete {
+			w.WriteHeader(http.StatusNoContent)
+			return true
+		}
+		w.Header().Set("Content-Length", "1234")
+		return r.Method == http.MethodHead
+	}
+	f := newFixture(t, nil, e, s)
+	call := serving.Call{RequestID: "r", Method: "POST", Path: "/v1/completions", Header: http.Header{}, Body: []byte("{}")}
+	result := make(chan *serving.Result, 1)
+	go func() {
+		res, err := f.Invoker.Do(context.Background(), e.Upstream, call)
+		assert.Check(t, err)
+		result <- res
+	}()
+	eventually(t, "the run has begun", func() bool { return e.runCount() == 1 })
+	assert.NilError(t, f.Invoker.Cancel(context.Background(), e.Upstream, "r"))
+	assert.Assert(t, cmp.Contains(string((<-result).Body), `"id":"r"`))
+	r := f.send(context.Background(), "HEAD", "/v1/services/status/x", "")
+	assert.Equal(t, fmt.Sprint(r.status, r.header.Get("Content-Length"), r.err), "2001234<nil>")
+	r = f.send(context.Background(), "DELETE", "/v1/services/status/x", "")
+	assert.Equal(t, fmt.Sprint(r.status, r.header.Get("Content-Length"), r.err), "204<nil>")
+}
+
 // Guards against runs that go on for a caller that has gone.
 func TestDisconnectCancels(t *testing.T) {
 	e := newUpstream(t, "e1", api.UpstreamEngine)
--- a/pkg/gateway/handlers.go
+++ b/pkg/gateway/handlers.go
@@ -144,7 +144,7 @@
 	case j.engine() && res.Status >= 300:
 		WriteError(w, r, engineError(res))
 	default:
-		writeResult(w, res)
+		writeResult(w, j.call.Method, res)
 	}
 }
 
@@ -186,12 +186,19 @@
 }
 
 // writeResult passes an upstream's whole answer on.
-func writeResult(w http.ResponseWriter, res *serving.Result) {
+func writeResult(w http.ResponseWriter, method string, res *serving.Result) {
 	copyHeader(w.Header(), res.Header)
 	if res.Status >= 300 {
 		w.Header().Set(api.HeaderOutcome, string(api.Failed))
 	}
-	w.Header().Set("Content-Length", itoa(len(res.Body)))
+	switch {
+	case method == http.MethodHead:
+		if length := res.Header.Get("Content-Length"); length != "" {
+			w.Header().Set("Content-Length", length)
+		}
+	case res.Status != http.StatusNoContent && res.Status != http.StatusNotModified:
+		w.Header().Set("Content-Length", itoa(len(res.Body)))
+	}
 	w.WriteHeader(res.Status)
 	_, _ = w.Write(res.Body)
 }
