Probe a silent upstream before a call and compare resumed events by content

Cause: an upstream that was down before a request and breaks each connection passed for one that died under it, which made innocent requests suspects and called them begun. A resumed event may carry another creation time, and a stream cut after each token never went on. Change: an upstream without an answer for 2 s is probed first, and a call to one that fails the probe counts as not started. The overlap of a resumed stream is compared by its choices. Once it was equal, the next resumption starts after it if the event holds text. A 204 answer needs no echoed id. Result: with 2 of 3 services breaking each connection, 12 of 12 unrepeatable calls ran on the third, and with all down the answer was 503 not-run; a stream cut after each token arrives whole. All gateway and adapter tests pass under -race.

--- a/pkg/adapter/engine/engine.go
+++ b/pkg/adapter/engine/engine.go
@@ -136,11 +136,12 @@
 	return noAnswer, errs.Combine(serving.ErrInterrupted, cause)
 }
 
-// reopen asks for the stream from the last event that was received on, so that the overlap can be compared.
+// reopen asks for the stream from the last event that was received on, so that the overlap can be compared. When the
+// overlap was equal but nothing followed before the next cut, it asks for the event after it.
 func (c *Client) reopen(ctx context.Context, u api.Upstream, s *stream) (*service.Answer, error) {
 	a, err := c.http.Open(ctx, u, serving.Call{
 		RequestID: s.id, Method: http.MethodGet,
-		Path: "/v1/streams/" + url.PathEscape(s.id) + "?offset=" + strconv.Itoa(max(s.last, 0)),
+		Path: "/v1/streams/" + url.PathEscape(s.id) + "?offset=" + strconv.Itoa(s.resumeOffset()),
 	})
 	if err != nil {
 		// The kind of this error is that of the resumption; the run itself has begun.
@@ -173,9 +174,11 @@
 
 	// last is the offset of the last event, -1 before the first; tail holds the events at that offset.
 	last   int
-	tail   [][]byte
-	replay [][]byte
+	tail   []string
+	replay []string
 	events int
+	// joined is set when the events at the last offset came again and were equal.
+	joined bool
 	// resumes counts the resumptions since the last new event, resumedAt the events at the last one.
 	resumes, resumedAt int
 	first              time.Time
@@ -184,8 +187,41 @@
 	stop error
 }
 
-// rewind expects the events at the last offset to come again.
-func (s *stream) rewind() { s.replay = s.tail }
+// resumeOffset returns the offset to resume from: that of the last event, or the one after it when the last event
+// was compared already and holds text, so that no other event can have its offset.
+func (s *stream) resumeOffset() int {
+	if s.joined && hasText(s.tail[len(s.tail)-1]) {
+		return s.last + 1
+	}
+	return max(s.last, 0)
+}
+
+// rewind expects the events that will come again.
+func (s *stream) rewind() {
+	s.replay = nil
+	if s.resumeOffset() <= s.last {
+		s.replay = s.tail
+	}
+}
+
+// hasText reports whether the choices of an event hold at least one token.
+func hasText(choices string) bool {
+	var list []struct {
+		Text  string `json:"text"`
+		Delta struct {
+			Content string `json:"content"`
+		} `json:"delta"`
+	}
+	if json.Unmarshal([]byte(choices), &list) != nil {
+		return false
+	}
+	for _, c := range list {
+		if c.Text != "" || c.Delta.Content != "" {
+			return true
+		}
+	}
+	return false
+}
 
 // read hands over the events of one connection; nil means that the stream is whole.
 func (s *stream) read(a *service.Answer) error {
@@ -213,32 +249,47 @@
 	return service.Error.New("stream ended without its end mark")
 }
 
+// chunk is what the gateway reads of an event.
+type chunk struct {
+	ID      string          `json:"id"`
+	Offset  *int            `json:"offset"`
+	Choices json.RawMessage `json:"choices"`
+}
+
+// content returns the part of an event that is the same when it is sent again; its time may differ.
+func (c *chunk) content(data []byte) string {
+	if c.Choices != nil {
+		return string(c.Choices)
+	}
+	return string(data)
+}
+
 // event checks one event against the request and the events before it and hands it over.
 func (s *stream) event(data []byte) error {
-	var chunk struct {
-		ID     string `json:"id"`
-		Offset *int   `json:"offset"`
-	}
-	if err := json.Unmarshal(data, &chunk); err != nil {
+	var c chunk
+	if err := json.Unmarshal(data, &c); err != nil {
 		return errs.Combine(serving.ErrMismatch, err)
 	}
-	if chunk.ID != s.id {
-		return errs.Combine(serving.ErrMismatch, service.Error.New("chunk of request %q", chunk.ID))
+	if c.ID != s.id {
+		return errs.Combine(serving.ErrMismatch, service.Error.New("chunk of request %q", c.ID))
 	}
 	offset := max(s.last, 0)
-	if chunk.Offset != nil {
-		offset = *chunk.Offset
+	if c.Offset != nil {
+		offset = *c.Offset
 	}
+	content := c.content(data)
 	if len(s.replay) > 0 {
-		if !bytes.Equal(s.replay[0], data) {
+		if offset != s.last || s.replay[0] != content {
 			return errs.Combine(serving.ErrMismatch, service.Error.New("resumed stream differs at offset %d", offset))
 		}
 		s.replay = s.replay[1:]
+		s.joined = len(s.replay) == 0
 		return nil
 	}
 	if offset < s.last {
 		return errs.Combine(serving.ErrMismatch, service.Error.New("offset %d after %d", offset, s.last))
 	}
+	s.joined = false
 	s.latest = time.Now()
 	if s.events == 0 {
 		s.first = s.latest
@@ -246,7 +297,7 @@
 	if offset != s.last {
 		s.tail = nil
 	}
-	s.last, s.events, s.tail = offset, s.events+1, append(s.tail, data)
+	s.last, s.events, s.tail = offset, s.events+1, append(s.tail, content)
 	return s.emit(serving.StreamEvent{Data: data, Offset: offset})
 }
 
--- a/pkg/adapter/engine/engine_test.go
+++ b/pkg/adapter/engine/engine_test.go
@@ -55,8 +55,9 @@
 		var events []string
 		offset := 0
 		for i := range rapid.IntRange(0, 12).Draw(t, "events") {
-			events = append(events, fmt.Sprintf(`{"id":"r","offset":%d,"n":%d}`, offset, i))
-			offset += rapid.IntRange(0, 2).Draw(t, "tokens")
+			tokens := rapid.IntRange(0, 2).Draw(t, "tokens")
+			events = append(events, fmt.Sprintf(`{"id":"r","offset":%d,"choices":[{"n":%d,"text":%q}]}`, offset, i, strings.Repeat("x", tokens)))
+			offset += tokens
 		}
 		from := func(offset int) []byte {
 			var b bytes.Buffer
@@ -79,7 +80,7 @@
 			err := s.read(answerOf(body[:rapid.IntRange(0, len(body)-len("data: [DONE]\n\n")).Draw(t, "cut")]))
 			assert.Assert(t, err != nil && s.stop == nil, "%v", err)
 			s.rewind()
-			body = from(max(s.last, 0))
+			body = from(s.resumeOffset())
 		}
 		assert.NilError(t, s.read(answerOf(body)))
 		assert.DeepEqual(t, got, events)
--- a/pkg/adapter/service/death.go
+++ b/pkg/adapter/service/death.go
@@ -20,6 +20,9 @@
 	probeTimeout = 250 * time.Millisecond
 	// siblingWait is how long the other calls of an upstream may take to break as well when it dies.
 	siblingWait = 30 * time.Millisecond
+	// aliveFor is how long an answer of an upstream shows that it lives. It is short, since requests that meet
+	// upstreams which went down before them must not become suspects.
+	aliveFor = 2 * time.Second
 )
 
 // flight is a call in progress.
@@ -44,6 +47,23 @@
 type flights struct {
 	mu         sync.Mutex
 	byUpstream map[string][]*flight
+	// aliveAt is the time of the last answer by upstream; a broken connection removes it.
+	aliveAt map[string]time.Time
+}
+
+func (s *flights) answered(upstream string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.aliveAt == nil {
+		s.aliveAt = map[string]time.Time{}
+	}
+	s.aliveAt[upstream] = time.Now()
+}
+
+func (s *flights) recentlyAlive(upstream string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return time.Since(s.aliveAt[upstream]) < aliveFor
 }
 
 func (s *flights) add(upstream, id string) *flight {
@@ -165,6 +185,7 @@
 func (c *Client) broken(ctx context.Context, u api.Upstream, f *flight, e evidence, cause error) error {
 	c.flights.mu.Lock()
 	f.brokenAt = time.Now()
+	delete(c.flights.aliveAt, u.Name)
 	c.flights.mu.Unlock()
 	if c.dead(ctx, u, f, e) {
 		return errs.Combine(serving.ErrUpstreamDied, serving.ErrInterrupted, cause)
--- a/pkg/adapter/service/service.go
+++ b/pkg/adapter/service/service.go
@@ -122,8 +122,16 @@
 	return req, nil
 }
 
-// Open sends the call and returns its answer once the headers arrived. The caller closes the answer.
+// Open sends the call and returns its answer once the headers arrived. The caller closes the answer. An upstream
+// that gave no answer for aliveFor is probed first: a call to one that is already down so counts as not started, and
+// its broken connection does not pass for a death under the call.
 func (c *Client) Open(ctx context.Context, u api.Upstream, call serving.Call) (*Answer, error) {
+	if !c.flights.recentlyAlive(u.Name) {
+		if !c.Alive(ctx, u) {
+			return nil, errs.Combine(serving.ErrNotStarted, Error.New("upstream %s does not answer its probe", u.Name))
+		}
+		c.flights.answered(u.Name)
+	}
 	f := c.flights.add(u.Name, call.RequestID)
 	run, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	f.leave, f.cancel = context.AfterFunc(ctx, cancel), cancel
@@ -173,8 +181,10 @@
 		return
 	}
 	echo := resp.Header.Get(api.HeaderUpstreamRequestID)
-	if echo == "" && resp.StatusCode >= 300 {
-		// A refusal from a layer below the application carries no id; it is an answer to this connection.
+	c.flights.answered(u.Name)
+	if echo == "" && (resp.StatusCode >= 300 || resp.StatusCode == http.StatusNoContent) {
+		// A refusal from a layer below the application carries no id, and an empty answer has no content to mix
+		// up; both belong to this connection.
 		echo = call.RequestID
 	}
 	f.settle()
--- a/pkg/gateway/fakes_test.go
+++ b/pkg/gateway/fakes_test.go
@@ -44,6 +44,8 @@
 	streams   map[string]bool
 	// refuseResume is the number of resumptions whose connection is cut.
 	refuseResume int
+	// cutEach cuts each resumed stream after one token; down cuts each connection.
+	cutEach, down bool
 }
 
 func newUpstream(t testing.TB, name string, kind api.UpstreamKind) *fakeUpstream {
@@ -81,6 +83,10 @@
 	body, _ := io.ReadAll(r.Body)
 	id := r.Header.Get("X-Request-Id")
 	w.Header().Set("X-Request-Id", id)
+	if f.down {
+		cut(w)
+		return
+	}
 	switch {
 	case r.URL.Path == "/load":
 		fmt.Fprint(w, "{}")
@@ -106,6 +112,11 @@
 			return
 		}
 		from, _ := strconv.Atoi(r.URL.Query().Get("offset"))
+		if f.cutEach && from+1 < f.tokens {
+			f.stream(w, strings.TrimPrefix(r.URL.Path, "/v1/streams/"), from, from+1, false)
+			cut(w)
+			return
+		}
 		f.stream(w, strings.TrimPrefix(r.URL.Path, "/v1/streams/"), from, f.tokens, true)
 		return
 	}
@@ -140,7 +151,7 @@
 func (f *fakeUpstream) stream(w http.ResponseWriter, id string, from, to int, whole bool) {
 	w.Header().Set("Content-Type", "text/event-stream")
 	for i := from; i < to; i++ {
-		fmt.Fprintf(w, "data: {\"id\":%q,\"offset\":%d,\"text\":\"t%d\"}\n\n", id, i, i)
+		fmt.Fprintf(w, "data: {\"id\":%q,\"offset\":%d,\"created\":%d,\"choices\":[{\"text\":\"t%d\"}]}\n\n", id, i, time.Now().UnixNano(), i)
 		if http.NewResponseController(w).Flush() != nil {
 			return
 		}
--- a/pkg/gateway/faults_test.go
+++ b/pkg/gateway/faults_test.go
@@ -13,6 +13,7 @@
 	"gotest.tools/v3/assert/cmp"
 
 	"trefoilplank.example/api"
+	"trefoilplank.example/pkg/gateway/peertest"
 	"trefoilplank.example/pkg/serving"
 )
 
@@ -112,6 +113,30 @@
 	assert.Equal(t, s.runCount(), 10)
 }
 
+// Guards against innocent requests that become suspects, or are called begun, because they meet upstreams that were
+// down before them and break each connection.
+func TestUpstreamsDownBefore(t *testing.T) {
+	var upstreams []*fakeUpstream
+	for i := range 3 {
+		s := newUpstream(t, fmt.Sprint("s", i), api.UpstreamService)
+		s.down = i < 2
+		upstreams = append(upstreams, s)
+	}
+	nodes := fleet(t, peertest.New(), 1, nil, upstreams...)
+	for i := range 12 {
+		r := nodes[0].send(context.Background(), "POST", "/v1/services/status/charge", fmt.Sprint(i))
+		assert.Equal(t, r.status, 200, r.body)
+	}
+	upstreams[2].down = true
+	nodes[0].slots.upstreams = nodes[0].slots.upstreams[:2]
+	r := nodes[0].send(context.Background(), "POST", "/v1/services/status/charge", "x", "Trefoil-Timeout-Ms", "200")
+	assert.Equal(t, r.status, 503, r.body)
+	assert.Equal(t, r.outcome, "not-run")
+	for _, u := range nodes[0].slots.released {
+		assert.Assert(t, u.Result != serving.RunDied)
+	}
+}
+
 // Guards against a stream that is joined wrongly or reported whole after its connection was cut.
 func TestStreamCut(t *testing.T) {
 	cutAfter := func(n int, then func(*fakeUpstream, string)) faultFunc {
@@ -138,6 +163,10 @@
 		tokens int
 	}{
 		{"engine lives", cutAfter(2, func(*fakeUpstream, string) {}), true, 5},
+		{"cut after each token", func(f *fakeUpstream, w http.ResponseWriter, r *http.Request, body []byte) bool {
+			f.cutEach = true
+			return cutAfter(1, func(*fakeUpstream, string) {})(f, w, r, body)
+		}, true, 5},
 		{"engine restarted", cutAfter(2, forget), false, 2},
 		{"engine died", cutAfter(2, func(f *fakeUpstream, _ string) { go f.crash(); time.Sleep(20 * time.Millisecond) }), false, 2},
 		{"cut before the first event", cutAfter(0, forget), true, 5},
@@ -238,3 +267,32 @@
 	assert.Assert(t, time.Since(start) < time.Second)
 	eventually(t, "the run is cancelled", func() bool { return e.cancelCount() == 1 })
 }
+
+// Guards the bound on added upstream calls while a third of the upstreams answers every call with an error and no
+// health check ejects them.
+func TestRetryBudgetUnderFailure(t *testing.T) {
+	var upstreams []*fakeUpstream
+	for i := range 6 {
+		e := newUpstream(t, fmt.Sprint("e", i), api.UpstreamEngine)
+		if i%3 == 0 {
+			e.fault = func(_ *fakeUpstream, w http.ResponseWriter, _ *http.Request, _ []byte) bool {
+				w.WriteHeader(http.StatusInternalServerError)
+				return true
+			}
+		}
+		upstreams = append(upstreams, e)
+	}
+	f := newFixture(t, nil, upstreams...)
+	const calls = 600
+	for i := range calls {
+		r := f.chat(fmt.Sprint(i))
+		assert.Assert(t, r.status == 200 || r.status == 502 && r.outcome == "failed", "%d %s", r.status, r.body)
+	}
+	runs := 0
+	for _, e := range upstreams {
+		runs += e.runCount()
+	}
+	ratio := float64(runs) / calls
+	assert.Assert(t, ratio > 1 && ratio <= 1.1, "%.3f", ratio)
+	t.Logf("%.3f upstream calls for a caller call", ratio)
+}
