--- a/pkg/adapter/engine/engine.go
+++ b/pkg/adapter/engine/engine.go
@@ -6,6 +6,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"math/rand/v2"
 	"net/http"
 	"net/url"
@@ -67,8 +68,9 @@
 	if err != nil {
 		return err
 	}
+	// The order has an id of its own, since its answer must not be taken for that of the run.
 	_, err = c.http.Do(ctx, u, serving.Call{
-		RequestID: requestID, Method: http.MethodPost, Path: "/v1/cancel", Body: body,
+		RequestID: requestID + "-cancel", Method: http.MethodPost, Path: "/v1/cancel", Body: body,
 		Header: http.Header{"Content-Type": {"application/json"}},
 	})
 	return err
@@ -87,8 +89,7 @@
 		return c.http.Read(ctx, u, a, s.start)
 	}
 	header := a.Header
-	for failures := 0; ; failures++ {
-		before := s.events
+	for {
 		err := s.read(a)
 		if err == nil {
 			return s.result(header), nil
@@ -99,51 +100,67 @@
 		if s.stop != nil {
 			return nil, s.stop
 		}
-		if s.events > before {
-			failures = 0
-		}
-		if failures >= maxResumes {
-			return nil, errs.Combine(serving.ErrInterrupted, err)
-		}
 		a.Close()
-		if a, err = c.resume(ctx, u, s, failures, err); err != nil {
+		if a, err = c.resume(ctx, u, s, err); err != nil {
 			return nil, err
 		}
 	}
 }
 
-// resume opens the stream again at the last event that was received, so that the overlap can be compared.
-func (c *Client) resume(ctx context.Context, u api.Upstream, s *stream, failures int, cause error) (*service.Answer, error) {
-	if failures > 0 {
-		delay := resumeDelay << (failures - 1)
-		select {
-		case <-time.After(delay/2 + rand.N(delay)):
-		case <-ctx.Done():
+// resume opens the stream again. It tries a few times unless the engine turns out to have died.
+func (c *Client) resume(ctx context.Context, u api.Upstream, s *stream, cause error) (*service.Answer, error) {
+	if s.events > s.resumedAt {
+		s.resumes = 0
+	}
+	s.resumedAt = s.events
+	for ; s.resumes < maxResumes; s.resumes++ {
+		if s.resumes > 0 {
+			delay := resumeDelay << (s.resumes - 1)
+			select {
+			case <-time.After(delay/2 + rand.N(delay)):
+			case <-ctx.Done():
+				return noAnswer, errs.Combine(serving.ErrInterrupted, context.Cause(ctx))
+			}
+		}
+		a, err := c.reopen(ctx, u, s)
+		if err == nil {
+			s.rewind()
+			s.resumes++
+			return a, nil
+		}
+		cause = errs.Combine(err, cause)
+		if errors.Is(err, serving.ErrUpstreamDied) || ctx.Err() != nil {
+			break
 		}
 	}
+	return noAnswer, errs.Combine(serving.ErrInterrupted, cause)
+}
+
+// reopen asks for the stream from the last event that was received on, so that the overlap can be compared. When the
+// overlap was equal but nothing followed before the next cut, it asks for the event after it.
+func (c *Client) reopen(ctx context.Context, u api.Upstream, s *stream) (*service.Answer, error) {
 	a, err := c.http.Open(ctx, u, serving.Call{
 		RequestID: s.id, Method: http.MethodGet,
-		Path: "/v1/streams/" + url.PathEscape(s.id) + "?offset=" + strconv.Itoa(max(s.last, 0)),
+		Path: "/v1/streams/" + url.PathEscape(s.id) + "?offset=" + strconv.Itoa(s.resumeOffset()),
 	})
-	switch {
-	case err != nil && ctx.Err() != nil:
-		return noAnswer, err
-	case err != nil:
-		if !c.http.Alive(ctx, u) {
-			return noAnswer, errs.Combine(serving.ErrUpstreamDied, serving.ErrInterrupted, cause)
+	if err != nil {
+		// The kind of this error is that of the resumption; the run itself has begun.
+		err = service.Error.New("resume: %v", err)
+		if ctx.Err() == nil && !c.http.Alive(ctx, u) {
+			return nil, errs.Combine(serving.ErrUpstreamDied, err)
 		}
-		return noAnswer, errs.Combine(serving.ErrInterrupted, err, cause)
-	case a.StatusCode == http.StatusOK:
-		s.rewind()
+		return nil, err
+	}
+	if a.StatusCode == http.StatusOK {
 		return a, nil
-	case a.StatusCode == http.StatusNotFound || a.StatusCode == http.StatusGone:
+	}
+	a.Close()
+	err = service.Error.New("resume answered %d", a.StatusCode)
+	if a.StatusCode == http.StatusNotFound || a.StatusCode == http.StatusGone {
 		// An engine that no longer knows a stream cut a moment ago has restarted in between.
-		a.Close()
-		return noAnswer, errs.Combine(serving.ErrUpstreamDied, serving.ErrInterrupted, cause)
-	default:
-		a.Close()
-		return noAnswer, errs.Combine(serving.ErrInterrupted, service.Error.New("resume answered %d", a.StatusCode), cause)
+		return nil, errs.Combine(serving.ErrUpstreamDied, err)
 	}
+	return nil, err
 }
 
 // noAnswer stands for an answer that was closed already.
@@ -157,17 +174,54 @@
 
 	// last is the offset of the last event, -1 before the first; tail holds the events at that offset.
 	last   int
-	tail   [][]byte
-	replay [][]byte
+	tail   []string
+	replay []string
 	events int
-	first  time.Time
-	latest time.Time
+	// joined is set when the events at the last offset came again and were equal.
+	joined bool
+	// resumes counts the resumptions since the last new event, resumedAt the events at the last one.
+	resumes, resumedAt int
+	first              time.Time
+	latest             time.Time
 	// stop is an error after which the stream must not be resumed.
 	stop error
 }
 
-// rewind expects the events at the last offset to come again.
-func (s *stream) rewind() { s.replay = s.tail }
+// resumeOffset returns the offset to resume from: that of the last event, or the one after it when the last event
+// was compared already and holds text, so that no other event can have its offset.
+func (s *stream) resumeOffset() int {
+	if s.joined && hasText(s.tail[len(s.tail)-1]) {
+		return s.last + 1
+	}
+	return max(s.last, 0)
+}
+
+// rewind expects the events that will come again.
+func (s *stream) rewind() {
+	s.replay = nil
+	if s.resumeOffset() <= s.last {
+		s.replay = s.tail
+	}
+}
+
+// hasText reports whether the choices of an event hold at least one token.
+func hasText(choices string) bool {
+	var list []struct {
+		Text  string `json:"text"`
+		Delta struct {
+			Content string `json:"content"`
+		} `json:"delta"`
+	}
+	if json.Unmarshal([]byte(choices), &list) != nil {
+		return false
+	}
+	for _, c := range list {
+		if c.Text != "" || c.Delta.Content != "" {
+			return true
+		}
+	}
+	return false
+}
 
 // read hands over the events of one connection; nil means that the stream is whole.
 func (s *stream) read(a *service.Answer) error {
@@ -195,32 +249,47 @@
 	return service.Error.New("stream ended without its end mark")
 }
 
+// chunk is what the gateway reads of an event.
+type chunk struct {
+	ID      string          `json:"id"`
+	Offset  *int            `json:"offset"`
+	Choices json.RawMessage `json:"choices"`
+}
+
+// content returns the part of an event that is the same when it is sent again; its time may differ.
+func (c *chunk) content(data []byte) string {
+	if c.Choices != nil {
+		return string(c.Choices)
+	}
+	return string(data)
+}
+
 // event checks one event against the request and the events before it and hands it over.
 func (s *stream) event(data []byte) error {
-	var chunk struct {
-		ID     string `json:"id"`
-		Offset *int   `json:"offset"`
-	}
-	if err := json.Unmarshal(data, &chunk); err != nil {
+	var c chunk
+	if err := json.Unmarshal(data, &c); err != nil {
 		return errs.Combine(serving.ErrMismatch, err)
 	}
-	if chunk.ID != s.id {
-		return errs.Combine(serving.ErrMismatch, service.Error.New("chunk of request %q", chunk.ID))
+	if c.ID != s.id {
+		return errs.Combine(serving.ErrMismatch, service.Error.New("chunk of request %q", c.ID))
 	}
 	offset := max(s.last, 0)
-	if chunk.Offset != nil {
-		offset = *chunk.Offset
+	if c.Offset != nil {
+		offset = *c.Offset
 	}
+	content := c.content(data)
 	if len(s.replay) > 0 {
-		if !bytes.Equal(s.replay[0], data) {
+		if offset != s.last || s.replay[0] != content {
 			return errs.Combine(serving.ErrMismatch, service.Error.New("resumed stream differs at offset %d", offset))
 		}
 		s.replay = s.replay[1:]
+		s.joined = len(s.replay) == 0
 		return nil
 	}
 	if offset < s.last {
 		return errs.Combine(serving.ErrMismatch, service.Error.New("offset %d after %d", offset, s.last))
 	}
+	s.joined = false
 	s.latest = time.Now()
 	if s.events == 0 {
 		s.first = s.latest
@@ -228,7 +297,7 @@
 	if offset != s.last {
 		s.tail = nil
 	}
-	s.last, s.events, s.tail = offset, s.events+1, append(s.tail, data)
+	s.last, s.events, s.tail = offset, s.events+1, append(s.tail, content)
 	return s.emit(serving.StreamEvent{Data: data, Offset: offset})
 }
 
--- a/pkg/adapter/service/death.go
+++ b/pkg/adapter/service/death.go
@@ -20,6 +20,9 @@
 	probeTimeout = 250 * time.Millisecond
 	// siblingWait is how long the other calls of an upstream may take to break as well when it dies.
 	siblingWait = 30 * time.Millisecond
+	// aliveFor is how long an answer of an upstream shows that it lives. It is short, since requests that meet
+	// upstreams which went down before them must not become suspects.
+	aliveFor = 2 * time.Second
 )
 
 // flight is a call in progress.
@@ -35,15 +38,32 @@
 	// settled and abandon are guarded by owner.mu.
 	settled bool
 	abandon *time.Timer
+	ended   bool
 	// brokenAt is when the connection broke, guarded by owner.mu.
 	brokenAt time.Time
-	once     sync.Once
 }
 
 // flights holds the calls in progress of all upstreams.
 type flights struct {
 	mu         sync.Mutex
 	byUpstream map[string][]*flight
+	// aliveAt is the time of the last answer by upstream; a broken connection removes it.
+	aliveAt map[string]time.Time
+}
+
+func (s *flights) answered(upstream string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.aliveAt == nil {
+		s.aliveAt = map[string]time.Time{}
+	}
+	s.aliveAt[upstream] = time.Now()
+}
+
+func (s *flights) recentlyAlive(upstream string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return time.Since(s.aliveAt[upstream]) < aliveFor
 }
 
 func (s *flights) add(upstream, id string) *flight {
@@ -81,36 +101,53 @@
 
 // end removes the call and drops an answer that nobody took.
 func (f *flight) end() {
-	f.once.Do(func() {
-		s := f.owner
-		s.mu.Lock()
-		left := slices.DeleteFunc(s.byUpstream[f.upstream], func(o *flight) bool { return o == f })
-		if len(left) == 0 {
-			delete(s.byUpstream, f.upstream)
-		} else {
-			s.byUpstream[f.upstream] = left
-		}
-		s.mu.Unlock()
-		select {
-		case a := <-f.answers:
-			a.Body.Close()
-			a.cancel()
-		default:
-		}
-	})
+	s := f.owner
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if f.ended {
+		return
+	}
+	f.ended = true
+	left := slices.DeleteFunc(s.byUpstream[f.upstream], func(o *flight) bool { return o == f })
+	if len(left) == 0 {
+		delete(s.byUpstream, f.upstream)
+	} else {
+		s.byUpstream[f.upstream] = left
+	}
+	select {
+	case a := <-f.answers:
+		a.Body.Close()
+		a.cancel()
+	default:
+	}
+}
+
+// take gives the call its answer; false when it has one already or has ended.
+func (f *flight) take(a *Answer) bool {
+	f.owner.mu.Lock()
+	defer f.owner.mu.Unlock()
+	return f.takeLocked(a)
+}
+
+func (f *flight) takeLocked(a *Answer) bool {
+	if f.ended {
+		return false
+	}
+	select {
+	case f.answers <- a:
+		return true
+	default:
+		return false
+	}
 }
 
-// deliver hands an answer to the call with that id; false when there is none or it has an answer already.
+// deliver hands an answer to a call with that id; false when there is none that waits.
 func (s *flights) deliver(upstream, id string, a *Answer) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, f := range s.byUpstream[upstream] {
-		if f.id == id {
-			select {
-			case f.answers <- a:
-				return true
-			default:
-			}
+		if f.id == id && f.takeLocked(a) {
+			return true
 		}
 	}
 	return false
@@ -148,6 +185,7 @@
 func (c *Client) broken(ctx context.Context, u api.Upstream, f *flight, e evidence, cause error) error {
 	c.flights.mu.Lock()
 	f.brokenAt = time.Now()
+	delete(c.flights.aliveAt, u.Name)
 	c.flights.mu.Unlock()
 	if c.dead(ctx, u, f, e) {
 		return errs.Combine(serving.ErrUpstreamDied, serving.ErrInterrupted, cause)
--- a/pkg/adapter/service/service.go
+++ b/pkg/adapter/service/service.go
@@ -125,8 +125,16 @@
 	return req, nil
 }
 
-// Open sends the call and returns its answer once the headers arrived. The caller closes the answer.
+// Open sends the call and returns its answer once the headers arrived. The caller closes the answer. An upstream
+// that gave no answer for aliveFor is probed first: a call to one that is already down so counts as not started, and
+// its broken connection does not pass for a death under the call.
 func (c *Client) Open(ctx context.Context, u api.Upstream, call serving.Call) (*Answer, error) {
+	if !c.flights.recentlyAlive(u.Name) {
+		if !c.Alive(ctx, u) {
+			return nil, errs.Combine(serving.ErrNotStarted, Error.New("upstream %s does not answer its probe", u.Name))
+		}
+		c.flights.answered(u.Name)
+	}
 	f := c.flights.add(u.Name, call.RequestID)
 	run, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	f.leave, f.cancel = context.AfterFunc(ctx, cancel), cancel
@@ -176,17 +184,23 @@
 		return
 	}
 	echo := resp.Header.Get(api.HeaderUpstreamRequestID)
-	if echo == "" && resp.StatusCode >= 300 {
-		// A refusal from a layer below the application carries no id; it is an answer to this connection.
+	c.flights.answered(u.Name)
+	if echo == "" && (resp.StatusCode >= 300 || resp.StatusCode == http.StatusNoContent) {
+		// A refusal from a layer below the application carries no id, and an empty answer has no content to mix
+		// up; both belong to this connection.
 		echo = call.RequestID
 	}
 	f.settle()
 	a := &Answer{Response: resp, cancel: cancel, via: f}
 	f.leave()
-	if echo != call.RequestID {
+	taken := false
+	if echo == call.RequestID {
+		taken = f.take(a)
+	} else {
 		f.failed <- serving.ErrMismatch
+		taken = c.flights.deliver(u.Name, echo, a)
 	}
-	if !c.flights.deliver(u.Name, echo, a) {
+	if !taken {
 		resp.Body.Close()
 		cancel()
 	}
@@ -248,7 +262,7 @@
 		return nil, c.broken(ctx, u, a.flight, evidence{answered: true}, err)
 	case len(body) > MaxBodyBytes:
 		return nil, errs.Combine(serving.ErrMismatch, Error.New("answer above %d bytes", MaxBodyBytes))
-	case a.ContentLength < 0 && len(a.TransferEncoding) == 0 && !json.Valid(body):
+	case a.ContentLength < 0 && len(a.TransferEncoding) == 0 && a.Request.Method != http.MethodHead && !json.Valid(body):
 		// Such a body ends where the connection ends, which a dying upstream does as well.
 		return nil, errs.Combine(serving.ErrMismatch, Error.New("answer without a length"))
 	}
--- a/pkg/gateway/faults_test.go
+++ b/pkg/gateway/faults_test.go
@@ -13,6 +13,7 @@
 	"gotest.tools/v3/assert/cmp"
 
 	"trefoilplank.example/api"
+	"trefoilplank.example/pkg/gateway/peertest"
 	"trefoilplank.example/pkg/serving"
 )
 
@@ -112,6 +113,30 @@
 	assert.Equal(t, s.runCount(), 10)
 }
 
+// Guards against innocent requests that become suspects, or are called begun, because they meet upstreams that were
+// down before them and break each connection.
+func TestUpstreamsDownBefore(t *testing.T) {
+	var upstreams []*fakeUpstream
+	for i := range 3 {
+		s := newUpstream(t, fmt.Sprint("s", i), api.UpstreamService)
+		s.down = i < 2
+		upstreams = append(upstreams, s)
+	}
+	nodes := fleet(t, peertest.New(), 1, nil, upstreams...)
+	for i := range 12 {
+		r := nodes[0].send(context.Background(), "POST", "/v1/services/status/charge", fmt.Sprint(i))
+		assert.Equal(t, r.status, 200, r.body)
+	}
+	upstreams[2].down = true
+	nodes[0].slots.upstreams = nodes[0].slots.upstreams[:2]
+	r := nodes[0].send(context.Background(), "POST", "/v1/services/status/charge", "x", "Trefoil-Timeout-Ms", "200")
+	assert.Equal(t, r.status, 503, r.body)
+	assert.Equal(t, r.outcome, "not-run")
+	for _, u := range nodes[0].slots.released {
+		assert.Assert(t, u.Result != serving.RunDied)
+	}
+}
+
 // Guards against a stream that is joined wrongly or reported whole after its connection was cut.
 func TestStreamCut(t *testing.T) {
 	cutAfter := func(n int, then func(*fakeUpstream, string)) faultFunc {
@@ -138,9 +163,17 @@
 		tokens int
 	}{
 		{"engine lives", cutAfter(2, func(*fakeUpstream, string) {}), true, 5},
+		{"cut after each token", func(f *fakeUpstream, w http.ResponseWriter, r *http.Request, body []byte) bool {
+			f.cutEach = true
+			return cutAfter(1, func(*fakeUpstream, string) {})(f, w, r, body)
+		}, true, 5},
 		{"engine restarted", cutAfter(2, forget), false, 2},
 		{"engine died", cutAfter(2, func(f *fakeUpstream, _ string) { go f.crash(); time.Sleep(20 * time.Millisecond) }), false, 2},
 		{"cut before the first event", cutAfter(0, forget), true, 5},
+		{"resumption fails twice", func(f *fakeUpstream, w http.ResponseWriter, r *http.Request, body []byte) bool {
+			f.refuseResume = 2
+			return cutAfter(2, func(*fakeUpstream, string) {})(f, w, r, body)
+		}, true, 5},
 		{"other stream", func(f *fakeUpstream, w http.ResponseWriter, _ *http.Request, _ []byte) bool {
 			f.stream(w, "someone-else", 0, 5, true)
 			return true
@@ -172,6 +205,36 @@
 	}
 }
 
+// Guards against a run whose answer is taken for that of the order to cancel it, and the form of answers without a
+// body.
+func TestCancelDuringRunAndEmptyAnswers(t *testing.T) {
+	e, s := newUpstream(t, "e1", api.UpstreamEngine), newUpstream(t, "s1", api.UpstreamService)
+	e.fault = slow(50 * time.Millisecond)
+	s.fault = func(_ *fakeUpstream, w http.ResponseWriter, r *http.Request, _ []byte) bool {
+		if r.Method == http.MethodDelete {
+			w.WriteHeader(http.StatusNoContent)
+			return true
+		}
+		w.Header().Set("Content-Length", "1234")
+		return r.Method == http.MethodHead
+	}
+	f := newFixture(t, nil, e, s)
+	call := serving.Call{RequestID: "r", Method: "POST", Path: "/v1/completions", Header: http.Header{}, Body: []byte("{}")}
+	result := make(chan *serving.Result, 1)
+	go func() {
+		res, err := f.Invoker.Do(context.Background(), e.Upstream, call)
+		assert.Check(t, err)
+		result <- res
+	}()
+	eventually(t, "the run has begun", func() bool { return e.runCount() == 1 })
+	assert.NilError(t, f.Invoker.Cancel(context.Background(), e.Upstream, "r"))
+	assert.Assert(t, cmp.Contains(string((<-result).Body), `"id":"r"`))
+	r := f.send(context.Background(), "HEAD", "/v1/services/status/x", "")
+	assert.Equal(t, fmt.Sprint(r.status, r.header.Get("Content-Length"), r.err), "2001234<nil>")
+	r = f.send(context.Background(), "DELETE", "/v1/services/status/x", "")
+	assert.Equal(t, fmt.Sprint(r.status, r.header.Get("Content-Length"), r.err), "204<nil>")
+}
+
 // Guards against runs that go on for a caller that has gone.
 func TestDisconnectCancels(t *testing.T) {
 	e := newUpstream(t, "e1", api.UpstreamEngine)
@@ -187,7 +250,8 @@
 	assert.Equal(t, f.slots.released[0].Result, serving.RunCancelled)
 }
 
-// Guards against an answer after the deadline, and against the wrong outcome of a request that was running.
+// Guards against an answer after the deadline, the wrong outcome of a request that was running, and a late answer
+// that reaches the next caller.
 func TestDeadline(t *testing.T) {
 	e := newUpstream(t, "e1", api.UpstreamEngine)
 	release := make(chan struct{})
@@ -195,7 +259,6 @@
 		<-release
 		return false
 	}
-	defer close(release)
 	f := newFixture(t, nil, e)
 	start := time.Now()
 	r := f.chat("hello", api.HeaderTimeoutMs, "80")
@@ -203,4 +266,37 @@
 	assert.Equal(t, r.outcome, "unknown")
 	assert.Assert(t, time.Since(start) < time.Second)
 	eventually(t, "the run is cancelled", func() bool { return e.cancelCount() == 1 })
+	close(release)
+	for i := range 10 {
+		assert.Assert(t, cmp.Contains(f.chat(fmt.Sprint("next", i)).body, fmt.Sprint("next", i)))
+	}
+}
+
+// Guards the bound on added upstream calls while a third of the upstreams answers every call with an error and no
+// health check ejects them.
+func TestRetryBudgetUnderFailure(t *testing.T) {
+	var upstreams []*fakeUpstream
+	for i := range 6 {
+		e := newUpstream(t, fmt.Sprint("e", i), api.UpstreamEngine)
+		if i%3 == 0 {
+			e.fault = func(_ *fakeUpstream, w http.ResponseWriter, _ *http.Request, _ []byte) bool {
+				w.WriteHeader(http.StatusInternalServerError)
+				return true
+			}
+		}
+		upstreams = append(upstreams, e)
+	}
+	f := newFixture(t, nil, upstreams...)
+	const calls = 600
+	for i := range calls {
+		r := f.chat(fmt.Sprint(i))
+		assert.Assert(t, r.status == 200 || r.status == 502 && r.outcome == "failed", "%d %s", r.status, r.body)
+	}
+	runs := 0
+	for _, e := range upstreams {
+		runs += e.runCount()
+	}
+	ratio := float64(runs) / calls
+	assert.Assert(t, ratio > 1 && ratio <= 1.1, "%.3f", ratio)
+	t.Logf("%.3f upstream calls for a caller call", ratio)
 }
--- a/pkg/gateway/handlers.go
+++ b/pkg/gateway/handlers.go
@@ -95,6 +95,7 @@
 func (g *Gateway) serve(w http.ResponseWriter, r *http.Request, j *job) {
 	leave, err := g.enter(r.Context(), j.req.Institution)
 	if err != nil {
+		g.record(j, "", "refuse", err.Error(), map[string]any{"institution": j.req.Institution})
 		WriteError(w, r, err)
 		return
 	}
@@ -144,7 +145,7 @@
 	case j.engine() && res.Status >= 300:
 		WriteError(w, r, engineError(res))
 	default:
-		writeResult(w, res)
+		writeResult(w, j.call.Method, res)
 	}
 }
 
@@ -186,12 +187,19 @@
 }
 
 // writeResult passes an upstream's whole answer on.
-func writeResult(w http.ResponseWriter, res *serving.Result) {
+func writeResult(w http.ResponseWriter, method string, res *serving.Result) {
 	copyHeader(w.Header(), res.Header)
 	if res.Status >= 300 {
 		w.Header().Set(api.HeaderOutcome, string(api.Failed))
 	}
-	w.Header().Set("Content-Length", itoa(len(res.Body)))
+	switch {
+	case method == http.MethodHead:
+		if length := res.Header.Get("Content-Length"); length != "" {
+			w.Header().Set("Content-Length", length)
+		}
+	case res.Status != http.StatusNoContent && res.Status != http.StatusNotModified:
+		w.Header().Set("Content-Length", itoa(len(res.Body)))
+	}
 	w.WriteHeader(res.Status)
 	_, _ = w.Write(res.Body)
 }
