Measure the dissemination variants and pass each message on once in each tree

Cause: whether every node watches, gossips or uses relays and a tree was open. The measurement showed faults of the first tree: a node that had learned a change in another way did not pass it on, and relays received up to 6.7 KB/s. Change: Spread remembers messages by tree, not content by node; relays fetch a delta before the payload and try again when a transfer fails; lease records are read in shares instead of watched; work in a zone is divided over three leads; history of 64 versions.

--- a/pkg/controller/confsync/apply.go
+++ b/pkg/controller/confsync/apply.go
@@ -13,6 +13,7 @@
 	"trefoilplank.example/pkg/adapter/store"
 	"trefoilplank.example/pkg/config"
 	"trefoilplank.example/pkg/decision/confchain"
+	"trefoilplank.example/pkg/decision/dissemination"
 )
 
 const (
@@ -52,6 +53,10 @@
 		return 0, notAccepted(err)
 	}
 	if version, err := head.Check(change, digest); version > 0 || err != nil {
+		if version > 0 {
+			// The node that accepted it may have died before it told others.
+			c.target.Set(head.History[0])
+		}
 		return version, err
 	}
 	base, err := c.base(ctx, head)
@@ -69,7 +74,7 @@
 	}
 	p := confchain.Proposal{
 		Version: next.Version, Change: digest, Digest: confchain.Digest(payload.JSON), Attempt: ulid.Make().String(),
-		Key: change.Key, Who: change.Who, When: time.Now(),
+		Key: change.Key, Who: change.Who, When: time.Now(), Node: c.self,
 	}
 	if p.Chunks, err = c.writeChunks(ctx, p, payload); err != nil {
 		return 0, notAccepted(err)
@@ -177,7 +182,9 @@
 		klog.Errorf("configuration version %d: %v", head.Version(), err)
 		return
 	}
-	c.spread(base, c.view().Origin(c.self))
+	c.announce(base, c.steps(func(v dissemination.View) []dissemination.Step {
+		return c.spread.Originate(v, c.self, uint64(head.Version()), dissemination.LeadHead)
+	}))
 	go c.clean(head)
 }
 
--- a/pkg/controller/confsync/bytes_test.go
+++ b/pkg/controller/confsync/bytes_test.go
@@ -26,13 +26,13 @@
 	stamp := decision.Stamp{Incarnation: time.Now().UnixMilli(), Seq: 3}
 	entry := confchain.Entry{
 		Record: config.Record{Version: 90_000, Key: digest[:32], Who: "operator-1", When: time.Now()},
-		Change: digest[:32], Digest: digest, Attempt: digest[:26], Chunks: 1,
+		Change: digest[:16], Digest: digest, Attempt: digest[:26], Chunks: 1, Node: "node-117",
 	}
 	route := dissemination.Route{Stage: dissemination.StageMembers, Root: "node-117", Zone: "terre-rouge"}
 	head := confchain.Head{}
 	for i := range confchain.MaxHistory {
 		head = head.Append(confchain.Proposal{
-			Version: int64(i + 1), Change: digest[:32], Digest: digest, Attempt: digest[:26], Chunks: 1, Key: digest[:32], Who: "operator-1", When: time.Now(),
+			Version: int64(i + 1), Change: digest[:16], Digest: digest, Attempt: digest[:26], Chunks: 1, Node: "node-117", Key: digest[:32], Who: "operator-1", When: time.Now(),
 		})
 	}
 	record := lease.Record{
--- a/pkg/controller/confsync/confsync.go
+++ b/pkg/controller/confsync/confsync.go
@@ -30,6 +30,8 @@
 	fetchTimeout = 5 * time.Second
 	// secondRelayDelay lets the head of the zone push first; the second relay only fills in for it.
 	secondRelayDelay = time.Second
+	// pushGrace is how long a relay that saw a new head waits for the push before it fetches.
+	pushGrace = 200 * time.Millisecond
 	// inlineBytes is the largest delta that a push carries; larger ones are fetched by nodes that need them.
 	inlineBytes = 32 << 10
 	// keptInMemory is the number of payloads kept to compute deltas from.
@@ -59,6 +61,9 @@
 	ready chan struct{}
 	// fetching holds the version that a fetch in progress will bring.
 	fetching int64
+	spread   *dissemination.Spread
+	// target is the accepted version as the store last showed it.
+	target blackboard.Section[confchain.Entry]
 }
 
 var _ config.Accepter = (*Controller)(nil)
@@ -68,6 +73,7 @@
 	return &Controller{
 		store: s, board: b, peers: peers, self: self,
 		payloads: map[int64]confchain.Payload{0: emptyPayload()}, ready: make(chan struct{}),
+		spread: dissemination.NewSpread(),
 	}
 }
 
@@ -101,6 +107,7 @@
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return c.start(ctx) })
 	group.Go(func() error { return c.relay(ctx) })
+	group.Go(func() error { return c.follow(ctx) })
 	group.Go(func() error { return c.catchUp(ctx) })
 	return group.Wait()
 }
@@ -232,7 +239,7 @@
 		done := make(chan struct{})
 		go func() {
 			defer close(done)
-			_ = store.Follow(watching, c.store, confchain.HeadKey, func(u store.Update) { c.seen(watching, u) })
+			_ = store.Follow(watching, c.store, confchain.HeadKey, c.seen)
 		}()
 		for ctx.Err() == nil && c.view().RelayRank(c.self) >= 0 {
 			_, revision := c.board.Members.Get()
@@ -248,7 +255,7 @@
 }
 
 // seen handles the head as the watch reports it.
-func (c *Controller) seen(ctx context.Context, u store.Update) {
+func (c *Controller) seen(u store.Update) {
 	value := u.Event.Object.Value
 	if u.Full {
 		if len(u.Objects) == 0 {
@@ -264,21 +271,56 @@
 		klog.Errorf("%s: %v", confchain.HeadKey, err)
 		return
 	}
-	entry := head.History[0]
+	c.target.Set(head.History[0])
+}
+
+// follow brings the version that the head names into force and starts the tree of the zone. A failure is tried
+// again until it succeeds or a newer version replaces it: no later event may come.
+func (c *Controller) follow(ctx context.Context) error {
+	pause := startRetry
+	for ctx.Err() == nil {
+		entry, revision := c.target.Get()
+		err := c.reach(ctx, entry)
+		if err != nil {
+			klog.Warningf("configuration version %d: %v", entry.Version, err)
+			wait(ctx, pause+rand.N(pause))
+			pause = min(2*pause, startRetryMax)
+			continue
+		}
+		pause = startRetry
+		select {
+		case <-c.target.Changed(revision):
+		case <-ctx.Done():
+		}
+	}
+	return ctx.Err()
+}
+
+// reach takes the version of an entry that the store holds and passes it on as a relay.
+func (c *Controller) reach(ctx context.Context, entry confchain.Entry) error {
 	base := c.InForce()
-	if err := c.take(ctx, entry, ""); err != nil {
-		klog.Warningf("configuration version %d: %v", entry.Version, err)
-		return
+	if entry.Version == 0 {
+		return nil
+	}
+	if confchain.Takes(base, entry.Version) && entry.Node != "" {
+		// The accepting node's push brings a delta; the payload in the store is the whole configuration.
+		wait(ctx, pushGrace)
+	}
+	if err := c.take(ctx, entry, entry.Node); err != nil {
+		return err
 	}
 	c.markReady(entry.Version)
-	if !confchain.Takes(base, entry.Version) {
-		return
+	rank := c.view().RelayRank(c.self)
+	if !confchain.Takes(base, entry.Version) || c.InForce() != entry.Version || rank < 0 {
+		return nil
 	}
-	view := c.view()
-	if view.RelayRank(c.self) > 0 {
+	if rank > 0 {
 		wait(ctx, secondRelayDelay)
 	}
-	c.spread(base, view.Zone(c.self))
+	c.announce(base, c.steps(func(v dissemination.View) []dissemination.Step {
+		return c.spread.FromStore(v, c.self, uint64(entry.Version))
+	}))
+	return nil
 }
 
 // catchUp fetches from a live member that has a newer version in force, which the membership exchange reports.
@@ -349,7 +391,10 @@
 		fault = err
 	}
 	p, err := c.load(ctx, e)
-	return p, errors.Join(fault, err)
+	if err != nil {
+		return confchain.Payload{}, errors.Join(fault, err)
+	}
+	return p, nil
 }
 
 // install puts a payload into force unless a newer one is; versions only grow.
--- a/pkg/controller/confsync/receiver.go
+++ b/pkg/controller/confsync/receiver.go
@@ -55,35 +55,45 @@
 func (r *Receiver) Push(args *PushArgs, reply *PushReply) error {
 	c := r.c
 	c.mu.Lock()
-	fresh := confchain.Takes(max(c.inForce.Version, c.fetching), args.Entry.Version)
+	newest := max(c.inForce.Version, c.fetching)
+	fresh := confchain.Takes(newest, args.Entry.Version)
 	if fresh {
 		c.fetching = args.Entry.Version
 	}
 	c.known = c.known.Advance(args.Entry.Version, false)
 	reply.Version = c.known.Version
 	c.mu.Unlock()
-	if fresh {
-		go c.receive(args)
+	if args.Entry.Version >= newest {
+		go c.receive(args, fresh)
 	}
 	return nil
 }
 
-func (c *Controller) receive(args *PushArgs) {
+// receive takes a version that is fresh here and passes it on in any case.
+func (c *Controller) receive(args *PushArgs, fresh bool) {
 	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
 	defer cancel()
-	steps := c.view().Forward(c.self, args.Route)
-	if c.applyDelta(args) == nil {
-		c.deliver(PushArgs{From: c.self, Entry: args.Entry, Base: args.Base, Delta: args.Delta}, steps)
-		return
-	}
-	if err := c.take(ctx, args.Entry, args.From); err != nil {
-		klog.Warningf("configuration version %d from %s: %v", args.Entry.Version, args.From, err)
-		c.mu.Lock()
-		c.fetching = min(c.fetching, c.inForce.Version)
-		c.mu.Unlock()
-		return
+	if fresh && c.applyDelta(args) != nil {
+		if err := c.take(ctx, args.Entry, args.From); err != nil {
+			klog.Warningf("configuration version %d from %s: %v", args.Entry.Version, args.From, err)
+			c.mu.Lock()
+			c.fetching = min(c.fetching, c.inForce.Version)
+			c.mu.Unlock()
+			return
+		}
 	}
-	c.spread(args.Base, steps)
+	next := PushArgs{From: c.self, Entry: args.Entry, Base: args.Base, Delta: args.Delta}
+	c.deliver(next, c.steps(func(v dissemination.View) []dissemination.Step {
+		return c.spread.Forward(v, c.self, uint64(args.Entry.Version), args.Route)
+	}))
+}
+
+// steps asks the spread for what to send.
+func (c *Controller) steps(ask func(dissemination.View) []dissemination.Step) []dissemination.Step {
+	v := c.view()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return ask(v)
 }
 
 // applyDelta takes the version that a push carries itself.
@@ -156,8 +166,8 @@
 	return p, p.Verify(e)
 }
 
-// spread announces the version in force along steps.
-func (c *Controller) spread(base int64, steps []dissemination.Step) {
+// announce sends the version in force along steps.
+func (c *Controller) announce(base int64, steps []dissemination.Step) {
 	if len(steps) == 0 {
 		return
 	}
--- a/pkg/controller/membership/join.go
+++ b/pkg/controller/membership/join.go
@@ -13,14 +13,17 @@
 	"k8s.io/klog/v2"
 
 	"trefoilplank.example/pkg/adapter/store"
+	"trefoilplank.example/pkg/decision/dissemination"
 	"trefoilplank.example/pkg/decision/lease"
 	"trefoilplank.example/pkg/decision/membership"
 )
 
 const (
-	// leaseReadInterval is the time between two reads of lease records by the head of a zone. Watching them
-	// instead would bring every renewal to every relay: 17 KB/s with 380 nodes.
-	leaseReadInterval = 10 * time.Second
+	// leaseReadMin is the least time between two reads of lease records by one relay of a zone, and
+	// leaseReadPerRecord stretches it so that reading takes at most 0.5 KB/s: 38 s for the 48 records of a zone at
+	// the two-year target. Watching the records would bring every renewal to every relay: 16 KB/s with 380 nodes.
+	leaseReadMin       = 10 * time.Second
+	leaseReadPerRecord = 800 * time.Millisecond
 	// joinRetry is the time between the first attempts to learn members; it doubles up to joinRetryMax.
 	joinRetry, joinRetryMax = time.Second, 4 * time.Second
 	// pageSize is the number of lease records in one read; the share of one zone at the two-year target is 48.
@@ -59,19 +62,22 @@
 	return false
 }
 
-// readLeases reads this node's share of the lease records while it is the head of its zone.
+// readLeases reads this node's share of the lease records while that is its part.
 func (c *Controller) readLeases(ctx context.Context) error {
-	return c.every(ctx, leaseReadInterval, func(ctx context.Context) {
-		c.cacheAddresses()
+	for ctx.Err() == nil {
 		view := c.view()
-		if view.RelayRank(c.name) != 0 {
-			return
+		records := view.Len() / max(1, view.Zones())
+		wait(ctx, max(leaseReadMin, time.Duration(records)*leaseReadPerRecord)*9/10+rand.N(leaseReadMin/5))
+		c.cacheAddresses()
+		if view = c.view(); ctx.Err() != nil || !view.ReadsLeases(c.name) {
+			continue
 		}
 		after, until := view.Slice(c.name)
 		if err := c.readSlice(ctx, after, until); err != nil {
 			klog.V(1).Infof("read lease records: %v", err)
 		}
-	})
+	}
+	return ctx.Err()
 }
 
 // readSlice takes the lease records with names above after, up to until or without an upper end.
@@ -150,52 +156,54 @@
 
 // Leave tells the other nodes that this node stops. It returns when the first of them know or ctx ends.
 func (c *Controller) Leave(ctx context.Context) {
-	steps := c.view().Origin(c.name)
+	// The view after leaving does not have this node in it.
+	view := c.view()
 	c.mu.Lock()
-	news := c.table.Leave()
+	args := PushArgs{Updates: c.table.Leave()}
 	c.mu.Unlock()
 	var sent sync.WaitGroup
-	for _, s := range steps {
-		sent.Go(func() { c.deliver(ctx, PushArgs{Updates: news}, s) })
+	for _, s := range c.originSteps(view, args) {
+		sent.Go(func() { c.deliver(ctx, args, s) })
 	}
 	sent.Wait()
 }
 
-// reportVersions tells the head of the zone which version is in force here, and as the head tells the fleet about
-// the zone when something changed.
+// reportVersions tells the reporter of the zone which version is in force here, and as the reporter tells the fleet
+// about the zone when something changed.
 func (c *Controller) reportVersions(ctx context.Context) {
 	view, version := c.view(), c.version()
-	rank := view.RelayRank(c.name)
 	zone := c.o.Self.AvailabilityZone
-	c.mu.Lock()
-	changed := version != c.reported.version
-	c.versionsDue = c.versionsDue || changed
-	due := rank == 0 && c.versionsDue
-	c.versionsDue = c.versionsDue && !due
-	c.mu.Unlock()
-	if due {
-		c.reported.version = version
-		v := c.zoneVersions(zone)
-		if c.takeVersions(v) {
-			c.send(PushArgs{Versions: &v}, view.Origin(c.name))
+	leads := view.Leads(zone, dissemination.LeadReporter)
+	if len(leads) == 0 {
+		return
+	}
+	now := report{to: leads[0], version: version}
+	if now.to == c.name {
+		c.mu.Lock()
+		due := c.versionsDue || now != c.reported
+		c.versionsDue = false
+		c.mu.Unlock()
+		c.reported = now
+		if v := c.zoneVersions(zone); due && c.takeVersions(v) {
+			args := PushArgs{Versions: &v}
+			c.send(args, c.originSteps(view, args))
 		}
 		return
 	}
-	relays := view.Relays(zone)
-	if rank == 0 || len(relays) == 0 || !changed && relays[0] == c.reported.head {
+	if now == c.reported {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	args := ReportArgs{From: c.name, Version: version}
-	if err := c.o.Peers.Call(ctx, relays[0], "Membership.Report", &args, &PushReply{}); err == nil {
-		c.reported = report{head: relays[0], version: version}
+	if err := c.o.Peers.Call(ctx, now.to, "Membership.Report", &args, &PushReply{}); err == nil {
+		c.reported = now
 	}
 }
 
-// report is what this node last told the head of its zone; only reportVersions uses it.
+// report is what this node last told the reporter of the zone; only reportVersions uses it.
 type report struct {
-	head    string
+	to      string
 	version int64
 }
 
--- a/pkg/controller/membership/membership.go
+++ b/pkg/controller/membership/membership.go
@@ -60,6 +60,7 @@
 	// reports holds the order stamp of the last version report of each zone.
 	reports     map[string]int64
 	versionsDue bool
+	spread      *dissemination.Spread
 	reported    report
 }
 
@@ -75,7 +76,7 @@
 	}
 	c := &Controller{
 		o: o, name: self.Name, table: membership.NewTable(o.Params, self, time.Now()),
-		mismatches: map[string]int{}, reports: map[string]int64{},
+		mismatches: map[string]int{}, reports: map[string]int64{}, spread: dissemination.NewSpread(),
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -235,8 +236,7 @@
 	if len(reply.Updates) > maxUpdates {
 		return membership.Error.New("%d updates in one message", len(reply.Updates))
 	}
-	_, news := c.merge(reply.Updates)
-	c.announce(news)
+	c.announce(c.merge(reply.Updates))
 	c.mu.Lock()
 	newer := c.table.NewerThan(reply.Digests, reply.Updates)
 	c.mu.Unlock()
@@ -292,8 +292,19 @@
 // announce starts the spread of news.
 func (c *Controller) announce(news []membership.Update) {
 	if len(news) > 0 {
-		c.send(PushArgs{Updates: news}, c.view().Origin(c.name))
+		args := PushArgs{Updates: news}
+		c.send(args, c.originSteps(c.view(), args))
+	}
+}
+
+func (c *Controller) originSteps(view dissemination.View, args PushArgs) []dissemination.Step {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	lead := dissemination.LeadHead
+	if args.Versions != nil {
+		lead = dissemination.LeadReporter
 	}
+	return c.spread.Originate(view, c.name, args.id(), lead)
 }
 
 // send starts to send news along steps.
--- a/pkg/controller/membership/receiver.go
+++ b/pkg/controller/membership/receiver.go
@@ -1,8 +1,11 @@
 package membership
 
 import (
+	"fmt"
 	"time"
 
+	"github.com/zeebo/xxh3"
+
 	"trefoilplank.example/pkg/decision/dissemination"
 	"trefoilplank.example/pkg/decision/membership"
 )
@@ -47,10 +50,22 @@
 	Route    dissemination.Route
 }
 
+// id identifies the content, so that it is passed on once.
+func (p *PushArgs) id() uint64 {
+	h := xxh3.New()
+	for _, u := range p.Updates {
+		fmt.Fprintf(h, "%s\x00%d\x00%d\x00%d\x00%t\x00", u.Name, u.Incarnation, u.Seq, u.Status, u.Draining)
+	}
+	if v := p.Versions; v != nil {
+		fmt.Fprintf(h, "%s\x00%d", v.AvailabilityZone, v.At)
+	}
+	return h.Sum64()
+}
+
 // Versions reports the configuration version in force on the nodes of one zone.
 type Versions struct {
 	AvailabilityZone string
-	// At orders the reports of one zone: Unix milliseconds at the head of the zone.
+	// At orders the reports of one zone: Unix milliseconds at its reporter.
 	At int64
 	// Version is in force on all nodes of the zone but those in Behind.
 	Version int64
@@ -69,7 +84,7 @@
 	Updates []membership.Update
 }
 
-// ReportArgs tells the head of the zone which configuration version is in force on a node.
+// ReportArgs tells the reporter of the zone which configuration version is in force on a node.
 type ReportArgs struct {
 	From    string
 	Version int64
@@ -102,38 +117,35 @@
 	return u.Draining
 }
 
-// Push takes news and passes on what is new here.
+// Push takes news and passes it on.
 func (r *Receiver) Push(args *PushArgs, _ *PushReply) error {
 	if len(args.Updates) > maxUpdates {
 		return membership.Error.New("%d updates in one message", len(args.Updates))
 	}
 	c := r.c
-	fresh, news := c.merge(args.Updates)
-	versions := args.Versions
-	if versions != nil && !c.takeVersions(*versions) {
-		versions = nil
-	}
-	c.announce(news)
-	if (len(fresh) > 0 || versions != nil) && args.Route.Stage != "" {
-		c.send(PushArgs{Updates: fresh, Versions: versions}, c.view().Forward(c.name, args.Route))
+	c.announce(c.merge(args.Updates))
+	if args.Versions != nil {
+		c.takeVersions(*args.Versions)
 	}
+	view := c.view()
+	c.mu.Lock()
+	steps := c.spread.Forward(view, c.name, args.id(), args.Route)
+	c.mu.Unlock()
+	c.send(PushArgs{Updates: args.Updates, Versions: args.Versions}, steps)
 	return nil
 }
 
-// merge takes statements and returns those that were new, and news of this node itself.
-func (c *Controller) merge(updates []membership.Update) (fresh, news []membership.Update) {
+// merge takes statements and returns news of this node itself.
+func (c *Controller) merge(updates []membership.Update) (news []membership.Update) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
 	for _, u := range updates {
-		isFresh, own := c.table.Merge(u, now)
-		if isFresh {
-			fresh = append(fresh, u)
-		}
+		_, own := c.table.Merge(u, now)
 		news = append(news, own...)
 	}
 	c.publish()
-	return fresh, news
+	return news
 }
 
 // takeVersions takes a zone's report; false when it is not newer than the last one.
--- a/pkg/decision/confchain/chain.go
+++ b/pkg/decision/confchain/chain.go
@@ -22,10 +22,10 @@
 	HeadKey = "config/head"
 	// DataPrefix is the prefix of payload chunks.
 	DataPrefix = "config/data/"
-	// MaxHistory is the number of versions that the head remembers, at about 160 bytes each, which each relay
-	// receives at each change. At 2,800 changes a day it covers an hour, within which the key of a resent change
-	// is recognised.
-	MaxHistory = 128
+	// MaxHistory is the number of versions that the head remembers, at about 140 bytes each, which each relay
+	// receives at each change. At 2,800 changes a day it covers half an hour, within which the key of a resent
+	// change is recognised.
+	MaxHistory = 64
 	// KeptPayloads is the number of versions whose payload stays in the store.
 	KeptPayloads = 8
 )
@@ -35,13 +35,15 @@
 	config.Record
 	// Change is the digest of the change's documents, which tells a resend from another change with the same key.
 	Change string `json:"change"`
-	// Digest is the SHA-256 digest of the payload, hex. It, Attempt and Chunks are empty on versions whose payload
-	// is no longer kept.
+	// Digest is the SHA-256 digest of the payload, hex. It and the fields below are empty on versions whose
+	// payload is no longer kept.
 	Digest string `json:"digest,omitempty"`
 	// Attempt is unique to one attempt to write the head and part of the chunks' keys.
 	Attempt string `json:"attempt,omitempty"`
 	// Chunks is the number of payload chunks.
 	Chunks int `json:"chunks,omitempty"`
+	// Node accepted the version; relays ask it for a delta before they read the payload from the store.
+	Node string `json:"node,omitempty"`
 }
 
 // Head is the value of the head object. History is newest first; its first entry is the accepted version.
@@ -122,8 +124,8 @@
 	if err != nil {
 		return "", Error.Wrap(err)
 	}
-	// 128 bits tell apart the changes that one operator's key is used for.
-	return Digest(b)[:32], nil
+	// 64 bits tell apart the changes that one operator's key is used for.
+	return Digest(b)[:16], nil
 }
 
 // Digest returns the SHA-256 digest in hex.
@@ -171,6 +173,7 @@
 
 // Proposal describes a payload that is in the store and waits for the head to accept it.
 type Proposal struct {
+	Node           string
 	Version        int64
 	Change, Digest string
 	Attempt        string
@@ -183,13 +186,13 @@
 func (h Head) Append(p Proposal) Head {
 	e := Entry{
 		Record: config.Record{Version: p.Version, Key: p.Key, Who: p.Who, When: p.When.UTC().Truncate(time.Millisecond)},
-		Change: p.Change, Digest: p.Digest, Attempt: p.Attempt, Chunks: p.Chunks,
+		Change: p.Change, Digest: p.Digest, Attempt: p.Attempt, Chunks: p.Chunks, Node: p.Node,
 	}
 	next := Head{History: append([]Entry{e}, h.History[:min(len(h.History), MaxHistory-1)]...)}
 	// One more than is kept, whose payload the accepting node deletes.
 	for i := KeptPayloads + 1; i < len(next.History); i++ {
 		old := &next.History[i]
-		old.Digest, old.Attempt, old.Chunks = "", "", 0
+		old.Digest, old.Attempt, old.Chunks, old.Node = "", "", 0, ""
 	}
 	return next
 }
--- a/pkg/decision/confchain/chain_test.go
+++ b/pkg/decision/confchain/chain_test.go
@@ -237,7 +237,7 @@
 		assert.Assert(t, !found && complete)
 	}
 	assert.Equal(t, len(h.History), confchain.MaxHistory)
-	found, complete := h.FindAttempt(150, "a150")
+	found, complete := h.FindAttempt(180, "a180")
 	assert.Assert(t, !found && !complete, "the entry no longer tells its attempt")
 	assert.Assert(t, len(h.Encode()) < 32<<10)
 }
--- a/pkg/decision/dissemination/view.go
+++ b/pkg/decision/dissemination/view.go
@@ -17,6 +17,20 @@
 	// RelaysPerZone gives each availability zone a second watcher of the store for the time in which the first
 	// is dead or paused and not yet noticed.
 	RelaysPerZone = 2
+	// leadsPerZone is the number of nodes of a zone that can lead it in a tree.
+	leadsPerZone = 3
+)
+
+// Lead says which node of each zone leads it in a tree. The work is divided between them, so that none of them
+// exceeds the bytes a second that a node may use.
+type Lead int
+
+// Leads.
+const (
+	// LeadHead is the first relay; it leads for configuration and membership.
+	LeadHead Lead = 0
+	// LeadReporter gathers and spreads the versions in force in its zone.
+	LeadReporter Lead = 2
 )
 
 // Member is a live node and its availability zone.
@@ -31,19 +45,22 @@
 	zoneOf  map[string]string
 	members map[string][]string
 	zones   []string
+	// leads are the first nodes of each zone by rendezvous hashing.
+	leads map[string][]string
 }
 
 // NewView returns a view of members.
 func NewView(members []Member) View {
-	v := View{zoneOf: map[string]string{}, members: map[string][]string{}}
+	v := View{zoneOf: map[string]string{}, members: map[string][]string{}, leads: map[string][]string{}}
 	for _, m := range members {
 		if _, ok := v.zoneOf[m.Name]; !ok {
 			v.zoneOf[m.Name] = m.AvailabilityZone
 			v.members[m.AvailabilityZone] = append(v.members[m.AvailabilityZone], m.Name)
 		}
 	}
-	for _, names := range v.members {
+	for zone, names := range v.members {
 		slices.Sort(names)
+		v.leads[zone] = rendezvous.Top("relay/"+zone, names, leadsPerZone)
 	}
 	v.zones = slices.Sorted(maps.Keys(v.members))
 	return v
@@ -60,7 +77,17 @@
 
 // Relays returns the relays of a zone; the first of them is the zone's head.
 func (v View) Relays(zone string) []string {
-	return rendezvous.Top("relay/"+zone, v.members[zone], RelaysPerZone)
+	return v.leads[zone][:min(len(v.leads[zone]), RelaysPerZone)]
+}
+
+// Leads returns the nodes that lead a zone in a tree, the next one in place of those that do not answer.
+func (v View) Leads(zone string, lead Lead) []string {
+	all := v.leads[zone]
+	if len(all) == 0 {
+		return nil
+	}
+	i := int(lead) % len(all)
+	return append(slices.Clone(all[i:]), all[:i]...)
 }
 
 // RelayRank returns 0 for the head of the node's zone, 1 for its second relay and -1 for other nodes.
@@ -73,12 +100,18 @@
 	return slices.DeleteFunc(slices.Clone(v.members[v.zoneOf[name]]), func(n string) bool { return n == name })
 }
 
+// Len returns the number of members.
+func (v View) Len() int { return len(v.zoneOf) }
+
+// Zones returns the number of availability zones.
+func (v View) Zones() int { return len(v.zones) }
+
 // Stage says which tree a change is on.
 type Stage string
 
 // Stages.
 const (
-	// StageZones is the tree over the heads of the zones.
+	// StageZones is the tree over the leads of the zones.
 	StageZones Stage = "zones"
 	// StageMembers is the tree over the members of one zone.
 	StageMembers Stage = "members"
@@ -88,10 +121,12 @@
 type Route struct {
 	Stage Stage
 	// Root is the zone that a StageZones tree starts in, or the node that a StageMembers tree starts at. The
-	// root of a StageMembers tree may be a node of another zone that stands in for the zone's relays.
+	// root of a StageMembers tree may be a node of another zone that stands in for the zone's leads.
 	Root string
 	// Zone is the zone of a StageMembers tree.
 	Zone string
+	// Lead says which nodes lead the zones of a StageZones tree.
+	Lead Lead
 }
 
 // Step is one message to send.
@@ -100,45 +135,45 @@
 	Route Route
 }
 
-// Origin returns the first message of a change that self makes known: to the head of its zone, which passes it
-// on. When self is the head, the result is what the head sends.
-func (v View) Origin(self string) []Step {
+// origin returns the route and receiver of a change that self makes known: the lead of its zone passes it on.
+func (v View) origin(self string, lead Lead) (to string, r Route) {
 	zone := v.zoneOf[self]
-	route := Route{Stage: StageZones, Root: zone}
-	relays := v.Relays(zone)
-	if len(relays) == 0 || relays[0] == self {
-		return v.Forward(self, route)
+	if leads := v.Leads(zone, lead); len(leads) > 0 {
+		to = leads[0]
 	}
-	return []Step{{To: relays[0], Route: route}}
-}
-
-// Zone returns the messages by which a relay that read a change from the store starts its zone's tree. All zones
-// have relays of their own that watch the store.
-func (v View) Zone(self string) []Step {
-	return v.Forward(self, Route{Stage: StageMembers, Root: self, Zone: v.zoneOf[self]})
+	return to, Route{Stage: StageZones, Root: zone, Lead: lead}
 }
 
-// Forward returns the messages that self sends when it receives a change that is new to it on a route.
-func (v View) Forward(self string, r Route) []Step {
-	if r.Stage == StageZones {
-		return append(v.zoneSteps(v.zoneOf[self], r), v.Zone(self)...)
-	}
-	return v.memberSteps(self, r)
+// zoneRoute is the tree of the zone that starts at root.
+func (v View) zoneRoute(root, zone string) Route {
+	return Route{Stage: StageMembers, Root: root, Zone: zone}
 }
 
-// zoneSteps returns the messages to the heads of the zones below zone in the tree of zones.
+// zoneSteps returns the messages to the leads of the zones below zone in the tree of zones.
 func (v View) zoneSteps(zone string, r Route) []Step {
 	var steps []Step
 	for _, z := range children(v.order("zones/", r.Root, v.zones), zone) {
-		steps = append(steps, Step{To: v.Relays(z)[0], Route: r})
+		steps = append(steps, Step{To: v.Leads(z, r.Lead)[0], Route: r})
 	}
 	return steps
 }
 
-// memberSteps returns the messages to the members below name in the tree of a zone.
+// memberSteps returns the messages to the members below name in the tree of a zone. The zone's leads have other
+// work, so they come last, where a tree has no inner nodes.
 func (v View) memberSteps(name string, r Route) []Step {
+	order := v.order("tree/", r.Root, v.members[r.Zone])
+	isLead := func(n string) bool { return slices.Contains(v.leads[r.Zone], n) }
+	slices.SortStableFunc(order[1:], func(a, b string) int {
+		switch {
+		case isLead(a) == isLead(b):
+			return 0
+		case isLead(a):
+			return 1
+		}
+		return -1
+	})
 	var steps []Step
-	for _, child := range children(v.order("tree/", r.Root, v.members[r.Zone]), name) {
+	for _, child := range children(order, name) {
 		steps = append(steps, Step{To: child, Route: r})
 	}
 	return steps
@@ -169,12 +204,11 @@
 		return v.memberSteps(failed.To, r)
 	}
 	zone := v.zoneOf[failed.To]
-	relays := v.Relays(zone)
-	if next := slices.Index(relays, failed.To) + 1; next > 0 && next < len(relays) && relays[next] != self {
-		return []Step{{To: relays[next], Route: r}}
+	leads := v.Leads(zone, r.Lead)
+	if next := slices.Index(leads, failed.To) + 1; next > 0 && next < len(leads) && leads[next] != self {
+		return []Step{{To: leads[next], Route: r}}
 	}
-	stand := Route{Stage: StageMembers, Root: self, Zone: zone}
-	return append(v.zoneSteps(zone, r), v.memberSteps(self, stand)...)
+	return append(v.zoneSteps(zone, r), v.memberSteps(self, v.zoneRoute(self, zone))...)
 }
 
 // Partner returns the node to compare digests with: for a relay one of another zone, so that zones that lost
@@ -197,8 +231,15 @@
 	return candidates[random.IntN(len(candidates))]
 }
 
-// Slice returns the range of names (above after, up to until; until "" is open) whose lease records the head of a
-// zone reads. The heads share the records, so that no node reads those of the whole fleet.
+// ReadsLeases reports whether the node reads lease records for its zone: its last relay, since the head has the
+// most other work.
+func (v View) ReadsLeases(name string) bool {
+	relays := v.Relays(v.zoneOf[name])
+	return len(relays) > 0 && relays[len(relays)-1] == name
+}
+
+// Slice returns the range of names (above after, up to until; until "" is open) whose lease records are read in
+// the node's zone. The zones share the records, so that no node reads those of the whole fleet.
 func (v View) Slice(self string) (after, until string) {
 	all := slices.Sorted(maps.Keys(v.zoneOf))
 	i, n := slices.Index(v.zones, v.zoneOf[self]), len(v.zones)
--- /dev/null
+++ b/pkg/decision/dissemination/view_test.go
@@ -0,0 +1,191 @@
+package dissemination_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+	"text/tabwriter"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"trefoilplank.example/pkg/decision/dissemination"
+)
+
+// sizes maps the numbers of members to the numbers of zones.
+var sizes = []struct{ members, zones int }{{8, 3}, {64, 4}, {380, 8}}
+
+var scenarios = []scenario{
+	{name: "no fault"},
+	{name: "5 % dead", dead: 0.05},
+	{name: "paused relay", pausedRelay: true},
+	{name: "store outage", outage: true},
+	{name: "two zones apart", apart: true},
+	{name: "outage, 5 % dead", outage: true, dead: 0.05},
+	{name: "outage, two zones apart", outage: true, apart: true},
+}
+
+const (
+	warmUp = 10 * time.Second
+	// changeInterval is the time between changes at 2,800 a day.
+	changeInterval = 31 * time.Second
+)
+
+// spread returns the longest time of some seeds until the last node that is up had a change.
+func spread(variant string, n, zones int, sc scenario, seeds uint64) time.Duration {
+	var worst time.Duration
+	for seed := range seeds {
+		s := newSim(variant, n, zones, sc, seed)
+		s.run(warmUp)
+		s.change(1)
+		s.run(warmUp + faultTime + 20*time.Second)
+		for i := range s.names {
+			switch {
+			case s.silent[i]:
+			case s.version[i] == 0:
+				worst = max(worst, time.Hour)
+			default:
+				worst = max(worst, s.reached[i]-warmUp)
+			}
+		}
+	}
+	return worst
+}
+
+// cost returns store calls and open watches a minute, and bytes a second of the mean and the busiest node.
+func cost(variant string, n, zones, changes int) (calls, mean, busiest float64) {
+	s := newSim(variant, n, zones, scenario{}, 1)
+	for i := range changes {
+		s.run(time.Duration(i+1) * changeInterval)
+		s.change(i + 1)
+	}
+	s.run(time.Duration(changes+1) * changeInterval)
+	watches := map[string]int{"watch": n, "tree": min(n, zones*dissemination.RelaysPerZone)}[variant]
+	total := 0
+	for _, b := range s.bytes {
+		total += b
+	}
+	seconds := s.now.Seconds()
+	return float64(s.storeCalls)/seconds*60 + float64(watches),
+		float64(total) / float64(n) / seconds, float64(slices.Max(s.bytes)) / seconds
+}
+
+// TestTargets guards against a change that takes longer or costs more than the targets allow.
+func TestTargets(t *testing.T) {
+	for _, size := range sizes {
+		calls, mean, busiest := cost("tree", size.members, size.zones, 3)
+		assert.Check(t, calls <= float64(size.zones)*10, "%d members: %.0f store calls a minute", size.members, calls)
+		assert.Check(t, busiest <= 2048, "%d members: %.0f bytes a second, %.0f on average", size.members, busiest, mean)
+		limit := 10 * time.Second
+		if size.members == 8 {
+			limit = 2 * time.Second
+		}
+		for _, sc := range scenarios {
+			if sc.apart && sc.outage {
+				limit += faultTime
+			}
+			last := spread("tree", size.members, size.zones, sc, 1)
+			assert.Check(t, last <= limit, "%d members, %s: %s", size.members, sc.name, last)
+		}
+	}
+}
+
+// BenchmarkVariants prints the comparison of the variants for docs/dissemination.md.
+func BenchmarkVariants(b *testing.B) {
+	for _, variant := range []string{"watch", "gossip", "tree"} {
+		b.Run(variant, func(b *testing.B) {
+			var out strings.Builder
+			w := tabwriter.NewWriter(&out, 0, 0, 2, ' ', 0)
+			fmt.Fprint(w, "members\tstore calls/min\tmean B/s\tbusiest B/s")
+			for _, sc := range scenarios {
+				fmt.Fprint(w, "\t", sc.name)
+			}
+			for _, size := range sizes {
+				calls, mean, busiest := cost(variant, size.members, size.zones, 20)
+				fmt.Fprintf(w, "\n%d\t%.0f\t%.0f\t%.0f", size.members, calls, mean, busiest)
+				for _, sc := range scenarios {
+					fmt.Fprintf(w, "\t%.2f s", spread(variant, size.members, size.zones, sc, 20).Seconds())
+				}
+			}
+			w.Flush()
+			b.Log("\n" + out.String())
+		})
+	}
+}
+
+// TestTreeReachesAll guards against a tree that misses or repeats a member, has a wider node than the degree, or
+// loses a subtree below members that do not answer.
+func TestTreeReachesAll(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		zones := rapid.IntRange(1, 20).Draw(t, "zones")
+		n := rapid.IntRange(1, 400).Draw(t, "members")
+		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0))
+		lost := rapid.SampledFrom([]float64{0, 0.05, 0.5}).Draw(t, "lost")
+		var members []dissemination.Member
+		dead := map[string]bool{}
+		for i := range n {
+			m := dissemination.Member{Name: fmt.Sprint("n", i), AvailabilityZone: fmt.Sprint("z", random.IntN(zones))}
+			members = append(members, m)
+			dead[m.Name] = random.Float64() < lost
+		}
+		lead := rapid.SampledFrom([]dissemination.Lead{dissemination.LeadHead, dissemination.LeadReporter}).Draw(t, "lead")
+		origin := members[random.IntN(n)].Name
+		dead[origin] = false
+		view := dissemination.NewView(members)
+		times := map[string]int{origin: 1}
+		spreads := map[string]*dissemination.Spread{}
+		for _, m := range members {
+			spreads[m.Name] = dissemination.NewSpread()
+		}
+		var follow func(from string, steps []dissemination.Step)
+		follow = func(from string, steps []dissemination.Step) {
+			if lost == 0 && len(steps) > 2*dissemination.Degree {
+				t.Fatalf("%s sends to %d members", from, len(steps))
+			}
+			for _, s := range steps {
+				if dead[s.To] {
+					follow(from, view.Adopt(from, s))
+				} else {
+					times[s.To]++
+					follow(s.To, spreads[s.To].Forward(view, s.To, 1, s.Route))
+				}
+			}
+		}
+		follow(origin, spreads[origin].Originate(view, origin, 1, lead))
+		for _, m := range members {
+			if times[m.Name] == 0 && !dead[m.Name] {
+				t.Fatalf("%s in %s was not reached", m.Name, m.AvailabilityZone)
+			}
+			if lost == 0 && times[m.Name] > 2 {
+				t.Fatalf("%s was reached %d times", m.Name, times[m.Name])
+			}
+		}
+	})
+}
+
+// TestSlices guards against lease records that no relay reads.
+func TestSlices(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 60).Draw(t, "members")
+		var members []dissemination.Member
+		for i := range n {
+			members = append(members, dissemination.Member{Name: fmt.Sprintf("n%02d", i), AvailabilityZone: fmt.Sprint("z", rapid.IntRange(0, 7).Draw(t, "zone"))})
+		}
+		view := dissemination.NewView(members)
+		for _, name := range []string{"a", "n00", "n05", "n05x", "n30", "n59", "z"} {
+			readers := 0
+			for _, m := range members {
+				after, until := view.Slice(m.Name)
+				if view.ReadsLeases(m.Name) && name > after && (until == "" || name <= until) {
+					readers++
+				}
+			}
+			if readers != 1 {
+				t.Fatalf("%d heads read the record of %s", readers, name)
+			}
+		}
+	})
+}
--- a/pkg/decision/membership/probe.go
+++ b/pkg/decision/membership/probe.go
@@ -23,6 +23,8 @@
 	Buckets = 16
 	// maxClockSkew is the age by the wall clock from which a lease record of an unknown node is taken as left over.
 	maxClockSkew = 5 * time.Minute
+	// smallSkew is the difference of wall clocks that is not taken for an expired lease.
+	smallSkew = 5 * time.Second
 	// recordAge is how long a lease record of a removed node stays in the store.
 	recordAge = 10 * time.Minute
 )
@@ -130,13 +132,18 @@
 		r.Draining = true
 		news = append(news, u)
 	}
-	t.doubtLease(r, now)
+	t.doubtLease(r, l.Expiry, now)
 	return news, r.Status >= Dead && now.Sub(r.leaseSeen) > recordAge
 }
 
-func (t *Table) doubtLease(r *record, now time.Time) {
-	expired := !t.storeSince.IsZero() && !t.storeSince.After(r.leaseSeen) && now.Sub(r.leaseSeen) >= t.p.LeaseTimeout
-	if expired && r.Status == Alive && r.misses == 0 && now.Sub(r.heard) >= t.p.LeaseTimeout/2 {
+// doubtLease has a node probed whose lease ran out by the own clock, or by the wall clock of its record: a wrong
+// wall clock costs a probe at most. After an outage all leases are old, so the store must have answered for long.
+func (t *Table) doubtLease(r *record, expiry, now time.Time) {
+	if t.storeSince.IsZero() || now.Sub(t.storeSince) < t.p.LeaseTimeout || r.Status != Alive || r.misses > 0 {
+		return
+	}
+	unchanged := !t.storeSince.After(r.leaseSeen) && now.Sub(r.leaseSeen) >= t.p.LeaseTimeout
+	if (unchanged || now.Sub(expiry) > smallSkew) && now.Sub(r.heard) >= t.p.LeaseTimeout/2 {
 		r.misses = 1
 	}
 }
