Test apply, status, explain, burn and drain with their failures

Cause: the operators' interface had no tests. Change: tests in which eight operators race on one version, the store is down or loses the answer, the documents of an accepted change no longer fit when it is resent, one of three members never answers, and values go through net/rpc that gob would refuse.

--- /dev/null
+++ b/pkg/operator/fake_test.go
@@ -0,0 +1,167 @@
+package operator
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/rpc"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"trefoilplank.example/pkg/adapter/peer"
+	"trefoilplank.example/pkg/adapter/store"
+	"trefoilplank.example/pkg/blackboard"
+	"trefoilplank.example/pkg/burn"
+	"trefoilplank.example/pkg/config"
+	"trefoilplank.example/pkg/explain"
+	"trefoilplank.example/pkg/operator/status"
+)
+
+// fakeAccepter accepts changes in memory; err is returned instead, after the change when lose is set.
+type fakeAccepter struct {
+	mu      sync.Mutex
+	board   *blackboard.Board
+	history []config.Record
+	err     error
+	lose    bool
+}
+
+func (a *fakeAccepter) Apply(_ context.Context, c config.Change) (int64, error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.err != nil && !a.lose {
+		return 0, a.err
+	}
+	for _, h := range a.history {
+		if h.Key == c.Key {
+			return h.Version, nil
+		}
+	}
+	current := a.board.Config.Value()
+	if c.IfMatch != 0 && c.IfMatch != current.Version {
+		return 0, &config.RaceError{Current: current.Version}
+	}
+	next := merge(current, c)
+	next.Version++
+	a.board.Config.Set(next)
+	a.history = append([]config.Record{{Version: next.Version, Key: c.Key, Who: c.Who}}, a.history...)
+	if a.err != nil {
+		return 0, a.err
+	}
+	return next.Version, nil
+}
+
+func (a *fakeAccepter) History(context.Context) ([]config.Record, error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.err == store.ErrUnavailable {
+		return nil, a.err
+	}
+	return a.history, nil
+}
+
+func (a *fakeAccepter) Accepted() int64 { return a.board.Config.Value().Version }
+
+// fakePeers calls the receivers of other nodes over net/rpc on pipes; a node without a server never answers.
+type fakePeers struct{ servers map[string]*rpc.Server }
+
+func (p *fakePeers) Call(ctx context.Context, node, method string, args, reply any) error {
+	s := p.servers[node]
+	if s == nil {
+		<-ctx.Done()
+		return peer.ErrTimeout
+	}
+	a, b := net.Pipe()
+	go s.ServeConn(a)
+	client := rpc.NewClient(b)
+	defer func() { _ = client.Close() }()
+	return client.Call(method, args, reply)
+}
+
+func (p *fakePeers) CallAddress(context.Context, string, string, any, any) error {
+	return peer.ErrUnreachable
+}
+
+type registrar struct{ *rpc.Server }
+
+func (r registrar) Register(name string, receiver any) error { return r.RegisterName(name, receiver) }
+
+const operatorKey = "op-key"
+
+// fixture is the operators' interface of node n1, with the members n2, which answers, and n3, which does not.
+type fixture struct {
+	t        *testing.T
+	handler  http.Handler
+	board    *blackboard.Board
+	accepter *fakeAccepter
+	n2       Options
+	log      *explain.Log
+	burn     *burn.Recorder
+	report   *status.Report
+}
+
+func newFixture(t *testing.T) *fixture {
+	f := &fixture{t: t, board: blackboard.New(), report: &status.Report{}}
+	f.accepter = &fakeAccepter{board: f.board}
+	live := map[string]blackboard.Member{
+		"n1": {Name: "n1"}, "n2": {Name: "n2", AvailabilityZone: "b"}, "n3": {Name: "n3", ConfigVersion: 1, LastHeard: time.Unix(5, 0)},
+	}
+	f.board.Members.Set(blackboard.Members{Self: "n1", Live: live})
+	f.log = explain.NewLog("n1", 100, time.Now)
+	f.burn = burn.NewRecorder(&f.board.Config, time.Now)
+	f.n2 = Options{Node: "n2", Board: blackboard.New(), Explain: explain.NewLog("n2", 100, time.Now)}
+	f.n2.Burn = burn.NewRecorder(&f.board.Config, time.Now)
+	f.n2.Providers = []status.Provider{status.Func(func(context.Context) status.Report { return *f.report })}
+	server := rpc.NewServer()
+	assert.NilError(t, NewLocal(f.n2).Register(registrar{server}))
+	digest := sha256.Sum256([]byte(operatorKey))
+	f.handler = New(Options{
+		Node: "n1", Board: f.board, Config: f.accepter, Explain: f.log, Burn: f.burn, MemberTimeout: 50 * time.Millisecond,
+		Peers: &fakePeers{map[string]*rpc.Server{"n2": server}}, KeyDigests: []string{hex.EncodeToString(digest[:])},
+	})
+	return f
+}
+
+// call makes a call with the operator key; header holds pairs of name and value.
+func (f *fixture) call(method, path, body string, header ...string) *httptest.ResponseRecorder {
+	r := httptest.NewRequest(method, path, strings.NewReader(body))
+	r.Header.Set("Authorization", "Bearer "+operatorKey)
+	for i := 0; i+1 < len(header); i += 2 {
+		r.Header.Set(header[i], header[i+1])
+	}
+	w := httptest.NewRecorder()
+	f.handler.ServeHTTP(w, r)
+	return w
+}
+
+func (f *fixture) apply(body string, header ...string) *httptest.ResponseRecorder {
+	return f.call("POST", "/v1/admin/apply", body, header...)
+}
+
+func decode[T any](t *testing.T, w *httptest.ResponseRecorder) T {
+	t.Helper()
+	var v T
+	assert.NilError(t, json.Unmarshal(w.Body.Bytes(), &v), w.Body.String())
+	return v
+}
+
+const register = `kind: Register
+institutions: [{name: a}]
+models: [{name: m}]
+upstreams: [{name: e, address: "127.0.0.1:9", vm: v, availability_zone: z, kind: engine, models: [m]}]
+`
+
+const rules = `kind: Rules
+institutions:
+  - {institution: a, share: 1, objectives: [{name: o, metric: duration, latency: 1s, target: 0.9}]}
+`
+
+var _ config.Accepter = (*fakeAccepter)(nil)
--- /dev/null
+++ b/pkg/operator/operator_test.go
@@ -0,0 +1,211 @@
+package operator
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"trefoilplank.example/api"
+	"trefoilplank.example/pkg/adapter/store"
+	"trefoilplank.example/pkg/blackboard"
+	"trefoilplank.example/pkg/explain"
+	"trefoilplank.example/pkg/operator/status"
+)
+
+// Guards against calls without the operator key.
+func TestKeyIsNeeded(t *testing.T) {
+	f := newFixture(t)
+	for _, key := range []string{"", "Bearer ", "Bearer other", operatorKey} {
+		w := f.call("GET", "/v1/admin/status", "", "Authorization", key)
+		assert.Equal(t, w.Code, 401)
+		assert.Equal(t, w.Header().Get(api.HeaderOutcome), "not-run")
+	}
+	for path, want := range map[string]int{"/healthz": 200, "/readyz": 503, "/debug/vars": 200} {
+		w := f.call("GET", path, "", "Authorization", "")
+		assert.Equal(t, w.Code, want, path)
+		assert.Assert(t, !strings.Contains(w.Body.String(), "cmdline"))
+	}
+}
+
+// Guards against two operators whose conflicting changes are both accepted, and against a resent change that is
+// accepted twice.
+func TestOperatorsRace(t *testing.T) {
+	f := newFixture(t)
+	assert.Equal(t, f.apply(register+"---\n"+rules).Code, 200)
+	var wg sync.WaitGroup
+	codes := make([]int, 8)
+	for i := range codes {
+		wg.Go(func() {
+			body := strings.Replace(rules, "share: 1", fmt.Sprintf("share: %d", i+2), 1)
+			codes[i] = f.apply(body, "If-Match", `"1"`, "Idempotency-Key", fmt.Sprint("k", i)).Code
+		})
+	}
+	wg.Wait()
+	won := -1
+	for i, c := range codes {
+		if c == 200 {
+			assert.Equal(t, won, -1, "two changes were accepted on version 1: %v", codes)
+			won = i
+		} else {
+			assert.Equal(t, c, 412)
+		}
+	}
+	lost := decode[raceBody](t, f.apply(rules, "If-Match", "1"))
+	assert.Equal(t, lost.Version, int64(2))
+	assert.Equal(t, lost.Error.Code, api.CodeVersionRace)
+	again := f.apply(rules, "If-Match", "1", "Idempotency-Key", fmt.Sprint("k", won))
+	assert.Equal(t, decode[ApplyResult](t, again).Version, int64(2))
+	assert.Equal(t, f.apply(rules).Code, 200, "without If-Match a change applies to any version")
+	assert.Equal(t, f.apply(rules, "If-Match", "x").Code, 400)
+}
+
+// Guards against an outcome that is not true when the store fails, and against a resend that makes a second version.
+func TestStoreFailures(t *testing.T) {
+	f := newFixture(t)
+	f.accepter.err = store.ErrUnavailable
+	w := f.apply(register)
+	e := decode[api.ErrorBody](t, w).Error
+	assert.Equal(t, w.Code, 503)
+	assert.Equal(t, e.Outcome, api.NotRun)
+	assert.Assert(t, e.RetryAfterSeconds > 0)
+	assert.Equal(t, f.board.Config.Value().Version, int64(0))
+
+	f.accepter.err, f.accepter.lose = store.ErrUnknown, true
+	w = f.apply(register, "Idempotency-Key", "k")
+	e = decode[api.ErrorBody](t, w).Error
+	assert.Equal(t, w.Code, 503)
+	assert.Equal(t, e.Outcome, api.Unknown)
+	assert.Assert(t, e.RetryAfterSeconds > 0)
+	f.accepter.err = nil
+	// Meanwhile another change makes the resent documents invalid in themselves.
+	assert.Equal(t, f.apply(rules).Code, 200)
+	w = f.apply(strings.Replace(register, "name: a", "name: b", 1), "Idempotency-Key", "k")
+	assert.Equal(t, w.Code, 200, w.Body.String())
+	assert.Equal(t, decode[ApplyResult](t, w).Version, int64(1))
+	assert.Equal(t, f.board.Config.Value().Version, int64(2))
+}
+
+// Guards against findings that come one at a time, and against a refused change that is partly accepted.
+func TestFindings(t *testing.T) {
+	f := newFixture(t)
+	body := strings.Replace(register, "models: [m]}", "models: [x], extra: 1}", 1) + "---\n" + strings.Replace(rules, "share: 1", "share: many", 1)
+	w := f.apply(body)
+	assert.Equal(t, w.Code, 422)
+	found := decode[findingsBody](t, w)
+	documents := map[int]bool{}
+	for _, x := range found.Findings {
+		documents[x.Document] = true
+		assert.Assert(t, x.Line > 0 && x.Column > 0 && x.Path != "" && x.Message != "", x.String())
+	}
+	assert.Equal(t, len(documents), 2, w.Body.String())
+	assert.Equal(t, found.Error.Outcome, api.NotRun)
+	assert.Equal(t, f.board.Config.Value().Version, int64(0))
+}
+
+// Guards against a dry run that changes something, a diff that misses a change, and documents in force that can't
+// be applied again as they are.
+func TestDryRunAndDocumentsInForce(t *testing.T) {
+	f := newFixture(t)
+	assert.Equal(t, f.apply(register+"---\n"+rules).Code, 200)
+	changed := strings.Replace(strings.Replace(register, "name: a}", "name: a, display_name: A}, {name: b}", 1), "vm: v", "vm: w", 1)
+	r := decode[ApplyResult](t, f.call("POST", "/v1/admin/apply?dry_run=true", changed))
+	assert.Equal(t, r.Version, int64(1))
+	var got []string
+	for _, c := range r.Changes {
+		got = append(got, fmt.Sprint(c.Operation, " ", c.Kind, " ", c.Name, len(c.Fields)))
+	}
+	assert.DeepEqual(t, got, []string{"changed institution a1", "added institution b0", "changed upstream e1"})
+	assert.Equal(t, f.board.Config.Value().Version, int64(1))
+	assert.Equal(t, f.call("POST", "/v1/admin/apply?dry_run=true", changed, "If-Match", "7").Code, 412)
+	for _, what := range []string{"register", "rules"} {
+		doc := f.call("GET", "/v1/admin/"+what, "")
+		assert.Equal(t, doc.Header().Get("ETag"), `"1"`)
+		r := decode[ApplyResult](t, f.call("POST", "/v1/admin/apply?dry_run=true", doc.Body.String(), "If-Match", doc.Header().Get("ETag")))
+		assert.Equal(t, len(r.Changes), 0, "%s: %v", what, r.Changes)
+		assert.Equal(t, f.call("GET", "/v1/admin/"+what, "", "If-None-Match", `"1"`).Code, http.StatusNotModified)
+	}
+}
+
+// Guards against a status that waits for a silent member, hides it, or puts problems last.
+func TestStatusListsSilentMembers(t *testing.T) {
+	f := newFixture(t)
+	assert.Equal(t, f.apply(register+"---\n"+rules).Code, 200)
+	f.board.Upstreams.Set(map[string]blackboard.UpstreamStatus{"e": {Health: blackboard.HealthEjected, Since: time.Unix(9, 0), Reason: "broke 3 connections"}})
+	*f.report = status.Report{
+		Objects: []status.Object{
+			{Kind: status.KindUpstream, Name: "e", Part: "reconcile", Desired: "m v2", Observed: "holds m v1", Why: "backoff", LastChange: time.Unix(20, 0)},
+			{Kind: status.KindJob, Name: "j", Part: "batch", Observed: "running"},
+		},
+		Problems: []status.Problem{{Kind: status.KindUpstream, Name: "e", Cause: "load failed", Since: time.Unix(2, 0), System: "s", Operator: "o"}},
+	}
+	start := time.Now()
+	w := f.call("GET", "/v1/admin/status", "")
+	assert.Assert(t, time.Since(start) < 2*time.Second)
+	assert.Assert(t, strings.HasPrefix(w.Body.String(), `{"problems":[`))
+	s := decode[FleetStatus](t, w)
+	assert.Equal(t, len(s.Nodes), 3)
+	assert.Assert(t, s.Nodes[0].Answered && s.Nodes[1].Answered && !s.Nodes[2].Answered)
+	assert.Equal(t, s.Nodes[0].VersionInForce, int64(1))
+	assert.Equal(t, s.Nodes[2].VersionInForce, int64(1), "the last version heard of a silent member")
+	assert.Equal(t, s.Upstreams[0].Observed, "ejected; holds m v1")
+	assert.Equal(t, s.Upstreams[0].Why, "broke 3 connections; backoff")
+	assert.Equal(t, s.Jobs[0].Observed, "running")
+	var causes []string
+	for _, p := range s.Problems {
+		assert.Assert(t, p.System != "" && p.Operator != "", p.Cause)
+		causes = append(causes, p.Name+": "+strings.SplitN(p.Cause, ":", 2)[0])
+	}
+	assert.DeepEqual(t, causes, []string{"e: load failed", "n3: the node gave no status", "e: ejected", "n2: version 0 is in force, version 1 is accepted"})
+}
+
+// Guards against decisions of other nodes that are missing or out of order, and values that net/rpc refuses.
+func TestExplainMergesNodes(t *testing.T) {
+	f := newFixture(t)
+	for i, log := range []*explain.Log{f.log, f.n2.Explain, f.log, f.n2.Explain} {
+		log.Record(explain.Entry{Request: "n1-X", Decision: fmt.Sprint(i), Values: map[string]any{"at": time.Now(), "list": []string{"a"}}})
+	}
+	f.log.Record(explain.Entry{Request: "other"})
+	x := decode[Explanation](t, f.call("GET", "/v1/admin/explain?request=n1-X", ""))
+	var got []string
+	for _, e := range x.Entries {
+		got = append(got, e.Node+" "+e.Decision)
+	}
+	assert.DeepEqual(t, got, []string{"n1 0", "n2 1", "n1 2", "n2 3"})
+	assert.Equal(t, len(x.Unanswered), 1)
+	assert.Equal(t, x.Unanswered[0].Node, "n3")
+	assert.Equal(t, f.call("GET", "/v1/admin/explain", "").Code, 400)
+}
+
+// Guards against burn that counts one node alone, and an alert that does not show.
+func TestBurnAddsNodes(t *testing.T) {
+	f := newFixture(t)
+	assert.Equal(t, f.apply(register+"---\n"+rules).Code, 200)
+	for range 10 {
+		f.burn.Observe("a", "", api.MetricDuration, 2*time.Second, true)
+		f.n2.Burn.Observe("a", "", api.MetricDuration, time.Second, false)
+	}
+	r := decode[BurnReport](t, f.call("GET", "/v1/admin/burn", ""))
+	assert.Equal(t, len(r.Objectives), 1)
+	assert.Equal(t, len(r.Nodes), 2)
+	o := r.Objectives[0]
+	for _, w := range []string{"5m", "1h", "6h", "3d"} {
+		assert.Equal(t, o.Windows[w].Bad, uint64(20))
+		assert.Assert(t, o.Windows[w].BurnRate > 9.99 && o.Windows[w].BurnRate < 10.01)
+	}
+	assert.Assert(t, !o.Alerts.Fast && o.Alerts.Slow, "a burn of 10 is below the fast threshold")
+}
+
+// Guards against a drain that leaves the node ready.
+func TestDrain(t *testing.T) {
+	f := newFixture(t)
+	assert.Equal(t, f.apply(register).Code, 200)
+	assert.Equal(t, f.call("GET", "/readyz", "").Code, 200)
+	assert.Equal(t, f.call("POST", "/v1/admin/drain", "").Code, 200)
+	assert.Equal(t, f.call("GET", "/readyz", "").Code, 503)
+	assert.Assert(t, f.board.Draining.Value())
+}
