--- a/pkg/ctl/config.go
+++ b/pkg/ctl/config.go
@@ -165,7 +165,7 @@
 	*app `no-flag:"yes"`
 	YAML bool `long:"yaml" description:"print YAML instead of JSON"`
 	Args struct {
-		What string `positional-arg-name:"register|rules" required:"yes"`
+		What documentName `positional-arg-name:"register|rules" required:"yes"`
 	} `positional-args:"yes"`
 }
 
@@ -174,7 +174,7 @@
 	if c.Args.What != "register" && c.Args.What != "rules" {
 		return usageError.New("get takes register or rules, not %q", c.Args.What)
 	}
-	body, header, err := c.admin(call{method: "GET", path: "/v1/admin/" + c.Args.What})
+	body, header, err := c.admin(call{method: "GET", path: "/v1/admin/" + string(c.Args.What)})
 	if err != nil {
 		return c.refused(body, err)
 	}
--- a/pkg/ctl/ctl.go
+++ b/pkg/ctl/ctl.go
@@ -64,6 +64,7 @@
 		{name: "report", short: "Write reports", data: &none{}, subcommands: []command{
 			{name: "burn", short: "Show the burn of service-level objectives", long: burnHelp, data: &burnCommand{app: a}},
 		}},
+		{name: "completion", short: "Print the completion script of a shell", long: completionHelp, data: &completionCommand{app: a}},
 	}
 }
 
--- /dev/null
+++ b/pkg/ctl/ctl_test.go
@@ -0,0 +1,134 @@
+package ctl
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"trefoilplank.example/api"
+	"trefoilplank.example/pkg/blackboard"
+	"trefoilplank.example/pkg/burn"
+	"trefoilplank.example/pkg/config"
+	"trefoilplank.example/pkg/explain"
+	"trefoilplank.example/pkg/operator"
+)
+
+// fakeNode serves the operators' interface on a configuration in memory. Answers that a script queues for a call
+// go out instead.
+type fakeNode struct {
+	http.Handler
+	board *blackboard.Board
+
+	mu     sync.Mutex
+	queued map[string][]answer
+	log    []string
+}
+
+type answer struct {
+	status int
+	body   string
+}
+
+func newFakeNode() *fakeNode {
+	n := &fakeNode{board: blackboard.New(), queued: map[string][]answer{}}
+	digest := sha256.Sum256([]byte("op"))
+	recorder := burn.NewRecorder(&n.board.Config, time.Now)
+	log := explain.NewLog("n1", 10, time.Now)
+	log.Record(explain.Entry{Upstream: "e", Decision: "order-sent", Reason: "version wanted"})
+	n.Handler = operator.New(operator.Options{
+		Node: "n1", Board: n.board, Config: n, Burn: recorder, Explain: log, KeyDigests: []string{hex.EncodeToString(digest[:])},
+	})
+	return n
+}
+
+// Apply accepts every change on the version it was made on.
+func (n *fakeNode) Apply(_ context.Context, c config.Change) (int64, error) {
+	next := n.board.Config.Value()
+	if c.IfMatch != 0 && c.IfMatch != next.Version {
+		return 0, &config.RaceError{Current: next.Version}
+	}
+	if c.Register != nil {
+		next.Register = *c.Register
+	}
+	if c.Rules != nil {
+		next.Rules = *c.Rules
+	}
+	next.Version++
+	n.board.Config.Set(next)
+	return next.Version, nil
+}
+
+// History returns nothing.
+func (n *fakeNode) History(context.Context) ([]config.Record, error) { return nil, nil }
+
+// Accepted returns the version in force.
+func (n *fakeNode) Accepted() int64 { return n.board.Config.Value().Version }
+
+func (n *fakeNode) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	call := r.Method + " " + r.URL.Path
+	n.mu.Lock()
+	n.log = append(n.log, fmt.Sprintf("%s key=%s auth=%s %s", call, r.Header.Get(api.HeaderIdempotencyKey), r.Header.Get("Authorization"), body))
+	queue := n.queued[call]
+	if len(queue) > 0 {
+		n.queued[call] = queue[1:]
+	}
+	n.mu.Unlock()
+	if len(queue) > 0 {
+		w.WriteHeader(queue[0].status)
+		_, _ = io.WriteString(w, queue[0].body)
+		return
+	}
+	r.Body = io.NopCloser(strings.NewReader(string(body)))
+	n.Handler.ServeHTTP(w, r)
+}
+
+// Runs the scripts of testdata. Script commands beside the usual ones: "ctl STATUS ARGS..." runs trefoilctl in
+// process and requires the exit status, "answer METHOD PATH STATUS BODY" queues an answer, "calls" prints the
+// calls that the node got.
+func TestScripts(t *testing.T) {
+	node := func(ts *testscript.TestScript) *fakeNode { return ts.Value("node").(*fakeNode) }
+	testscript.Run(t, testscript.Params{
+		Dir: "testdata",
+		Setup: func(e *testscript.Env) error {
+			n := newFakeNode()
+			s := httptest.NewServer(n)
+			e.Defer(s.Close)
+			e.Values["node"] = n
+			e.Setenv("SERVER", s.Listener.Addr().String())
+			return nil
+		},
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){
+			"ctl": func(ts *testscript.TestScript, _ bool, args []string) {
+				server := ts.Getenv("SERVER")
+				all := append([]string{"--server", server, "--caller-server", server, "--key", "op", "--caller-key", "ck"}, args[1:]...)
+				got := Run(all, strings.NewReader(ts.Getenv("STDIN")), ts.Stdout(), ts.Stderr())
+				if strconv.Itoa(got) != args[0] {
+					ts.Fatalf("exit status %d, must be %s", got, args[0])
+				}
+			},
+			"answer": func(ts *testscript.TestScript, _ bool, args []string) {
+				status, err := strconv.Atoi(args[2])
+				ts.Check(err)
+				call := args[0] + " " + args[1]
+				node(ts).queued[call] = append(node(ts).queued[call], answer{status, args[3]})
+			},
+			"calls": func(ts *testscript.TestScript, _ bool, _ []string) {
+				node(ts).mu.Lock()
+				defer node(ts).mu.Unlock()
+				_, _ = fmt.Fprintln(ts.Stdout(), strings.Join(node(ts).log, "\n"))
+			},
+		},
+	})
+}
--- a/pkg/ctl/help.go
+++ b/pkg/ctl/help.go
@@ -17,11 +17,12 @@
 Examples:
   trefoilctl --server 10.0.0.5:18081 status
   trefoilctl diff -f rules.yaml && trefoilctl apply -f rules.yaml --if-match 7
-  trefoilctl explain request mu-3-01JD8Z4M0H7T6B1K5Q2W9XYZAB
+  trefoilctl explain request mu-3-01JD8Z4M0H7T6B1K5Q2W9XYZAB`
+
+	completionHelp = `Prints a script that completes commands, flags and fixed words.
 
-Completion for bash:
-  _trefoilctl() { COMPREPLY=($(GO_FLAGS_COMPLETION=1 "${COMP_WORDS[0]}" "${COMP_WORDS[@]:1:$COMP_CWORD}")); }
-  complete -F _trefoilctl trefoilctl`
+Example:
+  source <(trefoilctl completion bash)`
 
 	applyHelp = `Checks all documents and accepts all of them or none. A change that got no answer is sent again with the
 same idempotency key, so that it is made once.
@@ -83,7 +84,9 @@
 
 Examples:
   trefoilctl report burn
-  trefoilctl report burn --html reports/`
+  trefoilctl report burn --html reports/
+
+The pages hold the figures themselves and load the plot library from the web; --assets-host names a copy.`
 )
 
 // buildVersion is set by -ldflags "-X trefoilplank.example/pkg/ctl.buildVersion=...".
--- a/pkg/ctl/report.go
+++ b/pkg/ctl/report.go
@@ -1,6 +1,7 @@
 package ctl
 
 import (
+	"encoding/json"
 	"fmt"
 	"text/tabwriter"
 	"time"
@@ -10,8 +11,9 @@
 )
 
 type burnCommand struct {
-	*app `no-flag:"yes"`
-	HTML string `long:"html" value-name:"DIR" description:"also write one page per institution with plots into DIR"`
+	*app   `no-flag:"yes"`
+	HTML   string `long:"html" value-name:"DIR" description:"also write one page per institution with plots into DIR"`
+	Assets string `long:"assets-host" value-name:"URL" description:"where the pages load the plot library from, with a / at the end (default: the library's own)"`
 }
 
 // Execute shows the burn.
@@ -20,7 +22,20 @@
 	if err != nil {
 		return c.refused(body, err)
 	}
-	return show(c.app, body, c.print)
+	var report operator.BurnReport
+	if err := json.Unmarshal(body, &report); err != nil {
+		return fmt.Errorf("the answer is not as expected: %w", err)
+	}
+	if err := show(c.app, body, c.print); err != nil || c.HTML == "" {
+		return err
+	}
+	bar := c.progress(int64(len(report.Objectives)), "pages")
+	paths, err := writePages(c.HTML, c.Assets, report, bar)
+	bar.finish()
+	for _, path := range paths {
+		_, _ = fmt.Fprintln(c.stderr, "wrote", path)
+	}
+	return err
 }
 
 func (c *burnCommand) print(r operator.BurnReport) error {
--- a/pkg/ctl/views.go
+++ b/pkg/ctl/views.go
@@ -112,8 +112,8 @@
 type explainCommand struct {
 	*app `no-flag:"yes"`
 	Args struct {
-		What string `positional-arg-name:"request|job|item|upstream" required:"yes"`
-		Name string `positional-arg-name:"NAME" required:"yes"`
+		What subjectName `positional-arg-name:"request|job|item|upstream" required:"yes"`
+		Name string      `positional-arg-name:"NAME" required:"yes"`
 	} `positional-args:"yes"`
 }
 
@@ -124,7 +124,7 @@
 	default:
 		return usageError.New("explain takes request, job, item or upstream, not %q", c.Args.What)
 	}
-	q := url.Values{c.Args.What: {c.Args.Name}}
+	q := url.Values{string(c.Args.What): {c.Args.Name}}
 	body, _, err := c.admin(call{method: "GET", path: "/v1/admin/explain?" + q.Encode()})
 	if err != nil {
 		return c.refused(body, err)
