--- a/pkg/decision/reconcile/plan.go
+++ b/pkg/decision/reconcile/plan.go
@@ -236,8 +236,8 @@
 	}
 }
 
-// fullestZoneFirst orders upstreams so that replicas that do not serve come first, then those in the availability
-// zone with the most serving replicas.
+// fullestZoneFirst orders upstreams, which are sorted by name, so that replicas that do not serve come first, and
+// then always one in the availability zone with the most serving replicas left.
 func (p *planner) fullestZoneFirst(m *Model, list []*Upstream) []*Upstream {
 	zones := map[string]int{}
 	for _, u := range p.upstreams {
@@ -245,20 +245,24 @@
 			zones[u.AvailabilityZone]++
 		}
 	}
-	rest, ordered := slices.Clone(list), make([]*Upstream, 0, len(list))
-	key := func(u *Upstream) int {
-		if !u.Serves(m.Name) {
-			return -1 << 30
+	ordered, queues := make([]*Upstream, 0, len(list)), map[string][]*Upstream{}
+	for _, u := range list {
+		if u.Serves(m.Name) {
+			queues[u.AvailabilityZone] = append(queues[u.AvailabilityZone], u)
+		} else {
+			ordered = append(ordered, u)
 		}
-		return -zones[u.AvailabilityZone]
 	}
-	for len(rest) > 0 {
-		best := slices.MinFunc(rest, func(a, b *Upstream) int {
-			return cmp.Or(cmp.Compare(key(a), key(b)), cmp.Compare(a.Name, b.Name))
-		})
-		zones[best.AvailabilityZone]--
-		ordered = append(ordered, best)
-		rest = slices.DeleteFunc(rest, func(u *Upstream) bool { return u == best })
+	for len(ordered) < len(list) {
+		var best string
+		for zone, q := range queues {
+			if len(q) > 0 && (len(queues[best]) == 0 || zones[zone] > zones[best] || (zones[zone] == zones[best] && zone < best)) {
+				best = zone
+			}
+		}
+		ordered = append(ordered, queues[best][0])
+		queues[best] = queues[best][1:]
+		zones[best]--
 	}
 	return ordered
 }
--- a/pkg/decision/reconcile/plan_test.go
+++ b/pkg/decision/reconcile/plan_test.go
@@ -199,3 +199,18 @@
 	u.State.Adapters = []string{"gone"}
 	check(Unload, "gone")
 }
+
+// BenchmarkPlan reports the cost of one plan for 500 engines of one model in the middle of a roll-out. The target
+// of 1.2 % of a core leaves 24 ms for a pass every two seconds.
+func BenchmarkPlan(b *testing.B) {
+	in := Input{Models: []Model{{Name: "m", Version: "v2", Min: 400, Proven: true}}}
+	for i := range 500 {
+		in.Upstreams = append(in.Upstreams, Upstream{
+			Name: fmt.Sprintf("u%03d", i), AvailabilityZone: fmt.Sprint("z", i%8), Models: []string{"m"}, Healthy: true,
+			TakesOrders: true, State: &State{Models: map[string]string{"m": fmt.Sprint("v", 1+i%2)}},
+		})
+	}
+	for b.Loop() {
+		MakePlan(in)
+	}
+}
