Show institutions, burn alerts and the age of every problem in status

Cause: institutions had no desired or observed state in status, problems found by the node itself had no time, and an empty operator key let calls without a key through. Change: an institution shows its rules and its burn over all nodes, an alert is a problem, a problem without a time carries the time at which the node first reported it, and an empty key is refused. Drain leaves the draining mark to the drain controller when there is one.

--- a/pkg/operator/members.go
+++ b/pkg/operator/members.go
@@ -47,6 +47,7 @@
 	LastHeard time.Time `json:"last_heard,omitzero"`
 
 	Report status.Report `json:"-"`
+	Burn   burn.GetReply `json:"-"`
 }
 
 // StatusService is the net/rpc receiver "Status".
@@ -74,6 +75,9 @@
 	if l.o.Config != nil {
 		n.VersionAccepted = max(n.VersionAccepted, l.o.Config.Accepted())
 	}
+	if l.o.Burn != nil {
+		n.Burn = l.o.Burn.Get(burn.GetArgs{})
+	}
 	for _, p := range l.o.Providers {
 		r := p.Status(ctx)
 		n.Report.Objects = append(n.Report.Objects, r.Objects...)
--- a/pkg/operator/observed.go
+++ b/pkg/operator/observed.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"slices"
-	"time"
 
 	"trefoilplank.example/api"
 	"trefoilplank.example/pkg/blackboard"
@@ -87,7 +86,7 @@
 		return nil
 	}
 	return []status.Problem{{
-		Name: s.Node, Cause: "the node has no configuration", Since: time.Time{},
+		Name: s.Node, Cause: "the node has no configuration",
 		System:   "reads it from the store and from peers of its availability zone",
 		Operator: "apply a register and rules if there were none, or check the store", Nodes: []string{s.Node},
 	}}
--- a/pkg/operator/operator.go
+++ b/pkg/operator/operator.go
@@ -61,6 +61,7 @@
 type server struct {
 	Options
 	local *Local
+	seen  firstSeen
 }
 
 // New returns the handler of the operators' listener.
@@ -71,7 +72,7 @@
 	if o.MemberTimeout == 0 {
 		o.MemberTimeout = DefaultMemberTimeout
 	}
-	s := &server{Options: o, local: NewLocal(o)}
+	s := &server{Options: o, local: NewLocal(o), seen: firstSeen{since: map[string]time.Time{}}}
 	mux := http.NewServeMux()
 	for pattern, h := range map[string]http.HandlerFunc{
 		"POST /v1/admin/apply":   s.apply,
@@ -106,6 +107,10 @@
 }
 
 func (s *server) knownKey(key string) bool {
+	if key == "" {
+		// A node whose operator key was left empty must not take calls without a key.
+		return false
+	}
 	sum := sha256.Sum256([]byte(key))
 	digest := []byte(hex.EncodeToString(sum[:]))
 	found := 0
@@ -116,9 +121,10 @@
 }
 
 func (s *server) drain(w http.ResponseWriter, _ *http.Request) {
-	s.Board.Draining.Set(true)
 	if s.Drain != nil {
 		s.Drain()
+	} else {
+		s.Board.Draining.Set(true)
 	}
 	klog.InfoS("Drain started by an operator", "node", s.Node)
 	writeJSON(w, http.StatusOK, map[string]any{"node": s.Node, "draining": true})
--- a/pkg/operator/operator_test.go
+++ b/pkg/operator/operator_test.go
@@ -1,8 +1,11 @@
 package operator
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"fmt"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
 	"testing"
@@ -20,6 +23,13 @@
 // Guards against calls without the operator key.
 func TestKeyIsNeeded(t *testing.T) {
 	f := newFixture(t)
+	empty := sha256.Sum256(nil)
+	open := New(Options{Node: "n1", Board: f.board, KeyDigests: []string{hex.EncodeToString(empty[:])}})
+	w := httptest.NewRecorder()
+	r := httptest.NewRequest("POST", "/v1/admin/drain", nil)
+	r.Header.Set("Authorization", "Bearer ")
+	open.ServeHTTP(w, r)
+	assert.Equal(t, w.Code, 401, "an operator key that was left empty must not open the interface")
 	for _, key := range []string{"", "Bearer ", "Bearer other", operatorKey} {
 		w := f.call("GET", "/v1/admin/status", "", "Authorization", key)
 		assert.Equal(t, w.Code, 401)
@@ -198,6 +208,21 @@
 		assert.Assert(t, o.Windows[w].BurnRate > 9.99 && o.Windows[w].BurnRate < 10.01)
 	}
 	assert.Assert(t, !o.Alerts.Fast && o.Alerts.Slow, "a burn of 10 is below the fast threshold")
+	s := decode[FleetStatus](t, f.call("GET", "/v1/admin/status", ""))
+	assert.Equal(t, s.Institutions[0].Observed, "o 0 of 20 good in 1h, slow alert")
+	var alert *status.Problem
+	for i := range s.Problems {
+		assert.Assert(t, !s.Problems[i].Since.IsZero(), s.Problems[i].Cause)
+		if s.Problems[i].Name == "a" {
+			alert = &s.Problems[i]
+		}
+	}
+	assert.Assert(t, alert != nil, "the alert is no problem in status")
+	time.Sleep(time.Millisecond)
+	again := decode[FleetStatus](t, f.call("GET", "/v1/admin/status", ""))
+	for _, p := range again.Problems {
+		assert.Assert(t, p.Name != "a" || p.Since.Equal(alert.Since), "a problem must keep since when it lasts")
+	}
 }
 
 // Guards against a drain that leaves the node ready.
--- a/pkg/operator/statusview.go
+++ b/pkg/operator/statusview.go
@@ -58,10 +58,9 @@
 	}
 	f.Problems = append(f.Problems, s.nodeProblems(f)...)
 	c := s.Board.Config.Value()
-	var institutions, models, upstreams []status.Object
-	for _, i := range c.Register.Institutions {
-		institutions = append(institutions, status.Object{Kind: status.KindInstitution, Name: i.Name})
-	}
+	institutions, burning := s.institutions(c, answers)
+	f.Problems = append(f.Problems, burning...)
+	var models, upstreams []status.Object
 	for _, m := range c.Register.Models {
 		models = append(models, s.modelObject(c, m))
 	}
@@ -72,6 +71,7 @@
 	f.Models = overlay(models, objects[status.KindModel])
 	f.Upstreams = overlay(upstreams, objects[status.KindUpstream])
 	f.Jobs = overlay(nil, objects[status.KindJob])
+	s.seen.fill(f.Problems, s.Now())
 	sortProblems(f.Problems)
 	return f
 }
--- a/pkg/operator/views.go
+++ b/pkg/operator/views.go
@@ -113,12 +113,9 @@
 	report := BurnReport{Objectives: []ObjectiveBurn{}, Nodes: []NodeSince{}, Unanswered: silentOf(answers)}
 	sums := map[burn.Key]decision.Counts{}
 	for _, a := range answers {
-		if a.err != nil {
-			continue
-		}
-		report.Nodes = append(report.Nodes, NodeSince{a.node, a.reply.Since})
-		for _, row := range a.reply.Rows {
-			sums[row.Key] = sums[row.Key].Add(row.Counts)
+		if a.err == nil {
+			report.Nodes = append(report.Nodes, NodeSince{a.node, a.reply.Since})
+			addRows(sums, a.reply.Rows)
 		}
 	}
 	for _, i := range s.Board.Config.Value().Rules.Institutions {
@@ -132,6 +129,13 @@
 	writeJSON(w, http.StatusOK, report)
 }
 
+// addRows adds the counts of one node.
+func addRows(sums map[burn.Key]decision.Counts, rows []burn.Row) {
+	for _, row := range rows {
+		sums[row.Key] = sums[row.Key].Add(row.Counts)
+	}
+}
+
 func objectiveBurn(institution string, o api.Objective, c decision.Counts) ObjectiveBurn {
 	b := ObjectiveBurn{
 		Institution: institution, Objective: o.Name, Class: o.Class, Metric: o.Metric, Latency: o.Latency,
