Send an order in the pass after its lease, without an interval between

Cause: on the development fleet a roll-out over three engines with 0.3 s loads took 12 s, half of it the 2 s wait between lease and order. Change: Run makes one more pass right after it acquired a lease.

--- a/pkg/controller/reconcile/controller.go
+++ b/pkg/controller/reconcile/controller.go
@@ -97,6 +97,8 @@
 	engines  map[string]*observed
 	// owned are the groups that this node reconciled in the last pass, by key.
 	owned map[string]bool
+	// leased is set when the last pass acquired an order lease.
+	leased bool
 
 	mu   sync.Mutex
 	view view
@@ -124,6 +126,11 @@
 		_, configRevision := c.Board.Config.Get()
 		_, memberRevision := c.Board.Members.Get()
 		busy := c.Sync(ctx)
+		if c.leased {
+			// The second pass reads the state again under the new lease and sends the order. It comes once, so that
+			// two nodes that take leases from each other do not spin.
+			busy = c.Sync(ctx)
+		}
 		interval := c.IdleInterval
 		if busy {
 			interval = c.Interval
@@ -155,6 +162,7 @@
 
 // Sync makes one idempotent pass and reports whether changes are in progress.
 func (c *Controller) Sync(ctx context.Context) (busy bool) {
+	c.leased = false
 	cfg := c.Board.Config.Value()
 	live := c.liveNodes()
 	var mine []group
--- a/pkg/controller/reconcile/controller_test.go
+++ b/pkg/controller/reconcile/controller_test.go
@@ -13,6 +13,7 @@
 	"trefoilplank.example/api"
 	"trefoilplank.example/pkg/adapter/store"
 	"trefoilplank.example/pkg/adapter/weights"
+	"trefoilplank.example/pkg/blackboard"
 )
 
 // Guards against a roll-out that takes the model below its serving minimum, or that leaves leases or claims behind.
@@ -199,3 +200,21 @@
 		assert.Equal(t, len(f.fleet.orders("u0")), 1)
 	})
 }
+
+// Guards against a loop that waits an interval between the steps of one order, and against leases that stay after
+// the node has ended.
+func TestRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, 3, 2, "v2", api.FencingIgnored, "n1")
+		f.board["n1"].Lease.Set(blackboard.Lease{Number: 1, Deadline: time.Now().Add(time.Hour)})
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() { f.nodes["n1"].Run(ctx); close(done) }()
+		// A replica takes its 20 s load and at most one interval of 2 s until its end is seen.
+		time.Sleep(3 * 22 * time.Second)
+		assert.DeepEqual(t, f.fleet.versions(), map[string]int{"v2": 3})
+		cancel()
+		<-done
+		assert.Equal(t, len(f.nodes["n1"].leases.held), 0)
+	})
+}
--- a/pkg/controller/reconcile/execute.go
+++ b/pkg/controller/reconcile/execute.go
@@ -159,7 +159,7 @@
 	}
 	fresh, err = c.leases.acquire(ctx, u, floor)
 	if err == nil && fresh {
-		e.reread = true
+		e.reread, c.leased = true, true
 		c.explain(u.Name, "order-lease", "this node may now send orders", map[string]any{"token": c.token(u.Name)})
 	}
 	return fresh, err
