--- a/pkg/ctl/ctl.go
+++ b/pkg/ctl/ctl.go
@@ -61,6 +61,7 @@
 		{name: "drain", short: "Make the node at --server leave", long: drainHelp, data: &drainCommand{app: a}},
 		{name: "addresses", short: "Show the node addresses that callers are given", long: addressesHelp, data: &addressesCommand{app: a}},
 		{name: "job", short: "Work with batch jobs", data: &none{}, subcommands: jobCommands(a)},
+		{name: "bench", short: "Send load and compare targets", long: benchHelp, data: &benchCommand{app: a}},
 		{name: "report", short: "Write reports", data: &none{}, subcommands: []command{
 			{name: "burn", short: "Show the burn of service-level objectives", long: burnHelp, data: &burnCommand{app: a}},
 		}},
