Take groups over at once when members change, and hand burn counters over

Cause: 6 s after a drain on the development fleet the successor of the drained node had not taken its engines over, since an idle pass comes every 30 s, and status called the departure a problem. Change: the reconciler makes a pass when the set of live nodes changes, and ignores heartbeats that change nothing. HandOver chooses the member that takes the counters. A draining node that no longer answers is no problem. Result: in virtual time the successor orders at the member change itself, where it waited for its timer before.

--- a/pkg/burn/burn.go
+++ b/pkg/burn/burn.go
@@ -12,10 +12,13 @@
 	"sync"
 	"time"
 
+	"github.com/zeebo/errs"
+
 	"trefoilplank.example/api"
 	"trefoilplank.example/pkg/adapter/peer"
 	"trefoilplank.example/pkg/blackboard"
 	"trefoilplank.example/pkg/decision/burn"
+	"trefoilplank.example/pkg/decision/rendezvous"
 )
 
 // Key names an objective.
@@ -126,9 +129,23 @@
 // AdoptReply says how many series were taken over.
 type AdoptReply struct{ Series int }
 
-// HandOver sends this node's counters to another member once. It is not repeated after an error, since the
-// member may have taken them: losing counts keeps burn rates unbiased, counting them twice does not.
-func (r *Recorder) HandOver(ctx context.Context, peers peer.Caller, self, to string) error {
+// ErrNoSuccessor means that no other member can take counters over.
+var ErrNoSuccessor = errs.New("no live member takes the burn counters over")
+
+// HandOver sends this node's counters to another live member; a node calls it once at the end of its drain. It is
+// not repeated after an error, since the member may have taken them: losing counts keeps burn rates unbiased,
+// counting them twice does not.
+func (r *Recorder) HandOver(ctx context.Context, peers peer.Caller, members blackboard.Members) error {
+	var others []string
+	for name, m := range members.Live {
+		if name != members.Self && !m.Draining {
+			others = append(others, name)
+		}
+	}
+	if len(others) == 0 {
+		return ErrNoSuccessor
+	}
+	self, to := members.Self, rendezvous.Owner("burn/"+members.Self, others)
 	now := r.now()
 	args := AdoptArgs{Node: self, Series: map[Key]burn.Snapshot{}}
 	r.mu.Lock()
--- a/pkg/controller/reconcile/controller.go
+++ b/pkg/controller/reconcile/controller.go
@@ -97,6 +97,8 @@
 	engines  map[string]*observed
 	// owned are the groups that this node reconciled in the last pass, by key.
 	owned map[string]bool
+	// live are the nodes that shared the groups in the last pass.
+	live []string
 	// leased is set when the last pass acquired an order lease.
 	leased bool
 
@@ -135,14 +137,7 @@
 		if busy {
 			interval = c.Interval
 		}
-		timer := time.NewTimer(interval)
-		select {
-		case <-ctx.Done():
-		case <-timer.C:
-		case <-c.Board.Config.Changed(configRevision):
-		case <-c.memberChange(memberRevision, interval):
-		}
-		timer.Stop()
+		c.wait(ctx, interval, configRevision, memberRevision)
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), releaseTimeout)
 	defer cancel()
@@ -151,23 +146,36 @@
 	}
 }
 
-// memberChange returns the channel of the next change of members. While idle, changes of members come with
-// every heartbeat; then only the timer counts, and a new owner begins at most IdleInterval late.
-func (c *Controller) memberChange(revision int64, interval time.Duration) <-chan struct{} {
-	if interval != c.IdleInterval || len(c.owned) > 0 {
-		return nil
+// wait returns after the interval, at a new configuration, or when the set of nodes that share the groups changes.
+// Heartbeats change the members section all the time and are no reason for a pass.
+func (c *Controller) wait(ctx context.Context, interval time.Duration, configRevision, memberRevision int64) {
+	timer := time.NewTimer(interval)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+			return
+		case <-c.Board.Config.Changed(configRevision):
+			return
+		case <-c.Board.Members.Changed(memberRevision):
+			_, memberRevision = c.Board.Members.Get()
+			if !slices.Equal(c.liveNodes(), c.live) {
+				return
+			}
+		}
 	}
-	return c.Board.Members.Changed(revision)
 }
 
 // Sync makes one idempotent pass and reports whether changes are in progress.
 func (c *Controller) Sync(ctx context.Context) (busy bool) {
 	c.leased = false
 	cfg := c.Board.Config.Value()
-	live := c.liveNodes()
+	c.live = c.liveNodes()
 	var mine []group
 	for _, g := range groupsOf(cfg.Register) {
-		if rendezvous.Owner("reconcile/"+g.key, live) == c.Node {
+		if rendezvous.Owner("reconcile/"+g.key, c.live) == c.Node {
 			mine = append(mine, g)
 		}
 	}
--- a/pkg/controller/reconcile/controller_test.go
+++ b/pkg/controller/reconcile/controller_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -14,6 +15,7 @@
 	"trefoilplank.example/pkg/adapter/store"
 	"trefoilplank.example/pkg/adapter/weights"
 	"trefoilplank.example/pkg/blackboard"
+	"trefoilplank.example/pkg/decision/rendezvous"
 )
 
 // Guards against a roll-out that takes the model below its serving minimum, or that leaves leases or claims behind.
@@ -218,3 +220,31 @@
 		assert.Equal(t, len(f.nodes["n1"].leases.held), 0)
 	})
 }
+
+// Guards against a successor that notices the loss of the owner only at its next idle pass.
+func TestSuccessorBeginsAtMemberChange(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, 1, 0, "v2", api.FencingEnforced, "n2")
+		f.board["n2"].Lease.Set(blackboard.Lease{Number: 1, Deadline: time.Now().Add(time.Hour)})
+		member := func(names ...string) {
+			live := map[string]blackboard.Member{}
+			for _, n := range names {
+				live[n] = blackboard.Member{Name: n, LastHeard: time.Now()}
+			}
+			f.board["n2"].Members.Set(blackboard.Members{Self: "n2", Live: live})
+		}
+		owner := ""
+		for i := 0; rendezvous.Owner("reconcile/m", []string{owner, "n2"}) != owner; i++ {
+			owner = fmt.Sprint("o", i)
+		}
+		member("n2", owner)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		go f.nodes["n2"].Run(ctx)
+		time.Sleep(5 * time.Second)
+		assert.Equal(t, len(f.fleet.orders("u0")), 0)
+		member("n2")
+		synctest.Wait()
+		assert.Equal(t, len(f.fleet.orders("u0")), 1)
+	})
+}
--- a/pkg/ctl/views.go
+++ b/pkg/ctl/views.go
@@ -87,6 +87,8 @@
 		for _, n := range f.Nodes {
 			state := "ok"
 			switch {
+			case !n.Answered && n.Draining:
+				state = "draining, no longer answers"
 			case !n.Answered:
 				state = "no answer: " + n.Error
 			case n.Draining:
--- a/pkg/operator/observed.go
+++ b/pkg/operator/observed.go
@@ -54,6 +54,8 @@
 	var problems []status.Problem
 	for _, n := range f.Nodes {
 		switch {
+		case !n.Answered && n.Draining:
+			// A node that was leaving may be gone before the members drop it.
 		case !n.Answered:
 			problems = append(problems, status.Problem{
 				Name: n.Name, Cause: "the node gave no status: " + n.Error, Since: n.LastHeard,
