Bound the wait of apply, mark replays and name the operator

Cause: a slow store could hold an apply longer than its client waits, a resent change listed changes that it did not make, and the history knew operators by address only. Change: apply waits 20 s for the store and then gives its outcome; a replay says so and lists nothing; trefoilctl sends the operator's name. The plan's property also checks that leaving engines end up draining and that roles settle or say why not. The 20 s bound has no test of its own.

--- a/pkg/ctl/client.go
+++ b/pkg/ctl/client.go
@@ -7,10 +7,12 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"strings"
 	"time"
 
 	"trefoilplank.example/api"
+	"trefoilplank.example/pkg/operator"
 )
 
 // remoteError is an answer without success.
@@ -56,7 +58,15 @@
 }
 
 // admin calls the operators' listener.
-func (a *app) admin(c call) ([]byte, http.Header, error) { return a.do(a.Server, a.Key, c) }
+func (a *app) admin(c call) ([]byte, http.Header, error) {
+	if c.header == nil {
+		c.header = map[string]string{}
+	}
+	if c.header[operator.HeaderOperator] = a.Operator; a.Operator == "" {
+		c.header[operator.HeaderOperator] = os.Getenv("USER")
+	}
+	return a.do(a.Server, a.Key, c)
+}
 
 // caller calls the callers' listener.
 func (a *app) caller(c call) ([]byte, http.Header, error) {
--- a/pkg/ctl/config.go
+++ b/pkg/ctl/config.go
@@ -85,9 +85,12 @@
 		return c.refused(body, err)
 	}
 	return show(c.app, body, func(r operator.ApplyResult) error {
-		if r.DryRun {
+		switch {
+		case r.Replayed:
+			_, _ = fmt.Fprintf(c.stdout, "accepted before as version %d, nothing changed now\n", r.Version)
+		case r.DryRun:
 			_, _ = fmt.Fprintf(c.stdout, "checked against version %d, %d changes, not applied\n", r.Version, len(r.Changes))
-		} else {
+		default:
 			_, _ = fmt.Fprintf(c.stdout, "accepted as version %d, %d changes\n", r.Version, len(r.Changes))
 		}
 		return nil
--- a/pkg/ctl/ctl.go
+++ b/pkg/ctl/ctl.go
@@ -26,6 +26,7 @@
 	Server       string `long:"server" env:"TREFOILCTL_SERVER" default:"127.0.0.1:18081" value-name:"ADDRESS" description:"operators' address of any node"`
 	CallerServer string `long:"caller-server" env:"TREFOILCTL_CALLER_SERVER" default:"127.0.0.1:18080" value-name:"ADDRESS" description:"callers' address of any node"`
 	Key          string `long:"key" env:"TREFOILCTL_KEY" value-name:"KEY" description:"operator key"`
+	Operator     string `long:"operator" env:"TREFOILCTL_OPERATOR" value-name:"NAME" description:"who makes a change, for the history (default: the user name)"`
 	CallerKey    string `long:"caller-key" env:"TREFOILCTL_CALLER_KEY" value-name:"KEY" description:"bearer key of a calling service, for addresses and job"`
 	Timeout      int    `long:"timeout" env:"TREFOILCTL_TIMEOUT" default:"60" value-name:"SECONDS" description:"longest wait for one answer"`
 	JSON         bool   `long:"json" env:"TREFOILCTL_JSON" description:"print JSON as the server sent it"`
--- a/pkg/decision/reconcile/plan_test.go
+++ b/pkg/decision/reconcile/plan_test.go
@@ -122,6 +122,14 @@
 
 // checkSettled requires that a plan without orders left nothing undone, or says what it waits for.
 func checkSettled(t *rapid.T, in Input, plan Plan) {
+	for _, u := range in.Upstreams {
+		if u.Leaving != (u.State.Role == RoleDraining) {
+			t.Fatalf("%s settled in role %q, leaving %t", u.Name, u.State.Role, u.Leaving)
+		}
+		if !u.Leaving && u.Role != "" && u.Role != u.State.Role && len(plan.Waits) == 0 {
+			t.Fatalf("%s settled in role %q without a reason, %q is desired", u.Name, u.State.Role, u.Role)
+		}
+	}
 	for _, m := range in.Models {
 		r := plan.Replicas[m.Name]
 		eligible := 0
--- a/pkg/operator/apply.go
+++ b/pkg/operator/apply.go
@@ -22,14 +22,23 @@
 // resend of the same key is safe at any time.
 const storeRetryAfter = 5 * time.Second
 
+// HeaderOperator names the operator of a change, for the history.
+const HeaderOperator = "Trefoil-Operator"
+
+// applyTimeout bounds the wait for the store. It is below the 60 s that trefoilctl waits, so that a slow store gives
+// an answer with its outcome instead of a broken connection.
+const applyTimeout = 20 * time.Second
+
 // ApplyResult is the answer to an accepted or checked apply.
 type ApplyResult struct {
 	// Version is the accepted version; for a dry run the version that the documents were checked against.
 	Version int64 `json:"version"`
 	// Key identifies the change when it is sent again.
-	Key     string   `json:"idempotency_key,omitempty"`
-	DryRun  bool     `json:"dry_run,omitempty"`
-	Changes []Change `json:"changes"`
+	Key    string `json:"idempotency_key,omitempty"`
+	DryRun bool   `json:"dry_run,omitempty"`
+	// Replayed is set when the change had been accepted before under the same key; it changes nothing now.
+	Replayed bool     `json:"replayed,omitempty"`
+	Changes  []Change `json:"changes"`
 }
 
 // findingsBody is the answer to documents with faults. Error repeats the findings in the form of other errors.
@@ -60,14 +69,20 @@
 		s.dryRun(w, change, current, next)
 		return
 	}
-	version, err := s.Config.Apply(r.Context(), change)
+	ctx, cancel := context.WithTimeout(r.Context(), applyTimeout)
+	defer cancel()
+	version, err := s.Config.Apply(ctx, change)
 	if err != nil {
 		s.applyFailed(w, change.Key, err)
 		return
 	}
 	klog.InfoS("Configuration accepted", "version", version, "who", change.Who, "key", change.Key)
 	w.Header().Set("ETag", etag(version))
-	writeJSON(w, http.StatusOK, ApplyResult{Version: version, Key: change.Key, Changes: Diff(current, next)})
+	result := ApplyResult{Version: version, Key: change.Key, Replayed: version <= current.Version, Changes: []Change{}}
+	if !result.Replayed {
+		result.Changes = Diff(current, next)
+	}
+	writeJSON(w, http.StatusOK, result)
 }
 
 // readChange reads the documents and headers of a call, or answers the call and returns false.
@@ -97,7 +112,7 @@
 		// A key of our own lets the accepter recognise its own write when the store loses the answer.
 		key = ulid.Make().String()
 	}
-	who := r.Header.Get("Trefoil-Operator")
+	who := r.Header.Get(HeaderOperator)
 	if who == "" {
 		who = "operator@" + r.RemoteAddr
 	}
--- a/pkg/operator/fake_test.go
+++ b/pkg/operator/fake_test.go
@@ -98,7 +98,6 @@
 
 // fixture is the operators' interface of node n1, with the members n2, which answers, and n3, which does not.
 type fixture struct {
-	t        *testing.T
 	handler  http.Handler
 	board    *blackboard.Board
 	accepter *fakeAccepter
@@ -106,10 +105,11 @@
 	log      *explain.Log
 	burn     *burn.Recorder
 	report   *status.Report
+	digests  []string
 }
 
-func newFixture(t *testing.T) *fixture {
-	f := &fixture{t: t, board: blackboard.New(), report: &status.Report{}}
+func newFixture(t testing.TB) *fixture {
+	f := &fixture{board: blackboard.New(), report: &status.Report{}}
 	f.accepter = &fakeAccepter{board: f.board}
 	live := map[string]blackboard.Member{
 		"n1": {Name: "n1"}, "n2": {Name: "n2", AvailabilityZone: "b"}, "n3": {Name: "n3", ConfigVersion: 1, LastHeard: time.Unix(5, 0)},
@@ -123,9 +123,10 @@
 	server := rpc.NewServer()
 	assert.NilError(t, NewLocal(f.n2).Register(registrar{server}))
 	digest := sha256.Sum256([]byte(operatorKey))
+	f.digests = []string{hex.EncodeToString(digest[:])}
 	f.handler = New(Options{
 		Node: "n1", Board: f.board, Config: f.accepter, Explain: f.log, Burn: f.burn, MemberTimeout: 50 * time.Millisecond,
-		Peers: &fakePeers{map[string]*rpc.Server{"n2": server}}, KeyDigests: []string{hex.EncodeToString(digest[:])},
+		Peers: &fakePeers{map[string]*rpc.Server{"n2": server}}, KeyDigests: f.digests,
 	})
 	return f
 }
--- a/pkg/operator/operator_test.go
+++ b/pkg/operator/operator_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"net/rpc"
 	"strings"
 	"sync"
 	"testing"
@@ -96,7 +97,9 @@
 	assert.Equal(t, f.apply(rules).Code, 200)
 	w = f.apply(strings.Replace(register, "name: a", "name: b", 1), "Idempotency-Key", "k")
 	assert.Equal(t, w.Code, 200, w.Body.String())
-	assert.Equal(t, decode[ApplyResult](t, w).Version, int64(1))
+	replay := decode[ApplyResult](t, w)
+	assert.Equal(t, replay.Version, int64(1))
+	assert.Assert(t, replay.Replayed && len(replay.Changes) == 0, "a replay must not claim changes")
 	assert.Equal(t, f.board.Config.Value().Version, int64(2))
 }
 
@@ -234,3 +237,22 @@
 	assert.Equal(t, f.call("GET", "/readyz", "").Code, 503)
 	assert.Assert(t, f.board.Draining.Value())
 }
+
+// BenchmarkStatus reports the cost of a status over 380 members that answer over net/rpc in process.
+func BenchmarkStatus(b *testing.B) {
+	f := newFixture(b)
+	peers, live := &fakePeers{map[string]*rpc.Server{}}, map[string]blackboard.Member{}
+	for i := range 380 {
+		name := fmt.Sprintf("m%03d", i)
+		server := rpc.NewServer()
+		o := f.n2
+		o.Node = name
+		assert.NilError(b, NewLocal(o).Register(registrar{server}))
+		peers.servers[name], live[name] = server, blackboard.Member{Name: name}
+	}
+	f.board.Members.Set(blackboard.Members{Self: "n1", Live: live})
+	f.handler = New(Options{Node: "n1", Board: f.board, Peers: peers, KeyDigests: f.digests})
+	for b.Loop() {
+		assert.Equal(b, f.call("GET", "/v1/admin/status", "").Code, 200)
+	}
+}
