--- a/pkg/operator/fake_test.go
+++ b/pkg/operator/fake_test.go
@@ -32,9 +32,15 @@
 	history []config.Record
 	err     error
 	lose    bool
+	// silent holds every change until its context ends.
+	silent bool
 }
 
-func (a *fakeAccepter) Apply(_ context.Context, c config.Change) (int64, error) {
+func (a *fakeAccepter) Apply(ctx context.Context, c config.Change) (int64, error) {
+	if a.silent {
+		<-ctx.Done()
+		return 0, ctx.Err()
+	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.err != nil && !a.lose {
--- a/pkg/operator/operator_test.go
+++ b/pkg/operator/operator_test.go
@@ -10,6 +10,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -103,6 +104,20 @@
 	assert.Equal(t, f.board.Config.Value().Version, int64(2))
 }
 
+// Guards against an apply that hangs with a store that never answers, and against calling its outcome not-run.
+func TestSilentStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t)
+		f.accepter.silent = true
+		start := time.Now()
+		w := f.apply(register)
+		assert.Equal(t, time.Since(start), applyTimeout)
+		assert.Equal(t, w.Code, 503)
+		assert.Equal(t, w.Header().Get(api.HeaderOutcome), "unknown")
+		assert.Assert(t, w.Header().Get(api.HeaderIdempotencyKey) != "", "the change can't be sent again without its key")
+	})
+}
+
 // Guards against findings that come one at a time, and against a refused change that is partly accepted.
 func TestFindings(t *testing.T) {
 	f := newFixture(t)
