--- a/pkg/controller/confsync/apply.go
+++ b/pkg/controller/confsync/apply.go
@@ -35,8 +35,12 @@
 	if err != nil {
 		return 0, err
 	}
-	c.applying.Lock()
-	defer c.applying.Unlock()
+	select {
+	case c.applying <- struct{}{}:
+		defer func() { <-c.applying }()
+	case <-ctx.Done():
+		return 0, notAccepted(ctx.Err())
+	}
 	for range maxRaces {
 		version, err := c.attempt(ctx, change, digest)
 		if !errors.Is(err, errRaced) {
@@ -124,7 +128,7 @@
 	if head.Version() == 0 {
 		return api.Config{}, nil
 	}
-	p, err := c.payload(ctx, head.History[0], "")
+	p, err := c.payload(ctx, head.History[0], head.History[0].Node)
 	if err != nil {
 		return api.Config{}, err
 	}
--- a/pkg/controller/confsync/confsync.go
+++ b/pkg/controller/confsync/confsync.go
@@ -49,8 +49,8 @@
 	board *blackboard.Board
 	peers peer.Caller
 	self  string
-	// applying serializes the changes made through this node.
-	applying sync.Mutex
+	// applying holds a token while a change is made through this node; changes are made one at a time.
+	applying chan struct{}
 
 	mu    sync.Mutex
 	known confchain.Known
@@ -73,7 +73,7 @@
 	return &Controller{
 		store: s, board: b, peers: peers, self: self,
 		payloads: map[int64]confchain.Payload{0: emptyPayload()}, ready: make(chan struct{}),
-		spread: dissemination.NewSpread(),
+		applying: make(chan struct{}, 1), spread: dissemination.NewSpread(),
 	}
 }
 
@@ -180,7 +180,12 @@
 
 // startFromPeers takes the highest version that a quorum of the zone's peers knows.
 func (c *Controller) startFromPeers(ctx context.Context) bool {
-	peers := c.view().Peers(c.self)
+	view := c.view()
+	peers := view.Peers(c.self)
+	if len(peers) == 0 {
+		// The only node of its zone asks all members.
+		peers = view.Others(c.self)
+	}
 	type reply struct {
 		from string
 		DigestReply
--- a/pkg/controller/membership/join.go
+++ b/pkg/controller/membership/join.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"math/rand/v2"
 	"os"
 	"path/filepath"
@@ -68,7 +69,6 @@
 		view := c.view()
 		records := view.Len() / max(1, view.Zones())
 		wait(ctx, max(leaseReadMin, time.Duration(records)*leaseReadPerRecord)*9/10+rand.N(leaseReadMin/5))
-		c.cacheAddresses()
 		if view = c.view(); ctx.Err() != nil || !view.ReadsLeases(c.name) {
 			continue
 		}
@@ -249,14 +249,16 @@
 		return
 	}
 	var addresses []string
-	for name, m := range c.o.Board.Members.Value().Live {
+	live := c.o.Board.Members.Value().Live
+	for _, name := range slices.Sorted(maps.Keys(live)) {
 		if name != c.name && len(addresses) < maxSeeds {
-			addresses = append(addresses, m.PeerAddress)
+			addresses = append(addresses, live[name].PeerAddress)
 		}
 	}
-	if len(addresses) == 0 {
+	if len(addresses) == 0 || slices.Equal(addresses, c.cached) {
 		return
 	}
+	c.cached = addresses
 	b, err := json.Marshal(addresses)
 	if err == nil {
 		temporary := filepath.Join(filepath.Dir(c.o.CacheFile), "."+filepath.Base(c.o.CacheFile)+".new")
--- a/pkg/controller/membership/membership.go
+++ b/pkg/controller/membership/membership.go
@@ -61,7 +61,9 @@
 	reports     map[string]int64
 	versionsDue bool
 	spread      *dissemination.Spread
-	reported    report
+	// reported and cached are each used by one loop only.
+	reported report
+	cached   []string
 }
 
 // New returns a controller and writes the first Members section, which holds only this node.
@@ -247,6 +249,7 @@
 }
 
 func (c *Controller) exchangePartner(ctx context.Context) {
+	c.cacheAddresses()
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	if name := c.view().Partner(c.name, random); name != "" {
 		c.exchange(ctx, name)
--- a/pkg/decision/dissemination/view.go
+++ b/pkg/decision/dissemination/view.go
@@ -100,6 +100,11 @@
 	return slices.DeleteFunc(slices.Clone(v.members[v.zoneOf[name]]), func(n string) bool { return n == name })
 }
 
+// Others returns all other members, by name.
+func (v View) Others(name string) []string {
+	return slices.DeleteFunc(slices.Sorted(maps.Keys(v.zoneOf)), func(n string) bool { return n == name })
+}
+
 // Len returns the number of members.
 func (v View) Len() int { return len(v.zoneOf) }
 
--- a/pkg/decision/membership/table.go
+++ b/pkg/decision/membership/table.go
@@ -48,6 +48,13 @@
 	Status      Status
 }
 
+// maxCounter bounds incarnations and sequence numbers, so that raising one above a peer's can't overflow.
+const maxCounter = 1 << 62
+
+func (s Stamp) valid() bool {
+	return s.Incarnation > 0 && s.Incarnation < maxCounter && s.Seq >= 0 && s.Seq < maxCounter && s.Status >= Alive && s.Status <= Left
+}
+
 // Newer reports whether s overrides t.
 func (s Stamp) Newer(t Stamp) bool {
 	return cmp.Or(cmp.Compare(s.Incarnation, t.Incarnation), cmp.Compare(s.Seq, t.Seq), cmp.Compare(s.Status, t.Status)) > 0
@@ -63,7 +70,7 @@
 
 // Valid reports whether an update from a peer can be used.
 func (u Update) Valid() bool {
-	return u.Name != "" && u.PeerAddress != "" && u.Incarnation > 0 && u.Seq >= 0 && u.Status >= Alive && u.Status <= Left
+	return u.Name != "" && u.PeerAddress != "" && u.valid()
 }
 
 // Params are the times of failure detection.
@@ -172,7 +179,7 @@
 // same name left behind.
 func (t *Table) Refute(s Stamp, now time.Time) []Update {
 	self := t.nodes[t.self]
-	if self.Status == Left || !s.Newer(self.Stamp) {
+	if self.Status == Left || !s.valid() || !s.Newer(self.Stamp) {
 		return nil
 	}
 	if s.Incarnation > self.Incarnation {
--- /dev/null
+++ b/pkg/decision/membership/table_test.go
@@ -0,0 +1,304 @@
+package membership_test
+
+import (
+	"fmt"
+	"maps"
+	"math"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"trefoilplank.example/pkg/blackboard"
+	"trefoilplank.example/pkg/decision/lease"
+	"trefoilplank.example/pkg/decision/membership"
+)
+
+var epoch = time.Unix(1e9, 0)
+
+func update(name string, incarnation int64) membership.Update {
+	return membership.Update{Name: name, AvailabilityZone: "z", PeerAddress: name, Stamp: membership.Stamp{Incarnation: incarnation}}
+}
+
+// model is a fleet whose messages are lost, delayed, repeated and reordered.
+type model struct {
+	t        *rapid.T
+	now      time.Time
+	names    []string
+	tables   map[string]*membership.Table
+	up       map[string]bool
+	left     map[string]bool
+	starts   int64
+	inFlight []membership.Update
+	// stamps are the last stamps seen, by observer and observed.
+	stamps map[[2]string]membership.Stamp
+}
+
+func (m *model) start(name string) {
+	m.starts++
+	m.tables[name] = membership.NewTable(membership.Default, update(name, m.starts), m.now)
+	m.up[name], m.left[name] = true, false
+	m.send(m.tables[name].Self())
+	for _, other := range m.names {
+		delete(m.stamps, [2]string{name, other})
+		if t := m.tables[other]; t != nil && m.up[other] {
+			m.tables[name].Merge(t.Self(), m.now)
+		}
+	}
+}
+
+func (m *model) send(news ...membership.Update) { m.inFlight = append(m.inFlight, news...) }
+
+// probe has a send a heartbeat to b; answered is false when it is lost on the way.
+func (m *model) probe(a, b string, answered bool) {
+	if !m.up[a] || a == b {
+		return
+	}
+	ta, tb := m.tables[a], m.tables[b]
+	if !m.up[b] || !answered {
+		m.send(ta.Missed(b, m.now)...)
+		return
+	}
+	about, _ := ta.Get(b)
+	m.send(tb.Refute(about.Stamp, m.now)...)
+	self := tb.Self()
+	if about.Incarnation != self.Incarnation {
+		ta.Merge(self, m.now)
+	}
+	m.send(ta.Heard(b, self.Stamp, self.Draining, 0, m.now)...)
+	if you, ok := tb.Get(a); ok {
+		m.send(ta.Refute(you.Stamp, m.now)...)
+	}
+}
+
+// sync has a and b compare their tables.
+func (m *model) sync(a, b string) {
+	if !m.up[a] || !m.up[b] || a == b {
+		return
+	}
+	ta, tb := m.tables[a], m.tables[b]
+	mine, theirs := ta.Digests(), tb.Digests()
+	updates := tb.Differing(mine)
+	for _, u := range updates {
+		_, news := ta.Merge(u, m.now)
+		m.send(news...)
+	}
+	for _, u := range ta.NewerThan(theirs, updates) {
+		_, news := tb.Merge(u, m.now)
+		m.send(news...)
+	}
+}
+
+func (m *model) check() {
+	for a, t := range m.tables {
+		if !m.up[a] {
+			continue
+		}
+		if _, ok := t.Live().Live[a]; !ok && !m.left[a] {
+			m.t.Fatalf("%s removed itself", a)
+		}
+		for _, b := range m.names {
+			u, ok := t.Get(b)
+			if !ok {
+				continue
+			}
+			if last := m.stamps[[2]string{a, b}]; last.Newer(u.Stamp) {
+				m.t.Fatalf("%s went back on %s from %+v to %+v", a, b, last, u.Stamp)
+			}
+			m.stamps[[2]string{a, b}] = u.Stamp
+		}
+	}
+}
+
+// TestTables guards against a table that goes back, a node that removes itself, and tables that disagree after the
+// faults have ended.
+func TestTables(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := &model{
+			t: t, now: epoch, names: []string{"a", "b", "c", "d", "e"}, tables: map[string]*membership.Table{},
+			up: map[string]bool{}, left: map[string]bool{}, stamps: map[[2]string]membership.Stamp{},
+		}
+		for _, name := range m.names {
+			m.start(name)
+		}
+		one := func(t *rapid.T) string { return rapid.SampledFrom(m.names).Draw(t, "node") }
+		t.Repeat(map[string]func(*rapid.T){
+			"time": func(t *rapid.T) {
+				m.now = m.now.Add(time.Duration(rapid.IntRange(100, 4000).Draw(t, "ms")) * time.Millisecond)
+				if name := one(t); m.up[name] {
+					m.send(m.tables[name].Tick(m.now)...)
+				}
+			},
+			"probe": func(t *rapid.T) { m.probe(one(t), one(t), rapid.Bool().Draw(t, "answered")) },
+			"lost twice": func(t *rapid.T) {
+				a, b := one(t), one(t)
+				m.probe(a, b, false)
+				m.probe(a, b, false)
+			},
+			"deliver": func(t *rapid.T) {
+				if len(m.inFlight) == 0 {
+					return
+				}
+				// Messages stay in flight, so that they are repeated and arrive late.
+				u := m.inFlight[rapid.IntRange(0, len(m.inFlight)-1).Draw(t, "message")]
+				if name := one(t); m.up[name] {
+					_, news := m.tables[name].Merge(u, m.now)
+					m.send(news...)
+				}
+			},
+			"sync":  func(t *rapid.T) { m.sync(one(t), one(t)) },
+			"crash": func(t *rapid.T) { m.up[one(t)] = false },
+			"start": func(t *rapid.T) { m.start(one(t)) },
+			"drain": func(t *rapid.T) {
+				if name := one(t); m.up[name] {
+					m.send(m.tables[name].SetDraining(rapid.Bool().Draw(t, "draining"))...)
+				}
+			},
+			"leave": func(t *rapid.T) {
+				name := one(t)
+				if m.up[name] {
+					m.send(m.tables[name].Leave()...)
+					m.up[name], m.left[name] = false, true
+				}
+			},
+			"": func(*rapid.T) { m.check() },
+		})
+		for range 20 {
+			m.now = m.now.Add(time.Second)
+			for _, a := range m.names {
+				for _, b := range m.names {
+					m.probe(a, b, true)
+					m.sync(a, b)
+				}
+				if m.up[a] {
+					m.tables[a].Tick(m.now)
+				}
+			}
+			m.check()
+		}
+		var up []string
+		for _, name := range m.names {
+			if m.up[name] {
+				up = append(up, name)
+			}
+		}
+		for _, name := range up {
+			live := m.tables[name].Live().Live
+			assert.DeepEqual(t, slices.Sorted(maps.Keys(live)), up)
+			for _, other := range up {
+				assert.Equal(t, live[other].Draining, m.tables[other].Self().Draining, "%s at %s", other, name)
+			}
+			assert.Equal(t, m.tables[name].Digests(), m.tables[up[0]].Digests())
+		}
+	})
+}
+
+// TestOwnPause guards against a node that was paused itself removing the others when it resumes.
+func TestOwnPause(t *testing.T) {
+	table := membership.NewTable(membership.Default, update("a", 1), epoch)
+	table.Merge(update("b", 1), epoch)
+	table.Missed("b", epoch)
+	table.Missed("b", epoch)
+	table.Tick(epoch.Add(time.Second))
+	table.Tick(epoch.Add(time.Minute))
+	assert.Equal(t, len(table.Live().Live), 2, "the suspicion ran out during the pause")
+	table.Tick(epoch.Add(time.Minute + time.Second))
+	table.Tick(epoch.Add(time.Minute + 3*time.Second))
+	assert.Equal(t, len(table.Live().Live), 1, "the suspicion was not refuted after the pause")
+}
+
+// TestLeaseEvidence guards against a lease that removes a node without a failed call, an outage that does, and an
+// expired lease that raises no doubt.
+func TestLeaseEvidence(t *testing.T) {
+	at := func(s int) time.Time { return epoch.Add(time.Duration(s) * time.Second) }
+	record := func(expiry int) lease.Record {
+		return lease.Record{Name: "b", AvailabilityZone: "z", PeerAddress: "b", Incarnation: 1, Expiry: at(expiry)}
+	}
+	// One of two successors is probed in turn, so a node under doubt is a further target in at least one round.
+	doubted := func(t *membership.Table) bool { return len(t.Targets(0)) > 1 || len(t.Targets(1)) > 1 }
+	table := membership.NewTable(membership.Default, update("a", 1), at(0))
+	for _, name := range []string{"b", "c", "d"} {
+		table.Merge(update(name, 1), at(0))
+	}
+	table.Tick(at(0))
+	table.StoreAnswered(at(0))
+	table.Lease(record(30), 5, at(0))
+	table.StoreFailed()
+	table.StoreAnswered(at(100))
+	table.Lease(record(30), 5, at(100))
+	assert.Assert(t, !doubted(table), "after an outage all leases are old")
+	table.Lease(record(130), 6, at(101))
+	table.Lease(record(130), 6, at(125))
+	assert.Assert(t, !doubted(table))
+	table.Lease(record(130), 6, at(133))
+	assert.Assert(t, doubted(table))
+	assert.Equal(t, len(table.Live().Live), 4, "a lease alone removes nobody")
+	assert.Equal(t, len(table.Missed("b", at(134))), 1, "one failed call confirms the doubt")
+	_, remove := table.Lease(record(130), 6, at(135))
+	assert.Assert(t, !remove)
+	_, remove = table.Lease(lease.Record{Name: "gone", PeerAddress: "gone", Incarnation: 1, Expiry: at(-3600)}, 2, at(135))
+	assert.Assert(t, remove, "a record left over by a node that nobody knows")
+	_, known := table.Get("gone")
+	assert.Assert(t, !known)
+}
+
+// TestVMList guards against a late list that removes a node, or a lost VM that waits for the whole suspicion.
+func TestVMList(t *testing.T) {
+	table := membership.NewTable(membership.Default, update("a", 1), epoch)
+	table.Merge(update("b", 1), epoch)
+	table.SetVMs(map[string]blackboard.VMState{"b": blackboard.VMLost})
+	table.Tick(epoch.Add(time.Second))
+	assert.Equal(t, len(table.Live().Live), 2)
+	table.Missed("b", epoch.Add(time.Second))
+	table.Missed("b", epoch.Add(2*time.Second))
+	table.Tick(epoch.Add(2 * time.Second))
+	assert.Equal(t, len(table.Live().Live), 1)
+}
+
+// FuzzMerge guards against a statement from a peer that breaks the table or removes this node.
+func FuzzMerge(f *testing.F) {
+	f.Add("a", "a", int64(1), int64(0), 2, true)
+	f.Add("a", "a", int64(math.MaxInt64), int64(math.MaxInt64), 2, true)
+	f.Add("a", "a", int64(1), int64(math.MaxInt64), 2, true)
+	f.Add("b", "", int64(-1), int64(9), 7, false)
+	f.Fuzz(func(t *testing.T, name, address string, incarnation, seq int64, status int, draining bool) {
+		table := membership.NewTable(membership.Default, update("a", 1), epoch)
+		u := membership.Update{Name: name, PeerAddress: address, Draining: draining}
+		u.Stamp = membership.Stamp{Incarnation: incarnation, Seq: seq, Status: membership.Status(status)}
+		for range 2 {
+			table.Merge(u, epoch)
+			table.Heard(name, u.Stamp, draining, seq, epoch)
+			table.Refute(u.Stamp, epoch)
+			table.Missed(name, epoch)
+			table.Tick(epoch.Add(time.Second))
+		}
+		if _, ok := table.Live().Live["a"]; !ok || table.Self().Incarnation < 1 || table.Self().Seq < 0 {
+			t.Fatalf("%+v removed this node", u)
+		}
+	})
+}
+
+// BenchmarkTable reports the time of what a node does a few times each second with 380 members.
+func BenchmarkTable(b *testing.B) {
+	table := membership.NewTable(membership.Default, update("a", 1), epoch)
+	for i := range 379 {
+		table.Merge(update(fmt.Sprint("node-", i), 1), epoch)
+	}
+	b.Run("digests", func(b *testing.B) {
+		for b.Loop() {
+			table.Digests()
+		}
+	})
+	b.Run("live", func(b *testing.B) {
+		for b.Loop() {
+			table.Live()
+		}
+	})
+	b.Run("targets", func(b *testing.B) {
+		for b.Loop() {
+			table.Targets(1)
+		}
+	})
+}
