Give up on stalled callers and retry on an only upstream

Cause: a caller that read nothing kept its slot, since a blocked write does not see the deadline; and a retry excluded the only upstream of a model and waited in vain. Change: each event of a stream has 30 s to be taken. When all upstreams that serve the request were tried, only the last one stays excluded, and a single one may be tried again. A cut call of a model with one upstream is answered on the second try.

--- a/pkg/gateway/events.go
+++ b/pkg/gateway/events.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"net/http"
+	"time"
 
 	"trefoilplank.example/api"
 	"trefoilplank.example/pkg/serving"
@@ -15,11 +16,13 @@
 type eventWriter struct {
 	w       http.ResponseWriter
 	control *http.ResponseController
-	count   int
+	// stall bounds the time for one event.
+	stall time.Duration
+	count int
 }
 
-func newEventWriter(w http.ResponseWriter) *eventWriter {
-	return &eventWriter{w: w, control: http.NewResponseController(w)}
+func newEventWriter(w http.ResponseWriter, stall time.Duration) *eventWriter {
+	return &eventWriter{w: w, control: http.NewResponseController(w), stall: stall}
 }
 
 func (e *eventWriter) started() bool { return e.count > 0 }
@@ -47,6 +50,8 @@
 		b.WriteByte('\n')
 	}
 	b.WriteByte('\n')
+	// A caller that reads nothing would block the write, and keep its slot, beyond the deadline of the request.
+	_ = e.control.SetWriteDeadline(time.Now().Add(e.stall))
 	if _, err := e.w.Write(b.Bytes()); err != nil {
 		return errCallerGone
 	}
@@ -62,8 +67,12 @@
 		e.w.Header().Set("Content-Type", "text/event-stream")
 	}
 	_ = e.write("", []byte("[DONE]"))
+	e.end()
 }
 
+// end takes the write deadline off the connection, which may serve another request.
+func (e *eventWriter) end() { _ = e.control.SetWriteDeadline(time.Time{}) }
+
 // fail ends a stream that can't be finished with an error record in place of the end mark.
 func (e *eventWriter) fail(r *http.Request, err error) {
 	var known *api.Error
@@ -74,4 +83,5 @@
 	out.RequestID = serving.RequestIDFrom(r.Context())
 	body, _ := json.Marshal(out.Body())
 	_ = e.write("error", body)
+	e.end()
 }
--- a/pkg/gateway/execute.go
+++ b/pkg/gateway/execute.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -57,7 +58,7 @@
 			}
 			return nil, g.giveUp(ctx, j, a.err)
 		}
-		j.req.Exclude = append(j.req.Exclude, a.upstream)
+		g.exclude(j, a.upstream)
 		select {
 		case <-time.After(d.Delay):
 		case <-ctx.Done():
@@ -66,6 +67,24 @@
 	}
 }
 
+// exclude keeps the next attempt off the upstream. When every upstream that could serve has been tried, only the last
+// one stays excluded, and a single one may be tried again.
+func (g *Gateway) exclude(j *job, upstream string) {
+	j.req.Exclude = append(j.req.Exclude, upstream)
+	usable := 0
+	for _, u := range g.Board.Config.Value().Register.Upstreams {
+		if !u.Leaving && u.Serves(j.req.Model, j.req.Service) {
+			usable++
+			if !slices.Contains(j.req.Exclude, u.Name) {
+				return
+			}
+		}
+	}
+	if j.req.Exclude = nil; usable > 1 {
+		j.req.Exclude = []string{upstream}
+	}
+}
+
 // retryableStatus reports whether an answer says that the upstream could not serve, rather than that the
 // request is wrong.
 func retryableStatus(status int) bool {
--- a/pkg/gateway/faults_test.go
+++ b/pkg/gateway/faults_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -235,6 +236,36 @@
 	assert.Equal(t, fmt.Sprint(r.status, r.header.Get("Content-Length"), r.err), "204<nil>")
 }
 
+// Guards against a retry that waits for another upstream where there is none.
+func TestRetryOnTheOnlyUpstream(t *testing.T) {
+	e := newUpstream(t, "e1", api.UpstreamEngine)
+	e.fault = func(f *fakeUpstream, w http.ResponseWriter, r *http.Request, body []byte) bool {
+		return f.runCount() == 1 && cutBefore(f, w, r, body)
+	}
+	r := newFixture(t, nil, e).chat("hello", api.HeaderTimeoutMs, "2000")
+	assert.Equal(t, r.status, 200, r.body)
+	assert.Equal(t, e.runCount(), 2)
+}
+
+// Guards against a slot that is kept by a caller which reads nothing.
+func TestStalledCaller(t *testing.T) {
+	e := newUpstream(t, "e1", api.UpstreamEngine)
+	e.fault = func(_ *fakeUpstream, w http.ResponseWriter, r *http.Request, _ []byte) bool {
+		for i := 0; r.Context().Err() == nil; i++ {
+			fmt.Fprintf(w, "data: {\"id\":%q,\"offset\":%d,\"pad\":%q}\n\n", r.Header.Get("X-Request-Id"), i, strings.Repeat("x", 100_000))
+		}
+		return true
+	}
+	f := newFixture(t, func(o *Options) { o.StallTimeout = 100 * time.Millisecond }, e)
+	conn, err := net.Dial("tcp", strings.TrimPrefix(f.url, "http://"))
+	assert.NilError(t, err)
+	defer conn.Close()
+	body := chatBody("hello", true)
+	fmt.Fprintf(conn, "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s", testKey, len(body), body)
+	eventually(t, "the run is cancelled", func() bool { return e.cancelCount() == 1 })
+	assert.Equal(t, f.slots.inUse(), 0)
+}
+
 // Guards against runs that go on for a caller that has gone.
 func TestDisconnectCancels(t *testing.T) {
 	e := newUpstream(t, "e1", api.UpstreamEngine)
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -8,7 +8,8 @@
 // answer is an error with the outcome unknown.
 //
 // A request with an Idempotency-Key goes on for a while after its caller has gone, so that a resend can join it.
-// Any other run is cancelled at the upstream when its caller disconnects.
+// Any other run is cancelled at the upstream when its caller disconnects. A resend that joins a streamed run gets
+// the whole stream when the run has ended.
 package gateway
 
 import (
@@ -59,6 +60,8 @@
 	MaxBodyBytes int64
 	// Timeout is the deadline of a request that names none; MaxTimeout bounds the one it names.
 	Timeout, MaxTimeout time.Duration
+	// StallTimeout is how long a caller of a stream may take no data before its run is cancelled.
+	StallTimeout time.Duration
 	// MemberLoad returns the requests in progress on a node, negative if unknown; nil spreads callers evenly.
 	MemberLoad func(node string) float64
 	// Random returns a number in [0,1).
@@ -71,6 +74,7 @@
 	DefaultMaxBodyBytes = 8 << 20
 	DefaultTimeout      = 2 * time.Minute
 	DefaultMaxTimeout   = 15 * time.Minute
+	DefaultStallTimeout = 30 * time.Second
 )
 
 func (o *Options) setDefaults() {
@@ -78,6 +82,7 @@
 	setDefault(&o.MaxBodyBytes, DefaultMaxBodyBytes)
 	setDefault(&o.Timeout, DefaultTimeout)
 	setDefault(&o.MaxTimeout, DefaultMaxTimeout)
+	setDefault(&o.StallTimeout, DefaultStallTimeout)
 	if o.Random == nil {
 		o.Random = rand.Float64
 	}
--- a/pkg/gateway/handlers.go
+++ b/pkg/gateway/handlers.go
@@ -112,7 +112,7 @@
 // runAndAnswer runs the job, answers, and returns the result.
 func (g *Gateway) runAndAnswer(ctx context.Context, w http.ResponseWriter, r *http.Request, j *job) (*serving.Result, error) {
 	if j.stream {
-		j.events = newEventWriter(w)
+		j.events = newEventWriter(w, g.StallTimeout)
 	}
 	res, err := g.execute(ctx, j)
 	if err != nil {
--- a/pkg/gateway/keyed.go
+++ b/pkg/gateway/keyed.go
@@ -97,6 +97,9 @@
 	gone    bool
 }
 
+// Unwrap lets http.ResponseController reach the connection.
+func (r *recorder) Unwrap() http.ResponseWriter { return r.w }
+
 // Header implements http.ResponseWriter.
 func (r *recorder) Header() http.Header { return r.w.Header() }
 
