--- a/pkg/controller/batch/failure_test.go
+++ b/pkg/controller/batch/failure_test.go
@@ -23,7 +23,7 @@
 
 // slow answers after d and honours the end of ctx.
 func slow(d time.Duration) func(context.Context, serving.Call, int) (*serving.Result, error) {
-	return func(ctx context.Context, c serving.Call, _ int) (*serving.Result, error) {
+	return func(ctx context.Context, _ serving.Call, _ int) (*serving.Result, error) {
 		sleep(ctx, d)
 		if ctx.Err() != nil {
 			return nil, errors.Join(serving.ErrInterrupted, context.Cause(ctx))
--- a/pkg/controller/batch/fakes_test.go
+++ b/pkg/controller/batch/fakes_test.go
@@ -97,7 +97,6 @@
 	board := blackboard.New()
 	board.Config.Set(testConfig)
 	n := &testNode{board: board}
-	putLease(t, s, name, 1)
 	board.Lease.Set(blackboard.Lease{Number: 1, Deadline: time.Now().Add(time.Hour)})
 	o := Options{Node: name, Store: s, Board: board, Invoker: invoker}
 	if change != nil {
@@ -109,18 +108,19 @@
 	ctx, stop := context.WithCancel(context.Background())
 	n.stop = stop
 	n.done.Go(func() { assert.Check(t, n.Run(ctx)) })
+	n.done.Go(func() {
+		// The lease is renewed as long as the node reaches the store.
+		for ctx.Err() == nil {
+			_, _ = s.Put(ctx, "nodes/"+name, []byte(`{"number":1}`), store.AnyRevision)
+			sleep(ctx, leaseTime/3)
+		}
+	})
 	for range slots {
 		n.done.Go(func() { n.fill(ctx, testUpstream) })
 	}
 	return n
 }
 
-func putLease(t *testing.T, s store.Store, node string, number int64) {
-	t.Helper()
-	_, err := s.Put(context.Background(), "nodes/"+node, fmt.Appendf(nil, `{"number":%d}`, number), store.AnyRevision)
-	assert.NilError(t, err)
-}
-
 // fill runs items one after the other on u, as admission does with one slot.
 func (n *testNode) fill(ctx context.Context, u api.Upstream) {
 	for ctx.Err() == nil {
