Find other nodes at once when all start together

Cause: nodes that started together read the lease records before any other was written and read again only after 10 s. Change: a node that knows no other member reads again after 0.1 s, doubling to 4 s.

--- a/pkg/controller/membership/join.go
+++ b/pkg/controller/membership/join.go
@@ -27,6 +27,8 @@
 	leaseReadPerRecord = 800 * time.Millisecond
 	// joinRetry is the time between the first attempts to learn members; it doubles up to joinRetryMax.
 	joinRetry, joinRetryMax = time.Second, 4 * time.Second
+	// aloneRetry is the first pause between reads while no other member is known; it doubles up to joinRetryMax.
+	aloneRetry = 100 * time.Millisecond
 	// pageSize is the number of lease records in one read; the share of one zone at the two-year target is 48.
 	pageSize = 200
 	// maxSeeds bounds the addresses that are kept over a restart.
@@ -45,12 +47,24 @@
 		}
 		wait(ctx, pause+rand.N(pause))
 	}
+	c.readWhileAlone(ctx)
 	c.mu.Lock()
 	self := c.table.Self()
 	c.mu.Unlock()
 	c.announce([]membership.Update{self})
 }
 
+// readWhileAlone reads the lease records again until there is another member: nodes that start together find none at
+// their first read, and the next regular read is 10 s later.
+func (c *Controller) readWhileAlone(ctx context.Context) {
+	for pause := aloneRetry; pause <= joinRetryMax && c.view().Len() <= 1 && ctx.Err() == nil; pause *= 2 {
+		wait(ctx, pause)
+		if err := c.readSlice(ctx, "", ""); err != nil {
+			klog.V(1).Infof("read lease records: %v", err)
+		}
+	}
+}
+
 // joinPeers asks seeds and cached addresses for members until one answers. An address of this node itself is no answer.
 func (c *Controller) joinPeers(ctx context.Context) bool {
 	addresses := append(slices.Clone(c.o.Seeds), c.cachedAddresses()...)
