Let relays read the VM list and others ask them for changes

Cause: every node read the whole list every 10 s, so that a leaving VM got new work for up to 10 s and a node at the target would spend 12 KB/s on it. Change: two relays of a zone read the list each second; other nodes ask a relay with a digest. Counters of the error budget go to another node at the end of a drain.

--- a/pkg/node/build.go
+++ b/pkg/node/build.go
@@ -13,6 +13,7 @@
 	"trefoilplank.example/pkg/adapter/peer"
 	"trefoilplank.example/pkg/adapter/service"
 	"trefoilplank.example/pkg/adapter/store"
+	"trefoilplank.example/pkg/adapter/vmlist"
 	"trefoilplank.example/pkg/adapter/weights"
 	"trefoilplank.example/pkg/batch/handler"
 	"trefoilplank.example/pkg/burn"
@@ -28,6 +29,7 @@
 	"trefoilplank.example/pkg/controller/quarantine"
 	"trefoilplank.example/pkg/controller/reconcile"
 	"trefoilplank.example/pkg/controller/upstreams"
+	"trefoilplank.example/pkg/controller/vms"
 	leasedecision "trefoilplank.example/pkg/decision/lease"
 	"trefoilplank.example/pkg/gateway"
 	"trefoilplank.example/pkg/gateway/tlsfiles"
@@ -57,6 +59,9 @@
 	if err := n.peerServer.Register("Config", n.config.Receiver()); err != nil {
 		return err
 	}
+	if err := n.buildVMs(); err != nil {
+		return err
+	}
 	n.buildReconcile()
 	n.burn = burn.NewRecorder(&n.board.Config, time.Now)
 	if err := n.buildServing(); err != nil {
@@ -136,6 +141,15 @@
 	return nil
 }
 
+func (n *Node) buildVMs() error {
+	if n.settings.VMList == "" {
+		return nil
+	}
+	list := vmlist.New(n.settings.VMList, n.board, nil)
+	n.vms = vms.New(vms.Options{Self: n.settings.Name, Board: n.board, Peers: n.peerClient, List: list})
+	return n.peerServer.Register("VMs", n.vms.Receiver())
+}
+
 func (n *Node) buildReconcile() {
 	options := reconcile.Options{
 		Node: n.settings.Name, Board: n.board, Store: n.store, Engines: reconcile.NewHTTPEngines(), Explain: n.log,
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -16,7 +16,6 @@
 	"trefoilplank.example/pkg/adapter/peer"
 	"trefoilplank.example/pkg/adapter/service"
 	"trefoilplank.example/pkg/adapter/store"
-	"trefoilplank.example/pkg/adapter/vmlist"
 	"trefoilplank.example/pkg/blackboard"
 	"trefoilplank.example/pkg/burn"
 	"trefoilplank.example/pkg/controller/admission"
@@ -31,6 +30,7 @@
 	"trefoilplank.example/pkg/controller/quarantine"
 	"trefoilplank.example/pkg/controller/reconcile"
 	"trefoilplank.example/pkg/controller/upstreams"
+	"trefoilplank.example/pkg/controller/vms"
 	leasedecision "trefoilplank.example/pkg/decision/lease"
 	"trefoilplank.example/pkg/explain"
 	"trefoilplank.example/pkg/gateway"
@@ -65,9 +65,11 @@
 	upstreamCalls *service.Client
 	observer      *upstreams.Observer
 	reconcile     *reconcile.Controller
-	gateway       *gateway.Gateway
-	burn          *burn.Recorder
-	operator      http.Handler
+	// vms is nil when the platform has no VM list.
+	vms      *vms.Controller
+	gateway  *gateway.Gateway
+	burn     *burn.Recorder
+	operator http.Handler
 
 	drainer *drain.Controller
 	// tls is nil when callers and operators are served without it.
@@ -170,6 +172,7 @@
 	case <-n.drainer.Done():
 	case <-working.Done():
 	}
+	n.handOver()
 	stop()
 	_ = operators.Close()
 	err := group.Wait()
@@ -180,22 +183,17 @@
 
 // controllers returns the loops of the node by name.
 func (n *Node) controllers() map[string]func(context.Context) error {
-	return map[string]func(context.Context) error{
+	loops := map[string]func(context.Context) error{
 		"lease": n.lease.Run, "membership": n.members.Run, "config": n.config.Run, "limits": n.limits.Run,
-		"admission": n.admission.Run, "batch": n.batch.Run, "upstreams": n.observer.Run, "vmlist": n.followVMs,
+		"admission": n.admission.Run, "batch": n.batch.Run, "upstreams": n.observer.Run,
 		"idempotency": n.idempotency.Run,
 		"reconcile":   func(ctx context.Context) error { n.reconcile.Run(ctx); return nil },
 		"peers":       func(ctx context.Context) error { <-ctx.Done(); return n.peerServer.Close() },
 	}
-}
-
-// followVMs polls the VM list where the platform has one.
-func (n *Node) followVMs(ctx context.Context) error {
-	if n.settings.VMList == "" {
-		<-ctx.Done()
-		return nil
+	if n.vms != nil {
+		loops["vms"] = n.vms.Run
 	}
-	return vmlist.New(n.settings.VMList, n.board, http.DefaultTransport).Run(ctx)
+	return loops
 }
 
 // secured wraps a listener for callers or operators in TLS when certificate files are set.
@@ -206,6 +204,18 @@
 	return tls.NewListener(l, n.tls)
 }
 
+// handOverTimeout bounds the hand-over of counters at the end of a drain.
+const handOverTimeout = 3 * time.Second
+
+// handOver gives the error-budget counters to another node, so that a graceful restart loses none.
+func (n *Node) handOver() {
+	ctx, cancel := context.WithTimeout(context.Background(), handOverTimeout)
+	defer cancel()
+	if err := n.burn.HandOver(ctx, n.peerClient, n.board.Members.Value()); err != nil && !errors.Is(err, burn.ErrNoSuccessor) {
+		klog.ErrorS(err, "Error-budget counters were not handed over", "node", n.settings.Name)
+	}
+}
+
 func (n *Node) close() {
 	n.peerClient.Close()
 	n.upstreamCalls.Close()
