Complete a stream of a dead engine on another one and probe before a trial

Cause: a trial against the stand-in engines (5 engines, 3 nodes, 24 innocent requests, half of them streams) lost innocents: streams cut by a crash ended with an error, a suspect's trial met an engine that another node had crashed and was quarantined, and a retry after an attempt that did not start was charged to the budget. Change: a repeatable stream runs again elsewhere, and its events are dropped while they equal those passed on; a different one ends the stream with an error. A trial probes its upstream first, and an answer shows for 500 ms that an upstream lives. An attempt that did not start costs no budget; 4 runs and 8 attempts bound a request.

--- a/pkg/adapter/service/death.go
+++ b/pkg/adapter/service/death.go
@@ -21,8 +21,9 @@
 	// siblingWait is how long the other calls of an upstream may take to break as well when it dies.
 	siblingWait = 30 * time.Millisecond
 	// aliveFor is how long an answer of an upstream shows that it lives. It is short, since requests that meet
-	// upstreams which went down before them must not become suspects.
-	aliveFor = 2 * time.Second
+	// upstreams which went down before them must not become suspects. With 500 calls/s over 12 upstreams each
+	// answers every 24 ms.
+	aliveFor = 500 * time.Millisecond
 )
 
 // flight is a call in progress.
--- a/pkg/adapter/service/service.go
+++ b/pkg/adapter/service/service.go
@@ -122,11 +122,17 @@
 	return req, nil
 }
 
+type probeKey struct{}
+
+// WithProbe returns a context for a call that must not be sent to an upstream which is down already, such as the run
+// of a suspect, whose broken connection would count against it. Another node may have seen the upstream die.
+func WithProbe(ctx context.Context) context.Context { return context.WithValue(ctx, probeKey{}, true) }
+
 // Open sends the call and returns its answer once the headers arrived. The caller closes the answer. An upstream
 // that gave no answer for aliveFor is probed first: a call to one that is already down so counts as not started, and
 // its broken connection does not pass for a death under the call.
 func (c *Client) Open(ctx context.Context, u api.Upstream, call serving.Call) (*Answer, error) {
-	if !c.flights.recentlyAlive(u.Name) {
+	if ctx.Value(probeKey{}) != nil || !c.flights.recentlyAlive(u.Name) {
 		if !c.Alive(ctx, u) {
 			return nil, errs.Combine(serving.ErrNotStarted, Error.New("upstream %s does not answer its probe", u.Name))
 		}
--- a/pkg/decision/retry/retry.go
+++ b/pkg/decision/retry/retry.go
@@ -12,8 +12,10 @@
 	// Reserve is the number of retries per window that are allowed without any success, so that a node with
 	// little traffic can retry at all.
 	Reserve = 2
-	// MaxAttempts bounds the attempts of one request.
-	MaxAttempts = 4
+	// MaxRuns bounds the attempts of one request that an upstream may have begun, MaxAttempts all of them. An
+	// attempt that did not start costs no upstream work, and several upstreams may be down at once.
+	MaxRuns     = 4
+	MaxAttempts = 8
 	// MinTimeLeft is the least time to the deadline for which another attempt is useful.
 	MinTimeLeft = 5 * time.Millisecond
 
@@ -74,13 +76,13 @@
 
 // Attempt describes a failed attempt.
 type Attempt struct {
-	// Number counts the attempts made, including this one.
-	Number int
-	// Started is set when an upstream may have begun the request.
+	// Number counts the attempts made, including this one, and Runs those that an upstream may have begun.
+	Number, Runs int
+	// Started is set when an upstream may have begun this attempt.
 	Started bool
 	// Repeatable is set when running the request twice does no harm.
 	Repeatable bool
-	// PassedOn is set when a part of the answer went to the caller.
+	// PassedOn is set when a part of the answer went to the caller and no further run can be joined to it.
 	PassedOn bool
 	// Died is set when the upstream died under the request, Deaths counts how often that happened to it.
 	Died   bool
@@ -98,16 +100,16 @@
 }
 
 // Decide judges a failed attempt. random is uniform in [0,1). The first retry after the death of an upstream is
-// outside the budget, since all requests beside the one that caused it need exactly one. So is a retry of a
-// request that no upstream began, since it adds no upstream call.
+// outside the budget, since all requests beside the one that caused it need exactly one. So is a retry after
+// an attempt that no upstream began, since it adds no upstream call.
 func Decide(a Attempt, b *Budget, now time.Time, random float64) Decision {
 	refuse := func(reason string) Decision { return Decision{Reason: reason} }
 	switch {
 	case a.PassedOn:
 		return refuse("a part of the answer was passed on")
-	case a.Started && !a.Repeatable:
+	case a.Runs > 0 && !a.Repeatable:
 		return refuse("an upstream may have begun it and it must not be repeated")
-	case a.Number >= MaxAttempts:
+	case a.Number >= MaxAttempts || a.Runs >= MaxRuns:
 		return refuse("no attempt left")
 	}
 	delay := min(firstDelay<<(a.Number-1), maxDelay)
--- a/pkg/gateway/admit.go
+++ b/pkg/gateway/admit.go
@@ -19,22 +19,25 @@
 	retry time.Duration
 }
 
-// admit asks the quarantine and admission at the same time and returns a slot that suits the verdict.
-func (g *Gateway) admit(ctx context.Context, j *job) (*serving.Slot, error) {
+// admit asks the quarantine and admission at the same time and returns a slot that suits the verdict. alone is set
+// for the run of a suspect.
+func (g *Gateway) admit(ctx context.Context, j *job) (slot *serving.Slot, alone bool, err error) {
 	if g.Quarantine == nil {
-		return g.acquire(ctx, j, false)
+		slot, err = g.acquire(ctx, j, false)
+		return slot, false, err
 	}
 	// A verdict usually arrives before the slot; only a request that has to wait for an equal one has none yet.
 	slot, v, err := g.acquireBeside(ctx, j)
+	alone = v.Verdict == serving.VerdictSuspect
 	if err == nil || v.Verdict == serving.VerdictQuarantined {
 		err = refusal(v)
 	}
-	if err == nil && v.Verdict == serving.VerdictSuspect && slot != nil {
+	if err == nil && alone && slot != nil {
 		g.giveBack(slot)
 		slot = nil
 	}
 	if err == nil && slot == nil {
-		slot, err = g.acquire(ctx, j, v.Verdict == serving.VerdictSuspect)
+		slot, err = g.acquire(ctx, j, alone)
 	}
 	if err != nil {
 		if slot != nil {
@@ -43,9 +46,9 @@
 		if v.Verdict != serving.VerdictQuarantined && v.retry == 0 {
 			g.Quarantine.Finished(ctx, j.req.Fingerprint, j.req.ID, "", false)
 		}
-		return nil, err
+		return nil, false, err
 	}
-	return slot, nil
+	return slot, alone, nil
 }
 
 // acquireBeside asks for the verdict and acquires a slot meanwhile. It returns without a slot when the verdict comes
--- a/pkg/gateway/execute.go
+++ b/pkg/gateway/execute.go
@@ -7,9 +7,11 @@
 	"slices"
 	"time"
 
+	"github.com/zeebo/errs"
 	"k8s.io/klog/v2"
 
 	"trefoilplank.example/api"
+	"trefoilplank.example/pkg/adapter/service"
 	"trefoilplank.example/pkg/decision/retry"
 	"trefoilplank.example/pkg/explain"
 	"trefoilplank.example/pkg/serving"
@@ -29,6 +31,9 @@
 	err      error
 }
 
+// started reports whether the upstream may have begun the run.
+func (a attempt) started() bool { return a.err == nil || !notStarted(a.err) }
+
 // execute runs the job until it has an answer or is given up.
 func (g *Gateway) execute(ctx context.Context, j *job) (*serving.Result, error) {
 	for {
@@ -105,10 +110,13 @@
 
 // attempt gets a slot and runs the job on its upstream once. An error means that no run took place.
 func (g *Gateway) attempt(ctx context.Context, j *job) (attempt, error) {
-	slot, err := g.admit(ctx, j)
+	slot, alone, err := g.admit(ctx, j)
 	if err != nil {
 		return attempt{}, err
 	}
+	if alone {
+		ctx = service.WithProbe(ctx)
+	}
 	if err := g.claim(ctx, j); err != nil {
 		g.giveBack(slot)
 		g.finished(ctx, j, attempt{upstream: slot.Upstream.Name, err: err})
@@ -125,7 +133,12 @@
 	a := attempt{upstream: slot.Upstream.Name}
 	start := time.Now()
 	if j.stream {
+		j.events.restart()
 		a.res, a.err = g.Invoker.Stream(ctx, slot.Upstream, j.call, j.events.emit)
+		if a.err == nil && j.events.started() && (a.res.Status != http.StatusOK || !j.events.complete()) {
+			a.err = errs.Combine(serving.ErrInterrupted, errDiverged)
+			j.events.diverged = a.res.Status == http.StatusOK
+		}
 	} else {
 		a.res, a.err = g.Invoker.Do(ctx, slot.Upstream, j.call)
 	}
@@ -150,7 +163,7 @@
 		u.Result = serving.RunNotStarted
 	case errors.Is(a.err, serving.ErrUpstreamDied):
 		u.Result = serving.RunDied
-	case ctx.Err() != nil || errors.Is(a.err, errCallerGone):
+	case ctx.Err() != nil || errors.Is(a.err, errCallerGone) || errors.Is(a.err, errDiverged):
 		u.Result = serving.RunCancelled
 	default:
 		u.Result = serving.RunDied
@@ -190,7 +203,8 @@
 	if errors.Is(a.err, serving.ErrUpstreamDied) {
 		j.deaths++
 	}
-	if a.err == nil || !notStarted(a.err) {
+	if a.started() {
+		j.runs++
 		j.begun = true
 	}
 }
@@ -202,8 +216,8 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return retry.Decide(retry.Attempt{
-		Number: j.attempts, Started: j.begun, Repeatable: j.repeatable, Died: died, Deaths: j.deaths,
-		PassedOn: j.stream && j.events.started(), Left: time.Until(j.req.Deadline),
+		Number: j.attempts, Runs: j.runs, Started: a.started(), Repeatable: j.repeatable, Died: died, Deaths: j.deaths,
+		PassedOn: j.stream && j.events.diverged, Left: time.Until(j.req.Deadline),
 	}, g.budget, time.Now(), g.Random())
 }
 
--- a/pkg/gateway/keyed_test.go
+++ b/pkg/gateway/keyed_test.go
@@ -204,3 +204,18 @@
 	}
 	assert.Equal(t, s1.runCount()+s2.runCount(), 1)
 }
+
+// Guards against a second run of a marked stream whose engine lost it after a part was passed on.
+func TestMarkedStreamIsNotRepeated(t *testing.T) {
+	e1, e2 := newUpstream(t, "e1", api.UpstreamEngine), newUpstream(t, "e2", api.UpstreamEngine)
+	e1.fault = func(f *fakeUpstream, w http.ResponseWriter, r *http.Request, _ []byte) bool {
+		f.stream(w, r.Header.Get("X-Request-Id"), 0, 2, false)
+		cut(w)
+		return true
+	}
+	nodes, _, _ := keyedFleet(t, 1, e1, e2)
+	r := nodes[0].chatStream("hello", api.HeaderNonIdempotent, "true")
+	assert.Assert(t, cmp.Contains(r.body, `"outcome":"unknown"`))
+	assert.Assert(t, cmp.Contains(r.body, "event: error"))
+	assert.Equal(t, e1.runCount()+e2.runCount(), 1)
+}
--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -40,8 +40,9 @@
 	// digest identifies method, path and body for the idempotency key.
 	digest string
 
-	// attempts counts the attempts, deaths the upstreams that died under them.
-	attempts, deaths int
+	// attempts counts the attempts, runs those that an upstream may have begun, and deaths the upstreams that died
+	// under them.
+	attempts, runs, deaths int
 	// begun is set once an upstream may have begun the request.
 	begun bool
 }
