Spread medium jobs over more parts and commit slow parts less often

Cause: a job of 20,000 items had 20 parts, so that half of 40 nodes were idle, and idle nodes listed its parts every 20 s. Change: up to 64 parts before parts grow beyond 200 items; the parts of a chunk are of equal size; results of parts from 200 items on are committed after 200 items or two minutes; parts whose holders are live members are listed every two minutes.

--- a/pkg/controller/batch/bench_test.go
+++ b/pkg/controller/batch/bench_test.go
@@ -19,12 +19,14 @@
 	"trefoilplank.example/pkg/adapter/store"
 	"trefoilplank.example/pkg/adapter/store/memstore"
 	"trefoilplank.example/pkg/batch/faultstore"
+	"trefoilplank.example/pkg/blackboard"
 	"trefoilplank.example/pkg/serving"
 )
 
 // benchCalls reports the store calls of one job, from the upload to the end, in virtual time.
 func benchCalls(b *testing.B, items, nodes, slots int, answer time.Duration) {
 	var reads, writes int64
+	var took time.Duration
 	for range b.N {
 		t := &testing.T{}
 		done := make(chan struct{})
@@ -37,10 +39,18 @@
 				for n := range nodes {
 					fleet = append(fleet, startNode(t, s, fmt.Sprint("node-", n), invoker, slots, nil))
 				}
+				members := blackboard.Members{Live: map[string]blackboard.Member{}}
+				for _, n := range fleet {
+					members.Live[n.Node] = blackboard.Member{Name: n.Node}
+				}
+				for _, n := range fleet {
+					n.board.Members.Set(members)
+				}
 				// The polls of await are a caller's reads, not the system's.
 				polls := int64(0)
 				start, startWrites := s.Reads(), s.Writes()
 				job := fleet[0].submit(t, fleet[0].upload(t, chatFile(items)))
+				started := time.Now()
 				for {
 					before := s.Reads()
 					o := fleet[0].show(t, job)
@@ -50,6 +60,7 @@
 					}
 					time.Sleep(time.Second)
 				}
+				took = time.Since(started)
 				reads, writes = s.Reads()-start-polls, s.Writes()-startWrites
 				for _, n := range fleet {
 					n.close()
@@ -60,6 +71,7 @@
 	}
 	b.ReportMetric(float64(writes)/float64(items), "writes/item")
 	b.ReportMetric(float64(reads)/float64(items), "reads/item")
+	b.ReportMetric(float64(items)*answer.Seconds()/float64(nodes*slots)/took.Seconds(), "slot-use")
 }
 
 // BenchmarkStoreCalls gives the store calls for each item of jobs of several sizes on 8 nodes with 16 slots.
--- a/pkg/controller/batch/claim.go
+++ b/pkg/controller/batch/claim.go
@@ -10,6 +10,7 @@
 
 	"trefoilplank.example/pkg/adapter/store"
 	"trefoilplank.example/pkg/batch/jobstore"
+	"trefoilplank.example/pkg/blackboard"
 	"trefoilplank.example/pkg/decision/batchfill"
 	"trefoilplank.example/pkg/decision/jobstate"
 )
@@ -21,8 +22,10 @@
 	claimsPerRound = 32
 	relistMin      = 2 * time.Second
 	// relistMax bounds the time until a part of a lost node is found: the node must see the holder's lease
-	// unchanged in two listings that are leaseTime apart.
-	relistMax = 20 * time.Second
+	// unchanged in two listings that are leaseTime apart. While all holders are live members, the listing only
+	// finds those that are cut off from the store, and relistLive suffices; released parts come by watch.
+	relistMax  = 20 * time.Second
+	relistLive = 2 * time.Minute
 	// claimPause is the least time between two rounds that found nothing to claim.
 	claimPause = 50 * time.Millisecond
 	// confirmRetry is the pause until a job is looked for again whose summary came first.
@@ -130,6 +133,7 @@
 			jobs = append(jobs, j.fill(rules.Share, now))
 		}
 	}
+	live := c.Board.Members.Value().Live
 	var list []wanted
 	for _, n := range c.ledger.Order(jobs, now) {
 		j := c.open[jobs[n].ID]
@@ -138,7 +142,8 @@
 			continue
 		}
 		w := wanted{sum: j.sum, candidates: c.candidateParts(j), reason: reason}
-		w.relist = (j.relistAt.IsZero() && j.sum.Parts > 1) || len(w.candidates) == 0 && !now.Before(j.relistAt)
+		w.relist = (j.relistAt.IsZero() && j.sum.Parts > 1) ||
+			len(w.candidates) == 0 && !now.Before(j.relistAt.Add(j.relistExtra(live)))
 		if w.relist || len(w.candidates) > 0 {
 			list = append(list, w)
 		}
@@ -146,6 +151,19 @@
 	return list
 }
 
+// relistExtra returns by how much the next listing may wait because all known holders are live members.
+func (j *openJob) relistExtra(live map[string]blackboard.Member) time.Duration {
+	if len(live) == 0 || j.relistDelay < relistMax {
+		return 0
+	}
+	for node := range j.holders {
+		if _, ok := live[node]; !ok {
+			return 0
+		}
+	}
+	return relistLive
+}
+
 // targets returns the job's targets that are asked for.
 func (j *openJob) targets(asked map[string]bool) []string {
 	var targets []string
@@ -207,7 +225,7 @@
 	if err != nil {
 		return err
 	}
-	held := map[int]int64{}
+	held, holders := map[int]int64{}, map[string]bool{}
 	live := c.Board.Members.Value().Live
 	over := map[jobstate.Holder]bool{}
 	var done []int
@@ -228,6 +246,7 @@
 			}
 			if !lost {
 				held[i] = p.Token
+				holders[p.Holder.Node] = true
 			}
 		}
 	}
@@ -237,7 +256,7 @@
 	if j == nil {
 		return nil
 	}
-	j.held = held
+	j.held, j.holders = held, holders
 	j.relistDelay = min(max(2*j.relistDelay, relistMin), relistMax)
 	j.relistAt = time.Now().Add(j.relistDelay/2 + rand.N(j.relistDelay))
 	if len(done) > 0 {
--- a/pkg/controller/batch/watch.go
+++ b/pkg/controller/batch/watch.go
@@ -20,6 +20,8 @@
 	sum jobstate.Summary
 	// held are parts that another node holds, with the token seen; they are hints until relist.
 	held map[int]int64
+	// holders are the nodes that held parts at the last listing.
+	holders map[string]bool
 	// relistAt is when the part records may be listed again, relistDelay the last delay.
 	relistAt    time.Time
 	relistDelay time.Duration
--- a/pkg/decision/jobstate/part.go
+++ b/pkg/decision/jobstate/part.go
@@ -181,11 +181,13 @@
 const (
 	CommitItems = 200
 	CommitBytes = 1 << 20
-	// CommitAgePerItem sets the age at which results are committed in proportion to the part's size: a
-	// part of 1,000 items at most once a minute, a small one after CommitMinAge.
-	CommitAgePerItem = 60 * time.Millisecond
+	// CommitAgePerItem sets the age at which results are committed in proportion to the part's size: a part of
+	// 200 items and more every two minutes, a small one after CommitMinAge. A node of the two-year target runs about
+	// 0.5 items/s, so that shorter times would cost far more than 0.02 writes an item; a crash repeats at most
+	// the work of this time, or CommitItems items.
+	CommitAgePerItem = 600 * time.Millisecond
 	CommitMinAge     = 2 * time.Second
-	CommitMaxAge     = time.Minute
+	CommitMaxAge     = 2 * time.Minute
 )
 
 // CommitDue reports whether results that wait should be committed: age is that of the oldest, complete
--- a/pkg/decision/jobstate/plan.go
+++ b/pkg/decision/jobstate/plan.go
@@ -4,11 +4,20 @@
 const (
 	// MaxPartItems is the size of the parts of a large job.
 	MaxPartItems = 1000
-	// SpreadParts is the least number of parts that a small job is split into, so that several nodes with
-	// idle upstreams share a lot of 20 items.
-	SpreadParts = 8
+	// smallParts is the number of parts of a small job, so that several nodes with idle upstreams share a lot of
+	// 20 items. From smallParts times smallSize items on, parts keep to smallSize, which costs few writes an item,
+	// until there are manyParts of them, enough to spread a medium job over a fleet.
+	smallParts = 8
+	smallSize  = 200
+	manyParts  = 64
 )
 
+// partSize returns the most items of a part of a job.
+func partSize(items int) int {
+	spread := func(parts int) int { return (items + parts - 1) / parts }
+	return min(max(spread(manyParts), min(spread(smallParts), smallSize), 1), MaxPartItems)
+}
+
 // Range is the place of a part in its input file.
 type Range struct {
 	// Chunk is the index of the file chunk, First and Size the lines within it.
@@ -24,15 +33,17 @@
 	for _, n := range chunkLines {
 		total += n
 	}
-	size := min(max((total+SpreadParts-1)/SpreadParts, 1), MaxPartItems)
+	size := partSize(total)
 	var parts []Range
 	item := 0
 	for c, lines := range chunkLines {
-		for first := 0; first < lines; first += size {
-			n := min(size, lines-first)
-			parts = append(parts, Range{Chunk: c, First: first, Size: n, Item: item})
-			item += n
+		// The parts of a chunk are of about equal size.
+		n := (lines + size - 1) / size
+		for i := range n {
+			first, end := lines*i/n, lines*(i+1)/n
+			parts = append(parts, Range{Chunk: c, First: first, Size: end - first, Item: item + first})
 		}
+		item += lines
 	}
 	return parts
 }
