Keep a slot free for online work by the online tail weight

Change: batch work leaves a tenth of the slots free by online_tail_weight (one from 0.5 on); from 0.9 on, runs are ended to keep it free. Progress is refreshed before each choice of a victim. Waiting 12 to 50 ms before ending runs was tried: no less waste, tail 1.2 to 1.9.

--- a/pkg/controller/admission/batch.go
+++ b/pkg/controller/admission/batch.go
@@ -59,6 +59,7 @@
 	now := time.Now()
 	o.mu.Lock()
 	delete(o.runs, a.Work.Ticket)
+	o.refreshProgress()
 	o.learn(now, a)
 	o.apply(now, o.state.Release(now, a.Work.Ticket))
 	o.mu.Unlock()
--- a/pkg/controller/admission/batchbench_test.go
+++ b/pkg/controller/admission/batchbench_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -52,12 +53,19 @@
 // BenchmarkBatchBeside compares online p99 first token with a full batch backlog and without, and the tokens that
 // batch work completes with those that idle slots could hold.
 func BenchmarkBatchBeside(b *testing.B) {
-	for _, load := range []float64{0.3, 0.6} {
-		b.Run(fmt.Sprintf("load=%.0f%%", 100*load), func(b *testing.B) {
+	const load = 0.6
+	for _, weight := range []float64{0, 0.6, 1} {
+		b.Run(fmt.Sprintf("weight=%.1f", weight), func(b *testing.B) {
 			for range b.N {
 				var f *fleet
 				batch := &modelBatch{f: func() modelProber { return f.engines }, stock: make(chan struct{})}
-				f = newFleet(b, func(o *Options) { o.Batch = batch })
+				f = newFleet(b, func(o *Options) {
+					o.Batch = batch
+					cfg := o.Board.Config.Value()
+					cfg.Rules.Institutions = slices.Clone(cfg.Rules.Institutions)
+					cfg.Rules.Institutions[0].OnlineTailWeight = weight
+					o.Board.Config.Set(cfg)
+				})
 				rate := load * capacity(meanTokens)
 				without := drive(rate, f.ours, nil)
 				batch.enabled.Store(true)
--- a/pkg/controller/admission/learn.go
+++ b/pkg/controller/admission/learn.go
@@ -67,6 +67,7 @@
 			"limit": limit, "batch_slots": out.BatchSlots, "tail": out.Tail, "weight": o.weight, "pressure": pressure}})
 	}
 	o.batchSlots = min(out.BatchSlots, limit)
+	o.state.SetHeadroom(decision.Headroom(limit, o.weight))
 	if limit != o.state.Limit() {
 		o.apply(now, o.state.SetLimit(now, limit))
 	}
--- a/pkg/controller/admission/owner.go
+++ b/pkg/controller/admission/owner.go
@@ -151,6 +151,7 @@
 		delete(o.tickets, a.Work.Ticket)
 	}
 	o.cancelled[a.Work.Ticket] = now
+	o.refreshProgress()
 	o.apply(now, o.state.Release(now, a.Work.Ticket))
 	o.mu.Unlock()
 	o.fill()
--- a/pkg/decision/admission/holdings.go
+++ b/pkg/decision/admission/holdings.go
@@ -18,7 +18,7 @@
 		return 0
 	}
 	_, batch, _ := s.Counts()
-	return min(allowance-batch, s.limit-len(s.running))
+	return min(allowance-batch, s.limit-s.headroom-len(s.running))
 }
 
 // Freeze grants nothing until the given time. A new owner uses it until it knows the slots in use. An earlier time
@@ -28,6 +28,22 @@
 	return s.Advance(now)
 }
 
+// SetHeadroom sets how many slots batch work leaves free for online arrivals. With restore, batch runs are ended
+// when online work has used the headroom; else it comes back as runs end.
+func (s *State) SetHeadroom(slots int, restore bool) {
+	s.headroom, s.restore = max(0, min(slots, s.limit-1)), restore
+}
+
+func (s *State) restoreHeadroom(now time.Time) []Decision {
+	need := s.headroom + len(s.running) - s.limit
+	for _, h := range s.running {
+		if !h.preempted.IsZero() {
+			need--
+		}
+	}
+	return s.preemptN(now, need, "keeps a slot free for online work")
+}
+
 // SetProgress notes how much work a batch run would lose.
 func (s *State) SetProgress(id string, tokens int, resumable bool) {
 	if h, ok := s.running[id]; ok {
@@ -97,7 +113,7 @@
 	return out
 }
 
-// Busy reports whether Advance must be called again soon: requests wait or preempted runs hold slots.
+// Busy reports whether Advance must be called again soon: requests wait.
 func (s *State) Busy() bool { return s.queue.Len() > 0 }
 
 // Hold returns the smoothed time that online work holds a slot.
--- a/pkg/decision/admission/state.go
+++ b/pkg/decision/admission/state.go
@@ -77,6 +77,9 @@
 	queue   Queue
 	// hold is the smoothed time that online work holds a slot.
 	hold time.Duration
+	// headroom is the number of slots that batch work leaves free; with restore it also ends runs for that.
+	headroom int
+	restore  bool
 	// frozen is until when nothing is granted, since slots may be in use that are not known here.
 	frozen time.Time
 	// peak is the most slots in use since ResetPeak.
@@ -222,6 +225,9 @@
 	out := s.expire(now)
 	for {
 		it, ok := s.queue.Peek()
+		if !ok && s.restore {
+			return append(out, s.restoreHeadroom(now)...)
+		}
 		if !ok || s.aloneRuns() || now.Before(s.frozen) {
 			return out
 		}
--- a/pkg/decision/admission/tuner.go
+++ b/pkg/decision/admission/tuner.go
@@ -163,4 +163,24 @@
 	return sorted[int(math.Ceil(0.95*float64(len(sorted))))-1]
 }
 
+// Parameters of the headroom. On a model engine at 60 % online load, one free slot of 8 costs batch work little,
+// since it saves preemptions; to end runs for it took the p99 first token with a backlog from 2.0 to 1.24 times
+// the one without, and batch throughput from 78 to 56 % of the idle slots. So only a weight near 1 asks for it.
+const (
+	headroomPart  = 0.1
+	oneSlotWeight = 0.5
+	restoreWeight = 0.9
+)
+
+// Headroom returns how many of limit slots batch work leaves free, and whether batch runs are ended to keep them
+// free. Online work that finds a free slot does not wait for a run to leave. It is up to a tenth of the slots, by
+// the online_tail_weight; upstreams with few slots keep one from a weight of 0.5 on.
+func Headroom(limit int, weight float64) (slots int, restore bool) {
+	slots = int(math.Round(headroomPart * clamp(weight) * float64(limit)))
+	if weight >= oneSlotWeight && limit > 1 {
+		slots = max(slots, 1)
+	}
+	return slots, weight >= restoreWeight
+}
+
 func clamp(x float64) float64 { return math.Max(0, math.Min(1, x)) }
