Excuse requests that died with several upstreams at once

Cause: the loss of a rack would make every request in flight on it a suspect that needs an idle upstream for itself. Change: when 3 upstreams die within 2 s on a node, runs that were not alone are no longer reported as crashing; a crashing request takes down one upstream after the other.

--- a/pkg/gateway/admit.go
+++ b/pkg/gateway/admit.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"net/http"
 	"time"
 
@@ -121,14 +122,35 @@
 	g.Slots.Release(slot, serving.Usage{Result: serving.RunCancelled})
 }
 
-// finished reports the end of a run to the quarantine. A run that was cancelled or cut without a death of the
-// upstream says nothing about the request.
-func (g *Gateway) finished(ctx context.Context, j *job, a attempt) {
+const (
+	// deathWindow and commonDeaths tell a common cause, such as the loss of a rack, from a request that crashes
+	// upstreams: such a request runs once at a time, so that it takes down one upstream after the other.
+	deathWindow  = 2 * time.Second
+	commonDeaths = 3
+)
+
+// commonCause records the death of an upstream and reports whether several died at about the same time.
+func (g *Gateway) commonCause(upstream string, now time.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	maps.DeleteFunc(g.deaths, func(_ string, at time.Time) bool { return now.Sub(at) > deathWindow })
+	g.deaths[upstream] = now
+	return len(g.deaths) >= commonDeaths
+}
+
+// finished reports the end of a run to the quarantine. A run that was cancelled, or cut without a death of the
+// upstream, says nothing about the request. Neither does one that died with several upstreams, unless it was alone:
+// hundreds of suspects that each need an idle upstream would harm all others.
+func (g *Gateway) finished(ctx context.Context, j *job, a attempt, alone bool) {
 	if g.Quarantine == nil {
 		return
 	}
 	upstream := a.upstream
 	died := errors.Is(a.err, serving.ErrUpstreamDied)
+	if died && g.commonCause(upstream, time.Now()) && !alone {
+		g.record(j, upstream, "crash-excused", "several upstreams died at the same time", nil)
+		died = false
+	}
 	if a.err != nil && !died {
 		upstream = ""
 	}
--- a/pkg/gateway/crash_test.go
+++ b/pkg/gateway/crash_test.go
@@ -17,6 +17,7 @@
 	"trefoilplank.example/pkg/decision/rendezvous"
 	"trefoilplank.example/pkg/gateway/peertest"
 	"trefoilplank.example/pkg/gateway/prompt"
+	"trefoilplank.example/pkg/serving"
 )
 
 // fleet starts nodes that share the upstreams and the slots.
@@ -126,3 +127,51 @@
 	assert.NilError(t, r.err)
 	assert.Equal(t, e.runCount(), 21)
 }
+
+// reports counts the crash reports by upstream.
+type reports struct {
+	mu     sync.Mutex
+	deaths map[string]int
+}
+
+func (r *reports) Check(context.Context, string, string) (serving.Verdict, time.Duration) {
+	return serving.VerdictClear, 0
+}
+
+func (r *reports) Finished(_ context.Context, _, _, upstream string, died bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if died {
+		r.deaths[upstream]++
+	}
+}
+
+// Guards against hundreds of suspects, each of which would need an idle upstream, when a rack is lost.
+func TestLossOfManyUpstreamsMakesFewSuspects(t *testing.T) {
+	release := make(chan struct{})
+	var upstreams []*fakeUpstream
+	for i := range 6 {
+		e := newUpstream(t, fmt.Sprint("e", i), api.UpstreamEngine)
+		if i > 0 {
+			e.fault = func(f *fakeUpstream, _ http.ResponseWriter, _ *http.Request, _ []byte) bool {
+				<-release
+				f.crash()
+				return true
+			}
+		}
+		upstreams = append(upstreams, e)
+	}
+	seen := &reports{deaths: map[string]int{}}
+	f := newFixture(t, func(o *Options) { o.Quarantine = seen }, upstreams...)
+	var group sync.WaitGroup
+	for i := range 30 {
+		group.Go(func() {
+			r := f.chat(fmt.Sprint(i))
+			assert.Check(t, r.status == 200, r.body)
+		})
+	}
+	eventually(t, "the runs have begun", func() bool { return f.slots.inUse() >= 25 })
+	close(release)
+	group.Wait()
+	assert.Assert(t, len(seen.deaths) < commonDeaths, "%v", seen.deaths)
+}
--- a/pkg/gateway/execute.go
+++ b/pkg/gateway/execute.go
@@ -119,17 +119,17 @@
 	}
 	if err := g.claim(ctx, j); err != nil {
 		g.giveBack(slot)
-		g.finished(ctx, j, attempt{upstream: slot.Upstream.Name, err: err})
+		g.finished(ctx, j, attempt{upstream: slot.Upstream.Name, err: err}, alone)
 		return attempt{}, err
 	}
 	if j.hedge {
-		return g.runHedged(ctx, j, slot), nil
+		return g.runHedged(ctx, j, slot, alone), nil
 	}
-	return g.run(ctx, j, slot), nil
+	return g.run(ctx, j, slot, alone), nil
 }
 
 // run calls the upstream of the slot, then returns the slot and reports the end of the run.
-func (g *Gateway) run(ctx context.Context, j *job, slot *serving.Slot) attempt {
+func (g *Gateway) run(ctx context.Context, j *job, slot *serving.Slot, alone bool) attempt {
 	a := attempt{upstream: slot.Upstream.Name}
 	start := time.Now()
 	if j.stream {
@@ -144,7 +144,7 @@
 	}
 	usage := usageOf(ctx, a, time.Since(start))
 	g.Slots.Release(slot, usage)
-	g.finished(ctx, j, a)
+	g.finished(ctx, j, a, alone)
 	if a.err != nil && !notStarted(a.err) && usage.Result == serving.RunCancelled {
 		g.cancel(j, slot.Upstream)
 	}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -109,6 +109,8 @@
 	hedges *retry.Budget
 	// lookups holds the durations of lookups by service.
 	lookups map[string]*retry.Durations
+	// deaths holds the last death by upstream.
+	deaths map[string]time.Time
 
 	// active counts the requests in progress.
 	active atomic.Int64
@@ -120,7 +122,7 @@
 func New(o Options) *Gateway {
 	o.setDefaults()
 	g := &Gateway{
-		Options: o, mux: http.NewServeMux(), lookups: map[string]*retry.Durations{},
+		Options: o, mux: http.NewServeMux(), lookups: map[string]*retry.Durations{}, deaths: map[string]time.Time{},
 		budget: retry.NewBudget(retry.DefaultShare, retry.Reserve),
 		hedges: retry.NewBudget(retry.HedgeShare, retry.HedgeReserve),
 	}
--- a/pkg/gateway/hedge.go
+++ b/pkg/gateway/hedge.go
@@ -10,11 +10,11 @@
 
 // runHedged runs a short lookup, and runs it on a second upstream as well when the first one takes longer than
 // 95 % of the recent lookups of the service. The first good answer counts, and the other run is cancelled.
-func (g *Gateway) runHedged(ctx context.Context, j *job, slot *serving.Slot) attempt {
+func (g *Gateway) runHedged(ctx context.Context, j *job, slot *serving.Slot, alone bool) attempt {
 	start := time.Now()
 	delay, ok := g.hedgeDelay(j.req.Service)
-	if !ok {
-		a := g.run(ctx, j, slot)
+	if !ok || alone {
+		a := g.run(ctx, j, slot, alone)
 		g.learnLookup(j.req.Service, a, time.Since(start))
 		return a
 	}
@@ -22,7 +22,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	results := make(chan attempt, 2)
-	go func() { results <- g.run(ctx, j, slot) }()
+	go func() { results <- g.run(ctx, j, slot, false) }()
 	timer := time.NewTimer(delay)
 	defer timer.Stop()
 	select {
@@ -57,7 +57,7 @@
 	if err != nil {
 		return attempt{err: err}
 	}
-	return g.run(ctx, j, slot)
+	return g.run(ctx, j, slot, false)
 }
 
 func good(a attempt) bool { return a.err == nil && !retryableStatus(a.res.Status) }
