--- a/pkg/ctl/bench.go
+++ b/pkg/ctl/bench.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"os"
 	"os/signal"
 	"strings"
@@ -19,6 +20,9 @@
   trefoilctl bench --profile lookup --target 127.0.0.1:18080 --against 127.0.0.1:9000 --against-direct --rate 500
   trefoilctl bench --profile agencia --repeat 3 --seed 7 --plot bench.html`
 
+// backlogTokens is the length of the answers of the batch job beside the calls.
+const backlogTokens = 32
+
 // benchCommand is the load and experiment tool.
 type benchCommand struct {
 	*app          `no-flag:"yes"`
@@ -27,11 +31,13 @@
 	Direct        bool          `long:"direct" description:"call --target as an upstream, without a node"`
 	Against       []string      `long:"against" value-name:"ADDRESS" description:"second variant to compare with; may be given several times"`
 	AgainstDirect bool          `long:"against-direct" description:"call --against as an upstream, without a node"`
+	Backlog       int           `long:"backlog" value-name:"ITEMS" description:"compare without and with a batch job of this size beside the calls"`
 	Rate          float64       `long:"rate" default:"20" value-name:"N" description:"calls a second on average"`
 	Length        time.Duration `long:"length" default:"10s" value-name:"DURATION" description:"length of one run"`
 	Repeat        int           `long:"repeat" default:"1" value-name:"N" description:"number of runs of each variant"`
 	Seed          uint64        `long:"seed" default:"1" value-name:"N" description:"seed of the planned calls"`
-	Plot          string        `long:"plot" value-name:"FILE" description:"write an HTML page with plots"`
+	beside        *bench.Backlog
+	Plot          string `long:"plot" value-name:"FILE" description:"write an HTML page with plots"`
 }
 
 // Execute runs the experiment.
@@ -40,11 +46,14 @@
 	if err != nil {
 		return usageError.Wrap(err)
 	}
+	if c.Backlog > 0 && (len(c.Against) > 0 || c.Direct) {
+		return usageError.New("--backlog goes with nodes as --target and without --against")
+	}
 	if c.Rate <= 0 || c.Length <= 0 || c.Repeat < 1 {
 		return usageError.New("--rate, --length and --repeat must be above 0")
 	}
 	e := bench.Experiment{
-		Profile: profile, Rate: c.Rate, Length: c.Length, Repetitions: c.Repeat, Seed: c.Seed, Variants: c.variants(),
+		Profile: profile, Rate: c.Rate, Length: c.Length, Repetitions: c.Repeat, Seed: c.Seed, Variants: c.variants(profile.Model),
 	}
 	bar := c.progress(int64(e.Calls()), "calls")
 	var done atomic.Int64
@@ -56,10 +65,14 @@
 	if err != nil {
 		return err
 	}
-	return c.print(bench.NewReport(e, results))
+	if err := c.print(bench.NewReport(e, results)); err != nil || c.beside == nil || c.JSON {
+		return err
+	}
+	_, err = fmt.Fprintf(c.stdout, "batch items completed beside the calls: %.1f/s\n", float64(c.beside.Completed)/c.beside.Seconds)
+	return err
 }
 
-func (c *benchCommand) variants() []bench.Variant {
+func (c *benchCommand) variants(model string) []bench.Variant {
 	if len(c.Target) == 0 {
 		c.Target = []string{c.CallerServer}
 	}
@@ -69,6 +82,13 @@
 		}}
 	}
 	variants := []bench.Variant{target(c.Target, c.Direct)}
+	if c.Backlog > 0 {
+		beside := variants[0]
+		beside.Target.Name += " with batch"
+		c.beside = &bench.Backlog{Address: c.Target[0], Key: c.CallerKey, Model: model, Items: c.Backlog, MaxTokens: backlogTokens}
+		beside.Around = c.beside.Around
+		return append(variants, beside)
+	}
 	if len(c.Against) > 0 {
 		variants = append(variants, target(c.Against, c.AgainstDirect))
 	}
