--- /dev/null
+++ b/pkg/decision/health/health_test.go
@@ -0,0 +1,58 @@
+package health
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"trefoilplank.example/pkg/blackboard"
+	"trefoilplank.example/pkg/serving"
+)
+
+// Guards against ejection by single failures under load or by one caller's bad requests.
+func TestLittleEvidenceDoesNotEject(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 1))
+	now := time.Unix(0, 0)
+	tr := New(now)
+	for i := range 1000 {
+		now = now.Add(100 * time.Millisecond)
+		r := serving.RunOK
+		switch {
+		case i%50 == 0:
+			r = serving.RunDied
+		case i%3 == 0:
+			r = serving.RunRejected
+		}
+		tr.Report(now, r, random)
+		state, _, reason := tr.State()
+		assert.Equal(t, state, blackboard.HealthReady, reason)
+	}
+}
+
+// Guards against repeated trials of a broken upstream at a constant pace, and against a full load at once on
+// return.
+func TestEjectionsDoubleAndReturnIsSlow(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 1))
+	now := time.Unix(0, 0)
+	tr := New(now)
+	var out []time.Duration
+	for range 4 {
+		tr.Report(now, serving.RunNotStarted, random)
+		tr.Report(now, serving.RunNotStarted, random)
+		began := now
+		assert.Equal(t, tr.Part(now), 0.0)
+		for state := blackboard.HealthEjected; state == blackboard.HealthEjected; state, _, _ = tr.State() {
+			now = now.Add(100 * time.Millisecond)
+			tr.Advance(now)
+		}
+		out = append(out, now.Sub(began))
+		assert.Assert(t, tr.Part(now) < 0.2)
+	}
+	for i := range out[1:] {
+		assert.Assert(t, out[i+1] > out[i]*3/2, "%v", out)
+	}
+	tr.Advance(now.Add(slowStart))
+	assert.Equal(t, tr.Part(now.Add(slowStart)), 1.0)
+}
