Send the queue of a lost upstream elsewhere once

Cause: by review, requests stayed queued at an ejected upstream; a node that was asked by nodes with other members evicted its queue at each sync; a caller on the owner's own node waited up to 200 ms after its deadline. Change: the queue is handed back once, when the role, or the upstream by ejection or leaving, is lost; the in-process wait follows the context; a request is given up after 3 refusals as too late; waiting for a preempted run counts as harm by batch work.

--- a/pkg/controller/admission/client.go
+++ b/pkg/controller/admission/client.go
@@ -22,6 +22,9 @@
 const (
 	// maxTries bounds the offers of a request; the last one queues it however long the wait.
 	maxTries = 5
+	// maxRefusals bounds the upstreams that refuse a request as too late before it is given up. The best ones were
+	// asked first, and in an overload more calls would only add load.
+	maxRefusals = 3
 	// maxRounds bounds how often a request starts over because an owner was lost while it waited.
 	maxRounds = 8
 )
@@ -57,6 +60,7 @@
 	exclude := append([]string(nil), r.Exclude...)
 	offered := map[string]time.Duration{}
 	var refused *AcquireReply
+	refusals := 0
 	for try := range maxTries {
 		order := c.place(r, exclude)
 		if len(order) == 0 || ctx.Err() != nil {
@@ -81,6 +85,9 @@
 		default:
 			exclude = append(exclude, u.Upstream.Name)
 			refused = reply
+			if refusals++; refusals == maxRefusals {
+				return nil, refused
+			}
 		}
 	}
 	return nil, refused
@@ -271,7 +278,8 @@
 	case *AcquireArgs:
 		return s.Acquire(a, reply.(*AcquireReply))
 	case *WaitArgs:
-		return s.Wait(a, reply.(*AcquireReply))
+		c.upstream(a.Upstream).wait(ctx, a, reply.(*AcquireReply))
+		return nil
 	case *LoadArgs:
 		return s.Load(a, reply.(*LoadReply))
 	}
--- a/pkg/controller/admission/failure_test.go
+++ b/pkg/controller/admission/failure_test.go
@@ -183,6 +183,38 @@
 	})
 }
 
+// Guards against requests that stay in the queue of an upstream that breaks or leaves while another has a slot.
+func TestQueueMovesOffLostUpstream(t *testing.T) {
+	for _, health := range []blackboard.UpstreamHealth{blackboard.HealthEjected, blackboard.HealthLeaving} {
+		synctest.Test(t, func(t *testing.T) {
+			n := cluster(t, 3, engines(2), nil)
+			time.Sleep(time.Second)
+			var held []*serving.Slot
+			for i := range 2 * defaultLimit {
+				held = append(held, acquire(t, n.nodes["n0"], fmt.Sprint("h", i)))
+			}
+			got := make(chan string, 1)
+			go func() { got <- acquire(t, n.nodes["n1"], "q").Upstream.Name }()
+			time.Sleep(50 * time.Millisecond)
+			lost, other := "e0", "e1"
+			if n.nodes[n.owner("e1")].c.upstream("e1").load().Waiting == 1 {
+				lost, other = other, lost
+			}
+			for _, node := range n.nodes {
+				node.board.Upstreams.Set(map[string]blackboard.UpstreamStatus{lost: {Health: health}})
+			}
+			for _, s := range held {
+				if s.Upstream.Name == other {
+					n.nodes["n0"].c.Release(s, serving.Usage{Result: serving.RunOK})
+				}
+			}
+			time.Sleep(50 * time.Millisecond)
+			assert.Equal(t, len(got), 1, "still waits for the %s upstream", health)
+			assert.Equal(t, <-got, other)
+		})
+	}
+}
+
 // fakeBatch is an endless stock of items that generate one token per interval.
 type fakeBatch struct {
 	interval time.Duration
--- a/pkg/controller/admission/learn.go
+++ b/pkg/controller/admission/learn.go
@@ -21,6 +21,10 @@
 		return
 	}
 	s := decision.Sample{Queued: a.Work.Queued, FirstToken: u.FirstToken, BetweenTokens: u.BetweenTokens, Duration: u.Duration, Tokens: u.Tokens}
+	if _, batch, _ := o.state.Counts(); batch > 0 {
+		// Beside batch work a request waits only for a preempted run, which is harm done by batch work.
+		s.FirstToken += s.Queued
+	}
 	o.state.ObserveHold(u.Duration)
 	o.estimates.Observe(s)
 	rules := o.c.Board.Config.Value().Rules
--- a/pkg/controller/admission/owner.go
+++ b/pkg/controller/admission/owner.go
@@ -1,7 +1,6 @@
 package admission
 
 import (
-	"cmp"
 	"context"
 	"sync"
 	"time"
@@ -32,6 +31,9 @@
 	// overtake each other.
 	cancelled map[string]time.Time
 	ticking   bool
+	// wasOwner and health are what the last sync saw.
+	wasOwner bool
+	health   blackboard.UpstreamHealth
 	// reported holds the nodes that have reported their slots to a new owner; nil when that is no longer awaited.
 	reported map[string]bool
 }
@@ -114,7 +116,7 @@
 }
 
 // wait returns the decision on a queued request, or StatusQueued after the poll time.
-func (o *owned) wait(a *WaitArgs, reply *AcquireReply) {
+func (o *owned) wait(ctx context.Context, a *WaitArgs, reply *AcquireReply) {
 	o.mu.Lock()
 	t, ok := o.tickets[a.Ticket]
 	o.mu.Unlock()
@@ -136,6 +138,8 @@
 		o.mu.Unlock()
 	case <-timer.C:
 		reply.Status = StatusQueued
+	case <-ctx.Done():
+		reply.Status = StatusQueued
 	}
 }
 
@@ -204,18 +208,21 @@
 			o.apply(now, o.state.DropNode(now, n))
 		}
 	}
-	if why := o.closed(decision.Unlimited); why != "" || o.c.owner(o.name) != o.c.Self {
-		for _, d := range o.state.Evict(now, cmp.Or(why, "another node owns the upstream now")) {
-			o.explain(d)
-			if t, ok := o.tickets[d.Item.ID]; ok {
-				close(t.decided)
-			}
-			delete(o.tickets, d.Item.ID)
-		}
+	isOwner, health, why := o.c.owner(o.name) == o.c.Self, o.c.Board.Upstreams.Value()[o.name].Health, ""
+	switch {
+	case o.wasOwner && !isOwner:
+		why = "another node owns the upstream now"
+	case health != o.health:
+		why = o.closed(0)
+	}
+	o.wasOwner, o.health = isOwner, health
+	if why != "" {
+		o.evict(now, why)
 	}
-	if o.c.owner(o.name) != o.c.Self {
+	if !isOwner {
 		o.apply(now, o.state.TrimBatch(now, 0))
-		return len(o.runs) == 0
+		_, _, waiting := o.state.Counts()
+		return len(o.runs) == 0 && waiting == 0
 	}
 	for id, t := range o.tickets {
 		if !t.done.IsZero() && now.Sub(t.done) > ticketLife {
@@ -231,6 +238,18 @@
 	return false
 }
 
+// evict sends the waiting requests back to their nodes, which offer them to other upstreams; o.mu is held. It
+// is done once when the upstream or the role is lost: a request that comes back then has no better place.
+func (o *owned) evict(now time.Time, why string) {
+	for _, d := range o.state.Evict(now, why) {
+		o.explain(d)
+		if t, ok := o.tickets[d.Item.ID]; ok {
+			close(t.decided)
+		}
+		delete(o.tickets, d.Item.ID)
+	}
+}
+
 // closed returns why the upstream takes no work, or "". An ejected upstream takes work from a node that knows
 // no better one.
 func (o *owned) closed(maxWait time.Duration) string {
--- a/pkg/controller/admission/service.go
+++ b/pkg/controller/admission/service.go
@@ -30,7 +30,7 @@
 // Wait waits for the decision on a queued request.
 func (s *Service) Wait(a *WaitArgs, reply *AcquireReply) error {
 	a.Poll = min(max(a.Poll, 0), maxPoll)
-	s.c.upstream(a.Upstream).wait(a, reply)
+	s.c.upstream(a.Upstream).wait(s.c.life, a, reply)
 	reply.Loads = s.c.loads("", false)
 	return nil
 }
