Keep a margin for the first token of the last accepted request

Cause: at 150 % load 1.2 % of accepted requests missed the objective by a few ms, since they started when only the mean first-token time was left. Change: twice the mean is kept. The prefix benchmark shows both p99 values.

--- a/pkg/controller/admission/bench_test.go
+++ b/pkg/controller/admission/bench_test.go
@@ -232,6 +232,7 @@
 		byPrefix, p99 := run(true)
 		b.ReportMetric(byPrefix, "prefix-hit-%")
 		b.ReportMetric(byLoad, "load-only-hit-%")
-		b.ReportMetric(p99/loadP99, "p99/load-only")
+		b.ReportMetric(p99, "prefix-p99-ms")
+		b.ReportMetric(loadP99, "load-only-p99-ms")
 	}
 }
--- a/pkg/decision/admission/owner.go
+++ b/pkg/decision/admission/owner.go
@@ -45,6 +45,10 @@
 	return max(1, int(math.Ceil(float64(limit)/float64(max(1, liveNodes)))))
 }
 
+// firstTokenMargin times the mean first-token time is kept for a request that starts at the last moment, so that
+// its tail still meets the objective; with 1, about 1 % of accepted requests missed it by a few milliseconds.
+const firstTokenMargin = 2
+
 // StartBy returns the latest time at which a start meets both the deadline, given the expected run time, and
 // the first-token objective of a request that arrived at the given time, given the expected first-token time.
 // An objective of 0 is none. It is never before now, since an idle upstream is worth a try before the deadline.
@@ -54,7 +58,7 @@
 		by = deadline.Add(-run)
 	}
 	if objective > 0 {
-		if o := arrived.Add(objective - firstToken); by.IsZero() || o.Before(by) {
+		if o := arrived.Add(objective - firstTokenMargin*firstToken); by.IsZero() || o.Before(by) {
 			by = o
 		}
 	}
