--- a/pkg/adapter/service/death.go
+++ b/pkg/adapter/service/death.go
@@ -31,10 +31,8 @@
 	owner        *flights
 	upstream, id string
 	answers      chan *Answer
-	failed       chan error
 	started      time.Time
-	// leave unties the round trip from the caller's context; cancel ends it.
-	leave  func() bool
+	// cancel ends the call's own round trip.
 	cancel context.CancelFunc
 	// settled and abandon are guarded by owner.mu.
 	settled bool
@@ -67,10 +65,10 @@
 	return time.Since(s.aliveAt[upstream]) < aliveFor
 }
 
-func (s *flights) add(upstream, id string) *flight {
+func (s *flights) add(upstream, id string, cancel context.CancelFunc) *flight {
 	f := &flight{
-		owner: s, upstream: upstream, id: id, started: time.Now(),
-		answers: make(chan *Answer, 1), failed: make(chan error, 2),
+		owner: s, upstream: upstream, id: id, started: time.Now(), cancel: cancel,
+		answers: make(chan *Answer, 1),
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -81,16 +79,7 @@
 	return f
 }
 
-// abandonAfter ends the round trip of a call that has its answer already, unless headers arrive before.
-func (f *flight) abandonAfter(d time.Duration) {
-	f.owner.mu.Lock()
-	defer f.owner.mu.Unlock()
-	if !f.settled {
-		f.abandon = time.AfterFunc(d, f.cancel)
-	}
-}
-
-// settle records that the headers of an answer arrived on the call's own connection.
+// settle records that the call's own round trip has ended.
 func (f *flight) settle() {
 	f.owner.mu.Lock()
 	defer f.owner.mu.Unlock()
@@ -123,19 +112,17 @@
 	}
 }
 
-// take gives the call its answer; false when it has one already or has ended.
+// take gives the call an answer that arrived on another connection; false when it has one already or has ended.
+// The call's own connection may carry the answer of that other call, and has matchWait to do so. owner.mu is held.
 func (f *flight) take(a *Answer) bool {
-	f.owner.mu.Lock()
-	defer f.owner.mu.Unlock()
-	return f.takeLocked(a)
-}
-
-func (f *flight) takeLocked(a *Answer) bool {
 	if f.ended {
 		return false
 	}
 	select {
 	case f.answers <- a:
+		if !f.settled {
+			f.abandon = time.AfterFunc(matchWait, f.cancel)
+		}
 		return true
 	default:
 		return false
@@ -147,7 +134,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, f := range s.byUpstream[upstream] {
-		if f.id == id && f.takeLocked(a) {
+		if f.id == id && f.take(a) {
 			return true
 		}
 	}
--- a/pkg/adapter/service/service.go
+++ b/pkg/adapter/service/service.go
@@ -9,7 +9,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -67,8 +66,6 @@
 type Answer struct {
 	*http.Response
 	flight *flight
-	// via is the call on whose connection the answer arrived.
-	via    *flight
 	cancel context.CancelFunc
 	detach func() bool
 }
@@ -138,75 +135,65 @@
 		}
 		c.flights.answered(u.Name)
 	}
-	f := c.flights.add(u.Name, call.RequestID)
 	run, cancel := context.WithCancel(context.WithoutCancel(ctx))
-	f.leave, f.cancel = context.AfterFunc(ctx, cancel), cancel
-	go c.roundTrip(ctx, run, cancel, u, call, f)
-	a, err := c.await(ctx, u, f)
+	f := c.flights.add(u.Name, call.RequestID, cancel)
+	a, err := c.roundTrip(ctx, run, u, call, f)
 	if err != nil {
 		f.end()
 		return nil, err
 	}
+	a.flight = f
+	a.detach = context.AfterFunc(ctx, a.cancel)
 	return a, nil
 }
 
-func (c *Client) await(ctx context.Context, u api.Upstream, f *flight) (*Answer, error) {
-	var wait <-chan time.Time
-	for {
+// roundTrip sends the call and returns its answer. What arrives on the call's own connection goes to the call that it
+// belongs to, so the round trip is not tied to the caller's context once its headers are there.
+func (c *Client) roundTrip(ctx, run context.Context, u api.Upstream, call serving.Call, f *flight) (*Answer, error) {
+	cancel := f.cancel
+	leave := context.AfterFunc(ctx, cancel)
+	var p progress
+	resp, err := c.send(run, u, call, &p)
+	f.settle()
+	if err != nil {
 		select {
 		case a := <-f.answers:
-			// The own connection may still carry the answer of the call whose connection carried this one.
-			f.leave()
-			a.flight = f
-			if a.via != f {
-				f.abandonAfter(matchWait)
-			}
-			a.detach = context.AfterFunc(ctx, a.cancel)
+			leave()
+			cancel()
 			return a, nil
-		case err := <-f.failed:
-			if !errors.Is(err, serving.ErrMismatch) {
-				return nil, err
-			}
-			wait = time.After(matchWait)
-		case <-wait:
-			return nil, serving.ErrMismatch
-		case <-ctx.Done():
-			return nil, errs.Combine(serving.ErrInterrupted, context.Cause(ctx))
+		default:
 		}
-	}
-}
-
-// roundTrip sends the call and delivers the answer to the call that it belongs to.
-func (c *Client) roundTrip(ctx, run context.Context, cancel context.CancelFunc, u api.Upstream, call serving.Call, f *flight) {
-	var p progress
-	resp, err := c.send(run, u, call, &p)
-	if err != nil {
-		f.leave()
-		f.failed <- c.classify(ctx, run, u, f, &p, err)
+		err = c.classify(ctx, run, u, f, &p, err)
+		leave()
 		cancel()
-		return
+		return nil, err
 	}
-	echo := resp.Header.Get(api.HeaderUpstreamRequestID)
+	leave()
 	c.flights.answered(u.Name)
+	a := &Answer{Response: resp, cancel: cancel}
+	echo := resp.Header.Get(api.HeaderUpstreamRequestID)
 	if echo == "" && (resp.StatusCode >= 300 || resp.StatusCode == http.StatusNoContent) {
 		// A refusal from a layer below the application carries no id, and an empty answer has no content to mix
 		// up; both belong to this connection.
 		echo = call.RequestID
 	}
-	f.settle()
-	a := &Answer{Response: resp, cancel: cancel, via: f}
-	f.leave()
-	taken := false
 	if echo == call.RequestID {
-		taken = f.take(a)
-	} else {
-		f.failed <- serving.ErrMismatch
-		taken = c.flights.deliver(u.Name, echo, a)
+		return a, nil
 	}
-	if !taken {
+	if !c.flights.deliver(u.Name, echo, a) {
 		resp.Body.Close()
 		cancel()
 	}
+	timer := time.NewTimer(matchWait)
+	defer timer.Stop()
+	select {
+	case a := <-f.answers:
+		return a, nil
+	case <-timer.C:
+		return nil, serving.ErrMismatch
+	case <-ctx.Done():
+		return nil, errs.Combine(serving.ErrInterrupted, context.Cause(ctx))
+	}
 }
 
 // send makes the round trip; it repeats it once when a kept connection had closed before anything was written.
@@ -276,7 +263,7 @@
 func Closed() *Answer {
 	return &Answer{
 		Response: &http.Response{Body: http.NoBody},
-		flight:   (&flights{}).add("", ""),
+		flight:   (&flights{}).add("", "", func() {}),
 		cancel:   func() {},
 		detach:   func() bool { return true },
 	}
