--- a/pkg/controller/idempotency/idempotency.go
+++ b/pkg/controller/idempotency/idempotency.go
@@ -21,7 +21,7 @@
 	callTimeout = 250 * time.Millisecond
 	// joinWait is how long the owner holds a join before it answers that the run goes on. The joining node
 	// notices a lost owner within joinWait and callTimeout.
-	joinWait = 2 * time.Second
+	joinWait = time.Second
 	// avoidFor is how long an owner that gave no answer is passed over.
 	avoidFor = 2 * time.Second
 	// lapseMargin is added to a run's deadline before the key is freed without a report.
