Take the outcome of a hedged lookup from the run that may have begun

Cause: when one run of a hedge could not start and the other was cut, the one that came first decided, so that the outcome could be not-run although an upstream had begun. Change: of two failed runs the one that may have begun counts. A service's own 502 and 504 carry the outcome unknown. Result: the table test of the choice and all gateway tests pass under -race.

--- a/pkg/gateway/handlers.go
+++ b/pkg/gateway/handlers.go
@@ -189,7 +189,11 @@
 // writeResult passes an upstream's whole answer on.
 func writeResult(w http.ResponseWriter, method string, res *serving.Result) {
 	copyHeader(w.Header(), res.Header)
-	if res.Status >= 300 {
+	switch {
+	case res.Status == http.StatusBadGateway || res.Status == http.StatusGatewayTimeout:
+		// The service passes on that it does not know itself.
+		w.Header().Set(api.HeaderOutcome, string(api.Unknown))
+	case res.Status >= 300:
 		w.Header().Set(api.HeaderOutcome, string(api.Failed))
 	}
 	switch {
--- a/pkg/gateway/hedge.go
+++ b/pkg/gateway/hedge.go
@@ -43,9 +43,7 @@
 	}
 	a := <-results
 	if runs == 2 && !good(a) {
-		if b := <-results; good(b) || a.upstream == "" {
-			a = b
-		}
+		a = better(a, <-results)
 	}
 	g.learnLookup(j.req.Service, a, time.Since(start))
 	return a
@@ -60,6 +58,15 @@
 	return g.run(ctx, j, slot, false)
 }
 
+// better returns the attempt that tells more about the request: a good answer, else one that an upstream may have
+// begun, so that the outcome is never not-run when one of the two has.
+func better(a, b attempt) attempt {
+	if good(b) || a.upstream == "" || (!a.started() && b.upstream != "") {
+		return b
+	}
+	return a
+}
+
 func good(a attempt) bool { return a.err == nil && !retryableStatus(a.res.Status) }
 
 func (g *Gateway) takeHedge() bool {
--- a/pkg/gateway/hedge_test.go
+++ b/pkg/gateway/hedge_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"testing"
 	"time"
@@ -54,3 +55,18 @@
 	}
 	assert.Equal(t, cancelled, 1)
 }
+
+// Guards against the outcome not-run for a lookup whose other run may have begun.
+func TestBetterAttempt(t *testing.T) {
+	noSlot := attempt{err: errors.New("no slot")}
+	down := attempt{upstream: "down", err: serving.ErrNotStarted}
+	cutOff := attempt{upstream: "cut", err: serving.ErrInterrupted}
+	busy := attempt{upstream: "busy", res: &serving.Result{Status: 503}}
+	whole := attempt{upstream: "whole", res: &serving.Result{Status: 200}}
+	for _, c := range []struct{ a, b, want attempt }{
+		{noSlot, down, down}, {down, noSlot, down}, {down, cutOff, cutOff}, {cutOff, down, cutOff}, {cutOff, noSlot, cutOff},
+		{cutOff, whole, whole}, {busy, down, busy}, {down, busy, busy}, {noSlot, whole, whole},
+	} {
+		assert.Equal(t, better(c.a, c.b).upstream, c.want.upstream)
+	}
+}
