Give roles their own fencing token and end connections with oversized messages

Cause: the token of a node's lease is not larger than that of a dead holder whose lease is younger, so it can't fence a role; a receiver of an oversized message went on reading behind it. Change: lease.Role with a token that grows with each holder; the reader closes the connection; lost answers of pushes in the change test; benchmark of bringing a version into force.

--- a/pkg/adapter/peer/codec.go
+++ b/pkg/adapter/peer/codec.go
@@ -18,10 +18,11 @@
 	writeTimeout = 10 * time.Second
 )
 
-// limitedReader fails when one message holds more than MaxMessageBytes. It has ReadByte, so gob reads no further
-// than the message.
+// limitedReader ends the connection when one message holds more than MaxMessageBytes, since what follows can't be
+// told apart from it. It has ReadByte, so gob reads no further than the message.
 type limitedReader struct {
 	*bufio.Reader
+	conn net.Conn
 	left int
 }
 
@@ -38,6 +39,7 @@
 func (r *limitedReader) count(n int, err error) error {
 	r.left -= n
 	if err == nil && r.left < 0 {
+		r.conn.Close()
 		return ErrTooLarge
 	}
 	return err
@@ -54,7 +56,7 @@
 }
 
 func newStream(conn net.Conn) *stream {
-	s := &stream{conn: conn, reader: &limitedReader{Reader: bufio.NewReader(conn)}}
+	s := &stream{conn: conn, reader: &limitedReader{Reader: bufio.NewReader(conn), conn: conn}}
 	s.decoder = gob.NewDecoder(s.reader)
 	s.encoder = gob.NewEncoder(&s.out)
 	return s
--- a/pkg/adapter/peer/faults_test.go
+++ b/pkg/adapter/peer/faults_test.go
@@ -82,6 +82,23 @@
 	assert.Equal(t, out.Value, "small")
 }
 
+// TestReceivedMessageBound guards against a receiver that reads a message of any size from a faulty peer.
+func TestReceivedMessageBound(t *testing.T) {
+	_, address := start(t, "secret")
+	conn, err := net.Dial("tcp", address)
+	assert.NilError(t, err)
+	defer conn.Close()
+	assert.NilError(t, peer.ClientHandshake(conn, "secret"))
+	// A gob message that announces 512 MB: the negated number of length bytes, then the length.
+	_, err = conn.Write([]byte{0xfc, 0x20, 0, 0, 0})
+	sent := 0
+	for block := make([]byte, 1<<20); err == nil && sent < 100<<20; sent += len(block) {
+		conn.SetWriteDeadline(time.Now().Add(5 * time.Second))
+		_, err = conn.Write(block)
+	}
+	assert.Assert(t, err != nil && !errors.Is(err, os.ErrDeadlineExceeded), "%d bytes: %v", sent, err)
+}
+
 // TestMutualTLS guards against TLS that accepts a peer without a certificate of the authority.
 func TestMutualTLS(t *testing.T) {
 	dir := t.TempDir()
--- a/pkg/controller/confsync/confsync_test.go
+++ b/pkg/controller/confsync/confsync_test.go
@@ -155,6 +155,8 @@
 		f := newFleet(t, 3, 12)
 		defer f.stopAll()
 		for i := int64(1); i <= 20; i++ {
+			// Answers lost after their effect: the sender takes the receiver for dead and serves those below it.
+			f.network.LoseAnswers(int(i % 3))
 			v, err := f.apply(fmt.Sprintf("z%d-%d", i%3, i%12), change(fmt.Sprint("n", i), fmt.Sprint("k", i), 0))
 			assert.NilError(t, err)
 			assert.Equal(t, v, i)
--- a/pkg/controller/lease/observer.go
+++ b/pkg/controller/lease/observer.go
@@ -25,8 +25,8 @@
 	return &Observer{store: s, params: p, sightings: map[string]lease.Sighting{}}
 }
 
-// MayTake decides whether this node may take over a role record that refers to holder and token. It returns a
-// decision that is not allowed at once, with the time to wait before asking again; it does not block for it.
+// MayTake decides whether this node may take over a role whose record names holder and the token of its lease
+// (lease.Role). It returns a decision that is not allowed at once, with the time to wait before asking again; it does not block for it.
 // inFlight is 0 unless the effects go to an upstream that ignores fencing tokens.
 func (o *Observer) MayTake(ctx context.Context, holder string, token int64, inFlight time.Duration) (lease.Takeover, error) {
 	d := o.params.MayTake(o.sighting(holder), token, time.Now(), inFlight)
--- a/pkg/decision/confchain/chain_test.go
+++ b/pkg/decision/confchain/chain_test.go
@@ -90,19 +90,33 @@
 	assert.Equal(t, len(confchain.Split(make([]byte, 3*confchain.ChunkBytes+1))), 4)
 }
 
-// BenchmarkPayload reports the sizes of a configuration of the two-year target and the time to make a delta.
+// BenchmarkPayload reports the sizes of a configuration of the two-year target and the times to
+// make a delta and to bring it into force.
 func BenchmarkPayload(b *testing.B) {
 	from, to := encode(b, fleetConfig(1)), encode(b, nextConfig())
 	data, err := to.Compress()
 	assert.NilError(b, err)
-	var delta []byte
-	for b.Loop() {
-		delta, err = to.Delta(from)
-		assert.NilError(b, err)
-	}
-	b.ReportMetric(float64(len(to.JSON)), "json-bytes")
-	b.ReportMetric(float64(len(data)), "compressed-bytes")
-	b.ReportMetric(float64(len(delta)), "delta-bytes")
+	delta, err := to.Delta(from)
+	assert.NilError(b, err)
+	b.Run("delta", func(b *testing.B) {
+		for b.Loop() {
+			_, err = to.Delta(from)
+			assert.NilError(b, err)
+		}
+		b.ReportMetric(float64(len(to.JSON)), "json-bytes")
+		b.ReportMetric(float64(len(data)), "compressed-bytes")
+		b.ReportMetric(float64(len(delta)), "delta-bytes")
+	})
+	b.Run("install", func(b *testing.B) {
+		e := confchain.Entry{Record: config.Record{Version: 2}, Digest: confchain.Digest(to.JSON)}
+		for b.Loop() {
+			p, err := confchain.ApplyDelta(from, 2, delta)
+			assert.NilError(b, err)
+			assert.NilError(b, p.Verify(e))
+			_, err = p.Config()
+			assert.NilError(b, err)
+		}
+	})
 }
 
 // node is a node of the property: it moves forward along what it hears.
--- a/pkg/decision/lease/lease_test.go
+++ b/pkg/decision/lease/lease_test.go
@@ -234,6 +234,17 @@
 	}
 }
 
+// TestRole guards against a role whose fencing token does not grow when a node with an older lease takes it, and
+// against a holder that goes on after its lease lapsed.
+func TestRole(t *testing.T) {
+	first := lease.Role{}.Take("a", blackboard.Lease{Number: 500})
+	second := first.Take("b", blackboard.Lease{Number: 100})
+	assert.DeepEqual(t, second, lease.Role{Holder: "b", Lease: 100, Token: 501})
+	assert.Assert(t, second.HeldBy("b", blackboard.Lease{Number: 100}))
+	assert.Assert(t, !second.HeldBy("b", blackboard.Lease{Number: 600}))
+	assert.Assert(t, !lease.Role{Holder: "b"}.HeldBy("b", blackboard.Lease{}))
+}
+
 // TestSuspendedVM guards against a lease that outlives a suspension, which the monotonic clock does not count.
 func TestSuspendedVM(t *testing.T) {
 	now := time.Now()
--- a/pkg/decision/lease/takeover.go
+++ b/pkg/decision/lease/takeover.go
@@ -1,6 +1,31 @@
 package lease
 
-import "time"
+import (
+	"time"
+
+	"trefoilplank.example/pkg/blackboard"
+)
+
+// Role is the part of a role record, such as a part of a batch job or the orders to an upstream, that names its
+// holder. The record changes only by conditional update.
+type Role struct {
+	Holder string `json:"holder"`
+	// Lease is the fencing token of the holder's lease.
+	Lease int64 `json:"lease"`
+	// Token is the fencing token of the role, which effects carry. It grows with each holder, also where the new
+	// holder's lease is older than the previous one's.
+	Token int64 `json:"token"`
+}
+
+// HeldBy reports whether a node with lease l holds the role. A lease that lapsed has another number afterwards.
+func (r Role) HeldBy(node string, l blackboard.Lease) bool {
+	return r.Holder == node && r.Lease == l.Number && l.Number > 0
+}
+
+// Take returns the role as a node with lease l takes it over, once MayTake allows it for Holder and Lease.
+func (r Role) Take(node string, l blackboard.Lease) Role {
+	return Role{Holder: node, Lease: l.Number, Token: max(r.Token+1, l.Number)}
+}
 
 // Sighting is what an observer knows of another node's lease object, by its own clock. The zero Sighting
 // means that the object was never read.
@@ -47,9 +72,9 @@
 	LookAgain bool
 }
 
-// MayTake decides at now whether another node may act in place of the holder that had token. The taker's own
-// token must be larger than token, which the caller's conditional update of the role record carries. Where
-// an upstream ignores tokens, inFlight is the longest time that an order sent by the holder can still take effect.
+// MayTake decides at now whether another node may act in place of the holder whose lease had token. It then
+// writes Role.Take by conditional update, and acts only after that was applied. Where an upstream ignores fencing
+// tokens, inFlight is the longest time that an order sent by the holder can still take effect.
 func (p Params) MayTake(s Sighting, token int64, now time.Time, inFlight time.Duration) Takeover {
 	if s.Since.IsZero() {
 		return Takeover{Reason: "the holder's lease was not read yet", LookAgain: true}
