Recompute the live set, digests and views only when the table changed

Cause: in a trial with 376 nodes of this code in one process on virtual time, 63 % of the processor time went to building the live set and the view of the members for each message. Change: the table counts its changes; section, digest and views are built anew only after one.

--- a/pkg/controller/confsync/confsync.go
+++ b/pkg/controller/confsync/confsync.go
@@ -62,6 +62,9 @@
 	// fetching holds the version that a fetch in progress will bring.
 	fetching int64
 	spread   *dissemination.Spread
+	// members is the view of revision viewed of the Members section.
+	members dissemination.View
+	viewed  int64
 	// target is the accepted version as the store last showed it.
 	target blackboard.Section[confchain.Entry]
 }
@@ -73,7 +76,7 @@
 	return &Controller{
 		store: s, board: b, peers: peers, self: self,
 		payloads: map[int64]confchain.Payload{0: emptyPayload()}, ready: make(chan struct{}),
-		applying: make(chan struct{}, 1), spread: dissemination.NewSpread(),
+		applying: make(chan struct{}, 1), viewed: -1, spread: dissemination.NewSpread(),
 	}
 }
 
@@ -113,7 +116,15 @@
 }
 
 // view returns the live members.
-func (c *Controller) view() dissemination.View { return dissemination.ViewOf(c.board.Members.Value()) }
+func (c *Controller) view() dissemination.View {
+	members, revision := c.board.Members.Get()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if revision != c.viewed {
+		c.viewed, c.members = revision, dissemination.ViewOf(members)
+	}
+	return c.members
+}
 
 // start reads the first version from the store, or from a quorum of the zone's peers while the store is down.
 func (c *Controller) start(ctx context.Context) error {
--- a/pkg/controller/membership/membership.go
+++ b/pkg/controller/membership/membership.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"maps"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -53,10 +52,14 @@
 	o    Options
 	name string
 
-	mu        sync.Mutex
-	table     *membership.Table
-	published blackboard.Members
-	at        time.Time
+	mu    sync.Mutex
+	table *membership.Table
+	// revision and at are of the last write of the section.
+	revision int64
+	at       time.Time
+	// members is the view of the table's topology viewed.
+	members dissemination.View
+	viewed  int64
 	// digest is the sum of the table's digests, and settled when it last changed.
 	digest  uint64
 	settled time.Time
@@ -81,7 +84,7 @@
 	}
 	c := &Controller{
 		o: o, name: self.Name, table: membership.NewTable(o.Params, self, time.Now()),
-		reports: map[string]int64{}, spread: dissemination.NewSpread(),
+		revision: -1, viewed: -1, reports: map[string]int64{}, spread: dissemination.NewSpread(),
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -270,26 +273,28 @@
 func (c *Controller) publish() {
 	now := time.Now()
 	c.table.SetVersion(c.name, c.version())
-	next := c.table.Live()
-	if digest := c.table.Digests().Sum(); digest != c.digest {
-		c.digest, c.settled = digest, now
-	}
-	if now.Sub(c.at) < publishInterval && maps.EqualFunc(next.Live, c.published.Live, sameMember) {
+	changed := c.table.Revision() != c.revision
+	if !changed && now.Sub(c.at) < publishInterval {
 		return
 	}
-	c.published, c.at = next, now
-	c.o.Board.Members.Set(next)
-}
-
-// sameMember compares all but the time of contact.
-func sameMember(a, b blackboard.Member) bool {
-	a.LastHeard, b.LastHeard = time.Time{}, time.Time{}
-	return a == b
+	if changed {
+		c.revision = c.table.Revision()
+		if digest := c.table.Digests().Sum(); digest != c.digest {
+			c.digest, c.settled = digest, now
+		}
+	}
+	c.at = now
+	c.o.Board.Members.Set(c.table.Live())
 }
 
-// view returns the live members as the board has them.
+// view returns the live members.
 func (c *Controller) view() dissemination.View {
-	return dissemination.ViewOf(c.o.Board.Members.Value())
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if topology := c.table.Topology(); topology != c.viewed {
+		c.viewed, c.members = topology, dissemination.ViewOf(c.table.Live())
+	}
+	return c.members
 }
 
 // announce starts the spread of news.
--- a/pkg/decision/membership/probe.go
+++ b/pkg/decision/membership/probe.go
@@ -130,6 +130,7 @@
 			t.Merge(u, now)
 		}
 		r.Draining = true
+		t.revision++
 		news = append(news, u)
 	}
 	t.doubtLease(r, l.Expiry, now)
--- a/pkg/decision/membership/table.go
+++ b/pkg/decision/membership/table.go
@@ -120,6 +120,9 @@
 	// storeSince is since when the store has answered without a failure; zero while it does not.
 	storeSince time.Time
 	lastTick   time.Time
+	// revision grows with each change but those of the times of contact, and topology with each change of the
+	// live set.
+	revision, topology int64
 }
 
 // NewTable returns a table that knows only self.
@@ -132,6 +135,12 @@
 // Self returns the statement of this node about itself.
 func (t *Table) Self() Update { return t.nodes[t.self].Update }
 
+// Revision grows with each change of what Live and Digests return, times of contact apart.
+func (t *Table) Revision() int64 { return t.revision }
+
+// Topology grows when a node enters or leaves the live set.
+func (t *Table) Topology() int64 { return t.topology }
+
 // Get returns what is known of a node.
 func (t *Table) Get(name string) (Update, bool) {
 	r, ok := t.nodes[name]
@@ -162,6 +171,10 @@
 		r = &record{heard: now}
 		t.nodes[u.Name] = r
 	}
+	if !ok || (u.Status >= Dead) != (r.Status >= Dead) || u.AvailabilityZone != r.AvailabilityZone {
+		t.topology++
+	}
+	t.revision++
 	if u.Incarnation != r.Incarnation {
 		r.version = 0
 	}
@@ -188,6 +201,7 @@
 		self.Seq = s.Seq + 1
 	}
 	self.heard = now
+	t.revision++
 	return []Update{self.Update}
 }
 
@@ -199,6 +213,7 @@
 	}
 	self.Draining = draining
 	self.Seq++
+	t.revision++
 	return []Update{self.Update}
 }
 
@@ -206,6 +221,8 @@
 func (t *Table) Leave() []Update {
 	self := t.nodes[t.self]
 	self.Status = Left
+	t.revision++
+	t.topology++
 	return []Update{self.Update}
 }
 
@@ -219,7 +236,7 @@
 	if s.Incarnation != r.Incarnation {
 		return nil
 	}
-	r.version = max(r.version, version)
+	t.raiseVersion(r, version)
 	if !s.Newer(r.Stamp) {
 		return nil
 	}
@@ -260,7 +277,14 @@
 // SetVersion takes the configuration version in force on a node as a third node reported it.
 func (t *Table) SetVersion(name string, version int64) {
 	if r, ok := t.nodes[name]; ok {
-		r.version = max(r.version, version)
+		t.raiseVersion(r, version)
+	}
+}
+
+func (t *Table) raiseVersion(r *record, version int64) {
+	if version > r.version {
+		r.version = version
+		t.revision++
 	}
 }
 
@@ -274,6 +298,8 @@
 		switch {
 		case r.Status == Suspect && (age >= t.p.SuspectTimeout || t.vms[name] == blackboard.VMLost):
 			r.Status, r.since = Dead, now
+			t.revision++
+			t.topology++
 			if r.raised {
 				news = append(news, r.Update)
 			}
