--- /dev/null
+++ b/pkg/capacity/admission_test.go
@@ -0,0 +1,223 @@
+package capacity_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"trefoilplank.example/api"
+	"trefoilplank.example/pkg/adapter/peer"
+	"trefoilplank.example/pkg/blackboard"
+	"trefoilplank.example/pkg/controller/admission"
+	"trefoilplank.example/pkg/controller/upstreams"
+	"trefoilplank.example/pkg/explain"
+	"trefoilplank.example/pkg/serving"
+)
+
+func admissionNode(b testing.TB, board *blackboard.Board, m *meter, o *upstreams.Observer) (*admission.Controller, *peer.Server) {
+	s := peer.NewServer("", nil)
+	m.Listen(nodeName(0), s)
+	options := admission.Options{
+		Self: nodeName(0), Board: board, Peers: m.caller(nodeName(0)), Registrar: s, Log: explain.NewLog(nodeName(0), 1000, time.Now), Seed: 1,
+	}
+	if o != nil {
+		options.Observer = o
+	}
+	c, err := admission.New(options)
+	assert.NilError(b, err)
+	return c, s
+}
+
+func workOf(i int) admission.Work {
+	return admission.Work{
+		Ticket: fmt.Sprint("node-000/1/", i), Request: fmt.Sprintf("node-000-%026d", i), Institution: fmt.Sprintf("institution-%03d", i%25),
+		Class: "interactive", Share: 1, MaxTokens: 220, DeadlineIn: 2 * time.Minute,
+	}
+}
+
+// BenchmarkAdmissionOwnerState gives the memory of an owner for each upstream and for each granted slot.
+func BenchmarkAdmissionOwnerState(b *testing.B) {
+	for _, n := range []int{100, 500, 1500} {
+		for _, slots := range []int{1, 16} {
+			b.Run(fmt.Sprintf("upstreams=%d/slots=%d", n, slots), func(b *testing.B) {
+				for b.Loop() {
+					board := boardOf(1, n, 1)
+					m := newMeter()
+					c, s := admissionNode(b, board, m, nil)
+					b.ReportMetric(retained(func() any {
+						for i := range n * slots {
+							args := &admission.AcquireArgs{Upstream: fmt.Sprintf("engine-%04d", i%n), Node: nodeName(0), Work: workOf(i), MaxWait: time.Hour}
+							reply := &admission.AcquireReply{}
+							assert.NilError(b, s.CallLocal(context.Background(), "Admission.Acquire", args, reply))
+							assert.Equal(b, reply.Status, admission.StatusGranted, reply.Reason)
+						}
+						return c
+					})/float64(n), "B/upstream")
+				}
+			})
+		}
+	}
+}
+
+// BenchmarkAdmissionOwnerQueue gives the memory and time of an owner for each request that waits for one upstream.
+func BenchmarkAdmissionOwnerQueue(b *testing.B) {
+	for _, depth := range []int{16, 64, 240} {
+		b.Run(fmt.Sprintf("waiting=%d", depth), func(b *testing.B) {
+			m := newMeter()
+			// Without rules there is no objective, which would bound the queue to what can start within it.
+			board := boardOf(1, 1, 0)
+			c, s := admissionNode(b, board, m, nil)
+			offer := func(i int) admission.Status {
+				args := &admission.AcquireArgs{Upstream: "engine-0000", Node: nodeName(0), Work: workOf(i), MaxWait: time.Hour}
+				reply := &admission.AcquireReply{}
+				assert.NilError(b, s.CallLocal(context.Background(), "Admission.Acquire", args, reply))
+				return reply.Status
+			}
+			drop := func(i int) {
+				args := &admission.ReleaseArgs{Upstream: "engine-0000", Node: nodeName(0), Work: workOf(i), Usage: serving.Usage{Result: serving.RunCancelled}}
+				assert.NilError(b, s.CallLocal(context.Background(), "Admission.Release", args, &admission.ReleaseReply{}))
+			}
+			for i := range 16 {
+				assert.Equal(b, offer(i), admission.StatusGranted)
+			}
+			state := retained(func() any {
+				for i := range depth {
+					assert.Equal(b, offer(100+i), admission.StatusQueued)
+				}
+				return c
+			})
+			next := 1000
+			for b.Loop() {
+				if offer(next) != admission.StatusQueued {
+					b.Fatal("not queued")
+				}
+				drop(next)
+				next++
+			}
+			b.ReportMetric(state/float64(depth), "B/waiting")
+		})
+	}
+}
+
+// BenchmarkAdmissionRequest gives the time, calls and bytes of one request from Acquire to Release, by the size of
+// the register, with one owner on another node for all but its own upstreams.
+func BenchmarkAdmissionRequest(b *testing.B) {
+	for _, n := range upstreamSizes {
+		b.Run(fmt.Sprintf("upstreams=%d", n), func(b *testing.B) {
+			board := boardOf(380, n, 400)
+			m := newMeter()
+			c, _ := admissionNode(b, board, m, nil)
+			// All other members are one process that acts as owner of whatever it is asked for.
+			owner := blackboard.New()
+			owner.Config.Set(board.Config.Value())
+			owner.Members.Set(blackboard.Members{Self: "owner", Live: map[string]blackboard.Member{"owner": {Name: "owner"}}})
+			owner.Upstreams.Set(board.Upstreams.Value())
+			s := peer.NewServer("", nil)
+			_, err := admission.New(admission.Options{Self: "owner", Board: owner, Peers: m.caller("owner"), Registrar: s})
+			assert.NilError(b, err)
+			for i := 1; i < 380; i++ {
+				m.Listen(nodeName(i), s)
+			}
+			granted, next := 0, 0
+			for b.Loop() {
+				next++
+				slot, err := c.Acquire(context.Background(), request(next))
+				if err == nil {
+					granted++
+					c.Release(slot, serving.Usage{Result: serving.RunOK, FirstToken: 200 * time.Millisecond, Duration: time.Second, Tokens: 220})
+				}
+			}
+			if granted == 0 {
+				b.Fatal("no request got a slot")
+			}
+			time.Sleep(50 * time.Millisecond)
+			calls, size := m.totals(nil)
+			b.ReportMetric(float64(granted)/float64(next), "granted/request")
+			b.ReportMetric(float64(calls)/float64(next), "calls/request")
+			b.ReportMetric(float64(size)/float64(next), "B/request")
+		})
+	}
+}
+
+// fixedProber answers polls without I/O.
+type fixedProber struct{}
+
+func (fixedProber) Load(context.Context, api.Upstream) (upstreams.Load, error) {
+	return upstreams.Load{Slots: 16, Running: 8, KVCapacity: 1000, At: time.Now()}, nil
+}
+
+func (fixedProber) State(_ context.Context, u api.Upstream) (upstreams.State, error) {
+	return upstreams.State{Models: u.Models}, nil
+}
+
+func (fixedProber) CacheEvents(context.Context, api.Upstream, int64) (upstreams.Events, error) {
+	return upstreams.Events{}, nil
+}
+
+// BenchmarkIdleLoops gives the processor time that a node's admission and upstream observer take without any
+// request, by the size of the register; polls are answered at once. In the variant "learning" the observer also
+// takes 16 views a second from owners' replies, as two calls for each of 8 requests/s bring. It runs for idleTime
+// of real time.
+func BenchmarkIdleLoops(b *testing.B) {
+	const idleTime = 3 * time.Second
+	for _, n := range upstreamSizes {
+		for _, part := range []string{"observer", "both", "learning"} {
+			b.Run(fmt.Sprintf("upstreams=%d/%s", n, part), func(b *testing.B) {
+				for b.Loop() {
+					// Four upstreams for each node, as at the target.
+					board := boardOf(max(1, n/4), n, 400)
+					m := newMeter()
+					before := heap()
+					o := upstreams.New(upstreams.Options{Self: nodeName(0), Board: board, Prober: fixedProber{}, Seed: 1})
+					c, _ := admissionNode(b, board, m, o)
+					m.serve(b, "unused", nil)
+					ctx, stop := context.WithCancel(context.Background())
+					done := make(chan error, 2)
+					go func() { done <- o.Run(ctx) }()
+					if part == "learning" {
+						// The first view of an upstream is written at once; all have been seen for long on a real node.
+						for i := range n {
+							o.Learn(fmt.Sprintf("engine-%04d", i), blackboard.UpstreamStatus{Health: blackboard.HealthReady})
+						}
+						go learn(ctx, o, n)
+					}
+					if part != "observer" {
+						go func() { done <- c.Run(ctx) }()
+					} else {
+						done <- nil
+					}
+					time.Sleep(500 * time.Millisecond)
+					_, revision := board.Upstreams.Get()
+					start := cpu()
+					time.Sleep(idleTime)
+					used := cpu() - start
+					_, after := board.Upstreams.Get()
+					state := heap() - before
+					stop()
+					assert.NilError(b, <-done)
+					assert.NilError(b, <-done)
+					b.ReportMetric(100*used.Seconds()/idleTime.Seconds(), "%core")
+					b.ReportMetric(float64(after-revision)/idleTime.Seconds(), "writes/s")
+					b.ReportMetric(state/float64(n), "B/upstream")
+				}
+			})
+		}
+	}
+}
+
+// learn takes 16 views a second of upstreams in turn.
+func learn(ctx context.Context, o *upstreams.Observer, n int) {
+	tick := time.NewTicker(time.Second / 16)
+	defer tick.Stop()
+	for i := 0; ; i++ {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			o.Learn(fmt.Sprintf("engine-%04d", i*7%n), blackboard.UpstreamStatus{Health: blackboard.HealthReady, Slots: 16, ReportedAt: time.Now()})
+		}
+	}
+}
--- /dev/null
+++ b/pkg/capacity/control_test.go
@@ -0,0 +1,192 @@
+package capacity_test
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"trefoilplank.example/api"
+	"trefoilplank.example/pkg/adapter/store/memstore"
+	"trefoilplank.example/pkg/blackboard"
+	"trefoilplank.example/pkg/config"
+	"trefoilplank.example/pkg/controller/confsync"
+	leasectl "trefoilplank.example/pkg/controller/lease"
+	"trefoilplank.example/pkg/controller/membership"
+	"trefoilplank.example/pkg/decision/confchain"
+	"trefoilplank.example/pkg/decision/lease"
+)
+
+// controlNode is a node with its lease, members and configuration.
+type controlNode struct {
+	board  *blackboard.Board
+	config *confsync.Controller
+	stop   context.CancelFunc
+	done   sync.WaitGroup
+}
+
+// startControl starts a node of a fleet of eight zones. Names are looked up without a member list, which calls need
+// only for addresses.
+func startControl(t testing.TB, m *meter, s *countedStore, i int) *controlNode {
+	name := nodeName(i)
+	self := lease.Record{
+		Name: name, AvailabilityZone: zone(i, 8), Region: "region-0", Address: "10.20.30.40:18080", AdminAddress: "10.20.30.40:18081",
+		PeerAddress: name, Incarnation: time.Now().UnixNano(),
+	}
+	n := &controlNode{board: blackboard.New()}
+	peers := m.caller(name)
+	members := membership.New(membership.Options{Store: s, Board: n.board, Peers: peers, Self: self})
+	n.config = confsync.New(s, n.board, peers, name)
+	l := leasectl.New(s, n.board, self, lease.Default)
+	m.serve(t, name, map[string]any{"Membership": members.Receiver(), "Config": n.config.Receiver()})
+	var ctx context.Context
+	ctx, n.stop = context.WithCancel(context.Background())
+	for _, run := range []func(context.Context) error{members.Run, n.config.Run, l.Run} {
+		n.done.Go(func() { _ = run(ctx) })
+	}
+	return n
+}
+
+// inBubble runs f in virtual time within a benchmark.
+func inBubble(f func(t *testing.T)) {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		synctest.Test(&testing.T{}, f)
+	}()
+	<-done
+}
+
+// BenchmarkControlPlane gives what lease, membership and configuration take on each node in virtual time: a minute
+// without a change, then changes one after the other. Bytes are sent and received. Processor time includes the
+// in-process network in place of sockets, and both ends of each call.
+func BenchmarkControlPlane(b *testing.B) {
+	const quiet, changes = time.Minute, 2
+	for _, nodes := range nodeSizes {
+		b.Run(fmt.Sprintf("nodes=%d", nodes), func(b *testing.B) {
+			var figures map[string]float64
+			for b.Loop() {
+				inBubble(func(t *testing.T) { figures = controlFigures(b, nodes, quiet, changes) })
+			}
+			for name, v := range figures {
+				b.ReportMetric(v, name)
+			}
+		})
+	}
+}
+
+func controlFigures(b testing.TB, nodes int, quiet time.Duration, changes int) map[string]float64 {
+	figures := map[string]float64{}
+	m, s := newMeter(), newCountedStore(memstore.New())
+	before := heap()
+	var fleet []*controlNode
+	for i := range nodes {
+		fleet = append(fleet, startControl(b, m, s, i))
+	}
+	time.Sleep(time.Minute)
+	live := 0
+	for _, n := range fleet {
+		live += len(n.board.Members.Value().Live)
+	}
+	must(live == nodes*nodes, "members are missing")
+	figures["B/node"] = (heap() - before) / float64(nodes)
+
+	each := float64(nodes) * quiet.Seconds()
+	calls, size := m.totals(nil)
+	reads, writes, stored := s.totals("")
+	used := cpu()
+	time.Sleep(quiet)
+	figures["%core/node"] = 100 * (cpu() - used).Seconds() / each
+	calls2, size2 := m.totals(nil)
+	reads2, writes2, stored2 := s.totals("")
+	figures["calls/s/node"] = float64(calls2-calls) / each
+	figures["B/s/node"] = 2 * float64(size2-size) / each
+	figures["reads/s"] = float64(reads2-reads) / quiet.Seconds()
+	figures["writes/s/node"] = float64(writes2-writes) / each
+	figures["store-B/s/node"] = float64(stored2-stored) / each
+
+	isConfig := func(method string) bool { return strings.HasPrefix(method, "Config.") || method == "Membership.Report" || method == "Membership.Push" }
+	calls, size = m.totals(isConfig)
+	reads, writes, _ = s.totals("config")
+	cfg := configOf(20, 20)
+	for c := range changes {
+		cfg.Rules.Institutions[0].Share = float64(c + 2)
+		_, err := fleet[c].config.Apply(context.Background(), change(cfg, c))
+		must(err == nil, err)
+		time.Sleep(10 * time.Second)
+	}
+	for _, n := range fleet {
+		must(n.config.InForce() == int64(changes), "a node is behind")
+	}
+	calls2, size2 = m.totals(isConfig)
+	reads2, writes2, _ = s.totals("config")
+	figures["reads/change"] = float64(reads2-reads) / float64(changes)
+	figures["writes/change"] = float64(writes2-writes) / float64(changes)
+	for _, n := range fleet {
+		n.stop()
+	}
+	for _, n := range fleet {
+		n.done.Wait()
+	}
+	return figures
+}
+
+// must panics, since FailNow of a benchmark may not be called from a bubble.
+func must(ok bool, why any) {
+	if !ok {
+		panic(why)
+	}
+}
+
+func change(cfg api.Config, i int) config.Change {
+	return config.Change{Register: &cfg.Register, Rules: &cfg.Rules, Key: fmt.Sprint("change-", i), Who: "operator", IfMatch: int64(i)}
+}
+
+// BenchmarkConfigSize gives the memory of a configuration in force and the time to bring a change of one field into
+// force on the accepting node, by the number of upstreams and institutions.
+func BenchmarkConfigSize(b *testing.B) {
+	for i, n := range upstreamSizes {
+		institutions := institutionSizes[i]
+		b.Run(fmt.Sprintf("upstreams=%d/institutions=%d", n, institutions), func(b *testing.B) {
+			board := blackboard.New()
+			m, s := newMeter(), newCountedStore(memstore.New())
+			before := heap()
+			c := confsync.New(s, board, m.caller(nodeName(0)), nodeName(0))
+			ctx, stop := context.WithCancel(context.Background())
+			var done sync.WaitGroup
+			done.Go(func() { _ = c.Run(ctx) })
+			<-c.Ready()
+			cfg := configOf(n, institutions)
+			changes := 0
+			apply := func() {
+				cfg.Rules.Institutions[0].Share = 1 + float64(changes%100)/100
+				_, err := c.Apply(ctx, change(cfg, changes))
+				assert.NilError(b, err)
+				changes++
+			}
+			for range 5 {
+				apply()
+			}
+			cfg = api.Config{}
+			state := heap() - before
+			cfg = configOf(n, institutions)
+			used := cpu()
+			from := changes
+			for b.Loop() {
+				apply()
+			}
+			b.ReportMetric(float64((cpu()-used).Nanoseconds())/float64(changes-from), "cpu-ns/change")
+			b.ReportMetric(state, "B/configuration")
+			payload, err := confchain.Encode(cfg)
+			assert.NilError(b, err)
+			b.ReportMetric(float64(len(payload.JSON)), "JSON-B")
+			stop()
+			done.Wait()
+		})
+	}
+}
