--- a/pkg/capacity/control_test.go
+++ b/pkg/capacity/control_test.go
@@ -110,7 +110,9 @@
 	figures["writes/s/node"] = float64(writes2-writes) / each
 	figures["store-B/s/node"] = float64(stored2-stored) / each
 
-	isConfig := func(method string) bool { return strings.HasPrefix(method, "Config.") || method == "Membership.Report" || method == "Membership.Push" }
+	isConfig := func(method string) bool {
+		return strings.HasPrefix(method, "Config.") || method == "Membership.Report" || method == "Membership.Push"
+	}
 	calls, size = m.totals(isConfig)
 	reads, writes, _ = s.totals("config")
 	cfg := configOf(20, 20)
