--- a/pkg/controller/upstreams/prober.go
+++ b/pkg/controller/upstreams/prober.go
@@ -116,7 +116,9 @@
 	return State{Models: append(body.Models, body.Adapters...)}, err
 }
 
-// CacheEvents implements Prober.
+// CacheEvents implements Prober. The body is
+// {"events":[{"seq":1,"type":"stored|evicted|cleared","hashes":[...]}],"next":1}, with the hashes in the form of
+// serving.Request.PrefixHashes and next the latest sequence number.
 func (p *HTTPProber) CacheEvents(ctx context.Context, u api.Upstream, after int64) (Events, error) {
 	var body struct {
 		Events []struct {
