Read lease records again when a node finds itself alone at its start

Cause: a node that starts when the store returns from a long outage takes the records, all of them expired, for left over and stays alone for 10 s. Change: up to three more reads within seconds while no other member is known.

--- a/pkg/controller/membership/join.go
+++ b/pkg/controller/membership/join.go
@@ -27,6 +27,9 @@
 	leaseReadPerRecord = 800 * time.Millisecond
 	// joinRetry is the time between the first attempts to learn members; it doubles up to joinRetryMax.
 	joinRetry, joinRetryMax = time.Second, 4 * time.Second
+	// aloneReads is how often a node that finds no other member reads the records again: others that start at the
+	// same time, or that wait for the store to return, write theirs within seconds.
+	aloneReads = 3
 	// pageSize is the number of lease records in one read; the share of one zone at the two-year target is 48.
 	pageSize = 200
 	// maxSeeds bounds the addresses that are kept over a restart.
@@ -35,12 +38,15 @@
 
 // join learns the first members from the store, or from seeds and cached addresses while it is down.
 func (c *Controller) join(ctx context.Context) {
+	alone := 0
 	for pause := joinRetry; ctx.Err() == nil; pause = min(2*pause, joinRetryMax) {
 		err := c.readSlice(ctx, "", "")
-		if err == nil || c.joinPeers(ctx) {
+		if err == nil && (c.view().Len() > 1 || alone == aloneReads) || c.joinPeers(ctx) {
 			break
 		}
-		if pause == joinRetry {
+		if err == nil {
+			alone++
+		} else if pause == joinRetry {
 			klog.Warningf("no members known yet: %v", err)
 		}
 		wait(ctx, pause+rand.N(pause))
--- a/pkg/controller/membership/membership_test.go
+++ b/pkg/controller/membership/membership_test.go
@@ -164,6 +164,22 @@
 	})
 }
 
+// TestStartAfterOutage guards against a node that starts when the store returns and takes the records, all of them
+// old, for left over, and so stays alone.
+func TestStartAfterOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		defer f.stopAll()
+		names := f.startZones(2, 3)
+		f.store.SetDown(true)
+		time.Sleep(10 * time.Minute)
+		f.store.SetDown(false)
+		f.start("z0-9")
+		time.Sleep(6 * time.Second)
+		f.expect(append(names, "z0-9")...)
+	})
+}
+
 // TestPartitionHeals guards against two sides of a partition that never find each other again.
 func TestPartitionHeals(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
