Count online requests against the objectives and agree on the engine's state

Cause: nothing fed the error budgets, and the observer read models as a list, which made every /state answer of an engine an error; cache events of the stand-in had other names than the observer's.

--- a/pkg/controller/upstreams/prober.go
+++ b/pkg/controller/upstreams/prober.go
@@ -5,7 +5,9 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -106,14 +108,13 @@
 // State implements Prober.
 func (p *HTTPProber) State(ctx context.Context, u api.Upstream) (State, error) {
 	var body struct {
-		Models   []string `json:"models"`
-		Adapters []string `json:"adapters"`
+		// Models holds versions by model.
+		Models   map[string]string `json:"models"`
+		Adapters []string          `json:"adapters"`
 	}
 	err := p.get(ctx, u, "/state", &body)
-	if body.Models == nil {
-		body.Models = []string{}
-	}
-	return State{Models: append(body.Models, body.Adapters...)}, err
+	models := slices.Sorted(maps.Keys(body.Models))
+	return State{Models: append(models, body.Adapters...)}, err
 }
 
 // CacheEvents implements Prober. The body is
--- a/pkg/gateway/execute.go
+++ b/pkg/gateway/execute.go
@@ -132,6 +132,9 @@
 func (g *Gateway) run(ctx context.Context, j *job, slot *serving.Slot, alone bool) attempt {
 	a := attempt{upstream: slot.Upstream.Name}
 	start := time.Now()
+	if j.engine() {
+		j.lastRun = start
+	}
 	if j.stream {
 		j.events.restart()
 		a.res, a.err = g.Invoker.Stream(ctx, slot.Upstream, j.call, j.events.emit)
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -54,6 +54,8 @@
 	Idempotency *idempotency.Controller
 	Claims      *claims.Controller
 	Explain     *explain.Log
+	// Objectives may be nil.
+	Objectives Objectives
 	// AddressTTL is how long callers may keep an address answer.
 	AddressTTL time.Duration
 	// MaxBodyBytes bounds the body of inference and service calls.
--- a/pkg/gateway/handlers.go
+++ b/pkg/gateway/handlers.go
@@ -114,7 +114,9 @@
 	if j.stream {
 		j.events = newEventWriter(w, g.StallTimeout)
 	}
+	arrived := time.Now()
 	res, err := g.execute(ctx, j)
+	g.observe(ctx, j, res, err, arrived)
 	if err != nil {
 		g.withdraw(ctx, j, err)
 	}
--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -43,6 +43,8 @@
 	// attempts counts the attempts, runs those that an upstream may have begun, and deaths the upstreams that died
 	// under them.
 	attempts, runs, deaths int
+	// lastRun is when the latest run on an engine began.
+	lastRun time.Time
 	// begun is set once an upstream may have begun the request.
 	begun bool
 }
--- a/pkg/node/build.go
+++ b/pkg/node/build.go
@@ -128,7 +128,7 @@
 	}
 	n.gateway = gateway.New(gateway.Options{
 		Node: name, Board: n.board, Slots: n.admission, Invoker: n.invoker, Limiter: n.limits, Quarantine: n.quarantine,
-		Idempotency: n.idempotency, Claims: n.claims, Explain: n.log, AddressTTL: n.settings.AddressTTL,
+		Idempotency: n.idempotency, Claims: n.claims, Explain: n.log, Objectives: n.burn, AddressTTL: n.settings.AddressTTL,
 	})
 	n.drainer = drain.New(drain.Options{
 		Board: n.board, AnswersUntil: n.gateway.AnswersUntil, AddressTTL: n.settings.AddressTTL,
--- a/standin/engine/cache.go
+++ b/standin/engine/cache.go
@@ -5,7 +5,7 @@
 	"math/rand/v2"
 )
 
-// cacheEvent is one change of the prefix cache. Type is "stored", "removed" or "cleared".
+// cacheEvent is one change of the prefix cache. Type is "stored", "evicted" or "cleared".
 type cacheEvent struct {
 	Seq    int64    `json:"seq"`
 	Type   string   `json:"type"`
@@ -34,7 +34,7 @@
 // use stores the blocks of a prompt and returns how many leading blocks were held already.
 func (c *prefixCache) use(blocks []uint64) int {
 	hits := 0
-	var stored, removed []uint64
+	var stored, evicted []uint64
 	for i, b := range blocks {
 		if el, ok := c.blocks[b]; ok {
 			c.order.MoveToFront(el)
@@ -50,10 +50,10 @@
 		oldest := c.order.Back()
 		hash := c.order.Remove(oldest).(uint64)
 		delete(c.blocks, hash)
-		removed = append(removed, hash)
+		evicted = append(evicted, hash)
 	}
 	c.publish("stored", stored)
-	c.publish("removed", removed)
+	c.publish("evicted", evicted)
 	return hits
 }
 
--- a/standin/engine/http.go
+++ b/standin/engine/http.go
@@ -218,7 +218,7 @@
 	gap := e.faults.Get().EventsGap
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	faults.WriteJSON(w, http.StatusOK, map[string]any{"events": e.cache.eventsAfter(after, gap), "seq": e.cache.seq})
+	faults.WriteJSON(w, http.StatusOK, map[string]any{"events": e.cache.eventsAfter(after, gap), "next": e.cache.seq})
 }
 
 // usage is the token count of an answer.
