Report admission and batch work in status

Cause: status showed neither slots nor jobs. Change: the admission and batch controllers are status providers.

--- a/pkg/node/build.go
+++ b/pkg/node/build.go
@@ -197,7 +197,7 @@
 		Node: n.settings.Name, Board: n.board, Config: n.config, Peers: n.peerClient, Explain: n.log, Burn: n.burn,
 		KeyDigests: []string{hex.EncodeToString(digest[:])}, Ready: n.ready,
 		Drain:     func() { go func() { _ = n.drainer.Drain(context.Background()) }() },
-		Providers: []status.Provider{n.reconcile},
+		Providers: []status.Provider{n.reconcile, n.admission, n.batch},
 	}
 	n.operator = operator.New(options)
 	return operator.NewLocal(options).Register(n.peerServer)
