Keep records of live nodes after an outage, and store errors over peer calls

Change: records are removed only when the store has answered for a whole lease; the store's errors are registered with the peer transport.

--- a/pkg/adapter/peer/errors.go
+++ b/pkg/adapter/peer/errors.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"trefoilplank.example/api"
+	"trefoilplank.example/pkg/adapter/store"
 )
 
 // Further errors of calls; test with errors.Is.
@@ -52,6 +53,10 @@
 func init() {
 	RegisterError("peer.unknown_method", ErrUnknownMethod)
 	RegisterError("peer.unknown_node", ErrUnknownNode)
+	RegisterError("store.not_found", store.ErrNotFound)
+	RegisterError("store.conflict", store.ErrConflict)
+	RegisterError("store.unavailable", store.ErrUnavailable)
+	RegisterError("store.unknown", store.ErrUnknown)
 }
 
 // wireError is an *api.Error with every field.
--- a/pkg/adapter/peer/peer_test.go
+++ b/pkg/adapter/peer/peer_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"testing"
 	"time"
@@ -11,6 +12,7 @@
 
 	"trefoilplank.example/api"
 	"trefoilplank.example/pkg/adapter/peer"
+	"trefoilplank.example/pkg/adapter/store"
 )
 
 var errBusy = errors.New("busy")
@@ -27,6 +29,7 @@
 	return &api.Error{Status: 429, Code: api.CodeRateLimited, Message: in.Value, Outcome: api.NotRun, RequestID: "a-1", RetryAfter: 1500 * time.Millisecond}
 }
 func (e *Echo) Busy(Text, *Text) error  { return errBusy }
+func (e *Echo) Down(Text, *Text) error  { return fmt.Errorf("write: %w", store.ErrUnavailable) }
 func (e *Echo) Panic(Text, *Text) error { panic("fault") }
 func (e *Echo) Block(in Text, out *Text) error {
 	<-e.release
@@ -68,6 +71,7 @@
 		assert.Assert(t, errors.As(err, &a), "%v", err)
 		assert.DeepEqual(t, *a, api.Error{Status: 429, Code: api.CodeRateLimited, Message: "slow down", Outcome: api.NotRun, RequestID: "a-1", RetryAfter: 1500 * time.Millisecond})
 		assert.ErrorIs(t, c.Call(t.Context(), node, "Echo.Busy", Text{}, &out), errBusy)
+		assert.ErrorIs(t, c.Call(t.Context(), node, "Echo.Down", Text{}, &out), store.ErrUnavailable)
 		assert.ErrorIs(t, c.Call(t.Context(), node, "Echo.Missing", Text{}, &out), peer.ErrUnknownMethod)
 		assert.ErrorContains(t, c.Call(t.Context(), node, "Echo.Panic", Text{}, &out), "panicked")
 	}
--- a/pkg/decision/membership/probe.go
+++ b/pkg/decision/membership/probe.go
@@ -104,7 +104,7 @@
 	r, ok := t.nodes[l.Name]
 	if !ok || l.Incarnation > r.Incarnation && l.Name != t.self {
 		if l.Released || now.Sub(l.Expiry) > maxClockSkew {
-			return nil, now.Sub(l.Expiry) > recordAge
+			return nil, now.Sub(l.Expiry) > recordAge && t.storeSettled(now)
 		}
 		u := fromLease(l)
 		if fresh, _ := t.Merge(u, now); fresh {
@@ -134,13 +134,19 @@
 		news = append(news, u)
 	}
 	t.doubtLease(r, l.Expiry, now)
-	return news, r.Status >= Dead && now.Sub(r.leaseSeen) > recordAge
+	return news, r.Status >= Dead && now.Sub(r.leaseSeen) > recordAge && t.storeSettled(now)
+}
+
+// storeSettled reports whether the store has answered for so long that every live holder has renewed its lease.
+// Before that, after an outage, the leases of live nodes look as old as those of dead ones.
+func (t *Table) storeSettled(now time.Time) bool {
+	return !t.storeSince.IsZero() && now.Sub(t.storeSince) >= t.p.LeaseTimeout
 }
 
 // doubtLease has a node probed whose lease ran out by the own clock, or by the wall clock of its record: a wrong
-// wall clock costs a probe at most. After an outage all leases are old, so the store must have answered for long.
+// wall clock costs a probe at most.
 func (t *Table) doubtLease(r *record, expiry, now time.Time) {
-	if t.storeSince.IsZero() || now.Sub(t.storeSince) < t.p.LeaseTimeout || r.Status != Alive || r.misses > 0 {
+	if !t.storeSettled(now) || r.Status != Alive || r.misses > 0 {
 		return
 	}
 	unchanged := !t.storeSince.After(r.leaseSeen) && now.Sub(r.leaseSeen) >= t.p.LeaseTimeout
--- a/pkg/decision/membership/table_test.go
+++ b/pkg/decision/membership/table_test.go
@@ -238,8 +238,13 @@
 	assert.Equal(t, len(table.Missed("b", at(134))), 1, "one failed call confirms the doubt")
 	_, remove := table.Lease(record(130), 6, at(135))
 	assert.Assert(t, !remove)
-	_, remove = table.Lease(lease.Record{Name: "gone", PeerAddress: "gone", Incarnation: 1, Expiry: at(-3600)}, 2, at(135))
+	gone := lease.Record{Name: "gone", PeerAddress: "gone", Incarnation: 1, Expiry: at(-3600)}
+	_, remove = table.Lease(gone, 2, at(135))
 	assert.Assert(t, remove, "a record left over by a node that nobody knows")
+	table.StoreFailed()
+	table.StoreAnswered(at(4000))
+	_, remove = table.Lease(gone, 2, at(4010))
+	assert.Assert(t, !remove, "after an outage the records of live nodes are as old")
 	_, known := table.Get("gone")
 	assert.Assert(t, !known)
 }
