Say goodbye to the members at a drain and read the version in one place

Cause: a drained node stayed in the members' view until heartbeats failed, and the version was read by two copies of one function.

--- a/pkg/ctl/help.go
+++ b/pkg/ctl/help.go
@@ -3,8 +3,8 @@
 import (
 	"encoding/json"
 	"fmt"
-	"runtime"
-	"runtime/debug"
+
+	"trefoilplank.example/pkg/version"
 )
 
 // Long help texts with examples.
@@ -89,48 +89,14 @@
 The pages hold the figures themselves and load the plot library from the web; --assets-host names a copy.`
 )
 
-// buildVersion is set by -ldflags "-X trefoilplank.example/pkg/ctl.buildVersion=...".
-var buildVersion = "development"
-
-// versionInfo describes the binary.
-type versionInfo struct {
-	Version  string `json:"version"`
-	Go       string `json:"go"`
-	Platform string `json:"platform"`
-	Revision string `json:"revision,omitempty"`
-	Time     string `json:"time,omitempty"`
-	Modified bool   `json:"modified"`
-}
-
-func readVersion() versionInfo {
-	v := versionInfo{Version: buildVersion, Go: runtime.Version(), Platform: runtime.GOOS + "/" + runtime.GOARCH}
-	info, ok := debug.ReadBuildInfo()
-	if !ok {
-		return v
-	}
-	for _, s := range info.Settings {
-		switch s.Key {
-		case "vcs.revision":
-			v.Revision = s.Value
-		case "vcs.time":
-			v.Time = s.Value
-		case "vcs.modified":
-			v.Modified = s.Value == "true"
-		}
-	}
-	return v
-}
-
 func printVersion(a *app) error {
-	v := readVersion()
 	if a.JSON {
-		b, err := json.Marshal(v)
+		b, err := json.Marshal(version.Read())
 		if err != nil {
 			return err
 		}
 		return a.printJSON(b)
 	}
-	_, err := fmt.Fprintf(a.stdout, "trefoilctl %s (%s, %s, revision %s, modified %t)\n",
-		v.Version, v.Go, v.Platform, orDash(v.Revision), v.Modified)
+	_, err := fmt.Fprintln(a.stdout, version.String("trefoilctl"))
 	return err
 }
--- a/pkg/node/build.go
+++ b/pkg/node/build.go
@@ -6,6 +6,7 @@
 	"encoding/hex"
 	"encoding/json"
 	"net/http"
+	"path/filepath"
 	"time"
 
 	"trefoilplank.example/api"
@@ -51,7 +52,8 @@
 	n.store = store.NewClient(n.settings.Store, store.Options{})
 	self := n.record()
 	n.lease = lease.New(n.store, n.board, self, n.leaseParams())
-	n.members = membership.New(membership.Options{Store: n.store, Board: n.board, Peers: n.peerClient, Self: self, Seeds: n.settings.Join})
+	n.members = membership.New(membership.Options{Store: n.store, Board: n.board, Peers: n.peerClient, Self: self, Seeds: n.settings.Join,
+		CacheFile: n.cacheFile()})
 	if err := n.peerServer.Register("Membership", n.members.Receiver()); err != nil {
 		return err
 	}
@@ -70,6 +72,14 @@
 	return n.buildOperator()
 }
 
+// cacheFile returns where known peers are kept over restarts; empty on VMs without a disk.
+func (n *Node) cacheFile() string {
+	if n.settings.DataDir == "" {
+		return ""
+	}
+	return filepath.Join(n.settings.DataDir, "peers.json")
+}
+
 // leaseParams returns the lease times; a third of the duration between renewals allows two lost ones.
 func (n *Node) leaseParams() leasedecision.Params {
 	p := leasedecision.Default
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -172,7 +172,7 @@
 	case <-n.drainer.Done():
 	case <-working.Done():
 	}
-	n.handOver()
+	n.leave()
 	stop()
 	_ = operators.Close()
 	err := group.Wait()
@@ -204,16 +204,18 @@
 	return tls.NewListener(l, n.tls)
 }
 
-// handOverTimeout bounds the hand-over of counters at the end of a drain.
-const handOverTimeout = 3 * time.Second
+// leaveTimeout bounds what a drained node tells others before it stops.
+const leaveTimeout = 3 * time.Second
 
-// handOver gives the error-budget counters to another node, so that a graceful restart loses none.
-func (n *Node) handOver() {
-	ctx, cancel := context.WithTimeout(context.Background(), handOverTimeout)
+// leave gives the error-budget counters to another node, so that a graceful restart loses none, and tells the others
+// that this node stops.
+func (n *Node) leave() {
+	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
 	defer cancel()
 	if err := n.burn.HandOver(ctx, n.peerClient, n.board.Members.Value()); err != nil && !errors.Is(err, burn.ErrNoSuccessor) {
 		klog.ErrorS(err, "Error-budget counters were not handed over", "node", n.settings.Name)
 	}
+	n.members.Leave(ctx)
 }
 
 func (n *Node) close() {
--- a/pkg/version/version.go
+++ b/pkg/version/version.go
@@ -43,5 +43,9 @@
 // String returns one line about the named program.
 func String(program string) string {
 	v := Read()
-	return fmt.Sprintf("%s %s (%s, %s, revision %s, modified %t)", program, v.Version, v.Go, v.Platform, v.Revision, v.Modified)
+	revision := v.Revision
+	if revision == "" {
+		revision = "unknown"
+	}
+	return fmt.Sprintf("%s %s (%s, %s, revision %s, modified %t)", program, v.Version, v.Go, v.Platform, revision, v.Modified)
 }
