Start the concurrency limit at the slots that an upstream reports

Cause: the limit of an idle upstream started at 4 of 64 reported slots and rose by one a window; batch work of the first seconds used 5 or 6 of 8. Change: the first report sets the limit; the objectives lower it.

--- a/pkg/decision/admission/tuner.go
+++ b/pkg/decision/admission/tuner.go
@@ -13,6 +13,8 @@
 type Tuner struct {
 	limit     float64
 	allowance float64
+	// started is set once the limit was set to the slots that the upstream reports.
+	started bool
 	ratios    []float64
 	misses    int
 	mayMiss   float64
@@ -102,6 +104,10 @@
 	if in.Slots <= 0 {
 		ceiling = unknownSlots
 	}
+	if in.Slots > 0 && !t.started {
+		// The engine's own batch size is the best first guess; from there the limit follows the objectives.
+		t.limit, t.started = ceiling, true
+	}
 	t.limit = math.Min(t.limit, ceiling)
 	if t.since.IsZero() {
 		t.since = now
