--- /dev/null
+++ b/pkg/controller/batch/retention_test.go
@@ -0,0 +1,89 @@
+package batch
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"trefoilplank.example/pkg/adapter/store"
+	"trefoilplank.example/pkg/adapter/store/memstore"
+	"trefoilplank.example/pkg/batch/faultstore"
+)
+
+// keys returns the keys of all objects but leases.
+func keys(t *testing.T, s store.Store) []string {
+	t.Helper()
+	page, err := s.List(t.Context(), "", "", 0)
+	assert.NilError(t, err)
+	var found []string
+	for _, o := range page.Objects {
+		if !strings.HasPrefix(o.Key, "nodes/") {
+			found = append(found, o.Key)
+		}
+	}
+	return found
+}
+
+// Guards against objects that stay in the store for ever: after finished jobs, and after an upload whose node
+// vanished at any store call.
+func TestRetentionLeavesNothing(t *testing.T) {
+	for last := range 9 {
+		synctest.Test(t, func(t *testing.T) {
+			calls, dead := 0, false
+			mem := memstore.New()
+			dying := &faultstore.Store{Store: mem, Before: func(faultstore.Op) faultstore.Fault {
+				if calls++; dead && calls > last {
+					return faultstore.Down
+				}
+				return faultstore.None
+			}}
+			a := startNode(t, mem, "a", &fakeInvoker{}, 1, func(o *Options) { o.Retention = 10 * 24 * time.Hour })
+			defer a.close()
+			file := a.upload(t, chatFile(20))
+			o := decode(t, a.do(batchRequest(file, "key", "24h")), http.StatusOK)
+			o = a.await(t, o.ID, time.Hour)
+
+			vanishing, err := New(Options{Node: "b", Store: dying, Board: a.board, Invoker: &fakeInvoker{}})
+			assert.NilError(t, err)
+			b := &testNode{Controller: vanishing}
+			calls, dead = 0, true
+			b.do(uploadRequest(strings.ReplaceAll(chatFile(2500), "item", fmt.Sprint("x", last)), ""))
+
+			const day = 24 * time.Hour
+			assert.NilError(t, a.Collect(t.Context(), time.Now().Add(9*day)))
+			assert.Equal(t, len(a.outputs(t, o.OutputFileID)), 20)
+			assert.NilError(t, a.Collect(t.Context(), time.Now().Add(32*day)))
+			assert.DeepEqual(t, keys(t, mem), []string(nil))
+		})
+	}
+}
+
+// brokenReader ends with an error, as a caller's connection does.
+type brokenReader struct{ r io.Reader }
+
+func (b brokenReader) Read(p []byte) (int, error) {
+	n, err := b.r.Read(p)
+	if err == io.EOF {
+		err = io.ErrUnexpectedEOF
+	}
+	return n, err
+}
+
+// Guards against chunks of an upload that the caller broke off.
+func TestBrokenUploadLeavesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		mem := memstore.New()
+		a := startNode(t, mem, "a", &fakeInvoker{}, 0, nil)
+		defer a.close()
+		r := uploadRequest(chatFile(5000), "")
+		r.Body = io.NopCloser(brokenReader{io.LimitReader(r.Body, 500_000)})
+		decode(t, a.do(r), http.StatusBadRequest)
+		assert.DeepEqual(t, keys(t, mem), []string(nil))
+	})
+}
