--- a/pkg/controller/batch/finish.go
+++ b/pkg/controller/batch/finish.go
@@ -160,14 +160,22 @@
 	if j := c.open[sum.ID]; j != nil {
 		j.ended = true
 	}
+	// Run takes mu after its context has ended and before it waits, so nothing is added to tasks while it waits.
+	counted := c.ctx.Err() == nil
+	if counted {
+		c.tasks.Add(1)
+	}
 	c.mu.Unlock()
 	c.explain(sum.ID, "", "", "cancel", "the caller cancelled the job", nil)
-	c.tasks.Go(func() {
+	go func() {
+		if counted {
+			defer c.tasks.Done()
+		}
 		ctx, stop := context.WithTimeout(ctx, markTimeout)
 		defer stop()
 		c.tellOwners(ctx, sum)
 		c.finish(ctx, sum)
-	})
+	}()
 }
 
 // CancelArgs name a job that was cancelled.
