Use one rule for leases and one fingerprint for online and batch requests

Cause: batch work had a lease rule of its own with a fixed 32 s, which is unsafe when operators set a longer lease, and a fingerprint that online requests did not share, so that a request quarantined online still ran as an item. Change: batch asks the observer of package lease, with the node's lease times, and identifies items as the gateway does. The test fixture renews proper lease records in place of a number.

--- a/pkg/controller/batch/controller.go
+++ b/pkg/controller/batch/controller.go
@@ -22,8 +22,10 @@
 	"trefoilplank.example/pkg/batch/handler"
 	"trefoilplank.example/pkg/batch/jobstore"
 	"trefoilplank.example/pkg/blackboard"
+	leases "trefoilplank.example/pkg/controller/lease"
 	"trefoilplank.example/pkg/decision/batchfill"
 	"trefoilplank.example/pkg/decision/jobstate"
+	"trefoilplank.example/pkg/decision/lease"
 	"trefoilplank.example/pkg/explain"
 	"trefoilplank.example/pkg/serving"
 )
@@ -59,11 +61,8 @@
 	Peers peer.Caller
 	// Explain may be nil.
 	Explain *explain.Log
-	// Fingerprint identifies a request for the quarantine; it must be the function that online requests use.
-	// nil means DefaultFingerprint.
-	Fingerprint func(institution, model string, body []byte) string
-	// LeaseNumber reads the number out of the value of a `nodes/NAME` object; nil means the JSON field "number".
-	LeaseNumber func(value []byte) (int64, error)
+	// Lease holds the times of node leases; zero means lease.Default. They must be the same on all nodes.
+	Lease lease.Params
 	// Retention is how long finished jobs and files are kept; 0 means handler.DefaultRetention.
 	Retention time.Duration
 }
@@ -72,7 +71,7 @@
 type Controller struct {
 	Options
 	jobs   jobstore.Jobs
-	leases *leaseReader
+	leases *leases.Observer
 	reads  *rate.Limiter
 	inputs *lru.Cache[string, *input]
 	// wakeup has room for one signal to the claim loop.
@@ -119,11 +118,8 @@
 	if o.Node == "" || o.Store == nil || o.Board == nil || o.Invoker == nil {
 		return nil, Error.New("Node, Store, Board and Invoker are required")
 	}
-	if o.Fingerprint == nil {
-		o.Fingerprint = DefaultFingerprint
-	}
-	if o.LeaseNumber == nil {
-		o.LeaseNumber = leaseNumber
+	if o.Lease == (lease.Params{}) {
+		o.Lease = lease.Default
 	}
 	if o.Retention == 0 {
 		o.Retention = handler.DefaultRetention
@@ -136,7 +132,7 @@
 	}
 	return &Controller{
 		Options: o, jobs: jobstore.Jobs{Store: o.Store}, inputs: inputs,
-		leases: newLeaseReader(o.Store, o.LeaseNumber),
+		leases: leases.NewObserver(o.Store, o.Lease),
 		reads:  rate.NewLimiter(readRate, readBurst), wakeup: make(chan struct{}, 1),
 		ctx: context.Background(), open: map[string]*openJob{}, parts: map[partID]*part{},
 		demand: map[string]demand{}, waiting: make(chan struct{}),
--- a/pkg/controller/batch/fakes_test.go
+++ b/pkg/controller/batch/fakes_test.go
@@ -20,6 +20,7 @@
 	"trefoilplank.example/pkg/adapter/store"
 	"trefoilplank.example/pkg/batch/line"
 	"trefoilplank.example/pkg/blackboard"
+	"trefoilplank.example/pkg/decision/lease"
 	"trefoilplank.example/pkg/serving"
 )
 
@@ -110,9 +111,10 @@
 	n.done.Go(func() { assert.Check(t, n.Run(ctx)) })
 	n.done.Go(func() {
 		// The lease is renewed as long as the node reaches the store.
-		for ctx.Err() == nil {
-			_, _ = s.Put(ctx, "nodes/"+name, []byte(`{"number":1}`), store.AnyRevision)
-			sleep(ctx, leaseTime/3)
+		for renewal := int64(1); ctx.Err() == nil; renewal++ {
+			r := lease.Record{Name: name, Token: 1, Renewal: renewal}
+			_, _ = s.Put(ctx, lease.Prefix+name, r.Encode(), store.AnyRevision)
+			sleep(ctx, lease.Default.Renew)
 		}
 	})
 	for range slots {
--- a/pkg/controller/batch/run.go
+++ b/pkg/controller/batch/run.go
@@ -1,18 +1,13 @@
 package batch
 
 import (
-	"bytes"
 	"context"
-	"encoding/hex"
-	"encoding/json"
 	"errors"
 	"math"
 	"net/http"
 	"strconv"
 	"time"
 
-	"github.com/zeebo/xxh3"
-
 	"trefoilplank.example/api"
 	"trefoilplank.example/pkg/batch/line"
 	"trefoilplank.example/pkg/decision/jobstate"
@@ -291,17 +286,3 @@
 	}
 	return serving.RunOK
 }
-
-// DefaultFingerprint hashes institution, model and the body with its object keys in order.
-func DefaultFingerprint(institution, model string, body []byte) string {
-	d := json.NewDecoder(bytes.NewReader(body))
-	d.UseNumber()
-	var v any
-	if d.Decode(&v) == nil {
-		if canonical, err := json.Marshal(v); err == nil {
-			body = canonical
-		}
-	}
-	h := xxh3.HashString128(institution + "\x00" + model + "\x00" + string(body)).Bytes()
-	return hex.EncodeToString(h[:])
-}
--- a/pkg/controller/batch/source.go
+++ b/pkg/controller/batch/source.go
@@ -158,7 +158,7 @@
 		ID: c.Node + "-" + ulid.Make().String(), Institution: p.sum.Institution, Caller: p.sum.Caller,
 		Class: class, Rank: rank, Share: rules.Share, Model: base, Adapter: adapter, Service: parsed.Service, Batch: true,
 		Deadline: p.sum.Deadline, PromptTokens: parsed.PromptTokens, MaxTokens: parsed.MaxTokens,
-		Fingerprint: c.Fingerprint(p.sum.Institution, parsed.Model+parsed.Service, parsed.Body), Alone: it.suspect,
+		Fingerprint: fingerprint(p.sum.Institution, parsed), Alone: it.suspect,
 	}
 	if it.requestID != "" {
 		r.request.ID = it.requestID
--- a/pkg/decision/admission/admission_test.go
+++ b/pkg/decision/admission/admission_test.go
@@ -179,3 +179,12 @@
 		assert.Assert(t, out.Limit == 32 && out.BatchSlots >= 30, "limit %d, batch slots %d after recovery", out.Limit, out.BatchSlots)
 	}
 }
+
+// Guards against a new owner that keeps an idle upstream at a few slots until a burst has been refused.
+func TestTunerStartsAtReportedSlots(t *testing.T) {
+	tuner := NewTuner(4)
+	now := time.Unix(0, 0)
+	assert.Equal(t, tuner.Update(now, TunerInput{Slots: 64}).Limit, 64)
+	assert.Equal(t, tuner.Update(now, TunerInput{Slots: 16}).Limit, 16)
+	assert.Equal(t, tuner.Update(now, TunerInput{Slots: 64}).Limit, 16)
+}
--- a/pkg/node/build.go
+++ b/pkg/node/build.go
@@ -4,7 +4,6 @@
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
-	"encoding/json"
 	"net/http"
 	"path/filepath"
 	"time"
@@ -186,7 +185,7 @@
 func (n *Node) buildBatch() (err error) {
 	n.batch, err = batch.New(batch.Options{
 		Node: n.settings.Name, Store: n.store, Board: n.board, Invoker: n.invoker, Quarantine: n.quarantine,
-		Peers: n.peerClient, Explain: n.log, LeaseNumber: leaseNumber,
+		Peers: n.peerClient, Explain: n.log, Lease: n.leaseParams(),
 	})
 	if err != nil {
 		return err
@@ -194,13 +193,6 @@
 	return n.peerServer.Register("Batch", n.batch.Receiver())
 }
 
-// leaseNumber reads the fencing token of a lease object.
-func leaseNumber(value []byte) (int64, error) {
-	var r leasedecision.Record
-	err := json.Unmarshal(value, &r)
-	return r.Token, err
-}
-
 func (n *Node) buildOperator() error {
 	digest := sha256.Sum256([]byte(n.settings.OperatorKey))
 	options := operator.Options{
