--- a/pkg/capacity/admission_test.go
+++ b/pkg/capacity/admission_test.go
@@ -3,6 +3,11 @@
 import (
 	"context"
 	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -102,6 +107,18 @@
 	}
 }
 
+// ownerOf returns a server that acts as admission owner of whatever upstream it is asked for.
+func ownerOf(b testing.TB, like *blackboard.Board, m *meter) *peer.Server {
+	board := blackboard.New()
+	board.Config.Set(like.Config.Value())
+	board.Members.Set(blackboard.Members{Self: "owner", Live: map[string]blackboard.Member{"owner": {Name: "owner"}}})
+	board.Upstreams.Set(like.Upstreams.Value())
+	s := peer.NewServer("", nil)
+	_, err := admission.New(admission.Options{Self: "owner", Board: board, Peers: m.caller("owner"), Registrar: s})
+	assert.NilError(b, err)
+	return s
+}
+
 // BenchmarkAdmissionRequest gives the time, calls and bytes of one request from Acquire to Release, by the size of
 // the register, with one owner on another node for all but its own upstreams.
 func BenchmarkAdmissionRequest(b *testing.B) {
@@ -109,18 +126,8 @@
 		b.Run(fmt.Sprintf("upstreams=%d", n), func(b *testing.B) {
 			board := boardOf(380, n, 400)
 			m := newMeter()
+			owners(m, 380, ownerOf(b, board, m))
 			c, _ := admissionNode(b, board, m, nil)
-			// All other members are one process that acts as owner of whatever it is asked for.
-			owner := blackboard.New()
-			owner.Config.Set(board.Config.Value())
-			owner.Members.Set(blackboard.Members{Self: "owner", Live: map[string]blackboard.Member{"owner": {Name: "owner"}}})
-			owner.Upstreams.Set(board.Upstreams.Value())
-			s := peer.NewServer("", nil)
-			_, err := admission.New(admission.Options{Self: "owner", Board: owner, Peers: m.caller("owner"), Registrar: s})
-			assert.NilError(b, err)
-			for i := 1; i < 380; i++ {
-				m.Listen(nodeName(i), s)
-			}
 			granted, next := 0, 0
 			for b.Loop() {
 				next++
@@ -162,7 +169,8 @@
 // takes 16 views a second from owners' replies, as two calls for each of 8 requests/s bring. It runs for idleTime
 // of real time.
 func BenchmarkIdleLoops(b *testing.B) {
-	const idleTime = 3 * time.Second
+	// Views that no owner refreshed are asked for from 5 s on.
+	const settle, idleTime = 6 * time.Second, 4 * time.Second
 	for _, n := range upstreamSizes {
 		for _, part := range []string{"observer", "both", "learning"} {
 			b.Run(fmt.Sprintf("upstreams=%d/%s", n, part), func(b *testing.B) {
@@ -172,8 +180,9 @@
 					m := newMeter()
 					before := heap()
 					o := upstreams.New(upstreams.Options{Self: nodeName(0), Board: board, Prober: fixedProber{}, Seed: 1})
+					// One process answers for all other owners.
+					owners(m, max(1, n/4), ownerOf(b, board, m))
 					c, _ := admissionNode(b, board, m, o)
-					m.serve(b, "unused", nil)
 					ctx, stop := context.WithCancel(context.Background())
 					done := make(chan error, 2)
 					go func() { done <- o.Run(ctx) }()
@@ -189,8 +198,9 @@
 					} else {
 						done <- nil
 					}
-					time.Sleep(500 * time.Millisecond)
+					time.Sleep(settle)
 					_, revision := board.Upstreams.Get()
+					calls, size := m.totals(nil)
 					start := cpu()
 					time.Sleep(idleTime)
 					used := cpu() - start
@@ -200,6 +210,9 @@
 					assert.NilError(b, <-done)
 					assert.NilError(b, <-done)
 					b.ReportMetric(100*used.Seconds()/idleTime.Seconds(), "%core")
+					calls2, size2 := m.totals(nil)
+					b.ReportMetric(float64(calls2-calls)/idleTime.Seconds(), "calls/s")
+					b.ReportMetric(2*float64(size2-size)/idleTime.Seconds(), "B/s")
 					b.ReportMetric(float64(after-revision)/idleTime.Seconds(), "writes/s")
 					b.ReportMetric(state/float64(n), "B/upstream")
 				}
@@ -221,3 +234,64 @@
 		}
 	}
 }
+
+// BenchmarkPolls gives the bytes and time of one poll of an upstream's load, state and cache events over HTTP on
+// loopback, by the number of upstreams polled in turn; time includes the answering side.
+func BenchmarkPolls(b *testing.B) {
+	answers := map[string]string{
+		"/load":         `{"running":8,"waiting":0,"slots":16,"kv_used":52000,"kv_capacity":131072,"at":"2026-01-02T03:04:05.678Z"}`,
+		"/state":        `{"models":["model-0"],"adapters":[],"versions":{"model-0":"v1"},"role":"","fencing":1}`,
+		"/cache/events": `{"events":[],"next":1}`,
+	}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { _, _ = io.WriteString(w, answers[r.URL.Path]) }))
+	defer server.Close()
+	for _, n := range []int{1, 4, 16} {
+		for path := range answers {
+			b.Run(fmt.Sprintf("upstreams=%d%s", n, path), func(b *testing.B) {
+				var moved atomic.Int64
+				p := &upstreams.HTTPProber{Client: &http.Client{Transport: &http.Transport{DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+					c, err := (&net.Dialer{}).DialContext(ctx, network, address)
+					return &countedConn{c, &moved}, err
+				}}}}
+				u := api.Upstream{Address: server.Listener.Addr().String()}
+				polls := 0
+				used := cpu()
+				for b.Loop() {
+					for range n {
+						var err error
+						switch path {
+						case "/load":
+							_, err = p.Load(context.Background(), u)
+						case "/state":
+							_, err = p.State(context.Background(), u)
+						default:
+							_, err = p.CacheEvents(context.Background(), u, 1)
+						}
+						assert.NilError(b, err)
+						polls++
+					}
+				}
+				b.ReportMetric(float64((cpu()-used).Nanoseconds())/float64(polls), "cpu-ns/poll")
+				b.ReportMetric(float64(moved.Load())/float64(polls)+2*segment, "B/poll")
+			})
+		}
+	}
+}
+
+// countedConn counts the bytes in both directions.
+type countedConn struct {
+	net.Conn
+	moved *atomic.Int64
+}
+
+func (c *countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.moved.Add(int64(n))
+	return n, err
+}
+
+func (c *countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.moved.Add(int64(n))
+	return n, err
+}
--- a/pkg/capacity/control_test.go
+++ b/pkg/capacity/control_test.go
@@ -110,7 +110,9 @@
 	figures["writes/s/node"] = float64(writes2-writes) / each
 	figures["store-B/s/node"] = float64(stored2-stored) / each
 
-	isConfig := func(method string) bool { return strings.HasPrefix(method, "Config.") || method == "Membership.Report" || method == "Membership.Push" }
+	isConfig := func(method string) bool {
+		return strings.HasPrefix(method, "Config.") || method == "Membership.Report" || method == "Membership.Push"
+	}
 	calls, size = m.totals(isConfig)
 	reads, writes, _ = s.totals("config")
 	cfg := configOf(20, 20)
@@ -125,6 +127,8 @@
 	}
 	calls2, size2 = m.totals(isConfig)
 	reads2, writes2, _ = s.totals("config")
+	figures["calls/change/node"] = float64(calls2-calls) / float64(changes*nodes)
+	figures["B/change/node"] = 2 * float64(size2-size) / float64(changes*nodes)
 	figures["reads/change"] = float64(reads2-reads) / float64(changes)
 	figures["writes/change"] = float64(writes2-writes) / float64(changes)
 	for _, n := range fleet {
--- a/pkg/capacity/fixture_test.go
+++ b/pkg/capacity/fixture_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/gob"
 	"fmt"
+	"io"
 	"net/rpc"
 	"runtime"
 	"strings"
@@ -13,6 +14,7 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	"k8s.io/klog/v2"
 
 	"trefoilplank.example/api"
 	"trefoilplank.example/pkg/adapter/peer"
@@ -22,6 +24,12 @@
 	"trefoilplank.example/pkg/serving"
 )
 
+// init drops the log lines of the controllers, which would be part of the times.
+func init() {
+	klog.LogToStderr(false)
+	klog.SetOutput(io.Discard)
+}
+
 // sizes of the register, the fleet and the institutions that slopes are taken over; the last is the two-year target.
 var (
 	upstreamSizes    = []int{100, 500, 1500}
--- /dev/null
+++ b/pkg/capacity/fleet_test.go
@@ -0,0 +1,145 @@
+package capacity_test
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"trefoilplank.example/api"
+	"trefoilplank.example/pkg/adapter/store/memstore"
+	"trefoilplank.example/pkg/blackboard"
+	"trefoilplank.example/pkg/burn"
+	"trefoilplank.example/pkg/controller/reconcile"
+	decision "trefoilplank.example/pkg/decision/reconcile"
+	"trefoilplank.example/pkg/decision/rendezvous"
+	"trefoilplank.example/pkg/explain"
+)
+
+// BenchmarkOwnerLookup gives the time to find the owner of a key among the live members, as limits and claims do for
+// each call, and the owner with its successor, as quarantine and idempotency do.
+func BenchmarkOwnerLookup(b *testing.B) {
+	for _, n := range nodeSizes {
+		b.Run(fmt.Sprintf("nodes=%d", n), func(b *testing.B) {
+			live := membersOf(n).Live
+			for b.Loop() {
+				if rendezvous.Owner("limits/institution-000", slices.Collect(maps.Keys(live))) == "" {
+					b.Fatal("no owner")
+				}
+			}
+		})
+		b.Run(fmt.Sprintf("nodes=%d/successor", n), func(b *testing.B) {
+			live := membersOf(n).Live
+			for b.Loop() {
+				if len(rendezvous.Top("quarantine/fingerprint", slices.Collect(maps.Keys(live)), 2)) != 2 {
+					b.Fatal("no owners")
+				}
+			}
+		})
+	}
+}
+
+// steadyEngines have the state that the register asks for.
+type steadyEngines struct{}
+
+func (steadyEngines) State(_ context.Context, u api.Upstream) (decision.State, error) {
+	s := decision.State{Models: map[string]string{}}
+	for _, m := range u.Models {
+		s.Models[m] = ""
+	}
+	return s, nil
+}
+
+func (steadyEngines) Order(context.Context, api.Upstream, int64, decision.Order) error { return nil }
+
+// BenchmarkReconcile gives what a pass without a change takes at a node that reconciles all groups, by the number of
+// upstreams, and its store calls. States are read without I/O.
+func BenchmarkReconcile(b *testing.B) {
+	for _, n := range upstreamSizes {
+		b.Run(fmt.Sprintf("upstreams=%d", n), func(b *testing.B) {
+			board, s := boardOf(1, n, 400), newCountedStore(memstore.New())
+			ctx := context.Background()
+			var c *reconcile.Controller
+			state := retained(func() any {
+				c = reconcile.New(reconcile.Options{Node: nodeName(0), Board: board, Store: s, Engines: steadyEngines{}})
+				for range 3 {
+					c.Sync(ctx)
+				}
+				return c
+			})
+			reads, writes, _ := s.totals("")
+			passes := 0
+			used := cpu()
+			for b.Loop() {
+				c.Sync(ctx)
+				passes++
+			}
+			used = cpu() - used
+			reads2, writes2, _ := s.totals("")
+			b.ReportMetric(state/float64(n), "B/upstream")
+			b.ReportMetric(float64(used.Nanoseconds())/float64(passes*n), "cpu-ns/upstream")
+			b.ReportMetric(float64(reads2-reads)/float64(passes), "reads/pass")
+			b.ReportMetric(float64(writes2-writes)/float64(passes), "writes/pass")
+		})
+	}
+}
+
+// BenchmarkBurn gives the memory of a recorder for each institution with two objectives, and the time to count one
+// request.
+func BenchmarkBurn(b *testing.B) {
+	for _, n := range institutionSizes {
+		b.Run(fmt.Sprintf("institutions=%d", n), func(b *testing.B) {
+			var config blackboard.Section[api.Config]
+			config.Set(configOf(1, n))
+			i := 0
+			var r *burn.Recorder
+			observe := func() {
+				r.Observe(fmt.Sprintf("institution-%03d", i%n), "interactive", api.MetricFirstToken, time.Second, true)
+				r.Observe(fmt.Sprintf("institution-%03d", i%n), "interactive", api.MetricBetweenTokens, time.Millisecond, true)
+				i++
+			}
+			state := retained(func() any {
+				r = burn.NewRecorder(&config, time.Now)
+				for range n {
+					observe()
+				}
+				return r
+			})
+			for b.Loop() {
+				observe()
+			}
+			b.ReportMetric(state/float64(n), "B/institution")
+			rows := len(r.Get(burn.GetArgs{}).Rows)
+			b.ReportMetric(float64(rows)/float64(n), "rows/institution")
+		})
+	}
+}
+
+// BenchmarkExplain gives the memory of the decision log for each entry it keeps, and the time to record one.
+func BenchmarkExplain(b *testing.B) {
+	for _, n := range []int{1000, 5000, 20_000} {
+		b.Run(fmt.Sprintf("entries=%d", n), func(b *testing.B) {
+			i := 0
+			record := func(l *explain.Log) {
+				l.Record(explain.Entry{Request: fmt.Sprintf("node-000-%026d", i), Upstream: "engine-0000", Decision: "place",
+					Reason: fmt.Sprintf("least expected first token of %d", i),
+					Values: map[string]any{"candidates": 500, "usable": 499, "expected_wait_ms": int64(i), "expected_first_token_ms": int64(i)}})
+				i++
+			}
+			var l *explain.Log
+			state := retained(func() any {
+				l = explain.NewLog(nodeName(0), n, time.Now)
+				for range n {
+					record(l)
+				}
+				return l
+			})
+			for b.Loop() {
+				record(l)
+			}
+			b.ReportMetric(state/float64(n), "B/entry")
+		})
+	}
+}
--- /dev/null
+++ b/pkg/capacity/keys_test.go
@@ -0,0 +1,307 @@
+package capacity_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"trefoilplank.example/pkg/adapter/peer"
+	"trefoilplank.example/pkg/adapter/store"
+	"trefoilplank.example/pkg/controller/claims"
+	"trefoilplank.example/pkg/controller/idempotency"
+	"trefoilplank.example/pkg/controller/limits"
+	"trefoilplank.example/pkg/controller/quarantine"
+	decision "trefoilplank.example/pkg/decision/idempotency"
+	"trefoilplank.example/pkg/decision/ratelimit"
+)
+
+// owners makes one server answer for all members, so that a call to any owner is counted and served.
+func owners(m *meter, nodes int, s *peer.Server) {
+	for i := range nodes {
+		m.Listen(nodeName(i), s)
+	}
+}
+
+func fingerprint(i int) string { return fmt.Sprintf("%064x", i) }
+
+// BenchmarkFingerprints gives what checks and reports of requests take at the fingerprint owners, by the number of
+// suspects that they hold. Each request is new, as most are.
+func BenchmarkFingerprints(b *testing.B) {
+	for _, suspects := range []int{100, 1000, 10_000} {
+		b.Run(fmt.Sprintf("suspects=%d", suspects), func(b *testing.B) {
+			board, m, s := boardOf(380, 1, 1), newMeter(), peer.NewServer("", nil)
+			owners(m, 380, s)
+			ctx := context.Background()
+			c, err := quarantine.New(quarantine.Options{Self: nodeName(0), Board: board, Peers: m.caller(nodeName(0))}, s)
+			assert.NilError(b, err)
+			state := retained(func() any {
+				for i := range suspects {
+					c.Finished(ctx, fingerprint(i), fmt.Sprint("node-000-", i), "engine-0000", true)
+				}
+				return c
+			})
+			time.Sleep(50 * time.Millisecond)
+			calls, size := m.totals(nil)
+			n := suspects
+			used := cpu()
+			for b.Loop() {
+				id := fmt.Sprint("node-000-", n)
+				c.Check(ctx, fingerprint(n), id)
+				c.Finished(ctx, fingerprint(n), id, "engine-0000", false)
+				n++
+			}
+			time.Sleep(100 * time.Millisecond)
+			used = cpu() - used
+			calls2, size2 := m.totals(nil)
+			checks := float64(n - suspects)
+			b.ReportMetric(state/float64(suspects), "B/suspect")
+			b.ReportMetric(float64(used.Nanoseconds())/checks, "cpu-ns/check")
+			b.ReportMetric(float64(calls2-calls)/checks, "calls/check")
+			b.ReportMetric(float64(size2-size)/checks, "B/check")
+		})
+	}
+}
+
+// BenchmarkIdempotencyKeys gives what a request with an idempotency key takes, by the number of keys that the owner
+// holds. The kept answers have 1 KB.
+func BenchmarkIdempotencyKeys(b *testing.B) {
+	for _, keys := range []int{100, 1000, 10_000} {
+		b.Run(fmt.Sprintf("keys=%d", keys), func(b *testing.B) {
+			board, m, s := boardOf(380, 1, 1), newMeter(), peer.NewServer("", nil)
+			owners(m, 380, s)
+			ctx := context.Background()
+			c, err := idempotency.New(idempotency.Options{Self: nodeName(0), Board: board, Peers: m.caller(nodeName(0))}, s)
+			assert.NilError(b, err)
+			run := func(i int) {
+				t, _, _ := c.Begin(ctx, "institution-000", fmt.Sprint("key-", i), fingerprint(i), fmt.Sprint("node-000-", i), time.Minute)
+				if t == nil {
+					b.Fatal("no ticket")
+				}
+				t.End(ctx, &decision.Answer{Status: 200, Body: make([]byte, 1024), RequestID: fmt.Sprint("node-000-", i)}, true)
+			}
+			state := retained(func() any {
+				for i := range keys {
+					run(i)
+				}
+				return c
+			})
+			calls, size := m.totals(nil)
+			n := keys
+			used := cpu()
+			for b.Loop() {
+				run(n)
+				n++
+			}
+			used = cpu() - used
+			calls2, size2 := m.totals(nil)
+			runs := float64(n - keys)
+			b.ReportMetric(state/float64(keys), "B/key")
+			b.ReportMetric(float64(used.Nanoseconds())/runs, "cpu-ns/run")
+			b.ReportMetric(float64(calls2-calls)/runs, "calls/run")
+			b.ReportMetric(float64(size2-size)/runs, "B/run")
+		})
+	}
+}
+
+// lastValues is a store of which only Get and Put work, and which keeps no history as memstore does.
+type lastValues struct {
+	store.Store
+	mu     sync.Mutex
+	values map[string]store.Object
+	next   int64
+	// size is the memory of the values when measure was called.
+	size float64
+}
+
+func (s *lastValues) Get(_ context.Context, key string) (store.Object, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	o, ok := s.values[key]
+	if !ok {
+		return o, store.ErrNotFound
+	}
+	return o, nil
+}
+
+func (s *lastValues) Put(_ context.Context, key string, value []byte, expect int64) (int64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if expect != store.AnyRevision && s.values[key].Revision != expect {
+		return 0, store.ErrConflict
+	}
+	s.next++
+	s.values[key] = store.Object{Key: key, Value: bytes.Clone(value), Revision: s.next}
+	return s.next, nil
+}
+
+func (s *lastValues) measure() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, o := range s.values {
+		s.size += float64(cap(o.Value))
+	}
+}
+
+// BenchmarkClaims gives what a claim of a non-idempotent request takes, by the number of claims that the buckets hold
+// already, with 32 claims under way at once.
+func BenchmarkClaims(b *testing.B) {
+	for _, held := range []int{1000, 10_000, 100_000} {
+		b.Run(fmt.Sprintf("held=%d", held), func(b *testing.B) {
+			board, m, s := boardOf(1, 1, 1), newMeter(), peer.NewServer("", nil)
+			owners(m, 1, s)
+			objects := &lastValues{values: map[string]store.Object{}}
+			counted := newCountedStore(objects)
+			c, err := claims.New(claims.Options{Self: nodeName(0), Board: board, Peers: m.caller(nodeName(0)), Store: counted}, s)
+			assert.NilError(b, err)
+			var next atomic.Int64
+			claim := func() {
+				i := int(next.Add(1))
+				if r := c.Claim(context.Background(), "institution-000", fmt.Sprint("key-", i), fingerprint(i), fmt.Sprintf("node-000-%026d", i)); r != claims.Granted {
+					b.Error("not granted", r)
+				}
+			}
+			all := func(n, parallel int) {
+				var group sync.WaitGroup
+				for range parallel {
+					group.Go(func() {
+						for range n / parallel {
+							claim()
+						}
+					})
+				}
+				group.Wait()
+			}
+			state := retained(func() any { all(held, min(held, 5000)); return c })
+			objects.measure()
+			_, writes, size := counted.totals("")
+			from := next.Load()
+			used := cpu()
+			for b.Loop() {
+				all(32, 32)
+			}
+			used = cpu() - used
+			_, writes2, size2 := counted.totals("")
+			n := float64(next.Load() - from)
+			// The store is in the same process and is not part of a node.
+			b.ReportMetric((state-objects.size)/float64(held), "B/claim")
+			b.ReportMetric(float64(used.Nanoseconds())/n, "cpu-ns/claim")
+			b.ReportMetric(float64(writes2-writes)/n, "writes/claim")
+			b.ReportMetric(float64(size2-size)/n, "store-B/claim")
+		})
+	}
+}
+
+// BenchmarkLimits gives what rate and concurrency limits take for each request at the serving node and the limit
+// owner together, by the number of institutions. Requests come at 8 a second over all institutions, as at one of
+// 380 nodes, in real time.
+func BenchmarkLimits(b *testing.B) {
+	for _, n := range institutionSizes {
+		b.Run(fmt.Sprintf("institutions=%d", n), func(b *testing.B) {
+			board, m, s := boardOf(380, 1, n), newMeter(), peer.NewServer("", nil)
+			owners(m, 380, s)
+			c, err := limits.New(limits.Options{Self: nodeName(0), Board: board, Peers: m.caller(nodeName(0)), Registrar: s})
+			assert.NilError(b, err)
+			ctx := context.Background()
+			i := 0
+			take := func() {
+				name := fmt.Sprintf("institution-%03d", i%n)
+				i++
+				if err := c.Take(ctx, name); err != nil {
+					b.Fatal(err)
+				}
+				leave, err := c.Enter(ctx, name)
+				if err != nil {
+					b.Fatal(err)
+				}
+				leave()
+			}
+			state := retained(func() any {
+				for range n {
+					take()
+				}
+				return c
+			})
+			calls, size := m.totals(nil)
+			from, used := i, cpu()
+			for b.Loop() {
+				take()
+				time.Sleep(time.Second / 8)
+			}
+			used = cpu() - used
+			calls2, size2 := m.totals(nil)
+			b.ReportMetric(state/float64(n), "B/institution")
+			b.ReportMetric(float64(used.Nanoseconds())/float64(i-from), "cpu-ns/request")
+			b.ReportMetric(float64(calls2-calls)/float64(i-from), "calls/request")
+			b.ReportMetric(float64(size2-size)/float64(i-from), "B/request")
+		})
+	}
+}
+
+// BenchmarkLimitOwner gives the memory and time of a limit owner for one institution, by the number of nodes that
+// hold grants.
+func BenchmarkLimitOwner(b *testing.B) {
+	for _, n := range nodeSizes {
+		b.Run(fmt.Sprintf("nodes=%d", n), func(b *testing.B) {
+			board, m, s := boardOf(n, 1, 400), newMeter(), peer.NewServer("", nil)
+			owners(m, n, s)
+			c, err := limits.New(limits.Options{Self: nodeName(0), Board: board, Peers: m.caller(nodeName(0)), Registrar: s})
+			assert.NilError(b, err)
+			i := 0
+			grant := func() {
+				args := &limits.GrantArgs{Node: nodeName(i % n), Institution: "institution-399", Ask: ratelimit.Ask{Demand: 8, Want: 1, InFlight: 1, WantSlots: 3}}
+				i++
+				assert.NilError(b, s.CallLocal(context.Background(), "Limits.Grant", args, &limits.GrantReply{}))
+			}
+			state := retained(func() any {
+				for range n {
+					grant()
+				}
+				return c
+			})
+			for b.Loop() {
+				grant()
+			}
+			b.ReportMetric(state/float64(n), "B/node")
+		})
+	}
+}
+
+// BenchmarkLimitRenewal gives the calls and time that a node takes to renew the concurrency of institutions that
+// have a request in flight on it, by their number. It runs for 3 s of real time.
+func BenchmarkLimitRenewal(b *testing.B) {
+	const lasting = 3 * time.Second
+	for _, n := range []int{10, 25, 100} {
+		b.Run(fmt.Sprintf("institutions=%d", n), func(b *testing.B) {
+			for b.Loop() {
+				board, m, s := boardOf(380, 1, 400), newMeter(), peer.NewServer("", nil)
+				owners(m, 380, s)
+				c, err := limits.New(limits.Options{Self: nodeName(0), Board: board, Peers: m.caller(nodeName(0)), Registrar: s})
+				assert.NilError(b, err)
+				for i := range n {
+					_, err := c.Enter(context.Background(), fmt.Sprintf("institution-%03d", i))
+					assert.NilError(b, err)
+				}
+				ctx, stop := context.WithCancel(context.Background())
+				done := make(chan error)
+				go func() { done <- c.Run(ctx) }()
+				time.Sleep(100 * time.Millisecond)
+				calls, size := m.totals(nil)
+				used := cpu()
+				time.Sleep(lasting)
+				used = cpu() - used
+				calls2, size2 := m.totals(nil)
+				stop()
+				<-done
+				b.ReportMetric(float64(calls2-calls)/lasting.Seconds()/float64(n), "calls/s/institution")
+				b.ReportMetric(float64(size2-size)/lasting.Seconds()/float64(n), "B/s/institution")
+				b.ReportMetric(100*used.Seconds()/lasting.Seconds(), "%core")
+			}
+		})
+	}
+}
