--- a/pkg/capacity/control_test.go
+++ b/pkg/capacity/control_test.go
@@ -194,3 +194,53 @@
 		})
 	}
 }
+
+// BenchmarkConfigReceive gives the processor time that a change of one field takes on the accepting node and on one
+// receiving node together, by the number of upstreams; less BenchmarkConfigSize it is that of the receiver.
+func BenchmarkConfigReceive(b *testing.B) {
+	for i, n := range upstreamSizes {
+		b.Run(fmt.Sprintf("upstreams=%d/institutions=%d", n, institutionSizes[i]), func(b *testing.B) {
+			m, s := newMeter(), newCountedStore(memstore.New())
+			ctx, stop := context.WithCancel(context.Background())
+			var done sync.WaitGroup
+			var pair []*confsync.Controller
+			for i := range 2 {
+				board := blackboard.New()
+				members := membersOf(1)
+				other := members.Live[nodeName(0)]
+				other.Name, other.PeerAddress = nodeName(1), nodeName(1)
+				members.Live[nodeName(1)] = other
+				members.Self = nodeName(i)
+				board.Members.Set(members)
+				c := confsync.New(s, board, m.caller(nodeName(i)), nodeName(i))
+				m.serve(b, nodeName(i), map[string]any{"Config": c.Receiver()})
+				done.Go(func() { _ = c.Run(ctx) })
+				<-c.Ready()
+				pair = append(pair, c)
+			}
+			cfg := configOf(n, institutionSizes[i])
+			changes := 0
+			apply := func() {
+				cfg.Rules.Institutions[0].Share = 1 + float64(changes%100)/100
+				_, err := pair[0].Apply(ctx, change(cfg, changes))
+				assert.NilError(b, err)
+				changes++
+				for pair[1].InForce() < int64(changes) {
+					time.Sleep(time.Millisecond)
+				}
+			}
+			// The relays begin to watch after 3 s.
+			time.Sleep(4 * time.Second)
+			for range 3 {
+				apply()
+			}
+			used, from := cpu(), changes
+			for b.Loop() {
+				apply()
+			}
+			b.ReportMetric(float64((cpu()-used).Nanoseconds())/float64(changes-from), "cpu-ns/change")
+			stop()
+			done.Wait()
+		})
+	}
+}
--- /dev/null
+++ b/pkg/capacity/measured.go
@@ -0,0 +1,80 @@
+package capacity
+
+// Measured holds the slopes that the benchmarks named beside them showed on 2026-12-03, on 12 cores of a shared machine
+// (Intel Xeon). docs/CAPACITY.md has the commands.
+var Measured = Slopes{
+	// Lease and membership, BenchmarkControlPlane, by nodes.
+	ControlState:      Fit(Point{38, 224241}, Point{128, 211738}, Point{380, 374997}),
+	ControlCPU:        Fit(Point{38, 0.0004563}, Point{128, 0.00109}, Point{380, 0.002714}),
+	ControlBytes:      Constant(Point{38, 598.5}, Point{128, 601}, Point{380, 600}),
+	ControlCalls:      Constant(Point{38, 1.197}, Point{128, 1.202}, Point{380, 1.2}),
+	ControlStoreBytes: Constant(Point{38, 138.7}, Point{128, 107.7}, Point{380, 48.8}),
+	LeaseWrites:       Constant(Point{38, 0.0925}, Point{128, 0.1}, Point{380, 0.0843}),
+	ControlReads:      Constant(Point{38, 0.833}, Point{128, 0.6}, Point{380, 0.267}),
+	ChangeBytes:       Fit(Point{38, 8298}, Point{128, 9907}, Point{380, 11787}),
+	ChangeCalls:       Fit(Point{38, 16.39}, Point{128, 17.81}, Point{380, 17.94}),
+	ChangeReads:       Constant(Point{38, 1}, Point{128, 1}, Point{380, 1}),
+	ChangeWrites:      Constant(Point{38, 2}, Point{128, 2}, Point{380, 2}),
+	// Configuration, BenchmarkConfigSize and the difference of BenchmarkConfigReceive to it, by upstreams.
+	ConfigState: Fit(Point{100, 370448}, Point{500, 997776}, Point{1500, 3295368}),
+	ReceiveCPU:  Fit(Point{100, 4900000.0}, Point{500, 13850000.0}, Point{1500, 47060000.0}),
+	// Loops, BenchmarkIdleLoops, variant learning, by upstreams.
+	LoopState: Fit(Point{100, 381000}, Point{500, 1022000}, Point{1500, 2359500}),
+	LoopCPU:   Fit(Point{100, 0.01071}, Point{500, 0.03037}, Point{1500, 0.06699}),
+	LoopCalls: Constant(Point{1500, 22.25}),
+	LoopBytes: Constant(Point{1500, 7654}),
+	// Polls, BenchmarkPolls.
+	LoadPollBytes:  Constant(Point{1, 427}, Point{4, 427}, Point{16, 427}),
+	StatePollBytes: Constant(Point{1, 408}, Point{4, 408}, Point{16, 408}),
+	CachePollBytes: Constant(Point{1, 359}, Point{4, 359}, Point{16, 359}),
+	PollCPU:        Constant(Point{1, 175627}, Point{4, 164712}, Point{16, 169560}),
+	// Limits, BenchmarkLimitRenewal by institutions in flight, BenchmarkLimits and BenchmarkLimitOwner.
+	RenewalBytes:    Constant(Point{10, 204.3}, Point{25, 203.4}, Point{100, 202.8}),
+	RenewalCalls:    Constant(Point{10, 1}, Point{25, 1}, Point{100, 0.99}),
+	RenewalCPU:      Fit(Point{10, 0.002287}, Point{25, 0.005808}, Point{100, 0.01574}),
+	LimitState:      Constant(Point{25, 1150}, Point{100, 1117}, Point{400, 878}),
+	LimitOwnerState: Constant(Point{128, 113.6}, Point{380, 95.35}),
+	LimitCPU:        Constant(Point{25, 829725}, Point{100, 799075}, Point{400, 774575}),
+	LimitCalls:      Constant(Point{25, 2.975}, Point{100, 2.975}, Point{400, 3}),
+	LimitBytes:      Constant(Point{25, 623}, Point{100, 623}, Point{400, 629}),
+	// Reconciler, BenchmarkReconcile, by upstreams.
+	ReconcileState: Constant(Point{500, 1491}, Point{1500, 1473}),
+	ReconcileCPU:   Constant(Point{100, 23674}, Point{500, 22344}, Point{1500, 19397}),
+	// Admission: BenchmarkAdmissionOwnerState at 1,500 upstreams by slots, BenchmarkAdmissionOwnerQueue, BenchmarkAdmissionRequest by upstreams.
+	OwnedState:   Fit(Point{1, 2005}, Point{16, 8037}),
+	QueuedState:  Constant(Point{16, 1218}, Point{64, 1402}, Point{240, 1547}),
+	PlaceCPU:     Fit(Point{100, 119599}, Point{500, 407913}, Point{1500, 1213960}),
+	AcquireCalls: Constant(Point{100, 2}, Point{500, 2}, Point{1500, 2}),
+	AcquireBytes: Constant(Point{500, 1911}, Point{1500, 1867}),
+	// Gateway: BenchmarkGatewayRequest by institutions, BenchmarkGatewayTokens by tokens of one request, BenchmarkGatewayInFlight by requests.
+	GatewayCPU:  Constant(Point{25, 103595}, Point{100, 112565}, Point{400, 98243}),
+	TokenCPU:    Fit(Point{16, 117555}, Point{128, 229974}, Point{1024, 1005634}),
+	FlightState: Fit(Point{50, 42359}, Point{200, 46183}, Point{800, 56983}),
+	// Fingerprints, BenchmarkFingerprints, by suspects.
+	SuspectState: Constant(Point{10000, 293.3}),
+	CheckCPU:     Constant(Point{100, 2336739}, Point{1000, 2238430}, Point{10000, 3579604}),
+	CheckCalls:   Constant(Point{100, 4}, Point{1000, 3.98}, Point{10000, 3.99}),
+	CheckBytes:   Constant(Point{100, 996.4}, Point{1000, 995.3}, Point{10000, 1002}),
+	// Keys and claims, BenchmarkIdempotencyKeys by keys and BenchmarkClaims by claims held.
+	KeyState:        Constant(Point{100, 1615}, Point{1000, 1477}, Point{10000, 1397}),
+	KeyCPU:          Constant(Point{100, 894112}, Point{1000, 2473517}, Point{10000, 1975901}),
+	KeyCalls:        Constant(Point{100, 3.99}, Point{1000, 4}, Point{10000, 3.99}),
+	KeyBytes:        Constant(Point{100, 3206}, Point{1000, 3224}, Point{10000, 3227}),
+	ClaimState:      Constant(Point{100000, 314.2}),
+	ClaimCPU:        Fit(Point{1000, 95438}, Point{10000, 157976}, Point{100000, 1097117}),
+	ClaimStoreBytes: Fit(Point{1000, 3322}, Point{10000, 6895}, Point{100000, 52767}),
+	ClaimWrites:     Constant(Point{1000, 0.9996}, Point{10000, 0.9997}, Point{100000, 1}),
+	// Jobs, BenchmarkOpenJobs by open jobs, BenchmarkHeldParts by items of the job, BenchmarkJob by items; the mean job of the target has 1,360.
+	OpenJobState: Constant(Point{1000, 803.2}, Point{4000, 651.2}, Point{11000, 623.1}),
+	StartCPU:     FitQuadratic(Point{1000, 694000000.0}, Point{4000, 8523000000.0}, Point{11000, 84080000000.0}),
+	PartState:    Constant(Point{1000, 668564}, Point{4000, 928056}, Point{16000, 1033512}),
+	ItemCPU:      Constant(Point{1360, 216727}, Point{20000, 199906}),
+	OpenBytes:    Constant(Point{20, 4148}, Point{1360, 2339}, Point{20000, 10307}),
+	ItemReads:    Constant(Point{1360, 0.2765}),
+	ItemWrites:   Constant(Point{1360, 0.1096}),
+	// Burn and decision log, BenchmarkBurn by institutions and BenchmarkExplain by entries.
+	BurnState:  Constant(Point{25, 18287}, Point{100, 18277}, Point{400, 18209}),
+	BurnCPU:    Constant(Point{25, 862}, Point{100, 970}, Point{400, 1092}),
+	EntryState: Constant(Point{1000, 590}, Point{5000, 591}, Point{20000, 601}),
+	EntryCPU:   Constant(Point{1000, 1170}, Point{5000, 1187}, Point{20000, 1058}),
+}
