Answer callers whose body stalls or is too large

Cause: after a read error on a body the gateway cleared the read deadline, and the server then waited for the rest of the body before it wrote the answer. A body over the bound was refused while the client still sent it, and the connection closed under the client. Change: the deadline stays after an error and the connection is closed; up to 64 MiB of a body that is too large are read before the answer. The time for the body is an option, so that a test can shorten it. Result: a client that sent 9 of 500 bytes had no answer after 50 s, and now has 408 not-run after the body time. A 4 MiB body against a bound of 1,000 bytes ended in a broken pipe, and now in 413 not-run. Both tests fail without the change.

--- /dev/null
+++ b/pkg/gateway/body_test.go
@@ -0,0 +1,48 @@
+package gateway
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"trefoilplank.example/api"
+)
+
+// rawCall sends text on a connection of its own and returns the answer.
+func rawCall(t *testing.T, f *fixture, text string) *http.Response {
+	conn, err := net.Dial("tcp", strings.TrimPrefix(f.url, "http://"))
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	assert.NilError(t, conn.SetDeadline(time.Now().Add(5*time.Second)))
+	_, err = conn.Write([]byte(text))
+	assert.NilError(t, err)
+	answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = answer.Body.Close() })
+	return answer
+}
+
+// Guards against a caller that gets no answer because the server waits for the rest of a body that never comes.
+func TestStalledBodyIsAnswered(t *testing.T) {
+	f := newFixture(t, func(o *Options) { o.BodyTimeout = 50 * time.Millisecond })
+	answer := rawCall(t, f, "POST /v1/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer "+testKey+
+		"\r\nContent-Length: 500\r\n\r\n{\"model\":")
+	assert.Equal(t, answer.StatusCode, http.StatusRequestTimeout)
+	assert.Equal(t, answer.Header.Get(api.HeaderOutcome), "not-run")
+}
+
+// Guards against a refusal of a large body that a client never sees, since the connection breaks while it sends.
+func TestLargeBodyIsReadBeforeTheRefusal(t *testing.T) {
+	const size = 4 << 20
+	f := newFixture(t, func(o *Options) { o.MaxBodyBytes = 1000 })
+	answer := rawCall(t, f, fmt.Sprintf("POST /v1/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s",
+		testKey, size, strings.Repeat("x", size)))
+	assert.Equal(t, answer.StatusCode, http.StatusRequestEntityTooLarge)
+	assert.Equal(t, answer.Header.Get(api.HeaderOutcome), "not-run")
+}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -58,6 +58,8 @@
 	AddressTTL time.Duration
 	// MaxBodyBytes bounds the body of inference and service calls.
 	MaxBodyBytes int64
+	// BodyTimeout bounds the time in which a caller sends its body.
+	BodyTimeout time.Duration
 	// Timeout is the deadline of a request that names none; MaxTimeout bounds the one it names.
 	Timeout, MaxTimeout time.Duration
 	// StallTimeout is how long a caller of a stream may take no data before its run is cancelled.
@@ -72,6 +74,7 @@
 const (
 	DefaultAddressTTL   = 5 * time.Second
 	DefaultMaxBodyBytes = 8 << 20
+	defaultBodyTimeout  = 30 * time.Second
 	DefaultTimeout      = 2 * time.Minute
 	DefaultMaxTimeout   = 15 * time.Minute
 	DefaultStallTimeout = 30 * time.Second
@@ -80,6 +83,7 @@
 func (o *Options) setDefaults() {
 	setDefault(&o.AddressTTL, DefaultAddressTTL)
 	setDefault(&o.MaxBodyBytes, DefaultMaxBodyBytes)
+	setDefault(&o.BodyTimeout, defaultBodyTimeout)
 	setDefault(&o.Timeout, DefaultTimeout)
 	setDefault(&o.MaxTimeout, DefaultMaxTimeout)
 	setDefault(&o.StallTimeout, DefaultStallTimeout)
--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -18,8 +18,9 @@
 	"trefoilplank.example/pkg/serving"
 )
 
-// bodyTimeout bounds the time in which a caller sends its body.
-const bodyTimeout = 30 * time.Second
+// maxDiscardBytes bounds what is read of a body after it is found too large. Most clients look at the answer only
+// when they have sent the whole body, and lose the answer when the connection is closed before.
+const maxDiscardBytes = 64 << 20
 
 func itoa(n int) string { return strconv.Itoa(n) }
 
@@ -57,21 +58,27 @@
 func (g *Gateway) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
 	control := http.NewResponseController(w)
 	// A writer without deadlines, as in a test, is used as it is.
-	_ = control.SetReadDeadline(time.Now().Add(bodyTimeout))
+	_ = control.SetReadDeadline(time.Now().Add(g.BodyTimeout))
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, g.MaxBodyBytes))
-	// The deadline must not end the background read that notices a caller's disconnect.
-	_ = control.SetReadDeadline(time.Time{})
+	if err == nil {
+		// The deadline must not end the background read that notices a caller's disconnect.
+		_ = control.SetReadDeadline(time.Time{})
+		return body, nil
+	}
+	// The deadline stays, and the connection is closed after the answer: the server would otherwise wait for the
+	// rest of the body before it answers.
+	w.Header().Set("Connection", "close")
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
+		_, _ = io.CopyN(io.Discard, r.Body, maxDiscardBytes)
 		return nil, api.Errorf(http.StatusRequestEntityTooLarge, api.CodeTooLarge, api.NotRun,
 			"the body is larger than %d bytes", g.MaxBodyBytes)
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return nil, api.Errorf(http.StatusRequestTimeout, api.CodeDeadline, api.NotRun, "the body did not arrive in time")
-	case err != nil:
+	default:
 		return nil, malformed("reading the body: %v", err)
 	}
-	return body, nil
 }
 
 func malformed(format string, args ...any) *api.Error {
