Give every refusal of net/http itself a request id and an outcome

Cause: the mux redirected a path such as /v1//models with 307, and the server refused a header over 64 KiB, both without Trefoil-Outcome; the second also without Trefoil-Request-Id and with a text body. OPTIONS * was answered 200 without a request id. Change: a path that is not in its shortest form is 404. The gateway checks the header size itself; the server reads at most 1 MiB of header, and only beyond that its own answer remains. The general answer to OPTIONS is switched off. Result: GET /v1//models was 307 without outcome, now 404 not-run.

--- a/pkg/gateway/drain_test.go
+++ b/pkg/gateway/drain_test.go
@@ -78,4 +78,6 @@
 	assert.NilError(t, err)
 	defer resp.Body.Close()
 	assert.Equal(t, resp.StatusCode, http.StatusRequestHeaderFieldsTooLarge)
+	assert.Equal(t, resp.Header.Get(api.HeaderOutcome), "not-run")
+	assert.Assert(t, resp.Header.Get(api.HeaderRequestID) != "")
 }
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"path"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -168,6 +169,11 @@
 		// The caller takes its next request to another node.
 		w.Header().Set("Connection", "close")
 	}
+	if headerBytes(r) > MaxHeaderBytes {
+		WriteError(w, r.WithContext(ctx), api.Errorf(http.StatusRequestHeaderFieldsTooLarge, api.CodeTooLarge, api.NotRun,
+			"the header is larger than %d bytes", MaxHeaderBytes))
+		return
+	}
 	who, err := g.identify(r)
 	if err != nil {
 		WriteError(w, r.WithContext(ctx), err)
@@ -178,7 +184,8 @@
 		g.service(w, r)
 		return
 	}
-	if _, pattern := g.mux.Handler(r); pattern == "" {
+	// The mux would redirect a path that is not in its shortest form; a redirect has no outcome.
+	if _, pattern := g.mux.Handler(r); pattern == "" || path.Clean(r.URL.Path) != r.URL.Path {
 		WriteError(w, r, api.Errorf(http.StatusNotFound, api.CodeNotFound, api.NotRun, "no such path or method"))
 		return
 	}
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -45,6 +45,7 @@
 	}{
 		{"GET", "/v1/models", "", []string{"Authorization", "Bearer wrong"}, 401, api.CodeUnauthorized},
 		{"GET", "/v1/nothing", "", nil, 404, api.CodeNotFound},
+		{"GET", "/v1//models", "", nil, 404, api.CodeNotFound},
 		{"POST", "/v1/completions", `{"model":"secret","prompt":"x"}`, nil, 403, api.CodeForbidden},
 		{"POST", "/v1/completions", `{"model":"m","model":"secret","prompt":"x"}`, nil, 400, api.CodeMalformed},
 		{"POST", "/v1/completions", `{"model":"m"}`, nil, 400, api.CodeMalformed},
--- a/pkg/gateway/listen.go
+++ b/pkg/gateway/listen.go
@@ -9,6 +9,9 @@
 const (
 	// MaxHeaderBytes bounds the header of a request.
 	MaxHeaderBytes = 64 << 10
+	// readHeaderBytes bounds what is read of a header. It is above MaxHeaderBytes, so that the gateway itself refuses
+	// most large headers: the server's own refusal has neither a request id nor an outcome.
+	readHeaderBytes = 1 << 20
 	// headerTimeout bounds the time in which the header arrives; a caller is a few milliseconds away.
 	headerTimeout = 10 * time.Second
 	// idleTimeout is how long a connection without a request is kept.
@@ -22,9 +25,23 @@
 		Handler:           h,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    MaxHeaderBytes,
+		MaxHeaderBytes:    readHeaderBytes,
+		// The general answer to OPTIONS * has no request id.
+		DisableGeneralOptionsHandler: true,
 	}
 }
 
+// headerBytes returns the size of the request line and header as sent in HTTP/1.1, without the Host line.
+func headerBytes(r *http.Request) int {
+	const perLine = len(": \r\n")
+	n := len(r.RequestURI)
+	for name, values := range r.Header {
+		for _, v := range values {
+			n += len(name) + len(v) + perLine
+		}
+	}
+	return n
+}
+
 // AnswersUntil returns when the last address answer that this node gave runs out.
 func (g *Gateway) AnswersUntil() time.Time { return time.Unix(0, g.answersUntil.Load()) }
