Refuse a dry_run value that is not understood

Cause: a value that strconv.ParseBool doesn't know counted as false. Change: dry_run must be given once and be true or false, else 400 not-run. Result: POST /v1/admin/apply?dry_run=yes and ?dry_run made versions 3 and 4 on a development fleet; they are now refused and no version is made.

--- a/pkg/operator/apply.go
+++ b/pkg/operator/apply.go
@@ -58,7 +58,11 @@
 	if !ok {
 		return
 	}
-	dryRun, _ := strconv.ParseBool(r.URL.Query().Get("dry_run"))
+	dryRun, err := parseDryRun(r)
+	if err != nil {
+		writeError(w, api.Errorf(http.StatusBadRequest, api.CodeMalformed, api.NotRun, "%v", err))
+		return
+	}
 	current := s.Board.Config.Value()
 	next := merge(current, change)
 	if f := docs.Check(next); len(f) > 0 && (dryRun || !s.knownChange(r.Context(), change.Key)) {
@@ -119,6 +123,20 @@
 	return config.Change{Register: docs.Register, Rules: docs.Rules, IfMatch: ifMatch, Key: key, Who: who}, docs, true
 }
 
+// parseDryRun reads the parameter dry_run. A value that is not understood is an error, since the change would
+// otherwise be made.
+func parseDryRun(r *http.Request) (bool, error) {
+	values, given := r.URL.Query()["dry_run"]
+	if !given {
+		return false, nil
+	}
+	dryRun, err := strconv.ParseBool(values[len(values)-1])
+	if err != nil || len(values) > 1 {
+		return false, fmt.Errorf("dry_run must be given once and be true or false")
+	}
+	return dryRun, nil
+}
+
 // parseIfMatch reads a version or an entity tag; 0 stands for any version.
 func parseIfMatch(h string) (int64, error) {
 	h = strings.Trim(strings.TrimPrefix(strings.TrimSpace(h), "W/"), `"`)
--- a/pkg/operator/operator_test.go
+++ b/pkg/operator/operator_test.go
@@ -271,3 +271,16 @@
 		assert.Equal(b, f.call("GET", "/v1/admin/status", "").Code, 200)
 	}
 }
+
+// Guards against a change that is made although a dry run was asked for in a form that is not understood.
+func TestDryRunIsNeverAppliedByMistake(t *testing.T) {
+	f := newFixture(t)
+	assert.Equal(t, f.apply(register).Code, 200)
+	for _, query := range []string{"?dry_run=yes", "?dry_run", "?dry_run=", "?dry_run=true&dry_run=false"} {
+		w := f.call("POST", "/v1/admin/apply"+query, rules)
+		assert.Equal(t, w.Code, 400, query)
+		assert.Equal(t, w.Header().Get(api.HeaderOutcome), "not-run")
+	}
+	assert.Equal(t, f.call("POST", "/v1/admin/apply?dry_run=true", rules).Code, 200)
+	assert.Equal(t, f.accepter.Accepted(), int64(1))
+}
