Take If-Match: 0 as version 0 and not as any version

Cause: 0 stood for a change without If-Match. Change: with an accepted configuration, If-Match: 0 matches no version. Result: If-Match: 0 made version 5 on a fleet at version 4; it is now 412 with the current version. The first apply with If-Match: 0 is still accepted.

--- a/pkg/operator/operator_test.go
+++ b/pkg/operator/operator_test.go
@@ -48,7 +48,7 @@
 // accepted twice.
 func TestOperatorsRace(t *testing.T) {
 	f := newFixture(t)
-	assert.Equal(t, f.apply(register+"---\n"+rules).Code, 200)
+	assert.Equal(t, f.apply(register+"---\n"+rules, "If-Match", `"0"`).Code, 200)
 	var wg sync.WaitGroup
 	codes := make([]int, 8)
 	for i := range codes {
@@ -74,6 +74,7 @@
 	assert.Equal(t, decode[ApplyResult](t, again).Version, int64(2))
 	assert.Equal(t, f.apply(rules).Code, 200, "without If-Match a change applies to any version")
 	assert.Equal(t, f.apply(rules, "If-Match", "x").Code, 400)
+	assert.Equal(t, f.apply(rules, "If-Match", `"0"`).Code, 412, "version 0 is an empty configuration, not any")
 }
 
 // Guards against an outcome that is not true when the store fails, and against a resend that makes a second version.
