Refuse stray arguments and settings that can't hold

Result: trefoilplank dev stray started a fleet and trefoilctl status stray exited 0; both now exit 2.

--- a/cmd/internal/daemon/daemon.go
+++ b/cmd/internal/daemon/daemon.go
@@ -27,8 +27,8 @@
 type serveCommand struct{ node.Settings }
 
 // Execute runs one node until it is told to stop.
-func (c *serveCommand) Execute([]string) error {
-	if err := c.Check(); err != nil {
+func (c *serveCommand) Execute(args []string) error {
+	if err := errors.Join(noArguments(args), c.Check()); err != nil {
 		return &usageError{err}
 	}
 	logs.Setup(c.LogFormat, c.Verbosity)
@@ -44,8 +44,8 @@
 type devCommand struct{ dev.Options }
 
 // Execute runs the development fleet until it is told to stop, or the demo.
-func (c *devCommand) Execute([]string) error {
-	if err := c.Check(); err != nil {
+func (c *devCommand) Execute(args []string) error {
+	if err := errors.Join(noArguments(args), c.Check()); err != nil {
 		return &usageError{err}
 	}
 	logs.Setup(c.LogFormat, c.Verbosity)
@@ -62,6 +62,14 @@
 	return nil
 }
 
+// noArguments returns an error for arguments, which no command takes.
+func noArguments(args []string) error {
+	if len(args) == 0 {
+		return nil
+	}
+	return fmt.Errorf("unexpected argument %q", args[0])
+}
+
 // usageError marks an error that is the fault of flags or environment.
 type usageError struct{ error }
 
--- a/cmd/scenarios/checks_test.go
+++ b/cmd/scenarios/checks_test.go
@@ -4,9 +4,12 @@
 	"crypto/sha256"
 	"crypto/tls"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net/http"
 	"os"
+	"os/exec"
+	"strconv"
 	"strings"
 
 	"github.com/rogpeppe/go-internal/testscript"
@@ -103,6 +106,21 @@
 	}
 }
 
+// exits runs a program that must end with an exit status: exits STATUS PROGRAM [ARG]...
+func exits(ts *testscript.TestScript, _ bool, args []string) {
+	err := ts.Exec(args[1], args[2:]...)
+	got := 0
+	var exit *exec.ExitError
+	if errors.As(err, &exit) {
+		got = exit.ExitCode()
+	} else {
+		ts.Check(err)
+	}
+	if args[0] != strconv.Itoa(got) {
+		ts.Fatalf("exit status %d, %s wanted", got, args[0])
+	}
+}
+
 // presented prints a digest of the certificate that an address presents: presented ADDRESS.
 func presented(ts *testscript.TestScript, _ bool, args []string) {
 	// The certificate itself is what is looked at, so that no chain is checked.
--- a/cmd/scenarios/scenario_test.go
+++ b/cmd/scenarios/scenario_test.go
@@ -32,7 +32,7 @@
 			"standins": standins, "node": startNode, "ready": ready, "signal": signalNode, "exited": exited,
 			"http": httpCall, "await": await, "fault": fault, "runs": runs, "orders": orders,
 			"batchfile": batchFile, "results": results, "load": load, "sleep": sleep, "certificate": certificate,
-			"poison": poison, "crashes": crashes, "jobid": jobID, "leave": leave, "started": started, "presented": presented,
+			"poison": poison, "crashes": crashes, "jobid": jobID, "leave": leave, "exits": exits, "started": started, "presented": presented,
 		},
 	})
 }
--- a/pkg/ctl/config.go
+++ b/pkg/ctl/config.go
@@ -20,11 +20,14 @@
 
 type documentFlags struct {
 	Files   []string `short:"f" long:"file" value-name:"FILE" description:"document to read, - for standard input; may be repeated"`
-	IfMatch int64    `long:"if-match" value-name:"VERSION" description:"refuse the change if another version is in force"`
+	IfMatch *int64   `long:"if-match" value-name:"VERSION" description:"refuse the change if another version is in force"`
 }
 
 // read joins the files named by -f and the arguments into one stream of documents.
 func (f documentFlags) read(stdin io.Reader, args []string) ([]byte, error) {
+	if f.IfMatch != nil && *f.IfMatch < 0 {
+		return nil, usageError.New("--if-match takes a version, not %d", *f.IfMatch)
+	}
 	files := append(append([]string{}, f.Files...), args...)
 	if len(files) == 0 {
 		return nil, usageError.New("a document is needed: -f FILE, or - for standard input")
@@ -51,8 +54,8 @@
 
 func (f documentFlags) header() map[string]string {
 	h := map[string]string{"Content-Type": "application/yaml"}
-	if f.IfMatch > 0 {
-		h["If-Match"] = strconv.Quote(strconv.FormatInt(f.IfMatch, 10))
+	if f.IfMatch != nil {
+		h["If-Match"] = strconv.Quote(strconv.FormatInt(*f.IfMatch, 10))
 	}
 	return h
 }
@@ -184,7 +187,7 @@
 	if !c.JSON {
 		_, _ = fmt.Fprintf(c.stderr, "version %s\n", header.Get("ETag"))
 	}
-	if !c.YAML {
+	if c.JSON || !c.YAML {
 		return c.printJSON(body)
 	}
 	// JSON is YAML, and the node form keeps the order of fields; only the style changes.
--- a/pkg/ctl/ctl.go
+++ b/pkg/ctl/ctl.go
@@ -48,6 +48,11 @@
 	subcommands       []command
 }
 
+// argumentTaker is a command that takes arguments beside its named ones.
+type argumentTaker interface {
+	read(stdin io.Reader, args []string) ([]byte, error)
+}
+
 // none is the data of a command that only has subcommands.
 type none struct{}
 
@@ -95,6 +100,9 @@
 		if c == nil {
 			return usageError.New("a command is needed; see trefoilctl --help")
 		}
+		if _, ok := c.(argumentTaker); !ok && len(rest) > 0 {
+			return usageError.New("unexpected argument %q", rest[0])
+		}
 		return c.Execute(rest)
 	}
 	_, err = p.ParseArgs(args)
--- a/pkg/node/settings.go
+++ b/pkg/node/settings.go
@@ -4,6 +4,7 @@
 import (
 	"fmt"
 	"net"
+	"net/url"
 	"os"
 	"regexp"
 	"strings"
@@ -73,6 +74,13 @@
 	if s.Store == "" {
 		add("--store: is missing")
 	}
+	for _, a := range []struct{ flag, address string }{
+		{"store", s.Store}, {"vm-list", s.VMList}, {"weight-store", s.WeightStore},
+	} {
+		if a.address != "" && !isAddress(a.address) {
+			add("--%s: %q must be IP:port or a URL", a.flag, a.address)
+		}
+	}
 	s.checkListeners(add)
 	s.OperatorKey = secret(add, "operator-key", s.OperatorKey, s.OperatorKeyFile)
 	s.PeerSecret = secret(add, "peer-secret", s.PeerSecret, s.PeerSecretFile)
@@ -103,6 +111,15 @@
 	return e
 }
 
+// isAddress reports whether s is HOST:PORT or an HTTP URL.
+func isAddress(s string) bool {
+	if u, err := url.Parse(s); err == nil && (u.Scheme == "http" || u.Scheme == "https") {
+		return u.Host != ""
+	}
+	_, _, err := net.SplitHostPort(s)
+	return err == nil
+}
+
 func (s *Settings) checkListeners(add func(string, ...any)) {
 	seen := map[string]string{}
 	for _, l := range []struct{ flag, address string }{
