Accept many JSON documents in one apply

Cause: the YAML decoder takes JSON documents only with --- between them, so that JSON values one after the other or in a list were a syntax error. Change: data that consists of several JSON values is decoded value by value with the positions of the whole, and a list of documents is decoded item by item. Result: a Register and a Rules object on two lines were 422 with 'did not find expected <document start>'; they are now accepted, and a finding in the second has document, line, column and path. TestManyJSONDocuments failed before.

--- a/api/decode.go
+++ b/api/decode.go
@@ -2,10 +2,12 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
 	"reflect"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -51,29 +53,88 @@
 	findings Findings
 }
 
-// Decode reads one or many YAML or JSON documents. Documents of one kind are joined. The findings hold
-// syntax errors, unknown fields and wrong types; the documents are only to be used when there are none.
+// Decode reads one or many documents: YAML documents, JSON values one after the other, or one list of documents.
+// Documents of one kind are joined. The findings hold syntax errors, unknown fields and wrong types; the documents
+// are only to be used when there are none.
 func Decode(data []byte) (*Documents, Findings) {
 	d := &Documents{places: map[string]place{}}
-	dec := yaml.NewDecoder(bytes.NewReader(data))
-	for i := 0; ; i++ {
+	next := 0
+	for _, s := range jsonValues(data) {
+		next = d.decodeStream(next, s)
+	}
+	if d.Register == nil && d.Rules == nil && len(d.findings) == 0 {
+		d.findings = append(d.findings, Finding{Path: "kind", Message: "no document of kind Register or Rules"})
+	}
+	return d, d.findings
+}
+
+// decodeStream decodes YAML documents, numbered from first, and returns the number after the last.
+func (d *Documents) decodeStream(first int, s stream) int {
+	dec := yaml.NewDecoder(bytes.NewReader(s.data))
+	for i := first; ; i++ {
 		var root yaml.Node
 		err := dec.Decode(&root)
-		if errors.Is(err, io.EOF) {
-			break
+		s.move(&root)
+		switch {
+		case errors.Is(err, io.EOF):
+			return i
+		case err != nil:
+			f := syntaxFinding(i, err)
+			f.Line += s.line
+			d.findings = append(d.findings, f)
+			return i + 1
+		case len(root.Content) == 0:
+		case root.Content[0].Kind == yaml.SequenceNode && len(root.Content[0].Content) > 0:
+			for n, document := range root.Content[0].Content {
+				d.decodeDocument(i+n, document)
+			}
+			i += len(root.Content[0].Content) - 1
+		default:
+			d.decodeDocument(i, root.Content[0])
+		}
+	}
+}
+
+// stream is a part of the data of a call, which begins after some lines, and some columns of its first line.
+type stream struct {
+	data         []byte
+	line, column int
+}
+
+// move moves the positions of a node and all below it to those in the whole data.
+func (s stream) move(node *yaml.Node) {
+	if node.Line == 1 {
+		node.Column += s.column
+	}
+	node.Line += s.line
+	for _, n := range node.Content {
+		s.move(n)
+	}
+}
+
+// jsonValues splits data into the JSON values that it consists of. Data of another form, such as YAML, is
+// returned whole.
+func jsonValues(data []byte) []stream {
+	var values []stream
+	dec := json.NewDecoder(bytes.NewReader(data))
+	for line, lineStart, counted := 0, 0, 0; ; {
+		var value json.RawMessage
+		err := dec.Decode(&value)
+		if errors.Is(err, io.EOF) && len(values) > 1 {
+			return values
 		}
 		if err != nil {
-			d.findings = append(d.findings, syntaxFinding(i, err))
-			break
+			return []stream{{data: data}}
 		}
-		if len(root.Content) > 0 {
-			d.decodeDocument(i, root.Content[0])
+		start := int(dec.InputOffset()) - len(value)
+		passed := data[counted:start]
+		if n := bytes.Count(passed, []byte("\n")); n > 0 {
+			line += n
+			lineStart = counted + bytes.LastIndexByte(passed, '\n') + 1
 		}
+		counted = start
+		values = append(values, stream{value, line, start - lineStart})
 	}
-	if d.Register == nil && d.Rules == nil && len(d.findings) == 0 {
-		d.findings = append(d.findings, Finding{Path: "kind", Message: "no document of kind Register or Rules"})
-	}
-	return d, d.findings
 }
 
 func syntaxFinding(document int, err error) Finding {
--- a/api/decode_test.go
+++ b/api/decode_test.go
@@ -71,3 +71,22 @@
 	assert.Equal(t, findings[0].Document, 1)
 	assert.Equal(t, findings[0].Path, "register.models[1].name")
 }
+
+// Guards against JSON documents that are only accepted one a call, and against findings in them without their place.
+func TestManyJSONDocuments(t *testing.T) {
+	one := `{"kind":"Register","institutions":[{"name":"board"}]}`
+	two := `{"kind":"Rules","institutions":[{"institution":"board","share":1}]}`
+	for _, text := range []string{one + two, one + "\n" + two + "\n", one + "\n---\n" + two, "[" + one + ",\n " + two + "]"} {
+		d, findings := Decode([]byte(text))
+		assert.Equal(t, len(findings), 0, "%s: %v", text, findings)
+		assert.Assert(t, d.Register != nil && d.Rules != nil, text)
+		faulty := strings.Replace(text, `"share"`, `"shape"`, 1)
+		_, findings = Decode([]byte(faulty))
+		assert.Equal(t, len(findings), 1, "%s: %v", text, findings)
+		before := faulty[:strings.Index(faulty, `"shape"`)]
+		assert.Equal(t, findings[0], Finding{
+			Document: 1, Line: 1 + strings.Count(before, "\n"), Column: len(before) - strings.LastIndex(before, "\n"),
+			Path: "rules.institutions[0].shape", Message: "unknown field",
+		}, text)
+	}
+}
