--- a/api/decode.go
+++ b/api/decode.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"io"
 	"reflect"
-	"slices"
 	"strconv"
 	"strings"
 
