Let the stand-in service take any path

Cause: its mux redirected paths that are not in their shortest form. Change: such paths go to the service itself.

--- a/standin/plainservice/plainservice.go
+++ b/standin/plainservice/plainservice.go
@@ -7,6 +7,7 @@
 	"encoding/hex"
 	"io"
 	"net/http"
+	"path"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -55,7 +56,6 @@
 	s.mux.Handle("POST /standin/faults", s.faults)
 	s.mux.Handle("GET /standin/executions", &s.executions)
 	s.mux.HandleFunc("GET /load", s.load)
-	s.mux.HandleFunc("/", s.call)
 	return s
 }
 
@@ -65,6 +65,11 @@
 		faults.Break(w)
 		return
 	}
+	// The mux would redirect a path that is not in its shortest form, and the service takes any path.
+	if _, pattern := s.mux.Handler(r); pattern == "" || path.Clean(r.URL.Path) != r.URL.Path {
+		s.call(w, r)
+		return
+	}
 	s.mux.ServeHTTP(w, r)
 }
 
