Give operators' answers a request id, and refusals their outcome

Cause: the operators' listener set no Trefoil-Request-Id, error bodies had an empty request_id, and the mux redirected unclean paths without an outcome. Change: each answer carries NODE-ULID; an unclean path is 404.

--- a/pkg/operator/apply.go
+++ b/pkg/operator/apply.go
@@ -207,6 +207,7 @@
 		writeFindings(w, findings)
 	case errors.As(err, &race):
 		e := api.Errorf(http.StatusPreconditionFailed, api.CodeVersionRace, api.NotRun, "%v", race)
+		e.RequestID = w.Header().Get(api.HeaderRequestID)
 		w.Header().Set("ETag", etag(race.Current))
 		w.Header().Set(api.HeaderOutcome, string(e.Outcome))
 		writeJSON(w, e.Status, raceBody{Version: race.Current, Error: e.Body().Error})
@@ -228,6 +229,7 @@
 
 func writeFindings(w http.ResponseWriter, f api.Findings) {
 	e := api.Errorf(http.StatusUnprocessableEntity, api.CodeInvalid, api.NotRun, "the documents have %d findings", len(f))
+	e.RequestID = w.Header().Get(api.HeaderRequestID)
 	w.Header().Set(api.HeaderOutcome, string(e.Outcome))
 	writeJSON(w, e.Status, findingsBody{Findings: f, Error: e.Body().Error})
 }
--- a/pkg/operator/operator.go
+++ b/pkg/operator/operator.go
@@ -11,9 +11,11 @@
 	"expvar"
 	"fmt"
 	"net/http"
+	"path"
 	"strings"
 	"time"
 
+	"github.com/oklog/ulid/v2"
 	"k8s.io/klog/v2"
 
 	"trefoilplank.example/api"
@@ -88,10 +90,20 @@
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = fmt.Fprintln(w, "ok") })
 	mux.HandleFunc("GET /readyz", s.ready)
 	mux.HandleFunc("GET /debug/vars", vars)
-	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
-		writeError(w, api.Errorf(http.StatusNotFound, api.CodeNotFound, api.NotRun, "no %s %s here", r.Method, r.URL.Path))
+	mux.HandleFunc("/", notFound)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(api.HeaderRequestID, o.Node+"-"+ulid.Make().String())
+		if path.Clean(r.URL.Path) != r.URL.Path {
+			// The mux would answer with a redirect, which has no outcome.
+			notFound(w, r)
+			return
+		}
+		mux.ServeHTTP(w, r)
 	})
-	return mux
+}
+
+func notFound(w http.ResponseWriter, r *http.Request) {
+	writeError(w, api.Errorf(http.StatusNotFound, api.CodeNotFound, api.NotRun, "no %s %s here", r.Method, r.URL.Path))
 }
 
 // authorized lets a call pass that carries an operator key.
@@ -171,6 +183,7 @@
 }
 
 func writeError(w http.ResponseWriter, e *api.Error) {
+	e.RequestID = w.Header().Get(api.HeaderRequestID)
 	w.Header().Set(api.HeaderOutcome, string(e.Outcome))
 	if e.RetryAfter > 0 {
 		w.Header().Set("Retry-After", fmt.Sprint(e.Body().Error.RetryAfterSeconds))
--- a/pkg/operator/operator_test.go
+++ b/pkg/operator/operator_test.go
@@ -285,3 +285,24 @@
 	assert.Equal(t, f.call("POST", "/v1/admin/apply?dry_run=true", rules).Code, 200)
 	assert.Equal(t, f.accepter.Accepted(), int64(1))
 }
+
+// Guards against refusals without request id or outcome, which an operator can't look up or act on.
+func TestRefusalsCarryRequestIDAndOutcome(t *testing.T) {
+	f := newFixture(t)
+	assert.Equal(t, f.apply(register).Code, 200)
+	for _, c := range []struct {
+		method, path, body, ifMatch string
+		status                      int
+	}{
+		{"GET", "/v1/admin/nothing", "", "", 404}, {"PUT", "/v1/admin/apply", "", "", 404}, {"GET", "/v1//admin/status", "", "", 404},
+		{"GET", "/v1/admin/explain", "", "", 400}, {"POST", "/v1/admin/apply", "kind: Nothing", "", 422},
+		{"POST", "/v1/admin/apply", rules, "7", 412},
+	} {
+		w := f.call(c.method, c.path, c.body, "If-Match", c.ifMatch)
+		assert.Equal(t, w.Code, c.status, "%s %s", c.method, c.path)
+		assert.Equal(t, w.Header().Get(api.HeaderOutcome), "not-run")
+		body := decode[api.ErrorBody](t, w)
+		assert.Assert(t, strings.HasPrefix(body.Error.RequestID, "n1-"), w.Body.String())
+		assert.Equal(t, body.Error.RequestID, w.Header().Get(api.HeaderRequestID))
+	}
+}
