Bound the wait for the body of a refused call

Cause: before the server answers it reads the rest of an unread body, without a deadline; a caller without a key could hold a connection for ever by sending half a body. Change: refusals before the body is read set a read deadline of 1 s. Result: POST without a key, 9 of 500 bytes sent, had no answer after 5 s; now 401 after 1 s, and a refused call with a whole body keeps its connection.

--- a/pkg/gateway/body_test.go
+++ b/pkg/gateway/body_test.go
@@ -37,6 +37,21 @@
 	assert.Equal(t, answer.Header.Get(api.HeaderOutcome), "not-run")
 }
 
+// Guards against a caller without a key that holds a connection by not sending its body, and against a refusal that
+// ends the connection of a caller that does send it.
+func TestStalledBodyOfRefusedCall(t *testing.T) {
+	f := newFixture(t, nil)
+	for _, path := range []string{"/v1/completions", "/v1/nothing"} {
+		answer := rawCall(t, f, "POST "+path+" HTTP/1.1\r\nHost: x\r\nContent-Length: 500\r\n\r\n{\"model\":")
+		assert.Equal(t, answer.StatusCode, http.StatusUnauthorized)
+		assert.Equal(t, answer.Header.Get(api.HeaderOutcome), "not-run")
+	}
+	forbidden := rawCall(t, f, "POST /v1/services/other/x HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer "+testKey+"\r\nContent-Length: 500\r\n\r\n{")
+	assert.Equal(t, forbidden.StatusCode, http.StatusForbidden)
+	answer := rawCall(t, f, "POST /v1/nothing HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\n{}")
+	assert.Assert(t, !answer.Close)
+}
+
 // Guards against a refusal of a large body that a client never sees, since the connection breaks while it sends.
 func TestLargeBodyIsReadBeforeTheRefusal(t *testing.T) {
 	const size = 4 << 20
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -170,13 +170,13 @@
 		w.Header().Set("Connection", "close")
 	}
 	if headerBytes(r) > MaxHeaderBytes {
-		WriteError(w, r.WithContext(ctx), api.Errorf(http.StatusRequestHeaderFieldsTooLarge, api.CodeTooLarge, api.NotRun,
+		refuse(w, r.WithContext(ctx), api.Errorf(http.StatusRequestHeaderFieldsTooLarge, api.CodeTooLarge, api.NotRun,
 			"the header is larger than %d bytes", MaxHeaderBytes))
 		return
 	}
 	who, err := g.identify(r)
 	if err != nil {
-		WriteError(w, r.WithContext(ctx), err)
+		refuse(w, r.WithContext(ctx), err)
 		return
 	}
 	r = r.WithContext(serving.WithIdentity(ctx, who))
@@ -186,8 +186,18 @@
 	}
 	// The mux would redirect a path that is not in its shortest form; a redirect has no outcome.
 	if _, pattern := g.mux.Handler(r); pattern == "" || path.Clean(r.URL.Path) != r.URL.Path {
-		WriteError(w, r, api.Errorf(http.StatusNotFound, api.CodeNotFound, api.NotRun, "no such path or method"))
+		refuse(w, r, api.Errorf(http.StatusNotFound, api.CodeNotFound, api.NotRun, "no such path or method"))
 		return
 	}
 	g.mux.ServeHTTP(w, r)
 }
+
+// refuseTimeout bounds how long a refusal waits for a body that nobody reads.
+const refuseTimeout = time.Second
+
+// refuse answers a request whose body has not been read. The server reads the rest of a short body before it
+// answers; without a deadline, a caller that stalls would hold the connection for ever.
+func refuse(w http.ResponseWriter, r *http.Request, err error) {
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(refuseTimeout))
+	WriteError(w, r, err)
+}
--- a/pkg/gateway/handlers.go
+++ b/pkg/gateway/handlers.go
@@ -76,7 +76,7 @@
 func (g *Gateway) inference(w http.ResponseWriter, r *http.Request) {
 	j, err := g.inferenceJob(w, r)
 	if err != nil {
-		WriteError(w, r, err)
+		refuse(w, r, err)
 		return
 	}
 	g.serve(w, r, j)
@@ -85,7 +85,7 @@
 func (g *Gateway) service(w http.ResponseWriter, r *http.Request) {
 	j, err := g.serviceJob(w, r)
 	if err != nil {
-		WriteError(w, r, err)
+		refuse(w, r, err)
 		return
 	}
 	g.serve(w, r, j)
