--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"path"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -60,6 +61,8 @@
 	AddressTTL time.Duration
 	// MaxBodyBytes bounds the body of inference and service calls.
 	MaxBodyBytes int64
+	// BodyTimeout bounds the time in which a caller sends its body.
+	BodyTimeout time.Duration
 	// Timeout is the deadline of a request that names none; MaxTimeout bounds the one it names.
 	Timeout, MaxTimeout time.Duration
 	// StallTimeout is how long a caller of a stream may take no data before its run is cancelled.
@@ -74,6 +77,7 @@
 const (
 	DefaultAddressTTL   = 5 * time.Second
 	DefaultMaxBodyBytes = 8 << 20
+	defaultBodyTimeout  = 30 * time.Second
 	DefaultTimeout      = 2 * time.Minute
 	DefaultMaxTimeout   = 15 * time.Minute
 	DefaultStallTimeout = 30 * time.Second
@@ -82,6 +86,7 @@
 func (o *Options) setDefaults() {
 	setDefault(&o.AddressTTL, DefaultAddressTTL)
 	setDefault(&o.MaxBodyBytes, DefaultMaxBodyBytes)
+	setDefault(&o.BodyTimeout, defaultBodyTimeout)
 	setDefault(&o.Timeout, DefaultTimeout)
 	setDefault(&o.MaxTimeout, DefaultMaxTimeout)
 	setDefault(&o.StallTimeout, DefaultStallTimeout)
@@ -166,9 +171,14 @@
 		// The caller takes its next request to another node.
 		w.Header().Set("Connection", "close")
 	}
+	if headerBytes(r) > MaxHeaderBytes {
+		refuse(w, r.WithContext(ctx), api.Errorf(http.StatusRequestHeaderFieldsTooLarge, api.CodeTooLarge, api.NotRun,
+			"the header is larger than %d bytes", MaxHeaderBytes))
+		return
+	}
 	who, err := g.identify(r)
 	if err != nil {
-		WriteError(w, r.WithContext(ctx), err)
+		refuse(w, r.WithContext(ctx), err)
 		return
 	}
 	r = r.WithContext(serving.WithIdentity(ctx, who))
@@ -176,9 +186,20 @@
 		g.service(w, r)
 		return
 	}
-	if _, pattern := g.mux.Handler(r); pattern == "" {
-		WriteError(w, r, api.Errorf(http.StatusNotFound, api.CodeNotFound, api.NotRun, "no such path or method"))
+	// The mux would redirect a path that is not in its shortest form; a redirect has no outcome.
+	if _, pattern := g.mux.Handler(r); pattern == "" || path.Clean(r.URL.Path) != r.URL.Path {
+		refuse(w, r, api.Errorf(http.StatusNotFound, api.CodeNotFound, api.NotRun, "no such path or method"))
 		return
 	}
 	g.mux.ServeHTTP(w, r)
 }
+
+// refuseTimeout bounds how long a refusal waits for a body that nobody reads.
+const refuseTimeout = time.Second
+
+// refuse answers a request whose body has not been read. The server reads the rest of a short body before it
+// answers; without a deadline, a caller that stalls would hold the connection for ever.
+func refuse(w http.ResponseWriter, r *http.Request, err error) {
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(refuseTimeout))
+	WriteError(w, r, err)
+}
--- a/pkg/operator/apply.go
+++ b/pkg/operator/apply.go
@@ -58,7 +58,11 @@
 	if !ok {
 		return
 	}
-	dryRun, _ := strconv.ParseBool(r.URL.Query().Get("dry_run"))
+	dryRun, err := parseDryRun(r)
+	if err != nil {
+		writeError(w, api.Errorf(http.StatusBadRequest, api.CodeMalformed, api.NotRun, "%v", err))
+		return
+	}
 	current := s.Board.Config.Value()
 	next := merge(current, change)
 	if f := docs.Check(next); len(f) > 0 && (dryRun || !s.knownChange(r.Context(), change.Key)) {
@@ -97,7 +101,7 @@
 		writeError(w, api.Errorf(http.StatusBadRequest, api.CodeMalformed, api.NotRun, "reading the documents: %v", err))
 		return config.Change{}, nil, false
 	}
-	ifMatch, err := parseIfMatch(r.Header.Get("If-Match"))
+	ifMatch, err := parseIfMatch(r.Header.Get("If-Match"), s.Config.Accepted())
 	if err != nil {
 		writeError(w, api.Errorf(http.StatusBadRequest, api.CodeMalformed, api.NotRun, "%v", err))
 		return config.Change{}, nil, false
@@ -119,13 +123,37 @@
 	return config.Change{Register: docs.Register, Rules: docs.Rules, IfMatch: ifMatch, Key: key, Who: who}, docs, true
 }
 
-// parseIfMatch reads a version or an entity tag; 0 stands for any version.
-func parseIfMatch(h string) (int64, error) {
+// parseDryRun reads the parameter dry_run. A value that is not understood is an error, since the change would
+// otherwise be made.
+func parseDryRun(r *http.Request) (bool, error) {
+	values, given := r.URL.Query()["dry_run"]
+	if !given {
+		return false, nil
+	}
+	dryRun, err := strconv.ParseBool(values[len(values)-1])
+	if err != nil || len(values) > 1 {
+		return false, fmt.Errorf("dry_run must be given once and be true or false")
+	}
+	return dryRun, nil
+}
+
+// anyVersion is the IfMatch of a change that applies to any version, and noVersion that of one that applies to no
+// version, since it was made on version 0 and a configuration has been accepted since.
+const (
+	anyVersion = 0
+	noVersion  = -1
+)
+
+// parseIfMatch reads a version or an entity tag, and returns anyVersion for none. accepted is the newest version.
+func parseIfMatch(h string, accepted int64) (int64, error) {
 	h = strings.Trim(strings.TrimPrefix(strings.TrimSpace(h), "W/"), `"`)
 	if h == "" || h == "*" {
-		return 0, nil
+		return anyVersion, nil
 	}
 	v, err := strconv.ParseInt(h, 10, 64)
+	if err == nil && v == 0 && accepted > 0 {
+		return noVersion, nil
+	}
 	if err != nil || v < 0 {
 		return 0, fmt.Errorf("If-Match %q is not a version", h)
 	}
@@ -179,6 +207,7 @@
 		writeFindings(w, findings)
 	case errors.As(err, &race):
 		e := api.Errorf(http.StatusPreconditionFailed, api.CodeVersionRace, api.NotRun, "%v", race)
+		e.RequestID = w.Header().Get(api.HeaderRequestID)
 		w.Header().Set("ETag", etag(race.Current))
 		w.Header().Set(api.HeaderOutcome, string(e.Outcome))
 		writeJSON(w, e.Status, raceBody{Version: race.Current, Error: e.Body().Error})
@@ -200,6 +229,7 @@
 
 func writeFindings(w http.ResponseWriter, f api.Findings) {
 	e := api.Errorf(http.StatusUnprocessableEntity, api.CodeInvalid, api.NotRun, "the documents have %d findings", len(f))
+	e.RequestID = w.Header().Get(api.HeaderRequestID)
 	w.Header().Set(api.HeaderOutcome, string(e.Outcome))
 	writeJSON(w, e.Status, findingsBody{Findings: f, Error: e.Body().Error})
 }
--- a/pkg/operator/operator_test.go
+++ b/pkg/operator/operator_test.go
@@ -48,7 +48,7 @@
 // accepted twice.
 func TestOperatorsRace(t *testing.T) {
 	f := newFixture(t)
-	assert.Equal(t, f.apply(register+"---\n"+rules).Code, 200)
+	assert.Equal(t, f.apply(register+"---\n"+rules, "If-Match", `"0"`).Code, 200)
 	var wg sync.WaitGroup
 	codes := make([]int, 8)
 	for i := range codes {
@@ -74,6 +74,7 @@
 	assert.Equal(t, decode[ApplyResult](t, again).Version, int64(2))
 	assert.Equal(t, f.apply(rules).Code, 200, "without If-Match a change applies to any version")
 	assert.Equal(t, f.apply(rules, "If-Match", "x").Code, 400)
+	assert.Equal(t, f.apply(rules, "If-Match", `"0"`).Code, 412, "version 0 is an empty configuration, not any")
 }
 
 // Guards against an outcome that is not true when the store fails, and against a resend that makes a second version.
@@ -271,3 +272,37 @@
 		assert.Equal(b, f.call("GET", "/v1/admin/status", "").Code, 200)
 	}
 }
+
+// Guards against a change that is made although a dry run was asked for in a form that is not understood.
+func TestDryRunIsNeverAppliedByMistake(t *testing.T) {
+	f := newFixture(t)
+	assert.Equal(t, f.apply(register).Code, 200)
+	for _, query := range []string{"?dry_run=yes", "?dry_run", "?dry_run=", "?dry_run=true&dry_run=false"} {
+		w := f.call("POST", "/v1/admin/apply"+query, rules)
+		assert.Equal(t, w.Code, 400, query)
+		assert.Equal(t, w.Header().Get(api.HeaderOutcome), "not-run")
+	}
+	assert.Equal(t, f.call("POST", "/v1/admin/apply?dry_run=true", rules).Code, 200)
+	assert.Equal(t, f.accepter.Accepted(), int64(1))
+}
+
+// Guards against refusals without request id or outcome, which an operator can't look up or act on.
+func TestRefusalsCarryRequestIDAndOutcome(t *testing.T) {
+	f := newFixture(t)
+	assert.Equal(t, f.apply(register).Code, 200)
+	for _, c := range []struct {
+		method, path, body, ifMatch string
+		status                      int
+	}{
+		{"GET", "/v1/admin/nothing", "", "", 404}, {"PUT", "/v1/admin/apply", "", "", 404}, {"GET", "/v1//admin/status", "", "", 404},
+		{"GET", "/v1/admin/explain", "", "", 400}, {"POST", "/v1/admin/apply", "kind: Nothing", "", 422},
+		{"POST", "/v1/admin/apply", rules, "7", 412},
+	} {
+		w := f.call(c.method, c.path, c.body, "If-Match", c.ifMatch)
+		assert.Equal(t, w.Code, c.status, "%s %s", c.method, c.path)
+		assert.Equal(t, w.Header().Get(api.HeaderOutcome), "not-run")
+		body := decode[api.ErrorBody](t, w)
+		assert.Assert(t, strings.HasPrefix(body.Error.RequestID, "n1-"), w.Body.String())
+		assert.Equal(t, body.Error.RequestID, w.Header().Get(api.HeaderRequestID))
+	}
+}
