--- a/pkg/decision/admission/tuner.go
+++ b/pkg/decision/admission/tuner.go
@@ -15,10 +15,10 @@
 	allowance float64
 	// started is set once the limit was set to the slots that the upstream reports.
 	started bool
-	ratios    []float64
-	misses    int
-	mayMiss   float64
-	since     time.Time
+	ratios  []float64
+	misses  int
+	mayMiss float64
+	since   time.Time
 	// settled is when runs that started under the last change have ended.
 	settled time.Time
 }
