Name the two sides of distributed rate limits in usual terms

Cause: Purse and Ledger are figures of speech. Change: LocalBucket is a node's side and Allocator the limit owner's. Result: tests of both packages pass; no behaviour changes.

--- a/pkg/controller/limits/limits.go
+++ b/pkg/controller/limits/limits.go
@@ -31,7 +31,7 @@
 	silencePause = 100 * time.Millisecond
 	// renewInterval keeps concurrency grants well within ratelimit.SlotLife.
 	renewInterval = time.Second
-	// idleAfter is when the purse and ledger of an institution without requests are forgotten.
+	// idleAfter is when the bucket and allocator of an institution without requests are forgotten.
 	idleAfter = time.Minute
 )
 
@@ -52,31 +52,31 @@
 	Options
 	flight singleflight.Group
 
-	mu      sync.Mutex
-	purses  map[string]*purse
-	ledgers map[string]*ledger
-	silent  map[string]time.Time
+	mu         sync.Mutex
+	buckets    map[string]*bucket
+	allocators map[string]*allocator
+	silent     map[string]time.Time
 
 	life       context.Context
 	end        context.CancelFunc
 	background sync.WaitGroup
 }
 
-type purse struct {
-	ratelimit.Purse
+type bucket struct {
+	ratelimit.LocalBucket
 	used time.Time
 	// asking is set while a grant is asked for ahead of need.
 	asking bool
 }
 
-type ledger struct {
-	*ratelimit.Ledger
+type allocator struct {
+	*ratelimit.Allocator
 	used time.Time
 }
 
 // New returns a controller and registers its receiver.
 func New(o Options) (*Controller, error) {
-	c := &Controller{Options: o, purses: map[string]*purse{}, ledgers: map[string]*ledger{}, silent: map[string]time.Time{}}
+	c := &Controller{Options: o, buckets: map[string]*bucket{}, allocators: map[string]*allocator{}, silent: map[string]time.Time{}}
 	c.life, c.end = context.WithCancel(context.Background())
 	if o.Registrar != nil {
 		if err := o.Registrar.Register("Limits", &Service{c}); err != nil {
@@ -107,9 +107,9 @@
 	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	maps.DeleteFunc(c.ledgers, func(_ string, l *ledger) bool { return now.Sub(l.used) > idleAfter })
-	maps.DeleteFunc(c.purses, func(_ string, p *purse) bool { return p.InFlight() == 0 && now.Sub(p.used) > idleAfter })
-	for institution, p := range c.purses {
+	maps.DeleteFunc(c.allocators, func(_ string, l *allocator) bool { return now.Sub(l.used) > idleAfter })
+	maps.DeleteFunc(c.buckets, func(_ string, p *bucket) bool { return p.InFlight() == 0 && now.Sub(p.used) > idleAfter })
+	for institution, p := range c.buckets {
 		if lim := c.limit(institution); lim.Concurrency > 0 && p.RenewDue(now) {
 			c.askAhead(institution, p)
 		}
@@ -122,12 +122,12 @@
 	return ratelimit.LimitOf(rules.Rate)
 }
 
-// purse returns the purse of an institution; c.mu is held.
-func (c *Controller) purse(institution string, now time.Time) *purse {
-	p, ok := c.purses[institution]
+// bucket returns the bucket of an institution; c.mu is held.
+func (c *Controller) bucket(institution string, now time.Time) *bucket {
+	p, ok := c.buckets[institution]
 	if !ok {
-		p = &purse{}
-		c.purses[institution] = p
+		p = &bucket{}
+		c.buckets[institution] = p
 	}
 	p.used = now
 	return p
@@ -141,7 +141,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	p := c.purse(institution, time.Now())
+	p := c.bucket(institution, time.Now())
 	p.Arrive(time.Now())
 	v, retry := p.Take(time.Now())
 	for tries := 0; v == ratelimit.AskOwner && tries < 2; tries++ {
@@ -171,7 +171,7 @@
 	lim := c.limit(institution)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	p := c.purse(institution, time.Now())
+	p := c.bucket(institution, time.Now())
 	if !p.Enter(time.Now(), lim) && !c.enterWithGrant(ctx, institution, p, lim) {
 		return nil, c.refuse(institution, "concurrency", "limit over all nodes is reached", time.Second)
 	}
@@ -184,7 +184,7 @@
 
 // enterWithGrant asks the owner for slots until the request has one or the owner grants fewer than asked for. One
 // answer may not be enough: an ask that was sent before the request arrived does not count it. c.mu is held.
-func (c *Controller) enterWithGrant(ctx context.Context, institution string, p *purse, lim ratelimit.Limit) bool {
+func (c *Controller) enterWithGrant(ctx context.Context, institution string, p *bucket, lim ratelimit.Limit) bool {
 	p.Wait(1)
 	defer p.Wait(-1)
 	for {
@@ -227,7 +227,7 @@
 		c.mu.Unlock()
 		return peer.ErrUnreachable
 	}
-	p := c.purse(institution, now)
+	p := c.bucket(institution, now)
 	args := &GrantArgs{Node: c.Self, Institution: institution, Ask: p.Ask(now, least, moreSlots)}
 	c.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, ownerSilence)
@@ -251,7 +251,7 @@
 }
 
 // askAhead asks for a grant without making the request wait; c.mu is held.
-func (c *Controller) askAhead(institution string, p *purse) {
+func (c *Controller) askAhead(institution string, p *bucket) {
 	if p.asking || c.life.Err() != nil {
 		return
 	}
@@ -304,10 +304,10 @@
 	lim := s.c.limit(a.Institution)
 	s.c.mu.Lock()
 	defer s.c.mu.Unlock()
-	l, ok := s.c.ledgers[a.Institution]
+	l, ok := s.c.allocators[a.Institution]
 	if !ok {
-		l = &ledger{Ledger: ratelimit.NewLedger()}
-		s.c.ledgers[a.Institution] = l
+		l = &allocator{Allocator: ratelimit.NewAllocator()}
+		s.c.allocators[a.Institution] = l
 	}
 	l.used = now
 	reply.Grant = l.Grant(now, lim, a.Node, a.Ask)
--- a/pkg/controller/limits/limits_test.go
+++ b/pkg/controller/limits/limits_test.go
@@ -138,7 +138,7 @@
 		assert.NilError(t, err, "a place that was left is free again")
 		others[1].end()
 		others[1].mu.Lock()
-		clear(others[1].purses)
+		clear(others[1].buckets)
 		others[1].mu.Unlock()
 		time.Sleep(5 * time.Second)
 		_, err = others[0].Enter(context.Background(), "board")
--- a/pkg/decision/ratelimit/ledger.go
+++ b/pkg/decision/ratelimit/allocator.go
@@ -1,5 +1,5 @@
 // Package ratelimit divides an institution's rate and concurrency limits among the nodes: the limit owner keeps
-// a Ledger and hands out short grants by demand, each node spends from a Purse.
+// a Allocator and hands out short grants by demand, each node spends from a LocalBucket.
 package ratelimit
 
 import (
@@ -76,19 +76,19 @@
 	heard      time.Time
 }
 
-// Ledger is the owner's side for one institution. It is not safe for concurrent use.
-type Ledger struct {
+// Allocator is the owner's side for one institution. It is not safe for concurrent use.
+type Allocator struct {
 	tokens  float64
 	at      time.Time
 	started bool
 	nodes   map[string]*account
 }
 
-// NewLedger returns a ledger whose bucket is full at its first use.
-func NewLedger() *Ledger { return &Ledger{nodes: map[string]*account{}} }
+// NewAllocator returns a allocator whose bucket is full at its first use.
+func NewAllocator() *Allocator { return &Allocator{nodes: map[string]*account{}} }
 
 // refill adds the tokens of the time since the last call and credits them to the nodes by demand.
-func (l *Ledger) refill(now time.Time, lim Limit) {
+func (l *Allocator) refill(now time.Time, lim Limit) {
 	if !l.started {
 		l.tokens, l.at, l.started = lim.Burst, now, true
 	}
@@ -115,7 +115,7 @@
 }
 
 // reserved returns the credit of the other nodes.
-func (l *Ledger) reserved(acc *account) float64 {
+func (l *Allocator) reserved(acc *account) float64 {
 	sum := 0.0
 	for _, o := range l.nodes {
 		if o != acc {
@@ -126,7 +126,7 @@
 }
 
 // Grant decides on a node's ask. When tokens are short, each node gets its part by demand.
-func (l *Ledger) Grant(now time.Time, lim Limit, node string, a Ask) Grant {
+func (l *Allocator) Grant(now time.Time, lim Limit, node string, a Ask) Grant {
 	acc, ok := l.nodes[node]
 	if !ok {
 		acc = &account{}
@@ -158,7 +158,7 @@
 }
 
 // grantSlots decides on concurrency. A node never gets less than it has in flight, since that can't be undone.
-func (l *Ledger) grantSlots(now time.Time, lim Limit, acc *account, a Ask) int {
+func (l *Allocator) grantSlots(now time.Time, lim Limit, acc *account, a Ask) int {
 	if lim.Concurrency <= 0 {
 		return a.WantSlots
 	}
--- a/pkg/decision/ratelimit/purse.go
+++ b/pkg/decision/ratelimit/local.go
@@ -5,21 +5,21 @@
 	"time"
 )
 
-// Verdict is a purse's answer on one request.
+// Verdict is a bucket's answer on one request.
 type Verdict int
 
-// Verdicts of a purse.
+// Verdicts of a bucket.
 const (
 	// Pass lets the request go on.
 	Pass Verdict = iota
-	// AskOwner means that the purse is empty and the owner must be asked first.
+	// AskOwner means that the bucket is empty and the owner must be asked first.
 	AskOwner
 	// Refuse means that the limit is reached.
 	Refuse
 )
 
-// Purse is a node's side for one institution. It is not safe for concurrent use.
-type Purse struct {
+// LocalBucket is a node's side for one institution. It is not safe for concurrent use.
+type LocalBucket struct {
 	tokens  float64
 	expires time.Time
 	// emptyUntil is when to ask again after a grant that was smaller than asked for.
@@ -54,120 +54,120 @@
 const demandWindow = 500 * time.Millisecond
 
 // Demand returns the recent rate in requests per second, refused ones included.
-func (p *Purse) Demand(now time.Time) float64 {
-	if p.countedAt.IsZero() {
-		p.countedAt = now
+func (b *LocalBucket) Demand(now time.Time) float64 {
+	if b.countedAt.IsZero() {
+		b.countedAt = now
 	}
-	if d := now.Sub(p.countedAt); d >= 20*time.Millisecond {
+	if d := now.Sub(b.countedAt); d >= 20*time.Millisecond {
 		keep := math.Exp(-float64(d) / float64(demandWindow))
-		p.demand = keep*p.demand + (1-keep)*p.arrivals/d.Seconds()
-		p.arrivals, p.countedAt = 0, now
+		b.demand = keep*b.demand + (1-keep)*b.arrivals/d.Seconds()
+		b.arrivals, b.countedAt = 0, now
 	}
-	return p.demand
+	return b.demand
 }
 
 // Arrive counts a request in the demand; it is called once for each request, before Take.
-func (p *Purse) Arrive(now time.Time) {
-	p.Demand(now)
-	p.arrivals++
+func (b *LocalBucket) Arrive(now time.Time) {
+	b.Demand(now)
+	b.arrivals++
 }
 
 // Take spends one token. retry is set with Refuse.
-func (p *Purse) Take(now time.Time) (v Verdict, retry time.Duration) {
+func (b *LocalBucket) Take(now time.Time) (v Verdict, retry time.Duration) {
 	switch {
-	case p.tokens >= 1 && now.Before(p.expires):
-		p.tokens--
+	case b.tokens >= 1 && now.Before(b.expires):
+		b.tokens--
 		return Pass, 0
-	case now.Before(p.emptyUntil):
-		return Refuse, p.emptyUntil.Sub(now)
+	case now.Before(b.emptyUntil):
+		return Refuse, b.emptyUntil.Sub(now)
 	}
 	return AskOwner, 0
 }
 
-// Low reports whether a grant should be asked for before the purse is empty.
-func (p *Purse) Low(now time.Time) bool {
-	return p.tokens < p.Demand(now)*grantAhead.Seconds()/2 && !now.Before(p.emptyUntil)
+// Low reports whether a grant should be asked for before the bucket is empty.
+func (b *LocalBucket) Low(now time.Time) bool {
+	return b.tokens < b.Demand(now)*grantAhead.Seconds()/2 && !now.Before(b.emptyUntil)
 }
 
 // Ask returns what to ask the owner for, with at least least tokens. Unspent tokens go back with it, so that the
 // ask must be followed by Granted or Failed.
-func (p *Purse) Ask(now time.Time, least float64, moreSlots int) Ask {
-	a := Ask{Demand: p.Demand(now), InFlight: p.inFlight, WantSlots: p.inFlight + p.waiting + moreSlots}
-	p.wantedSlots = a.WantSlots
-	if now.Before(p.expires) {
-		a.Returned = p.tokens
+func (b *LocalBucket) Ask(now time.Time, least float64, moreSlots int) Ask {
+	a := Ask{Demand: b.Demand(now), InFlight: b.inFlight, WantSlots: b.inFlight + b.waiting + moreSlots}
+	b.wantedSlots = a.WantSlots
+	if now.Before(b.expires) {
+		a.Returned = b.tokens
 	}
-	p.tokens = 0
+	b.tokens = 0
 	a.Want = math.Max(least, math.Ceil(a.Demand*grantAhead.Seconds()))
-	p.wanted = a.Want
+	b.wanted = a.Want
 	return a
 }
 
 // Granted takes the owner's answer.
-func (p *Purse) Granted(now time.Time, g Grant) {
-	p.tokens += g.Tokens
-	p.expires = now.Add(GrantLife)
-	if g.Tokens < p.wanted {
-		p.emptyUntil = now.Add(max(minRefuse, min(g.RetryAfter, maxRefuse)))
+func (b *LocalBucket) Granted(now time.Time, g Grant) {
+	b.tokens += g.Tokens
+	b.expires = now.Add(GrantLife)
+	if g.Tokens < b.wanted {
+		b.emptyUntil = now.Add(max(minRefuse, min(g.RetryAfter, maxRefuse)))
 	}
-	p.slots, p.slotsUntil = g.Slots, now.Add(g.SlotLife)
-	p.renewAt = now.Add(g.SlotLife / 3)
-	p.short = g.Slots < p.wantedSlots
+	b.slots, b.slotsUntil = g.Slots, now.Add(g.SlotLife)
+	b.renewAt = now.Add(g.SlotLife / 3)
+	b.short = g.Slots < b.wantedSlots
 }
 
 // TakeFairShare spends from the node's equal part of the limit, for times when the owner is silent.
-func (p *Purse) TakeFairShare(now time.Time, lim Limit, liveNodes int) (bool, time.Duration) {
+func (b *LocalBucket) TakeFairShare(now time.Time, lim Limit, liveNodes int) (bool, time.Duration) {
 	if lim.Rate <= 0 {
 		return true, 0
 	}
 	n := float64(max(1, liveNodes))
 	burst := math.Max(1, lim.Burst/n)
-	if p.filledAt.IsZero() {
-		p.fallback, p.filledAt = burst, now
+	if b.filledAt.IsZero() {
+		b.fallback, b.filledAt = burst, now
 	}
-	p.fallback = math.Min(burst, p.fallback+lim.Rate/n*now.Sub(p.filledAt).Seconds())
-	p.filledAt = now
-	if p.fallback >= 1 {
-		p.fallback--
+	b.fallback = math.Min(burst, b.fallback+lim.Rate/n*now.Sub(b.filledAt).Seconds())
+	b.filledAt = now
+	if b.fallback >= 1 {
+		b.fallback--
 		return true, 0
 	}
-	return false, time.Duration((1 - p.fallback) * n / lim.Rate * float64(time.Second))
+	return false, time.Duration((1 - b.fallback) * n / lim.Rate * float64(time.Second))
 }
 
 // RenewDue reports whether granted concurrency that is in use should be renewed; two renewals may be lost.
-func (p *Purse) RenewDue(now time.Time) bool { return p.inFlight > 0 && !now.Before(p.renewAt) }
+func (b *LocalBucket) RenewDue(now time.Time) bool { return b.inFlight > 0 && !now.Before(b.renewAt) }
 
 // InFlight returns the number of requests in flight on this node.
-func (p *Purse) InFlight() int { return p.inFlight }
+func (b *LocalBucket) InFlight() int { return b.inFlight }
 
 // Enter books a request in flight against the granted concurrency; false means that the owner must be asked.
-func (p *Purse) Enter(now time.Time, lim Limit) bool {
-	if lim.Concurrency > 0 && (p.inFlight >= p.slots || !now.Before(p.slotsUntil)) {
+func (b *LocalBucket) Enter(now time.Time, lim Limit) bool {
+	if lim.Concurrency > 0 && (b.inFlight >= b.slots || !now.Before(b.slotsUntil)) {
 		return false
 	}
-	p.inFlight++
+	b.inFlight++
 	return true
 }
 
 // Wait changes the number of requests that wait for a slot by n.
-func (p *Purse) Wait(n int) { p.waiting += n }
+func (b *LocalBucket) Wait(n int) { b.waiting += n }
 
 // Short reports whether the last grant held fewer slots than asked for, so that the limit is reached.
-func (p *Purse) Short() bool { return p.short }
+func (b *LocalBucket) Short() bool { return b.short }
 
 // EnterFairShare books a request in flight against the node's equal part, for times without an owner. Slots
 // that the owner granted before it fell silent still count.
-func (p *Purse) EnterFairShare(now time.Time, lim Limit, liveNodes int) bool {
+func (b *LocalBucket) EnterFairShare(now time.Time, lim Limit, liveNodes int) bool {
 	bound := max(1, lim.Concurrency/max(1, liveNodes))
-	if now.Before(p.slotsUntil) {
-		bound = max(bound, p.slots)
+	if now.Before(b.slotsUntil) {
+		bound = max(bound, b.slots)
 	}
-	if lim.Concurrency > 0 && p.inFlight >= bound {
+	if lim.Concurrency > 0 && b.inFlight >= bound {
 		return false
 	}
-	p.inFlight++
+	b.inFlight++
 	return true
 }
 
 // Leave ends a request in flight.
-func (p *Purse) Leave() { p.inFlight-- }
+func (b *LocalBucket) Leave() { b.inFlight-- }
--- a/pkg/decision/ratelimit/ratelimit_test.go
+++ b/pkg/decision/ratelimit/ratelimit_test.go
@@ -15,7 +15,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		lim := Limit{Rate: rapid.Float64Range(0.5, 500).Draw(t, "rate"), Burst: rapid.Float64Range(1, 300).Draw(t, "burst"),
 			Concurrency: rapid.IntRange(1, 20).Draw(t, "concurrency")}
-		l, now := NewLedger(), time.Unix(0, 0)
+		l, now := NewAllocator(), time.Unix(0, 0)
 		start, net := now, 0.0
 		slots, heard, outstanding := map[string]int{}, map[string]time.Time{}, map[string]float64{}
 		for range rapid.IntRange(1, 80).Draw(t, "asks") {
@@ -49,8 +49,8 @@
 // nodes with demand 3:1 share a scarce rate about 3:1 and use nearly all of it.
 func TestScarceTokensFollowDemand(t *testing.T) {
 	lim := Limit{Rate: 100, Burst: 10}
-	l, now := NewLedger(), time.Unix(0, 0)
-	purses := []*Purse{{}, {}}
+	l, now := NewAllocator(), time.Unix(0, 0)
+	buckets := []*LocalBucket{{}, {}}
 	passed := []float64{0, 0}
 	for tick := range 20000 {
 		now = now.Add(time.Millisecond)
@@ -58,7 +58,7 @@
 			if tick%every != 0 {
 				continue
 			}
-			p := purses[i]
+			p := buckets[i]
 			p.Arrive(now)
 			v, _ := p.Take(now)
 			if v == AskOwner {
