--- a/pkg/gateway/body_test.go
+++ b/pkg/gateway/body_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -61,3 +62,34 @@
 	assert.Equal(t, answer.StatusCode, http.StatusRequestEntityTooLarge)
 	assert.Equal(t, answer.Header.Get(api.HeaderOutcome), "not-run")
 }
+
+// Guards against an upload that holds its connection for ever when the caller stops sending, and against an upload
+// that is ended although its caller goes on sending.
+func TestUploadMayBeSlowButNotSilent(t *testing.T) {
+	f := newFixture(t, func(o *Options) { o.BodyTimeout = 200 * time.Millisecond })
+	f.Mount("POST /v1/files", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			WriteError(w, r, malformed("%v", err))
+			return
+		}
+		fmt.Fprint(w, len(body))
+	}))
+	header := "POST /v1/files HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer " + testKey + "\r\nContent-Length: 8\r\n\r\n"
+	assert.Equal(t, rawCall(t, f, header+"1234").StatusCode, http.StatusBadRequest)
+	slow, send := io.Pipe()
+	go func() {
+		for range 8 {
+			time.Sleep(60 * time.Millisecond)
+			_, _ = send.Write([]byte("x"))
+		}
+		_ = send.Close()
+	}()
+	r, err := http.NewRequest("POST", f.url+"/v1/files", slow)
+	assert.NilError(t, err)
+	r.Header.Set("Authorization", "Bearer "+testKey)
+	answer, err := http.DefaultClient.Do(r)
+	assert.NilError(t, err)
+	defer answer.Body.Close()
+	assert.Equal(t, answer.StatusCode, http.StatusOK)
+}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -139,8 +139,16 @@
 }
 
 // Mount adds a handler of another part. It runs after authentication, with the identity and the request id in
-// its context. It must be called before the gateway serves.
-func (g *Gateway) Mount(pattern string, h http.Handler) { g.mux.Handle(pattern, h) }
+// its context. Reading the body fails when the caller sends nothing for BodyTimeout; an upload as a whole may take
+// longer. It must be called before the gateway serves.
+func (g *Gateway) Mount(pattern string, h http.Handler) {
+	g.mux.HandleFunc(pattern, func(w http.ResponseWriter, r *http.Request) {
+		if r.Body != http.NoBody {
+			r.Body = &idleBody{r.Body, http.NewResponseController(w), g.BodyTimeout}
+		}
+		h.ServeHTTP(w, r)
+	})
+}
 
 // Active returns the number of requests in progress.
 func (g *Gateway) Active() int64 { return g.active.Load() }
--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -81,6 +81,24 @@
 	}
 }
 
+// idleBody is a body whose reading fails when nothing arrives for a time.
+type idleBody struct {
+	io.ReadCloser
+	control *http.ResponseController
+	idle    time.Duration
+}
+
+func (b *idleBody) Read(p []byte) (int, error) {
+	// A writer without deadlines, as in a test, is used as it is.
+	_ = b.control.SetReadDeadline(time.Now().Add(b.idle))
+	n, err := b.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) {
+		// The deadline must not end the background read that notices a caller's disconnect.
+		_ = b.control.SetReadDeadline(time.Time{})
+	}
+	return n, err
+}
+
 func malformed(format string, args ...any) *api.Error {
 	return api.Errorf(http.StatusBadRequest, api.CodeMalformed, api.NotRun, format, args...)
 }
