--- a/pkg/decision/ratelimit/allocator.go
+++ b/pkg/decision/ratelimit/allocator.go
@@ -1,5 +1,5 @@
 // Package ratelimit divides an institution's rate and concurrency limits among the nodes: the limit owner keeps
-// a Allocator and hands out short grants by demand, each node spends from a LocalBucket.
+// an Allocator and hands out short grants by demand, each node spends from a LocalBucket.
 package ratelimit
 
 import (
@@ -84,7 +84,7 @@
 	nodes   map[string]*account
 }
 
-// NewAllocator returns a allocator whose bucket is full at its first use.
+// NewAllocator returns an allocator whose bucket is full at its first use.
 func NewAllocator() *Allocator { return &Allocator{nodes: map[string]*account{}} }
 
 // refill adds the tokens of the time since the last call and credits them to the nodes by demand.
