Claim no part for an upstream that left

Cause: an upstream's request for work counts for 30 s, also when the upstream has left the register or is marked as leaving since. A node without another upstream for the model then claimed parts that it could not run, and held them until their release after 30 s. Change: requests of such upstreams are dropped when parts are looked for. The new test failed before (4 parts claimed); the package passes with -race.

--- a/pkg/controller/batch/claim.go
+++ b/pkg/controller/batch/claim.go
@@ -8,6 +8,7 @@
 
 	"k8s.io/klog/v2"
 
+	"trefoilplank.example/api"
 	"trefoilplank.example/pkg/adapter/store"
 	"trefoilplank.example/pkg/batch/jobstore"
 	"trefoilplank.example/pkg/blackboard"
@@ -108,6 +109,16 @@
 	return false, nil
 }
 
+// usableUpstreams returns the names of the upstreams that may get work. A part that is claimed for any other one
+// would wait unused until it is released.
+func usableUpstreams(r api.Register) map[string]bool {
+	usable := make(map[string]bool, len(r.Upstreams))
+	for _, u := range r.Upstreams {
+		usable[u.Name] = !u.Leaving
+	}
+	return usable
+}
+
 // wants returns the jobs from which a part should be taken now, in order.
 func (c *Controller) wants(now time.Time) []wanted {
 	c.mu.Lock()
@@ -117,8 +128,9 @@
 	}
 	config := c.Board.Config.Value()
 	asked := map[string]bool{}
+	usable := usableUpstreams(config.Register)
 	for name, d := range c.demand {
-		if now.Sub(d.at) > demandAge {
+		if now.Sub(d.at) > demandAge || !usable[name] {
 			delete(c.demand, name)
 			continue
 		}
--- a/pkg/controller/batch/run_test.go
+++ b/pkg/controller/batch/run_test.go
@@ -15,6 +15,7 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
+	"trefoilplank.example/api"
 	"trefoilplank.example/pkg/adapter/peer"
 	"trefoilplank.example/pkg/adapter/store/memstore"
 	"trefoilplank.example/pkg/serving"
@@ -287,3 +288,30 @@
 		t.Logf("done after %v", time.Since(started))
 	})
 }
+
+// Guards against parts that a node claims for an upstream that left the register or is marked as leaving, and then
+// holds without running them while other nodes have idle slots.
+func TestNoClaimForAnUpstreamThatLeft(t *testing.T) {
+	for _, left := range []func(*api.Config){
+		func(c *api.Config) { c.Register.Upstreams = nil },
+		func(c *api.Config) {
+			c.Register.Upstreams = []api.Upstream{testUpstream}
+			c.Register.Upstreams[0].Leaving = true
+		},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			a := startNode(t, memstore.New(), "a", &fakeInvoker{}, 0, nil)
+			defer a.close()
+			_, ok := a.Next(testUpstream)
+			assert.Assert(t, !ok)
+			config := testConfig
+			left(&config)
+			a.board.Config.Set(config)
+			a.submit(t, a.upload(t, chatFile(5)))
+			time.Sleep(10 * time.Second)
+			a.mu.Lock()
+			defer a.mu.Unlock()
+			assert.Equal(t, len(a.parts), 0)
+		})
+	}
+}
