Send Retry-After with batch refusals that may pass

Cause: the file and batch calls gave the retry time in the body only, unlike the inference calls. Change: the header is set from the body's value. Result: POST /v1/files during a store outage was 503 without Retry-After, now with 5; the changed test failed before.

--- a/pkg/batch/handler/handler.go
+++ b/pkg/batch/handler/handler.go
@@ -9,6 +9,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"strconv"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -101,6 +102,9 @@
 	e.RequestID = serving.RequestIDFrom(r.Context())
 	w.Header().Set(api.HeaderRequestID, e.RequestID)
 	w.Header().Set(api.HeaderOutcome, string(e.Outcome))
+	if s := e.Body().Error.RetryAfterSeconds; s > 0 {
+		w.Header().Set("Retry-After", strconv.Itoa(s))
+	}
 	var findings filestore.Findings
 	if !errors.As(err, &findings) {
 		writeJSON(w, r, e.Status, e.Body())
