Name the field in faults of batch lines

Cause: findings held the text of encoding/json with Go types, and a negative max_tokens, which an online call refuses, was accepted in a line. Change: wrong types name the field and the type; negative max_tokens is a fault. Result: a line with body 5 was reported as 'cannot unmarshal number into Go value of type struct {...}', now as 'body is not a JSON object but a value of type number'; the new test failed before.

--- a/pkg/batch/line/line.go
+++ b/pkg/batch/line/line.go
@@ -4,6 +4,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net/http"
 	"net/url"
@@ -44,6 +45,22 @@
 	PromptTokens  int  `json:"-"`
 }
 
+// jsonFault names the field that has a wrong type, without the names of Go types. path is that of the decoded value.
+func jsonFault(path string, err error) error {
+	var wrong *json.UnmarshalTypeError
+	switch {
+	case !errors.As(err, &wrong) && path == "":
+		return fmt.Errorf("not a JSON object: %v", err)
+	case !errors.As(err, &wrong):
+		return fmt.Errorf("%s: %v", path, err)
+	case wrong.Field == "" && path == "":
+		return fmt.Errorf("not a JSON object but a value of type %s", wrong.Value)
+	case wrong.Field == "":
+		return fmt.Errorf("%s is not a JSON object but a value of type %s", path, wrong.Value)
+	}
+	return fmt.Errorf("%s must not be of type %s", strings.TrimPrefix(path+"."+wrong.Field, "."), wrong.Value)
+}
+
 // Parse reads one line. The error says what is wrong with it.
 func Parse(raw []byte) (*Item, error) {
 	if len(raw) > MaxLineBytes {
@@ -52,7 +69,7 @@
 	var i Item
 	d := json.NewDecoder(bytes.NewReader(raw))
 	if err := d.Decode(&i); err != nil {
-		return nil, fmt.Errorf("not a JSON object: %v", err)
+		return nil, jsonFault("", err)
 	}
 	if len(bytes.TrimSpace(raw[d.InputOffset():])) > 0 {
 		return nil, fmt.Errorf("data after the JSON object")
@@ -98,11 +115,13 @@
 		Prompt    json.RawMessage `json:"prompt"`
 	}
 	if err := json.Unmarshal(i.Body, &body); err != nil {
-		return fmt.Errorf("body: %v", err)
+		return jsonFault("body", err)
 	}
 	switch {
 	case body.Model == "":
 		return fmt.Errorf("body.model is missing")
+	case body.MaxTokens < 0:
+		return fmt.Errorf("body.max_tokens is negative")
 	case body.Stream:
 		return fmt.Errorf("body.stream must not be true in a batch")
 	case i.URL == "/v1/chat/completions" && len(body.Messages) == 0:
--- a/pkg/batch/line/line_test.go
+++ b/pkg/batch/line/line_test.go
@@ -40,6 +40,20 @@
 	})
 }
 
+// Guards against findings that name Go types instead of the field in fault, and against lines that can only fail later.
+func TestFaultsNameTheField(t *testing.T) {
+	for raw, want := range map[string]string{
+		`[]`:              "not a JSON object but a value of type array",
+		`{"custom_id":7}`: "custom_id must not be of type number",
+		`{"custom_id":"a","method":"POST","url":"/v1/completions","body":5}`:                                         "body is not a JSON object but a value of type number",
+		`{"custom_id":"a","method":"POST","url":"/v1/completions","body":{"model":5}}`:                               "body.model must not be of type number",
+		`{"custom_id":"a","method":"POST","url":"/v1/completions","body":{"model":"m","prompt":"","max_tokens":-1}}`: "body.max_tokens is negative",
+	} {
+		_, err := Parse([]byte(raw))
+		assert.Error(t, err, want)
+	}
+}
+
 // Guards against an answer of an upstream that breaks the lines of an output file.
 func FuzzOutput(f *testing.F) {
 	f.Add("a", []byte(`{"x":1}`), 200)
