--- a/pkg/adapter/engine/engine.go
+++ b/pkg/adapter/engine/engine.go
@@ -84,10 +84,16 @@
 	if err != nil {
 		return nil, err
 	}
-	defer func() { a.Close() }()
 	if a.StatusCode != http.StatusOK {
+		defer a.Close()
 		return c.http.Read(ctx, u, a, s.start)
 	}
+	return c.follow(ctx, u, s, a)
+}
+
+// follow reads the stream to its end over as many connections as it takes.
+func (c *Client) follow(ctx context.Context, u api.Upstream, s *stream, a *service.Answer) (*serving.Result, error) {
+	defer func() { a.Close() }()
 	header := a.Header
 	for {
 		err := s.read(a)
--- a/pkg/controller/batch/controller.go
+++ b/pkg/controller/batch/controller.go
@@ -53,6 +53,8 @@
 	Store   store.Store
 	Board   *blackboard.Board
 	Invoker serving.Invoker
+	// Resumer may be nil; then items run unstreamed, and preempted ones start again.
+	Resumer serving.Resumer
 	// Quarantine may be nil; then no request is held back.
 	Quarantine serving.Quarantine
 	// Peers may be nil; then owners learn of a cancel at their next commit.
@@ -74,6 +76,7 @@
 	jobs   jobstore.Jobs
 	leases *leaseReader
 	reads  *rate.Limiter
+	states *states
 	inputs *lru.Cache[string, *input]
 	// wakeup has room for one signal to the claim loop.
 	wakeup chan struct{}
@@ -136,8 +139,8 @@
 	}
 	return &Controller{
 		Options: o, jobs: jobstore.Jobs{Store: o.Store}, inputs: inputs,
-		leases: newLeaseReader(o.Store, o.LeaseNumber),
-		reads:  rate.NewLimiter(readRate, readBurst), wakeup: make(chan struct{}, 1),
+		leases: newLeaseReader(o.Store, o.LeaseNumber), states: newStates(),
+		reads: rate.NewLimiter(readRate, readBurst), wakeup: make(chan struct{}, 1),
 		ctx: context.Background(), open: map[string]*openJob{}, parts: map[partID]*part{},
 		demand: map[string]demand{}, waiting: make(chan struct{}),
 		served: map[string]time.Time{}, givingBack: map[partID]bool{},
--- a/pkg/controller/batch/part.go
+++ b/pkg/controller/batch/part.go
@@ -34,6 +34,8 @@
 	requestID string
 	// held counts the times that the quarantine asked to come again.
 	held int
+	// unstreamed means that a stream did not hold the item's whole answer.
+	unstreamed bool
 }
 
 // part is a part that this node holds. Fields below mu are guarded by the controller's mu; held is used by the
@@ -247,6 +249,7 @@
 	p.c.pending -= len(p.group.Lines)
 	p.group = jobstore.Group{}
 	delete(p.c.parts, p.id)
+	p.c.states.dropPart(p.id)
 	for _, s := range p.starts {
 		s.result <- errNoMark
 	}
--- a/pkg/controller/batch/run.go
+++ b/pkg/controller/batch/run.go
@@ -9,6 +9,7 @@
 	"math"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/zeebo/xxh3"
@@ -45,6 +46,17 @@
 	suspect  bool
 	charge   int
 	failures int
+	// unstreamed is that of the item.
+	unstreamed bool
+
+	// answer collects the events of a streamed run; kept is the state that it goes on from, until the first event;
+	// exported is its state after a preemption.
+	answer   *answer
+	kept     *state
+	exported *state
+	// tokens and upstream are read by admission while the run goes on; upstream is nil for an unstreamed run.
+	tokens   atomic.Int64
+	upstream atomic.Pointer[string]
 }
 
 var _ serving.BatchRun = (*run)(nil)
@@ -63,12 +75,12 @@
 func (r *run) Request() serving.Request { return r.request }
 
 // Progress implements serving.BatchRun. A non-idempotent run can't be repeated, so it claims the most progress
-// and is the last to be preempted. Other runs are not streamed, so their progress is not known.
+// and is the last to be preempted. The progress of a run that is not streamed is not known.
 func (r *run) Progress() (int, bool) {
 	if r.item.NonIdempotent {
 		return math.MaxInt, false
 	}
-	return 0, false
+	return int(r.tokens.Load()), r.resumable()
 }
 
 // Run implements serving.BatchRun.
@@ -98,7 +110,11 @@
 		// The part is lost or the job has ended: nothing is recorded.
 		usage.Result = serving.RunCancelled
 		r.c.ended(r)
-	case err != nil && ctx.Err() != nil:
+	case r.exported != nil:
+		return r.shelve()
+	case errors.Is(err, errNotRebuilt):
+		return r.backUnstreamed()
+	case err != nil && ctx.Err() != nil, errors.Is(err, serving.ErrNotResumed):
 		return r.back(0, serving.RunCancelled)
 	default:
 		r.settle(s, result, err)
@@ -122,8 +138,8 @@
 	if len(call.Body) > 0 {
 		call.Header.Set("Content-Type", "application/json")
 	}
-	result, err := r.c.Invoker.Do(ctx, s.Upstream, call)
-	if err != nil && ctx.Err() != nil {
+	result, err := r.call(ctx, s.Upstream, call)
+	if err != nil && (ctx.Err() != nil || restarts(err)) && !r.export(ctx, s.Upstream, err) {
 		order, stop := context.WithTimeout(context.WithoutCancel(ctx), cancelTimeout)
 		defer stop()
 		if err := r.c.Invoker.Cancel(order, s.Upstream, r.request.ID); err != nil {
--- a/pkg/controller/batch/source.go
+++ b/pkg/controller/batch/source.go
@@ -145,7 +145,7 @@
 	if err != nil {
 		parsed = &line.Item{}
 	}
-	r := &run{c: c, p: p, index: i, item: parsed, suspect: it.suspect, charge: it.attempts, failures: it.failures}
+	r := &run{c: c, p: p, index: i, item: parsed, suspect: it.suspect, unstreamed: it.unstreamed, charge: it.attempts, failures: it.failures}
 	base, adapter := parsed.Model, ""
 	for _, a := range config.Register.Adapters {
 		if a.Name == parsed.Model {
@@ -163,5 +163,9 @@
 	if it.requestID != "" {
 		r.request.ID = it.requestID
 	}
+	// An engine knows an exported run, and names its events, by the id that it began with.
+	if id := c.states.requestID(r.itemID()); id != "" {
+		r.request.ID = id
+	}
 	return r
 }
--- a/pkg/node/build.go
+++ b/pkg/node/build.go
@@ -185,7 +185,7 @@
 
 func (n *Node) buildBatch() (err error) {
 	n.batch, err = batch.New(batch.Options{
-		Node: n.settings.Name, Store: n.store, Board: n.board, Invoker: n.invoker, Quarantine: n.quarantine,
+		Node: n.settings.Name, Store: n.store, Board: n.board, Invoker: n.invoker, Resumer: n.invoker, Quarantine: n.quarantine,
 		Peers: n.peerClient, Explain: n.log, LeaseNumber: leaseNumber,
 	})
 	if err != nil {
--- a/pkg/serving/serving.go
+++ b/pkg/serving/serving.go
@@ -27,6 +27,8 @@
 	ErrUpstreamDied = Error.New("upstream died")
 	// ErrPreempted is the cause of a batch run that gave its slot to online work.
 	ErrPreempted = Error.New("preempted by online work")
+	// ErrNotResumed means that an exported state could not be used; the run can only start again.
+	ErrNotResumed = Error.New("state not resumed")
 )
 
 // Request describes one unit of work to admission and placement.
@@ -165,6 +167,16 @@
 	Cancel(ctx context.Context, u api.Upstream, requestID string) error
 }
 
+// Resumer moves a streamed run from one engine to another.
+type Resumer interface {
+	// Export stops a run and returns its state, which only engines read. After an error the run may go on.
+	Export(ctx context.Context, u api.Upstream, requestID string) ([]byte, error)
+	// Resume hands an exported state to the engine and the events that follow to emit, as Invoker.Stream does. c
+	// is the call that was exported, tail the events received last: all those with the highest offset. An error
+	// that matches ErrNotResumed says nothing about the request; the engine may still have taken the state.
+	Resume(ctx context.Context, u api.Upstream, c Call, state []byte, tail []StreamEvent, emit func(StreamEvent) error) (*Result, error)
+}
+
 // Verdict is the state of a fingerprint.
 type Verdict string
 
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -186,6 +186,9 @@
 			return 0
 		}
 		uncached := next.promptTokens - blockTokens*e.cache.use(next.blocks)
+		if next.imported {
+			continue
+		}
 		prefill += time.Duration(max(uncached, 0)) * e.options.PrefillPerToken
 	}
 	e.recordLoad()
--- a/standin/engine/http.go
+++ b/standin/engine/http.go
@@ -293,6 +293,7 @@
 	}
 	e.cancel(target)
 	_, generated, _ := e.progress(target)
+	w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
 	faults.WriteJSON(w, http.StatusOK, kvState{target.id, target.body, target.chat, generated})
 }
 
@@ -308,11 +309,16 @@
 		apiError(w, http.StatusBadRequest, err.Error())
 		return
 	}
-	target := newRun(s.RequestID, r.Clone(r.Context()), s.Body, c, s.Chat)
+	request := r.Clone(r.Context())
+	request.Header.Set("X-Request-Id", s.RequestID)
+	target := newRun(s.RequestID, request, s.Body, c, s.Chat)
 	target.generated = min(s.Generated, len(target.output)-1)
+	// The state holds the KV of the prompt, so that there is no prefill.
+	target.imported = true
 	if !e.enqueue(target) {
 		apiError(w, http.StatusNotFound, "model "+c.Model+" is not loaded")
 		return
 	}
+	w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
 	w.WriteHeader(http.StatusAccepted)
 }
--- a/standin/engine/run.go
+++ b/standin/engine/run.go
@@ -53,6 +53,8 @@
 	generated int
 	// readers counts the connections that wait for this run.
 	readers int
+	// imported is set when the KV of the prompt came with an exported state.
+	imported bool
 }
 
 func (r *run) kvTokens() int { return r.promptTokens + r.generated }
