--- /dev/null
+++ b/pkg/controller/batch/resume_test.go
@@ -0,0 +1,289 @@
+package batch
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"trefoilplank.example/api"
+	"trefoilplank.example/pkg/adapter/store/memstore"
+	"trefoilplank.example/pkg/batch/line"
+	"trefoilplank.example/pkg/serving"
+)
+
+const (
+	fakeTokens    = 10
+	fakeTokenTime = 100 * time.Millisecond
+)
+
+// fakeEngines generate fakeTokens tokens a run and hand states on. The log has one entry for each call.
+type fakeEngines struct {
+	fakeInvoker
+	log []string
+	// extra is put into each event, prefix into each text.
+	extra, prefix          string
+	exportErr, importErr   error
+	diesAfterImport, hangs bool
+	stateBytes             int
+}
+
+func (f *fakeEngines) note(entry string, u api.Upstream) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.log = append(f.log, entry+" "+u.Name)
+}
+
+func (f *fakeEngines) entries() string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return strings.Join(f.log, ", ")
+}
+
+func (f *fakeEngines) Do(ctx context.Context, u api.Upstream, c serving.Call) (*serving.Result, error) {
+	f.note("do", u)
+	return f.fakeInvoker.Do(ctx, u, c)
+}
+
+func (f *fakeEngines) Cancel(ctx context.Context, u api.Upstream, id string) error {
+	f.note("cancel", u)
+	return f.fakeInvoker.Cancel(ctx, u, id)
+}
+
+func (f *fakeEngines) Stream(ctx context.Context, u api.Upstream, c serving.Call, emit func(serving.StreamEvent) error) (*serving.Result, error) {
+	f.note("stream", u)
+	return f.generate(ctx, c.RequestID, 0, emit)
+}
+
+func (f *fakeEngines) generate(ctx context.Context, id string, from int, emit func(serving.StreamEvent) error) (*serving.Result, error) {
+	for i := from; i < fakeTokens; i++ {
+		sleep(ctx, fakeTokenTime)
+		if ctx.Err() != nil {
+			return nil, errors.Join(serving.ErrInterrupted, context.Cause(ctx))
+		}
+		end := `"finish_reason":null}]`
+		if i == fakeTokens-1 {
+			end = `"finish_reason":"length"}],"usage":{"completion_tokens":10}`
+		}
+		data := fmt.Appendf(nil, `{"id":%q,"object":"chat.completion.chunk","model":"rights","offset":%d%s,"choices":[{"index":0,"delta":{"content":"%s%d,"},%s}`,
+			id, i, f.extra, f.prefix, i, end)
+		if err := emit(serving.StreamEvent{Data: data, Offset: i}); err != nil {
+			return nil, err
+		}
+	}
+	return &serving.Result{Status: http.StatusOK}, nil
+}
+
+func (f *fakeEngines) Export(ctx context.Context, u api.Upstream, id string) ([]byte, error) {
+	f.note("export", u)
+	if f.hangs {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	return []byte(id + strings.Repeat(" ", f.stateBytes)), f.exportErr
+}
+
+func (f *fakeEngines) Resume(ctx context.Context, u api.Upstream, c serving.Call, state []byte, tail []serving.StreamEvent, emit func(serving.StreamEvent) error) (*serving.Result, error) {
+	f.note("import", u)
+	switch {
+	case f.importErr != nil:
+		return nil, f.importErr
+	case f.diesAfterImport:
+		return nil, errors.Join(serving.ErrUpstreamDied, serving.ErrInterrupted)
+	case strings.TrimSpace(string(state)) != c.RequestID:
+		return nil, fmt.Errorf("state %s in request %s", state, c.RequestID)
+	}
+	return f.generate(ctx, c.RequestID, tail[len(tail)-1].Offset+1, emit)
+}
+
+// runOn takes the next item and runs it on the engine; a preemption follows after the given time, if it is not 0.
+func (n *testNode) runOn(t *testing.T, engine string, preempt time.Duration) {
+	t.Helper()
+	u := testUpstream
+	u.Name = engine
+	var r serving.BatchRun
+	began := time.Now()
+	for {
+		waiting := n.Waiting()
+		var ok bool
+		if r, ok = n.Next(u); ok {
+			break
+		}
+		if time.Since(began) > time.Minute {
+			t.Fatal("no item in stock")
+		}
+		<-waiting
+	}
+	ctx, cancel := context.WithCancelCause(context.Background())
+	defer cancel(nil)
+	if preempt > 0 {
+		time.AfterFunc(preempt, func() { cancel(serving.ErrPreempted) })
+	}
+	started := time.Now()
+	r.Run(ctx, &serving.Slot{Upstream: u, RequestID: r.Request().ID})
+	if preempt > 0 {
+		assert.Assert(t, time.Since(started) <= preempt+exportTimeout, "slot was free %v after the preemption", time.Since(started)-preempt)
+	}
+}
+
+// Guards against a preempted item that loses its tokens, a state that is used although it must not be, an answer that
+// is not that of an undisturbed run, and an item that is recorded twice or not at all.
+func TestPreemptedRunGoesOnOrStartsAgain(t *testing.T) {
+	const age = maxStateAge + time.Second
+	for name, c := range map[string]struct {
+		engines fakeEngines
+		preempt time.Duration
+		wait    time.Duration
+		log     string
+	}{
+		"resumed":           {preempt: 550 * time.Millisecond, log: "stream e1, export e1, import e2"},
+		"few tokens":        {preempt: 350 * time.Millisecond, log: "stream e1, cancel e1, stream e2"},
+		"export fails":      {preempt: 550 * time.Millisecond, engines: fakeEngines{exportErr: serving.ErrInterrupted}, log: "stream e1, export e1, cancel e1, stream e2"},
+		"export hangs":      {preempt: 550 * time.Millisecond, engines: fakeEngines{hangs: true}, log: "stream e1, export e1, cancel e1, stream e2"},
+		"import fails":      {preempt: 550 * time.Millisecond, engines: fakeEngines{importErr: serving.ErrNotResumed}, log: "stream e1, export e1, import e2, cancel e2, stream e2"},
+		"dies after import": {preempt: 550 * time.Millisecond, engines: fakeEngines{diesAfterImport: true}, log: "stream e1, export e1, import e2, stream e2"},
+		"too large":         {preempt: 550 * time.Millisecond, engines: fakeEngines{stateBytes: maxStateBytes}, log: "stream e1, export e1, stream e2"},
+		"too old":           {preempt: 550 * time.Millisecond, wait: age, log: "stream e1, export e1, stream e2"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				engines := &c.engines
+				a := startNode(t, memstore.New(), "a", engines, 0, func(o *Options) { o.Resumer = engines })
+				defer a.close()
+				job := a.submit(t, a.upload(t, chatFile(1)))
+				a.runOn(t, "e1", c.preempt)
+				time.Sleep(c.wait)
+				for i := 0; i < 2 && engines.entries() != c.log; i++ {
+					a.runOn(t, "e2", 0)
+				}
+				o := a.await(t, job, time.Minute)
+				assert.Equal(t, o.Counts.Completed, 1)
+				assert.Equal(t, engines.entries(), c.log)
+				out := a.outputs(t, o.OutputFileID)["item-0"]
+				assert.Equal(t, string(out.Response.Body), fmt.Sprintf(`{"choices":[{"finish_reason":"length","index":0,"message":{"content":"0,1,2,3,4,5,6,7,8,9,","role":"assistant"}}],"id":%q,"model":"rights","object":"chat.completion","usage":{"completion_tokens":10}}`, out.Response.RequestID))
+				assert.Equal(t, a.states.bytes, 0)
+			})
+		})
+	}
+}
+
+// Guards against a run that is preempted twice and then joined at the wrong place.
+func TestResumedRunIsPreemptedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		engines := &fakeEngines{}
+		a := startNode(t, memstore.New(), "a", engines, 0, func(o *Options) { o.Resumer = engines })
+		defer a.close()
+		job := a.submit(t, a.upload(t, chatFile(1)))
+		a.runOn(t, "e1", 450*time.Millisecond)
+		// This preemption comes before the first event, so that the first state still counts.
+		a.runOn(t, "e2", 50*time.Millisecond)
+		a.runOn(t, "e3", 250*time.Millisecond)
+		a.runOn(t, "e4", 0)
+		o := a.await(t, job, time.Minute)
+		body := a.outputs(t, o.OutputFileID)["item-0"].Response.Body
+		assert.Assert(t, strings.Contains(string(body), `"0,1,2,3,4,5,6,7,8,9,"`), string(body))
+		assert.Equal(t, engines.entries(), "stream e1, export e1, import e2, cancel e2, import e3, export e3, import e4")
+	})
+}
+
+// Guards against states that stay in memory after their job was cancelled, and against a run of such a job.
+func TestCancelDropsStates(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		engines := &fakeEngines{}
+		a := startNode(t, memstore.New(), "a", engines, 0, func(o *Options) { o.Resumer = engines })
+		defer a.close()
+		job := a.submit(t, a.upload(t, chatFile(1)))
+		a.runOn(t, "e1", 550*time.Millisecond)
+		assert.Equal(t, a.states.list.Len(), 1)
+		a.do(httptest.NewRequest(http.MethodPost, "/v1/batches/"+job+"/cancel", nil))
+		synctest.Wait()
+		assert.Equal(t, a.states.list.Len(), 0)
+		assert.Equal(t, a.states.bytes, 0)
+		assert.Equal(t, a.await(t, job, time.Minute).Status, "cancelled")
+		assert.Equal(t, engines.entries(), "stream e1, export e1")
+	})
+}
+
+// Guards against states above their bound and against a sum that departs from what is held.
+func TestStatesStayWithinTheirBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newStates()
+		for range rapid.IntRange(0, 40).Draw(t, "steps") {
+			id := itemID{partID{"j", rapid.IntRange(0, 2).Draw(t, "part")}, rapid.IntRange(0, 9).Draw(t, "index")}
+			switch rapid.IntRange(0, 4).Draw(t, "step") {
+			case 0:
+				s.take(id, "r")
+			case 1:
+				s.dropPart(id.part)
+			default:
+				size := rapid.IntRange(0, maxStateBytes+10).Draw(t, "size")
+				kept := s.put(id, &state{requestID: "r", data: make([]byte, size), answer: &answer{}, at: time.Now()})
+				assert.Equal(t, kept, size <= maxStateBytes)
+			}
+			sum := 0
+			for _, v := range s.list.Values() {
+				sum += v.bytes()
+			}
+			assert.Equal(t, s.bytes, sum)
+			assert.Assert(t, sum <= maxStatesBytes)
+		}
+	})
+}
+
+// Guards against a request whose stream may lack a part of the whole answer, and against a plain one that is run
+// unstreamed, whose progress is then not known.
+func TestWhichItemsAreStreamed(t *testing.T) {
+	chat := func(more string) string {
+		return `{"custom_id":"i","method":"POST","url":"/v1/chat/completions","body":{"model":"m","messages":[{"role":"user","content":"<a>"}]` + more + `}}`
+	}
+	text := func(more string) string {
+		return `{"custom_id":"i","method":"POST","url":"/v1/completions","body":{"model":"m",` + more + `}}`
+	}
+	for raw, want := range map[string]bool{
+		chat(""): true, chat(`,"n":1,"max_tokens":4,"stream":false,"logprobs":null`): true,
+		chat(`,"n":2`): false, chat(`,"logprobs":true`): false, chat(`,"tools":[]`): false, chat(`,"new_parameter":1`): false,
+		chat(`,"stream_options":{}`): false, text(`"prompt":"a"`): true, text(`"prompt":["a","b"]`): false,
+		text(`"prompt":"a","echo":true`):                                                                       false,
+		`{"custom_id":"i","method":"POST","url":"/v1/services/ledger/x","body":{}}`:                            false,
+		strings.Replace(chat(""), `"custom_id"`, `"headers":{"Trefoil-Non-Idempotent":"true"},"custom_id"`, 1): false,
+	} {
+		i, err := line.Parse([]byte(raw))
+		assert.NilError(t, err, raw)
+		body, ok := streamBody(i)
+		assert.Equal(t, ok, want, raw)
+		if ok {
+			var b struct{ Stream bool }
+			assert.NilError(t, json.Unmarshal(body, &b))
+			assert.Assert(t, b.Stream)
+			assert.Equal(t, strings.Contains(string(body), "<a>"), strings.Contains(raw, "<a>"))
+		}
+	}
+}
+
+// Guards against a recorded answer that lacks a field of the stream, or a character that was split between events.
+func TestUnknownEventsRunUnstreamed(t *testing.T) {
+	for extra, prefix := range map[string]string{`,"reasoning":"x"`: "", `,"object":"other"`: "", "": `\ud83d`} {
+		synctest.Test(t, func(t *testing.T) {
+			engines := &fakeEngines{extra: extra, prefix: prefix}
+			a := startNode(t, memstore.New(), "a", engines, 0, func(o *Options) { o.Resumer = engines })
+			defer a.close()
+			job := a.submit(t, a.upload(t, chatFile(2)))
+			for range 3 {
+				a.runOn(t, "e1", 0)
+			}
+			o := a.await(t, job, time.Minute)
+			assert.Equal(t, o.Counts.Completed, 2)
+			assert.Equal(t, engines.entries(), "stream e1, cancel e1, do e1, do e1")
+			assert.Equal(t, string(a.outputs(t, o.OutputFileID)["item-1"].Response.Body), `{"text":"item-1"}`)
+		})
+	}
+}
--- /dev/null
+++ b/standin/engine/batch_test.go
@@ -0,0 +1,188 @@
+package engine
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"mime/multipart"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"trefoilplank.example/api"
+	"trefoilplank.example/pkg/adapter/engine"
+	"trefoilplank.example/pkg/adapter/service"
+	"trefoilplank.example/pkg/adapter/store"
+	"trefoilplank.example/pkg/adapter/store/memstore"
+	"trefoilplank.example/pkg/blackboard"
+	"trefoilplank.example/pkg/controller/batch"
+	"trefoilplank.example/pkg/serving"
+)
+
+// batchNode is a batch controller before two engines.
+type batchNode struct {
+	*batch.Controller
+	engines []api.Upstream
+	// standins are the engines in the same order.
+	standins []*Engine
+}
+
+func startBatch(t *testing.T, resumes bool) *batchNode {
+	t.Helper()
+	n := &batchNode{}
+	for i := range 2 {
+		e, url := startEngine(t, Options{}, "")
+		n.standins = append(n.standins, e)
+		n.engines = append(n.engines, api.Upstream{Name: fmt.Sprint("e", i), Kind: api.UpstreamEngine,
+			Address: strings.TrimPrefix(url, "http://"), Models: []string{"m"}})
+	}
+	board := blackboard.New()
+	board.Config.Set(api.Config{Version: 1, Register: api.Register{Upstreams: n.engines, Institutions: []api.Institution{{Name: "agencia"}}},
+		Rules: api.Rules{Institutions: []api.InstitutionRules{{Institution: "agencia", Share: 1}}}})
+	board.Lease.Set(blackboard.Lease{Number: 1, Deadline: time.Now().Add(time.Hour)})
+	s := memstore.New()
+	_, err := s.Put(t.Context(), "nodes/a", []byte(`{"number":1}`), store.AnyRevision)
+	assert.NilError(t, err)
+	client := engine.New(service.New())
+	o := batch.Options{Node: "a", Store: s, Board: board, Invoker: client}
+	if resumes {
+		o.Resumer = client
+	}
+	n.Controller, err = batch.New(o)
+	assert.NilError(t, err)
+	ctx, stop := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- n.Run(ctx) }()
+	t.Cleanup(func() { stop(); assert.NilError(t, <-ended) })
+	return n
+}
+
+// call makes a call of the caller interface.
+func (n *batchNode) call(t *testing.T, method, path, contentType, body string) []byte {
+	t.Helper()
+	r := httptest.NewRequest(method, path, strings.NewReader(body))
+	r.Header.Set("Content-Type", contentType)
+	id := serving.Identity{Institution: "agencia", Caller: "tagger", Grants: api.Grants{Models: []string{"m"}, Batch: true}}
+	w := httptest.NewRecorder()
+	n.Handler().ServeHTTP(w, r.WithContext(serving.WithRequestID(serving.WithIdentity(r.Context(), id), "a-1")))
+	assert.Equal(t, w.Code, http.StatusOK, w.Body.String())
+	return w.Body.Bytes()
+}
+
+func (n *batchNode) submit(t *testing.T, endpoint, content string) string {
+	t.Helper()
+	var form bytes.Buffer
+	w := multipart.NewWriter(&form)
+	assert.NilError(t, w.WriteField("purpose", "batch"))
+	part, err := w.CreateFormFile("file", "in.jsonl")
+	assert.NilError(t, err)
+	_, err = part.Write([]byte(content))
+	assert.NilError(t, err)
+	assert.NilError(t, w.Close())
+	var made struct{ ID string }
+	assert.NilError(t, json.Unmarshal(n.call(t, http.MethodPost, "/v1/files", w.FormDataContentType(), form.String()), &made))
+	body := fmt.Sprintf(`{"input_file_id":%q,"endpoint":%q,"completion_window":"24h"}`, made.ID, endpoint)
+	assert.NilError(t, json.Unmarshal(n.call(t, http.MethodPost, "/v1/batches", "application/json", body), &made))
+	return made.ID
+}
+
+// run runs items until the job has ended and returns the fields of its answers by custom_id, and the number of
+// preemptions. A run on the first engine is preempted once it is resumable, if preempts is set.
+func (n *batchNode) run(t *testing.T, job string, preempts bool) (map[string]map[string]json.RawMessage, int) {
+	t.Helper()
+	var status struct {
+		Status string `json:"status"`
+		Output string `json:"output_file_id"`
+	}
+	preempted := 0
+	for i := 0; status.Status != "completed"; i++ {
+		assert.NilError(t, json.Unmarshal(n.call(t, http.MethodGet, "/v1/batches/"+job, "", ""), &status))
+		r, ok := n.Next(n.engines[i%2])
+		if !ok {
+			time.Sleep(20 * time.Millisecond)
+			continue
+		}
+		ctx, cancel := context.WithCancelCause(t.Context())
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			r.Run(ctx, &serving.Slot{Upstream: n.engines[i%2]})
+		}()
+		for running := preempts && i%2 == 0; running; {
+			select {
+			case <-ended:
+				running = false
+			case <-time.After(time.Millisecond):
+			}
+			if tokens, resumable := r.Progress(); running && resumable && tokens >= 6 {
+				preempted++
+				cancel(serving.ErrPreempted)
+				running = false
+			}
+		}
+		<-ended
+		cancel(nil)
+	}
+	answers := map[string]map[string]json.RawMessage{}
+	for l := range bytes.Lines(n.call(t, http.MethodGet, "/v1/files/"+status.Output+"/content", "", "")) {
+		var o struct {
+			CustomID string `json:"custom_id"`
+			Response struct {
+				RequestID string                     `json:"request_id"`
+				Body      map[string]json.RawMessage `json:"body"`
+			} `json:"response"`
+		}
+		assert.NilError(t, json.Unmarshal(l, &o))
+		assert.Equal(t, string(o.Response.Body["id"]), fmt.Sprintf("%q", o.Response.RequestID))
+		// The id differs between runs and the time may.
+		delete(o.Response.Body, "id")
+		delete(o.Response.Body, "created")
+		_, twice := answers[o.CustomID]
+		assert.Assert(t, !twice, o.CustomID)
+		answers[o.CustomID] = o.Response.Body
+	}
+	return answers, preempted
+}
+
+// moved counts the runs of the second engine that the first one began.
+func (n *batchNode) moved() int {
+	first := map[string]bool{}
+	for _, row := range n.standins[0].executions.Rows() {
+		first[row.RequestID] = true
+	}
+	moved := 0
+	for _, row := range n.standins[1].executions.Rows() {
+		if first[row.RequestID] {
+			moved++
+		}
+	}
+	return moved
+}
+
+// Guards against recorded answers of streamed and of moved runs that differ from those of unstreamed calls.
+func TestBatchAnswersEqualUnstreamedOnes(t *testing.T) {
+	for endpoint, prompt := range map[string]string{
+		"/v1/chat/completions": `"messages":[{"role":"user","content":"item %d <b>"}]`, "/v1/completions": `"prompt":"item %d <b>"`,
+	} {
+		var lines strings.Builder
+		const items = 6
+		for i := range items {
+			fmt.Fprintf(&lines, `{"custom_id":"i-%d","method":"POST","url":%q,"body":{"model":"m","max_tokens":40,"ignore_eos":true,`+prompt+"}}\n", i, endpoint, i)
+		}
+		plain := startBatch(t, false)
+		want, _ := plain.run(t, plain.submit(t, endpoint, lines.String()), false)
+		assert.Equal(t, len(want), items)
+		for _, preempts := range []bool{false, true} {
+			n := startBatch(t, true)
+			got, preempted := n.run(t, n.submit(t, endpoint, lines.String()), preempts)
+			assert.DeepEqual(t, got, want)
+			assert.Equal(t, preempted > 0, preempts)
+			assert.Equal(t, n.moved(), preempted)
+		}
+	}
+}
