Pause exports for one second after one that failed

Cause: one late answer of an engine ended the exports from it for 10 s. Change: the pause is 1 s, which bounds the delay by an engine that exports nothing to 5 ms of slot time a second.

The test table holds fakes by pointer, since go vet found a copied lock.

--- a/pkg/controller/batch/resume.go
+++ b/pkg/controller/batch/resume.go
@@ -24,8 +24,10 @@
 	// exportTimeout bounds the export, since online work waits for the slot. It leaves half of the 10 ms that a
 	// release may take beyond a token interval for the cancel that follows an export without an answer.
 	exportTimeout = 5 * time.Millisecond
-	// exportPause is the time without further exports from an upstream after one that failed.
-	exportPause = 10 * time.Second
+	// exportPause is the time without further exports from an upstream after one that failed. It bounds the delay of
+	// slots by an engine that exports nothing to exportTimeout a second; a longer pause loses the runs of a whole
+	// burst to a single late answer.
+	exportPause = time.Second
 	// plainPause is how long items run unstreamed on an upstream whose streams lack a part of the answer.
 	plainPause = time.Minute
 	// maxStateBytes bounds one state and maxStatesBytes all states of a node; 128 MB above idle are allowed for batch
--- a/pkg/controller/batch/resume_test.go
+++ b/pkg/controller/batch/resume_test.go
@@ -140,23 +140,26 @@
 func TestPreemptedRunGoesOnOrStartsAgain(t *testing.T) {
 	const age = maxStateAge + time.Second
 	for name, c := range map[string]struct {
-		engines fakeEngines
+		engines *fakeEngines
 		preempt time.Duration
 		wait    time.Duration
 		log     string
 	}{
 		"resumed":           {preempt: 550 * time.Millisecond, log: "stream e1, export e1, import e2"},
 		"few tokens":        {preempt: 350 * time.Millisecond, log: "stream e1, cancel e1, stream e2"},
-		"export fails":      {preempt: 550 * time.Millisecond, engines: fakeEngines{exportErr: serving.ErrInterrupted}, log: "stream e1, export e1, cancel e1, stream e2"},
-		"export hangs":      {preempt: 550 * time.Millisecond, engines: fakeEngines{hangs: true}, log: "stream e1, export e1, cancel e1, stream e2"},
-		"import fails":      {preempt: 550 * time.Millisecond, engines: fakeEngines{importErr: serving.ErrNotResumed}, log: "stream e1, export e1, import e2, cancel e2, stream e2"},
-		"dies after import": {preempt: 550 * time.Millisecond, engines: fakeEngines{diesAfterImport: true}, log: "stream e1, export e1, import e2, stream e2"},
-		"too large":         {preempt: 550 * time.Millisecond, engines: fakeEngines{stateBytes: maxStateBytes}, log: "stream e1, export e1, stream e2"},
+		"export fails":      {preempt: 550 * time.Millisecond, engines: &fakeEngines{exportErr: serving.ErrInterrupted}, log: "stream e1, export e1, cancel e1, stream e2"},
+		"export hangs":      {preempt: 550 * time.Millisecond, engines: &fakeEngines{hangs: true}, log: "stream e1, export e1, cancel e1, stream e2"},
+		"import fails":      {preempt: 550 * time.Millisecond, engines: &fakeEngines{importErr: serving.ErrNotResumed}, log: "stream e1, export e1, import e2, cancel e2, stream e2"},
+		"dies after import": {preempt: 550 * time.Millisecond, engines: &fakeEngines{diesAfterImport: true}, log: "stream e1, export e1, import e2, stream e2"},
+		"too large":         {preempt: 550 * time.Millisecond, engines: &fakeEngines{stateBytes: maxStateBytes}, log: "stream e1, export e1, stream e2"},
 		"too old":           {preempt: 550 * time.Millisecond, wait: age, log: "stream e1, export e1, stream e2"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				engines := &c.engines
+				engines := c.engines
+				if engines == nil {
+					engines = &fakeEngines{}
+				}
 				a := startNode(t, memstore.New(), "a", engines, 0, func(o *Options) { o.Resumer = engines })
 				defer a.close()
 				job := a.submit(t, a.upload(t, chatFile(1)))
