--- a/pkg/controller/batch/controller.go
+++ b/pkg/controller/batch/controller.go
@@ -55,6 +55,8 @@
 	Store   store.Store
 	Board   *blackboard.Board
 	Invoker serving.Invoker
+	// Resumer may be nil; then items run unstreamed, and preempted ones start again.
+	Resumer serving.Resumer
 	// Quarantine may be nil; then no request is held back.
 	Quarantine serving.Quarantine
 	// Peers may be nil; then owners learn of a cancel at their next commit.
@@ -73,6 +75,7 @@
 	jobs   jobstore.Jobs
 	leases *leases.Observer
 	reads  *rate.Limiter
+	states *states
 	inputs *lru.Cache[string, *input]
 	// wakeup has room for one signal to the claim loop.
 	wakeup chan struct{}
@@ -132,8 +135,8 @@
 	}
 	return &Controller{
 		Options: o, jobs: jobstore.Jobs{Store: o.Store}, inputs: inputs,
-		leases: leases.NewObserver(o.Store, o.Lease),
-		reads:  rate.NewLimiter(readRate, readBurst), wakeup: make(chan struct{}, 1),
+		leases: leases.NewObserver(o.Store, o.Lease), states: newStates(),
+		reads: rate.NewLimiter(readRate, readBurst), wakeup: make(chan struct{}, 1),
 		ctx: context.Background(), open: map[string]*openJob{}, parts: map[partID]*part{},
 		demand: map[string]demand{}, waiting: make(chan struct{}),
 		served: map[string]time.Time{}, givingBack: map[partID]bool{},
