--- a/pkg/controller/batch/resume_test.go
+++ b/pkg/controller/batch/resume_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -110,6 +111,12 @@
 	t.Helper()
 	u := testUpstream
 	u.Name = engine
+	// A part is claimed only for an upstream of the register.
+	config := n.board.Config.Value()
+	if !slices.ContainsFunc(config.Register.Upstreams, func(x api.Upstream) bool { return x.Name == engine }) {
+		config.Register.Upstreams = append(slices.Clone(config.Register.Upstreams), u)
+		n.board.Config.Set(config)
+	}
 	var r serving.BatchRun
 	began := time.Now()
 	for {
