--- a/pkg/capacity/admission_test.go
+++ b/pkg/capacity/admission_test.go
@@ -240,7 +240,7 @@
 func BenchmarkPolls(b *testing.B) {
 	answers := map[string]string{
 		"/load":         `{"running":8,"waiting":0,"slots":16,"kv_used":52000,"kv_capacity":131072,"at":"2026-01-02T03:04:05.678Z"}`,
-		"/state":        `{"models":["model-0"],"adapters":[],"versions":{"model-0":"v1"},"role":"","fencing":1}`,
+		"/state":        `{"models":{"model-0":"v1"},"adapters":[],"role":"","fencing":1}`,
 		"/cache/events": `{"events":[],"next":1}`,
 	}
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { _, _ = io.WriteString(w, answers[r.URL.Path]) }))
--- a/pkg/controller/quarantine/quarantine.go
+++ b/pkg/controller/quarantine/quarantine.go
@@ -24,6 +24,8 @@
 	// callTimeout bounds a call to an owner. It is far above a usual round trip, because a check that skips
 	// the owner can let a second crash through.
 	callTimeout = 250 * time.Millisecond
+	// successorWait bounds the wait for a successor, which is usually one round trip away.
+	successorWait = 20 * time.Millisecond
 	// avoidFor is how long an owner that gave no answer is passed over.
 	avoidFor = 2 * time.Second
 	// pollInterval is the time between checks while an equal request runs.
@@ -178,15 +180,32 @@
 		}
 		if reply.Reserved {
 			c.runs.Add(args.Request, reply.Verdict == quarantine.Trial)
-			for _, successor := range owners[i+1:] {
-				go c.call(context.WithoutCancel(ctx), successor, "Check", &args, &CheckReply{})
-			}
+			c.inform(ctx, owners[i+1:], args)
 		}
 		return reply
 	}
 	return CheckReply{Verdict: quarantine.Clear}
 }
 
+// inform tells the successors of a reservation and waits for them up to successorWait: a run that begins before the
+// successor knows could be followed by a second one if the owner is lost in between.
+func (c *Controller) inform(ctx context.Context, successors []string, args CheckArgs) {
+	told := make(chan struct{})
+	go func() {
+		defer close(told)
+		for _, node := range successors {
+			c.call(context.WithoutCancel(ctx), node, "Check", &args, &CheckReply{})
+		}
+	}()
+	timer := time.NewTimer(successorWait)
+	defer timer.Stop()
+	select {
+	case <-told:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // owners returns the owner and its successor, without those that gave no answer a moment ago.
 func (c *Controller) owners(fingerprint string) []string {
 	live := c.Board.Members.Value().Live
