Choose rendezvous owners without sorting and enter new slopes

Cause: the choice of two owners among 380 members sorted them all and hashed two names in each comparison, for each fingerprint check. Change: each node is hashed once and the best n are kept; the capacity table has the slopes of the loops and of a start with many jobs after their changes, and the comment on decision log entries their measured size.

--- a/pkg/capacity/slopes.go
+++ b/pkg/capacity/slopes.go
@@ -44,7 +44,7 @@
 	ClaimState, ClaimCPU, ClaimStoreBytes, ClaimWrites Line
 	// OpenJobState is of one open job on each node, StartCPU of taking over all at a start, over open jobs (OpenJobs).
 	OpenJobState Line
-	StartCPU     Quadratic
+	StartCPU     Line
 	// PartState is of one held part, ItemCPU of one item, OpenBytes of the summaries of one job that all nodes watch
 	// (HeldParts, Job).
 	PartState, ItemCPU, OpenBytes Line
--- a/pkg/capacity/table.go
+++ b/pkg/capacity/table.go
@@ -7,9 +7,9 @@
 )
 
 const (
-	// Polls of one upstream per second, by package controller/upstreams: load each 250 ms, cache events each 500 ms
-	// and state each 5 s.
-	loadPolls, cachePolls, statePolls = 4, 2, 0.2
+	// Polls by package controller/upstreams: a node reads one load each 650 ms, whatever number of upstreams it owns,
+	// cache events half as often, and the state of each upstream each 5 s.
+	loadPolls, cachePolls, statePolls = 1 / 0.65, 0.5 / 0.65, 0.2
 	// reconcilePeriod is the seconds between passes without a change (package controller/reconcile).
 	reconcilePeriod = 30
 	// slots is the number of slots of one replica, and queueBound that of waiting requests (decision/admission).
@@ -51,8 +51,8 @@
 const ns = 1e-9
 
 func control(t Target, s Slopes) []Row {
-	polls := t.owned() * (loadPolls + cachePolls + statePolls)
-	pollBytes := t.owned() * (loadPolls*s.LoadPollBytes.Fixed + cachePolls*s.CachePollBytes.Fixed + statePolls*s.StatePollBytes.Fixed)
+	polls := loadPolls + cachePolls + t.owned()*statePolls
+	pollBytes := loadPolls*s.LoadPollBytes.Fixed + cachePolls*s.CachePollBytes.Fixed + t.owned()*statePolls*s.StatePollBytes.Fixed
 	engines := t.Replicas / t.Models
 	reads := engines / reconcilePeriod
 	renewals := t.busyInstitutions() * s.RenewalCalls.Fixed
--- a/pkg/decision/rendezvous/rendezvous.go
+++ b/pkg/decision/rendezvous/rendezvous.go
@@ -2,7 +2,7 @@
 package rendezvous
 
 import (
-	"sort"
+	"slices"
 
 	"github.com/zeebo/xxh3"
 )
@@ -24,12 +24,24 @@
 	return best
 }
 
-// Top returns up to n nodes in falling order of weight for key.
+// Top returns up to n nodes in falling order of weight for key. It hashes each node once and keeps the best n in
+// order, since n is 1 or 2 where it is called for each request.
 func Top(key string, nodes []string, n int) []string {
-	order := append([]string(nil), nodes...)
-	sort.Slice(order, func(i, j int) bool {
-		a, b := Score(key, order[i]), Score(key, order[j])
-		return a > b || (a == b && order[i] < order[j])
-	})
-	return order[:min(n, len(order))]
+	best := make([]string, 0, n+1)
+	scores := make([]uint64, 0, n+1)
+	for _, node := range nodes {
+		score := Score(key, node)
+		at := len(best)
+		for at > 0 && (score > scores[at-1] || score == scores[at-1] && node < best[at-1]) {
+			at--
+		}
+		if at >= n {
+			continue
+		}
+		best, scores = slices.Insert(best, at, node), slices.Insert(scores, at, score)
+		if len(best) > n {
+			best, scores = best[:n], scores[:n]
+		}
+	}
+	return best
 }
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -36,7 +36,7 @@
 	"trefoilplank.example/pkg/gateway"
 )
 
-// explainEntries bounds the decision log; at about 300 bytes an entry it takes 6 MB.
+// explainEntries bounds the decision log; at about 600 bytes an entry it takes 12 MB.
 const explainEntries = 20_000
 
 // Node is one running node.
