Claim batch parts only for upstreams that the node owns now

Cause: a node that starts believes for a moment that it is alone and asks for work of every upstream; parts that it then claimed waited 30 s until they were released. Change: a claim checks with admission that the node owns the upstream.

--- a/pkg/controller/admission/owner.go
+++ b/pkg/controller/admission/owner.go
@@ -277,3 +277,6 @@
 			"queued_ms": d.Queued.Milliseconds(), "wait_ms": d.Wait.Milliseconds(), "class": d.Item.Class},
 	})
 }
+
+// Owns reports whether this node is the admission owner of the upstream by the members it knows now.
+func (c *Controller) Owns(upstream string) bool { return c.owner(upstream) == c.Self }
--- a/pkg/controller/batch/claim.go
+++ b/pkg/controller/batch/claim.go
@@ -130,7 +130,7 @@
 	asked := map[string]bool{}
 	usable := usableUpstreams(config.Register)
 	for name, d := range c.demand {
-		if now.Sub(d.at) > demandAge || !usable[name] {
+		if now.Sub(d.at) > demandAge || !usable[name] || c.Owns != nil && !c.Owns(name) {
 			delete(c.demand, name)
 			continue
 		}
--- a/pkg/controller/batch/controller.go
+++ b/pkg/controller/batch/controller.go
@@ -59,6 +59,9 @@
 	Resumer serving.Resumer
 	// Quarantine may be nil; then no request is held back.
 	Quarantine serving.Quarantine
+	// Owns reports whether this node is the admission owner of an upstream; nil takes every upstream that asked for
+	// work as owned. It is called under the controller's lock and must not call back.
+	Owns func(upstream string) bool
 	// Peers may be nil; then owners learn of a cancel at their next commit.
 	Peers peer.Caller
 	// Explain may be nil.
--- a/pkg/controller/batch/run_test.go
+++ b/pkg/controller/batch/run_test.go
@@ -315,3 +315,23 @@
 		})
 	}
 }
+
+// Guards against parts that a node claims for an upstream that it has stopped to own: a node that started alone asked
+// for work of every upstream, and held the parts unused for 30 s once it knew the others.
+func TestNoClaimForAnUpstreamOfAnotherOwner(t *testing.T) {
+	for _, owns := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			a := startNode(t, memstore.New(), "a", &fakeInvoker{}, 0, func(o *Options) {
+				o.Owns = func(string) bool { return owns }
+			})
+			defer a.close()
+			_, ok := a.Next(testUpstream)
+			assert.Assert(t, !ok)
+			a.submit(t, a.upload(t, chatFile(5)))
+			time.Sleep(10 * time.Second)
+			a.mu.Lock()
+			defer a.mu.Unlock()
+			assert.Equal(t, len(a.parts) > 0, owns)
+		})
+	}
+}
--- a/pkg/node/build.go
+++ b/pkg/node/build.go
@@ -186,6 +186,8 @@
 	n.batch, err = batch.New(batch.Options{
 		Node: n.settings.Name, Store: n.store, Board: n.board, Invoker: n.invoker, Resumer: n.invoker, Quarantine: n.quarantine,
 		Peers: n.peerClient, Explain: n.log, Lease: n.leaseParams(),
+		// Admission is built after batch work, since it takes its items from there.
+		Owns: func(upstream string) bool { return n.admission.Owns(upstream) },
 	})
 	if err != nil {
 		return err
