Find a batch item's decisions by its custom id

Cause: explain item=CUSTOM_ID gave nothing for an item that succeeded, since entries had only JOB/INDEX and existed only for trouble. Change: the answer of an upstream is recorded with the custom id, and a query matches either name.

--- a/pkg/controller/batch/run.go
+++ b/pkg/controller/batch/run.go
@@ -12,6 +12,7 @@
 	"trefoilplank.example/api"
 	"trefoilplank.example/pkg/batch/line"
 	"trefoilplank.example/pkg/decision/jobstate"
+	"trefoilplank.example/pkg/explain"
 	"trefoilplank.example/pkg/serving"
 )
 
@@ -247,6 +248,8 @@
 		return
 	}
 	if result != nil {
+		r.explain(s.Upstream.Name, "complete", "the upstream answered", map[string]any{
+			explain.ValueCustomID: r.item.CustomID, "status": result.Status, "request": r.request.ID})
 		r.record(&line.Output{Response: &line.Response{StatusCode: result.Status, RequestID: r.request.ID, Body: line.Body(result.Body)}})
 		return
 	}
--- a/pkg/explain/explain.go
+++ b/pkg/explain/explain.go
@@ -21,6 +21,9 @@
 	Values map[string]any `json:"values,omitempty"`
 }
 
+// ValueCustomID is the key in Values of a batch item's custom id, by which an item is found too.
+const ValueCustomID = "custom_id"
+
 // Query selects entries; an empty field matches any value.
 type Query struct {
 	Request, Job, Item, Upstream string
@@ -28,7 +31,7 @@
 
 func (q Query) matches(e *Entry) bool {
 	return (q.Request == "" || q.Request == e.Request) && (q.Job == "" || q.Job == e.Job) &&
-		(q.Item == "" || q.Item == e.Item) && (q.Upstream == "" || q.Upstream == e.Upstream)
+		(q.Item == "" || q.Item == e.Item || q.Item == e.Values[ValueCustomID]) && (q.Upstream == "" || q.Upstream == e.Upstream)
 }
 
 // Log is a ring of the latest entries of one node. It is safe for concurrent use.
