--- a/standin/engine/http.go
+++ b/standin/engine/http.go
@@ -189,19 +189,27 @@
 	e.stream(w, r, target, offset)
 }
 
-func (e *Engine) cancelCall(w http.ResponseWriter, r *http.Request) {
+// named returns the run that a call names by its request id, or answers with the reason why there is none.
+func (e *Engine) named(w http.ResponseWriter, r *http.Request) (*run, bool) {
 	var c struct {
 		RequestID string `json:"request_id"`
 	}
 	if err := json.NewDecoder(r.Body).Decode(&c); err != nil {
 		apiError(w, http.StatusBadRequest, err.Error())
-		return
+		return nil, false
 	}
 	e.mu.Lock()
 	target := e.byID[c.RequestID]
 	e.mu.Unlock()
 	if target == nil {
 		apiError(w, http.StatusNotFound, "no such request")
+	}
+	return target, target != nil
+}
+
+func (e *Engine) cancelCall(w http.ResponseWriter, r *http.Request) {
+	target, ok := e.named(w, r)
+	if !ok {
 		return
 	}
 	e.cancel(target)
@@ -279,16 +287,8 @@
 
 // exportKV stops a run and returns its state, so that another engine can go on with it.
 func (e *Engine) exportKV(w http.ResponseWriter, r *http.Request) {
-	var c kvState
-	if err := json.NewDecoder(r.Body).Decode(&c); err != nil {
-		apiError(w, http.StatusBadRequest, err.Error())
-		return
-	}
-	e.mu.Lock()
-	target := e.byID[c.RequestID]
-	e.mu.Unlock()
-	if target == nil {
-		apiError(w, http.StatusNotFound, "no such request")
+	target, ok := e.named(w, r)
+	if !ok {
 		return
 	}
 	e.cancel(target)
