Use the batch part's own handler and the shared view of members

Cause: the node built a second handler of files and batches beside the one that the batch controller offers, with a retention of its own; the VM list controller built the members' view anew each second by a copy of ViewOf. Change: one handler, so that retention is set in one place; ViewOf, built again only when the members section changes.

--- a/pkg/controller/vms/vms.go
+++ b/pkg/controller/vms/vms.go
@@ -7,7 +7,6 @@
 	"context"
 	"maps"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"github.com/zeebo/xxh3"
@@ -43,6 +42,9 @@
 // Controller writes the board's VMs section. Register its Receiver as "VMs".
 type Controller struct {
 	Options
+	// view is that of the members at revision viewed; building it hashes all members.
+	view   dissemination.View
+	viewed int64
 	// misses counts the rounds in a row without an answer of a relay.
 	misses int
 }
@@ -64,14 +66,17 @@
 
 // sync reads the list on a relay, and asks a relay elsewhere. Without an answer the section keeps its value.
 func (c *Controller) sync(ctx context.Context) {
-	view := dissemination.NewView(members(c.Board.Members.Value()))
+	members, revision := c.Board.Members.Get()
+	if revision != c.viewed {
+		c.viewed, c.view = revision, dissemination.ViewOf(members)
+	}
+	view := c.view
 	if view.RelayRank(c.Self) >= 0 || c.misses >= fallbackEvery {
 		c.misses = 0
 		c.read(ctx)
 		return
 	}
-	zone := c.Board.Members.Value().Live[c.Self].AvailabilityZone
-	for _, relay := range view.Relays(zone) {
+	for _, relay := range view.Relays(members.Live[c.Self].AvailabilityZone) {
 		if c.ask(ctx, relay) {
 			c.misses = 0
 			return
@@ -80,14 +85,6 @@
 	c.misses++
 }
 
-func members(m blackboard.Members) []dissemination.Member {
-	var list []dissemination.Member
-	for _, name := range slices.Sorted(maps.Keys(m.Live)) {
-		list = append(list, dissemination.Member{Name: name, AvailabilityZone: m.Live[name].AvailabilityZone})
-	}
-	return list
-}
-
 func (c *Controller) read(ctx context.Context) {
 	states, err := c.List.Read(ctx)
 	if err != nil {
--- a/pkg/node/build.go
+++ b/pkg/node/build.go
@@ -8,14 +8,12 @@
 	"path/filepath"
 	"time"
 
-	"trefoilplank.example/api"
 	"trefoilplank.example/pkg/adapter/engine"
 	"trefoilplank.example/pkg/adapter/peer"
 	"trefoilplank.example/pkg/adapter/service"
 	"trefoilplank.example/pkg/adapter/store"
 	"trefoilplank.example/pkg/adapter/vmlist"
 	"trefoilplank.example/pkg/adapter/weights"
-	"trefoilplank.example/pkg/batch/handler"
 	"trefoilplank.example/pkg/burn"
 	"trefoilplank.example/pkg/controller/admission"
 	"trefoilplank.example/pkg/controller/batch"
@@ -143,7 +141,7 @@
 		Board: n.board, AnswersUntil: n.gateway.AnswersUntil, AddressTTL: n.settings.AddressTTL,
 		Active: n.gateway.Active, Timeout: n.settings.DrainTimeout,
 	})
-	files := handler.New(handler.Options{Store: n.store, Rules: n.rules, Canceller: n.batch})
+	files := n.batch.Handler()
 	for _, pattern := range []string{"/v1/files", "/v1/files/", "/v1/batches", "/v1/batches/"} {
 		n.gateway.Mount(pattern, files)
 	}
@@ -170,8 +168,6 @@
 	n.reconcile = reconcile.New(options)
 }
 
-func (n *Node) rules() api.Rules { return n.board.Config.Value().Rules }
-
 // buildKeys builds what recognises a request that is sent again.
 func (n *Node) buildKeys() (err error) {
 	n.idempotency, err = idempotency.New(idempotency.Options{Self: n.settings.Name, Board: n.board, Peers: n.peerClient}, n.peerServer)
