Make the test of moved batch runs independent of the machine's load

Every export missed its 5 ms deadline on the busy machine, so that no run moved. Under load a second fault showed: an item could get its second turn on the first engine and be exported twice, so that moved runs and exports differed by one. Change: the fake resumer drops the deadline of an export, which has its own test; exports are counted by run; the engines take turns strictly. The check that each exported run was moved, and that some run was, stays.

--- a/standin/engine/batch_test.go
+++ b/standin/engine/batch_test.go
@@ -9,7 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
-	"sync/atomic"
+	"sync"
 	"testing"
 	"time"
 
@@ -31,23 +31,34 @@
 	engines []api.Upstream
 	// standins are the engines in the same order.
 	standins []*Engine
-	exports  *countedExports
+	exports  *recordedExports
 }
 
-// countedExports counts the states that engines gave out in time.
-type countedExports struct {
+// recordedExports records the runs whose states engines gave out. It drops the deadline of an export, which a busy
+// machine can miss every time; the deadline has a test of its own in pkg/controller/batch.
+type recordedExports struct {
 	serving.Resumer
-	done atomic.Int64
+	mu   sync.Mutex
+	runs map[string]bool
 }
 
-func (c *countedExports) Export(ctx context.Context, u api.Upstream, requestID string) ([]byte, error) {
-	state, err := c.Resumer.Export(ctx, u, requestID)
+func (c *recordedExports) Export(ctx context.Context, u api.Upstream, requestID string) ([]byte, error) {
+	state, err := c.Resumer.Export(context.WithoutCancel(ctx), u, requestID)
 	if err == nil {
-		c.done.Add(1)
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.runs[requestID] = true
 	}
 	return state, err
 }
 
+// count returns the number of runs; one that was exported twice is one run.
+func (c *recordedExports) count() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.runs)
+}
+
 func startBatch(t *testing.T, resumes bool) *batchNode {
 	t.Helper()
 	n := &batchNode{}
@@ -66,7 +77,7 @@
 	assert.NilError(t, err)
 	client := engine.New(service.New())
 	o := batch.Options{Node: "a", Store: s, Board: board, Invoker: client}
-	n.exports = &countedExports{Resumer: client}
+	n.exports = &recordedExports{Resumer: client, runs: map[string]bool{}}
 	if resumes {
 		o.Resumer = n.exports
 	}
@@ -109,7 +120,8 @@
 }
 
 // run runs items until the job has ended and returns the fields of its answers by custom_id, and the number of
-// preemptions. A run on the first engine is preempted once it is resumable, if preempts is set.
+// preemptions. The engines take turns, so that each item ends on the second one if preempts is set: a run on the first
+// engine is then preempted once it is resumable.
 func (n *batchNode) run(t *testing.T, job string, preempts bool) (map[string]map[string]json.RawMessage, int) {
 	t.Helper()
 	var status struct {
@@ -117,20 +129,22 @@
 		Output string `json:"output_file_id"`
 	}
 	preempted := 0
-	for i := 0; status.Status != "completed"; i++ {
+	for turn := 0; status.Status != "completed"; {
 		assert.NilError(t, json.Unmarshal(n.call(t, http.MethodGet, "/v1/batches/"+job, "", ""), &status))
-		r, ok := n.Next(n.engines[i%2])
+		engine, first := n.engines[turn%2], turn%2 == 0
+		r, ok := n.Next(engine)
 		if !ok {
 			time.Sleep(20 * time.Millisecond)
 			continue
 		}
+		turn++
 		ctx, cancel := context.WithCancelCause(t.Context())
 		ended := make(chan struct{})
 		go func() {
 			defer close(ended)
-			r.Run(ctx, &serving.Slot{Upstream: n.engines[i%2]})
+			r.Run(ctx, &serving.Slot{Upstream: engine})
 		}()
-		for running := preempts && i%2 == 0; running; {
+		for running := preempts && first; running; {
 			select {
 			case <-ended:
 				running = false
@@ -199,8 +213,7 @@
 			got, preempted := n.run(t, n.submit(t, endpoint, lines.String()), preempts)
 			assert.DeepEqual(t, got, want)
 			assert.Equal(t, preempted > 0, preempts)
-			// On a busy machine an export may come too late; that run then starts again.
-			assert.Equal(t, n.moved(), int(n.exports.done.Load()))
+			assert.Equal(t, n.moved(), n.exports.count())
 			assert.Equal(t, n.moved() > 0, preempts)
 		}
 	}
