Name several availability zones in a full address answer

Cause: an answer holds at most 16 nodes, nearest first. With 47 nodes in a zone, as at 380 nodes, all 16 were of the caller's zone: a caller that keeps its answer while the zone fails had nobody left to ask. Change: four places of a full answer go to one node each of the next zones.

--- a/pkg/decision/address/address.go
+++ b/pkg/decision/address/address.go
@@ -13,6 +13,11 @@
 // make the answer large.
 const MaxAnswer = 16
 
+// otherZones is the part of a full answer that is kept for availability zones which the nearer nodes leave out, one node
+// each. Otherwise all nodes of an answer are in the caller's zone at 380 nodes, and a caller that keeps its answer while
+// that zone fails has nobody to ask.
+const otherZones = 4
+
 // Question is what an answer is decided on.
 type Question struct {
 	// AvailabilityZone is the caller's, or "" when it is not known.
@@ -36,8 +41,19 @@
 	elsewhere
 )
 
+// candidate is a node that may be in an answer.
+type candidate struct {
+	blackboard.Member
+	distance int
+	key      float64
+}
+
+func (c candidate) compare(other candidate) int {
+	return cmp.Or(cmp.Compare(c.distance, other.distance), cmp.Compare(c.key, other.key))
+}
+
 // Decide returns the nodes to use. Nodes at the same distance are in random order, weighted against load, so that
-// callers spread over them.
+// callers spread over them. An answer that can't hold all nodes names nodes of several availability zones.
 func Decide(q Question) []blackboard.Member {
 	region := q.Region
 	for _, m := range q.Members {
@@ -45,11 +61,6 @@
 			region = m.Region
 		}
 	}
-	type candidate struct {
-		blackboard.Member
-		distance int
-		key      float64
-	}
 	var all []candidate
 	names := make([]string, 0, len(q.Members))
 	for name := range q.Members {
@@ -70,16 +81,39 @@
 		}
 		all = append(all, c)
 	}
-	slices.SortFunc(all, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(a.distance, b.distance), cmp.Compare(a.key, b.key))
-	})
+	slices.SortFunc(all, candidate.compare)
 	var answer []blackboard.Member
-	for _, c := range all[:min(len(all), MaxAnswer)] {
+	for _, c := range spread(all) {
 		answer = append(answer, c.Member)
 	}
 	return answer
 }
 
+// spread returns the nodes of an answer out of the sorted candidates: the nearest ones, and one node of each of the next
+// zones.
+func spread(all []candidate) []candidate {
+	if len(all) <= MaxAnswer {
+		return all
+	}
+	near, rest := all[:MaxAnswer-otherZones], all[MaxAnswer-otherZones:]
+	named := map[string]bool{}
+	for _, c := range near {
+		named[c.AvailabilityZone] = true
+	}
+	var first, second []candidate
+	for _, c := range rest {
+		if len(first) < otherZones && !named[c.AvailabilityZone] {
+			named[c.AvailabilityZone] = true
+			first = append(first, c)
+		} else if len(second) < otherZones {
+			second = append(second, c)
+		}
+	}
+	others := append(first, second[:otherZones-len(first)]...)
+	slices.SortFunc(others, candidate.compare)
+	return append(slices.Clone(near), others...)
+}
+
 // weightedKey draws a sort key so that a node comes first with a probability proportional to its weight, which
 // falls with its load.
 func (q Question) weightedKey(name string) float64 {
--- a/pkg/decision/address/address_test.go
+++ b/pkg/decision/address/address_test.go
@@ -6,6 +6,7 @@
 	"testing"
 
 	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
 
 	"trefoilplank.example/pkg/blackboard"
 )
@@ -53,3 +54,34 @@
 	q.AvailabilityZone = "unknown"
 	assert.Equal(t, Decide(q)[0].Name, "n5")
 }
+
+// Guards against answers of a large fleet that name nodes of the caller's zone only, which fail together, and against
+// far nodes before near ones in them.
+func TestFullAnswersNameSeveralZones(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		zones := rapid.IntRange(1, 8).Draw(t, "zones")
+		perZone := rapid.SliceOfN(rapid.IntRange(1, 50), zones, zones).Draw(t, "nodes")
+		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 2))
+		q := Question{AvailabilityZone: "z0", Members: map[string]blackboard.Member{}, Random: random.Float64}
+		for z, count := range perZone {
+			for i := range count {
+				name := fmt.Sprintf("z%d-%d", z, i)
+				q.Members[name] = blackboard.Member{Name: name, Address: name, AvailabilityZone: fmt.Sprint("z", z), Region: fmt.Sprint("r", z/3)}
+			}
+		}
+		answer := Decide(q)
+		assert.Equal(t, len(answer), min(len(q.Members), MaxAnswer))
+		distance, named, once := 0, map[string]bool{}, map[string]bool{}
+		for _, m := range answer {
+			d := map[bool]int{true: 1, false: 2}[m.Region == "r0"]
+			if m.AvailabilityZone == "z0" {
+				d = 0
+			}
+			assert.Assert(t, d >= distance, "%v", answer)
+			distance = d
+			assert.Assert(t, !once[m.Name], "%v", answer)
+			once[m.Name], named[m.AvailabilityZone] = true, true
+		}
+		assert.Assert(t, len(named) >= min(zones, otherZones+1), "%d zones: %v", zones, named)
+	})
+}
