--- a/pkg/adapter/peer/codec.go
+++ b/pkg/adapter/peer/codec.go
@@ -56,6 +56,7 @@
 }
 
 func newStream(conn net.Conn) *stream {
+	conn = countedConn{conn}
 	s := &stream{conn: conn, reader: &limitedReader{Reader: bufio.NewReader(conn), conn: conn}}
 	s.decoder = gob.NewDecoder(s.reader)
 	s.encoder = gob.NewEncoder(&s.out)
@@ -92,10 +93,15 @@
 // clientCodec is the caller's side of net/rpc.
 type clientCodec struct{ *stream }
 
-func (c clientCodec) WriteRequest(r *rpc.Request, body any) error { return c.write(r, body) }
-func (c clientCodec) ReadResponseHeader(r *rpc.Response) error    { return c.readHeader(r) }
-func (c clientCodec) ReadResponseBody(body any) error             { return c.decoder.Decode(body) }
-func (c clientCodec) Close() error                                { return c.conn.Close() }
+func (c clientCodec) WriteRequest(r *rpc.Request, body any) error {
+	err := c.write(r, body)
+	requestBytes.Add(r.ServiceMethod, int64(c.out.Len()))
+	return err
+}
+
+func (c clientCodec) ReadResponseHeader(r *rpc.Response) error { return c.readHeader(r) }
+func (c clientCodec) ReadResponseBody(body any) error          { return c.decoder.Decode(body) }
+func (c clientCodec) Close() error                             { return c.conn.Close() }
 
 // serverCodec is the receiver's side of net/rpc. net/rpc reduces a receiver's error to its text before a codec
 // sees it, so all requests go to the dispatcher's one net/rpc method, which keeps the error's type.
--- a/pkg/adapter/peer/link.go
+++ b/pkg/adapter/peer/link.go
@@ -94,6 +94,7 @@
 		config.ServerName = host
 		conn = tls.Client(conn, config)
 	}
+	connects.Add(1)
 	if err := clientHandshake(conn, []byte(l.o.Secret)); err != nil {
 		conn.Close()
 		return nil, err
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -79,6 +79,7 @@
 // New opens the node's listeners and builds its parts. The settings must have passed Check.
 func New(s Settings) (*Node, error) {
 	n := &Node{settings: s, board: blackboard.New(), log: explain.NewLog(s.Name, explainEntries, time.Now)}
+	n.publishVars()
 	if err := n.listen(); err != nil {
 		n.closeListeners()
 		return nil, err
