Refuse a second change of an empty fleet

Cause: If-Match: 0 was passed on as "any version" by a node that knew no accepted version yet, so operators who both changed the empty fleet were both accepted. Change: If-Match: 0 is config.NoVersion at every node, and confchain.Check refuses it when the head has a version or when a live node knows one. Result: six concurrent changes of the empty fleet: with the old meaning versions 1 to 6 were accepted, now one is accepted and five get a race at version 1 (TestOperatorsRace, confsync). A node that does not know the accepted version yet answered 200, now 412 (TestOperatorsRace, operator).

--- a/pkg/config/config.go
+++ b/pkg/config/config.go
@@ -13,7 +13,7 @@
 type Change struct {
 	Register *api.Register
 	Rules    *api.Rules
-	// IfMatch is the version that the change was made on; 0 applies to any version.
+	// IfMatch is the version that the change was made on, AnyVersion or NoVersion.
 	IfMatch int64
 	// Key identifies the change when it is sent again.
 	Key string
@@ -21,6 +21,19 @@
 	Who string
 }
 
+// Values of Change.IfMatch that are no versions.
+const (
+	// AnyVersion applies a change to whatever version is in force.
+	AnyVersion = 0
+	// NoVersion applies a change only while no version was ever accepted.
+	NoVersion = -1
+)
+
+// Matches reports whether the change may be applied to a version; 0 is the empty configuration.
+func (c Change) Matches(version int64) bool {
+	return c.IfMatch == AnyVersion || max(c.IfMatch, 0) == version
+}
+
 // Record describes one accepted version.
 type Record struct {
 	Version int64     `json:"version"`
--- a/pkg/controller/confsync/apply.go
+++ b/pkg/controller/confsync/apply.go
@@ -56,7 +56,7 @@
 	if err != nil {
 		return 0, notAccepted(err)
 	}
-	if version, err := head.Check(change, digest); version > 0 || err != nil {
+	if version, err := head.Check(change, digest, c.highestKnown()); version > 0 || err != nil {
 		if version > 0 {
 			// The node that accepted it may have died before it told others.
 			c.target.Set(head.History[0])
--- a/pkg/controller/confsync/confsync_test.go
+++ b/pkg/controller/confsync/confsync_test.go
@@ -179,14 +179,11 @@
 	})
 }
 
-// TestOperatorsRace guards against two changes of the same version that are both accepted.
+// TestOperatorsRace guards against two changes of the same version, or of an empty fleet, that are both accepted.
 func TestOperatorsRace(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, 2, 3)
 		defer f.stopAll()
-		_, err := f.apply("z0-0", change("base", "", 0))
-		assert.NilError(t, err)
-		f.settle(2 * time.Second)
 		race := func(ifMatch int64) (versions []int64, races int) {
 			type result struct {
 				version int64
@@ -203,7 +200,7 @@
 				r := <-results
 				var raced *config.RaceError
 				if errors.As(r.err, &raced) {
-					assert.Equal(t, raced.Current, ifMatch+1)
+					assert.Equal(t, raced.Current, max(ifMatch, 0)+1)
 					races++
 				} else {
 					assert.NilError(t, r.err)
@@ -212,7 +209,11 @@
 			}
 			return versions, races
 		}
-		versions, races := race(1)
+		versions, races := race(config.NoVersion)
+		assert.DeepEqual(t, versions, []int64{1})
+		assert.Equal(t, races, 5)
+		f.settle(2 * time.Second)
+		versions, races = race(1)
 		assert.DeepEqual(t, versions, []int64{2})
 		assert.Equal(t, races, 5)
 		versions, _ = race(0)
--- a/pkg/ctl/ctl_test.go
+++ b/pkg/ctl/ctl_test.go
@@ -55,7 +55,7 @@
 // Apply accepts every change on the version it was made on.
 func (n *fakeNode) Apply(_ context.Context, c config.Change) (int64, error) {
 	next := n.board.Config.Value()
-	if c.IfMatch != 0 && c.IfMatch != next.Version {
+	if !c.Matches(next.Version) {
 		return 0, &config.RaceError{Current: next.Version}
 	}
 	if c.Register != nil {
--- a/pkg/decision/confchain/chain.go
+++ b/pkg/decision/confchain/chain.go
@@ -135,8 +135,9 @@
 }
 
 // Check decides on a change against the accepted head. It returns the version of the first acceptance for a
-// resend, 0 for a change that may be proposed, or *config.KeyReuseError or *config.RaceError.
-func (h Head) Check(c config.Change, digest string) (int64, error) {
+// resend, 0 for a change that may be proposed, or *config.KeyReuseError or *config.RaceError. known is the highest
+// version that live nodes know: a store that lost its head does not make the fleet's configuration empty.
+func (h Head) Check(c config.Change, digest string, known int64) (int64, error) {
 	if c.Key != "" {
 		for _, e := range h.History {
 			switch {
@@ -148,8 +149,8 @@
 			}
 		}
 	}
-	if c.IfMatch != 0 && c.IfMatch != h.Version() {
-		return 0, &config.RaceError{Current: h.Version()}
+	if current := max(h.Version(), known); !c.Matches(h.Version()) || c.IfMatch == config.NoVersion && current > 0 {
+		return 0, &config.RaceError{Current: current}
 	}
 	return 0, nil
 }
--- a/pkg/decision/confchain/chain_test.go
+++ b/pkg/decision/confchain/chain_test.go
@@ -163,9 +163,9 @@
 		t.Repeat(map[string]func(*rapid.T){
 			"operator": func(t *rapid.T) {
 				c := config.Change{Key: rapid.SampledFrom([]string{"", "a", "b", "c"}).Draw(t, "key")}
-				c.IfMatch = rapid.SampledFrom([]int64{0, stored.Version(), max(0, stored.Version()-1)}).Draw(t, "if match")
+				c.IfMatch = rapid.SampledFrom([]int64{config.AnyVersion, config.NoVersion, stored.Version(), max(0, stored.Version()-1)}).Draw(t, "if match")
 				digest := rapid.SampledFrom([]string{"x", "y"}).Draw(t, "change")
-				version, err := stored.Check(c, digest)
+				version, err := stored.Check(c, digest, int64(len(accepted)))
 				var race *config.RaceError
 				var reuse *config.KeyReuseError
 				switch {
@@ -175,11 +175,14 @@
 						t.Fatalf("resend of key %q answered with version %d", c.Key, version)
 					}
 				case errors.As(err, &race):
-					if c.IfMatch == 0 || c.IfMatch == stored.Version() {
+					if c.IfMatch == config.AnyVersion || c.IfMatch == stored.Version() || c.IfMatch == config.NoVersion && len(accepted) == 0 {
 						t.Fatalf("race at version %d with match %d", stored.Version(), c.IfMatch)
 					}
 				case errors.As(err, &reuse):
 				case err == nil:
+					if c.IfMatch == config.NoVersion && len(accepted) > 0 {
+						t.Fatalf("a change of the empty configuration was taken after %d versions", len(accepted))
+					}
 					attempts++
 					by := nodes[rapid.IntRange(0, 2).Draw(t, "node")]
 					// Live members report the versions in force, so the proposer knows of all accepted ones.
--- a/pkg/operator/apply.go
+++ b/pkg/operator/apply.go
@@ -101,7 +101,7 @@
 		writeError(w, api.Errorf(http.StatusBadRequest, api.CodeMalformed, api.NotRun, "reading the documents: %v", err))
 		return config.Change{}, nil, false
 	}
-	ifMatch, err := parseIfMatch(r.Header.Get("If-Match"), s.Config.Accepted())
+	ifMatch, err := parseIfMatch(r.Header.Get("If-Match"))
 	if err != nil {
 		writeError(w, api.Errorf(http.StatusBadRequest, api.CodeMalformed, api.NotRun, "%v", err))
 		return config.Change{}, nil, false
@@ -137,22 +137,15 @@
 	return dryRun, nil
 }
 
-// anyVersion is the IfMatch of a change that applies to any version, and noVersion that of one that applies to no
-// version, since it was made on version 0 and a configuration has been accepted since.
-const (
-	anyVersion = 0
-	noVersion  = -1
-)
-
-// parseIfMatch reads a version or an entity tag, and returns anyVersion for none. accepted is the newest version.
-func parseIfMatch(h string, accepted int64) (int64, error) {
+// parseIfMatch reads a version or an entity tag. None is config.AnyVersion, and 0 is config.NoVersion.
+func parseIfMatch(h string) (int64, error) {
 	h = strings.Trim(strings.TrimPrefix(strings.TrimSpace(h), "W/"), `"`)
 	if h == "" || h == "*" {
-		return anyVersion, nil
+		return config.AnyVersion, nil
 	}
 	v, err := strconv.ParseInt(h, 10, 64)
-	if err == nil && v == 0 && accepted > 0 {
-		return noVersion, nil
+	if err == nil && v == 0 {
+		return config.NoVersion, nil
 	}
 	if err != nil || v < 0 {
 		return 0, fmt.Errorf("If-Match %q is not a version", h)
@@ -190,7 +183,7 @@
 
 func (s *server) dryRun(w http.ResponseWriter, c config.Change, current, next api.Config) {
 	accepted := max(s.Config.Accepted(), current.Version)
-	if c.IfMatch != 0 && c.IfMatch != accepted {
+	if !c.Matches(accepted) {
 		s.applyFailed(w, "", &config.RaceError{Current: accepted})
 		return
 	}
--- a/pkg/operator/fake_test.go
+++ b/pkg/operator/fake_test.go
@@ -34,6 +34,8 @@
 	lose    bool
 	// silent holds every change until its context ends.
 	silent bool
+	// behind makes the node not know yet of changes that were accepted through others.
+	behind bool
 }
 
 func (a *fakeAccepter) Apply(ctx context.Context, c config.Change) (int64, error) {
@@ -52,7 +54,7 @@
 		}
 	}
 	current := a.board.Config.Value()
-	if c.IfMatch != 0 && c.IfMatch != current.Version {
+	if !c.Matches(current.Version) {
 		return 0, &config.RaceError{Current: current.Version}
 	}
 	next := merge(current, c)
@@ -74,7 +76,12 @@
 	return a.history, nil
 }
 
-func (a *fakeAccepter) Accepted() int64 { return a.board.Config.Value().Version }
+func (a *fakeAccepter) Accepted() int64 {
+	if a.behind {
+		return 0
+	}
+	return a.board.Config.Value().Version
+}
 
 // fakePeers calls the receivers of other nodes over net/rpc on pipes; a node without a server never answers.
 type fakePeers struct{ servers map[string]*rpc.Server }
--- a/pkg/operator/operator_test.go
+++ b/pkg/operator/operator_test.go
@@ -75,6 +75,8 @@
 	assert.Equal(t, f.apply(rules).Code, 200, "without If-Match a change applies to any version")
 	assert.Equal(t, f.apply(rules, "If-Match", "x").Code, 400)
 	assert.Equal(t, f.apply(rules, "If-Match", `"0"`).Code, 412, "version 0 is an empty configuration, not any")
+	f.accepter.behind = true
+	assert.Equal(t, f.apply(rules, "If-Match", `"0"`).Code, 412, "nor on a node that does not know of a version yet")
 }
 
 // Guards against an outcome that is not true when the store fails, and against a resend that makes a second version.
