Let scenarios cut, delay and heal the network between nodes

Cause: no scenario could part nodes that run as separate processes. Change: the harness forwards peer and store traffic of scripts that ask for it and drops, holds or ends it by source and destination.

--- a/cmd/scenarios/checks_test.go
+++ b/cmd/scenarios/checks_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -129,3 +130,28 @@
 	defer conn.Close()
 	fmt.Fprintf(ts.Stdout(), "%x\n", sha256.Sum256(conn.ConnectionState().PeerCertificates[0].Raw))
 }
+
+// version returns the configuration version in force on a node.
+func (f *fleet) version(ts *testscript.TestScript, name string) int64 {
+	text, err := doHTTP(operatorKey, []string{http.MethodGet, f.node(ts, name).admin + "/v1/admin/register"})
+	ts.Check(err)
+	var v int64
+	_, tag, _ := strings.Cut(text, "Etag: \"")
+	_, err = fmt.Sscan(strings.Split(tag, "\"")[0], &v)
+	ts.Check(err)
+	return v
+}
+
+// addresses returns the names of the nodes whose addresses a node answers, sorted.
+func (f *fleet) addresses(ts *testscript.TestScript, name string) []string {
+	text, err := doHTTP(f.standins.Keys["board"], []string{http.MethodGet, f.node(ts, name).address + "/v1/addresses"})
+	ts.Check(err)
+	var names []string
+	for n, p := range f.nodes {
+		if strings.Contains(text, `"`+p.address+`"`) {
+			names = append(names, n)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
--- a/cmd/scenarios/fleet_test.go
+++ b/cmd/scenarios/fleet_test.go
@@ -34,18 +34,24 @@
 	nodes    map[string]*process
 	started  map[string]int
 	loads    map[string]*loadRun
+	// network is nil in scripts that do not cut it.
+	network *network
+	// versions holds the newest version seen in force on each node.
+	versions map[string]int64
 }
 
 // process is one trefoilplank serve.
 type process struct {
 	cmd                  *exec.Cmd
 	address, admin, peer string
-	done                 chan struct{}
-	log                  *logTail
+	// listens is where the node itself listens for peers, and peer where they reach it.
+	listens string
+	done    chan struct{}
+	log     *logTail
 }
 
 func newFleet() *fleet {
-	return &fleet{nodes: map[string]*process{}, started: map[string]int{}, loads: map[string]*loadRun{}}
+	return &fleet{nodes: map[string]*process{}, started: map[string]int{}, loads: map[string]*loadRun{}, versions: map[string]int64{}}
 }
 
 func fleetOf(ts *testscript.TestScript) *fleet { return ts.Value(fleetKey{}).(*fleet) }
@@ -89,10 +95,16 @@
 		ts.Fatalf("usage: node NAME ZONE [FLAG...]")
 	}
 	f, name := fleetOf(ts), args[0]
+	ip, peer, store := "127.0.0.1", "", f.standins.StoreAddress
+	if f.network != nil {
+		var err error
+		ip, peer, store, err = f.network.join(name, store)
+		ts.Check(err)
+	}
 	flags := append([]string{
 		"serve", "--name", name, "--availability-zone", args[1], "--region", "test", "--log-format", "json",
-		"--listen", "127.0.0.1:0", "--admin-listen", "127.0.0.1:0", "--peer-listen", "127.0.0.1:0",
-		"--store", f.standins.StoreAddress, "--vm-list", f.standins.VMListAddress, "--weight-store", f.standins.WeightStoreAddress,
+		"--listen", "127.0.0.1:0", "--admin-listen", "127.0.0.1:0", "--peer-listen", ip + ":0", "--peer-advertise", peer,
+		"--store", store, "--vm-list", f.standins.VMListAddress, "--weight-store", f.standins.WeightStoreAddress,
 		"--operator-key", operatorKey, "--peer-secret", peerSecret, "--address-ttl", "1s",
 		"--lease-duration", "6s",
 	}, args[2:]...)
@@ -103,16 +115,19 @@
 	ts.Check(err)
 	ts.Check(p.cmd.Start())
 	f.nodes[name] = p
-	served := make(chan [3]string, 1)
+	served := make(chan [4]string, 1)
 	go p.follow(stderr, served)
 	select {
 	case a := <-served:
-		p.address, p.admin, p.peer = a[0], a[1], a[2]
+		p.address, p.admin, p.peer, p.listens = a[0], a[1], a[2], a[3]
 	case <-p.done:
 		ts.Fatalf("node %s ended at its start:\n%s", name, p.log)
 	case <-time.After(startTimeout):
 		ts.Fatalf("node %s does not serve after %s:\n%s", name, startTimeout, p.log)
 	}
+	if f.network != nil {
+		f.network.setTarget(name, p.listens)
+	}
 	ts.Setenv(name, p.address)
 	ts.Setenv(name+"_admin", p.admin)
 	ts.Setenv(name+"_peer", p.peer)
@@ -132,14 +147,14 @@
 }
 
 // follow reads a process's log until it ends and reports its addresses.
-func (p *process) follow(stderr io.Reader, served chan<- [3]string) {
+func (p *process) follow(stderr io.Reader, served chan<- [4]string) {
 	scanner := bufio.NewScanner(stderr)
 	scanner.Buffer(nil, 1<<20)
 	for scanner.Scan() {
 		p.log.add(scanner.Text())
-		var line struct{ Msg, Address, AdminAddress, PeerAddress string }
+		var line struct{ Msg, Address, AdminAddress, PeerAddress, PeerListens string }
 		if json.Unmarshal(scanner.Bytes(), &line) == nil && line.Msg == "Node serves" {
-			served <- [3]string{line.Address, line.AdminAddress, line.PeerAddress}
+			served <- [4]string{line.Address, line.AdminAddress, line.PeerAddress, line.PeerListens}
 		}
 	}
 	_ = p.cmd.Wait()
--- a/pkg/adapter/peer/client.go
+++ b/pkg/adapter/peer/client.go
@@ -9,6 +9,7 @@
 	"errors"
 	"expvar"
 	"fmt"
+	"net"
 	"net/rpc"
 	"os"
 	"reflect"
@@ -41,6 +42,9 @@
 	Secret string
 	// TLS is nil for plain TCP.
 	TLS *tls.Config
+	// LocalIP, when it is a specific address, is what connections are made from, so that on a host with several
+	// addresses traffic in both directions uses the one that other nodes know.
+	LocalIP net.IP
 	// Resolve returns the peer address (IP:port) of a node, and false when the node is not known.
 	Resolve func(node string) (address string, ok bool)
 	// Observe, when set, is told whether a node answered a call or its connection failed. A call that ended by
--- a/pkg/adapter/peer/link.go
+++ b/pkg/adapter/peer/link.go
@@ -84,7 +84,8 @@
 }
 
 func (l *link) connect() (net.Conn, error) {
-	conn, err := net.DialTimeout("tcp", l.address, dialTimeout)
+	dialer := net.Dialer{Timeout: dialTimeout, LocalAddr: localAddress(l.o.LocalIP, l.address)}
+	conn, err := dialer.Dial("tcp", l.address)
 	if err != nil {
 		return nil, err
 	}
@@ -101,6 +102,17 @@
 	return conn, nil
 }
 
+// localAddress returns the address to connect from, or nil to leave the choice to the system: for an unspecified IP,
+// and for one of another family than the peer's.
+func localAddress(ip net.IP, peer string) net.Addr {
+	host, _, _ := net.SplitHostPort(peer)
+	remote := net.ParseIP(host)
+	if ip == nil || ip.IsUnspecified() || remote == nil || (ip.To4() == nil) != (remote.To4() == nil) {
+		return nil
+	}
+	return &net.TCPAddr{IP: ip}
+}
+
 // drop forgets a connection that ended, so that the next call redials.
 func (l *link) drop(client *rpc.Client) {
 	l.mu.Lock()
--- a/pkg/node/build.go
+++ b/pkg/node/build.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
+	"net"
 	"net/http"
 	"path/filepath"
 	"time"
@@ -92,6 +93,7 @@
 	options := peer.ClientOptions{
 		Self: s.Name, Server: server, Secret: s.PeerSecret, Resolve: membership.Resolve(n.board),
 		Observe: func(node string, answered bool) { n.members.Observe(node, answered) },
+		LocalIP: n.peers.Addr().(*net.TCPAddr).IP,
 	}
 	if s.PeerTLSCert != "" {
 		config, err := peer.LoadTLS(s.PeerTLSCert, s.PeerTLSKey, s.PeerTLSCA)
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"crypto/tls"
 	"errors"
@@ -131,7 +132,7 @@
 func (n *Node) record() leasedecision.Record {
 	return leasedecision.Record{
 		Name: n.settings.Name, AvailabilityZone: n.settings.AvailabilityZone, Region: n.settings.Region,
-		Address: n.Address(), AdminAddress: n.AdminAddress(), PeerAddress: n.peers.Addr().String(),
+		Address: n.Address(), AdminAddress: n.AdminAddress(), PeerAddress: cmp.Or(n.settings.PeerAdvertise, n.peers.Addr().String()),
 		Incarnation: time.Now().UnixNano(),
 	}
 }
@@ -165,7 +166,7 @@
 	group.Go(func() error { return closed(operators.Serve(n.secured(n.operators))) })
 	group.Go(func() error { return closed(n.peerServer.Serve(n.peers)) })
 	klog.InfoS("Node serves", "node", n.settings.Name, "address", n.Address(), "adminAddress", n.AdminAddress(),
-		"peerAddress", n.peers.Addr().String())
+		"peerAddress", n.record().PeerAddress, "peerListens", n.peers.Addr().String())
 	select {
 	case <-ctx.Done():
 		_ = n.drainer.Drain(working)
--- a/pkg/node/settings.go
+++ b/pkg/node/settings.go
@@ -21,6 +21,7 @@
 	Listen           string `long:"listen" env:"TREFOILPLANK_LISTEN" default:"127.0.0.1:8080" description:"IP:port for callers"`
 	AdminListen      string `long:"admin-listen" env:"TREFOILPLANK_ADMIN_LISTEN" default:"127.0.0.1:8081" description:"IP:port for operators, /debug/vars, /healthz and /readyz"`
 	PeerListen       string `long:"peer-listen" env:"TREFOILPLANK_PEER_LISTEN" default:"127.0.0.1:8082" description:"IP:port for other nodes"`
+	PeerAdvertise    string `long:"peer-advertise" env:"TREFOILPLANK_PEER_ADVERTISE" description:"IP:port at which other nodes reach --peer-listen, when it differs (optional)"`
 	Store            string `long:"store" env:"TREFOILPLANK_STORE" description:"IP:port or URL of the object API"`
 	VMList           string `long:"vm-list" env:"TREFOILPLANK_VM_LIST" description:"IP:port or URL of the platform's VM list (optional)"`
 	WeightStore      string `long:"weight-store" env:"TREFOILPLANK_WEIGHT_STORE" description:"IP:port or URL of the weight store (optional)"`
@@ -136,6 +137,9 @@
 		}
 		seen[l.address] = l.flag
 	}
+	if host, _, err := net.SplitHostPort(s.PeerAdvertise); s.PeerAdvertise != "" && (err != nil || net.ParseIP(host) == nil) {
+		add("--peer-advertise: %q must be IP:port", s.PeerAdvertise)
+	}
 }
 
 // secret returns the value given directly or in a file.
