Replace peer connections on which packets vanish

Cause: a connection from before a silent cut stays open, and every call on it times out until the system gives it up, minutes after the network healed. Change: when a call times out on a connection without any answer for 1 s, one message tests it; without an answer within 1 s the connection is closed and the next call redials.

--- a/pkg/adapter/peer/client.go
+++ b/pkg/adapter/peer/client.go
@@ -27,6 +27,11 @@
 	// redialMax is the longest time between two connects to a peer that does not answer, plus up to half of it.
 	// It stays below the time that failure detection gives a node to be heard again.
 	redialMax = time.Second
+	// silenceTimeout is how long a connection gives no answer before it is tested, and how long the test takes. Two
+	// heartbeats fit in, so that a dead connection is replaced before its node counts as lost.
+	silenceTimeout = time.Second
+	// probeMethod is the name of the test; no receiver has it.
+	probeMethod = "Peer.Probe"
 	// idleTimeout closes connections that no call used, so that pairs out of use hold none.
 	idleTimeout = 5 * time.Minute
 )
@@ -119,6 +124,9 @@
 	select {
 	case <-call.Done:
 	case <-ctx.Done():
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			l.doubt(conn)
+		}
 		return fmt.Errorf("%w: %w: %s at %s", ErrTimeout, ctx.Err(), method, address)
 	}
 	var remote rpc.ServerError
--- a/pkg/adapter/peer/link.go
+++ b/pkg/adapter/peer/link.go
@@ -20,8 +20,11 @@
 	// used is the time of the last call in Unix nanoseconds.
 	used atomic.Int64
 
-	mu   sync.Mutex
-	conn *rpc.Client
+	mu    sync.Mutex
+	conn  *rpc.Client
+	codec *watchedCodec
+	// probing is set while a message without effect tests whether the connection still carries answers.
+	probing bool
 	// dialing is closed when the connect in progress ends; nil when there is none.
 	dialing chan struct{}
 	wait    *backoff.ExponentialBackOff
@@ -75,8 +78,9 @@
 	}
 	l.wait.Reset()
 	codec := &watchedCodec{clientCodec: clientCodec{newStream(conn)}, ended: make(chan struct{})}
+	codec.heard.Store(time.Now().UnixNano())
 	client := rpc.NewClientWithCodec(codec)
-	l.conn = client
+	l.conn, l.codec = client, codec
 	go func() {
 		<-codec.ended
 		l.drop(client)
@@ -122,6 +126,35 @@
 	}
 }
 
+// doubt tests a connection on which a call got no answer in time. When packets vanish, the system keeps a connection
+// open for minutes and resends ever more rarely, so without the test a peer stays lost long after the network heals.
+func (l *link) doubt(client *rpc.Client) {
+	l.mu.Lock()
+	codec := l.codec
+	if l.conn != client || l.probing || time.Since(time.Unix(0, codec.heard.Load())) < silenceTimeout {
+		l.mu.Unlock()
+		return
+	}
+	l.probing = true
+	l.mu.Unlock()
+	go func() {
+		// A peer that has no such method answers that.
+		call := client.Go(probeMethod, emptyBody{}, &emptyBody{}, make(chan *rpc.Call, 1))
+		timer := time.NewTimer(silenceTimeout)
+		defer timer.Stop()
+		select {
+		case <-call.Done:
+		case <-timer.C:
+			calls.Add("silent", 1)
+			codec.conn.Close()
+			l.drop(client)
+		}
+		l.mu.Lock()
+		l.probing = false
+		l.mu.Unlock()
+	}()
+}
+
 func (l *link) idle(now time.Time) bool {
 	return now.Sub(time.Unix(0, l.used.Load())) > idleTimeout
 }
@@ -147,10 +180,16 @@
 	clientCodec
 	once  sync.Once
 	ended chan struct{}
+	// heard is the time of the last answer in Unix nanoseconds.
+	heard atomic.Int64
 }
 
 func (c *watchedCodec) ReadResponseHeader(r *rpc.Response) error {
-	return c.observe(c.clientCodec.ReadResponseHeader(r))
+	err := c.clientCodec.ReadResponseHeader(r)
+	if err == nil {
+		c.heard.Store(time.Now().UnixNano())
+	}
+	return c.observe(err)
 }
 
 func (c *watchedCodec) ReadResponseBody(body any) error {
