Read a configuration from the store when its peer is silent

Cause: a relay fetched a new version from the accepting node with the default call timeout of 10 s before it asked the store, so a node cut off from its peers but not from the store missed the bound of 10 s. Change: the fetch from a peer is given 2 s, then the payload is read from the store.

--- a/pkg/controller/confsync/confsync.go
+++ b/pkg/controller/confsync/confsync.go
@@ -26,6 +26,8 @@
 const (
 	// pushTimeout is how long a child in the tree may take before its own children are served directly.
 	pushTimeout = time.Second
+	// peerTimeout bounds the transfer from a peer before the store is asked: a peer behind a silent cut never answers.
+	peerTimeout = 2 * time.Second
 	// fetchTimeout bounds the transfer of a whole configuration.
 	fetchTimeout = 5 * time.Second
 	// secondRelayDelay lets the head of the zone push first; the second relay only fills in for it.
@@ -400,7 +402,9 @@
 	}
 	var fault error
 	if from != "" {
-		p, err := c.fetch(ctx, e, from)
+		fetching, cancel := context.WithTimeout(ctx, peerTimeout)
+		p, err := c.fetch(fetching, e, from)
+		cancel()
 		if err == nil {
 			return p, nil
 		}
