--- a/pkg/adapter/peer/client.go
+++ b/pkg/adapter/peer/client.go
@@ -9,6 +9,7 @@
 	"errors"
 	"expvar"
 	"fmt"
+	"net"
 	"net/rpc"
 	"os"
 	"reflect"
@@ -26,6 +27,11 @@
 	// redialMax is the longest time between two connects to a peer that does not answer, plus up to half of it.
 	// It stays below the time that failure detection gives a node to be heard again.
 	redialMax = time.Second
+	// silenceTimeout is how long a connection gives no answer before it is tested, and how long the test takes. Two
+	// heartbeats fit in, so that a dead connection is replaced before its node counts as lost.
+	silenceTimeout = time.Second
+	// probeMethod is the name of the test; no receiver has it.
+	probeMethod = "Peer.Probe"
 	// idleTimeout closes connections that no call used, so that pairs out of use hold none.
 	idleTimeout = 5 * time.Minute
 )
@@ -41,6 +47,9 @@
 	Secret string
 	// TLS is nil for plain TCP.
 	TLS *tls.Config
+	// LocalIP, when it is a specific address, is what connections are made from, so that on a host with several
+	// addresses traffic in both directions uses the one that other nodes know.
+	LocalIP net.IP
 	// Resolve returns the peer address (IP:port) of a node, and false when the node is not known.
 	Resolve func(node string) (address string, ok bool)
 	// Observe, when set, is told whether a node answered a call or its connection failed. A call that ended by
@@ -115,6 +124,9 @@
 	select {
 	case <-call.Done:
 	case <-ctx.Done():
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			l.doubt(conn)
+		}
 		return fmt.Errorf("%w: %w: %s at %s", ErrTimeout, ctx.Err(), method, address)
 	}
 	var remote rpc.ServerError
