Report engine states from their owners to the reconciling node

Cause: The node that reconciles a model read the state of each of its 500 engines, which their admission owners read as well: 1.6 KB/s at the target.

Change: The observer keeps the whole state of the engines that it polls. A Reporter tells the node that reconciles them, in full when a state changes and by a digest each 2 min. The reconciler trusts the report of the node that owns the engine while that node is live, for 4.5 min at most. It reads itself engines without such a report, those that failed to answer, load, have an order pending or whose order lease it holds. An order that was planned on a report is put off until the next pass has read the engine under the lease. A change reported brings a pass at once.

Result: BenchmarkEngineReports: 186 B a report, 30 to 80 us without sockets.

--- a/pkg/capacity/fleet_test.go
+++ b/pkg/capacity/fleet_test.go
@@ -13,6 +13,7 @@
 	"trefoilplank.example/pkg/blackboard"
 	"trefoilplank.example/pkg/burn"
 	"trefoilplank.example/pkg/controller/reconcile"
+	"trefoilplank.example/pkg/controller/upstreams"
 	decision "trefoilplank.example/pkg/decision/reconcile"
 	"trefoilplank.example/pkg/decision/rendezvous"
 	"trefoilplank.example/pkg/explain"
@@ -86,6 +87,77 @@
 	}
 }
 
+// ownedStates are the states of engines that a node owns, which change when a test says so.
+type ownedStates struct {
+	states   map[string]upstreams.State
+	revision int64
+}
+
+func (o *ownedStates) States() (map[string]upstreams.State, int64) { return o.states, o.revision }
+
+func (o *ownedStates) StatesChanged(int64) <-chan struct{} { return nil }
+
+// BenchmarkEngineReports gives the calls and bytes that a node takes in an hour of virtual time to report the engines
+// that it owns to the node that reconciles them, by their number, and the processor time of both ends.
+func BenchmarkEngineReports(b *testing.B) {
+	const length = time.Hour
+	for _, n := range []int{1, 4, 16} {
+		b.Run(fmt.Sprintf("engines=%d", n), func(b *testing.B) {
+			var calls, size int
+			var used time.Duration
+			for b.Loop() {
+				inBubble(func(t *testing.T) { calls, size, used = reportFigures(b, n, length) })
+			}
+			b.ReportMetric(float64(calls)/length.Seconds(), "calls/s")
+			b.ReportMetric(float64(size)/float64(calls), "B/report")
+			b.ReportMetric(float64(used.Nanoseconds())/float64(calls), "cpu-ns/report")
+		})
+	}
+}
+
+func reportFigures(b testing.TB, n int, length time.Duration) (calls, size int, used time.Duration) {
+	cfg := configOf(n, 1)
+	for i := range cfg.Register.Upstreams {
+		cfg.Register.Upstreams[i].Models = []string{"model-0"}
+	}
+	m := newMeter()
+	own := &ownedStates{states: map[string]upstreams.State{}}
+	for _, u := range cfg.Register.Upstreams {
+		own.states[u.Name] = upstreams.State{Engine: decision.State{Models: map[string]string{"model-0": "v1"}}}
+	}
+	target := rendezvous.Owner("reconcile/model-0", []string{nodeName(0), nodeName(1)})
+	var nodes []*reconcile.Controller
+	self := 0
+	for i := range 2 {
+		if nodeName(i) != target {
+			self = i
+		}
+		board := blackboard.New()
+		board.Config.Set(cfg)
+		members := membersOf(2)
+		members.Self = nodeName(i)
+		board.Members.Set(members)
+		c := reconcile.New(reconcile.Options{Node: nodeName(i), Board: board, Store: memstore.New(), Engines: steadyEngines{}})
+		m.serve(b, nodeName(i), map[string]any{"Reconcile": c.Receiver()})
+		nodes = append(nodes, c)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = reconcile.NewReporter(nodes[self], m.caller(nodeName(self)), own).Run(ctx)
+	}()
+	time.Sleep(time.Minute)
+	before, bytes := m.totals(nil)
+	from := cpu()
+	time.Sleep(length)
+	used = cpu() - from
+	calls, size = m.totals(nil)
+	stop()
+	<-done
+	return calls - before, size - bytes, used
+}
+
 // BenchmarkBurn gives the memory of a recorder for each institution with two objectives, and the time to count one
 // request.
 func BenchmarkBurn(b *testing.B) {
--- a/pkg/capacity/measured.go
+++ b/pkg/capacity/measured.go
@@ -41,7 +41,10 @@
 	LimitBytes:      Constant(Point{25, 623}, Point{100, 623}, Point{400, 629}),
 	// Reconciler, BenchmarkReconcile, by upstreams.
 	ReconcileState: Constant(Point{500, 1491}, Point{1500, 1473}),
-	ReconcileCPU:   Constant(Point{100, 23674}, Point{500, 22344}, Point{1500, 19397}),
+	ReconcileCPU:   Constant(Point{100, 20805}, Point{500, 20057}, Point{1500, 19835}),
+	// Reports to the reconciler, BenchmarkEngineReports, by owned engines.
+	ReportBytes: Constant(Point{1, 186}, Point{4, 186}, Point{16, 186}),
+	ReportCPU:   Constant(Point{1, 35067}, Point{4, 27567}, Point{16, 79167}),
 	// Admission: BenchmarkAdmissionOwnerState at 1,500 upstreams by slots, BenchmarkAdmissionOwnerQueue, BenchmarkAdmissionRequest by upstreams.
 	OwnedState:   Fit(Point{1, 2005}, Point{16, 8037}),
 	QueuedState:  Constant(Point{16, 1218}, Point{64, 1402}, Point{240, 1547}),
--- a/pkg/capacity/slopes.go
+++ b/pkg/capacity/slopes.go
@@ -25,8 +25,9 @@
 	// LimitState is per institution at the serving node and LimitOwnerState per node at the owner; LimitCPU,
 	// LimitCalls and LimitBytes are of one request (Limits, LimitOwner).
 	LimitState, LimitOwnerState, LimitCPU, LimitCalls, LimitBytes Line
-	// ReconcileState and ReconcileCPU are per upstream and per upstream and pass (Reconcile).
-	ReconcileState, ReconcileCPU Line
+	// ReconcileState and ReconcileCPU are per upstream and per upstream and pass (Reconcile). ReportBytes and ReportCPU
+	// are of one report without a change, with both ends (EngineReports).
+	ReconcileState, ReconcileCPU, ReportBytes, ReportCPU Line
 	// OwnedState is of one upstream, over the granted slots; QueuedState is of one waiting request and PlaceCPU,
 	// AcquireCalls and AcquireBytes of one request, over upstreams (AdmissionOwnerState, AdmissionOwnerQueue,
 	// AdmissionRequest).
--- a/pkg/capacity/table.go
+++ b/pkg/capacity/table.go
@@ -10,9 +10,9 @@
 	// Polls by package controller/upstreams: a node reads one load each 650 ms, whatever number of upstreams it owns,
 	// cache events half as often, and the state of each upstream each 5 s.
 	loadPolls, cachePolls, statePolls = 1 / 0.65, 0.5 / 0.65, 0.2
-	// reconcilePeriod is the least time in seconds between passes without a change, and reconcileCost what each engine
-	// adds to it beyond that (package controller/reconcile).
-	reconcilePeriod, reconcileCost = 30, 0.24
+	// reconcilePeriod is the time in seconds between passes without a change, and reportPeriod that between two reports
+	// of an owner whose engines do not change (package controller/reconcile).
+	reconcilePeriod, reportPeriod = 30, 120
 	// slots is the number of slots of one replica, and queueBound that of waiting requests (decision/admission).
 	slots, queueBound = 16, 256
 	// fingerprintCapacity bounds the table of one owner (decision/quarantine); it fills within hours and stays full.
@@ -55,7 +55,8 @@
 	polls := loadPolls + cachePolls + t.owned()*statePolls
 	pollBytes := loadPolls*s.LoadPollBytes.Fixed + cachePolls*s.CachePollBytes.Fixed + t.owned()*statePolls*s.StatePollBytes.Fixed
 	engines := t.Replicas / t.Models
-	reads := engines / max(reconcilePeriod, engines*reconcileCost)
+	// The reconciling node gets reports of all nodes that own engines of its model, and reports to each such node.
+	reports := (t.owners(engines) + t.ownedModels()) / reportPeriod
 	renewals := t.busyInstitutions() * s.RenewalCalls.Fixed
 	summaries := t.jobs() * s.OpenBytes.Fixed
 	starts := t.starts()
@@ -71,8 +72,8 @@
 		{Role: "polls of owned upstreams", Control: true, Messages: 2 * polls, Bytes: pollBytes, Cores: polls * s.PollCPU.Fixed * ns},
 		{Role: "limit renewals", Control: true, State: t.Institutions*s.LimitState.Fixed + t.Institutions*s.LimitOwnerState.Fixed,
 			Messages: 4 * renewals, Bytes: 2 * t.busyInstitutions() * s.RenewalBytes.Fixed, Cores: s.RenewalCPU.At(t.busyInstitutions())},
-		{Role: "reconciler of one model", Control: true, State: engines * s.ReconcileState.Fixed, Messages: 2 * reads, Bytes: reads * s.StatePollBytes.Fixed,
-			Cores: reads * (s.PollCPU.Fixed + s.ReconcileCPU.Fixed) * ns},
+		{Role: "reconciler of one model", Control: true, State: engines * s.ReconcileState.Fixed, Messages: 2 * reports, Bytes: reports * s.ReportBytes.Fixed,
+			Cores: (reports*s.ReportCPU.Fixed + engines/reconcilePeriod*s.ReconcileCPU.Fixed) * ns},
 		{Role: "open jobs", Control: true, State: t.OpenJobs * s.OpenJobState.Fixed, Messages: t.jobs(), Bytes: summaries,
 			Cores: starts / t.Nodes * s.StartCPU.At(t.OpenJobs) * ns, Reads: starts * (t.OpenJobs/openPage + startReads)},
 		{Role: "burn and explain", Control: true, State: t.Institutions*s.BurnState.Fixed + explainEntries*s.EntryState.Fixed},
--- a/pkg/capacity/target.go
+++ b/pkg/capacity/target.go
@@ -44,6 +44,16 @@
 // owned returns the upstreams of which one node is admission owner.
 func (t Target) owned() float64 { return t.Replicas / t.Nodes }
 
+// owners returns the expected number of nodes that own at least one of so many upstreams.
+func (t Target) owners(upstreams float64) float64 {
+	return t.Nodes * (1 - math.Exp(-upstreams/t.Nodes))
+}
+
+// ownedModels returns the expected number of models among the upstreams that one node owns.
+func (t Target) ownedModels() float64 {
+	return t.Models * (1 - math.Exp(-t.owned()/t.Models))
+}
+
 // starts returns the starts of processes per second over the fleet.
 func (t Target) starts() float64 { return (t.RestartsPerDay + t.FailuresPerDay) / daySeconds }
 
--- a/pkg/controller/reconcile/controller.go
+++ b/pkg/controller/reconcile/controller.go
@@ -17,6 +17,7 @@
 	"trefoilplank.example/api"
 	"trefoilplank.example/pkg/adapter/store"
 	"trefoilplank.example/pkg/blackboard"
+	"trefoilplank.example/pkg/controller/upstreams"
 	"trefoilplank.example/pkg/decision/rendezvous"
 	"trefoilplank.example/pkg/explain"
 	"trefoilplank.example/pkg/operator/status"
@@ -101,9 +102,16 @@
 	live []string
 	// leased is set when the last pass acquired an order lease.
 	leased bool
+	// reads is the number of engines that the last pass read itself.
+	reads int
+	// upstreamOwners are the nodes whose reports on an engine count.
+	upstreamOwners upstreams.Owners
 
 	mu   sync.Mutex
 	view view
+	// reports are the last ones of each node, and news has an entry after one that brought a change.
+	reports map[string]*report
+	news    chan struct{}
 }
 
 var _ status.Provider = (*Controller)(nil)
@@ -116,14 +124,15 @@
 		leases:   newLeases(o.Node, o.Store, o.Now, o.LeaseDuration, o.ClockRateBound, o.OrderInFlight),
 		rollouts: &rollouts{store: o.Store, cache: map[string]*cachedRollout{}},
 		engines:  map[string]*observed{}, owned: map[string]bool{}, view: newView(),
+		reports: map[string]*report{}, news: make(chan struct{}, 1),
 	}
 }
 
 // releaseTimeout bounds the release of leases at the end of Run; an unreleased lease only makes a successor wait.
 const releaseTimeout = 2 * time.Second
 
-// stateCost stretches the idle passes of a node with many engines, so that reading their states, 385 bytes each, takes
-// at most 1.6 KB/s: 120 s for the 500 engines of a model at the two-year target, 30 s up to 125 engines.
+// stateCost stretches the idle passes of a node that reads the states of many engines itself, 385 bytes each, so that
+// they take at most 1.6 KB/s. States that the admission owners report cost no reads.
 const stateCost = 240 * time.Millisecond
 
 // Run reconciles until ctx ends, and then gives up its leases.
@@ -137,7 +146,7 @@
 			// two nodes that take leases from each other do not spin.
 			busy = c.Sync(ctx)
 		}
-		interval := max(c.IdleInterval, time.Duration(len(c.engines))*stateCost)
+		interval := max(c.IdleInterval, time.Duration(c.reads)*stateCost)
 		if busy {
 			interval = c.Interval
 		}
@@ -155,12 +164,20 @@
 func (c *Controller) wait(ctx context.Context, interval time.Duration, configRevision, memberRevision int64) {
 	timer := time.NewTimer(interval)
 	defer timer.Stop()
+	// Reports of many owners come one by one; a pass follows the first after Interval.
+	var news <-chan struct{}
+	settled := time.NewTimer(min(c.Interval, interval))
+	defer settled.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-timer.C:
 			return
+		case <-settled.C:
+			news = c.news
+		case <-news:
+			return
 		case <-c.Board.Config.Changed(configRevision):
 			return
 		case <-c.Board.Members.Changed(memberRevision):
--- a/pkg/controller/reconcile/execute.go
+++ b/pkg/controller/reconcile/execute.go
@@ -188,8 +188,10 @@
 	if _, err := c.acquire(ctx, u, e); err != nil {
 		return err
 	}
-	if e.reread {
-		// The plan was made on a state from before the lease; a former holder's order may have come since.
+	if e.reread || e.reported {
+		// The plan was made on a state from before the lease; a former holder's order may have come since. The next
+		// pass reads the engine itself and follows at once.
+		e.reread, c.leased = true, true
 		return Error.New("the state is read again after taking the order lease")
 	}
 	if o.Transfers() && c.Weights != nil {
--- a/pkg/controller/reconcile/observe.go
+++ b/pkg/controller/reconcile/observe.go
@@ -23,6 +23,8 @@
 	takesOrders bool
 	// err is why the last read failed.
 	err error
+	// reported is set while state is what the engine's admission owner reported, and not read by this node.
+	reported bool
 	// reread is set when a lease was acquired after the last read.
 	reread  bool
 	pending *pending
@@ -52,8 +54,10 @@
 // readLimit bounds the state reads in flight.
 const readLimit = 16
 
-// observe reads the state of the engines of the groups.
+// observe takes the states that owners report and reads those of the other engines of the groups.
 func (c *Controller) observe(ctx context.Context, groups []group) {
+	c.reads = 0
+	reports := c.currentReports()
 	var reads errgroup.Group
 	reads.SetLimit(readLimit)
 	for _, g := range groups {
@@ -63,6 +67,11 @@
 				e = &observed{serving: map[string]servingSince{}}
 				c.engines[u.Name] = e
 			}
+			if r, ok := reports[u.Name]; ok && !c.mustRead(u.Name, e) {
+				c.adopt(u, e, r)
+				continue
+			}
+			c.reads++
 			reads.Go(func() error {
 				c.read(ctx, u, e)
 				return nil
@@ -77,20 +86,24 @@
 	ctx, cancel := context.WithTimeout(ctx, c.StateTimeout)
 	defer cancel()
 	s, err := c.Engines.State(ctx, u)
-	switch {
-	case errors.Is(err, ErrNoOrders):
+	if err != nil && !errors.Is(err, ErrNoOrders) {
+		e.err = err
+		return
+	}
+	c.take(u, e, s, err == nil)
+	e.reread, e.reported = false, false
+}
+
+// take notes the state of an engine. One that takes no orders serves the models that the register lists.
+func (c *Controller) take(u api.Upstream, e *observed, s reconcile.State, takesOrders bool) {
+	if !takesOrders {
 		s = reconcile.State{Models: map[string]string{}}
 		for _, m := range u.Models {
 			s.Models[m] = ""
 		}
-		e.state, e.takesOrders = &s, false
-	case err != nil:
-		e.err = err
-		return
-	default:
-		e.state, e.takesOrders = &s, true
 	}
-	e.err, e.readAt, e.reread = nil, c.Now(), false
+	e.state, e.takesOrders = &s, takesOrders
+	e.err, e.readAt = nil, c.Now()
 	c.noteServing(e)
 }
 
--- /dev/null
+++ b/pkg/controller/reconcile/report.go
@@ -0,0 +1,119 @@
+package reconcile
+
+import (
+	"time"
+
+	"trefoilplank.example/api"
+	"trefoilplank.example/pkg/decision/reconcile"
+)
+
+const (
+	// reportInterval is the time between two reports of a node without a change. 278 nodes own engines of one model at
+	// the two-year target, so that their digests take the reconciling node about 0.4 KB/s.
+	reportInterval = 2 * time.Minute
+	// reportLife is how long a report counts without a new one; one may be lost. A node that is not live counts for
+	// nothing at once.
+	reportLife = 2*reportInterval + 30*time.Second
+	// maxReported bounds the engines in one report; at the two-year target a node owns four.
+	maxReported = 2000
+)
+
+// EngineReport is the state of one engine as its admission owner read it.
+type EngineReport struct {
+	Upstream string
+	State    reconcile.State
+	// NoOrders is set for an engine without a state to read.
+	NoOrders bool
+}
+
+// ReportArgs reports the engines that a node owns and the receiver reconciles. Without States the digest says that
+// the last full report still holds.
+type ReportArgs struct {
+	Node   string
+	Digest uint64
+	Full   bool
+	States []EngineReport
+}
+
+// ReportReply answers ReportArgs.
+type ReportReply struct {
+	// Resend asks for a full report, since the receiver does not have the one that the digest is of.
+	Resend bool
+}
+
+// report is what a node reported last.
+type report struct {
+	digest uint64
+	at     time.Time
+	states map[string]EngineReport
+}
+
+// Receiver is the net/rpc receiver "Reconcile".
+type Receiver struct{ c *Controller }
+
+// Receiver returns the receiver to register as "Reconcile".
+func (c *Controller) Receiver() *Receiver { return &Receiver{c} }
+
+// Report takes the states of the engines that a node owns.
+func (r *Receiver) Report(args *ReportArgs, reply *ReportReply) error {
+	if len(args.States) > maxReported {
+		return Error.New("%d engines in one report", len(args.States))
+	}
+	c, now := r.c, r.c.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	known := c.reports[args.Node]
+	if !args.Full {
+		reply.Resend = known == nil || known.digest != args.Digest
+		if !reply.Resend {
+			known.at = now
+		}
+		return nil
+	}
+	states := map[string]EngineReport{}
+	for _, s := range args.States {
+		states[s.Upstream] = s
+	}
+	c.reports[args.Node] = &report{args.Digest, now, states}
+	if known == nil || known.digest != args.Digest {
+		select {
+		case c.news <- struct{}{}:
+		default:
+		}
+	}
+	return nil
+}
+
+// currentReports returns the reported states of engines, each from the node that owns it now.
+func (c *Controller) currentReports() map[string]EngineReport {
+	now := c.Now()
+	live := c.Board.Members.Value().Live
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out := map[string]EngineReport{}
+	for node, r := range c.reports {
+		if _, ok := live[node]; !ok || now.Sub(r.at) > reportLife {
+			delete(c.reports, node)
+			continue
+		}
+		for name, s := range r.states {
+			if c.upstreamOwners.Of(&c.Board.Members, name) == node {
+				out[name] = s
+			}
+		}
+	}
+	return out
+}
+
+// mustRead reports whether the pass needs a state that this node reads itself: an order was or is about to be given,
+// or the engine did not answer.
+func (c *Controller) mustRead(upstream string, e *observed) bool {
+	return e.err != nil || e.reread || e.pending != nil || c.leases.held[upstream] != nil ||
+		e.state != nil && len(e.state.Loading) > 0
+}
+
+// adopt takes a reported state. The owner reports each change, so that the state counts as read now.
+func (c *Controller) adopt(u api.Upstream, e *observed, r EngineReport) {
+	c.take(u, e, r.State, !r.NoOrders)
+	e.reported = true
+}
--- a/pkg/controller/upstreams/observer.go
+++ b/pkg/controller/upstreams/observer.go
@@ -60,6 +60,8 @@
 	entries map[string]*entry
 	random  *rand.Rand
 	dirty   chan struct{}
+	// states changes whenever what States returns does.
+	states blackboard.Section[struct{}]
 	// polled counts the upstreams that this node polls.
 	polled atomic.Int64
 }
@@ -72,6 +74,8 @@
 	// learned is the owner's word on health and learnedAt its time.
 	learned   blackboard.UpstreamHealth
 	learnedAt time.Time
+	// engine is the last state read of an owned engine; nil while it is not known or the engine does not answer.
+	engine *State
 	// stop ends polling; nil while another node owns the upstream.
 	stop context.CancelFunc
 }
@@ -139,12 +143,14 @@
 		case !owned && e.stop != nil:
 			e.stop()
 			e.stop = nil
+			o.setEngine(e, nil)
 		}
 	}
 	for name, e := range o.entries {
 		if !listed[name] {
 			if e.stop != nil {
 				e.stop()
+				o.setEngine(e, nil)
 			}
 			delete(o.entries, name)
 		}
--- a/pkg/controller/upstreams/poll.go
+++ b/pkg/controller/upstreams/poll.go
@@ -18,7 +18,7 @@
 		now := time.Now()
 		interval := max(loadInterval, time.Duration(o.polled.Load())*pollCost)
 		if ok := o.pollLoad(ctx, u); ok && u.Kind == api.UpstreamEngine {
-			if now.Sub(stateAt) >= stateInterval {
+			if now.Sub(stateAt) >= stateInterval || !o.hasState(u.Name) {
 				stateAt = now
 				o.pollState(ctx, u)
 			}
@@ -54,6 +54,8 @@
 		st := &e.status
 		st.Running, st.Waiting, st.Slots, st.KVUsed, st.KVCapacity, st.ReportedAt = l.Running, l.Waiting, l.Slots, l.KVUsed, l.KVCapacity, l.At
 		o.touch()
+	} else {
+		o.setEngine(e, nil)
 	}
 	o.mu.Unlock()
 	if changed {
@@ -70,12 +72,19 @@
 	defer cancel()
 	s, err := o.Prober.State(ctx, u)
 	if err != nil {
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		o.setEngine(o.entry(u.Name), nil)
 		klog.V(1).InfoS("State poll failed", "upstream", u.Name, "err", err)
 		return
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.entry(u.Name).status.LoadedModels = s.Models
+	e := o.entry(u.Name)
+	e.status.LoadedModels = s.Models
+	if e.stop != nil {
+		o.setEngine(e, &s)
+	}
 	o.touch()
 }
 
--- a/pkg/controller/upstreams/prober.go
+++ b/pkg/controller/upstreams/prober.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"maps"
@@ -13,6 +14,7 @@
 
 	"trefoilplank.example/api"
 	"trefoilplank.example/pkg/decision/placement"
+	"trefoilplank.example/pkg/decision/reconcile"
 )
 
 // Load is an upstream's own load report.
@@ -25,7 +27,11 @@
 
 // State is what an engine has loaded.
 type State struct {
+	// Models are the models and adapters that are loaded.
 	Models []string
+	// Engine is the whole answer; NoOrders is set when the engine has no state to read and so takes no orders.
+	Engine   reconcile.State
+	NoOrders bool
 }
 
 // Events are cache events after a sequence number.
@@ -49,6 +55,9 @@
 	Client *http.Client
 }
 
+// errNotFound means that the upstream does not have the path.
+var errNotFound = Error.New("HTTP status 404")
+
 // maxProbeBytes bounds one answer.
 const maxProbeBytes = 4 << 20
 
@@ -66,6 +75,9 @@
 		return Error.Wrap(err)
 	}
 	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode == http.StatusNotFound {
+		return errNotFound
+	}
 	if resp.StatusCode != http.StatusOK {
 		return Error.New("GET %s: status %d", path, resp.StatusCode)
 	}
@@ -107,14 +119,13 @@
 
 // State implements Prober.
 func (p *HTTPProber) State(ctx context.Context, u api.Upstream) (State, error) {
-	var body struct {
-		// Models holds versions by model.
-		Models   map[string]string `json:"models"`
-		Adapters []string          `json:"adapters"`
+	var s reconcile.State
+	err := p.get(ctx, u, "/state", &s)
+	if errors.Is(err, errNotFound) {
+		return State{NoOrders: true}, nil
 	}
-	err := p.get(ctx, u, "/state", &body)
-	models := slices.Sorted(maps.Keys(body.Models))
-	return State{Models: append(models, body.Adapters...)}, err
+	models := slices.Sorted(maps.Keys(s.Models))
+	return State{Models: append(models, s.Adapters...), Engine: s}, err
 }
 
 // CacheEvents implements Prober. The body is
--- a/pkg/node/build.go
+++ b/pkg/node/build.go
@@ -126,6 +126,10 @@
 		return err
 	}
 	n.observer = upstreams.New(upstreams.Options{Self: name, Board: n.board, Prober: &upstreams.HTTPProber{Client: http.DefaultClient}, Log: n.log})
+	n.reporter = reconcile.NewReporter(n.reconcile, n.peerClient, n.observer)
+	if err := n.peerServer.Register("Reconcile", n.reconcile.Receiver()); err != nil {
+		return err
+	}
 	n.admission, err = admission.New(admission.Options{
 		Self: name, Board: n.board, Peers: n.peerClient, Registrar: n.peerServer, Log: n.log, Batch: n.batch,
 		Observer: n.observer,
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -65,6 +65,7 @@
 	upstreamCalls *service.Client
 	observer      *upstreams.Observer
 	reconcile     *reconcile.Controller
+	reporter      *reconcile.Reporter
 	// vms is nil when the platform has no VM list.
 	vms      *vms.Controller
 	gateway  *gateway.Gateway
@@ -187,6 +188,7 @@
 		"lease": n.lease.Run, "membership": n.members.Run, "config": n.config.Run, "limits": n.limits.Run,
 		"admission": n.admission.Run, "batch": n.batch.Run, "upstreams": n.observer.Run,
 		"idempotency": n.idempotency.Run, "quarantine": n.quarantine.Run,
+		"reports":   n.reporter.Run,
 		"reconcile": func(ctx context.Context) error { n.reconcile.Run(ctx); return nil },
 		"peers":     func(ctx context.Context) error { <-ctx.Done(); return n.peerServer.Close() },
 	}
