Index the register by model, service and owner in admission

Cause: Each pass of admission's loop looked up the owners of all 1,500 upstreams three times, and each placement walked the whole register, copying each entry. Each second one owner was asked for stale loads, 430 B/s, though with 380 owners a turn takes over six minutes and the replies to requests bring 16 loads a second.

Change: A layout keeps the owner of each upstream and the upstreams of each model, service and owner for one configuration and one set of possible owners. Loops and placement use it. With more than 100 owners stale loads are asked for less often, in proportion; held slots are reported as before.

--- a/pkg/capacity/measured.go
+++ b/pkg/capacity/measured.go
@@ -19,10 +19,11 @@
 	ConfigState: Fit(Point{100, 370448}, Point{500, 997776}, Point{1500, 3295368}),
 	ReceiveCPU:  Fit(Point{100, 4900000.0}, Point{500, 13850000.0}, Point{1500, 47060000.0}),
 	// Loops, BenchmarkIdleLoops, variant learning, by upstreams.
-	LoopState: Fit(Point{100, 402900}, Point{500, 997000}, Point{1500, 2241000}),
-	LoopCPU:   Fit(Point{100, 0.004213}, Point{500, 0.005619}, Point{1500, 0.008386}),
-	LoopCalls: Constant(Point{100, 1.25}, Point{500, 1.25}, Point{1500, 1.25}),
-	LoopBytes: Constant(Point{100, 430}, Point{500, 430}, Point{1500, 430}),
+	LoopState: Fit(Point{100, 350600}, Point{500, 1079000}, Point{1500, 2572500}),
+	LoopCPU:   Fit(Point{100, 0.0002359}, Point{500, 0.0007503}, Point{1500, 0.001556}),
+	// Calls fall with the number of owners; those of 100 and 500 upstreams are 1.003 and 0.5.
+	LoopCalls: Constant(Point{1500, 0.25}),
+	LoopBytes: Constant(Point{1500, 86}),
 	// Polls, BenchmarkPolls.
 	LoadPollBytes:  Constant(Point{1, 427}, Point{4, 427}, Point{16, 427}),
 	StatePollBytes: Constant(Point{1, 385}, Point{4, 385}, Point{16, 385}),
@@ -52,7 +53,7 @@
 	// Admission: BenchmarkAdmissionOwnerState at 1,500 upstreams by slots, BenchmarkAdmissionOwnerQueue, BenchmarkAdmissionRequest by upstreams.
 	OwnedState:   Fit(Point{1, 2005}, Point{16, 8037}),
 	QueuedState:  Constant(Point{16, 1218}, Point{64, 1402}, Point{240, 1547}),
-	PlaceCPU:     Fit(Point{100, 119599}, Point{500, 407913}, Point{1500, 1213960}),
+	PlaceCPU:     Fit(Point{100, 112252}, Point{500, 249794}, Point{1500, 515198}),
 	AcquireCalls: Constant(Point{100, 2}, Point{500, 2}, Point{1500, 2}),
 	AcquireBytes: Constant(Point{500, 1911}, Point{1500, 1867}),
 	// Gateway: BenchmarkGatewayRequest by institutions, BenchmarkGatewayTokens by tokens of one request, BenchmarkGatewayInFlight by requests.
--- a/pkg/controller/admission/controller.go
+++ b/pkg/controller/admission/controller.go
@@ -42,8 +42,11 @@
 	// lost calls: a lost node is known from the members, and a moved owner is told at once.
 	reportInterval = 5 * time.Second
 	// staleView is the age from which the load of an upstream is asked for, one owner per syncInterval, so that
-	// the traffic does not grow with the number of nodes times upstreams.
-	staleView = 5 * time.Second
+	// the traffic does not grow with the number of nodes times upstreams. With more than staleOwners owners a turn
+	// takes minutes however often one is asked, and the replies to requests bring most loads; an owner is then asked
+	// less often, in proportion.
+	staleView   = 5 * time.Second
+	staleOwners = 100
 	// takeover is how long a new owner grants nothing while members have not reported the slots that they hold.
 	takeover = 100 * time.Millisecond
 	// heldGrace is how long a granted slot stays reserved for a node that does not list it as held.
@@ -89,6 +92,7 @@
 type Controller struct {
 	Options
 	ownerOf upstreams.Owners
+	layouts layouts
 	tickets atomic.Int64
 
 	// mu guards the maps; it is taken before no other lock of this package.
@@ -100,10 +104,13 @@
 	// told is when each owner was last told the held slots; talked marks owners that were asked since.
 	told   map[string]time.Time
 	talked map[string]bool
-	// lastOwner is the owner of each upstream at the last exchange.
-	lastOwner map[string]string
-	random    *rand.Rand
-	batchCtx  context.Context
+	// lastOwner is the owner of each upstream at the last exchange, which was made under lastLayout.
+	lastOwner  map[string]string
+	lastLayout *layout
+	// passes counts the exchanges.
+	passes   int
+	random   *rand.Rand
+	batchCtx context.Context
 	// life ends with Run; background counts calls to other nodes that nobody waits for.
 	life       context.Context
 	end        context.CancelFunc
@@ -184,10 +191,8 @@
 // sync brings the owned upstreams in line with members and configuration, refills idle slots and exchanges held
 // slots. Its passes over all upstreams are made only when members or configuration change, and every second.
 func (c *Controller) sync(ctx context.Context) {
-	for _, u := range c.Board.Config.Value().Register.Upstreams {
-		if c.owner(u.Name) == c.Self {
-			c.upstream(u.Name)
-		}
+	for _, name := range c.layout().byOwner[c.Self] {
+		c.upstream(name)
 	}
 	c.syncOwned(ctx)
 	c.exchange(ctx)
@@ -244,12 +249,12 @@
 
 // find returns the upstream of that name in the register.
 func (c *Controller) find(name string) (api.Upstream, bool) {
-	for _, u := range c.Board.Config.Value().Register.Upstreams {
-		if u.Name == name {
-			return u, true
-		}
+	l := c.layout()
+	i, ok := l.byName[name]
+	if !ok {
+		return api.Upstream{}, false
 	}
-	return api.Upstream{}, false
+	return l.upstreams[i], true
 }
 
 // ticket returns an id that no other attempt to get a slot has.
--- a/pkg/controller/admission/exchange.go
+++ b/pkg/controller/admission/exchange.go
@@ -13,7 +13,7 @@
 // exchange tells owners the slots that this node holds on their upstreams, and learns loads. An owner is told
 // when it takes an upstream over, at reportInterval while slots are held, and once after the last call to it.
 func (c *Controller) exchange(ctx context.Context) {
-	now := time.Now()
+	now, l := time.Now(), c.layout()
 	byOwner := map[string][]HeldSlot{}
 	due := map[string]bool{}
 	c.mu.Lock()
@@ -27,14 +27,20 @@
 	for owner := range byOwner {
 		due[owner] = due[owner] || now.Sub(c.told[owner]) >= reportInterval
 	}
-	for _, u := range c.Board.Config.Value().Register.Upstreams {
-		// A new owner waits for the report of every member, also of those that hold nothing.
-		owner := c.owner(u.Name)
-		due[owner] = due[owner] || c.lastOwner[u.Name] != owner
-		c.lastOwner[u.Name] = owner
+	if l != c.lastLayout {
+		c.lastLayout = l
+		for i, owner := range l.owner {
+			// A new owner waits for the report of every member, also of those that hold nothing.
+			name := l.upstreams[i].Name
+			due[owner] = due[owner] || c.lastOwner[name] != owner
+			c.lastOwner[name] = owner
+		}
 	}
-	if stale := c.stalest(now); stale != "" {
-		due[stale] = true
+	c.passes++
+	if c.passes%(len(l.byOwner)/staleOwners+1) == 0 {
+		if stale := c.stalest(now, l); stale != "" {
+			due[stale] = true
+		}
 	}
 	for owner, is := range due {
 		if !is {
@@ -51,15 +57,16 @@
 
 // stalest returns the owner whose loads are the oldest, if they are older than staleView and it was not asked
 // within that time; c.mu is held.
-func (c *Controller) stalest(now time.Time) string {
+func (c *Controller) stalest(now time.Time, l *layout) string {
 	owner, oldest := "", staleView
-	for _, u := range c.Board.Config.Value().Register.Upstreams {
-		name := c.owner(u.Name)
-		if name == c.Self || now.Sub(c.told[name]) < staleView {
+	for node, names := range l.byOwner {
+		if node == c.Self || now.Sub(c.told[node]) < staleView {
 			continue
 		}
-		if age := now.Sub(c.view(u.Name).at); age > oldest {
-			owner, oldest = name, age
+		for _, name := range names {
+			if age := now.Sub(c.view(name).at); age > oldest {
+				owner, oldest = node, age
+			}
 		}
 	}
 	return owner
--- /dev/null
+++ b/pkg/controller/admission/exchange_test.go
@@ -0,0 +1,54 @@
+package admission
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"trefoilplank.example/api"
+	"trefoilplank.example/pkg/blackboard"
+)
+
+// countedPeers answers every call with an empty reply.
+type countedPeers struct{ calls atomic.Int64 }
+
+func (p *countedPeers) Call(context.Context, string, string, any, any) error {
+	p.calls.Add(1)
+	return nil
+}
+
+func (p *countedPeers) CallAddress(context.Context, string, string, any, any) error { return nil }
+
+// Guards against asking for loads each second where a turn over all owners takes minutes anyway, and against asking
+// less often in a small fleet, where a turn takes seconds.
+func TestLoadsAreAskedLessOftenInLargeFleets(t *testing.T) {
+	for nodes, most := range map[int]int64{8: 60, 380: 18} {
+		synctest.Test(t, func(t *testing.T) {
+			b, live, ups := blackboard.New(), map[string]blackboard.Member{}, []api.Upstream{}
+			for i := range nodes {
+				live[fmt.Sprint("n", i)] = blackboard.Member{}
+				for j := range 4 {
+					ups = append(ups, api.Upstream{Name: fmt.Sprint("u", i, "-", j), Kind: api.UpstreamEngine, Models: []string{"m"}})
+				}
+			}
+			b.Members.Set(blackboard.Members{Self: "n0", Live: live})
+			b.Config.Set(api.Config{Register: api.Register{Upstreams: ups}})
+			peers := &countedPeers{}
+			c, err := New(Options{Self: "n0", Board: b, Peers: peers})
+			assert.NilError(t, err)
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			go func() { _ = c.Run(ctx) }()
+			time.Sleep(10 * time.Second)
+			before := peers.calls.Load()
+			time.Sleep(time.Minute)
+			calls := peers.calls.Load() - before
+			assert.Assert(t, calls <= most && calls >= most/2, "%d calls in a minute with %d nodes", calls, nodes)
+		})
+	}
+}
--- a/pkg/controller/admission/place.go
+++ b/pkg/controller/admission/place.go
@@ -19,14 +19,15 @@
 // place returns the upstreams that can run the request, best first.
 func (c *Controller) place(r serving.Request, exclude []string) []placed {
 	in := placement.Input{AvailabilityZone: c.zone(), PrefixHashes: r.PrefixHashes, Alone: r.Alone}
-	register := c.Board.Config.Value().Register.Upstreams
-	ups := make([]*api.Upstream, 0, len(register))
-	in.Candidates = make([]placement.Candidate, 0, len(register))
+	l := c.layout()
+	serving := l.serving(r.Model, r.Service)
+	ups := make([]*api.Upstream, 0, len(serving))
+	in.Candidates = make([]placement.Candidate, 0, len(serving))
 	now := time.Now()
 	observed := c.Board.Upstreams.Value()
-	for i := range register {
-		u := &register[i]
-		if !u.Serves(r.Model, r.Service) || u.Leaving {
+	for _, i := range serving {
+		u := &l.upstreams[i]
+		if u.Leaving {
 			continue
 		}
 		ups = append(ups, u)
@@ -36,7 +37,7 @@
 			Excluded:  slices.Contains(exclude, u.Name),
 			NotLoaded: u.Kind == api.UpstreamEngine && st.LoadedModels != nil && !slices.Contains(st.LoadedModels, r.Model),
 		}
-		c.figures(&cand, now, c.owner(u.Name) == c.Self)
+		c.figures(&cand, now, l.owner[i] == c.Self)
 		if c.Observer != nil && len(r.PrefixHashes) > 0 {
 			cand.CachedBlocks, cand.CacheTrust = c.Observer.Cached(u.Name, r.PrefixHashes)
 		}
--- a/pkg/controller/upstreams/owners.go
+++ b/pkg/controller/upstreams/owners.go
@@ -16,6 +16,30 @@
 	revision int64
 	nodes    []string
 	byName   map[string]string
+	// generation grows with each change of nodes.
+	generation int64
+}
+
+// Generation returns a number that grows whenever the set of possible owners changes.
+func (o *Owners) Generation(section *blackboard.Section[blackboard.Members]) int64 {
+	members, revision := section.Get()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.refresh(members, revision)
+	return o.generation
+}
+
+// refresh takes the present members; o.mu is held.
+func (o *Owners) refresh(members blackboard.Members, revision int64) {
+	if o.byName != nil && revision == o.revision {
+		return
+	}
+	nodes := admission.PossibleOwners(members)
+	if o.byName == nil || !slices.Equal(nodes, o.nodes) {
+		o.nodes, o.byName = nodes, map[string]string{}
+		o.generation++
+	}
+	o.revision = revision
 }
 
 // Of returns the owner of the upstream under the present members.
@@ -23,13 +47,7 @@
 	members, revision := section.Get()
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if o.byName == nil || revision != o.revision {
-		nodes := admission.PossibleOwners(members)
-		if o.byName == nil || !slices.Equal(nodes, o.nodes) {
-			o.nodes, o.byName = nodes, map[string]string{}
-		}
-		o.revision = revision
-	}
+	o.refresh(members, revision)
 	owner, ok := o.byName[upstream]
 	if !ok {
 		owner = admission.OwnerAmong(upstream, o.nodes, members.Self)
