--- a/cmd/internal/daemon/daemon.go
+++ b/cmd/internal/daemon/daemon.go
@@ -24,17 +24,18 @@
 	exitUsage  = 2
 )
 
-type serveCommand struct{ node.Settings }
+type serveCommand struct{ node.Flags }
 
 // Execute runs one node until it is told to stop.
 func (c *serveCommand) Execute(args []string) error {
-	if err := errors.Join(noArguments(args), c.Check()); err != nil {
+	settings, err := c.Read()
+	if err := errors.Join(noArguments(args), err); err != nil {
 		return &usageError{err}
 	}
-	logs.Setup(c.LogFormat, c.Verbosity)
+	logs.Setup(settings.LogFormat, settings.Verbosity)
 	ctx, stop := untilSignal()
 	defer stop()
-	n, err := node.New(c.Settings)
+	n, err := node.New(settings)
 	if err != nil {
 		return err
 	}
--- a/pkg/node/settings.go
+++ b/pkg/node/settings.go
@@ -13,7 +13,7 @@
 	"trefoilplank.example/pkg/logs"
 )
 
-// Settings are the flags of one node; each has an environment variable TREFOILPLANK_<FLAG>.
+// Settings are the settings of one node. Those that are text are flags too; Flags has the others.
 type Settings struct {
 	Name             string `long:"name" env:"TREFOILPLANK_NAME" description:"name of the node, unique in the fleet"`
 	AvailabilityZone string `long:"availability-zone" env:"TREFOILPLANK_AVAILABILITY_ZONE" description:"availability zone of the node's VM"`
@@ -26,11 +26,11 @@
 	WeightStore      string `long:"weight-store" env:"TREFOILPLANK_WEIGHT_STORE" description:"IP:port or URL of the weight store (optional)"`
 	DataDir          string `long:"data-dir" env:"TREFOILPLANK_DATA_DIR" description:"data folder on VMs that have a disk (optional)"`
 
-	Join          []string      `long:"join" env:"TREFOILPLANK_JOIN" env-delim:"," description:"peer address (IP:port) of another node, to start without the store; may be given several times"`
-	LeaseDuration time.Duration `long:"lease-duration" env:"TREFOILPLANK_LEASE_DURATION" default:"30s" description:"how long a node's lease lasts without renewal; the same on all nodes"`
+	Join          []string `long:"join" env:"TREFOILPLANK_JOIN" env-delim:"," description:"peer address (IP:port) of another node, to start without the store; may be given several times"`
+	LeaseDuration time.Duration
 
-	DrainTimeout time.Duration `long:"drain-timeout" env:"TREFOILPLANK_DRAIN_TIMEOUT" default:"10m" description:"longest time that a drain waits for requests in progress"`
-	AddressTTL   time.Duration `long:"address-ttl" env:"TREFOILPLANK_ADDRESS_TTL" default:"5s" description:"time for which callers keep an address answer"`
+	DrainTimeout time.Duration
+	AddressTTL   time.Duration
 
 	OperatorKey     string `long:"operator-key" env:"TREFOILPLANK_OPERATOR_KEY" description:"bearer key of operators"`
 	OperatorKeyFile string `long:"operator-key-file" env:"TREFOILPLANK_OPERATOR_KEY_FILE" description:"file that holds the operators' bearer key"`
@@ -43,7 +43,7 @@
 	PeerTLSKey  string `long:"peer-tls-key" env:"TREFOILPLANK_PEER_TLS_KEY" description:"key file of --peer-tls-cert"`
 	PeerTLSCA   string `long:"peer-tls-ca" env:"TREFOILPLANK_PEER_TLS_CA" description:"CA file that other nodes' certificates are checked against"`
 
-	Verbosity int    `short:"v" long:"verbosity" env:"TREFOILPLANK_VERBOSITY" default:"0" description:"log verbosity, 0 to 10"`
+	Verbosity int
 	LogFormat string `long:"log-format" env:"TREFOILPLANK_LOG_FORMAT" default:"text" description:"log format, text or json"`
 }
 
