Answer requests that reach no handler in the form of the contract

Cause: net/http itself answers a request line or header that it can't read (bad escapes, no Host, an unknown version or transfer encoding, a header over 1 MiB, an unknown expectation), in plain text without Trefoil-Request-Id, Trefoil-Outcome and error body.

Change: a wrapper of the connections of both listeners replaces what the server writes while no handler has the request.

--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -34,6 +34,7 @@
 	leasedecision "trefoilplank.example/pkg/decision/lease"
 	"trefoilplank.example/pkg/explain"
 	"trefoilplank.example/pkg/gateway"
+	"trefoilplank.example/pkg/gateway/earlyerror"
 )
 
 // explainEntries bounds the decision log; at about 600 bytes an entry it takes 12 MB.
@@ -161,8 +162,10 @@
 		group.Go(func() error { return ignoreEnd(working, name, run(working)) })
 	}
 	callers, operators := gateway.NewServer(n.gateway), gateway.NewServer(n.operator)
-	group.Go(func() error { return closed(n.drainer.Serve(callers, n.secured(n.callers), callers.Serve)) })
-	group.Go(func() error { return closed(operators.Serve(n.secured(n.operators))) })
+	callerListener := earlyerror.Listen(callers, n.secured(n.callers), n.settings.Name)
+	operatorListener := earlyerror.Listen(operators, n.secured(n.operators), n.settings.Name)
+	group.Go(func() error { return closed(n.drainer.Serve(callers, callerListener, callers.Serve)) })
+	group.Go(func() error { return closed(operators.Serve(operatorListener)) })
 	group.Go(func() error { return closed(n.peerServer.Serve(n.peers)) })
 	klog.InfoS("Node serves", "node", n.settings.Name, "address", n.Address(), "adminAddress", n.AdminAddress(),
 		"peerAddress", n.peers.Addr().String())
