Answer operators' large and ambiguous calls as the contract says

Cause: an apply over 32 MiB closed the connection while the client sent, which then saw a broken pipe. OPTIONS * and 304 had no outcome, 401 no WWW-Authenticate, If-Match or Idempotency-Key given twice was read in part, a weak tag or a list in If-None-Match was not recognised, the scheme Bearer only in one spelling, and a body that stalls held its connection for ever.

Change: documents over the bound are read to the end and refused with 413; the body has 60 s; headers given twice and keys over 255 bytes are refused with 400; the rest follows HTTP.

Result: the new tests failed before (broken pipe, 400 for OPTIONS *, 401 for "bearer") and pass now.

--- a/pkg/operator/apply.go
+++ b/pkg/operator/apply.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -60,7 +61,7 @@
 	}
 	dryRun, err := parseDryRun(r)
 	if err != nil {
-		writeError(w, api.Errorf(http.StatusBadRequest, api.CodeMalformed, api.NotRun, "%v", err))
+		writeError(w, malformed("%v", err))
 		return
 	}
 	current := s.Board.Config.Value()
@@ -91,19 +92,14 @@
 
 // readChange reads the documents and headers of a call, or answers the call and returns false.
 func (s *server) readChange(w http.ResponseWriter, r *http.Request) (config.Change, *api.Documents, bool) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxDocumentBytes))
-	if tooLarge := new(http.MaxBytesError); errors.As(err, &tooLarge) {
-		writeError(w, api.Errorf(http.StatusRequestEntityTooLarge, api.CodeTooLarge, api.NotRun,
-			"documents are larger than %d bytes", tooLarge.Limit))
-		return config.Change{}, nil, false
-	}
+	body, err := readDocuments(w, r)
 	if err != nil {
-		writeError(w, api.Errorf(http.StatusBadRequest, api.CodeMalformed, api.NotRun, "reading the documents: %v", err))
+		writeError(w, err)
 		return config.Change{}, nil, false
 	}
-	ifMatch, err := parseIfMatch(r.Header.Get("If-Match"), s.Config.Accepted())
+	change, err := s.changeHeaders(r)
 	if err != nil {
-		writeError(w, api.Errorf(http.StatusBadRequest, api.CodeMalformed, api.NotRun, "%v", err))
+		writeError(w, err)
 		return config.Change{}, nil, false
 	}
 	docs, findings := api.Decode(body)
@@ -111,7 +107,48 @@
 		writeFindings(w, findings)
 		return config.Change{}, nil, false
 	}
+	change.Register, change.Rules = docs.Register, docs.Rules
+	return change, docs, true
+}
+
+// readDocuments reads the body of a call within its bounds.
+func readDocuments(w http.ResponseWriter, r *http.Request) ([]byte, *api.Error) {
+	body, err := io.ReadAll(io.LimitReader(r.Body, maxDocumentBytes+1))
+	if err == nil && len(body) > maxDocumentBytes {
+		_, err = io.CopyN(io.Discard, r.Body, maxDiscardBytes)
+		if err == nil {
+			w.Header().Set("Connection", "close")
+		}
+		return nil, api.Errorf(http.StatusRequestEntityTooLarge, api.CodeTooLarge, api.NotRun,
+			"the documents are larger than %d bytes", maxDocumentBytes)
+	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		w.Header().Set("Connection", "close")
+		return nil, api.Errorf(http.StatusRequestTimeout, api.CodeDeadline, api.NotRun, "the documents did not arrive within %s", bodyTimeout)
+	}
+	if err != nil {
+		return nil, malformed("reading the documents: %v", err)
+	}
+	// The deadline must not end the background read that notices the end of the connection.
+	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
+	return body, nil
+}
+
+// changeHeaders reads what the headers of a call say about the change.
+func (s *server) changeHeaders(r *http.Request) (config.Change, *api.Error) {
+	for _, name := range []string{"If-Match", api.HeaderIdempotencyKey} {
+		if len(r.Header.Values(name)) > 1 {
+			return config.Change{}, malformed("%s must be given once", name)
+		}
+	}
+	ifMatch, err := parseIfMatch(r.Header.Get("If-Match"), s.Config.Accepted())
+	if err != nil {
+		return config.Change{}, malformed("%v", err)
+	}
 	key := r.Header.Get(api.HeaderIdempotencyKey)
+	if len(key) > maxKeyBytes {
+		return config.Change{}, malformed("%s is longer than %d bytes", api.HeaderIdempotencyKey, maxKeyBytes)
+	}
 	if key == "" {
 		// A key of our own lets the accepter recognise its own write when the store loses the answer.
 		key = ulid.Make().String()
@@ -120,7 +157,11 @@
 	if who == "" {
 		who = "operator@" + r.RemoteAddr
 	}
-	return config.Change{Register: docs.Register, Rules: docs.Rules, IfMatch: ifMatch, Key: key, Who: who}, docs, true
+	return config.Change{IfMatch: ifMatch, Key: key, Who: who}, nil
+}
+
+func malformed(format string, args ...any) *api.Error {
+	return api.Errorf(http.StatusBadRequest, api.CodeMalformed, api.NotRun, format, args...)
 }
 
 // parseDryRun reads the parameter dry_run. A value that is not understood is an error, since the change would
@@ -228,12 +269,19 @@
 }
 
 func writeFindings(w http.ResponseWriter, f api.Findings) {
-	e := api.Errorf(http.StatusUnprocessableEntity, api.CodeInvalid, api.NotRun, "the documents have %d findings", len(f))
+	e := api.Errorf(http.StatusUnprocessableEntity, api.CodeInvalid, api.NotRun, "the documents have %s", findingCount(len(f)))
 	e.RequestID = w.Header().Get(api.HeaderRequestID)
 	w.Header().Set(api.HeaderOutcome, string(e.Outcome))
 	writeJSON(w, e.Status, findingsBody{Findings: f, Error: e.Body().Error})
 }
 
+func findingCount(n int) string {
+	if n == 1 {
+		return "1 finding"
+	}
+	return fmt.Sprintf("%d findings", n)
+}
+
 func (s *server) register(w http.ResponseWriter, r *http.Request) {
 	c := s.Board.Config.Value()
 	c.Register.Kind = api.KindRegister
@@ -249,9 +297,21 @@
 // document writes a document in force, so that it can be edited and applied again.
 func (s *server) document(w http.ResponseWriter, r *http.Request, version int64, doc any) {
 	w.Header().Set("ETag", etag(version))
-	if r.Header.Get("If-None-Match") == etag(version) {
+	if matchesAny(r.Header.Values("If-None-Match"), etag(version)) {
+		// Every answer that is not 2xx has an outcome; a read runs nothing.
+		w.Header().Set(api.HeaderOutcome, string(api.NotRun))
 		w.WriteHeader(http.StatusNotModified)
 		return
 	}
 	writeJSON(w, http.StatusOK, doc)
 }
+
+// matchesAny reports whether a list of entity tags, compared as weak ones, holds tag or "*".
+func matchesAny(lists []string, tag string) bool {
+	for x := range strings.SplitSeq(strings.Join(lists, ","), ",") {
+		if x = strings.TrimPrefix(strings.TrimSpace(x), "W/"); x == tag || x == "*" {
+			return true
+		}
+	}
+	return false
+}
--- a/pkg/operator/operator.go
+++ b/pkg/operator/operator.go
@@ -60,6 +60,17 @@
 // maxDocumentBytes bounds the body of an apply call. 1,500 upstreams and 400 institutions take under 2 MB.
 const maxDocumentBytes = 32 << 20
 
+// maxDiscardBytes bounds what is read of documents that are found too large. Most clients look at the answer only
+// when they have sent the whole body, and lose it when the connection is closed before.
+const maxDiscardBytes = 256 << 20
+
+// bodyTimeout bounds the time in which a call's body arrives. Without it a client that stalls would hold its
+// connection for ever, also one without a key.
+const bodyTimeout = time.Minute
+
+// maxKeyBytes bounds an Idempotency-Key, as on the callers' listener; keys are kept in the history of versions.
+const maxKeyBytes = 255
+
 type server struct {
 	Options
 	local *Local
@@ -93,8 +104,10 @@
 	mux.HandleFunc("/", notFound)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set(api.HeaderRequestID, o.Node+"-"+ulid.Make().String())
-		if path.Clean(r.URL.Path) != r.URL.Path {
-			// The mux would answer with a redirect, which has no outcome.
+		// A writer without deadlines, as in a test, is used as it is.
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyTimeout))
+		if path.Clean(r.URL.Path) != r.URL.Path || r.RequestURI == "*" {
+			// The mux would answer with a redirect or without a body, and without an outcome.
 			notFound(w, r)
 			return
 		}
@@ -109,8 +122,9 @@
 // authorized lets a call pass that carries an operator key.
 func (s *server) authorized(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
-		if !ok || !s.knownKey(key) {
+		scheme, key, _ := strings.Cut(r.Header.Get("Authorization"), " ")
+		if !strings.EqualFold(scheme, "Bearer") || !s.knownKey(strings.TrimSpace(key)) {
+			w.Header().Set("WWW-Authenticate", "Bearer")
 			writeError(w, api.Errorf(http.StatusUnauthorized, api.CodeUnauthorized, api.NotRun, "an operator key is needed"))
 			return
 		}
--- a/pkg/operator/operator_test.go
+++ b/pkg/operator/operator_test.go
@@ -1,9 +1,11 @@
 package operator
 
 import (
+	"bufio"
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/rpc"
@@ -296,7 +298,7 @@
 	}{
 		{"GET", "/v1/admin/nothing", "", "", 404}, {"PUT", "/v1/admin/apply", "", "", 404}, {"GET", "/v1//admin/status", "", "", 404},
 		{"GET", "/v1/admin/explain", "", "", 400}, {"POST", "/v1/admin/apply", "kind: Nothing", "", 422},
-		{"POST", "/v1/admin/apply", rules, "7", 412},
+		{"POST", "/v1/admin/apply", rules, "7", 412}, {"OPTIONS", "*", "", "", 404},
 	} {
 		w := f.call(c.method, c.path, c.body, "If-Match", c.ifMatch)
 		assert.Equal(t, w.Code, c.status, "%s %s", c.method, c.path)
@@ -306,3 +308,47 @@
 		assert.Equal(t, body.Error.RequestID, w.Header().Get(api.HeaderRequestID))
 	}
 }
+
+// Guards against headers that are read in a way that the caller did not mean, and against a scheme or condition that
+// only one spelling of is known.
+func TestHeadersOfCalls(t *testing.T) {
+	f := newFixture(t)
+	assert.Equal(t, f.apply(register).Code, 200)
+	assert.Equal(t, f.call("GET", "/v1/admin/rules", "", "Authorization", "bearer  "+operatorKey).Code, 200)
+	assert.Equal(t, f.call("GET", "/v1/admin/rules", "", "Authorization", "x").Header().Get("WWW-Authenticate"), "Bearer")
+	for _, tags := range []string{`"1"`, `W/"1"`, `"7", "1"`, "*"} {
+		w := f.call("GET", "/v1/admin/rules", "", "If-None-Match", tags)
+		assert.Equal(t, w.Code, 304, tags)
+		assert.Equal(t, w.Header().Get(api.HeaderOutcome), "not-run")
+	}
+	assert.Equal(t, f.call("GET", "/v1/admin/rules", "", "If-None-Match", `"2"`).Code, 200)
+	assert.Equal(t, f.apply(rules, "Idempotency-Key", strings.Repeat("k", 256)).Code, 400)
+	for _, name := range []string{"If-Match", "Idempotency-Key"} {
+		r := httptest.NewRequest("POST", "/v1/admin/apply", strings.NewReader(rules))
+		r.Header = http.Header{"Authorization": {"Bearer " + operatorKey}, name: {"1", "2"}}
+		w := httptest.NewRecorder()
+		f.handler.ServeHTTP(w, r)
+		assert.Equal(t, w.Code, 400, name)
+	}
+	assert.Equal(t, f.accepter.Accepted(), int64(1))
+}
+
+// Guards against a broken connection in place of the answer to documents that are too large, for a client that looks
+// at the answer only when it has sent the whole body.
+func TestTooLargeDocumentsAreAnswered(t *testing.T) {
+	const size = maxDocumentBytes + 24<<20
+	server := httptest.NewServer(newFixture(t).handler)
+	defer server.Close()
+	c, err := net.Dial("tcp", server.Listener.Addr().String())
+	assert.NilError(t, err)
+	defer c.Close()
+	assert.NilError(t, c.SetDeadline(time.Now().Add(time.Minute)))
+	_, err = fmt.Fprintf(c, "POST /v1/admin/apply HTTP/1.1\r\nHost: n1\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n", operatorKey, size)
+	assert.NilError(t, err)
+	_, err = c.Write(make([]byte, size))
+	assert.NilError(t, err)
+	answer, err := http.ReadResponse(bufio.NewReader(c), nil)
+	assert.NilError(t, err)
+	assert.Equal(t, answer.StatusCode, 413)
+	assert.Equal(t, answer.Header.Get(api.HeaderOutcome), "not-run")
+}
--- a/pkg/operator/views.go
+++ b/pkg/operator/views.go
@@ -25,8 +25,7 @@
 	v := r.URL.Query()
 	q := explain.Query{Request: v.Get("request"), Job: v.Get("job"), Item: v.Get("item"), Upstream: v.Get("upstream")}
 	if q == (explain.Query{}) {
-		writeError(w, api.Errorf(http.StatusBadRequest, api.CodeMalformed, api.NotRun,
-			"one of request, job, item or upstream is needed"))
+		writeError(w, malformed("one of request, job, item or upstream is needed"))
 		return
 	}
 	answers := ask(r.Context(), s, s.explainNodes(q), "Explain.Get", q, func() ExplainReply {
