--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -134,6 +134,7 @@
 		hedges: retry.NewBudget(retry.HedgeShare, retry.HedgeReserve),
 	}
 	g.mux.HandleFunc("GET /v1/models", g.models)
+	g.mux.HandleFunc("GET /v1/models/{name}", g.model)
 	g.mux.HandleFunc("GET /v1/addresses", g.addresses)
 	g.mux.HandleFunc("POST /v1/chat/completions", g.inference)
 	g.mux.HandleFunc("POST /v1/completions", g.inference)
--- a/pkg/gateway/handlers.go
+++ b/pkg/gateway/handlers.go
@@ -7,6 +7,7 @@
 	"errors"
 	"maps"
 	"net/http"
+	"slices"
 	"time"
 
 	"trefoilplank.example/api"
@@ -14,27 +15,47 @@
 	"trefoilplank.example/pkg/serving"
 )
 
-// models lists the models and adapters that the caller is granted.
-func (g *Gateway) models(w http.ResponseWriter, r *http.Request) {
+// modelObject is the OpenAI model object.
+type modelObject struct {
+	ID     string `json:"id"`
+	Object string `json:"object"`
+	// Created is a required field of the OpenAI API. The register holds no such time, so it is always 0.
+	Created int64  `json:"created"`
+	OwnedBy string `json:"owned_by"`
+}
+
+// granted returns the models and adapters that the caller may use.
+func (g *Gateway) granted(r *http.Request) []modelObject {
 	who, _ := serving.IdentityFrom(r.Context())
-	type model struct {
-		ID      string `json:"id"`
-		Object  string `json:"object"`
-		OwnedBy string `json:"owned_by"`
-	}
-	list := []model{}
+	list := []modelObject{}
 	register := g.Board.Config.Value().Register
 	for _, m := range register.Models {
 		if who.MayUseModel(m.Name) {
-			list = append(list, model{ID: m.Name, Object: "model", OwnedBy: "trefoilplank"})
+			list = append(list, modelObject{ID: m.Name, Object: "model", OwnedBy: "trefoilplank"})
 		}
 	}
 	for _, a := range register.Adapters {
 		if who.MayUseModel(a.Name) {
-			list = append(list, model{ID: a.Name, Object: "model", OwnedBy: a.Model})
+			list = append(list, modelObject{ID: a.Name, Object: "model", OwnedBy: a.Model})
 		}
 	}
-	writeJSON(w, map[string]any{"object": "list", "data": list})
+	return list
+}
+
+// models lists the models and adapters that the caller is granted.
+func (g *Gateway) models(w http.ResponseWriter, r *http.Request) {
+	writeJSON(w, map[string]any{"object": "list", "data": g.granted(r)})
+}
+
+// model shows one model or adapter that the caller is granted.
+func (g *Gateway) model(w http.ResponseWriter, r *http.Request) {
+	list, name := g.granted(r), r.PathValue("name")
+	i := slices.IndexFunc(list, func(m modelObject) bool { return m.ID == name })
+	if i < 0 {
+		refuse(w, r, api.Errorf(http.StatusNotFound, api.CodeNotFound, api.NotRun, "no model %q is granted", name))
+		return
+	}
+	writeJSON(w, list[i])
 }
 
 // addressAnswer is the body of GET /v1/addresses.
