Draw burn report pages without a script from the web

Cause: the pages loaded their plot script from a web address, so they showed nothing offline.

Result: a page holds no script, link or source; a test checks that, and that names are escaped.

--- a/pkg/ctl/ctl_test.go
+++ b/pkg/ctl/ctl_test.go
@@ -8,6 +8,8 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"os"
+	"path/filepath"
 	"strconv"
 	"strings"
 	"sync"
@@ -15,11 +17,13 @@
 	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
+	"gotest.tools/v3/assert"
 
 	"trefoilplank.example/api"
 	"trefoilplank.example/pkg/blackboard"
 	"trefoilplank.example/pkg/burn"
 	"trefoilplank.example/pkg/config"
+	decision "trefoilplank.example/pkg/decision/burn"
 	"trefoilplank.example/pkg/explain"
 	"trefoilplank.example/pkg/operator"
 )
@@ -132,3 +136,24 @@
 		},
 	})
 }
+
+// Guards against burn pages that load anything, since they are read offline, and against names that break a page.
+func TestBurnPagesLoadNothing(t *testing.T) {
+	window := operator.WindowBurn{Count: decision.Count{Good: 90, Bad: 10}, BurnRate: 10}
+	windows := map[string]operator.WindowBurn{"5m": window, "1h": window, "6h": window, "3d": {}}
+	report := operator.BurnReport{Objectives: []operator.ObjectiveBurn{
+		{Institution: "a/b", Objective: "<script>", Windows: windows}, {Institution: "a/b", Objective: "idle"},
+	}}
+	paths, err := writePages(t.TempDir(), report, nil)
+	assert.NilError(t, err)
+	assert.Equal(t, len(paths), 1)
+	assert.Equal(t, filepath.Base(paths[0]), "a%2Fb.html")
+	page, err := os.ReadFile(paths[0])
+	assert.NilError(t, err)
+	text := string(page)
+	assert.Equal(t, strings.Count(text, "<svg"), 3)
+	for _, loads := range []string{"<script", "src=", "<link", "@import", "url("} {
+		assert.Assert(t, !strings.Contains(text, loads), loads)
+	}
+	assert.Assert(t, strings.Contains(text, "fast alert") && strings.Contains(text, "<td>90</td><td>10</td><td>10.00</td>"))
+}
--- a/pkg/ctl/help.go
+++ b/pkg/ctl/help.go
@@ -86,7 +86,7 @@
   trefoilctl report burn
   trefoilctl report burn --html reports/
 
-The pages hold the figures themselves and load the plot library from the web; --assets-host names a copy.`
+The pages hold figures and plots themselves and load nothing.`
 )
 
 func printVersion(a *app) error {
--- a/pkg/ctl/pages.go
+++ b/pkg/ctl/pages.go
@@ -2,22 +2,66 @@
 
 import (
 	"errors"
-	"fmt"
+	"html/template"
 	"net/url"
 	"os"
 	"path/filepath"
 	"time"
 
-	"github.com/go-echarts/go-echarts/v2/charts"
-	"github.com/go-echarts/go-echarts/v2/components"
-	"github.com/go-echarts/go-echarts/v2/opts"
-
 	decision "trefoilplank.example/pkg/decision/burn"
 	"trefoilplank.example/pkg/operator"
 )
 
+// burnPage is the page of one institution. It loads nothing, so that it works offline and in an archive.
+var burnPage = template.Must(template.New("burn").Funcs(template.FuncMap{"alerts": alertText}).Parse(`<!DOCTYPE html>
+<html lang="en">
+<head>
+<meta charset="utf-8">
+<title>Service-level burn of {{.Institution}}</title>
+<style>
+body { font-family: sans-serif; max-width: 60em; margin: 2em auto; }
+svg { max-width: 100%; height: auto; }
+td, th { padding: 0.2em 1em; text-align: right; }
+</style>
+</head>
+<body>
+<h1>Service-level burn of {{.Institution}}</h1>
+<p>At {{.At}}. Burn rate 1 spends the error budget exactly in its period.</p>
+<h2>Burn rate, {{.Institution}}</h2>
+{{.Rates}}
+{{range .Objectives}}
+<h2>{{.Objective}}, alerts: {{alerts .Alerts}}</h2>
+<p>{{.Metric}} within {{.Within}} for {{.Target}} of requests.</p>
+{{.Plot}}
+<table>
+<tr><th>window</th><th>good</th><th>bad</th><th>burn rate</th></tr>
+{{range .Rows}}<tr><td>{{.Name}}</td><td>{{.Good}}</td><td>{{.Bad}}</td><td>{{printf "%.2f" .BurnRate}}</td></tr>
+{{end}}</table>
+{{end}}
+</body>
+</html>
+`))
+
+type pageData struct {
+	Institution, At string
+	Rates           template.HTML
+	Objectives      []objectiveData
+}
+
+type objectiveData struct {
+	operator.ObjectiveBurn
+	Within time.Duration
+	Plot   template.HTML
+	Rows   []windowRow
+}
+
+type windowRow struct {
+	Name string
+	operator.WindowBurn
+}
+
 // writePages writes one page per institution into dir and returns their paths.
-func writePages(dir, assetsHost string, r operator.BurnReport, bar *progress) ([]string, error) {
+func writePages(dir string, r operator.BurnReport, bar *progress) ([]string, error) {
 	if err := os.MkdirAll(dir, 0o755); err != nil {
 		return nil, err
 	}
@@ -32,7 +76,7 @@
 	var paths []string
 	for i, name := range names {
 		path := filepath.Join(dir, url.PathEscape(name)+".html")
-		if err := writePage(path, assetsHost, name, byInstitution[name]); err != nil {
+		if err := writePage(path, name, byInstitution[name]); err != nil {
 			return paths, err
 		}
 		paths = append(paths, path)
@@ -41,22 +85,28 @@
 	return paths, nil
 }
 
-func writePage(path, assetsHost, institution string, objectives []operator.ObjectiveBurn) error {
-	page := components.NewPage()
-	page.SetPageTitle("Service-level burn of " + institution)
-	page.SetLayout(components.PageFlexLayout)
-	if assetsHost != "" {
-		page.SetAssetsHost(assetsHost)
+func writePage(path, institution string, objectives []operator.ObjectiveBurn) error {
+	data := pageData{Institution: institution, At: time.Now().UTC().Format(time.RFC3339)}
+	var err error
+	if data.Rates, err = ratePlot(objectives); err != nil {
+		return err
 	}
-	page.AddCharts(rateChart(institution, objectives))
 	for _, o := range objectives {
-		page.AddCharts(requestChart(o))
+		plotted, err := requestPlot(o)
+		if err != nil {
+			return err
+		}
+		x := objectiveData{ObjectiveBurn: o, Within: time.Duration(o.Latency), Plot: plotted}
+		for _, name := range windowNames() {
+			x.Rows = append(x.Rows, windowRow{name, o.Windows[name]})
+		}
+		data.Objectives = append(data.Objectives, x)
 	}
 	f, err := os.Create(path)
 	if err != nil {
 		return err
 	}
-	return errors.Join(page.Render(f), f.Close())
+	return errors.Join(burnPage.Execute(f, data), f.Close())
 }
 
 // windowNames returns the axis of all plots.
@@ -67,52 +117,3 @@
 	}
 	return names
 }
-
-// rateChart plots the burn rate of each objective over the windows, with the thresholds of the alerts.
-func rateChart(institution string, objectives []operator.ObjectiveBurn) *charts.Bar {
-	bar := charts.NewBar()
-	bar.SetGlobalOptions(
-		charts.WithTitleOpts(opts.Title{Title: "Burn rate, " + institution, Subtitle: "1 spends the error budget exactly in its period"}),
-		charts.WithLegendOpts(opts.Legend{Show: opts.Bool(true), Top: "bottom"}),
-		charts.WithYAxisOpts(opts.YAxis{Name: "burn rate"}),
-		charts.WithTooltipOpts(opts.Tooltip{Show: opts.Bool(true), Trigger: "axis"}),
-	)
-	bar.SetXAxis(windowNames())
-	for i, o := range objectives {
-		var data []opts.BarData
-		for _, w := range windowNames() {
-			data = append(data, opts.BarData{Value: o.Windows[w].BurnRate})
-		}
-		var marks []charts.SeriesOpts
-		if i == 0 {
-			marks = append(marks, charts.WithMarkLineNameYAxisItemOpts(
-				opts.MarkLineNameYAxisItem{Name: "slow alert (6h and 3d)", YAxis: decision.SlowBurn},
-				opts.MarkLineNameYAxisItem{Name: "fast alert (5m and 1h)", YAxis: decision.FastBurn}))
-		}
-		bar.AddSeries(o.Objective, data, marks...)
-	}
-	return bar
-}
-
-// requestChart plots the good and bad requests of one objective over the windows.
-func requestChart(o operator.ObjectiveBurn) *charts.Bar {
-	bar := charts.NewBar()
-	bar.SetGlobalOptions(
-		charts.WithTitleOpts(opts.Title{
-			Title: o.Objective + ", alerts: " + alertText(o.Alerts),
-			Subtitle: fmt.Sprintf("%s within %s for %g %% of requests, error budget %.3g %%",
-				o.Metric, time.Duration(o.Latency), o.Target*100, o.ErrorBudget*100),
-		}),
-		charts.WithLegendOpts(opts.Legend{Show: opts.Bool(true), Top: "bottom"}),
-		charts.WithYAxisOpts(opts.YAxis{Name: "requests"}),
-		charts.WithTooltipOpts(opts.Tooltip{Show: opts.Bool(true), Trigger: "axis"}),
-	)
-	var good, bad []opts.BarData
-	for _, w := range windowNames() {
-		good = append(good, opts.BarData{Value: o.Windows[w].Good})
-		bad = append(bad, opts.BarData{Value: o.Windows[w].Bad})
-	}
-	stack := charts.WithBarChartOpts(opts.BarChart{Stack: "requests"})
-	bar.SetXAxis(windowNames()).AddSeries("good", good, stack).AddSeries("bad", bad, stack)
-	return bar
-}
--- /dev/null
+++ b/pkg/ctl/plots.go
@@ -0,0 +1,110 @@
+package ctl
+
+import (
+	"bytes"
+	"html/template"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+	// The SVG form registers itself with the plot library.
+	_ "gonum.org/v1/plot/vg/vgsvg"
+
+	decision "trefoilplank.example/pkg/decision/burn"
+	"trefoilplank.example/pkg/operator"
+)
+
+// Sizes of the plots.
+const (
+	plotWidth  = 20 * vg.Centimeter
+	plotHeight = 8 * vg.Centimeter
+	// groupWidth is the width of all bars of one window.
+	groupWidth = 60
+)
+
+// ratePlot plots the burn rate of each objective over the windows, with the thresholds of the alerts.
+func ratePlot(objectives []operator.ObjectiveBurn) (template.HTML, error) {
+	p := newPlot("burn rate")
+	width := vg.Points(groupWidth / float64(max(len(objectives), 1)))
+	for i, o := range objectives {
+		var rates plotter.Values
+		for _, name := range windowNames() {
+			rates = append(rates, o.Windows[name].BurnRate)
+		}
+		bars, err := plotter.NewBarChart(rates, width)
+		if err != nil {
+			return "", err
+		}
+		bars.Color, bars.Offset = plotutil.Color(i), width*vg.Length(float64(i)-float64(len(objectives)-1)/2)
+		p.Add(bars)
+		p.Legend.Add(o.Objective, bars)
+	}
+	for i, threshold := range []struct {
+		name string
+		rate float64
+	}{{"slow alert (6h and 3d)", decision.SlowBurn}, {"fast alert (5m and 1h)", decision.FastBurn}} {
+		ends := plotter.XYs{{X: -0.5, Y: threshold.rate}, {X: float64(len(decision.Windows)) - 0.5, Y: threshold.rate}}
+		line, err := plotter.NewLine(ends)
+		if err != nil {
+			return "", err
+		}
+		line.Dashes = plotutil.Dashes(i + 1)
+		p.Add(line)
+		p.Legend.Add(threshold.name, line)
+	}
+	return render(p)
+}
+
+// requestPlot plots the good and bad requests of one objective over the windows.
+func requestPlot(o operator.ObjectiveBurn) (template.HTML, error) {
+	p := newPlot("requests")
+	var good, bad plotter.Values
+	for _, name := range windowNames() {
+		good = append(good, float64(o.Windows[name].Good))
+		bad = append(bad, float64(o.Windows[name].Bad))
+	}
+	below, err := plotter.NewBarChart(good, vg.Points(groupWidth))
+	if err != nil {
+		return "", err
+	}
+	above, err := plotter.NewBarChart(bad, vg.Points(groupWidth))
+	if err != nil {
+		return "", err
+	}
+	below.Color, above.Color = plotutil.Color(1), plotutil.Color(0)
+	above.StackOn(below)
+	p.Add(below, above)
+	p.Legend.Add("good", below)
+	p.Legend.Add("bad", above)
+	return render(p)
+}
+
+func newPlot(unit string) *plot.Plot {
+	p := plot.New()
+	p.Y.Label.Text, p.Y.Min = unit, 0
+	p.Legend.Top = true
+	p.NominalX(windowNames()...)
+	return p
+}
+
+// render returns the plot as an SVG element.
+func render(p *plot.Plot) (template.HTML, error) {
+	if p.Y.Max <= p.Y.Min {
+		// Without a request all values are 0.
+		p.Y.Max = p.Y.Min + 1
+	}
+	// The legend stands in the space above the bars.
+	p.Y.Max *= 1.35
+	image, err := p.WriterTo(plotWidth, plotHeight, "svg")
+	if err != nil {
+		return "", err
+	}
+	var out bytes.Buffer
+	if _, err := image.WriteTo(&out); err != nil {
+		return "", err
+	}
+	// An XML declaration is not allowed within HTML.
+	svg := out.Bytes()
+	return template.HTML(svg[max(bytes.Index(svg, []byte("<svg")), 0):]), nil
+}
--- a/pkg/ctl/report.go
+++ b/pkg/ctl/report.go
@@ -11,9 +11,8 @@
 )
 
 type burnCommand struct {
-	*app   `no-flag:"yes"`
-	HTML   string `long:"html" value-name:"DIR" description:"also write one page per institution with plots into DIR"`
-	Assets string `long:"assets-host" value-name:"URL" description:"where the pages load the plot library from, with a / at the end (default: the library's own)"`
+	*app `no-flag:"yes"`
+	HTML string `long:"html" value-name:"DIR" description:"also write one page per institution with plots into DIR"`
 }
 
 // Execute shows the burn.
@@ -30,7 +29,7 @@
 		return err
 	}
 	bar := c.progress(int64(len(report.Objectives)), "pages")
-	paths, err := writePages(c.HTML, c.Assets, report, bar)
+	paths, err := writePages(c.HTML, report, bar)
 	bar.finish()
 	for _, path := range paths {
 		_, _ = fmt.Fprintln(c.stderr, "wrote", path)
