Say in status when and why institutions, models, upstreams and jobs last changed

Cause: the last change of an institution was always empty, the reason of a model mostly, and a job that no node works on was not shown at all.

Change: each node keeps which change of the configuration last came into force for each object, in memory, so that status needs no store. It fills what the reporting parts leave open and names a later change. An object with a problem shows its beginning and cause. Every node reports the open jobs that it does not work on. Diff compares objects in Go before it compares their JSON forms.

--- a/pkg/controller/batch/status.go
+++ b/pkg/controller/batch/status.go
@@ -36,6 +36,12 @@
 	for id, j := range c.open {
 		w := work[id]
 		if w == nil {
+			// Every node knows the open jobs; a job that no node works on must be seen too.
+			r.Objects = append(r.Objects, status.Object{
+				Kind: status.KindJob, Name: id, Part: "batch",
+				Desired:    fmt.Sprintf("%d items by %s", j.sum.Items, j.sum.Deadline.Format(time.RFC3339)),
+				LastChange: j.sum.Created,
+			})
 			continue
 		}
 		r.Objects = append(r.Objects, status.Object{
--- a/pkg/node/build.go
+++ b/pkg/node/build.go
@@ -193,8 +193,9 @@
 
 func (n *Node) buildOperator() error {
 	digest := sha256.Sum256([]byte(n.settings.OperatorKey))
+	n.changes = operator.NewConfigChanges(n.board, time.Now)
 	options := operator.Options{
-		Node: n.settings.Name, Board: n.board, Config: n.config, Peers: n.peerClient, Explain: n.log, Burn: n.burn,
+		Changes: n.changes, Node: n.settings.Name, Board: n.board, Config: n.config, Peers: n.peerClient, Explain: n.log, Burn: n.burn,
 		KeyDigests: []string{hex.EncodeToString(digest[:])}, Ready: n.ready,
 		Drain:     func() { go func() { _ = n.drainer.Drain(context.Background()) }() },
 		Providers: []status.Provider{n.reconcile, n.admission, n.batch},
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -35,6 +35,7 @@
 	"trefoilplank.example/pkg/explain"
 	"trefoilplank.example/pkg/gateway"
 	"trefoilplank.example/pkg/gateway/earlyerror"
+	"trefoilplank.example/pkg/operator"
 )
 
 // explainEntries bounds the decision log; at about 600 bytes an entry it takes 12 MB.
@@ -71,6 +72,7 @@
 	gateway  *gateway.Gateway
 	burn     *burn.Recorder
 	operator http.Handler
+	changes  *operator.ConfigChanges
 
 	drainer *drain.Controller
 	// tls is nil when callers and operators are served without it.
@@ -189,7 +191,7 @@
 	loops := map[string]func(context.Context) error{
 		"lease": n.lease.Run, "membership": n.members.Run, "config": n.config.Run, "limits": n.limits.Run,
 		"admission": n.admission.Run, "batch": n.batch.Run, "upstreams": n.observer.Run,
-		"idempotency": n.idempotency.Run, "quarantine": n.quarantine.Run,
+		"idempotency": n.idempotency.Run, "quarantine": n.quarantine.Run, "changes": n.changes.Run,
 		"reconcile": func(ctx context.Context) error { n.reconcile.Run(ctx); return nil },
 		"peers":     func(ctx context.Context) error { <-ctx.Done(); return n.peerServer.Close() },
 	}
--- a/pkg/operator/diff.go
+++ b/pkg/operator/diff.go
@@ -67,7 +67,8 @@
 			changes = append(changes, Change{Kind: kind, Name: n, Operation: Added})
 		case !inNext:
 			changes = append(changes, Change{Kind: kind, Name: n, Operation: Removed})
-		default:
+		case !reflect.DeepEqual(a, b):
+			// Objects that are equal in Go need no comparison of their JSON forms, which costs far more.
 			if f := diffFields(a, b); len(f) > 0 {
 				changes = append(changes, Change{Kind: kind, Name: n, Operation: Changed, Fields: f})
 			}
--- a/pkg/operator/operator.go
+++ b/pkg/operator/operator.go
@@ -39,6 +39,8 @@
 	// Explain and Burn may be nil.
 	Explain *explain.Log
 	Burn    *burn.Recorder
+	// Changes are the changes of the configuration that status names as reasons; may be nil.
+	Changes *ConfigChanges
 	// Providers are the parts of this node that report status.
 	Providers []status.Provider
 	// KeyDigests are the SHA-256 digests of the operator keys, in lower-case hex. Without digests every
--- a/pkg/operator/statusview.go
+++ b/pkg/operator/statusview.go
@@ -71,11 +71,25 @@
 	f.Models = overlay(models, objects[status.KindModel])
 	f.Upstreams = overlay(upstreams, objects[status.KindUpstream])
 	f.Jobs = overlay(nil, objects[status.KindJob])
+	fillWaitingJobs(f.Jobs)
 	s.seen.fill(f.Problems, s.Now())
 	sortProblems(f.Problems)
+	for _, objects := range [][]status.Object{f.Institutions, f.Models, f.Upstreams, f.Jobs} {
+		s.Changes.fill(objects)
+		fillFromProblems(objects, f.Problems)
+	}
 	return f
 }
 
+// fillWaitingJobs describes jobs that every node knows and none works on.
+func fillWaitingJobs(jobs []status.Object) {
+	for i := range jobs {
+		if j := &jobs[i]; j.Observed == "" {
+			j.Observed, j.Why = "no node works on it", "accepted; it waits for an idle slot of an upstream that can run it"
+		}
+	}
+}
+
 // addProblem joins the same problem of several nodes; it began when the first node saw it.
 func addProblem(problems []status.Problem, p status.Problem, node string) []status.Problem {
 	for i := range problems {
