Print explain as a story with its subjects, and refine trefoilctl's messages

A refused job was told to be sent again with the same key, which then conflicts with the mended file.

Change: explain prints a summary, the time after the first decision, and the subjects and values by name. A time limit below 1 s is wrong usage. The hint to send again comes only after an answer that leaves that open.

--- a/pkg/ctl/client.go
+++ b/pkg/ctl/client.go
@@ -27,7 +27,7 @@
 // Error describes the answer, with one finding a line.
 func (e *remoteError) Error() string {
 	if len(e.findings) > 0 {
-		return fmt.Sprintf("refused with %d findings:\n%s", len(e.findings), e.findings.Error())
+		return fmt.Sprintf("refused with %s:\n%s", counted(len(e.findings), "finding"), e.findings.Error())
 	}
 	if e.detail.Code == "" {
 		return fmt.Sprintf("HTTP status %d: %s", e.status, strings.TrimSpace(string(e.body)))
--- a/pkg/ctl/config.go
+++ b/pkg/ctl/config.go
@@ -92,9 +92,9 @@
 		case r.Replayed:
 			_, _ = fmt.Fprintf(c.stdout, "accepted before as version %d, nothing changed now\n", r.Version)
 		case r.DryRun:
-			_, _ = fmt.Fprintf(c.stdout, "checked against version %d, %d changes, not applied\n", r.Version, len(r.Changes))
+			_, _ = fmt.Fprintf(c.stdout, "checked against version %d, %s, not applied\n", r.Version, counted(len(r.Changes), "change"))
 		default:
-			_, _ = fmt.Fprintf(c.stdout, "accepted as version %d, %d changes\n", r.Version, len(r.Changes))
+			_, _ = fmt.Fprintf(c.stdout, "accepted as version %d, %s\n", r.Version, counted(len(r.Changes), "change"))
 		}
 		return nil
 	})
@@ -162,7 +162,7 @@
 				_, _ = fmt.Fprintf(c.stdout, "    %s: %s -> %s\n", f.Path, f.Old, f.New)
 			}
 		}
-		_, _ = fmt.Fprintf(c.stdout, "%d changes against version %d\n", len(r.Changes), r.Version)
+		_, _ = fmt.Fprintf(c.stdout, "%s against version %d\n", counted(len(r.Changes), "change"), r.Version)
 		return nil
 	})
 }
--- a/pkg/ctl/ctl.go
+++ b/pkg/ctl/ctl.go
@@ -94,6 +94,9 @@
 		if a.Version {
 			return printVersion(a)
 		}
+		if a.Timeout < 1 {
+			return usageError.New("--timeout must be at least 1 second, not %d", a.Timeout)
+		}
 		if c == nil && len(rest) > 0 {
 			return usageError.New("unknown command %q; see trefoilctl --help", rest[0])
 		}
--- /dev/null
+++ b/pkg/ctl/explain.go
@@ -0,0 +1,88 @@
+package ctl
+
+import (
+	"fmt"
+	"net/url"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"trefoilplank.example/pkg/explain"
+	"trefoilplank.example/pkg/operator"
+)
+
+type explainCommand struct {
+	*app `no-flag:"yes"`
+	Args struct {
+		What subjectName `positional-arg-name:"request|job|item|upstream" required:"yes"`
+		Name string      `positional-arg-name:"NAME" required:"yes"`
+	} `positional-args:"yes"`
+}
+
+// Execute shows the decisions.
+func (c *explainCommand) Execute([]string) error {
+	switch c.Args.What {
+	case "request", "job", "item", "upstream":
+	default:
+		return usageError.New("explain takes request, job, item or upstream, not %q", c.Args.What)
+	}
+	q := url.Values{string(c.Args.What): {c.Args.Name}}
+	body, _, err := c.admin(call{method: "GET", path: "/v1/admin/explain?" + q.Encode()})
+	if err != nil {
+		return c.refused(body, err)
+	}
+	return show(c.app, body, c.print)
+}
+
+func (c *explainCommand) print(x operator.Explanation) error {
+	for _, s := range x.Unanswered {
+		_, _ = fmt.Fprintf(c.stderr, "no answer from %s: %s\n", s.Node, s.Error)
+	}
+	if len(x.Entries) == 0 {
+		_, _ = fmt.Fprintf(c.stdout, "no decisions about %s %s are kept\n", c.Args.What, c.Args.Name)
+		return nil
+	}
+	first, last := x.Entries[0].Time, x.Entries[len(x.Entries)-1].Time
+	_, _ = fmt.Fprintf(c.stdout, "%s %s: %s from %s, over %s\n", c.Args.What, c.Args.Name, counted(len(x.Entries), "decision"),
+		first.UTC().Format(time.RFC3339Nano), last.Sub(first))
+	return c.table(func(w *tabwriter.Writer) {
+		row(w, "AFTER", "NODE", "DECISION", "REASON", "SUBJECT AND VALUES")
+		for _, e := range x.Entries {
+			row(w, "+"+e.Time.Sub(first).Round(time.Microsecond).String(), e.Node, e.Decision, e.Reason, c.details(e))
+		}
+	})
+}
+
+// details lists the subjects of a decision that the caller did not ask for, then its values by name.
+func (c *explainCommand) details(e explain.Entry) string {
+	var parts []string
+	for _, s := range []struct{ name, value string }{
+		{"request", e.Request}, {"job", e.Job}, {"item", e.Item}, {"upstream", e.Upstream},
+	} {
+		if s.value != "" && s.name != string(c.Args.What) {
+			parts = append(parts, s.name+"="+s.value)
+		}
+	}
+	var names []string
+	for name := range e.Values {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		value := fmt.Sprint(e.Values[name])
+		if strings.ContainsAny(value, " =") || value == "" {
+			value = fmt.Sprintf("%q", value)
+		}
+		parts = append(parts, name+"="+value)
+	}
+	return orDash(strings.Join(parts, " "))
+}
+
+// counted returns a number with its noun.
+func counted(n int, noun string) string {
+	if n == 1 {
+		return "1 " + noun
+	}
+	return fmt.Sprintf("%d %ss", n, noun)
+}
--- a/pkg/ctl/job.go
+++ b/pkg/ctl/job.go
@@ -89,7 +89,7 @@
 		"Content-Type": "application/json", api.HeaderIdempotencyKey: c.IdempotencyKey + "-batch",
 	}})
 	if err != nil {
-		return c.refused(body, fmt.Errorf("%w\nsend it again with --idempotency-key %s", err, c.IdempotencyKey))
+		return c.refused(body, c.resendable(err))
 	}
 	if !c.Wait {
 		return show(c.app, body, c.printBatch)
@@ -132,7 +132,7 @@
 	_ = reader.Close()
 	bar.finish()
 	if err != nil {
-		return "", c.refused(body, fmt.Errorf("upload: %w\nsend it again with --idempotency-key %s", err, c.IdempotencyKey))
+		return "", c.refused(body, c.resendable(fmt.Errorf("upload: %w", err)))
 	}
 	var file struct {
 		ID string `json:"id"`
@@ -143,6 +143,15 @@
 	return file.ID, nil
 }
 
+// resendable adds the key to an error after which the same job may be sent again. A refusal of what was sent is none:
+// the key stays with the body that it was used for.
+func (c *submitCommand) resendable(err error) error {
+	if _, again := retryAfter(err); !again {
+		return err
+	}
+	return fmt.Errorf("%w\nsend it again with --idempotency-key %s", err, c.IdempotencyKey)
+}
+
 // pollInterval is the time between two looks at a job; a job takes minutes to hours.
 const pollInterval = time.Second
 
--- a/pkg/ctl/views.go
+++ b/pkg/ctl/views.go
@@ -69,7 +69,7 @@
 		problems = len(f.Problems)
 	}
 	if problems > 0 {
-		return fmt.Errorf("%d problems", problems)
+		return fmt.Errorf("%s", counted(problems, "problem"))
 	}
 	return nil
 }
@@ -111,46 +111,6 @@
 	})
 }
 
-type explainCommand struct {
-	*app `no-flag:"yes"`
-	Args struct {
-		What subjectName `positional-arg-name:"request|job|item|upstream" required:"yes"`
-		Name string      `positional-arg-name:"NAME" required:"yes"`
-	} `positional-args:"yes"`
-}
-
-// Execute shows the decisions.
-func (c *explainCommand) Execute([]string) error {
-	switch c.Args.What {
-	case "request", "job", "item", "upstream":
-	default:
-		return usageError.New("explain takes request, job, item or upstream, not %q", c.Args.What)
-	}
-	q := url.Values{string(c.Args.What): {c.Args.Name}}
-	body, _, err := c.admin(call{method: "GET", path: "/v1/admin/explain?" + q.Encode()})
-	if err != nil {
-		return c.refused(body, err)
-	}
-	return show(c.app, body, c.print)
-}
-
-func (c *explainCommand) print(x operator.Explanation) error {
-	for _, s := range x.Unanswered {
-		_, _ = fmt.Fprintf(c.stderr, "no answer from %s: %s\n", s.Node, s.Error)
-	}
-	if len(x.Entries) == 0 {
-		_, _ = fmt.Fprintf(c.stdout, "no decisions about %s %s are kept\n", c.Args.What, c.Args.Name)
-		return nil
-	}
-	return c.table(func(w *tabwriter.Writer) {
-		row(w, "TIME", "NODE", "UPSTREAM", "DECISION", "REASON", "VALUES")
-		for _, e := range x.Entries {
-			values, _ := json.Marshal(e.Values)
-			row(w, e.Time.UTC().Format(time.RFC3339Nano), e.Node, orDash(e.Upstream), e.Decision, e.Reason, string(values))
-		}
-	})
-}
-
 type drainCommand struct {
 	*app `no-flag:"yes"`
 }
