Print help examples that can be copied, and complete trefoilplank too

Change: a shared package prints the examples after the help as they are written and holds the completion scripts of both programs; where the program has no completion, the shell completes file names.

--- a/cmd/internal/daemon/daemon.go
+++ b/cmd/internal/daemon/daemon.go
@@ -12,6 +12,7 @@
 	"github.com/jessevdk/go-flags"
 	"k8s.io/klog/v2"
 
+	"trefoilplank.example/pkg/commandline"
 	"trefoilplank.example/pkg/logs"
 	"trefoilplank.example/pkg/node"
 	"trefoilplank.example/pkg/version"
@@ -63,6 +64,22 @@
 	return nil
 }
 
+type completionCommand struct {
+	Args struct {
+		Shell commandline.Shell `positional-arg-name:"bash|zsh" required:"yes"`
+	} `positional-args:"yes"`
+}
+
+// Execute prints the completion script.
+func (c *completionCommand) Execute(args []string) error {
+	script, err := commandline.Completion("trefoilplank", string(c.Args.Shell))
+	if err := errors.Join(noArguments(args), err); err != nil {
+		return &usageError{err}
+	}
+	fmt.Print(script)
+	return nil
+}
+
 // noArguments returns an error for arguments, which no command takes.
 func noArguments(args []string) error {
 	if len(args) == 0 {
@@ -96,13 +113,27 @@
   trefoilplank dev --nodes 5 --base-port 19000
   trefoilplank dev --demo`
 
+const completionHelp = `Prints a script that completes commands, flags and fixed words.
+
+Example:
+  source <(trefoilplank completion bash)`
+
+const topHelp = `trefoilplank is one node of a Trefoilplank fleet, or a whole fleet for development.
+
+Examples:
+  trefoilplank dev
+  trefoilplank serve --help`
+
 // Run executes the command line of this process and returns its exit status.
 func Run() int {
 	defer klog.Flush()
 	parser := flags.NewNamedParser("trefoilplank", flags.Default&^flags.PrintErrors)
+	parser.LongDescription = topHelp
 	must(parser.AddCommand("serve", "run one node", serveHelp, &serveCommand{}))
 	must(parser.AddCommand("dev", "run a development fleet", devHelp, &devCommand{}))
 	must(parser.AddCommand("version", "print version and build information", "Prints version and build information.", &versionCommand{}))
+	must(parser.AddCommand("completion", "print the completion script of a shell", completionHelp, &completionCommand{}))
+	help := commandline.TakeExamples(parser)
 	_, err := parser.Parse()
 	var flagErr *flags.Error
 	var usage *usageError
@@ -110,7 +141,7 @@
 	case err == nil:
 		return 0
 	case errors.As(err, &flagErr) && flagErr.Type == flags.ErrHelp:
-		fmt.Println(err)
+		fmt.Println(help.Text(flagErr.Message))
 		return 0
 	case errors.As(err, &flagErr), errors.As(err, &usage):
 		fmt.Fprintln(os.Stderr, err)
--- a/pkg/ctl/ctl.go
+++ b/pkg/ctl/ctl.go
@@ -9,6 +9,8 @@
 
 	"github.com/jessevdk/go-flags"
 	"github.com/zeebo/errs"
+
+	"trefoilplank.example/pkg/commandline"
 )
 
 // Exit statuses.
@@ -108,8 +110,9 @@
 		}
 		return c.Execute(rest)
 	}
+	help := commandline.TakeExamples(p)
 	_, err = p.ParseArgs(args)
-	return exitStatus(err, stdout, stderr)
+	return exitStatus(err, help, stdout, stderr)
 }
 
 func add(parent *flags.Command, c command) error {
@@ -126,13 +129,13 @@
 }
 
 // exitStatus prints err and returns the exit status for it.
-func exitStatus(err error, stdout, stderr io.Writer) int {
+func exitStatus(err error, help *commandline.Help, stdout, stderr io.Writer) int {
 	var flagError *flags.Error
 	switch {
 	case err == nil:
 		return exitDone
 	case errors.As(err, &flagError) && flagError.Type == flags.ErrHelp:
-		_, _ = fmt.Fprintln(stdout, flagError.Message)
+		_, _ = fmt.Fprintln(stdout, help.Text(flagError.Message))
 		return exitDone
 	case errors.As(err, &flagError), usageError.Has(err):
 		_, _ = fmt.Fprintln(stderr, "trefoilctl:", err)
--- a/pkg/ctl/help.go
+++ b/pkg/ctl/help.go
@@ -73,11 +73,26 @@
   trefoilctl job submit lines.jsonl --completion-window 48h
   trefoilctl job submit lines.jsonl --wait`
 
+	listHelp = `Lists the jobs of the caller's institution, newest first. Needs --caller-key.
+
+Example:
+  trefoilctl job list --json`
+
+	showHelp = `Shows the state and the counts of a job. Needs --caller-key.
+
+Example:
+  trefoilctl job show batch_01JD8Z4M0H7T6B1K5Q2W9XYZAB`
+
+	cancelHelp = `Cancels a job: it begins no more items, and items that run are cancelled. Needs --caller-key.
+
+Example:
+  trefoilctl job cancel batch_01JD8Z4M0H7T6B1K5Q2W9XYZAB`
+
 	resultsHelp = `Writes the completed items of a job, one JSON object a line.
 
 Examples:
-  trefoilctl job results batch_01 -o out.jsonl
-  trefoilctl job results batch_01 --errors`
+  trefoilctl job results batch_01JD8Z4M0H7T6B1K5Q2W9XYZAB -o out.jsonl
+  trefoilctl job results batch_01JD8Z4M0H7T6B1K5Q2W9XYZAB --errors`
 
 	burnHelp = `Shows, for each institution and objective, how fast the error budget is spent over 5 m, 1 h, 6 h and 3 d.
 At burn 1 the budget lasts exactly its period.
--- a/pkg/ctl/job.go
+++ b/pkg/ctl/job.go
@@ -21,9 +21,9 @@
 func jobCommands(a *app) []command {
 	return []command{
 		{name: "submit", short: "Upload a file of requests and start a job", long: submitHelp, data: &submitCommand{app: a}},
-		{name: "list", short: "List jobs", data: &listCommand{app: a}},
-		{name: "show", short: "Show one job", data: &showCommand{app: a}},
-		{name: "cancel", short: "Cancel a job", data: &cancelCommand{app: a}},
+		{name: "list", short: "List jobs", long: listHelp, data: &listCommand{app: a}},
+		{name: "show", short: "Show one job", long: showHelp, data: &showCommand{app: a}},
+		{name: "cancel", short: "Cancel a job", long: cancelHelp, data: &cancelCommand{app: a}},
 		{name: "results", short: "Write the results of a job", long: resultsHelp, data: &resultsCommand{app: a}},
 	}
 }
