--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -35,6 +35,8 @@
 	leasedecision "trefoilplank.example/pkg/decision/lease"
 	"trefoilplank.example/pkg/explain"
 	"trefoilplank.example/pkg/gateway"
+	"trefoilplank.example/pkg/gateway/earlyerror"
+	"trefoilplank.example/pkg/operator"
 )
 
 // explainEntries bounds the decision log; at about 600 bytes an entry it takes 12 MB.
@@ -72,6 +74,7 @@
 	gateway  *gateway.Gateway
 	burn     *burn.Recorder
 	operator http.Handler
+	changes  *operator.ConfigChanges
 
 	drainer *drain.Controller
 	// tls is nil when callers and operators are served without it.
@@ -164,8 +167,10 @@
 		group.Go(func() error { return ignoreEnd(working, name, run(working)) })
 	}
 	callers, operators := gateway.NewServer(n.gateway), gateway.NewServer(n.operator)
-	group.Go(func() error { return closed(n.drainer.Serve(callers, n.secured(n.callers), callers.Serve)) })
-	group.Go(func() error { return closed(operators.Serve(n.secured(n.operators))) })
+	callerListener := earlyerror.Listen(callers, n.secured(n.callers), n.settings.Name)
+	operatorListener := earlyerror.Listen(operators, n.secured(n.operators), n.settings.Name)
+	group.Go(func() error { return closed(n.drainer.Serve(callers, callerListener, callers.Serve)) })
+	group.Go(func() error { return closed(operators.Serve(operatorListener)) })
 	group.Go(func() error { return closed(n.peerServer.Serve(n.peers)) })
 	klog.InfoS("Node serves", "node", n.settings.Name, "address", n.Address(), "adminAddress", n.AdminAddress(),
 		"peerAddress", n.record().PeerAddress, "peerListens", n.peers.Addr().String())
@@ -189,7 +194,7 @@
 	loops := map[string]func(context.Context) error{
 		"lease": n.lease.Run, "membership": n.members.Run, "config": n.config.Run, "limits": n.limits.Run,
 		"admission": n.admission.Run, "batch": n.batch.Run, "upstreams": n.observer.Run,
-		"idempotency": n.idempotency.Run, "quarantine": n.quarantine.Run,
+		"idempotency": n.idempotency.Run, "quarantine": n.quarantine.Run, "changes": n.changes.Run,
 		"reports":   n.reporter.Run,
 		"reconcile": func(ctx context.Context) error { n.reconcile.Run(ctx); return nil },
 		"peers":     func(ctx context.Context) error { <-ctx.Done(); return n.peerServer.Close() },
