Claim small jobs at once on an idle fleet

Cause: a node listed the parts of each new job before its first claim, and each listing and each lost claim took from a fixed budget of one read a second. After a burst of 20, an idle fleet of three nodes claimed about one job a second. A node that was refused a read, or that saw a summary before its job record, looked again only after 1 to 3 s.

Change: the read budget is a part of a bound for the whole fleet, 400 reads/s, at most 50 a node; at 380 nodes it is 1/s as before. A job that the watch shows as new is tried without a listing until a claim is lost. A refused read and a missing record set a timer that wakes the claim loop.

--- a/pkg/controller/batch/claim.go
+++ b/pkg/controller/batch/claim.go
@@ -29,8 +29,8 @@
 	relistLive = 2 * time.Minute
 	// claimPause is the least time between two rounds that found nothing to claim.
 	claimPause = 50 * time.Millisecond
-	// confirmRetry is the pause until a job is looked for again whose summary came first.
-	confirmRetry = 200 * time.Millisecond
+	// confirmRetry is the first pause until a job is looked for again whose summary came first.
+	confirmRetry = 50 * time.Millisecond
 	// claimRetry is the pause after the store gave no answer.
 	claimRetry = time.Second
 )
@@ -79,6 +79,7 @@
 
 // claimNext takes one part, or reports that none is wanted or to be had.
 func (c *Controller) claimNext(ctx context.Context) (bool, error) {
+	denied := false
 	for _, w := range c.wants(time.Now()) {
 		if ok, err := c.confirm(ctx, w.sum); err != nil || !ok {
 			if err != nil {
@@ -87,7 +88,8 @@
 			continue
 		}
 		if w.relist {
-			if !c.reads.Allow() {
+			if !c.mayRead() {
+				denied = true
 				continue
 			}
 			if err := c.relist(ctx, w.sum); err != nil {
@@ -101,14 +103,27 @@
 			if err != nil || claimed {
 				return claimed, err
 			}
-			if !c.reads.Allow() {
+			if !c.mayRead() {
+				denied = true
 				break
 			}
 		}
 	}
+	if denied {
+		time.AfterFunc(time.Duration(float64(time.Second)/float64(c.reads.Limit())), c.wake)
+	}
 	return false, nil
 }
 
+// mayRead takes one read from the node's part of the fleet's budget for the search for work.
+func (c *Controller) mayRead() bool {
+	nodes := max(1, len(c.Board.Members.Value().Live))
+	if r := readRate(nodes); c.reads.Limit() != r {
+		c.reads.SetLimit(r)
+	}
+	return c.reads.Allow()
+}
+
 // usableUpstreams returns the names of the upstreams that may get work. A part that is claimed for any other one
 // would wait unused until it is released.
 func usableUpstreams(r api.Register) map[string]bool {
@@ -154,7 +169,7 @@
 			continue
 		}
 		w := wanted{sum: j.sum, candidates: c.candidateParts(j), reason: reason}
-		w.relist = (j.relistAt.IsZero() && j.sum.Parts > 1) ||
+		w.relist = j.relistAt.IsZero() && j.sum.Parts > 1 && !j.fresh ||
 			len(w.candidates) == 0 && !now.Before(j.relistAt.Add(j.relistExtra(live)))
 		if w.relist || len(w.candidates) > 0 {
 			list = append(list, w)
@@ -253,7 +268,7 @@
 				// A node that is not a live member is looked up in any case, the others within the read budget: they
 				// may be cut off from the store.
 				_, member := live[p.Holder.Node]
-				lost = (!member || c.reads.Allow()) && c.lost(ctx, *p.Holder)
+				lost = (!member || c.mayRead()) && c.lost(ctx, *p.Holder)
 				over[*p.Holder] = lost
 			}
 			if !lost {
@@ -269,14 +284,19 @@
 		return nil
 	}
 	j.held, j.holders = held, holders
-	j.relistDelay = min(max(2*j.relistDelay, relistMin), relistMax)
-	j.relistAt = time.Now().Add(j.relistDelay/2 + rand.N(j.relistDelay))
+	j.listed(time.Now())
 	if len(done) > 0 {
 		c.doneDue(sum.ID, sum, done...)
 	}
 	return nil
 }
 
+// listed puts the next listing of the part records off.
+func (j *openJob) listed(now time.Time) {
+	j.relistDelay = min(max(2*j.relistDelay, relistMin), relistMax)
+	j.relistAt = now.Add(j.relistDelay/2 + rand.N(j.relistDelay))
+}
+
 // claim tries to take one part and starts its committer.
 func (c *Controller) claim(ctx context.Context, w wanted, index int) (bool, error) {
 	holder, _ := c.holder()
@@ -297,6 +317,11 @@
 		c.mu.Lock()
 		if j := c.open[w.sum.ID]; j != nil {
 			j.held[index] = 0
+			j.fresh = false
+			if j.sum.Parts == 1 {
+				// The claim has just read all that a listing would show.
+				j.listed(time.Now())
+			}
 		}
 		c.mu.Unlock()
 		return false, nil
@@ -340,7 +365,10 @@
 	defer c.mu.Unlock()
 	switch {
 	case errors.Is(err, store.ErrNotFound):
-		j.waitUntil = time.Now().Add(confirmRetry)
+		// A summary whose creator died never gets its record.
+		j.waitDelay = min(max(2*j.waitDelay, confirmRetry), claimEvery)
+		j.waitUntil = time.Now().Add(j.waitDelay)
+		time.AfterFunc(j.waitDelay, c.wake)
 		return false, nil
 	case err != nil:
 		return false, err
--- a/pkg/controller/batch/controller.go
+++ b/pkg/controller/batch/controller.go
@@ -41,10 +41,12 @@
 	wakeEvery = 10 * time.Second
 	// idleRelease is the time without progress after which a part is given back.
 	idleRelease = 30 * time.Second
-	// readRate and readBurst bound the reads of the search for work, in calls per second and node: with 380 nodes
-	// they stay below a quarter of the store's 2,000 reads/s.
-	readRate  = 1
-	readBurst = 20
+	// fleetReads bounds the reads of the search for work of all nodes, in calls per second: a fifth of the store's
+	// 2,000 reads/s. A node has an equal part of it, at most nodeReads; at 380 nodes that is 1/s. With a fixed 1/s an
+	// idle fleet of three nodes claimed the parts of small jobs at one a second.
+	fleetReads = 400
+	nodeReads  = 50
+	readBurst  = 20
 	// pendingBytes bounds the results that wait for the store; above it no item is started.
 	pendingBytes = 32 << 20
 )
@@ -141,13 +143,16 @@
 	return &Controller{
 		Options: o, jobs: jobstore.Jobs{Store: o.Store}, inputs: inputs,
 		leases: leases.NewObserver(o.Store, o.Lease), states: newStates(),
-		reads: rate.NewLimiter(readRate, readBurst), wakeup: make(chan struct{}, 1),
+		reads: rate.NewLimiter(readRate(1), readBurst), wakeup: make(chan struct{}, 1),
 		ctx: context.Background(), open: map[string]*openJob{}, parts: map[partID]*part{},
 		demand: map[string]demand{}, waiting: make(chan struct{}),
 		served: map[string]time.Time{}, givingBack: map[partID]bool{},
 	}, nil
 }
 
+// readRate is a node's part of the reads of the search for work.
+func readRate(nodes int) rate.Limit { return min(nodeReads, rate.Limit(fleetReads)/rate.Limit(nodes)) }
+
 // Handler returns the HTTP handler of /v1/files and /v1/batches on this node.
 func (c *Controller) Handler() *handler.Handler {
 	return handler.New(handler.Options{Store: c.Store, Canceller: c, Retention: c.Retention,
--- a/pkg/controller/batch/watch.go
+++ b/pkg/controller/batch/watch.go
@@ -28,9 +28,13 @@
 	// seenAt and seenDone are the first observation, for the rate of the whole fleet.
 	seenAt   time.Time
 	seenDone int
+	// fresh means that the job was new when the watch showed it and that no claim was lost since, so that its parts
+	// are tried without a listing first.
+	fresh bool
 	// confirmed is set once the job record was read; waitUntil is when it is looked for again.
 	confirmed bool
 	waitUntil time.Time
+	waitDelay time.Duration
 	// ended is set when the job accepts no more results.
 	ended bool
 	// checkedAt is when this node last tried to finish the job.
@@ -102,7 +106,7 @@
 		}
 		for _, o := range page.Objects {
 			found[strings.TrimPrefix(o.Key, jobstore.OpenPrefix)] = true
-			c.observe(o)
+			c.observe(o, false)
 		}
 		if after = page.Next; after == "" {
 			break
@@ -135,7 +139,7 @@
 	for e := range events {
 		switch e.Type {
 		case store.EventPut:
-			c.observe(e.Object)
+			c.observe(e.Object, true)
 		case store.EventDelete:
 			c.forget(strings.TrimPrefix(e.Object.Key, jobstore.OpenPrefix))
 		}
@@ -144,8 +148,8 @@
 	return from, nil
 }
 
-// observe takes a summary into the mirror.
-func (c *Controller) observe(o store.Object) {
+// observe takes a summary into the mirror; event says that it has just changed.
+func (c *Controller) observe(o store.Object, event bool) {
 	sum, err := jobstore.DecodeSummary(o.Value)
 	if err != nil || !jobstore.ValidID(sum.ID) {
 		klog.ErrorS(err, "Stored summary is damaged", "key", o.Key)
@@ -155,7 +159,8 @@
 	defer c.mu.Unlock()
 	j, ok := c.open[sum.ID]
 	if !ok {
-		j = &openJob{seenAt: time.Now(), seenDone: sum.Done.Count(), held: map[int]int64{}}
+		j = &openJob{seenAt: time.Now(), seenDone: sum.Done.Count(), held: map[int]int64{},
+			fresh: event && sum.Done.Count() == 0 && len(sum.Released) == 0}
 		c.open[sum.ID] = j
 	}
 	for index, token := range sum.Released {
