Give parts back at once when their upstream is ejected

Cause: a node that held parts for its only upstream of a model kept them for idleRelease, 30 s, after that upstream was ejected, left the register or changed its owner, while other nodes had idle slots. The demand of an ejected upstream also counted for up to 30 s, so that the node went on claiming for it.

Change: the batch controller follows health, members and register. Demand of an ejected upstream no longer counts. Parts that never could be run here keep the time of 30 s.

With no other usable upstream nothing is given back.

--- a/pkg/controller/batch/claim.go
+++ b/pkg/controller/batch/claim.go
@@ -145,7 +145,7 @@
 	asked := map[string]bool{}
 	usable := usableUpstreams(config.Register)
 	for name, d := range c.demand {
-		if now.Sub(d.at) > demandAge || !usable[name] || c.Owns != nil && !c.Owns(name) {
+		if now.Sub(d.at) > demandAge || !usable[name] || !c.healthy(name) || c.Owns != nil && !c.Owns(name) {
 			delete(c.demand, name)
 			continue
 		}
--- a/pkg/controller/batch/controller.go
+++ b/pkg/controller/batch/controller.go
@@ -96,6 +96,10 @@
 	given    batchfill.VirtualTime
 	alignDue bool
 	demand   map[string]demand
+	// asked holds the upstreams that have asked for work, and unusable since when no upstream of this node can run a
+	// target that one could run before.
+	asked    map[string]api.Upstream
+	unusable map[string]time.Time
 	waiting  chan struct{}
 	// served is when an item of a target was last taken from stock.
 	served map[string]time.Time
@@ -145,7 +149,7 @@
 		leases: leases.NewObserver(o.Store, o.Lease), states: newStates(),
 		reads: rate.NewLimiter(readRate(1), readBurst), wakeup: make(chan struct{}, 1),
 		ctx: context.Background(), open: map[string]*openJob{}, parts: map[partID]*part{},
-		demand: map[string]demand{}, waiting: make(chan struct{}),
+		demand: map[string]demand{}, asked: map[string]api.Upstream{}, waiting: make(chan struct{}),
 		served: map[string]time.Time{}, givingBack: map[partID]bool{},
 	}, nil
 }
@@ -164,7 +168,7 @@
 	c.mu.Lock()
 	c.ctx = ctx
 	c.mu.Unlock()
-	for _, loop := range []func(context.Context){c.watchLoop, c.claimLoop, c.janitorLoop, c.retentionLoop} {
+	for _, loop := range []func(context.Context){c.watchLoop, c.claimLoop, c.usableLoop, c.janitorLoop, c.retentionLoop} {
 		c.tasks.Go(func() { loop(ctx) })
 	}
 	<-ctx.Done()
--- a/pkg/controller/batch/part.go
+++ b/pkg/controller/batch/part.go
@@ -218,10 +218,16 @@
 	})
 }
 
-// starved reports that the part has items to run and that this node ran none of their targets for idleRelease;
-// c.mu is held. A part that waits for its share behind other jobs, or for the delay of a retry, is not starved.
+// starved reports that the part has items to run and that this node can't run them any more, or ran none of their
+// targets for idleRelease; c.mu is held. A part that waits for its share behind other jobs, or for the delay of a retry, is not starved.
 func (p *part) starved(now time.Time) bool {
-	if len(p.ready) == 0 || now.Sub(p.progressAt) < idleRelease {
+	if len(p.ready) == 0 {
+		return false
+	}
+	if p.lostTargets(now) {
+		return true
+	}
+	if now.Sub(p.progressAt) < idleRelease {
 		return false
 	}
 	for target := range p.ready {
--- a/pkg/controller/batch/source.go
+++ b/pkg/controller/batch/source.go
@@ -33,6 +33,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.demand[u.Name] = demand{upstream: u, at: now}
+	c.asked[u.Name] = u
 	if c.stopping() || c.pending >= pendingBytes || !c.mayRun() {
 		return nil, 0, batchfill.Job{}
 	}
--- a/pkg/controller/batch/start_test.go
+++ b/pkg/controller/batch/start_test.go
@@ -10,8 +10,10 @@
 
 	"gotest.tools/v3/assert"
 
+	"trefoilplank.example/api"
 	"trefoilplank.example/pkg/adapter/store"
 	"trefoilplank.example/pkg/adapter/store/memstore"
+	"trefoilplank.example/pkg/blackboard"
 	"trefoilplank.example/pkg/serving"
 )
 
@@ -76,3 +78,50 @@
 	}
 	return text
 }
+
+// Guards against a part that waits for idleRelease at a node whose only upstream for it was ejected, while another node
+// has idle slots, and against parts that are given back although no other upstream could run them.
+func TestPartMovesWhenItsUpstreamIsEjected(t *testing.T) {
+	for _, elsewhere := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			// Four parts of one item, which node a claims all.
+			const items = 4
+			s := lateStore{memstore.New()}
+			other := testUpstream
+			other.Name = "engine-2"
+			config := testConfig
+			config.Register.Upstreams = []api.Upstream{testUpstream, other}
+			invoker := &fakeInvoker{}
+			owner := func(own string) func(*Options) {
+				return func(o *Options) {
+					o.Owns = func(u string) bool { return u == own }
+					o.Board.Config.Set(config)
+				}
+			}
+			a := startNode(t, s, "a", invoker, 0, owner("engine-1"))
+			defer a.close()
+			a.Next(testUpstream)
+			a.submit(t, a.upload(t, chatFile(items)))
+			time.Sleep(5 * time.Second)
+			b := startNode(t, s, "b", invoker, 0, owner("engine-2"))
+			defer b.close()
+			ctx, stop := context.WithCancel(t.Context())
+			defer stop()
+			b.done.Go(func() { b.fill(ctx, other) })
+			time.Sleep(12 * time.Second)
+			assert.Equal(t, invoker.total(), 0)
+			ejected := map[string]blackboard.UpstreamStatus{"engine-1": {Health: blackboard.HealthEjected}}
+			if !elsewhere {
+				ejected["engine-2"] = blackboard.UpstreamStatus{Health: blackboard.HealthEjected}
+			}
+			a.board.Upstreams.Set(ejected)
+			time.Sleep(700 * time.Millisecond)
+			want := 0
+			if elsewhere {
+				want = items
+			}
+			assert.Equal(t, invoker.total(), want)
+			stop()
+		})
+	}
+}
