--- a/pkg/bench/backlog.go
+++ b/pkg/bench/backlog.go
@@ -18,17 +18,64 @@
 	Items int
 	// MaxTokens is the length of each item's answer.
 	MaxTokens int
+	// Engines are the addresses of the stand-in engines of the model, whose executions are counted.
+	Engines []string
 
-	// Completed and Seconds describe the work done beside the calls of all runs so far.
-	Completed int
-	Seconds   float64
-	runs      int
+	// Without, Beside and Alone are the use of the engines by online calls alone, by both, and by the job alone, over all
+	// runs so far. They are empty without Engines.
+	Without, Beside, Alone Use
+	runs                   int
 }
 
-// settleTime is the time that a new job gets to fill the idle slots before the calls begin.
-const settleTime = 2 * time.Second
+const (
+	// settleTime is the time that a new job gets to fill the idle slots before the calls begin.
+	settleTime = 2 * time.Second
+	// aloneTime is the time over which the job alone is measured, the capacity that idle slots are compared with.
+	aloneTime = 3 * time.Second
+)
+
+// Throughput is batch work done beside online calls.
+type Throughput struct {
+	// ItemsPerSecond counts executions that finished.
+	ItemsPerSecond float64 `json:"items_per_second"`
+	// OfIdle is the work done divided by what the slots that online calls alone leave idle could have done, at the items
+	// per slot second of the job alone. An engine with free slots runs the others faster, so that idle slots of a full
+	// one could do less than this says.
+	OfIdle float64 `json:"of_idle"`
+	// IdleUsed is the part of the slot time not used by online runs in which batch runs held a slot, Kept that of batch
+	// runs whose work was not thrown away.
+	IdleUsed float64 `json:"idle_slot_time_used"`
+	Kept     float64 `json:"idle_slot_time_kept"`
+	// Cancelled is the number of batch runs ended early for each finished item.
+	Cancelled float64 `json:"cancelled_per_item"`
+}
+
+// Throughput returns the batch work done beside the calls of all runs so far.
+func (b *Backlog) Throughput() Throughput {
+	idle := b.Beside.Total - b.Beside.Online
+	idleWithout := divide(b.Without.Total-b.Without.Online, b.Without.Seconds)
+	perSlot := divide(float64(b.Alone.Finished), b.Alone.Batch)
+	rate := divide(float64(b.Beside.Finished), b.Beside.Seconds)
+	return Throughput{ItemsPerSecond: rate, OfIdle: divide(rate, perSlot*idleWithout), IdleUsed: divide(b.Beside.Batch, idle),
+		Kept: divide(b.Beside.Kept, idle), Cancelled: divide(float64(b.Beside.Cancelled), float64(b.Beside.Finished))}
+}
 
-// Around starts a job; the returned function notes its progress and cancels it.
+// AroundWithout notes the use of the engines by the calls of a run without batch work.
+func (b *Backlog) AroundWithout(ctx context.Context) (func() error, error) {
+	began := time.Now()
+	return func() error { return b.note(ctx, &b.Without, began, time.Now()) }, nil
+}
+
+func (b *Backlog) note(ctx context.Context, sum *Use, from, to time.Time) error {
+	if len(b.Engines) == 0 {
+		return nil
+	}
+	u, err := measure(ctx, b.Engines, from, to)
+	sum.add(u)
+	return err
+}
+
+// Around starts a job, measures it alone and then beside the calls; the returned function cancels it.
 func (b *Backlog) Around(ctx context.Context) (func() error, error) {
 	b.runs++
 	id, err := b.submit(ctx)
@@ -38,18 +85,18 @@
 	if !sleepUntil(ctx, time.Now().Add(settleTime)) {
 		return nil, ctx.Err()
 	}
-	before, err := b.completed(ctx, id)
-	if err != nil {
+	began := time.Now()
+	if !sleepUntil(ctx, began.Add(aloneTime)) {
+		return nil, ctx.Err()
+	}
+	if err := b.note(ctx, &b.Alone, began, time.Now()); err != nil {
 		return nil, err
 	}
-	began := time.Now()
+	began = time.Now()
 	return func() error {
-		after, err := b.completed(ctx, id)
-		if err != nil {
+		if err := b.note(ctx, &b.Beside, began, time.Now()); err != nil {
 			return err
 		}
-		b.Completed += after - before
-		b.Seconds += time.Since(began).Seconds()
 		return b.call(ctx, http.MethodPost, "/v1/batches/"+id+"/cancel", "", nil, nil)
 	}, nil
 }
@@ -84,16 +131,6 @@
 	return made.ID, err
 }
 
-func (b *Backlog) completed(ctx context.Context, id string) (int, error) {
-	var job struct {
-		RequestCounts struct {
-			Completed int `json:"completed"`
-		} `json:"request_counts"`
-	}
-	err := b.call(ctx, http.MethodGet, "/v1/batches/"+id, "", nil, &job)
-	return job.RequestCounts.Completed, err
-}
-
 // call makes one call of the caller interface and decodes the answer into v, which may be nil.
 func (b *Backlog) call(ctx context.Context, method, path, contentType string, body []byte, v any) error {
 	r, err := http.NewRequestWithContext(ctx, method, "http://"+b.Address+path, bytes.NewReader(body))
--- a/pkg/bench/report.go
+++ b/pkg/bench/report.go
@@ -20,6 +20,8 @@
 	Variants    []VariantReport `json:"variants"`
 	// Ratios divide the second variant by the first; empty with one variant.
 	Ratios []Ratio `json:"ratios,omitempty"`
+	// Batch is the batch work beside the second variant; nil without a backlog or engines to count at.
+	Batch *Throughput `json:"batch,omitempty"`
 }
 
 // VariantReport is the JSON form of one variant.
@@ -34,6 +36,7 @@
 	Kind          Kind    `json:"kind"`
 	FirstTokenP50 float64 `json:"first_token_p50"`
 	FirstTokenP99 float64 `json:"first_token_p99"`
+	WholeP99      float64 `json:"whole_p99"`
 	Good          float64 `json:"good"`
 }
 
@@ -57,6 +60,7 @@
 				list = append(list, Ratio{
 					Kind: a.Kind, FirstTokenP50: divide(b.FirstToken.P50, a.FirstToken.P50),
 					FirstTokenP99: divide(b.FirstToken.P99, a.FirstToken.P99), Good: divide(float64(b.Good), float64(a.Good)),
+					WholeP99: divide(b.Whole.P99, a.Whole.P99),
 				})
 			}
 		}
@@ -92,7 +96,13 @@
 		return err
 	}
 	for _, x := range r.Ratios {
-		if _, err := fmt.Fprintf(w, "%s: second / first: first-token p50 %.2f, p99 %.2f, good calls %.2f\n", x.Kind, x.FirstTokenP50, x.FirstTokenP99, x.Good); err != nil {
+		if _, err := fmt.Fprintf(w, "%s: second / first: first-token p50 %.2f, p99 %.2f, whole p99 %.2f, good calls %.2f\n", x.Kind, x.FirstTokenP50, x.FirstTokenP99, x.WholeP99, x.Good); err != nil {
+			return err
+		}
+	}
+	if b := r.Batch; b != nil {
+		if _, err := fmt.Fprintf(w, "batch: %.1f items/s finished, %.2f of what idle slots could do; of idle slot time %.2f used and %.2f kept; %.2f runs ended early for each item\n",
+			b.ItemsPerSecond, b.OfIdle, b.IdleUsed, b.Kept, b.Cancelled); err != nil {
 			return err
 		}
 	}
--- a/pkg/ctl/bench.go
+++ b/pkg/ctl/bench.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"os"
 	"os/signal"
 	"strings"
@@ -18,7 +17,8 @@
 Examples:
   trefoilctl bench --target 127.0.0.1:18080 --rate 50 --length 10s
   trefoilctl bench --profile lookup --target 127.0.0.1:18080 --against 127.0.0.1:9000 --against-direct --rate 500
-  trefoilctl bench --profile agencia --repeat 3 --seed 7 --plot bench.html`
+  trefoilctl bench --profile agencia --repeat 3 --seed 7 --plot bench.html
+  trefoilctl bench --profile agencia --backlog 20000 --engine 127.0.0.1:9001 --engine 127.0.0.1:9002`
 
 // backlogTokens is the length of the answers of the batch job beside the calls.
 const backlogTokens = 32
@@ -32,6 +32,7 @@
 	Against       []string      `long:"against" value-name:"ADDRESS" description:"second variant to compare with; may be given several times"`
 	AgainstDirect bool          `long:"against-direct" description:"call --against as an upstream, without a node"`
 	Backlog       int           `long:"backlog" value-name:"ITEMS" description:"compare without and with a batch job of this size beside the calls"`
+	Engine        []string      `long:"engine" value-name:"ADDRESS" description:"stand-in engine whose executions --backlog counts; may be given several times"`
 	Rate          float64       `long:"rate" default:"20" value-name:"N" description:"calls a second on average"`
 	Length        time.Duration `long:"length" default:"10s" value-name:"DURATION" description:"length of one run"`
 	Repeat        int           `long:"repeat" default:"1" value-name:"N" description:"number of runs of each variant"`
@@ -49,6 +50,9 @@
 	if c.Backlog > 0 && (len(c.Against) > 0 || c.Direct) {
 		return usageError.New("--backlog goes with nodes as --target and without --against")
 	}
+	if len(c.Engine) > 0 && c.Backlog == 0 {
+		return usageError.New("--engine goes with --backlog")
+	}
 	if c.Rate <= 0 || c.Length <= 0 || c.Repeat < 1 {
 		return usageError.New("--rate, --length and --repeat must be above 0")
 	}
@@ -65,11 +69,12 @@
 	if err != nil {
 		return err
 	}
-	if err := c.print(bench.NewReport(e, results)); err != nil || c.beside == nil || c.JSON {
-		return err
+	report := bench.NewReport(e, results)
+	if c.beside != nil && len(c.Engine) > 0 {
+		t := c.beside.Throughput()
+		report.Batch = &t
 	}
-	_, err = fmt.Fprintf(c.stdout, "batch items completed beside the calls: %.1f/s\n", float64(c.beside.Completed)/c.beside.Seconds)
-	return err
+	return c.print(report)
 }
 
 func (c *benchCommand) variants(model string) []bench.Variant {
@@ -85,7 +90,8 @@
 	if c.Backlog > 0 {
 		beside := variants[0]
 		beside.Target.Name += " with batch"
-		c.beside = &bench.Backlog{Address: c.Target[0], Key: c.CallerKey, Model: model, Items: c.Backlog, MaxTokens: backlogTokens}
+		c.beside = &bench.Backlog{Address: c.Target[0], Key: c.CallerKey, Model: model, Items: c.Backlog, MaxTokens: backlogTokens, Engines: c.Engine}
+		variants[0].Around = c.beside.AroundWithout
 		beside.Around = c.beside.Around
 		return append(variants, beside)
 	}
