Keep the crash bound when owner and successor are lost at once

Cause: a check ran without a reservation when the fingerprint's owner and its successor gave no answer, and a new owner knew nothing of earlier crashes. A suspect was cleared only by its own trial run, and late reports of one death made it suspect again.

Change: checks and reports go on to the next nodes in rendezvous order. Nodes hand records to new holders when members change. Any run that ends whole clears a suspect, checks that wait are held at the owner and go on at once, and a crash of a run older than a whole one does not count. The order of holders is computed once for a request.

--- a/pkg/controller/quarantine/quarantine.go
+++ b/pkg/controller/quarantine/quarantine.go
@@ -1,15 +1,19 @@
 // Package quarantine isolates requests that crash upstreams over all nodes. The rendezvous owner of a fingerprint
-// decides; its successor keeps crashes as well and decides when the owner gives no answer.
+// decides; its successor keeps crashes as well and decides when the owner gives no answer. When both are lost, the next
+// nodes in rendezvous order decide. They ask the others first: a serving node remembers its runs and the crashes that
+// it saw. When the members change, each node hands what it knows to the owners that are new.
 package quarantine
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
 
 	lru "github.com/hashicorp/golang-lru/v2"
+	"golang.org/x/sync/singleflight"
 	"k8s.io/klog/v2"
 
 	"trefoilplank.example/pkg/adapter/peer"
@@ -28,8 +32,14 @@
 	successorWait = 20 * time.Millisecond
 	// avoidFor is how long an owner that gave no answer is passed over.
 	avoidFor = 2 * time.Second
-	// pollInterval is the time between checks while an equal request runs.
-	pollInterval = 15 * time.Millisecond
+	// busyWait is how long an owner holds a check while an equal request runs. It is well below callTimeout.
+	busyWait = 100 * time.Millisecond
+	// pollInterval is the least time between two checks of a request that waits.
+	pollInterval = 2 * time.Millisecond
+	// candidates is the number of nodes in rendezvous order that are asked before the node decides alone.
+	candidates = 6
+	// holders is the number of nodes that keep a fingerprint, besides the serving nodes.
+	holders = 2
 	// busyRetry is the retry time of a request that waited in vain for an equal one.
 	busyRetry = time.Second
 	// maxRuns bounds the requests with a reservation that a node remembers.
@@ -39,7 +49,13 @@
 )
 
 // CheckArgs asks whether a request may run.
-type CheckArgs struct{ Fingerprint, Request string }
+type CheckArgs struct {
+	Fingerprint, Request string
+	// Inform is set when another holder has decided already.
+	Inform bool
+	// Moved is set when the asking node passed over an owner or saw the members change a moment ago.
+	Moved bool
+}
 
 // CheckReply answers CheckArgs.
 type CheckReply struct {
@@ -54,6 +70,8 @@
 	Fingerprint, Request string
 	Trial                bool
 	Ending               quarantine.Ending
+	// Age is the time since the run began.
+	Age time.Duration
 }
 
 // Options are the collaborators of a Controller.
@@ -72,38 +90,66 @@
 
 	mu    sync.Mutex
 	table *quarantine.Table
-	// runs holds the requests of this node that have a reservation, with true for a trial. It is bounded, since
-	// a user may leave out a report.
-	runs *lru.Cache[string, bool]
+	// runs holds the requests of this node that were cleared to run. It is bounded, since a user may leave out a
+	// report.
+	runs *lru.Cache[string, run]
 	// avoid is the time until which an owner is passed over.
 	avoid map[string]time.Time
+	// waiting holds a channel by fingerprint that is closed when its state changes.
+	waiting map[string]chan struct{}
+	// blocked counts the requests of this node that wait for an equal one.
+	blocked map[string]int
+	// asking holds the checks of this node that await an answer.
+	asking  map[string]*asking
+	members history
+	// recalled is when the others were last asked about a fingerprint.
+	recalled *lru.Cache[string, time.Time]
+	recalls  singleflight.Group
+}
+
+// run is a request of this node in progress.
+type run struct {
+	fingerprint     string
+	trial, reserved bool
+	began           time.Time
+	// order is that of its check.
+	order []string
 }
 
 var _ serving.Quarantine = (*Controller)(nil)
 
 // New returns a controller and registers the receiver "Quarantine".
 func New(o Options, r peer.Registrar) (*Controller, error) {
-	runs, err := lru.New[string, bool](maxRuns)
+	runs, err := lru.New[string, run](maxRuns)
+	if err != nil {
+		return nil, err
+	}
+	recalled, err := lru.New[string, time.Time](maxRuns)
 	if err != nil {
 		return nil, err
 	}
 	c := &Controller{
-		Options: o, table: quarantine.NewTable(quarantine.Capacity), runs: runs, avoid: map[string]time.Time{},
+		Options: o, table: quarantine.NewTable(quarantine.Capacity), runs: runs, recalled: recalled,
+		avoid: map[string]time.Time{}, waiting: map[string]chan struct{}{}, blocked: map[string]int{},
+		asking: map[string]*asking{},
 	}
 	return c, r.Register("Quarantine", &Receiver{c})
 }
 
-// Run frees the reservations of lost nodes until ctx ends.
+// Run frees the reservations of lost nodes and hands records to new owners until ctx ends.
 func (c *Controller) Run(ctx context.Context) error {
 	for {
 		members, revision := c.Board.Members.Get()
 		if revision > 0 {
 			c.mu.Lock()
+			before := c.members.update(c.Self, members.Live, time.Now())
 			c.table.Release(func(request string) bool {
 				_, live := members.Live[nodeOf(request)]
 				return !live
 			})
+			c.wakeAll()
 			c.mu.Unlock()
+			c.handOver(ctx, before, names(members.Live))
 		}
 		select {
 		case <-c.Board.Members.Changed(revision):
@@ -124,20 +170,67 @@
 // Receiver serves the calls of other nodes.
 type Receiver struct{ c *Controller }
 
-// Check decides whether a request may run.
+// Check decides whether a request may run. It waits a little while an equal request runs.
 func (r *Receiver) Check(a *CheckArgs, reply *CheckReply) error {
-	r.c.mu.Lock()
-	defer r.c.mu.Unlock()
-	reply.Verdict, reply.Left = r.c.table.Check(a.Fingerprint, a.Request, time.Now())
-	reply.Reserved = r.c.table.Holds(a.Fingerprint, a.Request)
-	return nil
+	c := r.c
+	timer := time.NewTimer(busyWait)
+	defer timer.Stop()
+	if !a.Inform {
+		c.recall(a.Fingerprint, a.Moved)
+	}
+	for {
+		changed := c.check(a, reply)
+		if reply.Verdict != quarantine.Busy || a.Inform {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return nil
+		}
+	}
+}
+
+// check asks the table. The channel is closed when the state of a busy fingerprint changes.
+func (c *Controller) check(a *CheckArgs, reply *CheckReply) <-chan struct{} {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	reply.Verdict, reply.Left = c.table.Check(a.Fingerprint, a.Request, time.Now())
+	reply.Reserved = c.table.Holds(a.Fingerprint, a.Request)
+	if reply.Verdict != quarantine.Busy || a.Inform {
+		return nil
+	}
+	changed, ok := c.waiting[a.Fingerprint]
+	if !ok {
+		changed = make(chan struct{})
+		c.waiting[a.Fingerprint] = changed
+	}
+	return changed
+}
+
+// wake lets the checks of a fingerprint look again. c.mu is held.
+func (c *Controller) wake(fingerprint string) {
+	if changed, ok := c.waiting[fingerprint]; ok {
+		close(changed)
+		delete(c.waiting, fingerprint)
+	}
+}
+
+func (c *Controller) wakeAll() {
+	for fingerprint := range c.waiting {
+		c.wake(fingerprint)
+	}
 }
 
 // Report records the end of a run.
 func (r *Receiver) Report(a *ReportArgs, _ *struct{}) error {
 	r.c.mu.Lock()
 	defer r.c.mu.Unlock()
-	r.c.table.End(a.Fingerprint, a.Request, a.Trial, a.Ending, time.Now())
+	now := time.Now()
+	r.c.table.End(quarantine.Run{
+		Fingerprint: a.Fingerprint, Request: a.Request, Trial: a.Trial, Began: now.Add(-a.Age), How: a.Ending,
+	}, now)
+	r.c.wake(a.Fingerprint)
 	return nil
 }
 
@@ -146,7 +239,7 @@
 func (c *Controller) Check(ctx context.Context, fingerprint, requestID string) (serving.Verdict, time.Duration) {
 	waited := false
 	for {
-		reply := c.ask(ctx, CheckArgs{fingerprint, requestID})
+		reply := c.ask(ctx, CheckArgs{Fingerprint: fingerprint, Request: requestID})
 		switch reply.Verdict {
 		case quarantine.Refused:
 			c.record(requestID, "", "quarantine-refuse", "the request crashed upstreams before", map[string]any{"left": reply.Left.String()})
@@ -160,6 +253,8 @@
 		if !waited {
 			waited = true
 			c.record(requestID, "", "quarantine-wait", "an equal request runs that has not proved harmless", nil)
+			c.block(fingerprint, 1)
+			defer c.block(fingerprint, -1)
 		}
 		select {
 		case <-time.After(pollInterval/2 + rand.N(pollInterval)):
@@ -169,32 +264,57 @@
 	}
 }
 
-// ask asks the owners in turn. Without an answer the request runs: the loss of two owners at once must not stop
-// serving. The successor learns of a reservation, so that it holds when the owner is lost during the run.
+// block counts the requests of this node that wait for an equal one.
+func (c *Controller) block(fingerprint string, n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.blocked[fingerprint] += n; c.blocked[fingerprint] == 0 {
+		delete(c.blocked, fingerprint)
+	}
+}
+
+// ask asks the holders in turn; the own table decides when no other node answers. The successor learns of a
+// reservation, so that it holds when the owner is lost during the run.
 func (c *Controller) ask(ctx context.Context, args CheckArgs) CheckReply {
-	owners := c.owners(args.Fingerprint)
-	for i, node := range owners {
+	began := time.Now()
+	c.beginAsking(args)
+	defer c.endAsking(args.Request)
+	for range candidates {
+		order, moved := c.order(args.Fingerprint, holders)
+		args.Moved = moved
 		var reply CheckReply
-		if !c.call(ctx, node, "Check", &args, &reply) {
+		if !c.call(ctx, order[0], "Check", &args, &reply) {
+			if ctx.Err() != nil {
+				break
+			}
 			continue
 		}
+		if reply.Verdict != quarantine.Clear && reply.Verdict != quarantine.Trial {
+			return reply
+		}
+		recalling := c.cleared(args, run{args.Fingerprint, reply.Verdict == quarantine.Trial, reply.Reserved, began, order})
 		if reply.Reserved {
-			c.runs.Add(args.Request, reply.Verdict == quarantine.Trial)
-			c.inform(ctx, owners[i+1:], args)
+			c.inform(ctx, order, args)
 		}
-		return reply
+		return c.confirm(ctx, recalling, args, reply)
 	}
-	return CheckReply{Verdict: quarantine.Clear}
+	return CheckReply{Verdict: quarantine.Busy}
 }
 
-// inform tells the successors of a reservation and waits for them up to successorWait: a run that begins before the
+// inform tells the successor of a reservation and waits for it up to successorWait: a run that begins before the
 // successor knows could be followed by a second one if the owner is lost in between.
-func (c *Controller) inform(ctx context.Context, successors []string, args CheckArgs) {
+func (c *Controller) inform(ctx context.Context, order []string, args CheckArgs) {
+	args.Inform = true
 	told := make(chan struct{})
 	go func() {
 		defer close(told)
-		for _, node := range successors {
-			c.call(context.WithoutCancel(ctx), node, "Check", &args, &CheckReply{})
+		owner := order[0]
+		for range candidates {
+			successors := slices.DeleteFunc(slices.Clone(order), func(n string) bool { return n == owner })
+			if len(successors) == 0 || c.call(context.WithoutCancel(ctx), successors[0], "Check", &args, &CheckReply{}) {
+				return
+			}
+			order, _ = c.order(args.Fingerprint, holders)
 		}
 	}()
 	timer := time.NewTimer(successorWait)
@@ -206,21 +326,77 @@
 	}
 }
 
-// owners returns the owner and its successor, without those that gave no answer a moment ago.
-func (c *Controller) owners(fingerprint string) []string {
-	live := c.Board.Members.Value().Live
-	names := make([]string, 0, len(live))
-	for name := range live {
-		names = append(names, name)
+// order returns the first n nodes that may decide on the fingerprint, the owner first, without those that gave no
+// answer a moment ago; the own node is the last resort. moved is set when these may not be the nodes of a moment ago.
+func (c *Controller) order(fingerprint string, n int) (order []string, moved bool) {
+	live := c.live()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	silent := func(n string) bool { return now.Before(c.avoid[n]) }
+	order = rendezvous.Top(fingerprint, live, n)
+	if slices.ContainsFunc(order, silent) {
+		moved = true
+		order = slices.DeleteFunc(rendezvous.Top(fingerprint, live, candidates), silent)
+		order = order[:min(len(order), n)]
 	}
-	if len(names) == 0 {
-		names = []string{c.Self}
+	if len(order) == 0 {
+		order = append(order, c.Self)
 	}
-	owners := rendezvous.Top(fingerprint, names, 2)
+	return order, moved || now.Sub(c.members.changed) < settle
+}
+
+// holdersOf returns the holders for the report of a run: those of its check unless one was lost meanwhile.
+func (c *Controller) holdersOf(fingerprint string, r run) []string {
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	now := time.Now()
-	return slices.DeleteFunc(owners, func(n string) bool { return now.Before(c.avoid[n]) })
+	same := len(r.order) > 0 && r.began.After(c.members.changed) &&
+		!slices.ContainsFunc(r.order, func(n string) bool { return now.Before(c.avoid[n]) })
+	c.mu.Unlock()
+	if same {
+		return r.order
+	}
+	order, _ := c.order(fingerprint, holders)
+	return order
+}
+
+// live returns the names of the live members. While Run is active they are those of the history, so that a node
+// never uses a change that it does not count as recent.
+func (c *Controller) live() []string {
+	c.mu.Lock()
+	known := c.members.live
+	c.mu.Unlock()
+	if len(known) > 0 {
+		return known
+	}
+	if list := names(c.Board.Members.Value().Live); len(list) > 0 {
+		return list
+	}
+	return []string{c.Self}
+}
+
+func names(live map[string]blackboard.Member) []string {
+	return slices.AppendSeq(make([]string, 0, len(live)), maps.Keys(live))
+}
+
+// report sends a report to n of the nodes, in parallel, and in place of one that gives no answer to the next.
+func (c *Controller) report(ctx context.Context, nodes []string, n int, args *ReportArgs) {
+	var group sync.WaitGroup
+	next := make(chan string, len(nodes))
+	for _, node := range nodes {
+		next <- node
+	}
+	close(next)
+	for range n {
+		group.Go(func() {
+			for node := range next {
+				if c.call(ctx, node, "Report", args, &struct{}{}) {
+					return
+				}
+			}
+		})
+	}
+	group.Wait()
 }
 
 func (c *Controller) call(ctx context.Context, node, method string, args, reply any) bool {
@@ -228,12 +404,16 @@
 		c.local(args, reply)
 		return true
 	}
-	ctx, stop := context.WithTimeout(ctx, callTimeout)
+	callCtx, stop := context.WithTimeout(ctx, callTimeout)
 	defer stop()
-	err := c.Peers.Call(ctx, node, "Quarantine."+method, args, reply)
+	err := c.Peers.Call(callCtx, node, "Quarantine."+method, args, reply)
 	if err == nil {
 		return true
 	}
+	if ctx.Err() != nil {
+		// The caller has gone; the node may well answer others.
+		return false
+	}
 	klog.V(1).InfoS("Quarantine owner gave no answer", "node", node, "method", method, "err", err)
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -253,38 +433,50 @@
 }
 
 // Finished implements serving.Quarantine. The report of a crash is delivered before it returns, so that the next
-// check sees it. Other reports are sent in the background, and only for a run with a reservation.
+// check sees it, and this node keeps it as well. Other reports are sent in the background, and only for a run with a
+// reservation or one that clears a suspect.
 func (c *Controller) Finished(ctx context.Context, fingerprint, requestID, upstream string, died bool) {
-	args := ReportArgs{Fingerprint: fingerprint, Request: requestID, Ending: quarantine.Survived}
-	if upstream == "" {
-		args.Ending = quarantine.NotRun
+	now := time.Now()
+	own, _ := c.runs.Get(requestID)
+	if own.began.IsZero() {
+		own.began = now
 	}
-	trial, reserved := c.runs.Get(requestID)
-	c.runs.Remove(requestID)
-	args.Trial = trial
-	if !reserved && !died {
-		return
+	args := ReportArgs{
+		Fingerprint: fingerprint, Request: requestID, Ending: quarantine.Survived, Trial: own.trial, Age: now.Sub(own.began),
 	}
-	owners := c.owners(fingerprint)
-	if died {
+	ctx = context.WithoutCancel(ctx)
+	switch {
+	case died:
 		args.Ending = quarantine.Crashed
 		c.record(requestID, upstream, "crash-report", "the upstream died under the request", map[string]any{"trial": args.Trial})
 		klog.InfoS("Upstream died under request", "request", requestID, "upstream", upstream, "trial", args.Trial)
+		c.local(&args, nil)
+		order, _ := c.order(fingerprint, candidates)
+		others := slices.DeleteFunc(order, func(n string) bool { return n == c.Self })
+		c.report(ctx, others, holders, &args)
+		c.runs.Remove(requestID)
+		return
+	case upstream == "":
+		args.Ending = quarantine.NotRun
 	}
-	ctx = context.WithoutCancel(ctx)
-	var group sync.WaitGroup
-	for _, node := range owners {
-		if node == c.Self {
+	c.runs.Remove(requestID)
+	if own.reserved || args.Ending == quarantine.Survived && c.doubted(fingerprint) {
+		order := c.holdersOf(fingerprint, own)
+		if !own.reserved || own.trial {
+			// This node may keep the suspicion although it is no holder.
 			c.local(&args, nil)
-			continue
 		}
-		group.Go(func() { c.call(ctx, node, "Report", &args, &struct{}{}) })
-	}
-	if died {
-		group.Wait()
+		go c.report(ctx, order, holders, &args)
 	}
 }
 
+// doubted reports whether this node knows of a suspicion, so that a whole run is worth a report.
+func (c *Controller) doubted(fingerprint string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.blocked[fingerprint] > 0 || c.table.Suspect(fingerprint, time.Now())
+}
+
 func (c *Controller) record(request, upstream, decision, reason string, values map[string]any) {
 	if c.Explain != nil {
 		c.Explain.Record(explain.Entry{Request: request, Upstream: upstream, Decision: decision, Reason: reason, Values: values})
--- a/pkg/decision/quarantine/quarantine.go
+++ b/pkg/decision/quarantine/quarantine.go
@@ -2,7 +2,8 @@
 //
 // A fingerprint that was never seen to succeed runs once at a time, so that resends of a request that crashes
 // upstreams can't take several of them down at once. After its first success it is proven and runs freely. A
-// crash makes it suspect, and it next runs alone on an upstream. A crash of that trial quarantines it.
+// crash makes it suspect, and it next runs alone on an upstream. A crash of that trial quarantines it, and any run
+// that ends whole clears it.
 package quarantine
 
 import (
@@ -51,6 +52,8 @@
 	// runner is the request that runs while others wait, until the time waitUntil.
 	runner    string
 	waitUntil time.Time
+	// wholeBegan is when the latest run that ended whole began.
+	wholeBegan time.Time
 }
 
 // Table holds the fingerprints of which this node is an owner. It is not safe for concurrent use.
@@ -139,28 +142,45 @@
 	Crashed
 )
 
-// End records the end of a run. trial is set when the run was alone on its upstream.
-func (t *Table) End(fingerprint, request string, trial bool, how Ending, now time.Time) {
-	e := t.get(fingerprint)
-	if e.runner == request {
+// Run describes a run that ended.
+type Run struct {
+	Fingerprint, Request string
+	// Trial is set when the run was alone on its upstream.
+	Trial bool
+	// Began is when the request was cleared to run.
+	Began time.Time
+	How   Ending
+}
+
+// End records the end of a run. A whole run clears the suspicion, since a request that crashes upstreams has none. A
+// crash does not count when a run that began later has ended whole: reports of one upstream's death arrive late.
+func (t *Table) End(r Run, now time.Time) {
+	e := t.get(r.Fingerprint)
+	if e.runner == r.Request {
 		e.runner, e.waitUntil = "", time.Time{}
 	}
-	switch how {
+	switch r.How {
 	case Survived:
-		// A run beside others that began before the crash does not clear the suspicion.
-		if trial || !now.Before(e.suspect) {
-			e.suspect, e.proven = time.Time{}, now.Add(provenFor)
+		e.suspect, e.proven = time.Time{}, now.Add(provenFor)
+		if r.Began.After(e.wholeBegan) {
+			e.wholeBegan = r.Began
 		}
 	case Crashed:
-		e.proven = time.Time{}
-		if trial {
-			e.suspect, e.refused = time.Time{}, now.Add(Hold)
-		} else {
-			e.suspect = now.Add(suspectFor)
+		switch {
+		case r.Trial:
+			e.proven, e.suspect, e.refused = time.Time{}, time.Time{}, now.Add(Hold)
+		case e.wholeBegan.Before(r.Began) || e.wholeBegan.IsZero():
+			e.proven, e.suspect = time.Time{}, now.Add(suspectFor)
 		}
 	}
 }
 
+// Suspect reports whether the fingerprint is under suspicion.
+func (t *Table) Suspect(fingerprint string, now time.Time) bool {
+	el, ok := t.entries[fingerprint]
+	return ok && now.Before(el.Value.(*entry).suspect)
+}
+
 // Release ends the reservations of requests for which gone is true, because their node was lost.
 func (t *Table) Release(gone func(request string) bool) {
 	for _, el := range t.entries {
@@ -169,3 +189,65 @@
 		}
 	}
 }
+
+// Record is what a node knows against a fingerprint, for a node that becomes its owner. Times are the durations that
+// are left, since clocks differ.
+type Record struct {
+	Fingerprint      string
+	Suspect, Refused time.Duration
+	// Runner is a request that runs while others wait for at most Wait.
+	Runner string
+	Wait   time.Duration
+}
+
+// Export returns the record of a fingerprint; false when nothing is known against it.
+func (t *Table) Export(fingerprint string, now time.Time) (Record, bool) {
+	el, ok := t.entries[fingerprint]
+	if !ok {
+		return Record{}, false
+	}
+	return el.Value.(*entry).export(now)
+}
+
+func (e *entry) export(now time.Time) (Record, bool) {
+	r := Record{Fingerprint: e.fingerprint, Suspect: max(e.suspect.Sub(now), 0), Refused: max(e.refused.Sub(now), 0)}
+	if e.runner != "" && now.Before(e.waitUntil) {
+		r.Runner, r.Wait = e.runner, e.waitUntil.Sub(now)
+	}
+	return r, r.Suspect > 0 || r.Refused > 0 || r.Runner != ""
+}
+
+// ExportAll returns all records.
+func (t *Table) ExportAll(now time.Time) []Record {
+	var all []Record
+	for _, el := range t.entries {
+		if r, ok := el.Value.(*entry).export(now); ok {
+			all = append(all, r)
+		}
+	}
+	return all
+}
+
+// Merge adds the record of another node. A whole run seen here after the crash outweighs its suspicion.
+func (t *Table) Merge(r Record, now time.Time) {
+	e := t.get(r.Fingerprint)
+	crashed, proved := now.Add(r.Suspect-suspectFor), e.proven.Add(-provenFor)
+	if until := now.Add(r.Suspect); r.Suspect > 0 && until.After(e.suspect) && crashed.After(proved) {
+		e.suspect, e.proven = until, time.Time{}
+	}
+	if until := now.Add(r.Refused); r.Refused > 0 && until.After(e.refused) {
+		e.refused = until
+	}
+	if r.Runner != "" && (e.runner == "" || !now.Before(e.waitUntil)) {
+		e.runner, e.waitUntil = r.Runner, now.Add(r.Wait)
+	}
+}
+
+// Reservation returns the record of a run that began at the given time.
+func Reservation(fingerprint, request string, trial bool, began, now time.Time) Record {
+	wait := unprovenWait
+	if trial {
+		wait = trialWait
+	}
+	return Record{Fingerprint: fingerprint, Runner: request, Wait: max(began.Add(wait).Sub(now), 0)}
+}
