Confirm removals that another part of the fleet decided

Cause: after a heal each side told the other that its members were dead, and was believed: until each node refuted that, nodes lost members of their own side, and with them owners of admission, limits and keys. TestPartitionHeals fails without the change.

--- a/pkg/controller/confsync/confsync_test.go
+++ b/pkg/controller/confsync/confsync_test.go
@@ -37,6 +37,7 @@
 
 type node struct {
 	*confsync.Controller
+	name  string
 	board *blackboard.Board
 	stop  context.CancelFunc
 	// highest is the largest version seen in force; a smaller one after it fails the test.
@@ -68,7 +69,7 @@
 	board, server := blackboard.New(), peer.NewServer("", nil)
 	caller := &peertest.Caller{Network: f.network, Address: name, Resolve: membership.Resolve(board)}
 	members := membership.New(membership.Options{Store: f.store, Board: board, Peers: caller, Self: self, Seeds: seeds})
-	n := &node{Controller: confsync.New(f.store, board, caller, name), board: board}
+	n := &node{Controller: confsync.New(f.store, board, caller, name), name: name, board: board}
 	assert.NilError(f.t, server.Register("Membership", members.Receiver()))
 	assert.NilError(f.t, server.Register("Config", n.Receiver()))
 	f.network.Listen(name, server)
--- /dev/null
+++ b/pkg/controller/confsync/heal_test.go
@@ -0,0 +1,99 @@
+package confsync_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// inBubble runs f in virtual time within a benchmark.
+func inBubble(f func(t *testing.T)) {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		synctest.Test(&testing.T{}, f)
+	}()
+	<-done
+}
+
+// until lets time pass until a condition holds on all nodes and returns how long that took, or limit. least is the
+// smallest share of its own side that any node had in its view meanwhile.
+func (f *fleet) until(limit time.Duration, side func(string) string, holds func(*node) bool) (took time.Duration, least float64) {
+	size := map[string]int{}
+	for name := range f.nodes {
+		size[side(name)]++
+	}
+	least = 1
+	for start := time.Now(); ; time.Sleep(100 * time.Millisecond) {
+		took = time.Since(start)
+		all := true
+		for name, n := range f.nodes {
+			near := 0
+			for other := range n.board.Members.Value().Live {
+				if side(other) == side(name) {
+					near++
+				}
+			}
+			least = min(least, float64(near)/float64(size[side(name)]))
+			all = all && holds(n)
+		}
+		if all || took >= limit {
+			return took, least
+		}
+	}
+}
+
+// BenchmarkHeal gives, in virtual time, how long nodes on the other side of a cut stay members, and the time from the
+// heal until members and a configuration that was accepted on one side agree everywhere. own-side is the smallest share
+// of its own side that any node had in its view in that time. The store is on the accepting side.
+func BenchmarkHeal(b *testing.B) {
+	for _, size := range []struct{ nodes, zones int }{{8, 4}, {64, 4}, {380, 8}} {
+		for _, apart := range []string{"halves", "node"} {
+			b.Run(fmt.Sprintf("members=%d/%s", size.nodes, apart), func(b *testing.B) {
+				figures := map[string]float64{}
+				for b.Loop() {
+					inBubble(func(t *testing.T) { healFigures(t, size.nodes, size.zones, apart, figures) })
+				}
+				for name, v := range figures {
+					b.ReportMetric(v, name)
+				}
+			})
+		}
+	}
+}
+
+func healFigures(t *testing.T, nodes, zones int, apart string, figures map[string]float64) {
+	f := newFleet(t, 0, 0)
+	defer f.stopAll()
+	for i := range nodes {
+		f.start(fmt.Sprintf("z%d-%03d", i%zones, i/zones))
+	}
+	time.Sleep(20 * time.Second)
+	far := func(name string) bool { return name == "z0-001" }
+	if apart == "halves" {
+		far = func(name string) bool { return strings.Compare(name, fmt.Sprint("z", zones/2)) < 0 }
+	}
+	side := func(name string) string { return fmt.Sprint(far(name)) }
+	sizes := map[string]int{}
+	for name := range f.nodes {
+		sizes[side(name)]++
+	}
+	f.network.SetCut(func(from, to string) bool { return side(from) != side(to) })
+	alone := func(n *node) bool { return len(n.board.Members.Value().Live) == sizes[side(n.name)] }
+	out, _ := f.until(2*time.Minute, side, func(n *node) bool { return far(n.name) || alone(n) })
+	outFar, _ := f.until(2*time.Minute, side, alone)
+	figures["s-out"], figures["s-out-far"] = out.Seconds(), (out + outFar).Seconds()
+	time.Sleep(time.Minute)
+	if _, err := f.apply(fmt.Sprintf("z%d-000", zones-1), change("cut", "", 0)); err != nil {
+		panic(err)
+	}
+	f.network.SetCut(nil)
+	calls := f.network.Calls.Load()
+	configured, _ := f.until(2*time.Minute, side, func(n *node) bool { return n.InForce() == 1 })
+	figures["s-config"] = configured.Seconds()
+	agreed, least := f.until(2*time.Minute, side, func(n *node) bool { return len(n.board.Members.Value().Live) == nodes })
+	figures["s-members"], figures["own-side"] = (configured + agreed).Seconds(), least
+	figures["calls/node"] = float64(f.network.Calls.Load()-calls) / float64(nodes)
+}
--- a/pkg/controller/membership/membership_test.go
+++ b/pkg/controller/membership/membership_test.go
@@ -180,7 +180,8 @@
 	})
 }
 
-// TestPartitionHeals guards against two sides of a partition that never find each other again.
+// TestPartitionHeals guards against two sides of a partition that do not find each other again, or that remove members
+// of their own on the word of the other side.
 func TestPartitionHeals(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t)
@@ -192,7 +193,14 @@
 			assert.Equal(t, len(n.board.Members.Value().Live), 3, name)
 		}
 		f.network.SetCut(nil)
-		time.Sleep(40 * time.Second)
+		for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+			for name, n := range f.nodes {
+				for other := range f.nodes {
+					_, live := n.board.Members.Value().Live[other]
+					assert.Assert(t, live || name[:2] != other[:2], "%s lost %s after the heal", name, other)
+				}
+			}
+		}
 		f.expect(names...)
 	})
 }
--- a/pkg/decision/membership/table.go
+++ b/pkg/decision/membership/table.go
@@ -160,6 +160,10 @@
 		return false, t.Refute(u.Stamp, now)
 	}
 	r, ok := t.nodes[u.Name]
+	hearsay := ok && u.Status == Dead && t.unconfirmed(r, u, now)
+	if hearsay {
+		u.Status = Suspect
+	}
 	if ok && !u.Newer(r.Stamp) {
 		return false, nil
 	}
@@ -185,9 +189,18 @@
 		r.misses = 0
 	}
 	r.Update = u
+	r.retry = r.retry || hearsay
 	return true, nil
 }
 
+// unconfirmed reports whether a removal that another node decided is only a suspicion here, since this node has not
+// known of a suspicion for about as long as it lasts. Two parts of a fleet that were out of contact tell each other
+// after the heal that their members are dead; taken at their word, each would lose its own members for seconds.
+func (t *Table) unconfirmed(r *record, u Update, now time.Time) bool {
+	known := r.Status == Suspect && r.Incarnation == u.Incarnation && r.Seq == u.Seq
+	return r.Status < Dead && !(known && now.Sub(r.since) >= t.p.SuspectTimeout*2/3)
+}
+
 // Refute raises this node's own stamp above a statement that it is not alive or that an older process of the
 // same name left behind.
 func (t *Table) Refute(s Stamp, now time.Time) []Update {
@@ -288,7 +301,8 @@
 	}
 }
 
-// Tick removes suspects that did not refute in time and forgets old tombstones.
+// Tick removes suspects that did not refute in time and forgets old tombstones. A suspect that this node is still to
+// probe itself stays.
 func (t *Table) Tick(now time.Time) []Update {
 	t.absorbPause(now)
 	var news []Update
@@ -296,7 +310,7 @@
 		r := t.nodes[name]
 		age := now.Sub(r.since)
 		switch {
-		case r.Status == Suspect && (age >= t.p.SuspectTimeout || t.vms[name] == blackboard.VMLost):
+		case r.Status == Suspect && !r.retry && (age >= t.p.SuspectTimeout || t.vms[name] == blackboard.VMLost):
 			r.Status, r.since = Dead, now
 			t.revision++
 			t.topology++
