Probe a whole zone when one of its members is lost

Cause: heartbeats stay in a zone, so the members of a zone that is lost or out of reach stayed live for other zones until calls to them failed or their leases ran out; and a node that was cut off removed one node after the other. Change: a suspicion from an own missed call puts the other members of that zone that were not heard of lately under doubt, or all members when nothing was heard for four rounds; a node that hears of no other probes 32 in a round instead of 8. Nodes probe in the order of their distance on the ring, not all in order of name. TestLostZone fails without the change.

--- a/pkg/controller/membership/membership_test.go
+++ b/pkg/controller/membership/membership_test.go
@@ -205,6 +205,20 @@
 	})
 }
 
+// TestLostZone guards against the members of a lost zone, which no heartbeat from outside reaches, staying live.
+func TestLostZone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		defer f.stopAll()
+		names := f.startZones(3, 12)
+		for _, name := range names[24:] {
+			f.kill(name)
+		}
+		time.Sleep(25 * time.Second)
+		f.expect(names[:24]...)
+	})
+}
+
 // TestDrainAndLeave guards against the drain flag or a regular stop staying unknown to other nodes.
 func TestDrainAndLeave(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/pkg/decision/membership/probe.go
+++ b/pkg/decision/membership/probe.go
@@ -19,6 +19,11 @@
 	successors = 2
 	// maxExtraProbes bounds the probes of nodes under doubt, so that a lost zone does not cause a burst.
 	maxExtraProbes = 8
+	// maxAloneProbes is that bound on a node that hears of no other: its probes burden nobody, and until it has removed
+	// the others it waits for them in each online call.
+	maxAloneProbes = 32
+	// aloneRounds is the number of rounds without news from any node after which a node takes itself for cut off.
+	aloneRounds = 4
 	// Buckets is the number of parts that a table's digest is compared in.
 	Buckets = 16
 	// maxClockSkew is the age by the wall clock from which a lease record of an unknown node is taken as left over.
@@ -37,11 +42,14 @@
 	if len(ring) > 0 {
 		targets = append(targets, ring[round%min(successors, len(ring))])
 	}
-	extra := 0
-	for _, name := range slices.Sorted(maps.Keys(t.nodes)) {
+	extra, most := 0, maxExtraProbes
+	if len(targets) > 0 && t.alone(t.lastTick) {
+		most = maxAloneProbes
+	}
+	for _, name := range t.byDistance(slices.Collect(maps.Keys(t.nodes))) {
 		r := t.nodes[name]
 		doubt := r.retry || r.Status == Alive && r.misses > 0 || r.Status == Suspect && r.raised
-		if doubt && name != t.self && !slices.Contains(targets, name) && extra < maxExtraProbes {
+		if doubt && name != t.self && !slices.Contains(targets, name) && extra < most {
 			targets = append(targets, name)
 			extra++
 		}
@@ -49,6 +57,39 @@
 	return targets
 }
 
+// doubtZone has the members of a zone probed, or all members when none was heard of lately: heartbeats stay in a zone,
+// so that nothing else notices that a whole zone, or all others, are out of reach. Members heard of in the last round
+// are left out.
+func (t *Table) doubtZone(zone string, now time.Time) {
+	all := t.alone(now)
+	for name, r := range t.nodes {
+		if name != t.self && r.Status == Alive && (all || r.AvailabilityZone == zone) && now.Sub(r.heard) > t.p.ProbeInterval {
+			r.retry = true
+		}
+	}
+}
+
+// alone reports whether no other node was heard of for several rounds.
+func (t *Table) alone(now time.Time) bool {
+	for name, r := range t.nodes {
+		if name != t.self && now.Sub(r.heard) < aloneRounds*t.p.ProbeInterval {
+			return false
+		}
+	}
+	return true
+}
+
+// byDistance sorts names by their distance from this node on the ring of hash values, so that nodes do not probe the
+// same others first.
+func (t *Table) byDistance(names []string) []string {
+	own := xxh3.HashString(t.self)
+	slices.SortFunc(names, func(a, b string) int {
+		// Subtraction wraps around.
+		return cmp.Or(cmp.Compare(xxh3.HashString(a)-own, xxh3.HashString(b)-own), cmp.Compare(a, b))
+	})
+	return names
+}
+
 // ring returns the other live nodes of the zone, or of the fleet when the zone has none, starting after self.
 func (t *Table) ring() []string {
 	zone := t.nodes[t.self].AvailabilityZone
@@ -65,12 +106,7 @@
 	if len(same) == 0 {
 		same = all
 	}
-	own := xxh3.HashString(t.self)
-	slices.SortFunc(same, func(a, b string) int {
-		// Distances from self on the ring of hash values; subtraction wraps around.
-		return cmp.Or(cmp.Compare(xxh3.HashString(a)-own, xxh3.HashString(b)-own), cmp.Compare(a, b))
-	})
-	return same
+	return t.byDistance(same)
 }
 
 // Lost returns a removed node to try again, so that parts of the fleet that lost contact find each other; "" if none.
--- a/pkg/decision/membership/table.go
+++ b/pkg/decision/membership/table.go
@@ -274,6 +274,7 @@
 		return nil
 	}
 	r.Status, r.since, r.raised = Suspect, now, true
+	t.doubtZone(r.AvailabilityZone, now)
 	return []Update{r.Update}
 }
 
