Record membership changes and configuration decisions

Cause: neither explain nor status said that a node was declared dead, on what evidence, or where a node had a configuration from. Change: explain has the subjects member and configuration; the controllers record joined, suspect, refuted, dead, returned and left with the evidence, and accepted, refused-race, refused, unknown and in-force with the source, and count them in expvar (membership_changes, configuration_decisions). Status lists dead nodes that the VM list does not confirm as lost as problems.

--- a/pkg/controller/confsync/apply.go
+++ b/pkg/controller/confsync/apply.go
@@ -43,6 +43,7 @@
 	}
 	for range maxRaces {
 		version, err := c.attempt(ctx, change, digest)
+		c.recordAttempt(change, version, err)
 		if !errors.Is(err, errRaced) {
 			return version, err
 		}
@@ -50,6 +51,28 @@
 	return 0, fmt.Errorf("%w: %d other changes were accepted first", store.ErrUnavailable, maxRaces)
 }
 
+// recordAttempt keeps the outcome of an attempt. A change that was not accepted is found under the newest version known.
+func (c *Controller) recordAttempt(change config.Change, version int64, err error) {
+	decision, reason := "accepted", "the head was written, or the change was accepted before under its key"
+	var race *config.RaceError
+	switch {
+	case err == nil:
+	case errors.As(err, &race), errors.Is(err, errRaced):
+		decision, reason = "refused-race", err.Error()
+	case errors.Is(err, store.ErrUnknown):
+		decision, reason = "unknown", err.Error()
+	default:
+		decision, reason = "refused", err.Error()
+	}
+	if err != nil {
+		version = c.Accepted()
+		if race != nil {
+			version = race.Current
+		}
+	}
+	c.record(version, decision, reason, config.Record{Key: change.Key, Who: change.Who})
+}
+
 // attempt makes one attempt to have the change accepted.
 func (c *Controller) attempt(ctx context.Context, change config.Change, digest string) (int64, error) {
 	head, revision, err := c.readForUpdate(ctx)
@@ -128,11 +151,11 @@
 	if head.Version() == 0 {
 		return api.Config{}, nil
 	}
-	p, err := c.payload(ctx, head.History[0], head.History[0].Node)
+	p, source, err := c.payload(ctx, head.History[0], head.History[0].Node)
 	if err != nil {
 		return api.Config{}, err
 	}
-	if err := c.install(head.History[0], p); err != nil {
+	if err := c.install(head.History[0], p, source); err != nil {
 		return api.Config{}, err
 	}
 	return p.Config()
@@ -182,7 +205,7 @@
 // accepted brings an own change into force and passes it on.
 func (c *Controller) accepted(head confchain.Head, payload confchain.Payload) {
 	base := c.InForce()
-	if err := c.install(head.History[0], payload); err != nil {
+	if err := c.install(head.History[0], payload, "accepted here"); err != nil {
 		klog.Errorf("configuration version %d: %v", head.Version(), err)
 		return
 	}
--- a/pkg/controller/confsync/confsync.go
+++ b/pkg/controller/confsync/confsync.go
@@ -4,10 +4,12 @@
 import (
 	"context"
 	"errors"
+	"expvar"
 	"fmt"
 	"maps"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -21,6 +23,7 @@
 	"trefoilplank.example/pkg/config"
 	"trefoilplank.example/pkg/decision/confchain"
 	"trefoilplank.example/pkg/decision/dissemination"
+	"trefoilplank.example/pkg/explain"
 )
 
 const (
@@ -51,6 +54,8 @@
 	board *blackboard.Board
 	peers peer.Caller
 	self  string
+	// Log, when set before Run, keeps the decisions about versions, and why.
+	Log *explain.Log
 	// applying holds a token while a change is made through this node; changes are made one at a time.
 	applying chan struct{}
 
@@ -386,19 +391,20 @@
 	if !confchain.Takes(have, e.Version) {
 		return nil
 	}
-	payload, err := c.payload(ctx, e, from)
+	payload, source, err := c.payload(ctx, e, from)
 	if err != nil {
 		return err
 	}
-	return c.install(e, payload)
+	return c.install(e, payload, source)
 }
 
-func (c *Controller) payload(ctx context.Context, e confchain.Entry, from string) (confchain.Payload, error) {
+// payload returns the payload of an entry and where it is from.
+func (c *Controller) payload(ctx context.Context, e confchain.Entry, from string) (p confchain.Payload, source string, err error) {
 	c.mu.Lock()
 	p, ok := c.payloads[e.Version]
 	c.mu.Unlock()
 	if ok && p.Verify(e) == nil {
-		return p, nil
+		return p, "kept here", nil
 	}
 	var fault error
 	if from != "" {
@@ -406,19 +412,18 @@
 		p, err := c.fetch(fetching, e, from)
 		cancel()
 		if err == nil {
-			return p, nil
+			return p, "fetched from " + from, nil
 		}
 		fault = err
 	}
-	p, err := c.load(ctx, e)
-	if err != nil {
-		return confchain.Payload{}, errors.Join(fault, err)
+	if p, err = c.load(ctx, e); err != nil {
+		return confchain.Payload{}, "", errors.Join(fault, err)
 	}
-	return p, nil
+	return p, "read from the store", nil
 }
 
 // install puts a payload into force unless a newer one is; versions only grow.
-func (c *Controller) install(e confchain.Entry, p confchain.Payload) error {
+func (c *Controller) install(e confchain.Entry, p confchain.Payload, source string) error {
 	if err := p.Verify(e); err != nil {
 		return err
 	}
@@ -436,11 +441,24 @@
 			}
 		}
 		c.board.Config.Set(next)
+		c.record(e.Version, "in-force", source, e.Record)
 	}
 	c.mu.Unlock()
 	return nil
 }
 
+// decisions counts what was decided on versions of the configuration.
+var decisions = expvar.NewMap("configuration_decisions")
+
+// record keeps a decision about a version.
+func (c *Controller) record(version int64, decision, reason string, r config.Record) {
+	decisions.Add(decision, 1)
+	if c.Log != nil {
+		c.Log.Record(explain.Entry{Configuration: strconv.FormatInt(version, 10), Decision: decision, Reason: reason,
+			Values: map[string]any{"key": r.Key, "who": r.Who}})
+	}
+}
+
 // load reads the payload of an entry from the store.
 func (c *Controller) load(ctx context.Context, e confchain.Entry) (confchain.Payload, error) {
 	keys, err := e.ChunkKeys()
--- a/pkg/controller/confsync/receiver.go
+++ b/pkg/controller/confsync/receiver.go
@@ -108,7 +108,7 @@
 	if err != nil {
 		return err
 	}
-	return c.install(args.Entry, p)
+	return c.install(args.Entry, p, "pushed by "+args.From)
 }
 
 // Digest returns the version in force.
--- a/pkg/controller/membership/membership.go
+++ b/pkg/controller/membership/membership.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"expvar"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -16,6 +17,7 @@
 	"trefoilplank.example/pkg/decision/dissemination"
 	"trefoilplank.example/pkg/decision/lease"
 	"trefoilplank.example/pkg/decision/membership"
+	"trefoilplank.example/pkg/explain"
 )
 
 const (
@@ -46,8 +48,13 @@
 	Seeds []string
 	// CacheFile, when set, keeps the addresses of known peers over restarts.
 	CacheFile string
+	// Log, when set, keeps what was decided on nodes, and why.
+	Log *explain.Log
 }
 
+// changes counts the changes of what this node believes of others.
+var changes = expvar.NewMap("membership_changes")
+
 // Controller detects failures and spreads what it knows of nodes. Register its Receiver as "Membership".
 type Controller struct {
 	o    Options
@@ -273,6 +280,12 @@
 // publish writes the section when a member changed, or when only the times of contact did and are due. c.mu is held.
 func (c *Controller) publish() {
 	now := time.Now()
+	for _, e := range c.table.Events() {
+		changes.Add(e.Change, 1)
+		if c.o.Log != nil {
+			c.o.Log.Record(explain.Entry{Member: e.Name, Decision: e.Change, Reason: e.Evidence})
+		}
+	}
 	c.table.SetVersion(c.name, c.version())
 	changed := c.table.Revision() != c.revision
 	if !changed && now.Sub(c.at) < publishInterval {
--- a/pkg/ctl/completion.go
+++ b/pkg/ctl/completion.go
@@ -54,7 +54,7 @@
 
 // Complete returns the words that begin with match.
 func (*subjectName) Complete(match string) []flags.Completion {
-	return complete(match, "request", "job", "item", "upstream")
+	return complete(match, "request", "job", "item", "upstream", "member", "configuration")
 }
 
 func complete(match string, words ...string) []flags.Completion {
--- a/pkg/ctl/ctl.go
+++ b/pkg/ctl/ctl.go
@@ -63,7 +63,7 @@
 		{name: "diff", short: "Show what documents would change", long: diffHelp, data: &diffCommand{app: a}},
 		{name: "get", short: "Print the register or rules in force", long: getHelp, data: &getCommand{app: a}},
 		{name: "status", short: "Show problems first, then nodes and objects", long: statusHelp, data: &statusCommand{app: a}},
-		{name: "explain", short: "Show the decisions about a request, job, item or upstream", long: explainHelp, data: &explainCommand{app: a}},
+		{name: "explain", short: "Show the decisions about a request, job, item, upstream, node or version", long: explainHelp, data: &explainCommand{app: a}},
 		{name: "drain", short: "Make the node at --server leave", long: drainHelp, data: &drainCommand{app: a}},
 		{name: "addresses", short: "Show the node addresses that callers are given", long: addressesHelp, data: &addressesCommand{app: a}},
 		{name: "job", short: "Work with batch jobs", data: &none{}, subcommands: jobCommands(a)},
--- a/pkg/ctl/help.go
+++ b/pkg/ctl/help.go
@@ -55,7 +55,9 @@
 
 Examples:
   trefoilctl explain request mu-3-01JD8Z4M0H7T6B1K5Q2W9XYZAB
-  trefoilctl explain upstream engine-7 --json`
+  trefoilctl explain upstream engine-7 --json
+  trefoilctl explain member mu-3
+  trefoilctl explain configuration 42`
 
 	drainHelp = `Makes the node at --server leave: it is no longer given to callers, and nothing in progress is cut.
 
--- a/pkg/ctl/views.go
+++ b/pkg/ctl/views.go
@@ -114,7 +114,7 @@
 type explainCommand struct {
 	*app `no-flag:"yes"`
 	Args struct {
-		What subjectName `positional-arg-name:"request|job|item|upstream" required:"yes"`
+		What subjectName `positional-arg-name:"request|job|item|upstream|member|configuration" required:"yes"`
 		Name string      `positional-arg-name:"NAME" required:"yes"`
 	} `positional-args:"yes"`
 }
@@ -122,9 +122,9 @@
 // Execute shows the decisions.
 func (c *explainCommand) Execute([]string) error {
 	switch c.Args.What {
-	case "request", "job", "item", "upstream":
+	case "request", "job", "item", "upstream", "member", "configuration":
 	default:
-		return usageError.New("explain takes request, job, item or upstream, not %q", c.Args.What)
+		return usageError.New("explain takes request, job, item, upstream, member or configuration, not %q", c.Args.What)
 	}
 	q := url.Values{string(c.Args.What): {c.Args.Name}}
 	body, _, err := c.admin(call{method: "GET", path: "/v1/admin/explain?" + q.Encode()})
--- a/pkg/decision/membership/probe.go
+++ b/pkg/decision/membership/probe.go
@@ -143,7 +143,7 @@
 			return nil, now.Sub(l.Expiry) > recordAge && t.storeSettled(now)
 		}
 		u := fromLease(l)
-		if fresh, _ := t.Merge(u, now); fresh {
+		if fresh, _ := t.merge(u, now, "lease record"); fresh {
 			news = append(news, u)
 			t.nodes[l.Name].retry = true
 		}
@@ -163,7 +163,7 @@
 		u.Draining = true
 		if l.Released {
 			u.Status = Left
-			t.Merge(u, now)
+			t.merge(u, now, "lease released")
 		}
 		r.Draining = true
 		t.revision++
--- a/pkg/decision/membership/table.go
+++ b/pkg/decision/membership/table.go
@@ -7,6 +7,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"maps"
 	"slices"
 	"time"
@@ -105,6 +106,8 @@
 	misses  int
 	retry   bool
 	version int64
+	// evidence is what the last change of the status was decided on.
+	evidence string
 
 	leaseRevision int64
 	leaseSeen     time.Time
@@ -120,6 +123,8 @@
 	// storeSince is since when the store has answered without a failure; zero while it does not.
 	storeSince time.Time
 	lastTick   time.Time
+	// events are the changes since Events was last called.
+	events []Event
 	// revision grows with each change but those of the times of contact, and topology with each change of the
 	// live set.
 	revision, topology int64
@@ -141,6 +146,54 @@
 // Topology grows when a node enters or leaves the live set.
 func (t *Table) Topology() int64 { return t.topology }
 
+// Event is a change of what is believed of a node, and on what evidence.
+type Event struct {
+	Name string
+	// Change is "joined", "suspect", "dead", "left", "returned" after a removal or "refuted" after a suspicion.
+	Change, Evidence string
+}
+
+// Events returns the changes since the last call.
+func (t *Table) Events() []Event {
+	events := t.events
+	t.events = nil
+	return events
+}
+
+// note adds the event of a status that changed; known is false for a node that was not known before.
+func (t *Table) note(name string, known bool, from, to Status, evidence string) {
+	change := to.String()
+	switch {
+	case !known:
+		change = "joined"
+	case from == to || from >= Dead && to >= Dead:
+		return
+	case from >= Dead:
+		change = "returned"
+	case to == Alive:
+		change = "refuted"
+	}
+	t.events = append(t.events, Event{name, change, evidence})
+	t.nodes[name].evidence = evidence
+}
+
+// Removed is a node that is believed to be dead.
+type Removed struct {
+	Name, Evidence string
+	Since          time.Time
+}
+
+// Removed returns the dead nodes that are remembered and that the VM list does not confirm as lost, by name.
+func (t *Table) Removed() []Removed {
+	var removed []Removed
+	for _, name := range slices.Sorted(maps.Keys(t.nodes)) {
+		if r := t.nodes[name]; r.Status == Dead && t.vms[name] != blackboard.VMLost {
+			removed = append(removed, Removed{name, r.evidence, r.since})
+		}
+	}
+	return removed
+}
+
 // Get returns what is known of a node.
 func (t *Table) Get(name string) (Update, bool) {
 	r, ok := t.nodes[name]
@@ -153,6 +206,10 @@
 // Merge takes a statement of another node. fresh reports whether it was new here and is to be passed on. A
 // statement against this node itself is refuted instead.
 func (t *Table) Merge(u Update, now time.Time) (fresh bool, news []Update) {
+	return t.merge(u, now, "statement of another node")
+}
+
+func (t *Table) merge(u Update, now time.Time, evidence string) (fresh bool, news []Update) {
 	if !u.Valid() {
 		return false, nil
 	}
@@ -188,6 +245,7 @@
 	if u.Status == Alive {
 		r.misses = 0
 	}
+	t.note(u.Name, ok, r.Status, u.Status, evidence)
 	r.Update = u
 	r.retry = r.retry || hearsay
 	return true, nil
@@ -255,7 +313,7 @@
 	}
 	u := r.Update
 	u.Stamp, u.Draining = s, draining
-	t.Merge(u, now)
+	t.merge(u, now, "answer or heartbeat of the node")
 	return []Update{u}
 }
 
@@ -273,6 +331,7 @@
 	if r.misses < t.p.Misses {
 		return nil
 	}
+	t.note(name, true, r.Status, Suspect, fmt.Sprintf("%d heartbeats without answer", r.misses))
 	r.Status, r.since, r.raised = Suspect, now, true
 	t.doubtZone(r.AvailabilityZone, now)
 	return []Update{r.Update}
@@ -312,6 +371,11 @@
 		age := now.Sub(r.since)
 		switch {
 		case r.Status == Suspect && !r.retry && (age >= t.p.SuspectTimeout || t.vms[name] == blackboard.VMLost):
+			evidence := "no refutation within " + t.p.SuspectTimeout.String()
+			if age < t.p.SuspectTimeout {
+				evidence = "no answer, and the VM list has it as lost"
+			}
+			t.note(name, true, Suspect, Dead, evidence)
 			r.Status, r.since = Dead, now
 			t.revision++
 			t.topology++
--- a/pkg/explain/explain.go
+++ b/pkg/explain/explain.go
@@ -14,6 +14,9 @@
 	Job      string    `json:"job,omitempty"`
 	Item     string    `json:"item,omitempty"`
 	Upstream string    `json:"upstream,omitempty"`
+	// Member is the node that a decision about the live set is about, and Configuration a version of the configuration.
+	Member        string `json:"member,omitempty"`
+	Configuration string `json:"configuration,omitempty"`
 	// Decision names what was decided, such as "place", "retry" or "drop".
 	Decision string `json:"decision"`
 	Reason   string `json:"reason"`
@@ -26,12 +29,13 @@
 
 // Query selects entries; an empty field matches any value.
 type Query struct {
-	Request, Job, Item, Upstream string
+	Request, Job, Item, Upstream, Member, Configuration string
 }
 
 func (q Query) matches(e *Entry) bool {
 	return (q.Request == "" || q.Request == e.Request) && (q.Job == "" || q.Job == e.Job) &&
-		(q.Item == "" || q.Item == e.Item || q.Item == e.Values[ValueCustomID]) && (q.Upstream == "" || q.Upstream == e.Upstream)
+		(q.Item == "" || q.Item == e.Item || q.Item == e.Values[ValueCustomID]) && (q.Upstream == "" || q.Upstream == e.Upstream) &&
+		(q.Member == "" || q.Member == e.Member) && (q.Configuration == "" || q.Configuration == e.Configuration)
 }
 
 // Log is a ring of the latest entries of one node. It is safe for concurrent use.
--- a/pkg/node/build.go
+++ b/pkg/node/build.go
@@ -51,11 +51,12 @@
 	self := n.record()
 	n.lease = lease.New(n.store, n.board, self, n.leaseParams())
 	n.members = membership.New(membership.Options{Store: n.store, Board: n.board, Peers: n.peerClient, Self: self, Seeds: n.settings.Join,
-		CacheFile: n.cacheFile()})
+		CacheFile: n.cacheFile(), Log: n.log})
 	if err := n.peerServer.Register("Membership", n.members.Receiver()); err != nil {
 		return err
 	}
 	n.config = confsync.New(n.store, n.board, n.peerClient, n.settings.Name)
+	n.config.Log = n.log
 	if err := n.peerServer.Register("Config", n.config.Receiver()); err != nil {
 		return err
 	}
@@ -199,7 +200,7 @@
 		Node: n.settings.Name, Board: n.board, Config: n.config, Peers: n.peerClient, Explain: n.log, Burn: n.burn,
 		KeyDigests: []string{hex.EncodeToString(digest[:])}, Ready: n.ready,
 		Drain:     func() { go func() { _ = n.drainer.Drain(context.Background()) }() },
-		Providers: []status.Provider{n.reconcile, n.admission, n.batch},
+		Providers: []status.Provider{n.members, n.reconcile, n.admission, n.batch},
 	}
 	n.operator = operator.New(options)
 	return operator.NewLocal(options).Register(n.peerServer)
--- a/pkg/operator/status/status.go
+++ b/pkg/operator/status/status.go
@@ -15,6 +15,7 @@
 	KindModel       Kind = "model"
 	KindUpstream    Kind = "upstream"
 	KindJob         Kind = "job"
+	KindNode        Kind = "node"
 )
 
 // Object is one institution, model, upstream or job as one part of one node sees it.
--- a/pkg/operator/views.go
+++ b/pkg/operator/views.go
@@ -23,10 +23,11 @@
 
 func (s *server) explain(w http.ResponseWriter, r *http.Request) {
 	v := r.URL.Query()
-	q := explain.Query{Request: v.Get("request"), Job: v.Get("job"), Item: v.Get("item"), Upstream: v.Get("upstream")}
+	q := explain.Query{Request: v.Get("request"), Job: v.Get("job"), Item: v.Get("item"), Upstream: v.Get("upstream"),
+		Member: v.Get("member"), Configuration: v.Get("configuration")}
 	if q == (explain.Query{}) {
 		writeError(w, api.Errorf(http.StatusBadRequest, api.CodeMalformed, api.NotRun,
-			"one of request, job, item or upstream is needed"))
+			"one of request, job, item, upstream, member or configuration is needed"))
 		return
 	}
 	answers := ask(r.Context(), s, s.explainNodes(q), "Explain.Get", q, func() ExplainReply {
