Claim at the serving node when the owner does not reach the store

Cause: a non-idempotent request was refused when the owner of its key answered that the store is out of its reach, though the serving node reached it: with one of three nodes cut off from the store, 6 of 10 requests through another. Change: the serving node then writes the bucket itself, as it does when the owner is silent, unless its own lease has lapsed too. Two writers conflict and read again, so a key is still claimed once.

--- a/pkg/controller/claims/claims.go
+++ b/pkg/controller/claims/claims.go
@@ -2,7 +2,7 @@
 // request is claimed durably in the object claims/BUCKET, where the bucket is a hash of institution and key.
 //
 // The rendezvous owner of a bucket packs the claims that wait into one conditional update. When the owner gives
-// no answer, the serving node writes the bucket itself. Two writers at once conflict and read again, so a key is
+// no answer or does not reach the store, the serving node writes the bucket itself. Two writers at once conflict and read again, so a key is
 // claimed once in any case. An operation that failed may still have reached the store; its request never ran, and
 // the writer removes such a claim with its next commit.
 package claims
@@ -22,6 +22,7 @@
 	"trefoilplank.example/pkg/adapter/peer"
 	"trefoilplank.example/pkg/adapter/store"
 	"trefoilplank.example/pkg/blackboard"
+	"trefoilplank.example/pkg/decision/lease"
 	"trefoilplank.example/pkg/decision/rendezvous"
 )
 
@@ -160,15 +161,26 @@
 	callCtx, stop := context.WithTimeout(ctx, callTimeout)
 	defer stop()
 	err := c.Peers.Call(callCtx, owner, "Claims.Claim", args, &reply)
-	if err == nil {
+	if err == nil && (reply.Result != Unavailable || c.cutOff()) {
 		return reply.Result
 	}
-	klog.V(1).InfoS("Claim owner gave no answer", "node", owner, "request", args.Request, "err", err)
+	klog.V(1).InfoS("Claim owner gave no claim", "node", owner, "request", args.Request, "err", err)
 	if ctx.Err() != nil {
 		return Unavailable
 	}
 	args.Request = second(args.Request)
-	return c.apply(args, false)
+	result := c.apply(args, false)
+	if err == nil && result == Held {
+		// The holder may be this request, in a write of the owner that was thought to have failed.
+		return Unavailable
+	}
+	return result
+}
+
+// cutOff reports whether this node had a lease and lost it, and so does not reach the store either.
+func (c *Controller) cutOff() bool {
+	l, revision := c.Board.Lease.Get()
+	return revision > 0 && !lease.Holds(l, time.Now())
 }
 
 // Release withdraws the claim of a request that no upstream began, so that a resend of its key may run.
--- a/pkg/controller/claims/claims_test.go
+++ b/pkg/controller/claims/claims_test.go
@@ -64,6 +64,15 @@
 	return c
 }
 
+// Guards against requests refused by a node that reaches the store because the owner of their keys does not.
+func TestOwnerWithoutStore(t *testing.T) {
+	network, s := peertest.New(), memstore.New()
+	newNode(t, network, &unreliable{Store: s, refused: 100}, "a", "a")
+	other := newNode(t, network, s, "b", "a")
+	assert.Equal(t, other.Claim(t.Context(), "board", "key", "digest", "r1"), Granted)
+	assert.Assert(t, other.Claim(t.Context(), "board", "key", "digest", "r2") != Granted)
+}
+
 // Guards against a key that is claimed twice while two nodes both take themselves for its owner, a third sends its
 // claims to one of them, and the store refuses calls, loses answers and applies writes late. A key whose claims
 // all failed must be free again afterwards.
