End a store watch that reports nothing

Cause: a watch on a connection whose packets vanish waited for ever, so a relay that was cut off from the store did not learn of later versions from it after the heal. Change: a watch that reports nothing for 7 s, not even the revision that the store sends every 5 s, ends and is made anew from the last revision. TestSilentWatch guards it.

--- a/pkg/adapter/store/client.go
+++ b/pkg/adapter/store/client.go
@@ -28,6 +28,9 @@
 	maxAttempts = 3
 	// maxListBytes bounds one list answer: 1,000 objects of a few KB, or some of the largest.
 	maxListBytes = 64 << 20
+	// DefaultWatchSilence leaves a store that reports its revision every 5 s some time, and a relay that was cut off
+	// most of the 10 s that a configuration may take.
+	DefaultWatchSilence = 7 * time.Second
 	// dialTimeout bounds a connect; the store answers in milliseconds when it is up.
 	dialTimeout = time.Second
 )
@@ -37,6 +40,8 @@
 	// ReadsPerSecond and WritesPerSecond are the node's budgets.
 	ReadsPerSecond, WritesPerSecond float64
 	CallTimeout                     time.Duration
+	// WatchSilence is how long a watch may report nothing, not even its revision, before it ends and is made anew.
+	WatchSilence time.Duration
 	// Transport replaces the HTTP transport in tests.
 	Transport http.RoundTripper
 }
@@ -46,6 +51,7 @@
 	base    string
 	http    *http.Client
 	timeout time.Duration
+	silence time.Duration
 	reads   *budget
 	writes  *budget
 
@@ -69,6 +75,9 @@
 	if o.CallTimeout == 0 {
 		o.CallTimeout = DefaultCallTimeout
 	}
+	if o.WatchSilence == 0 {
+		o.WatchSilence = DefaultWatchSilence
+	}
 	if o.Transport == nil {
 		o.Transport = &http.Transport{
 			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
@@ -80,6 +89,7 @@
 		base:    strings.TrimRight(address, "/"),
 		http:    &http.Client{Transport: o.Transport},
 		timeout: o.CallTimeout,
+		silence: o.WatchSilence,
 		reads:   newBudget(o.ReadsPerSecond, DefaultReadsPerSecond),
 		writes:  newBudget(o.WritesPerSecond, DefaultWritesPerSecond),
 	}
--- a/pkg/adapter/store/client_test.go
+++ b/pkg/adapter/store/client_test.go
@@ -357,3 +357,33 @@
 		Header: http.Header{"Object-Revision": {g.revision}},
 	}, nil
 }
+
+// vanished accepts a call and then gives nothing, as a network that drops packets.
+type vanished struct{ headers bool }
+
+func (v vanished) RoundTrip(r *http.Request) (*http.Response, error) {
+	body, end := io.Pipe()
+	context.AfterFunc(r.Context(), func() { end.CloseWithError(r.Context().Err()) })
+	if !v.headers {
+		<-r.Context().Done()
+		return nil, r.Context().Err()
+	}
+	return &http.Response{StatusCode: http.StatusOK, Body: body}, nil
+}
+
+// TestSilentWatch guards against a watch that waits for ever on a connection from before a network cut.
+func TestSilentWatch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for _, headers := range []bool{true, false} {
+			ctx, cancel := context.WithTimeout(t.Context(), time.Hour)
+			defer cancel()
+			start := time.Now()
+			events, err := store.NewClient("127.0.0.1:1", store.Options{Transport: vanished{headers}}).Watch(ctx, "config/head", 1)
+			if err == nil {
+				_, open := <-events
+				assert.Assert(t, !open)
+			}
+			assert.Assert(t, time.Since(start) < 10*time.Second, "headers %t: ended after %s", headers, time.Since(start))
+		}
+	})
+}
--- a/pkg/adapter/store/watch.go
+++ b/pkg/adapter/store/watch.go
@@ -20,28 +20,36 @@
 	if err := c.reads.take(ctx); err != nil {
 		return nil, unavailable(err)
 	}
+	// A watch whose packets vanish would wait for ever, and with it every change that only the watch reports.
+	ctx, cancel := context.WithCancel(ctx)
+	silence := time.AfterFunc(c.silence, cancel)
 	query := url.Values{"prefix": {prefix}, "from": {strconv.FormatInt(from, 10)}}
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+"/watch?"+query.Encode(), nil)
 	if err != nil {
+		cancel()
 		return nil, unavailable(err)
 	}
 	calls.Add("watch", 1)
 	resp, err := c.http.Do(req)
 	if err != nil {
 		calls.Add("watch_failed", 1)
+		cancel()
 		return nil, unavailable(err)
 	}
 	if resp.StatusCode != http.StatusOK {
 		resp.Body.Close()
+		cancel()
 		return nil, readError(statusError(resp.StatusCode, nil))
 	}
 	events := make(chan Event)
 	go func() {
 		defer close(events)
+		defer cancel()
 		defer resp.Body.Close()
 		lines := bufio.NewScanner(resp.Body)
 		lines.Buffer(nil, maxEventBytes)
 		for lines.Scan() {
+			silence.Reset(c.silence)
 			e, err := decodeEvent(lines.Bytes())
 			if err != nil {
 				return
