--- a/pkg/controller/membership/membership_test.go
+++ b/pkg/controller/membership/membership_test.go
@@ -180,7 +180,8 @@
 	})
 }
 
-// TestPartitionHeals guards against two sides of a partition that never find each other again.
+// TestPartitionHeals guards against two sides of a partition that do not find each other again, or that remove members
+// of their own on the word of the other side.
 func TestPartitionHeals(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t)
@@ -192,11 +193,32 @@
 			assert.Equal(t, len(n.board.Members.Value().Live), 3, name)
 		}
 		f.network.SetCut(nil)
-		time.Sleep(40 * time.Second)
+		for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+			for name, n := range f.nodes {
+				for other := range f.nodes {
+					_, live := n.board.Members.Value().Live[other]
+					assert.Assert(t, live || name[:2] != other[:2], "%s lost %s after the heal", name, other)
+				}
+			}
+		}
 		f.expect(names...)
 	})
 }
 
+// TestLostZone guards against the members of a lost zone, which no heartbeat from outside reaches, staying live.
+func TestLostZone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		defer f.stopAll()
+		names := f.startZones(3, 12)
+		for _, name := range names[24:] {
+			f.kill(name)
+		}
+		time.Sleep(25 * time.Second)
+		f.expect(names[:24]...)
+	})
+}
+
 // TestDrainAndLeave guards against the drain flag or a regular stop staying unknown to other nodes.
 func TestDrainAndLeave(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/pkg/ctl/completion.go
+++ b/pkg/ctl/completion.go
@@ -38,5 +38,5 @@
 
 // Complete returns the words that begin with match.
 func (*subjectName) Complete(match string) []flags.Completion {
-	return commandline.Words(match, "request", "job", "item", "upstream")
+	return commandline.Words(match, "request", "job", "item", "upstream", "member", "configuration")
 }
--- a/pkg/decision/membership/table.go
+++ b/pkg/decision/membership/table.go
@@ -7,6 +7,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"maps"
 	"slices"
 	"time"
@@ -105,6 +106,8 @@
 	misses  int
 	retry   bool
 	version int64
+	// evidence is what the last change of the status was decided on.
+	evidence string
 
 	leaseRevision int64
 	leaseSeen     time.Time
@@ -120,6 +123,8 @@
 	// storeSince is since when the store has answered without a failure; zero while it does not.
 	storeSince time.Time
 	lastTick   time.Time
+	// events are the changes since Events was last called.
+	events []Event
 	// revision grows with each change but those of the times of contact, and topology with each change of the
 	// live set.
 	revision, topology int64
@@ -141,6 +146,54 @@
 // Topology grows when a node enters or leaves the live set.
 func (t *Table) Topology() int64 { return t.topology }
 
+// Event is a change of what is believed of a node, and on what evidence.
+type Event struct {
+	Name string
+	// Change is "joined", "suspect", "dead", "left", "returned" after a removal or "refuted" after a suspicion.
+	Change, Evidence string
+}
+
+// Events returns the changes since the last call.
+func (t *Table) Events() []Event {
+	events := t.events
+	t.events = nil
+	return events
+}
+
+// note adds the event of a status that changed; known is false for a node that was not known before.
+func (t *Table) note(name string, known bool, from, to Status, evidence string) {
+	change := to.String()
+	switch {
+	case !known:
+		change = "joined"
+	case from == to || from >= Dead && to >= Dead:
+		return
+	case from >= Dead:
+		change = "returned"
+	case to == Alive:
+		change = "refuted"
+	}
+	t.events = append(t.events, Event{name, change, evidence})
+	t.nodes[name].evidence = evidence
+}
+
+// Removed is a node that is believed to be dead.
+type Removed struct {
+	Name, Evidence string
+	Since          time.Time
+}
+
+// Removed returns the dead nodes that are remembered and that the VM list does not confirm as lost, by name.
+func (t *Table) Removed() []Removed {
+	var removed []Removed
+	for _, name := range slices.Sorted(maps.Keys(t.nodes)) {
+		if r := t.nodes[name]; r.Status == Dead && t.vms[name] != blackboard.VMLost {
+			removed = append(removed, Removed{name, r.evidence, r.since})
+		}
+	}
+	return removed
+}
+
 // Get returns what is known of a node.
 func (t *Table) Get(name string) (Update, bool) {
 	r, ok := t.nodes[name]
@@ -153,6 +206,10 @@
 // Merge takes a statement of another node. fresh reports whether it was new here and is to be passed on. A
 // statement against this node itself is refuted instead.
 func (t *Table) Merge(u Update, now time.Time) (fresh bool, news []Update) {
+	return t.merge(u, now, "statement of another node")
+}
+
+func (t *Table) merge(u Update, now time.Time, evidence string) (fresh bool, news []Update) {
 	if !u.Valid() {
 		return false, nil
 	}
@@ -160,6 +217,10 @@
 		return false, t.Refute(u.Stamp, now)
 	}
 	r, ok := t.nodes[u.Name]
+	hearsay := ok && u.Status == Dead && t.unconfirmed(r, u, now)
+	if hearsay {
+		u.Status = Suspect
+	}
 	if ok && !u.Newer(r.Stamp) {
 		return false, nil
 	}
@@ -184,10 +245,20 @@
 	if u.Status == Alive {
 		r.misses = 0
 	}
+	t.note(u.Name, ok, r.Status, u.Status, evidence)
 	r.Update = u
+	r.retry = r.retry || hearsay
 	return true, nil
 }
 
+// unconfirmed reports whether a removal that another node decided is only a suspicion here, since this node has not
+// known of a suspicion for about as long as it lasts. Two parts of a fleet that were out of contact tell each other
+// after the heal that their members are dead; taken at their word, each would lose its own members for seconds.
+func (t *Table) unconfirmed(r *record, u Update, now time.Time) bool {
+	known := r.Status == Suspect && r.Incarnation == u.Incarnation && r.Seq == u.Seq
+	return r.Status < Dead && !(known && now.Sub(r.since) >= t.p.SuspectTimeout*2/3)
+}
+
 // Refute raises this node's own stamp above a statement that it is not alive or that an older process of the
 // same name left behind.
 func (t *Table) Refute(s Stamp, now time.Time) []Update {
@@ -242,7 +313,7 @@
 	}
 	u := r.Update
 	u.Stamp, u.Draining = s, draining
-	t.Merge(u, now)
+	t.merge(u, now, "answer or heartbeat of the node")
 	return []Update{u}
 }
 
@@ -260,7 +331,9 @@
 	if r.misses < t.p.Misses {
 		return nil
 	}
+	t.note(name, true, r.Status, Suspect, fmt.Sprintf("%d heartbeats without answer", r.misses))
 	r.Status, r.since, r.raised = Suspect, now, true
+	t.doubtZone(r.AvailabilityZone, now)
 	return []Update{r.Update}
 }
 
@@ -288,7 +361,8 @@
 	}
 }
 
-// Tick removes suspects that did not refute in time and forgets old tombstones.
+// Tick removes suspects that did not refute in time and forgets old tombstones. A suspect that this node is still to
+// probe itself stays.
 func (t *Table) Tick(now time.Time) []Update {
 	t.absorbPause(now)
 	var news []Update
@@ -296,7 +370,12 @@
 		r := t.nodes[name]
 		age := now.Sub(r.since)
 		switch {
-		case r.Status == Suspect && (age >= t.p.SuspectTimeout || t.vms[name] == blackboard.VMLost):
+		case r.Status == Suspect && !r.retry && (age >= t.p.SuspectTimeout || t.vms[name] == blackboard.VMLost):
+			evidence := "no refutation within " + t.p.SuspectTimeout.String()
+			if age < t.p.SuspectTimeout {
+				evidence = "no answer, and the VM list has it as lost"
+			}
+			t.note(name, true, Suspect, Dead, evidence)
 			r.Status, r.since = Dead, now
 			t.revision++
 			t.topology++
--- a/pkg/operator/views.go
+++ b/pkg/operator/views.go
@@ -23,9 +23,10 @@
 
 func (s *server) explain(w http.ResponseWriter, r *http.Request) {
 	v := r.URL.Query()
-	q := explain.Query{Request: v.Get("request"), Job: v.Get("job"), Item: v.Get("item"), Upstream: v.Get("upstream")}
+	q := explain.Query{Request: v.Get("request"), Job: v.Get("job"), Item: v.Get("item"), Upstream: v.Get("upstream"),
+		Member: v.Get("member"), Configuration: v.Get("configuration")}
 	if q == (explain.Query{}) {
-		writeError(w, malformed("one of request, job, item or upstream is needed"))
+		writeError(w, malformed("one of request, job, item, upstream, member or configuration is needed"))
 		return
 	}
 	answers := ask(r.Context(), s, s.explainNodes(q), "Explain.Get", q, func() ExplainReply {
