Drop the quadratic fit and the reconciler's own faulty store

Cause: capacity.Quadratic was used by its test only, and the reconciler's tests had a store with outages and lost answers beside package storetest.

Change: Both are gone; the reconciler's tests wrap storetest.Faulty, which also fails lists in an outage, and add only the pause of a writer.

--- a/pkg/capacity/slopes.go
+++ b/pkg/capacity/slopes.go
@@ -61,20 +61,3 @@
 	// of the decision log (Burn, Explain).
 	BurnState, BurnCPU, EntryState, EntryCPU Line
 }
-
-// Quadratic is a cost that grows with the square of a size.
-type Quadratic struct{ Factor float64 }
-
-// At returns the cost at a size.
-func (q Quadratic) At(size float64) float64 { return q.Factor * size * size }
-
-// FitQuadratic returns the factor with the least squares of relative errors.
-func FitQuadratic(points ...Point) Quadratic {
-	var sum, squares float64
-	for _, p := range points {
-		r := p.X * p.X / p.Y
-		sum += r
-		squares += r * r
-	}
-	return Quadratic{sum / squares}
-}
--- a/pkg/capacity/table_test.go
+++ b/pkg/capacity/table_test.go
@@ -69,20 +69,17 @@
 	assert.Assert(t, messages2 > messages && cores2 > cores)
 }
 
-// TestFit guards against a fit that does not find the line or the factor that the points were made from.
+// TestFit guards against a fit that does not find the line that the points were made from.
 func TestFit(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		want := capacity.Line{Fixed: rapid.Float64Range(0, 1e6).Draw(t, "fixed"), Slope: rapid.Float64Range(0.1, 1e3).Draw(t, "slope")}
-		factor := rapid.Float64Range(1e-3, 1e3).Draw(t, "factor")
-		var line, square []capacity.Point
+		var line []capacity.Point
 		for x := 1.0; x <= 1000; x *= 10 {
 			line = append(line, capacity.Point{X: x, Y: want.At(x)})
-			square = append(square, capacity.Point{X: x, Y: factor * x * x})
 		}
 		got := capacity.Fit(line...)
 		near := func(a, b float64) bool { return math.Abs(a-b) <= 1e-6*math.Max(1, math.Abs(b)) }
 		assert.Assert(t, near(got.At(1), want.At(1)) && near(got.At(5000), want.At(5000)), "%v instead of %v", got, want)
-		assert.Assert(t, near(capacity.FitQuadratic(square...).At(3), 9*factor))
 		assert.Assert(t, near(capacity.Constant(line...).At(7), (4*want.Fixed+1111*want.Slope)/4))
 	})
 }
--- a/pkg/controller/reconcile/controller_test.go
+++ b/pkg/controller/reconcile/controller_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -24,14 +25,16 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				f := newFixture(t, 4, 3, "v2", api.FencingEnforced, "n1")
-				f.store.loseAnswers = lose
+				if lose {
+					f.store.LoseAnswers(math.MaxInt)
+				}
 				f.pass("n1", 120)
 				assert.DeepEqual(t, f.fleet.versions(), map[string]int{"v2": 4})
 				assert.Equal(t, f.fleet.lowest, 3)
 				for u := range f.fleet.engines {
 					assert.Equal(t, len(f.fleet.orders(u)), 1, "orders must not be repeated: %v", f.fleet.orders(u))
 					var r leaseRecord
-					o, err := f.store.Store.Get(context.Background(), leaseKey(u))
+					o, err := f.records.Get(context.Background(), leaseKey(u))
 					assert.NilError(t, err)
 					assert.NilError(t, json.Unmarshal(o.Value, &r))
 					assert.Assert(t, r.Released)
@@ -146,13 +149,13 @@
 func TestStoreDown(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFixture(t, 2, 1, "v2", api.FencingEnforced, "n1")
-		f.store.down = true
+		f.store.SetDown(true)
 		f.pass("n1", 10)
 		for u := range f.fleet.engines {
 			assert.Equal(t, len(f.fleet.orders(u)), 0)
 		}
 		assert.Assert(t, len(f.nodes["n1"].Status(context.Background()).Problems) > 0)
-		f.store.down = false
+		f.store.SetDown(false)
 		f.pass("n1", 60)
 		assert.DeepEqual(t, f.fleet.versions(), map[string]int{"v2": 2})
 	})
@@ -184,7 +187,7 @@
 			e.noOrders = true
 		}
 		f.pass("n1", 10)
-		_, err := f.store.Store.Get(context.Background(), leaseKey("u0"))
+		_, err := f.records.Get(context.Background(), leaseKey("u0"))
 		assert.ErrorIs(t, err, store.ErrNotFound)
 		assert.Equal(t, len(f.nodes["n1"].Status(context.Background()).Problems), 0)
 	})
--- a/pkg/controller/reconcile/fake_test.go
+++ b/pkg/controller/reconcile/fake_test.go
@@ -9,8 +9,8 @@
 	"time"
 
 	"trefoilplank.example/api"
-	"trefoilplank.example/pkg/adapter/store"
 	"trefoilplank.example/pkg/adapter/store/memstore"
+	"trefoilplank.example/pkg/adapter/store/storetest"
 	"trefoilplank.example/pkg/blackboard"
 	"trefoilplank.example/pkg/decision/reconcile"
 	"trefoilplank.example/pkg/explain"
@@ -138,33 +138,19 @@
 	return append([]string(nil), f.engines[name].log...)
 }
 
-// faultyStore fails or loses answers of calls on demand.
-type faultyStore struct {
-	*memstore.Store
-	down, loseAnswers bool
+// pausedStore is a store with faults that can also pause a writer.
+type pausedStore struct {
+	*storetest.Faulty
 	// pause holds the next writer of a roll-out record after its write, until it is closed.
 	pause chan struct{}
 }
 
-func (s *faultyStore) Get(ctx context.Context, key string) (store.Object, error) {
-	if s.down {
-		return store.Object{}, store.ErrUnavailable
-	}
-	return s.Store.Get(ctx, key)
-}
-
-func (s *faultyStore) Put(ctx context.Context, key string, value []byte, expect int64) (int64, error) {
-	if s.down {
-		return 0, store.ErrUnavailable
-	}
-	revision, err := s.Store.Put(ctx, key, value, expect)
+func (s *pausedStore) Put(ctx context.Context, key string, value []byte, expect int64) (int64, error) {
+	revision, err := s.Faulty.Put(ctx, key, value, expect)
 	if pause := s.pause; pause != nil && strings.HasPrefix(key, "rollouts/") {
 		s.pause = nil
 		<-pause
 	}
-	if err == nil && s.loseAnswers {
-		return 0, store.ErrUnknown
-	}
 	return revision, err
 }
 
@@ -180,9 +166,11 @@
 
 // fixture is a fleet with one controller for each node name.
 type fixture struct {
-	t       *testing.T
-	fleet   *fakeFleet
-	store   *faultyStore
+	t     *testing.T
+	fleet *fakeFleet
+	store *pausedStore
+	// records is the store without its faults.
+	records *memstore.Store
 	weights *fakeWeights
 	board   map[string]*blackboard.Board
 	log     map[string]*explain.Log
@@ -191,8 +179,9 @@
 
 // newFixture starts n engines that hold version v1 of model m; desired is the version in the register.
 func newFixture(t *testing.T, n, minimum int, desired string, fencing api.Fencing, nodes ...string) *fixture {
+	records := memstore.New()
 	f := &fixture{
-		t: t, store: &faultyStore{Store: memstore.New()}, weights: &fakeWeights{},
+		t: t, store: &pausedStore{Faulty: storetest.New(records)}, records: records, weights: &fakeWeights{},
 		fleet: &fakeFleet{engines: map[string]*fakeEngine{}, loadTime: 20 * time.Second, lowest: n},
 		board: map[string]*blackboard.Board{}, log: map[string]*explain.Log{}, nodes: map[string]*Controller{},
 	}
