Measure batch beside online work on a stepped engine model

Cause: BenchmarkBatchBeside ran in real time on a model without engine steps. Online work joined an engine at once when a slot was free and only at a token when batch work held it, and preempted runs lost all work, while the system resumes them since exported KV states were added. Arrivals had no bursts.

Change: the model advances all sequences by one token a step as the stand-in engine does, and runs in virtual time. The older model stays for the other benchmarks.

--- a/pkg/controller/admission/model_test.go
+++ b/pkg/controller/admission/model_test.go
@@ -32,6 +32,8 @@
 	clock            int64
 	events           []placement.CacheEvent
 	hits, blocks     int
+	// steps is used by runStepped only.
+	steps stepped
 }
 
 func newModelEngine(slots int, token time.Duration) *modelEngine {
