Let few results of a large part wait longer for their commit

Cause: at the target's 0.5 items/s a node committed a part of 250 items every two minutes, 60 results a time. Of 7.3 writes a part, four were such commits, one each the claim, the last commit and the mark in the summary (20,000 items, 40 nodes, counted by kind).

Change: fewer than 150 results of a part of 200 items and more wait up to 5 minutes instead of 2. Whatever waits is recorded when the node's lease was not renewed in time, before its deadline. A crash repeats fewer than 150 items of a part; it was up to 200 at higher rates before and stays so.

The price: counts of a slow part are up to 5 minutes old, and a cancel loses what was not recorded. TestResultsAreRecordedBeforeTheLeaseEnds fails without the lease check.

--- a/pkg/controller/batch/commit.go
+++ b/pkg/controller/batch/commit.go
@@ -130,7 +130,8 @@
 	idle := len(p.running) == 0 && p.remaining > 0 && (stopping || p.starved(time.Now()))
 	complete := p.remaining == 0 || idle
 	items := len(p.group.Items)
-	due := jobstate.CommitDue(p.rng.Size, items, len(p.group.Lines), time.Since(p.groupAt), complete)
+	due := jobstate.CommitDue(p.rng.Size, items, len(p.group.Lines), time.Since(p.groupAt), complete) ||
+		items > 0 && c.leaseRunsOut()
 	w := partWork{release: idle, commit: due || len(p.starts) > 0 || p.unsettled || idle && len(p.group.Attempts) > 0}
 	if !w.commit || p.unsettled {
 		return w
@@ -151,6 +152,12 @@
 	return w
 }
 
+// leaseRunsOut reports that the own lease was not renewed in time. What waits is recorded before its deadline, since
+// other nodes run it again after that.
+func (c *Controller) leaseRunsOut() bool {
+	return time.Until(c.Board.Lease.Value().Deadline) < c.Lease.Renew
+}
+
 // step does the work. An error that doesn't end the part leaves the group pending, in the part or in the
 // unsettled write.
 func (p *part) step(ctx context.Context, w partWork) error {
--- a/pkg/controller/batch/failure_test.go
+++ b/pkg/controller/batch/failure_test.go
@@ -18,6 +18,7 @@
 	"trefoilplank.example/pkg/adapter/store/memstore"
 	"trefoilplank.example/pkg/batch/faultstore"
 	"trefoilplank.example/pkg/blackboard"
+	"trefoilplank.example/pkg/decision/lease"
 	"trefoilplank.example/pkg/serving"
 )
 
@@ -206,3 +207,18 @@
 		})
 	})
 }
+
+// Guards against results that wait for a commit beyond the deadline of a lease that is no longer renewed: other nodes would
+// run all of them again.
+func TestResultsAreRecordedBeforeTheLeaseEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := startNode(t, memstore.New(), "a", &fakeInvoker{answer: slow(time.Second)}, 2, nil)
+		defer a.close()
+		job := a.submit(t, a.upload(t, chatFile(1700)))
+		time.Sleep(40 * time.Second)
+		assert.Equal(t, a.show(t, job).Counts.Completed, 0)
+		a.board.Lease.Set(blackboard.Lease{Number: 1, Deadline: time.Now().Add(lease.Default.Renew - time.Second)})
+		time.Sleep(2 * time.Second)
+		assert.Assert(t, a.show(t, job).Counts.Completed >= 70)
+	})
+}
--- a/pkg/decision/jobstate/jobstate_test.go
+++ b/pkg/decision/jobstate/jobstate_test.go
@@ -116,3 +116,12 @@
 	_, err = closed.Claim(b, true)
 	assert.ErrorIs(t, err, ErrState)
 }
+
+// Guards against a slow node that commits few results of a large part each time, and against results that wait without
+// a bound.
+func TestFewResultsOfALargePartWaitLonger(t *testing.T) {
+	assert.Assert(t, !CommitDue(250, CommitFew-1, 0, CommitMaxAge, false))
+	assert.Assert(t, CommitDue(250, CommitFew, 0, CommitMaxAge, false))
+	assert.Assert(t, CommitDue(250, 1, 0, CommitFewAge, false))
+	assert.Assert(t, CommitDue(20, 1, 0, 20*CommitAgePerItem, false))
+}
--- a/pkg/decision/jobstate/part.go
+++ b/pkg/decision/jobstate/part.go
@@ -188,6 +188,10 @@
 	CommitAgePerItem = 600 * time.Millisecond
 	CommitMinAge     = 2 * time.Second
 	CommitMaxAge     = 2 * time.Minute
+	// Fewer than CommitFew results of a large part wait up to CommitFewAge. At 0.5 items/s a part of 250 items then takes
+	// one commit beside the last one instead of four. A crash repeats fewer than CommitFew items of a part.
+	CommitFew    = 150
+	CommitFewAge = 5 * time.Minute
 )
 
 // CommitDue reports whether results that wait should be committed: age is that of the oldest, complete
@@ -197,5 +201,8 @@
 		return false
 	}
 	limit := min(max(time.Duration(size)*CommitAgePerItem, CommitMinAge), CommitMaxAge)
+	if limit == CommitMaxAge && items < CommitFew {
+		limit = CommitFewAge
+	}
 	return complete || items >= CommitItems || bytes >= CommitBytes || age >= limit
 }
