Prove that lots beside a large job get their share

Cause: shares between institutions and jobs were tested as a pure decision and for one lot on one node only.

--- /dev/null
+++ b/pkg/controller/batch/lots_test.go
@@ -0,0 +1,80 @@
+package batch
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"trefoilplank.example/api"
+	"trefoilplank.example/pkg/adapter/store/memstore"
+	"trefoilplank.example/pkg/serving"
+)
+
+// as runs a request of another institution with the same grants.
+func (n *testNode) as(institution string, r *http.Request) *httptest.ResponseRecorder {
+	id := testIdentity
+	id.Institution = institution
+	w := httptest.NewRecorder()
+	n.Handler().ServeHTTP(w, r.WithContext(serving.WithRequestID(serving.WithIdentity(r.Context(), id), n.Node+"-1")))
+	return w
+}
+
+// Guards against a large job that starves small lots of its own or another institution, and against lots that stop a
+// large job: institutions get their shares of the slots, and jobs of one institution equal parts.
+func TestManyLotsBesideOneLargeJob(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const nodes, slots, rounds, items = 2, 4, 20, 20
+		var mu sync.Mutex
+		done := map[string]int{}
+		invoker := &fakeInvoker{answer: func(ctx context.Context, c serving.Call, n int) (*serving.Result, error) {
+			result, err := slow(time.Second)(ctx, c, n)
+			if err == nil {
+				mu.Lock()
+				defer mu.Unlock()
+				done[strings.SplitN(c.CustomID, "-", 2)[0]]++
+			}
+			return result, err
+		}}
+		config := testConfig
+		config.Rules.Institutions = []api.InstitutionRules{{Institution: "agencia", Share: 1}, {Institution: "board", Share: 1}}
+		s := memstore.New()
+		var fleet []*testNode
+		for i := range nodes {
+			n := startNode(t, s, fmt.Sprint("n", i), invoker, slots, func(o *Options) { o.Board.Config.Set(config) })
+			defer n.close()
+			fleet = append(fleet, n)
+		}
+		large := fleet[0].submit(t, fleet[0].upload(t, strings.ReplaceAll(chatFile(20_000), "item-", "large-")))
+		time.Sleep(time.Minute)
+		mu.Lock()
+		before := done["large"]
+		mu.Unlock()
+		// Each round brings 40 items for the 80 that the slots run in it.
+		for round := range rounds {
+			own := fleet[1].submit(t, fleet[1].upload(t, lot(fmt.Sprint("own-", round), items)))
+			file := decode(t, fleet[0].as("board", uploadRequest(lot(fmt.Sprint("other-", round), items), "")), http.StatusOK).ID
+			other := decode(t, fleet[0].as("board", batchRequest(file, "", "24h")), http.StatusOK).ID
+			time.Sleep(10 * time.Second)
+			assert.Equal(t, fleet[0].show(t, own).Status, "completed", "round %d", round)
+			w := fleet[0].as("board", httptest.NewRequest(http.MethodGet, "/v1/batches/"+other, nil))
+			assert.Equal(t, decode(t, w, http.StatusOK).Status, "completed", "round %d", round)
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		assert.Equal(t, done["own"], rounds*items)
+		assert.Equal(t, done["other"], rounds*items)
+		// What the lots leave, half of the slots, goes to the large job.
+		left := rounds*10*nodes*slots - 2*rounds*items
+		t.Logf("large job: %d of %d items", done["large"]-before, left)
+		assert.Assert(t, done["large"]-before >= left*9/10, "%d of %d", done["large"]-before, left)
+		assert.Equal(t, fleet[0].show(t, large).Status, "in_progress")
+	})
+}
