Store claims in segments that are written once

Change: the bucket's object is a head with at most 32 claims before a commit. Above that they move to a segment, an object that is written once, and the head names it. Every claim is still one conditional update of the head, grouped as before. An owner reads the segments of the retention at its first use of the bucket. A withdrawn claim of a segment is outweighed by an entry without a request.

TestOneClaimPerKey now puts half of its keys into one bucket with segments.

--- a/pkg/controller/claims/bucket.go
+++ b/pkg/controller/claims/bucket.go
@@ -2,9 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
-	"errors"
-	"maps"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -21,9 +18,14 @@
 	storeTries = 6
 	// retryDelay is the mean delay between two attempts.
 	retryDelay = 10 * time.Millisecond
+	// maxOpen is the number of claims in the head of a bucket above which they are moved to a segment. A claim writes
+	// half of them again on average, about 2 KB.
+	maxOpen = 32
+	// maxGroup bounds the claims of one commit; with about 130 bytes each they stay far below the store's 1 MB.
+	maxGroup = 1000
 )
 
-// entry is one claim in a bucket object.
+// entry is one claim. Without a request it says that the claims of the key before it were withdrawn.
 type entry struct {
 	Request string `json:"r"`
 	Digest  string `json:"d"`
@@ -40,12 +42,13 @@
 	done   chan struct{}
 }
 
-// bucket is one object of claims on the node that serves it. The object in the store is what counts; entries is
-// a copy that the condition of each write checks.
+// bucket is a range of claims on the node that serves it. The head object in the store is what counts, and each claim
+// is a conditional update of it; the fields are a copy that the condition of each write checks.
 type bucket struct {
 	name  string
 	store store.Store
 	now   func() time.Time
+	limit int
 
 	mu      sync.Mutex
 	pending []*operation
@@ -53,12 +56,16 @@
 
 	// The fields below belong to the committing goroutine.
 
-	// undone holds requests that never ran although their claim may be in the store, or may reach it late. The
-	// next successful write removes the claim, and its new revision makes a late one fail.
-	undone   map[string]bool
+	// undone holds the keys of requests that never ran although their claim may be in the store, or may reach it
+	// late. The next successful write removes the claim, and its new revision makes a late one fail.
+	undone   map[string]string
 	loaded   bool
-	entries  map[string]entry
+	head     head
 	revision int64
+	// closed holds the newest claim of each key in the segments, which end with head.Last.
+	closed   map[string]entry
+	segments []segmentRef
+	purged   time.Time
 }
 
 // submit hands an operation to the next group and waits for its result.
@@ -79,8 +86,8 @@
 func (b *bucket) commitAll() {
 	for {
 		b.mu.Lock()
-		group := b.pending
-		b.pending = nil
+		group := b.pending[:min(len(b.pending), maxGroup)]
+		b.pending = b.pending[len(group):]
 		if len(group) == 0 {
 			b.running = false
 			b.mu.Unlock()
@@ -110,7 +117,7 @@
 		}
 		next, changed := b.apply(group)
 		if changed {
-			if b.write(ctx, next) != nil {
+			if b.commitHead(ctx, next) != nil {
 				b.loaded, failed = false, true
 				continue
 			}
@@ -123,9 +130,9 @@
 	}
 	for _, o := range group {
 		o.result = Unavailable
-		b.undone[o.entry.Request] = true
+		b.undone[o.entry.Request] = o.key
 		if o.undo {
-			b.undone[second(o.entry.Request)] = true
+			b.undone[second(o.entry.Request)] = o.key
 		}
 	}
 }
@@ -153,72 +160,66 @@
 	}
 }
 
-func (b *bucket) load(ctx context.Context) error {
-	o, err := b.store.Get(ctx, b.name)
-	if errors.Is(err, store.ErrNotFound) {
-		b.entries, b.revision, b.loaded = map[string]entry{}, store.CreateOnly, true
-		return nil
+// find returns the claim of a key that holds, given the open claims.
+func (b *bucket) find(open map[string]entry, key string, oldest int64) (entry, bool) {
+	e, ok := open[key]
+	if !ok {
+		e, ok = b.closed[key]
 	}
-	if err != nil {
-		return err
-	}
-	entries := map[string]entry{}
-	if err := json.Unmarshal(o.Value, &entries); err != nil {
-		return Error.Wrap(err)
+	return e, ok && e.Request != "" && e.At >= oldest
+}
+
+// withdraw removes the claim of a key. One in a segment is outweighed by an entry without a request.
+func (b *bucket) withdraw(open map[string]entry, key string) {
+	if e, ok := b.closed[key]; ok && e.Request != "" {
+		open[key] = entry{At: b.now().Unix()}
+		return
 	}
-	b.entries, b.revision, b.loaded = entries, o.Revision, true
-	return nil
+	delete(open, key)
 }
 
-// apply returns the entries after the group, and whether they differ from those in the store.
+// apply returns the open claims after the group, and whether they differ from those in the store.
 func (b *bucket) apply(group []*operation) (map[string]entry, bool) {
-	next, changed := maps.Clone(b.entries), false
+	next, changed := make(map[string]entry, len(b.head.Entries)+len(group)), false
 	oldest := b.now().Add(-keep).Unix()
-	for key, e := range next {
-		if b.undone[e.Request] {
-			delete(next, key)
-			changed = true
-		} else if e.At < oldest {
-			delete(next, key)
+	for key, e := range b.head.Entries {
+		if e.At >= oldest {
+			next[key] = e
 		}
 	}
-	for _, o := range group {
-		e, ok := next[o.key]
-		switch {
-		case o.undo:
-			if o.result = Granted; ok && (e.Request == o.entry.Request || e.Request == second(o.entry.Request)) {
-				delete(next, o.key)
-				changed = true
-			}
-		case ok && e.Digest != o.entry.Digest:
-			o.result = OtherBody
-		case ok && second(e.Request) == o.entry.Request:
-			o.result = Granted
-			next[o.key] = o.entry
+	for request, key := range b.undone {
+		if e, ok := b.find(next, key, oldest); ok && e.Request == request {
+			b.withdraw(next, key)
 			changed = true
-		case ok && e.Request != o.entry.Request:
-			o.result = Held
-		default:
-			o.result = Granted
-			if !ok {
-				next[o.key] = o.entry
-				changed = true
-			}
 		}
 	}
+	for _, o := range group {
+		changed = b.applyOne(next, o, oldest) || changed
+	}
 	return next, changed
 }
 
-func (b *bucket) write(ctx context.Context, next map[string]entry) error {
-	value, err := json.Marshal(next)
-	if err != nil {
-		return Error.Wrap(err)
-	}
-	revision, err := b.store.Put(ctx, b.name, value, b.revision)
-	if err != nil {
-		return err
+// applyOne sets the result of an operation and reports whether it changed the open claims.
+func (b *bucket) applyOne(open map[string]entry, o *operation, oldest int64) bool {
+	e, ok := b.find(open, o.key, oldest)
+	switch {
+	case o.undo:
+		o.result = Granted
+		if !ok || e.Request != o.entry.Request && e.Request != second(o.entry.Request) {
+			return false
+		}
+		b.withdraw(open, o.key)
+		return true
+	case ok && e.Digest != o.entry.Digest:
+		o.result = OtherBody
+	case ok && e.Request == o.entry.Request:
+		o.result = Granted
+	case ok && second(e.Request) != o.entry.Request:
+		o.result = Held
+	default:
+		o.result = Granted
+		open[o.key] = o.entry
+		return true
 	}
-	b.entries, b.revision = next, revision
-	clear(b.undone)
-	return nil
+	return false
 }
--- a/pkg/controller/claims/claims.go
+++ b/pkg/controller/claims/claims.go
@@ -1,6 +1,11 @@
 // Package claims makes requests that must not be repeated run at most once. Before its first byte is sent, such a
 // request is claimed durably in the object claims/BUCKET, where the bucket is a hash of institution and key.
 //
+// That object, the head of the bucket, holds the newest claims. When they are many they move to a segment, an object
+// claims/BUCKET/ID that is written once. The head names the newest segment, and each segment the one before it, so the
+// bytes of a claim do not grow with the claims of the day. Every claim is a conditional update of the head, which makes
+// it unique over all segments. A segment is deleted when its claims have expired.
+//
 // The rendezvous owner of a bucket packs the claims that wait into one conditional update. When the owner gives
 // no answer, the serving node writes the bucket itself. Two writers at once conflict and read again, so a key is
 // claimed once in any case. An operation that failed may still have reached the store; its request never ran, and
@@ -29,8 +34,8 @@
 var Error = errs.Class("claims")
 
 const (
-	// bucketDigits is the number of hex digits of the hashed key that name the bucket: 256 objects. An entry takes
-	// about 130 bytes of the store's 1 MB, so that 2 M claims a day fit.
+	// bucketDigits is the number of hex digits of the hashed key that name the bucket: 256 heads, so that the claims of
+	// different buckets commit in parallel.
 	bucketDigits = 2
 	// callTimeout bounds the call to the owner; it includes the owner's commit.
 	callTimeout = commitTimeout + 250*time.Millisecond
@@ -72,6 +77,8 @@
 // Controller claims keys for a node's callers and writes the buckets that the node owns.
 type Controller struct {
 	Options
+	// maxOpen is that of new buckets.
+	maxOpen int
 	mu      sync.Mutex
 	buckets map[string]*bucket
 }
@@ -81,7 +88,7 @@
 	if o.Now == nil {
 		o.Now = time.Now
 	}
-	c := &Controller{Options: o, buckets: map[string]*bucket{}}
+	c := &Controller{Options: o, maxOpen: maxOpen, buckets: map[string]*bucket{}}
 	return c, r.Register("Claims", &Receiver{c})
 }
 
@@ -105,7 +112,7 @@
 	c.mu.Lock()
 	b, ok := c.buckets[name]
 	if !ok {
-		b = &bucket{name: name, store: c.Store, now: c.Now, undone: map[string]bool{}}
+		b = &bucket{name: name, store: c.Store, now: c.Now, limit: c.maxOpen, undone: map[string]string{}}
 		c.buckets[name] = b
 	}
 	c.mu.Unlock()
--- a/pkg/controller/claims/claims_test.go
+++ b/pkg/controller/claims/claims_test.go
@@ -61,9 +61,21 @@
 	node := network.Node(name)
 	c, err := New(Options{Self: name, Board: board, Peers: node, Store: s}, node)
 	assert.NilError(t, err)
+	c.maxOpen = 3
 	return c
 }
 
+// keysOf returns n keys of which half share a bucket, so that it gets segments.
+func keysOf(n int) (keys []string) {
+	for i := 0; len(keys) < n; i++ {
+		key := fmt.Sprint("key ", i)
+		if len(keys) < n/2 || bucketOf(hashKey("board", key)) == "claims/00" {
+			keys = append(keys, key)
+		}
+	}
+	return keys
+}
+
 // Guards against a key that is claimed twice while two nodes both take themselves for its owner, a third sends its
 // claims to one of them, and the store refuses calls, loses answers and applies writes late. A key whose claims
 // all failed must be free again afterwards.
@@ -74,13 +86,14 @@
 			network := peertest.New()
 			nodes := []*Controller{newNode(t, network, s, "a", "a"), newNode(t, network, s, "b", "b"), newNode(t, network, s, "c", "a")}
 			const keys = 40
+			names := keysOf(keys)
 			var granted, unavailable [keys]atomic.Int32
 			var group sync.WaitGroup
 			for i := range keys * 6 {
 				key := i % keys
 				group.Go(func() {
 					time.Sleep(time.Duration(rand.IntN(20)) * time.Millisecond)
-					switch nodes[i/keys%3].Claim(context.Background(), "board", fmt.Sprint(key), "digest", fmt.Sprint("r", i)) {
+					switch nodes[i/keys%3].Claim(context.Background(), "board", names[key], "digest", fmt.Sprint("r", i)) {
 					case Granted:
 						granted[key].Add(1)
 					case Unavailable:
@@ -98,12 +111,12 @@
 					assert.Equal(t, n, int32(1))
 				}
 				for i, c := range nodes {
-					r := c.Claim(context.Background(), "board", fmt.Sprint(key), "digest", fmt.Sprint("again", key, i))
+					r := c.Claim(context.Background(), "board", names[key], "digest", fmt.Sprint("again", key, i))
 					assert.Assert(t, r != Granted || n == 0, "key %d claimed again", key)
 					if r == Granted {
 						n = 1
 					}
-					assert.Equal(t, c.Claim(context.Background(), "board", fmt.Sprint(key), "other", "x"), OtherBody)
+					assert.Equal(t, c.Claim(context.Background(), "board", names[key], "other", "x"), OtherBody)
 				}
 			}
 		})
