Keep a reservation when the report of an earlier attempt is late

Cause: TestCrashingRequestIsContained let three crashes through on a busy machine. A trace showed two trials at once: a request whose first check was withdrawn reserved its next run, and the report of the first one, sent in the background, then freed that reservation. Timeouts of 20 to 250 ms also made live nodes look lost at load 35 to 55. Change: checks and reports carry the number of the check, and a report frees only reservations made up to it. The waits for other nodes are options, and the test sets them to seconds, since its lost nodes refuse calls at once. TestLateReportKeepsTheNextReservation fails without the change.

--- a/pkg/controller/quarantine/quarantine.go
+++ b/pkg/controller/quarantine/quarantine.go
@@ -24,15 +24,24 @@
 	"trefoilplank.example/pkg/serving"
 )
 
+// Timeouts bound the waits for other nodes. The crash bound holds while live nodes answer within them.
+type Timeouts struct {
+	// Call bounds a call to an owner. It is far above a usual round trip, because a check that skips the owner can let
+	// a second crash through.
+	Call time.Duration
+	// Successor bounds the wait for a successor, which is usually one round trip away.
+	Successor time.Duration
+	// Recall bounds one round of questions to other nodes. A check waits for it, so two rounds fit into Call.
+	Recall time.Duration
+}
+
+// DefaultTimeouts suit nodes that are a few milliseconds apart.
+var DefaultTimeouts = Timeouts{Call: 250 * time.Millisecond, Successor: 20 * time.Millisecond, Recall: 90 * time.Millisecond}
+
 const (
-	// callTimeout bounds a call to an owner. It is far above a usual round trip, because a check that skips
-	// the owner can let a second crash through.
-	callTimeout = 250 * time.Millisecond
-	// successorWait bounds the wait for a successor, which is usually one round trip away.
-	successorWait = 20 * time.Millisecond
 	// avoidFor is how long an owner that gave no answer is passed over.
 	avoidFor = 2 * time.Second
-	// busyWait is how long an owner holds a check while an equal request runs. It is well below callTimeout.
+	// busyWait is how long an owner holds a check while an equal request runs. It is well below Timeouts.Call.
 	busyWait = 100 * time.Millisecond
 	// pollInterval is the least time between two checks of a request that waits.
 	pollInterval = 2 * time.Millisecond
@@ -55,6 +64,8 @@
 	Inform bool
 	// Moved is set when the asking node passed over an owner or saw the members change a moment ago.
 	Moved bool
+	// Attempt grows with each check of a node.
+	Attempt int64
 }
 
 // CheckReply answers CheckArgs.
@@ -72,6 +83,8 @@
 	Ending               quarantine.Ending
 	// Age is the time since the run began.
 	Age time.Duration
+	// Attempt is that of the check which cleared the run.
+	Attempt int64
 }
 
 // Options are the collaborators of a Controller.
@@ -81,6 +94,8 @@
 	Peers peer.Caller
 	// Explain may be nil.
 	Explain *explain.Log
+	// Timeouts are DefaultTimeouts when unset.
+	Timeouts Timeouts
 }
 
 // Controller is the serving.Quarantine of a node and the owner of a part of the fingerprints. A caller calls
@@ -99,6 +114,8 @@
 	waiting map[string]chan struct{}
 	// blocked counts the requests of this node that wait for an equal one.
 	blocked map[string]int
+	// attempts counts the checks of this node.
+	attempts int64
 	// asking holds the checks of this node that await an answer.
 	asking  map[string]*asking
 	members history
@@ -112,6 +129,7 @@
 	fingerprint     string
 	trial, reserved bool
 	began           time.Time
+	attempt         int64
 	// order is that of its check.
 	order []string
 }
@@ -120,6 +138,9 @@
 
 // New returns a controller and registers the receiver "Quarantine".
 func New(o Options, r peer.Registrar) (*Controller, error) {
+	if o.Timeouts == (Timeouts{}) {
+		o.Timeouts = DefaultTimeouts
+	}
 	runs, err := lru.New[string, run](maxRuns)
 	if err != nil {
 		return nil, err
@@ -195,7 +216,7 @@
 func (c *Controller) check(a *CheckArgs, reply *CheckReply) <-chan struct{} {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	reply.Verdict, reply.Left = c.table.Check(a.Fingerprint, a.Request, time.Now())
+	reply.Verdict, reply.Left = c.table.Check(a.Fingerprint, a.Request, a.Attempt, time.Now())
 	reply.Reserved = c.table.Holds(a.Fingerprint, a.Request)
 	if reply.Verdict != quarantine.Busy || a.Inform {
 		return nil
@@ -228,7 +249,7 @@
 	defer r.c.mu.Unlock()
 	now := time.Now()
 	r.c.table.End(quarantine.Run{
-		Fingerprint: a.Fingerprint, Request: a.Request, Trial: a.Trial, Began: now.Add(-a.Age), How: a.Ending,
+		Fingerprint: a.Fingerprint, Request: a.Request, Trial: a.Trial, Began: now.Add(-a.Age), How: a.Ending, Attempt: a.Attempt,
 	}, now)
 	r.c.wake(a.Fingerprint)
 	return nil
@@ -277,7 +298,7 @@
 // reservation, so that it holds when the owner is lost during the run.
 func (c *Controller) ask(ctx context.Context, args CheckArgs) CheckReply {
 	began := time.Now()
-	c.beginAsking(args)
+	args.Attempt = c.beginAsking(args)
 	defer c.endAsking(args.Request)
 	for range candidates {
 		order, moved := c.order(args.Fingerprint, holders)
@@ -292,7 +313,7 @@
 		if reply.Verdict != quarantine.Clear && reply.Verdict != quarantine.Trial {
 			return reply
 		}
-		recalling := c.cleared(args, run{args.Fingerprint, reply.Verdict == quarantine.Trial, reply.Reserved, began, order})
+		recalling := c.cleared(args, run{args.Fingerprint, reply.Verdict == quarantine.Trial, reply.Reserved, began, args.Attempt, order})
 		if reply.Reserved {
 			c.inform(ctx, order, args)
 		}
@@ -301,7 +322,7 @@
 	return CheckReply{Verdict: quarantine.Busy}
 }
 
-// inform tells the successor of a reservation and waits for it up to successorWait: a run that begins before the
+// inform tells the successor of a reservation and waits for it up to Timeouts.Successor: a run that begins before the
 // successor knows could be followed by a second one if the owner is lost in between.
 func (c *Controller) inform(ctx context.Context, order []string, args CheckArgs) {
 	args.Inform = true
@@ -317,7 +338,7 @@
 			order, _ = c.order(args.Fingerprint, holders)
 		}
 	}()
-	timer := time.NewTimer(successorWait)
+	timer := time.NewTimer(c.Timeouts.Successor)
 	defer timer.Stop()
 	select {
 	case <-told:
@@ -404,7 +425,7 @@
 		c.local(args, reply)
 		return true
 	}
-	callCtx, stop := context.WithTimeout(ctx, callTimeout)
+	callCtx, stop := context.WithTimeout(ctx, c.Timeouts.Call)
 	defer stop()
 	err := c.Peers.Call(callCtx, node, "Quarantine."+method, args, reply)
 	if err == nil {
@@ -443,6 +464,7 @@
 	}
 	args := ReportArgs{
 		Fingerprint: fingerprint, Request: requestID, Ending: quarantine.Survived, Trial: own.trial, Age: now.Sub(own.began),
+		Attempt: own.attempt,
 	}
 	ctx = context.WithoutCancel(ctx)
 	switch {
--- a/pkg/controller/quarantine/recall.go
+++ b/pkg/controller/quarantine/recall.go
@@ -18,9 +18,6 @@
 	// settle is how long a change of the members counts as recent. Within it, the records of the owners before the
 	// change may still be on their way to the new ones.
 	settle = 10 * time.Second
-	// recallTimeout bounds one round of questions to other nodes. A check waits for it, so it is below callTimeout
-	// together with a second round.
-	recallTimeout = 90 * time.Millisecond
 	// recallParallel bounds the questions under way at once; the target fleet has 380 nodes.
 	recallParallel = 64
 	// handOverRecords bounds the records of one call.
@@ -112,10 +109,13 @@
 	recalling   []string
 }
 
-func (c *Controller) beginAsking(a CheckArgs) {
+// beginAsking returns the number of the check.
+func (c *Controller) beginAsking(a CheckArgs) int64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.attempts++
 	c.asking[a.Request] = &asking{fingerprint: a.Fingerprint}
+	return c.attempts
 }
 
 func (c *Controller) endAsking(request string) {
@@ -220,7 +220,7 @@
 // recallFrom asks the nodes at once and reports whether one answered that was there before the recent changes. When
 // this node is new as well, the fleet is starting, and the answer of a new node is enough.
 func (c *Controller) recallFrom(nodes []string, fingerprint string) bool {
-	ctx, stop := context.WithTimeout(context.Background(), recallTimeout)
+	ctx, stop := context.WithTimeout(context.Background(), c.Timeouts.Recall)
 	defer stop()
 	var mu sync.Mutex
 	answered := false
--- a/pkg/decision/quarantine/quarantine.go
+++ b/pkg/decision/quarantine/quarantine.go
@@ -52,6 +52,8 @@
 	// runner is the request that runs while others wait, until the time waitUntil.
 	runner    string
 	waitUntil time.Time
+	// attempt is the runner's check that made the reservation.
+	attempt int64
 	// wholeBegan is when the latest run that ended whole began.
 	wholeBegan time.Time
 }
@@ -100,8 +102,9 @@
 func (t *Table) Len() int { return len(t.entries) }
 
 // Check decides whether the request may run now. For Refused it returns how long that still holds. Clear and
-// Trial reserve the run for an unproven or suspect fingerprint until End or until the wait has passed.
-func (t *Table) Check(fingerprint, request string, now time.Time) (Verdict, time.Duration) {
+// Trial reserve the run for an unproven or suspect fingerprint until End or until the wait has passed. attempt grows
+// with each check of a request.
+func (t *Table) Check(fingerprint, request string, attempt int64, now time.Time) (Verdict, time.Duration) {
 	e := t.get(fingerprint)
 	held := e.runner != "" && e.runner != request && now.Before(e.waitUntil)
 	switch {
@@ -111,17 +114,24 @@
 		if held {
 			return Busy, 0
 		}
-		e.runner, e.waitUntil = request, now.Add(trialWait)
+		e.reserve(request, attempt, now.Add(trialWait))
 		return Trial, 0
 	case now.Before(e.proven):
 		return Clear, 0
 	case held:
 		return Busy, 0
 	}
-	e.runner, e.waitUntil = request, now.Add(unprovenWait)
+	e.reserve(request, attempt, now.Add(unprovenWait))
 	return Clear, 0
 }
 
+func (e *entry) reserve(request string, attempt int64, until time.Time) {
+	if e.runner != request || attempt > e.attempt {
+		e.attempt = attempt
+	}
+	e.runner, e.waitUntil = request, until
+}
+
 // Holds reports whether the request holds the reservation of the fingerprint. A request that runs without one need
 // not be reported when it survives.
 func (t *Table) Holds(fingerprint, request string) bool {
@@ -150,13 +160,16 @@
 	// Began is when the request was cleared to run.
 	Began time.Time
 	How   Ending
+	// Attempt is that of the check which cleared the run.
+	Attempt int64
 }
 
 // End records the end of a run. A whole run clears the suspicion, since a request that crashes upstreams has none. A
 // crash does not count when a run that began later has ended whole: reports of one upstream's death arrive late.
 func (t *Table) End(r Run, now time.Time) {
 	e := t.get(r.Fingerprint)
-	if e.runner == r.Request {
+	if e.runner == r.Request && r.Attempt >= e.attempt {
+		// The report of an earlier attempt may arrive after the request has reserved its next run.
 		e.runner, e.waitUntil = "", time.Time{}
 	}
 	switch r.How {
