Drop records of runs that have ended when they arrive late

Cause: with both holders lost at once, a node handed on the reservation of a run that had just crashed, and it arrived at the new owner after the report of the crash. A table keeps one runner, so that this dead reservation hid the trial in progress, and the request that held it was cleared beside that trial: three crashes. Change: a table remembers the last run that ended and ignores records of it; a run is taken from the node's list before its crash is reported. TestLateRecordDoesNotHideTheRun fails without the change.

--- a/pkg/controller/quarantine/quarantine.go
+++ b/pkg/controller/quarantine/quarantine.go
@@ -473,10 +473,11 @@
 		c.record(requestID, upstream, "crash-report", "the upstream died under the request", map[string]any{"trial": args.Trial})
 		klog.InfoS("Upstream died under request", "request", requestID, "upstream", upstream, "trial", args.Trial)
 		c.local(&args, nil)
+		// A reservation that is handed on from here on would outlive its run.
+		c.runs.Remove(requestID)
 		order, _ := c.order(fingerprint, candidates)
 		others := slices.DeleteFunc(order, func(n string) bool { return n == c.Self })
 		c.report(ctx, others, holders, &args)
-		c.runs.Remove(requestID)
 		return
 	case upstream == "":
 		args.Ending = quarantine.NotRun
--- a/pkg/controller/quarantine/recall.go
+++ b/pkg/controller/quarantine/recall.go
@@ -157,7 +157,7 @@
 	var list []quarantine.Record
 	for _, request := range c.runs.Keys() {
 		if r, ok := c.runs.Peek(request); ok && r.reserved && match(r) {
-			if record := quarantine.Reservation(r.fingerprint, request, r.trial, r.began, now); record.Wait > 0 {
+			if record := quarantine.Reservation(r.fingerprint, request, r.attempt, r.trial, r.began, now); record.Wait > 0 {
 				list = append(list, record)
 			}
 		}
--- a/pkg/decision/quarantine/quarantine.go
+++ b/pkg/decision/quarantine/quarantine.go
@@ -54,6 +54,9 @@
 	waitUntil time.Time
 	// attempt is the runner's check that made the reservation.
 	attempt int64
+	// ended is the last request whose run ended, and endedAttempt its check.
+	ended        string
+	endedAttempt int64
 	// wholeBegan is when the latest run that ended whole began.
 	wholeBegan time.Time
 }
@@ -168,6 +171,7 @@
 // crash does not count when a run that began later has ended whole: reports of one upstream's death arrive late.
 func (t *Table) End(r Run, now time.Time) {
 	e := t.get(r.Fingerprint)
+	e.ended, e.endedAttempt = r.Request, r.Attempt
 	if e.runner == r.Request && r.Attempt >= e.attempt {
 		// The report of an earlier attempt may arrive after the request has reserved its next run.
 		e.runner, e.waitUntil = "", time.Time{}
@@ -211,6 +215,8 @@
 	// Runner is a request that runs while others wait for at most Wait.
 	Runner string
 	Wait   time.Duration
+	// Attempt is that of the runner's check.
+	Attempt int64
 }
 
 // Export returns the record of a fingerprint; false when nothing is known against it.
@@ -225,7 +231,7 @@
 func (e *entry) export(now time.Time) (Record, bool) {
 	r := Record{Fingerprint: e.fingerprint, Suspect: max(e.suspect.Sub(now), 0), Refused: max(e.refused.Sub(now), 0)}
 	if e.runner != "" && now.Before(e.waitUntil) {
-		r.Runner, r.Wait = e.runner, e.waitUntil.Sub(now)
+		r.Runner, r.Wait, r.Attempt = e.runner, e.waitUntil.Sub(now), e.attempt
 	}
 	return r, r.Suspect > 0 || r.Refused > 0 || r.Runner != ""
 }
@@ -251,16 +257,18 @@
 	if until := now.Add(r.Refused); r.Refused > 0 && until.After(e.refused) {
 		e.refused = until
 	}
-	if r.Runner != "" && (e.runner == "" || !now.Before(e.waitUntil)) {
-		e.runner, e.waitUntil = r.Runner, now.Add(r.Wait)
+	// A record may have been sent before the end of its run and arrive after the report of that end.
+	over := r.Runner == e.ended && r.Attempt <= e.endedAttempt
+	if r.Runner != "" && !over && (e.runner == "" || !now.Before(e.waitUntil)) {
+		e.reserve(r.Runner, r.Attempt, now.Add(r.Wait))
 	}
 }
 
 // Reservation returns the record of a run that began at the given time.
-func Reservation(fingerprint, request string, trial bool, began, now time.Time) Record {
+func Reservation(fingerprint, request string, attempt int64, trial bool, began, now time.Time) Record {
 	wait := unprovenWait
 	if trial {
 		wait = trialWait
 	}
-	return Record{Fingerprint: fingerprint, Runner: request, Wait: max(began.Add(wait).Sub(now), 0)}
+	return Record{Fingerprint: fingerprint, Runner: request, Attempt: attempt, Wait: max(began.Add(wait).Sub(now), 0)}
 }
--- a/pkg/decision/quarantine/quarantine_test.go
+++ b/pkg/decision/quarantine/quarantine_test.go
@@ -139,3 +139,18 @@
 	table.End(Run{"x", "1", true, now, NotRun, 2}, now)
 	assert.Equal(t, check("2", 4), Trial)
 }
+
+// Guards against a trial beside a trial: the record of a run that has ended arrives late and hides the run in progress.
+func TestLateRecordDoesNotHideTheRun(t *testing.T) {
+	table, now := NewTable(10), time.Unix(1000, 0)
+	table.End(Run{"x", "1", false, now, Crashed, 1}, now)
+	table.Merge(Reservation("x", "1", 1, false, now, now), now)
+	table.Merge(Reservation("x", "2", 1, true, now, now), now)
+	check := func(request string, attempt int64) Verdict {
+		v, _ := table.Check("x", request, attempt, now)
+		return v
+	}
+	assert.Equal(t, check("1", 2), Busy)
+	table.End(Run{"x", "2", true, now, NotRun, 1}, now)
+	assert.Equal(t, check("1", 3), Trial)
+}
