Renew concurrency at once with an owner that was restarted

Cause: A limit owner that restarts before it leaves the live set keeps its name, so that nodes went on under its old grants, now for up to 100 s, while the new process granted the whole limit again.

Change: A node remembers which incarnation of the owner granted its slots and renews within 1 s with another one.

Result: The new test fails without the check.

--- a/pkg/controller/limits/limits.go
+++ b/pkg/controller/limits/limits.go
@@ -66,8 +66,8 @@
 type bucket struct {
 	ratelimit.LocalBucket
 	used time.Time
-	// owner is the node that granted the concurrency.
-	owner string
+	// owner is the process that granted the concurrency.
+	owner process
 	// asking is set while a grant is asked for ahead of need, and asks counts the calls to the owner in progress.
 	asking bool
 	asks   int
@@ -75,6 +75,17 @@
 	renewing chan struct{}
 }
 
+// process is a node from one start to the next: an owner that was restarted knows nothing of earlier grants.
+type process struct {
+	node        string
+	incarnation int64
+}
+
+// processOf returns the process that a node runs now.
+func (c *Controller) processOf(node string) process {
+	return process{node, c.Board.Members.Value().Live[node].Incarnation}
+}
+
 type allocator struct {
 	*ratelimit.Allocator
 	used time.Time
@@ -228,6 +239,7 @@
 		return peer.ErrUnreachable
 	}
 	p.asks++
+	granting := c.processOf(owner)
 	args := &GrantArgs{Node: c.Self, Institution: institution, Ask: p.Ask(now, least, moreSlots)}
 	c.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, ownerSilence)
@@ -248,7 +260,7 @@
 	}
 	delete(c.silent, owner)
 	p.Granted(time.Now(), reply.Grant)
-	p.owner = owner
+	p.owner = granting
 	return nil
 }
 
--- a/pkg/controller/limits/renew.go
+++ b/pkg/controller/limits/renew.go
@@ -60,8 +60,8 @@
 	due := map[string][]string{}
 	for institution, p := range c.buckets {
 		owner := c.owner(institution)
-		// A new owner does not know what this node holds, and would grant it to others as well.
-		moved := p.Holds(now) && p.owner != owner
+		// A new owner, or a new process of it, does not know what this node holds and would grant it to others as well.
+		moved := p.Holds(now) && p.owner != c.processOf(owner)
 		if (paused || moved || p.RenewDue(now)) && p.asks == 0 && p.renewing == nil && !now.Before(c.silent[owner]) &&
 			c.limit(institution).Concurrency > 0 {
 			due[owner] = append(due[owner], institution)
@@ -92,7 +92,7 @@
 	if c.life.Err() != nil {
 		return
 	}
-	done := make(chan struct{})
+	done, granting := make(chan struct{}), c.processOf(owner)
 	args, buckets := &RenewArgs{Node: c.Self}, []*bucket{}
 	for _, institution := range institutions {
 		p := c.buckets[institution]
@@ -113,7 +113,7 @@
 			if err == nil {
 				// The owner counts from when it got the ask, which was later.
 				p.GrantedSlots(now, reply.Grants[i])
-				p.owner = owner
+				p.owner = granting
 			}
 		}
 		close(done)
--- a/pkg/controller/limits/renew_test.go
+++ b/pkg/controller/limits/renew_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"trefoilplank.example/api"
+	"trefoilplank.example/pkg/blackboard"
 	"trefoilplank.example/pkg/decision/ratelimit"
 )
 
@@ -96,6 +97,28 @@
 	})
 }
 
+// Guards against an owner that was restarted before anyone missed it and grants the whole limit again.
+func TestRestartedOwnerLearnsGrants(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n, institutions, _ := steadyCluster(t, 3)
+		restarted := n.nodes["n1"]
+		restarted.mu.Lock()
+		clear(restarted.allocators)
+		restarted.mu.Unlock()
+		for _, c := range n.nodes {
+			m := c.Board.Members.Value()
+			m.Live = maps.Clone(m.Live)
+			m.Live["n1"] = blackboard.Member{Incarnation: 2}
+			c.Board.Members.Set(m)
+		}
+		time.Sleep(renewInterval + time.Millisecond)
+		synctest.Wait()
+		for _, name := range institutions {
+			assert.Equal(t, entered(n.nodes["n2"], name), 19, name)
+		}
+	})
+}
+
 // Guards against slots of a lost node that stay reserved for as long as a steady grant, and against a node that was
 // paused meanwhile and goes on under its old grants.
 func TestLostNodeFreesLongGrants(t *testing.T) {
