Keep the small read budget while a node knows no other

Cause: the part of the fleet's read budget was taken from the members that a node sees, so that each of many nodes that had just started, or were cut off from the others, took up to 50 reads/s.

Change: a node that sees no other live member reads at 1/s, as before the budget was shared.

--- a/pkg/controller/batch/claim.go
+++ b/pkg/controller/batch/claim.go
@@ -117,8 +117,7 @@
 
 // mayRead takes one read from the node's part of the fleet's budget for the search for work.
 func (c *Controller) mayRead() bool {
-	nodes := max(1, len(c.Board.Members.Value().Live))
-	if r := readRate(nodes); c.reads.Limit() != r {
+	if r := readRate(len(c.Board.Members.Value().Live)); c.reads.Limit() != r {
 		c.reads.SetLimit(r)
 	}
 	return c.reads.Allow()
--- a/pkg/controller/batch/controller.go
+++ b/pkg/controller/batch/controller.go
@@ -43,9 +43,11 @@
 	idleRelease = 30 * time.Second
 	// fleetReads bounds the reads of the search for work of all nodes, in calls per second: a fifth of the store's
 	// 2,000 reads/s. A node has an equal part of it, at most nodeReads; at 380 nodes that is 1/s. With a fixed 1/s an
-	// idle fleet of three nodes claimed the parts of small jobs at one a second.
+	// idle fleet of three nodes claimed the parts of small jobs at one a second. A node that knows no other has
+	// leastReads, since it may be one of many that have just started or are cut off.
 	fleetReads = 400
 	nodeReads  = 50
+	leastReads = 1
 	readBurst  = 20
 	// pendingBytes bounds the results that wait for the store; above it no item is started.
 	pendingBytes = 32 << 20
@@ -147,7 +149,7 @@
 	return &Controller{
 		Options: o, jobs: jobstore.Jobs{Store: o.Store}, inputs: inputs,
 		leases: leases.NewObserver(o.Store, o.Lease), states: newStates(),
-		reads: rate.NewLimiter(readRate(1), readBurst), wakeup: make(chan struct{}, 1),
+		reads: rate.NewLimiter(leastReads, readBurst), wakeup: make(chan struct{}, 1),
 		ctx: context.Background(), open: map[string]*openJob{}, parts: map[partID]*part{},
 		demand: map[string]demand{}, asked: map[string]api.Upstream{}, waiting: make(chan struct{}),
 		served: map[string]time.Time{}, givingBack: map[partID]bool{},
@@ -155,7 +157,12 @@
 }
 
 // readRate is a node's part of the reads of the search for work.
-func readRate(nodes int) rate.Limit { return min(nodeReads, rate.Limit(fleetReads)/rate.Limit(nodes)) }
+func readRate(nodes int) rate.Limit {
+	if nodes < 2 {
+		return leastReads
+	}
+	return min(nodeReads, rate.Limit(fleetReads)/rate.Limit(nodes))
+}
 
 // Handler returns the HTTP handler of /v1/files and /v1/batches on this node.
 func (c *Controller) Handler() *handler.Handler {
--- a/pkg/controller/batch/start_test.go
+++ b/pkg/controller/batch/start_test.go
@@ -54,6 +54,13 @@
 			nodes = append(nodes, startNode(t, s, fmt.Sprint("n", i), invoker, 4, nil))
 			defer nodes[i].close()
 		}
+		live := map[string]blackboard.Member{}
+		for _, n := range nodes {
+			live[n.Node] = blackboard.Member{Name: n.Node}
+		}
+		for _, n := range nodes {
+			n.board.Members.Set(blackboard.Members{Self: n.Node, Live: live})
+		}
 		for round := range rounds {
 			time.Sleep(2 * time.Second)
 			for j := range jobs {
