Give parts back when their upstream moves to another owner

Cause: an upstream that had once asked this node for work counted as this node's own when another place for a part was looked for.

Change: the present owner decides. Upstreams that others own are forgotten once this node has another one for their targets, and nothing is looked at while no part is held.

--- a/pkg/controller/batch/start_test.go
+++ b/pkg/controller/batch/start_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -132,3 +133,34 @@
 		})
 	}
 }
+
+// Guards against a part that waits for idleRelease at a node whose only upstream for it moved to another owner.
+func TestPartMovesWithTheOwnerOfItsUpstream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const items = 4
+		s := lateStore{memstore.New()}
+		invoker := &fakeInvoker{}
+		var moved atomic.Bool
+		a := startNode(t, s, "a", invoker, 0, func(o *Options) { o.Owns = func(string) bool { return !moved.Load() } })
+		defer a.close()
+		a.Next(testUpstream)
+		a.submit(t, a.upload(t, chatFile(items)))
+		time.Sleep(5 * time.Second)
+		b := startNode(t, s, "b", invoker, 1, func(o *Options) { o.Owns = func(string) bool { return moved.Load() } })
+		defer b.close()
+		time.Sleep(12 * time.Second)
+		assert.Equal(t, invoker.total(), 0)
+		moved.Store(true)
+		a.board.Members.Set(blackboard.Members{Self: "a"})
+		b.announceNow()
+		time.Sleep(700 * time.Millisecond)
+		assert.Equal(t, invoker.total(), items)
+	})
+}
+
+// announceNow makes the admission fake ask for work again, as a new owner does.
+func (n *testNode) announceNow() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.announce()
+}
--- a/pkg/controller/batch/usable.go
+++ b/pkg/controller/batch/usable.go
@@ -33,18 +33,29 @@
 func (c *Controller) noteUnusable(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if len(c.parts) == 0 {
+		c.unusable = nil
+		return
+	}
 	usable := map[string]bool{}
 	register := c.Board.Config.Value().Register
 	listed := usableUpstreams(register)
+	lost := map[string][]string{}
 	for name, u := range c.asked {
-		ok := listed[name] && c.healthy(name) && (c.Owns == nil || c.Owns(name))
-		if !ok && len(c.parts) == 0 {
-			delete(c.asked, name)
-			continue
-		}
-		for _, t := range targetsOf(u, register.Adapters) {
+		targets := targetsOf(u, register.Adapters)
+		ok := listed[name] && c.healthy(name) && c.mine(name)
+		for _, t := range targets {
 			usable[t] = usable[t] || ok
 		}
+		if !ok {
+			lost[name] = targets
+		}
+	}
+	for name, targets := range lost {
+		// Others of this node run its targets. A node that started alone has asked for every upstream.
+		if !slices.ContainsFunc(targets, func(t string) bool { return !usable[t] }) {
+			delete(c.asked, name)
+		}
 	}
 	old := c.unusable
 	c.unusable = map[string]time.Time{}
@@ -74,11 +85,19 @@
 // is given back would only cost store writes.
 func (c *Controller) usableElsewhere(target string, r api.Register) bool {
 	return slices.ContainsFunc(r.Upstreams, func(u api.Upstream) bool {
-		_, own := c.asked[u.Name]
-		return !own && !u.Leaving && c.healthy(u.Name) && slices.Contains(targetsOf(u, r.Adapters), target)
+		return !u.Leaving && c.healthy(u.Name) && slices.Contains(targetsOf(u, r.Adapters), target) && !c.mine(u.Name)
 	})
 }
 
+// mine reports whether this node fills the upstream's slots now.
+func (c *Controller) mine(upstream string) bool {
+	if c.Owns != nil {
+		return c.Owns(upstream)
+	}
+	_, asked := c.asked[upstream]
+	return asked
+}
+
 // healthy reports whether the upstream takes work as far as its health is known.
 func (c *Controller) healthy(upstream string) bool {
 	h := c.Board.Upstreams.Value()[upstream].Health
