Show the cause of a model's problem as the reason in its status

Cause: after a roll-back the status of the model named the configuration change as the reason, and the causes only stood among the problems. A node that reports several parts of an object was listed twice, and explain showed values that are not set.

Change: an object without a reason of its own gets the causes of its problems.

--- a/pkg/ctl/explain.go
+++ b/pkg/ctl/explain.go
@@ -65,8 +65,10 @@
 		}
 	}
 	var names []string
-	for name := range e.Values {
-		names = append(names, name)
+	for name, value := range e.Values {
+		if value != nil {
+			names = append(names, name)
+		}
 	}
 	slices.Sort(names)
 	for _, name := range names {
--- a/pkg/operator/configchanges.go
+++ b/pkg/operator/configchanges.go
@@ -152,14 +152,23 @@
 	}
 }
 
-// fillFromProblems gives objects with a problem its cause and beginning, when that is the later change.
+// fillFromProblems gives objects with problems the beginning of the latest as last change if nothing changed since,
+// and the causes as the reason if the parts that report the object give none.
 func fillFromProblems(objects []status.Object, problems []status.Problem) {
 	for i := range objects {
 		o := &objects[i]
+		var causes []string
 		for _, p := range problems {
-			if p.Kind == o.Kind && p.Name == o.Name && p.Since.After(o.LastChange) {
-				o.LastChange, o.Why = p.Since, p.Cause
+			if p.Kind != o.Kind || p.Name != o.Name {
+				continue
 			}
+			causes = append(causes, p.Cause)
+			if p.Since.After(o.LastChange) {
+				o.LastChange = p.Since
+			}
+		}
+		if o.Why == "" {
+			o.Why = strings.Join(causes, "; ")
 		}
 	}
 }
--- a/pkg/operator/statusview.go
+++ b/pkg/operator/statusview.go
@@ -75,8 +75,8 @@
 	s.seen.fill(f.Problems, s.Now())
 	sortProblems(f.Problems)
 	for _, objects := range [][]status.Object{f.Institutions, f.Models, f.Upstreams, f.Jobs} {
-		s.Changes.fill(objects)
 		fillFromProblems(objects, f.Problems)
+		s.Changes.fill(objects)
 	}
 	return f
 }
@@ -170,7 +170,7 @@
 		if p.LastChange.After(out.LastChange) {
 			out.LastChange = p.LastChange
 		}
-		if p.Node != "" && p.Node != out.Node {
+		if p.Node != "" && !slices.Contains(strings.Split(out.Node, "; "), p.Node) {
 			out.Node = joinText(out.Node, p.Node)
 		}
 	}
