Refuse headers given twice, and name what is wrong with batch input

Cause: of a Trefoil header or Idempotency-Key given twice only the first value counted, without a word. A batch body of a wrong type was refused with the name of a Go type, an empty line with "EOF" and a byte order mark with an odd character. An accepted job left no line in the log.

Change: such headers are malformed (400); the messages name the field, the empty line and the byte order mark; accepting a job is logged with request and job id at verbosity 1.

--- a/pkg/batch/handler/batches.go
+++ b/pkg/batch/handler/batches.go
@@ -6,11 +6,14 @@
 	"encoding/hex"
 	"encoding/json"
 	"errors"
+	"io"
 	"net/http"
 	"strconv"
 	"strings"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"trefoilplank.example/api"
 	"trefoilplank.example/pkg/adapter/store"
 	"trefoilplank.example/pkg/batch/filestore"
@@ -112,6 +115,20 @@
 	return api.Errorf(http.StatusBadRequest, api.CodeMalformed, api.NotRun, format, args...)
 }
 
+// malformedBody names the field that has a wrong type, without the names of Go types.
+func malformedBody(err error) error {
+	var wrong *json.UnmarshalTypeError
+	switch {
+	case errors.As(err, &wrong) && wrong.Field != "":
+		return invalid("%s must not be of type %s", wrong.Field, wrong.Value)
+	case errors.As(err, &wrong):
+		return invalid("the body is not a JSON object but a value of type %s", wrong.Value)
+	case errors.Is(err, io.EOF):
+		return invalid("the body is empty")
+	}
+	return invalid("the body is not JSON: %v", err)
+}
+
 func (h *Handler) createBatch(w http.ResponseWriter, r *http.Request, id serving.Identity) error {
 	var req batchRequest
 	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBatchBody)).Decode(&req); err != nil {
@@ -119,7 +136,7 @@
 		if errors.As(err, &tooLong) {
 			return err
 		}
-		return invalid("body: %v", err)
+		return malformedBody(err)
 	}
 	key, err := idempotencyKey(r, id, "batches")
 	if err != nil {
@@ -129,6 +146,8 @@
 	if err != nil {
 		return err
 	}
+	klog.V(1).InfoS("Job accepted", "request", serving.RequestIDFrom(r.Context()), "job", j.ID, "institution", j.Institution,
+		"items", j.Items)
 	writeJSON(w, r, http.StatusOK, newBatchObject(j))
 	return nil
 }
--- a/pkg/batch/handler/handler_test.go
+++ b/pkg/batch/handler/handler_test.go
@@ -126,6 +126,19 @@
 	read(t, get(clerk, "/v1/batches/batch_0"), http.StatusNotFound)
 }
 
+// Guards against refusals of a batch that name Go types, or nothing that the caller can mend.
+func TestMalformedBatchBodies(t *testing.T) {
+	h := New(Options{Store: memstore.New()})
+	for body, want := range map[string]string{
+		"": "the body is empty", "[]": "the body is not a JSON object but a value of type array", "{": "the body is not JSON",
+		`{"input_file_id":5}`: "input_file_id must not be of type number",
+	} {
+		w := call(h, clerk, httptest.NewRequest(http.MethodPost, "/v1/batches", strings.NewReader(body)))
+		assert.Equal(t, w.Code, http.StatusBadRequest)
+		assert.Assert(t, strings.Contains(w.Body.String(), `"message":"`+want), w.Body.String())
+	}
+}
+
 // Guards against a listing that skips or repeats jobs, or is not newest first.
 func TestListBatches(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/pkg/batch/line/line.go
+++ b/pkg/batch/line/line.go
@@ -66,6 +66,12 @@
 	if len(raw) > MaxLineBytes {
 		return nil, fmt.Errorf("line is longer than %d bytes", MaxLineBytes)
 	}
+	switch {
+	case len(bytes.TrimSpace(raw)) == 0:
+		return nil, fmt.Errorf("line is empty")
+	case bytes.HasPrefix(raw, []byte("\xef\xbb\xbf")):
+		return nil, fmt.Errorf("line begins with a byte order mark; save the file as UTF-8 without one")
+	}
 	var i Item
 	d := json.NewDecoder(bytes.NewReader(raw))
 	if err := d.Decode(&i); err != nil {
--- a/pkg/batch/line/line_test.go
+++ b/pkg/batch/line/line_test.go
@@ -43,6 +43,8 @@
 // Guards against findings that name Go types instead of the field in fault, and against lines that can only fail later.
 func TestFaultsNameTheField(t *testing.T) {
 	for raw, want := range map[string]string{
+		" \r":             "line is empty",
+		"\ufeff{}":        "line begins with a byte order mark; save the file as UTF-8 without one",
 		`[]`:              "not a JSON object but a value of type array",
 		`{"custom_id":7}`: "custom_id must not be of type number",
 		`{"custom_id":"a","method":"POST","url":"/v1/completions","body":5}`:                                         "body is not a JSON object but a value of type number",
--- a/pkg/gateway/body_test.go
+++ b/pkg/gateway/body_test.go
@@ -53,6 +53,19 @@
 	assert.Assert(t, !answer.Close)
 }
 
+// Guards against a header given twice of which one value is passed over.
+func TestHeadersGivenTwice(t *testing.T) {
+	e := newUpstream(t, "e1", api.UpstreamEngine)
+	f := newFixture(t, nil, e)
+	for _, name := range []string{api.HeaderTimeoutMs, api.HeaderIdempotencyKey, api.HeaderNonIdempotent} {
+		answer := rawCall(t, f, fmt.Sprintf("POST /v1/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\n%[2]s: 1\r\n%[2]s: 2\r\nContent-Length: 26\r\n\r\n%s",
+			testKey, name, `{"model":"m","prompt":"x"}`))
+		assert.Equal(t, answer.StatusCode, http.StatusBadRequest, name)
+		assert.Equal(t, answer.Header.Get(api.HeaderOutcome), "not-run")
+	}
+	assert.Equal(t, e.runCount(), 0)
+}
+
 // Guards against a refusal of a large body that a client never sees, since the connection breaks while it sends.
 func TestLargeBodyIsReadBeforeTheRefusal(t *testing.T) {
 	const size = 4 << 20
--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -109,6 +109,11 @@
 func (g *Gateway) newJob(r *http.Request, body []byte) (*job, error) {
 	who, _ := serving.IdentityFrom(r.Context())
 	id := serving.RequestIDFrom(r.Context())
+	for _, name := range []string{api.HeaderTimeoutMs, api.HeaderIdempotencyKey, api.HeaderNonIdempotent} {
+		if len(r.Header.Values(name)) > 1 {
+			return nil, malformed("%s must be given once", name)
+		}
+	}
 	timeout := g.Timeout
 	if text := r.Header.Get(api.HeaderTimeoutMs); text != "" {
 		ms, err := strconv.ParseInt(text, 10, 64)
