--- a/pkg/ctl/bench.go
+++ b/pkg/ctl/bench.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -65,11 +66,24 @@
 	if err != nil {
 		return err
 	}
-	if err := c.print(bench.NewReport(e, results)); err != nil || c.beside == nil || c.JSON {
+	report := bench.NewReport(e, results)
+	if err := c.print(report); err != nil {
 		return err
 	}
-	_, err = fmt.Fprintf(c.stdout, "batch items completed beside the calls: %.1f/s\n", float64(c.beside.Completed)/c.beside.Seconds)
-	return err
+	if c.beside != nil && !c.JSON {
+		_, _ = fmt.Fprintf(c.stdout, "batch items completed beside the calls: %.1f/s\n", float64(c.beside.Completed)/c.beside.Seconds)
+	}
+	return answered(report)
+}
+
+// answered returns an error if a variant got no whole answer at all, since its figures then say nothing.
+func answered(r bench.Report) error {
+	for _, v := range r.Variants {
+		if !slices.ContainsFunc(v.Kinds, func(k bench.Summary) bool { return k.OK > 0 }) {
+			return fmt.Errorf("no call to %s got a whole answer", v.Variant)
+		}
+	}
+	return nil
 }
 
 func (c *benchCommand) variants(model string) []bench.Variant {
