End the story of a request with its answer

Cause: explain of a request that was answered ended with the slot that it got.

Change: the gateway records the answer with its status and the attempts.

Result: the test of plain calls failed before (last decision: the slot's) and passes now.

--- a/pkg/gateway/execute.go
+++ b/pkg/gateway/execute.go
@@ -46,6 +46,7 @@
 			g.succeeded()
 			klog.V(1).InfoS("Request served", "request", j.req.ID, "institution", j.req.Institution, "class", j.req.Class,
 				"upstream", a.upstream, "status", a.res.Status, "attempts", j.attempts+1)
+			g.record(j, a.upstream, "complete", "the upstream answered", map[string]any{"status": a.res.Status, "attempts": j.attempts + 1})
 			return a.res, nil
 		}
 		if ctx.Err() != nil {
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/assert/cmp"
 
 	"trefoilplank.example/api"
+	"trefoilplank.example/pkg/explain"
 	"trefoilplank.example/pkg/serving"
 )
 
@@ -31,6 +32,8 @@
 	assert.Equal(t, r.status, 200, r.body)
 	assert.Assert(t, cmp.Contains(r.body, `"/a%2Fb//c?q=1"`))
 	assert.Equal(t, f.slots.inUse(), 0)
+	story := f.Gateway.Explain.Find(explain.Query{Request: r.header.Get(api.HeaderRequestID)})
+	assert.Equal(t, story[len(story)-1].Decision, "complete", "the story of a request must say how it ended")
 }
 
 // Guards status, code and outcome of requests that are refused before admission.
