List what else is wrong when a document has unreadable values

Cause: an apply with an unknown field or a value of a wrong type listed only these; a share below 0 or a target above 1 in the same documents came with the next try.

Change: what could be read is checked too. Values that have a finding already are left out, and nothing is added when a whole list or document could not be read.

Result: the test of findings failed before (share only) and finds share and target now.

--- a/pkg/operator/apply.go
+++ b/pkg/operator/apply.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -103,14 +104,38 @@
 		return config.Change{}, nil, false
 	}
 	docs, findings := api.Decode(body)
+	change.Register, change.Rules = docs.Register, docs.Rules
 	if len(findings) > 0 {
-		writeFindings(w, findings)
+		writeFindings(w, append(findings, furtherFindings(docs, findings, merge(s.Board.Config.Value(), change))...))
 		return config.Change{}, nil, false
 	}
-	change.Register, change.Rules = docs.Register, docs.Rules
 	return change, docs, true
 }
 
+// furtherFindings checks what could be read of documents with findings, so that an operator sees all faults at once. It
+// leaves out values that have a finding or hold one, and finds nothing when a whole part could not be read, since
+// everything that refers to the part would then be found missing.
+func furtherFindings(docs *api.Documents, found api.Findings, next api.Config) api.Findings {
+	for _, f := range found {
+		if f.Path == "" || f.Path == "kind" || strings.HasPrefix(f.Message, "must be ") {
+			return nil
+		}
+	}
+	var further api.Findings
+	for _, x := range docs.Check(next) {
+		if !slices.ContainsFunc(found, func(f api.Finding) bool { return within(x.Path, f.Path) || within(f.Path, x.Path) }) {
+			further = append(further, x)
+		}
+	}
+	return further
+}
+
+// within reports whether a path is that of a value or of a part of it.
+func within(path, value string) bool {
+	rest, ok := strings.CutPrefix(path, value)
+	return ok && (rest == "" || rest[0] == '.' || rest[0] == '[')
+}
+
 // readDocuments reads the body of a call within its bounds.
 func readDocuments(w http.ResponseWriter, r *http.Request) ([]byte, *api.Error) {
 	body, err := io.ReadAll(io.LimitReader(r.Body, maxDocumentBytes+1))
--- a/pkg/operator/operator_test.go
+++ b/pkg/operator/operator_test.go
@@ -134,6 +134,12 @@
 		assert.Assert(t, x.Line > 0 && x.Column > 0 && x.Path != "" && x.Message != "", x.String())
 	}
 	assert.Equal(t, len(documents), 2, w.Body.String())
+	var paths []string
+	wrong := strings.NewReplacer("share: 1", "share: many", "target: 0.9", "target: 9").Replace(rules)
+	for _, x := range decode[findingsBody](t, f.apply(register+"---\n"+wrong)).Findings {
+		paths = append(paths, x.Path)
+	}
+	assert.DeepEqual(t, paths, []string{"rules.institutions[0].share", "rules.institutions[0].objectives[0].target"})
 	assert.Equal(t, found.Error.Outcome, api.NotRun)
 	assert.Equal(t, f.board.Config.Value().Version, int64(0))
 }
