--- a/cmd/scenarios/scenario_test.go
+++ b/cmd/scenarios/scenario_test.go
@@ -34,6 +34,7 @@
 			"batchfile": batchFile, "results": results, "load": load, "lookups": lookups, "sleep": sleep, "certificate": certificate,
 			"poison": poison, "crashes": crashes, "jobid": jobID, "leave": leave, "exits": exits, "started": started, "presented": presented,
 			"network": networkStart, "cut": cut, "heal": heal, "delay": delay, "flap": flap, "inforce": inForce, "agree": agree,
+			"version": setVersion, "adapter": setAdapter, "repeat": repeat,
 		},
 	})
 }
--- a/pkg/ctl/bench.go
+++ b/pkg/ctl/bench.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"os"
 	"os/signal"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -74,7 +76,20 @@
 		t := c.beside.Throughput()
 		report.Batch = &t
 	}
-	return c.print(report)
+	if err := c.print(report); err != nil {
+		return err
+	}
+	return answered(report)
+}
+
+// answered returns an error if a variant got no whole answer at all, since its figures then say nothing.
+func answered(r bench.Report) error {
+	for _, v := range r.Variants {
+		if !slices.ContainsFunc(v.Kinds, func(k bench.Summary) bool { return k.OK > 0 }) {
+			return fmt.Errorf("no call to %s got a whole answer", v.Variant)
+		}
+	}
+	return nil
 }
 
 func (c *benchCommand) variants(model string) []bench.Variant {
