--- a/cmd/scenarios/fleet_test.go
+++ b/cmd/scenarios/fleet_test.go
@@ -189,7 +189,7 @@
 	return p
 }
 
-// ready waits until the named nodes are ready and know each other: ready NAME...
+// ready waits until the named nodes are ready, know each other and have the accepted configuration: ready NAME...
 func ready(ts *testscript.TestScript, _ bool, names []string) {
 	f := fleetOf(ts)
 	deadline := time.Now().Add(startTimeout)
@@ -219,13 +219,19 @@
 		return false
 	}
 	defer r.Body.Close()
-	var status struct{ Nodes []struct{ Answered bool } }
+	var status struct {
+		VersionAccepted int64 `json:"version_accepted"`
+		Nodes           []struct {
+			Answered       bool
+			VersionInForce int64 `json:"version_in_force"`
+		}
+	}
 	if json.NewDecoder(r.Body).Decode(&status) != nil {
 		return false
 	}
 	answered := 0
 	for _, n := range status.Nodes {
-		if n.Answered {
+		if n.Answered && n.VersionInForce == status.VersionAccepted {
 			answered++
 		}
 	}
