--- a/pkg/node/settings_test.go
+++ b/pkg/node/settings_test.go
@@ -10,14 +10,14 @@
 // Guards against a start that names only the first wrong setting.
 func TestCheckListsEveryFault(t *testing.T) {
 	s := Settings{
-		Name: "bad name", Listen: "localhost:80", AdminListen: "127.0.0.1:1", PeerListen: "127.0.0.1:1",
+		Name: "bad name", Listen: "localhost:80", AdminListen: "127.0.0.1:1", PeerListen: "127.0.0.1:1", PeerAdvertise: "mu-1",
 		OperatorKey: "short", PeerSecret: "long enough secret", TLSCert: "/does/not/exist",
 		DrainTimeout: time.Second, LeaseDuration: time.Minute, AddressTTL: time.Second,
 	}
 	err := s.Check()
 	faults, ok := err.(SettingsError)
 	assert.Assert(t, ok)
-	assert.Equal(t, len(faults), 8, err.Error())
+	assert.Equal(t, len(faults), 9, err.Error())
 }
 
 // Guards against good settings being refused.
