--- a/pkg/controller/claims/claims_test.go
+++ b/pkg/controller/claims/claims_test.go
@@ -24,7 +24,7 @@
 	lost, late, refused int
 	healthy             atomic.Bool
 	puts                atomic.Int32
-	pending             sync.WaitGroup
+	pending             atomic.Int32
 }
 
 func (s *unreliable) Get(ctx context.Context, key string) (store.Object, error) {
@@ -42,10 +42,12 @@
 	case n < s.refused:
 		return 0, store.ErrUnavailable
 	case n < s.refused+s.late:
-		s.pending.Go(func() {
+		s.pending.Add(1)
+		go func() {
+			defer s.pending.Add(-1)
 			time.Sleep(time.Duration(rand.IntN(30)) * time.Millisecond)
 			_, _ = s.Store.Put(context.Background(), key, value, expect)
-		})
+		}()
 		return 0, store.ErrUnknown
 	case n < s.refused+s.late+s.lost:
 		_, _ = s.Store.Put(ctx, key, value, expect)
@@ -98,7 +100,9 @@
 				})
 			}
 			group.Wait()
-			s.pending.Wait()
+			for s.pending.Load() > 0 {
+				time.Sleep(time.Millisecond)
+			}
 			s.healthy.Store(true)
 			for key := range keys {
 				n := granted[key].Load()
