Bound upstream calls when upstreams break every connection

Cause: the first retry after the death of an upstream is outside the retry budget. An upstream that breaks every call counts as dying each time, so each of its calls cost a second one.

Change: the exemption holds for requests in flight when the upstream died for the first time in the budget's window; others use the budget.

--- a/pkg/controller/admission/bench_test.go
+++ b/pkg/controller/admission/bench_test.go
@@ -34,6 +34,13 @@
 }
 
 func newFleet(t testing.TB, adjust func(o *Options)) *fleet {
+	f := prepareFleet()
+	f.start(t, adjust)
+	return f
+}
+
+// prepareFleet returns a fleet that is not started.
+func prepareFleet() *fleet {
 	f := &fleet{engines: modelProber{}, cfg: engines(benchEngines)}
 	for i := range benchEngines {
 		token := 8 * time.Millisecond
@@ -46,6 +53,10 @@
 	f.cfg.Rules.Institutions = []api.InstitutionRules{{Institution: "board", Share: 1, OnlineTailWeight: 1, Objectives: []api.Objective{
 		{Name: "first", Metric: api.MetricFirstToken, Latency: api.Duration(benchObjective), Target: 0.95},
 		{Name: "between", Metric: api.MetricBetweenTokens, Latency: api.Duration(33 * time.Millisecond), Target: 0.95}}}}
+	return f
+}
+
+func (f *fleet) start(t testing.TB, adjust func(o *Options)) {
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
 	t.Cleanup(func() { cancel(); wg.Wait() })
@@ -58,7 +69,6 @@
 		}
 	})
 	time.Sleep(1500 * time.Millisecond)
-	return f
 }
 
 // capacity is the request rate at which every slot is always in use.
--- a/pkg/decision/retry/retry.go
+++ b/pkg/decision/retry/retry.go
@@ -84,7 +84,8 @@
 	Repeatable bool
 	// PassedOn is set when a part of the answer went to the caller and no further run can be joined to it.
 	PassedOn bool
-	// Died is set when the upstream died under the request, Deaths counts how often that happened to it.
+	// Died is set when the upstream died under the request and had not died shortly before it began. Deaths counts all
+	// deaths under the request.
 	Died   bool
 	Deaths int
 	// Left is the time to the deadline.
--- a/pkg/gateway/execute.go
+++ b/pkg/gateway/execute.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"net/http"
 	"slices"
 	"time"
@@ -27,6 +28,7 @@
 // attempt is the result of one run on one upstream.
 type attempt struct {
 	upstream string
+	began    time.Time
 	res      *serving.Result
 	err      error
 }
@@ -130,8 +132,8 @@
 
 // run calls the upstream of the slot, then returns the slot and reports the end of the run.
 func (g *Gateway) run(ctx context.Context, j *job, slot *serving.Slot, alone bool) attempt {
-	a := attempt{upstream: slot.Upstream.Name}
 	start := time.Now()
+	a := attempt{upstream: slot.Upstream.Name, began: start}
 	if j.engine() {
 		j.lastRun = start
 	}
@@ -215,15 +217,26 @@
 // decideRetry counts a failed attempt and decides whether there is another one.
 func (g *Gateway) decideRetry(j *job, a attempt) retry.Decision {
 	j.note(a)
-	died := errors.Is(a.err, serving.ErrUpstreamDied)
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	died := errors.Is(a.err, serving.ErrUpstreamDied) && g.newDeath(a, time.Now())
 	return retry.Decide(retry.Attempt{
 		Number: j.attempts, Runs: j.runs, Started: a.started(), Repeatable: j.repeatable, Died: died, Deaths: j.deaths,
 		PassedOn: j.stream && j.events.diverged, Left: time.Until(j.req.Deadline),
 	}, g.budget, time.Now(), g.Random())
 }
 
+// newDeath reports whether the attempt was in flight when its upstream died for the first time in retry.Window. An
+// upstream that breaks every call would otherwise cost a further run for each of them. g.mu is held.
+func (g *Gateway) newDeath(a attempt, now time.Time) bool {
+	maps.DeleteFunc(g.firstDeaths, func(_ string, at time.Time) bool { return now.Sub(at) >= retry.Window })
+	first, known := g.firstDeaths[a.upstream]
+	if !known {
+		g.firstDeaths[a.upstream] = now
+	}
+	return !known || a.began.Before(first)
+}
+
 // giveUp turns the last error into the one that the caller gets, with the outcome of all attempts.
 func (g *Gateway) giveUp(ctx context.Context, j *job, err error) error {
 	var e *api.Error
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -118,6 +118,8 @@
 	lookups map[string]*retry.Durations
 	// deaths holds the last death by upstream.
 	deaths map[string]time.Time
+	// firstDeaths holds the first death within retry.Window by upstream.
+	firstDeaths map[string]time.Time
 
 	// active counts the requests in progress.
 	active atomic.Int64
@@ -130,8 +132,9 @@
 	o.setDefaults()
 	g := &Gateway{
 		Options: o, mux: http.NewServeMux(), lookups: map[string]*retry.Durations{}, deaths: map[string]time.Time{},
-		budget: retry.NewBudget(retry.DefaultShare, retry.Reserve),
-		hedges: retry.NewBudget(retry.HedgeShare, retry.HedgeReserve),
+		firstDeaths: map[string]time.Time{},
+		budget:      retry.NewBudget(retry.DefaultShare, retry.Reserve),
+		hedges:      retry.NewBudget(retry.HedgeShare, retry.HedgeReserve),
 	}
 	g.mux.HandleFunc("GET /v1/models", g.models)
 	g.mux.HandleFunc("GET /v1/addresses", g.addresses)
