Check references only when the register could be read

Cause: with a misspelt name in the register, an apply also listed every reference to the missing name, without a place in the text, and the script test of the command line failed on the third finding. Change: what else is wrong is listed only when the register's own fields could be read. Result: the script test passes again with two findings; share and target in one call are still found together.

--- a/pkg/operator/apply.go
+++ b/pkg/operator/apply.go
@@ -113,11 +113,11 @@
 }
 
 // furtherFindings checks what could be read of documents with findings, so that an operator sees all faults at once. It
-// leaves out values that have a finding or hold one, and finds nothing when a whole part could not be read, since
-// everything that refers to the part would then be found missing.
+// leaves out values that have a finding or hold one, and finds nothing when the register or a whole part could not be
+// read, since everything that refers to a misspelt name would then be found missing.
 func furtherFindings(docs *api.Documents, found api.Findings, next api.Config) api.Findings {
 	for _, f := range found {
-		if f.Path == "" || f.Path == "kind" || strings.HasPrefix(f.Message, "must be ") {
+		if f.Path == "" || f.Path == "kind" || within(f.Path, "register") || strings.HasPrefix(f.Message, "must be ") {
 			return nil
 		}
 	}
