Tell nodes at once that another part of the fleet removed them

Cause: a node that was alone holds all others for dead. The first node that met it probed 8 of them in a round before they refuted that, so a fleet of 380 took 45.5 s to agree on its members after the heal. Change: who learns from a comparison of tables that live nodes are held for dead tells each of them, 16 at a time.

--- a/pkg/controller/membership/membership.go
+++ b/pkg/controller/membership/membership.go
@@ -332,6 +332,7 @@
 // passOn announces news of this node. As a relay it also passes on to its zone what a comparison of tables brought.
 func (c *Controller) passOn(fresh, news []membership.Update) {
 	c.announce(news)
+	go c.tellSubjects(fresh)
 	view := c.view()
 	if len(fresh) == 0 || view.RelayRank(c.name) < 0 {
 		return
--- a/pkg/controller/membership/receiver.go
+++ b/pkg/controller/membership/receiver.go
@@ -1,10 +1,13 @@
 package membership
 
 import (
+	"context"
 	"fmt"
 	"time"
 
 	"github.com/zeebo/xxh3"
+	"golang.org/x/sync/errgroup"
+	"k8s.io/klog/v2"
 
 	"trefoilplank.example/pkg/decision/dissemination"
 	"trefoilplank.example/pkg/decision/membership"
@@ -13,6 +16,9 @@
 // maxUpdates bounds the statements taken from one message; the two-year target has 380 nodes.
 const maxUpdates = 10_000
 
+// tellLimit bounds the calls in flight that tell nodes of their removal.
+const tellLimit = 16
+
 // Receiver holds the methods that peers call.
 type Receiver struct{ c *Controller }
 
@@ -140,6 +146,26 @@
 	return nil
 }
 
+// tellSubjects tells nodes that another part of the fleet holds them for dead, so that they refute it at once: this
+// node itself probes only a few in each round, and a node that was alone holds all others for dead.
+func (c *Controller) tellSubjects(fresh []membership.Update) {
+	var group errgroup.Group
+	group.SetLimit(tellLimit)
+	for _, u := range fresh {
+		if u.Status != membership.Dead {
+			continue
+		}
+		group.Go(func() error {
+			ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+			defer cancel()
+			return c.o.Peers.CallAddress(ctx, u.PeerAddress, "Membership.Push", &PushArgs{Updates: []membership.Update{u}}, &PushReply{})
+		})
+	}
+	if err := group.Wait(); err != nil {
+		klog.V(1).Infof("tell nodes of their removal: %v", err)
+	}
+}
+
 // merge takes statements and returns those that were new, and news of this node itself.
 func (c *Controller) merge(updates []membership.Update) (fresh, news []membership.Update) {
 	c.mu.Lock()
