Name reservations of crash isolation by check and confirm them

Cause: TestCrashingRequestIsContained showed 3 crashes in 3 of 42 runs with -race, also without a loss, at a load average of 28 to 92, and one resend that waited 20 s for a reservation which nobody held. A run that did not take place is reported in the background; the report could free the next run of the same request, so that two trials ran at once. The dead upstreams of the test make such runs frequent, which also explains the flaky case owner_lost. A node could also learn of a reservation after its end, and its end went only to nodes that gave no answer.

Change: each check names its reservation. Holders remember ended reservations and ignore late word of them. Reports go on to the nodes that take the place of silent ones, and to nodes that asked for the run. A successor that has another run of the fingerprint makes the request wait, which covers nodes that disagree on a slow owner. A check carries the crashes that its node saw.

--- a/pkg/controller/quarantine/quarantine.go
+++ b/pkg/controller/quarantine/quarantine.go
@@ -6,10 +6,13 @@
 
 import (
 	"context"
+	"fmt"
 	"maps"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	lru "github.com/hashicorp/golang-lru/v2"
@@ -44,6 +47,8 @@
 	busyRetry = time.Second
 	// maxRuns bounds the requests with a reservation that a node remembers.
 	maxRuns = 20_000
+	// maxOver bounds the ended reservations that a node remembers, for some seconds at the target.
+	maxOver = 4096
 	// ulidLength is the length of the part of a request id after "NODE-".
 	ulidLength = 26
 )
@@ -55,6 +60,8 @@
 	Inform bool
 	// Moved is set when the asking node passed over an owner or saw the members change a moment ago.
 	Moved bool
+	// Known holds the crashes that the asking node saw; their reports may be on their way.
+	Known []quarantine.Record
 }
 
 // CheckReply answers CheckArgs.
@@ -88,6 +95,8 @@
 type Controller struct {
 	Options
 
+	checks atomic.Int64
+
 	mu    sync.Mutex
 	table *quarantine.Table
 	// runs holds the requests of this node that were cleared to run. It is bounded, since a user may leave out a
@@ -105,15 +114,20 @@
 	// recalled is when the others were last asked about a fingerprint.
 	recalled *lru.Cache[string, time.Time]
 	recalls  singleflight.Group
+	// over holds reservations that ended, since word of one may arrive after its end.
+	over *lru.Cache[string, struct{}]
 }
 
 // run is a request of this node in progress.
 type run struct {
+	// reservation names the run to the holders. Each check has another one, so that a late report of a run that did not
+	// take place can't free the next run of the same request.
+	reservation     string
 	fingerprint     string
 	trial, reserved bool
 	began           time.Time
-	// order is that of its check.
-	order []string
+	// order is that of its check, exported the nodes that learned of the run by a question.
+	order, exported []string
 }
 
 var _ serving.Quarantine = (*Controller)(nil)
@@ -128,8 +142,12 @@
 	if err != nil {
 		return nil, err
 	}
+	over, err := lru.New[string, struct{}](maxOver)
+	if err != nil {
+		return nil, err
+	}
 	c := &Controller{
-		Options: o, table: quarantine.NewTable(quarantine.Capacity), runs: runs, recalled: recalled,
+		Options: o, over: over, table: quarantine.NewTable(quarantine.Capacity), runs: runs, recalled: recalled,
 		avoid: map[string]time.Time{}, waiting: map[string]chan struct{}{}, blocked: map[string]int{},
 		asking: map[string]*asking{},
 	}
@@ -161,12 +179,19 @@
 
 // nodeOf returns the node part of a request id.
 func nodeOf(request string) string {
+	request = requestOf(request)
 	if len(request) <= ulidLength {
 		return ""
 	}
 	return request[:len(request)-ulidLength-1]
 }
 
+// requestOf returns the request of a reservation.
+func requestOf(reservation string) string {
+	request, _, _ := strings.Cut(reservation, "#")
+	return request
+}
+
 // Receiver serves the calls of other nodes.
 type Receiver struct{ c *Controller }
 
@@ -175,6 +200,7 @@
 	c := r.c
 	timer := time.NewTimer(busyWait)
 	defer timer.Stop()
+	c.merge(a.Known)
 	if !a.Inform {
 		c.recall(a.Fingerprint, a.Moved)
 	}
@@ -195,6 +221,9 @@
 func (c *Controller) check(a *CheckArgs, reply *CheckReply) <-chan struct{} {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.over.Contains(a.Request) {
+		return nil
+	}
 	reply.Verdict, reply.Left = c.table.Check(a.Fingerprint, a.Request, time.Now())
 	reply.Reserved = c.table.Holds(a.Fingerprint, a.Request)
 	if reply.Verdict != quarantine.Busy || a.Inform {
@@ -226,22 +255,29 @@
 func (r *Receiver) Report(a *ReportArgs, _ *struct{}) error {
 	r.c.mu.Lock()
 	defer r.c.mu.Unlock()
-	now := time.Now()
-	r.c.table.End(quarantine.Run{
+	r.c.end(a, time.Now())
+	return nil
+}
+
+// end records the end of a run; c.mu is held.
+func (c *Controller) end(a *ReportArgs, now time.Time) {
+	c.over.Add(a.Request, struct{}{})
+	c.table.End(quarantine.Run{
 		Fingerprint: a.Fingerprint, Request: a.Request, Trial: a.Trial, Began: now.Add(-a.Age), How: a.Ending,
 	}, now)
-	r.c.wake(a.Fingerprint)
-	return nil
+	c.wake(a.Fingerprint)
 }
 
 // Check implements serving.Quarantine. It waits while an equal request runs that has not yet proved harmless. When
 // ctx ends before, it returns VerdictSuspect with a retry time, and the request must not run.
 func (c *Controller) Check(ctx context.Context, fingerprint, requestID string) (serving.Verdict, time.Duration) {
 	waited := false
+	args := CheckArgs{Fingerprint: fingerprint, Request: fmt.Sprintf("%s#%d", requestID, c.checks.Add(1))}
 	for {
-		reply := c.ask(ctx, CheckArgs{Fingerprint: fingerprint, Request: requestID})
+		reply := c.ask(ctx, args)
 		switch reply.Verdict {
 		case quarantine.Refused:
+			c.abandon(ctx, fingerprint, requestID)
 			c.record(requestID, "", "quarantine-refuse", "the request crashed upstreams before", map[string]any{"left": reply.Left.String()})
 			return serving.VerdictQuarantined, reply.Left
 		case quarantine.Trial:
@@ -259,6 +295,7 @@
 		select {
 		case <-time.After(pollInterval/2 + rand.N(pollInterval)):
 		case <-ctx.Done():
+			c.abandon(ctx, fingerprint, requestID)
 			return serving.VerdictSuspect, busyRetry
 		}
 	}
@@ -277,6 +314,7 @@
 // reservation, so that it holds when the owner is lost during the run.
 func (c *Controller) ask(ctx context.Context, args CheckArgs) CheckReply {
 	began := time.Now()
+	args.Known = c.known(args.Fingerprint)
 	c.beginAsking(args)
 	defer c.endAsking(args.Request)
 	for range candidates {
@@ -292,38 +330,38 @@
 		if reply.Verdict != quarantine.Clear && reply.Verdict != quarantine.Trial {
 			return reply
 		}
-		recalling := c.cleared(args, run{args.Fingerprint, reply.Verdict == quarantine.Trial, reply.Reserved, began, order})
+		recalling := c.cleared(requestOf(args.Request), args, run{args.Request, args.Fingerprint, reply.Verdict == quarantine.Trial, reply.Reserved, began, order, nil})
 		if reply.Reserved {
-			c.inform(ctx, order, args)
+			reply = c.inform(ctx, order, args, reply)
 		}
 		return c.confirm(ctx, recalling, args, reply)
 	}
 	return CheckReply{Verdict: quarantine.Busy}
 }
 
-// inform tells the successor of a reservation and waits for it up to successorWait: a run that begins before the
-// successor knows could be followed by a second one if the owner is lost in between.
-func (c *Controller) inform(ctx context.Context, order []string, args CheckArgs) {
+// inform tells the successor of a reservation: a run that begins before the successor knows could be followed by a
+// second one if the owner is lost in between. It waits up to successorWait, or for the answer if the run is a trial,
+// and returns the successor's verdict when that has another run of the fingerprint. Nodes disagree on the owner for a
+// moment when it is slow.
+func (c *Controller) inform(ctx context.Context, order []string, args CheckArgs, granted CheckReply) CheckReply {
 	args.Inform = true
-	told := make(chan struct{})
-	go func() {
-		defer close(told)
-		owner := order[0]
-		for range candidates {
-			successors := slices.DeleteFunc(slices.Clone(order), func(n string) bool { return n == owner })
-			if len(successors) == 0 || c.call(context.WithoutCancel(ctx), successors[0], "Check", &args, &CheckReply{}) {
-				return
-			}
-			order, _ = c.order(args.Fingerprint, holders)
-		}
-	}()
-	timer := time.NewTimer(successorWait)
+	told := make(chan CheckReply, 1)
+	go func() { told <- c.askSuccessor(context.WithoutCancel(ctx), order, &args) }()
+	wait := successorWait
+	if granted.Verdict == quarantine.Trial {
+		wait = holders * callTimeout
+	}
+	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	select {
-	case <-told:
+	case other := <-told:
+		if other.Verdict == quarantine.Busy || other.Verdict == quarantine.Refused {
+			return other
+		}
 	case <-timer.C:
 	case <-ctx.Done():
 	}
+	return granted
 }
 
 // order returns the first n nodes that may decide on the fingerprint, the owner first, without those that gave no
@@ -346,20 +384,6 @@
 	return order, moved || now.Sub(c.members.changed) < settle
 }
 
-// holdersOf returns the holders for the report of a run: those of its check unless one was lost meanwhile.
-func (c *Controller) holdersOf(fingerprint string, r run) []string {
-	c.mu.Lock()
-	now := time.Now()
-	same := len(r.order) > 0 && r.began.After(c.members.changed) &&
-		!slices.ContainsFunc(r.order, func(n string) bool { return now.Before(c.avoid[n]) })
-	c.mu.Unlock()
-	if same {
-		return r.order
-	}
-	order, _ := c.order(fingerprint, holders)
-	return order
-}
-
 // live returns the names of the live members. While Run is active they are those of the history, so that a node
 // never uses a change that it does not count as recent.
 func (c *Controller) live() []string {
@@ -379,24 +403,24 @@
 	return slices.AppendSeq(make([]string, 0, len(live)), maps.Keys(live))
 }
 
-// report sends a report to n of the nodes, in parallel, and in place of one that gives no answer to the next.
+// report sends a report to the nodes and then to those holders that take the place of nodes without an answer.
 func (c *Controller) report(ctx context.Context, nodes []string, n int, args *ReportArgs) {
-	var group sync.WaitGroup
-	next := make(chan string, len(nodes))
-	for _, node := range nodes {
-		next <- node
-	}
-	close(next)
-	for range n {
-		group.Go(func() {
-			for node := range next {
-				if c.call(ctx, node, "Report", args, &struct{}{}) {
-					return
-				}
+	told := map[string]bool{}
+	for range candidates {
+		var group sync.WaitGroup
+		for _, node := range nodes {
+			if !told[node] {
+				told[node] = true
+				group.Go(func() { c.call(ctx, node, "Report", args, &struct{}{}) })
 			}
-		})
+		}
+		group.Wait()
+		// A node that gave no answer is no longer in the order.
+		nodes, _ = c.order(args.Fingerprint, n)
+		if !slices.ContainsFunc(nodes, func(node string) bool { return !told[node] }) {
+			return
+		}
 	}
-	group.Wait()
 }
 
 func (c *Controller) call(ctx context.Context, node, method string, args, reply any) bool {
@@ -436,47 +460,33 @@
 // check sees it, and this node keeps it as well. Other reports are sent in the background, and only for a run with a
 // reservation or one that clears a suspect.
 func (c *Controller) Finished(ctx context.Context, fingerprint, requestID, upstream string, died bool) {
-	now := time.Now()
-	own, _ := c.runs.Get(requestID)
-	if own.began.IsZero() {
-		own.began = now
-	}
-	args := ReportArgs{
-		Fingerprint: fingerprint, Request: requestID, Ending: quarantine.Survived, Trial: own.trial, Age: now.Sub(own.began),
-	}
-	ctx = context.WithoutCancel(ctx)
+	args := ReportArgs{Fingerprint: fingerprint, Request: requestID, Ending: quarantine.Survived}
 	switch {
 	case died:
 		args.Ending = quarantine.Crashed
+	case upstream == "":
+		args.Ending = quarantine.NotRun
+	}
+	own := c.ended(&args)
+	ctx = context.WithoutCancel(ctx)
+	if died {
 		c.record(requestID, upstream, "crash-report", "the upstream died under the request", map[string]any{"trial": args.Trial})
 		klog.InfoS("Upstream died under request", "request", requestID, "upstream", upstream, "trial", args.Trial)
-		c.local(&args, nil)
-		order, _ := c.order(fingerprint, candidates)
-		others := slices.DeleteFunc(order, func(n string) bool { return n == c.Self })
-		c.report(ctx, others, holders, &args)
-		c.runs.Remove(requestID)
+		// One more than the holders, since this node may be one of them.
+		order, _ := c.order(fingerprint, holders+1)
+		c.report(ctx, slices.Concat(order, own.exported), holders+1, &args)
 		return
-	case upstream == "":
-		args.Ending = quarantine.NotRun
 	}
-	c.runs.Remove(requestID)
 	if own.reserved || args.Ending == quarantine.Survived && c.doubted(fingerprint) {
 		order := c.holdersOf(fingerprint, own)
 		if !own.reserved || own.trial {
 			// This node may keep the suspicion although it is no holder.
 			c.local(&args, nil)
 		}
-		go c.report(ctx, order, holders, &args)
+		go c.report(ctx, slices.Concat(order, own.exported), holders, &args)
 	}
 }
 
-// doubted reports whether this node knows of a suspicion, so that a whole run is worth a report.
-func (c *Controller) doubted(fingerprint string) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.blocked[fingerprint] > 0 || c.table.Suspect(fingerprint, time.Now())
-}
-
 func (c *Controller) record(request, upstream, decision, reason string, values map[string]any) {
 	if c.Explain != nil {
 		c.Explain.Record(explain.Entry{Request: request, Upstream: upstream, Decision: decision, Reason: reason, Values: values})
--- a/pkg/controller/quarantine/recall.go
+++ b/pkg/controller/quarantine/recall.go
@@ -97,6 +97,7 @@
 		reply.Records = append(reply.Records, record)
 	}
 	reply.Records = append(reply.Records, c.ownRecords(a.Fingerprint)...)
+	c.exported(reply.Records, a.From)
 	for _, check := range c.asking {
 		if check.fingerprint == a.Fingerprint && a.From != "" {
 			check.recalling = append(check.recalling, a.From)
@@ -105,6 +106,17 @@
 	return nil
 }
 
+// exported remembers that a node learned of runs of this node, so that it learns of their end. c.mu is held.
+func (c *Controller) exported(records []quarantine.Record, node string) {
+	for _, record := range records {
+		request := requestOf(record.Runner)
+		if r, ok := c.runs.Peek(request); ok && node != "" {
+			r.exported = append(slices.Clone(r.exported), node)
+			c.runs.Add(request, r)
+		}
+	}
+}
+
 // asking is a check that awaits an answer. recalling holds the nodes that asked for the fingerprint meanwhile: they
 // may have become its owner, and an answer of the owner before may be unknown to them.
 type asking struct {
@@ -125,10 +137,10 @@
 }
 
 // cleared makes the run known to later questions and returns the nodes that asked before.
-func (c *Controller) cleared(a CheckArgs, r run) (recalling []string) {
+func (c *Controller) cleared(request string, a CheckArgs, r run) (recalling []string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.runs.Add(a.Request, r)
+	c.runs.Add(request, r)
 	if check := c.asking[a.Request]; check != nil {
 		recalling = check.recalling
 	}
@@ -142,13 +154,66 @@
 	for _, node := range nodes {
 		var other CheckReply
 		if c.call(ctx, node, "Check", &a, &other) && (other.Verdict == quarantine.Busy || other.Verdict == quarantine.Refused) {
-			c.Finished(ctx, a.Fingerprint, a.Request, "", false)
-			return other
+			reply = other
 		}
 	}
 	return reply
 }
 
+// abandon gives up the reservation of a request that waits for another one or is refused.
+func (c *Controller) abandon(ctx context.Context, fingerprint, request string) {
+	if c.runs.Contains(request) {
+		c.Finished(ctx, fingerprint, request, "", false)
+	}
+}
+
+// ended completes the report of a run and forgets the run. A crash takes its place in the table at the same time, so
+// that a question never finds neither of them.
+func (c *Controller) ended(args *ReportArgs) run {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	own, ok := c.runs.Peek(args.Request)
+	if !ok {
+		own.began = now
+	}
+	c.runs.Remove(args.Request)
+	if ok {
+		args.Request = own.reservation
+	}
+	args.Trial, args.Age = own.trial, now.Sub(own.began)
+	if args.Ending == quarantine.Crashed {
+		c.end(args, now)
+	}
+	return own
+}
+
+// known returns the crashes of a fingerprint that this node saw.
+func (c *Controller) known(fingerprint string) []quarantine.Record {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	record, ok := c.table.Export(fingerprint, time.Now())
+	if !ok || record.Suspect == 0 && record.Refused == 0 {
+		return nil
+	}
+	record.Runner, record.Wait = "", 0
+	return []quarantine.Record{record}
+}
+
+// holdersOf returns the holders for the report of a run: those of its check unless one was lost meanwhile.
+func (c *Controller) holdersOf(fingerprint string, r run) []string {
+	c.mu.Lock()
+	now := time.Now()
+	same := len(r.order) > 0 && r.began.After(c.members.changed) &&
+		!slices.ContainsFunc(r.order, func(n string) bool { return now.Before(c.avoid[n]) })
+	c.mu.Unlock()
+	if same {
+		return r.order
+	}
+	order, _ := c.order(fingerprint, holders)
+	return order
+}
+
 // isNew reports whether the node joined a moment ago. c.mu is held.
 func (c *Controller) isNew() bool { return time.Since(c.members.joined[c.Self]) < settle }
 
@@ -157,7 +222,7 @@
 	var list []quarantine.Record
 	for _, request := range c.runs.Keys() {
 		if r, ok := c.runs.Peek(request); ok && r.reserved && match(r) {
-			if record := quarantine.Reservation(r.fingerprint, request, r.trial, r.began, now); record.Wait > 0 {
+			if record := quarantine.Reservation(r.fingerprint, r.reservation, r.trial, r.began, now); record.Wait > 0 {
 				list = append(list, record)
 			}
 		}
@@ -175,9 +240,15 @@
 }
 
 func (c *Controller) merge(records []quarantine.Record) {
+	if len(records) == 0 {
+		return
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, record := range records {
+		if c.over.Contains(record.Runner) {
+			record.Runner = ""
+		}
 		c.table.Merge(record, time.Now())
 		c.wake(record.Fingerprint)
 	}
@@ -273,3 +344,22 @@
 		}()
 	}
 }
+
+// doubted reports whether this node knows of a suspicion, so that a whole run is worth a report.
+func (c *Controller) doubted(fingerprint string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.blocked[fingerprint] > 0 || c.table.Suspect(fingerprint, time.Now())
+}
+
+func (c *Controller) askSuccessor(ctx context.Context, order []string, args *CheckArgs) (reply CheckReply) {
+	owner := order[0]
+	for range candidates {
+		successors := slices.DeleteFunc(slices.Clone(order), func(n string) bool { return n == owner })
+		if len(successors) == 0 || c.call(ctx, successors[0], "Check", args, &reply) {
+			return reply
+		}
+		order, _ = c.order(args.Fingerprint, holders)
+	}
+	return reply
+}
