Read bodies without growing and scan strings faster

Cause: a profile of a request at the gateway shows 60 percent in reading and parsing its body.

Change: bodies are read into memory of their announced size, the canonical form is written into memory of the body's size, and the count of fields skips strings with IndexByte.

--- a/pkg/adapter/service/service.go
+++ b/pkg/adapter/service/service.go
@@ -247,7 +247,7 @@
 // Read reads the rest of an answer and checks that it is whole.
 func (c *Client) Read(ctx context.Context, u api.Upstream, a *Answer, start time.Time) (*serving.Result, error) {
 	first := time.Since(start)
-	body, err := io.ReadAll(io.LimitReader(a.Body, MaxBodyBytes+1))
+	body, err := ReadSized(io.LimitReader(a.Body, MaxBodyBytes+1), a.ContentLength)
 	switch {
 	case err != nil && ctx.Err() != nil:
 		return nil, errs.Combine(serving.ErrInterrupted, context.Cause(ctx))
@@ -262,6 +262,18 @@
 	return &serving.Result{Status: a.StatusCode, Header: a.Header, Body: body, FirstToken: first}, nil
 }
 
+// maxPresize bounds the memory that a body takes before it arrives.
+const maxPresize = 64 << 10
+
+// ReadSized reads a body to its end. size is the length that its header gave, or -1; the body is read without growing
+// when that is right.
+func ReadSized(r io.Reader, size int64) ([]byte, error) {
+	var b bytes.Buffer
+	b.Grow(int(min(max(size, 0), maxPresize)) + bytes.MinRead)
+	_, err := b.ReadFrom(r)
+	return b.Bytes(), err
+}
+
 // Closed returns an answer that is closed already and whose body is empty.
 func Closed() *Answer {
 	return &Answer{
--- a/pkg/gateway/prompt/prompt.go
+++ b/pkg/gateway/prompt/prompt.go
@@ -41,6 +41,8 @@
 	PromptTokens int
 	text         []byte
 	value        any
+	// size is the length of the body as it was sent, which its canonical form usually does not exceed.
+	size int
 }
 
 // Parse reads a chat or completion request. Fields that it does not know are left to the upstream.
@@ -57,7 +59,7 @@
 		// The upstream may take the other occurrence and serve a model that the caller is not granted.
 		return nil, errors.New("a field occurs twice")
 	}
-	b := &Body{MaxTokens: DefaultMaxTokens, value: v}
+	b := &Body{MaxTokens: DefaultMaxTokens, value: v, size: len(raw)}
 	if b.Model, ok = fields["model"].(string); !ok || b.Model == "" {
 		return nil, errors.New("model is missing or not a string")
 	}
@@ -100,7 +102,7 @@
 }
 
 // Canonical returns the canonical form of the body.
-func (b *Body) Canonical() []byte { return appendValue(nil, b.value) }
+func (b *Body) Canonical() []byte { return appendValue(make([]byte, 0, b.size), b.value) }
 
 // PrefixHashes returns chained hashes of the blocks of the prompt for a model and adapter; the last block may be
 // partial and is left out, since its hash changes with every added character.
@@ -230,11 +232,7 @@
 	for i := 0; i < len(raw); i++ {
 		switch raw[i] {
 		case '"':
-			for i++; raw[i] != '"'; i++ {
-				if raw[i] == '\\' {
-					i++
-				}
-			}
+			i = stringEnd(raw, i+1)
 		case '{', '[':
 			depth++
 		case '}', ']':
@@ -248,6 +246,18 @@
 	return n
 }
 
+// stringEnd returns the index of the quote that ends the string whose text begins at i, in valid JSON.
+func stringEnd(raw []byte, i int) int {
+	for {
+		next := bytes.IndexByte(raw[i:], '"')
+		escape := bytes.IndexByte(raw[i:i+next], '\\')
+		if escape < 0 {
+			return i + next
+		}
+		i += escape + 2
+	}
+}
+
 // messages returns the text of a chat in the order in which an engine sees it.
 func messages(v any) ([]byte, error) {
 	list, ok := v.([]any)
--- a/pkg/gateway/prompt/prompt_test.go
+++ b/pkg/gateway/prompt/prompt_test.go
@@ -70,3 +70,12 @@
 	}
 	assert.Assert(t, Digest("ab", "c") != Digest("a", "bc") && Fingerprint("ab", "c") != Fingerprint("a", "bc"))
 }
+
+// Guards the count of fields, by which a repeated one is refused, against quotes and backslashes in strings.
+func TestKeysWithEscapes(t *testing.T) {
+	for raw, want := range map[string]int{
+		`{}`: 0, `{"":""}`: 1, `{"a\\":"\\\\","b\"c:":{"x":1,"y":2},"d":["\":"]}`: 3, `{"a":":\\","a":"\\\":"}`: 2,
+	} {
+		assert.Equal(t, keys([]byte(raw)), want, raw)
+	}
+}
--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"trefoilplank.example/api"
+	"trefoilplank.example/pkg/adapter/service"
 	"trefoilplank.example/pkg/gateway/prompt"
 	"trefoilplank.example/pkg/serving"
 )
@@ -61,7 +62,7 @@
 	control := http.NewResponseController(w)
 	// A writer without deadlines, as in a test, is used as it is.
 	_ = control.SetReadDeadline(time.Now().Add(g.BodyTimeout))
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, g.MaxBodyBytes))
+	body, err := service.ReadSized(http.MaxBytesReader(w, r.Body, g.MaxBodyBytes), r.ContentLength)
 	if err == nil {
 		// The deadline must not end the background read that notices a caller's disconnect.
 		_ = control.SetReadDeadline(time.Time{})
