--- /dev/null
+++ b/pkg/controller/quarantine/late_test.go
@@ -0,0 +1,57 @@
+package quarantine
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"trefoilplank.example/pkg/blackboard"
+	"trefoilplank.example/pkg/decision/quarantine"
+	"trefoilplank.example/pkg/gateway/peertest"
+)
+
+// holder is the owner of a suspect fingerprint, which other nodes ask.
+func holder(t *testing.T) *Receiver {
+	t.Helper()
+	node := peertest.New().Node("a")
+	board := blackboard.New()
+	board.Members.Set(peertest.Members("a", "a"))
+	c, err := New(Options{Self: "a", Board: board, Peers: node}, node)
+	assert.NilError(t, err)
+	r := &Receiver{c}
+	assert.NilError(t, r.Report(&ReportArgs{Fingerprint: "x", Request: "r0#1", Ending: quarantine.Crashed}, nil))
+	return r
+}
+
+func (r *Receiver) verdict(t *testing.T, reservation string) quarantine.Verdict {
+	t.Helper()
+	var reply CheckReply
+	assert.NilError(t, r.Check(&CheckArgs{Fingerprint: "x", Request: reservation}, &reply))
+	return reply.Verdict
+}
+
+// Guards against a trial beside a trial: the report of a run that did not take place arrives after its request has
+// reserved the next one.
+func TestLateReportKeepsTheNextReservation(t *testing.T) {
+	r := holder(t)
+	assert.Equal(t, r.verdict(t, "r1#1"), quarantine.Trial)
+	notRun := ReportArgs{Fingerprint: "x", Request: "r1#1", Ending: quarantine.NotRun}
+	assert.NilError(t, r.Report(&notRun, nil))
+	assert.Equal(t, r.verdict(t, "r1#2"), quarantine.Trial)
+	assert.NilError(t, r.Report(&notRun, nil))
+	assert.Equal(t, r.verdict(t, "r2#1"), quarantine.Busy)
+}
+
+// Guards against a trial beside a trial: the record of a run that has ended arrives late and hides the run in progress.
+func TestLateRecordDoesNotHideTheRun(t *testing.T) {
+	r, now := holder(t), time.Now()
+	record := func(reservation string) quarantine.Record {
+		return quarantine.Reservation("x", reservation, true, now, now)
+	}
+	assert.NilError(t, r.HandOver(&HandOverArgs{[]quarantine.Record{record("r0#1")}}, nil))
+	assert.NilError(t, r.HandOver(&HandOverArgs{[]quarantine.Record{record("r1#1")}}, nil))
+	assert.Equal(t, r.verdict(t, "r0#2"), quarantine.Busy)
+	assert.NilError(t, r.Report(&ReportArgs{Fingerprint: "x", Request: "r1#1", Ending: quarantine.NotRun}, nil))
+	assert.Equal(t, r.verdict(t, "r0#2"), quarantine.Trial)
+}
--- a/pkg/decision/quarantine/quarantine.go
+++ b/pkg/decision/quarantine/quarantine.go
@@ -52,11 +52,6 @@
 	// runner is the request that runs while others wait, until the time waitUntil.
 	runner    string
 	waitUntil time.Time
-	// attempt is the runner's check that made the reservation.
-	attempt int64
-	// ended is the last request whose run ended, and endedAttempt its check.
-	ended        string
-	endedAttempt int64
 	// wholeBegan is when the latest run that ended whole began.
 	wholeBegan time.Time
 }
@@ -105,9 +100,8 @@
 func (t *Table) Len() int { return len(t.entries) }
 
 // Check decides whether the request may run now. For Refused it returns how long that still holds. Clear and
-// Trial reserve the run for an unproven or suspect fingerprint until End or until the wait has passed. attempt grows
-// with each check of a request.
-func (t *Table) Check(fingerprint, request string, attempt int64, now time.Time) (Verdict, time.Duration) {
+// Trial reserve the run for an unproven or suspect fingerprint until End or until the wait has passed.
+func (t *Table) Check(fingerprint, request string, now time.Time) (Verdict, time.Duration) {
 	e := t.get(fingerprint)
 	held := e.runner != "" && e.runner != request && now.Before(e.waitUntil)
 	switch {
@@ -117,24 +111,17 @@
 		if held {
 			return Busy, 0
 		}
-		e.reserve(request, attempt, now.Add(trialWait))
+		e.runner, e.waitUntil = request, now.Add(trialWait)
 		return Trial, 0
 	case now.Before(e.proven):
 		return Clear, 0
 	case held:
 		return Busy, 0
 	}
-	e.reserve(request, attempt, now.Add(unprovenWait))
+	e.runner, e.waitUntil = request, now.Add(unprovenWait)
 	return Clear, 0
 }
 
-func (e *entry) reserve(request string, attempt int64, until time.Time) {
-	if e.runner != request || attempt > e.attempt {
-		e.attempt = attempt
-	}
-	e.runner, e.waitUntil = request, until
-}
-
 // Holds reports whether the request holds the reservation of the fingerprint. A request that runs without one need
 // not be reported when it survives.
 func (t *Table) Holds(fingerprint, request string) bool {
@@ -163,17 +150,13 @@
 	// Began is when the request was cleared to run.
 	Began time.Time
 	How   Ending
-	// Attempt is that of the check which cleared the run.
-	Attempt int64
 }
 
 // End records the end of a run. A whole run clears the suspicion, since a request that crashes upstreams has none. A
 // crash does not count when a run that began later has ended whole: reports of one upstream's death arrive late.
 func (t *Table) End(r Run, now time.Time) {
 	e := t.get(r.Fingerprint)
-	e.ended, e.endedAttempt = r.Request, r.Attempt
-	if e.runner == r.Request && r.Attempt >= e.attempt {
-		// The report of an earlier attempt may arrive after the request has reserved its next run.
+	if e.runner == r.Request {
 		e.runner, e.waitUntil = "", time.Time{}
 	}
 	switch r.How {
@@ -215,8 +198,6 @@
 	// Runner is a request that runs while others wait for at most Wait.
 	Runner string
 	Wait   time.Duration
-	// Attempt is that of the runner's check.
-	Attempt int64
 }
 
 // Export returns the record of a fingerprint; false when nothing is known against it.
@@ -231,7 +212,7 @@
 func (e *entry) export(now time.Time) (Record, bool) {
 	r := Record{Fingerprint: e.fingerprint, Suspect: max(e.suspect.Sub(now), 0), Refused: max(e.refused.Sub(now), 0)}
 	if e.runner != "" && now.Before(e.waitUntil) {
-		r.Runner, r.Wait, r.Attempt = e.runner, e.waitUntil.Sub(now), e.attempt
+		r.Runner, r.Wait = e.runner, e.waitUntil.Sub(now)
 	}
 	return r, r.Suspect > 0 || r.Refused > 0 || r.Runner != ""
 }
@@ -257,18 +238,16 @@
 	if until := now.Add(r.Refused); r.Refused > 0 && until.After(e.refused) {
 		e.refused = until
 	}
-	// A record may have been sent before the end of its run and arrive after the report of that end.
-	over := r.Runner == e.ended && r.Attempt <= e.endedAttempt
-	if r.Runner != "" && !over && (e.runner == "" || !now.Before(e.waitUntil)) {
-		e.reserve(r.Runner, r.Attempt, now.Add(r.Wait))
+	if r.Runner != "" && (e.runner == "" || !now.Before(e.waitUntil)) {
+		e.runner, e.waitUntil = r.Runner, now.Add(r.Wait)
 	}
 }
 
 // Reservation returns the record of a run that began at the given time.
-func Reservation(fingerprint, request string, attempt int64, trial bool, began, now time.Time) Record {
+func Reservation(fingerprint, request string, trial bool, began, now time.Time) Record {
 	wait := unprovenWait
 	if trial {
 		wait = trialWait
 	}
-	return Record{Fingerprint: fingerprint, Runner: request, Attempt: attempt, Wait: max(began.Add(wait).Sub(now), 0)}
+	return Record{Fingerprint: fingerprint, Runner: request, Wait: max(began.Add(wait).Sub(now), 0)}
 }
