--- a/cmd/scenarios/network_test.go
+++ b/cmd/scenarios/network_test.go
@@ -14,7 +14,7 @@
 // storeName is the name of the object store in commands that cut traffic.
 const storeName = "store"
 
-// fault of the traffic in one direction between two parties.
+// linkFault is what happens to the traffic in one direction between two parties.
 type linkFault int
 
 const (
@@ -57,7 +57,7 @@
 	for c := range n.conns {
 		_ = c.Close()
 	}
-	n.faults = nil
+	clear(n.faults)
 	n.change()
 }
 
