Count a minute of load exchanges between ticks

Cause: the window of a minute began and ended on a tick, so that the order of goroutines decided whether it held 60 or 61. Change: it begins half a second past a tick; the bounds stay.

--- a/pkg/controller/admission/exchange_test.go
+++ b/pkg/controller/admission/exchange_test.go
@@ -44,7 +44,8 @@
 			ctx, cancel := context.WithCancel(t.Context())
 			defer cancel()
 			go func() { _ = c.Run(ctx) }()
-			time.Sleep(10 * time.Second)
+			// Half a second past a tick, so that a minute holds 60 of them.
+			time.Sleep(10*time.Second + 500*time.Millisecond)
 			before := peers.calls.Load()
 			time.Sleep(time.Minute)
 			calls := peers.calls.Load() - before
