--- a/pkg/controller/quarantine/late_test.go
+++ b/pkg/controller/quarantine/late_test.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -9,6 +10,7 @@
 	"trefoilplank.example/pkg/blackboard"
 	"trefoilplank.example/pkg/decision/quarantine"
 	"trefoilplank.example/pkg/gateway/peertest"
+	"trefoilplank.example/pkg/serving"
 )
 
 // holder is the owner of a suspect fingerprint, which other nodes ask.
@@ -55,3 +57,16 @@
 	assert.NilError(t, r.Report(&ReportArgs{Fingerprint: "x", Request: "r1#1", Ending: quarantine.NotRun}, nil))
 	assert.Equal(t, r.verdict(t, "r0#2"), quarantine.Trial)
 }
+
+// Guards against a request that waits for its own reservation: a suspect batch item is checked again once it has an
+// upstream of its own.
+func TestRequestKeepsItsReservation(t *testing.T) {
+	c := holder(t).c
+	ctx, stop := context.WithTimeout(t.Context(), 5*time.Second)
+	defer stop()
+	for range 2 {
+		verdict, wait := c.Check(ctx, "x", "r1")
+		assert.Equal(t, verdict, serving.VerdictSuspect)
+		assert.Equal(t, wait, time.Duration(0))
+	}
+}
--- a/pkg/controller/quarantine/quarantine.go
+++ b/pkg/controller/quarantine/quarantine.go
@@ -286,7 +286,7 @@
 // ctx ends before, it returns VerdictSuspect with a retry time, and the request must not run.
 func (c *Controller) Check(ctx context.Context, fingerprint, requestID string) (serving.Verdict, time.Duration) {
 	waited := false
-	args := CheckArgs{Fingerprint: fingerprint, Request: fmt.Sprintf("%s#%d", requestID, c.checks.Add(1))}
+	args := CheckArgs{Fingerprint: fingerprint, Request: c.reservation(requestID)}
 	for {
 		reply := c.ask(ctx, args)
 		switch reply.Verdict {
@@ -315,6 +315,15 @@
 	}
 }
 
+// reservation returns the name of a request's reservation: the one that it holds, since an item that waits for an
+// upstream of its own is checked again, or else a new one.
+func (c *Controller) reservation(requestID string) string {
+	if own, ok := c.runs.Get(requestID); ok {
+		return own.reservation
+	}
+	return fmt.Sprintf("%s#%d", requestID, c.checks.Add(1))
+}
+
 // block counts the requests of this node that wait for an equal one.
 func (c *Controller) block(fingerprint string, n int) {
 	c.mu.Lock()
