Share the fixtures of batch tests and move the scenario network to standin

Change: pkg/batch/batchtest holds uploads and the slot; standin/network is the network between nodes; reports of runs have a file of their own.

--- a/cmd/scenarios/fleet_test.go
+++ b/cmd/scenarios/fleet_test.go
@@ -17,6 +17,7 @@
 	"github.com/rogpeppe/go-internal/testscript"
 
 	"trefoilplank.example/standin/devfleet"
+	"trefoilplank.example/standin/network"
 )
 
 const (
@@ -35,7 +36,7 @@
 	started  map[string]int
 	loads    map[string]*loadRun
 	// network is nil in scripts that do not cut it.
-	network *network
+	network *network.Network
 	// versions holds the newest version seen in force on each node.
 	versions map[string]int64
 }
@@ -98,7 +99,7 @@
 	ip, peer, store := "127.0.0.1", "", f.standins.StoreAddress
 	if f.network != nil {
 		var err error
-		ip, peer, store, err = f.network.join(name, store)
+		ip, peer, store, err = f.network.Join(name, store)
 		ts.Check(err)
 	}
 	flags := append([]string{
@@ -116,7 +117,7 @@
 	}
 	ts.Check(err)
 	if f.network != nil {
-		f.network.setTarget(name, p.listens)
+		f.network.SetTarget(name, p.listens)
 	}
 	ts.Setenv(name, p.address)
 	ts.Setenv(name+"_admin", p.admin)
--- a/pkg/batch/handler/handler_test.go
+++ b/pkg/batch/handler/handler_test.go
@@ -1,12 +1,9 @@
 package handler
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
-	"mime/multipart"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -19,6 +16,7 @@
 
 	"trefoilplank.example/api"
 	"trefoilplank.example/pkg/adapter/store/memstore"
+	"trefoilplank.example/pkg/batch/batchtest"
 	"trefoilplank.example/pkg/batch/faultstore"
 	"trefoilplank.example/pkg/serving"
 )
@@ -32,19 +30,6 @@
 	return w
 }
 
-func form(purpose, content, key string) *http.Request {
-	var body bytes.Buffer
-	f := multipart.NewWriter(&body)
-	part, _ := f.CreateFormFile("file", "in.jsonl")
-	_, _ = io.WriteString(part, content)
-	_ = f.WriteField("purpose", purpose)
-	_ = f.Close()
-	r := httptest.NewRequest(http.MethodPost, "/v1/files", &body)
-	r.Header.Set("Content-Type", f.FormDataContentType())
-	r.Header.Set(api.HeaderIdempotencyKey, key)
-	return r
-}
-
 func chat(id string) string {
 	return fmt.Sprintf(`{"custom_id":%q,"method":"POST","url":"/v1/chat/completions","body":{"model":"summary","messages":[]}}`+"\n", id)
 }
@@ -87,7 +72,7 @@
 		`{"custom_id":"8","method":"POST","url":"/v1/services/ledger/charge","body":{}}` + "\n" +
 		`{"custom_id":"9","method":"GET","url":"/v1/services/status/case/1"}` + "\n" +
 		strings.Replace(chat("10"), "summary", "rights", 1) + strings.Replace(chat("11"), "POST", "GET", 1)
-	a := read(t, call(h, clerk, form("batch", content, "")), http.StatusBadRequest)
+	a := read(t, call(h, clerk, batchtest.Upload("batch", content, "")), http.StatusBadRequest)
 	var lines []int
 	for _, f := range a.Error.Findings {
 		lines = append(lines, f.Line)
@@ -107,7 +92,7 @@
 	for i := range 2500 {
 		content.WriteString(chat(fmt.Sprint(i)))
 	}
-	id := read(t, call(h, clerk, form("batch", content.String(), "")), http.StatusOK).ID
+	id := read(t, call(h, clerk, batchtest.Upload("batch", content.String(), "")), http.StatusOK).ID
 	get := func(as serving.Identity, path string) *httptest.ResponseRecorder {
 		return call(h, as, httptest.NewRequest(http.MethodGet, path, nil))
 	}
@@ -121,8 +106,8 @@
 	other.Grants.Models = nil
 	read(t, call(h, other, batch(id, "", "")), http.StatusForbidden)
 	other.Grants.Batch = false
-	read(t, call(h, other, form("batch", content.String(), "")), http.StatusForbidden)
-	read(t, call(h, clerk, form("fine-tune", chat("1"), "")), http.StatusBadRequest)
+	read(t, call(h, other, batchtest.Upload("batch", content.String(), "")), http.StatusForbidden)
+	read(t, call(h, clerk, batchtest.Upload("fine-tune", chat("1"), "")), http.StatusBadRequest)
 	read(t, get(clerk, "/v1/batches/batch_0"), http.StatusNotFound)
 }
 
@@ -143,7 +128,7 @@
 func TestListBatches(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		h := New(Options{Store: memstore.New()})
-		file := read(t, call(h, clerk, form("batch", chat("1"), "")), http.StatusOK).ID
+		file := read(t, call(h, clerk, batchtest.Upload("batch", chat("1"), "")), http.StatusOK).ID
 		var want, got []string
 		for range 7 {
 			want = append([]string{read(t, call(h, clerk, batch(file, "", "")), http.StatusOK).ID}, want...)
@@ -213,7 +198,7 @@
 				group.Wait()
 				return ids
 			}
-			files := send(func() *http.Request { return form("batch", chat("1"), "key") })
+			files := send(func() *http.Request { return batchtest.Upload("batch", chat("1"), "key") })
 			assert.Equal(t, len(files), 1, "%v", files)
 			var file string
 			for file = range files {
@@ -222,8 +207,8 @@
 			assert.Equal(t, len(jobs), 1, "%v", jobs)
 			clear(faults)
 			for _, h := range nodes {
-				read(t, call(h, clerk, form("batch", chat("2"), "key")), http.StatusConflict)
-				read(t, call(h, clerk, form("batch", "no JSON", "key")), http.StatusConflict)
+				read(t, call(h, clerk, batchtest.Upload("batch", chat("2"), "key")), http.StatusConflict)
+				read(t, call(h, clerk, batchtest.Upload("batch", "no JSON", "key")), http.StatusConflict)
 				read(t, call(h, clerk, batch(file, "key", "other")), http.StatusConflict)
 				list := read(t, call(h, clerk, httptest.NewRequest(http.MethodGet, "/v1/batches", nil)), http.StatusOK)
 				assert.Equal(t, len(list.Data), 1)
@@ -249,7 +234,7 @@
 					return fault
 				}}
 				h := New(Options{Store: s})
-				file := read(t, call(h, clerk, form("batch", chat("1"), "")), http.StatusOK).ID
+				file := read(t, call(h, clerk, batchtest.Upload("batch", chat("1"), "")), http.StatusOK).ID
 				active = true
 				w := call(h, clerk, batch(file, "", ""))
 				active = false
--- a/pkg/capacity/batch_test.go
+++ b/pkg/capacity/batch_test.go
@@ -5,10 +5,9 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
-	"mime/multipart"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -16,6 +15,7 @@
 	"trefoilplank.example/api"
 	"trefoilplank.example/pkg/adapter/store"
 	"trefoilplank.example/pkg/adapter/store/memstore"
+	"trefoilplank.example/pkg/batch/batchtest"
 	"trefoilplank.example/pkg/batch/jobstore"
 	"trefoilplank.example/pkg/blackboard"
 	"trefoilplank.example/pkg/controller/batch"
@@ -67,27 +67,11 @@
 		}
 	})
 	for range slots {
-		n.done.Go(func() { n.fill(ctx, cfg.Register.Upstreams[0]) })
+		n.done.Go(func() { batchtest.Fill(ctx, n, cfg.Register.Upstreams[0]) })
 	}
 	return n
 }
 
-// fill runs items one after the other, as admission does with one slot.
-func (n *batchNode) fill(ctx context.Context, u api.Upstream) {
-	for ctx.Err() == nil {
-		waiting := n.Waiting()
-		r, ok := n.Next(u)
-		if !ok {
-			select {
-			case <-waiting:
-			case <-ctx.Done():
-			}
-			continue
-		}
-		r.Run(context.WithoutCancel(ctx), &serving.Slot{Upstream: u, RequestID: r.Request().ID})
-	}
-}
-
 func (n *batchNode) close() {
 	n.stop()
 	n.done.Wait()
@@ -106,17 +90,11 @@
 
 // submit uploads a file of items and starts a job on it.
 func (n *batchNode) submit(items int) (job string) {
-	var body bytes.Buffer
-	form := multipart.NewWriter(&body)
-	_ = form.WriteField("purpose", "batch")
-	part, _ := form.CreateFormFile("file", "in.jsonl")
+	var content strings.Builder
 	for i := range items {
-		fmt.Fprintf(part, `{"custom_id":"item-%d","method":"POST","url":"/v1/chat/completions","body":{"model":"model-0","messages":[{"role":"user","content":"text %d"}]}}`+"\n", i, i)
+		fmt.Fprintf(&content, `{"custom_id":"item-%d","method":"POST","url":"/v1/chat/completions","body":{"model":"model-0","messages":[{"role":"user","content":"text %d"}]}}`+"\n", i, i)
 	}
-	_ = form.Close()
-	r := httptest.NewRequest(http.MethodPost, "/v1/files", io.Reader(&body))
-	r.Header.Set("Content-Type", form.FormDataContentType())
-	file := n.do(r)["id"]
+	file := n.do(batchtest.Upload("batch", content.String(), ""))["id"]
 	return n.do(httptest.NewRequest(http.MethodPost, "/v1/batches", bytes.NewBufferString(fmt.Sprintf(
 		`{"input_file_id":%q,"endpoint":"/v1/chat/completions","completion_window":"24h"}`, file))))["id"].(string)
 }
@@ -230,7 +208,7 @@
 					ctx, end := context.WithCancel(context.Background())
 					go func() { <-stop; end() }()
 					for range 64 {
-						go node.fill(ctx, configOf(1, 1).Register.Upstreams[0])
+						go batchtest.Fill(ctx, node, configOf(1, 1).Register.Upstreams[0])
 					}
 					time.Sleep(5 * time.Second)
 					return node
--- a/pkg/controller/batch/fakes_test.go
+++ b/pkg/controller/batch/fakes_test.go
@@ -1,12 +1,10 @@
 package batch
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
 	"io"
-	"mime/multipart"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -18,6 +16,7 @@
 
 	"trefoilplank.example/api"
 	"trefoilplank.example/pkg/adapter/store"
+	"trefoilplank.example/pkg/batch/batchtest"
 	"trefoilplank.example/pkg/batch/line"
 	"trefoilplank.example/pkg/blackboard"
 	"trefoilplank.example/pkg/decision/lease"
@@ -118,27 +117,11 @@
 		}
 	})
 	for range slots {
-		n.done.Go(func() { n.fill(ctx, testUpstream) })
+		n.done.Go(func() { batchtest.Fill(ctx, n, testUpstream) })
 	}
 	return n
 }
 
-// fill runs items one after the other on u, as admission does with one slot.
-func (n *testNode) fill(ctx context.Context, u api.Upstream) {
-	for ctx.Err() == nil {
-		waiting := n.Waiting()
-		r, ok := n.Next(u)
-		if !ok {
-			select {
-			case <-waiting:
-			case <-ctx.Done():
-			}
-			continue
-		}
-		r.Run(context.WithoutCancel(ctx), &serving.Slot{Upstream: u, RequestID: r.Request().ID})
-	}
-}
-
 // close stops the node gracefully.
 func (n *testNode) close() {
 	n.stop()
@@ -153,19 +136,6 @@
 	return w
 }
 
-func uploadRequest(content, key string) *http.Request {
-	var body bytes.Buffer
-	form := multipart.NewWriter(&body)
-	_ = form.WriteField("purpose", "batch")
-	part, _ := form.CreateFormFile("file", "in.jsonl")
-	_, _ = io.WriteString(part, content)
-	_ = form.Close()
-	r := httptest.NewRequest(http.MethodPost, "/v1/files", &body)
-	r.Header.Set("Content-Type", form.FormDataContentType())
-	r.Header.Set(api.HeaderIdempotencyKey, key)
-	return r
-}
-
 func chatLine(id, extra string) string {
 	return fmt.Sprintf(`{"custom_id":%q,"method":"POST","url":"/v1/chat/completions","body":{"model":"rights","messages":[{"role":"user","content":%q}]}%s}`, id, "text of "+id, extra)
 }
@@ -198,7 +168,7 @@
 
 func (n *testNode) upload(t *testing.T, content string) string {
 	t.Helper()
-	return decode(t, n.do(uploadRequest(content, "")), http.StatusOK).ID
+	return decode(t, n.do(batchtest.Upload("batch", content, "")), http.StatusOK).ID
 }
 
 func batchRequest(file, key, window string) *http.Request {
--- a/pkg/controller/batch/lots_test.go
+++ b/pkg/controller/batch/lots_test.go
@@ -15,6 +15,7 @@
 
 	"trefoilplank.example/api"
 	"trefoilplank.example/pkg/adapter/store/memstore"
+	"trefoilplank.example/pkg/batch/batchtest"
 	"trefoilplank.example/pkg/serving"
 )
 
@@ -60,7 +61,7 @@
 		// Each round brings 40 items for the 80 that the slots run in it.
 		for round := range rounds {
 			own := fleet[1].submit(t, fleet[1].upload(t, lot(fmt.Sprint("own-", round), items)))
-			file := decode(t, fleet[0].as("board", uploadRequest(lot(fmt.Sprint("other-", round), items), "")), http.StatusOK).ID
+			file := decode(t, fleet[0].as("board", batchtest.Upload("batch", lot(fmt.Sprint("other-", round), items), "")), http.StatusOK).ID
 			other := decode(t, fleet[0].as("board", batchRequest(file, "", "24h")), http.StatusOK).ID
 			time.Sleep(10 * time.Second)
 			assert.Equal(t, fleet[0].show(t, own).Status, "completed", "round %d", round)
--- a/pkg/controller/batch/retention_test.go
+++ b/pkg/controller/batch/retention_test.go
@@ -13,6 +13,7 @@
 
 	"trefoilplank.example/pkg/adapter/store"
 	"trefoilplank.example/pkg/adapter/store/memstore"
+	"trefoilplank.example/pkg/batch/batchtest"
 	"trefoilplank.example/pkg/batch/faultstore"
 )
 
@@ -53,7 +54,7 @@
 			assert.NilError(t, err)
 			b := &testNode{Controller: vanishing}
 			calls, dead = 0, true
-			b.do(uploadRequest(strings.ReplaceAll(chatFile(2500), "item", fmt.Sprint("x", last)), ""))
+			b.do(batchtest.Upload("batch", strings.ReplaceAll(chatFile(2500), "item", fmt.Sprint("x", last)), ""))
 
 			const day = 24 * time.Hour
 			assert.NilError(t, a.Collect(t.Context(), time.Now().Add(9*day)))
@@ -81,7 +82,7 @@
 		mem := memstore.New()
 		a := startNode(t, mem, "a", &fakeInvoker{}, 0, nil)
 		defer a.close()
-		r := uploadRequest(chatFile(5000), "")
+		r := batchtest.Upload("batch", chatFile(5000), "")
 		r.Body = io.NopCloser(brokenReader{io.LimitReader(r.Body, 500_000)})
 		decode(t, a.do(r), http.StatusBadRequest)
 		assert.DeepEqual(t, keys(t, mem), []string(nil))
--- a/pkg/controller/quarantine/recall.go
+++ b/pkg/controller/quarantine/recall.go
@@ -164,27 +164,6 @@
 	}
 }
 
-// ended completes the report of a run and forgets the run. A crash takes its place in the table at the same time, so
-// that a question never finds neither of them.
-func (c *Controller) ended(args *ReportArgs) run {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	now := time.Now()
-	own, ok := c.runs.Peek(args.Request)
-	if !ok {
-		own.began = now
-	}
-	c.runs.Remove(args.Request)
-	if ok {
-		args.Request = own.reservation
-	}
-	args.Trial, args.Age = own.trial, now.Sub(own.began)
-	if args.Ending == quarantine.Crashed {
-		c.end(args, now)
-	}
-	return own
-}
-
 // known returns the crashes of a fingerprint that this node saw.
 func (c *Controller) known(fingerprint string) []quarantine.Record {
 	c.mu.Lock()
--- a/standin/engine/batch_test.go
+++ b/standin/engine/batch_test.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"mime/multipart"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -20,6 +19,7 @@
 	"trefoilplank.example/pkg/adapter/service"
 	"trefoilplank.example/pkg/adapter/store"
 	"trefoilplank.example/pkg/adapter/store/memstore"
+	"trefoilplank.example/pkg/batch/batchtest"
 	"trefoilplank.example/pkg/blackboard"
 	"trefoilplank.example/pkg/controller/batch"
 	"trefoilplank.example/pkg/serving"
@@ -91,10 +91,13 @@
 }
 
 // call makes a call of the caller interface.
-func (n *batchNode) call(t *testing.T, method, path, contentType, body string) []byte {
+func (n *batchNode) call(t *testing.T, method, path, body string) []byte {
+	t.Helper()
+	return n.do(t, httptest.NewRequest(method, path, strings.NewReader(body)))
+}
+
+func (n *batchNode) do(t *testing.T, r *http.Request) []byte {
 	t.Helper()
-	r := httptest.NewRequest(method, path, strings.NewReader(body))
-	r.Header.Set("Content-Type", contentType)
 	id := serving.Identity{Institution: "agencia", Caller: "tagger", Grants: api.Grants{Models: []string{"m"}, Batch: true}}
 	w := httptest.NewRecorder()
 	n.Handler().ServeHTTP(w, r.WithContext(serving.WithRequestID(serving.WithIdentity(r.Context(), id), "a-1")))
@@ -104,18 +107,10 @@
 
 func (n *batchNode) submit(t *testing.T, endpoint, content string) string {
 	t.Helper()
-	var form bytes.Buffer
-	w := multipart.NewWriter(&form)
-	assert.NilError(t, w.WriteField("purpose", "batch"))
-	part, err := w.CreateFormFile("file", "in.jsonl")
-	assert.NilError(t, err)
-	_, err = part.Write([]byte(content))
-	assert.NilError(t, err)
-	assert.NilError(t, w.Close())
 	var made struct{ ID string }
-	assert.NilError(t, json.Unmarshal(n.call(t, http.MethodPost, "/v1/files", w.FormDataContentType(), form.String()), &made))
+	assert.NilError(t, json.Unmarshal(n.do(t, batchtest.Upload("batch", content, "")), &made))
 	body := fmt.Sprintf(`{"input_file_id":%q,"endpoint":%q,"completion_window":"24h"}`, made.ID, endpoint)
-	assert.NilError(t, json.Unmarshal(n.call(t, http.MethodPost, "/v1/batches", "application/json", body), &made))
+	assert.NilError(t, json.Unmarshal(n.call(t, http.MethodPost, "/v1/batches", body), &made))
 	return made.ID
 }
 
@@ -130,7 +125,7 @@
 	}
 	preempted := 0
 	for turn := 0; status.Status != "completed"; {
-		assert.NilError(t, json.Unmarshal(n.call(t, http.MethodGet, "/v1/batches/"+job, "", ""), &status))
+		assert.NilError(t, json.Unmarshal(n.call(t, http.MethodGet, "/v1/batches/"+job, ""), &status))
 		engine, first := n.engines[turn%2], turn%2 == 0
 		r, ok := n.Next(engine)
 		if !ok {
@@ -160,7 +155,7 @@
 		cancel(nil)
 	}
 	answers := map[string]map[string]json.RawMessage{}
-	for l := range bytes.Lines(n.call(t, http.MethodGet, "/v1/files/"+status.Output+"/content", "", "")) {
+	for l := range bytes.Lines(n.call(t, http.MethodGet, "/v1/files/"+status.Output+"/content", "")) {
 		var o struct {
 			CustomID string `json:"custom_id"`
 			Response struct {
