Take the processor time of a claim as constant

Cause: its three points fall a little, so that the fitted line was below zero at larger sizes and TestTableGrows failed. Change: a constant, the mean of the three, as for the other times that do not grow. Result: TestTableGrows passes.

--- a/pkg/capacity/measured.go
+++ b/pkg/capacity/measured.go
@@ -82,7 +82,7 @@
 	KeyCalls:        Constant(Point{100, 3.99}, Point{1000, 4}, Point{10000, 3.99}),
 	KeyBytes:        Constant(Point{100, 3206}, Point{1000, 3224}, Point{10000, 3227}),
 	ClaimState:      Constant(Point{100000, 261.4}),
-	ClaimCPU:        Fit(Point{1000, 73395}, Point{10000, 89070}, Point{100000, 73191}),
+	ClaimCPU:        Constant(Point{1000, 73395}, Point{10000, 89070}, Point{100000, 73191}),
 	ClaimStoreBytes: Fit(Point{1000, 2175}, Point{10000, 2311}, Point{100000, 2360}),
 	ClaimWrites:     Constant(Point{1000, 1.021}, Point{10000, 1.026}, Point{100000, 1.029}),
 	// Jobs, BenchmarkOpenJobs by open jobs, BenchmarkHeldParts by items of the job, BenchmarkJob by items; the mean job of the target has 1,360.
