Start the fleets of configuration and membership tests in one place

Cause: seventeen tests repeated the bubble of virtual time, the fleet and its end. Change: inFleet does the three; every test keeps its assertions. Result: 16 lines fewer; both packages pass with -race.

--- a/pkg/controller/confsync/confsync_test.go
+++ b/pkg/controller/confsync/confsync_test.go
@@ -58,6 +58,15 @@
 	return f
 }
 
+// inFleet runs a test in a bubble of virtual time with a fleet that ends with it.
+func inFleet(t *testing.T, zones, perZone int, test func(*testing.T, *fleet)) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, zones, perZone)
+		defer f.stopAll()
+		test(t, f)
+	})
+}
+
 // start starts or restarts a node with all its controllers; its zone is the part of the name before "-".
 func (f *fleet) start(name string, seeds ...string) *node {
 	f.starts++
@@ -131,9 +140,7 @@
 
 // TestReady guards against a node that is ready before it knows a version.
 func TestReady(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		f := newFleet(t, 0, 0)
-		defer f.stopAll()
+	inFleet(t, 0, 0, func(t *testing.T, f *fleet) {
 		f.store.SetDown(true)
 		n := f.start("z0-0")
 		time.Sleep(time.Minute)
@@ -152,9 +159,7 @@
 // TestChangeReachesAllNodes guards against nodes that a change does not reach in time, with every store call but
 // those of relays ruled out, and against wrong answers to resends.
 func TestChangeReachesAllNodes(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		f := newFleet(t, 3, 12)
-		defer f.stopAll()
+	inFleet(t, 3, 12, func(t *testing.T, f *fleet) {
 		for i := int64(1); i <= 20; i++ {
 			// Answers lost after their effect: the sender takes the receiver for dead and serves those below it.
 			f.network.LoseAnswers(int(i % 3))
@@ -182,9 +187,7 @@
 
 // TestOperatorsRace guards against two changes of the same version, or of an empty fleet, that are both accepted.
 func TestOperatorsRace(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		f := newFleet(t, 2, 3)
-		defer f.stopAll()
+	inFleet(t, 2, 3, func(t *testing.T, f *fleet) {
 		race := func(ifMatch int64) (versions []int64, races int) {
 			type result struct {
 				version int64
@@ -229,9 +232,7 @@
 
 // TestApplyAnswerLost guards against a change that is accepted twice, or reported as not accepted when it was.
 func TestApplyAnswerLost(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		f := newFleet(t, 1, 3)
-		defer f.stopAll()
+	inFleet(t, 1, 3, func(t *testing.T, f *fleet) {
 		f.store.BeforePut(func(key string) {
 			if key == confchain.HeadKey {
 				f.store.BeforePut(nil)
@@ -268,9 +269,7 @@
 
 // TestAnswerLostThenOutage guards against "not accepted" for a change that took effect right before an outage.
 func TestAnswerLostThenOutage(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		f := newFleet(t, 1, 3)
-		defer f.stopAll()
+	inFleet(t, 1, 3, func(t *testing.T, f *fleet) {
 		lost := &lostHead{Faulty: f.store}
 		n := f.nodes["z0-0"]
 		c := confsync.New(lost, n.board, &peertest.Caller{Network: f.network, Address: "z0-0", Resolve: membership.Resolve(n.board)}, "z0-0")
@@ -335,9 +334,7 @@
 
 // TestRestartDuringOutage guards against a node that starts without the store and takes no or an old version.
 func TestRestartDuringOutage(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		f := newFleet(t, 2, 5)
-		defer f.stopAll()
+	inFleet(t, 2, 5, func(t *testing.T, f *fleet) {
 		for i := range 3 {
 			_, err := f.apply("z0-0", change(fmt.Sprint("n", i), "", 0))
 			assert.NilError(t, err)
@@ -370,9 +367,7 @@
 
 // TestStoreGoesBack guards against a version that reverts, or is given out twice, when the store lost writes.
 func TestStoreGoesBack(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		f := newFleet(t, 1, 4)
-		defer f.stopAll()
+	inFleet(t, 1, 4, func(t *testing.T, f *fleet) {
 		old := store.Object{}
 		for i := range 4 {
 			_, err := f.apply("z0-0", change(fmt.Sprint("n", i), "", 0))
--- a/pkg/controller/membership/membership_test.go
+++ b/pkg/controller/membership/membership_test.go
@@ -59,6 +59,15 @@
 	return &fleet{t: t, store: storetest.New(memstore.New()), network: peertest.New(), nodes: map[string]*node{}}
 }
 
+// inFleet runs a test in a bubble of virtual time with a fleet that ends with it.
+func inFleet(t *testing.T, test func(*testing.T, *fleet)) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		defer f.stopAll()
+		test(t, f)
+	})
+}
+
 // start starts or restarts a node; its zone is the part of the name before "-".
 func (f *fleet) start(name string, seeds ...string) *node {
 	f.starts++
@@ -120,9 +129,7 @@
 // TestDeadNodeLeavesLiveSet guards against a dead node staying in the live set until its lease expires, and
 // against a restarted node staying out of it.
 func TestDeadNodeLeavesLiveSet(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		f := newFleet(t)
-		defer f.stopAll()
+	inFleet(t, func(t *testing.T, f *fleet) {
 		names := f.startZones(3, 3)
 		f.expect(names...)
 		f.kill("z1-1")
@@ -136,9 +143,7 @@
 
 // TestPausedNode guards against a paused node blaming others when it resumes, and against it staying removed.
 func TestPausedNode(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		f := newFleet(t)
-		defer f.stopAll()
+	inFleet(t, func(t *testing.T, f *fleet) {
 		names := f.startZones(2, 4)
 		f.network.SetPaused("z0-2", true)
 		time.Sleep(12 * time.Second)
@@ -157,9 +162,7 @@
 // TestStoreOutageKeepsLiveSet guards against an outage of the store, and the stale leases after it, emptying the
 // live set.
 func TestStoreOutageKeepsLiveSet(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		f := newFleet(t)
-		defer f.stopAll()
+	inFleet(t, func(t *testing.T, f *fleet) {
 		names := f.startZones(2, 3)
 		f.store.SetDown(true)
 		for range 30 {
@@ -183,9 +186,7 @@
 // TestStartAfterOutage guards against a node that starts when the store returns and takes the records, all of them
 // old, for left over, and so stays alone.
 func TestStartAfterOutage(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		f := newFleet(t)
-		defer f.stopAll()
+	inFleet(t, func(t *testing.T, f *fleet) {
 		names := f.startZones(2, 3)
 		f.store.SetDown(true)
 		time.Sleep(10 * time.Minute)
@@ -199,9 +200,7 @@
 // TestPartitionHeals guards against two sides of a partition that do not find each other again, or that remove members
 // of their own on the word of the other side.
 func TestPartitionHeals(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		f := newFleet(t)
-		defer f.stopAll()
+	inFleet(t, func(t *testing.T, f *fleet) {
 		names := f.startZones(2, 3)
 		f.network.SetCut(func(from, to string) bool { return from[:2] != to[:2] })
 		time.Sleep(2 * time.Minute)
@@ -223,9 +222,7 @@
 
 // TestLostZone guards against the members of a lost zone, which no heartbeat from outside reaches, staying live.
 func TestLostZone(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		f := newFleet(t)
-		defer f.stopAll()
+	inFleet(t, func(t *testing.T, f *fleet) {
 		names := f.startZones(3, 12)
 		for _, name := range names[24:] {
 			f.kill(name)
@@ -237,9 +234,7 @@
 
 // TestDrainAndLeave guards against the drain flag or a regular stop staying unknown to other nodes.
 func TestDrainAndLeave(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		f := newFleet(t)
-		defer f.stopAll()
+	inFleet(t, func(t *testing.T, f *fleet) {
 		names := f.startZones(2, 3)
 		f.nodes["z0-1"].board.Draining.Set(true)
 		time.Sleep(2 * time.Second)
@@ -255,9 +250,7 @@
 
 // TestVMListOnlyConfirms guards against the lagging VM list removing a node that answers.
 func TestVMListOnlyConfirms(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		f := newFleet(t)
-		defer f.stopAll()
+	inFleet(t, func(t *testing.T, f *fleet) {
 		names := f.startZones(1, 4)
 		for _, n := range f.nodes {
 			n.board.VMs.Set(map[string]blackboard.VMState{"z0-1": blackboard.VMLost, "z0-2": blackboard.VMLive})
@@ -272,9 +265,7 @@
 
 // TestVersionsTravel guards against the status of a node's configuration version staying unknown in other zones.
 func TestVersionsTravel(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		f := newFleet(t)
-		defer f.stopAll()
+	inFleet(t, func(t *testing.T, f *fleet) {
 		f.startZones(2, 4)
 		for name, n := range f.nodes {
 			if name != "z0-3" {
@@ -297,9 +288,7 @@
 // TestChangeBringsOneReport guards against a report to all nodes for each few nodes of a zone that took a change, and
 // against one that waits for ever for a node that does not.
 func TestChangeBringsOneReport(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		f := newFleet(t)
-		defer f.stopAll()
+	inFleet(t, func(t *testing.T, f *fleet) {
 		names := f.startZones(2, 8)
 		before := f.versions.Load()
 		for _, name := range names {
