--- a/cmd/scenarios/fleet_test.go
+++ b/cmd/scenarios/fleet_test.go
@@ -110,29 +110,42 @@
 	}, args[2:]...)
 	binary, err := lookPath(ts, "trefoilplank")
 	ts.Check(err)
+	p, err := launch(binary, flags)
+	if p != nil {
+		f.nodes[name] = p
+	}
+	ts.Check(err)
+	if f.network != nil {
+		f.network.setTarget(name, p.listens)
+	}
+	ts.Setenv(name, p.address)
+	ts.Setenv(name+"_admin", p.admin)
+	ts.Setenv(name+"_peer", p.peer)
+	ts.Setenv("TREFOILCTL_SERVER", p.admin)
+	ts.Setenv("TREFOILCTL_CALLER_SERVER", p.address)
+}
+
+// launch starts a process and waits until it serves. A process that was started is returned with an error too.
+func launch(binary string, flags []string) (*process, error) {
 	p := &process{cmd: exec.Command(binary, flags...), done: make(chan struct{}), log: &logTail{}}
 	stderr, err := p.cmd.StderrPipe()
-	ts.Check(err)
-	ts.Check(p.cmd.Start())
-	f.nodes[name] = p
+	if err != nil {
+		return nil, err
+	}
+	if err := p.cmd.Start(); err != nil {
+		return nil, err
+	}
 	served := make(chan [4]string, 1)
 	go p.follow(stderr, served)
 	select {
 	case a := <-served:
 		p.address, p.admin, p.peer, p.listens = a[0], a[1], a[2], a[3]
+		return p, nil
 	case <-p.done:
-		ts.Fatalf("node %s ended at its start:\n%s", name, p.log)
+		return p, fmt.Errorf("the node ended at its start:\n%s", p.log)
 	case <-time.After(startTimeout):
-		ts.Fatalf("node %s does not serve after %s:\n%s", name, startTimeout, p.log)
-	}
-	if f.network != nil {
-		f.network.setTarget(name, p.listens)
+		return p, fmt.Errorf("the node does not serve after %s:\n%s", startTimeout, p.log)
 	}
-	ts.Setenv(name, p.address)
-	ts.Setenv(name+"_admin", p.admin)
-	ts.Setenv(name+"_peer", p.peer)
-	ts.Setenv("TREFOILCTL_SERVER", p.admin)
-	ts.Setenv("TREFOILCTL_CALLER_SERVER", p.address)
 }
 
 // lookPath finds a program in the script's PATH.
--- a/cmd/scenarios/fleetbench_test.go
+++ b/cmd/scenarios/fleetbench_test.go
@@ -90,23 +90,15 @@
 	zone := devfleet.Zones[i%len(devfleet.Zones)]
 	binary, err := exec.LookPath("trefoilplank")
 	assert.NilError(b, err)
-	p := &process{done: make(chan struct{}), log: &logTail{}, cmd: exec.Command(binary,
+	p, err := launch(binary, []string{
 		"serve", "--name", fmt.Sprintf("n%d", i), "--availability-zone", zone.Name, "--region", zone.Region, "--log-format", "json",
 		"--listen", "127.0.0.1:0", "--admin-listen", "127.0.0.1:0", "--peer-listen", "127.0.0.1:0",
 		"--store", f.standins.StoreAddress, "--vm-list", f.standins.VMListAddress, "--weight-store", f.standins.WeightStoreAddress,
-		"--operator-key", operatorKey, "--peer-secret", peerSecret)}
-	stderr, err := p.cmd.StderrPipe()
-	assert.NilError(b, err)
-	assert.NilError(b, p.cmd.Start())
-	f.nodes = append(f.nodes, p)
-	served := make(chan [3]string, 1)
-	go p.follow(stderr, served)
-	select {
-	case a := <-served:
-		p.address, p.admin, p.peer = a[0], a[1], a[2]
-	case <-time.After(startTimeout):
-		b.Fatalf("node %d does not serve:\n%s", i, p.log)
+		"--operator-key", operatorKey, "--peer-secret", peerSecret})
+	if p != nil {
+		f.nodes = append(f.nodes, p)
 	}
+	assert.NilError(b, err)
 }
 
 func (f *benchFleet) close() {
