--- a/pkg/controller/loadshare/loadshare.go
+++ b/pkg/controller/loadshare/loadshare.go
@@ -76,7 +76,9 @@
 }
 
 // New returns an exchange.
-func New(o Options) *Exchange { return &Exchange{o: o, hub: hub{fleet: o.Fleet, reports: map[string]report{}}} }
+func New(o Options) *Exchange {
+	return &Exchange{o: o, hub: hub{fleet: o.Fleet, reports: map[string]report{}}}
+}
 
 // Run exchanges until ctx ends.
 func (e *Exchange) Run(ctx context.Context) error {
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -63,7 +63,9 @@
 }
 
 // New returns a forwarder.
-func New(o Options) *Forwarder { return &Forwarder{o: o, deadlines: longest{by: map[string]time.Duration{}}} }
+func New(o Options) *Forwarder {
+	return &Forwarder{o: o, deadlines: longest{by: map[string]time.Duration{}}}
+}
 
 // longest keeps the longest deadline seen on each route, which is that of first attempts.
 type longest struct {
@@ -351,7 +353,9 @@
 	body     []byte
 }
 
-func (e *answerError) Error() string { return fmt.Sprintf("upstream answered %d", e.response.StatusCode) }
+func (e *answerError) Error() string {
+	return fmt.Sprintf("upstream answered %d", e.response.StatusCode)
+}
 
 // attempt sends the request to one upstream and delivers its answer.
 func (x *exchange) attempt(ctx context.Context, choice dispatch.Choice) error {
--- a/pkg/listjob/read.go
+++ b/pkg/listjob/read.go
@@ -313,4 +313,3 @@
 	}
 	return nil
 }
-
--- a/pkg/listjob/run.go
+++ b/pkg/listjob/run.go
@@ -136,7 +136,9 @@
 		upstream = u
 		return &placer.BatchRun{
 			Item: it.ID, Stop: cancel,
-			Yields: func(now time.Time) bool { return it.job.due.Sub(now) > it.rest(service)+yieldMargin || now.After(it.job.due) },
+			Yields: func(now time.Time) bool {
+				return it.job.due.Sub(now) > it.rest(service)+yieldMargin || now.After(it.job.due)
+			},
 		}
 	})
 	if run == nil {
