--- a/pkg/controller/loadshare/loadshare.go
+++ b/pkg/controller/loadshare/loadshare.go
@@ -48,21 +48,35 @@
 	Incarnation int64
 	Draining    bool
 	Loads       map[string]dispatch.Load
+	// Wants are the slots for batch items that the node asks for, by service.
+	Wants map[string]dispatch.Want
 }
 
 // Totals is the hub's answer.
 type Totals struct {
 	Loads            map[string]dispatch.Load
 	Silent, Draining []string
+	// Grants are the slots that the node may use for batch runs until its next report, by upstream.
+	Grants map[string]int
+	// Revisions are how far the hub's own copies of the store are, by prefix; without those that it can't follow.
+	Revisions map[string]int64
 }
 
 // Options configures an Exchange.
 type Options struct {
 	Fleet *fleet.Fleet
 	Peers peer.Caller
-	// Mine returns the own load, and Take gets the totals with the report that they contain.
-	Mine func() map[string]dispatch.Load
-	Take func(totals, reported map[string]dispatch.Load)
+	// Mine returns the own load, and Wants the slots wanted for batch items. Take gets the totals with the report that
+	// they contain, and the granted slots.
+	Mine  func() map[string]dispatch.Load
+	Wants func() map[string]dispatch.Want
+	Take  func(totals, reported map[string]dispatch.Load, grants map[string]int)
+	// Grants shares free slots among the nodes, when this node is the hub.
+	Grants func(service string, want, all dispatch.Want, totals map[string]dispatch.Load, given map[string]int) map[string]int
+	// Revisions returns how far the own copies of the store are, and Heard takes those of the hub. Heard is called with an
+	// empty hub after an exchange that failed.
+	Revisions func() map[string]int64
+	Heard     func(hub string, revisions map[string]int64)
 	// Draining reports whether the node takes no new callers.
 	Draining func() bool
 	Log      *eventlog.Log
@@ -77,16 +91,16 @@
 
 // New returns an exchange.
 func New(o Options) *Exchange {
-	return &Exchange{o: o, hub: hub{fleet: o.Fleet, reports: map[string]report{}}}
+	return &Exchange{o: o, hub: hub{o: &o, reports: map[string]report{}, given: map[string]given{}}}
 }
 
 // Run exchanges until ctx ends.
 func (e *Exchange) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
-		mine := e.o.Mine()
-		e.exchange(ctx, mine)
+		mine, wants := e.o.Mine(), e.o.Wants()
+		e.exchange(ctx, mine, wants)
 		every := idleEvery
-		if len(mine) > 0 {
+		if len(mine)+len(wants) > 0 {
 			every = busyEvery
 		}
 		t := time.NewTimer(every + rand.N(every/5))
@@ -100,9 +114,9 @@
 }
 
 // exchange reports to the first hub that answers.
-func (e *Exchange) exchange(ctx context.Context, mine map[string]dispatch.Load) {
+func (e *Exchange) exchange(ctx context.Context, mine map[string]dispatch.Load, wants map[string]dispatch.Want) {
 	self := e.o.Fleet.Self()
-	r := Report{Node: self.Name, Incarnation: self.Incarnation, Draining: e.o.Draining(), Loads: mine}
+	r := Report{Node: self.Name, Incarnation: self.Incarnation, Draining: e.o.Draining(), Loads: mine, Wants: wants}
 	weights := map[string]float64{}
 	for _, m := range e.o.Fleet.Live() {
 		if !m.Draining {
@@ -120,6 +134,7 @@
 	if err := e.o.Peers.Call(call, name, "Load.Report", r, &totals); err != nil {
 		if ctx.Err() == nil {
 			e.o.Fleet.Suspect(name, suspectFor, err)
+			e.o.Heard("", nil)
 		}
 		return
 	}
@@ -127,7 +142,8 @@
 		e.o.Log.Notice("load hub chosen", "hub", name, "before", e.last)
 		e.last = name
 	}
-	e.o.Take(totals.Loads, mine)
+	e.o.Take(totals.Loads, mine, totals.Grants)
+	e.o.Heard(name, totals.Revisions)
 	e.o.Fleet.SetSilent(totals.Silent, totals.Draining)
 }
 
@@ -148,10 +164,17 @@
 	at time.Time
 }
 
+// given are slots that were granted and are not in a report yet.
+type given struct {
+	slots map[string]int
+	at    time.Time
+}
+
 type hub struct {
-	fleet   *fleet.Fleet
+	o       *Options
 	mu      sync.Mutex
 	reports map[string]report
+	given   map[string]given
 	since   time.Time
 	last    time.Time
 }
@@ -182,11 +205,13 @@
 			reply.Loads[id] = dispatch.Load{Online: sum.Online + l.Online, Batch: sum.Batch + l.Batch}
 		}
 	}
+	h.grant(r, reply, now)
+	reply.Revisions = h.o.Revisions()
 	maps.DeleteFunc(h.reports, func(_ string, r report) bool { return now.Sub(r.at) > time.Minute })
 	if now.Sub(h.since) < hubWarmUp {
 		return
 	}
-	known := h.fleet.Known()
+	known := h.o.Fleet.Known()
 	if float64(len(recent)) < reachable*float64(len(known)) {
 		return
 	}
@@ -196,3 +221,36 @@
 		}
 	}
 }
+
+// grantKept is how long a grant counts against free slots when its node does not report again.
+const grantKept = 500 * time.Millisecond
+
+// grant answers what a node wants. The caller holds the lock.
+func (h *hub) grant(r Report, reply *Totals, now time.Time) {
+	delete(h.given, r.Node)
+	if len(r.Wants) == 0 {
+		return
+	}
+	outstanding := map[string]int{}
+	for node, g := range h.given {
+		if now.Sub(g.at) > grantKept {
+			delete(h.given, node)
+			continue
+		}
+		for id, n := range g.slots {
+			outstanding[id] += n
+		}
+	}
+	reply.Grants = map[string]int{}
+	for service, want := range r.Wants {
+		var all dispatch.Want
+		for _, other := range h.reports {
+			if now.Sub(other.at) <= grantKept {
+				all.Items += other.Wants[service].Items
+				all.Urgent += other.Wants[service].Urgent
+			}
+		}
+		maps.Copy(reply.Grants, h.o.Grants(service, want, all, reply.Loads, outstanding))
+	}
+	h.given[r.Node] = given{reply.Grants, now}
+}
--- a/pkg/controller/mirror/mirror.go
+++ b/pkg/controller/mirror/mirror.go
@@ -50,8 +50,13 @@
 // Mirror follows prefixes.
 type Mirror struct {
 	o    Options
-	mu   sync.Mutex
 	copy map[string]*copied
+
+	mu sync.Mutex
+	// leader is the node whose copies are followed in place of the store; empty while this node watches itself.
+	leader string
+	// resumed is closed when the node watches itself again.
+	resumed chan struct{}
 }
 
 type copied struct {
@@ -67,11 +72,14 @@
 	restoredAt time.Time
 	// missing are the keys that vanished and are kept until their time.
 	missing map[string]time.Time
+	// stop ends the session of the own watch.
+	stop context.CancelFunc
 }
 
 // New returns a mirror of the prefixes.
 func New(o Options, prefixes ...Prefix) *Mirror {
-	m := &Mirror{o: o, copy: map[string]*copied{}}
+	m := &Mirror{o: o, copy: map[string]*copied{}, resumed: make(chan struct{})}
+	close(m.resumed)
 	for _, p := range prefixes {
 		m.copy[p.Name] = &copied{prefix: p, objects: map[string]store.Object{}, missing: map[string]time.Time{}, brokenAt: time.Now()}
 	}
@@ -101,7 +109,15 @@
 	pause := retryMin
 	listed := false
 	for ctx.Err() == nil {
-		err := m.session(ctx, c, &listed)
+		if !m.watches(ctx) {
+			pause = retryMin
+			continue
+		}
+		err := m.watchOnce(ctx, c, &listed)
+		if m.following() != "" {
+			c.broken(time.Now())
+			continue
+		}
 		if errors.Is(err, store.ErrCompacted) {
 			listed = false
 			m.o.Log.Notice("store history is gone; reading all again", "prefix", c.prefix.Name)
@@ -116,6 +132,89 @@
 	}
 }
 
+// watches waits until this node watches the store itself; false when ctx ended.
+func (m *Mirror) watches(ctx context.Context) bool {
+	m.mu.Lock()
+	resumed := m.resumed
+	m.mu.Unlock()
+	select {
+	case <-resumed:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (m *Mirror) following() string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.leader
+}
+
+func (m *Mirror) watchOnce(ctx context.Context, c *copied, listed *bool) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	c.mu.Lock()
+	c.stop = cancel
+	c.mu.Unlock()
+	if m.following() != "" {
+		return nil
+	}
+	return m.session(ctx, c, listed)
+}
+
+// Follow takes the revisions of another node's copies. While they cover all prefixes this node follows that node and
+// spares the store its watches; otherwise, and with an empty node, it watches itself.
+func (m *Mirror) Follow(ctx context.Context, node string, revisions map[string]int64) {
+	covered := node != ""
+	for name, c := range m.copy {
+		_, ok := revisions[name]
+		c.mu.Lock()
+		covered = covered && ok && c.known
+		c.mu.Unlock()
+	}
+	if !covered {
+		node = ""
+	}
+	m.mu.Lock()
+	was := m.leader
+	m.leader = node
+	if was == "" && node != "" {
+		m.resumed = make(chan struct{})
+	} else if was != "" && node == "" {
+		close(m.resumed)
+	}
+	m.mu.Unlock()
+	if was != node {
+		m.o.Log.Notice("store is followed", "through", node, "before", was)
+	}
+	for name, c := range m.copy {
+		c.mu.Lock()
+		if was == "" && node != "" && c.stop != nil {
+			c.stop()
+		}
+		behind := node != "" && revisions[name] > c.revision
+		revision := c.revision
+		c.mu.Unlock()
+		if behind {
+			m.readPeer(ctx, c, node, revision)
+		}
+	}
+}
+
+// Revisions returns how far the copies are that the own watches keep.
+func (m *Mirror) Revisions() map[string]int64 {
+	all := map[string]int64{}
+	for name, c := range m.copy {
+		c.mu.Lock()
+		if c.healthy && c.known {
+			all[name] = c.revision
+		}
+		c.mu.Unlock()
+	}
+	return all
+}
+
 // session lists if it must and follows the watch until it breaks.
 func (m *Mirror) session(ctx context.Context, c *copied, listed *bool) error {
 	if !*listed {
@@ -313,7 +412,7 @@
 	for ctx.Err() == nil {
 		sleep(ctx, peerEvery)
 		c.mu.Lock()
-		broken, revision, known := !c.healthy && time.Since(c.brokenAt) > peerAfter, c.revision, c.known
+		broken, revision, known := m.following() == "" && !c.healthy && time.Since(c.brokenAt) > peerAfter, c.revision, c.known
 		c.mu.Unlock()
 		if !broken {
 			continue
--- a/pkg/controller/placer/placer.go
+++ b/pkg/controller/placer/placer.go
@@ -58,12 +58,20 @@
 	return p.state.Mine()
 }
 
-// Take sets the totals of all nodes and stops batch runs on overfull upstreams.
-func (p *Placer) Take(totals, reported map[string]dispatch.Load) {
+// Grants shares free slots among nodes, when this node is the hub.
+func (p *Placer) Grants(service string, want, all dispatch.Want, totals map[string]dispatch.Load, given map[string]int) map[string]int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.state.Grants(service, want, all, totals, given, time.Now())
+}
+
+// Take sets the totals of all nodes and the slots granted to this one, and stops batch runs on overfull upstreams.
+func (p *Placer) Take(totals, reported map[string]dispatch.Load, grants map[string]int) {
 	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.state.SetTotals(totals, reported, now)
+	p.state.SetGrants(grants)
 	for id, n := range p.state.Yields(now, p.rng) {
 		for range n {
 			run := p.yielding(id, now)
@@ -120,18 +128,18 @@
 	p.wake()
 }
 
-// Batch begins a batch run on an upstream that keeps headroom slots free; nil when there is none. bind returns the run for
-// the chosen upstream. EndBatch ends it.
-func (p *Placer) Batch(service string, headroom int, bind func(dispatch.Upstream) *BatchRun) *BatchRun {
+// Batch begins a batch run on a slot that was granted to this node; nil when there is none. bind returns the run for the
+// chosen upstream. EndBatch ends it.
+func (p *Placer) Batch(service string, bind func(dispatch.Upstream) *BatchRun) *BatchRun {
 	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	choice, ok := p.state.Batch(service, headroom, now, p.rng)
+	u, ok := p.state.Batch(service, now, p.rng)
 	if !ok {
 		return nil
 	}
-	run := bind(choice.Upstream)
-	run.Upstream, run.Started = choice.Upstream.ID, now
+	run := bind(u)
+	run.Upstream, run.Started = u.ID, now
 	p.state.Begin(run.Upstream, true)
 	if p.runs[run.Upstream] == nil {
 		p.runs[run.Upstream] = map[*BatchRun]struct{}{}
--- a/pkg/decision/dispatch/dispatch.go
+++ b/pkg/decision/dispatch/dispatch.go
@@ -73,6 +73,8 @@
 	byID             map[string]*upstream
 	pools            map[string]*pool
 	totalsAt         time.Time
+	// grants are the slots that the hub gave this node for batch runs.
+	grants map[string]int
 }
 
 // NewState returns an empty state.
@@ -255,20 +257,26 @@
 	return max(min(d, remaining/retryPart), 0)
 }
 
-// Batch chooses an upstream for a batch run, one that keeps headroom slots free; false when there is none.
-func (s *State) Batch(service string, headroom int, now time.Time, rng *rand.Rand) (Choice, bool) {
-	p := s.pool(service)
-	candidates := s.candidates(p, nil, now)
+// Batch chooses an upstream for a batch run: a granted slot, or while there are no fresh totals one that keeps headroom
+// slots free. It returns false when there is none.
+func (s *State) Batch(service string, now time.Time, rng *rand.Rand) (Upstream, bool) {
+	if now.Sub(s.totalsAt) <= totalsFresh {
+		return s.takeGrant(service)
+	}
+	candidates := s.candidates(s.pool(service), nil, now)
 	if len(candidates) == 0 {
-		return Choice{}, false
+		return Upstream{}, false
 	}
 	u, free := s.best(candidates, now, rng, func(u *upstream) int {
 		l := s.load(u, now)
 		return u.Slots - l.Online - l.Batch
 	})
-	return Choice{Verdict: Send, Upstream: u.Upstream, Free: free, TotalsAge: now.Sub(s.totalsAt)}, free > headroom
+	return u.Upstream, free > u.Slots/blindPart
 }
 
+// blindPart is the part of an upstream's slots that a node without totals leaves free, since others may use them unseen.
+const blindPart = 2
+
 // FreeSlots returns how many slots of a service are free, and how many it has on usable upstreams.
 func (s *State) FreeSlots(service string, now time.Time) (free, slots int) {
 	for _, u := range s.candidates(s.pool(service), nil, now) {
--- a/pkg/edge/node.go
+++ b/pkg/edge/node.go
@@ -182,7 +182,8 @@
 		MemoryBytes: limit, Readable: seconds(n.settings.ReadableSeconds), Log: n.log, Metrics: requests,
 	})
 	n.exchange = loadshare.New(loadshare.Options{
-		Fleet: n.fleet, Peers: n.peers, Mine: n.placer.Mine, Take: n.placer.Take, Draining: n.draining.Load, Log: n.log,
+		Fleet: n.fleet, Peers: n.peers, Mine: n.placer.Mine, Wants: n.jobs.Wants, Take: n.placer.Take, Grants: n.placer.Grants,
+		Revisions: n.mirror.Revisions, Heard: n.follow, Draining: n.draining.Load, Log: n.log,
 	})
 	callers := Callers{Table: n.table.Load, Jobs: n.jobs, Closing: n.draining.Load, Log: n.log}
 	n.forwarder = forward.New(forward.Options{
@@ -199,6 +200,14 @@
 	)
 }
 
+// follow spares the store the watches of this node while another node's copies can be followed.
+func (n *Node) follow(hub string, revisions map[string]int64) {
+	if hub == n.settings.Name {
+		hub = ""
+	}
+	n.mirror.Follow(context.Background(), hub, revisions)
+}
+
 // takeConfiguration puts a configuration in force unless a newer one is.
 func (n *Node) takeConfiguration(objects map[string]store.Object) {
 	c, ok, err := n.platform.Configuration(objects)
--- a/pkg/listjob/run.go
+++ b/pkg/listjob/run.go
@@ -22,8 +22,6 @@
 const (
 	// scheduleEvery is the longest time between two looks for a free slot.
 	scheduleEvery = 250 * time.Millisecond
-	// startsPerLook bounds the runs begun at once, since other nodes see the same free slots.
-	startsPerLook = 4
 	// commitDelay gathers results that finish together into one entry of the log.
 	commitDelay = 150 * time.Millisecond
 	// commitRetry is the first pause after a commit that the store did not take; it doubles up to commitRetryMax.
@@ -39,8 +37,8 @@
 	presetEvent = 31 * time.Millisecond
 	// urgentSlack is the slack below which an item may take the slots kept free for online requests.
 	urgentSlack = 3 * time.Second
-	// headroom is how many slots of an upstream batch runs leave free for arrivals.
-	headroom = 0
+	// maxWant bounds the slots asked for at once.
+	maxWant = 64
 )
 
 // schedule starts waiting items while slots are free.
@@ -66,31 +64,54 @@
 		return
 	}
 	now := time.Now()
-	started := 0
 	blocked := map[string]bool{}
 	for _, it := range c.waitingItems(now) {
-		if started == startsPerLook {
-			c.wakeUp()
-			return
-		}
 		route := table.Match(it.job.head.Host, it.Path)
 		if route == nil || now.After(it.job.until) {
 			c.o.Log.Notice("item given up", "job", it.job.head.ID, "item", it.ID, "route_gone", route == nil, "after", it.after)
-			c.finish(it, Failed)
+			c.finish(it, Result{ID: it.ID, State: Failed})
 			continue
 		}
 		service := route.Pick(0)
 		if blocked[service] {
 			continue
 		}
-		if c.start(ctx, it, service, table.Service(service)) {
-			started++
-		} else {
+		if !c.start(ctx, it, service, table.Service(service)) {
 			blocked[service] = true
 		}
 	}
 }
 
+// Wants returns the slots that waiting items could use, by service.
+func (c *Controller) Wants() map[string]dispatch.Want {
+	table := c.o.Table()
+	if table == nil {
+		return nil
+	}
+	now := time.Now()
+	var wants map[string]dispatch.Want
+	for _, it := range c.waitingItems(now) {
+		route := table.Match(it.job.head.Host, it.Path)
+		if route == nil {
+			continue
+		}
+		service := route.Pick(0)
+		want := wants[service]
+		if want.Items == maxWant {
+			continue
+		}
+		want.Items++
+		if it.job.due.Sub(now) < it.rest(table.Service(service))+urgentSlack {
+			want.Urgent++
+		}
+		if wants == nil {
+			wants = map[string]dispatch.Want{}
+		}
+		wants[service] = want
+	}
+	return wants
+}
+
 // waitingItems returns the items that can start, most urgent first.
 func (c *Controller) waitingItems(now time.Time) []*item {
 	c.mu.Lock()
@@ -132,7 +153,7 @@
 func (c *Controller) start(ctx context.Context, it *item, name string, service *routing.Service) bool {
 	var upstream dispatch.Upstream
 	ctx, cancel := context.WithCancel(context.WithoutCancel(ctx))
-	run := c.o.Placer.Batch(name, headroom, func(u dispatch.Upstream) *placer.BatchRun {
+	run := c.o.Placer.Batch(name, func(u dispatch.Upstream) *placer.BatchRun {
 		upstream = u
 		return &placer.BatchRun{
 			Item: it.ID, Stop: cancel,
@@ -295,9 +316,10 @@
 	fields := []any{"job", it.job.head.ID, "item", it.ID, "upstream", u.ID, "after", it.after, "error", err, "failures", it.failures,
 		"ms", time.Since(it.began).Milliseconds(), "slack_ms", time.Until(it.job.due).Milliseconds()}
 	state := State("")
+	result := Result{ID: it.ID}
 	switch {
 	case err == nil:
-		state = Completed
+		state, result.Text = Completed, string(it.text)
 	case stopped:
 		c.o.Log.Routine("item stopped", fields...)
 	case errors.Is(err, errDone):
@@ -313,7 +335,8 @@
 	it.job.mu.Unlock()
 	if state != "" {
 		c.o.Log.Routine("item finished", append(fields, "state", state)...)
-		c.finish(it, state)
+		result.State = state
+		c.finish(it, result)
 		return
 	}
 	if !stopped {
@@ -348,7 +371,7 @@
 }
 
 // finish queues an item's result for the log.
-func (c *Controller) finish(it *item, state State) {
+func (c *Controller) finish(it *item, result Result) {
 	j := it.job
 	j.mu.Lock()
 	defer j.mu.Unlock()
@@ -356,11 +379,7 @@
 		return
 	}
 	it.phase = finished
-	it.result = Result{ID: it.ID, State: state}
-	if state == Completed {
-		it.result.Text = string(it.text)
-	}
-	it.text = nil
+	it.result, it.text = result, nil
 	j.pending = append(j.pending, it)
 	if !j.committing {
 		j.committing = true
--- a/pkg/listjob/takeover.go
+++ b/pkg/listjob/takeover.go
@@ -20,6 +20,8 @@
 	Lines int
 	// Failures are the answers of 500 so far.
 	Failures int
+	// Result is set for an item that is finished and not listed yet.
+	Result *Result
 }
 
 // adopt takes a job over: it writes the new owner into the head, reads the log and the items, and goes on.
@@ -45,17 +47,32 @@
 		c.o.Log.Notice("job not taken over", "job", id, "error", err)
 		return err
 	}
-	for _, p := range partials {
-		if it := j.byID[p.ID]; it != nil && it.phase == waiting {
-			it.text, it.after, it.lines, it.failures = p.Text, p.After, p.Lines, p.Failures
-		}
-	}
+	done := j.resume(partials)
 	c.add(j)
+	for _, it := range done {
+		c.finish(it, it.result)
+	}
 	c.announce(id)
 	c.o.Log.Notice("job taken over", "job", id, "listed", len(j.results), "total", j.head.Total, "partials", len(partials))
 	return nil
 }
 
+// resume takes what an earlier owner had of the items, and returns those that are finished.
+func (j *job) resume(partials []Partial) (done []*item) {
+	for _, p := range partials {
+		it := j.byID[p.ID]
+		if it == nil || it.phase != waiting {
+			continue
+		}
+		it.text, it.after, it.lines, it.failures = p.Text, p.After, p.Lines, p.Failures
+		if p.Result != nil {
+			it.result = *p.Result
+			done = append(done, it)
+		}
+	}
+	return done
+}
+
 func (c *Controller) load(ctx context.Context, id string) (*job, error) {
 	h, revision, err := c.readHead(ctx, id)
 	if err != nil {
@@ -158,9 +175,14 @@
 func (j *job) partials() []Partial {
 	var list []Partial
 	for _, it := range j.items {
-		if it.phase != listed && (it.after >= 0 || it.failures > 0) {
-			list = append(list, Partial{ID: it.ID, Text: it.text, After: it.after, Lines: it.lines, Failures: it.failures})
+		if it.phase == listed || it.after < 0 && it.failures == 0 {
+			continue
+		}
+		p := Partial{ID: it.ID, Text: it.text, After: it.after, Lines: it.lines, Failures: it.failures}
+		if it.phase == finished {
+			p.Result = &it.result
 		}
+		list = append(list, p)
 	}
 	return list
 }
