Place requests by chance in proportion to free slots

Cause: all nodes see the same totals and sent the arrivals of one exchange to the emptiest engine, where the eighth and later ones waited 150 to 340 ms. Change: the chance of an upstream is its free slots; totals are exchanged every 50 ms in place of 100.

--- a/pkg/controller/loadshare/loadshare.go
+++ b/pkg/controller/loadshare/loadshare.go
@@ -22,7 +22,7 @@
 const (
 	// busyEvery is the time between exchanges while anything runs: an arrival that sees totals of this age misses at most
 	// a few of the others'. idleEvery is the time while nothing runs.
-	busyEvery, idleEvery = 100 * time.Millisecond, 300 * time.Millisecond
+	busyEvery, idleEvery = 50 * time.Millisecond, 300 * time.Millisecond
 	// exchangeTimeout ends a call to a hub that does not answer; the platform's zones are at most some ms apart.
 	exchangeTimeout = 400 * time.Millisecond
 	// suspectFor is how long a hub that did not answer is passed over.
--- a/pkg/decision/dispatch/dispatch.go
+++ b/pkg/decision/dispatch/dispatch.go
@@ -6,6 +6,7 @@
 package dispatch
 
 import (
+	"math"
 	"math/rand/v2"
 	"time"
 )
@@ -29,9 +30,11 @@
 	ejectFirst, ejectMax = 400 * time.Millisecond, 5 * time.Second
 	// softFailures is how many answers in a row must break before an upstream that accepts connections is ejected.
 	softFailures = 3
-	// zoneBonus prefers upstreams of the own zone by half a free slot; drawSpread keeps nodes that see the same totals
-	// from all choosing the same upstream.
-	zoneBonus, drawSpread = 0.5, 1.0
+	// zoneWeight prefers upstreams of the own zone.
+	zoneWeight = 1.3
+	// freePower makes the chance of an upstream grow with its free slots. The emptiest one is not always chosen, since all
+	// nodes see the same totals and would send all arrivals of an exchange there.
+	freePower = 1
 )
 
 // Upstream is one upstream as it registered itself.
@@ -197,7 +200,7 @@
 		choice.RetryAfter = bounded(ejectFirst, n.Remaining, rng)
 		return choice
 	}
-	best, free := s.best(candidates, now, rng, func(u *upstream) int {
+	best, free := s.best(candidates, rng, func(u *upstream) int {
 		l := s.load(u, now)
 		return u.Slots - l.Online - l.Batch
 	})
@@ -213,7 +216,7 @@
 		}
 	}
 	if len(yielding) > 0 {
-		u, free := s.best(yielding, now, rng, func(u *upstream) int { return u.Slots - s.load(u, now).Online })
+		u, free := s.best(yielding, rng, func(u *upstream) int { return u.Slots - s.load(u, now).Online })
 		choice.Verdict, choice.Upstream, choice.Free = Preempt, u.Upstream, free
 		return choice
 	}
@@ -223,7 +226,7 @@
 // queueOrRefuse lets the request wait in an engine's queue if it can still be answered in time, and refuses it otherwise.
 func (s *State) queueOrRefuse(choice Choice, n Need, p *pool, candidates []*upstream, now time.Time, rng *rand.Rand) Choice {
 	// Batch runs of other nodes yield within an exchange, so only half of them count.
-	u, free := s.best(candidates, now, rng, func(u *upstream) int {
+	u, free := s.best(candidates, rng, func(u *upstream) int {
 		l := s.load(u, now)
 		return u.Slots - l.Online - (l.Batch+1)/2
 	})
@@ -267,7 +270,7 @@
 	if len(candidates) == 0 {
 		return Upstream{}, false
 	}
-	u, free := s.best(candidates, now, rng, func(u *upstream) int {
+	u, free := s.best(candidates, rng, func(u *upstream) int {
 		l := s.load(u, now)
 		return u.Slots - l.Online - l.Batch
 	})
@@ -346,20 +349,33 @@
 	return false
 }
 
-// best returns the candidate with the most free slots, with a bonus for the own zone and a draw.
-func (s *State) best(candidates []*upstream, now time.Time, rng *rand.Rand, free func(*upstream) int) (*upstream, int) {
-	var best *upstream
-	var bestScore float64
+// best draws a candidate with a chance that grows with its free slots; without free slots it returns the one that lacks the
+// fewest.
+func (s *State) best(candidates []*upstream, rng *rand.Rand, free func(*upstream) int) (*upstream, int) {
+	var drawn, roomiest *upstream
+	var total float64
+	most := math.MinInt
 	for _, u := range candidates {
-		score := float64(free(u)) + rng.Float64()*drawSpread
+		n := free(u)
+		if n > most || n == most && rng.IntN(2) == 0 {
+			roomiest, most = u, n
+		}
+		if n <= 0 {
+			continue
+		}
+		weight := math.Pow(float64(n), freePower)
 		if u.AvailabilityZone == s.AvailabilityZone {
-			score += zoneBonus
+			weight *= zoneWeight
 		}
-		if best == nil || score > bestScore {
-			best, bestScore = u, score
+		total += weight
+		if rng.Float64()*total < weight {
+			drawn = u
 		}
 	}
-	return best, free(best)
+	if drawn == nil {
+		return roomiest, most
+	}
+	return drawn, free(drawn)
 }
 
 // Usable reports whether an upstream is known and takes requests.
