Give each node free slots of its own between two load reports

Cause: in bursts of the grown site 44 arrivals a report interval chose among some twenty slots that all nodes saw as free, and a fifth of the streams was late. Change: the hub deals free slots out, so that a granted slot and one that an own run left are used by this node alone; a slot that only one upstream shows free yields to stopping an own batch run.

--- a/pkg/controller/loadshare/loadshare.go
+++ b/pkg/controller/loadshare/loadshare.go
@@ -23,6 +23,8 @@
 	// busyEvery is the time between exchanges while anything runs: an arrival that sees totals of this age misses at most
 	// a few of the others'. idleEvery is the time while nothing runs.
 	busyEvery, idleEvery = 50 * time.Millisecond, 300 * time.Millisecond
+	// perMember stretches the time between exchanges, so that a hub answers at most 1,250 a second.
+	perMember = 800 * time.Microsecond
 	// exchangeTimeout ends a call to a hub that does not answer; the platform's zones are at most some ms apart.
 	exchangeTimeout = 400 * time.Millisecond
 	// suspectFor is how long a hub that did not answer is passed over.
@@ -48,7 +50,7 @@
 	Incarnation int64
 	Draining    bool
 	Loads       map[string]dispatch.Load
-	// Wants are the slots for batch items that the node asks for, by service.
+	// Wants are the slots that the node asks for, by service.
 	Wants map[string]dispatch.Want
 }
 
@@ -56,8 +58,8 @@
 type Totals struct {
 	Loads            map[string]dispatch.Load
 	Silent, Draining []string
-	// Grants are the slots that the node may use for batch runs until its next report, by upstream.
-	Grants map[string]int
+	// Grant holds the slots that the node alone may use until its next report.
+	Grant dispatch.Grant
 	// Revisions are how far the hub's own copies of the store are, by prefix; without those that it can't follow.
 	Revisions map[string]int64
 }
@@ -66,13 +68,13 @@
 type Options struct {
 	Fleet *fleet.Fleet
 	Peers peer.Caller
-	// Mine returns the own load, and Wants the slots wanted for batch items. Take gets the totals with the report that
-	// they contain, and the granted slots.
+	// Mine returns the own load, and Wants the slots that are wanted. Take gets the totals with the report that they
+	// contain, and the granted slots.
 	Mine  func() map[string]dispatch.Load
 	Wants func() map[string]dispatch.Want
-	Take  func(totals, reported map[string]dispatch.Load, grants map[string]int)
+	Take  func(totals, reported map[string]dispatch.Load, granted dispatch.Grant)
 	// Grants shares free slots among the nodes, when this node is the hub.
-	Grants func(service string, want, all dispatch.Want, totals map[string]dispatch.Load, given map[string]int) map[string]int
+	Grants func(service string, want, all dispatch.Want, totals map[string]dispatch.Load, given map[string]int) dispatch.Grant
 	// Revisions returns how far the own copies of the store are, and Heard takes those of the hub. Heard is called with an
 	// empty hub after an exchange that failed.
 	Revisions func() map[string]int64
@@ -101,7 +103,7 @@
 		e.exchange(ctx, mine, wants)
 		every := idleEvery
 		if len(mine)+len(wants) > 0 {
-			every = busyEvery
+			every = max(busyEvery, time.Duration(len(e.o.Fleet.Known()))*perMember)
 		}
 		t := time.NewTimer(every + rand.N(every/5))
 		select {
@@ -142,7 +144,7 @@
 		e.o.Log.Notice("load hub chosen", "hub", name, "before", e.last)
 		e.last = name
 	}
-	e.o.Take(totals.Loads, mine, totals.Grants)
+	e.o.Take(totals.Loads, mine, totals.Grant)
 	e.o.Heard(name, totals.Revisions)
 	e.o.Fleet.SetSilent(totals.Silent, totals.Draining)
 }
@@ -241,16 +243,23 @@
 			outstanding[id] += n
 		}
 	}
-	reply.Grants = map[string]int{}
+	reply.Grant = dispatch.Grant{Online: map[string]int{}, Batch: map[string]int{}}
 	for service, want := range r.Wants {
 		var all dispatch.Want
 		for _, other := range h.reports {
 			if now.Sub(other.at) <= grantKept {
 				all.Items += other.Wants[service].Items
 				all.Urgent += other.Wants[service].Urgent
+				all.Rate += other.Wants[service].Rate
 			}
 		}
-		maps.Copy(reply.Grants, h.o.Grants(service, want, all, reply.Loads, outstanding))
+		g := h.o.Grants(service, want, all, reply.Loads, outstanding)
+		maps.Copy(reply.Grant.Online, g.Online)
+		maps.Copy(reply.Grant.Batch, g.Batch)
 	}
-	h.given[r.Node] = given{reply.Grants, now}
+	slots := maps.Clone(reply.Grant.Online)
+	for id, n := range reply.Grant.Batch {
+		slots[id] += n
+	}
+	h.given[r.Node] = given{slots, now}
 }
--- a/pkg/controller/placer/placer.go
+++ b/pkg/controller/placer/placer.go
@@ -33,13 +33,59 @@
 	state *dispatch.State
 	runs  map[string]map[*BatchRun]struct{}
 	freed chan struct{}
+	rates map[string]*rate
 }
 
+// rate is a running mean of arrivals.
+type rate struct {
+	perSecond float64
+	count     int
+	since     time.Time
+}
+
+const (
+	// rateWindow is the time over which arrivals are counted before they enter the mean, and rateWeight the weight of the
+	// newest window: bursts last seconds.
+	rateWindow = 250 * time.Millisecond
+	rateWeight = 0.5
+)
+
+// arrived counts an arrival. The caller holds the lock.
+func (p *Placer) arrived(service string, now time.Time) {
+	r := p.rates[service]
+	if r == nil {
+		r = &rate{since: now}
+		p.rates[service] = r
+	}
+	r.count++
+}
+
+// Rates returns the arrivals a second of the services that have any.
+func (p *Placer) Rates() map[string]float64 {
+	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	rates := map[string]float64{}
+	for service, r := range p.rates {
+		if past := now.Sub(r.since); past >= rateWindow {
+			r.perSecond += rateWeight * (float64(r.count)/past.Seconds() - r.perSecond)
+			r.count, r.since = 0, now
+		}
+		if r.perSecond > leastRate {
+			rates[service] = r.perSecond
+		}
+	}
+	return rates
+}
+
+// leastRate is the rate of arrivals below which a node asks for no slots.
+const leastRate = 0.2
+
 // New returns a placer of a node in the availability zone.
 func New(availabilityZone string, log *eventlog.Log) *Placer {
 	return &Placer{
 		log: log, rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), state: dispatch.NewState(availabilityZone),
-		runs: map[string]map[*BatchRun]struct{}{}, freed: make(chan struct{}, 1),
+		runs: map[string]map[*BatchRun]struct{}{}, freed: make(chan struct{}, 1), rates: map[string]*rate{},
 	}
 }
 
@@ -59,19 +105,19 @@
 }
 
 // Grants shares free slots among nodes, when this node is the hub.
-func (p *Placer) Grants(service string, want, all dispatch.Want, totals map[string]dispatch.Load, given map[string]int) map[string]int {
+func (p *Placer) Grants(service string, want, all dispatch.Want, totals map[string]dispatch.Load, given map[string]int) dispatch.Grant {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.state.Grants(service, want, all, totals, given, time.Now())
 }
 
 // Take sets the totals of all nodes and the slots granted to this one, and stops batch runs on overfull upstreams.
-func (p *Placer) Take(totals, reported map[string]dispatch.Load, grants map[string]int) {
+func (p *Placer) Take(totals, reported map[string]dispatch.Load, granted dispatch.Grant) {
 	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.state.SetTotals(totals, reported, now)
-	p.state.SetGrants(grants)
+	p.state.SetGrants(granted)
 	for id, n := range p.state.Yields(now, p.rng) {
 		for range n {
 			run := p.yielding(id, now)
@@ -99,7 +145,7 @@
 // stop ends a run and no longer counts it, since its slot is free once the connection is closed.
 func (p *Placer) stop(run *BatchRun) {
 	run.stopped = true
-	p.state.End(run.Upstream, true)
+	p.state.End(run.Upstream, true, time.Now())
 	run.Stop()
 }
 
@@ -108,6 +154,9 @@
 	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if n.First {
+		p.arrived(n.Service, now)
+	}
 	choice := p.state.Online(n, func(id string) bool { return p.yielding(id, now) != nil }, now, p.rng)
 	if choice.Verdict == dispatch.Preempt {
 		run := p.yielding(choice.Upstream.ID, now)
@@ -117,6 +166,9 @@
 	if choice.Verdict == dispatch.Send || choice.Verdict == dispatch.Preempt {
 		p.state.Begin(choice.Upstream.ID, false)
 	}
+	if choice.Verdict == dispatch.Preempt {
+		p.state.Spend(choice.Upstream.ID)
+	}
 	return choice
 }
 
@@ -124,7 +176,7 @@
 func (p *Placer) End(upstream string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.state.End(upstream, false)
+	p.state.End(upstream, false, time.Now())
 	p.wake()
 }
 
@@ -154,7 +206,7 @@
 	defer p.mu.Unlock()
 	if !run.stopped {
 		run.stopped = true
-		p.state.End(run.Upstream, true)
+		p.state.End(run.Upstream, true, time.Now())
 	}
 	delete(p.runs[run.Upstream], run)
 	if len(p.runs[run.Upstream]) == 0 {
--- a/pkg/decision/dispatch/dispatch.go
+++ b/pkg/decision/dispatch/dispatch.go
@@ -32,6 +32,9 @@
 	softFailures = 3
 	// zoneWeight prefers upstreams of the own zone.
 	zoneWeight = 1.3
+	// sureFree is how many free slots an upstream must show for a slot that is not this node's alone: the last one is
+	// probably taken by another node at the same time, while a batch run of this node frees one for certain.
+	sureFree = 2
 	// freePower makes the chance of an upstream grow with its free slots. The emptiest one is not always chosen, since all
 	// nodes see the same totals and would send all arrivals of an exchange there.
 	freePower = 1
@@ -76,8 +79,8 @@
 	byID             map[string]*upstream
 	pools            map[string]*pool
 	totalsAt         time.Time
-	// grants are the slots that the hub gave this node for batch runs.
-	grants map[string]int
+	// granted are the slots that the hub gave this node alone.
+	granted Grant
 }
 
 // NewState returns an empty state.
@@ -157,6 +160,8 @@
 	Exclude []string
 	// Objective is the time left for an on-time first event; Remaining the time left until the deadline.
 	Objective, Remaining time.Duration
+	// First is set at the first decision on a request.
+	First bool
 	// Returned is set for a request that came back after a refusal: it may wait longer.
 	Returned bool
 }
@@ -185,6 +190,8 @@
 	Wait time.Duration
 	// Free is the number of free slots that were seen on the chosen upstream; negative when requests wait there.
 	Free int
+	// Granted is set when the slot was this node's alone.
+	Granted bool
 	// TotalsAge is how old the exchanged totals were.
 	TotalsAge time.Duration
 }
@@ -200,12 +207,19 @@
 		choice.RetryAfter = bounded(ejectFirst, n.Remaining, rng)
 		return choice
 	}
-	best, free := s.best(candidates, rng, func(u *upstream) int {
+	seen := func(u *upstream) int {
 		l := s.load(u, now)
 		return u.Slots - l.Online - l.Batch
-	})
+	}
+	if choice.TotalsAge <= totalsFresh {
+		if u, ok := s.takeGrant(s.granted.Online, n.Service, n.Exclude, now); ok {
+			choice.Verdict, choice.Upstream, choice.Free, choice.Granted = Send, u.Upstream, max(1, seen(u)), true
+			return choice
+		}
+	}
+	best, free := s.best(candidates, rng, seen)
 	choice.Upstream, choice.Free = best.Upstream, free
-	if free > 0 {
+	if free >= sureFree {
 		choice.Verdict = Send
 		return choice
 	}
@@ -215,6 +229,10 @@
 			yielding = append(yielding, u)
 		}
 	}
+	if len(yielding) == 0 && free > 0 {
+		choice.Verdict = Send
+		return choice
+	}
 	if len(yielding) > 0 {
 		u, free := s.best(yielding, rng, func(u *upstream) int { return u.Slots - s.load(u, now).Online })
 		choice.Verdict, choice.Upstream, choice.Free = Preempt, u.Upstream, free
@@ -264,7 +282,10 @@
 // slots free. It returns false when there is none.
 func (s *State) Batch(service string, now time.Time, rng *rand.Rand) (Upstream, bool) {
 	if now.Sub(s.totalsAt) <= totalsFresh {
-		return s.takeGrant(service)
+		if u, ok := s.takeGrant(s.granted.Batch, service, nil, now); ok {
+			return u.Upstream, true
+		}
+		return Upstream{}, false
 	}
 	candidates := s.candidates(s.pool(service), nil, now)
 	if len(candidates) == 0 {
@@ -401,7 +422,7 @@
 }
 
 // End counts the end of a run.
-func (s *State) End(id string, batch bool) {
+func (s *State) End(id string, batch bool, now time.Time) {
 	u := s.byID[id]
 	if u == nil {
 		return
@@ -412,6 +433,7 @@
 	} else {
 		u.mine.Online = max(0, u.mine.Online-1)
 	}
+	s.keepFreed(u, now)
 }
 
 // Answered records that an upstream answered, with the load that it reported (negative when it reported none).
--- a/pkg/decision/dispatch/grant.go
+++ b/pkg/decision/dispatch/grant.go
@@ -1,61 +1,85 @@
 package dispatch
 
 import (
+	"maps"
 	"math"
-	"slices"
 	"time"
 )
 
-// Want is what a node asks for a service: slots for batch items.
+// Want is what a node asks for a service.
 type Want struct {
 	// Items could start now; Urgent of them would miss their time if they waited, and also get the slots that are kept
 	// free for online requests.
 	Items, Urgent int
+	// Rate is the number of online requests that arrive at the node in a second.
+	Rate float64
 }
 
-// reserveSpread times the square root of the online runs is kept free of batch runs: about the change of a Poisson load
-// within two exchanges.
-const reserveSpread = 1.0
+const (
+	// reserveSpread times the square root of the online runs is kept free of batch runs beside what is granted to
+	// arrivals: about the change of a Poisson load within an exchange.
+	reserveSpread = 1.0
+	// arrivalWindow is the time for whose arrivals a node gets slots: an exchange with its answer.
+	arrivalWindow = 60 * time.Millisecond
+)
 
-// Grants shares the free slots of a service among the nodes that want them. totals are the runs of all nodes and given the
-// slots granted but not yet reported as runs; all is what all nodes want together. It returns the slots on each upstream
-// that one node may use for batch runs.
-func (s *State) Grants(service string, want, all Want, totals map[string]Load, given map[string]int, now time.Time) map[string]int {
-	if want.Items <= 0 {
-		return nil
-	}
-	type place struct {
-		id   string
-		free int
-	}
-	var places []place
-	free, online := 0, 0
+// Grant is what the hub gives one node until its next report: slots on upstreams that no other node uses meanwhile.
+type Grant struct {
+	// Online slots are for arrivals, Batch slots for batch runs, by upstream.
+	Online, Batch map[string]int
+}
+
+// Grants shares the free slots of a service among nodes. totals are the runs of all nodes and given the slots granted but
+// not yet reported as runs; all is what all nodes want together.
+func (s *State) Grants(service string, want, all Want, totals map[string]Load, given map[string]int, now time.Time) Grant {
+	f := freeSlots{left: map[string]int{}}
+	online := 0
 	for _, u := range s.candidates(s.pool(service), nil, now) {
 		l := totals[u.ID]
 		online += l.Online
 		if n := u.Slots - l.Online - l.Batch - given[u.ID]; n > 0 {
-			places = append(places, place{u.ID, n})
-			free += n
+			f.left[u.ID] = n
+			f.sum += n
 		}
 	}
-	reserve := int(math.Ceil(reserveSpread*math.Sqrt(float64(online)))) + 1
-	n := share(max(0, free-reserve), want.Items, all.Items)
-	n = max(n, share(free, want.Urgent, all.Urgent))
-	grants := map[string]int{}
-	for ; n > 0; n-- {
-		// The emptiest upstream next, so that arrivals find free slots on all of them.
-		best := slices.MaxFunc(places, func(a, b place) int { return a.free - b.free })
-		if best.free <= 0 {
-			break
-		}
-		grants[best.id]++
-		for i := range places {
-			if places[i].id == best.id {
-				places[i].free--
+	var g Grant
+	if want.Rate > 0 {
+		g.Online = f.take(int(math.Ceil(want.Rate * arrivalWindow.Seconds())))
+	}
+	if want.Items <= 0 {
+		return g
+	}
+	// The other nodes' arrivals until their next report need slots too.
+	reserve := int(math.Ceil(reserveSpread*math.Sqrt(float64(online)) + max(0, all.Rate-want.Rate)*arrivalWindow.Seconds()))
+	n := share(max(0, f.sum-reserve), want.Items, all.Items)
+	g.Batch = f.take(max(n, share(f.sum, want.Urgent, all.Urgent)))
+	return g
+}
+
+// freeSlots are the free slots of a service by upstream.
+type freeSlots struct {
+	left map[string]int
+	sum  int
+}
+
+// take takes up to n slots, each from the emptiest upstream, so that arrivals find free slots on all of them.
+func (f *freeSlots) take(n int) map[string]int {
+	if n <= 0 || f.sum == 0 {
+		return nil
+	}
+	taken := map[string]int{}
+	for ; n > 0 && f.sum > 0; n-- {
+		best := ""
+		for id, left := range f.left {
+			if best == "" || left > f.left[best] || left == f.left[best] && id < best {
+				best = id
 			}
 		}
+		f.left[best]--
+		f.sum--
+		taken[best]++
 	}
-	return grants
+	return taken
 }
 
 // share returns a node's part of n slots by its part of all wants, rounded up so that the last slot is used.
@@ -66,21 +90,47 @@
 	return min(mine, (n*mine+max(all, mine)-1)/max(all, mine))
 }
 
-// SetGrants replaces the slots that this node may use for batch runs.
-func (s *State) SetGrants(grants map[string]int) { s.grants = grants }
+// SetGrants replaces the slots that this node alone may use.
+func (s *State) SetGrants(g Grant) {
+	s.granted = Grant{Online: maps.Clone(g.Online), Batch: maps.Clone(g.Batch)}
+	if s.granted.Online == nil {
+		s.granted.Online = map[string]int{}
+	}
+}
 
-// takeGrant uses one granted slot of a service; false when none is left.
-func (s *State) takeGrant(service string) (Upstream, bool) {
+// takeGrant uses one granted slot of a service; false when none is left. Upstreams of the own zone go first.
+func (s *State) takeGrant(slots map[string]int, service string, exclude []string, now time.Time) (*upstream, bool) {
 	var best *upstream
-	for id, n := range s.grants {
+	for id, n := range slots {
 		u := s.byID[id]
-		if n > 0 && u != nil && !u.Draining && u.Service == service && (best == nil || n > s.grants[best.ID]) {
+		if n <= 0 || u == nil || u.Draining || u.Service != service || now.Before(u.ejectedUntil) || contains(exclude, id) {
+			continue
+		}
+		near := u.AvailabilityZone == s.AvailabilityZone
+		if best == nil || near && best.AvailabilityZone != s.AvailabilityZone {
 			best = u
 		}
 	}
 	if best == nil {
-		return Upstream{}, false
+		return nil, false
+	}
+	slots[best.ID]--
+	return best, true
+}
+
+// keepFreed keeps the slot of a run that ended for this node until the next exchange: no other node knows that it is free.
+func (s *State) keepFreed(u *upstream, now time.Time) {
+	if s.granted.Online == nil || now.Sub(s.totalsAt) > totalsFresh {
+		return
+	}
+	if l := s.load(u, now); l.Online+l.Batch+s.granted.Online[u.ID] < u.Slots {
+		s.granted.Online[u.ID]++
+	}
+}
+
+// Spend uses the slot that a stopped run left on an upstream.
+func (s *State) Spend(id string) {
+	if s.granted.Online[id] > 0 {
+		s.granted.Online[id]--
 	}
-	s.grants[best.ID]--
-	return best.Upstream, true
 }
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -256,7 +256,7 @@
 func (x *exchange) need() dispatch.Need {
 	passed := time.Since(x.begun) + x.used
 	n := dispatch.Need{
-		Service: x.service, Exclude: x.tried, Objective: x.route.Objective - passed, Remaining: time.Until(x.deadline),
+		Service: x.service, Exclude: x.tried, First: x.ran+x.refused == 0, Objective: x.route.Objective - passed, Remaining: time.Until(x.deadline),
 		Returned: float64(x.used) > (1-returnedPart)*float64(x.route.Timeout) || x.ran > 0,
 	}
 	if x.started {
@@ -388,7 +388,7 @@
 		}
 		x.o.Placer.Finished(x.service, first, time.Since(sent), choice.Free <= 0 || x.ran > 0)
 		x.o.Log.Routine("request answered", "request", x.request.ID, "route", x.route.Name, "upstream", choice.Upstream.ID,
-			"status", resp.StatusCode, "free", choice.Free, "totals_age_ms", choice.TotalsAge.Milliseconds(),
+			"status", resp.StatusCode, "free", choice.Free, "granted", choice.Granted, "totals_age_ms", choice.TotalsAge.Milliseconds(),
 			"first_ms", first.Milliseconds(), "total_ms", time.Since(x.begun).Milliseconds(), "ran", x.ran+1)
 	}
 	return err
--- a/pkg/listjob/run.go
+++ b/pkg/listjob/run.go
@@ -82,14 +82,17 @@
 	}
 }
 
-// Wants returns the slots that waiting items could use, by service.
+// Wants returns the slots that arrivals and waiting items could use, by service.
 func (c *Controller) Wants() map[string]dispatch.Want {
 	table := c.o.Table()
 	if table == nil {
 		return nil
 	}
 	now := time.Now()
-	var wants map[string]dispatch.Want
+	wants := map[string]dispatch.Want{}
+	for service, rate := range c.o.Placer.Rates() {
+		wants[service] = dispatch.Want{Rate: rate}
+	}
 	for _, it := range c.waitingItems(now) {
 		route := table.Match(it.job.head.Host, it.Path)
 		if route == nil {
@@ -104,9 +107,6 @@
 		if it.job.due.Sub(now) < it.rest(table.Service(service))+urgentSlack {
 			want.Urgent++
 		}
-		if wants == nil {
-			wants = map[string]dispatch.Want{}
-		}
 		wants[service] = want
 	}
 	return wants
