--- a/pkg/controller/mirror/mirror.go
+++ b/pkg/controller/mirror/mirror.go
@@ -62,10 +62,14 @@
 type copied struct {
 	prefix Prefix
 
-	mu       sync.Mutex
-	objects  map[string]store.Object
-	revision int64
-	known    bool
+	mu      sync.Mutex
+	objects map[string]store.Object
+	// revision is how far the copy is, content the revision at which it last changed.
+	revision, content int64
+	// taken is the content of the followed node's copy that this one was read from.
+	taken   source
+	reading bool
+	known   bool
 	healthy  bool
 	brokenAt time.Time
 	// restoredAt is when the watch worked again after an interruption.
@@ -76,6 +80,12 @@
 	stop context.CancelFunc
 }
 
+// source is the state of another node's copy.
+type source struct {
+	node    string
+	content int64
+}
+
 // New returns a mirror of the prefixes.
 func New(o Options, prefixes ...Prefix) *Mirror {
 	m := &Mirror{o: o, copy: map[string]*copied{}, resumed: make(chan struct{})}
@@ -189,26 +199,39 @@
 		m.o.Log.Notice("store is followed", "through", node, "before", was)
 	}
 	for name, c := range m.copy {
+		from := source{node, revisions[name]}
 		c.mu.Lock()
 		if was == "" && node != "" && c.stop != nil {
 			c.stop()
 		}
-		behind := node != "" && revisions[name] > c.revision
+		behind := node != "" && c.taken != from && !c.reading
+		c.reading = c.reading || behind
 		revision := c.revision
 		c.mu.Unlock()
 		if behind {
-			m.readPeer(ctx, c, node, revision)
+			go m.catchUp(ctx, c, from, revision)
 		}
 	}
 }
 
-// Revisions returns how far the copies are that the own watches keep.
+// catchUp reads the followed node's copy.
+func (m *Mirror) catchUp(ctx context.Context, c *copied, from source, revision int64) {
+	taken := m.readPeer(ctx, c, from.node, revision-1)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reading = false
+	if taken {
+		c.taken = from
+	}
+}
+
+// Revisions returns the content of the copies that the own watches keep.
 func (m *Mirror) Revisions() map[string]int64 {
 	all := map[string]int64{}
 	for name, c := range m.copy {
 		c.mu.Lock()
 		if c.healthy && c.known {
-			all[name] = c.revision
+			all[name] = c.content
 		}
 		c.mu.Unlock()
 	}
@@ -283,11 +306,12 @@
 }
 
 // replace takes a full list. Entries that are missing from it count as deleted.
-func (c *copied) replace(list []store.Object, revision int64, now time.Time) {
+// It reports false for a list that is older than the copy.
+func (c *copied) replace(list []store.Object, revision int64, now time.Time) bool {
 	c.mu.Lock()
 	if c.known && revision < c.revision {
 		c.mu.Unlock()
-		return
+		return false
 	}
 	next := make(map[string]store.Object, len(list))
 	for _, o := range list {
@@ -299,9 +323,10 @@
 			next[key] = o
 		}
 	}
-	c.objects, c.revision, c.known = next, revision, true
+	c.objects, c.revision, c.content, c.known = next, revision, max(c.content+1, revision), true
 	c.mu.Unlock()
 	c.changed()
+	return true
 }
 
 // keep reports whether a vanished entry stays for now.
@@ -329,11 +354,13 @@
 	switch e.Type {
 	case store.EventPut:
 		c.objects[e.Object.Key] = e.Object
+		c.content = max(c.content+1, c.revision)
 		delete(c.missing, e.Object.Key)
 		return true
 	case store.EventDelete:
 		if !c.keep(e.Object.Key, now) {
 			delete(c.objects, e.Object.Key)
+			c.content = max(c.content+1, c.revision)
 		}
 		return true
 	}
@@ -354,6 +381,7 @@
 		}
 		delete(c.missing, key)
 		delete(c.objects, key)
+		c.content++
 	}
 	objects := maps.Clone(c.objects)
 	c.mu.Unlock()
@@ -428,23 +456,22 @@
 	}
 }
 
-func (m *Mirror) readPeer(ctx context.Context, c *copied, node string, revision int64) {
+// readPeer reads the copy of a peer that is further than revision, and reports whether it was taken.
+func (m *Mirror) readPeer(ctx context.Context, c *copied, node string, revision int64) bool {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	var reply ReadReply
 	err := m.o.Peers.Call(ctx, node, "Mirror.Read", ReadArgs{Prefix: c.prefix.Name, Revision: revision}, &reply)
 	if err != nil {
 		m.o.Log.Routine("peer gave no copy of the store", "prefix", c.prefix.Name, "peer", node, "error", err)
-		return
+		return false
 	}
 	if !reply.Fresh {
-		return
+		return false
 	}
-	m.o.Log.Notice("copy of the store taken from a peer", "prefix", c.prefix.Name, "peer", node, "revision", reply.Revision)
+	m.o.Log.Routine("copy of the store taken from a peer", "prefix", c.prefix.Name, "peer", node, "revision", reply.Revision)
 	c.mu.Lock()
 	healthy := c.healthy
 	c.mu.Unlock()
-	if !healthy {
-		c.replace(reply.Objects, reply.Revision, time.Now())
-	}
+	return !healthy && c.replace(reply.Objects, reply.Revision, time.Now())
 }
