Follow the hub from the start, keep connections as long as upstreams allow, gather results

Cause: at the start every node watched the members and was woken by each registration; connections were dropped after 3 s although upstreams keep them for 10; nearly every item's result was a write of its own. Change: a node registers, reads the members once and follows the hub; the idle time comes from the upstream's Keep-Alive, except for requests that may run only once; a commit gathers for up to a second.

--- a/pkg/controller/fleet/fleet.go
+++ b/pkg/controller/fleet/fleet.go
@@ -139,6 +139,17 @@
 	return ok && (incarnation == 0 || m.Incarnation == incarnation) && !m.Draining && f.alive(name, time.Now())
 }
 
+// Settled reports whether another node was registered by a time: then the fleet runs already, and its entries are all there.
+func (f *Fleet) Settled(by time.Time) bool {
+	self := f.Self().Name
+	for _, m := range f.Known() {
+		if m.Name != self && m.Incarnation < by.UnixNano() {
+			return true
+		}
+	}
+	return false
+}
+
 // Others returns the names of the other live nodes.
 func (f *Fleet) Others() []string {
 	var names []string
--- a/pkg/controller/mirror/mirror.go
+++ b/pkg/controller/mirror/mirror.go
@@ -53,8 +53,11 @@
 	copy map[string]*copied
 
 	mu sync.Mutex
-	// leader is the node whose copies are followed in place of the store; empty while this node watches itself.
+	// leader is the node whose copies are followed in place of the store; empty while this node watches itself, and
+	// undecided at the start.
 	leader string
+	// uncoveredSince is when the followed node began not to cover all prefixes.
+	uncoveredSince time.Time
 	// resumed is closed when the node watches itself again.
 	resumed chan struct{}
 }
@@ -88,8 +91,7 @@
 
 // New returns a mirror of the prefixes.
 func New(o Options, prefixes ...Prefix) *Mirror {
-	m := &Mirror{o: o, copy: map[string]*copied{}, resumed: make(chan struct{})}
-	close(m.resumed)
+	m := &Mirror{o: o, copy: map[string]*copied{}, resumed: make(chan struct{}), leader: undecided, uncoveredSince: time.Now()}
 	for _, p := range prefixes {
 		m.copy[p.Name] = &copied{prefix: p, objects: map[string]store.Object{}, missing: map[string]time.Time{}, brokenAt: time.Now()}
 	}
@@ -173,19 +175,42 @@
 	return m.session(ctx, c, listed)
 }
 
+const (
+	// undecided stands for the followed node until the first decision.
+	undecided = "?"
+	// uncoveredMax is how long a node that is followed may not cover all prefixes before this node watches itself.
+	uncoveredMax = 600 * time.Millisecond
+)
+
+// Watch makes this node watch the store itself.
+func (m *Mirror) Watch(ctx context.Context) { m.lead(ctx, "", nil) }
+
 // Follow takes the revisions of another node's copies. While they cover all prefixes this node follows that node and
-// spares the store its watches; otherwise, and with an empty node, it watches itself.
+// spares the store its watches; otherwise, after a while, it watches itself.
 func (m *Mirror) Follow(ctx context.Context, node string, revisions map[string]int64) {
-	covered := node != ""
-	for name, c := range m.copy {
+	covered := true
+	for name := range m.copy {
 		_, ok := revisions[name]
-		c.mu.Lock()
-		covered = covered && ok && c.known
-		c.mu.Unlock()
+		covered = covered && ok
+	}
+	m.mu.Lock()
+	if covered {
+		m.uncoveredSince = time.Time{}
+	} else if m.uncoveredSince.IsZero() {
+		m.uncoveredSince = time.Now()
 	}
-	if !covered {
-		node = ""
+	waiting := !covered && m.leader != "" && time.Since(m.uncoveredSince) < uncoveredMax
+	m.mu.Unlock()
+	switch {
+	case covered:
+		m.lead(ctx, node, revisions)
+	case !waiting:
+		m.lead(ctx, "", nil)
 	}
+}
+
+// lead sets the followed node, or none, and reads what changed there.
+func (m *Mirror) lead(ctx context.Context, node string, revisions map[string]int64) {
 	m.mu.Lock()
 	was := m.leader
 	m.leader = node
--- a/pkg/edge/node.go
+++ b/pkg/edge/node.go
@@ -203,11 +203,52 @@
 // follow spares the store the watches of this node while another node's copies can be followed.
 func (n *Node) follow(hub string, revisions map[string]int64) {
 	if hub == n.settings.Name {
-		hub = ""
+		n.mirror.Watch(context.Background())
+		return
 	}
 	n.mirror.Follow(context.Background(), hub, revisions)
 }
 
+// join registers the node and learns the others, so that it knows the hub before it asks the store for anything else.
+func (n *Node) join(ctx context.Context) error {
+	registered := make(chan error, 1)
+	go func() { registered <- n.fleet.Register(ctx) }()
+	for begun := time.Now(); ctx.Err() == nil && time.Since(begun) < joinTime; {
+		page, err := store.ListAll(ctx, n.store, fleet.Prefix)
+		if err != nil {
+			break // The exchange begins alone, and the watches log that the store is away.
+		}
+		objects := map[string]store.Object{}
+		for _, o := range page.Objects {
+			objects[o.Key] = o
+		}
+		n.fleet.Handle(objects)
+		if n.fleet.Settled(time.Now().Add(-joinTime)) {
+			break
+		}
+		sleepContext(ctx, joinTime)
+	}
+	go func() {
+		if err := n.exchange.Run(ctx); err != nil && ctx.Err() == nil {
+			n.log.Notice("load exchange ended", "error", err)
+		}
+	}()
+	return <-registered
+}
+
+// joinTime is how long a node that starts together with the others waits for their entries; all VMs of a deployment start
+// within 0.3 s.
+const joinTime = 600 * time.Millisecond
+
+func sleepContext(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
 // takeConfiguration puts a configuration in force unless a newer one is.
 func (n *Node) takeConfiguration(objects map[string]store.Object) {
 	c, ok, err := n.platform.Configuration(objects)
@@ -270,7 +311,7 @@
 	group, working := errgroup.WithContext(working)
 	group.Go(func() error { return n.peerServer.Serve(n.peerListen) })
 	for name, run := range map[string]func(context.Context) error{
-		"mirror": n.mirror.Run, "exchange": n.exchange.Run, "jobs": n.jobs.Run, "register": n.fleet.Register,
+		"mirror": n.mirror.Run, "jobs": n.jobs.Run, "join": n.join,
 		"retirement": n.watchRetirements,
 	} {
 		group.Go(func() error {
--- a/pkg/forward/client.go
+++ b/pkg/forward/client.go
@@ -10,6 +10,7 @@
 	"net/url"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/zeebo/errs"
@@ -38,8 +39,15 @@
 const (
 	// dialTimeout bounds a connect: upstreams are a few milliseconds away, and a VM without power does not answer.
 	dialTimeout = 300 * time.Millisecond
-	// idleTimeout closes unused connections before upstreams do, which avoids sends that cross their close.
-	idleTimeout = 3 * time.Second
+	// presetIdle is how long an unused connection is kept for an upstream that does not name its own idle timeout, and
+	// mostIdle for one that names a longer one.
+	presetIdle, mostIdle = 3 * time.Second, 8 * time.Second
+	// idlePart of the timeout that an upstream names is how long a connection to it is kept unused, which avoids sends that
+	// cross its close.
+	idlePart = 0.8
+	// freshIdle is the same for requests that may run only once: an upstream may drop an idle connection without notice,
+	// and a send on it then counts as one that may have run.
+	freshIdle = 1500 * time.Millisecond
 	// idlePerUpstream keeps a connection for each slot that one node is likely to use at once.
 	idlePerUpstream = 32
 )
@@ -64,21 +72,76 @@
 
 // Client sends requests to upstreams. It never sends one again by itself.
 type Client struct {
-	dialect   Dialect
+	dialect Dialect
+	// kept holds connections for requests that may be repeated, by the upstreams' service; fresh those for all others.
+	mu    sync.Mutex
+	kept  map[string]*pool
+	fresh *http.Transport
+}
+
+// pool is the connections to the upstreams of a service.
+type pool struct {
 	transport *http.Transport
+	idle      time.Duration
 }
 
 // NewClient returns a client with its own connections.
 func NewClient(d Dialect) *Client {
-	return &Client{dialect: d, transport: &http.Transport{
+	return &Client{dialect: d, kept: map[string]*pool{}, fresh: newTransport(freshIdle)}
+}
+
+func newTransport(idle time.Duration) *http.Transport {
+	return &http.Transport{
 		DialContext: dial.Dialer(dialTimeout).DialContext, DisableCompression: true,
-		MaxIdleConnsPerHost: idlePerUpstream, IdleConnTimeout: idleTimeout,
+		MaxIdleConnsPerHost: idlePerUpstream, IdleConnTimeout: idle,
 		ReadBufferSize: 4 << 10, WriteBufferSize: 4 << 10,
-	}}
+	}
+}
+
+func (c *Client) transport(service string, once bool) *http.Transport {
+	if once {
+		return c.fresh
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p := c.kept[service]
+	if p == nil {
+		p = &pool{newTransport(presetIdle), presetIdle}
+		c.kept[service] = p
+	}
+	return p.transport
+}
+
+// learnIdle takes the idle timeout that an upstream names. The library fixes it for a transport's lifetime, so a change
+// begins a new one.
+func (c *Client) learnIdle(service, keepAlive string) {
+	text, ok := strings.CutPrefix(keepAlive, "timeout=")
+	if !ok {
+		return
+	}
+	text, _, _ = strings.Cut(text, ",")
+	seconds, err := strconv.Atoi(strings.TrimSpace(text))
+	if err != nil || seconds <= 0 {
+		return
+	}
+	idle := min(mostIdle, time.Duration(idlePart*float64(seconds)*float64(time.Second)))
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if p := c.kept[service]; p != nil && p.idle != idle {
+		p.transport.CloseIdleConnections()
+		c.kept[service] = &pool{newTransport(idle), idle}
+	}
 }
 
 // Close ends the idle connections.
-func (c *Client) Close() { c.transport.CloseIdleConnections() }
+func (c *Client) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, p := range c.kept {
+		p.transport.CloseIdleConnections()
+	}
+	c.fresh.CloseIdleConnections()
+}
 
 // Request is one request as it goes to an upstream.
 type Request struct {
@@ -89,6 +152,8 @@
 	// Header is shared by all sends and not changed.
 	Header http.Header
 	Body   []byte
+	// Once is set for a request that must not run more than once.
+	Once bool
 }
 
 // unreplayable hides the body's type, so that the transport can't send a request a second time.
@@ -127,10 +192,11 @@
 	if len(r.Body) > 0 {
 		req.Body, req.ContentLength = unreplayable{bytes.NewReader(r.Body)}, int64(len(r.Body))
 	}
-	resp, err := c.transport.RoundTrip(req.WithContext(ctx))
+	resp, err := c.transport(u.Service, r.Once).RoundTrip(req.WithContext(ctx))
 	if err != nil {
 		return nil, classify(ctx, err)
 	}
+	c.learnIdle(u.Service, resp.Header.Get("Keep-Alive"))
 	if err := c.check(resp, r.ID); err != nil {
 		if errors.Is(err, ErrMismatch) {
 			// Closing an unread body ends the connection, on which the own answer may still arrive.
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -198,7 +198,7 @@
 		service: route.Pick(draw(r.Header.Get(f.o.Dialect.RequestID))), after: -1,
 		request: Request{
 			ID: r.Header.Get(f.o.Dialect.RequestID), Method: r.Method, Host: r.Host, Target: RawTarget(r),
-			Header: endToEnd(r.Header), Body: body,
+			Header: endToEnd(r.Header), Body: body, Once: !route.Repeatable(),
 		},
 	}
 	if n, err := strconv.ParseInt(r.Header.Get(f.o.Dialect.LastEventID), 10, 64); err == nil {
--- a/pkg/listjob/run.go
+++ b/pkg/listjob/run.go
@@ -22,8 +22,11 @@
 const (
 	// scheduleEvery is the longest time between two looks for a free slot.
 	scheduleEvery = 250 * time.Millisecond
-	// commitDelay gathers results that finish together into one entry of the log.
-	commitDelay = 150 * time.Millisecond
+	// commitDelay gathers results into one entry of the log, unless the job waits for nothing else; each entry is a priced
+	// call, and what a crash within the delay costs is run again.
+	commitDelay = time.Second
+	// commitStep is how often a gathering commit looks whether the job's last item is finished.
+	commitStep = 100 * time.Millisecond
 	// commitRetry is the first pause after a commit that the store did not take; it doubles up to commitRetryMax.
 	commitRetry, commitRetryMax = 100 * time.Millisecond, time.Second
 	// firstSilence is how long a run may give nothing at first, and eventSilence between events, before the item goes on at
@@ -387,11 +390,24 @@
 	}
 }
 
+// gather waits for more results, as long as some are to come soon.
+func (j *job) gather() {
+	for waited := time.Duration(0); waited < commitDelay; waited += commitStep {
+		time.Sleep(commitStep)
+		j.mu.Lock()
+		all := len(j.results)+len(j.pending) >= len(j.items) || j.released || time.Until(j.due) < urgentSlack
+		j.mu.Unlock()
+		if all {
+			return
+		}
+	}
+}
+
 // commit writes queued results to the log until none is left.
 func (c *Controller) commit(j *job) {
 	wait := commitRetry
 	for {
-		time.Sleep(commitDelay)
+		j.gather()
 		j.mu.Lock()
 		batch := j.takePending()
 		if len(batch) == 0 || j.released {
