Check the log before a former owner answers, and test list jobs

Change: while the fleet may be seen differently elsewhere, an answer without results is checked against the log first.

--- a/pkg/controller/fleet/fleet.go
+++ b/pkg/controller/fleet/fleet.go
@@ -25,6 +25,8 @@
 	// silenceKept is how long a report of silent nodes counts; then all registered nodes count as live again, since a
 	// node that hears from no hub knows nothing.
 	silenceKept = 3 * time.Second
+	// heardFresh is how long after the last report of a hub this node is sure of its view: three idle exchanges.
+	heardFresh = time.Second
 )
 
 // Member is a node as it registered itself.
@@ -128,6 +130,23 @@
 	return !f.silent[name] || now.Sub(f.silentAt) > silenceKept
 }
 
+// Doubtful reports whether some nodes may see the fleet differently: no hub was heard lately, or a registered node is
+// silent or suspected. Then another node may have taken over what this one holds.
+func (f *Fleet) Doubtful() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := time.Now()
+	if now.Sub(f.silentAt) > heardFresh || len(f.silent) > 0 {
+		return true
+	}
+	for _, until := range f.suspects {
+		if now.Before(until) {
+			return true
+		}
+	}
+	return false
+}
+
 // Alive reports whether a node with this incarnation is registered and not silent. An incarnation of 0 matches any.
 func (f *Fleet) Alive(name string, incarnation int64) bool {
 	f.mu.Lock()
--- a/pkg/controller/loadshare/loadshare.go
+++ b/pkg/controller/loadshare/loadshare.go
@@ -74,7 +74,7 @@
 	Wants func() map[string]dispatch.Want
 	Take  func(totals, reported map[string]dispatch.Load, granted dispatch.Grant)
 	// Grants shares free slots among the nodes, when this node is the hub.
-	Grants func(service string, want, all dispatch.Want, totals map[string]dispatch.Load, given map[string]int) dispatch.Grant
+	Grants func(service string, want, all dispatch.Want, totals map[string]dispatch.Load, given map[string]int, warm func(string) bool) dispatch.Grant
 	// Revisions returns how far the own copies of the store are, and Heard takes those of the hub. Heard is called with an
 	// empty hub after an exchange that failed.
 	Revisions func() map[string]int64
@@ -93,7 +93,7 @@
 
 // New returns an exchange.
 func New(o Options) *Exchange {
-	return &Exchange{o: o, hub: hub{o: &o, reports: map[string]report{}, given: map[string]given{}}}
+	return &Exchange{o: o, hub: hub{o: &o, reports: map[string]report{}, given: map[string]given{}, warm: map[string]map[string]time.Time{}}}
 }
 
 // Run exchanges until ctx ends.
@@ -177,8 +177,10 @@
 	mu      sync.Mutex
 	reports map[string]report
 	given   map[string]given
-	since   time.Time
-	last    time.Time
+	// warm is when each node last had a run on each upstream.
+	warm  map[string]map[string]time.Time
+	since time.Time
+	last  time.Time
 }
 
 func (h *hub) take(r Report, reply *Totals, now time.Time) {
@@ -233,6 +235,16 @@
 	if len(r.Wants) == 0 {
 		return
 	}
+	warm := h.warm[r.Node]
+	if warm == nil {
+		warm = map[string]time.Time{}
+		h.warm[r.Node] = warm
+	}
+	for id := range r.Loads {
+		warm[id] = now
+	}
+	maps.DeleteFunc(warm, func(_ string, at time.Time) bool { return now.Sub(at) > dispatch.WarmFor })
+	isWarm := func(id string) bool { return !warm[id].IsZero() }
 	outstanding := map[string]int{}
 	for node, g := range h.given {
 		if now.Sub(g.at) > grantKept {
@@ -253,7 +265,7 @@
 				all.Rate += other.Wants[service].Rate
 			}
 		}
-		g := h.o.Grants(service, want, all, reply.Loads, outstanding)
+		g := h.o.Grants(service, want, all, reply.Loads, outstanding, isWarm)
 		maps.Copy(reply.Grant.Online, g.Online)
 		maps.Copy(reply.Grant.Batch, g.Batch)
 	}
--- a/pkg/controller/mirror/mirror.go
+++ b/pkg/controller/mirror/mirror.go
@@ -70,9 +70,9 @@
 	// revision is how far the copy is, content the revision at which it last changed.
 	revision, content int64
 	// taken is the content of the followed node's copy that this one was read from.
-	taken   source
-	reading bool
-	known   bool
+	taken    source
+	reading  bool
+	known    bool
 	healthy  bool
 	brokenAt time.Time
 	// restoredAt is when the watch worked again after an interruption.
--- a/pkg/controller/placer/placer.go
+++ b/pkg/controller/placer/placer.go
@@ -105,10 +105,10 @@
 }
 
 // Grants shares free slots among nodes, when this node is the hub.
-func (p *Placer) Grants(service string, want, all dispatch.Want, totals map[string]dispatch.Load, given map[string]int) dispatch.Grant {
+func (p *Placer) Grants(service string, want, all dispatch.Want, totals map[string]dispatch.Load, given map[string]int, warm func(string) bool) dispatch.Grant {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.state.Grants(service, want, all, totals, given, time.Now())
+	return p.state.Grants(service, want, all, totals, given, warm, time.Now())
 }
 
 // Take sets the totals of all nodes and the slots granted to this one, and stops batch runs on overfull upstreams.
--- a/pkg/decision/dispatch/dispatch.go
+++ b/pkg/decision/dispatch/dispatch.go
@@ -32,6 +32,8 @@
 	softFailures = 3
 	// zoneWeight prefers upstreams of the own zone.
 	zoneWeight = 1.3
+	// WarmFor is how long after a run a connection to its upstream is probably kept.
+	WarmFor = 6 * time.Second
 	// sureFree is how many free slots an upstream must show for a slot that is not this node's alone: the last one is
 	// probably taken by another node at the same time, while a batch run of this node frees one for certain.
 	sureFree = 2
--- a/pkg/decision/dispatch/grant.go
+++ b/pkg/decision/dispatch/grant.go
@@ -30,9 +30,9 @@
 }
 
 // Grants shares the free slots of a service among nodes. totals are the runs of all nodes and given the slots granted but
-// not yet reported as runs; all is what all nodes want together.
-func (s *State) Grants(service string, want, all Want, totals map[string]Load, given map[string]int, now time.Time) Grant {
-	f := freeSlots{left: map[string]int{}}
+// not yet reported as runs; all is what all nodes want together. warm tells the upstreams to which the node has connections.
+func (s *State) Grants(service string, want, all Want, totals map[string]Load, given map[string]int, warm func(upstream string) bool, now time.Time) Grant {
+	f := freeSlots{left: map[string]int{}, warm: warm}
 	online := 0
 	for _, u := range s.candidates(s.pool(service), nil, now) {
 		l := totals[u.ID]
@@ -60,8 +60,13 @@
 type freeSlots struct {
 	left map[string]int
 	sum  int
+	warm func(upstream string) bool
 }
 
+// warmBonus prefers an upstream with a kept connection as if it had this many more free slots: a new connection costs a
+// round trip and a handshake. A larger bonus crowds the upstreams that are in use.
+const warmBonus = 1
+
 // take takes up to n slots, each from the emptiest upstream, so that arrivals find free slots on all of them.
 func (f *freeSlots) take(n int) map[string]int {
 	if n <= 0 || f.sum == 0 {
@@ -69,10 +74,13 @@
 	}
 	taken := map[string]int{}
 	for ; n > 0 && f.sum > 0; n-- {
-		best := ""
+		best, most := "", 0
 		for id, left := range f.left {
-			if best == "" || left > f.left[best] || left == f.left[best] && id < best {
-				best = id
+			if left > 0 && f.warm(id) {
+				left += warmBonus
+			}
+			if best == "" || left > most || left == most && id < best {
+				best, most = id, left
 			}
 		}
 		f.left[best]--
--- /dev/null
+++ b/pkg/listjob/fakes_test.go
@@ -0,0 +1,196 @@
+package listjob
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"reflect"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"trefoilplank.example/pkg/adapter/peer"
+	"trefoilplank.example/pkg/adapter/store"
+	"trefoilplank.example/pkg/controller/fleet"
+	"trefoilplank.example/pkg/controller/placer"
+	"trefoilplank.example/pkg/decision/dispatch"
+	"trefoilplank.example/pkg/decision/routing"
+	"trefoilplank.example/pkg/eventlog"
+	"trefoilplank.example/pkg/forward"
+)
+
+const testHost = "jobs.example"
+
+// testTable routes all items of the test host to one service.
+func testTable() *routing.Table {
+	return routing.NewTable(routing.Configuration{Version: 1, Routes: []routing.Route{{
+		Name: "batch", Host: testHost, Prefix: "/b/", Kind: routing.KindBatch, Service: "model", MaxAttempts: 3,
+		Completion: 18 * time.Second, Retention: time.Minute,
+	}}})
+}
+
+var testDialect = forward.Dialect{
+	RequestID: "X-Id", Deadline: "X-Deadline", ExpectInstance: "X-Expect", NotRun: "X-Not-Run", Load: "X-Load",
+	LastEventID: "X-After", Stamp: "X-Stamp",
+}
+
+// engine streams the events of items: the data of event n of an item is "ID-n".
+type engine struct {
+	*httptest.Server
+	events int
+	pace   time.Duration
+	mu     sync.Mutex
+	// runs counts the sends by item, and fail is what a run answers before it begins.
+	runs map[string]int
+	fail func(id string, run int) int
+	// breakAt ends a first run in the middle of this event.
+	breakAt int
+}
+
+func newEngine(t *testing.T, events int, pace time.Duration) *engine {
+	e := &engine{events: events, pace: pace, runs: map[string]int{}}
+	e.Server = httptest.NewServer(e)
+	t.Cleanup(e.Close)
+	return e
+}
+
+func (e *engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get(testDialect.RequestID)
+	e.mu.Lock()
+	e.runs[id]++
+	run := e.runs[id]
+	e.mu.Unlock()
+	w.Header().Set(testDialect.RequestID, id)
+	if e.fail != nil {
+		if status := e.fail(id, run); status != 0 {
+			w.WriteHeader(status)
+			return
+		}
+	}
+	first := 0
+	if after, err := strconv.Atoi(r.Header.Get(testDialect.LastEventID)); err == nil {
+		first = after + 1
+	}
+	w.Header().Set("Content-Type", "text/event-stream")
+	for n := first; n < e.events; n++ {
+		if e.breakAt > 0 && n == e.breakAt && run == 1 {
+			fmt.Fprintf(w, "id: %d\ndata: %s", n, id)
+			w.(http.Flusher).Flush()
+			panic(http.ErrAbortHandler)
+		}
+		fmt.Fprintf(w, "id: %d\ndata: %s-%d\n\n", n, id, n)
+		w.(http.Flusher).Flush()
+		time.Sleep(e.pace)
+	}
+}
+
+// text is what a whole item's result must hold.
+func (e *engine) text(id string) string {
+	var lines []string
+	for n := range e.events {
+		lines = append(lines, fmt.Sprintf("%s-%d", id, n))
+	}
+	return strings.Join(lines, "\n")
+}
+
+// network connects controllers in process. Nodes in cut answer nobody.
+type network struct {
+	mu    sync.Mutex
+	nodes map[string]*Controller
+	cut   map[string]bool
+}
+
+func newNetwork() *network { return &network{nodes: map[string]*Controller{}, cut: map[string]bool{}} }
+
+// caller is the network as one node sees it.
+type caller struct {
+	network *network
+	self    string
+}
+
+func (c caller) Call(_ context.Context, node, method string, args, reply any) error {
+	c.network.mu.Lock()
+	target, cut := c.network.nodes[node], c.network.cut[node] || c.network.cut[c.self]
+	c.network.mu.Unlock()
+	if target == nil || cut {
+		return peer.ErrUnreachable
+	}
+	_, name, _ := strings.Cut(method, ".")
+	out := reflect.ValueOf(target.Receiver()).MethodByName(name).Call([]reflect.Value{reflect.ValueOf(args), reflect.ValueOf(reply)})
+	err, _ := out[0].Interface().(error)
+	return err
+}
+
+func (c caller) CallAddress(context.Context, string, string, any, any) error { return peer.ErrUnreachable }
+
+// node is a controller with its own view of the fleet.
+type node struct {
+	*Controller
+	fleet *fleet.Fleet
+	stop  context.CancelFunc
+}
+
+func (n *network) add(t *testing.T, s store.Store, e *engine, name string, others ...string) *node {
+	log := &eventlog.Log{}
+	f := fleet.New(s, fleet.Member{Name: name, PeerAddress: name, Incarnation: 1, Weight: 1}, log)
+	members := map[string]store.Object{}
+	for _, other := range append(others, name) {
+		key := fleet.Prefix + other
+		members[key] = store.Object{Key: key, Value: fmt.Appendf(nil, `{"name":%q,"peer_address":%q,"incarnation":1,"weight":1}`, other, other)}
+	}
+	f.Handle(members)
+	p := placer.New("zone", log)
+	p.SetUpstreams([]dispatch.Upstream{{ID: "u1", Address: strings.TrimPrefix(e.URL, "http://"), Service: "model", Slots: 64}})
+	table := testTable()
+	c := New(Options{
+		Store: s, Peers: caller{n, name}, Fleet: f, Placer: p, Client: forward.NewClient(testDialect),
+		Table: func() *routing.Table { return table }, MemoryBytes: 256 << 20, Readable: 2 * time.Minute, Log: log,
+	})
+	n.mu.Lock()
+	n.nodes[name] = c
+	n.mu.Unlock()
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); _ = c.Run(ctx) }()
+	t.Cleanup(func() { cancel(); <-done })
+	return &node{c, f, cancel}
+}
+
+func submission(id string, items int) Submission {
+	s := Submission{ID: id, Host: testHost, Path: "/b/" + id}
+	for n := range items {
+		s.Items = append(s.Items, Item{ID: fmt.Sprintf("%s-item%d", id, n), Path: "/b/x", Body: []byte(fmt.Sprint("body ", n))})
+	}
+	return s
+}
+
+// readAll reads a job until all results are there, and checks that each position keeps its content.
+func readAll(t *testing.T, c *Controller, id string, within time.Duration) []Result {
+	t.Helper()
+	var results []Result
+	for until := time.Now().Add(within); ; {
+		l, err := c.Read(context.Background(), id, len(results), 200*time.Millisecond)
+		assert.NilError(t, err)
+		results = append(results, l.Results...)
+		if len(results) == l.Total {
+			return results
+		}
+		assert.Assert(t, time.Now().Before(until), "%d of %d results after %s", len(results), l.Total, within)
+	}
+}
+
+func checkWhole(t *testing.T, e *engine, results []Result) {
+	t.Helper()
+	seen := map[string]bool{}
+	for _, r := range results {
+		assert.Assert(t, !seen[r.ID], "item %s is listed twice", r.ID)
+		seen[r.ID] = true
+		assert.Equal(t, r.State, Completed)
+		assert.Equal(t, r.Text, e.text(r.ID))
+	}
+}
--- a/pkg/listjob/job.go
+++ b/pkg/listjob/job.go
@@ -174,6 +174,8 @@
 	// committing is set while a commit is in progress.
 	committing bool
 	changed    chan struct{}
+	// verified is when the log was last seen to have no entry of another node.
+	verified time.Time
 	// released is set once the node no longer owns the job.
 	released bool
 	// due and until come from the route: when results are due, and until when items are tried.
--- a/pkg/listjob/read.go
+++ b/pkg/listjob/read.go
@@ -22,7 +22,7 @@
 // Read returns the results from position after on. It waits up to wait for the first one while there is none to come yet.
 func (c *Controller) Read(ctx context.Context, id string, after int, wait time.Duration) (Listing, error) {
 	if j := c.owned(id); j != nil {
-		if l, ok := j.read(ctx, after, wait); ok {
+		if l, ok := c.readOwned(ctx, j, after, wait); ok {
 			return l, nil
 		}
 	}
@@ -57,6 +57,40 @@
 	return err
 }
 
+// verifyEvery is how often the log of an owned job is checked while another node may have taken the job over; a position
+// that was read must be there everywhere a second later.
+const verifyEvery = 500 * time.Millisecond
+
+// readOwned reads from memory. While the fleet may be seen differently elsewhere, an answer without results is first
+// checked against the log, to which another owner may have added.
+func (c *Controller) readOwned(ctx context.Context, j *job, after int, wait time.Duration) (Listing, bool) {
+	j.mu.Lock()
+	check := len(page(j.results, after)) == 0 && j.open() && time.Since(j.verified) > verifyEvery
+	j.mu.Unlock()
+	if check && c.o.Fleet.Doubtful() && !c.verify(ctx, j) {
+		return Listing{}, false
+	}
+	return j.read(ctx, after, wait)
+}
+
+// verify takes entries of the log that other nodes added; false when the log can't be read.
+func (c *Controller) verify(ctx context.Context, j *job) bool {
+	begun := time.Now()
+	entries, err := c.readEntries(ctx, j.head.ID)
+	if err != nil {
+		c.o.Log.Notice("log of a job not verified", "job", j.head.ID, "error", err)
+		return false
+	}
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.verified = begun
+	for ; j.next < len(entries); j.next++ {
+		c.o.Log.Notice("another node added to the log of a job", "job", j.head.ID, "entry", j.next)
+		j.list(entries[j.next])
+	}
+	return true
+}
+
 // read returns the results of an owned job; false when the node stopped owning it meanwhile.
 func (j *job) read(ctx context.Context, after int, wait time.Duration) (Listing, bool) {
 	timer := time.NewTimer(wait)
@@ -216,7 +250,7 @@
 	if j == nil {
 		return nil
 	}
-	reply.Listing, reply.Found = j.read(context.Background(), args.After, args.Wait)
+	reply.Listing, reply.Found = r.c.readOwned(context.Background(), j, args.After, args.Wait)
 	return nil
 }
 
--- a/pkg/listjob/takeover.go
+++ b/pkg/listjob/takeover.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"slices"
 	"time"
 
 	"trefoilplank.example/pkg/adapter/store"
@@ -121,22 +122,28 @@
 
 // readLog returns all listed results and the number of the log's next entry.
 func (c *Controller) readLog(ctx context.Context, id string) ([]Result, int, error) {
+	entries, err := c.readEntries(ctx, id)
+	return slices.Concat(entries...), len(entries), err
+}
+
+// readEntries returns the entries of a job's log in order.
+func (c *Controller) readEntries(ctx context.Context, id string) ([][]Result, error) {
 	log, err := store.ListAll(store.WithFresh(ctx), c.o.Store, resultsKind+id+"/")
 	if err != nil {
-		return nil, 0, errors.Join(ErrUnavailable, err)
+		return nil, errors.Join(ErrUnavailable, err)
 	}
-	var results []Result
+	var entries [][]Result
 	for n, o := range log.Objects {
 		if o.Key != entryKey(id, n) {
-			return nil, 0, errors.Join(ErrUnavailable, Error.New("entry %d of job %s lies at %q", n, id, o.Key))
+			return nil, errors.Join(ErrUnavailable, Error.New("entry %d of job %s lies at %q", n, id, o.Key))
 		}
 		var e entry
 		if err := json.Unmarshal(o.Value, &e); err != nil {
-			return nil, 0, errors.Join(ErrUnavailable, err)
+			return nil, errors.Join(ErrUnavailable, err)
 		}
-		results = append(results, e.Results...)
+		entries = append(entries, e.Results)
 	}
-	return results, len(log.Objects), nil
+	return entries, nil
 }
 
 // HandOn gives the open jobs to other nodes with what was received of their items. It is called once, when the node stops.
