--- a/pkg/controller/loadshare/loadshare.go
+++ b/pkg/controller/loadshare/loadshare.go
@@ -27,6 +27,8 @@
 	perMember = 800 * time.Microsecond
 	// exchangeTimeout ends a call to a hub that does not answer; the platform's zones are at most some ms apart.
 	exchangeTimeout = 400 * time.Millisecond
+	// askTimeout is how long an arrival waits for the hub's answer before it goes by what is known.
+	askTimeout = 30 * time.Millisecond
 	// suspectFor is how long a hub that did not answer is passed over.
 	suspectFor = 2 * time.Second
 	// reportKept is how long a report counts in the totals: three idle exchanges.
@@ -89,6 +91,16 @@
 	o    Options
 	hub  hub
 	last string
+
+	mu sync.Mutex
+	// flight is the exchange in progress, or nil; ahead the one that follows it at once.
+	flight, ahead *flight
+}
+
+// flight is one exchange.
+type flight struct {
+	done     chan struct{}
+	answered bool
 }
 
 // New returns an exchange.
@@ -99,10 +111,12 @@
 // Run exchanges until ctx ends.
 func (e *Exchange) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
-		mine, wants := e.o.Mine(), e.o.Wants()
-		e.exchange(ctx, mine, wants)
+		select {
+		case <-e.begin(ctx).done:
+		case <-ctx.Done():
+		}
 		every := idleEvery
-		if len(mine)+len(wants) > 0 {
+		if len(e.o.Mine())+len(e.o.Wants()) > 0 {
 			every = max(busyEvery, time.Duration(len(e.o.Fleet.Known()))*perMember)
 		}
 		t := time.NewTimer(every + rand.N(every/5))
@@ -115,8 +129,48 @@
 	return ctx.Err()
 }
 
-// exchange reports to the first hub that answers.
-func (e *Exchange) exchange(ctx context.Context, mine map[string]dispatch.Load, wants map[string]dispatch.Want) {
+// Now exchanges at once and reports whether the hub answered in time.
+func (e *Exchange) Now(ctx context.Context) bool {
+	f := e.begin(context.WithoutCancel(ctx))
+	t := time.NewTimer(askTimeout)
+	defer t.Stop()
+	select {
+	case <-f.done:
+		return f.answered
+	case <-t.C:
+	case <-ctx.Done():
+	}
+	return false
+}
+
+// begin starts an exchange whose report contains all that is known now: one that is already under way does not, so another
+// one follows it, for all that ask meanwhile.
+func (e *Exchange) begin(ctx context.Context) *flight {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.flight != nil {
+		if e.ahead == nil {
+			e.ahead = &flight{done: make(chan struct{})}
+		}
+		return e.ahead
+	}
+	e.flight = &flight{done: make(chan struct{})}
+	go e.fly(ctx, e.flight)
+	return e.flight
+}
+
+func (e *Exchange) fly(ctx context.Context, f *flight) {
+	for f != nil {
+		f.answered = e.exchange(ctx, e.o.Mine(), e.o.Wants())
+		close(f.done)
+		e.mu.Lock()
+		f, e.flight, e.ahead = e.ahead, e.ahead, nil
+		e.mu.Unlock()
+	}
+}
+
+// exchange reports to the hub, and reports whether it answered.
+func (e *Exchange) exchange(ctx context.Context, mine map[string]dispatch.Load, wants map[string]dispatch.Want) bool {
 	self := e.o.Fleet.Self()
 	r := Report{Node: self.Name, Incarnation: self.Incarnation, Draining: e.o.Draining(), Loads: mine, Wants: wants}
 	weights := map[string]float64{}
@@ -127,7 +181,7 @@
 	}
 	ranked := rendezvous.Ranked(hubKey, weights)
 	if len(ranked) == 0 {
-		return
+		return false
 	}
 	name := ranked[0]
 	call, cancel := context.WithTimeout(ctx, exchangeTimeout)
@@ -138,7 +192,7 @@
 			e.o.Fleet.Suspect(name, suspectFor, err)
 			e.o.Heard("", nil)
 		}
-		return
+		return false
 	}
 	if name != e.last {
 		e.o.Log.Notice("load hub chosen", "hub", name, "before", e.last)
@@ -147,6 +201,7 @@
 	e.o.Take(totals.Loads, mine, totals.Grant)
 	e.o.Heard(name, totals.Revisions)
 	e.o.Fleet.SetSilent(totals.Silent, totals.Draining)
+	return true
 }
 
 // Receiver returns the hub for net/rpc.
@@ -255,7 +310,7 @@
 			outstanding[id] += n
 		}
 	}
-	reply.Grant = dispatch.Grant{Online: map[string]int{}, Batch: map[string]int{}}
+	reply.Grant = dispatch.Grant{Online: map[string]int{}, Batch: map[string]int{}, Queue: map[string]int{}}
 	for service, want := range r.Wants {
 		var all dispatch.Want
 		for _, other := range h.reports {
@@ -268,10 +323,8 @@
 		g := h.o.Grants(service, want, all, reply.Loads, outstanding, isWarm)
 		maps.Copy(reply.Grant.Online, g.Online)
 		maps.Copy(reply.Grant.Batch, g.Batch)
+		maps.Copy(reply.Grant.Queue, g.Queue)
 	}
-	slots := maps.Clone(reply.Grant.Online)
-	for id, n := range reply.Grant.Batch {
-		slots[id] += n
-	}
+	slots := reply.Grant.Slots()
 	h.given[r.Node] = given{slots, now}
 }
--- a/pkg/controller/placer/placer.go
+++ b/pkg/controller/placer/placer.go
@@ -38,9 +38,13 @@
 
 // rate is a running mean of arrivals.
 type rate struct {
+	// objective is the shortest one of the arrivals in the window.
+	objective time.Duration
 	perSecond float64
 	count     int
 	since     time.Time
+	// waiting are the requests that wait for the hub's answer.
+	waiting int
 }
 
 const (
@@ -50,32 +54,39 @@
 	rateWeight = 0.5
 )
 
-// arrived counts an arrival. The caller holds the lock.
-func (p *Placer) arrived(service string, now time.Time) {
+// rate returns the arrivals of a service. The caller holds the lock.
+func (p *Placer) rate(service string, now time.Time) *rate {
 	r := p.rates[service]
 	if r == nil {
 		r = &rate{since: now}
 		p.rates[service] = r
 	}
+	return r
+}
+
+func (r *rate) arrived(objective time.Duration) {
+	if r.count == 0 || objective < r.objective {
+		r.objective = objective
+	}
 	r.count++
 }
 
-// Rates returns the arrivals a second of the services that have any.
-func (p *Placer) Rates() map[string]float64 {
+// Arrivals returns the arrivals a second, and how long they may wait, of the services that have any.
+func (p *Placer) Arrivals() map[string]dispatch.Want {
 	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	rates := map[string]float64{}
+	wants := map[string]dispatch.Want{}
 	for service, r := range p.rates {
 		if past := now.Sub(r.since); past >= rateWindow {
 			r.perSecond += rateWeight * (float64(r.count)/past.Seconds() - r.perSecond)
 			r.count, r.since = 0, now
 		}
-		if r.perSecond > leastRate {
-			rates[service] = r.perSecond
+		if r.perSecond > leastRate || r.waiting > 0 {
+			wants[service] = dispatch.Want{Rate: r.perSecond, Waiting: r.waiting, Queue: p.state.QueuePerSlot(service, r.objective)}
 		}
 	}
-	return rates
+	return wants
 }
 
 // leastRate is the rate of arrivals below which a node asks for no slots.
@@ -154,8 +165,12 @@
 	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if n.First {
-		p.arrived(n.Service, now)
+	r := p.rate(n.Service, now)
+	switch {
+	case n.Asked:
+		r.waiting--
+	case n.First && !n.Returned:
+		r.arrived(n.Objective)
 	}
 	choice := p.state.Online(n, func(id string) bool { return p.yielding(id, now) != nil }, now, p.rng)
 	if choice.Verdict == dispatch.Preempt {
@@ -166,8 +181,11 @@
 	if choice.Verdict == dispatch.Send || choice.Verdict == dispatch.Preempt {
 		p.state.Begin(choice.Upstream.ID, false)
 	}
-	if choice.Verdict == dispatch.Preempt {
+	switch choice.Verdict {
+	case dispatch.Preempt:
 		p.state.Spend(choice.Upstream.ID)
+	case dispatch.Ask:
+		r.waiting++
 	}
 	return choice
 }
--- a/pkg/decision/dispatch/dispatch.go
+++ b/pkg/decision/dispatch/dispatch.go
@@ -34,9 +34,11 @@
 	zoneWeight = 1.3
 	// WarmFor is how long after a run a connection to its upstream is probably kept.
 	WarmFor = 6 * time.Second
-	// sureFree is how many free slots an upstream must show for a slot that is not this node's alone: the last one is
-	// probably taken by another node at the same time, while a batch run of this node frees one for certain.
-	sureFree = 2
+	// sureFree is how many free slots an upstream must show to be used without asking the hub: the last ones are probably
+	// taken by other nodes at the same time.
+	sureFree = 3
+	// askFresh is how old totals may be for the hub to be asked; older ones mean that it does not answer in time.
+	askFresh = 250 * time.Millisecond
 	// freePower makes the chance of an upstream grow with its free slots. The emptiest one is not always chosen, since all
 	// nodes see the same totals and would send all arrivals of an exchange there.
 	freePower = 1
@@ -164,6 +166,8 @@
 	Objective, Remaining time.Duration
 	// First is set at the first decision on a request.
 	First bool
+	// Asked is set once the hub was asked for a slot, and Answered if it did answer.
+	Asked, Answered bool
 	// Returned is set for a request that came back after a refusal: it may wait longer.
 	Returned bool
 }
@@ -177,6 +181,8 @@
 	Send Verdict = "send"
 	// Preempt stops a batch run of this node on the chosen upstream and sends the request there.
 	Preempt Verdict = "preempt"
+	// Ask asks the hub for a slot of the node's own and decides again.
+	Ask Verdict = "ask"
 	// Refuse answers that the request was not run, with the time after which to come back.
 	Refuse Verdict = "refuse"
 	// NoUpstream means that no upstream of the service is known or left to try.
@@ -225,13 +231,17 @@
 		choice.Verdict = Send
 		return choice
 	}
+	if !n.Asked && choice.TotalsAge <= askFresh {
+		choice.Verdict = Ask
+		return choice
+	}
 	var yielding []*upstream
 	for _, u := range candidates {
 		if preemptible(u.ID) {
 			yielding = append(yielding, u)
 		}
 	}
-	if len(yielding) == 0 && free > 0 {
+	if len(yielding) == 0 && free > 0 && !n.Answered {
 		choice.Verdict = Send
 		return choice
 	}
@@ -253,12 +263,20 @@
 	queued := max(0, 1-free)
 	wait := time.Duration(queued) * p.duration / time.Duration(max(1, u.Slots))
 	choice.Upstream, choice.Free, choice.Wait = u.Upstream, free, wait
-	allowed := n.Objective - p.first - queueMargin
+	allowed := p.allowedWait(n.Objective)
+	if n.Answered {
+		if granted, ok := s.takeGrant(s.granted.Queue, n.Service, n.Exclude, now); ok {
+			choice.Verdict, choice.Upstream, choice.Granted = Send, granted.Upstream, true
+			return choice
+		}
+		// What the hub did not give to this node is promised to others.
+		allowed = -1
+	}
 	if n.Returned {
 		// A second refusal ends the request for the caller, so late is better than never.
 		allowed = max(allowed, n.Remaining/2)
 	}
-	if wait <= allowed && queued <= maxQueued {
+	if queued <= maxQueued && wait <= allowed {
 		choice.Verdict = Send
 		return choice
 	}
@@ -267,17 +285,37 @@
 	return choice
 }
 
+// allowedWait is how long a request may wait for a slot and still be on time.
+func (p *pool) allowedWait(objective time.Duration) time.Duration {
+	return objective - p.first - queueMargin
+}
+
+// queuePart of the mean wait is what a place in a queue may take: the time until a slot is free is spread like a sum of
+// exponentials, of which most must be shorter than allowed.
+const queuePart = 0.5
+
+// QueuePerSlot returns how many requests may wait for each slot of a service's upstreams and mostly still be on time.
+func (s *State) QueuePerSlot(service string, objective time.Duration) float64 {
+	p := s.pool(service)
+	return max(0, queuePart*float64(p.allowedWait(objective))/float64(max(p.duration, time.Millisecond)))
+}
+
 // Retry-After bounds.
 const (
 	// retryLeast spaces requests that come back, so that they do not arrive as one wave.
 	retryLeast, retrySpread = 150 * time.Millisecond, 600 * time.Millisecond
+	// retryShorter is the part by which times beyond what callers wait for are spread below it.
+	retryShorter = 0.4
 	// retryPart of the remaining time is the longest that callers wait for.
 	retryPart = 3
 )
 
 func bounded(d, remaining time.Duration, rng *rand.Rand) time.Duration {
 	d = max(d, retryLeast) + time.Duration(rng.Float64()*float64(retrySpread))
-	return max(min(d, remaining/retryPart), 0)
+	if longest := remaining / retryPart; d > longest {
+		d = time.Duration((1 - retryShorter*rng.Float64()) * float64(longest))
+	}
+	return max(d, 0)
 }
 
 // Batch chooses an upstream for a batch run: a granted slot, or while there are no fresh totals one that keeps headroom
@@ -478,11 +516,14 @@
 	return d
 }
 
-// Finished learns from a whole online run. queued runs do not teach the time to the first event.
+// Finished learns from a whole online run. A run that was queued teaches nothing about the upstream's own times.
 func (s *State) Finished(service string, first, duration time.Duration, queued bool) {
+	if queued {
+		return
+	}
 	p := s.pool(service)
 	p.duration += time.Duration(learnWeight * float64(duration-p.duration))
-	if !queued && first > 0 {
+	if first > 0 {
 		p.first += time.Duration(learnWeight * float64(first-p.first))
 	}
 }
--- a/pkg/decision/dispatch/grant.go
+++ b/pkg/decision/dispatch/grant.go
@@ -13,6 +13,10 @@
 	Items, Urgent int
 	// Rate is the number of online requests that arrive at the node in a second.
 	Rate float64
+	// Waiting is the number of requests that wait for the hub's answer.
+	Waiting int
+	// Queue is how many requests may wait for each slot of an engine and still be on time.
+	Queue float64
 }
 
 const (
@@ -25,8 +29,20 @@
 
 // Grant is what the hub gives one node until its next report: slots on upstreams that no other node uses meanwhile.
 type Grant struct {
-	// Online slots are for arrivals, Batch slots for batch runs, by upstream.
-	Online, Batch map[string]int
+	// Online slots are for arrivals, Batch slots for batch runs, by upstream. Queue places are for arrivals that find no
+	// free slot: those that take them wait no longer than they may.
+	Online, Batch, Queue map[string]int
+}
+
+// Slots returns all places of a grant by upstream.
+func (g Grant) Slots() map[string]int {
+	all := map[string]int{}
+	for _, slots := range []map[string]int{g.Online, g.Batch, g.Queue} {
+		for id, n := range slots {
+			all[id] += n
+		}
+	}
+	return all
 }
 
 // Grants shares the free slots of a service among nodes. totals are the runs of all nodes and given the slots granted but
@@ -43,8 +59,13 @@
 		}
 	}
 	var g Grant
-	if want.Rate > 0 {
-		g.Online = f.take(int(math.Ceil(want.Rate * arrivalWindow.Seconds())))
+	if arrivals := want.Waiting + int(math.Round(want.Rate*arrivalWindow.Seconds())); arrivals > 0 {
+		g.Online = f.take(arrivals)
+		if missing := arrivals - sum(g.Online); missing > 0 {
+			q := s.queuePlaces(service, want.Queue, totals, given, now)
+			q.warm = warm
+			g.Queue = q.take(missing)
+		}
 	}
 	if want.Items <= 0 {
 		return g
@@ -56,6 +77,28 @@
 	return g
 }
 
+// queuePlaces returns the places behind the slots from which a request reaches a slot in time. Batch runs yield to it, so
+// they do not count.
+func (s *State) queuePlaces(service string, perSlot float64, totals map[string]Load, given map[string]int, now time.Time) freeSlots {
+	p := s.pool(service)
+	q := freeSlots{left: map[string]int{}}
+	for _, u := range s.candidates(p, nil, now) {
+		places := min(maxQueued, int(math.Round(perSlot*float64(u.Slots))))
+		if n := u.Slots + places - totals[u.ID].Online - given[u.ID]; n > 0 && places > 0 {
+			q.left[u.ID] = min(n, places)
+			q.sum += q.left[u.ID]
+		}
+	}
+	return q
+}
+
+func sum(slots map[string]int) (n int) {
+	for _, k := range slots {
+		n += k
+	}
+	return n
+}
+
 // freeSlots are the free slots of a service by upstream.
 type freeSlots struct {
 	left map[string]int
@@ -100,7 +143,7 @@
 
 // SetGrants replaces the slots that this node alone may use.
 func (s *State) SetGrants(g Grant) {
-	s.granted = Grant{Online: maps.Clone(g.Online), Batch: maps.Clone(g.Batch)}
+	s.granted = Grant{Online: maps.Clone(g.Online), Batch: maps.Clone(g.Batch), Queue: maps.Clone(g.Queue)}
 	if s.granted.Online == nil {
 		s.granted.Online = map[string]int{}
 	}
--- a/pkg/edge/node.go
+++ b/pkg/edge/node.go
@@ -188,6 +188,7 @@
 	callers := Callers{Table: n.table.Load, Jobs: n.jobs, Closing: n.draining.Load, Log: n.log}
 	n.forwarder = forward.New(forward.Options{
 		Dialect: n.platform.Dialect(), Placer: n.placer, Client: n.client, Table: n.table.Load, Draining: n.draining.Load,
+		Ask:   n.exchange.Now,
 		Batch: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { n.callers.ServeHTTP(w, r) }),
 		Log:   n.log, Metrics: requests,
 	})
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -50,6 +50,8 @@
 	Table func() *routing.Table
 	// Batch serves the calls on batch routes.
 	Batch http.Handler
+	// Ask asks the hub for slots at once, and reports whether it answered in time.
+	Ask func(ctx context.Context) bool
 	// Draining reports whether the node takes no new callers.
 	Draining func() bool
 	Log      *eventlog.Log
@@ -101,6 +103,8 @@
 	tried        []string
 	// after is the number of the last event that the caller got, or -1.
 	after int64
+	// answered is the last failure that an upstream answered itself.
+	answered *answerError
 	// started is set once answer headers were written.
 	started bool
 	first   time.Duration
@@ -231,7 +235,7 @@
 func (x *exchange) run(ctx context.Context) {
 	_ = http.NewResponseController(x.w).SetWriteDeadline(x.deadline.Add(writeGrace)) // Without it a write ends with its connection.
 	for {
-		choice := x.o.Placer.Online(x.need())
+		choice := x.place(ctx)
 		if choice.Verdict == dispatch.Refuse || choice.Verdict == dispatch.NoUpstream {
 			x.refuse(choice)
 			return
@@ -247,6 +251,18 @@
 	}
 }
 
+// place decides where the request goes, with the hub's help when free slots are scarce.
+func (x *exchange) place(ctx context.Context) dispatch.Choice {
+	n := x.need()
+	choice := x.o.Placer.Online(n)
+	if choice.Verdict != dispatch.Ask {
+		return choice
+	}
+	n.Answered = x.o.Ask(ctx)
+	n.Asked = true
+	return x.o.Placer.Online(n)
+}
+
 // counted makes an attempt and ends its place in the load, also when the answer is broken off.
 func (x *exchange) counted(ctx context.Context, choice dispatch.Choice) error {
 	defer x.o.Placer.End(choice.Upstream.ID)
@@ -279,7 +295,7 @@
 		"request", x.request.ID, "route", x.route.Name, "upstream", choice.Upstream.ID, "error", cause, "ran", x.ran,
 		"refused", x.refused, "after", x.after, "left_ms", time.Until(x.deadline).Milliseconds(),
 	}
-	var answered *answerError
+	errors.As(cause, &x.answered)
 	switch {
 	case x.r.Context().Err() != nil:
 		x.o.Metrics.count("left")
@@ -292,12 +308,9 @@
 		return false
 	case x.ran > 0 && (!x.route.Repeatable() || x.ran >= max(1, x.route.MaxAttempts)), x.refused >= maxSends:
 		x.o.Log.Notice("request given up", fields...)
-		switch {
-		case errors.As(cause, &answered):
-			x.deliver(answered.response, answered.body)
-		case x.ran > 0:
-			x.fail(http.StatusBadGateway)
-		default:
+		if x.ran > 0 {
+			x.give()
+		} else {
 			x.refuse(dispatch.Choice{RetryAfter: notReadyRetry})
 		}
 		return false
@@ -328,13 +341,22 @@
 		"wait_ms", choice.Wait.Milliseconds(), "free", choice.Free, "totals_age_ms", choice.TotalsAge.Milliseconds(),
 		"used_ms", x.used.Milliseconds(), "retry_after_ms", choice.RetryAfter.Milliseconds())
 	if x.ran > 0 {
-		x.fail(http.StatusBadGateway)
+		x.give()
 		return
 	}
 	x.o.Metrics.count("refused")
 	Refuse(x.w, http.StatusServiceUnavailable, choice.RetryAfter)
 }
 
+// give ends a request that ran without success: with the upstream's own answer if there is one.
+func (x *exchange) give() {
+	if x.answered != nil && !x.started {
+		x.deliver(x.answered.response, x.answered.body)
+		return
+	}
+	x.fail(http.StatusBadGateway)
+}
+
 // fail ends a request that may have run with a status that promises nothing, or breaks an answer that has begun.
 func (x *exchange) fail(status int) {
 	x.o.Metrics.count("failed")
--- a/pkg/listjob/fakes_test.go
+++ b/pkg/listjob/fakes_test.go
@@ -126,7 +126,9 @@
 	return err
 }
 
-func (c caller) CallAddress(context.Context, string, string, any, any) error { return peer.ErrUnreachable }
+func (c caller) CallAddress(context.Context, string, string, any, any) error {
+	return peer.ErrUnreachable
+}
 
 // node is a controller with its own view of the fleet.
 type node struct {
--- a/pkg/listjob/run.go
+++ b/pkg/listjob/run.go
@@ -92,10 +92,7 @@
 		return nil
 	}
 	now := time.Now()
-	wants := map[string]dispatch.Want{}
-	for service, rate := range c.o.Placer.Rates() {
-		wants[service] = dispatch.Want{Rate: rate}
-	}
+	wants := c.o.Placer.Arrivals()
 	for _, it := range c.waitingItems(now) {
 		route := table.Match(it.job.head.Host, it.Path)
 		if route == nil {
