Keep the hub's sums between reports

Cause: the hub summed all 65 reports for each answer and ran at a quarter of its core in bursts, so that asking it took longer than waiting at an engine. Change: totals, grants and wants change with each report; silent nodes are looked for every 100 ms; nodes keep their choice of a hub for 200 ms.

--- a/pkg/controller/loadshare/loadshare.go
+++ b/pkg/controller/loadshare/loadshare.go
@@ -7,7 +7,6 @@
 
 import (
 	"context"
-	"maps"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -91,6 +90,8 @@
 	o    Options
 	hub  hub
 	last string
+	// choice is used by one exchange at a time.
+	choice choice
 
 	mu sync.Mutex
 	// flight is the exchange in progress, or nil; ahead the one that follows it at once.
@@ -105,7 +106,9 @@
 
 // New returns an exchange.
 func New(o Options) *Exchange {
-	return &Exchange{o: o, hub: hub{o: &o, reports: map[string]report{}, given: map[string]given{}, warm: map[string]map[string]time.Time{}}}
+	e := &Exchange{o: o}
+	e.hub = newHub(&e.o)
+	return e
 }
 
 // Run exchanges until ctx ends.
@@ -169,27 +172,48 @@
 	}
 }
 
-// exchange reports to the hub, and reports whether it answered.
-func (e *Exchange) exchange(ctx context.Context, mine map[string]dispatch.Load, wants map[string]dispatch.Want) bool {
-	self := e.o.Fleet.Self()
-	r := Report{Node: self.Name, Incarnation: self.Incarnation, Draining: e.o.Draining(), Loads: mine, Wants: wants}
+// choice is the hub of a time.
+type choice struct {
+	hub   string
+	until time.Time
+}
+
+// chosenFor is how long a chosen hub is kept before the live nodes are looked at again.
+const chosenFor = 200 * time.Millisecond
+
+// chosen returns the hub: the first live node in weighted order, or "" without any.
+func (e *Exchange) chosen(now time.Time) string {
+	if now.Before(e.choice.until) {
+		return e.choice.hub
+	}
 	weights := map[string]float64{}
 	for _, m := range e.o.Fleet.Live() {
 		if !m.Draining {
 			weights[m.Name] = m.Weight
 		}
 	}
-	ranked := rendezvous.Ranked(hubKey, weights)
-	if len(ranked) == 0 {
+	e.choice = choice{until: now.Add(chosenFor)}
+	if ranked := rendezvous.Ranked(hubKey, weights); len(ranked) > 0 {
+		e.choice.hub = ranked[0]
+	}
+	return e.choice.hub
+}
+
+// exchange reports to the hub, and reports whether it answered.
+func (e *Exchange) exchange(ctx context.Context, mine map[string]dispatch.Load, wants map[string]dispatch.Want) bool {
+	self := e.o.Fleet.Self()
+	r := Report{Node: self.Name, Incarnation: self.Incarnation, Draining: e.o.Draining(), Loads: mine, Wants: wants}
+	name := e.chosen(time.Now())
+	if name == "" {
 		return false
 	}
-	name := ranked[0]
 	call, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	var totals Totals
 	if err := e.o.Peers.Call(call, name, "Load.Report", r, &totals); err != nil {
 		if ctx.Err() == nil {
 			e.o.Fleet.Suspect(name, suspectFor, err)
+			e.choice = choice{}
 			e.o.Heard("", nil)
 		}
 		return false
@@ -215,116 +239,3 @@
 	r.hub.take(args, reply, time.Now())
 	return nil
 }
-
-type report struct {
-	Report
-	at time.Time
-}
-
-// given are slots that were granted and are not in a report yet.
-type given struct {
-	slots map[string]int
-	at    time.Time
-}
-
-type hub struct {
-	o       *Options
-	mu      sync.Mutex
-	reports map[string]report
-	given   map[string]given
-	// warm is when each node last had a run on each upstream.
-	warm  map[string]map[string]time.Time
-	since time.Time
-	last  time.Time
-}
-
-func (h *hub) take(r Report, reply *Totals, now time.Time) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if now.Sub(h.last) > hubIdle {
-		h.since = now
-	}
-	h.last = now
-	h.reports[r.Node] = report{r, now}
-	reply.Loads = map[string]dispatch.Load{}
-	recent := map[string]bool{}
-	for name, r := range h.reports {
-		age := now.Sub(r.at)
-		if age <= silentAfter {
-			recent[name] = true
-			if r.Draining {
-				reply.Draining = append(reply.Draining, name)
-			}
-		}
-		if age > reportKept {
-			continue
-		}
-		for id, l := range r.Loads {
-			sum := reply.Loads[id]
-			reply.Loads[id] = dispatch.Load{Online: sum.Online + l.Online, Batch: sum.Batch + l.Batch}
-		}
-	}
-	h.grant(r, reply, now)
-	reply.Revisions = h.o.Revisions()
-	maps.DeleteFunc(h.reports, func(_ string, r report) bool { return now.Sub(r.at) > time.Minute })
-	if now.Sub(h.since) < hubWarmUp {
-		return
-	}
-	known := h.o.Fleet.Known()
-	if float64(len(recent)) < reachable*float64(len(known)) {
-		return
-	}
-	for _, m := range known {
-		if !recent[m.Name] && now.UnixNano()-m.Incarnation > int64(hubWarmUp) {
-			reply.Silent = append(reply.Silent, m.Name)
-		}
-	}
-}
-
-// grantKept is how long a grant counts against free slots when its node does not report again.
-const grantKept = 500 * time.Millisecond
-
-// grant answers what a node wants. The caller holds the lock.
-func (h *hub) grant(r Report, reply *Totals, now time.Time) {
-	delete(h.given, r.Node)
-	if len(r.Wants) == 0 {
-		return
-	}
-	warm := h.warm[r.Node]
-	if warm == nil {
-		warm = map[string]time.Time{}
-		h.warm[r.Node] = warm
-	}
-	for id := range r.Loads {
-		warm[id] = now
-	}
-	maps.DeleteFunc(warm, func(_ string, at time.Time) bool { return now.Sub(at) > dispatch.WarmFor })
-	isWarm := func(id string) bool { return !warm[id].IsZero() }
-	outstanding := map[string]int{}
-	for node, g := range h.given {
-		if now.Sub(g.at) > grantKept {
-			delete(h.given, node)
-			continue
-		}
-		for id, n := range g.slots {
-			outstanding[id] += n
-		}
-	}
-	reply.Grant = dispatch.Grant{Online: map[string]int{}, Batch: map[string]int{}, Queue: map[string]int{}}
-	for service, want := range r.Wants {
-		var all dispatch.Want
-		for _, other := range h.reports {
-			if now.Sub(other.at) <= grantKept {
-				all.Items += other.Wants[service].Items
-				all.Urgent += other.Wants[service].Urgent
-				all.Rate += other.Wants[service].Rate
-			}
-		}
-		g := h.o.Grants(service, want, all, reply.Loads, outstanding, isWarm)
-		maps.Copy(reply.Grant.Online, g.Online)
-		maps.Copy(reply.Grant.Batch, g.Batch)
-		maps.Copy(reply.Grant.Queue, g.Queue)
-	}
-	slots := reply.Grant.Slots()
-	h.given[r.Node] = given{slots, now}
-}
