--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-MODULES = api pkg standin cmd
+MODULES = api pkg platform standin cmd
 
 .PHONY: check fmt vet lint build test
 
--- a/pkg/controller/fleet/fleet.go
+++ b/pkg/controller/fleet/fleet.go
@@ -169,6 +169,13 @@
 	return false
 }
 
+// Registered reports whether a node is registered with this incarnation, silent or not.
+func (f *Fleet) Registered(name string, incarnation int64) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.members[name].Incarnation == incarnation
+}
+
 // Others returns the names of the other live nodes.
 func (f *Fleet) Others() []string {
 	var names []string
--- /dev/null
+++ b/pkg/decision/routing/routing_test.go
@@ -0,0 +1,57 @@
+package routing
+
+import (
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+func table(prefixes ...string) *Table {
+	var c Configuration
+	for _, p := range prefixes {
+		c.Routes = append(c.Routes, Route{Name: p, Host: "h", Prefix: p, Service: "s"})
+	}
+	return NewTable(c)
+}
+
+// Guards against a shorter prefix that wins, and against a prefix of another host.
+func TestLongestPrefixOfTheHostWins(t *testing.T) {
+	tab := table("/", "/a/", "/a/b/")
+	for path, want := range map[string]string{"/x": "/", "/a/x": "/a/", "/a/b/": "/a/b/", "/a/b": "/a/", "/a%2fb/": "/"} {
+		assert.Equal(t, tab.Match("h:80", path).Name, want, path)
+	}
+	assert.Assert(t, tab.Match("other", "/a/") == nil)
+	assert.Assert(t, table("/a/").Match("h", "/b") == nil)
+}
+
+// Guards against an order of routes that changes which one matches.
+func TestMatchEqualsASearchOfAllRoutes(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		prefixes := rapid.SliceOfDistinct(rapid.SampledFrom([]string{"/", "/a/", "/a/a/", "/b/", "/a/b/", "/a/a/a/"}), rapid.ID).Draw(t, "prefixes")
+		path := "/" + strings.Join(rapid.SliceOf(rapid.SampledFrom([]string{"a", "b", "c"})).Draw(t, "parts"), "/")
+		best := ""
+		for _, p := range prefixes {
+			if strings.HasPrefix(path, p) && len(p) > len(best) {
+				best = p
+			}
+		}
+		got := table(prefixes...).Match("h", path)
+		if (got == nil) != (best == "") || got != nil && got.Name != best {
+			t.Fatalf("%v for %q among %q, want %q", got, path, prefixes, best)
+		}
+	})
+}
+
+// Guards against a split that leaves a service out or ignores weights.
+func TestSplitFollowsWeights(t *testing.T) {
+	r := Route{Service: "none", Split: []Weighted{{"a", 90}, {"b", 10}, {"c", 0}}}
+	counts := map[string]int{}
+	for n := range 1000 {
+		counts[r.Pick(float64(n)/1000)]++
+	}
+	assert.DeepEqual(t, counts, map[string]int{"a": 900, "b": 100})
+	assert.Equal(t, (&Route{Service: "x"}).Pick(0.5), "x")
+	assert.Equal(t, (&Route{Service: "x", Split: []Weighted{{"a", 0}}}).Pick(0.5), "x")
+}
--- /dev/null
+++ b/pkg/edge/settings_test.go
@@ -0,0 +1,73 @@
+package edge
+
+import (
+	"errors"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+const valid = `name = "edge-1"
+availability_zone = "z1"
+region = "r"
+ip = "10.0.0.1"
+caller_address = "10.0.0.1:8000"
+internal_ports = [7000, 7010]
+store_address = "10.0.0.9:8142"
+cpu_share = 0.4
+cores = 1
+memory_mb = 134
+`
+
+// Guards against a valid file that is rejected.
+func TestValidSettings(t *testing.T) {
+	s, err := ParseSettings(valid)
+	assert.NilError(t, err)
+	assert.Equal(t, s.AddressTTL, float64(presetTTL))
+	assert.Equal(t, s.MemoryMB, 134)
+}
+
+// Guards against a start that reports one fault at a time.
+func TestAllFindingsAreReported(t *testing.T) {
+	_, err := ParseSettings(`name = "a/b"
+ip = "localhost"
+caller_address = "10.0.0.1"
+internal_ports = [7010, 7000]
+store_address = ""
+cpu_share = 0
+memory_mb = 8
+drain_seconds = -1
+colour = "red"
+`)
+	var f Findings
+	assert.Assert(t, errors.As(err, &f))
+	assert.DeepEqual(t, []string(f), []string{
+		"colour: is not a setting",
+		`name: "a/b" must not be empty nor hold '/' or spaces`,
+		"availability_zone: is missing",
+		`ip: "localhost" is not an IP number`,
+		`caller_address: "10.0.0.1" must be IP:port`,
+		`store_address: "" must be IP:port`,
+		"internal_ports: [7010 7000] must be the first and the last of some ports",
+		"cpu_share: 0 must be above 0",
+		"memory_mb: 8 must be at least 32",
+		"drain_seconds: -1 must be above 0",
+	})
+}
+
+// Guards against a file that is no TOML and is taken as empty.
+func TestBrokenFile(t *testing.T) {
+	_, err := ParseSettings("name = ")
+	var f Findings
+	assert.Assert(t, errors.As(err, &f))
+	assert.Equal(t, len(f), 1)
+}
+
+// Fuzzes the decoder of settings: no text may end the program.
+func FuzzSettings(f *testing.F) {
+	f.Add(valid)
+	f.Add("name = 1\n[ip]\n")
+	f.Fuzz(func(_ *testing.T, text string) {
+		_, _ = ParseSettings(text) // Any error will do; a panic fails the run.
+	})
+}
--- a/pkg/listjob/controller.go
+++ b/pkg/listjob/controller.go
@@ -82,6 +82,13 @@
 	all.Go(func() { c.schedule(ctx) })
 	all.Go(func() { c.sweepLoop(ctx) })
 	all.Wait()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, j := range c.jobs {
+		j.mu.Lock()
+		j.stopRuns()
+		j.mu.Unlock()
+	}
 	return ctx.Err()
 }
 
@@ -215,15 +222,18 @@
 
 // announce tells the other nodes who owns a job, so that they need not ask the store.
 func (c *Controller) announce(id string) {
-	self := c.self()
 	for _, node := range c.o.Fleet.Others() {
-		go func() {
-			ctx, cancel := context.WithTimeout(context.Background(), peerTimeout)
-			defer cancel()
-			if err := c.o.Peers.Call(ctx, node, "Jobs.Owned", Owned{ID: id, Owner: self.Node, Incarnation: self.Incarnation}, &Nothing{}); err != nil {
-				c.o.Log.Routine("owner of a job not announced", "job", id, "peer", node, "error", err)
-			}
-		}()
+		go c.tell(node, id)
+	}
+}
+
+// tell tells a node that this one owns a job.
+func (c *Controller) tell(node, id string) {
+	self := c.self()
+	ctx, cancel := context.WithTimeout(context.Background(), peerTimeout)
+	defer cancel()
+	if err := c.o.Peers.Call(ctx, node, "Jobs.Owned", Owned{ID: id, Owner: self.Node, Incarnation: self.Incarnation}, &Nothing{}); err != nil {
+		c.o.Log.Routine("owner of a job not announced", "job", id, "peer", node, "error", err)
 	}
 }
 
--- a/pkg/listjob/job.go
+++ b/pkg/listjob/job.go
@@ -176,6 +176,8 @@
 	changed    chan struct{}
 	// verified is when the log was last seen to have no entry of another node.
 	verified time.Time
+	// contested is until when another node may still add to the log.
+	contested time.Time
 	// released is set once the node no longer owns the job.
 	released bool
 	// due and until come from the route: when results are due, and until when items are tried.
--- a/pkg/listjob/listjob_test.go
+++ b/pkg/listjob/listjob_test.go
@@ -118,6 +118,25 @@
 	assert.DeepEqual(t, l.Results, results)
 }
 
+// Guards against an answer of a new owner that lacks what the former one, which only seemed lost, listed meanwhile: on a
+// grown site four results had been read and there was none at position 0.
+func TestNewOwnerReadsWhatItsPredecessorListed(t *testing.T) {
+	s, net, e := memstore.New(), newNetwork(), newEngine(t, 3, time.Millisecond)
+	slow := newEngine(t, 1000, 20*time.Millisecond)
+	a := net.add(t, s, e, "a", "b")
+	b := net.add(t, s, slow, "b", "a")
+	assert.NilError(t, a.Accept(context.Background(), submission("j", 2)))
+	net.mu.Lock()
+	net.cut["a"] = true
+	net.mu.Unlock()
+	assert.NilError(t, b.adopt(context.Background(), "j", nil))
+	b.fleet.SetSilent(nil, nil)
+	results := readAll(t, a.Controller, "j", 10*time.Second)
+	l, err := b.Read(context.Background(), "j", 0, 0)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, l.Results, results)
+}
+
 // Guards against runs of a job whose end was confirmed, by the node that runs it and by any other.
 func TestEndedJobStops(t *testing.T) {
 	s, net, e := memstore.New(), newNetwork(), newEngine(t, 1000, 10*time.Millisecond)
--- a/pkg/listjob/read.go
+++ b/pkg/listjob/read.go
@@ -66,8 +66,9 @@
 func (c *Controller) readOwned(ctx context.Context, j *job, after int, wait time.Duration) (Listing, bool) {
 	j.mu.Lock()
 	check := len(page(j.results, after)) == 0 && j.open() && time.Since(j.verified) > verifyEvery
+	contested := time.Now().Before(j.contested)
 	j.mu.Unlock()
-	if check && c.o.Fleet.Doubtful() && !c.verify(ctx, j) {
+	if check && (contested || c.o.Fleet.Doubtful()) && !c.verify(ctx, j) {
 		return Listing{}, false
 	}
 	return j.read(ctx, after, wait)
--- a/pkg/listjob/takeover.go
+++ b/pkg/listjob/takeover.go
@@ -13,6 +13,10 @@
 // adoptTimeout bounds one attempt to take a job over; the next sweep tries again.
 const adoptTimeout = 8 * time.Second
 
+// contestedFor is how long after a takeover from a node that is still registered the log is checked before answers without
+// results: longer than a cut that heals by itself.
+const contestedFor = 20 * time.Second
+
 // Partial is what an earlier owner had received of an item.
 type Partial struct {
 	ID    string
@@ -43,12 +47,17 @@
 		delete(c.loading, id)
 		c.mu.Unlock()
 	}()
-	j, err := c.load(ctx, id)
+	j, previous, err := c.load(ctx, id)
 	if err != nil {
 		c.o.Log.Notice("job not taken over", "job", id, "error", err)
 		return err
 	}
 	done := j.resume(partials)
+	if previous != c.self() && c.o.Fleet.Registered(previous.Node, previous.Incarnation) {
+		// The previous owner may only seem lost, and adds to the log until it hears of this.
+		j.contested = time.Now().Add(contestedFor)
+		go c.tell(previous.Node, id)
+	}
 	c.add(j)
 	for _, it := range done {
 		c.finish(it, it.result)
@@ -74,19 +83,23 @@
 	return done
 }
 
-func (c *Controller) load(ctx context.Context, id string) (*job, error) {
+// load makes this node the owner of a job and reads it. It also returns the previous owner.
+func (c *Controller) load(ctx context.Context, id string) (*job, owner, error) {
 	h, revision, err := c.readHead(ctx, id)
 	if err != nil {
-		return nil, err
+		return nil, owner{}, err
 	}
-	self := c.self()
+	previous := owner{h.Owner, h.Incarnation}
+	j, err := c.own(ctx, h, revision)
+	return j, previous, err
+}
+
+func (c *Controller) own(ctx context.Context, h head, revision int64) (*job, error) {
+	id, self := h.ID, c.self()
 	if h.Owner != self.Node || h.Incarnation != self.Incarnation {
 		h.Owner, h.Incarnation = self.Node, self.Incarnation
-		value, err := json.Marshal(h)
-		if err != nil {
-			return nil, Error.Wrap(err)
-		}
-		if revision, err = c.o.Store.Put(ctx, headKind+id, value, revision); err != nil {
+		var err error
+		if revision, err = c.putHead(ctx, h, revision); err != nil {
 			return nil, errors.Join(ErrUnavailable, err)
 		}
 	}
