--- a/pkg/listjob/fakes_test.go
+++ b/pkg/listjob/fakes_test.go
@@ -77,7 +77,7 @@
 		first = after + 1
 	}
 	w.Header().Set("Content-Type", "text/event-stream")
-	for n := first; n < e.events; n++ {
+	for n := first; n < e.events && r.Context().Err() == nil; n++ {
 		if e.breakAt > 0 && n == e.breakAt && run == 1 {
 			fmt.Fprintf(w, "id: %d\ndata: %s", n, id)
 			w.(http.Flusher).Flush()
