--- a/pkg/edge/node.go
+++ b/pkg/edge/node.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"errors"
+	"expvar"
 	"fmt"
 	"net"
 	"net/http"
@@ -359,6 +360,7 @@
 		}},
 		{n.settings.ReadyAddress, n.platform.ReadyHandler(n.Ready), quick},
 		{n.settings.DirectoryAddress, n.platform.DirectoryHandler(n.addresses), quick},
+		{n.settings.MetricsAddress, n.metricsHandler(), quick},
 	} {
 		if l.address == "" {
 			continue
@@ -380,6 +382,14 @@
 	return nil
 }
 
+// metricsHandler serves counters and histograms as text, and the library's variables as JSON.
+func (n *Node) metricsHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { n.metrics.WritePrometheus(w) })
+	mux.Handle("GET /debug/vars", expvar.Handler())
+	return mux
+}
+
 func quick(s *http.Server) {
 	s.ReadTimeout, s.WriteTimeout, s.IdleTimeout, s.MaxHeaderBytes = quickTimeout, quickTimeout, quickTimeout, 8<<10
 }
--- a/pkg/edge/settings.go
+++ b/pkg/edge/settings.go
@@ -27,6 +27,8 @@
 	CallerAddress    string `toml:"caller_address"`
 	ReadyAddress     string `toml:"ready_address"`
 	DirectoryAddress string `toml:"directory_address"`
+	// MetricsAddress is the IP:port of counters and histograms; empty for none.
+	MetricsAddress string `toml:"metrics_address"`
 	// InternalPorts are the first and last port that nodes may use among themselves.
 	InternalPorts []int `toml:"internal_ports"`
 	// StoreAddress is the IP:port of the platform's store.
@@ -38,12 +40,12 @@
 	// Retires is set on a node whose VM may be asked to hand its work on and leave.
 	Retires bool `toml:"retires"`
 
-	DrainSeconds     float64 `toml:"drain_seconds"`
-	AddressTTL       float64 `toml:"address_ttl_seconds"`
-	ReadableSeconds  float64 `toml:"job_readable_seconds"`
-	StoreWrites      float64 `toml:"store_writes_per_second"`
-	StoreReads       float64 `toml:"store_reads_per_second"`
-	MetricsPortIndex int     `toml:"metrics_port_index"`
+	// DrainSeconds is how long a stopping process has.
+	DrainSeconds float64 `toml:"drain_seconds"`
+	// AddressTTL is how long callers may keep an address answer.
+	AddressTTL float64 `toml:"address_ttl_seconds"`
+	// ReadableSeconds is how long after its submission a job must stay readable.
+	ReadableSeconds float64 `toml:"job_readable_seconds"`
 }
 
 // Findings are all faults of a settings file.
@@ -104,7 +106,8 @@
 		required     bool
 	}{
 		{"caller_address", s.CallerAddress, false}, {"ready_address", s.ReadyAddress, false},
-		{"directory_address", s.DirectoryAddress, false}, {"store_address", s.StoreAddress, true},
+		{"directory_address", s.DirectoryAddress, false},
+		{"metrics_address", s.MetricsAddress, false}, {"store_address", s.StoreAddress, true},
 	} {
 		host, _, err := net.SplitHostPort(a.address)
 		if a.address == "" && !a.required {
