Take jobs over only with a settled view of the fleet; queue results under the job's lock

Change: only a node that has known the members for 1.5 s and hears a hub takes jobs over, and every job taken over is checked against its log for 20 s; an item's result is queued under the lock that ends its run.

--- a/pkg/controller/fleet/fleet.go
+++ b/pkg/controller/fleet/fleet.go
@@ -27,6 +27,9 @@
 	silenceKept = 3 * time.Second
 	// heardFresh is how long after the last report of a hub this node is sure of its view: three idle exchanges.
 	heardFresh = time.Second
+	// sureAfter is how long a node knows the members before it takes others for lost: a node that starts while the store is
+	// away learns them late, and then needs some exchanges to find the hub.
+	sureAfter = 1500 * time.Millisecond
 )
 
 // Member is a node as it registered itself.
@@ -49,13 +52,15 @@
 	store store.Store
 	log   *eventlog.Log
 
-	mu       sync.Mutex
-	self     Member
-	members  map[string]Member
-	silent   map[string]bool
-	silentAt time.Time
-	suspects map[string]time.Time
-	draining map[string]bool
+	mu      sync.Mutex
+	self    Member
+	members map[string]Member
+	// knownSince is when the registered members were first seen.
+	knownSince time.Time
+	silent     map[string]bool
+	silentAt   time.Time
+	suspects   map[string]time.Time
+	draining   map[string]bool
 }
 
 // New returns a fleet that holds only the node itself.
@@ -88,6 +93,9 @@
 		}
 	}
 	f.members = next
+	if f.knownSince.IsZero() && len(next) > 0 {
+		f.knownSince = time.Now()
+	}
 }
 
 // Self returns the node's own entry.
@@ -147,6 +155,14 @@
 	return false
 }
 
+// Sure reports whether this node knows the members for a while and hears a hub: only then may it take another node for lost.
+func (f *Fleet) Sure() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := time.Now()
+	return !f.knownSince.IsZero() && now.Sub(f.knownSince) > sureAfter && now.Sub(f.silentAt) <= heardFresh
+}
+
 // Alive reports whether a node with this incarnation is registered and not silent. An incarnation of 0 matches any.
 func (f *Fleet) Alive(name string, incarnation int64) bool {
 	f.mu.Lock()
@@ -169,13 +185,6 @@
 	return false
 }
 
-// Registered reports whether a node is registered with this incarnation, silent or not.
-func (f *Fleet) Registered(name string, incarnation int64) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.members[name].Incarnation == incarnation
-}
-
 // Others returns the names of the other live nodes.
 func (f *Fleet) Others() []string {
 	var names []string
--- a/pkg/listjob/controller.go
+++ b/pkg/listjob/controller.go
@@ -324,7 +324,7 @@
 	c.mu.Lock()
 	stopping := c.stopping
 	c.mu.Unlock()
-	if stopping || named != self && c.successor(h.ID) != self.Node {
+	if stopping || named != self && (!c.o.Fleet.Sure() || c.successor(h.ID) != self.Node) {
 		return
 	}
 	go c.adopt(context.WithoutCancel(ctx), h.ID, nil)
--- a/pkg/listjob/fakes_test.go
+++ b/pkg/listjob/fakes_test.go
@@ -103,6 +103,8 @@
 	mu    sync.Mutex
 	nodes map[string]*Controller
 	cut   map[string]bool
+	// unseen keeps the hub from noticing cuts.
+	unseen bool
 }
 
 func newNetwork() *network { return &network{nodes: map[string]*Controller{}, cut: map[string]bool{}} }
@@ -159,10 +161,29 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { defer close(done); _ = c.Run(ctx) }()
+	go n.hub(ctx, f, name)
 	t.Cleanup(func() { cancel(); <-done })
 	return &node{c, f, cancel}
 }
 
+// hub tells a node which others are silent, as load reports do.
+func (n *network) hub(ctx context.Context, f *fleet.Fleet, name string) {
+	for ctx.Err() == nil {
+		n.mu.Lock()
+		var silent []string
+		for other := range n.cut {
+			if !n.unseen {
+				silent = append(silent, other)
+			}
+		}
+		if !n.cut[name] {
+			f.SetSilent(silent, nil)
+		}
+		n.mu.Unlock()
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
 func submission(id string, items int) Submission {
 	s := Submission{ID: id, Host: testHost, Path: "/b/" + id}
 	for n := range items {
--- a/pkg/listjob/listjob_test.go
+++ b/pkg/listjob/listjob_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
 	"testing"
 	"time"
@@ -11,6 +10,7 @@
 
 	"trefoilplank.example/pkg/adapter/store"
 	"trefoilplank.example/pkg/adapter/store/memstore"
+	"trefoilplank.example/pkg/controller/fleet"
 )
 
 // Guards against results that miss events, stand twice or differ between nodes.
@@ -96,7 +96,6 @@
 	net.mu.Lock()
 	net.cut["a"] = true
 	net.mu.Unlock()
-	b.fleet.Suspect("a", time.Minute, errors.New("lost"))
 	checkWhole(t, e, readAll(t, b.Controller, "j", 30*time.Second))
 }
 
@@ -111,6 +110,8 @@
 	net.mu.Lock()
 	net.cut["a"] = true
 	net.mu.Unlock()
+	// A node is taken for lost after 1.3 s of silence; by then it knows for itself that no hub hears it.
+	time.Sleep(1300 * time.Millisecond)
 	assert.NilError(t, b.adopt(context.Background(), "j", nil))
 	results := readAll(t, b.Controller, "j", 20*time.Second)
 	l, err := a.Read(context.Background(), "j", 0, 0)
@@ -127,16 +128,37 @@
 	b := net.add(t, s, slow, "b", "a")
 	assert.NilError(t, a.Accept(context.Background(), submission("j", 2)))
 	net.mu.Lock()
-	net.cut["a"] = true
+	net.cut["a"], net.unseen = true, true
 	net.mu.Unlock()
 	assert.NilError(t, b.adopt(context.Background(), "j", nil))
-	b.fleet.SetSilent(nil, nil)
 	results := readAll(t, a.Controller, "j", 10*time.Second)
 	l, err := b.Read(context.Background(), "j", 0, 0)
 	assert.NilError(t, err)
 	assert.DeepEqual(t, l.Results, results)
 }
 
+// Guards against a node that takes jobs of living nodes over because it does not know the members yet: after a start while
+// the store was away a node took all jobs over, whose owners went on listing results.
+func TestNodeThatKnowsNobodyTakesNothingOver(t *testing.T) {
+	s, net, e := memstore.New(), newNetwork(), newEngine(t, 400, 10*time.Millisecond)
+	a := net.add(t, s, e, "a")
+	b := net.add(t, s, e, "b")
+	b.stop()
+	assert.NilError(t, a.Accept(context.Background(), submission("j", 2)))
+	time.Sleep(100 * time.Millisecond)
+	for range 3 {
+		h, revision, err := b.readHead(context.Background(), "j")
+		assert.NilError(t, err)
+		c := fleet.New(s, fleet.Member{Name: "c", Incarnation: 1, Weight: 1}, b.o.Log)
+		b.o.Fleet = c
+		b.inspect(context.Background(), h, revision)
+		time.Sleep(50 * time.Millisecond)
+		h, _, err = b.readHead(context.Background(), "j")
+		assert.NilError(t, err)
+		assert.Equal(t, h.Owner, "a")
+	}
+}
+
 // Guards against runs of a job whose end was confirmed, by the node that runs it and by any other.
 func TestEndedJobStops(t *testing.T) {
 	s, net, e := memstore.New(), newNetwork(), newEngine(t, 1000, 10*time.Millisecond)
--- a/pkg/listjob/run.go
+++ b/pkg/listjob/run.go
@@ -332,13 +332,15 @@
 	default:
 		c.broke(it, u, err)
 	}
-	it.job.mu.Unlock()
 	if state != "" {
-		c.o.Log.Routine("item finished", append(fields, "state", state)...)
+		// The result is queued under the same lock, so that no other run of the item begins meanwhile.
 		result.State = state
-		c.finish(it, result)
+		c.queue(it, result)
+		it.job.mu.Unlock()
+		c.o.Log.Routine("item finished", append(fields, "state", state)...)
 		return
 	}
+	it.job.mu.Unlock()
 	if !stopped {
 		c.o.Log.Notice("item goes on elsewhere", fields...)
 	}
@@ -370,16 +372,19 @@
 	return table.Match(it.job.head.Host, it.Path)
 }
 
-// finish queues an item's result for the log.
+// finish queues the result of an item that is not running.
 func (c *Controller) finish(it *item, result Result) {
-	j := it.job
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	if it.phase == listed || it.phase == finished {
-		return
+	it.job.mu.Lock()
+	defer it.job.mu.Unlock()
+	if it.phase == waiting {
+		c.queue(it, result)
 	}
-	it.phase = finished
-	it.result, it.text = result, nil
+}
+
+// queue queues an item's result for the log. The caller holds the job's lock.
+func (c *Controller) queue(it *item, result Result) {
+	j := it.job
+	it.phase, it.result, it.text = finished, result, nil
 	j.pending = append(j.pending, it)
 	if !j.committing {
 		j.committing = true
--- a/pkg/listjob/takeover.go
+++ b/pkg/listjob/takeover.go
@@ -13,7 +13,7 @@
 // adoptTimeout bounds one attempt to take a job over; the next sweep tries again.
 const adoptTimeout = 8 * time.Second
 
-// contestedFor is how long after a takeover from a node that is still registered the log is checked before answers without
+// contestedFor is how long after a takeover from another node the log is checked before answers without
 // results: longer than a cut that heals by itself.
 const contestedFor = 20 * time.Second
 
@@ -53,7 +53,7 @@
 		return err
 	}
 	done := j.resume(partials)
-	if previous != c.self() && c.o.Fleet.Registered(previous.Node, previous.Incarnation) {
+	if previous.Node != c.self().Node {
 		// The previous owner may only seem lost, and adds to the log until it hears of this.
 		j.contested = time.Now().Add(contestedFor)
 		go c.tell(previous.Node, id)
