--- /dev/null
+++ b/pkg/controller/fleet/fleet_test.go
@@ -0,0 +1,96 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"trefoilplank.example/pkg/adapter/store"
+	"trefoilplank.example/pkg/adapter/store/memstore"
+	"trefoilplank.example/pkg/eventlog"
+)
+
+func entries(names ...string) map[string]store.Object {
+	objects := map[string]store.Object{}
+	for _, name := range names {
+		key := Prefix + name
+		objects[key] = store.Object{Key: key, Value: fmt.Appendf(nil,
+			`{"name":%q,"availability_zone":"z%s","caller_address":"10.0.0.1:%s","peer_address":%q,"incarnation":1,"weight":1}`, name, name, name, name)}
+	}
+	return objects
+}
+
+func testFleet(names ...string) *Fleet {
+	f := New(memstore.New(), Member{Name: "1", AvailabilityZone: "z1", CallerAddress: "10.0.0.1:1", Incarnation: 1}, &eventlog.Log{})
+	f.Handle(entries(names...))
+	return f
+}
+
+// Guards against lost, silent or draining nodes in the answers to callers, and against an order that ignores their zone.
+func TestAddresses(t *testing.T) {
+	f := testFleet("1", "2", "3", "4")
+	assert.DeepEqual(t, f.Addresses("z3"), []string{"10.0.0.1:3", "10.0.0.1:1", "10.0.0.1:2", "10.0.0.1:4"})
+	f.SetSilent([]string{"2"}, []string{"3"})
+	assert.DeepEqual(t, f.Addresses("z3"), []string{"10.0.0.1:1", "10.0.0.1:4"})
+	f.Suspect("4", time.Minute, errors.New("no answer"))
+	assert.DeepEqual(t, f.Addresses("z3"), []string{"10.0.0.1:1"})
+	f.SetSilent(nil, nil)
+	f.Handle(entries("1", "2"))
+	assert.DeepEqual(t, f.Addresses("z1"), []string{"10.0.0.1:1", "10.0.0.1:2"})
+}
+
+// Guards against entries of other writers that hide the members.
+func TestUnreadableEntriesAreLeftOut(t *testing.T) {
+	objects := entries("1", "2")
+	objects[Prefix+"x"] = store.Object{Key: Prefix + "x", Value: []byte("no json")}
+	objects[Prefix+"y"] = store.Object{Key: Prefix + "y", Value: []byte(`{"name":"other"}`)}
+	f := testFleet()
+	f.Handle(objects)
+	assert.DeepEqual(t, f.Others(), []string{"2"})
+}
+
+// Guards against a node that takes others for lost before it knows them or while no hub hears it.
+func TestSureAndDoubtful(t *testing.T) {
+	f := testFleet()
+	assert.Assert(t, f.Doubtful())
+	assert.Assert(t, !f.Sure())
+	f.Handle(entries("1", "2"))
+	f.SetSilent(nil, nil)
+	assert.Assert(t, !f.Doubtful())
+	assert.Assert(t, !f.Sure())
+	f.knownSince = time.Now().Add(-2 * sureAfter)
+	assert.Assert(t, f.Sure())
+	f.silentAt = time.Now().Add(-2 * heardFresh)
+	assert.Assert(t, !f.Sure())
+	assert.Assert(t, f.Doubtful())
+}
+
+// Guards against an incarnation that passes for its predecessor.
+func TestAliveKnowsIncarnations(t *testing.T) {
+	f := testFleet("1", "2")
+	assert.Assert(t, f.Alive("2", 1))
+	assert.Assert(t, !f.Alive("2", 7))
+	assert.Assert(t, !f.Alive("3", 1))
+	assert.Assert(t, f.Alive("1", 0))
+}
+
+// Guards against a drained node that comes back to the answers, and against an entry that stays after it left.
+func TestRegisterDrainLeave(t *testing.T) {
+	s := memstore.New()
+	f := New(s, Member{Name: "1", Incarnation: 1}, &eventlog.Log{})
+	ctx := context.Background()
+	assert.NilError(t, f.Register(ctx))
+	assert.NilError(t, f.Drain(ctx))
+	o, err := s.Get(ctx, Prefix+"1")
+	assert.NilError(t, err)
+	f.Handle(map[string]store.Object{o.Key: o})
+	assert.Assert(t, f.Known()[0].Draining)
+	assert.NilError(t, f.Leave(ctx))
+	assert.NilError(t, f.Leave(ctx))
+	_, err = s.Get(ctx, Prefix+"1")
+	assert.ErrorIs(t, err, store.ErrNotFound)
+}
