Check the log of ended jobs too, and copy what is handed on

Change: answers without results of ended jobs are checked like others; partial texts are copied. Result: TestEndedJobKeepsWhatAnotherOwnerListed fails without the change; the tests of list jobs pass twice with -race.

--- a/pkg/listjob/listjob_test.go
+++ b/pkg/listjob/listjob_test.go
@@ -137,6 +137,37 @@
 	assert.DeepEqual(t, l.Results, results)
 }
 
+// Guards against an ended job whose new owner lacks what the former one had listed: in a hunt on a grown site a result that
+// had been read was gone after the end (owner-cut --seed 495838298900).
+func TestEndedJobKeepsWhatAnotherOwnerListed(t *testing.T) {
+	s, net, e := memstore.New(), newNetwork(), newEngine(t, 3, time.Millisecond)
+	slow := newEngine(t, 1000, 20*time.Millisecond)
+	e.fail = func(id string, _ int) int {
+		if id == "j-item1" {
+			return http.StatusServiceUnavailable
+		}
+		return 0
+	}
+	a := net.add(t, s, e, "a", "b")
+	b := net.add(t, s, slow, "b", "a")
+	assert.NilError(t, a.Accept(context.Background(), submission("j", 2)))
+	net.mu.Lock()
+	net.cut["a"], net.unseen = true, true
+	net.mu.Unlock()
+	assert.NilError(t, b.adopt(context.Background(), "j", nil))
+	var results []Result
+	for until := time.Now().Add(10 * time.Second); len(results) == 0; {
+		assert.Assert(t, time.Now().Before(until))
+		l, err := a.Read(context.Background(), "j", 0, 200*time.Millisecond)
+		assert.NilError(t, err)
+		results = l.Results
+	}
+	assert.NilError(t, b.End(context.Background(), "j"))
+	l, err := b.Read(context.Background(), "j", 0, 0)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, l.Results, results)
+}
+
 // Guards against a node that takes jobs of living nodes over because it does not know the members yet: after a start while
 // the store was away a node took all jobs over, whose owners went on listing results.
 func TestNodeThatKnowsNobodyTakesNothingOver(t *testing.T) {
--- a/pkg/listjob/read.go
+++ b/pkg/listjob/read.go
@@ -63,7 +63,8 @@
 // checked against the log, to which another owner may have added.
 func (c *Controller) readOwned(ctx context.Context, j *job, after int, wait time.Duration) (Listing, bool) {
 	j.mu.Lock()
-	check := len(page(j.results, after)) == 0 && j.open() && time.Since(j.verified) > verifyEvery
+	// An ended job is checked too: what another owner listed before the end stays readable.
+	check := len(page(j.results, after)) == 0 && len(j.results) < len(j.items) && time.Since(j.verified) > verifyEvery
 	contested := time.Now().Before(j.contested)
 	j.mu.Unlock()
 	if check && (contested || c.o.Fleet.Doubtful()) && !c.verify(ctx, j) {
--- a/pkg/listjob/takeover.go
+++ b/pkg/listjob/takeover.go
@@ -1,6 +1,7 @@
 package listjob
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -198,7 +199,7 @@
 		if it.phase == listed || it.after < 0 && it.failures == 0 {
 			continue
 		}
-		p := Partial{ID: it.ID, Text: it.text, After: it.after, Lines: it.lines, Failures: it.failures}
+		p := Partial{ID: it.ID, Text: bytes.Clone(it.text), After: it.after, Lines: it.lines, Failures: it.failures}
 		if it.phase == finished {
 			p.Result = &it.result
 		}
