Pass a long failure of an upstream on whole

Cause: answeredFailure read at most 256 KiB of a failure's body and delivered that part with a matching Content-Length, so that a cut answer looked complete.

The last attempt that a request has now passes the upstream's failure on as it comes. An earlier one keeps a failure only if it is short enough to be kept whole.

--- a/pkg/forward/answer.go
+++ b/pkg/forward/answer.go
@@ -35,18 +35,31 @@
 }
 
 // answeredFailure reads a failure that the upstream answered after it had run the request. A status that would promise the
-// contrary is not passed on.
+// contrary is not passed on. A failure that is too long to keep for a later attempt is passed on at once if there is none.
 func (x *exchange) answeredFailure(ctx context.Context, resp *http.Response) error {
+	if promises(resp.StatusCode) || x.started {
+		return Error.New("upstream answered %d although it may have run the request", resp.StatusCode)
+	}
+	if x.lastAttempt() {
+		x.o.Log.Notice("upstream's failure passed on", "request", x.request.ID, "route", x.route.Name, "status", resp.StatusCode,
+			"ran", x.ran+1, "refused", x.refused)
+		return x.relayWhole(ctx, resp)
+	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBuffered))
 	if err != nil {
 		return classify(ctx, err)
 	}
-	if promises(resp.StatusCode) || x.started {
-		return Error.New("upstream answered %d although it may have run the request", resp.StatusCode)
+	if len(body) == maxBuffered {
+		return Error.New("upstream answered %d with more than %d bytes", resp.StatusCode, maxBuffered)
 	}
 	return &answerError{response: resp, body: body}
 }
 
+// lastAttempt reports whether a request that fails now is not sent again.
+func (x *exchange) lastAttempt() bool {
+	return !x.route.Repeatable() || x.ran+1 >= max(1, x.route.MaxAttempts)
+}
+
 // relayWhole brings back an answer that is not a stream of events.
 func (x *exchange) relayWhole(ctx context.Context, resp *http.Response) error {
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBuffered))
--- a/pkg/forward/fakes_test.go
+++ b/pkg/forward/fakes_test.go
@@ -185,3 +185,11 @@
 	}
 	_, _ = io.WriteString(w, "answer")
 }
+
+// failsLong answers with a failure of more bytes than a node keeps.
+func failsLong(_ *fixture, w http.ResponseWriter, _ *http.Request) {
+	w.WriteHeader(http.StatusInternalServerError)
+	_, _ = io.WriteString(w, longFailure)
+}
+
+var longFailure = strings.Repeat("0123456789abcdef", 3*maxBuffered/16/2)
--- a/pkg/forward/forward_test.go
+++ b/pkg/forward/forward_test.go
@@ -112,6 +112,20 @@
 	}
 }
 
+// Guards against a long failure of an upstream that reaches the caller cut short but looks complete.
+func TestLongFailureIsPassedOnWhole(t *testing.T) {
+	for target, c := range map[string]struct{ status, sends int }{
+		"/unsafe/a": {http.StatusInternalServerError, 1}, "/idempotent/a": {http.StatusInternalServerError, 3},
+	} {
+		f := newFixture(t, failsLong, failsLong, failsLong)
+		resp, body, err := f.call(t, target, "x")
+		assert.NilError(t, err)
+		assert.Equal(t, resp.StatusCode, c.status)
+		assert.Assert(t, body == longFailure, "%s: %d of %d bytes", target, len(body), len(longFailure))
+		assert.Equal(t, len(f.sends()), c.sends)
+	}
+}
+
 // Guards against work that goes on for a caller that has left.
 func TestRunEndsWithItsCaller(t *testing.T) {
 	f := newFixture(t, func(f *fixture, _ http.ResponseWriter, r *http.Request) {
--- a/pkg/forward/stream.go
+++ b/pkg/forward/stream.go
@@ -52,7 +52,7 @@
 
 // watchSilence starts the wait for the first byte. Requests that can't go on elsewhere are never given up for silence.
 func (x *exchange) watchSilence(choice dispatch.Choice, cancel context.CancelCauseFunc) *silenceTimer {
-	if !x.route.Repeatable() || x.ran+1 >= max(1, x.route.MaxAttempts) {
+	if x.lastAttempt() {
 		return &silenceTimer{}
 	}
 	first := x.o.Placer.FirstEvent(x.service)
