Let the hub make itself known to nodes that start while the store is away

Surviving nodes knew where they were and what they needed.

The hub calls registered nodes that do not report; one that knows no members takes the caller as a peer and reads its copies, also those that the peer can't follow at the moment.

--- a/pkg/controller/fleet/fleet.go
+++ b/pkg/controller/fleet/fleet.go
@@ -99,6 +99,20 @@
 	}
 }
 
+// Introduce takes a node that made itself known, as long as no registered members are known, and reports whether it did.
+func (f *Fleet) Introduce(m Member) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.knownSince.IsZero() || m.Name == "" || m.Name == f.self.Name {
+		return false
+	}
+	if _, ok := f.members[m.Name]; !ok {
+		f.log.Notice("member made itself known", "member", m.Name, "peer_address", m.PeerAddress)
+	}
+	f.members[m.Name] = m
+	return true
+}
+
 // Self returns the node's own entry.
 func (f *Fleet) Self() Member {
 	f.mu.Lock()
--- a/pkg/controller/loadshare/hub.go
+++ b/pkg/controller/loadshare/hub.go
@@ -34,6 +34,8 @@
 	silent      []string
 	draining    []string
 	outliers    map[string]float64
+	// callAgain is when this node next makes itself known to one that does not report.
+	callAgain map[string]time.Time
 }
 
 // reporter is one node at the hub.
@@ -50,6 +52,7 @@
 func newHub(o *Options) hub {
 	return hub{
 		o: o, nodes: map[string]*reporter{}, totals: map[string]dispatch.Load{}, given: map[string]int{}, wants: map[string]dispatch.Want{},
+		callAgain: map[string]time.Time{},
 	}
 }
 
@@ -69,6 +72,7 @@
 	h.uncount(n)
 	h.ungrant(n)
 	n.report, n.at = r, now
+	delete(h.callAgain, r.Node)
 	h.count(n)
 	h.o.Learn(r.Evidence)
 	for id := range r.Loads {
--- /dev/null
+++ b/pkg/controller/loadshare/introduce.go
@@ -0,0 +1,87 @@
+package loadshare
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"trefoilplank.example/pkg/controller/fleet"
+	"trefoilplank.example/pkg/wait"
+)
+
+// A node that starts while the store does not serve it knows no other node and no configuration, and refuses its callers. The
+// hub knows where it was and makes itself known there.
+const (
+	// introduceEvery is the time between two looks for nodes that do not report, and introduceTimeout bounds one call.
+	introduceEvery, introduceTimeout = 250 * time.Millisecond, 200 * time.Millisecond
+	// introduceAfter is how long a node may not report before it is called: an exchange with its timeout.
+	introduceAfter = 450 * time.Millisecond
+	// introduceFor is how long a node that does not report is called that often, and introduceRarely the time between
+	// calls afterwards, and after a call that was answered.
+	introduceFor, introduceRarely = 30 * time.Second, 5 * time.Second
+)
+
+// Introduction is the hub's own entry.
+type Introduction struct{ Member fleet.Member }
+
+// Introductions calls nodes that do not report until ctx ends, while this node is the hub.
+func (e *Exchange) Introductions(ctx context.Context) error {
+	for ctx.Err() == nil {
+		_ = wait.Sleep(ctx, introduceEvery)
+		var calls sync.WaitGroup
+		for _, name := range e.hub.unheard(time.Now()) {
+			calls.Go(func() { e.introduce(ctx, name) })
+		}
+		calls.Wait()
+	}
+	return ctx.Err()
+}
+
+func (e *Exchange) introduce(ctx context.Context, name string) {
+	ctx, cancel := context.WithTimeout(ctx, introduceTimeout)
+	defer cancel()
+	err := e.o.Peers.Call(ctx, name, "Load.Introduce", Introduction{Member: e.o.Fleet.Self()}, &struct{}{})
+	if err != nil {
+		return // A node that is down answers nothing; that it is silent is logged already.
+	}
+	e.o.Log.Routine("hub made itself known", "member", name)
+	e.hub.introduced(name, time.Now())
+}
+
+// introduced records that a node answered the call.
+func (h *hub) introduced(name string, now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.callAgain[name] = now.Add(introduceRarely)
+}
+
+// unheard returns the registered nodes that do not report and are to be called now, while this node is a hub.
+func (h *hub) unheard(now time.Time) (names []string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if now.Sub(h.last) > hubIdle || now.Sub(h.since) < introduceAfter {
+		return nil
+	}
+	self := h.o.Fleet.Self().Name
+	for _, m := range h.o.Fleet.Known() {
+		heard := h.since
+		if n := h.nodes[m.Name]; n != nil {
+			heard = n.at
+		}
+		silent := now.Sub(heard)
+		if m.Name == self || silent < introduceAfter || now.Before(h.callAgain[m.Name]) {
+			continue
+		}
+		if silent > introduceFor {
+			h.callAgain[m.Name] = now.Add(introduceRarely)
+		}
+		names = append(names, m.Name)
+	}
+	return names
+}
+
+// Introduce takes the hub that calls.
+func (r *Receiver) Introduce(args Introduction, _ *struct{}) error {
+	r.hub.o.Introduced(args.Member)
+	return nil
+}
--- a/pkg/controller/loadshare/loadshare.go
+++ b/pkg/controller/loadshare/loadshare.go
@@ -90,6 +90,8 @@
 	// empty hub after an exchange that failed.
 	Revisions func() map[string]int64
 	Heard     func(hub string, revisions map[string]int64)
+	// Introduced takes a hub that made itself known to this node.
+	Introduced func(hub fleet.Member)
 	// Draining reports whether the node takes no new callers.
 	Draining func() bool
 	Log      *eventlog.Log
--- a/pkg/controller/loadshare/loadshare_test.go
+++ b/pkg/controller/loadshare/loadshare_test.go
@@ -163,3 +163,33 @@
 	assert.Assert(t, e.exchange(context.Background(), nil, nil))
 	assert.Assert(t, heard != "" && heard != peers.deaf)
 }
+
+// Guards against a node that restarts while the store is away and is never told of the others: the hub calls each registered
+// node that does not report, often at first and rarely later.
+func TestHubCallsNodesThatDoNotReport(t *testing.T) {
+	h := testHub("a", "b")
+	now := time.Unix(100, 0)
+	var got Totals
+	calls := map[string]int{}
+	rounds := func(d time.Duration) {
+		for end := now.Add(d); now.Before(end); now = now.Add(introduceEvery) {
+			h.take(Report{Node: "hub"}, &got, now)
+			h.take(Report{Node: "a"}, &got, now)
+			for _, name := range h.unheard(now) {
+				calls[name]++
+			}
+		}
+	}
+	rounds(10 * time.Second)
+	assert.Equal(t, calls["a"]+calls["hub"], 0)
+	assert.Assert(t, calls["b"] >= 35, "%v", calls)
+	h.introduced("b", now)
+	calls["b"] = 0
+	rounds(introduceRarely - introduceEvery)
+	assert.Equal(t, calls["b"], 0)
+	rounds(introduceFor + forgetAfter)
+	calls["b"] = 0
+	rounds(20 * time.Second)
+	assert.Assert(t, calls["b"] >= 3 && calls["b"] <= 6, "%v", calls)
+	assert.Equal(t, len(h.unheard(now.Add(time.Minute))), 0) // No longer a hub.
+}
--- a/pkg/controller/mirror/mirror_test.go
+++ b/pkg/controller/mirror/mirror_test.go
@@ -200,6 +200,32 @@
 	poll.WaitOn(t, v.is(map[string]string{"k/a": "2"}), soon...)
 }
 
+// Guards against a node that starts while the store serves nobody and refuses its callers until it returns, although its peers
+// know the configuration: on a standard day four of seven nodes did so for 1.5 s.
+func TestStartingNodeTakesTheLastCopyOfAPeer(t *testing.T) {
+	s := &breakable{Store: memstore.New()}
+	put(t, s, "k/a", "1")
+	p := peers{}
+	old, seen := start(t, s, p, nil, 0)
+	old.Watch(context.Background())
+	p["old"] = old
+	poll.WaitOn(t, seen.is(map[string]string{"k/a": "1"}), soon...)
+	s.set(true)
+	m, v := start(t, s, p, nil, 0)
+	m.Watch(context.Background())
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if len(old.Revisions()) == 0 {
+			return poll.Success()
+		}
+		return poll.Continue("the peer still follows the store")
+	}, soon...)
+	m.Introduce(context.Background(), "old")
+	poll.WaitOn(t, v.is(map[string]string{"k/a": "1"}), soon...)
+	put(t, s.Store, "k/a", "2")
+	s.set(false)
+	poll.WaitOn(t, v.is(map[string]string{"k/a": "2"}), soon...)
+}
+
 // Guards against store calls of nodes that can follow another node's copy, and against a node that stays with one which no
 // longer covers the store.
 func TestFollowerSparesTheStore(t *testing.T) {
--- a/pkg/controller/mirror/peers.go
+++ b/pkg/controller/mirror/peers.go
@@ -14,6 +14,8 @@
 type ReadArgs struct {
 	Prefix   string
 	Revision int64
+	// Any asks also for a copy that the peer can't follow now: a node that knows nothing serves better by it than not at all.
+	Any bool
 }
 
 // ReadReply holds a copy; Fresh is false when the peer has nothing newer or is not served itself.
@@ -37,7 +39,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.healthy || !c.known || c.revision <= args.Revision {
+	if !c.healthy && !args.Any || !c.known || c.revision <= args.Revision {
 		return nil
 	}
 	reply.Fresh, reply.Revision = true, c.revision
@@ -68,12 +70,25 @@
 	}
 }
 
+// Introduce reads the copies of a peer, as far as this node has none: it has started while the store does not serve it.
+func (m *Mirror) Introduce(ctx context.Context, node string) {
+	for _, c := range m.copy {
+		c.mu.Lock()
+		known := c.known
+		c.mu.Unlock()
+		if !known {
+			m.readPeer(ctx, c, node, -1)
+		}
+	}
+}
+
 // readPeer reads the copy of a peer that is further than revision, and reports whether it was taken.
 func (m *Mirror) readPeer(ctx context.Context, c *copied, node string, revision int64) bool {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	var reply ReadReply
-	err := m.o.Peers.Call(ctx, node, "Mirror.Read", ReadArgs{Prefix: c.prefix.Name, Revision: revision}, &reply)
+	args := ReadArgs{Prefix: c.prefix.Name, Revision: revision, Any: revision < 0}
+	err := m.o.Peers.Call(ctx, node, "Mirror.Read", args, &reply)
 	if err != nil {
 		m.o.Log.Routine("peer gave no copy of the store", "prefix", c.prefix.Name, "peer", node, "error", err)
 		return false
--- a/pkg/edge/node.go
+++ b/pkg/edge/node.go
@@ -186,7 +186,7 @@
 	})
 	n.exchange = loadshare.New(loadshare.Options{
 		Fleet: n.fleet, Peers: n.peers, Mine: n.placer.Mine, Wants: n.jobs.Wants, Take: n.placer.Take, Grants: n.placer.Grants,
-		Evidence: n.placer.Evidence, Learn: n.placer.Report, Outliers: n.placer.Outliers,
+		Evidence: n.placer.Evidence, Learn: n.placer.Report, Outliers: n.placer.Outliers, Introduced: n.introduced,
 		Revisions: n.mirror.Revisions, Heard: n.follow, Draining: n.draining.Load, Log: n.log,
 	})
 	callers := Callers{Table: n.table.Load, Jobs: n.jobs, Closing: n.draining.Load, Log: n.log}
@@ -215,6 +215,13 @@
 	n.mirror.Follow(context.Background(), hub, revisions)
 }
 
+// introduced reads the copies of a hub that made itself known, if this node could not learn the others from the store.
+func (n *Node) introduced(hub fleet.Member) {
+	if n.fleet.Introduce(hub) {
+		go n.mirror.Introduce(context.Background(), hub.Name)
+	}
+}
+
 // join registers the node and learns the others, so that it knows the hub before it asks the store for anything else.
 func (n *Node) join(ctx context.Context) error {
 	registered := make(chan error, 1)
@@ -309,7 +316,7 @@
 	group.Go(func() error { return n.peerServer.Serve(n.peerListen) })
 	for name, run := range map[string]func(context.Context) error{
 		"mirror": n.mirror.Run, "jobs": n.jobs.Run, "join": n.join,
-		"retirement": n.watchRetirements,
+		"retirement": n.watchRetirements, "introductions": n.exchange.Introductions,
 	} {
 		group.Go(func() error {
 			if err := run(working); err != nil && working.Err() == nil {
