Learn how long batch items are, so that they yield while they have time

Cause: the rest of an item was estimated by its announced tokens, twice the real length on both sites (169 of 318 events). After six of its eighteen seconds an item counted as about to miss its time and held its slot against online requests.

The part of the announced length that items really have is learnt by service, also from the listed results of a job that is taken over, since a restarted node knows nothing else.

--- a/pkg/listjob/controller.go
+++ b/pkg/listjob/controller.go
@@ -68,12 +68,14 @@
 	// loading are the jobs that are being taken over.
 	loading map[string]bool
 	wake    chan struct{}
+	lengths *lengths
 }
 
 // New returns a controller.
 func New(o Options) *Controller {
 	return &Controller{
 		o: o, jobs: map[string]*job{}, hints: map[string]owner{}, loading: map[string]bool{}, wake: make(chan struct{}, 1),
+		lengths: newLengths(),
 	}
 }
 
--- a/pkg/listjob/run.go
+++ b/pkg/listjob/run.go
@@ -36,8 +36,6 @@
 	brokenPause, brokenPauseMax = 200 * time.Millisecond, 4 * time.Second
 	// yieldMargin is the slack beyond the rest of an item's run that it needs to be stopped.
 	yieldMargin = 1500 * time.Millisecond
-	// presetEvent is the time between events that the rest of a run is estimated with.
-	presetEvent = 31 * time.Millisecond
 	// urgentSlack is the slack below which an item may take the slots kept free for online requests.
 	urgentSlack = 3 * time.Second
 	// maxWant bounds the slots asked for at once.
@@ -104,7 +102,7 @@
 			continue
 		}
 		want.Items++
-		if it.job.due.Sub(now) < it.rest(table.Service(service))+urgentSlack {
+		if it.job.due.Sub(now) < c.rest(it, table.Service(service))+urgentSlack {
 			want.Urgent++
 		}
 		wants[service] = want
@@ -136,15 +134,6 @@
 	return list
 }
 
-// rest estimates how long the rest of an item's run takes. Its tokens count the prompt too, so the estimate is long.
-func (it *item) rest(service *routing.Service) time.Duration {
-	events := 0
-	if service != nil && service.TokensPerEvent > 0 {
-		events = it.Tokens / service.TokensPerEvent
-	}
-	return time.Duration(max(1, events-int(it.lines.Load()))) * presetEvent
-}
-
 // start begins a run of an item if a slot is free.
 func (c *Controller) start(ctx context.Context, it *item, name string, service *routing.Service) bool {
 	var upstream dispatch.Upstream
@@ -154,7 +143,7 @@
 		return &placer.BatchRun{
 			Item: it.ID, Stop: cancel,
 			Yields: func(now time.Time) bool {
-				return it.job.due.Sub(now) > it.rest(service)+yieldMargin || now.After(it.job.due)
+				return it.job.due.Sub(now) > c.rest(it, service)+yieldMargin || now.After(it.job.due)
 			},
 		}
 	})
@@ -331,6 +320,7 @@
 	switch {
 	case err == nil:
 		state, result.Text = Completed, string(it.text)
+		c.learnLength(it.job, it, int(it.lines.Load()))
 	case stopped:
 		c.o.Log.Routine("item stopped", fields...)
 	case errors.Is(err, errDone):
--- a/pkg/listjob/takeover.go
+++ b/pkg/listjob/takeover.go
@@ -54,6 +54,7 @@
 		c.o.Log.Notice("job not taken over", "job", id, "error", err)
 		return err
 	}
+	c.learnListed(j)
 	done := j.resume(partials)
 	if previous.Node != c.self().Node {
 		// The previous owner may only seem lost, and adds to the log until it hears of this.
