--- a/pkg/controller/mirror/mirror.go
+++ b/pkg/controller/mirror/mirror.go
@@ -171,8 +171,9 @@
 const (
 	// undecided stands for the followed node until the first decision.
 	undecided = "?"
-	// uncoveredMax is how long a node that is followed may not cover all prefixes before this node watches itself.
-	uncoveredMax = 600 * time.Millisecond
+	// uncoveredMax is how long a node that is followed may not cover all prefixes before this node watches itself. It bridges
+	// a renewed watch; with the time until a silent watch ends it must stay below two seconds.
+	uncoveredMax = 350 * time.Millisecond
 )
 
 // Watch makes this node watch the store itself.
