Accept jobs in time while the store is slow or loses answers

Cause: a job was stored by two writes, one after the other. With a store that takes 0.3 s a call it was accepted after 0.6 s, limit 0.4 s; with one that loses answers each loss cost a timeout of 1 s and a refusal.

Each write is sent once more after 0.1 s without an answer; both create the same object, so that one succeeds at most. While the store was seen to answer slowly, items and head are written at the same time. If only the head is stored, the job is begun, its items are written until they are stored, and it is not confirmed before. Accepting jobs has its own file now.

--- a/pkg/listjob/controller.go
+++ b/pkg/listjob/controller.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"trefoilplank.example/pkg/adapter/peer"
@@ -69,6 +69,8 @@
 	loading map[string]bool
 	wake    chan struct{}
 	lengths *lengths
+	// slowUntil is the Unix nanosecond until which the store is taken to be slow.
+	slowUntil atomic.Int64
 }
 
 // New returns a controller.
@@ -100,141 +102,6 @@
 	return owner{m.Name, m.Incarnation}
 }
 
-// Accept stores a job and begins it. It returns nil once the job is durable, also when it was before.
-func (c *Controller) Accept(ctx context.Context, s Submission) error {
-	err := c.accept(ctx, s)
-	if errors.Is(err, errNoRoom) {
-		err = c.acceptElsewhere(ctx, s)
-	}
-	return err
-}
-
-// errNoRoom is a refusal of a node that stops or has no memory for the job; another node may take it.
-var errNoRoom = errors.Join(ErrRefused, Error.New("no room on this node"))
-
-func (c *Controller) accept(ctx context.Context, s Submission) error {
-	size := int64(0)
-	for _, it := range s.Items {
-		size += heldBytes(it.Body)
-	}
-	c.mu.Lock()
-	_, mine := c.jobs[s.ID]
-	_, hinted := c.hints[s.ID]
-	held, stopping := c.held(), c.stopping
-	c.mu.Unlock()
-	switch {
-	case mine || hinted:
-		c.o.Log.Routine("job was accepted before", "job", s.ID)
-		return nil
-	case stopping, held+size > int64(maxHeldPart*float64(c.o.MemoryBytes)):
-		c.o.Log.Notice("job refused", "job", s.ID, "held_bytes", held, "bytes", size, "stopping", stopping)
-		return errNoRoom
-	}
-	return c.create(ctx, s)
-}
-
-const (
-	// acceptTries is how many other nodes are asked to take a job for which this one has no room.
-	acceptTries = 2
-	// acceptTimeout bounds one such call where the caller waits longer.
-	acceptTimeout = 2 * time.Second
-)
-
-// AcceptReply tells what became of a job that another node was asked to take.
-type AcceptReply struct{ Accepted, Refused, Full bool }
-
-// Accept takes a job for which another node has no room.
-func (r *Receiver) Accept(s Submission, reply *AcceptReply) error {
-	ctx, cancel := context.WithTimeout(context.Background(), acceptTimeout)
-	defer cancel()
-	err := r.c.accept(ctx, s)
-	*reply = AcceptReply{Accepted: err == nil, Refused: errors.Is(err, ErrRefused), Full: errors.Is(err, errNoRoom)}
-	return nil
-}
-
-// acceptElsewhere has another node accept a job. A call without an answer leaves the outcome open.
-func (c *Controller) acceptElsewhere(ctx context.Context, s Submission) error {
-	others := rendezvous.Ranked(s.ID, c.o.Fleet.Takers())
-	for _, node := range others[:min(acceptTries, len(others))] {
-		var reply AcceptReply
-		call, cancel := context.WithTimeout(ctx, acceptTimeout)
-		err := c.o.Peers.Call(call, node, "Jobs.Accept", s, &reply)
-		cancel()
-		c.o.Log.Routine("job given to another node", "job", s.ID, "peer", node, "accepted", reply.Accepted, "refused", reply.Refused, "error", err)
-		switch {
-		case err == nil && reply.Accepted:
-			return nil
-		case errors.Is(err, peer.ErrUnreachable), err == nil && reply.Full:
-			continue
-		case err == nil && reply.Refused:
-			return ErrRefused
-		}
-		return errors.Join(ErrUnknown, err)
-	}
-	return ErrRefused
-}
-
-func heldBytes(body []byte) int64 { return bodyFactor * int64(len(body)+itemOverhead) }
-
-// held returns the bytes that open jobs take. The caller holds the lock.
-func (c *Controller) held() int64 {
-	sum := int64(0)
-	for _, j := range c.jobs {
-		j.mu.Lock()
-		for _, it := range j.items {
-			if it.phase != listed {
-				sum += heldBytes(it.Body) + int64(len(it.text))
-			}
-		}
-		for _, r := range j.results {
-			sum += int64(len(r.Text))
-		}
-		j.mu.Unlock()
-	}
-	return sum
-}
-
-func (c *Controller) create(ctx context.Context, s Submission) error {
-	parts := chunks(s.Items)
-	for n, part := range parts {
-		value, err := json.Marshal(part)
-		if err != nil {
-			return errors.Join(ErrRefused, err)
-		}
-		_, err = c.o.Store.Put(ctx, chunkKey(s.ID, n), value, store.CreateOnly)
-		if err != nil && !errors.Is(err, store.ErrConflict) {
-			// Without its head nothing of the job runs, whatever became of the chunk.
-			c.o.Log.Notice("job refused", "job", s.ID, "reason", "items not stored", "error", err)
-			return errors.Join(ErrRefused, err)
-		}
-	}
-	self := c.self()
-	h := head{
-		ID: s.ID, Host: s.Host, Path: s.Path, Total: len(s.Items), Chunks: len(parts), Submitted: time.Now().UTC(),
-		Owner: self.Node, Incarnation: self.Incarnation,
-	}
-	value, err := json.Marshal(h)
-	if err != nil {
-		return errors.Join(ErrRefused, err)
-	}
-	revision, err := c.o.Store.Put(ctx, headKind+s.ID, value, store.CreateOnly)
-	switch {
-	case errors.Is(err, store.ErrConflict):
-		c.o.Log.Routine("job was accepted before", "job", s.ID)
-		return nil
-	case errors.Is(err, store.ErrUnavailable):
-		c.o.Log.Notice("job refused", "job", s.ID, "reason", "head not stored", "error", err)
-		return errors.Join(ErrRefused, err)
-	case err != nil:
-		c.o.Log.Notice("job may have been accepted", "job", s.ID, "error", err)
-		return errors.Join(ErrUnknown, err)
-	}
-	c.o.Log.Routine("job accepted", "job", s.ID, "items", len(s.Items), "chunks", len(parts))
-	c.add(newJob(h, revision, s.Items))
-	c.announce(s.ID)
-	return nil
-}
-
 // add begins a job that this node owns.
 func (c *Controller) add(j *job) {
 	c.times(j)
@@ -338,10 +205,12 @@
 func (c *Controller) sweepLoop(ctx context.Context) {
 	for ctx.Err() == nil {
 		_ = wait.Sleep(ctx, sweepEvery+rand.N(sweepEvery/4))
+		begun := time.Now()
 		page, err := store.ListAll(store.WithStale(ctx), c.o.Store, headKind)
 		if err != nil {
 			continue // The watches log that the store is away.
 		}
+		c.answeredIn(time.Since(begun))
 		for _, o := range page.Objects {
 			h, err := decodeHead(o)
 			if err != nil {
