Read the log of a contested job once more after the contest

The previous owner was cut off, its results were stored when it came back, and a caller read them there; its successor had taken the job over with an empty log, and nobody read it while the job counted as contested. After that it answered from memory, without the results.

The log is now checked until it was read after the contest has ended.

--- a/pkg/listjob/listjob_test.go
+++ b/pkg/listjob/listjob_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net/http"
 	"testing"
 	"time"
@@ -47,6 +48,28 @@
 	checkWhole(t, e, readAll(t, a.Controller, "j", 20*time.Second))
 }
 
+// Guards against an answer that lacks what the previous owner listed when it came back from a cut, if nobody read the job until it
+// was no longer contested: on a day with cuts a client had read seven results, and none was there at the end.
+func TestLogIsReadOnceMoreAfterAContest(t *testing.T) {
+	s, net, e := memstore.New(), newNetwork(), newEngine(t, 1000, 20*time.Millisecond)
+	a := net.add(t, s, e, "a", "b")
+	b := net.add(t, s, e, "b", "a")
+	assert.NilError(t, a.Accept(context.Background(), submission("j", 2)))
+	assert.NilError(t, b.adopt(context.Background(), "j", nil))
+	value, err := json.Marshal(entry{Node: "a", Results: []Result{{ID: "j-item1", State: Completed, Text: "listed by a"}}})
+	assert.NilError(t, err)
+	_, err = s.Put(context.Background(), entryKey("j", 0), value, store.CreateOnly)
+	assert.NilError(t, err)
+	assert.NilError(t, b.End(context.Background(), "j"))
+	j := b.owned("j")
+	j.mu.Lock()
+	j.contested = time.Now()
+	j.mu.Unlock()
+	l, err := b.Read(context.Background(), "j", 0, 0)
+	assert.NilError(t, err)
+	assert.Equal(t, len(l.Results), 1)
+}
+
 // Guards against a job that a stopping node turns away although others have room: with all nodes restarted in turn, a fifth of the
 // items was late, since their jobs were accepted only at the second attempt.
 func TestStoppingNodeHasJobsAcceptedElsewhere(t *testing.T) {
--- a/pkg/listjob/read.go
+++ b/pkg/listjob/read.go
@@ -65,7 +65,8 @@
 	j.mu.Lock()
 	// An ended job is checked too: what another owner listed before the end stays readable.
 	check := len(page(j.results, after)) == 0 && len(j.results) < len(j.items) && time.Since(j.verified) > verifyEvery
-	contested := time.Now().Before(j.contested)
+	// What the previous owner added while nobody read shows only if the log is read once more after that time.
+	contested := j.verified.Before(j.contested)
 	j.mu.Unlock()
 	if check && (contested || c.o.Fleet.Doubtful()) && !c.verify(ctx, j) {
 		return Listing{}, false
