Count jobs, items and exchanges; take no answer without its signature

Cause: metrics ended with requests, so that refused jobs, broken items and failed exchanges showed in the log only. And a success that lost the upstream's signature on the way was passed on, although it is worth nothing to its caller; a request that may run again is sent to another upstream now.

The waiting items are no longer sorted for each exchange, where only their number matters.

--- a/pkg/controller/loadshare/loadshare.go
+++ b/pkg/controller/loadshare/loadshare.go
@@ -95,6 +95,7 @@
 	// Draining reports whether the node takes no new callers.
 	Draining func() bool
 	Log      *eventlog.Log
+	Metrics  *Metrics
 }
 
 // Exchange reports the node's load and serves as the hub of others.
@@ -223,7 +224,10 @@
 	call, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	var totals Totals
-	if err := e.o.Peers.Call(call, name, "Load.Report", r, &totals); err != nil {
+	begun := time.Now()
+	err := e.o.Peers.Call(call, name, "Load.Report", r, &totals)
+	e.o.Metrics.exchanged(err == nil, time.Since(begun))
+	if err != nil {
 		if ctx.Err() == nil {
 			e.o.Fleet.Suspect(name, suspectFor, err)
 			e.choice = choice{}
--- a/pkg/edge/node.go
+++ b/pkg/edge/node.go
@@ -182,12 +182,13 @@
 	requests := forward.NewMetrics(n.metrics)
 	n.jobs = listjob.New(listjob.Options{
 		Store: n.store, Peers: n.peers, Fleet: n.fleet, Placer: n.placer, Client: n.client, Table: n.table.Load,
-		MemoryBytes: limit, Readable: seconds(n.settings.ReadableSeconds), Log: n.log, Metrics: requests,
+		MemoryBytes: limit, Readable: seconds(n.settings.ReadableSeconds), Log: n.log, Metrics: listjob.NewMetrics(n.metrics),
 	})
 	n.exchange = loadshare.New(loadshare.Options{
 		Fleet: n.fleet, Peers: n.peers, Mine: n.placer.Mine, Wants: n.jobs.Wants, Take: n.placer.Take, Grants: n.placer.Grants,
 		Evidence: n.placer.Evidence, Learn: n.placer.Report, Outliers: n.placer.Outliers, Introduced: n.introduced,
 		Revisions: n.mirror.Revisions, Heard: n.follow, Draining: n.draining.Load, Log: n.log,
+		Metrics: loadshare.NewMetrics(n.metrics),
 	})
 	callers := Callers{Table: n.table.Load, Jobs: n.jobs, Closing: n.draining.Load, Log: n.log}
 	n.forwarder = forward.New(forward.Options{
--- a/pkg/forward/client.go
+++ b/pkg/forward/client.go
@@ -32,6 +32,9 @@
 	ErrUnreachable = Error.New("upstream unreachable")
 	// ErrMismatch means that the answer belongs to another request; the request may have run.
 	ErrMismatch = Error.New("answer belongs to another request")
+	// ErrUnsigned means that a success lacks the upstream's signature, so that it is worth nothing to the caller; the request
+	// may have run.
+	ErrUnsigned = Error.New("answer without the upstream's signature")
 	// errCaller means that the caller no longer takes its answer.
 	errCaller = Error.New("caller is gone")
 	// ErrSilent means that the upstream gave nothing for too long; the request may have run.
@@ -218,6 +221,9 @@
 		return ErrMismatch
 	}
 	if !notRun {
+		if resp.StatusCode < http.StatusMultipleChoices && resp.Header.Get(c.dialect.Stamp) == "" {
+			return ErrUnsigned
+		}
 		return nil
 	}
 	if resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusTooManyRequests {
--- a/pkg/forward/fakes_test.go
+++ b/pkg/forward/fakes_test.go
@@ -196,3 +196,11 @@
 }
 
 var longFailure = strings.Repeat("0123456789abcdef", 3*maxBuffered/16/2)
+
+// unsignedOnce answers the first send without a signature.
+func unsignedOnce(f *fixture, w http.ResponseWriter, _ *http.Request) {
+	if len(f.sends()) == 1 {
+		w.Header().Del(testDialect.Stamp)
+	}
+	_, _ = io.WriteString(w, "answer")
+}
--- a/pkg/forward/forward_test.go
+++ b/pkg/forward/forward_test.go
@@ -95,6 +95,8 @@
 		{"own failure, repeatable", "/idempotent/a", answers(500, "", ""), 500, 2},
 		{"crossed answer", "/unsafe/a", crossedOnce, 502, 1},
 		{"crossed answer, repeatable", "/idempotent/a", crossedOnce, 200, 2},
+		{"unsigned answer", "/unsafe/a", unsignedOnce, 502, 1},
+		{"unsigned answer, repeatable", "/idempotent/a", unsignedOnce, 200, 2},
 		{"caller's fault", "/unsafe/a", answers(404, "", ""), 404, 1},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/pkg/listjob/accept.go
+++ b/pkg/listjob/accept.go
@@ -15,10 +15,22 @@
 
 // Accept stores a job and begins it. It returns nil once the job is durable, also when it was before.
 func (c *Controller) Accept(ctx context.Context, s Submission) error {
+	begun := time.Now()
 	err := c.accept(ctx, s)
+	outcome := "accepted"
 	if errors.Is(err, errNoRoom) {
 		err = c.acceptElsewhere(ctx, s)
+		outcome = "elsewhere"
 	}
+	switch {
+	case errors.Is(err, ErrRefused):
+		outcome = "refused"
+	case err != nil:
+		outcome = "unknown"
+	default:
+		c.o.Metrics.accepting(time.Since(begun))
+	}
+	c.o.Metrics.job(outcome)
 	return err
 }
 
--- a/pkg/listjob/controller.go
+++ b/pkg/listjob/controller.go
@@ -47,7 +47,7 @@
 	// Readable is how long after its submission a job must stay readable.
 	Readable time.Duration
 	Log      *eventlog.Log
-	Metrics  *forward.Metrics
+	Metrics  *Metrics
 }
 
 // owner is the node that runs a job, as far as this node knows.
@@ -294,6 +294,7 @@
 	close(j.changed)
 	j.changed = make(chan struct{})
 	j.mu.Unlock()
+	c.o.Metrics.job("left")
 	c.o.Log.Notice("job left to another node", "job", j.head.ID, "owner", to.Node)
 }
 
--- a/pkg/listjob/fakes_test.go
+++ b/pkg/listjob/fakes_test.go
@@ -66,6 +66,7 @@
 	run := e.runs[id]
 	e.mu.Unlock()
 	w.Header().Set(testDialect.RequestID, id)
+	w.Header().Set(testDialect.Stamp, "engine")
 	if e.fail != nil {
 		if status := e.fail(id, run); status != 0 {
 			w.WriteHeader(status)
--- a/pkg/listjob/run.go
+++ b/pkg/listjob/run.go
@@ -66,7 +66,9 @@
 	}
 	now := time.Now()
 	blocked := map[string]bool{}
-	for _, it := range c.waitingItems(now) {
+	list := c.waitingItems(now)
+	slices.SortFunc(list, urgency)
+	for _, it := range list {
 		route := table.Match(it.job.head.Host, it.Path)
 		if route == nil || now.After(it.job.until) {
 			c.o.Log.Notice("item given up", "job", it.job.head.ID, "item", it.ID, "route_gone", route == nil, "after", it.after)
@@ -110,7 +112,7 @@
 	return wants
 }
 
-// waitingItems returns the items that can start, most urgent first.
+// waitingItems returns the items that can start, in no order.
 func (c *Controller) waitingItems(now time.Time) []*item {
 	c.mu.Lock()
 	jobs := make([]*job, 0, len(c.jobs))
@@ -130,7 +132,6 @@
 		}
 		j.mu.Unlock()
 	}
-	slices.SortFunc(list, urgency)
 	return list
 }
 
@@ -322,6 +323,7 @@
 		state, result.Text = Completed, string(it.text)
 		c.learnLength(it.job, it, int(it.lines.Load()))
 	case stopped:
+		c.o.Metrics.run("stopped")
 		c.o.Log.Routine("item stopped", fields...)
 	case errors.Is(err, errDone):
 		state = Failed
@@ -331,6 +333,7 @@
 			state = Failed
 		}
 	default:
+		c.o.Metrics.run("broken")
 		c.broke(it, u, err)
 	}
 	if state != "" {
@@ -338,6 +341,8 @@
 		result.State = state
 		c.queue(it, result)
 		it.job.mu.Unlock()
+		c.o.Metrics.run(string(state))
+		c.o.Metrics.finished(time.Since(it.job.head.Submitted))
 		c.o.Log.Routine("item finished", append(fields, "state", state)...)
 		return
 	}
--- a/pkg/listjob/takeover.go
+++ b/pkg/listjob/takeover.go
@@ -70,6 +70,7 @@
 		c.finish(it, it.result)
 	}
 	c.announce(id)
+	c.o.Metrics.job("taken_over")
 	c.o.Log.Notice("job taken over", "job", id, "listed", len(j.results), "total", j.head.Total, "partials", len(partials))
 	return nil
 }
@@ -207,6 +208,7 @@
 		cancel()
 		c.o.Log.Notice("job handed on", "job", id, "to", to, "partials", len(partials), "error", err)
 		if err == nil {
+			c.o.Metrics.job("handed_on")
 			return
 		}
 	}
