Go on with the jobs of an earlier start at once; ignore late announcements

An earlier start of the same node is gone for certain, so its jobs are taken at once, and the first reads follow each other faster. TestEndedJobKeepsWhatAnotherOwnerListed waits until these first reads are over: it needs a former owner that has not heard of its successor yet; what it checks is unchanged.

Cause 2: TestJobIsHandedToANodeThatStays failed once and, under load, in most runs: an announcement of a job's former owner that came late made the new owner leave the job until the next read of the heads. Announcements carry the revision of the head now.

--- a/pkg/listjob/accept.go
+++ b/pkg/listjob/accept.go
@@ -208,7 +208,7 @@
 func (c *Controller) begin(s Submission, h head, revision int64) {
 	c.o.Log.Routine("job accepted", "job", s.ID, "items", len(s.Items), "chunks", h.Chunks)
 	c.add(newJob(h, revision, s.Items))
-	c.announce(s.ID)
+	c.announce(s.ID, revision)
 }
 
 // createHead writes a head that is not there yet. A conflict with the own head, of which an answer got lost, is none.
--- a/pkg/listjob/controller.go
+++ b/pkg/listjob/controller.go
@@ -22,6 +22,9 @@
 const (
 	// sweepEvery is the time between reads of all heads, in which orphaned and ended jobs are found.
 	sweepEvery = 2 * time.Second
+	// firstSweeps reads follow each other faster after a start: when all nodes were restarted nobody runs the open jobs, and
+	// two seconds would pass before they go on.
+	firstSweeps, firstSweepEvery = 5, 400 * time.Millisecond
 	// peerTimeout bounds a call to a job's owner beyond the wait that it asks for.
 	peerTimeout = 700 * time.Millisecond
 	// maxHeldPart is the part of the memory limit that item bodies and results may take; more jobs are refused.
@@ -143,18 +146,18 @@
 }
 
 // announce tells the other nodes who owns a job, so that they need not ask the store.
-func (c *Controller) announce(id string) {
+func (c *Controller) announce(id string, revision int64) {
 	for _, node := range c.o.Fleet.Others() {
-		go c.tell(node, id)
+		go c.tell(node, id, revision)
 	}
 }
 
 // tell tells a node that this one owns a job.
-func (c *Controller) tell(node, id string) {
+func (c *Controller) tell(node, id string, revision int64) {
 	self := c.self()
 	ctx, cancel := context.WithTimeout(context.Background(), peerTimeout)
 	defer cancel()
-	if err := c.o.Peers.Call(ctx, node, "Jobs.Owned", Owned{ID: id, Owner: self.Node, Incarnation: self.Incarnation}, &Nothing{}); err != nil {
+	if err := c.o.Peers.Call(ctx, node, "Jobs.Owned", Owned{ID: id, Owner: self.Node, Incarnation: self.Incarnation, Revision: revision}, &Nothing{}); err != nil {
 		c.o.Log.Routine("owner of a job not announced", "job", id, "peer", node, "error", err)
 	}
 }
@@ -203,8 +206,16 @@
 
 // sweepLoop reads all heads from time to time.
 func (c *Controller) sweepLoop(ctx context.Context) {
-	for ctx.Err() == nil {
-		_ = wait.Sleep(ctx, sweepEvery+rand.N(sweepEvery/4))
+	for n := 0; ctx.Err() == nil; n++ {
+		every := sweepEvery
+		if n < firstSweeps {
+			every = firstSweepEvery
+		}
+		_ = wait.Sleep(ctx, every+rand.N(every/4))
+		if c.o.Table() == nil {
+			n = -1 // Without a configuration nothing can run.
+			continue
+		}
 		begun := time.Now()
 		page, err := store.ListAll(store.WithStale(ctx), c.o.Store, headKind)
 		if err != nil {
@@ -248,7 +259,9 @@
 	c.mu.Lock()
 	stopping := c.stopping
 	c.mu.Unlock()
-	if stopping || named != self && (!c.o.Fleet.Sure() || c.successor(h.ID) != self.Node) {
+	// An earlier start of this node is gone for certain; whether another node is takes a while to know.
+	certain := named.Node == self.Node
+	if stopping || !certain && (!c.o.Fleet.Sure() || c.successor(h.ID) != self.Node) {
 		return
 	}
 	go c.adopt(context.WithoutCancel(ctx), h.ID, nil)
--- a/pkg/listjob/listjob_test.go
+++ b/pkg/listjob/listjob_test.go
@@ -151,6 +151,25 @@
 	checkWhole(t, e, readAll(t, b.Controller, "j", 30*time.Second))
 }
 
+// Guards against open jobs that rest for seconds after all nodes were restarted at once: each goes on with the jobs that it ran
+// before, although it can't know yet whether other nodes are lost.
+func TestRestartedNodeGoesOnWithItsJobs(t *testing.T) {
+	s, net, e := memstore.New(), newNetwork(), newEngine(t, 3, time.Millisecond)
+	before := head{ID: "j", Host: testHost, Path: "/b/j", Total: 2, Chunks: 1, Submitted: time.Now(), Owner: "a", Incarnation: 7}
+	items, err := json.Marshal(submission("j", 2).Items)
+	assert.NilError(t, err)
+	_, err = s.Put(context.Background(), chunkKey("j", 0), items, store.CreateOnly)
+	assert.NilError(t, err)
+	value, err := json.Marshal(before)
+	assert.NilError(t, err)
+	_, err = s.Put(context.Background(), headKind+"j", value, store.CreateOnly)
+	assert.NilError(t, err)
+	a := net.add(t, s, e, "a", "b")
+	time.Sleep(2 * firstSweepEvery)
+	assert.Assert(t, a.owned("j") != nil)
+	checkWhole(t, e, readAll(t, a.Controller, "j", 20*time.Second))
+}
+
 // Guards against an answer from memory that lacks a position which another owner has listed: in a hunt a node that was cut
 // off went on answering for a job that another one had taken over.
 func TestFormerOwnerReadsWhatItsSuccessorListed(t *testing.T) {
@@ -202,6 +221,8 @@
 	}
 	a := net.add(t, s, e, "a", "b")
 	b := net.add(t, s, slow, "b", "a")
+	// After its first sweeps a reads the heads seldom enough to list a result before it hears of b.
+	time.Sleep(firstSweeps * firstSweepEvery * 5 / 4)
 	assert.NilError(t, a.Accept(context.Background(), submission("j", 2)))
 	net.mu.Lock()
 	net.cut["a"], net.unseen = true, true
--- a/pkg/listjob/read.go
+++ b/pkg/listjob/read.go
@@ -182,10 +182,10 @@
 type (
 	// Nothing is an empty answer.
 	Nothing struct{ Done bool }
-	// Owned tells who owns a job.
+	// Owned tells who owns a job since the given revision of its head.
 	Owned struct {
-		ID, Owner   string
-		Incarnation int64
+		ID, Owner             string
+		Incarnation, Revision int64
 	}
 	// AdoptArgs asks a node to take a job over.
 	AdoptArgs struct {
@@ -229,8 +229,13 @@
 // Owned takes the owner of a job.
 func (r *Receiver) Owned(args Owned, _ *Nothing) error {
 	to := owner{args.Owner, args.Incarnation}
-	if j := r.c.owned(args.ID); j != nil && to != r.c.self() {
-		r.c.relinquish(j, to)
+	if j := r.c.owned(args.ID); j != nil {
+		j.mu.Lock()
+		newer := args.Revision > j.revision
+		j.mu.Unlock()
+		if newer && to != r.c.self() {
+			r.c.relinquish(j, to)
+		} // An older announcement came late: this node has taken the job over since.
 		return nil
 	}
 	r.c.mu.Lock()
--- a/pkg/listjob/takeover.go
+++ b/pkg/listjob/takeover.go
@@ -63,13 +63,13 @@
 	if previous.Node != c.self().Node {
 		// The previous owner may only seem lost, and adds to the log until it hears of this.
 		j.contested = time.Now().Add(contestedFor)
-		go c.tell(previous.Node, id)
+		go c.tell(previous.Node, id, j.revision)
 	}
 	c.add(j)
 	for _, it := range done {
 		c.finish(it, it.result)
 	}
-	c.announce(id)
+	c.announce(id, j.revision)
 	c.o.Metrics.job("taken_over")
 	c.o.Log.Notice("job taken over", "job", id, "listed", len(j.results), "total", j.head.Total, "partials", len(partials))
 	return nil
