--- a/pkg/forward/stream.go
+++ b/pkg/forward/stream.go
@@ -24,10 +24,10 @@
 	// pausePart of the pause objective is how long a resumable stream may be silent before it goes on elsewhere.
 	pausePart = 0.5
 	// silenceShare of the answers of the last ten seconds, and silenceReserve without any, may be asked for again because an
-	// upstream is silent. When all upstreams are full, silence is their queue, and each request that leaves one queue for
-	// another's end makes the others longer: on a grown site a sixth of the sends did so in a burst. Replicas that go dark
-	// need no more, since they are ejected after three failures.
-	silenceShare, silenceReserve = 0.15, 8
+	// upstream is silent. When upstreams are full, silence is their queue, and each request that leaves one queue for
+	// another's end makes the others longer: on a grown site a sixth of the sends did so in a burst, and most were late.
+	// Replicas that go dark need little more, since they are ejected after three failures.
+	silenceShare, silenceReserve = 0.04, 4
 	// leastSilence keeps a busy node from taking its own delays for silence of an upstream.
 	leastSilence = 120 * time.Millisecond
 	// maxEventBytes bounds an event that has not ended.
