--- /dev/null
+++ b/pkg/controller/placer/evidence_test.go
@@ -0,0 +1,74 @@
+package placer
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"trefoilplank.example/pkg/decision/dispatch"
+	"trefoilplank.example/pkg/decision/outlier"
+	"trefoilplank.example/pkg/eventlog"
+)
+
+func testPlacer(upstreams int) *Placer {
+	p := New("z", &eventlog.Log{})
+	var list []dispatch.Upstream
+	for n := range upstreams {
+		list = append(list, dispatch.Upstream{ID: fmt.Sprint("u", n), Address: fmt.Sprint("a", n), Service: "s", AvailabilityZone: "z", Slots: 8})
+	}
+	p.SetUpstreams(list)
+	return p
+}
+
+// Guards against evidence that accuses an upstream for what is not its own: a wait for a slot, a queue that nobody sees, a run that
+// its caller ended, or the time that the node itself took.
+func TestPaceCountsOnlyTheUpstream(t *testing.T) {
+	p := testPlacer(1)
+	silent := p.Pace("u0", false)
+	silent.Silent()
+	stopped := p.Pace("u0", false)
+	stopped.Enter()
+	assert.Equal(t, len(p.Evidence()), 0)
+
+	queued := p.Pace("u0", true)
+	begun := time.Now()
+	queued.Heard(1, begun.Add(500*time.Millisecond))
+	queued.last = begun // As if the node had taken until now to pass the event on.
+	queued.Heard(2, begun.Add(60*time.Millisecond))
+	queued.End(false)
+	e := p.Evidence()["u0"]
+	assert.Equal(t, e, outlier.Evidence{Gaps: 2, GapTime: 60 * time.Millisecond, Runs: 1})
+
+	stalled := p.Pace("u0", false)
+	stalled.Heard(1, time.Now())
+	stalled.Silent()
+	e = p.Evidence()["u0"]
+	assert.Equal(t, e.Broken, 1)
+	assert.Equal(t, e.Gaps, 1)
+}
+
+// Guards against a slow upstream that is found by the hub and still gets work, and against one that stays passed over when the
+// others are gone.
+func TestOutliersGetNoWorkWhileOthersHaveRoom(t *testing.T) {
+	hub, node := testPlacer(4), testPlacer(4)
+	for _, id := range []string{"u0", "u1", "u2", "u3"} {
+		gap := 30 * time.Millisecond
+		if id == "u0" {
+			gap = 240 * time.Millisecond
+		}
+		hub.Report(map[string]outlier.Evidence{id: {Gaps: 100, GapTime: 100 * gap, Runs: 4}})
+	}
+	weights := hub.Outliers()
+	assert.Equal(t, len(weights), 1)
+	node.Take(map[string]dispatch.Load{}, nil, weights, dispatch.Grant{})
+	need := dispatch.Need{Service: "s", Objective: time.Second, Remaining: 2 * time.Second}
+	for range 20 {
+		c := node.Online(need)
+		assert.Assert(t, c.Upstream.ID != "u0")
+		node.End(c.Upstream.ID)
+	}
+	node.SetUpstreams([]dispatch.Upstream{{ID: "u0", Address: "a0", Service: "s", AvailabilityZone: "z", Slots: 8}})
+	assert.Equal(t, node.Online(need).Upstream.ID, "u0")
+}
