Remove lost nodes beside the introductions

Removals have their own loop, and an answer to an introduction counts for 2.5 s.

Open: hub changes in seconds 26 to 33, in which the hub's calls time out.

--- a/pkg/controller/loadshare/hub.go
+++ b/pkg/controller/loadshare/hub.go
@@ -186,7 +186,7 @@
 	}
 	for _, m := range known {
 		n := h.nodes[m.Name]
-		if (n == nil || now.Sub(n.at) > silentAfter) && now.Sub(h.answered[m.Name]) > silentAfter && now.UnixNano()-m.Incarnation > int64(hubWarmUp) {
+		if (n == nil || now.Sub(n.at) > silentAfter) && now.Sub(h.answered[m.Name]) > answeredKept && now.UnixNano()-m.Incarnation > int64(hubWarmUp) {
 			silent = append(silent, m.Name)
 		}
 	}
--- a/pkg/controller/loadshare/introduce.go
+++ b/pkg/controller/loadshare/introduce.go
@@ -20,6 +20,8 @@
 	// calls afterwards. introduceAgain is the time after a call that was answered; the node counts as heard meanwhile.
 	introduceFor, introduceRarely = 30 * time.Second, 5 * time.Second
 	introduceAgain                = time.Second
+	// answeredKept is how long an answer counts: two calls may fail or be late under load.
+	answeredKept = 2500 * time.Millisecond
 	// removeAfter is how long a node is silent before its entry is removed: longer than nodes stand still or restart. An entry
 	// that stays names a lost node to callers whenever the hub changes or is not heard.
 	removeAfter = 4 * time.Second
@@ -39,6 +41,15 @@
 			calls.Go(func() { e.introduce(ctx, name) })
 		}
 		calls.Wait()
+	}
+	return ctx.Err()
+}
+
+// Removals removes the entries of lost nodes until ctx ends, while this node is the hub. It waits for the store, which may not
+// answer, and so runs beside the introductions: nodes that are not called in time count as silent.
+func (e *Exchange) Removals(ctx context.Context) error {
+	for ctx.Err() == nil {
+		_ = wait.Sleep(ctx, introduceEvery)
 		for _, name := range e.hub.lost(time.Now()) {
 			remove, cancel := context.WithTimeout(ctx, removeTimeout)
 			e.o.Fleet.Remove(remove, name)
--- a/pkg/controller/loadshare/loadshare_test.go
+++ b/pkg/controller/loadshare/loadshare_test.go
@@ -222,6 +222,49 @@
 	assert.Equal(t, len(removed), 0, "%v", removed)
 }
 
+// deadStore answers no deletion.
+type deadStore struct{ store.Store }
+
+func (deadStore) Delete(ctx context.Context, _ string, _ int64) error {
+	<-ctx.Done()
+	return store.ErrUnknown
+}
+
+// Guards against live nodes that count as silent because the hub waits for a store that does not answer: on a grown site the hub
+// was cut off from the store, and 65 nodes went to and fro between two hubs for seconds.
+func TestRemovalsDelayNoIntroductions(t *testing.T) {
+	f := fleet.New(deadStore{memstore.New()}, fleet.Member{Name: "hub", Incarnation: 1, Weight: 1}, &eventlog.Log{})
+	objects := map[string]store.Object{}
+	for _, name := range []string{"a", "elsewhere", "hub", "lost1", "lost2", "lost3"} {
+		key := fleet.Prefix + name
+		objects[key] = store.Object{Key: key, Value: fmt.Appendf(nil, `{"name":%q,"incarnation":1,"weight":1}`, name)}
+	}
+	f.Handle(objects)
+	net := &fleetPeers{nodes: map[string]*Exchange{}, down: map[string]bool{}}
+	options := Options{
+		Fleet: f, Peers: caller{net, "hub"}, Log: &eventlog.Log{}, Grants: oneSlot, Introduced: func(fleet.Member) {},
+		Revisions: func() map[string]int64 { return nil }, Learn: func(map[string]outlier.Evidence) {}, Outliers: func() map[string]float64 { return nil },
+	}
+	hub := New(options)
+	net.nodes["elsewhere"] = New(options)
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	defer running.Wait()
+	defer cancel()
+	running.Go(func() { _ = hub.Introductions(ctx) })
+	running.Go(func() { _ = hub.Removals(ctx) })
+	var got Totals
+	for until := time.Now().Add(removeAfter + 3*removeTimeout); time.Now().Before(until); time.Sleep(50 * time.Millisecond) {
+		for _, name := range []string{"a", "hub", "x", "y"} {
+			assert.NilError(t, hub.Receiver().Report(Report{Node: name}, &got))
+		}
+		for _, name := range got.Silent {
+			assert.Assert(t, name != "elsewhere", "%v", got.Silent)
+		}
+	}
+	assert.Equal(t, len(got.Silent), 3)
+}
+
 // fleetPeers is a network of exchanges, some of which are down.
 type fleetPeers struct {
 	mu    sync.Mutex
--- a/pkg/edge/node.go
+++ b/pkg/edge/node.go
@@ -317,7 +317,7 @@
 	group.Go(func() error { return n.peerServer.Serve(n.peerListen) })
 	for name, run := range map[string]func(context.Context) error{
 		"mirror": n.mirror.Run, "jobs": n.jobs.Run, "join": n.join,
-		"retirement": n.watchRetirements, "introductions": n.exchange.Introductions, "registration": n.fleet.KeepRegistered,
+		"retirement": n.watchRetirements, "introductions": n.exchange.Introductions, "registration": n.fleet.KeepRegistered, "removals": n.exchange.Removals,
 	} {
 		group.Go(func() error {
 			if err := run(working); err != nil && working.Err() == nil {
