Give followers only what changed

Cause: each change of a replica made the watching node send its whole copy to all followers.

A peer answers with the objects that changed after the asker's revision and the revisions of all; a copy that does not match is read as a whole.

TestFollowerReadsOnlyWhatChanged got 19 of 19 objects for one change before, one now.

--- a/pkg/controller/mirror/mirror_test.go
+++ b/pkg/controller/mirror/mirror_test.go
@@ -226,6 +226,52 @@
 	poll.WaitOn(t, v.is(map[string]string{"k/a": "2"}), soon...)
 }
 
+// Guards against whole copies for each change, which took the link of the watching node on a grown site, and against a merged copy
+// that differs from the peer's.
+func TestFollowerReadsOnlyWhatChanged(t *testing.T) {
+	s := memstore.New()
+	for n := range 20 {
+		put(t, s, fmt.Sprint("k/", n), "1")
+	}
+	p := peers{}
+	hub, seen := start(t, s, p, nil, 0)
+	hub.Watch(context.Background())
+	p["hub"] = hub
+	m, v := start(t, &breakable{Store: memstore.New()}, p, nil, 0)
+	follows := func(want map[string]string) {
+		t.Helper()
+		poll.WaitOn(t, seen.is(want), soon...)
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			m.Follow(context.Background(), "hub", hub.Revisions())
+			return v.is(want)(t)
+		}, soon...)
+	}
+	want := map[string]string{}
+	for n := range 20 {
+		want[fmt.Sprint("k/", n)] = "1"
+	}
+	follows(want)
+	at := m.copy["k/"].revision
+	put(t, s, "k/3", "2")
+	assert.NilError(t, s.Delete(context.Background(), "k/4", store.AnyRevision))
+	want["k/3"] = "2"
+	delete(want, "k/4")
+	follows(want)
+	var reply ReadReply
+	assert.NilError(t, hub.Receiver().Read(ReadArgs{Prefix: "k/", Revision: at}, &reply))
+	assert.Equal(t, len(reply.Objects), 1)
+	assert.Equal(t, len(reply.Revisions), 19)
+	// A copy that is not what its revision says is read as a whole.
+	c := m.copy["k/"]
+	c.mu.Lock()
+	delete(c.objects, "k/7")
+	c.taken = source{}
+	c.mu.Unlock()
+	put(t, s, "k/5", "2")
+	want["k/5"] = "2"
+	follows(want)
+}
+
 // Guards against store calls of nodes that can follow another node's copy, and against a node that stays with one which no
 // longer covers the store.
 func TestFollowerSparesTheStore(t *testing.T) {
--- a/pkg/controller/mirror/peers.go
+++ b/pkg/controller/mirror/peers.go
@@ -22,7 +22,10 @@
 type ReadReply struct {
 	Fresh    bool
 	Revision int64
-	Objects  []store.Object
+	// Revisions are those of all objects of the copy, Objects the ones that changed after the asker's revision: a whole copy
+	// for each of 65 nodes at each change took the link of the node that watches.
+	Revisions map[string]int64
+	Objects   []store.Object
 }
 
 // Receiver answers peers.
@@ -43,12 +46,38 @@
 		return nil
 	}
 	reply.Fresh, reply.Revision = true, c.revision
-	for _, o := range c.objects {
-		reply.Objects = append(reply.Objects, o)
+	reply.Revisions = make(map[string]int64, len(c.objects))
+	for key, o := range c.objects {
+		reply.Revisions[key] = o.Revision
+		if o.Revision > args.Revision {
+			reply.Objects = append(reply.Objects, o)
+		}
 	}
 	return nil
 }
 
+// merge completes a peer's answer by the objects that the copy holds already; false when one is not there as the peer has it.
+func (c *copied) merge(reply ReadReply) ([]store.Object, bool) {
+	changed := make(map[string]store.Object, len(reply.Objects))
+	for _, o := range reply.Objects {
+		changed[o.Key] = o
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	list := make([]store.Object, 0, len(reply.Revisions))
+	for key, revision := range reply.Revisions {
+		o, ok := changed[key]
+		if !ok {
+			o, ok = c.objects[key]
+		}
+		if !ok || o.Revision != revision {
+			return nil, false
+		}
+		list = append(list, o)
+	}
+	return list, true
+}
+
 // followPeers reads from peers while the own watch is broken.
 func (m *Mirror) followPeers(ctx context.Context, c *copied) {
 	for ctx.Err() == nil {
@@ -86,19 +115,26 @@
 func (m *Mirror) readPeer(ctx context.Context, c *copied, node string, revision int64) bool {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
-	var reply ReadReply
 	args := ReadArgs{Prefix: c.prefix.Name, Revision: revision, Any: revision < 0}
-	err := m.o.Peers.Call(ctx, node, "Mirror.Read", args, &reply)
-	if err != nil {
-		m.o.Log.Routine("peer gave no copy of the store", "prefix", c.prefix.Name, "peer", node, "error", err)
-		return false
-	}
-	if !reply.Fresh {
-		return false
+	for {
+		var reply ReadReply
+		if err := m.o.Peers.Call(ctx, node, "Mirror.Read", args, &reply); err != nil {
+			m.o.Log.Routine("peer gave no copy of the store", "prefix", c.prefix.Name, "peer", node, "error", err)
+			return false
+		}
+		if !reply.Fresh {
+			return false
+		}
+		list, whole := c.merge(reply)
+		if !whole && args.Revision >= 0 {
+			args.Revision = -1 // What both hold differs; all of it is read.
+			continue
+		}
+		m.o.Log.Routine("copy of the store taken from a peer", "prefix", c.prefix.Name, "peer", node, "revision", reply.Revision,
+			"changed", len(reply.Objects), "objects", len(list))
+		c.mu.Lock()
+		healthy := c.healthy
+		c.mu.Unlock()
+		return whole && !healthy && c.replace(list, reply.Revision, time.Now())
 	}
-	m.o.Log.Routine("copy of the store taken from a peer", "prefix", c.prefix.Name, "peer", node, "revision", reply.Revision)
-	c.mu.Lock()
-	healthy := c.healthy
-	c.mu.Unlock()
-	return !healthy && c.replace(reply.Objects, reply.Revision, time.Now())
 }
