--- a/pkg/controller/loadshare/loadshare_test.go
+++ b/pkg/controller/loadshare/loadshare_test.go
@@ -324,11 +324,11 @@
 		})
 		net.nodes[name] = e
 	}
+	first := net.nodes["n0"].chosen(time.Now())
 	for _, e := range net.nodes {
 		running.Go(func() { _ = e.Run(ctx) })
 		running.Go(func() { _ = e.Introductions(ctx) })
 	}
-	first := net.nodes["n0"].chosen(time.Now())
 	set := func(down bool) {
 		net.mu.Lock()
 		defer net.mu.Unlock()
