--- a/pkg/decision/dispatch/dispatch.go
+++ b/pkg/decision/dispatch/dispatch.go
@@ -65,12 +65,12 @@
 	Firm int
 }
 
-// Plus returns the sum of two loads, Minus the rest without one, each count at least 0.
+// Plus returns the sum of two loads.
 func (l Load) Plus(o Load) Load {
 	return Load{Online: l.Online + o.Online, Batch: l.Batch + o.Batch, Firm: l.Firm + o.Firm}
 }
 
-// Minus is described at Plus.
+// Minus returns the load without another one; no count goes below zero.
 func (l Load) Minus(o Load) Load {
 	return Load{Online: max(0, l.Online-o.Online), Batch: max(0, l.Batch-o.Batch), Firm: max(0, l.Firm-o.Firm)}
 }
--- a/pkg/listjob/accept.go
+++ b/pkg/listjob/accept.go
@@ -43,12 +43,14 @@
 		size += heldBytes(it.Body)
 	}
 	c.mu.Lock()
-	_, mine := c.jobs[s.ID]
+	mine := c.jobs[s.ID]
 	_, hinted := c.hints[s.ID]
 	held, stopping := c.held(), c.stopping
 	c.mu.Unlock()
 	switch {
-	case mine || hinted:
+	case mine != nil && mine.unconfirmed.Load():
+		return errors.Join(ErrUnknown, Error.New("items not stored yet"))
+	case mine != nil || hinted:
 		c.o.Log.Routine("job was accepted before", "job", s.ID)
 		return nil
 	case stopping, held+size > int64(maxHeldPart*float64(c.o.MemoryBytes)):
@@ -174,9 +176,18 @@
 		return errors.Join(ErrUnknown, chunksErr)
 	}
 	c.o.Log.Notice("head of a job stored before its items", "job", s.ID, "error", chunksErr)
-	c.begin(s, h, revision)
+	j := newJob(h, revision, s.Items)
+	j.unconfirmed.Store(true)
+	c.add(j)
 	stored := make(chan error, 1)
-	go func() { stored <- c.repairChunks(context.WithoutCancel(ctx), s.ID, values) }()
+	go func() {
+		err := c.repairChunks(context.WithoutCancel(ctx), s.ID, values)
+		if err == nil {
+			j.unconfirmed.Store(false)
+			c.announce(s.ID, revision)
+		}
+		stored <- err
+	}()
 	select {
 	case err := <-stored:
 		if err != nil {
@@ -201,14 +212,10 @@
 		c.o.Log.Notice("job may have been accepted", "job", s.ID, "error", err)
 		return errors.Join(ErrUnknown, err)
 	}
-	c.begin(s, h, revision)
-	return nil
-}
-
-func (c *Controller) begin(s Submission, h head, revision int64) {
 	c.o.Log.Routine("job accepted", "job", s.ID, "items", len(s.Items), "chunks", h.Chunks)
 	c.add(newJob(h, revision, s.Items))
 	c.announce(s.ID, revision)
+	return nil
 }
 
 // createHead writes a head that is not there yet. A conflict with the own head, of which an answer got lost, is none.
--- a/pkg/listjob/accept_test.go
+++ b/pkg/listjob/accept_test.go
@@ -93,6 +93,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), acceptWithin)
 	defer cancel()
 	assert.ErrorIs(t, a.Accept(ctx, submission("j", 2)), ErrUnknown)
+	assert.ErrorIs(t, a.Accept(ctx, submission("j", 2)), ErrUnknown) // The sender comes again.
 	s.set(func() { s.refuseItems = false })
 	checkWhole(t, e, readAll(t, a.Controller, "j", 20*time.Second))
 	items, err := store.ListAll(context.Background(), s.Store, itemsKind)
--- a/pkg/listjob/job.go
+++ b/pkg/listjob/job.go
@@ -180,6 +180,8 @@
 	verified time.Time
 	// contested is until when another node may still add to the log.
 	contested time.Time
+	// unconfirmed is set while the head is stored and the items are not; the job must not be confirmed to its sender.
+	unconfirmed atomic.Bool
 	// released is set once the node no longer owns the job.
 	released bool
 	// due and until come from the route: when results are due, and until when items are tried.
