Keep one copy of the weights of live nodes and of the spread Retry-After

Cause: the last reading of the change found the loop over live nodes that do not drain three times (hub, successor of a job, takers of work), the expression of the longest Retry-After twice, one set-up of cuts in four tests of list jobs, and a comment on outlierWeight that named another speed than the constant means.

Fleet.Weights serves all three, bounded calls afterOverload, and the tests call network.cutOff. No behaviour changes; the tests keep their assertions.

--- a/pkg/controller/fleet/fleet.go
+++ b/pkg/controller/fleet/fleet.go
@@ -225,20 +225,29 @@
 	return names
 }
 
-// Takers returns the other live nodes that take new work, with their weights.
-func (f *Fleet) Takers() map[string]float64 {
-	live := f.Live()
-	f.mu.Lock()
-	defer f.mu.Unlock()
+// Weights returns the weights of the live nodes that are not registered as draining, by name, for shared duties.
+func (f *Fleet) Weights() map[string]float64 {
 	weights := map[string]float64{}
-	for _, m := range live {
-		if m.Name != f.self.Name && !m.Draining && !f.draining[m.Name] {
+	for _, m := range f.Live() {
+		if !m.Draining {
 			weights[m.Name] = m.Weight
 		}
 	}
 	return weights
 }
 
+// Takers returns the weights of the other nodes that take new work: without those that the hub knows to drain.
+func (f *Fleet) Takers() map[string]float64 {
+	weights := f.Weights()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(weights, f.self.Name)
+	for name := range f.draining {
+		delete(weights, name)
+	}
+	return weights
+}
+
 // PeerAddress implements the resolver of the peer client.
 func (f *Fleet) PeerAddress(name string) (string, bool) {
 	f.mu.Lock()
--- a/pkg/controller/loadshare/loadshare.go
+++ b/pkg/controller/loadshare/loadshare.go
@@ -200,14 +200,8 @@
 	if now.Before(e.choice.until) {
 		return e.choice.hub
 	}
-	weights := map[string]float64{}
-	for _, m := range e.o.Fleet.Live() {
-		if !m.Draining {
-			weights[m.Name] = m.Weight
-		}
-	}
 	e.choice = choice{until: now.Add(chosenFor)}
-	if ranked := rendezvous.Ranked(hubKey, weights); len(ranked) > 0 {
+	if ranked := rendezvous.Ranked(hubKey, e.o.Fleet.Weights()); len(ranked) > 0 {
 		e.choice.hub = ranked[0]
 	}
 	return e.choice.hub
--- a/pkg/decision/dispatch/dispatch.go
+++ b/pkg/decision/dispatch/dispatch.go
@@ -349,8 +349,8 @@
 
 func bounded(d, remaining time.Duration, rng *rand.Rand) time.Duration {
 	d = max(d, retryLeast) + time.Duration(rng.Float64()*float64(retrySpread))
-	if longest := remaining / retryPart; d > longest {
-		d = time.Duration((1 - retryShorter*rng.Float64()) * float64(longest))
+	if d > remaining/retryPart {
+		d = afterOverload(remaining, rng)
 	}
 	return max(d, 0)
 }
--- a/pkg/decision/dispatch/evidence.go
+++ b/pkg/decision/dispatch/evidence.go
@@ -6,8 +6,8 @@
 	"trefoilplank.example/pkg/decision/outlier"
 )
 
-// outlierWeight is the weight below which an upstream gets no work while its service has others: a little over half of the
-// usual speed, or a fifth of broken runs.
+// outlierWeight is the weight below which an upstream gets no work while its service has others: half of the usual
+// speed, or a fifth of broken runs.
 const outlierWeight = 0.25
 
 // Learn enters what this node's runs on an upstream showed.
--- a/pkg/listjob/controller.go
+++ b/pkg/listjob/controller.go
@@ -269,13 +269,7 @@
 
 // successor returns the node that takes an orphaned job over.
 func (c *Controller) successor(id string) string {
-	weights := map[string]float64{}
-	for _, m := range c.o.Fleet.Live() {
-		if !m.Draining {
-			weights[m.Name] = m.Weight
-		}
-	}
-	if ranked := rendezvous.Ranked(id, weights); len(ranked) > 0 {
+	if ranked := rendezvous.Ranked(id, c.o.Fleet.Weights()); len(ranked) > 0 {
 		return ranked[0]
 	}
 	return ""
--- a/pkg/listjob/fakes_test.go
+++ b/pkg/listjob/fakes_test.go
@@ -110,6 +110,14 @@
 
 func newNetwork() *network { return &network{nodes: map[string]*Controller{}, cut: map[string]bool{}} }
 
+// cutOff cuts a node off from the others; unseen means that no hub calls it silent.
+func (n *network) cutOff(name string, unseen bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cut[name] = true
+	n.unseen = n.unseen || unseen
+}
+
 // caller is the network as one node sees it.
 type caller struct {
 	network *network
--- a/pkg/listjob/listjob_test.go
+++ b/pkg/listjob/listjob_test.go
@@ -145,9 +145,7 @@
 	assert.NilError(t, a.Accept(context.Background(), submission("j", 6)))
 	time.Sleep(100 * time.Millisecond)
 	a.stop()
-	net.mu.Lock()
-	net.cut["a"] = true
-	net.mu.Unlock()
+	net.cutOff("a", false)
 	checkWhole(t, e, readAll(t, b.Controller, "j", 30*time.Second))
 }
 
@@ -178,9 +176,7 @@
 	a := net.add(t, s, slow, "a", "b")
 	b := net.add(t, s, e, "b", "a")
 	assert.NilError(t, a.Accept(context.Background(), submission("j", 2)))
-	net.mu.Lock()
-	net.cut["a"] = true
-	net.mu.Unlock()
+	net.cutOff("a", false)
 	// A node is taken for lost after 1.3 s of silence; by then it knows for itself that no hub hears it.
 	time.Sleep(1300 * time.Millisecond)
 	assert.NilError(t, b.adopt(context.Background(), "j", nil))
@@ -198,9 +194,7 @@
 	a := net.add(t, s, e, "a", "b")
 	b := net.add(t, s, slow, "b", "a")
 	assert.NilError(t, a.Accept(context.Background(), submission("j", 2)))
-	net.mu.Lock()
-	net.cut["a"], net.unseen = true, true
-	net.mu.Unlock()
+	net.cutOff("a", true)
 	assert.NilError(t, b.adopt(context.Background(), "j", nil))
 	results := readAll(t, a.Controller, "j", 10*time.Second)
 	l, err := b.Read(context.Background(), "j", 0, 0)
@@ -224,9 +218,7 @@
 	// After its first sweeps a reads the heads seldom enough to list a result before it hears of b.
 	time.Sleep(firstSweeps * firstSweepEvery * 5 / 4)
 	assert.NilError(t, a.Accept(context.Background(), submission("j", 2)))
-	net.mu.Lock()
-	net.cut["a"], net.unseen = true, true
-	net.mu.Unlock()
+	net.cutOff("a", true)
 	assert.NilError(t, b.adopt(context.Background(), "j", nil))
 	var results []Result
 	for until := time.Now().Add(10 * time.Second); len(results) == 0; {
