Log which request a failed attempt repeats and which upstreams ended

On-call engineers could not tell the hypotheses of the incident apart: a failed attempt named the attempt's id, which is new at each repeat, and nothing said that an upstream had ended or was back under its id. Failed attempts and item runs now carry the fingerprint of the request (host, target, body) and the incarnation of the upstream, and a node logs 'upstream ended' when an entry is gone or shows a later start. TestEndedUpstreams checks the latter. No decision changes.

--- a/pkg/controller/placer/placer.go
+++ b/pkg/controller/placer/placer.go
@@ -107,12 +107,16 @@
 	}
 }
 
-// SetUpstreams replaces the list of upstreams.
-func (p *Placer) SetUpstreams(list []dispatch.Upstream) {
+// SetUpstreams replaces the list of upstreams, and returns those whose process has ended.
+func (p *Placer) SetUpstreams(list []dispatch.Upstream) (ended []dispatch.Upstream) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.state.SetUpstreams(list)
+	ended = p.state.SetUpstreams(list)
+	for _, u := range ended {
+		p.log.Notice("upstream ended", "upstream", u.ID, "incarnation", u.Incarnation, "service", u.Service, "draining", u.Draining)
+	}
 	p.signalFreed()
+	return ended
 }
 
 // OwnLoads returns the load that this node puts on each upstream.
--- a/pkg/decision/dispatch/dispatch.go
+++ b/pkg/decision/dispatch/dispatch.go
@@ -128,9 +128,14 @@
 	}
 }
 
-// SetUpstreams replaces the set of upstreams. Those that remain keep their state.
-func (s *State) SetUpstreams(list []Upstream) {
+// SetUpstreams replaces the set of upstreams. Those that remain keep their state. It returns the upstreams whose process
+// has ended: they are no longer in the set, or there with another incarnation.
+func (s *State) SetUpstreams(list []Upstream) (ended []Upstream) {
 	byID := make(map[string]*upstream, len(list))
+	previous := make(map[string]Upstream, len(s.byID))
+	for id, u := range s.byID {
+		previous[id] = u.Upstream
+	}
 	for _, svc := range s.services {
 		svc.upstreams = svc.upstreams[:0]
 	}
@@ -149,7 +154,13 @@
 		svc := s.serviceState(u.Service)
 		svc.upstreams = append(svc.upstreams, known)
 	}
+	for id, before := range previous {
+		if now := byID[id]; now == nil || now.Incarnation != before.Incarnation {
+			ended = append(ended, before)
+		}
+	}
 	s.byID = byID
+	return ended
 }
 
 // serviceState returns the state of a service, which is created if needed.
--- a/pkg/decision/dispatch/dispatch_test.go
+++ b/pkg/decision/dispatch/dispatch_test.go
@@ -223,3 +223,14 @@
 	}
 	assert.Assert(t, len(seen) > 1)
 }
+
+// Guards against a crash of an upstream that goes unnoticed because the upstream is back under the same id.
+func TestEndedUpstreams(t *testing.T) {
+	s := NewState("z")
+	a, b := Upstream{ID: "a", Service: "s", Incarnation: 1}, Upstream{ID: "b", Service: "s", Incarnation: 1}
+	assert.Equal(t, len(s.SetUpstreams([]Upstream{a, b})), 0)
+	restarted := a
+	restarted.Incarnation = 2
+	assert.DeepEqual(t, s.SetUpstreams([]Upstream{restarted, b}), []Upstream{a})
+	assert.DeepEqual(t, s.SetUpstreams([]Upstream{restarted}), []Upstream{b})
+}
--- a/pkg/forward/client.go
+++ b/pkg/forward/client.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"context"
+	"encoding/binary"
+	"encoding/hex"
 	"errors"
 	"io"
 	"net"
@@ -14,6 +16,7 @@
 	"time"
 
 	"github.com/zeebo/errs"
+	"github.com/zeebo/xxh3"
 
 	"trefoilplank.example/pkg/adapter/dial"
 	"trefoilplank.example/pkg/decision/dispatch"
@@ -166,6 +169,17 @@
 	Once bool
 }
 
+// Fingerprint identifies equal requests: those with the same host, target and body. Their ids differ.
+func (r *Request) Fingerprint() string {
+	h := xxh3.New()
+	for _, part := range [][]byte{[]byte(r.Host), []byte(r.Target), r.Body} {
+		_, _ = h.Write(binary.BigEndian.AppendUint64(nil, uint64(len(part)))) // A hash returns no error.
+		_, _ = h.Write(part)
+	}
+	sum := h.Sum128().Bytes()
+	return hex.EncodeToString(sum[:])
+}
+
 // unreplayable hides the type of the body's reader, so that the transport can't resend a request.
 type unreplayable struct{ io.Reader }
 
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -318,8 +318,9 @@
 	}
 	x.reportFailure(ctx, choice.Upstream.ID, cause)
 	fields := []any{
-		"request", x.request.ID, "route", x.route.Name, "upstream", choice.Upstream.ID, "error", cause, "ran", x.ran,
-		"refused", x.refused, "after", x.lastEvent, "left_ms", time.Until(x.deadline).Milliseconds(),
+		"request", x.request.ID, "fingerprint", x.request.Fingerprint(), "route", x.route.Name, "upstream", choice.Upstream.ID,
+		"incarnation", choice.Upstream.Incarnation, "error", cause, "ran", x.ran, "refused", x.refused, "after", x.lastEvent, "left_ms",
+		time.Until(x.deadline).Milliseconds(),
 	}
 	errors.As(cause, &x.lastFailure)
 	x.endMeasurement(ctx, cause)
--- a/pkg/listjob/run.go
+++ b/pkg/listjob/run.go
@@ -189,9 +189,8 @@
 	for name, value := range it.Header {
 		header.Set(name, value)
 	}
-	request := &forward.Request{
-		ID: it.ID, Method: http.MethodPost, Host: it.job.head.Host, Target: it.Path, Header: header, Body: it.Body,
-	}
+	request := it.request()
+	request.Header = header
 	measurement := c.options.Placer.MeasureRun(u.ID, false)
 	err := c.sendItem(ctx, it, u, request, func(events int) {
 		dataTimer.Reset(eventTimeout)
@@ -208,6 +207,11 @@
 	return err
 }
 
+// request returns the item as a request to an upstream, without its headers.
+func (it *item) request() *forward.Request {
+	return &forward.Request{ID: it.ID, Method: http.MethodPost, Host: it.job.head.Host, Target: it.Path, Body: it.Body}
+}
+
 // sendItem makes one call for an item; received is called with the number of events that arrived together.
 func (c *Controller) sendItem(ctx context.Context, it *item, u dispatch.Upstream, request *forward.Request, received func(events int)) error {
 	resp, err := c.options.Client.Send(ctx, u, request, 0, it.lastEvent)
@@ -353,7 +357,7 @@
 	}
 	it.job.mu.Unlock()
 	if !stopped {
-		c.options.Log.Notice("run of item failed, item waits for another run", fields...)
+		c.options.Log.Notice("run of item failed, item waits for another run", append(fields, "fingerprint", it.request().Fingerprint(), "incarnation", u.Incarnation)...)
 	}
 	c.wakeUp()
 }
