--- /dev/null
+++ b/pkg/controller/failedruns/failedruns.go
@@ -0,0 +1,405 @@
+// Package failedruns spreads the records of failed runs over all nodes, so that a request that crashes upstreams is not
+// sent to more of them by another node, and an item's failed runs still count when another node takes over its job.
+//
+// A node tells two others of a failed run before the work is repeated. All nodes get the records with the exchanges of
+// load. Quarantined requests are also stored, for nodes that start later or reach no other node.
+package failedruns
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"trefoilplank.example/pkg/adapter/dial"
+	"trefoilplank.example/pkg/adapter/peer"
+	"trefoilplank.example/pkg/adapter/store"
+	"trefoilplank.example/pkg/decision/dispatch"
+	"trefoilplank.example/pkg/decision/failedruns"
+	"trefoilplank.example/pkg/eventlog"
+	"trefoilplank.example/pkg/wait"
+)
+
+const (
+	// checkTimeout bounds the connection attempt that tells whether an upstream has crashed. Upstreams are a few
+	// milliseconds away.
+	checkTimeout = 100 * time.Millisecond
+	// confirmTime is how long after a run broke off the end of its upstream still counts as its cause: entries of
+	// upstreams are removed after some seconds of silence.
+	confirmTime = 6 * time.Second
+	// maxUnconfirmed limits the broken runs that wait for a confirmation.
+	maxUnconfirmed = 1024
+	// holders is the number of other nodes that are told of a failed run at once, and shareTimeout bounds the calls.
+	holders, shareTimeout = 2, 150 * time.Millisecond
+	// exchangeRecords limits the records in one exchange, and startRecords those in the answer to a node that has
+	// started, at about 150 bytes each.
+	exchangeRecords, startRecords = 256, 4096
+	// startTime is how long a node that has started tries to read the records of others, and startRetry the pause
+	// between attempts. Within it a node learns of the others.
+	startTime, startRetry = 10 * time.Second, 100 * time.Millisecond
+)
+
+// Options configures a Controller.
+type Options struct {
+	// Node is this node's name, and Incarnation the start of its process.
+	Node        string
+	Incarnation int64
+	Store       store.Store
+	Peers       peer.Caller
+	// Others returns the names of the other live nodes, in the order in which they are told.
+	Others func() []string
+	// Exchange starts an exchange with the hub.
+	Exchange func()
+	Log      *eventlog.Log
+	Metrics  *Metrics
+}
+
+// Controller records this node's failed runs and keeps those of all nodes. A nil Controller records nothing. It is safe
+// for concurrent use.
+type Controller struct {
+	options Options
+	runs    atomic.Int64
+	// crashes is set while the ledger holds crashes that count, and records while it holds any record, so that requests
+	// and items are checked without a lock otherwise.
+	crashes, records atomic.Bool
+
+	mu     sync.Mutex
+	ledger *failedruns.Ledger
+	// unconfirmed holds the runs that broke off, as long as their upstreams may turn out to have crashed.
+	unconfirmed []brokenRun
+	quarantines quarantines
+}
+
+// brokenRun is a run that ended without an answer.
+type brokenRun struct {
+	work, run string
+	upstream  dispatch.Upstream
+	at        time.Time
+}
+
+func (b brokenRun) record(now time.Time) failedruns.Record {
+	return failedruns.Record{Work: b.work, Run: b.run, Kind: failedruns.Crashed, Upstream: b.upstream.ID, Age: now.Sub(b.at)}
+}
+
+// New returns a controller. Run stores and reads quarantines.
+func New(o Options) *Controller {
+	return &Controller{options: o, ledger: failedruns.NewLedger(), quarantines: newQuarantines()}
+}
+
+// newRun returns a name for a run that no other run has.
+func (c *Controller) newRun() string {
+	return fmt.Sprintf("%s/%x/%d", c.options.Node, c.options.Incarnation, c.runs.Add(1))
+}
+
+// QuarantinedFor returns how long a request must not be sent to upstreams, or 0 if it may be sent. fingerprint is only
+// called when upstreams have crashed recently.
+func (c *Controller) QuarantinedFor(fingerprint func() string) time.Duration {
+	if c == nil || !c.crashes.Load() {
+		return 0
+	}
+	work := fingerprint()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.ledger.QuarantinedFor(work, time.Now())
+}
+
+// PausedUntil returns the time before which a batch item must not be sent to upstreams, or zero.
+func (c *Controller) PausedUntil(fingerprint func() string) time.Time {
+	if c == nil || !c.crashes.Load() {
+		return time.Time{}
+	}
+	work := fingerprint()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.ledger.PausedUntil(work)
+}
+
+// Broken records that a run ended without an answer, at a time when the upstream was expected to go on. It finds out
+// whether the upstream refuses connections, and if so, tells other nodes of the crash before it returns. Otherwise the
+// crash is recorded when the upstream's entry shows its end.
+func (c *Controller) Broken(ctx context.Context, fingerprint string, u dispatch.Upstream) {
+	if c == nil {
+		return
+	}
+	b := brokenRun{fingerprint, c.newRun(), u, time.Now()}
+	ctx = context.WithoutCancel(ctx)
+	if refusesConnections(ctx, u.Address) {
+		c.add(ctx, "upstream crashed while it ran a request", b.record(time.Now()))
+		return
+	}
+	c.expect(b)
+}
+
+// Silent records that a run was given up because its upstream sent no data since the given time. A crash is recorded
+// when the upstream's entry shows its end.
+func (c *Controller) Silent(fingerprint string, u dispatch.Upstream, since time.Time) {
+	if c != nil {
+		c.expect(brokenRun{fingerprint, c.newRun(), u, since})
+	}
+}
+
+// refusesConnections reports whether nothing listens at an address. An address that does not answer is not known to
+// refuse.
+func refusesConnections(ctx context.Context, address string) bool {
+	conn, err := dial.Dialer(checkTimeout).DialContext(ctx, "tcp", address)
+	if err == nil {
+		_ = conn.Close() // Nothing was sent.
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
+// expect keeps a broken run until its upstream's entry shows an end or confirmTime has passed.
+func (c *Controller) expect(b brokenRun) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	kept := c.unconfirmed[:0]
+	for _, old := range c.unconfirmed {
+		if now.Sub(old.at) < confirmTime {
+			kept = append(kept, old)
+		}
+	}
+	if len(kept) < maxUnconfirmed {
+		kept = append(kept, b)
+	}
+	c.unconfirmed = kept
+}
+
+// UpstreamsEnded records the crashes of upstreams whose entries show that their processes have ended, unless they were
+// leaving.
+func (c *Controller) UpstreamsEnded(ended []dispatch.Upstream) {
+	if c == nil || len(ended) == 0 {
+		return
+	}
+	crashed := map[string]int64{}
+	for _, u := range ended {
+		if !u.Draining {
+			crashed[u.ID] = u.Incarnation
+		}
+	}
+	c.mu.Lock()
+	now := time.Now()
+	var records []failedruns.Record
+	kept := c.unconfirmed[:0]
+	for _, b := range c.unconfirmed {
+		incarnation, ok := crashed[b.upstream.ID]
+		switch {
+		case now.Sub(b.at) >= confirmTime:
+		case ok && incarnation == b.upstream.Incarnation:
+			records = append(records, b.record(now))
+		default:
+			kept = append(kept, b)
+		}
+	}
+	c.unconfirmed = kept
+	c.mu.Unlock()
+	if len(records) > 0 {
+		go c.add(context.Background(), "upstream whose run broke off has ended", records...)
+	}
+}
+
+// Failed records that an upstream answered a run of an item with an error, and tells other nodes before it returns.
+func (c *Controller) Failed(ctx context.Context, item string, kind failedruns.Kind, upstream string) {
+	if c == nil {
+		return
+	}
+	c.add(context.WithoutCancel(ctx), "upstream answered an item with an error",
+		failedruns.Record{Work: item, Run: c.newRun(), Kind: kind, Upstream: upstream})
+}
+
+// Failures returns the number of an item's runs, at all nodes, that upstreams answered with an error of the kind.
+func (c *Controller) Failures(item string, kind failedruns.Kind) int {
+	if c == nil || !c.records.Load() {
+		return 0
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.ledger.Failures(item, kind)
+}
+
+// Survived records that an upstream ran a request without crashing. fingerprint is only called when upstreams have
+// crashed recently.
+func (c *Controller) Survived(fingerprint func() string) {
+	if c == nil || !c.crashes.Load() {
+		return
+	}
+	work := fingerprint()
+	c.clear("request was run without a crash", func() []failedruns.Record { return c.ledger.Survived(work) })
+}
+
+// Alive records that an upstream delivers data on a connection that has been in use since the given time.
+func (c *Controller) Alive(upstream string, inUseSince time.Time) {
+	if c == nil || !c.crashes.Load() {
+		return
+	}
+	c.clear("upstream is alive", func() []failedruns.Record { return c.ledger.Alive(upstream, inUseSince, time.Now()) })
+}
+
+// clear clears records and tells other nodes in the background.
+func (c *Controller) clear(reason string, update func() []failedruns.Record) {
+	c.mu.Lock()
+	cleared := update()
+	c.updated()
+	c.mu.Unlock()
+	if len(cleared) == 0 {
+		return
+	}
+	for _, r := range cleared {
+		c.options.Log.Routine("crash no longer counts", "fingerprint", r.Work, "upstream", r.Upstream, "reason", reason)
+	}
+	c.options.Exchange()
+}
+
+// add adds records of this node and tells other nodes.
+func (c *Controller) add(ctx context.Context, reason string, records ...failedruns.Record) {
+	c.mu.Lock()
+	c.ledger.Merge(records, "", time.Now())
+	c.updated()
+	for _, r := range records {
+		c.options.Metrics.countFailedRun(r.Kind)
+		c.options.Log.Notice("failed run recorded", "work", r.Work, "run", r.Run, "upstream", r.Upstream, "age_ms", r.Age.Milliseconds(),
+			"crashes", c.ledger.Failures(r.Work, failedruns.Crashed), "errors", c.ledger.Failures(r.Work, failedruns.Errored), "reason", reason)
+		c.logQuarantine(r.Work)
+	}
+	c.mu.Unlock()
+	c.share(ctx, records)
+	c.options.Exchange()
+}
+
+// logQuarantine logs the begin of a quarantine; c.mu is held.
+func (c *Controller) logQuarantine(work string) {
+	if left := c.ledger.QuarantinedFor(work, time.Now()); left > 0 && c.quarantines.begin(work, time.Now()) {
+		c.options.Metrics.countQuarantine()
+		c.options.Log.Notice("request quarantined", "fingerprint", work, "crashes", c.ledger.Failures(work, failedruns.Crashed), "for_ms", left.Milliseconds())
+	}
+}
+
+// updated is called after each change of the ledger, with c.mu held.
+func (c *Controller) updated() {
+	c.setFlags()
+	c.quarantines.signal()
+}
+
+func (c *Controller) setFlags() {
+	c.crashes.Store(c.ledger.Crashes())
+	c.records.Store(c.ledger.Len() > 0)
+}
+
+// share sends records to some of the other nodes and waits, at most shareTimeout, until they have them and have answered
+// with what they know of the same work.
+func (c *Controller) share(ctx context.Context, records []failedruns.Record) {
+	others := c.options.Others()
+	var calls sync.WaitGroup
+	for _, node := range others[:min(holders, len(others))] {
+		calls.Go(func() {
+			if err := c.tell(ctx, node, AddArgs{From: c.options.peerID(), Records: records}); err != nil {
+				c.options.Log.Notice("node not told of failed runs", "member", node, "runs", len(records), "error", err)
+			}
+		})
+	}
+	calls.Wait()
+}
+
+// tell sends records to a node and merges its answer.
+func (c *Controller) tell(ctx context.Context, node string, args AddArgs) error {
+	ctx, cancel := context.WithTimeout(ctx, shareTimeout)
+	defer cancel()
+	var reply AddReply
+	if err := c.options.Peers.Call(ctx, node, "FailedRuns.Add", args, &reply); err != nil {
+		return err
+	}
+	c.Merge(node, reply.Records)
+	return nil
+}
+
+// readOthers reads the records of other nodes after the start of this one, which they may take for lost at first.
+func (c *Controller) readOthers(ctx context.Context) {
+	for end := time.Now().Add(startTime); time.Now().Before(end) && ctx.Err() == nil; _ = wait.Sleep(ctx, startRetry) {
+		read := 0
+		for _, node := range c.options.Others() {
+			err := c.tell(ctx, node, AddArgs{From: c.options.peerID(), All: true})
+			c.options.Log.Routine("read failed runs of another node", "member", node, "error", err)
+			if err == nil {
+				read++
+			}
+			if read == holders {
+				return
+			}
+		}
+		if read > 0 {
+			return
+		}
+	}
+}
+
+// peerID identifies the process of this node as the source of records.
+func (o *Options) peerID() string { return PeerID(o.Node, o.Incarnation) }
+
+// PeerID identifies the process of a node as the source of records.
+func PeerID(node string, incarnation int64) string { return fmt.Sprintf("%s/%x", node, incarnation) }
+
+// Merge adds the records of another node.
+func (c *Controller) Merge(from string, records []failedruns.Record) {
+	if c == nil || len(records) == 0 {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, r := range c.ledger.Merge(records, from, time.Now()) {
+		c.options.Log.Routine("failed run learned", "work", r.Work, "run", r.Run, "upstream", r.Upstream, "age_ms", r.Age.Milliseconds(),
+			"cleared", r.Cleared, "from", from)
+		c.logQuarantine(r.Work)
+	}
+	c.updated()
+}
+
+// Since returns the records that changed after a revision of this node's ledger, without those that the process to came
+// with itself, and the revision that they lead to.
+func (c *Controller) Since(revision int64, to string) ([]failedruns.Record, int64) {
+	if c == nil {
+		return nil, 0
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.ledger.Since(revision, to, exchangeRecords, time.Now())
+}
+
+// Receiver returns the net/rpc receiver "FailedRuns".
+func (c *Controller) Receiver() *Receiver { return &Receiver{c} }
+
+// Receiver is the net/rpc receiver "FailedRuns".
+type Receiver struct{ c *Controller }
+
+// AddArgs carries records of another node; From identifies its process. All asks for all records in place of those of the
+// same work.
+type AddArgs struct {
+	From    string
+	Records []failedruns.Record
+	All     bool
+}
+
+// AddReply holds the callee's records of the same work, or all.
+type AddReply struct{ Records []failedruns.Record }
+
+// Add adds the records of another node.
+func (r *Receiver) Add(args AddArgs, reply *AddReply) error {
+	r.c.Merge(args.From, args.Records)
+	r.c.mu.Lock()
+	defer r.c.mu.Unlock()
+	now := time.Now()
+	if args.All {
+		reply.Records, _ = r.c.ledger.Since(0, "", startRecords, now)
+		return nil
+	}
+	asked := map[string]bool{}
+	for _, record := range args.Records {
+		if !asked[record.Work] {
+			asked[record.Work] = true
+			reply.Records = append(reply.Records, r.c.ledger.Of(record.Work, now)...)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/pkg/controller/failedruns/failedruns_test.go
@@ -0,0 +1,169 @@
+package failedruns
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"trefoilplank.example/pkg/adapter/peer"
+	"trefoilplank.example/pkg/adapter/store"
+	"trefoilplank.example/pkg/adapter/store/memstore"
+	"trefoilplank.example/pkg/decision/dispatch"
+	"trefoilplank.example/pkg/decision/failedruns"
+	"trefoilplank.example/pkg/eventlog"
+)
+
+// network connects the controllers of several nodes.
+type network struct {
+	mu    sync.Mutex
+	nodes map[string]*Controller
+}
+
+func (n *network) Call(_ context.Context, node, _ string, args, reply any) error {
+	n.mu.Lock()
+	c := n.nodes[node]
+	n.mu.Unlock()
+	if c == nil {
+		return peer.ErrUnreachable
+	}
+	return c.Receiver().Add(args.(AddArgs), reply.(*AddReply))
+}
+
+func (*network) CallAddress(context.Context, string, string, any, any) error {
+	return peer.ErrUnreachable
+}
+
+func (n *network) add(name string, s store.Store, others ...string) *Controller {
+	c := New(Options{
+		Node: name, Incarnation: time.Now().UnixNano(), Store: s, Peers: n, Others: func() []string { return others },
+		Exchange: func() {}, Log: &eventlog.Log{},
+	})
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.nodes[name] = c
+	return c
+}
+
+func newNetwork() *network { return &network{nodes: map[string]*Controller{}} }
+
+// upstream returns an upstream that accepts connections, or refuses them if it is down.
+func upstream(t *testing.T, id string, down bool) dispatch.Upstream {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	if down {
+		l.Close()
+	} else {
+		t.Cleanup(func() { l.Close() })
+	}
+	return dispatch.Upstream{ID: id, Incarnation: 1, Address: l.Addr().String()}
+}
+
+func quarantined(c *Controller, work string) bool {
+	return c.QuarantinedFor(func() string { return work }) > 0
+}
+
+// Guards against a request that another node sends on because it does not know of the crashes yet, or because the
+// node that saw them is gone.
+func TestOtherNodesKnowOfACrashBeforeTheRequestIsRepeated(t *testing.T) {
+	n := newNetwork()
+	a, b, c := n.add("a", nil, "lost", "c"), n.add("b", nil, "c", "a"), n.add("c", nil)
+	a.Broken(context.Background(), "work", upstream(t, "u", true))
+	assert.Assert(t, !quarantined(c, "work"))
+	b.Broken(context.Background(), "work", upstream(t, "v", true))
+	assert.Assert(t, quarantined(a, "work") && quarantined(b, "work") && quarantined(c, "work"))
+}
+
+// Guards against crashes that go unnoticed because something else accepts connections at the upstream's address, and
+// against the quarantine of requests whose upstreams left as planned or broke a connection only.
+func TestEndOfTheUpstreamConfirmsACrash(t *testing.T) {
+	for name, test := range map[string]struct {
+		ended []dispatch.Upstream
+		want  int
+	}{
+		"ended":                {[]dispatch.Upstream{{ID: "u", Incarnation: 1}}, 1},
+		"left as planned":      {[]dispatch.Upstream{{ID: "u", Incarnation: 1, Draining: true}}, 0},
+		"another one ended":    {[]dispatch.Upstream{{ID: "v", Incarnation: 1}}, 0},
+		"an earlier one ended": {[]dispatch.Upstream{{ID: "u"}}, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := newNetwork().add("a", nil)
+			c.Broken(context.Background(), "work", upstream(t, "u", false))
+			assert.Equal(t, c.Failures("work", failedruns.Crashed), 0)
+			c.UpstreamsEnded(test.ended)
+			for end := time.Now().Add(time.Second); c.Failures("work", failedruns.Crashed) < test.want && time.Now().Before(end); {
+				time.Sleep(time.Millisecond)
+			}
+			assert.Equal(t, c.Failures("work", failedruns.Crashed), test.want)
+		})
+	}
+}
+
+// storedObjects returns the objects under Prefix as a mirror passes them on.
+func storedObjects(t *testing.T, s store.Store) map[string]store.Object {
+	page, err := store.ListAll(context.Background(), s, Prefix)
+	assert.NilError(t, err)
+	objects := map[string]store.Object{}
+	for _, o := range page.Objects {
+		objects[o.Key] = o
+	}
+	return objects
+}
+
+// Guards against a quarantine that ends when all nodes that know of it are gone, and against one that faulty objects
+// in the store end or begin.
+func TestNodesThatStartLaterKnowQuarantines(t *testing.T) {
+	s, n := memstore.New(), newNetwork()
+	a := n.add("a", s)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() { _ = a.Run(ctx) }()
+	for u := range 2 {
+		a.Broken(ctx, "work", upstream(t, fmt.Sprint("u", u), true))
+	}
+	for end := time.Now().Add(2 * time.Second); len(storedObjects(t, s)) == 0 && time.Now().Before(end); {
+		time.Sleep(5 * time.Millisecond)
+	}
+	objects := storedObjects(t, s)
+	objects[Prefix+"other"] = store.Object{Key: Prefix + "other", Value: []byte(`{"fingerprint":"work","crashes":[{},{}]}`)}
+	objects[Prefix+"x"] = store.Object{Key: Prefix + "x", Value: []byte(`{`)}
+	later := newNetwork().add("later", s)
+	later.SetStored(objects)
+	assert.Assert(t, quarantined(later, "work"))
+	assert.Assert(t, !quarantined(later, "other") && !quarantined(later, "x"))
+}
+
+// Guards against a node that starts while others take it for lost, and does not know the failed runs of an item whose job
+// it takes over.
+func TestStartingNodeReadsFailedRunsOfOthers(t *testing.T) {
+	n := newNetwork()
+	n.add("a", nil).Failed(context.Background(), "item", failedruns.Errored, "u")
+	later := n.add("later", memstore.New(), "lost", "a")
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() { _ = later.Run(ctx) }()
+	for end := time.Now().Add(time.Second); later.Failures("item", failedruns.Errored) == 0 && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	assert.Equal(t, later.Failures("item", failedruns.Errored), 1)
+}
+
+// Guards against a quarantine that stays in the store after it has ended.
+func TestEndedQuarantineIsDeleted(t *testing.T) {
+	c := newNetwork().add("a", memstore.New())
+	for u := range 2 {
+		c.Broken(context.Background(), "work", upstream(t, fmt.Sprint("u", u), true))
+	}
+	c.storeChanges(context.Background())
+	assert.Equal(t, len(storedObjects(t, c.options.Store)), 1)
+	c.Survived(func() string { return "work" })
+	now := time.Now()
+	_, end, _ := c.pendingChanges(now)
+	assert.Equal(t, len(end), 0, "deleted before other nodes had their turn")
+	_, end, _ = c.pendingChanges(now.Add(deleteSpread + time.Second))
+	assert.DeepEqual(t, end, []string{"work"})
+}
--- a/pkg/controller/loadshare/hub.go
+++ b/pkg/controller/loadshare/hub.go
@@ -90,6 +90,7 @@
 	reply.Outliers = h.outliers
 	reply.Grant = h.grant(n, now)
 	reply.Revisions = h.options.Revisions()
+	h.exchangeFailedRuns(r, reply)
 }
 
 func (h *hub) addToTotals(n *nodeState) {
--- a/pkg/controller/loadshare/loadshare.go
+++ b/pkg/controller/loadshare/loadshare.go
@@ -13,8 +13,10 @@
 	"time"
 
 	"trefoilplank.example/pkg/adapter/peer"
+	controller "trefoilplank.example/pkg/controller/failedruns"
 	"trefoilplank.example/pkg/controller/fleet"
 	"trefoilplank.example/pkg/decision/dispatch"
+	"trefoilplank.example/pkg/decision/failedruns"
 	"trefoilplank.example/pkg/decision/outlier"
 	"trefoilplank.example/pkg/decision/rendezvous"
 	"trefoilplank.example/pkg/eventlog"
@@ -61,6 +63,10 @@
 	Wants map[string]dispatch.Want
 	// Evidence is the evidence about upstreams from the node's runs since its last report.
 	Evidence map[string]outlier.Evidence
+	// FailedRuns are the failed runs that the node knows and the hub has not confirmed. HubIncarnation and FailedRunsSeen are
+	// the process of the hub and the revision of its failed runs from the last answer.
+	FailedRuns                     []failedruns.Record
+	HubIncarnation, FailedRunsSeen int64
 }
 
 // Totals is the hub's answer to a report.
@@ -77,6 +83,10 @@
 	// Revisions are the revisions of the hub's copies of the store, by prefix. Copies that the hub cannot keep up to date
 	// are omitted.
 	Revisions map[string]int64
+	// FailedRuns are the failed runs that changed after the revision in the report, and lead to FailedRunsRevision.
+	// HubIncarnation is the process of the hub, 0 from a version without failed runs.
+	FailedRuns                         []failedruns.Record
+	HubIncarnation, FailedRunsRevision int64
 }
 
 // Options configures an Exchange.
@@ -104,6 +114,8 @@
 	HubAnswered func(hub string, revisions map[string]int64)
 	// HubIntroduced is called when a hub has introduced itself to this node.
 	HubIntroduced func(hub fleet.Member)
+	// FailedRuns holds the failed runs of all nodes; nil if they are not exchanged.
+	FailedRuns *controller.Controller
 	// Draining reports whether the node accepts no new callers.
 	Draining func() bool
 	Log      *eventlog.Log
@@ -115,8 +127,9 @@
 	options Options
 	hub     hub
 	// lastHub is the hub that answered last. It and cachedHub are used by one exchange at a time.
-	lastHub   string
-	cachedHub hubChoice
+	lastHub    string
+	cachedHub  hubChoice
+	failedRuns failedRunsSync
 
 	mu sync.Mutex
 	// running is the exchange in progress, or nil; next is the one that follows it at once, or nil.
@@ -156,6 +169,9 @@
 	return ctx.Err()
 }
 
+// Request starts an exchange without waiting for it.
+func (e *Exchange) Request(ctx context.Context) { e.requestExchange(context.WithoutCancel(ctx)) }
+
 // ExchangeNow exchanges load with the hub at once and reports whether the hub answered within askTimeout.
 func (e *Exchange) ExchangeNow(ctx context.Context) bool {
 	call := e.requestExchange(context.WithoutCancel(ctx))
@@ -228,6 +244,7 @@
 	if name == "" {
 		return false
 	}
+	sentUpTo := e.failedRuns.addTo(&r, name, e.options.FailedRuns)
 	callCtx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	var totals Totals
@@ -246,6 +263,8 @@
 		e.options.Log.Notice("load hub chosen", "hub", name, "before", e.lastHub)
 		e.lastHub = name
 	}
+	e.failedRuns.answered(name, sentUpTo, totals)
+	e.options.FailedRuns.Merge(e.failedRuns.hubProcess(), totals.FailedRuns)
 	e.options.ApplyTotals(totals.Loads, loads, totals.Outliers, totals.Grant)
 	e.options.HubAnswered(name, totals.Revisions)
 	e.options.Fleet.SetHubReport(totals.Silent, totals.Draining)
--- a/pkg/controller/loadshare/loadshare_test.go
+++ b/pkg/controller/loadshare/loadshare_test.go
@@ -21,13 +21,18 @@
 
 func testFleet(self string, names ...string) *fleet.Fleet {
 	f := fleet.New(memstore.New(), fleet.Member{Name: self, Incarnation: 1, Weight: 1}, &eventlog.Log{})
+	f.SetRegistered(registered(append(names, self)...))
+	return f
+}
+
+// registered returns the entries of nodes.
+func registered(names ...string) map[string]store.Object {
 	objects := map[string]store.Object{}
-	for _, name := range append(names, self) {
+	for _, name := range names {
 		key := fleet.Prefix + name
 		objects[key] = store.Object{Key: key, Value: fmt.Appendf(nil, `{"name":%q,"incarnation":1,"weight":1}`, name)}
 	}
-	f.SetRegistered(objects)
-	return f
+	return objects
 }
 
 // grantOneSlot grants a slot on "u" if one of its two is neither in use nor granted.
@@ -236,12 +241,7 @@
 // whose hub was cut off from the store switched back and forth between two hubs for seconds.
 func TestRemovalsDelayNoIntroductions(t *testing.T) {
 	f := fleet.New(hangingStore{memstore.New()}, fleet.Member{Name: "hub", Incarnation: 1, Weight: 1}, &eventlog.Log{})
-	objects := map[string]store.Object{}
-	for _, name := range []string{"a", "elsewhere", "hub", "lost1", "lost2", "lost3"} {
-		key := fleet.Prefix + name
-		objects[key] = store.Object{Key: key, Value: fmt.Appendf(nil, `{"name":%q,"incarnation":1,"weight":1}`, name)}
-	}
-	f.SetRegistered(objects)
+	f.SetRegistered(registered("a", "elsewhere", "hub", "lost1", "lost2", "lost3"))
 	net := &fleetPeers{nodes: map[string]*Exchange{}, down: map[string]bool{}}
 	options := Options{
 		Fleet: f, Peers: caller{net, "hub"}, Log: &eventlog.Log{}, Grants: grantOneSlot, HubIntroduced: func(fleet.Member) {},
--- /dev/null
+++ b/pkg/decision/failedruns/failedruns.go
@@ -0,0 +1,338 @@
+// Package failedruns keeps the failed runs that limit how often work is repeated: runs under which upstreams crashed, and
+// batch items' runs that upstreams answered with an error.
+//
+// Every node holds a ledger of all nodes' records. Ledgers are merged in any order and any number of times: a record is
+// identified by its work and its run, and once cleared it stays cleared.
+package failedruns
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// Lifetime is how long a record counts, and how long a quarantine lasts after the last crash.
+	Lifetime = 10 * time.Minute
+	// quarantineCrashes is the number of upstreams that may crash under a request. A request that shared an upstream with
+	// the one that crashed it has a single crash, since it is repeated elsewhere.
+	quarantineCrashes = 2
+	// itemPause is the pause after the crash that quarantines a batch item; it doubles with each further crash. An item can
+	// only end by its own result, so it is repeated rarely instead of being refused.
+	itemPause = 10 * time.Second
+	// aliveMargin is how long after a recorded crash an upstream must deliver data on a connection opened before it, to
+	// count as alive: data sent before the crash arrives within it.
+	aliveMargin = 100 * time.Millisecond
+	// capacity limits the records of a ledger, which take about 200 bytes each.
+	capacity = 4096
+	// evictionPart of the records are dropped at once when a ledger is full.
+	evictionPart = 0.125
+)
+
+// Kind is the way in which a run failed.
+type Kind int8
+
+const (
+	// Crashed means that the upstream ended while it ran the work.
+	Crashed Kind = iota + 1
+	// Errored means that the upstream answered with an error after which the work may be repeated.
+	Errored
+	// Rejected means that the upstream answered that the work can never be done.
+	Rejected
+)
+
+// Record is a failed run as nodes send it to each other.
+type Record struct {
+	// Work identifies what was run: the fingerprint of a request, or the id of an item.
+	Work string
+	// Run identifies the run among those of the work.
+	Run      string
+	Kind     Kind
+	Upstream string
+	// Age is the time since the run failed. Nodes exchange ages, since their clocks differ.
+	Age time.Duration
+	// Cleared is set when the run no longer counts, because it turned out that the work did not cause the crash.
+	Cleared bool
+}
+
+// entry is a record in a ledger.
+type entry struct {
+	Record
+	at time.Time
+	// revision is that of the entry's last change; source is the node from which the change came, or empty.
+	revision int64
+	source   string
+}
+
+// Ledger holds the records of all nodes. It is not safe for concurrent use.
+type Ledger struct {
+	// entries is by work and run; byUpstream holds the crashes of an upstream that are not cleared.
+	entries    map[string]map[string]*entry
+	byUpstream map[string]map[*entry]struct{}
+	count      int
+	revision   int64
+}
+
+// NewLedger returns an empty ledger.
+func NewLedger() *Ledger {
+	return &Ledger{entries: map[string]map[string]*entry{}, byUpstream: map[string]map[*entry]struct{}{}}
+}
+
+// Len returns the number of records, and Crashes whether any of them is a crash that is not cleared.
+func (l *Ledger) Len() int      { return l.count }
+func (l *Ledger) Crashes() bool { return len(l.byUpstream) > 0 }
+
+// Merge adds records of a node, or of this one if source is empty, and returns those that changed the ledger.
+func (l *Ledger) Merge(records []Record, source string, now time.Time) (changed []Record) {
+	for _, r := range records {
+		if r.Age < 0 {
+			r.Age = 0
+		}
+		if r.Age < Lifetime && l.add(r, source, now) {
+			changed = append(changed, r)
+		}
+	}
+	if l.count > capacity {
+		l.evict(now)
+	}
+	return changed
+}
+
+func (l *Ledger) add(r Record, source string, now time.Time) bool {
+	e := l.entries[r.Work][r.Run]
+	switch {
+	case e == nil:
+		e = &entry{Record: r, at: now.Add(-r.Age)}
+		if l.entries[r.Work] == nil {
+			l.entries[r.Work] = map[string]*entry{}
+		}
+		l.entries[r.Work][r.Run] = e
+		l.count++
+	case r.Cleared && !e.Cleared:
+		e.Cleared = true
+	default:
+		return false
+	}
+	l.changed(e, source)
+	return true
+}
+
+// changed gives an entry the next revision and brings byUpstream up to date.
+func (l *Ledger) changed(e *entry, source string) {
+	l.revision++
+	e.revision, e.source = l.revision, source
+	if e.Kind != Crashed {
+		return
+	}
+	if e.Cleared {
+		l.unindex(e)
+		return
+	}
+	if l.byUpstream[e.Upstream] == nil {
+		l.byUpstream[e.Upstream] = map[*entry]struct{}{}
+	}
+	l.byUpstream[e.Upstream][e] = struct{}{}
+}
+
+func (l *Ledger) unindex(e *entry) {
+	delete(l.byUpstream[e.Upstream], e)
+	if len(l.byUpstream[e.Upstream]) == 0 {
+		delete(l.byUpstream, e.Upstream)
+	}
+}
+
+// Expire drops the records that have reached Lifetime.
+func (l *Ledger) Expire(now time.Time) {
+	for _, runs := range l.entries {
+		for _, e := range runs {
+			if now.Sub(e.at) >= Lifetime {
+				l.remove(e)
+			}
+		}
+	}
+}
+
+func (l *Ledger) remove(e *entry) {
+	delete(l.entries[e.Work], e.Run)
+	if len(l.entries[e.Work]) == 0 {
+		delete(l.entries, e.Work)
+	}
+	l.unindex(e)
+	l.count--
+}
+
+// evict drops expired records and evictionPart of the others: cleared ones first, then those of work that is not
+// quarantined, the oldest first.
+func (l *Ledger) evict(now time.Time) {
+	l.Expire(now)
+	if l.count <= capacity {
+		return
+	}
+	type candidate struct {
+		*entry
+		rank int
+	}
+	var all []candidate
+	for work, runs := range l.entries {
+		quarantined := l.crashes(work) >= quarantineCrashes
+		for _, e := range runs {
+			c := candidate{entry: e, rank: 1}
+			switch {
+			case e.Cleared:
+				c.rank = 0
+			case quarantined:
+				c.rank = 2
+			}
+			all = append(all, c)
+		}
+	}
+	slices.SortFunc(all, func(a, b candidate) int { return cmp.Or(cmp.Compare(a.rank, b.rank), a.at.Compare(b.at)) })
+	for _, c := range all[:int(evictionPart*float64(len(all)))] {
+		l.remove(c.entry)
+	}
+}
+
+// crashes returns the number of upstreams that crashed under the work.
+func (l *Ledger) crashes(work string) (n int) {
+	for _, e := range l.entries[work] {
+		if e.Kind == Crashed && !e.Cleared {
+			n++
+		}
+	}
+	return n
+}
+
+// Failures returns the number of runs of the work that failed in the given way.
+func (l *Ledger) Failures(work string, kind Kind) (n int) {
+	for _, e := range l.entries[work] {
+		if e.Kind == kind && !e.Cleared {
+			n++
+		}
+	}
+	return n
+}
+
+// lastCrash returns the time of the last crash under the work.
+func (l *Ledger) lastCrash(work string) (last time.Time) {
+	for _, e := range l.entries[work] {
+		if e.Kind == Crashed && !e.Cleared && e.at.After(last) {
+			last = e.at
+		}
+	}
+	return last
+}
+
+// QuarantinedFor returns how long a request must not be sent to upstreams, or 0 if it may be sent now.
+func (l *Ledger) QuarantinedFor(work string, now time.Time) time.Duration {
+	if l.crashes(work) < quarantineCrashes {
+		return 0
+	}
+	return max(0, l.lastCrash(work).Add(Lifetime).Sub(now))
+}
+
+// PausedUntil returns the time before which a batch item must not be sent to upstreams, or zero if it may be sent now.
+func (l *Ledger) PausedUntil(work string) time.Time {
+	crashes := l.crashes(work)
+	if crashes < quarantineCrashes {
+		return time.Time{}
+	}
+	pause := Lifetime
+	if doubled := crashes - quarantineCrashes; doubled < 6 {
+		pause = min(pause, itemPause<<doubled)
+	}
+	return l.lastCrash(work).Add(pause)
+}
+
+// Survived clears the crashes of work that an upstream has just run without crashing.
+func (l *Ledger) Survived(work string) (changed []Record) {
+	for _, e := range l.entries[work] {
+		if e.Kind == Crashed && !e.Cleared {
+			changed = append(changed, l.clear(e))
+		}
+	}
+	return changed
+}
+
+// Alive clears the crashes recorded for an upstream that still delivers data on a connection: one that was in use since
+// before the recorded crash proves that only the path of the reporting node was interrupted.
+func (l *Ledger) Alive(upstream string, inUseSince, now time.Time) (changed []Record) {
+	for e := range l.byUpstream[upstream] {
+		if inUseSince.Before(e.at) && now.Sub(e.at) > aliveMargin {
+			changed = append(changed, l.clear(e))
+		}
+	}
+	return changed
+}
+
+func (l *Ledger) clear(e *entry) Record {
+	e.Cleared = true
+	l.changed(e, "")
+	return e.Record
+}
+
+// Since returns up to limit records that changed after a revision, the oldest change first, and the revision that they
+// lead to. It leaves out the changes that came from the given node.
+func (l *Ledger) Since(revision int64, node string, limit int, now time.Time) ([]Record, int64) {
+	if revision >= l.revision {
+		return nil, l.revision
+	}
+	var newer []*entry
+	for _, runs := range l.entries {
+		for _, e := range runs {
+			if e.revision > revision && now.Sub(e.at) < Lifetime && (e.source == "" || e.source != node) {
+				newer = append(newer, e)
+			}
+		}
+	}
+	if len(newer) == 0 {
+		return nil, l.revision
+	}
+	slices.SortFunc(newer, func(a, b *entry) int { return cmp.Compare(a.revision, b.revision) })
+	upTo := l.revision
+	if len(newer) > limit {
+		newer = newer[:limit]
+		upTo = newer[limit-1].revision
+	}
+	records := make([]Record, 0, len(newer))
+	for _, e := range newer {
+		records = append(records, e.aged(now))
+	}
+	return records, upTo
+}
+
+// Quarantined returns the crashes of each quarantined work.
+func (l *Ledger) Quarantined(now time.Time) map[string][]Record {
+	all := map[string][]Record{}
+	for _, crashes := range l.byUpstream {
+		for e := range crashes {
+			if _, done := all[e.Work]; !done && l.QuarantinedFor(e.Work, now) > 0 {
+				all[e.Work] = l.Crashed(e.Work, now)
+			}
+		}
+	}
+	return all
+}
+
+// Crashed returns the crashes of a work that are not cleared.
+func (l *Ledger) Crashed(work string, now time.Time) (records []Record) {
+	for _, e := range l.entries[work] {
+		if e.Kind == Crashed && !e.Cleared {
+			records = append(records, e.aged(now))
+		}
+	}
+	return records
+}
+
+// Of returns all records of a work.
+func (l *Ledger) Of(work string, now time.Time) (records []Record) {
+	for _, e := range l.entries[work] {
+		records = append(records, e.aged(now))
+	}
+	return records
+}
+
+func (e *entry) aged(now time.Time) Record {
+	r := e.Record
+	r.Age = max(0, now.Sub(e.at))
+	return r
+}
--- /dev/null
+++ b/pkg/decision/failedruns/failedruns_test.go
@@ -0,0 +1,126 @@
+package failedruns
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+var start = time.Unix(1000, 0)
+
+func crash(work, run, upstream string) Record {
+	return Record{Work: work, Run: run, Kind: Crashed, Upstream: upstream}
+}
+
+// Guards against a request that is sent on after two upstreams crashed under it, and against the quarantine of one that
+// merely shared an upstream with it.
+func TestSecondCrashQuarantines(t *testing.T) {
+	l := NewLedger()
+	l.Merge([]Record{crash("culprit", "1", "u"), crash("neighbour", "2", "u")}, "", start)
+	assert.Equal(t, l.QuarantinedFor("culprit", start), time.Duration(0))
+	l.Merge([]Record{crash("culprit", "3", "v")}, "", start.Add(time.Second))
+	assert.Equal(t, l.QuarantinedFor("culprit", start.Add(time.Second)), Lifetime)
+	assert.Equal(t, l.QuarantinedFor("neighbour", start.Add(time.Second)), time.Duration(0))
+	assert.Equal(t, l.QuarantinedFor("culprit", start.Add(time.Second+Lifetime)), time.Duration(0))
+}
+
+// Guards against the quarantine of requests whose node lost its path to healthy upstreams: the nodes that still receive
+// their data clear the crashes.
+func TestLiveUpstreamClearsItsCrashes(t *testing.T) {
+	l := NewLedger()
+	l.Merge([]Record{crash("w", "1", "u"), crash("w", "2", "v")}, "other", start)
+	assert.Equal(t, len(l.Alive("u", start.Add(time.Millisecond), start.Add(time.Second))), 0, "the connection is newer than the crash")
+	assert.Equal(t, len(l.Alive("u", start.Add(-time.Second), start.Add(aliveMargin/2))), 0, "the data may have been sent before the crash")
+	assert.Equal(t, len(l.Alive("u", start.Add(-time.Second), start.Add(time.Second))), 1)
+	assert.Equal(t, l.QuarantinedFor("w", start.Add(time.Second)), time.Duration(0))
+	l.Merge([]Record{crash("w", "1", "u")}, "other", start.Add(time.Second))
+	assert.Equal(t, l.QuarantinedFor("w", start.Add(time.Second)), time.Duration(0), "a late copy of a cleared record counts again")
+}
+
+// Guards against the quarantine of a request that an upstream has run without crashing.
+func TestSurvivedRunClearsCrashes(t *testing.T) {
+	l := NewLedger()
+	l.Merge([]Record{crash("w", "1", "u"), crash("w", "2", "v")}, "", start)
+	l.Survived("w")
+	assert.Equal(t, l.QuarantinedFor("w", start), time.Duration(0))
+	assert.Assert(t, !l.Crashes())
+}
+
+// Guards against an item that crashes upstreams and is repeated so often that more than three runs follow its third
+// crash within its retention of a minute.
+func TestPausesOfAnItemGrow(t *testing.T) {
+	l := NewLedger()
+	now, runs := start, 0
+	for now.Before(start.Add(time.Minute)) {
+		if now.Before(l.PausedUntil("w")) {
+			now = l.PausedUntil("w")
+			continue
+		}
+		runs++
+		l.Merge([]Record{crash("w", fmt.Sprint(runs), fmt.Sprint("u", runs))}, "", now)
+		now = now.Add(time.Second)
+	}
+	assert.Assert(t, runs <= 6, "%d runs", runs)
+}
+
+// Guards against nodes whose ledgers stay different after they have exchanged all changes, in any order, with limited
+// messages and repeated ones.
+func TestLedgersConverge(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const nodes = 3
+		now := start
+		var ledgers [nodes]*Ledger
+		var seen [nodes][nodes]int64
+		for n := range ledgers {
+			ledgers[n] = NewLedger()
+		}
+		exchange := func(from, to int) {
+			records, revision := ledgers[from].Since(seen[to][from], fmt.Sprint(to), 2, now)
+			ledgers[to].Merge(records, fmt.Sprint(from), now)
+			seen[to][from] = revision
+		}
+		draw := func(of string, n int) int { return rapid.IntRange(0, n-1).Draw(t, of) }
+		for step := range rapid.IntRange(1, 40).Draw(t, "steps") {
+			now = now.Add(time.Millisecond)
+			l, work := ledgers[draw("node", nodes)], fmt.Sprint("w", draw("work", 3))
+			switch draw("kind", 4) {
+			case 0:
+				l.Merge([]Record{crash(work, fmt.Sprint(step), fmt.Sprint("u", draw("upstream", 3)))}, "", now)
+			case 1:
+				l.Survived(work)
+			default:
+				exchange(draw("from", nodes), draw("to", nodes))
+			}
+		}
+		for range 100 {
+			for from := range nodes {
+				for to := range nodes {
+					exchange(from, to)
+				}
+			}
+		}
+		for w := range 3 {
+			work := fmt.Sprint("w", w)
+			for n := 1; n < nodes; n++ {
+				if ledgers[n].crashes(work) != ledgers[0].crashes(work) || ledgers[n].Len() != ledgers[0].Len() {
+					t.Fatalf("%s: node %d counts %d of %d records, node 0 %d of %d", work, n, ledgers[n].crashes(work), ledgers[n].Len(), ledgers[0].crashes(work), ledgers[0].Len())
+				}
+			}
+		}
+	})
+}
+
+// Guards against a flood of failed runs that pushes out the records of a quarantined request, and against a ledger that
+// grows without limit.
+func TestFloodKeepsQuarantine(t *testing.T) {
+	l := NewLedger()
+	l.Merge([]Record{crash("culprit", "1", "u"), crash("culprit", "2", "v")}, "", start)
+	for n := range 2 * capacity {
+		l.Merge([]Record{crash(fmt.Sprint("w", n), "1", "u")}, "", start.Add(time.Second))
+	}
+	assert.Assert(t, l.Len() <= capacity)
+	assert.Assert(t, l.QuarantinedFor("culprit", start.Add(time.Second)) > 0)
+}
--- a/pkg/edge/node.go
+++ b/pkg/edge/node.go
@@ -21,11 +21,13 @@
 	"trefoilplank.example/pkg/adapter/dial"
 	"trefoilplank.example/pkg/adapter/peer"
 	"trefoilplank.example/pkg/adapter/store"
+	"trefoilplank.example/pkg/controller/failedruns"
 	"trefoilplank.example/pkg/controller/fleet"
 	"trefoilplank.example/pkg/controller/loadshare"
 	"trefoilplank.example/pkg/controller/mirror"
 	"trefoilplank.example/pkg/controller/placer"
 	"trefoilplank.example/pkg/decision/dispatch"
+	"trefoilplank.example/pkg/decision/rendezvous"
 	"trefoilplank.example/pkg/decision/routing"
 	"trefoilplank.example/pkg/eventlog"
 	"trefoilplank.example/pkg/forward"
@@ -113,6 +115,7 @@
 	mirror        *mirror.Mirror
 	exchange      *loadshare.Exchange
 	placer        *placer.Placer
+	failedRuns    *failedruns.Controller
 	client        *forward.Client
 	forwarder     *forward.Forwarder
 	jobs          *listjob.Controller
@@ -149,6 +152,10 @@
 	n.buildPeers()
 	n.placer = placer.New(s.AvailabilityZone, log)
 	n.client = forward.NewClient(p.HeaderNames())
+	n.failedRuns = failedruns.New(failedruns.Options{
+		Node: s.Name, Incarnation: n.fleet.Self().Incarnation, Store: n.store, Peers: n.peers, Others: n.failedRunHolders,
+		Exchange: func() { n.exchange.Request(context.Background()) }, Log: log, Metrics: failedruns.NewMetrics(n.metrics),
+	})
 	n.buildMirror()
 	return n, n.buildServing(limit)
 }
@@ -182,6 +189,7 @@
 		mirror.Prefix{Name: n.platform.ConfigPrefix(), Handle: n.applyConfiguration},
 		mirror.Prefix{Name: n.platform.UpstreamPrefix(), Handle: n.applyUpstreams, AbsenceGrace: absenceGrace},
 		mirror.Prefix{Name: fleet.Prefix, Handle: n.fleet.SetRegistered},
+		mirror.Prefix{Name: failedruns.Prefix, Handle: n.failedRuns.SetStored},
 	)
 }
 
@@ -194,12 +202,12 @@
 	n.exchange = loadshare.New(loadshare.Options{
 		Fleet: n.fleet, Peers: n.peers, OwnLoads: n.placer.OwnLoads, Wants: n.jobs.Wants, ApplyTotals: n.placer.ApplyTotals, Grants: n.placer.Grants,
 		Evidence: n.placer.Evidence, AddEvidence: n.placer.AddEvidence, Outliers: n.placer.Outliers, HubIntroduced: n.handleIntroduction,
-		Revisions: n.mirror.Revisions, HubAnswered: n.followHub, Draining: n.draining.Load, Log: n.log,
+		Revisions: n.mirror.Revisions, HubAnswered: n.followHub, FailedRuns: n.failedRuns, Draining: n.draining.Load, Log: n.log,
 		Metrics: loadshare.NewMetrics(n.metrics),
 	})
 	callers := CallerOptions{Table: n.table.Load, Jobs: n.jobs, Draining: n.draining.Load, Log: n.log}
 	n.forwarder = forward.New(forward.Options{
-		HeaderNames: n.platform.HeaderNames(), Placer: n.placer, Client: n.client, Table: n.table.Load, Draining: n.draining.Load,
+		HeaderNames: n.platform.HeaderNames(), Placer: n.placer, Client: n.client, FailedRuns: n.failedRuns, Table: n.table.Load, Draining: n.draining.Load,
 		DrainEnd:     n.drainEndTime,
 		RequestSlots: n.exchange.ExchangeNow,
 		BatchHandler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { n.callerHandler.ServeHTTP(w, r) }),
@@ -211,6 +219,7 @@
 		n.peerServer.Register("Mirror", n.mirror.Receiver()),
 		n.peerServer.Register("Load", n.exchange.Receiver()),
 		n.peerServer.Register("Jobs", n.jobs.Receiver()),
+		n.peerServer.Register("FailedRuns", n.failedRuns.Receiver()),
 	)
 }
 
@@ -296,7 +305,15 @@
 	}
 	n.invalidEntries = seen
 	n.mu.Unlock()
-	n.placer.SetUpstreams(list)
+	n.failedRuns.UpstreamsEnded(n.placer.SetUpstreams(list))
+}
+
+// failedRunHolders returns the other live nodes in the order in which they are told of failed runs: by rendezvous
+// hashing, so that the records of all nodes do not lie at the same few ones.
+func (n *Node) failedRunHolders() []string {
+	weights := n.fleet.Weights()
+	delete(weights, n.settings.Name)
+	return rendezvous.Ranked(n.settings.Name, weights)
 }
 
 // Reload applies changed settings. Addresses can't change after the start.
@@ -326,7 +343,7 @@
 	group, working := errgroup.WithContext(working)
 	group.Go(func() error { return n.peerServer.Serve(n.peerListen) })
 	for name, run := range map[string]func(context.Context) error{
-		"mirror": n.mirror.Run, "jobs": n.jobs.Run, "join": n.join,
+		"mirror": n.mirror.Run, "jobs": n.jobs.Run, "join": n.join, "failed runs": n.failedRuns.Run,
 		"retirement": n.watchRetirements, "introductions": n.exchange.RunIntroductions, "registration": n.fleet.KeepRegistered, "removals": n.exchange.RunRemovals,
 	} {
 		group.Go(func() error {
--- a/pkg/forward/client.go
+++ b/pkg/forward/client.go
@@ -262,6 +262,18 @@
 	_ = resp.Body.Close()
 }
 
+// BrokeOff reports whether a failed attempt ended because the upstream broke off its answer or its connection, rather
+// than by an answer, a refusal or the caller.
+func BrokeOff(err error) bool {
+	var failure *failureResponse
+	for _, other := range []error{ErrNotRun, ErrMismatch, ErrUnsigned, ErrUnresponsive, errCallerGone} {
+		if errors.Is(err, other) {
+			return false
+		}
+	}
+	return err != nil && !errors.As(err, &failure)
+}
+
 // classify marks errors of requests that were never sent with ErrNotRun, and those caused by a dataTimer with
 // ErrUnresponsive.
 func classify(ctx context.Context, err error) error {
--- a/pkg/forward/fakes_test.go
+++ b/pkg/forward/fakes_test.go
@@ -14,6 +14,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"trefoilplank.example/pkg/controller/failedruns"
 	"trefoilplank.example/pkg/controller/placer"
 	"trefoilplank.example/pkg/decision/dispatch"
 	"trefoilplank.example/pkg/decision/routing"
@@ -39,6 +40,8 @@
 	mu        sync.Mutex
 	received  []receivedRequest
 	cancelled chan string
+	// upstreams holds the fake upstreams by name.
+	upstreams map[string]*httptest.Server
 	// drainEnd is when the node closes, or zero while it does not drain.
 	drainEnd time.Time
 }
@@ -48,7 +51,7 @@
 // newFixture starts a forwarder with the upstreams u0, u1, …, each with the given behaviour. Every response echoes
 // the request's ID and is signed unless the behaviour changes that.
 func newFixture(t *testing.T, behaviours ...behaviour) *fixture {
-	f := &fixture{cancelled: make(chan string, 10)}
+	f := &fixture{cancelled: make(chan string, 10), upstreams: map[string]*httptest.Server{}}
 	log := &eventlog.Log{}
 	p := placer.New("zone", log)
 	var upstreams []dispatch.Upstream
@@ -64,6 +67,7 @@
 			b(f, w, r)
 		}))
 		t.Cleanup(server.Close)
+		f.upstreams[name] = server
 		upstreams = append(upstreams, dispatch.Upstream{
 			ID: name, Address: strings.TrimPrefix(server.URL, "http://"), Service: "s", AvailabilityZone: "zone", Slots: 8,
 		})
@@ -77,6 +81,7 @@
 	t.Cleanup(client.Close)
 	f.Server = httptest.NewServer(New(Options{
 		HeaderNames: testHeaders, Placer: p, Client: client, Table: func() *routing.Table { return table },
+		FailedRuns:   failedruns.New(failedruns.Options{Node: "node", Others: func() []string { return nil }, Exchange: func() {}, Log: log}),
 		RequestSlots: func(context.Context) bool { return false }, Log: log,
 		Draining: func() bool { return !f.drainEnd.IsZero() }, DrainEnd: func() time.Time { return f.drainEnd },
 	}))
@@ -140,6 +145,20 @@
 
 func streamsAll(_ *fixture, w http.ResponseWriter, r *http.Request) { stream(w, r, 10) }
 
+// crashes ends the upstream as soon as it runs a request whose body says so, and streams all events otherwise.
+func crashes(f *fixture, w http.ResponseWriter, r *http.Request) {
+	received := f.requests()
+	if received[len(received)-1].body != crashBody {
+		stream(w, r, 10)
+		return
+	}
+	server := f.upstreams[r.Header.Get(testHeaders.ExpectInstance)]
+	server.Listener.Close()
+	server.CloseClientConnections()
+}
+
+const crashBody = "crashes upstreams"
+
 // breaksOnce breaks the connection in the middle of event 4 on the first request of a fixture, and streams all events
 // otherwise.
 func breaksOnce(f *fixture, w http.ResponseWriter, r *http.Request) {
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -18,6 +18,7 @@
 
 	"github.com/zeebo/xxh3"
 
+	"trefoilplank.example/pkg/controller/failedruns"
 	"trefoilplank.example/pkg/controller/placer"
 	"trefoilplank.example/pkg/decision/dispatch"
 	"trefoilplank.example/pkg/decision/routing"
@@ -54,6 +55,8 @@
 	HeaderNames HeaderNames
 	Placer      *placer.Placer
 	Client      *Client
+	// FailedRuns holds the failed runs of all nodes; nil if they are not recorded.
+	FailedRuns *failedruns.Controller
 	// Table returns the routes in force, or nil before a configuration is known.
 	Table func() *routing.Table
 	// BatchHandler serves the requests on batch routes.
@@ -119,6 +122,8 @@
 	// headersSent is set once the response headers were written to the caller.
 	headersSent      bool
 	timeToFirstEvent time.Duration
+	// attemptStarted is when the attempt in progress was sent.
+	attemptStarted time.Time
 	// measurement collects the timing of the attempt in progress, for the detection of slow upstreams.
 	measurement *placer.RunMeasurement
 }
@@ -257,6 +262,10 @@
 func (x *exchange) run(ctx context.Context) {
 	_ = http.NewResponseController(x.w).SetWriteDeadline(x.deadline.Add(writeGrace)) // Without it a write blocks until the connection ends.
 	for {
+		if left := x.options.FailedRuns.QuarantinedFor(x.request.Fingerprint); left > 0 {
+			x.refuseQuarantined(left)
+			return
+		}
 		choice := x.chooseUpstream(ctx)
 		if choice.Verdict == dispatch.Refuse || choice.Verdict == dispatch.NoUpstream {
 			x.refuse(choice)
@@ -264,6 +273,7 @@
 		}
 		err := x.attemptAndRelease(ctx, choice)
 		if err == nil {
+			x.options.FailedRuns.Survived(x.request.Fingerprint)
 			x.countResponse()
 			x.options.Metrics.observeDelivered(x.route, time.Since(x.received), x.timeToFirstEvent)
 			return
@@ -317,6 +327,7 @@
 		x.ran++
 	}
 	x.reportFailure(ctx, choice.Upstream.ID, cause)
+	x.recordBrokenRun(ctx, choice.Upstream, cause)
 	fields := []any{
 		"request", x.request.ID, "fingerprint", x.request.Fingerprint(), "route", x.route.Name, "upstream", choice.Upstream.ID,
 		"incarnation", choice.Upstream.Incarnation, "error", cause, "ran", x.ran, "refused", x.refused, "after", x.lastEvent, "left_ms",
@@ -420,6 +431,7 @@
 	timer := x.startDataTimer(choice, cancel)
 	defer timer.Stop()
 	sent := time.Now()
+	x.attemptStarted = sent
 	x.measurement = x.options.Placer.MeasureRun(choice.Upstream.ID, choice.Free <= 0)
 	resp, err := x.options.Client.Send(ctx, choice.Upstream, &x.request, time.Until(x.deadline), x.resumeFrom())
 	if err != nil {
@@ -432,7 +444,7 @@
 	}
 	switch {
 	case strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream") && resp.StatusCode == http.StatusOK:
-		err = x.relayStream(ctx, resp, timer)
+		err = x.relayStream(ctx, choice.Upstream, resp, timer)
 	case x.headersSent:
 		err = Error.New("upstream answered with status %d instead of resuming the stream", resp.StatusCode)
 	default:
--- a/pkg/forward/forward_test.go
+++ b/pkg/forward/forward_test.go
@@ -210,3 +210,23 @@
 		assert.Equal(t, body, allEvents())
 	}
 }
+
+// Guards against a request that is sent to more upstreams after two have crashed under it, although its route allows
+// more attempts, when the caller repeats it; and against the refusal of other requests.
+func TestRequestThatCrashesUpstreamsIsRefused(t *testing.T) {
+	f := newFixture(t, crashes, crashes, crashes, crashes)
+	resp, _, err := f.call(t, "/stream/x", crashBody)
+	assert.NilError(t, err)
+	assert.Equal(t, resp.StatusCode, http.StatusBadGateway)
+	for range 3 {
+		resp, _, err = f.call(t, "/stream/x", crashBody)
+		assert.NilError(t, err)
+		assert.Equal(t, resp.StatusCode, http.StatusServiceUnavailable)
+		assert.Assert(t, resp.Header.Get("Retry-After") != "")
+	}
+	assert.Equal(t, len(f.requests()), 2)
+	resp, body, err := f.call(t, "/stream/x", "harmless")
+	assert.NilError(t, err)
+	assert.Equal(t, resp.StatusCode, http.StatusOK)
+	assert.Equal(t, body, allEvents())
+}
--- a/pkg/forward/metrics.go
+++ b/pkg/forward/metrics.go
@@ -14,8 +14,8 @@
 // NewMetrics returns metrics that are registered in set.
 func NewMetrics(set *metrics.Set) *Metrics { return &Metrics{set} }
 
-// countOutcome counts an event of a request: delivered, sent_again, refused, failed, left (the caller disconnected) or
-// silence_borne (the upstream is unresponsive, but the budget allows no retry).
+// countOutcome counts an event of a request: delivered, sent_again, refused, quarantined, failed, left (the caller
+// disconnected) or silence_borne (the upstream is unresponsive, but the budget allows no retry).
 func (m *Metrics) countOutcome(outcome string) {
 	if m != nil {
 		m.set.GetOrCreateCounter(`trefoilplank_requests_total{outcome="` + outcome + `"}`).Inc()
--- a/pkg/forward/stream.go
+++ b/pkg/forward/stream.go
@@ -118,7 +118,7 @@
 
 // relayStream relays complete events as they arrive, so that the stream can continue at another upstream after any of
 // them.
-func (x *exchange) relayStream(ctx context.Context, resp *http.Response, timer *dataTimer) error {
+func (x *exchange) relayStream(ctx context.Context, u dispatch.Upstream, resp *http.Response, timer *dataTimer) error {
 	buffer := bufferPool.Get().(*[]byte)
 	defer bufferPool.Put(buffer)
 	buffered := (*buffer)[:0]
@@ -130,6 +130,7 @@
 		buffered = buffered[:len(buffered)+n]
 		if n > 0 {
 			timer.dataReceived()
+			x.options.FailedRuns.Alive(u.ID, x.attemptStarted)
 			at, before := time.Now(), x.lastEvent
 			rest, err := x.relayEvents(resp, buffered)
 			if err != nil {
