Count failed runs of items at all owners of their job

What callers saw: an item that always fails, or that crashes upstreams, reached them again and again when the owners of its job were lost one after the other. Cause: the runs of an item were counted in the memory of the job's owner; only an owner that stopped in order passed the count on, so each owner after a kill began at zero. The same class as requests that crash upstreams: a fact that limits repeats kept at one node only.

Answers of 500 and 422 now go into the ledger of failed runs, which two other nodes have before the item runs again, and a new owner counts them.

--- a/pkg/edge/node.go
+++ b/pkg/edge/node.go
@@ -197,7 +197,7 @@
 	requests := forward.NewMetrics(n.metrics)
 	n.jobs = listjob.New(listjob.Options{
 		Store: n.store, Peers: n.peers, Fleet: n.fleet, Placer: n.placer, Client: n.client, Table: n.table.Load,
-		MemoryBytes: limit, Readable: seconds(n.settings.ReadableSeconds), Log: n.log, Metrics: listjob.NewMetrics(n.metrics),
+		FailedRuns: n.failedRuns, MemoryBytes: limit, Readable: seconds(n.settings.ReadableSeconds), Log: n.log, Metrics: listjob.NewMetrics(n.metrics),
 	})
 	n.exchange = loadshare.New(loadshare.Options{
 		Fleet: n.fleet, Peers: n.peers, OwnLoads: n.placer.OwnLoads, Wants: n.jobs.Wants, ApplyTotals: n.placer.ApplyTotals, Grants: n.placer.Grants,
--- a/pkg/listjob/controller.go
+++ b/pkg/listjob/controller.go
@@ -10,6 +10,7 @@
 
 	"trefoilplank.example/pkg/adapter/peer"
 	"trefoilplank.example/pkg/adapter/store"
+	"trefoilplank.example/pkg/controller/failedruns"
 	"trefoilplank.example/pkg/controller/fleet"
 	"trefoilplank.example/pkg/controller/placer"
 	"trefoilplank.example/pkg/decision/rendezvous"
@@ -45,7 +46,9 @@
 	Fleet  *fleet.Fleet
 	Placer *placer.Placer
 	Client *forward.Client
-	Table  func() *routing.Table
+	// FailedRuns holds the failed runs of all nodes; nil if they are not recorded.
+	FailedRuns *failedruns.Controller
+	Table      func() *routing.Table
 	// MemoryBytes is the node's memory limit in bytes.
 	MemoryBytes int64
 	// Readable is how long after its submission a job must stay readable.
--- a/pkg/listjob/fakes_test.go
+++ b/pkg/listjob/fakes_test.go
@@ -16,6 +16,7 @@
 
 	"trefoilplank.example/pkg/adapter/peer"
 	"trefoilplank.example/pkg/adapter/store"
+	"trefoilplank.example/pkg/controller/failedruns"
 	"trefoilplank.example/pkg/controller/fleet"
 	"trefoilplank.example/pkg/controller/placer"
 	"trefoilplank.example/pkg/decision/dispatch"
@@ -106,9 +107,15 @@
 	cut   map[string]bool
 	// unreported is set while the hub does not report nodes in cut as unresponsive.
 	unreported bool
+	// failedRuns holds the failed runs of all nodes.
+	failedRuns *failedruns.Controller
 }
 
-func newNetwork() *network { return &network{nodes: map[string]*Controller{}, cut: map[string]bool{}} }
+func newNetwork() *network {
+	return &network{nodes: map[string]*Controller{}, cut: map[string]bool{}, failedRuns: failedruns.New(failedruns.Options{
+		Node: "all", Others: func() []string { return nil }, Exchange: func() {}, Log: &eventlog.Log{},
+	})}
+}
 
 // cutOff cuts a node off from the others; unreported means that the hub does not report it as unresponsive.
 func (n *network) cutOff(name string, unreported bool) {
@@ -162,7 +169,7 @@
 	table := testTable()
 	c := New(Options{
 		Store: s, Peers: caller{n, name}, Fleet: f, Placer: p, Client: forward.NewClient(testHeaders),
-		Table: func() *routing.Table { return table }, MemoryBytes: 256 << 20, Readable: 2 * time.Minute, Log: log,
+		FailedRuns: n.failedRuns, Table: func() *routing.Table { return table }, MemoryBytes: 256 << 20, Readable: 2 * time.Minute, Log: log,
 	})
 	n.mu.Lock()
 	n.nodes[name] = c
--- a/pkg/listjob/job.go
+++ b/pkg/listjob/job.go
@@ -150,8 +150,10 @@
 // item is the state of an item at the job's owner.
 type item struct {
 	Item
-	job   *job
-	phase phase
+	job *job
+	// key identifies the item among the failed runs of all nodes, and fingerprint its request.
+	key, fingerprint string
+	phase            phase
 	// text holds the data of the events received so far; lastEvent is the number of the last one, or -1.
 	text      []byte
 	lastEvent int64
@@ -198,7 +200,7 @@
 func newJob(h head, revision int64, items []Item) *job {
 	j := &job{head: h, revision: revision, byID: map[string]*item{}, changed: make(chan struct{})}
 	for _, it := range items {
-		i := &item{Item: it, job: j, lastEvent: -1}
+		i := &item{Item: it, job: j, key: h.ID + "/" + it.ID, fingerprint: newRequest(h, &it).Fingerprint(), lastEvent: -1}
 		j.items = append(j.items, i)
 		j.byID[it.ID] = i
 	}
--- a/pkg/listjob/listjob_test.go
+++ b/pkg/listjob/listjob_test.go
@@ -12,6 +12,7 @@
 	"trefoilplank.example/pkg/adapter/store"
 	"trefoilplank.example/pkg/adapter/store/memstore"
 	"trefoilplank.example/pkg/controller/fleet"
+	"trefoilplank.example/pkg/decision/failedruns"
 )
 
 // Guards against results that lack events, are listed twice or differ between nodes.
@@ -126,6 +127,32 @@
 	assert.Equal(t, e.runs["j-item1"], 1)
 }
 
+// Guards against an item whose failed runs at earlier owners of its job do not count, because these owners were killed:
+// each new owner ran it as often as the route allows.
+func TestFailedRunsOfEarlierOwnersCount(t *testing.T) {
+	s, net, e := memstore.New(), newNetwork(), newEngine(t, 5, time.Millisecond)
+	e.fail = func(id string, _ int) int {
+		if id == "j-item0" || id == "j-item1" {
+			return http.StatusInternalServerError
+		}
+		return 0
+	}
+	ctx := context.Background()
+	for range 2 {
+		net.failedRuns.Failed(ctx, "j/j-item0", failedruns.Errored, "u1")
+	}
+	net.failedRuns.Failed(ctx, "j/j-item1", failedruns.Rejected, "u1")
+	a := net.addNode(t, s, e, "a")
+	assert.NilError(t, a.Accept(ctx, submission("j", 3)))
+	states := map[string]State{}
+	for _, r := range readAll(t, a.Controller, "j", 20*time.Second) {
+		states[r.ID] = r.State
+	}
+	assert.DeepEqual(t, states, map[string]State{"j-item0": Failed, "j-item1": Failed, "j-item2": Completed})
+	assert.Equal(t, e.runs["j-item0"], 1)
+	assert.Equal(t, e.runs["j-item1"], 0)
+}
+
 // Guards against a finished item that loses its text when its node stops before the item is listed: results then
 // contained only what came after the handover.
 func TestHandOverKeepsFinishedAndPartialItems(t *testing.T) {
--- a/pkg/listjob/run.go
+++ b/pkg/listjob/run.go
@@ -14,6 +14,7 @@
 	"trefoilplank.example/pkg/adapter/store"
 	"trefoilplank.example/pkg/controller/placer"
 	"trefoilplank.example/pkg/decision/dispatch"
+	decision "trefoilplank.example/pkg/decision/failedruns"
 	"trefoilplank.example/pkg/decision/routing"
 	"trefoilplank.example/pkg/eventstream"
 	"trefoilplank.example/pkg/forward"
@@ -79,7 +80,7 @@
 			continue
 		}
 		service := route.Pick(0)
-		if blocked[service] {
+		if blocked[service] || c.holdFailed(it, route, now) {
 			continue
 		}
 		if !c.startRun(ctx, it, service, table.Service(service)) {
@@ -88,6 +89,42 @@
 	}
 }
 
+// holdFailed reports whether a waiting item must not run now because of its failed runs at this node and others: it has
+// used its attempts, and its result is queued, or upstreams crashed under it, and it waits.
+func (c *Controller) holdFailed(it *item, route *routing.Route, now time.Time) bool {
+	if c.attemptsUsed(it, route) {
+		c.options.Log.Notice("item failed: upstreams answered its earlier runs with errors", "job", it.job.head.ID, "item", it.ID)
+		c.finishItem(it, Result{ID: it.ID, State: Failed})
+		return true
+	}
+	until := c.options.FailedRuns.PausedUntil(func() string { return it.fingerprint })
+	if !now.Before(until) {
+		return false
+	}
+	c.options.Log.Notice("item waits, since upstreams crashed while they ran it", "job", it.job.head.ID, "item", it.ID, "fingerprint", it.fingerprint,
+		"for_ms", until.Sub(now).Milliseconds())
+	it.job.mu.Lock()
+	defer it.job.mu.Unlock()
+	it.notBefore = until
+	if until.After(it.job.retryUntil) {
+		it.notBefore = it.job.retryUntil
+	}
+	return true
+}
+
+// attemptsUsed reports whether an item may not run again, by the answers that its runs have had at this node and others.
+func (c *Controller) attemptsUsed(it *item, route *routing.Route) bool {
+	it.job.mu.Lock()
+	failures := it.failures
+	it.job.mu.Unlock()
+	attempts := 1
+	if route != nil {
+		attempts = max(1, route.MaxAttempts)
+	}
+	return max(failures, c.options.FailedRuns.Failures(it.key, decision.Errored)) >= attempts ||
+		c.options.FailedRuns.Failures(it.key, decision.Rejected) > 0
+}
+
 // Wants returns the slots that online arrivals and waiting items could use, by service.
 func (c *Controller) Wants() map[string]dispatch.Want {
 	table := c.options.Table()
@@ -168,11 +205,29 @@
 		defer cancel()
 		err := c.runItem(ctx, it, upstream)
 		c.options.Placer.EndBatch(run)
+		c.recordFailedRun(ctx, it, upstream, err)
 		c.runEnded(ctx, it, upstream, err)
 	}()
 	return true
 }
 
+// recordFailedRun records how a run failed, and waits until other nodes know of it, so that it counts before this node
+// or a later owner of the job repeats the run.
+func (c *Controller) recordFailedRun(ctx context.Context, it *item, u dispatch.Upstream, err error) {
+	switch runs := c.options.FailedRuns; {
+	case err == nil:
+		runs.Survived(func() string { return it.fingerprint })
+	case errors.Is(err, errItemRejected):
+		runs.Failed(ctx, it.key, decision.Rejected, u.ID)
+	case errors.Is(err, errRunFailed):
+		runs.Failed(ctx, it.key, decision.Errored, u.ID)
+	case errors.Is(err, forward.ErrUnresponsive):
+		runs.Silent(it.fingerprint, u, it.runStart)
+	case ctx.Err() == nil && forward.BrokeOff(err):
+		runs.Broken(ctx, it.fingerprint, u)
+	}
+}
+
 // errItemRejected means that an upstream rejected an item for good (status 422).
 var errItemRejected = Error.New("upstream rejected the item")
 
@@ -189,16 +244,20 @@
 	for name, value := range it.Header {
 		header.Set(name, value)
 	}
-	request := it.request()
+	it.job.mu.Lock()
+	request := newRequest(it.job.head, &it.Item)
+	it.job.mu.Unlock()
 	request.Header = header
-	measurement := c.options.Placer.MeasureRun(u.ID, false)
+	measurement, started := c.options.Placer.MeasureRun(u.ID, false), time.Now()
 	err := c.sendItem(ctx, it, u, request, func(events int) {
 		dataTimer.Reset(eventTimeout)
+		c.options.FailedRuns.Alive(u.ID, started)
 		measurement.RecordEvents(events, time.Now())
 	})
 	switch {
 	case errors.Is(context.Cause(ctx), forward.ErrUnresponsive):
 		measurement.RecordTimeout()
+		err = errors.Join(forward.ErrUnresponsive, err)
 	case errors.Is(err, forward.ErrNotRun), ctx.Err() != nil:
 		measurement.Flush()
 	default:
@@ -207,9 +266,9 @@
 	return err
 }
 
-// request returns the item as a request to an upstream, without its headers.
-func (it *item) request() *forward.Request {
-	return &forward.Request{ID: it.ID, Method: http.MethodPost, Host: it.job.head.Host, Target: it.Path, Body: it.Body}
+// newRequest returns an item as a request to an upstream, without its headers.
+func newRequest(h head, it *Item) *forward.Request {
+	return &forward.Request{ID: it.ID, Method: http.MethodPost, Host: h.Host, Target: it.Path, Body: it.Body}
 }
 
 // sendItem makes one call for an item; received is called with the number of events that arrived together.
@@ -338,7 +397,7 @@
 		state = Failed
 	case errors.Is(err, errRunFailed):
 		it.failures++
-		if route == nil || it.failures >= max(1, route.MaxAttempts) {
+		if failures := max(it.failures, c.options.FailedRuns.Failures(it.key, decision.Errored)); route == nil || failures >= max(1, route.MaxAttempts) {
 			state = Failed
 		}
 	default:
@@ -357,7 +416,7 @@
 	}
 	it.job.mu.Unlock()
 	if !stopped {
-		c.options.Log.Notice("run of item failed, item waits for another run", append(fields, "fingerprint", it.request().Fingerprint(), "incarnation", u.Incarnation)...)
+		c.options.Log.Notice("run of item failed, item waits for another run", append(fields, "fingerprint", it.fingerprint, "incarnation", u.Incarnation)...)
 	}
 	c.wakeUp()
 }
