Hold back requests whose upstreams may have crashed

Callers behind replicas that accept connections while they are down (a proxy or balancer at their address) saw more replicas end: a crash shows there only with the replica's next entry, and until then equal requests were sent on. Cause: evidence that is late was no evidence. A run that breaks off without a confirmed crash is now a suspected one, shared with the exchange of load; three of either kind hold the request back for ten seconds, until they are confirmed or data from the upstream clears them.

A request that many callers send could be quarantined by two upstreams that ended at once while they ran it among others. A broken run no longer counts if the node has seen an equal request survive since the last one.

--- a/pkg/controller/failedruns/failedruns.go
+++ b/pkg/controller/failedruns/failedruns.go
@@ -9,11 +9,14 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
 
+	lru "github.com/hashicorp/golang-lru/v2"
+
 	"trefoilplank.example/pkg/adapter/dial"
 	"trefoilplank.example/pkg/adapter/peer"
 	"trefoilplank.example/pkg/adapter/store"
@@ -32,6 +35,8 @@
 	confirmTime = 6 * time.Second
 	// maxUnconfirmed limits the broken runs that wait for a confirmation.
 	maxUnconfirmed = 1024
+	// maxSurvived limits the fingerprints of requests that were run without a crash, at about 150 bytes each.
+	maxSurvived = 4096
 	// holders is the number of other nodes that are told of a failed run at once, and shareTimeout bounds the calls.
 	holders, shareTimeout = 2, 150 * time.Millisecond
 	// exchangeRecords limits the records in one exchange, and startRecords those in the answer to a node that has
@@ -62,12 +67,14 @@
 type Controller struct {
 	options Options
 	runs    atomic.Int64
-	// crashes is set while the ledger holds crashes that count, and records while it holds any record, so that requests
-	// and items are checked without a lock otherwise.
-	crashes, records atomic.Bool
+	// blames is set while the ledger holds records that speak against requests, and records while it holds any, so that
+	// requests and items are checked without a lock otherwise.
+	blames, records atomic.Bool
 
 	mu     sync.Mutex
 	ledger *failedruns.Ledger
+	// survived holds the fingerprints of the last requests that upstreams ran without crashing, each until a run breaks off.
+	survived *lru.Cache[string, struct{}]
 	// unconfirmed holds the runs that broke off, as long as their upstreams may turn out to have crashed.
 	unconfirmed []brokenRun
 	quarantines quarantines
@@ -80,13 +87,17 @@
 	at        time.Time
 }
 
-func (b brokenRun) record(now time.Time) failedruns.Record {
-	return failedruns.Record{Work: b.work, Run: b.run, Kind: failedruns.Crashed, Upstream: b.upstream.ID, Age: now.Sub(b.at)}
+func (b brokenRun) record(kind failedruns.Kind, now time.Time) failedruns.Record {
+	return failedruns.Record{Work: b.work, Run: b.run, Kind: kind, Upstream: b.upstream.ID, Age: now.Sub(b.at)}
 }
 
 // New returns a controller. Run stores and reads quarantines.
 func New(o Options) *Controller {
-	return &Controller{options: o, ledger: failedruns.NewLedger(), quarantines: newQuarantines()}
+	survived, err := lru.New[string, struct{}](maxSurvived)
+	if err != nil {
+		panic(err) // Only a size that is not positive is an error.
+	}
+	return &Controller{options: o, survived: survived, ledger: failedruns.NewLedger(), quarantines: newQuarantines()}
 }
 
 // newRun returns a name for a run that no other run has.
@@ -97,7 +108,7 @@
 // QuarantinedFor returns how long a request must not be sent to upstreams, or 0 if it may be sent. fingerprint is only
 // called when upstreams have crashed recently.
 func (c *Controller) QuarantinedFor(fingerprint func() string) time.Duration {
-	if c == nil || !c.crashes.Load() {
+	if c == nil || !c.blames.Load() {
 		return 0
 	}
 	work := fingerprint()
@@ -108,13 +119,13 @@
 
 // PausedUntil returns the time before which a batch item must not be sent to upstreams, or zero.
 func (c *Controller) PausedUntil(fingerprint func() string) time.Time {
-	if c == nil || !c.crashes.Load() {
+	if c == nil || !c.blames.Load() {
 		return time.Time{}
 	}
 	work := fingerprint()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.ledger.PausedUntil(work)
+	return c.ledger.PausedUntil(work, time.Now())
 }
 
 // Broken records that a run ended without an answer, at a time when the upstream was expected to go on. It finds out
@@ -124,19 +135,28 @@
 	if c == nil {
 		return
 	}
+	if c.survived.Remove(fingerprint) {
+		c.options.Log.Routine("broken run ignored, since the request was run before without a crash", "fingerprint", fingerprint, "upstream", u.ID)
+		return
+	}
 	b := brokenRun{fingerprint, c.newRun(), u, time.Now()}
 	ctx = context.WithoutCancel(ctx)
 	if refusesConnections(ctx, u.Address) {
-		c.add(ctx, "upstream crashed while it ran a request", b.record(time.Now()))
+		c.add(ctx, "upstream crashed while it ran a request", b.record(failedruns.Crashed, time.Now()))
 		return
 	}
 	c.expect(b)
+	// Other nodes get suspected crashes with the exchange of load: they are too frequent to wait for each.
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ledger.Merge([]failedruns.Record{b.record(failedruns.Suspected, time.Now())}, "", time.Now())
+	c.updated()
 }
 
-// Silent records that a run was given up because its upstream sent no data since the given time. A crash is recorded
-// when the upstream's entry shows its end.
+// Silent records that a run was given up because its upstream sent no data since the given time. That is usual while
+// upstreams are full, so a crash is recorded only when the upstream's entry shows its end.
 func (c *Controller) Silent(fingerprint string, u dispatch.Upstream, since time.Time) {
-	if c != nil {
+	if c != nil && !c.survived.Remove(fingerprint) {
 		c.expect(brokenRun{fingerprint, c.newRun(), u, since})
 	}
 }
@@ -156,16 +176,10 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
-	kept := c.unconfirmed[:0]
-	for _, old := range c.unconfirmed {
-		if now.Sub(old.at) < confirmTime {
-			kept = append(kept, old)
-		}
-	}
-	if len(kept) < maxUnconfirmed {
-		kept = append(kept, b)
+	c.unconfirmed = slices.DeleteFunc(c.unconfirmed, func(old brokenRun) bool { return now.Sub(old.at) >= confirmTime })
+	if len(c.unconfirmed) < maxUnconfirmed {
+		c.unconfirmed = append(c.unconfirmed, b)
 	}
-	c.unconfirmed = kept
 }
 
 // UpstreamsEnded records the crashes of upstreams whose entries show that their processes have ended, unless they were
@@ -189,7 +203,7 @@
 		switch {
 		case now.Sub(b.at) >= confirmTime:
 		case ok && incarnation == b.upstream.Incarnation:
-			records = append(records, b.record(now))
+			records = append(records, b.record(failedruns.Crashed, now))
 		default:
 			kept = append(kept, b)
 		}
@@ -220,19 +234,21 @@
 	return c.ledger.Failures(item, kind)
 }
 
-// Survived records that an upstream ran a request without crashing. fingerprint is only called when upstreams have
-// crashed recently.
-func (c *Controller) Survived(fingerprint func() string) {
-	if c == nil || !c.crashes.Load() {
+// Survived records that an upstream ran a request without crashing. The next broken run of an equal request then does not
+// count, so that a request that many callers send is not quarantined by crashes that it did not cause.
+func (c *Controller) Survived(fingerprint string) {
+	if c == nil {
 		return
 	}
-	work := fingerprint()
-	c.clear("request was run without a crash", func() []failedruns.Record { return c.ledger.Survived(work) })
+	c.survived.Add(fingerprint, struct{}{})
+	if c.blames.Load() {
+		c.clear("request was run without a crash", func() []failedruns.Record { return c.ledger.Survived(fingerprint) })
+	}
 }
 
 // Alive records that an upstream delivers data on a connection that has been in use since the given time.
 func (c *Controller) Alive(upstream string, inUseSince time.Time) {
-	if c == nil || !c.crashes.Load() {
+	if c == nil || !c.blames.Load() {
 		return
 	}
 	c.clear("upstream is alive", func() []failedruns.Record { return c.ledger.Alive(upstream, inUseSince, time.Now()) })
@@ -248,6 +264,9 @@
 		return
 	}
 	for _, r := range cleared {
+		if r.Kind == failedruns.Suspected {
+			continue
+		}
 		c.options.Log.Routine("crash no longer counts", "fingerprint", r.Work, "upstream", r.Upstream, "reason", reason)
 	}
 	c.options.Exchange()
@@ -271,9 +290,10 @@
 
 // logQuarantine logs the begin of a quarantine; c.mu is held.
 func (c *Controller) logQuarantine(work string) {
-	if left := c.ledger.QuarantinedFor(work, time.Now()); left > 0 && c.quarantines.begin(work, time.Now()) {
+	if now := time.Now(); c.ledger.IsQuarantined(work, now) && c.quarantines.begin(work, now) {
 		c.options.Metrics.countQuarantine()
-		c.options.Log.Notice("request quarantined", "fingerprint", work, "crashes", c.ledger.Failures(work, failedruns.Crashed), "for_ms", left.Milliseconds())
+		c.options.Log.Notice("request quarantined", "fingerprint", work, "crashes", c.ledger.Failures(work, failedruns.Crashed),
+			"for_ms", c.ledger.QuarantinedFor(work, now).Milliseconds())
 	}
 }
 
@@ -284,7 +304,7 @@
 }
 
 func (c *Controller) setFlags() {
-	c.crashes.Store(c.ledger.Crashes())
+	c.blames.Store(c.ledger.BlamesRequests())
 	c.records.Store(c.ledger.Len() > 0)
 }
 
@@ -349,6 +369,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, r := range c.ledger.Merge(records, from, time.Now()) {
+		if r.Kind == failedruns.Suspected {
+			continue
+		}
 		c.options.Log.Routine("failed run learned", "work", r.Work, "run", r.Run, "upstream", r.Upstream, "age_ms", r.Age.Milliseconds(),
 			"cleared", r.Cleared, "from", from)
 		c.logQuarantine(r.Work)
--- a/pkg/controller/failedruns/failedruns_test.go
+++ b/pkg/controller/failedruns/failedruns_test.go
@@ -103,6 +103,20 @@
 	}
 }
 
+// Guards against the quarantine of a request that many callers send, by crashes of upstreams that run it among others.
+func TestRequestThatWasRunBeforeIsNotBlamedAtOnce(t *testing.T) {
+	c := newNetwork().add("a", nil)
+	for u := range 5 {
+		c.Survived("work")
+		c.Broken(context.Background(), "work", upstream(t, fmt.Sprint("u", u), true))
+	}
+	assert.Assert(t, !quarantined(c, "work"))
+	for u := range 2 {
+		c.Broken(context.Background(), "work", upstream(t, fmt.Sprint("v", u), true))
+	}
+	assert.Assert(t, quarantined(c, "work"), "a request that begins to crash upstreams is not quarantined")
+}
+
 // storedObjects returns the objects under Prefix as a mirror passes them on.
 func storedObjects(t *testing.T, s store.Store) map[string]store.Object {
 	page, err := store.ListAll(context.Background(), s, Prefix)
@@ -160,7 +174,7 @@
 	}
 	c.storeChanges(context.Background())
 	assert.Equal(t, len(storedObjects(t, c.options.Store)), 1)
-	c.Survived(func() string { return "work" })
+	c.Survived("work")
 	now := time.Now()
 	_, end, _ := c.pendingChanges(now)
 	assert.Equal(t, len(end), 0, "deleted before other nodes had their turn")
--- a/pkg/decision/failedruns/failedruns.go
+++ b/pkg/decision/failedruns/failedruns.go
@@ -17,9 +17,14 @@
 	// quarantineCrashes is the number of upstreams that may crash under a request. A request that shared an upstream with
 	// the one that crashed it has a single crash, since it is repeated elsewhere.
 	quarantineCrashes = 2
+	// suspectRuns is the number of runs that must have crashed an upstream or broken off, the last within suspectTime, for a
+	// request to be held back until suspectTime has passed. It bounds the runs of a request whose crashes show late.
+	suspectRuns, suspectTime = 3, 10 * time.Second
 	// itemPause is the pause after the crash that quarantines a batch item; it doubles with each further crash. An item can
 	// only end by its own result, so it is repeated rarely instead of being refused.
 	itemPause = 10 * time.Second
+	// maxPauseDoublings keeps the pause from overflowing; it is above Lifetime by then.
+	maxPauseDoublings = 6
 	// aliveMargin is how long after a recorded crash an upstream must deliver data on a connection opened before it, to
 	// count as alive: data sent before the crash arrives within it.
 	aliveMargin = 100 * time.Millisecond
@@ -39,8 +44,14 @@
 	Errored
 	// Rejected means that the upstream answered that the work can never be done.
 	Rejected
+	// Suspected means that the run ended without an answer, and that the upstream may have crashed. It counts for
+	// suspectTime, and becomes Crashed when the upstream's end is known.
+	Suspected
 )
 
+// blames reports whether a run of this kind speaks against the request.
+func (k Kind) blames() bool { return k == Crashed || k == Suspected }
+
 // Record is a failed run as nodes send it to each other.
 type Record struct {
 	// Work identifies what was run: the fingerprint of a request, or the id of an item.
@@ -66,7 +77,7 @@
 
 // Ledger holds the records of all nodes. It is not safe for concurrent use.
 type Ledger struct {
-	// entries is by work and run; byUpstream holds the crashes of an upstream that are not cleared.
+	// entries is by work and run; byUpstream holds the crashes and suspected crashes of an upstream that are not cleared.
 	entries    map[string]map[string]*entry
 	byUpstream map[string]map[*entry]struct{}
 	count      int
@@ -78,9 +89,11 @@
 	return &Ledger{entries: map[string]map[string]*entry{}, byUpstream: map[string]map[*entry]struct{}{}}
 }
 
-// Len returns the number of records, and Crashes whether any of them is a crash that is not cleared.
-func (l *Ledger) Len() int      { return l.count }
-func (l *Ledger) Crashes() bool { return len(l.byUpstream) > 0 }
+// Len returns the number of records.
+func (l *Ledger) Len() int { return l.count }
+
+// BlamesRequests reports whether any record that is not cleared speaks against a request.
+func (l *Ledger) BlamesRequests() bool { return len(l.byUpstream) > 0 }
 
 // Merge adds records of a node, or of this one if source is empty, and returns those that changed the ledger.
 func (l *Ledger) Merge(records []Record, source string, now time.Time) (changed []Record) {
@@ -88,7 +101,7 @@
 		if r.Age < 0 {
 			r.Age = 0
 		}
-		if r.Age < Lifetime && l.add(r, source, now) {
+		if r.Age < r.Kind.lifetime() && l.add(r, source, now) {
 			changed = append(changed, r)
 		}
 	}
@@ -108,8 +121,11 @@
 		}
 		l.entries[r.Work][r.Run] = e
 		l.count++
-	case r.Cleared && !e.Cleared:
-		e.Cleared = true
+	case r.Cleared && !e.Cleared || r.Kind == Crashed && e.Kind == Suspected:
+		e.Cleared = e.Cleared || r.Cleared
+		if r.Kind == Crashed {
+			e.Kind = Crashed
+		}
 	default:
 		return false
 	}
@@ -117,11 +133,21 @@
 	return true
 }
 
+// lifetime is how long a record of this kind is kept.
+func (k Kind) lifetime() time.Duration {
+	if k == Suspected {
+		return suspectTime
+	}
+	return Lifetime
+}
+
+func (e *entry) expired(now time.Time) bool { return now.Sub(e.at) >= e.Kind.lifetime() }
+
 // changed gives an entry the next revision and brings byUpstream up to date.
 func (l *Ledger) changed(e *entry, source string) {
 	l.revision++
 	e.revision, e.source = l.revision, source
-	if e.Kind != Crashed {
+	if !e.Kind.blames() {
 		return
 	}
 	if e.Cleared {
@@ -141,11 +167,11 @@
 	}
 }
 
-// Expire drops the records that have reached Lifetime.
+// Expire drops the records that no longer count.
 func (l *Ledger) Expire(now time.Time) {
 	for _, runs := range l.entries {
 		for _, e := range runs {
-			if now.Sub(e.at) >= Lifetime {
+			if e.expired(now) {
 				l.remove(e)
 			}
 		}
@@ -193,14 +219,7 @@
 }
 
 // crashes returns the number of upstreams that crashed under the work.
-func (l *Ledger) crashes(work string) (n int) {
-	for _, e := range l.entries[work] {
-		if e.Kind == Crashed && !e.Cleared {
-			n++
-		}
-	}
-	return n
-}
+func (l *Ledger) crashes(work string) int { return l.Failures(work, Crashed) }
 
 // Failures returns the number of runs of the work that failed in the given way.
 func (l *Ledger) Failures(work string, kind Kind) (n int) {
@@ -212,48 +231,62 @@
 	return n
 }
 
-// lastCrash returns the time of the last crash under the work.
-func (l *Ledger) lastCrash(work string) (last time.Time) {
+// blame returns the number of crashes, of crashes and suspected ones, and the time of the last of each.
+func (l *Ledger) blame(work string, now time.Time) (crashes, runs int, lastCrash, lastRun time.Time) {
 	for _, e := range l.entries[work] {
-		if e.Kind == Crashed && !e.Cleared && e.at.After(last) {
-			last = e.at
+		if e.Cleared || !e.Kind.blames() || e.expired(now) {
+			continue
+		}
+		runs++
+		if e.at.After(lastRun) {
+			lastRun = e.at
+		}
+		if e.Kind != Crashed {
+			continue
+		}
+		crashes++
+		if e.at.After(lastCrash) {
+			lastCrash = e.at
 		}
 	}
-	return last
+	return crashes, runs, lastCrash, lastRun
 }
 
 // QuarantinedFor returns how long a request must not be sent to upstreams, or 0 if it may be sent now.
 func (l *Ledger) QuarantinedFor(work string, now time.Time) time.Duration {
-	if l.crashes(work) < quarantineCrashes {
-		return 0
+	crashes, runs, lastCrash, lastRun := l.blame(work, now)
+	switch {
+	case crashes >= quarantineCrashes:
+		return max(0, lastCrash.Add(Lifetime).Sub(now))
+	case runs >= suspectRuns:
+		return max(0, lastRun.Add(suspectTime).Sub(now))
 	}
-	return max(0, l.lastCrash(work).Add(Lifetime).Sub(now))
+	return 0
 }
 
 // PausedUntil returns the time before which a batch item must not be sent to upstreams, or zero if it may be sent now.
-func (l *Ledger) PausedUntil(work string) time.Time {
-	crashes := l.crashes(work)
-	if crashes < quarantineCrashes {
-		return time.Time{}
-	}
-	pause := Lifetime
-	if doubled := crashes - quarantineCrashes; doubled < 6 {
-		pause = min(pause, itemPause<<doubled)
+func (l *Ledger) PausedUntil(work string, now time.Time) time.Time {
+	crashes, runs, lastCrash, lastRun := l.blame(work, now)
+	switch {
+	case crashes >= quarantineCrashes:
+		return lastCrash.Add(min(Lifetime, itemPause<<min(crashes-quarantineCrashes, maxPauseDoublings)))
+	case runs >= suspectRuns:
+		return lastRun.Add(suspectTime)
 	}
-	return l.lastCrash(work).Add(pause)
+	return time.Time{}
 }
 
-// Survived clears the crashes of work that an upstream has just run without crashing.
+// Survived clears the crashes and suspected crashes of work that an upstream has just run without crashing.
 func (l *Ledger) Survived(work string) (changed []Record) {
 	for _, e := range l.entries[work] {
-		if e.Kind == Crashed && !e.Cleared {
+		if e.Kind.blames() && !e.Cleared {
 			changed = append(changed, l.clear(e))
 		}
 	}
 	return changed
 }
 
-// Alive clears the crashes recorded for an upstream that still delivers data on a connection: one that was in use since
+// Alive clears the crashes and suspected crashes recorded for an upstream that still delivers data on a connection: one that was in use since
 // before the recorded crash proves that only the path of the reporting node was interrupted.
 func (l *Ledger) Alive(upstream string, inUseSince, now time.Time) (changed []Record) {
 	for e := range l.byUpstream[upstream] {
@@ -279,7 +312,7 @@
 	var newer []*entry
 	for _, runs := range l.entries {
 		for _, e := range runs {
-			if e.revision > revision && now.Sub(e.at) < Lifetime && (e.source == "" || e.source != node) {
+			if e.revision > revision && !e.expired(now) && (e.source == "" || e.source != node) {
 				newer = append(newer, e)
 			}
 		}
@@ -300,27 +333,28 @@
 	return records, upTo
 }
 
+// IsQuarantined reports whether so many upstreams have crashed under a work that it is not merely held back.
+func (l *Ledger) IsQuarantined(work string, now time.Time) bool {
+	crashes, _, last, _ := l.blame(work, now)
+	return crashes >= quarantineCrashes && now.Sub(last) < Lifetime
+}
+
 // Quarantined returns the crashes of each quarantined work.
 func (l *Ledger) Quarantined(now time.Time) map[string][]Record {
 	all := map[string][]Record{}
 	for _, crashes := range l.byUpstream {
 		for e := range crashes {
-			if _, done := all[e.Work]; !done && l.QuarantinedFor(e.Work, now) > 0 {
-				all[e.Work] = l.Crashed(e.Work, now)
+			if _, done := all[e.Work]; !done && l.IsQuarantined(e.Work, now) {
+				all[e.Work] = l.crashRecords(e.Work, now)
 			}
 		}
 	}
 	return all
 }
 
-// Crashed returns the crashes of a work that are not cleared.
-func (l *Ledger) Crashed(work string, now time.Time) (records []Record) {
-	for _, e := range l.entries[work] {
-		if e.Kind == Crashed && !e.Cleared {
-			records = append(records, e.aged(now))
-		}
-	}
-	return records
+// crashRecords returns the crashes under a work that are not cleared.
+func (l *Ledger) crashRecords(work string, now time.Time) []Record {
+	return slices.DeleteFunc(l.Of(work, now), func(r Record) bool { return r.Kind != Crashed || r.Cleared })
 }
 
 // Of returns all records of a work.
--- a/pkg/decision/failedruns/failedruns_test.go
+++ b/pkg/decision/failedruns/failedruns_test.go
@@ -46,7 +46,24 @@
 	l.Merge([]Record{crash("w", "1", "u"), crash("w", "2", "v")}, "", start)
 	l.Survived("w")
 	assert.Equal(t, l.QuarantinedFor("w", start), time.Duration(0))
-	assert.Assert(t, !l.Crashes())
+	assert.Assert(t, !l.BlamesRequests())
+}
+
+// Guards against a request that is sent to many upstreams while their crashes do not show yet, and against one that is held
+// back although its upstreams turned out to be alive, or for longer than the suspicion lasts.
+func TestSuspectedCrashesHoldBackForAShortTime(t *testing.T) {
+	l := NewLedger()
+	for n := range suspectRuns {
+		assert.Equal(t, l.QuarantinedFor("w", start), time.Duration(0))
+		l.Merge([]Record{{Work: "w", Run: fmt.Sprint(n), Kind: Suspected, Upstream: fmt.Sprint("u", n)}}, "", start)
+	}
+	assert.Equal(t, l.QuarantinedFor("w", start), suspectTime)
+	assert.Equal(t, l.QuarantinedFor("w", start.Add(suspectTime)), time.Duration(0))
+	assert.Assert(t, !l.IsQuarantined("w", start))
+	l.Merge([]Record{crash("w", "0", "u0"), crash("w", "1", "u1")}, "", start)
+	assert.Equal(t, l.QuarantinedFor("w", start), Lifetime)
+	l.Alive("u0", start.Add(-time.Second), start.Add(time.Second))
+	assert.Equal(t, l.QuarantinedFor("w", start.Add(time.Second)), time.Duration(0))
 }
 
 // Guards against an item that crashes upstreams and is repeated so often that more than three runs follow its third
@@ -55,8 +72,8 @@
 	l := NewLedger()
 	now, runs := start, 0
 	for now.Before(start.Add(time.Minute)) {
-		if now.Before(l.PausedUntil("w")) {
-			now = l.PausedUntil("w")
+		if now.Before(l.PausedUntil("w", now)) {
+			now = l.PausedUntil("w", now)
 			continue
 		}
 		runs++
@@ -86,7 +103,9 @@
 		for step := range rapid.IntRange(1, 40).Draw(t, "steps") {
 			now = now.Add(time.Millisecond)
 			l, work := ledgers[draw("node", nodes)], fmt.Sprint("w", draw("work", 3))
-			switch draw("kind", 4) {
+			switch draw("kind", 5) {
+			case 4:
+				l.Merge([]Record{{Work: work, Run: fmt.Sprint(draw("run", 40)), Kind: Suspected, Upstream: "u"}}, "", now)
 			case 0:
 				l.Merge([]Record{crash(work, fmt.Sprint(step), fmt.Sprint("u", draw("upstream", 3)))}, "", now)
 			case 1:
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -273,7 +273,7 @@
 		}
 		err := x.attemptAndRelease(ctx, choice)
 		if err == nil {
-			x.options.FailedRuns.Survived(x.request.Fingerprint)
+			x.options.FailedRuns.Survived(x.request.Fingerprint())
 			x.countResponse()
 			x.options.Metrics.observeDelivered(x.route, time.Since(x.received), x.timeToFirstEvent)
 			return
--- a/pkg/forward/quarantine.go
+++ b/pkg/forward/quarantine.go
@@ -24,7 +24,7 @@
 // responds with that failure instead.
 func (x *exchange) refuseQuarantined(left time.Duration) {
 	x.options.Log.Notice("request refused", "request", x.request.ID, "fingerprint", x.request.Fingerprint(), "route", x.route.Name,
-		"reason", "quarantined, since upstreams crashed while they ran it", "ran", x.ran, "left_ms", left.Milliseconds())
+		"reason", "quarantined, since upstreams crashed or broke off while they ran it", "ran", x.ran, "left_ms", left.Milliseconds())
 	if x.ran > 0 {
 		x.respondWithFailure()
 		return
--- a/pkg/listjob/run.go
+++ b/pkg/listjob/run.go
@@ -216,7 +216,7 @@
 func (c *Controller) recordFailedRun(ctx context.Context, it *item, u dispatch.Upstream, err error) {
 	switch runs := c.options.FailedRuns; {
 	case err == nil:
-		runs.Survived(func() string { return it.fingerprint })
+		runs.Survived(it.fingerprint)
 	case errors.Is(err, errItemRejected):
 		runs.Failed(ctx, it.key, decision.Rejected, u.ID)
 	case errors.Is(err, errRunFailed):
