Drop entries that vanish while another node begins to watch

Cause: a node that stops following another one's copies and watches the store itself kept entries that vanished in between for 2.2 s, as after an outage of the store, although its copy was 0.3 s old. Entries of live replicas expire only after three heartbeats. Interruptions are now measured from when the copy was last known to be current, by the own watch or by the followed node, and below a second nothing is kept.

TestEntryRemovedDuringShortInterruptionIsGone fails without the change (the entry is still there after 3 s).

--- a/pkg/controller/mirror/mirror.go
+++ b/pkg/controller/mirror/mirror.go
@@ -36,6 +36,9 @@
 	// AbsenceGrace is how long after an interruption of the watch entries that vanished are kept. Entries that expired
 	// while the store was down are written again by owners that are alive.
 	AbsenceGrace time.Duration
+	// LapseTime is the shortest interruption in which entries can expire although their owners are alive. After a shorter
+	// one entries that vanished are gone.
+	LapseTime time.Duration
 	// Handle is called with all objects after changes, by one goroutine at a time. It must not retain the map.
 	Handle func(objects map[string]store.Object)
 }
@@ -81,7 +84,10 @@
 	// watching is set while this node's watch works, and brokenAt is when it last stopped.
 	watching bool
 	brokenAt time.Time
-	// restoredAt is when the watch worked again after the last interruption; zero before the first one.
+	// followedAt is when the copy was last known to be that of a node whose watch works.
+	followedAt time.Time
+	// restoredAt is when the watch worked again after the last interruption in which entries can have expired; zero
+	// before the first one.
 	restoredAt time.Time
 	// vanished holds the keys whose objects vanished but are kept until the given time.
 	vanished map[string]time.Time
@@ -232,6 +238,9 @@
 		if before == "" && node != "" && c.stopWatch != nil {
 			c.stopWatch()
 		}
+		if node != "" && c.readFrom == from {
+			c.followedAt = time.Now()
+		}
 		behind := node != "" && c.readFrom != from && !c.reading
 		c.reading = c.reading || behind
 		revision := c.revision
@@ -251,7 +260,7 @@
 	defer c.mu.Unlock()
 	c.reading = false
 	if replaced {
-		c.readFrom = from
+		c.readFrom, c.followedAt = from, time.Now()
 	}
 }
 
@@ -318,10 +327,13 @@
 		return
 	}
 	now := time.Now()
-	away := now.Sub(c.brokenAt)
+	away, outdated := now.Sub(c.brokenAt), min(now.Sub(c.brokenAt), now.Sub(c.followedAt))
 	if c.loaded {
-		c.restoredAt = now
-		m.options.Log.Notice("store watch works again", "prefix", c.prefix.Name, "revision", c.revision, "away_ms", away.Milliseconds())
+		if outdated >= c.prefix.LapseTime {
+			c.restoredAt = now
+		}
+		m.options.Log.Notice("store watch works again", "prefix", c.prefix.Name, "revision", c.revision, "away_ms", away.Milliseconds(),
+			"outdated_ms", outdated.Milliseconds())
 	}
 	c.watching = true
 }
--- a/pkg/controller/mirror/mirror_test.go
+++ b/pkg/controller/mirror/mirror_test.go
@@ -131,9 +131,13 @@
 
 // startMirror starts a mirror of the prefix k/ for the duration of the test.
 func startMirror(t *testing.T, s store.Store, p peers, others []string, grace time.Duration) (*Mirror, *view) {
+	return startMirrorWithLapseTime(t, s, p, others, grace, 0)
+}
+
+func startMirrorWithLapseTime(t *testing.T, s store.Store, p peers, others []string, grace, lapse time.Duration) (*Mirror, *view) {
 	v := &view{}
 	m := New(Options{Store: s, Peers: p, Others: func() []string { return others }, Log: &eventlog.Log{}},
-		Prefix{Name: "k/", AbsenceGrace: grace, Handle: v.handle})
+		Prefix{Name: "k/", AbsenceGrace: grace, LapseTime: lapse, Handle: v.handle})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { defer close(done); _ = m.Run(ctx) }()
@@ -190,6 +194,31 @@
 	poll.WaitOn(t, v.showing(map[string]string{"k/b": "2"}), soon...)
 }
 
+// Guards against an upstream that has left and gets requests for two more seconds, because its entry was removed while
+// this node changed from a followed node's copy to its own watch: no entry of a live upstream expires in that time.
+func TestEntryRemovedDuringShortInterruptionIsGone(t *testing.T) {
+	const grace, lapse = 5 * time.Second, time.Second
+	s := memstore.New()
+	put(t, s, "k/left", "1")
+	p := peers{}
+	hub, _ := startMirror(t, s, p, nil, 0)
+	hub.WatchStore(context.Background())
+	p["hub"] = hub
+	follower, v := startMirrorWithLapseTime(t, s, p, []string{"hub"}, grace, lapse)
+	follow := func() poll.Check {
+		return func(poll.LogT) poll.Result {
+			follower.FollowNode(context.Background(), "hub", hub.Revisions())
+			return v.showing(map[string]string{"k/left": "1"})(t)
+		}
+	}
+	poll.WaitOn(t, follow(), soon...)
+	time.Sleep(2 * lapse)
+	follower.FollowNode(context.Background(), "hub", hub.Revisions())
+	assert.NilError(t, s.Delete(context.Background(), "k/left", store.AnyRevision))
+	follower.WatchStore(context.Background())
+	poll.WaitOn(t, v.showing(map[string]string{}), soon...)
+}
+
 // TestNodeWithoutStoreReadsFromPeer guards against a node that can't reach the store and keeps an old
 // configuration although a peer has a newer one.
 func TestNodeWithoutStoreReadsFromPeer(t *testing.T) {
--- a/pkg/edge/node.go
+++ b/pkg/edge/node.go
@@ -51,6 +51,9 @@
 	// absenceGrace is how long after a store outage an upstream stays listed although its entry expired during the
 	// outage; running upstreams register again within this time.
 	absenceGrace = 2200 * time.Millisecond
+	// lapseTime is the shortest interruption of a watch, from its detection, in which the entry of a running upstream can
+	// expire: entries expire after three heartbeats of silence, and a broken watch is detected within 1.2 s.
+	lapseTime = time.Second
 	// drainMargin is the part of the drain time that is reserved for closing connections and leaving the fleet.
 	drainMargin = 800 * time.Millisecond
 	// leaveTimeout limits closing the connections and leaving the fleet.
@@ -187,7 +190,7 @@
 func (n *Node) buildMirror() {
 	n.mirror = mirror.New(mirror.Options{Store: n.store, Peers: n.peers, Others: n.fleet.OtherLive, Log: n.log},
 		mirror.Prefix{Name: n.platform.ConfigPrefix(), Handle: n.applyConfiguration},
-		mirror.Prefix{Name: n.platform.UpstreamPrefix(), Handle: n.applyUpstreams, AbsenceGrace: absenceGrace},
+		mirror.Prefix{Name: n.platform.UpstreamPrefix(), Handle: n.applyUpstreams, AbsenceGrace: absenceGrace, LapseTime: lapseTime},
 		mirror.Prefix{Name: fleet.Prefix, Handle: n.fleet.SetRegistered},
 		mirror.Prefix{Name: failedruns.Prefix, Handle: n.failedRuns.SetStored},
 	)
