Do not take upstreams that leave without notice for crashed

An entry that is removed without 'draining' before counted as a crash of runs that had broken off there within six seconds. Such an upstream now counts as crashed only if it takes no connections; a later start under the same id still counts at once.

--- a/pkg/controller/failedruns/failedruns.go
+++ b/pkg/controller/failedruns/failedruns.go
@@ -128,9 +128,9 @@
 	return c.ledger.PausedUntil(work, time.Now())
 }
 
-// Broken records that a run ended without an answer, at a time when the upstream was expected to go on. It finds out
-// whether the upstream refuses connections, and if so, tells other nodes of the crash before it returns. Otherwise the
-// crash is recorded when the upstream's entry shows its end.
+// Broken records that a run ended without an answer. It finds out whether the upstream refuses connections, and if so,
+// tells other nodes of the crash before it returns. Otherwise the crash is only suspected until the upstream's entry
+// shows its end.
 func (c *Controller) Broken(ctx context.Context, fingerprint string, u dispatch.Upstream) {
 	if c == nil {
 		return
@@ -141,7 +141,7 @@
 	}
 	b := brokenRun{fingerprint, c.newRun(), u, time.Now()}
 	ctx = context.WithoutCancel(ctx)
-	if refusesConnections(ctx, u.Address) {
+	if errors.Is(tryConnect(ctx, u.Address), syscall.ECONNREFUSED) {
 		c.add(ctx, "upstream crashed while it ran a request", b.record(failedruns.Crashed, time.Now()))
 		return
 	}
@@ -161,14 +161,13 @@
 	}
 }
 
-// refusesConnections reports whether nothing listens at an address. An address that does not answer is not known to
-// refuse.
-func refusesConnections(ctx context.Context, address string) bool {
+// tryConnect opens and closes a connection to an upstream. The error is ECONNREFUSED if nothing listens at its address.
+func tryConnect(ctx context.Context, address string) error {
 	conn, err := dial.Dialer(checkTimeout).DialContext(ctx, "tcp", address)
 	if err == nil {
 		_ = conn.Close() // Nothing was sent.
 	}
-	return errors.Is(err, syscall.ECONNREFUSED)
+	return err
 }
 
 // expect keeps a broken run until its upstream's entry shows an end or confirmTime has passed.
@@ -182,36 +181,56 @@
 	}
 }
 
-// UpstreamsEnded records the crashes of upstreams whose entries show that their processes have ended, unless they were
-// leaving.
-func (c *Controller) UpstreamsEnded(ended []dispatch.Upstream) {
+// UpstreamsEnded records the crashes of upstreams that have ended, unless they were leaving. One whose entry is gone may
+// leave without notice and still serve, so it counts only if it takes no connections.
+func (c *Controller) UpstreamsEnded(ended []dispatch.EndedUpstream) {
 	if c == nil || len(ended) == 0 {
 		return
 	}
-	crashed := map[string]int64{}
+	byID := map[string]dispatch.EndedUpstream{}
 	for _, u := range ended {
 		if !u.Draining {
-			crashed[u.ID] = u.Incarnation
+			byID[u.ID] = u
 		}
 	}
 	c.mu.Lock()
-	now := time.Now()
-	var records []failedruns.Record
-	kept := c.unconfirmed[:0]
-	for _, b := range c.unconfirmed {
-		incarnation, ok := crashed[b.upstream.ID]
+	var crashed, gone []brokenRun
+	c.unconfirmed = slices.DeleteFunc(c.unconfirmed, func(b brokenRun) bool {
+		u, ok := byID[b.upstream.ID]
 		switch {
-		case now.Sub(b.at) >= confirmTime:
-		case ok && incarnation == b.upstream.Incarnation:
-			records = append(records, b.record(failedruns.Crashed, now))
+		case time.Since(b.at) >= confirmTime:
+		case !ok || u.Incarnation != b.upstream.Incarnation:
+			return false
+		case u.Restarted:
+			crashed = append(crashed, b)
 		default:
-			kept = append(kept, b)
+			gone = append(gone, b)
 		}
-	}
-	c.unconfirmed = kept
+		return true
+	})
 	c.mu.Unlock()
+	if len(crashed)+len(gone) > 0 {
+		go c.recordEnded(context.Background(), crashed, gone)
+	}
+}
+
+// recordEnded records broken runs of upstreams that crashed, and of those gone that take no connections.
+func (c *Controller) recordEnded(ctx context.Context, crashed, gone []brokenRun) {
+	serving := map[string]bool{}
+	for _, b := range gone {
+		if _, checked := serving[b.upstream.ID]; !checked {
+			serving[b.upstream.ID] = tryConnect(ctx, b.upstream.Address) == nil
+		}
+		if !serving[b.upstream.ID] {
+			crashed = append(crashed, b)
+		}
+	}
+	var records []failedruns.Record
+	for _, b := range crashed {
+		records = append(records, b.record(failedruns.Crashed, time.Now()))
+	}
 	if len(records) > 0 {
-		go c.add(context.Background(), "upstream whose run broke off has ended", records...)
+		c.add(ctx, "upstream whose run broke off has ended", records...)
 	}
 }
 
--- a/pkg/controller/placer/placer.go
+++ b/pkg/controller/placer/placer.go
@@ -107,13 +107,14 @@
 	}
 }
 
-// SetUpstreams replaces the list of upstreams, and returns those whose process has ended.
-func (p *Placer) SetUpstreams(list []dispatch.Upstream) (ended []dispatch.Upstream) {
+// SetUpstreams replaces the list of upstreams, and returns those that ended.
+func (p *Placer) SetUpstreams(list []dispatch.Upstream) (ended []dispatch.EndedUpstream) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	ended = p.state.SetUpstreams(list)
 	for _, u := range ended {
-		p.log.Notice("upstream ended", "upstream", u.ID, "incarnation", u.Incarnation, "service", u.Service, "draining", u.Draining)
+		p.log.Notice("upstream ended", "upstream", u.ID, "incarnation", u.Incarnation, "service", u.Service, "draining", u.Draining,
+			"restarted", u.Restarted)
 	}
 	p.signalFreed()
 	return ended
--- a/pkg/decision/dispatch/dispatch.go
+++ b/pkg/decision/dispatch/dispatch.go
@@ -128,9 +128,15 @@
 	}
 }
 
-// SetUpstreams replaces the set of upstreams. Those that remain keep their state. It returns the upstreams whose process
-// has ended: they are no longer in the set, or there with another incarnation.
-func (s *State) SetUpstreams(list []Upstream) (ended []Upstream) {
+// EndedUpstream is an upstream whose entry is gone, or shows a later start of its process.
+type EndedUpstream struct {
+	Upstream
+	// Restarted is set if there is a later start. An upstream without one may be leaving as planned and still serve.
+	Restarted bool
+}
+
+// SetUpstreams replaces the set of upstreams. Those that remain keep their state. It returns the upstreams that ended.
+func (s *State) SetUpstreams(list []Upstream) (ended []EndedUpstream) {
 	byID := make(map[string]*upstream, len(list))
 	previous := make(map[string]Upstream, len(s.byID))
 	for id, u := range s.byID {
@@ -156,7 +162,7 @@
 	}
 	for id, before := range previous {
 		if now := byID[id]; now == nil || now.Incarnation != before.Incarnation {
-			ended = append(ended, before)
+			ended = append(ended, EndedUpstream{before, now != nil})
 		}
 	}
 	s.byID = byID
