--- a/pkg/controller/failedruns/failedruns.go
+++ b/pkg/controller/failedruns/failedruns.go
@@ -33,8 +33,8 @@
 	// confirmTime is how long after a run broke off the end of its upstream still counts as its cause: entries of
 	// upstreams are removed after some seconds of silence.
 	confirmTime = 6 * time.Second
-	// maxUnconfirmed limits the broken runs that wait for a confirmation.
-	maxUnconfirmed = 1024
+	// maxSilent limits the runs that were given up and may turn out to have crashed their upstreams.
+	maxSilent = 1024
 	// maxSurvived limits the fingerprints of requests that were run without a crash, at about 150 bytes each.
 	maxSurvived = 4096
 	// holders is the number of other nodes that are told of a failed run at once, and shareTimeout bounds the calls.
@@ -75,20 +75,20 @@
 	ledger *failedruns.Ledger
 	// survived holds the fingerprints of the last requests that upstreams ran without crashing, each until a run breaks off.
 	survived *lru.Cache[string, struct{}]
-	// unconfirmed holds the runs that broke off, as long as their upstreams may turn out to have crashed.
-	unconfirmed []brokenRun
+	// silent holds the runs of this node that were given up, as long as their upstreams may turn out to have crashed.
+	silent      []suspectedRun
 	quarantines quarantines
 }
 
-// brokenRun is a run that ended without an answer.
-type brokenRun struct {
-	work, run string
-	upstream  dispatch.Upstream
-	at        time.Time
+// suspectedRun is a run whose upstream may have crashed.
+type suspectedRun struct {
+	record  failedruns.Record
+	address string
+	at      time.Time
 }
 
-func (b brokenRun) record(kind failedruns.Kind, now time.Time) failedruns.Record {
-	return failedruns.Record{Work: b.work, Run: b.run, Kind: kind, Upstream: b.upstream.ID, Age: now.Sub(b.at)}
+func (c *Controller) newRecord(work string, kind failedruns.Kind, u dispatch.Upstream) failedruns.Record {
+	return failedruns.Record{Work: work, Run: c.newRun(), Kind: kind, Upstream: u.ID, Incarnation: u.Incarnation}
 }
 
 // New returns a controller. Run stores and reads quarantines.
@@ -139,25 +139,33 @@
 		c.options.Log.Routine("broken run ignored, since the request was run before without a crash", "fingerprint", fingerprint, "upstream", u.ID)
 		return
 	}
-	b := brokenRun{fingerprint, c.newRun(), u, time.Now()}
+	r := c.newRecord(fingerprint, failedruns.Crashed, u)
 	ctx = context.WithoutCancel(ctx)
 	if errors.Is(tryConnect(ctx, u.Address), syscall.ECONNREFUSED) {
-		c.add(ctx, "upstream crashed while it ran a request", b.record(failedruns.Crashed, time.Now()))
+		c.add(ctx, "upstream crashed while it ran a request", r)
 		return
 	}
-	c.expect(b)
 	// Other nodes get suspected crashes with the exchange of load: they are too frequent to wait for each.
+	r.Kind = failedruns.Suspected
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.ledger.Merge([]failedruns.Record{b.record(failedruns.Suspected, time.Now())}, "", time.Now())
+	c.ledger.Merge([]failedruns.Record{r}, "", time.Now())
 	c.updated()
 }
 
 // Silent records that a run was given up because its upstream sent no data since the given time. That is usual while
-// upstreams are full, so a crash is recorded only when the upstream's entry shows its end.
+// upstreams are full, so the run does not count, and other nodes do not learn of it, unless the upstream's entry shows
+// its end.
 func (c *Controller) Silent(fingerprint string, u dispatch.Upstream, since time.Time) {
-	if c != nil && !c.survived.Remove(fingerprint) {
-		c.expect(brokenRun{fingerprint, c.newRun(), u, since})
+	if c == nil || c.survived.Remove(fingerprint) {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	c.silent = slices.DeleteFunc(c.silent, func(old suspectedRun) bool { return now.Sub(old.at) >= confirmTime })
+	if len(c.silent) < maxSilent {
+		c.silent = append(c.silent, suspectedRun{c.newRecord(fingerprint, failedruns.Crashed, u), u.Address, since})
 	}
 }
 
@@ -170,66 +178,46 @@
 	return err
 }
 
-// expect keeps a broken run until its upstream's entry shows an end or confirmTime has passed.
-func (c *Controller) expect(b brokenRun) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	now := time.Now()
-	c.unconfirmed = slices.DeleteFunc(c.unconfirmed, func(old brokenRun) bool { return now.Sub(old.at) >= confirmTime })
-	if len(c.unconfirmed) < maxUnconfirmed {
-		c.unconfirmed = append(c.unconfirmed, b)
-	}
-}
-
 // UpstreamsEnded records the crashes of upstreams that have ended, unless they were leaving. One whose entry is gone may
-// leave without notice and still serve, so it counts only if it takes no connections.
+// leave without notice and still serve, so it counts only if it takes no connections. Every node does this for the
+// suspected crashes that it knows, since the node that saw them may be lost by then.
 func (c *Controller) UpstreamsEnded(ended []dispatch.EndedUpstream) {
-	if c == nil || len(ended) == 0 {
+	if c == nil {
 		return
 	}
-	byID := map[string]dispatch.EndedUpstream{}
 	for _, u := range ended {
-		if !u.Draining {
-			byID[u.ID] = u
+		if u.Draining {
+			continue
+		}
+		if records := c.takeSuspects(u); len(records) > 0 {
+			go c.recordEnded(context.Background(), u, records)
 		}
 	}
+}
+
+// takeSuspects returns the runs whose upstream may have crashed, as crashes.
+func (c *Controller) takeSuspects(u dispatch.EndedUpstream) []failedruns.Record {
 	c.mu.Lock()
-	var crashed, gone []brokenRun
-	c.unconfirmed = slices.DeleteFunc(c.unconfirmed, func(b brokenRun) bool {
-		u, ok := byID[b.upstream.ID]
-		switch {
-		case time.Since(b.at) >= confirmTime:
-		case !ok || u.Incarnation != b.upstream.Incarnation:
+	defer c.mu.Unlock()
+	now := time.Now()
+	records := c.ledger.Suspects(u.ID, u.Incarnation, confirmTime, now)
+	for n := range records {
+		records[n].Kind = failedruns.Crashed
+	}
+	c.silent = slices.DeleteFunc(c.silent, func(run suspectedRun) bool {
+		if run.record.Upstream != u.ID || run.record.Incarnation != u.Incarnation {
 			return false
-		case u.Restarted:
-			crashed = append(crashed, b)
-		default:
-			gone = append(gone, b)
+		}
+		if run.record.Age = now.Sub(run.at); run.record.Age < confirmTime {
+			records = append(records, run.record)
 		}
 		return true
 	})
-	c.mu.Unlock()
-	if len(crashed)+len(gone) > 0 {
-		go c.recordEnded(context.Background(), crashed, gone)
-	}
+	return records
 }
 
-// recordEnded records broken runs of upstreams that crashed, and of those gone that take no connections.
-func (c *Controller) recordEnded(ctx context.Context, crashed, gone []brokenRun) {
-	serving := map[string]bool{}
-	for _, b := range gone {
-		if _, checked := serving[b.upstream.ID]; !checked {
-			serving[b.upstream.ID] = tryConnect(ctx, b.upstream.Address) == nil
-		}
-		if !serving[b.upstream.ID] {
-			crashed = append(crashed, b)
-		}
-	}
-	var records []failedruns.Record
-	for _, b := range crashed {
-		records = append(records, b.record(failedruns.Crashed, time.Now()))
-	}
-	if len(records) > 0 {
+func (c *Controller) recordEnded(ctx context.Context, u dispatch.EndedUpstream, records []failedruns.Record) {
+	if u.Restarted || tryConnect(ctx, u.Address) != nil {
 		c.add(ctx, "upstream whose run broke off has ended", records...)
 	}
 }
@@ -239,8 +227,7 @@
 	if c == nil {
 		return
 	}
-	c.add(context.WithoutCancel(ctx), "upstream answered an item with an error",
-		failedruns.Record{Work: item, Run: c.newRun(), Kind: kind, Upstream: upstream})
+	c.add(context.WithoutCancel(ctx), "upstream answered an item with an error", c.newRecord(item, kind, dispatch.Upstream{ID: upstream}))
 }
 
 // Failures returns the number of an item's runs, at all nodes, that upstreams answered with an error of the kind.
@@ -294,7 +281,7 @@
 // add adds records of this node and tells other nodes.
 func (c *Controller) add(ctx context.Context, reason string, records ...failedruns.Record) {
 	c.mu.Lock()
-	c.ledger.Merge(records, "", time.Now())
+	records = c.ledger.Merge(records, "", time.Now()) // Other nodes may have recorded the same crashes meanwhile.
 	c.updated()
 	for _, r := range records {
 		c.options.Metrics.countFailedRun(r.Kind)
@@ -303,8 +290,10 @@
 		c.logQuarantine(r.Work)
 	}
 	c.mu.Unlock()
-	c.share(ctx, records)
-	c.options.Exchange()
+	if len(records) > 0 {
+		c.share(ctx, records)
+		c.options.Exchange()
+	}
 }
 
 // logQuarantine logs the begin of a quarantine; c.mu is held.
--- a/pkg/controller/failedruns/failedruns_test.go
+++ b/pkg/controller/failedruns/failedruns_test.go
@@ -113,6 +113,27 @@
 	}
 }
 
+// Guards against a suspected crash that is not confirmed because the node that saw it is gone before the upstream's entry
+// shows its end: in the soak test such a request was held back for ten seconds only (seed 1).
+func TestAnyNodeConfirmsASuspectedCrash(t *testing.T) {
+	n := newNetwork()
+	a, b := n.add("a", nil), n.add("b", nil)
+	var ended []dispatch.EndedUpstream
+	for id := range 2 {
+		u := upstream(t, fmt.Sprint("u", id), false)
+		a.Broken(context.Background(), "work", u)
+		ended = append(ended, dispatch.EndedUpstream{Upstream: u, Restarted: true})
+	}
+	records, _ := a.Since(0, "b")
+	b.Merge("a", records)
+	assert.Assert(t, !quarantined(b, "work"))
+	b.UpstreamsEnded(ended)
+	for end := time.Now().Add(time.Second); !quarantined(b, "work") && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	assert.Assert(t, quarantined(b, "work"))
+}
+
 // Guards against the quarantine of a request that many callers send, by crashes of upstreams that run it among others.
 func TestRequestThatWasRunBeforeIsNotBlamedAtOnce(t *testing.T) {
 	c := newNetwork().add("a", nil)
--- a/pkg/decision/failedruns/failedruns.go
+++ b/pkg/decision/failedruns/failedruns.go
@@ -60,6 +60,8 @@
 	Run      string
 	Kind     Kind
 	Upstream string
+	// Incarnation tells the starts of an upstream apart.
+	Incarnation int64
 	// Age is the time since the run failed. Nodes exchange ages, since their clocks differ.
 	Age time.Duration
 	// Cleared is set when the run no longer counts, because it turned out that the work did not cause the crash.
@@ -286,6 +288,16 @@
 	return changed
 }
 
+// Suspects returns the suspected crashes of an upstream's process that are not older than maxAge.
+func (l *Ledger) Suspects(upstream string, incarnation int64, maxAge time.Duration, now time.Time) (records []Record) {
+	for e := range l.byUpstream[upstream] {
+		if e.Kind == Suspected && e.Incarnation == incarnation && now.Sub(e.at) < maxAge {
+			records = append(records, e.aged(now))
+		}
+	}
+	return records
+}
+
 // Alive clears the crashes and suspected crashes recorded for an upstream that still delivers data on a connection: one that was in use since
 // before the recorded crash proves that only the path of the reporting node was interrupted.
 func (l *Ledger) Alive(upstream string, inUseSince, now time.Time) (changed []Record) {
