Blame only the runs in progress for the end of an upstream

Causes: - Runs sent after an upstream had ended, through a proxy that accepts connections, were taken for its cause. A process ends once, so only runs that had begun before the first run broke off are blamed now. - Equal requests that ran on one upstream when it crashed counted once each; they have one crash together now, and suspects count by upstream. - The pause of an item doubled with each crash, also with five at the same time. It doubles when the run after a pause crashes another upstream. - A request that other nodes had just run without a crash could be blamed; they now speak for it.

--- a/pkg/controller/failedruns/failedruns.go
+++ b/pkg/controller/failedruns/failedruns.go
@@ -35,8 +35,9 @@
 	confirmTime = 6 * time.Second
 	// maxSilent limits the runs that were given up and may turn out to have crashed their upstreams.
 	maxSilent = 1024
-	// maxSurvived limits the fingerprints of requests that were run without a crash, at about 150 bytes each.
-	maxSurvived = 4096
+	// maxSurvived limits the fingerprints of requests that were run without a crash, at about 150 bytes each. survivedTime is
+	// how long such a run speaks for equal requests.
+	maxSurvived, survivedTime = 4096, time.Minute
 	// holders is the number of other nodes that are told of a failed run at once, and shareTimeout bounds the calls.
 	holders, shareTimeout = 2, 150 * time.Millisecond
 	// exchangeRecords limits the records in one exchange, and startRecords those in the answer to a node that has
@@ -73,8 +74,9 @@
 
 	mu     sync.Mutex
 	ledger *failedruns.Ledger
-	// survived holds the fingerprints of the last requests that upstreams ran without crashing, each until a run breaks off.
-	survived *lru.Cache[string, struct{}]
+	// survived holds when upstreams last ran the last requests without crashing, by fingerprint, each until a run breaks off
+	// here or elsewhere.
+	survived *lru.Cache[string, time.Time]
 	// silent holds the runs of this node that were given up, as long as their upstreams may turn out to have crashed.
 	silent      []suspectedRun
 	quarantines quarantines
@@ -93,7 +95,7 @@
 
 // New returns a controller. Run stores and reads quarantines.
 func New(o Options) *Controller {
-	survived, err := lru.New[string, struct{}](maxSurvived)
+	survived, err := lru.New[string, time.Time](maxSurvived)
 	if err != nil {
 		panic(err) // Only a size that is not positive is an error.
 	}
@@ -131,15 +133,16 @@
 // Broken records that a run ended without an answer. It finds out whether the upstream refuses connections, and if so,
 // tells other nodes of the crash before it returns. Otherwise the crash is only suspected until the upstream's entry
 // shows its end.
-func (c *Controller) Broken(ctx context.Context, fingerprint string, u dispatch.Upstream) {
+func (c *Controller) Broken(ctx context.Context, fingerprint string, u dispatch.Upstream, began time.Time) {
 	if c == nil {
 		return
 	}
-	if c.survived.Remove(fingerprint) {
+	if c.takeSurvived(fingerprint) {
 		c.options.Log.Routine("broken run ignored, since the request was run before without a crash", "fingerprint", fingerprint, "upstream", u.ID)
 		return
 	}
 	r := c.newRecord(fingerprint, failedruns.Crashed, u)
+	r.Lasted = time.Since(began)
 	ctx = context.WithoutCancel(ctx)
 	if errors.Is(tryConnect(ctx, u.Address), syscall.ECONNREFUSED) {
 		c.add(ctx, "upstream crashed while it ran a request", r)
@@ -157,7 +160,7 @@
 // upstreams are full, so the run does not count, and other nodes do not learn of it, unless the upstream's entry shows
 // its end.
 func (c *Controller) Silent(fingerprint string, u dispatch.Upstream, since time.Time) {
-	if c == nil || c.survived.Remove(fingerprint) {
+	if c == nil || c.takeSurvived(fingerprint) {
 		return
 	}
 	c.mu.Lock()
@@ -240,18 +243,26 @@
 	return c.ledger.Failures(item, kind)
 }
 
-// Survived records that an upstream ran a request without crashing. The next broken run of an equal request then does not
-// count, so that a request that many callers send is not quarantined by crashes that it did not cause.
+// Survived records that an upstream ran a request without crashing. The next broken run of an equal request, here or at
+// another node, then does not count, so that a request that many callers send is not quarantined by crashes that it did
+// not cause.
 func (c *Controller) Survived(fingerprint string) {
 	if c == nil {
 		return
 	}
-	c.survived.Add(fingerprint, struct{}{})
+	c.survived.Add(fingerprint, time.Now())
 	if c.blames.Load() {
 		c.clear("request was run without a crash", func() []failedruns.Record { return c.ledger.Survived(fingerprint) })
 	}
 }
 
+// takeSurvived reports whether an equal request was run lately without a crash, since the last one that broke off.
+func (c *Controller) takeSurvived(fingerprint string) bool {
+	at, ok := c.survived.Peek(fingerprint)
+	c.survived.Remove(fingerprint)
+	return ok && time.Since(at) < survivedTime
+}
+
 // Alive records that an upstream delivers data on a connection that has been in use since the given time.
 func (c *Controller) Alive(upstream string, inUseSince time.Time) {
 	if c == nil || !c.blames.Load() {
@@ -286,7 +297,7 @@
 	for _, r := range records {
 		c.options.Metrics.countFailedRun(r.Kind)
 		c.options.Log.Notice("failed run recorded", "work", r.Work, "run", r.Run, "upstream", r.Upstream, "age_ms", r.Age.Milliseconds(),
-			"crashes", c.ledger.Failures(r.Work, failedruns.Crashed), "errors", c.ledger.Failures(r.Work, failedruns.Errored), "reason", reason)
+			"crash_runs", c.ledger.Failures(r.Work, failedruns.Crashed), "errors", c.ledger.Failures(r.Work, failedruns.Errored), "reason", reason)
 		c.logQuarantine(r.Work)
 	}
 	c.mu.Unlock()
@@ -300,7 +311,7 @@
 func (c *Controller) logQuarantine(work string) {
 	if now := time.Now(); c.ledger.IsQuarantined(work, now) && c.quarantines.begin(work, now) {
 		c.options.Metrics.countQuarantine()
-		c.options.Log.Notice("request quarantined", "fingerprint", work, "crashes", c.ledger.Failures(work, failedruns.Crashed),
+		c.options.Log.Notice("request quarantined", "fingerprint", work, "crash_runs", c.ledger.Failures(work, failedruns.Crashed),
 			"for_ms", c.ledger.QuarantinedFor(work, now).Milliseconds())
 	}
 }
@@ -382,6 +393,11 @@
 		}
 		c.options.Log.Routine("failed run learned", "work", r.Work, "run", r.Run, "upstream", r.Upstream, "age_ms", r.Age.Milliseconds(),
 			"cleared", r.Cleared, "from", from)
+		if r.Kind == failedruns.Crashed && !r.Cleared && c.takeSurvived(r.Work) {
+			c.options.Log.Routine("crash no longer counts", "fingerprint", r.Work, "upstream", r.Upstream, "reason", "request was run here without a crash")
+			r.Cleared = true
+			c.ledger.Merge([]failedruns.Record{r}, "", time.Now())
+		}
 		c.logQuarantine(r.Work)
 	}
 	c.updated()
--- a/pkg/decision/failedruns/failedruns.go
+++ b/pkg/decision/failedruns/failedruns.go
@@ -15,13 +15,14 @@
 	// Lifetime is how long a record counts, and how long a quarantine lasts after the last crash.
 	Lifetime = 10 * time.Minute
 	// quarantineCrashes is the number of upstreams that may crash under a request. A request that shared an upstream with
-	// the one that crashed it has a single crash, since it is repeated elsewhere.
+	// the one that crashed it has a single crash, since it is repeated elsewhere. Equal requests that ran on one upstream
+	// when it crashed have one crash together.
 	quarantineCrashes = 2
-	// suspectRuns is the number of runs that must have crashed an upstream or broken off, the last within suspectTime, for a
-	// request to be held back until suspectTime has passed. It bounds the runs of a request whose crashes show late.
-	suspectRuns, suspectTime = 3, 10 * time.Second
-	// itemPause is the pause after the crash that quarantines a batch item; it doubles with each further crash. An item can
-	// only end by its own result, so it is repeated rarely instead of being refused.
+	// suspectUpstreams is the number of upstreams that must have crashed or broken off a run, the last within suspectTime,
+	// for a request to be held back until suspectTime has passed. It bounds the runs of a request whose crashes show late.
+	suspectUpstreams, suspectTime = 3, 10 * time.Second
+	// itemPause is the pause after the crash that quarantines a batch item; it doubles each time that the run after a pause
+	// crashes another upstream. An item can only end by its own result, so it is repeated rarely instead of being refused.
 	itemPause = 10 * time.Second
 	// maxPauseDoublings keeps the pause from overflowing; it is above Lifetime by then.
 	maxPauseDoublings = 6
@@ -62,6 +63,8 @@
 	Upstream string
 	// Incarnation tells the starts of an upstream apart.
 	Incarnation int64
+	// Lasted is how long the run had lasted when it failed.
+	Lasted time.Duration
 	// Age is the time since the run failed. Nodes exchange ages, since their clocks differ.
 	Age time.Duration
 	// Cleared is set when the run no longer counts, because it turned out that the work did not cause the crash.
@@ -202,7 +205,7 @@
 	}
 	var all []candidate
 	for work, runs := range l.entries {
-		quarantined := l.crashes(work) >= quarantineCrashes
+		quarantined := l.IsQuarantined(work, now)
 		for _, e := range runs {
 			c := candidate{entry: e, rank: 1}
 			switch {
@@ -220,9 +223,6 @@
 	}
 }
 
-// crashes returns the number of upstreams that crashed under the work.
-func (l *Ledger) crashes(work string) int { return l.Failures(work, Crashed) }
-
 // Failures returns the number of runs of the work that failed in the given way.
 func (l *Ledger) Failures(work string, kind Kind) (n int) {
 	for _, e := range l.entries[work] {
@@ -233,51 +233,78 @@
 	return n
 }
 
-// blame returns the number of crashes, of crashes and suspected ones, and the time of the last of each.
-func (l *Ledger) blame(work string, now time.Time) (crashes, runs int, lastCrash, lastRun time.Time) {
+// process identifies a start of an upstream.
+type process struct {
+	upstream    string
+	incarnation int64
+}
+
+// blame returns the number of upstreams that crashed under the work, that of those which crashed or are suspected to have,
+// and the time of the last of each.
+func (l *Ledger) blame(work string, now time.Time) (crashes, suspects int, lastCrash, lastSuspect time.Time) {
+	crashed, suspected := map[process]bool{}, map[process]bool{}
 	for _, e := range l.entries[work] {
 		if e.Cleared || !e.Kind.blames() || e.expired(now) {
 			continue
 		}
-		runs++
-		if e.at.After(lastRun) {
-			lastRun = e.at
+		p := process{e.Upstream, e.Incarnation}
+		suspected[p] = true
+		if e.at.After(lastSuspect) {
+			lastSuspect = e.at
 		}
 		if e.Kind != Crashed {
 			continue
 		}
-		crashes++
+		crashed[p] = true
 		if e.at.After(lastCrash) {
 			lastCrash = e.at
 		}
 	}
-	return crashes, runs, lastCrash, lastRun
+	return len(crashed), len(suspected), lastCrash, lastSuspect
 }
 
 // QuarantinedFor returns how long a request must not be sent to upstreams, or 0 if it may be sent now.
 func (l *Ledger) QuarantinedFor(work string, now time.Time) time.Duration {
-	crashes, runs, lastCrash, lastRun := l.blame(work, now)
+	crashes, suspects, lastCrash, lastSuspect := l.blame(work, now)
 	switch {
 	case crashes >= quarantineCrashes:
 		return max(0, lastCrash.Add(Lifetime).Sub(now))
-	case runs >= suspectRuns:
-		return max(0, lastRun.Add(suspectTime).Sub(now))
+	case suspects >= suspectUpstreams:
+		return max(0, lastSuspect.Add(suspectTime).Sub(now))
 	}
 	return 0
 }
 
 // PausedUntil returns the time before which a batch item must not be sent to upstreams, or zero if it may be sent now.
 func (l *Ledger) PausedUntil(work string, now time.Time) time.Time {
-	crashes, runs, lastCrash, lastRun := l.blame(work, now)
+	crashes, suspects, lastCrash, lastSuspect := l.blame(work, now)
 	switch {
 	case crashes >= quarantineCrashes:
-		return lastCrash.Add(min(Lifetime, itemPause<<min(crashes-quarantineCrashes, maxPauseDoublings)))
-	case runs >= suspectRuns:
-		return lastRun.Add(suspectTime)
+		return lastCrash.Add(min(Lifetime, itemPause<<min(l.pausesEnded(work), maxPauseDoublings)))
+	case suspects >= suspectUpstreams:
+		return lastSuspect.Add(suspectTime)
 	}
 	return time.Time{}
 }
 
+// pausesEnded returns how many pauses of an item ended with another crash. Crashes before the first pause, or at nodes that
+// did not know of it yet, follow each other in less than itemPause.
+func (l *Ledger) pausesEnded(work string) (n int) {
+	var crashes []time.Time
+	for _, e := range l.entries[work] {
+		if e.Kind == Crashed && !e.Cleared {
+			crashes = append(crashes, e.at)
+		}
+	}
+	slices.SortFunc(crashes, time.Time.Compare)
+	for i := 1; i < len(crashes); i++ {
+		if crashes[i].Sub(crashes[i-1]) >= itemPause {
+			n++
+		}
+	}
+	return n
+}
+
 // Survived clears the crashes and suspected crashes of work that an upstream has just run without crashing.
 func (l *Ledger) Survived(work string) (changed []Record) {
 	for _, e := range l.entries[work] {
@@ -288,10 +315,21 @@
 	return changed
 }
 
-// Suspects returns the suspected crashes of an upstream's process that are not older than maxAge.
+// Suspects returns the suspected crashes of an upstream's process that are not older than maxAge, without the runs that
+// began after the first of them broke off: the process had ended by then.
 func (l *Ledger) Suspects(upstream string, incarnation int64, maxAge time.Duration, now time.Time) (records []Record) {
+	var all []*entry
+	ended := now
 	for e := range l.byUpstream[upstream] {
 		if e.Kind == Suspected && e.Incarnation == incarnation && now.Sub(e.at) < maxAge {
+			all = append(all, e)
+			if e.at.Before(ended) {
+				ended = e.at
+			}
+		}
+	}
+	for _, e := range all {
+		if !e.at.Add(-e.Lasted).After(ended) {
 			records = append(records, e.aged(now))
 		}
 	}
--- a/pkg/forward/quarantine.go
+++ b/pkg/forward/quarantine.go
@@ -16,7 +16,7 @@
 	case errors.Is(cause, ErrUnresponsive):
 		x.options.FailedRuns.Silent(x.request.Fingerprint(), u, x.attemptStarted)
 	case ctx.Err() == nil && BrokeOff(cause):
-		x.options.FailedRuns.Broken(ctx, x.request.Fingerprint(), u)
+		x.options.FailedRuns.Broken(ctx, x.request.Fingerprint(), u, x.attemptStarted)
 	}
 }
 
--- a/pkg/listjob/run.go
+++ b/pkg/listjob/run.go
@@ -224,7 +224,7 @@
 	case errors.Is(err, forward.ErrUnresponsive):
 		runs.Silent(it.fingerprint, u, it.runStart)
 	case ctx.Err() == nil && forward.BrokeOff(err):
-		runs.Broken(ctx, it.fingerprint, u)
+		runs.Broken(ctx, it.fingerprint, u, it.runStart)
 	}
 }
 
