Keep quarantines of the product's own interface when all nodes restart

Callers that came back after all nodes had been killed crashed two more upstreams with a request that was quarantined. The node that reports the crash which quarantines a request now stores the quarantine, and starting nodes read the stored ones and delete those that have ended. Without the store the behaviour is as before.

--- a/pkg/controller/quarantine/quarantine.go
+++ b/pkg/controller/quarantine/quarantine.go
@@ -21,6 +21,7 @@
 	"k8s.io/klog/v2"
 
 	"trefoilplank.example/pkg/adapter/peer"
+	"trefoilplank.example/pkg/adapter/store"
 	"trefoilplank.example/pkg/blackboard"
 	"trefoilplank.example/pkg/decision/quarantine"
 	"trefoilplank.example/pkg/decision/rendezvous"
@@ -90,6 +91,8 @@
 	Self  string
 	Board *blackboard.Board
 	Peers peer.Caller
+	// Store keeps quarantines for nodes that start when no other node knows of them; nil if they are not stored.
+	Store store.Store
 	// Explain records decisions; if it is nil, none are recorded.
 	Explain *explain.Log
 	// Timeouts defaults to DefaultTimeouts.
@@ -164,8 +167,11 @@
 	return c, r.Register("Quarantine", &Receiver{c})
 }
 
-// Run frees the reservations of lost nodes and sends records to new owners until ctx ends.
+// Run reads the stored quarantines, frees the reservations of lost nodes and sends records to new owners until ctx ends.
 func (c *Controller) Run(ctx context.Context) error {
+	var reading sync.WaitGroup
+	defer reading.Wait()
+	reading.Go(func() { c.readStored(ctx) })
 	for {
 		members, revision := c.Board.Members.Get()
 		if revision > 0 {
--- a/pkg/controller/quarantine/report.go
+++ b/pkg/controller/quarantine/report.go
@@ -56,6 +56,7 @@
 		// Report to one node more than the holders, since this node may be one of them.
 		order, _ := c.decidingNodes(fingerprint, holderCount+1)
 		c.report(ctx, slices.Concat(order, own.exported), holderCount+1, &args)
+		c.storeQuarantine(ctx, fingerprint)
 		return
 	}
 	if own.reserved || args.Ending == quarantine.Survived && c.isSuspect(fingerprint) {
--- a/pkg/node/build.go
+++ b/pkg/node/build.go
@@ -121,7 +121,7 @@
 	}
 	n.upstreamCalls = service.New()
 	n.invoker = engine.New(n.upstreamCalls)
-	n.quarantine, err = quarantine.New(quarantine.Options{Self: name, Board: n.board, Peers: n.peerClient, Explain: n.decisionLog}, n.peerServer)
+	n.quarantine, err = quarantine.New(quarantine.Options{Self: name, Board: n.board, Peers: n.peerClient, Store: n.store, Explain: n.decisionLog}, n.peerServer)
 	if err != nil {
 		return err
 	}
