Wake the review of quarantines only when a record was cleared

While any upstream was suspected to have crashed, each piece of data from any upstream woke the goroutine that reviews the quarantines: processor time for nothing on a busy node. It is woken when a record was cleared. The runs that were given up are named for what they are, without a field that nothing read. No decision changes; tests of the package and of pkg/forward pass.

--- a/pkg/controller/failedruns/failedruns.go
+++ b/pkg/controller/failedruns/failedruns.go
@@ -78,15 +78,14 @@
 	// here or elsewhere.
 	survived *lru.Cache[string, time.Time]
 	// silent holds the runs of this node that were given up, as long as their upstreams may turn out to have crashed.
-	silent      []suspectedRun
+	silent      []silentRun
 	quarantines quarantines
 }
 
-// suspectedRun is a run whose upstream may have crashed.
-type suspectedRun struct {
-	record  failedruns.Record
-	address string
-	at      time.Time
+// silentRun is a run that was given up, as the record of a crash at the time since which no data came.
+type silentRun struct {
+	record failedruns.Record
+	at     time.Time
 }
 
 func (c *Controller) newRecord(work string, kind failedruns.Kind, u dispatch.Upstream) failedruns.Record {
@@ -166,9 +165,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
-	c.silent = slices.DeleteFunc(c.silent, func(old suspectedRun) bool { return now.Sub(old.at) >= confirmTime })
+	c.silent = slices.DeleteFunc(c.silent, func(old silentRun) bool { return now.Sub(old.at) >= confirmTime })
 	if len(c.silent) < maxSilent {
-		c.silent = append(c.silent, suspectedRun{c.newRecord(fingerprint, failedruns.Crashed, u), u.Address, since})
+		c.silent = append(c.silent, silentRun{c.newRecord(fingerprint, failedruns.Crashed, u), since})
 	}
 }
 
@@ -207,7 +206,7 @@
 	for n := range records {
 		records[n].Kind = failedruns.Crashed
 	}
-	c.silent = slices.DeleteFunc(c.silent, func(run suspectedRun) bool {
+	c.silent = slices.DeleteFunc(c.silent, func(run silentRun) bool {
 		if run.record.Upstream != u.ID || run.record.Incarnation != u.Incarnation {
 			return false
 		}
@@ -275,7 +274,9 @@
 func (c *Controller) clear(reason string, update func() []failedruns.Record) {
 	c.mu.Lock()
 	cleared := update()
-	c.updated()
+	if len(cleared) > 0 {
+		c.updated()
+	}
 	c.mu.Unlock()
 	if len(cleared) == 0 {
 		return
@@ -307,7 +308,7 @@
 	}
 }
 
-// logQuarantine logs the begin of a quarantine; c.mu is held.
+// logQuarantine logs a quarantine that is new to this node; c.mu is held.
 func (c *Controller) logQuarantine(work string) {
 	if now := time.Now(); c.ledger.IsQuarantined(work, now) && c.quarantines.begin(work, now) {
 		c.options.Metrics.countQuarantine()
--- a/pkg/controller/failedruns/stored.go
+++ b/pkg/controller/failedruns/stored.go
@@ -18,8 +18,8 @@
 const Prefix = "quarantine/"
 
 const (
-	// otherNodesDelay is how long after the begin of a quarantine that another node reported this node stores it, if it
-	// is not stored by then; up to half of it is added at random.
+	// otherNodesDelay is how long this node waits for another one to store the quarantine that it reported; up to half of
+	// it is added at random.
 	otherNodesDelay = 2 * time.Second
 	// storeRetry is the pause after an attempt to store or delete failed, and storeTimeout bounds one attempt.
 	storeRetry, storeTimeout = time.Second, time.Second
@@ -46,7 +46,7 @@
 
 // quarantines tracks which quarantines are in the store. Its fields are guarded by the controller's mutex.
 type quarantines struct {
-	// begun is when this node first counted the request as quarantined.
+	// begun is when this node first counted each request as quarantined.
 	begun map[string]time.Time
 	// stored holds the quarantines in the store, and deleteAfter when this node may delete one that has ended.
 	stored      map[string]bool
@@ -59,7 +59,7 @@
 	return quarantines{begun: map[string]time.Time{}, stored: map[string]bool{}, deleteAfter: map[string]time.Time{}, changed: make(chan struct{}, 1)}
 }
 
-// begin records the begin of a quarantine and reports whether it is new.
+// begin records when a quarantine began, and reports whether it is new to this node.
 func (q *quarantines) begin(work string, now time.Time) bool {
 	if _, ok := q.begun[work]; ok {
 		return false
