--- a/pkg/controller/failedruns/failedruns_test.go
+++ b/pkg/controller/failedruns/failedruns_test.go
@@ -180,8 +180,10 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go func() { _ = a.Run(ctx) }()
-	for u := range 2 {
-		a.Broken(ctx, "work", upstream(t, fmt.Sprint("u", u), true), time.Now())
+	for start := range 2 {
+		u := upstream(t, "u", true) // The upstream is back under the same id after the first crash.
+		u.Incarnation = int64(start)
+		a.Broken(ctx, "work", u, time.Now())
 	}
 	for end := time.Now().Add(2 * time.Second); len(storedObjects(t, s)) == 0 && time.Now().Before(end); {
 		time.Sleep(5 * time.Millisecond)
