Send a merged failed run back to the node whose record it came from

Callers of a request could be refused though its crash had been cleared: the node that confirmed a suspected crash kept counting it. Cause: a change is not sent to the node that it came from, but a record that joins that node's confirmation with a clearance made here is new to it. Change: such a record counts as a change of this node. The new test fails before (1 crash counted, 0 wanted).

--- a/pkg/decision/failedruns/failedruns.go
+++ b/pkg/decision/failedruns/failedruns.go
@@ -149,6 +149,9 @@
 	default:
 		return false
 	}
+	if e.Kind != r.Kind || e.Cleared != r.Cleared {
+		source = "" // The node that sent the record lacks what this one knew before.
+	}
 	l.changed(e, source)
 	return true
 }
--- a/pkg/decision/failedruns/failedruns_test.go
+++ b/pkg/decision/failedruns/failedruns_test.go
@@ -257,6 +257,22 @@
 	})
 }
 
+// Guards against a crash that counts at the node that confirmed it after another node has cleared its suspicion.
+func TestClearedSuspicionReachesTheNodeThatConfirmedIt(t *testing.T) {
+	suspected := Record{Work: "w", Run: "1", Kind: Suspected, Upstream: "u"}
+	a, b := NewLedger(), NewLedger()
+	a.Merge([]Record{suspected}, "", start)
+	b.Merge([]Record{suspected}, "", start)
+	a.Survived("w")
+	b.Merge([]Record{crash("w", "1", "u")}, "", start)
+	confirmed, _ := b.Since(0, "a", 10, start)
+	a.Merge(confirmed, "b", start)
+	back, _ := a.Since(0, "b", 10, start)
+	b.Merge(back, "a", start)
+	assert.Equal(t, b.Failures("w", Crashed), 0)
+	assert.Equal(t, a.Failures("w", Crashed), 0)
+}
+
 // Guards against a flood of failed runs that pushes out the records of a quarantined request, and against a ledger that
 // grows without limit.
 func TestFloodKeepsQuarantine(t *testing.T) {
