Blame parts of prompts for crashes that different requests share

Cause: the ledger of failed runs knew whole requests only, so each of these was new, and each was sent to a second replica. Class: what limits work is kept by a name that is too fine, while the fact was in the message. Change: a run that ends its upstream before it went on past its first event is recorded for the request and for each shared part; three crashes of two requests or more quarantine a part. Runs that went on past the first event clear their parts. A part is not blamed while another part, which the request at hand lacks, may have caused all its crashes. A request is not repeated if the next crash would quarantine a part. Items wait instead of being refused. Quarantined parts are stored and tried like requests.

--- a/pkg/controller/failedruns/failedruns.go
+++ b/pkg/controller/failedruns/failedruns.go
@@ -35,9 +35,10 @@
 	confirmTime = 6 * time.Second
 	// maxSilent limits the runs that were given up and may turn out to have crashed their upstreams.
 	maxSilent = 1024
-	// maxSurvived limits the fingerprints of requests that were run without a crash, at about 150 bytes each. survivedTime is
-	// how long such a run speaks for equal requests.
+	// maxSurvived limits the fingerprints of requests that were run without a crash, and the parts of those, at about 150 bytes
+	// each. survivedTime is how long such a run speaks for equal requests, and partSurvivedTime for others with the same part.
 	maxSurvived, survivedTime = 4096, time.Minute
+	partSurvivedTime          = time.Second
 	// holders is the number of other nodes that are told of a failed run at once, and shareTimeout bounds the calls.
 	holders, shareTimeout = 2, 150 * time.Millisecond
 	// exchangeRecords limits the records in one exchange, and startRecords those in the answer to a node that has
@@ -79,6 +80,8 @@
 	// survived holds when upstreams last ran the last requests without crashing, by fingerprint, each until a run breaks off
 	// here or elsewhere.
 	survived *lru.Cache[string, time.Time]
+	// survivedParts holds when upstreams last ran requests with each part without crashing.
+	survivedParts *lru.Cache[string, time.Time]
 	// silent holds the runs of this node that were given up, as long as their upstreams may turn out to have crashed.
 	silent      []silentRun
 	quarantines quarantines
@@ -92,17 +95,24 @@
 	at     time.Time
 }
 
-func (c *Controller) newRecord(work string, kind failedruns.Kind, u dispatch.Upstream) failedruns.Record {
-	return failedruns.Record{Work: work, Run: c.newRun(), Kind: kind, Upstream: u.ID, Incarnation: u.Incarnation}
+func (c *Controller) newRecord(kind failedruns.Kind, u dispatch.Upstream) failedruns.Record {
+	return failedruns.Record{Run: c.newRun(), Kind: kind, Upstream: u.ID, Incarnation: u.Incarnation}
 }
 
 // New returns a controller. Run stores and reads quarantines.
 func New(o Options) *Controller {
-	survived, err := lru.New[string, time.Time](maxSurvived)
+	return &Controller{
+		options: o, survived: newSurvived(), survivedParts: newSurvived(), ledger: failedruns.NewLedger(), quarantines: newQuarantines(),
+		trials: map[string]time.Time{},
+	}
+}
+
+func newSurvived() *lru.Cache[string, time.Time] {
+	cache, err := lru.New[string, time.Time](maxSurvived)
 	if err != nil {
 		panic(err) // Only a size that is not positive is an error.
 	}
-	return &Controller{options: o, survived: survived, ledger: failedruns.NewLedger(), quarantines: newQuarantines(), trials: map[string]time.Time{}}
+	return cache
 }
 
 // newRun returns a name for a run that no other run has.
@@ -110,68 +120,108 @@
 	return fmt.Sprintf("%s/%x/%d", c.options.Node, c.options.Incarnation, c.runs.Add(1))
 }
 
-// QuarantinedFor returns how long a request must not be sent to upstreams, or 0 if it may be sent. fingerprint is only
-// called when upstreams have crashed recently.
-func (c *Controller) QuarantinedFor(fingerprint func() string) time.Duration {
+// QuarantinedFor returns how long a request must not be sent to upstreams, or 0 if it may be sent. works is only called when
+// upstreams have crashed recently.
+func (c *Controller) QuarantinedFor(works func() failedruns.Works) time.Duration {
 	if c == nil || !c.blames.Load() {
 		return 0
 	}
-	work := fingerprint()
+	w := works()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.ledger.QuarantinedFor(w, time.Now())
+}
+
+// MayRepeat reports whether a request whose run has crashed its upstream may be sent to another one.
+func (c *Controller) MayRepeat(works failedruns.Works) bool {
+	if c == nil || !c.blames.Load() {
+		return true
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.ledger.QuarantinedFor(work, time.Now())
+	return c.ledger.MayRepeat(works, time.Now())
 }
 
-// PausedUntil returns the time before which a batch item must not be sent to upstreams, or zero.
-func (c *Controller) PausedUntil(fingerprint func() string) time.Time {
+// PausedUntil returns the time before which a batch item must not be sent to upstreams, or zero. Items that share a part
+// under which upstreams have crashed are sent one after the other.
+func (c *Controller) PausedUntil(works func() failedruns.Works) time.Time {
 	if c == nil || !c.blames.Load() {
 		return time.Time{}
 	}
-	work := fingerprint()
+	w := works()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.ledger.PausedUntil(work, time.Now())
+	now := time.Now()
+	until := c.ledger.PausedUntil(w, now)
+	if now.Before(until) || until.IsZero() {
+		return until
+	}
+	for _, work := range c.ledger.Blamed(failedruns.Works{Parts: w.Parts}, now) {
+		if last, ok := c.trials[work]; ok && now.Sub(last) < trialTime {
+			return last.Add(trialTime)
+		}
+		c.trials[work] = now
+	}
+	return until
 }
 
 // Broken records that a run ended without an answer. It finds out whether the upstream refuses connections, and if so,
 // tells other nodes of the crash before it returns. Otherwise the crash is only suspected until the upstream's entry
 // shows its end.
-func (c *Controller) Broken(ctx context.Context, fingerprint string, u dispatch.Upstream, began time.Time) {
+func (c *Controller) Broken(ctx context.Context, works failedruns.Works, u dispatch.Upstream, began time.Time) {
 	if c == nil {
 		return
 	}
-	if c.takeSurvived(fingerprint) {
-		c.options.Log.Routine("broken run ignored, since the request was run before without a crash", "fingerprint", fingerprint, "upstream", u.ID)
+	if works = c.unproven(works, time.Now()); works.Request == "" && len(works.Parts) == 0 {
+		c.options.Log.Routine("broken run ignored, since the request was run before without a crash", "upstream", u.ID)
 		return
 	}
-	r := c.newRecord(fingerprint, failedruns.Crashed, u)
+	r := c.newRecord(failedruns.Crashed, u)
 	r.Lasted = time.Since(began)
 	ctx = context.WithoutCancel(ctx)
 	if errors.Is(tryConnect(ctx, u.Address), syscall.ECONNREFUSED) {
-		c.add(ctx, "upstream crashed while it ran a request", r)
+		c.add(ctx, "upstream crashed while it ran a request", works.Records(r)...)
 		return
 	}
 	// Other nodes get suspected crashes with the exchange of load: they are too frequent to wait for each.
 	r.Kind = failedruns.Suspected
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.ledger.Merge([]failedruns.Record{r}, "", time.Now())
+	c.ledger.Merge(works.Records(r), "", time.Now())
 	c.updated()
 }
 
+// unproven returns the works without those for which a run without a crash speaks.
+func (c *Controller) unproven(works failedruns.Works, crashedAt time.Time) failedruns.Works {
+	if c.takeSurvived(works.Request) {
+		works.Request = ""
+	}
+	var parts []string
+	for _, part := range works.Parts {
+		if !c.partSurvived(part, crashedAt) {
+			parts = append(parts, part)
+		}
+	}
+	works.Parts = parts
+	return works
+}
+
 // Silent records that a run was given up because its upstream sent no data since the given time. That is usual while
 // upstreams are full, so the run does not count, and other nodes do not learn of it, unless the upstream's entry shows
 // its end.
-func (c *Controller) Silent(fingerprint string, u dispatch.Upstream, since time.Time) {
-	if c == nil || c.takeSurvived(fingerprint) {
+func (c *Controller) Silent(works failedruns.Works, u dispatch.Upstream, since time.Time) {
+	if c == nil {
 		return
 	}
+	works = c.unproven(works, since)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
 	c.silent = slices.DeleteFunc(c.silent, func(old silentRun) bool { return now.Sub(old.at) >= confirmTime })
-	if len(c.silent) < maxSilent {
-		c.silent = append(c.silent, silentRun{c.newRecord(fingerprint, failedruns.Crashed, u), since})
+	for _, r := range works.Records(c.newRecord(failedruns.Crashed, u)) {
+		if len(c.silent) < maxSilent {
+			c.silent = append(c.silent, silentRun{r, since})
+		}
 	}
 }
 
@@ -233,7 +283,9 @@
 	if c == nil {
 		return
 	}
-	c.add(context.WithoutCancel(ctx), "upstream answered an item with an error", c.newRecord(item, kind, dispatch.Upstream{ID: upstream}))
+	r := c.newRecord(kind, dispatch.Upstream{ID: upstream})
+	r.Work = item
+	c.add(context.WithoutCancel(ctx), "upstream answered an item with an error", r)
 }
 
 // Failures returns the number of an item's runs, at all nodes, that upstreams answered with an error of the kind.
@@ -259,6 +311,33 @@
 	}
 }
 
+// PartsSurvived records that an upstream went on with a run after its first event: a part of the prompt that crashes upstreams
+// does so before that.
+func (c *Controller) PartsSurvived(parts []string) {
+	if c == nil || len(parts) == 0 {
+		return
+	}
+	now := time.Now()
+	for _, part := range parts {
+		c.survivedParts.Add(part, now)
+	}
+	if c.blames.Load() {
+		c.clear("requests with the part were run without a crash", func() (changed []failedruns.Record) {
+			for _, part := range parts {
+				changed = append(changed, c.ledger.Survived(part)...)
+			}
+			return changed
+		})
+	}
+}
+
+// partSurvived reports whether a request with a part was run without a crash later than partSurvivedTime before the given
+// crash. Runs long before it don't speak for a part that many requests hold.
+func (c *Controller) partSurvived(part string, crashedAt time.Time) bool {
+	at, ok := c.survivedParts.Peek(part)
+	return ok && at.After(crashedAt.Add(-partSurvivedTime))
+}
+
 // takeSurvived reports whether an equal request was run lately without a crash, since the last one that broke off.
 func (c *Controller) takeSurvived(fingerprint string) bool {
 	at, ok := c.survived.Peek(fingerprint)
@@ -316,8 +395,8 @@
 func (c *Controller) logQuarantine(work string) {
 	if now := time.Now(); c.ledger.IsQuarantined(work, now) && c.quarantines.begin(work, now) {
 		c.options.Metrics.countQuarantine()
-		c.options.Log.Notice("request quarantined", "fingerprint", work, "crash_runs", c.ledger.Failures(work, failedruns.Crashed),
-			"for_ms", c.ledger.QuarantinedFor(work, now).Milliseconds())
+		c.options.Log.Notice("request quarantined", "fingerprint", work, "part_of_prompts", failedruns.IsPart(work),
+			"crash_runs", c.ledger.Failures(work, failedruns.Crashed), "for_ms", failedruns.Lifetime.Milliseconds())
 	}
 }
 
@@ -398,7 +477,7 @@
 		}
 		c.options.Log.Routine("failed run learned", "work", r.Work, "run", r.Run, "upstream", r.Upstream, "age_ms", r.Age.Milliseconds(),
 			"cleared", r.Cleared, "from", from)
-		if r.Kind == failedruns.Crashed && !r.Cleared && c.takeSurvived(r.Work) {
+		if r.Kind == failedruns.Crashed && !r.Cleared && c.survivedHere(r) {
 			c.options.Log.Routine("crash no longer counts", "fingerprint", r.Work, "upstream", r.Upstream, "reason", "request was run here without a crash")
 			r.Cleared = true
 			c.ledger.Merge([]failedruns.Record{r}, "", time.Now())
@@ -408,6 +487,14 @@
 	c.updated()
 }
 
+// survivedHere reports whether this node ran the work of another node's record without a crash.
+func (c *Controller) survivedHere(r failedruns.Record) bool {
+	if failedruns.IsPart(r.Work) {
+		return c.partSurvived(r.Work, time.Now().Add(-r.Age))
+	}
+	return c.takeSurvived(r.Work)
+}
+
 // Since returns the records that changed after a revision of this node's ledger, without those that the process to came
 // with itself, and the revision that they lead to.
 func (c *Controller) Since(revision int64, to string) ([]failedruns.Record, int64) {
--- a/pkg/controller/failedruns/failedruns_test.go
+++ b/pkg/controller/failedruns/failedruns_test.go
@@ -70,7 +70,7 @@
 }
 
 func quarantined(c *Controller, work string) bool {
-	return c.QuarantinedFor(func() string { return work }) > 0
+	return c.QuarantinedFor(func() failedruns.Works { return failedruns.Works{Request: work} }) > 0
 }
 
 // Guards against a request that another node sends on because it does not know of the crashes yet, or because the
@@ -78,9 +78,9 @@
 func TestOtherNodesKnowOfACrashBeforeTheRequestIsRepeated(t *testing.T) {
 	n := newNetwork()
 	a, b, c := n.add("a", nil, "lost", "c"), n.add("b", nil, "c", "a"), n.add("c", nil)
-	a.Broken(context.Background(), "work", upstream(t, "u", true), time.Now())
+	a.Broken(context.Background(), failedruns.Works{Request: "work"}, upstream(t, "u", true), time.Now())
 	assert.Assert(t, !quarantined(c, "work"))
-	b.Broken(context.Background(), "work", upstream(t, "v", true), time.Now())
+	b.Broken(context.Background(), failedruns.Works{Request: "work"}, upstream(t, "v", true), time.Now())
 	assert.Assert(t, quarantined(a, "work") && quarantined(b, "work") && quarantined(c, "work"))
 }
 
@@ -100,7 +100,7 @@
 		t.Run(name, func(t *testing.T) {
 			c := newNetwork().add("a", nil)
 			u := upstream(t, "u", test.down)
-			c.Silent("work", u, time.Now())
+			c.Silent(failedruns.Works{Request: "work"}, u, time.Now())
 			other := dispatch.EndedUpstream{Upstream: dispatch.Upstream{ID: "v", Incarnation: 1}, Restarted: true}
 			earlier := dispatch.EndedUpstream{Upstream: dispatch.Upstream{ID: "u"}, Restarted: true}
 			c.UpstreamsEnded([]dispatch.EndedUpstream{other, earlier})
@@ -127,7 +127,7 @@
 	var ended []dispatch.EndedUpstream
 	for id := range 2 {
 		u := upstream(t, fmt.Sprint("u", id), false)
-		a.Broken(context.Background(), "work", u, time.Now())
+		a.Broken(context.Background(), failedruns.Works{Request: "work"}, u, time.Now())
 		ended = append(ended, dispatch.EndedUpstream{Upstream: u, Restarted: true})
 	}
 	records, _ := a.Since(0, "b")
@@ -145,11 +145,11 @@
 	c := newNetwork().add("a", nil)
 	for u := range 5 {
 		c.Survived("work")
-		c.Broken(context.Background(), "work", upstream(t, fmt.Sprint("u", u), true), time.Now())
+		c.Broken(context.Background(), failedruns.Works{Request: "work"}, upstream(t, fmt.Sprint("u", u), true), time.Now())
 	}
 	assert.Assert(t, !quarantined(c, "work"))
 	for u := range 2 {
-		c.Broken(context.Background(), "work", upstream(t, fmt.Sprint("v", u), true), time.Now())
+		c.Broken(context.Background(), failedruns.Works{Request: "work"}, upstream(t, fmt.Sprint("v", u), true), time.Now())
 	}
 	assert.Assert(t, quarantined(c, "work"), "a request that begins to crash upstreams is not quarantined")
 }
@@ -160,10 +160,10 @@
 	a, b := n.add("a", nil, "b"), n.add("b", nil)
 	b.Survived("work")
 	for u := range 2 {
-		a.Broken(context.Background(), "work", upstream(t, fmt.Sprint("u", u), true), time.Now())
+		a.Broken(context.Background(), failedruns.Works{Request: "work"}, upstream(t, fmt.Sprint("u", u), true), time.Now())
 	}
 	assert.Assert(t, !quarantined(a, "work") && !quarantined(b, "work"))
-	a.Broken(context.Background(), "work", upstream(t, "u2", true), time.Now())
+	a.Broken(context.Background(), failedruns.Works{Request: "work"}, upstream(t, "u2", true), time.Now())
 	assert.Assert(t, quarantined(a, "work"), "a request that begins to crash upstreams is not quarantined")
 }
 
@@ -189,7 +189,7 @@
 	for start := range 2 {
 		u := upstream(t, "u", true) // The upstream is back under the same id after the first crash.
 		u.Incarnation = int64(start)
-		a.Broken(ctx, "work", u, time.Now())
+		a.Broken(ctx, failedruns.Works{Request: "work"}, u, time.Now())
 	}
 	for end := time.Now().Add(2 * time.Second); len(storedObjects(t, s)) == 0 && time.Now().Before(end); {
 		time.Sleep(5 * time.Millisecond)
@@ -222,7 +222,7 @@
 func TestEndedQuarantineIsDeleted(t *testing.T) {
 	c := newNetwork().add("a", memstore.New())
 	for u := range 2 {
-		c.Broken(context.Background(), "work", upstream(t, fmt.Sprint("u", u), true), time.Now())
+		c.Broken(context.Background(), failedruns.Works{Request: "work"}, upstream(t, fmt.Sprint("u", u), true), time.Now())
 	}
 	c.storeChanges(context.Background())
 	assert.Equal(t, len(storedObjects(t, c.options.Store)), 1)
@@ -253,7 +253,9 @@
 	}
 	granted := make(chan bool, 12)
 	for i := range cap(granted) {
-		go func() { granted <- nodes[i%len(nodes)].TryTrial(context.Background(), "work") }()
+		go func() {
+			granted <- nodes[i%len(nodes)].TryTrial(context.Background(), failedruns.Works{Request: "work"})
+		}()
 	}
 	count := 0
 	for range cap(granted) {
@@ -263,11 +265,11 @@
 	}
 	assert.Equal(t, count, 1)
 	for _, c := range nodes {
-		assert.Equal(t, c.ComeBackIn("work"), trialTime, "the trial is in progress")
+		assert.Equal(t, c.ComeBackIn(failedruns.Works{Request: "work"}), trialTime, "the trial is in progress")
 	}
 	nodes[1].Survived("work")
 	assert.Assert(t, !quarantined(nodes[1], "work"))
 	delete(n.nodes, trialOwner)
 	nodes[2].Merge("other", crashesLongAgo("second"))
-	assert.Assert(t, !nodes[2].TryTrial(context.Background(), "second"), "the node that grants trials is lost")
+	assert.Assert(t, !nodes[2].TryTrial(context.Background(), failedruns.Works{Request: "second"}), "the node that grants trials is lost")
 }
--- a/pkg/controller/failedruns/stored.go
+++ b/pkg/controller/failedruns/stored.go
@@ -41,6 +41,8 @@
 	Run         string `json:"run"`
 	Upstream    string `json:"upstream"`
 	Incarnation int64  `json:"incarnation,omitempty"`
+	// Request is the fingerprint of the request that ran, if a part of prompts is quarantined.
+	Request string `json:"request,omitempty"`
 	// AtMS is the time of the crash in Unix milliseconds.
 	AtMS int64 `json:"at_ms"`
 }
@@ -91,7 +93,7 @@
 		for _, crash := range q.Crashes {
 			records = append(records, failedruns.Record{
 				Work: q.Fingerprint, Run: crash.Run, Kind: failedruns.Crashed, Upstream: crash.Upstream, Incarnation: crash.Incarnation,
-				Age: max(0, now.Sub(time.UnixMilli(crash.AtMS))) + clockTolerance,
+				Request: crash.Request, Age: max(0, now.Sub(time.UnixMilli(crash.AtMS))) + clockTolerance,
 			})
 		}
 	}
@@ -194,7 +196,7 @@
 		}
 		q := storedQuarantine{Fingerprint: work}
 		for _, r := range crashes {
-			q.Crashes = append(q.Crashes, storedCrash{Run: r.Run, Upstream: r.Upstream, Incarnation: r.Incarnation, AtMS: now.Add(-r.Age).UnixMilli()})
+			q.Crashes = append(q.Crashes, storedCrash{Run: r.Run, Upstream: r.Upstream, Incarnation: r.Incarnation, Request: r.Request, AtMS: now.Add(-r.Age).UnixMilli()})
 		}
 		create = append(create, q)
 	}
--- a/pkg/controller/failedruns/trial.go
+++ b/pkg/controller/failedruns/trial.go
@@ -4,6 +4,8 @@
 	"context"
 	"maps"
 	"time"
+
+	"trefoilplank.example/pkg/decision/failedruns"
 )
 
 // trialTime is how long a granted trial keeps other nodes from another one of the same request: a run and the report of
@@ -11,54 +13,63 @@
 const trialTime = 10 * time.Second
 
 // TryTrial reports whether a quarantined request may run once now, alone on an upstream, to show whether it crashes it.
-// One node grants all trials of a request, so that equal requests do not run at the same time.
-func (c *Controller) TryTrial(ctx context.Context, fingerprint string) bool {
-	if c.TrialIn(fingerprint) > 0 {
+// One node grants all trials of a request or of a part of prompts, so that equal requests do not run at the same time.
+func (c *Controller) TryTrial(ctx context.Context, works failedruns.Works) bool {
+	if c.TrialIn(works) > 0 {
 		return false
 	}
-	granted := false
-	if owner := c.options.Owner(fingerprint); owner == c.options.Node {
-		granted = c.grantTrial(fingerprint)
-	} else {
-		ctx, cancel := context.WithTimeout(ctx, shareTimeout)
-		defer cancel()
-		var reply TrialReply
-		if err := c.options.Peers.Call(ctx, owner, "FailedRuns.Trial", TrialArgs{Fingerprint: fingerprint}, &reply); err != nil {
-			c.options.Log.Notice("trial of quarantined request not granted", "fingerprint", fingerprint, "member", owner, "error", err)
+	c.mu.Lock()
+	blamed := c.ledger.Blamed(works, time.Now())
+	c.mu.Unlock()
+	for _, work := range blamed {
+		if !c.askTrial(ctx, work) {
+			return false
 		}
-		granted = reply.Granted
+		c.options.Log.Notice("quarantined request runs alone", "fingerprint", works.Request, "quarantined", work)
+	}
+	return true
+}
+
+// askTrial asks the owner of a quarantined work for a trial.
+func (c *Controller) askTrial(ctx context.Context, work string) bool {
+	owner := c.options.Owner(work)
+	if owner == c.options.Node {
+		return c.grantTrial(work)
 	}
-	if granted {
-		c.options.Log.Notice("quarantined request runs alone", "fingerprint", fingerprint)
+	ctx, cancel := context.WithTimeout(ctx, shareTimeout)
+	defer cancel()
+	var reply TrialReply
+	if err := c.options.Peers.Call(ctx, owner, "FailedRuns.Trial", TrialArgs{Fingerprint: work}, &reply); err != nil {
+		c.options.Log.Notice("trial of quarantined request not granted", "fingerprint", work, "member", owner, "error", err)
 	}
-	return granted
+	return reply.Granted
 }
 
 // ComeBackIn returns the time after which the caller of a quarantined request should send it again: when a trial is due, or
 // when the one in progress has ended.
-func (c *Controller) ComeBackIn(fingerprint string) time.Duration {
-	if wait := c.TrialIn(fingerprint); wait > 0 {
+func (c *Controller) ComeBackIn(works failedruns.Works) time.Duration {
+	if wait := c.TrialIn(works); wait > 0 {
 		return wait
 	}
 	return trialTime
 }
 
 // TrialIn returns the time after which a quarantined request may run once, as far as this node knows.
-func (c *Controller) TrialIn(fingerprint string) time.Duration {
+func (c *Controller) TrialIn(works failedruns.Works) time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.ledger.TrialIn(fingerprint, time.Now())
+	return c.ledger.TrialIn(works, time.Now())
 }
 
-// grantTrial grants a trial unless one is not due yet or was granted within trialTime.
-func (c *Controller) grantTrial(fingerprint string) bool {
+// grantTrial grants a trial of a work unless one is not due yet or was granted within trialTime.
+func (c *Controller) grantTrial(work string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
 	maps.DeleteFunc(c.trials, func(_ string, at time.Time) bool { return now.Sub(at) >= trialTime })
-	if _, granted := c.trials[fingerprint]; granted || c.ledger.TrialIn(fingerprint, now) > 0 {
+	if _, granted := c.trials[work]; granted || c.ledger.TrialIn(failedruns.Works{Request: work}, now) > 0 {
 		return false
 	}
-	c.trials[fingerprint] = now
+	c.trials[work] = now
 	return true
 }
--- a/pkg/decision/failedruns/bench_test.go
+++ b/pkg/decision/failedruns/bench_test.go
@@ -19,7 +19,7 @@
 		b.Run(fmt.Sprintf("check/%d", n), func(b *testing.B) {
 			l := newLedger()
 			for b.Loop() {
-				l.QuarantinedFor("00000000000000000000000000000001", start)
+				l.QuarantinedFor(Works{Request: "00000000000000000000000000000001"}, start)
 			}
 		})
 		b.Run(fmt.Sprintf("since/%d", n), func(b *testing.B) {
--- a/pkg/decision/failedruns/failedruns.go
+++ b/pkg/decision/failedruns/failedruns.go
@@ -3,6 +3,10 @@
 //
 // Every node holds a ledger of all nodes' records. Ledgers are merged in any order and any number of times: a record is
 // identified by its work and its run, and once cleared it stays cleared.
+//
+// A run that crashes its upstream is recorded for the whole request and for each part of its prompt that other requests
+// share, since either may be the cause. Requests without such a part are told apart from those with it by the runs that
+// upstreams survive.
 package failedruns
 
 import (
@@ -75,6 +79,9 @@
 	Upstream string
 	// Incarnation tells the starts of an upstream apart.
 	Incarnation int64
+	// Request is the fingerprint of the request that ran, if the work is a part of its prompt. It is empty in the records of
+	// nodes that do not know parts.
+	Request string
 	// Lasted is how long the run had lasted when it failed.
 	Lasted time.Duration
 	// Age is the time since the run failed. Nodes exchange ages, since their clocks differ.
@@ -328,7 +335,7 @@
 
 // IsQuarantined reports whether so many upstreams have crashed under a work that it is not merely held back.
 func (l *Ledger) IsQuarantined(work string, now time.Time) bool {
-	b := l.blame(work, maxExplained, now)
+	b := l.blame(work, nil, maxExplained, now)
 	return b.quarantines() && now.Sub(b.lastCrash()) < Lifetime
 }
 
--- a/pkg/decision/failedruns/failedruns_test.go
+++ b/pkg/decision/failedruns/failedruns_test.go
@@ -20,11 +20,11 @@
 func TestSecondCrashQuarantines(t *testing.T) {
 	l := NewLedger()
 	l.Merge([]Record{crash("culprit", "1", "u"), crash("neighbour", "2", "u")}, "", start)
-	assert.Equal(t, l.QuarantinedFor("culprit", start), time.Duration(0))
+	assert.Equal(t, l.QuarantinedFor(Works{Request: "culprit"}, start), time.Duration(0))
 	l.Merge([]Record{crash("culprit", "3", "v")}, "", start.Add(time.Second))
-	assert.Equal(t, l.QuarantinedFor("culprit", start.Add(time.Second)), Lifetime)
-	assert.Equal(t, l.QuarantinedFor("neighbour", start.Add(time.Second)), time.Duration(0))
-	assert.Equal(t, l.QuarantinedFor("culprit", start.Add(time.Second+Lifetime)), time.Duration(0))
+	assert.Equal(t, l.QuarantinedFor(Works{Request: "culprit"}, start.Add(time.Second)), Lifetime)
+	assert.Equal(t, l.QuarantinedFor(Works{Request: "neighbour"}, start.Add(time.Second)), time.Duration(0))
+	assert.Equal(t, l.QuarantinedFor(Works{Request: "culprit"}, start.Add(time.Second+Lifetime)), time.Duration(0))
 }
 
 // Guards against the quarantine of requests whose node lost its path to healthy upstreams: the nodes that still receive
@@ -35,9 +35,9 @@
 	assert.Equal(t, len(l.Alive("u", start.Add(time.Millisecond), start.Add(time.Second))), 0, "the connection is newer than the crash")
 	assert.Equal(t, len(l.Alive("u", start.Add(-time.Second), start.Add(aliveMargin/2))), 0, "the data may have been sent before the crash")
 	assert.Equal(t, len(l.Alive("u", start.Add(-time.Second), start.Add(time.Second))), 1)
-	assert.Equal(t, l.QuarantinedFor("w", start.Add(time.Second)), time.Duration(0))
+	assert.Equal(t, l.QuarantinedFor(Works{Request: "w"}, start.Add(time.Second)), time.Duration(0))
 	l.Merge([]Record{crash("w", "1", "u")}, "other", start.Add(time.Second))
-	assert.Equal(t, l.QuarantinedFor("w", start.Add(time.Second)), time.Duration(0), "a late copy of a cleared record counts again")
+	assert.Equal(t, l.QuarantinedFor(Works{Request: "w"}, start.Add(time.Second)), time.Duration(0), "a late copy of a cleared record counts again")
 }
 
 // Guards against the quarantine of a request that an upstream has run without crashing.
@@ -45,7 +45,7 @@
 	l := NewLedger()
 	l.Merge([]Record{crash("w", "1", "u"), crash("w", "2", "v")}, "", start)
 	l.Survived("w")
-	assert.Equal(t, l.QuarantinedFor("w", start), time.Duration(0))
+	assert.Equal(t, l.QuarantinedFor(Works{Request: "w"}, start), time.Duration(0))
 	assert.Assert(t, !l.BlamesRequests())
 }
 
@@ -54,16 +54,16 @@
 func TestSuspectedCrashesHoldBackForAShortTime(t *testing.T) {
 	l := NewLedger()
 	for n := range suspectUpstreams {
-		assert.Equal(t, l.QuarantinedFor("w", start), time.Duration(0))
+		assert.Equal(t, l.QuarantinedFor(Works{Request: "w"}, start), time.Duration(0))
 		l.Merge([]Record{{Work: "w", Run: fmt.Sprint(n), Kind: Suspected, Upstream: fmt.Sprint("u", n)}}, "", start)
 	}
-	assert.Equal(t, l.QuarantinedFor("w", start), suspectTime)
-	assert.Equal(t, l.QuarantinedFor("w", start.Add(suspectTime)), time.Duration(0))
+	assert.Equal(t, l.QuarantinedFor(Works{Request: "w"}, start), suspectTime)
+	assert.Equal(t, l.QuarantinedFor(Works{Request: "w"}, start.Add(suspectTime)), time.Duration(0))
 	assert.Assert(t, !l.IsQuarantined("w", start))
 	l.Merge([]Record{crash("w", "0", "u0"), crash("w", "1", "u1")}, "", start)
-	assert.Equal(t, l.QuarantinedFor("w", start), Lifetime)
+	assert.Equal(t, l.QuarantinedFor(Works{Request: "w"}, start), Lifetime)
 	l.Alive("u0", start.Add(-time.Second), start.Add(time.Second))
-	assert.Equal(t, l.QuarantinedFor("w", start.Add(time.Second)), time.Duration(0))
+	assert.Equal(t, l.QuarantinedFor(Works{Request: "w"}, start.Add(time.Second)), time.Duration(0))
 }
 
 // Guards against an item that waits for minutes because several upstreams crashed at the same time while they ran it: in the
@@ -73,7 +73,7 @@
 	for n := range 6 {
 		l.Merge([]Record{crash("w", fmt.Sprint(n), fmt.Sprint("u", n))}, "", start)
 	}
-	assert.Equal(t, l.PausedUntil("w", start), start.Add(itemPause))
+	assert.Equal(t, l.PausedUntil(Works{Request: "w"}, start), start.Add(itemPause))
 }
 
 // Guards against requests that are blamed for the end of an upstream that had ended before they were sent, and against equal
@@ -88,7 +88,7 @@
 	broke("in progress too", 2*time.Second, start.Add(time.Millisecond))
 	broke("sent later", time.Millisecond, start.Add(time.Second))
 	now := start.Add(2 * time.Second)
-	assert.Equal(t, l.QuarantinedFor("w", now), time.Duration(0))
+	assert.Equal(t, l.QuarantinedFor(Works{Request: "w"}, now), time.Duration(0))
 	assert.Equal(t, len(l.Suspects("u", 2, time.Minute, now)), 0)
 	suspects := l.Suspects("u", 1, time.Minute, now)
 	assert.Equal(t, len(suspects), 2)
@@ -107,8 +107,8 @@
 	l := NewLedger()
 	now, runs := start, 0
 	for now.Before(start.Add(time.Minute)) {
-		if now.Before(l.PausedUntil("w", now)) {
-			now = l.PausedUntil("w", now)
+		if now.Before(l.PausedUntil(Works{Request: "w"}, now)) {
+			now = l.PausedUntil(Works{Request: "w"}, now)
 			continue
 		}
 		runs++
@@ -143,8 +143,8 @@
 		}
 		crashTogether(l, works, n, now)
 	}
-	assert.Equal(t, l.QuarantinedFor("unlucky", now), time.Duration(0))
-	assert.Assert(t, l.PausedUntil("unlucky", now).IsZero())
+	assert.Equal(t, l.QuarantinedFor(Works{Request: "unlucky"}, now), time.Duration(0))
+	assert.Assert(t, l.PausedUntil(Works{Request: "unlucky"}, now).IsZero())
 	assert.Equal(t, len(l.Quarantined(now)), 0)
 }
 
@@ -160,7 +160,7 @@
 			for round := range 20 {
 				for n := range requests {
 					work := fmt.Sprint("culprit", n)
-					if l.QuarantinedFor(work, now) > 0 {
+					if l.QuarantinedFor(Works{Request: work}, now) > 0 {
 						continue
 					}
 					crashes[work]++
@@ -193,18 +193,18 @@
 func TestTrialsEndQuarantines(t *testing.T) {
 	l := NewLedger()
 	l.Merge([]Record{crash("w", "1", "u1"), crash("w", "2", "u2")}, "", start)
-	assert.Equal(t, l.TrialIn("w", start), trialPause)
+	assert.Equal(t, l.TrialIn(Works{Request: "w"}, start), trialPause)
 	l.Merge([]Record{crash("other", "1", "u3")}, "", start.Add(trialPause))
-	assert.Equal(t, l.TrialIn("w", start.Add(trialPause)), calmTime, "an upstream has just crashed")
+	assert.Equal(t, l.TrialIn(Works{Request: "w"}, start.Add(trialPause)), calmTime, "an upstream has just crashed")
 	now, trials := start, 0
 	for now.Before(start.Add(Lifetime)) {
-		now = now.Add(l.TrialIn("w", now))
+		now = now.Add(l.TrialIn(Works{Request: "w"}, now))
 		trials++
 		l.Merge([]Record{crash("w", fmt.Sprint("trial", trials), fmt.Sprint("v", trials))}, "", now)
 	}
 	assert.Assert(t, trials-1 <= 3, "%d trials", trials)
 	l.Survived("w")
-	assert.Equal(t, l.QuarantinedFor("w", now), time.Duration(0))
+	assert.Equal(t, l.QuarantinedFor(Works{Request: "w"}, now), time.Duration(0))
 }
 
 // Guards against nodes whose ledgers stay different after they have exchanged all changes, in any order, with limited
@@ -282,5 +282,5 @@
 		l.Merge([]Record{crash(fmt.Sprint("w", n), "1", "u")}, "", start.Add(time.Second))
 	}
 	assert.Assert(t, l.Len() <= capacity)
-	assert.Assert(t, l.QuarantinedFor("culprit", start.Add(time.Second)) > 0)
+	assert.Assert(t, l.QuarantinedFor(Works{Request: "culprit"}, start.Add(time.Second)) > 0)
 }
--- a/pkg/forward/client.go
+++ b/pkg/forward/client.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -20,6 +21,7 @@
 
 	"trefoilplank.example/pkg/adapter/dial"
 	"trefoilplank.example/pkg/decision/dispatch"
+	"trefoilplank.example/pkg/decision/failedruns"
 )
 
 // Error is the class of the errors of this package.
@@ -80,8 +82,14 @@
 	Resumes string
 	// Signature carries the upstream's signature of its response.
 	Signature string
+	// PromptParts carries the parts of a request's prompt in order, as "id:tokens" separated by commas. The last part is the
+	// request's own.
+	PromptParts string
 }
 
+// maxSharedParts limits the parts of a prompt that are considered. Sharing becomes rarer towards the end of a prompt.
+const maxSharedParts = 16
+
 // Client sends requests to upstreams. It never retries on its own.
 type Client struct {
 	headers HeaderNames
@@ -182,6 +190,19 @@
 	return hex.EncodeToString(sum[:])
 }
 
+// Works returns what a run of the request on upstreams of a service can be blamed for.
+func (c *Client) Works(r *Request, service string) failedruns.Works {
+	works := failedruns.Works{Request: r.Fingerprint()}
+	entries := strings.Split(r.Header.Get(c.headers.PromptParts), ",")
+	for _, entry := range entries[:len(entries)-1] {
+		id, _, _ := strings.Cut(strings.TrimSpace(entry), ":")
+		if part := failedruns.PartWork(service, id); id != "" && len(works.Parts) < maxSharedParts && !slices.Contains(works.Parts, part) {
+			works.Parts = append(works.Parts, part)
+		}
+	}
+	return works
+}
+
 // unreplayable hides the type of the body's reader, so that the transport can't resend a request.
 type unreplayable struct{ io.Reader }
 
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -22,6 +22,7 @@
 	"trefoilplank.example/pkg/controller/placer"
 	"trefoilplank.example/pkg/controller/streamversions"
 	"trefoilplank.example/pkg/decision/dispatch"
+	decision "trefoilplank.example/pkg/decision/failedruns"
 	"trefoilplank.example/pkg/decision/routing"
 	"trefoilplank.example/pkg/eventlog"
 )
@@ -139,8 +140,12 @@
 	// headersSent is set once the response headers were written to the caller.
 	headersSent      bool
 	timeToFirstEvent time.Duration
-	// attemptStarted is when the attempt in progress was sent.
+	// attemptStarted is when the attempt in progress was sent. beganWriting is set once its upstream went on after the first
+	// event.
 	attemptStarted time.Time
+	beganWriting   bool
+	// cachedWorks are what a run of the request can be blamed for, or nil before they are needed.
+	cachedWorks *decision.Works
 	// measurement collects the timing of the attempt in progress, for the detection of slow upstreams.
 	measurement *placer.RunMeasurement
 }
@@ -286,7 +291,7 @@
 		return
 	}
 	for {
-		if left := x.options.FailedRuns.QuarantinedFor(x.request.Fingerprint); left > 0 && !x.mayTry(ctx) {
+		if left := x.options.FailedRuns.QuarantinedFor(x.works); left > 0 && !x.mayTry(ctx) {
 			x.refuseQuarantined(left)
 			return
 		}
@@ -297,7 +302,8 @@
 		}
 		err := x.attemptAndRelease(ctx, choice)
 		if err == nil {
-			x.options.FailedRuns.Survived(x.request.Fingerprint())
+			x.options.FailedRuns.Survived(x.works().Request)
+			x.partsSurvived()
 			x.countResponse()
 			x.options.Metrics.observeDelivered(x.route, time.Since(x.received), x.timeToFirstEvent)
 			return
@@ -370,7 +376,8 @@
 		x.options.Log.Notice("request deadline exceeded", fields...)
 		x.fail(http.StatusGatewayTimeout)
 		return false
-	case x.ran > 0 && (!x.route.Repeatable() || x.ran >= max(1, x.route.MaxAttempts)), x.refused >= maxRefusals:
+	case x.ran > 0 && (!x.route.Repeatable() || x.ran >= max(1, x.route.MaxAttempts)), x.refused >= maxRefusals,
+		!notRun && !x.beganWriting && !x.options.FailedRuns.MayRepeat(x.works()):
 		x.options.Log.Notice("request failed after its last attempt", fields...)
 		if x.ran > 0 {
 			x.respondWithFailure()
@@ -456,7 +463,7 @@
 	timer := x.startDataTimer(choice, cancel)
 	defer timer.Stop()
 	sent := time.Now()
-	x.attemptStarted = sent
+	x.attemptStarted, x.beganWriting = sent, false
 	x.measurement = x.options.Placer.MeasureRun(choice.Upstream.ID, choice.Free <= 0)
 	resp, err := x.options.Client.Send(ctx, choice.Upstream, &x.request, time.Until(x.deadline), x.resumeFrom())
 	if err != nil {
--- a/pkg/forward/quarantine.go
+++ b/pkg/forward/quarantine.go
@@ -7,16 +7,38 @@
 	"time"
 
 	"trefoilplank.example/pkg/decision/dispatch"
+	decision "trefoilplank.example/pkg/decision/failedruns"
 )
 
+// works returns what a run of the request can be blamed for.
+func (x *exchange) works() decision.Works {
+	if x.cachedWorks == nil {
+		w := x.options.Client.Works(&x.request, x.service)
+		x.cachedWorks = &w
+	}
+	return *x.cachedWorks
+}
+
+// partsSurvived records that the upstream of the attempt in progress began to write an answer on the request's prompt.
+func (x *exchange) partsSurvived() {
+	if !x.beganWriting {
+		x.beganWriting = true
+		x.options.FailedRuns.PartsSurvived(x.works().Parts)
+	}
+}
+
 // recordBrokenRun records a run that ended without an answer, since the request may have crashed the upstream. It waits
 // until other nodes know of a crash, so that it counts before the request is sent again by any node.
 func (x *exchange) recordBrokenRun(ctx context.Context, u dispatch.Upstream, cause error) {
+	works := x.works()
+	if x.beganWriting {
+		works.Parts = nil
+	}
 	switch {
 	case errors.Is(cause, ErrUnresponsive):
-		x.options.FailedRuns.Silent(x.request.Fingerprint(), u, x.attemptStarted)
+		x.options.FailedRuns.Silent(works, u, x.attemptStarted)
 	case ctx.Err() == nil && BrokeOff(cause):
-		x.options.FailedRuns.Broken(ctx, x.request.Fingerprint(), u, x.attemptStarted)
+		x.options.FailedRuns.Broken(ctx, works, u, x.attemptStarted)
 	}
 }
 
@@ -25,7 +47,7 @@
 	if x.ran > 0 {
 		return false
 	}
-	x.alone = x.alone || x.options.FailedRuns.TryTrial(ctx, x.request.Fingerprint())
+	x.alone = x.alone || x.options.FailedRuns.TryTrial(ctx, x.works())
 	return x.alone
 }
 
@@ -39,5 +61,5 @@
 		return
 	}
 	x.options.Metrics.countOutcome("quarantined")
-	Refuse(x.w, http.StatusServiceUnavailable, min(left, x.options.FailedRuns.ComeBackIn(x.request.Fingerprint())))
+	Refuse(x.w, http.StatusServiceUnavailable, min(left, x.options.FailedRuns.ComeBackIn(x.works())))
 }
--- a/pkg/forward/stream.go
+++ b/pkg/forward/stream.go
@@ -122,6 +122,7 @@
 	buffer := bufferPool.Get().(*[]byte)
 	defer bufferPool.Put(buffer)
 	buffered := (*buffer)[:0]
+	wroteBefore := false // The upstream has sent an event of this attempt.
 	for {
 		if cap(buffered)-len(buffered) < 1<<10 {
 			buffered = append(make([]byte, 0, 2*cap(buffered)), buffered...)
@@ -136,6 +137,10 @@
 			if err != nil {
 				return err
 			}
+			if wroteBefore && x.lastEvent > before || x.lastEvent > before+1 {
+				x.partsSurvived()
+			}
+			wroteBefore = wroteBefore || x.lastEvent > before
 			x.measurement.RecordEvents(int(x.lastEvent-before), at)
 			buffered = buffered[:copy(buffered, rest)]
 		}
--- a/pkg/listjob/failedruns.go
+++ b/pkg/listjob/failedruns.go
@@ -19,7 +19,7 @@
 		c.finishItem(it, Result{ID: it.ID, State: Failed})
 		return true
 	}
-	until := c.options.FailedRuns.PausedUntil(func() string { return it.fingerprint })
+	until := c.options.FailedRuns.PausedUntil(func() decision.Works { return c.works(it) })
 	if !now.Before(until) {
 		return false
 	}
@@ -53,6 +53,13 @@
 // recordFailedRun records how a run failed, and waits until other nodes know of it, so that it counts before this node
 // or a later owner of the job repeats the run.
 func (c *Controller) recordFailedRun(ctx context.Context, it *item, u dispatch.Upstream, err error) {
+	works := c.works(it)
+	if err == nil {
+		c.options.FailedRuns.PartsSurvived(works.Parts)
+	}
+	if it.beganWriting {
+		works.Parts = nil
+	}
 	switch runs := c.options.FailedRuns; {
 	case err == nil:
 		runs.Survived(it.fingerprint)
@@ -61,8 +68,20 @@
 	case errors.Is(err, errRunFailed):
 		runs.Failed(ctx, it.key, decision.Errored, u.ID)
 	case errors.Is(err, forward.ErrUnresponsive):
-		runs.Silent(it.fingerprint, u, it.runStart)
+		runs.Silent(works, u, it.runStart)
 	case ctx.Err() == nil && forward.BrokeOff(err):
-		runs.Broken(ctx, it.fingerprint, u, it.runStart)
+		runs.Broken(ctx, works, u, it.runStart)
+	}
+}
+
+// works returns what a run of an item can be blamed for.
+func (c *Controller) works(it *item) decision.Works {
+	it.job.mu.Lock()
+	request := newRequest(it.job.head, &it.Item)
+	route := c.routeOf(it)
+	it.job.mu.Unlock()
+	if route == nil {
+		return decision.Works{Request: it.fingerprint}
 	}
+	return c.options.Client.Works(request, route.Pick(0))
 }
--- a/pkg/listjob/job.go
+++ b/pkg/listjob/job.go
@@ -151,8 +151,10 @@
 type item struct {
 	Item
 	job *job
-	// key identifies the item among the failed runs of all nodes, and fingerprint its request.
+	// key identifies the item among the failed runs of all nodes, and fingerprint its request. beganWriting is set once the
+	// upstream of the last run went on after its first event.
 	key, fingerprint string
+	beganWriting     bool
 	phase            phase
 	// text holds the data of the events received so far; lastEvent is the number of the last one, or -1.
 	text      []byte
--- a/pkg/listjob/run.go
+++ b/pkg/listjob/run.go
@@ -46,18 +46,19 @@
 	defer cancel(nil)
 	dataTimer := time.AfterFunc(firstEventTimeout, func() { cancel(forward.ErrUnresponsive) })
 	defer dataTimer.Stop()
-	header := make(http.Header, len(it.Header))
-	for name, value := range it.Header {
-		header.Set(name, value)
-	}
 	it.job.mu.Lock()
 	request := newRequest(it.job.head, &it.Item)
+	it.beganWriting = false
 	it.job.mu.Unlock()
-	request.Header = header
 	measurement, started := c.options.Placer.MeasureRun(u.ID, false), time.Now()
+	received := 0
 	err := c.sendItem(ctx, it, u, request, func(events int) {
 		dataTimer.Reset(eventTimeout)
 		c.options.FailedRuns.Alive(u.ID, started)
+		if received += events; received > 1 && !it.beganWriting {
+			it.beganWriting = true
+			c.options.FailedRuns.PartsSurvived(c.works(it).Parts)
+		}
 		measurement.RecordEvents(events, time.Now())
 	})
 	switch {
@@ -72,9 +73,13 @@
 	return err
 }
 
-// newRequest returns an item as a request to an upstream, without its headers.
+// newRequest returns an item as a request to an upstream.
 func newRequest(h head, it *Item) *forward.Request {
-	return &forward.Request{ID: it.ID, Method: http.MethodPost, Host: h.Host, Target: it.Path, Body: it.Body}
+	header := make(http.Header, len(it.Header))
+	for name, value := range it.Header {
+		header.Set(name, value)
+	}
+	return &forward.Request{ID: it.ID, Method: http.MethodPost, Host: h.Host, Target: it.Path, Header: header, Body: it.Body}
 }
 
 // sendItem makes one call for an item; received is called with the number of events that arrived together.
