Contain blocks of text that crash engines on the product's own interface

Callers saw engines end one after the other while prompts shared a block of text that crashes them, no two alike, and sound prompts failed for it. Change: prompts are cut into parts by their text, so that equal blocks have equal parts wherever they stand, and the ledger of failed runs decides on them at every node of the product too; without a hub, its changes are sent to all other nodes.

--- a/pkg/capacity/keys_test.go
+++ b/pkg/capacity/keys_test.go
@@ -17,6 +17,7 @@
 	"trefoilplank.example/pkg/controller/idempotency"
 	"trefoilplank.example/pkg/controller/limits"
 	"trefoilplank.example/pkg/controller/quarantine"
+	"trefoilplank.example/pkg/decision/failedruns"
 	decision "trefoilplank.example/pkg/decision/idempotency"
 	"trefoilplank.example/pkg/decision/ratelimit"
 )
@@ -42,7 +43,7 @@
 			assert.NilError(b, err)
 			state := retainedBytes(func() any {
 				for i := range suspects {
-					c.ReportRun(ctx, testFingerprint(i), fmt.Sprint("node-000-", i), "engine-0000", true)
+					c.ReportRun(ctx, failedruns.Works{Request: testFingerprint(i)}, fmt.Sprint("node-000-", i), "engine-0000", true)
 				}
 				return c
 			})
@@ -52,8 +53,8 @@
 			used := processorTime()
 			for b.Loop() {
 				id := fmt.Sprint("node-000-", n)
-				c.Check(ctx, testFingerprint(n), id)
-				c.ReportRun(ctx, testFingerprint(n), id, "engine-0000", false)
+				c.Check(ctx, failedruns.Works{Request: testFingerprint(n)}, id)
+				c.ReportRun(ctx, failedruns.Works{Request: testFingerprint(n)}, id, "engine-0000", false)
 				n++
 			}
 			time.Sleep(100 * time.Millisecond)
--- a/pkg/controller/batch/run.go
+++ b/pkg/controller/batch/run.go
@@ -155,7 +155,7 @@
 	}
 	ctx, stop := context.WithTimeout(ctx, maxCheckWait)
 	defer stop()
-	verdict, wait := r.c.Quarantine.Check(ctx, r.request.Fingerprint, r.request.ID)
+	verdict, wait := r.c.Quarantine.Check(ctx, r.request.Works(), r.request.ID)
 	switch {
 	case verdict == serving.VerdictClear:
 		r.suspect = false
@@ -212,7 +212,7 @@
 	}
 	ctx, stop := context.WithTimeout(context.Background(), reportTimeout)
 	defer stop()
-	return r.c.Quarantine.ReportRun(ctx, r.request.Fingerprint, r.request.ID, upstream, crashed)
+	return r.c.Quarantine.ReportRun(ctx, r.request.Works(), r.request.ID, upstream, crashed)
 }
 
 // ending classifies the end of a run that was not cancelled; excused is set if its upstream crashed for a cause other than
--- a/pkg/controller/batch/run_test.go
+++ b/pkg/controller/batch/run_test.go
@@ -18,6 +18,7 @@
 	"trefoilplank.example/api"
 	"trefoilplank.example/pkg/adapter/peer"
 	"trefoilplank.example/pkg/adapter/store/memstore"
+	"trefoilplank.example/pkg/decision/failedruns"
 	"trefoilplank.example/pkg/serving"
 )
 
@@ -162,10 +163,10 @@
 	crashes map[string]int
 }
 
-func (q *fakeQuarantine) Check(_ context.Context, fingerprint, _ string) (serving.Verdict, time.Duration) {
+func (q *fakeQuarantine) Check(_ context.Context, works failedruns.Works, _ string) (serving.Verdict, time.Duration) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	switch n := q.crashes[fingerprint]; {
+	switch n := q.crashes[works.Request]; {
 	case n >= 2:
 		return serving.VerdictQuarantined, time.Hour
 	case n == 1:
@@ -174,13 +175,13 @@
 	return serving.VerdictClear, 0
 }
 
-func (q *fakeQuarantine) ReportRun(_ context.Context, fingerprint, _, _ string, crashed bool) bool {
+func (q *fakeQuarantine) ReportRun(_ context.Context, works failedruns.Works, _, _ string, crashed bool) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if crashed {
-		q.crashes[fingerprint]++
+		q.crashes[works.Request]++
 	} else {
-		delete(q.crashes, fingerprint)
+		delete(q.crashes, works.Request)
 	}
 	return false
 }
@@ -212,7 +213,7 @@
 // excusingQuarantine clears every request and excuses every crash.
 type excusingQuarantine struct{ fakeQuarantine }
 
-func (*excusingQuarantine) ReportRun(_ context.Context, _, _, _ string, crashed bool) bool {
+func (*excusingQuarantine) ReportRun(_ context.Context, _ failedruns.Works, _, _ string, crashed bool) bool {
 	return crashed
 }
 
--- a/pkg/controller/failedruns/failedruns.go
+++ b/pkg/controller/failedruns/failedruns.go
@@ -60,10 +60,14 @@
 	Others func() []string
 	// Owner returns the live node that grants the trials of a quarantined request.
 	Owner func(fingerprint string) string
-	// Exchange starts an exchange with the hub.
+	// Exchange starts an exchange with the hub. Without a hub it is nil, and changes are sent to all other nodes.
 	Exchange func()
-	Log      *eventlog.Log
-	Metrics  *Metrics
+	// Prefix is the key prefix of quarantines in the store. Without a mirror that passes them to SetStored, ReadStored makes
+	// Run read them once.
+	Prefix     string
+	ReadStored bool
+	Log        *eventlog.Log
+	Metrics    *Metrics
 }
 
 // Controller records this node's failed runs and keeps those of all nodes. A nil Controller records nothing. It is safe
@@ -85,6 +89,7 @@
 	// silent holds the runs of this node that were given up, as long as their upstreams may turn out to have crashed.
 	silent      []silentRun
 	quarantines quarantines
+	spread      spread
 	// trials holds when this node last granted a trial of a request.
 	trials map[string]time.Time
 }
@@ -101,8 +106,11 @@
 
 // New returns a controller. Run stores and reads quarantines.
 func New(o Options) *Controller {
+	if o.Prefix == "" {
+		o.Prefix = Prefix
+	}
 	return &Controller{
-		options: o, survived: newSurvived(), survivedParts: newSurvived(), ledger: failedruns.NewLedger(), quarantines: newQuarantines(),
+		options: o, spread: newSpread(), survived: newSurvived(), survivedParts: newSurvived(), ledger: failedruns.NewLedger(), quarantines: newQuarantines(),
 		trials: map[string]time.Time{},
 	}
 }
@@ -191,6 +199,51 @@
 	c.updated()
 }
 
+// Crash is a crash that Crashed has recorded.
+type Crash struct {
+	controller *Controller
+	records    []failedruns.Record
+	// LostTogether is set if other upstreams crashed within the time of Crashed without running the request.
+	LostTogether bool
+}
+
+// Crashed records that an upstream crashed while it ran a request, and decides whether it was lost together with others in
+// the given time. The caller must call Share on the result.
+func (c *Controller) Crashed(works failedruns.Works, upstream string, began time.Time, within time.Duration) Crash {
+	now := time.Now()
+	request := works.Request
+	works = c.unproven(works, now)
+	works.Request = request // Runs that equal requests survived are the caller's to weigh.
+	r := c.newRecord(failedruns.Crashed, dispatch.Upstream{ID: upstream})
+	r.Lasted = now.Sub(began)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	records := c.merge("upstream crashed while it ran a request", works.Records(r)...)
+	return Crash{c, records, c.ledger.LostTogether(request, r.Run, within)}
+}
+
+// Share tells other nodes of the crash. It returns when those that must know before the request is repeated do.
+func (c *Crash) Share(ctx context.Context) {
+	c.controller.share(ctx, c.records)
+	c.controller.exchange()
+}
+
+// Convict records that a request caused the crashes under it.
+func (c *Controller) Convict(request string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ledger.Convict(request)
+}
+
+// exchange makes other nodes learn of changes.
+func (c *Controller) exchange() {
+	if c.options.Exchange != nil {
+		c.options.Exchange()
+		return
+	}
+	c.spread.signal()
+}
+
 // unproven returns the works without those for which a run without a crash speaks.
 func (c *Controller) unproven(works failedruns.Works, crashedAt time.Time) failedruns.Works {
 	if c.takeSurvived(works.Request) {
@@ -370,13 +423,24 @@
 		}
 		c.options.Log.Routine("crash no longer counts", "fingerprint", r.Work, "upstream", r.Upstream, "reason", reason)
 	}
-	c.options.Exchange()
+	c.exchange()
 }
 
 // add adds records of this node and tells other nodes.
 func (c *Controller) add(ctx context.Context, reason string, records ...failedruns.Record) {
 	c.mu.Lock()
-	records = c.ledger.Merge(records, "", time.Now()) // Other nodes may have recorded the same crashes meanwhile.
+	records = c.merge(reason, records...)
+	c.mu.Unlock()
+	if len(records) > 0 {
+		c.share(ctx, records)
+		c.exchange()
+	}
+}
+
+// merge adds records of this node, and returns those that are new; other nodes may have recorded the same crashes meanwhile.
+// c.mu is held.
+func (c *Controller) merge(reason string, records ...failedruns.Record) []failedruns.Record {
+	records = c.ledger.Merge(records, "", time.Now())
 	c.updated()
 	for _, r := range records {
 		c.options.Metrics.countFailedRun(r.Kind)
@@ -384,11 +448,7 @@
 			"crash_runs", c.ledger.Failures(r.Work, failedruns.Crashed), "errors", c.ledger.Failures(r.Work, failedruns.Errored), "reason", reason)
 		c.logQuarantine(r.Work)
 	}
-	c.mu.Unlock()
-	if len(records) > 0 {
-		c.share(ctx, records)
-		c.options.Exchange()
-	}
+	return records
 }
 
 // logQuarantine logs a quarantine that is new to this node; c.mu is held.
--- a/pkg/controller/failedruns/stored.go
+++ b/pkg/controller/failedruns/stored.go
@@ -12,6 +12,7 @@
 
 	"trefoilplank.example/pkg/adapter/store"
 	"trefoilplank.example/pkg/decision/failedruns"
+	"trefoilplank.example/pkg/wait"
 )
 
 // Prefix is the key prefix of quarantined requests in the store; the fingerprint follows it.
@@ -85,7 +86,7 @@
 	var records []failedruns.Record
 	for key, o := range objects {
 		var q storedQuarantine
-		if err := json.Unmarshal(o.Value, &q); err != nil || Prefix+q.Fingerprint != key {
+		if err := json.Unmarshal(o.Value, &q); err != nil || c.options.Prefix+q.Fingerprint != key {
 			c.options.Log.Notice("invalid stored quarantine ignored", "key", key, "error", err)
 			continue
 		}
@@ -109,6 +110,12 @@
 	var reading sync.WaitGroup
 	defer reading.Wait()
 	reading.Go(func() { c.readOthers(ctx) })
+	if c.options.Exchange == nil {
+		reading.Go(func() { c.runSpread(ctx) })
+	}
+	if c.options.ReadStored {
+		reading.Go(func() { c.readStored(ctx) })
+	}
 	for ctx.Err() == nil {
 		pause := c.storeChanges(ctx)
 		var due <-chan time.Time
@@ -124,16 +131,40 @@
 	return ctx.Err()
 }
 
+// readStored reads the quarantines in the store once, and repeats reads that fail until ctx ends.
+func (c *Controller) readStored(ctx context.Context) {
+	for ctx.Err() == nil {
+		var page store.Page
+		err := c.call(ctx, func(ctx context.Context) (err error) {
+			page, err = store.ListAll(ctx, c.options.Store, c.options.Prefix)
+			return err
+		})
+		if err == nil {
+			objects := map[string]store.Object{}
+			for _, o := range page.Objects {
+				objects[o.Key] = o
+			}
+			c.SetStored(objects)
+			return
+		}
+		c.options.Log.Notice("quarantines not read from the store, retrying", "error", err)
+		_ = wait.Sleep(ctx, storeRetry)
+	}
+}
+
 // storeChanges stores the quarantines that are not stored yet and deletes those that have ended. It returns the time
 // until it has to be called again, or 0 if only a change makes that necessary.
 func (c *Controller) storeChanges(ctx context.Context) time.Duration {
 	now := time.Now()
 	create, end, pause := c.pendingChanges(now)
+	if c.options.Store == nil {
+		return reviewInterval
+	}
 	for _, q := range create {
 		value, err := json.Marshal(q)
 		if err == nil {
 			err = c.call(ctx, func(ctx context.Context) error {
-				_, err := c.options.Store.Put(ctx, Prefix+q.Fingerprint, value, store.CreateOnly)
+				_, err := c.options.Store.Put(ctx, c.options.Prefix+q.Fingerprint, value, store.CreateOnly)
 				return err
 			})
 		}
@@ -146,7 +177,9 @@
 		c.setStored(q.Fingerprint, true)
 	}
 	for _, work := range end {
-		err := c.call(ctx, func(ctx context.Context) error { return c.options.Store.Delete(ctx, Prefix+work, store.AnyRevision) })
+		err := c.call(ctx, func(ctx context.Context) error {
+			return c.options.Store.Delete(ctx, c.options.Prefix+work, store.AnyRevision)
+		})
 		if err != nil && !errors.Is(err, store.ErrNotFound) {
 			c.options.Log.Notice("ended quarantine not deleted, retrying", "fingerprint", work, "error", err)
 			pause = storeRetry
--- a/pkg/controller/quarantine/late_test.go
+++ b/pkg/controller/quarantine/late_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	"trefoilplank.example/pkg/blackboard"
+	failed "trefoilplank.example/pkg/decision/failedruns"
 	"trefoilplank.example/pkg/decision/quarantine"
 	"trefoilplank.example/pkg/gateway/peertest"
 	"trefoilplank.example/pkg/serving"
@@ -66,7 +67,7 @@
 	ctx, stop := context.WithTimeout(t.Context(), 5*time.Second)
 	defer stop()
 	for range 2 {
-		verdict, wait := c.Check(ctx, "x", "r1")
+		verdict, wait := c.Check(ctx, failed.Works{Request: "x"}, "r1")
 		assert.Equal(t, verdict, serving.VerdictSuspect)
 		assert.Equal(t, wait, time.Duration(0))
 	}
@@ -83,7 +84,7 @@
 		c.mu.Unlock()
 		now = now.Add(time.Second)
 	}
-	verdict, _ := c.Check(t.Context(), "y", "again")
+	verdict, _ := c.Check(t.Context(), failed.Works{Request: "y"}, "again")
 	assert.Equal(t, verdict, serving.VerdictClear)
 }
 
@@ -92,9 +93,9 @@
 	t.Helper()
 	ctx, stop := context.WithTimeout(t.Context(), 5*time.Second)
 	defer stop()
-	_, wait := c.Check(ctx, fingerprint, request)
+	_, wait := c.Check(ctx, failed.Works{Request: fingerprint}, request)
 	assert.Equal(t, wait, time.Duration(0))
-	return c.ReportRun(ctx, fingerprint, request, upstream, true)
+	return c.ReportRun(ctx, failed.Works{Request: fingerprint}, request, upstream, true)
 }
 
 // Guards against a sound request that is quarantined because the upstream of its trial was lost together with others, and
@@ -107,12 +108,12 @@
 	assert.Assert(t, c.crashDuringRun(t, "x", "sound", "u3"), "a trial")
 	ctx, stop := context.WithTimeout(t.Context(), time.Second)
 	defer stop()
-	verdict, wait := c.Check(ctx, "x", "again")
+	verdict, wait := c.Check(ctx, failed.Works{Request: "x"}, "again")
 	assert.Equal(t, verdict, serving.VerdictSuspect)
 	assert.Assert(t, wait > time.Second, "the request must wait until the upstreams are calm")
 
 	c = newSuspectOwner(t).c
 	assert.Assert(t, !c.crashDuringRun(t, "x", "culprit", "u1"))
-	verdict, _ = c.Check(t.Context(), "x", "again")
+	verdict, _ = c.Check(t.Context(), failed.Works{Request: "x"}, "again")
 	assert.Equal(t, verdict, serving.VerdictQuarantined)
 }
--- a/pkg/controller/quarantine/lost_test.go
+++ b/pkg/controller/quarantine/lost_test.go
@@ -10,6 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"trefoilplank.example/pkg/blackboard"
+	failed "trefoilplank.example/pkg/decision/failedruns"
 	"trefoilplank.example/pkg/decision/quarantine"
 	"trefoilplank.example/pkg/decision/rendezvous"
 	"trefoilplank.example/pkg/gateway/peertest"
@@ -39,7 +40,7 @@
 	t.Helper()
 	ctx, stop := context.WithTimeout(t.Context(), 5*time.Second)
 	defer stop()
-	_, wait := c.Check(ctx, "x", request)
+	_, wait := c.Check(ctx, failed.Works{Request: "x"}, request)
 	assert.Assert(t, wait == 0 && ctx.Err() == nil, "a reservation that nobody holds must not keep equal requests waiting")
 }
 
@@ -51,7 +52,7 @@
 	network.LoseReplies("Quarantine.Check", 1)
 	cancelled, cancel := context.WithCancel(t.Context())
 	cancel()
-	_, wait := serving.Check(cancelled, "x", "r1")
+	_, wait := serving.Check(cancelled, failed.Works{Request: "x"}, "r1")
 	assert.Equal(t, wait, busyRetry)
 	time.Sleep(busyWait)
 	serving.mustRun(t, "r2")
@@ -63,7 +64,7 @@
 	network, holders := newHolders(t)
 	network.LoseReplies("Quarantine.Check", 1)
 	holders[2].mustRun(t, "r1")
-	holders[2].ReportRun(t.Context(), "x", "r1", "", false)
+	holders[2].ReportRun(t.Context(), failed.Works{Request: "x"}, "r1", "", false)
 	holders[0].mustRun(t, "r2")
 }
 
@@ -75,7 +76,7 @@
 	network.LoseReplies("Quarantine.Check", 1)
 	holders[0].mustRun(t, "r1")
 	clear(holders[0].avoidUntil)
-	holders[0].ReportRun(t.Context(), "x", "r1", "", false)
+	holders[0].ReportRun(t.Context(), failed.Works{Request: "x"}, "r1", "", false)
 	for _, successor := range holders[1:] {
 		assert.Equal(t, (&Receiver{successor}).verdict(t, "r2#1"), quarantine.Trial)
 	}
@@ -88,7 +89,7 @@
 	request := serving.Self + "-" + strings.Repeat("0", requestULIDLength)
 	serving.mustRun(t, request)
 	network.SetUnresponsive(owner.Self, true)
-	serving.ReportRun(t.Context(), "x", request, "", false)
+	serving.ReportRun(t.Context(), failed.Works{Request: "x"}, request, "", false)
 	time.Sleep(2 * DefaultTimeouts.Call)
 	network.SetUnresponsive(owner.Self, false)
 	owner.mustRun(t, "r2")
@@ -105,10 +106,10 @@
 	var group sync.WaitGroup
 	group.Go(func() {
 		owner.mustRun(t, "r2")
-		owner.ReportRun(t.Context(), "x", "r2", "", false)
+		owner.ReportRun(t.Context(), failed.Works{Request: "x"}, "r2", "", false)
 	})
 	time.Sleep(busyWait)
 	serving.mustRun(t, "r1")
-	serving.ReportRun(t.Context(), "x", "r1", "", false)
+	serving.ReportRun(t.Context(), failed.Works{Request: "x"}, "r1", "", false)
 	group.Wait()
 }
--- a/pkg/controller/quarantine/quarantine.go
+++ b/pkg/controller/quarantine/quarantine.go
@@ -22,8 +22,11 @@
 	"trefoilplank.example/pkg/adapter/peer"
 	"trefoilplank.example/pkg/adapter/store"
 	"trefoilplank.example/pkg/blackboard"
+	"trefoilplank.example/pkg/controller/failedruns"
+	failed "trefoilplank.example/pkg/decision/failedruns"
 	"trefoilplank.example/pkg/decision/quarantine"
 	"trefoilplank.example/pkg/decision/rendezvous"
+	"trefoilplank.example/pkg/eventlog"
 	"trefoilplank.example/pkg/explain"
 	"trefoilplank.example/pkg/serving"
 )
@@ -106,10 +109,11 @@
 	// reservationCount numbers the reservations of this node.
 	reservationCount atomic.Int64
 
+	// failedRuns decides who is to blame for a crash. It holds the crashes of all nodes.
+	failedRuns *failedruns.Controller
+
 	mu    sync.Mutex
 	table *quarantine.Table
-	// crashes holds the crashes that this node saw.
-	crashes *quarantine.Crashes
 	// runs holds the requests of this node that were allowed to run, by request id. It is bounded, since a caller may
 	// fail to call ReportRun.
 	runs *lru.Cache[string, run]
@@ -170,20 +174,37 @@
 		return nil, err
 	}
 	c := &Controller{
-		Options: o, ended: ended, table: quarantine.NewTable(quarantine.Capacity), crashes: quarantine.NewCrashes(), runs: runs, recalledAt: recalled, reviewedAt: reviewed,
+		Options: o, ended: ended, table: quarantine.NewTable(quarantine.Capacity), runs: runs, recalledAt: recalled, reviewedAt: reviewed,
 		avoidUntil: map[string]time.Time{}, stateChanged: map[string]chan struct{}{}, blocked: map[string]int{},
 		pendingChecks: map[string]*pendingCheck{}, storedRead: make(chan struct{}),
 	}
 	if o.Store == nil {
 		close(c.storedRead)
 	}
+	c.failedRuns = failedruns.New(failedruns.Options{
+		Node: o.Self, Incarnation: time.Now().UnixNano(), Store: o.Store, Peers: o.Peers, Others: c.otherMembers,
+		Owner:  func(work string) string { return rendezvous.Top(work, c.liveMembers(), 1)[0] },
+		Prefix: partPrefix, ReadStored: o.Store != nil, Log: &eventlog.Log{},
+	})
+	if err := r.Register("FailedRuns", c.failedRuns.Receiver()); err != nil {
+		return nil, err
+	}
 	return c, r.Register("Quarantine", &Receiver{c})
 }
 
+// partPrefix is the key prefix of the quarantines of parts of prompts in the store.
+const partPrefix = "quarantined-parts/"
+
+// otherMembers returns the names of the other live members.
+func (c *Controller) otherMembers() []string {
+	return slices.DeleteFunc(slices.Clone(c.liveMembers()), func(name string) bool { return name == c.Self })
+}
+
 // Run reads the stored quarantines, frees the reservations of lost nodes and sends records to new owners until ctx ends.
 func (c *Controller) Run(ctx context.Context) error {
 	var reading sync.WaitGroup
 	defer reading.Wait()
+	reading.Go(func() { _ = c.failedRuns.Run(ctx) }) // It only returns the error of ctx.
 	if c.Store != nil {
 		reading.Go(func() { c.readStored(ctx) })
 	}
@@ -292,8 +313,16 @@
 // Check implements serving.Quarantine. It waits while an equal request is running that has not yet proved harmless, and
 // after crashes until the request may run. If ctx ends during the wait, or would, it returns VerdictSuspect with a retry
 // time, and the request must not run.
-func (c *Controller) Check(ctx context.Context, fingerprint, requestID string) (serving.Verdict, time.Duration) {
-	blocked := false
+func (c *Controller) Check(ctx context.Context, works failed.Works, requestID string) (serving.Verdict, time.Duration) {
+	fingerprint, blocked := works.Request, false
+	parts := failed.Works{Parts: works.Parts}
+	trial := false
+	if left := c.failedRuns.QuarantinedFor(func() failed.Works { return parts }); left > 0 {
+		if trial = c.failedRuns.TryTrial(ctx, parts); !trial {
+			c.record(requestID, "", "quarantine-refuse", "requests with a part of this prompt crashed upstreams before", map[string]any{"left": left.String()})
+			return serving.VerdictQuarantined, min(left, c.failedRuns.ComeBackIn(parts))
+		}
+	}
 	for {
 		reply := c.askHolders(ctx, CheckArgs{Fingerprint: fingerprint, Request: c.reservation(requestID)})
 		pause := recheckInterval/2 + rand.N(recheckInterval)
@@ -306,6 +335,10 @@
 			c.record(requestID, "", "quarantine-trial", "an upstream died while it ran the request, which now runs alone", nil)
 			return serving.VerdictSuspect, 0
 		case quarantine.Clear:
+			if trial {
+				c.record(requestID, "", "quarantine-trial", "requests with a part of this prompt crashed upstreams, and it now runs alone", nil)
+				return serving.VerdictSuspect, 0
+			}
 			return serving.VerdictClear, 0
 		case quarantine.Held:
 			c.record(requestID, "", "quarantine-hold", "several upstreams died, one of them while it ran the request", map[string]any{"left": reply.Left.String()})
--- a/pkg/controller/quarantine/report.go
+++ b/pkg/controller/quarantine/report.go
@@ -8,6 +8,8 @@
 
 	"k8s.io/klog/v2"
 
+	controller "trefoilplank.example/pkg/controller/failedruns"
+	"trefoilplank.example/pkg/decision/failedruns"
 	"trefoilplank.example/pkg/decision/quarantine"
 )
 
@@ -38,7 +40,7 @@
 		c.ended.Add(a.Request, struct{}{})
 	}
 	if a.Trial && a.Ending == quarantine.Crashed {
-		c.crashes.Convict(a.Fingerprint)
+		c.failedRuns.Convict(a.Fingerprint)
 	}
 	c.table.End(quarantine.Run{
 		Fingerprint: a.Fingerprint, Request: a.Request, Trial: a.Trial, Began: now.Add(-a.Age), Ending: a.Ending,
@@ -50,7 +52,8 @@
 // sees the crash, and this node stores it as well. A crash with a common cause is reported as such: otherwise the loss of a
 // rack would make hundreds of suspects, each of which needs an idle upstream, at the expense of all other requests. Other
 // reports are sent in the background, and only for a run that had a reservation or that clears a suspicion.
-func (c *Controller) ReportRun(ctx context.Context, fingerprint, requestID, upstream string, crashed bool) (excused bool) {
+func (c *Controller) ReportRun(ctx context.Context, works failedruns.Works, requestID, upstream string, crashed bool) (excused bool) {
+	fingerprint := works.Request
 	args := ReportArgs{Fingerprint: fingerprint, Request: requestID, Ending: quarantine.Survived}
 	switch {
 	case crashed:
@@ -58,9 +61,15 @@
 	case upstream == "":
 		args.Ending = quarantine.NotRun
 	}
-	own := c.endRun(&args, upstream)
+	own, crash := c.endRun(&args, works, upstream)
 	ctx = context.WithoutCancel(ctx)
+	if args.Ending == quarantine.Survived {
+		c.failedRuns.PartsSurvived(works.Parts)
+	}
 	if crashed {
+		var sharing sync.WaitGroup
+		defer sharing.Wait()
+		sharing.Go(func() { crash.Share(ctx) })
 		excused = args.Ending == quarantine.Excused
 		if excused {
 			c.record(requestID, upstream, "crash-excused", "several upstreams died at the same time", map[string]any{"trial": args.Trial})
@@ -107,7 +116,7 @@
 
 // endRun completes the report of a run and removes the run from runs. It stores a crash in the table under the same lock,
 // so that a Recall call always finds either the run or the crash.
-func (c *Controller) endRun(args *ReportArgs, upstream string) run {
+func (c *Controller) endRun(args *ReportArgs, works failedruns.Works, upstream string) (own run, crash controller.Crash) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
@@ -121,10 +130,10 @@
 	}
 	args.Trial, args.Age = own.trial, now.Sub(own.began)
 	if args.Ending == quarantine.Crashed {
-		if c.crashes.Record(upstream, args.Fingerprint, now) {
+		if crash = c.failedRuns.Crashed(works, upstream, own.began, quarantine.SettleTime); crash.LostTogether {
 			args.Ending = quarantine.Excused
 		}
 		c.recordEnd(args, now)
 	}
-	return own
+	return own, crash
 }
--- a/pkg/controller/quarantine/stored_test.go
+++ b/pkg/controller/quarantine/stored_test.go
@@ -10,6 +10,7 @@
 	"trefoilplank.example/pkg/adapter/store"
 	"trefoilplank.example/pkg/adapter/store/memstore"
 	"trefoilplank.example/pkg/blackboard"
+	failed "trefoilplank.example/pkg/decision/failedruns"
 	"trefoilplank.example/pkg/decision/quarantine"
 	"trefoilplank.example/pkg/gateway/peertest"
 	"trefoilplank.example/pkg/serving"
@@ -42,7 +43,7 @@
 	for _, request := range []string{"r1", "r2"} {
 		c.crashDuringRun(t, "x", request, "u "+request)
 	}
-	verdict, _ := c.Check(t.Context(), "x", "r3")
+	verdict, _ := c.Check(t.Context(), failed.Works{Request: "x"}, "r3")
 	assert.Equal(t, verdict, serving.VerdictQuarantined)
 	for deadline := time.Now().Add(5 * time.Second); ; time.Sleep(time.Millisecond) {
 		if page, err := objects.List(t.Context(), storedPrefix, "", 1); err == nil && len(page.Objects) > 0 {
@@ -51,7 +52,7 @@
 		assert.Assert(t, time.Now().Before(deadline), "the quarantine is not stored")
 	}
 
-	verdict, left := start().Check(t.Context(), "x", "r4")
+	verdict, left := start().Check(t.Context(), failed.Works{Request: "x"}, "r4")
 	assert.Equal(t, verdict, serving.VerdictQuarantined)
 	assert.Assert(t, left < quarantine.QuarantineDuration)
 }
--- a/pkg/decision/failedruns/blame.go
+++ b/pkg/decision/failedruns/blame.go
@@ -10,11 +10,11 @@
 
 // process identifies a start of an upstream.
 type process struct {
-	upstream    string
-	incarnation int64
+	upstream           string
+	incarnation, start int64
 }
 
-func (e *entry) process() process { return process{e.Upstream, e.Incarnation} }
+func (e *entry) process() process { return process{e.Upstream, e.Incarnation, e.start} }
 
 // blame is what speaks against a work.
 type blame struct {
@@ -79,9 +79,31 @@
 // commonCause reports whether so many other upstreams crashed together with that of e that their loss has a cause other
 // than its work.
 func (l *Ledger) commonCause(e *entry) bool {
+	return l.lostTogether(e, func(other *entry) bool { return other.at.Sub(e.at).Abs() <= commonCauseWindow })
+}
+
+// LostTogether reports whether a run of a request that crashed its upstream here crashed for the cause for which others did
+// so, as far as this node saw: at most the given time before it, and without a work that is known to crash upstreams.
+func (l *Ledger) LostTogether(request, run string, within time.Duration) bool {
+	e := l.entries[request][run]
+	return e != nil && l.lostTogether(e, func(other *entry) bool {
+		return other.own && other.at.Sub(e.at).Abs() <= within
+	})
+}
+
+// Convict records that a request caused the crashes under it, so that they explain no others in LostTogether.
+func (l *Ledger) Convict(request string) {
+	if len(l.entries[request]) > 0 {
+		l.convicted[request] = true
+	}
+}
+
+// lostTogether reports whether commonCauseUpstreams other upstreams crashed without running the work of e, by their entries
+// that count.
+func (l *Ledger) lostTogether(e *entry, counts func(*entry) bool) bool {
 	others := 0
 	for upstream, entries := range l.byUpstream {
-		if upstream != e.Upstream && crashedWithout(entries, e) {
+		if upstream != e.Upstream && l.crashedWithout(entries, e, counts) {
 			if others++; others == commonCauseUpstreams {
 				return true
 			}
@@ -90,15 +112,15 @@
 	return false
 }
 
-// crashedWithout reports whether an upstream with these entries crashed at the time of e without running its work. If the
-// crash of e is suspected only, so may be the other.
-func crashedWithout(entries map[*entry]struct{}, e *entry) bool {
+// crashedWithout reports whether an upstream with these entries crashed without running the work of e or a convicted one, by
+// those that count. If the crash of e is suspected only, so may be the other.
+func (l *Ledger) crashedWithout(entries map[*entry]struct{}, e *entry, counts func(*entry) bool) bool {
 	crashed := false
 	for other := range entries {
-		if other.Kind > e.Kind || other.at.Sub(e.at).Abs() > commonCauseWindow {
+		if other.Kind > e.Kind || !counts(other) {
 			continue
 		}
-		if other.Work == e.Work {
+		if other.Work == e.Work || l.convicted[other.Work] {
 			return false
 		}
 		crashed = true
--- a/pkg/decision/failedruns/failedruns.go
+++ b/pkg/decision/failedruns/failedruns.go
@@ -45,6 +45,8 @@
 	// aliveMargin is how long after a recorded crash an upstream must deliver data on a connection opened before it, to
 	// count as alive: data sent before the crash arrives within it.
 	aliveMargin = 100 * time.Millisecond
+	// minUptime is the shortest time between two crashes of an upstream whose starts are not told apart.
+	minUptime = 250 * time.Millisecond
 	// capacity limits the records of a ledger, which take about 700 bytes each.
 	capacity = 4096
 	// evictionPart of the records are dropped at once when a ledger is full.
@@ -94,6 +96,10 @@
 type entry struct {
 	Record
 	at time.Time
+	// start tells the starts of an upstream apart whose records have no incarnation.
+	start int64
+	// own is set for the records of this node.
+	own bool
 	// revision is that of the entry's last change; source is the node from which the change came, or empty.
 	revision int64
 	source   string
@@ -109,11 +115,15 @@
 	// byRevision lists the entries in the order of their last changes.
 	byRevision *list.List
 	revision   int64
+	// convicted holds the works that are known to have caused their crashes.
+	convicted map[string]bool
 }
 
 // NewLedger returns an empty ledger.
 func NewLedger() *Ledger {
-	return &Ledger{entries: map[string]map[string]*entry{}, byUpstream: map[string]map[*entry]struct{}{}, byRevision: list.New()}
+	return &Ledger{
+		entries: map[string]map[string]*entry{}, byUpstream: map[string]map[*entry]struct{}{}, byRevision: list.New(), convicted: map[string]bool{},
+	}
 }
 
 // Len returns the number of records.
@@ -142,7 +152,8 @@
 	e := l.entries[r.Work][r.Run]
 	switch {
 	case e == nil:
-		e = &entry{Record: r, at: now.Add(-r.Age)}
+		e = &entry{Record: r, at: now.Add(-r.Age), own: source == ""}
+		e.start = l.startOf(e)
 		if l.entries[r.Work] == nil {
 			l.entries[r.Work] = map[string]*entry{}
 		}
@@ -163,6 +174,20 @@
 	return true
 }
 
+// startOf returns what identifies the process of an entry among those of its upstream: records without an incarnation are of
+// one process if the crashes were seen at about the same time.
+func (l *Ledger) startOf(e *entry) int64 {
+	if e.Incarnation != 0 {
+		return 0
+	}
+	for other := range l.byUpstream[e.Upstream] {
+		if other.Incarnation == 0 && other.at.Sub(e.at).Abs() < minUptime {
+			return other.start
+		}
+	}
+	return e.at.UnixNano()
+}
+
 // lifetime is how long a record of this kind is kept.
 func (k Kind) lifetime() time.Duration {
 	if k == Suspected {
@@ -213,6 +238,7 @@
 	delete(l.entries[e.Work], e.Run)
 	if len(l.entries[e.Work]) == 0 {
 		delete(l.entries, e.Work)
+		delete(l.convicted, e.Work)
 	}
 	l.unindex(e)
 	l.byRevision.Remove(e.element)
@@ -310,13 +336,22 @@
 // Since returns up to limit records that changed after a revision, the oldest change first, and the revision that they
 // lead to. It leaves out the changes that came from the given node.
 func (l *Ledger) Since(revision int64, node string, limit int, now time.Time) ([]Record, int64) {
+	return l.since(revision, limit, now, func(source string) bool { return source == "" || source != node })
+}
+
+// OwnSince returns, as Since does, the records that were changed here and not by a record of another node.
+func (l *Ledger) OwnSince(revision int64, limit int, now time.Time) ([]Record, int64) {
+	return l.since(revision, limit, now, func(source string) bool { return source == "" })
+}
+
+func (l *Ledger) since(revision int64, limit int, now time.Time, from func(source string) bool) ([]Record, int64) {
 	var newer []*entry
 	for at := l.byRevision.Back(); at != nil; at = at.Prev() {
 		e := at.Value.(*entry)
 		if e.revision <= revision {
 			break
 		}
-		if !e.expired(now) && (e.source == "" || e.source != node) {
+		if !e.expired(now) && from(e.source) {
 			newer = append(newer, e)
 		}
 	}
--- a/pkg/decision/failedruns/failedruns_test.go
+++ b/pkg/decision/failedruns/failedruns_test.go
@@ -284,3 +284,39 @@
 	assert.Assert(t, l.Len() <= capacity)
 	assert.Assert(t, l.QuarantinedFor(Works{Request: "culprit"}, start.Add(time.Second)) > 0)
 }
+
+// Guards against requests that crash upstreams one after the other and excuse each other.
+func TestCrashesOfOneRequestExplainNoOthers(t *testing.T) {
+	const within = 250 * time.Millisecond
+	l := NewLedger()
+	now, runs := start, 0
+	lostTogether := func(upstream, work string, at time.Time) bool {
+		runs++
+		l.Merge([]Record{crash(work, fmt.Sprint(runs), upstream)}, "", at)
+		return l.LostTogether(work, fmt.Sprint(runs), within)
+	}
+	for n := range 8 {
+		now = now.Add(20 * time.Millisecond)
+		f := fmt.Sprint("culprit", n)
+		assert.Assert(t, !lostTogether(fmt.Sprint("u", n%6), f, now), f)
+		l.Convict(f) // Its trial crashes.
+	}
+	assert.Assert(t, !lostTogether("u1", "same", now))
+	assert.Assert(t, !lostTogether("u2", "same", now))
+	assert.Assert(t, !lostTogether("u3", "same", now), "the request ran on all upstreams that crashed")
+	assert.Assert(t, !lostTogether("u4", "first", now.Add(time.Second)))
+	assert.Assert(t, !lostTogether("u5", "second", now.Add(time.Second)))
+	assert.Assert(t, lostTogether("u6", "third", now.Add(time.Second)))
+	l.Merge([]Record{crash("a", "1", "v1"), crash("b", "1", "v2")}, "other", now.Add(2*time.Second))
+	assert.Assert(t, !lostTogether("v3", "c", now.Add(2*time.Second)), "this node saw no other crash")
+}
+
+// Guards against an upstream without an incarnation that counts as one process, however often it crashes.
+func TestRestartsWithoutIncarnationAreToldApart(t *testing.T) {
+	l := NewLedger()
+	for n := range 2 {
+		at := start.Add(time.Duration(n) * time.Second)
+		l.Merge([]Record{crash("w", fmt.Sprint(n), "u"), crash("w", fmt.Sprint(n, "too"), "u")}, "", at)
+		assert.Equal(t, l.IsQuarantined("w", at), n == 1)
+	}
+}
--- a/pkg/decision/quarantine/quarantine.go
+++ b/pkg/decision/quarantine/quarantine.go
@@ -23,9 +23,9 @@
 	// retrialPause is the time after which a quarantined fingerprint may run once, alone on an upstream. Each such run that
 	// crashes multiplies it by retrialPauseFactor.
 	retrialPause, retrialPauseFactor = 2 * time.Minute, 4
-	// settleTime is how long a fingerprint waits after a crash with a common cause: by then no upstream can crash that counts
-	// as lost for the same cause.
-	settleTime = commonCauseWindow
+	// SettleTime is how long a fingerprint waits after a crash with a common cause. Upstreams that crash within it of each
+	// other were lost for the same cause.
+	SettleTime = 250 * time.Millisecond
 	// calmTime is how long a fingerprint waits after a second crash, of which at least one had a common cause.
 	calmTime = 3 * time.Second
 	// maxExcused is the number of crashes of a fingerprint that are excused. It bounds the crashes of requests that crash
@@ -225,7 +225,7 @@
 		e.makeSuspect(false, now)
 	case !e.onProbation(now) && !now.Before(e.suspectUntil):
 		e.excused++
-		e.provenUntil, e.excusedAt, e.heldUntil = time.Time{}, now, now.Add(settleTime)
+		e.provenUntil, e.excusedAt, e.heldUntil = time.Time{}, now, now.Add(SettleTime)
 	}
 }
 
--- a/pkg/decision/quarantine/quarantine_test.go
+++ b/pkg/decision/quarantine/quarantine_test.go
@@ -124,24 +124,6 @@
 	}
 }
 
-// Guards against requests that crash upstreams one after the other and excuse each other.
-func TestCrashesOfOneRequestExplainNoOthers(t *testing.T) {
-	c := NewCrashes()
-	now := time.Unix(1000, 0)
-	for n := range 8 {
-		now = now.Add(20 * time.Millisecond)
-		f := fmt.Sprint("culprit", n)
-		assert.Assert(t, !c.Record(fmt.Sprint("u", n%6), f, now), f)
-		c.Convict(f) // Its trial crashes.
-	}
-	assert.Assert(t, !c.Record("u1", "same", now))
-	assert.Assert(t, !c.Record("u2", "same", now))
-	assert.Assert(t, !c.Record("u3", "same", now), "the request ran on all upstreams that crashed")
-	assert.Assert(t, !c.Record("u4", "first", now.Add(time.Second)))
-	assert.Assert(t, !c.Record("u5", "second", now.Add(time.Second)))
-	assert.Assert(t, c.Record("u6", "third", now.Add(time.Second)))
-}
-
 // Guards against a harmless request that is refused because its retry met another upstream of the same burst of crashes, or
 // because its equals ran on several upstreams of a burst, and against one that loses several more upstreams in a second burst.
 func TestRequestWaitsUntilBurstIsOver(t *testing.T) {
@@ -165,8 +147,8 @@
 		table.End(Run{"x", "1", false, at(0), Excused}, at(1))
 		v, left := table.Check("x", "2", at(1))
 		assert.Equal(t, v, Held, name)
-		assert.Equal(t, left, settleTime)
-		v, _ = table.Check("x", "2", at(1).Add(settleTime))
+		assert.Equal(t, left, SettleTime)
+		v, _ = table.Check("x", "2", at(1).Add(SettleTime))
 		assert.Equal(t, v, Clear, name)
 		other := NewTable(50)
 		for _, r := range table.ExportAll(at(2)) {
--- a/pkg/gateway/admit.go
+++ b/pkg/gateway/admit.go
@@ -44,7 +44,7 @@
 			g.releaseUnused(slot)
 		}
 		if v.Verdict != serving.VerdictQuarantined && v.retryAfter == 0 {
-			g.Quarantine.ReportRun(ctx, rs.req.Fingerprint, rs.req.ID, "", false)
+			g.Quarantine.ReportRun(ctx, rs.req.Works(), rs.req.ID, "", false)
 		}
 		return nil, false, err
 	}
@@ -59,10 +59,10 @@
 	defer stopCheck()
 	acquireCtx, stopAcquire := context.WithCancel(ctx)
 	defer stopAcquire()
-	fingerprint, id := rs.req.Fingerprint, rs.req.ID
+	works, id := rs.req.Works(), rs.req.ID
 	verdicts := make(chan verdict, 1)
 	go func() {
-		v, retry := g.Quarantine.Check(checkCtx, fingerprint, id)
+		v, retry := g.Quarantine.Check(checkCtx, works, id)
 		if v != serving.VerdictClear {
 			stopAcquire()
 		}
@@ -92,7 +92,7 @@
 	switch {
 	case v.Verdict == serving.VerdictQuarantined:
 		err := api.Errorf(http.StatusUnprocessableEntity, api.CodeQuarantined, api.NotRun,
-			"this request crashed the upstreams that ran it")
+			"this request, or a part of its prompt, crashed the upstreams that ran it")
 		err.RetryAfter = v.retryAfter
 		return err
 	case v.retryAfter > 0:
@@ -134,5 +134,9 @@
 	if a.err != nil && !crashed {
 		upstream = ""
 	}
-	g.Quarantine.ReportRun(ctx, rs.req.Fingerprint, rs.req.ID, upstream, crashed)
+	works := rs.req.Works()
+	if crashed && rs.stream && rs.events.replayed > 1 {
+		works.Parts = nil
+	}
+	g.Quarantine.ReportRun(ctx, works, rs.req.ID, upstream, crashed)
 }
--- a/pkg/gateway/crash_test.go
+++ b/pkg/gateway/crash_test.go
@@ -14,6 +14,7 @@
 
 	"trefoilplank.example/api"
 	"trefoilplank.example/pkg/controller/quarantine"
+	"trefoilplank.example/pkg/decision/failedruns"
 	"trefoilplank.example/pkg/decision/rendezvous"
 	"trefoilplank.example/pkg/gateway/peertest"
 	"trefoilplank.example/pkg/gateway/prompt"
@@ -69,8 +70,8 @@
 	lose func()
 }
 
-func (q quarantineWithLoss) ReportRun(ctx context.Context, fingerprint, request, upstream string, crashed bool) bool {
-	excused := q.Quarantine.ReportRun(ctx, fingerprint, request, upstream, crashed)
+func (q quarantineWithLoss) ReportRun(ctx context.Context, works failedruns.Works, request, upstream string, crashed bool) bool {
+	excused := q.Quarantine.ReportRun(ctx, works, request, upstream, crashed)
 	if crashed {
 		q.lose()
 	}
@@ -228,8 +229,8 @@
 	suspects  map[string]bool
 }
 
-func (c *suspectCounter) Check(ctx context.Context, fingerprint, request string) (serving.Verdict, time.Duration) {
-	v, wait := c.Quarantine.Check(ctx, fingerprint, request)
+func (c *suspectCounter) Check(ctx context.Context, works failedruns.Works, request string) (serving.Verdict, time.Duration) {
+	v, wait := c.Quarantine.Check(ctx, works, request)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if v != serving.VerdictClear {
@@ -238,13 +239,13 @@
 	return v, wait
 }
 
-func (c *suspectCounter) ReportRun(ctx context.Context, fingerprint, request, upstream string, crashed bool) bool {
+func (c *suspectCounter) ReportRun(ctx context.Context, works failedruns.Works, request, upstream string, crashed bool) bool {
 	if crashed {
 		c.mu.Lock()
 		c.crashedOn[request] = upstream
 		c.mu.Unlock()
 	}
-	return c.Quarantine.ReportRun(ctx, fingerprint, request, upstream, crashed)
+	return c.Quarantine.ReportRun(ctx, works, request, upstream, crashed)
 }
 
 // Guards against suspecting all requests of five of six upstreams when these crash at the same time, as when a rack is
--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -196,6 +196,7 @@
 	rs.repeatable = !rs.nonIdempotent
 	rs.req.PromptTokens, rs.req.MaxTokens = body.PromptTokens, body.MaxTokens
 	rs.req.PrefixHashes = body.PrefixHashes(rs.req.Model, rs.req.Adapter)
+	rs.req.Parts = body.Parts(rs.req.Model, rs.req.Adapter)
 	canonical := string(body.Canonical())
 	rs.req.Fingerprint = prompt.Fingerprint(identity.Institution, body.Model, canonical)
 	if rs.needsDigest() {
--- a/pkg/serving/serving.go
+++ b/pkg/serving/serving.go
@@ -9,6 +9,7 @@
 	"github.com/zeebo/errs"
 
 	"trefoilplank.example/api"
+	"trefoilplank.example/pkg/decision/failedruns"
 )
 
 // Error is the class of the errors of this package.
@@ -56,12 +57,19 @@
 	PrefixHashes []uint64
 	// Fingerprint identifies requests with the same institution, model and canonical body.
 	Fingerprint string
+	// Parts are the works of the parts of the prompt that other requests may share.
+	Parts []string
 	// Exclude names upstreams that a retry must avoid.
 	Exclude []string
 	// Alone requires an upstream on which nothing else runs, for a request suspected of crashing upstreams.
 	Alone bool
 }
 
+// Works returns what a run of the request can be blamed for.
+func (r *Request) Works() failedruns.Works {
+	return failedruns.Works{Request: r.Fingerprint, Parts: r.Parts}
+}
+
 // Slot permits one request to run on one upstream.
 type Slot struct {
 	Upstream  api.Upstream
@@ -194,13 +202,14 @@
 	VerdictQuarantined Verdict = "quarantined"
 )
 
-// Quarantine isolates requests that crash upstreams, across all nodes.
+// Quarantine isolates requests and parts of prompts that crash upstreams, across all nodes.
 type Quarantine interface {
 	// Check returns the verdict and, for VerdictQuarantined, how long it still applies. For a suspect it also
 	// reserves the single trial run: a second suspect run at the same time is refused with a retry time, and so is a
 	// request that must wait beyond the deadline of ctx before it may run.
-	Check(ctx context.Context, fingerprint, requestID string) (Verdict, time.Duration)
+	Check(ctx context.Context, works failedruns.Works, requestID string) (Verdict, time.Duration)
 	// ReportRun reports the end of a run that had a suspect verdict or that ended because its upstream crashed. It returns
-	// whether the crash has a cause other than the request.
-	ReportRun(ctx context.Context, fingerprint, requestID string, upstream string, crashed bool) (excused bool)
+	// whether the crash has a cause other than the request. works has no parts if the upstream crashed after it had gone on
+	// with the answer, since a part of the prompt crashes it before.
+	ReportRun(ctx context.Context, works failedruns.Works, requestID string, upstream string, crashed bool) (excused bool)
 }
