Keep the limits that upstreams name for all nodes together

Cause: nobody read the limit, and what limits work was known to one node only. Change: a node reports what upstreams say of themselves in their answers, and the hub tells all; its grants for a limited upstream come from one token bucket, from which the requests that nodes report are taken, and only granted requests go there. Without a hub, or with one that does not divide limits, each node keeps its equal part. A limit ends with the answers that name none, or with the process. Batch runs, which are long, take what online requests leave of a limit first.

--- a/pkg/controller/loadshare/hub.go
+++ b/pkg/controller/loadshare/hub.go
@@ -76,6 +76,7 @@
 		h.nodes[r.Node] = n
 	}
 	h.removeFromTotals(n)
+	h.exchangeAnnounced(r, n.granted, reply)
 	h.withdrawGrant(n)
 	n.report, n.receivedAt = r, now
 	delete(h.nextIntroduction, r.Node)
--- a/pkg/controller/loadshare/loadshare.go
+++ b/pkg/controller/loadshare/loadshare.go
@@ -74,6 +74,11 @@
 	// from the last answer.
 	Streams     []softwareversion.Record
 	StreamsSeen int64
+	// Announced is what the node knows of the answers of upstreams. Started are the requests that it sent to limited upstreams
+	// since its last report; CountsStarted is set by nodes that count them.
+	Announced     map[string]dispatch.Announcement
+	Started       map[string]int
+	CountsStarted bool
 }
 
 // Totals is the hub's answer to a report.
@@ -98,6 +103,23 @@
 	// StreamsRevision. Only the node that would be the hub next gets them.
 	Streams         []softwareversion.Record
 	StreamsRevision int64
+	// Announced is what all nodes know of the answers of upstreams. DividesLimits is set by hubs whose grants keep the limits
+	// that upstreams name.
+	Announced     map[string]dispatch.Announcement
+	DividesLimits bool
+}
+
+// Announced holds what upstreams say of themselves in their answers, and the requests that count against their limits.
+type Announced interface {
+	// Announcements returns what other nodes should know, and MergeAnnounced adds what they do, by upstream ID.
+	Announcements() map[string]dispatch.Announcement
+	MergeAnnounced(map[string]dispatch.Announcement)
+	// Started returns the requests to limited upstreams since the last call. CountStarted counts those of a node against the
+	// limits when this node is the hub.
+	Started() map[string]int
+	CountStarted(map[string]int)
+	// SetHub is called with each answer of the hub: whether its grants keep the limits, and the number of nodes.
+	SetHub(dividesLimits bool, nodes int)
 }
 
 // Options configures an Exchange.
@@ -129,6 +151,8 @@
 	FailedRuns *controller.Controller
 	// Streams holds the software versions of streams; nil if they are not exchanged.
 	Streams *streamversions.Controller
+	// Announced holds what upstreams say of themselves; nil if it is not exchanged.
+	Announced Announced
 	// Draining reports whether the node accepts no new callers.
 	Draining func() bool
 	Log      *eventlog.Log
@@ -143,6 +167,9 @@
 	lastHub   string
 	cachedHub hubChoice
 	records   recordSync
+	// unreported are the requests to limited upstreams that no hub has confirmed. An exchange without an answer may count them
+	// twice, never not at all.
+	unreported map[string]int
 
 	mu sync.Mutex
 	// running is the exchange in progress, or nil; next is the one that follows it at once, or nil.
@@ -269,6 +296,7 @@
 	if name == "" {
 		return false
 	}
+	e.addAnnounced(&r)
 	sentUpTo := e.records.addTo(&r, name, e.options.FailedRuns, e.options.Streams)
 	callCtx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
@@ -291,6 +319,7 @@
 	e.records.answered(name, sentUpTo, totals)
 	e.options.FailedRuns.Merge(e.records.hubProcess(), totals.FailedRuns)
 	e.options.Streams.Add(e.records.hubProcess(), totals.Streams)
+	e.applyAnnounced(totals)
 	e.options.ApplyTotals(totals.Loads, loads, totals.Outliers, totals.Grant)
 	e.options.HubAnswered(name, totals.Revisions)
 	e.options.Fleet.SetHubReport(totals.Silent, totals.Draining)
--- a/pkg/decision/dispatch/candidates.go
+++ b/pkg/decision/dispatch/candidates.go
@@ -12,9 +12,11 @@
 	version *string
 	// begins is set for a resumable stream that has not begun.
 	begins bool
+	// sends is set if a request of this node is sent without a grant, so that limits apply.
+	sends bool
 }
 
-func (r *OnlineRequest) filter() filter { return filter{r.Exclude, r.Continues, r.Begins} }
+func (r *OnlineRequest) filter() filter { return filter{r.Exclude, r.Continues, r.Begins, true} }
 
 // allows reports whether an upstream may be chosen at all.
 func (f *filter) allows(u *upstream) bool {
@@ -26,6 +28,11 @@
 	return f.begins && now.Before(u.StreamsFrom)
 }
 
+// anyLimited reports whether an upstream may be chosen as far as its limit allows.
+func (s *State) anyLimited(svc *serviceState, allowed filter) bool {
+	return slices.ContainsFunc(svc.upstreams, func(u *upstream) bool { return u.limited() && allowed.allows(u) })
+}
+
 // Serves reports whether a service has an upstream of a software version that is not draining.
 func (s *State) Serves(service, version string) bool {
 	for _, u := range s.serviceState(service).upstreams {
@@ -42,7 +49,7 @@
 	var usable, postponed, outliers []*upstream
 	var firstToReturn *upstream
 	for _, u := range svc.upstreams {
-		if !allowed.allows(u) {
+		if !allowed.allows(u) || allowed.sends && !s.mayTake(u, now) {
 			continue
 		}
 		switch {
--- a/pkg/decision/dispatch/dispatch.go
+++ b/pkg/decision/dispatch/dispatch.go
@@ -101,6 +101,8 @@
 	ejectedUntil time.Time
 	// probing is set while a run tests an upstream that was ejected. Until it ends, no other run is sent there.
 	probing bool
+	// announced is what the upstream says of itself.
+	announced announced
 }
 
 // serviceState holds the upstreams of one service, and the average duration of their runs and time to the first event.
@@ -125,6 +127,11 @@
 	// node and of all nodes.
 	ownWeights, fleetWeights map[string]float64
 	weightsUpdatedAt         time.Time
+	// started counts the requests that were sent to limited upstreams and are not reported yet. hubDivides is set if the hub
+	// divides the limits, and nodes is the number of nodes that share them otherwise.
+	started    map[string]int
+	hubDivides bool
+	nodes      int
 }
 
 // NewState returns an empty state.
@@ -157,7 +164,7 @@
 			known = &upstream{}
 		} else if known.Incarnation != u.Incarnation {
 			// Failures before the restart are no evidence against the new process. The node's runs stay counted until each ends.
-			known.failures, known.ejectedUntil = 0, time.Time{}
+			known.failures, known.ejectedUntil, known.announced = 0, time.Time{}, announced{}
 			s.ownEvidence.Forget(u.ID)
 			s.hubEvidence.Forget(u.ID)
 		}
@@ -281,7 +288,7 @@
 	allowed := request.filter()
 	candidates := s.candidates(svc, allowed, now)
 	choice := Choice{TotalsAge: now.Sub(s.totalsAt)}
-	if len(candidates) == 0 {
+	if len(candidates) == 0 && !s.anyLimited(svc, allowed) {
 		choice.Verdict = NoUpstream
 		choice.RetryAfter = boundedRetryAfter(minEjection, request.Remaining, rng)
 		return choice
@@ -299,6 +306,9 @@
 			return choice
 		}
 	}
+	if len(candidates) == 0 {
+		return s.askOrRefuseLimited(choice, request, rng)
+	}
 	best, free := s.drawByFreeSlots(candidates, now, rng, freeSlots)
 	choice.Upstream, choice.Free = best.Upstream, free
 	if free >= minFreeWithoutAsking {
@@ -327,6 +337,17 @@
 	return s.queueOrRefuse(choice, request, svc, candidates, now, rng)
 }
 
+// askOrRefuseLimited decides on a request for which only limited upstreams are left, and none of their requests is granted to
+// this node.
+func (s *State) askOrRefuseLimited(choice Choice, request OnlineRequest, rng *rand.Rand) Choice {
+	if !request.HubAsked && choice.TotalsAge <= maxTotalsAgeToAsk {
+		choice.Verdict = Ask
+		return choice
+	}
+	choice.Verdict, choice.RetryAfter = Refuse, boundedRetryAfter(minRetryAfter, request.Remaining, rng)
+	return choice
+}
+
 // chooseIdle sends the request to an upstream that runs nothing, and refuses it if there is none.
 func (s *State) chooseIdle(choice Choice, request OnlineRequest, candidates []*upstream, now time.Time, rng *rand.Rand) Choice {
 	idle := slices.DeleteFunc(candidates, func(u *upstream) bool { return s.load(u, now) != Load{} })
@@ -397,7 +418,7 @@
 // which the item has begun, or nil.
 func (s *State) ChooseForBatch(service string, version *string, now time.Time, rng *rand.Rand) (Upstream, bool) {
 	s.updateOwnWeights(now)
-	allowed := filter{version: version}
+	allowed := filter{version: version, sends: true}
 	if now.Sub(s.totalsAt) <= maxTotalsAge {
 		if u, ok := s.useGrant(s.granted.Batch, service, allowed, now, rng); ok {
 			return u.Upstream, true
--- a/pkg/decision/dispatch/grant.go
+++ b/pkg/decision/dispatch/grant.go
@@ -52,17 +52,26 @@
 // whether the node has a connection to an upstream.
 func (s *State) Grants(service string, want, all Want, totals map[string]Load, outstanding map[string]int, warm func(upstream string) bool, now time.Time) Grant {
 	weight := func(id string) float64 { return s.weight(s.byID[id], now) }
+	// limited holds the slots of limited upstreams, and free those of all others.
 	free := slotPool{byUpstream: map[string]int{}, warm: warm, weight: weight}
+	limited := slotPool{byUpstream: map[string]int{}, warm: warm, weight: weight}
 	online := 0
 	svc := s.serviceState(service)
 	beginning := s.candidates(svc, filter{begins: true}, now)
 	for _, u := range beginning {
 		online += totals[u.ID].Online
-		free.add(u, totals[u.ID], outstanding[u.ID])
+		s.addFree(&free, &limited, u, totals[u.ID], outstanding[u.ID], now)
 	}
+	// Reserve slots for the arrivals at other nodes until their next reports.
+	reserve := int(math.Ceil(reserveFactor*math.Sqrt(float64(online)) + max(0, all.Rate-want.Rate)*arrivalWindow.Seconds()))
 	var g Grant
 	if arrivals := want.Waiting + int(math.Round(want.Rate*arrivalWindow.Seconds())); arrivals > 0 {
-		g.Online = free.allocate(arrivals)
+		first, second := &free, &limited
+		if free.total < arrivals+reserve {
+			first, second = &limited, &free
+		}
+		g.Online = first.allocate(arrivals)
+		g.Online = addSlots(g.Online, second.allocate(arrivals-sumSlots(g.Online)))
 		if missing := arrivals - sumSlots(g.Online); missing > 0 {
 			places := s.queuePlaces(service, want.Queue, totals, outstanding, now)
 			places.warm, places.weight = warm, weight
@@ -75,16 +84,49 @@
 	// Streams may not begin yet on other upstreams, which leaves them to batch runs.
 	for _, u := range s.candidates(svc, filter{}, now) {
 		if !slices.Contains(beginning, u) {
-			free.add(u, totals[u.ID], outstanding[u.ID])
+			s.addFree(&free, &limited, u, totals[u.ID], outstanding[u.ID], now)
 		}
 	}
-	// Reserve slots for the arrivals at other nodes until their next reports.
-	reserve := int(math.Ceil(reserveFactor*math.Sqrt(float64(online)) + max(0, all.Rate-want.Rate)*arrivalWindow.Seconds()))
+	// A limit counts requests and not their length, so batch runs, which are long, use what online requests leave of it first.
+	g.Batch = limited.allocate(proportionalShare(int(float64(limited.total)*s.batchPart(svc, all.Rate)), want.Items, all.Items))
+	want.Items -= sumSlots(g.Batch)
+	want.Urgent = min(want.Urgent, want.Items)
 	batchSlots := proportionalShare(max(0, free.total-reserve), want.Items, all.Items)
-	g.Batch = free.allocate(max(batchSlots, proportionalShare(free.total, want.Urgent, all.Urgent)))
+	g.Batch = addSlots(g.Batch, free.allocate(max(batchSlots, proportionalShare(free.total, want.Urgent, all.Urgent))))
 	return g
 }
 
+// batchPart returns the part of the limits of a service's upstreams that its other upstreams leave to batch runs: online
+// requests need the rest.
+func (s *State) batchPart(svc *serviceState, onlineRate float64) float64 {
+	slots, limits := 0, 0.0
+	for _, u := range svc.upstreams {
+		switch {
+		case u.Draining:
+		case u.limited():
+			limits += u.announced.limit
+		default:
+			slots += u.Slots
+		}
+	}
+	needed := onlineRate - unlimitedUse*float64(slots)/max(svc.runDuration, time.Millisecond).Seconds()
+	return 1 - min(1, max(0, needed)/max(limits, minLimit))
+}
+
+// unlimitedUse is the part of the slots of unlimited upstreams that online requests use before they need limited ones.
+const unlimitedUse = 0.8
+
+// addSlots adds the slots of b to a.
+func addSlots(a, b map[string]int) map[string]int {
+	if a == nil {
+		return b
+	}
+	for id, n := range b {
+		a[id] += n
+	}
+	return a
+}
+
 // queuePlaces returns the places in the engines' queues from which a request gets a slot in time. Batch runs reduce them
 // only if they can't be preempted. Places beyond these are not granted: requests there got no answer for long, were sent
 // again and filled further queues.
@@ -92,6 +134,9 @@
 	svc := s.serviceState(service)
 	places := slotPool{byUpstream: map[string]int{}}
 	for _, u := range s.candidates(svc, filter{begins: true}, now) {
+		if u.limited() {
+			continue // Its limit is used by the requests that get its free slots.
+		}
 		l := totals[u.ID]
 		slots := u.Slots - l.Firm
 		perUpstream := min(maxQueuedPerUpstream, int(math.Round(perSlot*float64(slots))))
@@ -121,9 +166,14 @@
 	weight func(upstream string) float64
 }
 
-// add adds the free slots of an upstream, less those that are outstanding.
-func (p *slotPool) add(u *upstream, l Load, outstanding int) {
-	if n := u.Slots - l.Online - l.Batch - outstanding; n > 0 {
+// addFree adds the free slots of an upstream, less those that are outstanding, to one of two pools: as far as its limit
+// allows if it names one.
+func (s *State) addFree(free, limited *slotPool, u *upstream, l Load, outstanding int, now time.Time) {
+	p, n := free, u.Slots-l.Online-l.Batch
+	if u.limited() {
+		p, n = limited, min(n, s.fleetTokens(u, now))
+	}
+	if n -= outstanding; n > 0 {
 		p.byUpstream[u.ID] = n
 		p.total += n
 	}
@@ -187,7 +237,7 @@
 	for _, id := range slices.Sorted(maps.Keys(slots)) {
 		u := s.byID[id]
 		if slots[id] <= 0 || u == nil || !allowed.allows(u) || u.Service != service || now.Before(u.ejectedUntil) || allowed.postpones(u, now) ||
-			s.weight(u, now) < outlierWeight {
+			s.weight(u, now) < outlierWeight || !s.hubLimits(now) && !s.mayTake(u, now) {
 			continue
 		}
 		sameZone := u.AvailabilityZone == s.AvailabilityZone
@@ -210,7 +260,7 @@
 // keepFreedSlot adds the slot of an ended run to the node's grant until the next exchange, since no other node knows
 // that it is free.
 func (s *State) keepFreedSlot(u *upstream, now time.Time) {
-	if s.granted.Online == nil || now.Sub(s.totalsAt) > maxTotalsAge {
+	if s.granted.Online == nil || now.Sub(s.totalsAt) > maxTotalsAge || u.limited() {
 		return
 	}
 	if l := s.load(u, now); l.Online+l.Batch+s.granted.Online[u.ID] < u.Slots {
--- a/pkg/decision/dispatch/runs.go
+++ b/pkg/decision/dispatch/runs.go
@@ -19,6 +19,7 @@
 	if u.failures >= failuresToEject {
 		u.probing = true
 	}
+	s.take(u)
 }
 
 // EndRun removes a run of this node that ended from the count.
--- a/pkg/edge/node.go
+++ b/pkg/edge/node.go
@@ -155,7 +155,7 @@
 	}, log)
 	n.buildPeers()
 	n.placer = placer.New(s.AvailabilityZone, log)
-	n.client = forward.NewClient(p.HeaderNames())
+	n.client = forward.NewClient(p.HeaderNames(), n.placer.Announce)
 	n.failedRuns = failedruns.New(failedruns.Options{
 		Node: s.Name, Incarnation: n.fleet.Self().Incarnation, Store: n.store, Peers: n.peers, Others: n.failedRunHolders, Owner: n.owner,
 		Exchange: func() { n.exchange.Request(context.Background()) }, Log: log, Metrics: failedruns.NewMetrics(n.metrics),
@@ -211,7 +211,7 @@
 	n.exchange = loadshare.New(loadshare.Options{
 		Fleet: n.fleet, Peers: n.peers, OwnLoads: n.placer.OwnLoads, Wants: n.jobs.Wants, ApplyTotals: n.placer.ApplyTotals, Grants: n.placer.Grants,
 		Evidence: n.placer.Evidence, AddEvidence: n.placer.AddEvidence, Outliers: n.placer.Outliers, HubIntroduced: n.handleIntroduction,
-		Revisions: n.mirror.Revisions, HubAnswered: n.followHub, FailedRuns: n.failedRuns, Streams: n.streams, Draining: n.draining.Load, Log: n.log,
+		Revisions: n.mirror.Revisions, HubAnswered: n.followHub, FailedRuns: n.failedRuns, Streams: n.streams, Announced: n.placer, Draining: n.draining.Load, Log: n.log,
 		Metrics: loadshare.NewMetrics(n.metrics),
 	})
 	callers := CallerOptions{Table: n.table.Load, Jobs: n.jobs, Draining: n.draining.Load, Log: n.log}
--- a/pkg/forward/client.go
+++ b/pkg/forward/client.go
@@ -7,6 +7,7 @@
 	"encoding/hex"
 	"errors"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"net/url"
@@ -85,6 +86,8 @@
 	// PromptParts carries the parts of a request's prompt in order, as "id:tokens" separated by commas. The last part is the
 	// request's own.
 	PromptParts string
+	// Limit carries the number of requests per second that an upstream accepts from all nodes together, a decimal number.
+	Limit string
 }
 
 // maxSharedParts limits the parts of a prompt that are considered. Sharing becomes rarer towards the end of a prompt.
@@ -93,6 +96,8 @@
 // Client sends requests to upstreams. It never retries on its own.
 type Client struct {
 	headers HeaderNames
+	// announce receives what upstreams say of themselves in their answers.
+	announce func(dispatch.Upstream, dispatch.Announcement)
 	// pools holds the connections for repeatable requests, by service; onceTransport holds those for requests that may
 	// run only once.
 	mu            sync.Mutex
@@ -106,9 +111,10 @@
 	idleTimeout time.Duration
 }
 
-// NewClient returns a client with its own connection pools.
-func NewClient(names HeaderNames) *Client {
-	return &Client{headers: names, pools: map[string]*pool{}, onceTransport: newTransport(onceIdleTimeout)}
+// NewClient returns a client with its own connection pools. announce receives what upstreams say of themselves in their
+// answers.
+func NewClient(names HeaderNames, announce func(dispatch.Upstream, dispatch.Announcement)) *Client {
+	return &Client{headers: names, announce: announce, pools: map[string]*pool{}, onceTransport: newTransport(onceIdleTimeout)}
 }
 
 func newTransport(idleTimeout time.Duration) *http.Transport {
@@ -245,7 +251,11 @@
 		return nil, classify(ctx, err)
 	}
 	c.updateIdleTimeout(u.Service, resp.Header.Get("Keep-Alive"))
-	if err := c.checkResponse(resp, r.ID); err != nil {
+	err = c.checkResponse(resp, r.ID)
+	if !errors.Is(err, ErrMismatch) && resp.StatusCode != http.StatusMisdirectedRequest {
+		c.announce(u, c.announcement(resp.Header))
+	}
+	if err != nil {
 		if errors.Is(err, ErrMismatch) {
 			// Closing the unread body closes the connection, on which the response to this request may still arrive.
 			_ = resp.Body.Close()
@@ -257,6 +267,15 @@
 	return resp, nil
 }
 
+// announcement returns what the upstream that sent a header says of itself. A limit that is no number counts as none.
+func (c *Client) announcement(h http.Header) dispatch.Announcement {
+	limit, err := strconv.ParseFloat(strings.TrimSpace(h.Get(c.headers.Limit)), 64)
+	if err != nil || !(limit > 0) || math.IsInf(limit, 0) {
+		limit = 0
+	}
+	return dispatch.Announcement{Limit: limit}
+}
+
 // checkResponse returns an error if the response refuses this request, belongs to another one or lacks the signature.
 func (c *Client) checkResponse(resp *http.Response, id string) error {
 	notRun := resp.Header.Get(c.headers.NotRun) != "" || resp.StatusCode == http.StatusMisdirectedRequest
--- a/pkg/listjob/fakes_test.go
+++ b/pkg/listjob/fakes_test.go
@@ -171,7 +171,7 @@
 	p.SetUpstreams([]dispatch.Upstream{e.upstream()})
 	table := testTable()
 	c := New(Options{
-		Store: s, Peers: caller{n, name}, Fleet: f, Placer: p, Client: forward.NewClient(testHeaders),
+		Store: s, Peers: caller{n, name}, Fleet: f, Placer: p, Client: forward.NewClient(testHeaders, p.Announce),
 		FailedRuns: n.failedRuns, Table: func() *routing.Table { return table }, MemoryBytes: 256 << 20, Readable: 2 * time.Minute, Log: log,
 	})
 	n.mu.Lock()
