Send nothing to upstreams that say in their answers that they leave

Cause: nobody read the header. Change: an answer that names it makes the upstream one that drains, at the node that saw it at once and at all others with the next exchange, until the upstream's process changes.

--- a/pkg/controller/placer/announced.go
+++ b/pkg/controller/placer/announced.go
@@ -23,7 +23,8 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.state.Announce(id, a, time.Now()) {
-		p.log.Notice("upstream announced a change", "upstream", id, "incarnation", a.Incarnation, "limit_per_s", a.Limit, "age_ms", a.Age.Milliseconds(), "source", source)
+		p.log.Notice("upstream announced a change", "upstream", id, "incarnation", a.Incarnation, "limit_per_s", a.Limit, "leaving", a.Leaving,
+			"age_ms", a.Age.Milliseconds(), "source", source)
 	}
 }
 
--- a/pkg/decision/dispatch/announced.go
+++ b/pkg/decision/dispatch/announced.go
@@ -20,6 +20,8 @@
 type Announcement struct {
 	// Limit is the number of requests per second that the upstream accepts from all nodes together, or 0 if it names none.
 	Limit float64
+	// Leaving is set if the upstream is about to leave. It stays set until the upstream starts again.
+	Leaving bool
 	// Incarnation is that of the upstream's process, and Age the time since the answer.
 	Incarnation int64
 	Age         time.Duration
@@ -27,8 +29,9 @@
 
 // announced is the latest announcement of an upstream as this node knows it, and the requests that its limit leaves.
 type announced struct {
-	limit float64
-	at    time.Time
+	limit   float64
+	leaving bool
+	at      time.Time
 	// fleet limits the requests of all nodes, if this node is the hub; own limits those of this node while no hub does.
 	fleet, own bucket
 }
@@ -57,10 +60,12 @@
 		return false
 	}
 	at := now.Add(-a.Age)
+	changed := a.Leaving && !u.announced.leaving
+	u.announced.leaving = u.announced.leaving || a.Leaving
 	if at.Before(u.announced.at) || a.Limit <= 0 && u.announced.limit <= 0 {
-		return false
+		return changed
 	}
-	changed := a.Limit != u.announced.limit
+	changed = changed || a.Limit != u.announced.limit
 	if u.announced.limit <= 0 {
 		u.announced.fleet, u.announced.own = bucket{}, bucket{}
 	}
@@ -73,13 +78,13 @@
 	var all map[string]Announcement
 	for id, u := range s.byID {
 		a := &u.announced
-		if a.limit <= 0 && (a.at.IsZero() || now.Sub(a.at) > announcementTime) {
+		if a.limit <= 0 && !a.leaving && (a.at.IsZero() || now.Sub(a.at) > announcementTime) {
 			continue
 		}
 		if all == nil {
 			all = map[string]Announcement{}
 		}
-		all[id] = Announcement{Limit: a.limit, Incarnation: u.Incarnation, Age: now.Sub(a.at)}
+		all[id] = Announcement{Limit: a.limit, Leaving: a.leaving, Incarnation: u.Incarnation, Age: now.Sub(a.at)}
 	}
 	return all
 }
--- a/pkg/decision/dispatch/candidates.go
+++ b/pkg/decision/dispatch/candidates.go
@@ -20,7 +20,7 @@
 
 // allows reports whether an upstream may be chosen at all.
 func (f *filter) allows(u *upstream) bool {
-	return !u.Draining && !slices.Contains(f.exclude, u.ID) && (f.version == nil || u.SoftwareVersion == *f.version)
+	return !u.Draining && !u.announced.leaving && !slices.Contains(f.exclude, u.ID) && (f.version == nil || u.SoftwareVersion == *f.version)
 }
 
 // postpones reports whether an upstream should be chosen only if there is no other.
@@ -36,7 +36,7 @@
 // Serves reports whether a service has an upstream of a software version that is not draining.
 func (s *State) Serves(service, version string) bool {
 	for _, u := range s.serviceState(service).upstreams {
-		if !u.Draining && u.SoftwareVersion == version {
+		if !u.Draining && !u.announced.leaving && u.SoftwareVersion == version {
 			return true
 		}
 	}
--- a/pkg/decision/dispatch/grant.go
+++ b/pkg/decision/dispatch/grant.go
@@ -102,7 +102,7 @@
 	slots, limits := 0, 0.0
 	for _, u := range svc.upstreams {
 		switch {
-		case u.Draining:
+		case u.Draining || u.announced.leaving:
 		case u.limited():
 			limits += u.announced.limit
 		default:
--- a/pkg/forward/client.go
+++ b/pkg/forward/client.go
@@ -88,6 +88,8 @@
 	PromptParts string
 	// Limit carries the number of requests per second that an upstream accepts from all nodes together, a decimal number.
 	Limit string
+	// Leaving is set on the answers of an upstream that is about to leave.
+	Leaving string
 }
 
 // maxSharedParts limits the parts of a prompt that are considered. Sharing becomes rarer towards the end of a prompt.
@@ -273,7 +275,7 @@
 	if err != nil || !(limit > 0) || math.IsInf(limit, 0) {
 		limit = 0
 	}
-	return dispatch.Announcement{Limit: limit}
+	return dispatch.Announcement{Limit: limit, Leaving: h.Get(c.headers.Leaving) != ""}
 }
 
 // checkResponse returns an error if the response refuses this request, belongs to another one or lacks the signature.
