Cut off answers of upstreams that have no end

Cause: net/http reads heads up to 10 MB by default, and the reader of items had no limit. Change: heads of answers are limited to 64 KiB at all clients, informational ones included; an item's incomplete event to 256 KiB and its text to what one log entry can hold.

--- a/pkg/adapter/dial/dial.go
+++ b/pkg/adapter/dial/dial.go
@@ -4,6 +4,7 @@
 import (
 	"errors"
 	"net"
+	"net/http"
 	"syscall"
 	"time"
 
@@ -19,11 +20,22 @@
 	keepAliveCount    = 2
 )
 
+// MaxResponseHeaderBytes limits the head of an answer, informational ones included. A server in trouble may send one without
+// end, and net/http would read 10 MB of it.
+const MaxResponseHeaderBytes = 64 << 10
+
 // Dialer returns a dialer of such connections with a connect timeout.
 func Dialer(timeout time.Duration) *net.Dialer {
 	return &net.Dialer{Timeout: timeout, KeepAliveConfig: keepAlive, Control: setUserTimeout}
 }
 
+// NewHTTPClient returns an HTTP client with the defaults of net/http that limits the heads of answers.
+func NewHTTPClient() *http.Client {
+	transport := http.DefaultTransport.(*http.Transport).Clone()
+	transport.MaxResponseHeaderBytes = MaxResponseHeaderBytes
+	return &http.Client{Transport: transport}
+}
+
 // ListenConfig returns a listener configuration that sets the same options on accepted connections.
 func ListenConfig() *net.ListenConfig {
 	return &net.ListenConfig{KeepAliveConfig: keepAlive, Control: setUserTimeout}
--- a/pkg/adapter/service/service.go
+++ b/pkg/adapter/service/service.go
@@ -20,6 +20,7 @@
 	"github.com/zeebo/errs"
 
 	"trefoilplank.example/api"
+	"trefoilplank.example/pkg/adapter/dial"
 	"trefoilplank.example/pkg/serving"
 )
 
@@ -56,6 +57,8 @@
 		DisableCompression:  true,
 		MaxIdleConnsPerHost: maxIdlePerUpstream,
 		IdleConnTimeout:     idleTimeout,
+
+		MaxResponseHeaderBytes: dial.MaxResponseHeaderBytes,
 	}}
 }
 
--- a/pkg/adapter/store/client.go
+++ b/pkg/adapter/store/client.go
@@ -18,6 +18,8 @@
 
 	"github.com/cenkalti/backoff/v5"
 	"golang.org/x/sync/singleflight"
+
+	"trefoilplank.example/pkg/adapter/dial"
 )
 
 // Defaults of Options.
@@ -85,6 +87,8 @@
 			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 			MaxIdleConnsPerHost: 16,
 			IdleConnTimeout:     time.Minute,
+
+			MaxResponseHeaderBytes: dial.MaxResponseHeaderBytes,
 		}
 	}
 	return &Client{
--- a/pkg/adapter/weights/weights.go
+++ b/pkg/adapter/weights/weights.go
@@ -15,6 +15,8 @@
 
 	"github.com/zeebo/errs"
 	"golang.org/x/time/rate"
+
+	"trefoilplank.example/pkg/adapter/dial"
 )
 
 // Error is the class of all errors of this package.
@@ -63,7 +65,7 @@
 		address = "http://" + address
 	}
 	return &Client{
-		base: strings.TrimSuffix(address, "/"), http: &http.Client{}, now: now, limiter: rate.NewLimiter(maxPerSecond, 1),
+		base: strings.TrimSuffix(address, "/"), http: dial.NewHTTPClient(), now: now, limiter: rate.NewLimiter(maxPerSecond, 1),
 	}
 }
 
--- a/pkg/controller/reconcile/engines.go
+++ b/pkg/controller/reconcile/engines.go
@@ -12,6 +12,7 @@
 	"github.com/zeebo/errs"
 
 	"trefoilplank.example/api"
+	"trefoilplank.example/pkg/adapter/dial"
 	"trefoilplank.example/pkg/decision/reconcile"
 )
 
@@ -42,7 +43,7 @@
 // NewHTTPEngines returns an HTTPEngines that keeps few idle connections, since state is read rarely.
 func NewHTTPEngines() *HTTPEngines {
 	return &HTTPEngines{&http.Client{Transport: &http.Transport{
-		MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Minute,
+		MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: dial.MaxResponseHeaderBytes,
 	}}}
 }
 
--- a/pkg/forward/client.go
+++ b/pkg/forward/client.go
@@ -123,7 +123,7 @@
 	return &http.Transport{
 		DialContext: dial.Dialer(dialTimeout).DialContext, DisableCompression: true,
 		MaxIdleConnsPerHost: maxIdlePerUpstream, IdleConnTimeout: idleTimeout,
-		ReadBufferSize: 4 << 10, WriteBufferSize: 4 << 10,
+		ReadBufferSize: 4 << 10, WriteBufferSize: 4 << 10, MaxResponseHeaderBytes: dial.MaxResponseHeaderBytes,
 	}
 }
 
--- a/pkg/listjob/run.go
+++ b/pkg/listjob/run.go
@@ -26,6 +26,9 @@
 	commitPoll = 100 * time.Millisecond
 	// commitRetry is the first pause after the store failed to store an entry; it doubles up to commitRetryMax.
 	commitRetry, commitRetryMax = 100 * time.Millisecond, time.Second
+	// maxEventBytes limits the size of an incomplete event, and maxTextBytes that of an item's text: a longer one fits into no
+	// entry of the log.
+	maxEventBytes, maxTextBytes = 256 << 10, 900 << 10
 	// firstEventTimeout is how long a run may send nothing at first, and eventTimeout between events, before the item
 	// continues at another upstream. Engines queue for less than two seconds and send an event every 30 ms.
 	firstEventTimeout, eventTimeout = 2500 * time.Millisecond, 700 * time.Millisecond
@@ -127,6 +130,8 @@
 			return Error.New("stream ended within an event")
 		case err != nil:
 			return Error.Wrap(err)
+		case len(buffer) > maxEventBytes:
+			return Error.New("incomplete event is longer than %d bytes", maxEventBytes)
 		}
 	}
 }
@@ -179,6 +184,9 @@
 	if err := eventstream.CheckNext(it.lastEvent, id); err != nil {
 		return err
 	}
+	if len(it.text)+len(data) > maxTextBytes {
+		return Error.New("text is longer than %d bytes", maxTextBytes)
+	}
 	if it.lines.Load() > 0 {
 		it.text = append(it.text, '\n')
 	}
--- a/pkg/node/build.go
+++ b/pkg/node/build.go
@@ -5,10 +5,10 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"net"
-	"net/http"
 	"path/filepath"
 	"time"
 
+	"trefoilplank.example/pkg/adapter/dial"
 	"trefoilplank.example/pkg/adapter/engine"
 	"trefoilplank.example/pkg/adapter/peer"
 	"trefoilplank.example/pkg/adapter/service"
@@ -132,7 +132,7 @@
 		return err
 	}
 	n.observer = upstreams.New(upstreams.Options{
-		Self: name, Board: n.board, Prober: &upstreams.HTTPProber{Client: http.DefaultClient}, Log: n.decisionLog,
+		Self: name, Board: n.board, Prober: &upstreams.HTTPProber{Client: dial.NewHTTPClient()}, Log: n.decisionLog,
 		// A closure, since admission is built later: it needs the observer for the upstreams' health.
 		Runs: func(upstream string) int { return n.admission.Runs(upstream) },
 	})
