Continue a stream whose next upstream ends before its first event

A caller could get a stream as complete that lacks its last events: an answer that has neither length nor chunks ends with its connection, and when the stream continues at an upstream that ends before its first event (as one with a crashing part does), that looked like the end. Cause: only answers without any event were checked. Change: an attempt that brings no event in such an answer counts as broken, for streams and for items. Result: TestResumedAnswerThatEndsAtOnceIsNotComplete got 4 of 10 events as complete before, all ten now.

--- a/pkg/forward/stream.go
+++ b/pkg/forward/stream.go
@@ -147,7 +147,7 @@
 		switch {
 		case errors.Is(err, io.EOF) && len(buffered) > 0:
 			return Error.New("stream ended within an event")
-		case errors.Is(err, io.EOF) && !x.headersSent:
+		case errors.Is(err, io.EOF) && (!x.headersSent || !wroteBefore && EndsWithConnection(resp)):
 			return Error.New("stream ended without a complete event")
 		case errors.Is(err, io.EOF):
 			return nil
--- a/pkg/listjob/run.go
+++ b/pkg/listjob/run.go
@@ -101,7 +101,14 @@
 	case resp.StatusCode != http.StatusOK:
 		return Error.New("upstream answered with status %d", resp.StatusCode)
 	}
-	return it.readEvents(resp.Body, u.SoftwareVersion, received)
+	before := it.lastEvent
+	if err := it.readEvents(resp.Body, u.SoftwareVersion, received); err != nil {
+		return err
+	}
+	if it.lastEvent == before && forward.EndsWithConnection(resp) {
+		return Error.New("stream ended without a complete event")
+	}
+	return nil
 }
 
 // readEvents appends complete events, from an upstream of a software version, to the item until the stream ends after a
