Keep net/http from sending requests without a body again

An upstream ran a request twice within one attempt, also one that may run only once; and if the second connection was refused, the attempt counted as not run, so that the request was repeated beyond its attempts or refused with 503 though it had run. Cause: when a kept connection breaks, net/http sends a GET, HEAD, OPTIONS or TRACE request, or one with an Idempotency-Key, again by itself if it has no body; only bodies were made unreplayable. Change: such requests carry an empty body that can't be replayed, which net/http sends as no body, or use a connection of their own.

--- a/pkg/forward/client.go
+++ b/pkg/forward/client.go
@@ -105,6 +105,9 @@
 	mu            sync.Mutex
 	pools         map[string]*pool
 	onceTransport *http.Transport
+	// freshTransport keeps no connections. It is for the other requests without a body that net/http would resend on a kept
+	// connection: those with a method or a key by which they count as idempotent.
+	freshTransport *http.Transport
 }
 
 // pool holds the connections to the upstreams of a service.
@@ -116,7 +119,9 @@
 // NewClient returns a client with its own connection pools. announce receives what upstreams say of themselves in their
 // answers.
 func NewClient(names HeaderNames, announce func(dispatch.Upstream, dispatch.Announcement)) *Client {
-	return &Client{headers: names, announce: announce, pools: map[string]*pool{}, onceTransport: newTransport(onceIdleTimeout)}
+	fresh := newTransport(onceIdleTimeout)
+	fresh.DisableKeepAlives = true
+	return &Client{headers: names, announce: announce, pools: map[string]*pool{}, onceTransport: newTransport(onceIdleTimeout), freshTransport: fresh}
 }
 
 func newTransport(idleTimeout time.Duration) *http.Transport {
@@ -211,9 +216,19 @@
 	return works
 }
 
-// unreplayable hides the type of the body's reader, so that the transport can't resend a request.
+// unreplayable hides the type of the body's reader, so that the transport can't resend a request. It would do so when a kept
+// connection breaks, also after the upstream has begun to run the request.
 type unreplayable struct{ io.Reader }
 
+// usuallyLacksBody reports whether net/http sends an empty body of unknown length with a method as no body at all.
+func usuallyLacksBody(method string) bool {
+	switch method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodDelete:
+		return true
+	}
+	return false
+}
+
 func (unreplayable) Close() error { return nil }
 
 // Send sends the request and returns the response once its headers have arrived and were found to belong to the
@@ -245,10 +260,16 @@
 	if lastEvent >= 0 {
 		req.Header[c.headers.LastEventID] = []string{strconv.FormatInt(lastEvent, 10)}
 	}
-	if len(r.Body) > 0 {
+	transport := c.transport(u.Service, r.Once)
+	switch {
+	case len(r.Body) > 0:
 		req.Body, req.ContentLength = unreplayable{bytes.NewReader(r.Body)}, int64(len(r.Body))
+	case usuallyLacksBody(r.Method):
+		req.Body = unreplayable{http.NoBody} // It is sent like no body.
+	case r.Method == http.MethodTrace || r.Header.Get("Idempotency-Key") != "" || r.Header.Get("X-Idempotency-Key") != "":
+		transport = c.freshTransport
 	}
-	resp, err := c.transport(u.Service, r.Once).RoundTrip(req.WithContext(ctx))
+	resp, err := transport.RoundTrip(req.WithContext(ctx))
 	if err != nil {
 		return nil, classify(ctx, err)
 	}
