Blame the parts of prompts for crashes under batch items too

A job whose items share a block that crashes engines crashed two of them for each item: 24 crashes for twelve items of the script batch_block, in 325 s. Cause: items were whole requests to the quarantine. Change: their prompts have the same parts as those of the gateway, and a run that brought two tokens or more blames none.

--- a/pkg/controller/batch/run.go
+++ b/pkg/controller/batch/run.go
@@ -212,7 +212,11 @@
 	}
 	ctx, stop := context.WithTimeout(context.Background(), reportTimeout)
 	defer stop()
-	return r.c.Quarantine.ReportRun(ctx, r.request.Works(), r.request.ID, upstream, crashed)
+	works := r.request.Works()
+	if crashed && r.tokens.Load() > 1 {
+		works.Parts = nil
+	}
+	return r.c.Quarantine.ReportRun(ctx, works, r.request.ID, upstream, crashed)
 }
 
 // ending classifies the end of a run that was not cancelled; excused is set if its upstream crashed for a cause other than
--- a/pkg/controller/batch/source.go
+++ b/pkg/controller/batch/source.go
@@ -162,7 +162,7 @@
 		ID: c.Node + "-" + ulid.Make().String(), Institution: p.summary.Institution, Caller: p.summary.Caller,
 		Class: class, Rank: rank, Share: rules.Share, Model: base, Adapter: adapter, Service: parsed.Service, Batch: true,
 		Deadline: p.summary.Deadline, PromptTokens: parsed.PromptTokens, MaxTokens: parsed.MaxTokens,
-		Fingerprint: fingerprint(p.summary.Institution, parsed), Alone: it.suspect,
+		Fingerprint: fingerprint(p.summary.Institution, parsed), Parts: promptParts(parsed, base, adapter), Alone: it.suspect,
 	}
 	if it.requestID != "" {
 		r.request.ID = it.requestID
