--- a/pkg/controller/batch/source.go
+++ b/pkg/controller/batch/source.go
@@ -4,12 +4,12 @@
 	"slices"
 	"time"
 
+	"github.com/oklog/ulid/v2"
+
 	"trefoilplank.example/api"
 	"trefoilplank.example/pkg/batch/line"
 	"trefoilplank.example/pkg/decision/batchfill"
 	"trefoilplank.example/pkg/serving"
-
-	"github.com/oklog/ulid/v2"
 )
 
 // Next implements serving.BatchSource. A caller that can't run the item, for example one that must run alone while the
--- a/pkg/controller/quarantine/report.go
+++ b/pkg/controller/quarantine/report.go
@@ -8,8 +8,8 @@
 
 	"k8s.io/klog/v2"
 
-	controller "trefoilplank.example/pkg/controller/failedruns"
-	"trefoilplank.example/pkg/decision/failedruns"
+	"trefoilplank.example/pkg/controller/failedruns"
+	failed "trefoilplank.example/pkg/decision/failedruns"
 	"trefoilplank.example/pkg/decision/quarantine"
 )
 
@@ -52,7 +52,7 @@
 // sees the crash, and this node stores it as well. A crash with a common cause is reported as such: otherwise the loss of a
 // rack would make hundreds of suspects, each of which needs an idle upstream, at the expense of all other requests. Other
 // reports are sent in the background, and only for a run that had a reservation or that clears a suspicion.
-func (c *Controller) ReportRun(ctx context.Context, works failedruns.Works, requestID, upstream string, crashed bool) (excused bool) {
+func (c *Controller) ReportRun(ctx context.Context, works failed.Works, requestID, upstream string, crashed bool) (excused bool) {
 	fingerprint := works.Request
 	args := ReportArgs{Fingerprint: fingerprint, Request: requestID, Ending: quarantine.Survived}
 	switch {
@@ -116,7 +116,7 @@
 
 // endRun completes the report of a run and removes the run from runs. It stores a crash in the table under the same lock,
 // so that a Recall call always finds either the run or the crash.
-func (c *Controller) endRun(args *ReportArgs, works failedruns.Works, upstream string) (own run, crash controller.Crash) {
+func (c *Controller) endRun(args *ReportArgs, works failed.Works, upstream string) (own run, crash failedruns.Crash) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
--- a/pkg/controller/quarantine/reservation.go
+++ b/pkg/controller/quarantine/reservation.go
@@ -5,8 +5,8 @@
 	"fmt"
 	"slices"
 	"time"
-	"trefoilplank.example/pkg/decision/failedruns"
 
+	failed "trefoilplank.example/pkg/decision/failedruns"
 	"trefoilplank.example/pkg/decision/quarantine"
 )
 
@@ -25,7 +25,7 @@
 // abandonReservation ends the reservation, if any, of a request that was refused or has to wait, or whose context ended.
 func (c *Controller) abandonReservation(ctx context.Context, fingerprint, request string) {
 	if c.runs.Contains(request) {
-		c.ReportRun(ctx, failedruns.Works{Request: fingerprint}, request, "", false)
+		c.ReportRun(ctx, failed.Works{Request: fingerprint}, request, "", false)
 	}
 }
 
