Limit the tokens that wait on a batch route over all nodes

Change: a job's stored head is its claim; the store's revisions put the claims of all nodes in one order, and a job is admitted if it fits beside all earlier ones (pkg/decision/quota). Owners report unfinished tokens to the hub, which lowers the claims of others and refuses most jobs that do not fit before anything is written. A job that does not fit gets 429 with the time in which the excess is worked off, and its head becomes a tombstone, since a deleted head could come back with a delayed create; one larger than the limit gets 413 with its own text. Finished jobs are marked as done in their heads, on limited routes only.

--- a/pkg/controller/loadshare/hub.go
+++ b/pkg/controller/loadshare/hub.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"trefoilplank.example/pkg/decision/dispatch"
+	"trefoilplank.example/pkg/decision/quota"
 )
 
 const (
@@ -36,6 +37,8 @@
 	// successor is the node that would be the hub if this one were lost.
 	successor string
 	outliers  map[string]float64
+	// waiting holds what waits of the jobs of all nodes.
+	waiting *quota.Ledger
 	// nextIntroduction is when this node next introduces itself to a node that does not report.
 	nextIntroduction map[string]time.Time
 	// answeredAt is when a node that does not report last answered an introduction by this one.
@@ -59,6 +62,7 @@
 	return hub{
 		options: o, nodes: map[string]*nodeState{}, totals: map[string]dispatch.Load{}, grantedSlots: map[string]int{}, wants: map[string]dispatch.Want{},
 		nextIntroduction: map[string]time.Time{}, nextRemoval: map[string]time.Time{}, answeredAt: map[string]time.Time{},
+		waiting: quota.NewLedger(),
 	}
 }
 
@@ -81,6 +85,7 @@
 	n.report, n.receivedAt = r, now
 	delete(h.nextIntroduction, r.Node)
 	h.addToTotals(n)
+	h.waiting.Report(r.Node, r.Waiting)
 	h.options.AddEvidence(r.Evidence)
 	for id := range r.Loads {
 		n.warm[id] = now
@@ -179,6 +184,7 @@
 		}
 		if age > forgetAfter {
 			delete(h.nodes, name)
+			h.waiting.Report(name, nil)
 		}
 	}
 	h.unresponsive = h.unresponsiveNodes(recent, now)
--- a/pkg/controller/loadshare/loadshare.go
+++ b/pkg/controller/loadshare/loadshare.go
@@ -11,6 +11,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"trefoilplank.example/pkg/adapter/peer"
@@ -20,6 +21,7 @@
 	"trefoilplank.example/pkg/decision/dispatch"
 	"trefoilplank.example/pkg/decision/failedruns"
 	"trefoilplank.example/pkg/decision/outlier"
+	"trefoilplank.example/pkg/decision/quota"
 	"trefoilplank.example/pkg/decision/rendezvous"
 	"trefoilplank.example/pkg/decision/softwareversion"
 	"trefoilplank.example/pkg/eventlog"
@@ -79,6 +81,8 @@
 	Announced     map[string]dispatch.Announcement
 	Started       map[string]int
 	CountsStarted bool
+	// Waiting is what waits of the node's jobs on routes with a limit on waiting tokens, by job.
+	Waiting map[string]quota.Waiting
 }
 
 // Totals is the hub's answer to a report.
@@ -153,6 +157,9 @@
 	Streams *streamversions.Controller
 	// Announced holds what upstreams say of themselves; nil if it is not exchanged.
 	Announced Announced
+	// Waiting returns what waits of this node's jobs on routes with a limit on waiting tokens, by job; nil if it is not
+	// reported.
+	Waiting func() map[string]quota.Waiting
 	// Draining reports whether the node accepts no new callers.
 	Draining func() bool
 	Log      *eventlog.Log
@@ -166,7 +173,9 @@
 	// lastHub is the hub that answered last. It and cachedHub are used by one exchange at a time.
 	lastHub   string
 	cachedHub hubChoice
-	records   recordSync
+	// currentHub is the hub that answered the last exchange, or nil.
+	currentHub atomic.Pointer[string]
+	records    recordSync
 	// unreported are the requests to limited upstreams that no hub has confirmed. An exchange without an answer may count them
 	// twice, never not at all.
 	unreported map[string]int
@@ -296,6 +305,9 @@
 	if name == "" {
 		return false
 	}
+	if e.options.Waiting != nil {
+		r.Waiting = e.options.Waiting()
+	}
 	e.addAnnounced(&r)
 	sentUpTo := e.records.addTo(&r, name, e.options.FailedRuns, e.options.Streams)
 	callCtx, cancel := context.WithTimeout(ctx, exchangeTimeout)
@@ -310,12 +322,14 @@
 			e.cachedHub = hubChoice{}
 			e.options.HubAnswered("", nil)
 		}
+		e.currentHub.Store(nil)
 		return false
 	}
 	if name != e.lastHub {
 		e.options.Log.Notice("load hub chosen", "hub", name, "before", e.lastHub)
 		e.lastHub = name
 	}
+	e.currentHub.Store(&name)
 	e.records.answered(name, sentUpTo, totals)
 	e.options.FailedRuns.Merge(e.records.hubProcess(), totals.FailedRuns)
 	e.options.Streams.Add(e.records.hubProcess(), totals.Streams)
--- a/pkg/decision/routing/routing.go
+++ b/pkg/decision/routing/routing.go
@@ -49,6 +49,8 @@
 	// Completion and Retention apply to batch routes: the time within which results are due, and the time after which
 	// items may be given up.
 	Completion, Retention time.Duration
+	// MaxWaitingTokens limits the tokens of the unfinished items of all jobs on a batch route, over all nodes; 0 is no limit.
+	MaxWaitingTokens int64
 }
 
 // Repeatable reports whether a request of the route may run more than once.
--- a/pkg/edge/node.go
+++ b/pkg/edge/node.go
@@ -28,6 +28,7 @@
 	"trefoilplank.example/pkg/controller/placer"
 	"trefoilplank.example/pkg/controller/streamversions"
 	"trefoilplank.example/pkg/decision/dispatch"
+	"trefoilplank.example/pkg/decision/quota"
 	"trefoilplank.example/pkg/decision/rendezvous"
 	"trefoilplank.example/pkg/decision/routing"
 	"trefoilplank.example/pkg/eventlog"
@@ -207,12 +208,16 @@
 	n.jobs = listjob.New(listjob.Options{
 		Store: n.store, Peers: n.peers, Fleet: n.fleet, Placer: n.placer, Client: n.client, Table: n.table.Load,
 		FailedRuns: n.failedRuns, MemoryBytes: limit, Readable: seconds(n.settings.ReadableSeconds), Log: n.log, Metrics: listjob.NewMetrics(n.metrics),
+		HubWaiting: func(ctx context.Context) (map[string]int64, error) { return n.exchange.HubWaiting(ctx) },
+		ReserveWaiting: func(ctx context.Context, r quota.Reservation) (int64, error) {
+			return n.exchange.ReserveWaiting(ctx, r)
+		},
 	})
 	n.exchange = loadshare.New(loadshare.Options{
 		Fleet: n.fleet, Peers: n.peers, OwnLoads: n.placer.OwnLoads, Wants: n.jobs.Wants, ApplyTotals: n.placer.ApplyTotals, Grants: n.placer.Grants,
 		Evidence: n.placer.Evidence, AddEvidence: n.placer.AddEvidence, Outliers: n.placer.Outliers, HubIntroduced: n.handleIntroduction,
 		Revisions: n.mirror.Revisions, HubAnswered: n.followHub, FailedRuns: n.failedRuns, Streams: n.streams, Announced: n.placer, Draining: n.draining.Load, Log: n.log,
-		Metrics: loadshare.NewMetrics(n.metrics),
+		Metrics: loadshare.NewMetrics(n.metrics), Waiting: n.jobs.Waiting,
 	})
 	callers := CallerOptions{Table: n.table.Load, Jobs: n.jobs, Draining: n.draining.Load, Log: n.log}
 	n.forwarder = forward.New(forward.Options{
--- a/pkg/listjob/accept.go
+++ b/pkg/listjob/accept.go
@@ -46,19 +46,33 @@
 	}
 	c.mu.Lock()
 	existing := c.jobs[s.ID]
-	_, knownElsewhere := c.knownOwners[s.ID]
+	jobOwner, knownElsewhere := c.knownOwners[s.ID]
 	used, stopping := c.jobMemory(), c.stopping
 	c.mu.Unlock()
+	limit := c.waitingLimit(s.Host, s.Path)
+	if existing == nil && limit > 0 {
+		// A known owner may not have decided yet whether the job fits.
+		knownElsewhere = knownElsewhere && c.ownerHasJob(ctx, jobOwner, s.ID)
+	}
 	switch {
 	case existing != nil && existing.unconfirmed.Load():
 		return errors.Join(ErrUnknown, Error.New("items of the job are not stored yet"))
 	case existing != nil || knownElsewhere:
 		c.options.Log.Routine("job is already accepted", "job", s.ID)
 		return nil
+	case limit > 0 && totalTokens(s.Items) > limit:
+		c.options.Log.Notice("job refused", "job", s.ID, "reason", "larger than the limit on waiting tokens", "tokens", totalTokens(s.Items), "limit", limit)
+		return errors.Join(ErrRefused, ErrTooLarge)
 	case stopping, used+size > int64(maxJobMemoryFraction*float64(c.options.MemoryBytes)):
 		c.options.Log.Notice("job refused", "job", s.ID, "held_bytes", used, "bytes", size, "stopping", stopping)
 		return errNoCapacity
 	}
+	if limit > 0 {
+		if err := c.refuseEarly(ctx, s); err != nil {
+			c.options.Log.Routine("job refused", "job", s.ID, "reason", "limit on waiting tokens", "error", err)
+			return err
+		}
+	}
 	return c.createJob(ctx, s)
 }
 
@@ -70,14 +84,35 @@
 )
 
 // AcceptReply is the answer of a node that was asked to accept a job. Full means that it has no capacity either.
-type AcceptReply struct{ Accepted, Refused, Full bool }
+type AcceptReply struct {
+	Accepted, Refused, Full bool
+	// RetryAfter is set if the job does not fit into the limit on waiting tokens now, and TooLarge if it never does.
+	RetryAfter time.Duration
+	TooLarge   bool
+}
+
+// refusal returns the error for a reply whose Refused is set.
+func (r AcceptReply) refusal() error {
+	switch {
+	case r.TooLarge:
+		return errors.Join(ErrRefused, ErrTooLarge)
+	case r.RetryAfter > 0:
+		return &FullError{RetryAfter: r.RetryAfter}
+	}
+	return ErrRefused
+}
 
 // Accept accepts a job for which another node has no capacity.
 func (r *Receiver) Accept(s Submission, reply *AcceptReply) error {
 	ctx, cancel := context.WithTimeout(context.Background(), acceptTimeout)
 	defer cancel()
 	err := r.c.acceptLocally(ctx, s)
-	*reply = AcceptReply{Accepted: err == nil, Refused: errors.Is(err, ErrRefused), Full: errors.Is(err, errNoCapacity)}
+	*reply = AcceptReply{
+		Accepted: err == nil, Refused: errors.Is(err, ErrRefused), Full: errors.Is(err, errNoCapacity), TooLarge: errors.Is(err, ErrTooLarge),
+	}
+	if full := (*FullError)(nil); errors.As(err, &full) {
+		reply.RetryAfter = full.RetryAfter
+	}
 	return nil
 }
 
@@ -96,7 +131,7 @@
 		case errors.Is(err, peer.ErrUnreachable), err == nil && reply.Full:
 			continue
 		case err == nil && reply.Refused:
-			return ErrRefused
+			return reply.refusal()
 		}
 		return errors.Join(ErrUnknown, err)
 	}
@@ -151,7 +186,14 @@
 	self := c.self()
 	h := head{
 		ID: s.ID, Host: s.Host, Path: s.Path, Total: len(s.Items), Chunks: len(values), Submitted: time.Now().UTC(),
-		Owner: self.Node, Incarnation: self.Incarnation,
+		Owner: self.Node, Incarnation: self.Incarnation, Tokens: totalTokens(s.Items),
+	}
+	if c.waitingLimit(s.Host, s.Path) > 0 {
+		decided, isFirst := c.beginDecision(s.ID)
+		if !isFirst {
+			return c.awaitDecision(ctx, s.ID, decided)
+		}
+		defer c.endDecision(s.ID, decided)
 	}
 	if c.storeSlow(time.Now()) {
 		return c.createConcurrently(ctx, s, h, values)
@@ -162,7 +204,7 @@
 		return errors.Join(ErrRefused, err)
 	}
 	revision, err := c.createHead(ctx, h)
-	return c.finishCreate(s, h, revision, err)
+	return c.finishCreate(ctx, s, h, revision, err)
 }
 
 // createConcurrently writes the items and the head concurrently. If only the head is stored, the job is started and
@@ -175,10 +217,13 @@
 	both.Wait()
 	switch {
 	case chunksErr == nil || errors.Is(err, store.ErrUnavailable):
-		return c.finishCreate(s, h, revision, err)
+		return c.finishCreate(ctx, s, h, revision, err)
 	case err != nil:
 		c.options.Log.Notice("job not stored for certain, it may have been accepted", "job", s.ID, "error", errors.Join(chunksErr, err))
-		return errors.Join(ErrUnknown, chunksErr)
+		return errors.Join(ErrUnknown, chunksErr, c.withdrawUnknown(ctx, h))
+	}
+	if err := c.admit(ctx, h, revision); err != nil {
+		return err
 	}
 	c.options.Log.Notice("job head stored but not its items, writing them again", "job", s.ID, "error", chunksErr)
 	j := newJob(h, revision, s.Items)
@@ -205,17 +250,19 @@
 }
 
 // finishCreate starts the job or returns an error, depending on the outcome of writing its head.
-func (c *Controller) finishCreate(s Submission, h head, revision int64, err error) error {
+func (c *Controller) finishCreate(ctx context.Context, s Submission, h head, revision int64, err error) error {
 	switch {
 	case errors.Is(err, store.ErrConflict):
-		c.options.Log.Routine("job is already accepted", "job", s.ID)
-		return nil
+		return c.checkExisting(ctx, s)
 	case errors.Is(err, store.ErrUnavailable):
 		c.options.Log.Notice("job refused", "job", s.ID, "reason", "head not stored", "error", err)
 		return errors.Join(ErrRefused, err)
 	case err != nil:
 		c.options.Log.Notice("job not stored for certain, it may have been accepted", "job", s.ID, "error", err)
-		return errors.Join(ErrUnknown, err)
+		return errors.Join(ErrUnknown, err, c.withdrawUnknown(ctx, h))
+	}
+	if err := c.admit(ctx, h, revision); err != nil {
+		return err
 	}
 	c.options.Log.Routine("job accepted", "job", s.ID, "items", len(s.Items), "chunks", h.Chunks)
 	c.startJob(newJob(h, revision, s.Items))
@@ -223,8 +270,8 @@
 	return nil
 }
 
-// createHead creates a head. A conflict with this node's own head is not an error: the answer to an earlier write was
-// lost.
+// createHead creates a head, in place of that of a refused job if there is one. A conflict with this node's own head is not
+// an error: the answer to an earlier write was lost.
 func (c *Controller) createHead(ctx context.Context, h head) (int64, error) {
 	value, err := json.Marshal(h)
 	if err != nil {
@@ -234,7 +281,10 @@
 	if !errors.Is(err, store.ErrConflict) {
 		return revision, err
 	}
-	stored, storedRevision, readErr := c.readHead(ctx, h.ID)
+	stored, storedRevision, readErr := c.readStoredHead(ctx, h.ID)
+	if readErr == nil && stored.Refused {
+		return c.replaceHead(ctx, h, storedRevision)
+	}
 	if readErr == nil && stored.Owner == h.Owner && stored.Incarnation == h.Incarnation && stored.Submitted.Equal(h.Submitted) {
 		return storedRevision, nil
 	}
--- a/pkg/listjob/controller.go
+++ b/pkg/listjob/controller.go
@@ -13,6 +13,7 @@
 	"trefoilplank.example/pkg/controller/failedruns"
 	"trefoilplank.example/pkg/controller/fleet"
 	"trefoilplank.example/pkg/controller/placer"
+	"trefoilplank.example/pkg/decision/quota"
 	"trefoilplank.example/pkg/decision/rendezvous"
 	"trefoilplank.example/pkg/decision/routing"
 	"trefoilplank.example/pkg/eventlog"
@@ -53,8 +54,13 @@
 	MemoryBytes int64
 	// Readable is how long after its submission a job must stay readable.
 	Readable time.Duration
-	Log      *eventlog.Log
-	Metrics  *Metrics
+	// HubWaiting returns the tokens of the unfinished items by job, as the owners last reported them to the hub, for jobs on
+	// routes with a limit on waiting tokens. ReserveWaiting asks the hub whether a job fits and returns by how much it exceeds
+	// the limit. Both fail if there is no hub.
+	HubWaiting     func(context.Context) (map[string]int64, error)
+	ReserveWaiting func(context.Context, quota.Reservation) (excess int64, err error)
+	Log            *eventlog.Log
+	Metrics        *Metrics
 }
 
 // owner identifies the node that runs a job. Incarnation differs between the starts of a node.
@@ -75,6 +81,13 @@
 	stopping bool
 	// adopting holds the IDs of the jobs that are being taken over.
 	adopting map[string]bool
+	// undecided holds the jobs whose heads are stored and that may not fit into the limit of their route; the channels are
+	// closed with the decision.
+	undecided map[string]chan struct{}
+	// withdrawing holds those of them that do not fit, while their withdrawal is not stored.
+	withdrawing map[string]bool
+	// lastRefusals holds the last refusals because of the limits of routes, by route.
+	lastRefusals map[string]lastRefusal
 	// wake makes schedule look for items to start at once.
 	wake    chan struct{}
 	lengths *lengthModel
@@ -85,7 +98,8 @@
 // New returns a controller; Run starts its work.
 func New(o Options) *Controller {
 	return &Controller{
-		options: o, jobs: map[string]*job{}, knownOwners: map[string]owner{}, adopting: map[string]bool{}, wake: make(chan struct{}, 1),
+		options: o, jobs: map[string]*job{}, knownOwners: map[string]owner{}, adopting: map[string]bool{}, undecided: map[string]chan struct{}{},
+		withdrawing: map[string]bool{}, lastRefusals: map[string]lastRefusal{}, wake: make(chan struct{}, 1),
 		lengths: newLengthModel(),
 	}
 }
@@ -195,9 +209,18 @@
 	return found, h, nil
 }
 
-// readHead reads a job's head and its revision. The error is ErrNotFound if the job does not exist, and matches
-// ErrUnavailable otherwise.
+// readHead reads a job's head and its revision. The error is ErrNotFound if the job does not exist or was refused, and
+// matches ErrUnavailable otherwise.
 func (c *Controller) readHead(ctx context.Context, id string) (head, int64, error) {
+	h, revision, err := c.readStoredHead(ctx, id)
+	if err == nil && h.Refused {
+		return head{}, 0, ErrNotFound
+	}
+	return h, revision, err
+}
+
+// readStoredHead is readHead for the heads of refused jobs too.
+func (c *Controller) readStoredHead(ctx context.Context, id string) (head, int64, error) {
 	o, err := c.options.Store.Get(store.WithFresh(ctx), headKind+id)
 	if errors.Is(err, store.ErrNotFound) {
 		return head{}, 0, ErrNotFound
@@ -238,6 +261,7 @@
 			}
 			c.checkHead(ctx, h, o.Revision)
 		}
+		c.markDoneJobs()
 		c.dropOldJobs(time.Now())
 	}
 }
@@ -258,7 +282,7 @@
 		}
 		return
 	}
-	if h.Ended && time.Since(h.Submitted) > c.options.Readable {
+	if h.Refused || h.Ended && time.Since(h.Submitted) > c.options.Readable {
 		return
 	}
 	if headOwner != self && c.options.Fleet.Alive(h.Owner, h.Incarnation) {
--- a/pkg/listjob/fakes_test.go
+++ b/pkg/listjob/fakes_test.go
@@ -20,6 +20,7 @@
 	"trefoilplank.example/pkg/controller/fleet"
 	"trefoilplank.example/pkg/controller/placer"
 	"trefoilplank.example/pkg/decision/dispatch"
+	"trefoilplank.example/pkg/decision/quota"
 	"trefoilplank.example/pkg/decision/routing"
 	"trefoilplank.example/pkg/eventlog"
 	"trefoilplank.example/pkg/forward"
@@ -89,7 +90,10 @@
 		}
 		fmt.Fprintf(w, "id: %d\ndata: %s-%d%s\n\n", n, id, n, e.version)
 		w.(http.Flusher).Flush()
-		time.Sleep(e.interval)
+		select {
+		case <-time.After(e.interval):
+		case <-r.Context().Done():
+		}
 	}
 }
 
@@ -111,10 +115,51 @@
 	unreported bool
 	// failedRuns holds the failed runs of all nodes.
 	failedRuns *failedruns.Controller
+	// waitingLimit is the limit on the waiting tokens of the route.
+	waitingLimit int64
+	// ledger is the hub's.
+	ledger *quota.Ledger
+}
+
+// hubLedger returns the hub's ledger with what the nodes that the hub reaches report, or an error if the asking node does not
+// reach the hub.
+func (n *network) hubLedger(asking string) (*quota.Ledger, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.cut[asking] {
+		return nil, peer.ErrUnreachable
+	}
+	for name, c := range n.nodes {
+		if !n.cut[name] {
+			n.ledger.Report(name, c.Waiting())
+		}
+	}
+	return n.ledger, nil
+}
+
+// hubWaiting and reserveWaiting are the hub's answers to a node.
+func (n *network) hubWaiting(asking string) (map[string]int64, error) {
+	ledger, err := n.hubLedger(asking)
+	if err != nil {
+		return nil, err
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return ledger.Tokens(), nil
+}
+
+func (n *network) reserveWaiting(asking string, r quota.Reservation) (int64, error) {
+	ledger, err := n.hubLedger(asking)
+	if err != nil {
+		return 0, err
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return ledger.Reserve(r, time.Now()), nil
 }
 
 func newNetwork() *network {
-	return &network{nodes: map[string]*Controller{}, cut: map[string]bool{}, failedRuns: failedruns.New(failedruns.Options{
+	return &network{ledger: quota.NewLedger(), nodes: map[string]*Controller{}, cut: map[string]bool{}, failedRuns: failedruns.New(failedruns.Options{
 		Node: "all", Others: func() []string { return nil }, Exchange: func() {}, Log: &eventlog.Log{},
 	})}
 }
@@ -169,10 +214,14 @@
 	f.SetRegistered(members)
 	p := placer.New("zone", log)
 	p.SetUpstreams([]dispatch.Upstream{e.upstream()})
-	table := testTable()
+	routes := testTable().Configuration
+	routes.Routes[0].MaxWaitingTokens = n.waitingLimit
+	table := routing.NewTable(routes)
 	c := New(Options{
 		Store: s, Peers: caller{n, name}, Fleet: f, Placer: p, Client: forward.NewClient(testHeaders, p.Announce),
 		FailedRuns: n.failedRuns, Table: func() *routing.Table { return table }, MemoryBytes: 256 << 20, Readable: 2 * time.Minute, Log: log,
+		HubWaiting:     func(context.Context) (map[string]int64, error) { return n.hubWaiting(name) },
+		ReserveWaiting: func(_ context.Context, r quota.Reservation) (int64, error) { return n.reserveWaiting(name, r) },
 	})
 	n.mu.Lock()
 	n.nodes[name] = c
@@ -204,6 +253,7 @@
 			f.SetHubReport(unresponsive, nil)
 		}
 		n.mu.Unlock()
+		_, _ = n.hubLedger(name) // Each node reports regularly.
 		time.Sleep(50 * time.Millisecond)
 	}
 }
--- a/pkg/listjob/job.go
+++ b/pkg/listjob/job.go
@@ -89,8 +89,19 @@
 	Owner       string    `json:"owner"`
 	Incarnation int64     `json:"incarnation"`
 	Ended       bool      `json:"ended,omitempty"`
+	// Tokens is the sum of the tokens of all items. Order is the store revision at which the head was created, from the
+	// first time on that it is replaced. Done is set on routes with a limit on waiting tokens once all results are listed.
+	Tokens int64 `json:"tokens,omitempty"`
+	Order  int64 `json:"order,omitempty"`
+	Done   bool  `json:"done,omitempty"`
+	// Refused is set if the job was withdrawn because it did not fit into that limit. Such a job does not exist for callers
+	// and may be submitted again; earlier builds take it for an ended one.
+	Refused bool `json:"refused,omitempty"`
 }
 
+// order returns the store revision at which the head was created; revision is that of its last change.
+func (h head) order(revision int64) int64 { return cmp.Or(h.Order, revision) }
+
 func decodeHead(o store.Object) (head, error) {
 	var h head
 	if err := json.Unmarshal(o.Value, &h); err != nil {
--- a/pkg/listjob/run.go
+++ b/pkg/listjob/run.go
@@ -324,6 +324,7 @@
 		if len(batch) == 0 || j.released {
 			j.committing = false
 			j.mu.Unlock()
+			c.markDone(j)
 			return
 		}
 		e := entry{Node: c.self().Node, Nonce: rand.Int64()}
@@ -372,6 +373,12 @@
 
 // putHead replaces a stored head that has the given revision, and returns the new revision.
 func (c *Controller) putHead(ctx context.Context, h head, revision int64) (int64, error) {
+	h.Order = h.order(revision)
+	return c.replaceHead(ctx, h, revision)
+}
+
+// replaceHead is putHead without keeping the order of the stored head.
+func (c *Controller) replaceHead(ctx context.Context, h head, revision int64) (int64, error) {
 	value, err := json.Marshal(h)
 	if err != nil {
 		return 0, Error.Wrap(err)
--- a/pkg/listjob/takeover.go
+++ b/pkg/listjob/takeover.go
@@ -44,7 +44,7 @@
 	ctx, cancel := context.WithTimeout(ctx, adoptTimeout)
 	defer cancel()
 	c.mu.Lock()
-	busy, stopping := c.adopting[id] || c.jobs[id] != nil, c.stopping
+	busy, stopping := c.adopting[id] || c.jobs[id] != nil || c.undecided[id] != nil, c.stopping
 	if !busy && !stopping {
 		c.adopting[id] = true
 	}
@@ -76,6 +76,7 @@
 	for _, it := range done {
 		c.finishItem(it, it.result)
 	}
+	go c.markDone(j)
 	c.announce(id, j.revision)
 	c.options.Metrics.countJob("taken_over")
 	c.options.Log.Notice("job taken over", "job", id, "listed", len(j.results), "total", j.head.Total, "partials", len(partials))
