Let the hub read job heads and retirements for all nodes

Each accepted job was announced to all nodes, 3,000 calls a second and a connection between nearly every pair. The hub was chosen by weight alone, and most of the weight lies with nodes of .19 of a core and 30 Mbit/s. It reads the VMs to be emptied for all and sends them with its answers. Hubs are chosen among the strong nodes first.

--- a/pkg/controller/fleet/fleet.go
+++ b/pkg/controller/fleet/fleet.go
@@ -151,6 +151,16 @@
 	})
 }
 
+// Size returns the number of known members with the node itself.
+func (f *Fleet) Size() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if _, ok := f.members[f.self.Name]; ok {
+		return len(f.members)
+	}
+	return len(f.members) + 1
+}
+
 // Live returns the known nodes without those that are unresponsive or suspected.
 func (f *Fleet) Live() []Member {
 	all := f.Known()
@@ -160,6 +170,19 @@
 	return slices.DeleteFunc(all, func(m Member) bool { return !f.alive(m.Name, now) })
 }
 
+// eachLive calls use for each known node that is neither unresponsive nor suspected, in no order.
+func (f *Fleet) eachLive(use func(Member)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := time.Now()
+	use(f.self)
+	for name, m := range f.members {
+		if name != f.self.Name && f.alive(name, now) {
+			use(m)
+		}
+	}
+}
+
 // alive reports whether a node is neither suspected nor in a recent report of unresponsive nodes. f.mu must be held.
 func (f *Fleet) alive(name string, now time.Time) bool {
 	if name == f.self.Name {
@@ -224,12 +247,12 @@
 // OtherLive returns the names of the other live nodes.
 func (f *Fleet) OtherLive() []string {
 	var names []string
-	self := f.Self().Name
-	for _, m := range f.Live() {
-		if m.Name != self {
+	f.eachLive(func(m Member) {
+		if m.Name != f.self.Name {
 			names = append(names, m.Name)
 		}
-	}
+	})
+	slices.Sort(names)
 	return names
 }
 
@@ -237,11 +260,11 @@
 // between nodes.
 func (f *Fleet) Weights() map[string]float64 {
 	weights := map[string]float64{}
-	for _, m := range f.Live() {
+	f.eachLive(func(m Member) {
 		if !m.Draining {
 			weights[m.Name] = m.Weight
 		}
-	}
+	})
 	return weights
 }
 
--- a/pkg/controller/loadshare/announced.go
+++ b/pkg/controller/loadshare/announced.go
@@ -21,7 +21,7 @@
 		return
 	}
 	e.options.Announced.MergeAnnounced(t.Announced)
-	e.options.Announced.SetHub(t.DividesLimits, len(e.options.Fleet.Known()))
+	e.options.Announced.SetHub(t.DividesLimits, e.options.Fleet.Size())
 }
 
 // exchangeAnnounced counts the requests that a node has sent to limited upstreams, and exchanges what upstreams said. granted
--- a/pkg/controller/loadshare/hub.go
+++ b/pkg/controller/loadshare/hub.go
@@ -98,6 +98,10 @@
 	reply.Outliers = h.outliers
 	reply.Grant = h.grant(n, now)
 	reply.Revisions = h.options.Revisions()
+	reply.Sweeps = true
+	if h.options.Retiring != nil {
+		reply.Retiring = h.options.Retiring()
+	}
 	h.exchangeRecords(r, reply)
 }
 
--- a/pkg/controller/loadshare/loadshare.go
+++ b/pkg/controller/loadshare/loadshare.go
@@ -111,6 +111,10 @@
 	// that upstreams name.
 	Announced     map[string]dispatch.Announcement
 	DividesLimits bool
+	// Sweeps is set by hubs that read the heads of all jobs and the VMs to be emptied from the store for the other nodes, and
+	// Retiring are the nodes on those VMs.
+	Sweeps   bool
+	Retiring []string
 }
 
 // Announced holds what upstreams say of themselves in their answers, and the requests that count against their limits.
@@ -160,6 +164,8 @@
 	// Waiting returns what waits of this node's jobs on routes with a limit on waiting tokens, by job; nil if it is not
 	// reported.
 	Waiting func() map[string]quota.Waiting
+	// Retiring returns the nodes on VMs to be emptied, which this node reads from the store when it is the hub.
+	Retiring func() []string
 	// Draining reports whether the node accepts no new callers.
 	Draining func() bool
 	Log      *eventlog.Log
@@ -174,7 +180,7 @@
 	lastHub   string
 	cachedHub hubChoice
 	// currentHub is the hub that answered the last exchange, or nil.
-	currentHub atomic.Pointer[string]
+	currentHub atomic.Pointer[answeringHub]
 	records    recordSync
 	// unreported are the requests to limited upstreams that no hub has confirmed. An exchange without an answer may count them
 	// twice, never not at all.
@@ -211,7 +217,7 @@
 		}
 		interval := idleInterval
 		if call.busy {
-			interval = max(busyInterval, time.Duration(len(e.options.Fleet.Known()))*intervalPerMember)
+			interval = max(busyInterval, time.Duration(e.options.Fleet.Size())*intervalPerMember)
 		}
 		_ = wait.Sleep(ctx, interval+rand.N(interval/5))
 	}
@@ -264,6 +270,33 @@
 	}
 }
 
+// answeringHub is what the last answer of a hub says of it.
+type answeringHub struct {
+	name     string
+	sweeps   bool
+	retiring []string
+}
+
+// IsHub reports whether this node is the hub by its last exchange.
+func (e *Exchange) IsHub() bool {
+	hub := e.currentHub.Load()
+	return hub != nil && hub.name == e.options.Fleet.Self().Name
+}
+
+// HubSweeps reports whether another node is the hub and reads the heads of all jobs and the VMs to be emptied for this one.
+func (e *Exchange) HubSweeps() bool {
+	hub := e.currentHub.Load()
+	return hub != nil && hub.sweeps && hub.name != e.options.Fleet.Self().Name
+}
+
+// Retiring returns the nodes on VMs to be emptied, as the hub's last answer says.
+func (e *Exchange) Retiring() []string {
+	if hub := e.currentHub.Load(); hub != nil {
+		return hub.retiring
+	}
+	return nil
+}
+
 // hubChoice is the chosen hub and the time until which the choice is valid.
 type hubChoice struct {
 	hub   string
@@ -285,8 +318,9 @@
 	return e.cachedHub.hub
 }
 
-// rankedHubs returns the live nodes in the order in which they serve as the hub.
-func rankedHubs(f *fleet.Fleet) []string { return rendezvous.Ranked(hubKey, f.Weights()) }
+// rankedHubs returns the live nodes in the order in which they serve as the hub. A hub answers all nodes, which is more than
+// the processors and links of weak nodes of a large deployment carry.
+func rankedHubs(f *fleet.Fleet) []string { return rendezvous.RankedStrongFirst(hubKey, f.Weights()) }
 
 // otherHubs returns the other live nodes in the order in which they serve as the hub.
 func otherHubs(f *fleet.Fleet) []string {
@@ -329,7 +363,7 @@
 		e.options.Log.Notice("load hub chosen", "hub", name, "before", e.lastHub)
 		e.lastHub = name
 	}
-	e.currentHub.Store(&name)
+	e.currentHub.Store(&answeringHub{name, totals.Sweeps, totals.Retiring})
 	e.records.answered(name, sentUpTo, totals)
 	e.options.FailedRuns.Merge(e.records.hubProcess(), totals.FailedRuns)
 	e.options.Streams.Add(e.records.hubProcess(), totals.Streams)
--- a/pkg/controller/loadshare/waiting.go
+++ b/pkg/controller/loadshare/waiting.go
@@ -43,7 +43,7 @@
 	if hub == nil {
 		return reply, errNoHub
 	}
-	err = e.options.Peers.Call(ctx, *hub, "Load.Waiting", WaitingArgs{Node: e.options.Fleet.Self().Name, Reserve: r}, &reply)
+	err = e.options.Peers.Call(ctx, hub.name, "Load.Waiting", WaitingArgs{Node: e.options.Fleet.Self().Name, Reserve: r}, &reply)
 	return reply, err
 }
 
--- a/pkg/decision/rendezvous/rendezvous.go
+++ b/pkg/decision/rendezvous/rendezvous.go
@@ -67,5 +67,29 @@
 	return nodes
 }
 
+// strongFraction is the part of the highest weight from which on a node counts as strong.
+const strongFraction = 0.5
+
+// RankedStrongFirst returns all nodes by weighted preference for key, with all strong nodes before the others: for work that
+// one node does for all and that overloads a weak one.
+func RankedStrongFirst(key string, weights map[string]float64) []string {
+	highest := 0.0
+	for _, weight := range weights {
+		highest = max(highest, weight)
+	}
+	ranked := Ranked(key, weights)
+	slices.SortStableFunc(ranked, func(a, b string) int {
+		weakA, weakB := weights[a] < strongFraction*highest, weights[b] < strongFraction*highest
+		switch {
+		case weakA == weakB:
+			return 0
+		case weakB:
+			return -1
+		}
+		return 1
+	})
+	return ranked
+}
+
 // minWeight is the least weight used, so that a node with weight 0 can still be chosen.
 const minWeight = 1e-6
--- a/pkg/decision/rendezvous/rendezvous_test.go
+++ b/pkg/decision/rendezvous/rendezvous_test.go
@@ -57,3 +57,26 @@
 		Top("key", nodes, 2)
 	}
 }
+
+// Guards against a weak node that does the work of all nodes while a strong one lives, and against an order that changes for
+// the other nodes when one is lost.
+func TestStrongNodesRankFirst(t *testing.T) {
+	weights := map[string]float64{}
+	for n := range 250 {
+		weights[fmt.Sprint("small-", n)] = 0.192
+	}
+	for n := range 15 {
+		weights[fmt.Sprint("big-", n)] = 0.8
+	}
+	for n := range 45 {
+		weights[fmt.Sprint("worker-", n)] = 0.48
+	}
+	ranked := RankedStrongFirst("hub", weights)
+	assert.Equal(t, len(ranked), len(weights))
+	for n, node := range ranked {
+		assert.Equal(t, weights[node] >= 0.4, n < 60, "%s at %d", node, n)
+	}
+	lost := ranked[0]
+	delete(weights, lost)
+	assert.DeepEqual(t, RankedStrongFirst("hub", weights), ranked[1:])
+}
--- a/pkg/edge/node.go
+++ b/pkg/edge/node.go
@@ -129,6 +129,8 @@
 
 	table    atomic.Pointer[routing.Table]
 	draining atomic.Bool
+	// retiring are the nodes on VMs to be emptied, as this node last read them from the store.
+	retiring atomic.Pointer[[]string]
 	// drainEnd is when the current drain ends, or nil.
 	drainEnd       atomic.Pointer[time.Time]
 	active         atomic.Int64
@@ -208,6 +210,7 @@
 	n.jobs = listjob.New(listjob.Options{
 		Store: n.store, Peers: n.peers, Fleet: n.fleet, Placer: n.placer, Client: n.client, Table: n.table.Load,
 		FailedRuns: n.failedRuns, MemoryBytes: limit, Readable: seconds(n.settings.ReadableSeconds), Log: n.log, Metrics: listjob.NewMetrics(n.metrics),
+		IsHub: func() bool { return n.exchange.IsHub() }, HubSweeps: func() bool { return n.exchange.HubSweeps() },
 		HubWaiting: func(ctx context.Context) (map[string]int64, error) { return n.exchange.HubWaiting(ctx) },
 		ReserveWaiting: func(ctx context.Context, r quota.Reservation) (int64, error) {
 			return n.exchange.ReserveWaiting(ctx, r)
@@ -217,7 +220,7 @@
 		Fleet: n.fleet, Peers: n.peers, OwnLoads: n.placer.OwnLoads, Wants: n.jobs.Wants, ApplyTotals: n.placer.ApplyTotals, Grants: n.placer.Grants,
 		Evidence: n.placer.Evidence, AddEvidence: n.placer.AddEvidence, Outliers: n.placer.Outliers, HubIntroduced: n.handleIntroduction,
 		Revisions: n.mirror.Revisions, HubAnswered: n.followHub, FailedRuns: n.failedRuns, Streams: n.streams, Announced: n.placer, Draining: n.draining.Load, Log: n.log,
-		Metrics: loadshare.NewMetrics(n.metrics), Waiting: n.jobs.Waiting,
+		Metrics: loadshare.NewMetrics(n.metrics), Waiting: n.jobs.Waiting, Retiring: n.knownRetiring,
 	})
 	callers := CallerOptions{Table: n.table.Load, Jobs: n.jobs, Draining: n.draining.Load, Log: n.log}
 	n.forwarder = forward.New(forward.Options{
--- a/pkg/edge/retire.go
+++ b/pkg/edge/retire.go
@@ -18,24 +18,52 @@
 	// retirementInterval is the time between checks for VMs to be emptied; the platform allows some seconds for
 	// emptying one.
 	retirementInterval = 2 * time.Second
+	// hubRetirementInterval is that between checks of what the hub's answers say, which cost no call to the store.
+	hubRetirementInterval = 300 * time.Millisecond
 	// lostVMDelay is how long the node of a VM to be emptied must be missing from the live nodes before other nodes
 	// report the VM as empty.
 	lostVMDelay = 3 * time.Second
 )
 
+// retiringNodes returns the nodes on VMs to be emptied, from the hub's last answer if the hub reads them for all nodes, else
+// from the store. It returns false if they can't be read, or this node need not know them.
+func (n *Node) retiringNodes(ctx context.Context) ([]string, bool) {
+	if n.exchange.HubSweeps() {
+		return n.exchange.Retiring(), n.settings.Retires
+	}
+	if !n.settings.Retires && !n.exchange.IsHub() {
+		return nil, false
+	}
+	nodes, err := n.platform.Retirements(ctx, n.store)
+	if err != nil {
+		return nil, false // The store watches log that the store is unavailable.
+	}
+	n.retiring.Store(&nodes)
+	return nodes, n.settings.Retires
+}
+
+// knownRetiring returns the nodes on VMs to be emptied that this node last read from the store, for the answers of the hub.
+func (n *Node) knownRetiring() []string {
+	if nodes := n.retiring.Load(); nodes != nil {
+		return *nodes
+	}
+	return nil
+}
+
 // watchRetirements empties this node when its VM is to be retired. No lasting data is kept on a VM, so a VM is empty
 // once its jobs are handed over. The other nodes report VMs that are already lost.
 func (n *Node) watchRetirements(ctx context.Context) error {
-	if !n.settings.Retires {
-		return nil
-	}
 	reported := map[string]bool{}
 	missingSince := map[string]time.Time{}
 	for ctx.Err() == nil {
-		_ = wait.Sleep(ctx, retirementInterval+rand.N(retirementInterval/4))
-		nodes, err := n.platform.Retirements(ctx, n.store)
-		if err != nil {
-			continue // The store watches log that the store is unavailable.
+		interval := retirementInterval
+		if n.exchange.HubSweeps() {
+			interval = hubRetirementInterval
+		}
+		_ = wait.Sleep(ctx, interval+rand.N(interval/4))
+		nodes, ok := n.retiringNodes(ctx)
+		if !ok {
+			continue
 		}
 		for _, node := range nodes {
 			if reported[node] || !n.mayReportRetired(node, missingSince) {
--- a/pkg/listjob/controller.go
+++ b/pkg/listjob/controller.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -14,19 +13,12 @@
 	"trefoilplank.example/pkg/controller/fleet"
 	"trefoilplank.example/pkg/controller/placer"
 	"trefoilplank.example/pkg/decision/quota"
-	"trefoilplank.example/pkg/decision/rendezvous"
 	"trefoilplank.example/pkg/decision/routing"
 	"trefoilplank.example/pkg/eventlog"
 	"trefoilplank.example/pkg/forward"
-	"trefoilplank.example/pkg/wait"
 )
 
 const (
-	// sweepInterval is the time between reads of all heads, which find orphaned and ended jobs.
-	sweepInterval = 2 * time.Second
-	// The first firstSweeps reads after a start are only firstSweepInterval apart: when all nodes were restarted, no
-	// node runs the open jobs, which would otherwise wait two seconds.
-	firstSweeps, firstSweepInterval = 5, 400 * time.Millisecond
 	// peerTimeout limits a call to a job's owner, in addition to the wait that the call requests.
 	peerTimeout = 700 * time.Millisecond
 	// maxJobMemoryFraction is the fraction of the memory limit that item bodies and results may use; jobs beyond it are
@@ -50,6 +42,9 @@
 	// FailedRuns holds the failed runs of all nodes; nil if they are not recorded.
 	FailedRuns *failedruns.Controller
 	Table      func() *routing.Table
+	// IsHub reports whether this node is the hub, which sweeps the heads of all jobs for the others. HubSweeps reports whether
+	// this node has a hub that does.
+	IsHub, HubSweeps func() bool
 	// MemoryBytes is the node's memory limit in bytes.
 	MemoryBytes int64
 	// Readable is how long after its submission a job must stay readable.
@@ -88,6 +83,8 @@
 	withdrawing map[string]bool
 	// lastRefusals holds the last refusals because of the limits of routes, by route.
 	lastRefusals map[string]lastRefusal
+	// swept is what the last sweep of this node as the hub found, by job. It is used by sweepLoop only.
+	swept map[string]Owned
 	// wake makes schedule look for items to start at once.
 	wake    chan struct{}
 	lengths *lengthModel
@@ -165,23 +162,6 @@
 	}
 }
 
-// announce announces to the other nodes that this one owns a job, so that they need not ask the store.
-func (c *Controller) announce(id string, revision int64) {
-	for _, node := range c.options.Fleet.OtherLive() {
-		go c.announceTo(node, id, revision)
-	}
-}
-
-// announceTo announces to one node that this one owns a job.
-func (c *Controller) announceTo(node, id string, revision int64) {
-	self := c.self()
-	ctx, cancel := context.WithTimeout(context.Background(), peerTimeout)
-	defer cancel()
-	if err := c.options.Peers.Call(ctx, node, "Jobs.Owned", Owned{ID: id, Owner: self.Node, Incarnation: self.Incarnation, Revision: revision}, &Nothing{}); err != nil {
-		c.options.Log.Routine("job owner not announced to peer", "job", id, "peer", node, "error", err)
-	}
-}
-
 // ownedJob returns the job if this node owns it, or nil.
 func (c *Controller) ownedJob(id string) *job {
 	c.mu.Lock()
@@ -189,26 +169,6 @@
 	return c.jobs[id]
 }
 
-// ownerOf returns the owner of a job, and its head if that had to be read from the store. The error is ErrNotFound if
-// the job does not exist.
-func (c *Controller) ownerOf(ctx context.Context, id string) (owner, head, error) {
-	c.mu.Lock()
-	known, ok := c.knownOwners[id]
-	c.mu.Unlock()
-	if ok && c.options.Fleet.Alive(known.Node, known.Incarnation) {
-		return known, head{}, nil
-	}
-	h, _, err := c.readHead(ctx, id)
-	if err != nil {
-		return owner{}, head{}, err
-	}
-	found := owner{h.Owner, h.Incarnation}
-	c.mu.Lock()
-	c.knownOwners[id] = found
-	c.mu.Unlock()
-	return found, h, nil
-}
-
 // readHead reads a job's head and its revision. The error is ErrNotFound if the job does not exist or was refused, and
 // matches ErrUnavailable otherwise.
 func (c *Controller) readHead(ctx context.Context, id string) (head, int64, error) {
@@ -235,78 +195,6 @@
 	return h, o.Revision, nil
 }
 
-// sweepLoop reads all heads periodically and compares them with this node's jobs.
-func (c *Controller) sweepLoop(ctx context.Context) {
-	for n := 0; ctx.Err() == nil; n++ {
-		every := sweepInterval
-		if n < firstSweeps {
-			every = firstSweepInterval
-		}
-		_ = wait.Sleep(ctx, every+rand.N(every/4))
-		if c.options.Table() == nil {
-			n = -1 // Without a configuration no job can run.
-			continue
-		}
-		begun := time.Now()
-		page, err := store.ListAll(store.WithStale(ctx), c.options.Store, headKind)
-		if err != nil {
-			continue // The store watches log that the store is unavailable.
-		}
-		c.recordStoreLatency(time.Since(begun))
-		for _, o := range page.Objects {
-			h, err := decodeHead(o)
-			if err != nil {
-				c.options.Log.Notice("job head can't be decoded", "key", o.Key, "error", err)
-				continue
-			}
-			c.checkHead(ctx, h, o.Revision)
-		}
-		c.markDoneJobs()
-		c.dropOldJobs(time.Now())
-	}
-}
-
-// checkHead compares a stored head with this node's state, and takes the job over if its owner is gone.
-func (c *Controller) checkHead(ctx context.Context, h head, revision int64) {
-	self := c.self()
-	headOwner := owner{h.Owner, h.Incarnation}
-	if j := c.ownedJob(h.ID); j != nil {
-		j.mu.Lock()
-		newer := revision > j.revision
-		j.mu.Unlock()
-		switch {
-		case newer && headOwner != self:
-			c.relinquish(j, headOwner)
-		case newer && h.Ended:
-			c.stopJob(j)
-		}
-		return
-	}
-	if h.Refused || h.Ended && time.Since(h.Submitted) > c.options.Readable {
-		return
-	}
-	if headOwner != self && c.options.Fleet.Alive(h.Owner, h.Incarnation) {
-		return
-	}
-	c.mu.Lock()
-	stopping := c.stopping
-	c.mu.Unlock()
-	// An earlier incarnation of this node is certainly gone; whether another node is gone takes time to establish.
-	certain := headOwner.Node == self.Node
-	if stopping || !certain && (!c.options.Fleet.MayDeclareLost() || c.successor(h.ID) != self.Node) {
-		return
-	}
-	go c.adopt(context.WithoutCancel(ctx), h.ID, nil)
-}
-
-// successor returns the node that should take over an orphaned job.
-func (c *Controller) successor(id string) string {
-	if ranked := rendezvous.Ranked(id, c.options.Fleet.Weights()); len(ranked) > 0 {
-		return ranked[0]
-	}
-	return ""
-}
-
 // dropOldJobs removes finished jobs that need not be readable any longer.
 func (c *Controller) dropOldJobs(now time.Time) {
 	c.mu.Lock()
--- a/pkg/listjob/fakes_test.go
+++ b/pkg/listjob/fakes_test.go
@@ -117,10 +117,31 @@
 	failedRuns *failedruns.Controller
 	// waitingLimit is the limit on the waiting tokens of the route.
 	waitingLimit int64
+	// calls counts the calls between nodes by method.
+	calls map[string]int
 	// ledger is the hub's.
 	ledger *quota.Ledger
 }
 
+// isHub reports whether a node is the hub: the first one by name that is not cut off.
+func (n *network) isHub(name string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for other := range n.nodes {
+		if other < name && !n.cut[other] {
+			return false
+		}
+	}
+	return !n.cut[name]
+}
+
+// hubSweeps reports whether a node reaches the hub.
+func (n *network) hubSweeps(name string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return !n.cut[name]
+}
+
 // hubLedger returns the hub's ledger with what the nodes that the hub reaches report, or an error if the asking node does not
 // reach the hub.
 func (n *network) hubLedger(asking string) (*quota.Ledger, error) {
@@ -159,7 +180,7 @@
 }
 
 func newNetwork() *network {
-	return &network{ledger: quota.NewLedger(), nodes: map[string]*Controller{}, cut: map[string]bool{}, failedRuns: failedruns.New(failedruns.Options{
+	return &network{calls: map[string]int{}, ledger: quota.NewLedger(), nodes: map[string]*Controller{}, cut: map[string]bool{}, failedRuns: failedruns.New(failedruns.Options{
 		Node: "all", Others: func() []string { return nil }, Exchange: func() {}, Log: &eventlog.Log{},
 	})}
 }
@@ -172,6 +193,13 @@
 	n.unreported = n.unreported || unreported
 }
 
+// reconnect ends the cut of a node.
+func (n *network) reconnect(name string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.cut, name)
+}
+
 // caller makes the calls of one node.
 type caller struct {
 	network *network
@@ -181,6 +209,7 @@
 func (c caller) Call(_ context.Context, node, method string, args, reply any) error {
 	c.network.mu.Lock()
 	target, cut := c.network.nodes[node], c.network.cut[node] || c.network.cut[c.self]
+	c.network.calls[method]++
 	c.network.mu.Unlock()
 	if target == nil || cut {
 		return peer.ErrUnreachable
@@ -220,6 +249,7 @@
 	c := New(Options{
 		Store: s, Peers: caller{n, name}, Fleet: f, Placer: p, Client: forward.NewClient(testHeaders, p.Announce),
 		FailedRuns: n.failedRuns, Table: func() *routing.Table { return table }, MemoryBytes: 256 << 20, Readable: 2 * time.Minute, Log: log,
+		IsHub: func() bool { return n.isHub(name) }, HubSweeps: func() bool { return n.hubSweeps(name) },
 		HubWaiting:     func(context.Context) (map[string]int64, error) { return n.hubWaiting(name) },
 		ReserveWaiting: func(_ context.Context, r quota.Reservation) (int64, error) { return n.reserveWaiting(name, r) },
 	})
--- a/pkg/listjob/read.go
+++ b/pkg/listjob/read.go
@@ -185,10 +185,11 @@
 type (
 	// Nothing is the reply of calls that return no data.
 	Nothing struct{ Done bool }
-	// Owned announces the owner of a job since the given revision of its head.
+	// Owned announces the owner of a job since the given revision of its head, and whether the job has been ended.
 	Owned struct {
 		ID, Owner             string
 		Incarnation, Revision int64
+		Ended                 bool
 	}
 	// AdoptArgs asks a node to take over a job.
 	AdoptArgs struct {
@@ -231,19 +232,13 @@
 
 // Owned records the announced owner of a job.
 func (r *Receiver) Owned(args Owned, _ *Nothing) error {
-	to := owner{args.Owner, args.Incarnation}
-	if j := r.c.ownedJob(args.ID); j != nil {
-		j.mu.Lock()
-		newer := args.Revision > j.revision
-		j.mu.Unlock()
-		if newer && to != r.c.self() {
-			r.c.relinquish(j, to)
-		} // An older announcement arrived late: this node took the job over since then.
+	if r.c.ownedJob(args.ID) != nil {
+		r.c.compareOwned(args) // An older announcement arrives late if this node took the job over since then.
 		return nil
 	}
 	r.c.mu.Lock()
 	defer r.c.mu.Unlock()
-	r.c.knownOwners[args.ID] = to
+	r.c.knownOwners[args.ID] = owner{args.Owner, args.Incarnation}
 	return nil
 }
 
--- /dev/null
+++ b/pkg/listjob/sweep.go
@@ -0,0 +1,243 @@
+package listjob
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"trefoilplank.example/pkg/adapter/store"
+	"trefoilplank.example/pkg/decision/rendezvous"
+	"trefoilplank.example/pkg/wait"
+)
+
+// The hub reads the heads of all jobs periodically and finds those whose owner is lost, which it hands to their successors,
+// and owners that missed a change of theirs, which it tells. A node reads the heads itself while no hub does.
+
+const (
+	// sweepInterval is the time between reads of all heads.
+	sweepInterval = 2 * time.Second
+	// The first firstSweeps reads of a hub are only firstSweepInterval apart: when all nodes were restarted, no node runs the
+	// open jobs, which would otherwise wait two seconds.
+	firstSweeps, firstSweepInterval = 5, 400 * time.Millisecond
+	// uncoveredTime is how long a node has no hub that sweeps before it reads the heads itself: longer than the change from a
+	// lost hub to the next one.
+	uncoveredTime = 1500 * time.Millisecond
+	// sweepCallTimeout limits a call of the hub to an owner or a successor. A takeover goes on after it.
+	sweepCallTimeout = time.Second
+	// checkInterval is the time between two checks whether this node must sweep.
+	checkInterval = 100 * time.Millisecond
+)
+
+// sweeper decides when a node reads the heads of all jobs.
+type sweeper struct {
+	// begun counts the sweeps since this node sweeps, and next is the time of the next one.
+	begun int
+	next  time.Time
+	// coveredAt is when a hub last swept for this node; missed is set if this node owned jobs while none did, so that it may
+	// have missed changes of them.
+	coveredAt time.Time
+	missed    bool
+}
+
+// due reports whether the heads must be read now. covered is whether the hub, another node, sweeps, and hub whether this node
+// is the hub; ownsJobs is whether this node has jobs that another node may have taken over.
+func (s *sweeper) due(hub, covered, ownsJobs bool, now time.Time) bool {
+	switch {
+	case covered && s.missed:
+		s.missed, s.coveredAt, s.begun = false, now, 0
+		return true
+	case covered:
+		s.coveredAt, s.begun, s.next = now, 0, time.Time{}
+		return false
+	case !hub:
+		if s.coveredAt.IsZero() {
+			s.coveredAt = now
+		}
+		s.missed = s.missed || ownsJobs
+		if now.Sub(s.coveredAt) < uncoveredTime {
+			return false
+		}
+	}
+	if now.Before(s.next) {
+		return false
+	}
+	every := sweepInterval
+	if s.begun < firstSweeps {
+		every = firstSweepInterval
+	}
+	s.begun++
+	s.next = now.Add(every + rand.N(every/4))
+	return true
+}
+
+// sweepLoop sweeps whenever that is due, until ctx ends.
+func (c *Controller) sweepLoop(ctx context.Context) {
+	var s sweeper
+	kept := time.Now()
+	for ctx.Err() == nil {
+		_ = wait.Sleep(ctx, checkInterval)
+		if now := time.Now(); now.Sub(kept) > sweepInterval {
+			kept = now
+			c.markDoneJobs()
+			c.dropOldJobs(now)
+		}
+		if c.options.Table() == nil {
+			continue // Without a configuration no job can run.
+		}
+		hub := c.options.IsHub()
+		c.mu.Lock()
+		ownsJobs := len(c.jobs) > 0
+		c.mu.Unlock()
+		if s.due(hub, !hub && c.options.HubSweeps(), ownsJobs, time.Now()) {
+			c.sweep(ctx, hub)
+		}
+	}
+}
+
+// sweep reads all heads and compares them with the state of this node, or of all nodes if it is the hub.
+func (c *Controller) sweep(ctx context.Context, hub bool) {
+	begun := time.Now()
+	page, err := store.ListAll(store.WithStale(ctx), c.options.Store, headKind)
+	if err != nil {
+		return // The store watches log that the store is unavailable.
+	}
+	c.recordStoreLatency(time.Since(begun))
+	var heads []sweptHead
+	for _, o := range page.Objects {
+		h, err := decodeHead(o)
+		if err != nil {
+			c.options.Log.Notice("job head can't be decoded", "key", o.Key, "error", err)
+			continue
+		}
+		c.checkHead(ctx, h, o.Revision)
+		heads = append(heads, sweptHead{h, o.Revision})
+	}
+	if hub {
+		c.sweepForOthers(ctx, heads)
+	}
+}
+
+type sweptHead struct {
+	head
+	revision int64
+}
+
+// checkHead compares a stored head with this node's state, and takes the job over if its owner is gone.
+func (c *Controller) checkHead(ctx context.Context, h head, revision int64) {
+	self := c.self()
+	headOwner := owner{h.Owner, h.Incarnation}
+	if c.ownedJob(h.ID) != nil {
+		c.compareOwned(Owned{ID: h.ID, Owner: h.Owner, Incarnation: h.Incarnation, Revision: revision, Ended: h.Ended})
+		return
+	}
+	if !c.orphaned(h) {
+		return
+	}
+	// An earlier incarnation of this node is certainly gone; whether another node is gone takes time to establish.
+	certain := headOwner.Node == self.Node
+	if c.isStopping() || !certain && (!c.options.Fleet.MayDeclareLost() || c.successor(h.ID) != self.Node) {
+		return
+	}
+	go c.adoptOrphan(ctx, h.ID)
+}
+
+// adoptOrphan takes over a job; the next sweep repeats an attempt that fails.
+func (c *Controller) adoptOrphan(ctx context.Context, id string) {
+	_ = c.adopt(context.WithoutCancel(ctx), id, nil) // adopt logs its errors.
+}
+
+// orphaned reports whether a job must be taken over: its owner is gone, and it must be run or read.
+func (c *Controller) orphaned(h head) bool {
+	return !h.Refused && (!h.Ended || time.Since(h.Submitted) <= c.options.Readable) && !c.options.Fleet.Alive(h.Owner, h.Incarnation)
+}
+
+func (c *Controller) isStopping() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.stopping
+}
+
+// compareOwned compares what the store says of a job with this node's state of it, if it has one.
+func (c *Controller) compareOwned(stored Owned) {
+	j := c.ownedJob(stored.ID)
+	if j == nil {
+		return
+	}
+	j.mu.Lock()
+	newer := stored.Revision > j.revision
+	j.mu.Unlock()
+	to := owner{stored.Owner, stored.Incarnation}
+	switch {
+	case newer && to != c.self():
+		c.relinquish(j, to)
+	case newer && stored.Ended:
+		c.stopJob(j)
+	}
+}
+
+// sweepForOthers hands orphaned jobs to their successors, and tells owners what changed of their jobs since the last sweep.
+func (c *Controller) sweepForOthers(ctx context.Context, heads []sweptHead) {
+	self := c.self().Node
+	previous := c.swept
+	c.swept = make(map[string]Owned, len(heads))
+	changes := map[string][]Owned{}
+	for _, h := range heads {
+		now := Owned{ID: h.ID, Owner: h.Owner, Incarnation: h.Incarnation, Revision: h.revision, Ended: h.Ended}
+		c.swept[h.ID] = now
+		before, known := previous[h.ID]
+		if known && before.Owner != now.Owner && before.Owner != self {
+			changes[before.Owner] = append(changes[before.Owner], now)
+		}
+		// A hub that has just begun does not know what owners missed before.
+		if (previous == nil || known && now.Ended && !before.Ended) && now.Owner != self && c.options.Fleet.Alive(now.Owner, now.Incarnation) {
+			changes[now.Owner] = append(changes[now.Owner], now)
+		}
+		if c.orphaned(h.head) && c.options.Fleet.MayDeclareLost() {
+			c.handToSuccessor(ctx, h.head)
+		}
+	}
+	for node, list := range changes {
+		go c.callSwept(ctx, node, "Jobs.Changed", ChangedArgs{Jobs: list})
+	}
+}
+
+// handToSuccessor asks the node that should take over an orphaned job to do so: the one that the owner's process ran on, if it
+// was restarted, or the first one in rank that is not stopping.
+func (c *Controller) handToSuccessor(ctx context.Context, h head) {
+	to := h.Owner
+	if !c.options.Fleet.Alive(to, 0) {
+		to = c.successor(h.ID)
+	}
+	if to == "" || to == c.self().Node {
+		return // checkHead has done it.
+	}
+	go c.callSwept(ctx, to, "Jobs.Adopt", AdoptArgs{ID: h.ID})
+}
+
+// callSwept makes a call of the hub's sweep.
+func (c *Controller) callSwept(ctx context.Context, node, method string, args any) {
+	ctx, cancel := context.WithTimeout(ctx, sweepCallTimeout)
+	defer cancel()
+	if err := c.options.Peers.Call(ctx, node, method, args, &Nothing{}); err != nil {
+		c.options.Log.Routine("hub's sweep did not reach a node", "peer", node, "method", method, "error", err)
+	}
+}
+
+// ChangedArgs tells a node what the store says of jobs that it owns or owned.
+type ChangedArgs struct{ Jobs []Owned }
+
+// Changed compares what the hub's sweep found with this node's state.
+func (r *Receiver) Changed(args ChangedArgs, _ *Nothing) error {
+	for _, stored := range args.Jobs {
+		r.c.compareOwned(stored)
+	}
+	return nil
+}
+
+// successor returns the node that should take over an orphaned job.
+func (c *Controller) successor(id string) string {
+	if ranked := rendezvous.Ranked(id, c.options.Fleet.Weights()); len(ranked) > 0 {
+		return ranked[0]
+	}
+	return ""
+}
