Call the store less at starts and for results

TestEndedJobKeepsWhatAnotherOwnerListed brings its job close to its due time, so that the result is still listed before the owner reads the heads; its checks are unchanged.

--- a/pkg/controller/fleet/fleet.go
+++ b/pkg/controller/fleet/fleet.go
@@ -389,13 +389,23 @@
 	f.log.Notice("deleted the entry of a lost node", "member", name, "incarnation", incarnation, "error", err)
 }
 
-// writeEntry writes the node's entry.
+// writeEntry writes the node's entry. An entry that is not known to exist is created first: replacing one that is missing
+// takes a call more.
 func (f *Fleet) writeEntry(ctx context.Context) error {
-	value, err := json.Marshal(f.Self())
+	self := f.Self()
+	value, err := json.Marshal(self)
 	if err != nil {
 		return err
 	}
-	_, err = f.store.Put(ctx, Prefix+f.Self().Name, value, store.AnyRevision)
+	f.mu.Lock()
+	_, exists := f.members[self.Name]
+	f.mu.Unlock()
+	if !exists {
+		if _, err = f.store.Put(ctx, Prefix+self.Name, value, store.CreateOnly); !errors.Is(err, store.ErrConflict) {
+			return err
+		}
+	}
+	_, err = f.store.Put(ctx, Prefix+self.Name, value, store.AnyRevision)
 	return err
 }
 
--- a/pkg/edge/node.go
+++ b/pkg/edge/node.go
@@ -131,6 +131,8 @@
 	draining atomic.Bool
 	// retiring are the nodes on VMs to be emptied, as this node last read them from the store.
 	retiring atomic.Pointer[[]string]
+	// hubSince is when this node first was the hub. It is used by one exchange at a time.
+	hubSince time.Time
 	// drainEnd is when the current drain ends, or nil.
 	drainEnd       atomic.Pointer[time.Time]
 	active         atomic.Int64
@@ -245,12 +247,21 @@
 // one watch per node.
 func (n *Node) followHub(hub string, revisions map[string]int64) {
 	if hub == n.settings.Name {
-		n.mirror.WatchStore(context.Background())
+		if n.hubSince.IsZero() {
+			n.hubSince = time.Now()
+		}
+		if time.Since(n.hubSince) >= settleTime {
+			n.mirror.WatchStore(context.Background())
+		}
 		return
 	}
 	n.mirror.FollowNode(context.Background(), hub, revisions)
 }
 
+// settleTime is how long after a node became the hub for the first time it watches the store: while a deployment starts, many
+// nodes know so few others that they take themselves for the hub.
+const settleTime = 400 * time.Millisecond
+
 // handleIntroduction reads the copies of a hub that introduced itself, if this node could not learn the other nodes
 // from the store.
 func (n *Node) handleIntroduction(hub fleet.Member) {
@@ -262,22 +273,13 @@
 // join registers the node and reads the list of nodes, so that it knows the hub before it makes any other call to the
 // store.
 func (n *Node) join(ctx context.Context) error {
+	n.readMembers(store.WithStale(ctx))
 	registered := make(chan error, 1)
 	go func() { registered <- n.fleet.Register(ctx) }()
-	for begun := time.Now(); ctx.Err() == nil && time.Since(begun) < joinTime; {
-		page, err := store.ListAll(ctx, n.store, fleet.Prefix)
-		if err != nil {
-			break // The exchange starts without other nodes; the store watches log that the store is unavailable.
-		}
-		objects := map[string]store.Object{}
-		for _, o := range page.Objects {
-			objects[o.Key] = o
-		}
-		n.fleet.SetRegistered(objects)
-		if n.fleet.OtherStartedBefore(time.Now().Add(-joinTime)) {
-			break
-		}
+	if !n.fleet.OtherStartedBefore(time.Now().Add(-joinTime)) {
+		// The deployment starts. A list that lacks some nodes would divide it between several hubs.
 		_ = wait.Sleep(ctx, joinTime)
+		n.readMembers(store.WithFresh(ctx))
 	}
 	go func() {
 		if err := n.exchange.Run(ctx); err != nil && ctx.Err() == nil {
@@ -287,6 +289,19 @@
 	return <-registered
 }
 
+// readMembers reads the list of nodes from the store, if it is available.
+func (n *Node) readMembers(ctx context.Context) {
+	page, err := store.ListAll(ctx, n.store, fleet.Prefix)
+	if err != nil {
+		return // The exchange starts without other nodes; the store watches log that the store is unavailable.
+	}
+	objects := map[string]store.Object{}
+	for _, o := range page.Objects {
+		objects[o.Key] = o
+	}
+	n.fleet.SetRegistered(objects)
+}
+
 // joinTime is how long a node that starts together with the others waits for their entries; all VMs of a deployment
 // start within 0.3 s.
 const joinTime = 600 * time.Millisecond
--- a/pkg/listjob/listjob_test.go
+++ b/pkg/listjob/listjob_test.go
@@ -247,6 +247,11 @@
 	// After its first sweeps node a reads the heads rarely enough to list a result before it learns of b.
 	time.Sleep(firstSweeps * firstSweepInterval * 5 / 4)
 	assert.NilError(t, a.Accept(context.Background(), submission("j", 2)))
+	// A job that is due soon is listed before a reads the heads itself.
+	j := a.ownedJob("j")
+	j.mu.Lock()
+	j.due = time.Now().Add(urgentSlack)
+	j.mu.Unlock()
 	net.cutOff("a", true)
 	assert.NilError(t, b.adopt(context.Background(), "j", nil))
 	var results []Result
--- a/pkg/listjob/run.go
+++ b/pkg/listjob/run.go
@@ -19,9 +19,10 @@
 )
 
 const (
-	// commitDelay is how long results are collected for one log entry, unless no other result of the job is expected;
-	// each entry is a call that costs money, and results lost in a crash within the delay are computed again.
-	commitDelay = time.Second
+	// maxCommitDelay is how long results are collected at most for one log entry, unless no other result of the job is
+	// expected: each entry is a call to the store, and results lost in a crash meanwhile are computed again. It is shortened
+	// to a commitDelayParts-th of the time until the job is due.
+	maxCommitDelay, commitDelayParts = 3 * time.Second, 4
 	// commitPoll is the interval at which waitForMore checks whether all items of the job are finished.
 	commitPoll = 100 * time.Millisecond
 	// commitRetry is the first pause after the store failed to store an entry; it doubles up to commitRetryMax.
@@ -300,10 +301,11 @@
 	}
 }
 
-// waitForMore waits up to commitDelay for more results. It returns early if no result is missing, or if the job was
+// waitForMore waits up to maxCommitDelay for more results. It returns early if no result is missing, or if the job was
 // released or is due soon.
 func (j *job) waitForMore() {
-	for waited := time.Duration(0); waited < commitDelay; waited += commitPoll {
+	delay := min(maxCommitDelay, time.Until(j.due)/commitDelayParts)
+	for waited := time.Duration(0); waited < delay; waited += commitPoll {
 		time.Sleep(commitPoll)
 		j.mu.Lock()
 		complete := len(j.results)+len(j.pending) >= len(j.items) || j.released || time.Until(j.due) < urgentSlack
