Run the items first that can still be done in time

Cause: items ran by due time alone. After a burst of jobs or a loss of replicas those that had become late ran first and made all later ones late (a flood on further: 123 of 500 results in time). Late items also counted as urgent, which lets them use the slots kept for online requests. The time of an event was assumed to be 31 ms on all deployments; it is 62 ms on large and 17 ms on further. Change: pkg/decision/batchorder puts items that can be done in time first; items that can't neither use kept slots nor keep theirs. Each service's time for an event is learned from its runs.

--- a/pkg/controller/loadshare/hub.go
+++ b/pkg/controller/loadshare/hub.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -39,6 +40,9 @@
 	outliers  map[string]float64
 	// index numbers the upstreams in the totals.
 	index upstreamIndex
+	// packed are the totals at packedAt for a node that lacks the index.
+	packed   *IndexedLoads
+	packedAt time.Time
 	// waiting holds what waits of the jobs of all nodes.
 	waiting *quota.Ledger
 	// nextIntroduction is when this node next introduces itself to a node that does not report.
@@ -81,6 +85,7 @@
 		n = &nodeState{warm: map[string]time.Time{}}
 		h.nodes[r.Node] = n
 	}
+	before := n.report.Loads
 	h.removeFromTotals(n)
 	h.exchangeAnnounced(r, n.granted, reply)
 	h.withdrawGrant(n)
@@ -96,7 +101,7 @@
 		h.review(now)
 	}
 	if r.Indexed {
-		reply.IndexedLoads = h.index.pack(h.totals, r.Index)
+		reply.IndexedLoads = h.indexedLoads(r, before, now)
 	} else {
 		reply.Loads = maps.Clone(h.totals)
 	}
@@ -111,6 +116,27 @@
 	h.exchangeRecords(r, reply)
 }
 
+// packedLifetime is how long the hub sends the same totals to several nodes.
+const packedLifetime = 5 * time.Millisecond
+
+// indexedLoads returns the totals for a node that has sent a report. They may be packedLifetime old, but always include the
+// report, which the node subtracts from them. before are the loads of its report before.
+func (h *hub) indexedLoads(r Report, before map[string]dispatch.Load, now time.Time) *IndexedLoads {
+	if h.packed == nil || now.Sub(h.packedAt) >= packedLifetime || now.Before(h.packedAt) || !h.index.holds(r.Loads) {
+		h.packed, h.packedAt = h.index.pack(h.totals, 0), now
+	}
+	own := *h.packed
+	if own.Counts = slices.Clone(own.Counts); r.Index == own.Revision {
+		own.IDs = nil
+	}
+	for _, changed := range []map[string]dispatch.Load{before, r.Loads} {
+		for id := range changed {
+			h.index.set(own.Counts, id, h.totals[id])
+		}
+	}
+	return &own
+}
+
 func (h *hub) addToTotals(n *nodeState) {
 	n.counted = true
 	for id, l := range n.report.Loads {
--- a/pkg/controller/loadshare/index.go
+++ b/pkg/controller/loadshare/index.go
@@ -56,8 +56,7 @@
 	}
 	packed := &IndexedLoads{Revision: x.revision, Counts: make([]uint32, countsPerLoad*len(x.ids))}
 	for id, l := range loads {
-		counts := packed.Counts[countsPerLoad*x.positions[id]:]
-		counts[0], counts[1], counts[2] = uint32(max(0, l.Online)), uint32(max(0, l.Batch)), uint32(max(0, l.Firm))
+		x.set(packed.Counts, id, l)
 	}
 	if known != x.revision {
 		packed.IDs = slices.Clone(x.ids)
@@ -65,6 +64,24 @@
 	return packed
 }
 
+// holds reports whether the index has all upstreams of loads.
+func (x *upstreamIndex) holds(loads map[string]dispatch.Load) bool {
+	for id := range loads {
+		if _, ok := x.positions[id]; !ok {
+			return false
+		}
+	}
+	return true
+}
+
+// set sets the counts of one upstream, if the index has it.
+func (x *upstreamIndex) set(counts []uint32, id string, l dispatch.Load) {
+	if n, ok := x.positions[id]; ok {
+		c := counts[countsPerLoad*n:]
+		c[0], c[1], c[2] = uint32(max(0, l.Online)), uint32(max(0, l.Batch)), uint32(max(0, l.Firm))
+	}
+}
+
 // expand returns the loads of an answer and keeps the index that it brings.
 func (x *upstreamIndex) expand(packed *IndexedLoads) map[string]dispatch.Load {
 	if packed.IDs != nil {
--- a/pkg/controller/loadshare/index_test.go
+++ b/pkg/controller/loadshare/index_test.go
@@ -60,3 +60,22 @@
 	const aim = 1000 // Bytes: 1,250 answers a second then take 10 Mbit/s of a link of 200.
 	assert.Assert(t, sizes[true] < aim, "%v bytes by whether loads are indexed", sizes)
 }
+
+// Guards against a node that sees fewer runs than there are, because the totals that it gets lack the report that it subtracts
+// from them.
+func TestSharedTotalsIncludeTheReport(t *testing.T) {
+	h, now := testHub("a", "b"), time.Unix(100, 0)
+	var index upstreamIndex
+	report := func(node string, loads map[string]dispatch.Load) map[string]dispatch.Load {
+		var got Totals
+		now = now.Add(packedLifetime / 10)
+		h.handleReport(Report{Node: node, Loads: loads, Indexed: true, Index: index.revision}, &got, now)
+		return index.expand(got.IndexedLoads)
+	}
+	report("a", map[string]dispatch.Load{"u": {Online: 3}, "v": {Online: 1}})
+	assert.Equal(t, report("b", map[string]dispatch.Load{"u": {Online: 1}})["u"].Online, 4)
+	got := report("b", map[string]dispatch.Load{"w": {Online: 2}})
+	assert.Equal(t, got["u"].Online, 3)
+	assert.Equal(t, got["w"].Online, 2)
+	assert.Equal(t, report("a", map[string]dispatch.Load{"v": {Online: 1}})["u"].Online, 0)
+}
--- a/pkg/controller/loadshare/loadshare.go
+++ b/pkg/controller/loadshare/loadshare.go
@@ -33,8 +33,8 @@
 	// few arrivals at other nodes. idleInterval is the time between exchanges otherwise.
 	busyInterval, idleInterval = 50 * time.Millisecond, 300 * time.Millisecond
 	// intervalPerMember times the number of nodes is the least time between the regular exchanges of a busy node, so that
-	// a hub answers at most 1,250 of them per second.
-	intervalPerMember = 800 * time.Microsecond
+	// a hub answers at most 3,300 of them per second, and totals are at most 0.1 s old with 300 nodes.
+	intervalPerMember = 300 * time.Microsecond
 	// exchangeTimeout bounds the call to the hub; the platform's zones are at most a few milliseconds apart.
 	exchangeTimeout = 400 * time.Millisecond
 	// askTimeout is how long an arriving request waits for the hub's answer. After it, the request is placed by what
--- a/pkg/decision/dispatch/dispatch.go
+++ b/pkg/decision/dispatch/dispatch.go
@@ -110,6 +110,9 @@
 	upstreams   []*upstream
 	runDuration time.Duration
 	firstEvent  time.Duration
+	// beginning and all are the candidates for the hub's grants at candidatesAt; see grantCandidates.
+	beginning, all []*upstream
+	candidatesAt   time.Time
 }
 
 // State holds the load of all upstreams as one node knows it. It is not safe for concurrent use.
@@ -156,7 +159,7 @@
 		previous[id] = u.Upstream
 	}
 	for _, svc := range s.services {
-		svc.upstreams = svc.upstreams[:0]
+		svc.upstreams, svc.candidatesAt = svc.upstreams[:0], time.Time{}
 	}
 	for _, u := range list {
 		known := s.byID[u.ID]
--- a/pkg/decision/dispatch/grant.go
+++ b/pkg/decision/dispatch/grant.go
@@ -47,23 +47,23 @@
 	return all
 }
 
-// Grants returns the part of a service's free slots that a node with demand want is granted. all is the demand of all
-// nodes together, totals their runs, and outstanding the slots that are granted but not yet reported as runs. warm reports
+// Grants returns the part of a service's free slots that a node with demand want is granted. demand is that of all nodes
+// together, totals their runs, and outstanding the slots that are granted but not yet reported as runs. warm reports
 // whether the node has a connection to an upstream.
-func (s *State) Grants(service string, want, all Want, totals map[string]Load, outstanding map[string]int, warm func(upstream string) bool, now time.Time) Grant {
+func (s *State) Grants(service string, want, demand Want, totals map[string]Load, outstanding map[string]int, warm func(upstream string) bool, now time.Time) Grant {
 	weight := func(u *upstream) float64 { return s.weight(u, now) }
 	// limited holds the slots of limited upstreams, and free those of all others.
 	free := slotPool{entries: make([]poolEntry, 0, len(s.serviceState(service).upstreams)), warm: warm, weight: weight}
 	limited := slotPool{warm: warm, weight: weight}
 	online := 0
 	svc := s.serviceState(service)
-	beginning := s.candidates(svc, filter{begins: true}, now)
+	beginning, all := s.grantCandidates(svc, now)
 	for _, u := range beginning {
 		online += totals[u.ID].Online
 		s.addFree(&free, &limited, u, totals[u.ID], outstanding[u.ID], now)
 	}
 	// Reserve slots for the arrivals at other nodes until their next reports.
-	reserve := int(math.Ceil(reserveFactor*math.Sqrt(float64(online)) + max(0, all.Rate-want.Rate)*arrivalWindow.Seconds()))
+	reserve := int(math.Ceil(reserveFactor*math.Sqrt(float64(online)) + max(0, demand.Rate-want.Rate)*arrivalWindow.Seconds()))
 	var g Grant
 	if arrivals := want.Waiting + int(math.Round(want.Rate*arrivalWindow.Seconds())); arrivals > 0 {
 		first, second := &free, &limited
@@ -82,7 +82,7 @@
 		return g
 	}
 	// Streams may not begin yet on other upstreams, which leaves them to batch runs.
-	if all := s.candidates(svc, filter{}, now); len(all) > len(beginning) || !slices.Equal(all, beginning) {
+	if !slices.Equal(all, beginning) {
 		for _, u := range all {
 			if !slices.Contains(beginning, u) {
 				s.addFree(&free, &limited, u, totals[u.ID], outstanding[u.ID], now)
@@ -90,14 +90,27 @@
 		}
 	}
 	// A limit counts requests and not their length, so batch runs, which are long, use what online requests leave of it first.
-	g.Batch = limited.allocate(proportionalShare(int(float64(limited.total)*s.batchPart(svc, all.Rate)), want.Items, all.Items))
+	g.Batch = limited.allocate(proportionalShare(int(float64(limited.total)*s.batchPart(svc, demand.Rate)), want.Items, demand.Items))
 	want.Items -= sumSlots(g.Batch)
 	want.Urgent = min(want.Urgent, want.Items)
-	batchSlots := proportionalShare(max(0, free.total-reserve), want.Items, all.Items)
-	g.Batch = addSlots(g.Batch, free.allocate(max(batchSlots, proportionalShare(free.total, want.Urgent, all.Urgent))))
+	batchSlots := proportionalShare(max(0, free.total-reserve), want.Items, demand.Items)
+	g.Batch = addSlots(g.Batch, free.allocate(max(batchSlots, proportionalShare(free.total, want.Urgent, demand.Urgent))))
 	return g
 }
 
+// candidateLifetime is how long the hub uses the same candidates for its grants.
+const candidateLifetime = 5 * time.Millisecond
+
+// grantCandidates returns the upstreams of a service on which streams may begin, and those for all other runs. A hub answers
+// thousands of reports a second, so they are kept for candidateLifetime.
+func (s *State) grantCandidates(svc *serviceState, now time.Time) (beginning, all []*upstream) {
+	if age := now.Sub(svc.candidatesAt); svc.candidatesAt.IsZero() || age < 0 || age >= candidateLifetime {
+		svc.candidatesAt = now
+		svc.beginning, svc.all = s.candidates(svc, filter{begins: true}, now), s.candidates(svc, filter{}, now)
+	}
+	return svc.beginning, svc.all
+}
+
 // batchPart returns the part of the limits of a service's upstreams that its other upstreams leave to batch runs: online
 // requests need the rest.
 func (s *State) batchPart(svc *serviceState, onlineRate float64) float64 {
@@ -133,9 +146,9 @@
 // only if they can't be preempted. Places beyond these are not granted: requests there got no answer for long, were sent
 // again and filled further queues.
 func (s *State) queuePlaces(service string, perSlot float64, totals map[string]Load, outstanding map[string]int, now time.Time) slotPool {
-	svc := s.serviceState(service)
+	beginning, _ := s.grantCandidates(s.serviceState(service), now)
 	places := slotPool{}
-	for _, u := range s.candidates(svc, filter{begins: true}, now) {
+	for _, u := range beginning {
 		if u.limited() {
 			continue // Its limit is used by the requests that get its free slots.
 		}
--- a/pkg/listjob/job.go
+++ b/pkg/listjob/job.go
@@ -180,6 +180,8 @@
 	notBefore            time.Time
 	// pausedUntil is the end of the last pause that was logged.
 	pausedUntil time.Time
+	// runLines is the number of events that the last run began with.
+	runLines int64
 	// runStart is when the last run began, and waitingSince when the item began to wait for the next one.
 	runStart, waitingSince time.Time
 	result                 Result
@@ -283,8 +285,3 @@
 	}
 	return results[after:]
 }
-
-// compareUrgency orders items by due time, then by the number of events received, most first.
-func compareUrgency(a, b *item) int {
-	return cmp.Or(a.job.due.Compare(b.job.due), cmp.Compare(b.lastEvent, a.lastEvent))
-}
--- a/pkg/listjob/length.go
+++ b/pkg/listjob/length.go
@@ -10,8 +10,12 @@
 )
 
 const (
-	// defaultEventInterval is the time between events that the estimate of a run's remaining time assumes.
+	// defaultEventInterval is the assumed time between events until runs have been observed, which then have minPaceWeight at
+	// least in the running mean.
 	defaultEventInterval = 31 * time.Millisecond
+	minPaceWeight        = 0.1
+	// minPaceEvents is the number of events from which on a run says how fast its upstream generates.
+	minPaceEvents = 5
 	// minLengthWeight is the smallest weight of a finished item in the running mean of lengths, which then covers
 	// about the last 20 items. The first items weigh more; they are averaged with priorLengths items that are assumed
 	// to have the announced length.
@@ -34,6 +38,9 @@
 type lengthStats struct {
 	mean, meanSquare float64
 	count            int
+	// pace is the running mean of the time of a run for each event, and runs the number of runs in it.
+	pace time.Duration
+	runs int
 }
 
 func newLengthModel() *lengthModel { return &lengthModel{byService: map[string]*lengthStats{}} }
@@ -47,17 +54,49 @@
 	fraction := min(1, float64(events)/float64(announced))
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	known := l.byService[service.Name]
-	if known == nil {
-		known = &lengthStats{mean: 1, meanSquare: 1}
-		l.byService[service.Name] = known
-	}
+	known := l.stats(service.Name)
 	known.count++
 	weight := max(minLengthWeight, 1/float64(known.count+priorLengths))
 	known.mean += weight * (fraction - known.mean)
 	known.meanSquare += weight * (fraction*fraction - known.meanSquare)
 }
 
+// stats returns the statistics of a service, which are created if needed. The caller holds l.mu.
+func (l *lengthModel) stats(service string) *lengthStats {
+	known := l.byService[service]
+	if known == nil {
+		known = &lengthStats{mean: 1, meanSquare: 1, pace: defaultEventInterval}
+		l.byService[service] = known
+	}
+	return known
+}
+
+// observePace records how long a run took for a number of events.
+func (l *lengthModel) observePace(service string, events int64, took time.Duration) {
+	if events < minPaceEvents {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	known := l.stats(service)
+	known.runs++
+	weight := max(minPaceWeight, 1/float64(known.runs))
+	known.pace += time.Duration(weight * float64(took/time.Duration(events)-known.pace))
+}
+
+// pace returns the time that a run on a service takes for each event.
+func (l *lengthModel) pace(service *routing.Service) time.Duration {
+	if service == nil {
+		return defaultEventInterval
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if known := l.byService[service.Name]; known != nil {
+		return known.pace
+	}
+	return defaultEventInterval
+}
+
 // estimateEvents estimates how many events an item will have in total.
 func (l *lengthModel) estimateEvents(service *routing.Service, tokens int) int {
 	announced := announcedEvents(service, tokens)
@@ -105,5 +144,5 @@
 
 // remainingTime estimates how long the rest of an item's run takes.
 func (c *Controller) remainingTime(it *item, service *routing.Service) time.Duration {
-	return time.Duration(max(1, c.lengths.estimateEvents(service, it.Tokens)-int(it.lines.Load()))) * defaultEventInterval
+	return time.Duration(max(1, c.lengths.estimateEvents(service, it.Tokens)-int(it.lines.Load()))) * c.lengths.pace(service)
 }
--- a/pkg/listjob/length_test.go
+++ b/pkg/listjob/length_test.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -36,3 +37,19 @@
 	assert.Equal(t, l.estimateEvents(&routing.Service{Name: "plain"}, 2240), 0)
 	assert.Equal(t, l.estimateEvents(nil, 2240), 0)
 }
+
+// Guards against items that start too late to be done in time, because their engine takes twice as long for an event as was
+// assumed for all deployments.
+func TestRemainingTimeFollowsTheEngine(t *testing.T) {
+	c := New(Options{})
+	service := &routing.Service{Name: "model", TokensPerEvent: 16}
+	it := &item{Item: Item{Tokens: 1600}}
+	assert.Equal(t, c.remainingTime(it, service), 100*defaultEventInterval)
+	const interval = 62 * time.Millisecond
+	for range 5 {
+		c.lengths.observePace("model", 50, 50*interval)
+		c.lengths.observePace("other", 50, 50*time.Second)
+		c.lengths.observePace("model", 1, time.Minute) // A run that has hardly begun says nothing.
+	}
+	assert.Equal(t, c.remainingTime(it, service), 100*interval)
+}
--- a/pkg/listjob/schedule.go
+++ b/pkg/listjob/schedule.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"trefoilplank.example/pkg/controller/placer"
+	"trefoilplank.example/pkg/decision/batchorder"
 	"trefoilplank.example/pkg/decision/dispatch"
 	"trefoilplank.example/pkg/decision/routing"
 )
@@ -51,7 +52,7 @@
 	now := time.Now()
 	blocked := map[slotKind]bool{}
 	list := c.waitingItems(now)
-	slices.SortFunc(list, compareUrgency)
+	c.sortByUrgency(list, table, now)
 	for _, it := range list {
 		route := table.Match(it.job.head.Host, it.Path)
 		if route == nil || now.After(it.job.retryUntil) {
@@ -74,6 +75,24 @@
 	}
 }
 
+// orderItem returns what the order of items depends on.
+func (c *Controller) orderItem(it *item, service *routing.Service) batchorder.Item {
+	return batchorder.Item{Due: it.job.due, Remaining: c.remainingTime(it, service), Received: it.lines.Load()}
+}
+
+// sortByUrgency sorts waiting items, the first to start first.
+func (c *Controller) sortByUrgency(list []*item, table *routing.Table, now time.Time) {
+	order := make(map[*item]batchorder.Item, len(list))
+	for _, it := range list {
+		var service *routing.Service
+		if route := table.Match(it.job.head.Host, it.Path); route != nil {
+			service = table.Service(route.Pick(0))
+		}
+		order[it] = c.orderItem(it, service)
+	}
+	slices.SortFunc(list, func(a, b *item) int { return batchorder.Compare(order[a], order[b], now) })
+}
+
 // slotKind is what an item needs: a slot on any upstream of a service, or on one of a software version if bound is set.
 type slotKind struct {
 	service, version string
@@ -114,7 +133,7 @@
 			continue
 		}
 		want.Items++
-		if it.job.due.Sub(now) < c.remainingTime(it, table.Service(service))+urgentSlack {
+		if c.orderItem(it, table.Service(service)).Urgent(urgentSlack, now) {
 			want.Urgent++
 		}
 		wants[service] = want
@@ -158,7 +177,7 @@
 		return &placer.BatchRun{
 			Item: it.ID, Stop: cancel,
 			CanStop: func(now time.Time) bool {
-				return it.job.due.Sub(now) > c.remainingTime(it, service)+yieldMargin || now.After(it.job.due)
+				return c.orderItem(it, service).MayStop(yieldMargin, now)
 			},
 		}
 	})
@@ -180,10 +199,13 @@
 		c.options.Metrics.countRun("begun_anew")
 		it.discardText()
 	}
+	it.runLines = it.lines.Load()
 	it.job.mu.Unlock()
 	go func() {
 		defer cancel()
+		began := time.Now()
 		err := c.runItem(ctx, it, upstream)
+		c.lengths.observePace(need.service, it.lines.Load()-it.runLines, time.Since(began))
 		c.options.Placer.EndBatch(run)
 		c.recordFailedRun(ctx, it, upstream, err)
 		c.runEnded(ctx, it, upstream, err)
