Count only complete events as progress of a stream

Change: the limit restarts with complete events. Result: both trickling cases of TestResumableStreamContinuesAtAnotherUpstream failed first (504, and a broken answer after 2 s); now the stream continues at another upstream.

--- a/pkg/forward/fakes_test.go
+++ b/pkg/forward/fakes_test.go
@@ -217,6 +217,23 @@
 	<-r.Context().Done()
 }
 
+// tricklesOnce sends a number of events to the first request and then an event that is never completed, a byte every 50 ms,
+// and streams all events otherwise.
+func tricklesOnce(events int) behaviour {
+	return func(f *fixture, w http.ResponseWriter, r *http.Request) {
+		if len(f.requests()) > 1 {
+			stream(w, r, 10)
+			return
+		}
+		stream(w, r, events)
+		for data := "data: "; r.Context().Err() == nil; data = "x" {
+			_, _ = io.WriteString(w, data)
+			_ = http.NewResponseController(w).Flush()
+			time.Sleep(50 * time.Millisecond)
+		}
+	}
+}
+
 func answersWith(status int, header, value string) behaviour {
 	return func(_ *fixture, w http.ResponseWriter, _ *http.Request) {
 		if header != "" {
--- a/pkg/forward/forward_test.go
+++ b/pkg/forward/forward_test.go
@@ -47,7 +47,9 @@
 // Guards against a resumed stream that lacks or repeats an event, and against an incomplete event that reaches the
 // caller.
 func TestResumableStreamContinuesAtAnotherUpstream(t *testing.T) {
-	for name, b := range map[string]behaviour{"break": breaksOnce, "silence": unresponsiveOnce, "stall": stallsOnce} {
+	for name, b := range map[string]behaviour{
+		"break": breaksOnce, "silence": unresponsiveOnce, "stall": stallsOnce, "trickle": tricklesOnce(3), "trickle at first": tricklesOnce(0),
+	} {
 		t.Run(name, func(t *testing.T) {
 			f := newFixture(t, b, b)
 			resp, body, err := f.call(t, "/stream/a", "prompt")
@@ -57,7 +59,7 @@
 			sends := f.requests()
 			assert.Equal(t, len(sends), 2)
 			assert.Assert(t, sends[0].upstream != sends[1].upstream)
-			assert.Equal(t, resp.Header.Get(testHeaders.Signature) == sends[0].upstream, name != "silence")
+			assert.Equal(t, resp.Header.Get(testHeaders.Signature) == sends[0].upstream, name != "silence" && name != "trickle at first")
 		})
 	}
 }
--- a/pkg/forward/stream.go
+++ b/pkg/forward/stream.go
@@ -51,8 +51,8 @@
 	}
 }
 
-// dataReceived restarts the timer for the next event, or stops it if pauses are not limited.
-func (t *dataTimer) dataReceived() {
+// eventReceived restarts the timer for the next event, or stops it if pauses are not limited.
+func (t *dataTimer) eventReceived() {
 	switch {
 	case t.timer == nil:
 	case t.pause > 0:
@@ -130,13 +130,15 @@
 		n, err := resp.Body.Read(buffered[len(buffered):cap(buffered)])
 		buffered = buffered[:len(buffered)+n]
 		if n > 0 {
-			timer.dataReceived()
 			x.options.FailedRuns.Alive(u.ID, x.attemptStarted)
 			at, before := time.Now(), x.lastEvent
 			rest, err := x.relayEvents(u, resp, buffered)
 			if err != nil {
 				return err
 			}
+			if len(rest) < len(buffered) { // Bytes of an event that is never completed are no progress.
+				timer.eventReceived()
+			}
 			if wroteBefore && x.lastEvent > before || x.lastEvent > before+1 {
 				x.partsSurvived()
 			}
