--- a/pkg/listjob/fakes_test.go
+++ b/pkg/listjob/fakes_test.go
@@ -52,8 +52,9 @@
 	fail func(id string, run int) int
 	// version is the software version of the engine, which its events name if it is set.
 	version string
-	// breakAt is the event in the middle of which the first run of each item breaks off, or 0.
-	breakAt int
+	// breakAt is the event in the middle of which the first run of each item breaks off, or 0. stallAt is the one in the middle
+	// of which it stalls, but for a byte every 100 ms.
+	breakAt, stallAt int
 }
 
 func newEngine(t *testing.T, events int, interval time.Duration) *engine {
@@ -88,6 +89,15 @@
 			w.(http.Flusher).Flush()
 			panic(http.ErrAbortHandler)
 		}
+		if e.stallAt > 0 && n == e.stallAt && run == 1 {
+			fmt.Fprintf(w, "id: %d\ndata: ", n)
+			for r.Context().Err() == nil {
+				fmt.Fprint(w, "x")
+				w.(http.Flusher).Flush()
+				time.Sleep(100 * time.Millisecond)
+			}
+			return
+		}
 		fmt.Fprintf(w, "id: %d\ndata: %s-%d%s\n\n", n, id, n, e.version)
 		w.(http.Flusher).Flush()
 		select {
--- a/pkg/listjob/length.go
+++ b/pkg/listjob/length.go
@@ -85,13 +85,10 @@
 }
 
 // pace returns the time that a run on a service takes for each event.
-func (l *lengthModel) pace(service *routing.Service) time.Duration {
-	if service == nil {
-		return defaultEventInterval
-	}
+func (l *lengthModel) pace(service string) time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if known := l.byService[service.Name]; known != nil {
+	if known := l.byService[service]; known != nil {
 		return known.pace
 	}
 	return defaultEventInterval
@@ -144,5 +141,9 @@
 
 // remainingTime estimates how long the rest of an item's run takes.
 func (c *Controller) remainingTime(it *item, service *routing.Service) time.Duration {
-	return time.Duration(max(1, c.lengths.estimateEvents(service, it.Tokens)-int(it.lines.Load()))) * c.lengths.pace(service)
+	pace := defaultEventInterval
+	if service != nil {
+		pace = c.lengths.pace(service.Name)
+	}
+	return time.Duration(max(1, c.lengths.estimateEvents(service, it.Tokens)-int(it.lines.Load()))) * pace
 }
--- a/pkg/listjob/listjob_test.go
+++ b/pkg/listjob/listjob_test.go
@@ -16,6 +16,27 @@
 	"trefoilplank.example/pkg/decision/failedruns"
 )
 
+// Guards against runs that stall but never end, because a byte arrives now and then.
+func TestStalledRunWithBytesNowAndThenEnds(t *testing.T) {
+	s, net, e := memstore.New(), newNetwork(), newEngine(t, 12, time.Millisecond)
+	e.stallAt = 7
+	a := net.addNode(t, s, e, "a")
+	assert.NilError(t, a.Accept(context.Background(), submission("j", 2)))
+	checkResults(t, e, readAll(t, a.Controller, "j", 10*time.Second))
+}
+
+// Guards against runs of a slow but sound engine that are cut again and again: each cut costs a pause, a place in a queue and
+// the reading of the prompt.
+func TestRunsOfSlowEngineAreNotCut(t *testing.T) {
+	s, net, e := memstore.New(), newNetwork(), newEngine(t, 8, time.Second)
+	a := net.addNode(t, s, e, "a")
+	assert.NilError(t, a.Accept(context.Background(), submission("j", 1)))
+	checkResults(t, e, readAll(t, a.Controller, "j", 30*time.Second))
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	assert.Assert(t, e.runs["j-item0"] <= 2, "%d runs", e.runs["j-item0"])
+}
+
 // Guards against results that lack events, are listed twice or differ between nodes.
 func TestJobRunsOnceAndReadsTheSameEverywhere(t *testing.T) {
 	s, net, e := memstore.New(), newNetwork(), newEngine(t, 20, time.Millisecond)
