--- a/pkg/controller/fleet/fleet.go
+++ b/pkg/controller/fleet/fleet.go
@@ -194,13 +194,19 @@
 	return !f.unresponsive[name] || now.Sub(f.reportedAt) > hubReportMaxAge
 }
 
-// ViewMayDiffer reports whether some nodes may have a different view of the fleet: no hub report came lately, or a node
-// is unresponsive or suspected. In that case another node may have taken over what this one owns.
+// dividedPart is the part of the members that are unresponsive from which on the fleet may be divided: a hub on the other side
+// declares nodes lost only if half of them report to it. Single nodes of a large deployment are lost at any time.
+const dividedPart = 0.1
+
+// ViewMayDiffer reports whether some nodes may have a different view of the fleet: no hub report came lately, the hub is
+// suspected, or so many nodes are unresponsive that the fleet may be divided. In that case another node may have taken over
+// what this one owns.
 func (f *Fleet) ViewMayDiffer() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := time.Now()
-	if now.Sub(f.reportedAt) > hubReportFresh || len(f.unresponsive) > 0 {
+	divided := len(f.unresponsive) > 0 && float64(len(f.unresponsive)) >= dividedPart*float64(len(f.members))
+	if now.Sub(f.reportedAt) > hubReportFresh || divided {
 		return true
 	}
 	for _, until := range f.suspects {
--- a/pkg/controller/fleet/fleet_test.go
+++ b/pkg/controller/fleet/fleet_test.go
@@ -141,3 +141,28 @@
 	<-kept
 	assert.Equal(t, len(handleStored(t, b, s)), 1)
 }
+
+// Guards against reading the logs of all jobs again and again because one node of hundreds is lost, and against trusting this
+// node's memory while the fleet may be divided.
+func TestLostNodeOfManyDoesNotDivideTheFleet(t *testing.T) {
+	entries := func(n int) (names []string, objects map[string]store.Object) {
+		objects = map[string]store.Object{}
+		for i := range n {
+			name := fmt.Sprint("n", i)
+			names = append(names, name)
+			objects[Prefix+name] = store.Object{Key: Prefix + name, Value: fmt.Appendf(nil, `{"name":%q,"incarnation":1}`, name)}
+		}
+		return names, objects
+	}
+	for _, c := range []struct {
+		nodes, lost int
+		may         bool
+	}{{300, 0, false}, {300, 5, false}, {300, 30, true}, {10, 0, false}, {10, 1, true}} {
+		f := New(nil, Member{Name: "n0", Incarnation: 1}, &eventlog.Log{})
+		assert.Assert(t, f.ViewMayDiffer(), "no report of a hub yet")
+		names, objects := entries(c.nodes)
+		f.SetRegistered(objects)
+		f.SetHubReport(names[c.nodes-c.lost:], nil)
+		assert.Equal(t, f.ViewMayDiffer(), c.may, "%d of %d lost", c.lost, c.nodes)
+	}
+}
--- a/pkg/controller/mirror/mirror.go
+++ b/pkg/controller/mirror/mirror.go
@@ -194,6 +194,8 @@
 	// itself. It allows for a renewed watch there. Together with the timeout of an unresponsive watch it must stay
 	// below two seconds.
 	uncoveredMax = 350 * time.Millisecond
+	// uncoveredAtStart is the same for a node that has no copy yet: when a deployment starts, its hub reads the store first.
+	uncoveredAtStart = time.Second
 )
 
 // WatchStore makes this node watch the store itself.
@@ -213,7 +215,11 @@
 	} else if m.uncoveredSince.IsZero() {
 		m.uncoveredSince = time.Now()
 	}
-	waiting := !covered && m.followed != "" && time.Since(m.uncoveredSince) < uncoveredMax
+	limit := uncoveredMax
+	if m.followed == undecided {
+		limit = uncoveredAtStart
+	}
+	waiting := !covered && m.followed != "" && time.Since(m.uncoveredSince) < limit
 	m.mu.Unlock()
 	switch {
 	case covered:
--- a/pkg/edge/node.go
+++ b/pkg/edge/node.go
@@ -131,8 +131,6 @@
 	draining atomic.Bool
 	// retiring are the nodes on VMs to be emptied, as this node last read them from the store.
 	retiring atomic.Pointer[[]string]
-	// hubSince is when this node first was the hub. It is used by one exchange at a time.
-	hubSince time.Time
 	// drainEnd is when the current drain ends, or nil.
 	drainEnd       atomic.Pointer[time.Time]
 	active         atomic.Int64
@@ -247,21 +245,12 @@
 // one watch per node.
 func (n *Node) followHub(hub string, revisions map[string]int64) {
 	if hub == n.settings.Name {
-		if n.hubSince.IsZero() {
-			n.hubSince = time.Now()
-		}
-		if time.Since(n.hubSince) >= settleTime {
-			n.mirror.WatchStore(context.Background())
-		}
+		n.mirror.WatchStore(context.Background())
 		return
 	}
 	n.mirror.FollowNode(context.Background(), hub, revisions)
 }
 
-// settleTime is how long after a node became the hub for the first time it watches the store: while a deployment starts, many
-// nodes know so few others that they take themselves for the hub.
-const settleTime = 400 * time.Millisecond
-
 // handleIntroduction reads the copies of a hub that introduced itself, if this node could not learn the other nodes
 // from the store.
 func (n *Node) handleIntroduction(hub fleet.Member) {
--- a/pkg/listjob/read.go
+++ b/pkg/listjob/read.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"trefoilplank.example/pkg/adapter/store"
 	"trefoilplank.example/pkg/wait"
 )
 
@@ -24,19 +25,26 @@
 			return l, nil
 		}
 	}
-	until := time.Now().Add(maxWait)
-	jobOwner, _, err := c.ownerOf(ctx, id)
-	if err != nil {
-		return Listing{}, err
-	}
-	if jobOwner.Node != c.self().Node && c.options.Fleet.Alive(jobOwner.Node, jobOwner.Incarnation) {
-		var reply ReadReply
-		err := c.callOwner(ctx, jobOwner, id, "Jobs.Read", ReadArgs{ID: id, After: after, Wait: maxWait}, maxWait, &reply)
-		if err == nil && reply.Found {
-			return reply.Listing, nil
+	for until := time.Now().Add(maxWait); ; {
+		jobOwner, h, err := c.ownerOf(ctx, id)
+		if err != nil {
+			return Listing{}, err
+		}
+		if jobOwner.Node != c.self().Node && c.options.Fleet.Alive(jobOwner.Node, jobOwner.Incarnation) {
+			left := max(0, time.Until(until))
+			var reply ReadReply
+			err := c.callOwner(ctx, jobOwner, id, "Jobs.Read", ReadArgs{ID: id, After: after, Wait: left}, left, &reply)
+			if err == nil && reply.Found {
+				return reply.Listing, nil
+			}
+		}
+		l, complete, err := c.readStore(ctx, id, h, after)
+		if err != nil || complete || len(l.Results) > 0 || time.Until(until) < readPoll || ctx.Err() != nil {
+			return l, err
 		}
+		// Another node may have taken the job over meanwhile, and answers from memory.
+		_ = wait.Sleep(ctx, readPoll)
 	}
-	return c.readStore(ctx, id, after, until)
 }
 
 // callOwner calls a job's owner. If that node does not answer or does not own the job, callOwner drops it as the
@@ -121,23 +129,19 @@
 	}
 }
 
-// readStore reads the log from the store, for a job whose owner can't be reached.
-func (c *Controller) readStore(ctx context.Context, id string, after int, until time.Time) (Listing, error) {
-	for {
-		h, _, err := c.readHead(ctx, id)
-		if err != nil {
-			return Listing{}, err
-		}
-		results, _, err := c.readLog(ctx, id)
-		if err != nil {
-			return Listing{}, err
-		}
-		l := Listing{Total: h.Total, Results: page(results, after)}
-		if len(l.Results) > 0 || h.Ended || len(results) >= h.Total || time.Until(until) < readPoll || ctx.Err() != nil {
-			return l, nil
+// readStore reads the log from the store, for a job whose owner can't be reached. h is the job's head if it was just read.
+// complete is set if no further results are expected.
+func (c *Controller) readStore(ctx context.Context, id string, h head, after int) (l Listing, complete bool, err error) {
+	if h.ID == "" {
+		if h, _, err = c.readHead(ctx, id); err != nil {
+			return Listing{}, false, err
 		}
-		_ = wait.Sleep(ctx, readPoll)
 	}
+	results, _, err := c.readLog(ctx, id)
+	if err != nil {
+		return Listing{}, false, err
+	}
+	return Listing{Total: h.Total, Results: page(results, after)}, h.Ended || len(results) >= h.Total, nil
 }
 
 // Body returns the body of an item, from the job's owner or from the store.
@@ -191,10 +195,12 @@
 		Incarnation, Revision int64
 		Ended                 bool
 	}
-	// AdoptArgs asks a node to take over a job.
+	// AdoptArgs asks a node to take over a job. Head is the stored head at Revision, if the caller has read it.
 	AdoptArgs struct {
 		ID       string
 		Partials []Partial
+		Head     []byte
+		Revision int64
 	}
 	// ReadArgs asks a job's owner for results.
 	ReadArgs struct {
@@ -245,7 +251,11 @@
 // Adopt takes over a job from a node that is stopping.
 func (r *Receiver) Adopt(args AdoptArgs, reply *Nothing) error {
 	reply.Done = true
-	return r.c.adopt(context.Background(), args.ID, args.Partials)
+	var known *sweptHead
+	if h, err := decodeHead(store.Object{Key: headKind + args.ID, Value: args.Head}); err == nil {
+		known = &sweptHead{h, args.Revision}
+	}
+	return r.c.adoptFrom(context.Background(), args.ID, known, args.Partials)
 }
 
 // Read returns results of a job that this node owns.
--- a/pkg/listjob/sweep.go
+++ b/pkg/listjob/sweep.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"math/rand/v2"
 	"time"
 
@@ -117,9 +118,10 @@
 	}
 }
 
+// sweptHead is a head as a sweep read it.
 type sweptHead struct {
-	head
-	revision int64
+	Head     head
+	Revision int64
 }
 
 // checkHead compares a stored head with this node's state, and takes the job over if its owner is gone.
@@ -138,12 +140,12 @@
 	if c.isStopping() || !certain && (!c.options.Fleet.MayDeclareLost() || c.successor(h.ID) != self.Node) {
 		return
 	}
-	go c.adoptOrphan(ctx, h.ID)
+	go c.adoptOrphan(ctx, sweptHead{h, revision})
 }
 
 // adoptOrphan takes over a job; the next sweep repeats an attempt that fails.
-func (c *Controller) adoptOrphan(ctx context.Context, id string) {
-	_ = c.adopt(context.WithoutCancel(ctx), id, nil) // adopt logs its errors.
+func (c *Controller) adoptOrphan(ctx context.Context, h sweptHead) {
+	_ = c.adoptFrom(context.WithoutCancel(ctx), h.Head.ID, &h, nil) // adoptFrom logs its errors.
 }
 
 // orphaned reports whether a job must be taken over: its owner is gone, and it must be run or read.
@@ -182,9 +184,9 @@
 	c.swept = make(map[string]Owned, len(heads))
 	changes := map[string][]Owned{}
 	for _, h := range heads {
-		now := Owned{ID: h.ID, Owner: h.Owner, Incarnation: h.Incarnation, Revision: h.revision, Ended: h.Ended}
-		c.swept[h.ID] = now
-		before, known := previous[h.ID]
+		now := Owned{ID: h.Head.ID, Owner: h.Head.Owner, Incarnation: h.Head.Incarnation, Revision: h.Revision, Ended: h.Head.Ended}
+		c.swept[now.ID] = now
+		before, known := previous[now.ID]
 		if known && before.Owner != now.Owner && before.Owner != self {
 			changes[before.Owner] = append(changes[before.Owner], now)
 		}
@@ -192,8 +194,8 @@
 		if (previous == nil || known && now.Ended && !before.Ended) && now.Owner != self && c.options.Fleet.Alive(now.Owner, now.Incarnation) {
 			changes[now.Owner] = append(changes[now.Owner], now)
 		}
-		if c.orphaned(h.head) && c.options.Fleet.MayDeclareLost() {
-			c.handToSuccessor(ctx, h.head)
+		if c.orphaned(h.Head) && c.options.Fleet.MayDeclareLost() {
+			c.handToSuccessor(ctx, h)
 		}
 	}
 	for node, list := range changes {
@@ -203,15 +205,19 @@
 
 // handToSuccessor asks the node that should take over an orphaned job to do so: the one that the owner's process ran on, if it
 // was restarted, or the first one in rank that is not stopping.
-func (c *Controller) handToSuccessor(ctx context.Context, h head) {
-	to := h.Owner
+func (c *Controller) handToSuccessor(ctx context.Context, h sweptHead) {
+	to := h.Head.Owner
 	if !c.options.Fleet.Alive(to, 0) {
-		to = c.successor(h.ID)
+		to = c.successor(h.Head.ID)
 	}
 	if to == "" || to == c.self().Node {
 		return // checkHead has done it.
 	}
-	go c.callSwept(ctx, to, "Jobs.Adopt", AdoptArgs{ID: h.ID})
+	value, err := json.Marshal(h.Head)
+	if err != nil {
+		c.options.Log.Notice("job head can't be encoded", "job", h.Head.ID, "error", err)
+	}
+	go c.callSwept(ctx, to, "Jobs.Adopt", AdoptArgs{ID: h.Head.ID, Head: value, Revision: h.Revision})
 }
 
 // callSwept makes a call of the hub's sweep.
--- a/pkg/listjob/takeover.go
+++ b/pkg/listjob/takeover.go
@@ -41,6 +41,11 @@
 // adopt takes over a job: it writes the new owner into the head, reads the log and the items, and continues the job
 // from there.
 func (c *Controller) adopt(ctx context.Context, id string, partials []Partial) error {
+	return c.adoptFrom(ctx, id, nil, partials)
+}
+
+// adoptFrom is adopt with the job's head, if a sweep has read it.
+func (c *Controller) adoptFrom(ctx context.Context, id string, known *sweptHead, partials []Partial) error {
 	ctx, cancel := context.WithTimeout(ctx, adoptTimeout)
 	defer cancel()
 	c.mu.Lock()
@@ -60,7 +65,7 @@
 		delete(c.adopting, id)
 		c.mu.Unlock()
 	}()
-	j, previous, err := c.takeOwnership(ctx, id)
+	j, previous, err := c.takeOwnership(ctx, id, known)
 	if err != nil {
 		c.options.Log.Notice("job could not be taken over", "job", id, "error", err)
 		return err
@@ -103,10 +108,15 @@
 	return done
 }
 
-// takeOwnership makes this node the owner of a job and reads the job from the store. It also returns the previous owner.
-func (c *Controller) takeOwnership(ctx context.Context, id string) (*job, owner, error) {
-	h, revision, err := c.readHead(ctx, id)
-	if err != nil {
+// takeOwnership makes this node the owner of a job and reads the job from the store. It also returns the previous owner. A
+// known head may be stale; the write of the owner fails then.
+func (c *Controller) takeOwnership(ctx context.Context, id string, known *sweptHead) (*job, owner, error) {
+	var h head
+	var revision int64
+	var err error
+	if known != nil {
+		h, revision = known.Head, known.Revision
+	} else if h, revision, err = c.readHead(ctx, id); err != nil {
 		return nil, owner{}, err
 	}
 	previous := owner{h.Owner, h.Incarnation}
