Run jobs whose heads were written without an answer

Cause: the store carried out the create of a head whose answer was lost, or whose caller had left; the job was submitted again and confirmed elsewhere, but its owner, alive, did not know of it. A job whose head is being created is left alone meanwhile.

--- a/pkg/listjob/accept.go
+++ b/pkg/listjob/accept.go
@@ -183,6 +183,28 @@
 		}
 		values = append(values, value)
 	}
+	c.setCreating(s.ID, true)
+	err := c.createStored(ctx, s, values)
+	c.setCreating(s.ID, false)
+	if errors.Is(err, ErrUnknown) && c.waitingLimit(s.Host, s.Path) == 0 {
+		go c.followUp(ctx, s.ID)
+	}
+	return err
+}
+
+// setCreating records whether the head of a job is being created.
+func (c *Controller) setCreating(id string, creating bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if creating {
+		c.creating[id] = true
+	} else {
+		delete(c.creating, id)
+	}
+}
+
+// createStored stores a job whose items are encoded as values.
+func (c *Controller) createStored(ctx context.Context, s Submission, values [][]byte) error {
 	self := c.self()
 	h := head{
 		ID: s.ID, Host: s.Host, Path: s.Path, Total: len(s.Items), Chunks: len(values), Submitted: time.Now().UTC(),
--- a/pkg/listjob/controller.go
+++ b/pkg/listjob/controller.go
@@ -85,6 +85,10 @@
 	lastRefusals map[string]lastRefusal
 	// swept is what the last sweep of this node as the hub found, by job. It is used by sweepLoop only.
 	swept map[string]Owned
+	// sweeps counts them.
+	sweeps int
+	// creating holds the jobs whose heads are being created.
+	creating map[string]bool
 	// wake makes schedule look for items to start at once.
 	wake    chan struct{}
 	lengths *lengthModel
@@ -96,7 +100,7 @@
 func New(o Options) *Controller {
 	return &Controller{
 		options: o, jobs: map[string]*job{}, knownOwners: map[string]owner{}, adopting: map[string]bool{}, undecided: map[string]chan struct{}{},
-		withdrawing: map[string]bool{}, lastRefusals: map[string]lastRefusal{}, wake: make(chan struct{}, 1),
+		creating: map[string]bool{}, withdrawing: map[string]bool{}, lastRefusals: map[string]lastRefusal{}, wake: make(chan struct{}, 1),
 		lengths: newLengthModel(),
 	}
 }
--- a/pkg/listjob/read.go
+++ b/pkg/listjob/read.go
@@ -255,7 +255,11 @@
 	if h, err := decodeHead(store.Object{Key: headKind + args.ID, Value: args.Head}); err == nil {
 		known = &sweptHead{h, args.Revision}
 	}
-	return r.c.adoptFrom(context.Background(), args.ID, known, args.Partials)
+	err := r.c.adoptFrom(context.Background(), args.ID, known, args.Partials)
+	if err != nil && known != nil {
+		go r.c.followUp(context.Background(), args.ID)
+	}
+	return err
 }
 
 // Read returns results of a job that this node owns.
--- a/pkg/listjob/sweep.go
+++ b/pkg/listjob/sweep.go
@@ -25,6 +25,11 @@
 	uncoveredTime = 1500 * time.Millisecond
 	// sweepCallTimeout limits a call of the hub to an owner or a successor. A takeover goes on after it.
 	sweepCallTimeout = time.Second
+	// retellSweeps is the number of the hub's sweeps after which it tells all owners again which jobs are theirs.
+	retellSweeps = 5
+	// followUpInterval is the time between checks of a job whose head this node may have written, and followUpTime the time
+	// after which these checks end: a write without an answer may be carried out seconds later.
+	followUpInterval, followUpTime = time.Second, 15 * time.Second
 	// checkInterval is the time between two checks whether this node must sweep.
 	checkInterval = 100 * time.Millisecond
 )
@@ -145,7 +150,9 @@
 
 // adoptOrphan takes over a job; the next sweep repeats an attempt that fails.
 func (c *Controller) adoptOrphan(ctx context.Context, h sweptHead) {
-	_ = c.adoptFrom(context.WithoutCancel(ctx), h.Head.ID, &h, nil) // adoptFrom logs its errors.
+	if c.adoptFrom(context.WithoutCancel(ctx), h.Head.ID, &h, nil) != nil { // adoptFrom logs its errors.
+		c.followUp(ctx, h.Head.ID)
+	}
 }
 
 // orphaned reports whether a job must be taken over: its owner is gone, and it must be run or read.
@@ -159,16 +166,20 @@
 	return c.stopping
 }
 
-// compareOwned compares what the store says of a job with this node's state of it, if it has one.
+// compareOwned compares what the store says of a job with this node's state of it. A job that is this node's, but does not run
+// here, is taken over: the write that made this node its owner got no answer.
 func (c *Controller) compareOwned(stored Owned) {
+	to := owner{stored.Owner, stored.Incarnation}
 	j := c.ownedJob(stored.ID)
 	if j == nil {
+		if to == c.self() && !c.isStopping() {
+			go func() { _ = c.adopt(context.Background(), stored.ID, nil) }() // adopt logs its errors.
+		}
 		return
 	}
 	j.mu.Lock()
 	newer := stored.Revision > j.revision
 	j.mu.Unlock()
-	to := owner{stored.Owner, stored.Incarnation}
 	switch {
 	case newer && to != c.self():
 		c.relinquish(j, to)
@@ -181,6 +192,8 @@
 func (c *Controller) sweepForOthers(ctx context.Context, heads []sweptHead) {
 	self := c.self().Node
 	previous := c.swept
+	c.sweeps++
+	retell := previous == nil || c.sweeps%retellSweeps == 0
 	c.swept = make(map[string]Owned, len(heads))
 	changes := map[string][]Owned{}
 	for _, h := range heads {
@@ -190,8 +203,8 @@
 		if known && before.Owner != now.Owner && before.Owner != self {
 			changes[before.Owner] = append(changes[before.Owner], now)
 		}
-		// A hub that has just begun does not know what owners missed before.
-		if (previous == nil || known && now.Ended && !before.Ended) && now.Owner != self && c.options.Fleet.Alive(now.Owner, now.Incarnation) {
+		readable := time.Since(h.Head.Submitted) <= c.options.Readable && !h.Head.Refused
+		if (retell && readable || known && now.Ended && !before.Ended) && now.Owner != self && c.options.Fleet.Alive(now.Owner, now.Incarnation) {
 			changes[now.Owner] = append(changes[now.Owner], now)
 		}
 		if c.orphaned(h.Head) && c.options.Fleet.MayDeclareLost() {
@@ -240,6 +253,25 @@
 	return nil
 }
 
+// followUp takes a job over whose head this node may have written, without an answer of the store, as its owner.
+func (c *Controller) followUp(ctx context.Context, id string) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), followUpTime)
+	defer cancel()
+	for {
+		_ = wait.Sleep(ctx, followUpInterval+rand.N(followUpInterval/2))
+		if ctx.Err() != nil || c.ownedJob(id) != nil || c.isStopping() {
+			return
+		}
+		h, revision, err := c.readHead(ctx, id)
+		if err != nil {
+			continue // Not stored yet, or the store is unavailable.
+		}
+		if (owner{h.Owner, h.Incarnation}) != c.self() || c.adoptFrom(ctx, id, &sweptHead{h, revision}, nil) == nil {
+			return
+		}
+	}
+}
+
 // successor returns the node that should take over an orphaned job.
 func (c *Controller) successor(id string) string {
 	if ranked := rendezvous.Ranked(id, c.options.Fleet.Weights()); len(ranked) > 0 {
--- a/pkg/listjob/sweep_test.go
+++ b/pkg/listjob/sweep_test.go
@@ -149,3 +149,19 @@
 		t.Errorf("%d sweeps as the hub", n)
 	}
 }
+
+// Guards against a job that nobody runs although it was confirmed: the store carried out the write of its head without an
+// answer, the sender submitted it again at another node, and the node in the head, which is alive, does not know that the
+// job is its own.
+func TestJobWhoseHeadGotNoAnswerIsRun(t *testing.T) {
+	s := &faultyStore{Store: memstore.New()}
+	e := newEngine(t, 3, time.Millisecond)
+	_, nodes := largeFleet(t, s, e)
+	s.withLock(func() { s.seen, s.loseFirst = map[string]bool{chunkKey("k", 0): true}, true })
+	ctx, cancel := context.WithTimeout(context.Background(), hedgeAfter/2) // The sender leaves before the second write.
+	defer cancel()
+	assert.ErrorIs(t, nodes[7].Accept(ctx, submission("k", 2)), ErrUnknown)
+	s.withLock(func() { s.loseFirst = false })
+	assert.NilError(t, nodes[9].Accept(context.Background(), submission("k", 2)))
+	checkResults(t, e, readAll(t, nodes[12].Controller, "k", 10*time.Second))
+}
--- a/pkg/listjob/takeover.go
+++ b/pkg/listjob/takeover.go
@@ -49,7 +49,7 @@
 	ctx, cancel := context.WithTimeout(ctx, adoptTimeout)
 	defer cancel()
 	c.mu.Lock()
-	busy, stopping := c.adopting[id] || c.jobs[id] != nil || c.undecided[id] != nil, c.stopping
+	busy, stopping := c.adopting[id] || c.jobs[id] != nil || c.undecided[id] != nil || c.creating[id], c.stopping
 	if !busy && !stopping {
 		c.adopting[id] = true
 	}
@@ -68,6 +68,9 @@
 	j, previous, err := c.takeOwnership(ctx, id, known)
 	if err != nil {
 		c.options.Log.Notice("job could not be taken over", "job", id, "error", err)
+		if known == nil { // Otherwise the next sweep or check repeats the attempt.
+			go c.followUp(ctx, id)
+		}
 		return err
 	}
 	c.observeListed(j)
