Leave a stream that has begun where it is if no other upstream has room

Cause: a resumable stream whose upstream paused for half of the pause objective was cancelled before anything was known of another upstream; if all were full, the stream was cut in the middle although its upstream was sound. Change: the limit cancels a stream that has begun only if another upstream has a free slot; otherwise it is checked again after the next pause. Result: TestSlowStreamIsNotCutWithoutAnotherUpstream failed first (broken off).

--- a/pkg/controller/placer/placer.go
+++ b/pkg/controller/placer/placer.go
@@ -214,6 +214,13 @@
 	return choice
 }
 
+// HasFreeSlot reports whether an upstream has a free slot for a request, as far as this node knows.
+func (p *Placer) HasFreeSlot(request dispatch.OnlineRequest) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.state.HasFreeSlot(request, time.Now())
+}
+
 // EndOnline records the end of an online run that PlaceOnline admitted.
 func (p *Placer) EndOnline(upstream string) {
 	p.mu.Lock()
--- a/pkg/decision/dispatch/dispatch.go
+++ b/pkg/decision/dispatch/dispatch.go
@@ -351,6 +351,14 @@
 	return choice
 }
 
+// HasFreeSlot reports whether an upstream that the request may be sent to has a free slot.
+func (s *State) HasFreeSlot(request OnlineRequest, now time.Time) bool {
+	return slices.ContainsFunc(s.candidates(s.serviceState(request.Service), request.filter(), now), func(u *upstream) bool {
+		l := s.load(u, now)
+		return !now.Before(u.ejectedUntil) && l.Online+l.Batch < u.Slots
+	})
+}
+
 // chooseIdle sends the request to an upstream that runs nothing, and refuses it if there is none.
 func (s *State) chooseIdle(choice Choice, request OnlineRequest, candidates []*upstream, now time.Time, rng *rand.Rand) Choice {
 	idle := slices.DeleteFunc(candidates, func(u *upstream) bool { return s.load(u, now) != Load{} })
--- a/pkg/forward/forward_test.go
+++ b/pkg/forward/forward_test.go
@@ -278,3 +278,21 @@
 		})
 	}
 }
+
+// Guards against cutting a slow but sound stream that no other upstream can take: on a day with long prompts and full engines two
+// streams were cut in the middle for a pause of a quarter of a second.
+func TestSlowStreamIsNotCutWithoutAnotherUpstream(t *testing.T) {
+	slow := func(_ *fixture, w http.ResponseWriter, r *http.Request) {
+		for n := range 10 {
+			stream(w, r, n+1)
+			r.Header.Set(testHeaders.LastEventID, strconv.Itoa(n))
+			time.Sleep(180 * time.Millisecond)
+		}
+	}
+	f := newFixture(t, slow)
+	resp, body, err := f.call(t, "/stream/a", "prompt")
+	assert.NilError(t, err)
+	assert.Equal(t, resp.StatusCode, http.StatusOK)
+	assert.Equal(t, body, allEvents())
+	assert.Equal(t, len(f.requests()), 1)
+}
--- a/pkg/forward/stream.go
+++ b/pkg/forward/stream.go
@@ -6,7 +6,9 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/zeebo/errs"
@@ -42,6 +44,8 @@
 type dataTimer struct {
 	timer *time.Timer
 	pause time.Duration
+	// begun is set with the first event.
+	begun atomic.Bool
 }
 
 // Stop stops the timer, so that it no longer cancels the attempt.
@@ -53,6 +57,7 @@
 
 // eventReceived restarts the timer for the next event, or stops it if pauses are not limited.
 func (t *dataTimer) eventReceived() {
+	t.begun.Store(true)
 	switch {
 	case t.timer == nil:
 	case t.pause > 0:
@@ -77,7 +82,13 @@
 	if x.route.Kind == routing.KindStream && x.route.PauseObjective > 0 {
 		t.pause = max(minDataTimeout, time.Duration(pauseFraction*float64(x.route.PauseObjective)))
 	}
+	others := dispatch.OnlineRequest{Service: x.service, Exclude: append(slices.Clone(x.tried), choice.Upstream.ID), Continues: x.version}
 	t.timer = time.AfterFunc(wait, func() {
+		// The upstream may be slow and sound. What it has sent is lost to the caller if no other one can go on.
+		if t.begun.Load() && !x.options.Placer.HasFreeSlot(others) {
+			t.timer.Reset(t.pause)
+			return
+		}
 		if x.takeTimeoutRetry() {
 			cancel(ErrUnresponsive)
 		}
