--- a/pkg/listjob/sweep.go
+++ b/pkg/listjob/sweep.go
@@ -15,18 +15,19 @@
 // and owners that missed a change of theirs, which it tells. A node reads the heads itself while no hub does.
 
 const (
-	// sweepInterval is the time between reads of all heads.
-	sweepInterval = 2 * time.Second
+	// sweepInterval is the time between reads of all heads by a node without a hub, and hubSweepInterval that of the hub: an
+	// owner that was not told of the end of its job must learn it within three seconds, and the list may be a second old.
+	sweepInterval, hubSweepInterval = 2 * time.Second, 700 * time.Millisecond
 	// The first firstSweeps reads of a hub are only firstSweepInterval apart: when all nodes were restarted, no node runs the
 	// open jobs, which would otherwise wait two seconds.
 	firstSweeps, firstSweepInterval = 5, 400 * time.Millisecond
 	// uncoveredTime is how long a node has no hub that sweeps before it reads the heads itself: longer than the change from a
 	// lost hub to the next one.
-	uncoveredTime = 1500 * time.Millisecond
+	uncoveredTime = time.Second
 	// sweepCallTimeout limits a call of the hub to an owner or a successor. A takeover goes on after it.
 	sweepCallTimeout = time.Second
 	// retellSweeps is the number of the hub's sweeps after which it tells all owners again which jobs are theirs.
-	retellSweeps = 5
+	retellSweeps = 10
 	// followUpInterval is the time between checks of a job whose head this node may have written, and followUpTime the time
 	// after which these checks end: a write without an answer may be carried out seconds later.
 	followUpInterval, followUpTime = time.Second, 15 * time.Second
@@ -68,6 +69,9 @@
 		return false
 	}
 	every := sweepInterval
+	if hub {
+		every = hubSweepInterval
+	}
 	if s.begun < firstSweeps {
 		every = firstSweepInterval
 	}
