Record which upstreams a node connects to and hears

Cause: logs and metrics could not tell a node that reaches no upstream from upstreams that are down: failures were only counted for each upstream. Change: the packages reach (pure) and uplink make the connections of forwarded requests, count connects and data, and log failed connects with the time since any upstream was heard, silence of all, and checks. The connections can be set with edge.WithUpstreamDialer. Tests of forward, listjob, edge and the controllers pass.

--- /dev/null
+++ b/pkg/controller/uplink/diagnose.go
@@ -0,0 +1,131 @@
+package uplink
+
+import (
+	"context"
+	"errors"
+	"syscall"
+	"time"
+)
+
+// Diagnosis is what a check of an upstream has shown.
+type Diagnosis string
+
+// Diagnoses.
+const (
+	// Reached means that this node connects to the upstream.
+	Reached Diagnosis = "reached"
+	// ReachedByOthers means that another node connects to the upstream and this one does not.
+	ReachedByOthers Diagnosis = "reached by others"
+	// Refused means that nothing listens at the upstream's address.
+	Refused Diagnosis = "refused"
+	// Unreachable means that neither this node nor another one that was asked can connect to the upstream.
+	Unreachable Diagnosis = "unreachable"
+)
+
+// diagnosis is a check in progress, or its result once done is closed.
+type diagnosis struct {
+	done   chan struct{}
+	result Diagnosis
+	at     time.Time
+}
+
+// Diagnose tries to connect to an upstream, directly and then through another node, and returns what that showed. Checks of
+// the same upstream at the same time are made once. If ctx ends before, it returns Unreachable.
+func (l *Links) Diagnose(ctx context.Context, address string) Diagnosis {
+	l.mu.Lock()
+	for a, d := range l.diagnoses {
+		if !d.at.IsZero() && time.Since(d.at) > diagnosisLifetime {
+			delete(l.diagnoses, a)
+		}
+	}
+	d := l.diagnoses[address]
+	if d == nil {
+		d = &diagnosis{done: make(chan struct{})}
+		l.diagnoses[address] = d
+		go l.diagnose(address, d)
+	}
+	l.mu.Unlock()
+	select {
+	case <-d.done:
+		return d.result
+	case <-ctx.Done():
+		return Unreachable
+	}
+}
+
+// diagnose makes one check.
+func (l *Links) diagnose(address string, d *diagnosis) {
+	begun := time.Now()
+	own := make(chan error, 1)
+	go func() {
+		conn, err := l.connect(context.Background(), "tcp", address)
+		if err == nil {
+			_ = conn.Close() // Nothing was sent.
+		}
+		own <- err
+	}()
+	var ownErr, otherErr error
+	timer := time.NewTimer(helperDelay)
+	defer timer.Stop()
+	ownEnded := false
+	select {
+	case ownErr = <-own:
+		ownEnded = true
+	case <-timer.C:
+	}
+	if !ownEnded || ownErr != nil {
+		otherErr = l.askOthers(address)
+	}
+	if !ownEnded {
+		ownErr = <-own
+	}
+	switch {
+	case ownErr == nil:
+		d.result = Reached
+	case otherErr == nil:
+		d.result = ReachedByOthers
+		l.reachedByOthers(address)
+	case errors.Is(otherErr, ErrRefused), errors.Is(ownErr, syscall.ECONNREFUSED) && errors.Is(otherErr, ErrNoHelper):
+		d.result = Refused
+	default:
+		d.result = Unreachable
+	}
+	l.options.Metrics.countDiagnosis(d.result)
+	l.options.Log.Routine("upstream checked", "upstream_address", address, "result", d.result, "own_error", ownErr, "other_error", otherErr,
+		"ms", time.Since(begun).Milliseconds())
+	l.mu.Lock()
+	d.at = time.Now()
+	l.mu.Unlock()
+	close(d.done)
+}
+
+// askOthers connects to an upstream through another node and closes the connection.
+func (l *Links) askOthers(address string) error {
+	ctx, cancel := context.WithTimeout(context.Background(), relayTimeout)
+	defer cancel()
+	conn, err := l.connectRelayed(ctx, address)
+	if err == nil {
+		_ = conn.Close() // Nothing was sent.
+	}
+	return err
+}
+
+// reachedByOthers records that another node connects to an upstream. If this node's connections to it fail, it is reached
+// through other nodes from now on.
+func (l *Links) reachedByOthers(address string) {
+	now := time.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	relayed := l.state.OthersReach(address, now)
+	if len(relayed) == 0 {
+		return
+	}
+	service := l.state.Service(address)
+	count, cutOff := l.state.Unreached()
+	l.options.Log.Notice("upstreams are reached through other nodes", "upstream_address", address, "service", service, "upstreams", len(relayed),
+		"all_upstreams", count, "no_other_upstreams", cutOff, "heard_ms", now.Sub(l.state.LastHeard(service)).Milliseconds())
+	for _, t := range l.transports {
+		t.CloseIdleConnections() // What is sent on them would hang, or break.
+	}
+	l.changed(relayed, false)
+}
--- /dev/null
+++ b/pkg/controller/uplink/transport.go
@@ -0,0 +1,99 @@
+package uplink
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"trefoilplank.example/pkg/decision/reach"
+)
+
+// Transport sends requests to upstreams over this node's connections or through another node, whichever works. It is for
+// requests whose bodies can be read although they were closed without having been read.
+type Transport struct {
+	links           *Links
+	direct, relayed *http.Transport
+}
+
+// Transport returns a transport with the settings of t, whose DialContext it sets.
+func (l *Links) Transport(t *http.Transport) *Transport {
+	relayed := t.Clone()
+	t.DialContext = l.connect
+	relayed.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := l.connectRelayed(ctx, address)
+		if err != nil {
+			return nil, &net.OpError{Op: "dial", Net: network, Err: err}
+		}
+		return conn, nil
+	}
+	// A relayed connection ends with its request, so that none is left in use when the node's own connections are back, and a
+	// node that drains relays nothing but requests in progress.
+	relayed.DisableKeepAlives = true
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.transports = append(l.transports, t)
+	return &Transport{l, t, relayed}
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
+	address := r.URL.Host
+	if t.links.path(address) == reach.Relayed {
+		return t.relayed.RoundTrip(r)
+	}
+	resp, err := t.direct.RoundTrip(r)
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" && r.Context().Err() == nil && t.links.reachedAfterFailure(r.Context(), address) {
+		return t.relayed.RoundTrip(r)
+	}
+	return resp, err
+}
+
+// reachedAfterFailure reports whether an upstream to which this node has just failed to connect is reached through another
+// node. Unless the node itself is suspected, the upstream probably is at fault; the others are then asked in the background.
+func (l *Links) reachedAfterFailure(ctx context.Context, address string) bool {
+	now := time.Now()
+	l.mu.Lock()
+	suspected := l.state.Suspected(l.state.Service(address), now)
+	check := l.state.Failing(address, now) && !l.state.Relayed(address)
+	l.mu.Unlock()
+	if l.options.Relay == nil || !check {
+		return l.Relayed(address)
+	}
+	asked := make(chan struct{})
+	go func() {
+		defer close(asked)
+		if l.askOthers(address) == nil {
+			l.reachedByOthers(address)
+		}
+	}()
+	if !suspected {
+		return false
+	}
+	select {
+	case <-asked:
+	case <-ctx.Done():
+	}
+	return l.Relayed(address)
+}
+
+// CloseIdleConnections closes the idle connections.
+func (t *Transport) CloseIdleConnections() {
+	t.direct.CloseIdleConnections()
+	t.relayed.CloseIdleConnections()
+}
+
+// Close closes the idle connections of a transport that is no longer used.
+func (t *Transport) Close() {
+	t.links.mu.Lock()
+	for n, known := range t.links.transports {
+		if known == t.direct {
+			t.links.transports = append(t.links.transports[:n], t.links.transports[n+1:]...)
+			break
+		}
+	}
+	t.links.mu.Unlock()
+	t.CloseIdleConnections()
+}
--- /dev/null
+++ b/pkg/controller/uplink/uplink.go
@@ -0,0 +1,277 @@
+// Package uplink connects a node to its upstreams: by connections of its own or, while these fail and those of other nodes do
+// not, by connections through another node.
+//
+// A relayed connection carries bytes only. The node at which a caller's request arrived goes on to decide on it, and the other
+// one just passes on what it receives, so that everything that holds for a request holds over a relayed connection too. A
+// connection is relayed once at most.
+package uplink
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/zeebo/errs"
+
+	"trefoilplank.example/pkg/adapter/dial"
+	"trefoilplank.example/pkg/decision/reach"
+	"trefoilplank.example/pkg/eventlog"
+)
+
+// Error is the class of the errors of this package.
+var Error = errs.Class("uplink")
+
+// Errors of connections that another node asked for; test with errors.Is. They are also what this node gets when it asks.
+var (
+	// ErrUnknownUpstream means that the node does not know an upstream at the address.
+	ErrUnknownUpstream = Error.New("no upstream at this address")
+	// ErrCutOff means that the node that was asked does not reach the upstream itself, and probably for a cause of its own.
+	ErrCutOff = Error.New("node does not reach the upstream itself")
+	// ErrBusy means that the node relays as many connections as it may.
+	ErrBusy = Error.New("node relays too many connections")
+	// ErrRefused and ErrUnreachable mean that the upstream refused the connection, or could not be reached, although the node
+	// reaches others.
+	ErrRefused     = Error.New("upstream refused the connection")
+	ErrUnreachable = Error.New("upstream can't be reached")
+	// ErrNoHelper means that no other node could be asked.
+	ErrNoHelper = Error.New("no other node connects to the upstream")
+)
+
+const (
+	// connectTimeout bounds a connection attempt of this node: upstreams are a few milliseconds away, and a VM without power
+	// does not answer.
+	connectTimeout = 300 * time.Millisecond
+	// relayTimeout bounds a connection attempt through one other node, which includes one of that node.
+	relayTimeout = connectTimeout + 200*time.Millisecond
+	// helperDelay is how long a check waits for a connection of this node before it asks another one too.
+	helperDelay = 60 * time.Millisecond
+	// maxHelpers is the number of other nodes that are asked for one connection.
+	maxHelpers = 3
+	// avoidTime is how long a node that could not help is passed over.
+	avoidTime = time.Second
+	// pollInterval is the time between two looks at the connections while data is awaited.
+	pollInterval = 100 * time.Millisecond
+	// diagnosisLifetime is how long the result of a check is used for further failures of the same upstream.
+	diagnosisLifetime = 100 * time.Millisecond
+	// maxRelayed is the number of connections that this node relays for others at a time. Each takes two descriptors, two
+	// goroutines and 24 KB of buffers.
+	maxRelayed = 256
+)
+
+// DialFunc connects to an address, as net.Dialer.DialContext does.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Options configures Links.
+type Options struct {
+	// Dial makes the connections of this node; nil selects a dialer that detects unreachable peers.
+	Dial DialFunc
+	// Helpers returns the other nodes that may connect to an upstream for this one, in the order in which they are asked.
+	Helpers func(address string) []string
+	// Relay connects to an upstream through another node; nil if there is none.
+	Relay func(ctx context.Context, node, address string) (net.Conn, error)
+	// Changed is called when upstreams are reached in another way than before; direct is set if it is by this node's own
+	// connections again.
+	Changed func(addresses []string, direct bool)
+	Log     *eventlog.Log
+	Metrics *Metrics
+}
+
+// Links holds a node's connections to its upstreams. It is safe for concurrent use.
+type Links struct {
+	options Options
+	// polling is set while a poll is scheduled.
+	polling atomic.Bool
+	// relayedForOthers counts the connections that this node relays.
+	relayedForOthers atomic.Int64
+	// traffic holds the *counters of each upstream by address.
+	traffic sync.Map
+
+	mu         sync.Mutex
+	state      *reach.State
+	avoid      map[string]time.Time
+	transports []*http.Transport
+	// diagnoses holds the checks in progress and those of the last diagnosisLifetime, by address.
+	diagnoses map[string]*diagnosis
+}
+
+// counters counts the writes to an upstream and the reads from it.
+type counters struct{ sent, received, seenSent, seenReceived atomic.Uint32 }
+
+// New returns Links without upstreams.
+func New(o Options) *Links {
+	if o.Dial == nil {
+		o.Dial = dial.Dialer(connectTimeout).DialContext
+	}
+	l := &Links{options: o, state: reach.New(), avoid: map[string]time.Time{}, diagnoses: map[string]*diagnosis{}}
+	o.Metrics.observeLinks(l)
+	return l
+}
+
+// SetUpstreams replaces the list of upstreams.
+func (l *Links) SetUpstreams(list []reach.Upstream) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.state.SetUpstreams(list, time.Now())
+	l.traffic.Range(func(address, _ any) bool {
+		if !l.state.Known(address.(string)) {
+			l.traffic.Delete(address)
+		}
+		return true
+	})
+}
+
+func (l *Links) counters(address string) *counters {
+	if c, ok := l.traffic.Load(address); ok {
+		return c.(*counters)
+	}
+	c, _ := l.traffic.LoadOrStore(address, &counters{})
+	return c.(*counters)
+}
+
+// connect makes a connection of this node to an upstream and records whether that succeeded.
+func (l *Links) connect(ctx context.Context, network, address string) (net.Conn, error) {
+	dialCtx, cancel := context.WithTimeout(ctx, connectTimeout)
+	defer cancel()
+	conn, err := l.options.Dial(dialCtx, network, address)
+	now := time.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch {
+	case err == nil:
+		l.options.Metrics.countConnect("ok")
+		if l.state.Connected(address, now) {
+			l.options.Log.Notice("upstream is reached directly again", "upstream_address", address)
+			l.changed([]string{address}, true)
+		}
+		return &countedConn{conn, l.counters(address)}, nil
+	case ctx.Err() != nil:
+		l.options.Metrics.countConnect("cancelled") // The end of a request says nothing about the connection.
+	default:
+		l.options.Metrics.countConnect("failed")
+		heard := l.state.LastHeard(l.state.Service(address))
+		l.state.ConnectFailed(address, now)
+		l.options.Log.Routine("connection to upstream failed", "upstream_address", address, "error", err,
+			"heard_ms", now.Sub(heard).Milliseconds(), "suspected", l.state.Suspected(l.state.Service(address), now))
+	}
+	return nil, err
+}
+
+// changed reports that upstreams are reached in another way; l.mu is held.
+func (l *Links) changed(addresses []string, direct bool) {
+	if l.options.Changed != nil {
+		go l.options.Changed(addresses, direct)
+	}
+}
+
+// countedConn counts the data on a connection of this node.
+type countedConn struct {
+	net.Conn
+	counters *counters
+}
+
+func (c *countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.counters.received.Add(1)
+	}
+	return n, err
+}
+
+func (c *countedConn) Write(p []byte) (int, error) {
+	c.counters.sent.Add(1)
+	return c.Conn.Write(p)
+}
+
+// watch schedules polls while data is awaited. It is called when a request is sent.
+func (l *Links) watch() {
+	if l.polling.CompareAndSwap(false, true) {
+		time.AfterFunc(pollInterval, l.poll)
+	}
+}
+
+// poll records what arrived and checks silent upstreams.
+func (l *Links) poll() {
+	activity := map[string]reach.Activity{}
+	l.traffic.Range(func(address, value any) bool {
+		c := value.(*counters)
+		sent, received := c.sent.Load(), c.received.Load()
+		a := reach.Activity{Sent: sent != c.seenSent.Swap(sent), Received: received != c.seenReceived.Swap(received)}
+		if a.Sent || a.Received {
+			activity[address.(string)] = a
+		}
+		return true
+	})
+	now := time.Now()
+	l.mu.Lock()
+	l.state.Poll(activity, now)
+	checks := l.state.SilentChecks(now)
+	waiting := l.state.Waiting()
+	l.mu.Unlock()
+	for _, address := range checks {
+		l.options.Log.Notice("upstreams owe answers and none is heard", "upstream_address", address)
+		go l.Diagnose(context.Background(), address)
+	}
+	if waiting || len(activity) > 0 {
+		time.AfterFunc(pollInterval, l.poll)
+		return
+	}
+	l.polling.Store(false)
+}
+
+// Relayed reports whether an upstream is reached through other nodes.
+func (l *Links) Relayed(address string) bool {
+	if l == nil {
+		return false
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.state.Relayed(address)
+}
+
+// Lost reports whether what this node has sent to an upstream over its own connections can't be answered any more.
+func (l *Links) Lost(address string) bool {
+	if l == nil {
+		return false
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.state.Lost(address)
+}
+
+// CutOff reports whether this node reaches no upstream of some service itself.
+func (l *Links) CutOff() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	_, cutOff := l.state.Unreached()
+	return cutOff
+}
+
+// unreached returns the number of upstreams that are reached through other nodes.
+func (l *Links) unreached() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n, _ := l.state.Unreached()
+	return n
+}
+
+// path returns how a request gets to an upstream, and starts a check of the node's own connection if one is due.
+func (l *Links) path(address string) reach.Path {
+	l.watch()
+	l.mu.Lock()
+	path, check := l.state.Path(address, time.Now())
+	l.mu.Unlock()
+	if check {
+		go l.check(address)
+	}
+	return path
+}
+
+// check tries to connect to an upstream directly.
+func (l *Links) check(address string) {
+	if conn, err := l.connect(context.Background(), "tcp", address); err == nil {
+		_ = conn.Close() // Nothing was sent.
+	}
+}
--- a/pkg/edge/node.go
+++ b/pkg/edge/node.go
@@ -27,8 +27,10 @@
 	"trefoilplank.example/pkg/controller/mirror"
 	"trefoilplank.example/pkg/controller/placer"
 	"trefoilplank.example/pkg/controller/streamversions"
+	"trefoilplank.example/pkg/controller/uplink"
 	"trefoilplank.example/pkg/decision/dispatch"
 	"trefoilplank.example/pkg/decision/quota"
+	"trefoilplank.example/pkg/decision/reach"
 	"trefoilplank.example/pkg/decision/rendezvous"
 	"trefoilplank.example/pkg/decision/routing"
 	"trefoilplank.example/pkg/eventlog"
@@ -121,6 +123,7 @@
 	placer        *placer.Placer
 	failedRuns    *failedruns.Controller
 	streams       *streamversions.Controller
+	links         *uplink.Links
 	client        *forward.Client
 	forwarder     *forward.Forwarder
 	jobs          *listjob.Controller
@@ -139,8 +142,22 @@
 	invalidEntries map[string]string
 }
 
+// Option changes how a node is created.
+type Option func(*options)
+
+type options struct{ dialUpstream uplink.DialFunc }
+
+// WithUpstreamDialer sets how the node connects to upstreams, in place of TCP connections that detect unreachable peers.
+func WithUpstreamDialer(d uplink.DialFunc) Option {
+	return func(o *options) { o.dialUpstream = d }
+}
+
 // New creates a node and opens its port for other nodes.
-func New(s Settings, p Platform, log *eventlog.Log) (*Node, error) {
+func New(s Settings, p Platform, log *eventlog.Log, changes ...Option) (*Node, error) {
+	var o options
+	for _, change := range changes {
+		change(&o)
+	}
 	limit := int64(s.MemoryMB) << 20
 	debug.SetMemoryLimit(int64(memoryFraction * float64(limit)))
 	debug.SetGCPercent(gcPercent)
@@ -158,7 +175,8 @@
 	}, log)
 	n.buildPeers()
 	n.placer = placer.New(s.AvailabilityZone, log)
-	n.client = forward.NewClient(p.HeaderNames(), n.placer.Announce)
+	n.links = uplink.New(uplink.Options{Dial: o.dialUpstream, Log: log, Metrics: uplink.NewMetrics(n.metrics)})
+	n.client = forward.NewClient(p.HeaderNames(), n.links, n.placer.Announce)
 	n.failedRuns = failedruns.New(failedruns.Options{
 		Node: s.Name, Incarnation: n.fleet.Self().Incarnation, Store: n.store, Peers: n.peers, Others: n.failedRunHolders, Owner: n.owner,
 		Exchange: func() { n.exchange.Request(context.Background()) }, Log: log, Metrics: failedruns.NewMetrics(n.metrics),
@@ -328,6 +346,11 @@
 	n.invalidEntries = seen
 	n.mu.Unlock()
 	n.streams.Observe(list)
+	reached := make([]reach.Upstream, 0, len(list))
+	for _, u := range list {
+		reached = append(reached, reach.Upstream{Address: u.Address, Service: u.Service, Incarnation: u.Incarnation})
+	}
+	n.links.SetUpstreams(reached)
 	n.failedRuns.UpstreamsEnded(n.placer.SetUpstreams(list))
 }
 
--- a/pkg/forward/client.go
+++ b/pkg/forward/client.go
@@ -21,6 +21,7 @@
 	"github.com/zeebo/xxh3"
 
 	"trefoilplank.example/pkg/adapter/dial"
+	"trefoilplank.example/pkg/controller/uplink"
 	"trefoilplank.example/pkg/decision/dispatch"
 	"trefoilplank.example/pkg/decision/failedruns"
 )
@@ -48,9 +49,6 @@
 )
 
 const (
-	// dialTimeout bounds a connection attempt: upstreams are a few milliseconds away, and a VM without power does not
-	// answer.
-	dialTimeout = 300 * time.Millisecond
 	// defaultIdleTimeout is how long an idle connection is kept to an upstream that sends no Keep-Alive timeout;
 	// maxIdleTimeout bounds the time for one that does.
 	defaultIdleTimeout, maxIdleTimeout = 3 * time.Second, 8 * time.Second
@@ -98,35 +96,39 @@
 // Client sends requests to upstreams. It never retries on its own.
 type Client struct {
 	headers HeaderNames
+	links   *uplink.Links
 	// announce receives what upstreams say of themselves in their answers.
 	announce func(dispatch.Upstream, dispatch.Announcement)
 	// pools holds the connections for repeatable requests, by service; onceTransport holds those for requests that may
 	// run only once.
 	mu            sync.Mutex
 	pools         map[string]*pool
-	onceTransport *http.Transport
+	onceTransport *uplink.Transport
 	// freshTransport keeps no connections. It is for the other requests without a body that net/http would resend on a kept
 	// connection: those with a method or a key by which they count as idempotent.
-	freshTransport *http.Transport
+	freshTransport *uplink.Transport
 }
 
 // pool holds the connections to the upstreams of a service.
 type pool struct {
-	transport   *http.Transport
+	transport   *uplink.Transport
 	idleTimeout time.Duration
 }
 
-// NewClient returns a client with its own connection pools. announce receives what upstreams say of themselves in their
-// answers.
-func NewClient(names HeaderNames, announce func(dispatch.Upstream, dispatch.Announcement)) *Client {
+// NewClient returns a client with its own connection pools, whose connections links makes. announce receives what upstreams
+// say of themselves in their answers.
+func NewClient(names HeaderNames, links *uplink.Links, announce func(dispatch.Upstream, dispatch.Announcement)) *Client {
 	fresh := newTransport(onceIdleTimeout)
 	fresh.DisableKeepAlives = true
-	return &Client{headers: names, announce: announce, pools: map[string]*pool{}, onceTransport: newTransport(onceIdleTimeout), freshTransport: fresh}
+	return &Client{
+		headers: names, links: links, announce: announce, pools: map[string]*pool{}, onceTransport: links.Transport(newTransport(onceIdleTimeout)),
+		freshTransport: links.Transport(fresh),
+	}
 }
 
 func newTransport(idleTimeout time.Duration) *http.Transport {
 	return &http.Transport{
-		DialContext: dial.Dialer(dialTimeout).DialContext, DisableCompression: true,
+		DisableCompression:  true,
 		MaxIdleConnsPerHost: maxIdlePerUpstream, IdleConnTimeout: idleTimeout,
 		ReadBufferSize: 4 << 10, WriteBufferSize: 4 << 10, MaxResponseHeaderBytes: dial.MaxResponseHeaderBytes,
 	}
@@ -134,7 +136,7 @@
 
 // transport returns the transport for requests to the upstreams of a service; all requests that may run only once share
 // one transport.
-func (c *Client) transport(service string, once bool) *http.Transport {
+func (c *Client) transport(service string, once bool) *uplink.Transport {
 	if once {
 		return c.onceTransport
 	}
@@ -142,7 +144,7 @@
 	defer c.mu.Unlock()
 	p := c.pools[service]
 	if p == nil {
-		p = &pool{newTransport(defaultIdleTimeout), defaultIdleTimeout}
+		p = &pool{c.links.Transport(newTransport(defaultIdleTimeout)), defaultIdleTimeout}
 		c.pools[service] = p
 	}
 	return p.transport
@@ -164,8 +166,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if p := c.pools[service]; p != nil && p.idleTimeout != idleTimeout {
-		p.transport.CloseIdleConnections()
-		c.pools[service] = &pool{newTransport(idleTimeout), idleTimeout}
+		p.transport.Close()
+		c.pools[service] = &pool{c.links.Transport(newTransport(idleTimeout)), idleTimeout}
 	}
 }
 
--- a/pkg/forward/fakes_test.go
+++ b/pkg/forward/fakes_test.go
@@ -17,6 +17,7 @@
 	"trefoilplank.example/pkg/controller/failedruns"
 	"trefoilplank.example/pkg/controller/placer"
 	"trefoilplank.example/pkg/controller/streamversions"
+	"trefoilplank.example/pkg/controller/uplink"
 	"trefoilplank.example/pkg/decision/dispatch"
 	"trefoilplank.example/pkg/decision/routing"
 	"trefoilplank.example/pkg/eventlog"
@@ -85,7 +86,7 @@
 		route("/stream/", routing.KindStream, true, 3), route("/once/", routing.KindStream, false, 1),
 		route("/idempotent/", routing.KindIdempotent, false, 3), route("/unsafe/", routing.KindNonIdempotent, false, 3),
 	}})
-	client := NewClient(testHeaders, p.Announce)
+	client := NewClient(testHeaders, uplink.New(uplink.Options{}), p.Announce)
 	t.Cleanup(client.Close)
 	f.failedRuns = failedruns.New(failedruns.Options{
 		Node: "node", Others: func() []string { return nil }, Owner: func(string) string { return "node" }, Exchange: func() {}, Log: log,
--- a/pkg/forward/resend_test.go
+++ b/pkg/forward/resend_test.go
@@ -9,6 +9,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"trefoilplank.example/pkg/controller/uplink"
 	"trefoilplank.example/pkg/decision/dispatch"
 )
 
@@ -44,7 +45,7 @@
 				}
 				conn.Close()
 			})
-			client := NewClient(testHeaders, func(dispatch.Upstream, dispatch.Announcement) {})
+			client := NewClient(testHeaders, uplink.New(uplink.Options{}), func(dispatch.Upstream, dispatch.Announcement) {})
 			defer client.Close()
 			u := dispatch.Upstream{ID: "u0", Service: "s", Address: f.upstreams["u0"].Listener.Addr().String()}
 			send := func(id string) error {
--- a/pkg/listjob/fakes_test.go
+++ b/pkg/listjob/fakes_test.go
@@ -19,6 +19,7 @@
 	"trefoilplank.example/pkg/controller/failedruns"
 	"trefoilplank.example/pkg/controller/fleet"
 	"trefoilplank.example/pkg/controller/placer"
+	"trefoilplank.example/pkg/controller/uplink"
 	"trefoilplank.example/pkg/decision/dispatch"
 	"trefoilplank.example/pkg/decision/quota"
 	"trefoilplank.example/pkg/decision/routing"
@@ -257,7 +258,7 @@
 	routes.Routes[0].MaxWaitingTokens = n.waitingLimit
 	table := routing.NewTable(routes)
 	c := New(Options{
-		Store: s, Peers: caller{n, name}, Fleet: f, Placer: p, Client: forward.NewClient(testHeaders, p.Announce),
+		Store: s, Peers: caller{n, name}, Fleet: f, Placer: p, Client: forward.NewClient(testHeaders, uplink.New(uplink.Options{}), p.Announce),
 		FailedRuns: n.failedRuns, Table: func() *routing.Table { return table }, MemoryBytes: 256 << 20, Readable: 2 * time.Minute, Log: log,
 		IsHub: func() bool { return n.isHub(name) }, HubSweeps: func() bool { return n.hubSweeps(name) },
 		HubWaiting:     func(context.Context) (map[string]int64, error) { return n.hubWaiting(name) },
