Reach upstreams through other nodes while a node's own connections fail

Cause: a node has one way to an upstream, its own connections, and takes each failure for one of the upstream. Change: when connections to an upstream fail or several upstreams owe data and none is heard, another node is asked to connect. If it does, this one is at fault: new requests go over connections that the other node relays byte for byte (peer.Relay, one hop at most, framed so that an end differs from a break), and those to all upstreams of the service if none is reached. What hangs is sent again where that is allowed. Failures of the node's own connections no longer speak against upstreams, requests and parts of prompts. Nodes report that they are cut off, and are not asked by others. Each upstream is used directly again after one connection of the node's own.

--- a/pkg/adapter/peer/codec.go
+++ b/pkg/adapter/peer/codec.go
@@ -60,29 +60,30 @@
 }
 
 func newStream(conn net.Conn) *stream {
-	conn = countedConn{conn}
 	s := &stream{conn: conn, reader: &limitedReader{Reader: bufio.NewReader(conn), conn: conn}}
 	s.decoder = gob.NewDecoder(s.reader)
 	s.encoder = gob.NewEncoder(&s.out)
 	return s
 }
 
-// readHeader decodes the header of the next message and restarts its byte limit.
+// readHeader decodes the first value of the next message and restarts its byte limit.
 func (s *stream) readHeader(header any) error {
 	s.reader.remaining = MaxMessageBytes
 	return s.decoder.Decode(header)
 }
 
-// write sends header and body with a single write to the connection. A failure leaves the gob stream unusable, so it
-// closes the connection.
-func (s *stream) write(header, body any) error {
+// write sends the values of a message with a single write to the connection. A failure leaves the gob stream unusable, so
+// it closes the connection.
+func (s *stream) write(values ...any) error {
 	if s.out.Cap() > keptBufferBytes {
 		s.out = bytes.Buffer{}
 	}
 	s.out.Reset()
-	err := s.encoder.Encode(header)
-	if err == nil {
-		err = s.encoder.Encode(body)
+	var err error
+	for _, v := range values {
+		if err == nil {
+			err = s.encoder.Encode(v)
+		}
 	}
 	if err == nil && s.out.Len() > MaxMessageBytes {
 		err = ErrTooLarge
--- a/pkg/adapter/peer/handshake.go
+++ b/pkg/adapter/peer/handshake.go
@@ -10,13 +10,21 @@
 )
 
 const (
-	// handshakeMagic identifies the protocol and its version.
-	handshakeMagic = "trefoilplank-peer-1\n"
-	nonceBytes     = 32
+	nonceBytes = 32
 	// handshakeTimeout bounds the whole handshake, so that an unresponsive connection does not hold a goroutine.
 	handshakeTimeout = 5 * time.Second
 )
 
+// protocol is the first line that a client sends. It identifies what the connection is for, with a version.
+type protocol string
+
+// Protocols, which have the same length.
+const (
+	// callProtocol carries calls by net/rpc, relayProtocol one relayed connection.
+	callProtocol  protocol = "trefoilplank-peer-1\n"
+	relayProtocol protocol = "trefoilplank-pipe-1\n"
+)
+
 // Labels are part of each proof, so that the proof of one side can't be sent back as that of the other.
 const (
 	serverLabel = "server"
@@ -33,13 +41,13 @@
 }
 
 // clientHandshake checks that the server knows the secret and then proves to the server that the client does.
-func clientHandshake(conn net.Conn, secret []byte) error {
+func clientHandshake(conn net.Conn, secret []byte, p protocol) error {
 	if err := conn.SetDeadline(time.Now().Add(handshakeTimeout)); err != nil {
 		return Error.Wrap(err)
 	}
 	nonce := make([]byte, nonceBytes)
 	rand.Read(nonce)
-	if _, err := conn.Write(append([]byte(handshakeMagic), nonce...)); err != nil {
+	if _, err := conn.Write(append([]byte(p), nonce...)); err != nil {
 		return Error.Wrap(err)
 	}
 	answer := make([]byte, nonceBytes+sha256.Size)
@@ -56,30 +64,32 @@
 	return Error.Wrap(conn.SetDeadline(time.Time{}))
 }
 
-// serverHandshake proves to the client that the server knows the secret and checks that the client does.
-func serverHandshake(conn net.Conn, secret []byte) error {
+// serverHandshake proves to the client that the server knows the secret and checks that the client does. It returns the
+// protocol that the client asked for.
+func serverHandshake(conn net.Conn, secret []byte) (protocol, error) {
 	if err := conn.SetDeadline(time.Now().Add(handshakeTimeout)); err != nil {
-		return Error.Wrap(err)
+		return "", Error.Wrap(err)
 	}
-	hello := make([]byte, len(handshakeMagic)+nonceBytes)
+	hello := make([]byte, len(callProtocol)+nonceBytes)
 	if _, err := io.ReadFull(conn, hello); err != nil {
-		return Error.Wrap(err)
+		return "", Error.Wrap(err)
 	}
-	if string(hello[:len(handshakeMagic)]) != handshakeMagic {
-		return ErrHandshakeRefused
+	asked := protocol(hello[:len(callProtocol)])
+	if asked != callProtocol && asked != relayProtocol {
+		return "", ErrHandshakeRefused
 	}
-	clientNonce := hello[len(handshakeMagic):]
+	clientNonce := hello[len(callProtocol):]
 	nonce := make([]byte, nonceBytes)
 	rand.Read(nonce)
 	if _, err := conn.Write(append(nonce, proof(secret, serverLabel, clientNonce, nonce)...)); err != nil {
-		return Error.Wrap(err)
+		return "", Error.Wrap(err)
 	}
 	clientProof := make([]byte, sha256.Size)
 	if _, err := io.ReadFull(conn, clientProof); err != nil {
-		return Error.Wrap(err)
+		return "", Error.Wrap(err)
 	}
 	if !hmac.Equal(clientProof, proof(secret, clientLabel, clientNonce, nonce)) {
-		return ErrHandshakeRefused
+		return "", ErrHandshakeRefused
 	}
-	return Error.Wrap(conn.SetDeadline(time.Time{}))
+	return asked, Error.Wrap(conn.SetDeadline(time.Time{}))
 }
--- a/pkg/adapter/peer/link.go
+++ b/pkg/adapter/peer/link.go
@@ -79,7 +79,7 @@
 		return
 	}
 	l.redialDelay.Reset()
-	codec := &watchedCodec{clientCodec: clientCodec{newStream(conn)}, ended: make(chan struct{})}
+	codec := &watchedCodec{clientCodec: clientCodec{newStream(countedConn{conn})}, ended: make(chan struct{})}
 	codec.lastAnswer.Store(time.Now().UnixNano())
 	client := rpc.NewClientWithCodec(codec)
 	l.conn, l.codec = client, codec
@@ -89,21 +89,28 @@
 	}()
 }
 
-// connect opens a connection and makes the TLS and peer handshakes.
+// connect opens a connection for calls.
 func (l *link) connect() (net.Conn, error) {
-	dialer := net.Dialer{Timeout: dialTimeout, LocalAddr: localAddress(l.options.LocalIP, l.address)}
-	conn, err := dialer.Dial("tcp", l.address)
+	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+	defer cancel()
+	return l.options.connect(ctx, l.address, callProtocol, &net.Dialer{})
+}
+
+// connect opens a connection and makes the TLS and peer handshakes. ctx bounds only the time until the connection is open.
+func (o *ClientOptions) connect(ctx context.Context, address string, p protocol, dialer *net.Dialer) (net.Conn, error) {
+	dialer.LocalAddr = localAddress(o.LocalIP, address)
+	conn, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	if l.options.TLS != nil {
-		host, _, _ := net.SplitHostPort(l.address)
-		config := l.options.TLS.Clone()
+	if o.TLS != nil {
+		host, _, _ := net.SplitHostPort(address)
+		config := o.TLS.Clone()
 		config.ServerName = host
 		conn = tls.Client(conn, config)
 	}
 	connectCount.Add(1)
-	if err := clientHandshake(conn, []byte(l.options.Secret)); err != nil {
+	if err := clientHandshake(conn, []byte(o.Secret), p); err != nil {
 		conn.Close()
 		return nil, err
 	}
--- a/pkg/adapter/peer/server.go
+++ b/pkg/adapter/peer/server.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"context"
 	"crypto/tls"
 	"errors"
 	"net"
@@ -20,6 +21,8 @@
 
 	mu     sync.Mutex
 	closed bool
+	// relay makes the connections that other nodes ask for; nil if there are none.
+	relay func(ctx context.Context, address string) (net.Conn, error)
 	// conns and listeners are what Close must end.
 	conns     map[net.Conn]struct{}
 	listeners map[net.Listener]struct{}
@@ -99,11 +102,16 @@
 		return
 	}
 	defer s.track(conn, false)
-	if err := serverHandshake(conn, s.secret); err != nil {
+	asked, err := serverHandshake(conn, s.secret)
+	if err != nil {
 		klog.V(1).Infof("peer handshake from %s failed: %v", conn.RemoteAddr(), err)
 		return
 	}
-	s.rpc.ServeCodec(&serverCodec{stream: newStream(conn), dispatch: s.dispatch})
+	if asked == relayProtocol {
+		s.serveRelay(conn)
+		return
+	}
+	s.rpc.ServeCodec(&serverCodec{stream: newStream(countedConn{conn}), dispatch: s.dispatch})
 }
 
 // Close ends the listeners and all connections.
--- a/pkg/controller/failedruns/failedruns.go
+++ b/pkg/controller/failedruns/failedruns.go
@@ -59,6 +59,9 @@
 	Others func() []string
 	// Owner returns the live node that grants the trials of a quarantined request.
 	Owner func(fingerprint string) string
+	// Connect opens and closes a connection to an upstream. The error matches syscall.ECONNREFUSED if nothing listens at its
+	// address. If it is nil, this node's own connections tell alone.
+	Connect func(ctx context.Context, address string) error
 	// Exchange starts an exchange with the hub. Without a hub it is nil, and changes are sent to all other nodes.
 	Exchange func()
 	// Prefix is the key prefix of quarantines in the store. Without a mirror that passes them to SetStored, ReadStored makes
@@ -108,6 +111,9 @@
 	if o.Prefix == "" {
 		o.Prefix = Prefix
 	}
+	if o.Connect == nil {
+		o.Connect = tryConnect
+	}
 	return &Controller{
 		options: o, spread: newSpread(), survived: newSurvived(), survivedParts: newSurvived(), ledger: failedruns.NewLedger(), quarantines: newQuarantines(),
 		trials: map[string]time.Time{},
@@ -178,7 +184,7 @@
 	r := c.newRecord(failedruns.Crashed, u)
 	r.Lasted = time.Since(began)
 	ctx = context.WithoutCancel(ctx)
-	if errors.Is(tryConnect(ctx, u.Address), syscall.ECONNREFUSED) {
+	if errors.Is(c.options.Connect(ctx, u.Address), syscall.ECONNREFUSED) {
 		c.add(ctx, "upstream crashed while it ran a request", works.Records(r)...)
 		return
 	}
@@ -254,7 +260,7 @@
 	}
 }
 
-// tryConnect opens and closes a connection to an upstream. The error is ECONNREFUSED if nothing listens at its address.
+// tryConnect opens and closes a connection of this node's own to an upstream.
 func tryConnect(ctx context.Context, address string) error {
 	conn, err := dial.Dialer(checkTimeout).DialContext(ctx, "tcp", address)
 	if err == nil {
@@ -302,7 +308,7 @@
 }
 
 func (c *Controller) recordEnded(ctx context.Context, u dispatch.EndedUpstream, records []failedruns.Record) {
-	if u.Restarted || tryConnect(ctx, u.Address) != nil {
+	if u.Restarted || c.options.Connect(ctx, u.Address) != nil {
 		c.add(ctx, "upstream whose run broke off has ended", records...)
 	}
 }
--- a/pkg/controller/loadshare/hub.go
+++ b/pkg/controller/loadshare/hub.go
@@ -35,6 +35,10 @@
 	reviewedAt                time.Time
 	unresponsive              []string
 	draining                  []string
+	// cutOff are the nodes that report to reach no upstream of some service themselves, sorted. The revision changes with the
+	// list, and is 0 until one does.
+	cutOff         []string
+	cutOffRevision int64
 	// successor is the node that would be the hub if this one were lost.
 	successor string
 	outliers  map[string]float64
@@ -107,6 +111,9 @@
 	}
 	reply.Silent, reply.Draining = h.unresponsive, h.draining
 	reply.Outliers = h.outliers
+	if reply.CutOffRevision = h.cutOffRevision; r.CutOffSeen != h.cutOffRevision {
+		reply.CutOff = h.cutOff
+	}
 	reply.Grant = h.grant(n, now)
 	reply.Revisions = h.options.Revisions()
 	reply.Sweeps = true
@@ -203,6 +210,7 @@
 		h.successor = others[0]
 	}
 	h.draining = nil
+	var cutOff []string
 	recent := 0
 	for name, n := range h.nodes {
 		age := now.Sub(n.receivedAt)
@@ -217,12 +225,19 @@
 			if n.report.Draining {
 				h.draining = append(h.draining, name)
 			}
+			if n.report.CutOff {
+				cutOff = append(cutOff, name)
+			}
 		}
 		if age > forgetAfter {
 			delete(h.nodes, name)
 			h.waiting.Report(name, nil)
 		}
 	}
+	if slices.Sort(cutOff); !slices.Equal(cutOff, h.cutOff) {
+		h.options.Log.Notice("nodes that reach no upstreams of a service changed", "members", cutOff)
+		h.cutOff, h.cutOffRevision = cutOff, now.UnixNano()
+	}
 	h.unresponsive = h.unresponsiveNodes(recent, now)
 }
 
--- a/pkg/controller/loadshare/loadshare.go
+++ b/pkg/controller/loadshare/loadshare.go
@@ -86,6 +86,10 @@
 	Index   int64
 	// Waiting is what waits of the node's jobs on routes with a limit on waiting tokens, by job.
 	Waiting map[string]quota.Waiting
+	// CutOff is set while the node reaches no upstream of some service itself. CutOffSeen is the CutOffRevision of the last
+	// answer.
+	CutOff     bool
+	CutOffSeen int64
 }
 
 // Totals is the hub's answer to a report.
@@ -119,6 +123,10 @@
 	// Retiring are the nodes on those VMs.
 	Sweeps   bool
 	Retiring []string
+	// CutOff are the nodes that reach no upstream of some service themselves, sent if CutOffRevision is not the one in the
+	// report.
+	CutOff         []string
+	CutOffRevision int64
 }
 
 // Announced holds what upstreams say of themselves in their answers, and the requests that count against their limits.
@@ -170,6 +178,8 @@
 	Waiting func() map[string]quota.Waiting
 	// Retiring returns the nodes on VMs to be emptied, which this node reads from the store when it is the hub.
 	Retiring func() []string
+	// CutOff reports whether this node reaches no upstream of some service itself; nil if it is not known.
+	CutOff func() bool
 	// Draining reports whether the node accepts no new callers.
 	Draining func() bool
 	Log      *eventlog.Log
@@ -191,6 +201,9 @@
 	unreported map[string]int
 	// index is the hub's index of upstreams.
 	index upstreamIndex
+	// cutOff are the nodes that reach no upstream of some service, by the hub's answer of revision cutOffSeen.
+	cutOff     atomic.Pointer[[]string]
+	cutOffSeen int64
 
 	mu sync.Mutex
 	// running is the exchange in progress, or nil; next is the one that follows it at once, or nil.
@@ -303,6 +316,14 @@
 	return nil
 }
 
+// CutOff returns the nodes that reach no upstream of some service themselves, as the hub's last answer says.
+func (e *Exchange) CutOff() []string {
+	if names := e.cutOff.Load(); names != nil {
+		return *names
+	}
+	return nil
+}
+
 // hubChoice is the chosen hub and the time until which the choice is valid.
 type hubChoice struct {
 	hub   string
@@ -348,6 +369,9 @@
 	if e.options.Waiting != nil {
 		r.Waiting = e.options.Waiting()
 	}
+	if e.options.CutOff != nil {
+		r.CutOff, r.CutOffSeen = e.options.CutOff(), e.cutOffSeen
+	}
 	e.addAnnounced(&r)
 	sentUpTo := e.records.addTo(&r, name, e.options.FailedRuns, e.options.Streams)
 	callCtx, cancel := context.WithTimeout(ctx, exchangeTimeout)
@@ -373,6 +397,10 @@
 		totals.Loads = e.index.expand(totals.IndexedLoads)
 	}
 	e.currentHub.Store(&answeringHub{name, totals.Sweeps, totals.Retiring})
+	if totals.CutOffRevision != e.cutOffSeen {
+		e.cutOffSeen = totals.CutOffRevision
+		e.cutOff.Store(&totals.CutOff)
+	}
 	e.records.answered(name, sentUpTo, totals)
 	e.options.FailedRuns.Merge(e.records.hubProcess(), totals.FailedRuns)
 	e.options.Streams.Add(e.records.hubProcess(), totals.Streams)
--- a/pkg/controller/placer/placer.go
+++ b/pkg/controller/placer/placer.go
@@ -306,6 +306,18 @@
 	}
 }
 
+// ForgetFailures drops what speaks against the upstreams at the given addresses, since they are reached in another way now.
+func (p *Placer) ForgetFailures(addresses []string) {
+	set := make(map[string]bool, len(addresses))
+	for _, a := range addresses {
+		set[a] = true
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.state.ForgetFailures(set)
+	p.signalFreed()
+}
+
 // RecordOnlineRun updates the usual times of a service from a complete online run. first is its time to the first event;
 // a run that was queued is ignored, since its times include the wait.
 func (p *Placer) RecordOnlineRun(service string, first, duration time.Duration, queued bool) {
--- a/pkg/controller/uplink/diagnose.go
+++ b/pkg/controller/uplink/diagnose.go
@@ -65,9 +65,9 @@
 		own <- err
 	}()
 	var ownErr, otherErr error
+	ownEnded := false
 	timer := time.NewTimer(helperDelay)
 	defer timer.Stop()
-	ownEnded := false
 	select {
 	case ownErr = <-own:
 		ownEnded = true
@@ -76,15 +76,18 @@
 	if !ownEnded || ownErr != nil {
 		otherErr = l.askOthers(address)
 	}
-	if !ownEnded {
-		ownErr = <-own
+	if !ownEnded && otherErr != nil {
+		ownErr, ownEnded = <-own, true
 	}
 	switch {
-	case ownErr == nil:
+	case ownEnded && ownErr == nil:
 		d.result = Reached
 	case otherErr == nil:
 		d.result = ReachedByOthers
 		l.reachedByOthers(address)
+		if !ownEnded {
+			go l.confirm(address, own)
+		}
 	case errors.Is(otherErr, ErrRefused), errors.Is(ownErr, syscall.ECONNREFUSED) && errors.Is(otherErr, ErrNoHelper):
 		d.result = Refused
 	default:
@@ -99,11 +102,28 @@
 	close(d.done)
 }
 
+// TryConnect checks whether an upstream takes connections, from any node. The error matches syscall.ECONNREFUSED if nothing
+// listens at its address.
+func (l *Links) TryConnect(ctx context.Context, address string) error {
+	switch l.Diagnose(ctx, address) {
+	case Reached, ReachedByOthers:
+		return nil
+	case Refused:
+		return syscall.ECONNREFUSED
+	}
+	return ErrUnreachable
+}
+
+// confirm records that another node connects to an upstream, once this node's own attempt has failed.
+func (l *Links) confirm(address string, own <-chan error) {
+	if err := <-own; err != nil {
+		l.reachedByOthers(address)
+	}
+}
+
 // askOthers connects to an upstream through another node and closes the connection.
 func (l *Links) askOthers(address string) error {
-	ctx, cancel := context.WithTimeout(context.Background(), relayTimeout)
-	defer cancel()
-	conn, err := l.connectRelayed(ctx, address)
+	conn, err := l.connectRelayed(context.Background(), address)
 	if err == nil {
 		_ = conn.Close() // Nothing was sent.
 	}
--- a/pkg/controller/uplink/relay.go
+++ b/pkg/controller/uplink/relay.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"sync"
 	"syscall"
 	"time"
 
@@ -19,49 +20,97 @@
 	peer.RegisterError("uplink.unreachable", ErrUnreachable)
 }
 
-// connectRelayed connects to an upstream through another node. It returns ErrRefused or ErrUnreachable if a node that reaches
-// other upstreams could not connect to this one, and ErrNoHelper if no node could be asked.
+// relayAttempt is the result of an attempt to connect through one node.
+type relayAttempt struct {
+	node string
+	conn net.Conn
+	err  error
+}
+
+// connectRelayed connects to an upstream through another node. It asks further nodes when one fails or does not answer soon. It
+// returns ErrRefused or ErrUnreachable if a node that reaches other upstreams could not connect to this one, and ErrNoHelper
+// if no node could be asked.
 func (l *Links) connectRelayed(ctx context.Context, address string) (net.Conn, error) {
 	if l.options.Relay == nil {
 		return nil, ErrNoHelper
 	}
-	begun, asked := time.Now(), 0
-	for _, node := range l.options.Helpers(address) {
-		if asked == maxHelpers || ctx.Err() != nil {
-			break
-		}
-		if l.avoided(node, begun) {
+	begun := time.Now()
+	nodes := l.inOrder(l.options.Helpers(address), begun)
+	attempts := make(chan relayAttempt, len(nodes))
+	next := time.NewTimer(0)
+	defer next.Stop()
+	pending := 0
+	for pending > 0 || len(nodes) > 0 {
+		select {
+		case <-next.C:
+			if len(nodes) > 0 {
+				pending++
+				go l.relayThrough(ctx, nodes[0], address, attempts)
+				nodes = nodes[1:]
+				next.Reset(nextHelperDelay)
+			}
 			continue
-		}
-		asked++
-		callCtx, cancel := context.WithTimeout(ctx, relayTimeout)
-		conn, err := l.options.Relay(callCtx, node, address)
-		cancel()
-		switch {
-		case err == nil:
-			l.options.Metrics.observeRelay("connected", time.Since(begun))
-			l.options.Log.Routine("connected through another node", "upstream_address", address, "member", node, "asked", asked, "ms", time.Since(begun).Milliseconds())
-			return conn, nil
-		case errors.Is(err, ErrRefused), errors.Is(err, ErrUnreachable):
-			l.options.Metrics.observeRelay("upstream_unreachable", time.Since(begun))
-			return nil, err
-		}
-		l.options.Log.Routine("other node could not connect to upstream", "upstream_address", address, "member", node, "error", err)
-		if ctx.Err() == nil && !errors.Is(err, ErrUnknownUpstream) {
-			l.avoidNode(node, time.Now())
+		case <-ctx.Done():
+			go closeLate(attempts, pending)
+			return nil, ctx.Err()
+		case a := <-attempts:
+			pending--
+			switch {
+			case a.err == nil:
+				go closeLate(attempts, pending)
+				l.options.Metrics.observeRelay("connected", time.Since(begun))
+				l.options.Log.Routine("connected through another node", "upstream_address", address, "member", a.node, "ms", time.Since(begun).Milliseconds())
+				return a.conn, nil
+			case errors.Is(a.err, ErrRefused), errors.Is(a.err, ErrUnreachable):
+				go closeLate(attempts, pending)
+				l.options.Metrics.observeRelay("upstream_unreachable", time.Since(begun))
+				return nil, a.err
+			}
+			l.options.Log.Routine("other node could not connect to upstream", "upstream_address", address, "member", a.node, "error", a.err)
+			if ctx.Err() == nil && !errors.Is(a.err, ErrUnknownUpstream) {
+				l.avoidNode(a.node, time.Now())
+			}
+			next.Reset(0)
 		}
 	}
 	l.options.Metrics.observeRelay("no_helper", time.Since(begun))
 	return nil, ErrNoHelper
 }
 
-// avoided reports whether a node could not help lately.
-func (l *Links) avoided(node string, now time.Time) bool {
+// relayThrough makes one attempt to connect through a node.
+func (l *Links) relayThrough(ctx context.Context, node, address string, attempts chan<- relayAttempt) {
+	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
+	defer cancel()
+	conn, err := l.options.Relay(ctx, node, address)
+	attempts <- relayAttempt{node, conn, err}
+}
+
+// closeLate closes the connections of the attempts that are still pending, which nobody uses.
+func closeLate(attempts <-chan relayAttempt, pending int) {
+	for range pending {
+		if a := <-attempts; a.err == nil {
+			_ = a.conn.Close() // Nothing was sent.
+		}
+	}
+}
+
+// inOrder returns the nodes to ask, at most maxHelpers: those that could not help lately come last.
+func (l *Links) inOrder(nodes []string, now time.Time) []string {
+	var preferred, avoided []string
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return now.Before(l.avoid[node])
+	for _, n := range nodes {
+		if now.Before(l.avoid[n]) {
+			avoided = append(avoided, n)
+		} else {
+			preferred = append(preferred, n)
+		}
+	}
+	ordered := append(preferred, avoided...)
+	return ordered[:min(maxHelpers, len(ordered))]
 }
 
+// avoidNode makes other nodes preferred to one that could not help.
 func (l *Links) avoidNode(node string, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -93,6 +142,9 @@
 	if !known {
 		return nil, ErrUnknownUpstream
 	}
+	if l.options.Draining != nil && l.options.Draining() {
+		return nil, ErrBusy
+	}
 	if l.path(address) == reach.Relayed {
 		return nil, ErrCutOff
 	}
@@ -120,16 +172,13 @@
 // acceptedConn is a connection that this node relays for another one.
 type acceptedConn struct {
 	net.Conn
-	links  *Links
-	closed bool
+	links *Links
+	once  sync.Once
 }
 
-// Close ends the connection. It is called once.
+// Close ends the connection.
 func (c *acceptedConn) Close() error {
-	if !c.closed {
-		c.closed = true
-		c.links.relayedForOthers.Add(-1)
-	}
+	c.once.Do(func() { c.links.relayedForOthers.Add(-1) })
 	return c.Conn.Close()
 }
 
--- a/pkg/controller/uplink/uplink.go
+++ b/pkg/controller/uplink/uplink.go
@@ -30,8 +30,8 @@
 	ErrUnknownUpstream = Error.New("no upstream at this address")
 	// ErrCutOff means that the node that was asked does not reach the upstream itself, and probably for a cause of its own.
 	ErrCutOff = Error.New("node does not reach the upstream itself")
-	// ErrBusy means that the node relays as many connections as it may.
-	ErrBusy = Error.New("node relays too many connections")
+	// ErrBusy means that the node relays as many connections as it may, or drains.
+	ErrBusy = Error.New("node relays no more connections")
 	// ErrRefused and ErrUnreachable mean that the upstream refused the connection, or could not be reached, although the node
 	// reaches others.
 	ErrRefused     = Error.New("upstream refused the connection")
@@ -44,13 +44,15 @@
 	// connectTimeout bounds a connection attempt of this node: upstreams are a few milliseconds away, and a VM without power
 	// does not answer.
 	connectTimeout = 300 * time.Millisecond
-	// relayTimeout bounds a connection attempt through one other node, which includes one of that node.
-	relayTimeout = connectTimeout + 200*time.Millisecond
+	// relayTimeout bounds a connection attempt through one other node, which includes one of that node. If it has not ended after
+	// nextHelperDelay, a further node is asked too.
+	relayTimeout    = connectTimeout + 700*time.Millisecond
+	nextHelperDelay = 150 * time.Millisecond
 	// helperDelay is how long a check waits for a connection of this node before it asks another one too.
 	helperDelay = 60 * time.Millisecond
 	// maxHelpers is the number of other nodes that are asked for one connection.
 	maxHelpers = 3
-	// avoidTime is how long a node that could not help is passed over.
+	// avoidTime is how long a node that could not help is asked after the others.
 	avoidTime = time.Second
 	// pollInterval is the time between two looks at the connections while data is awaited.
 	pollInterval = 100 * time.Millisecond
@@ -72,6 +74,8 @@
 	Helpers func(address string) []string
 	// Relay connects to an upstream through another node; nil if there is none.
 	Relay func(ctx context.Context, node, address string) (net.Conn, error)
+	// Draining reports whether this node relays no more connections since it is about to stop; nil if it never does.
+	Draining func() bool
 	// Changed is called when upstreams are reached in another way than before; direct is set if it is by this node's own
 	// connections again.
 	Changed func(addresses []string, direct bool)
@@ -223,9 +227,6 @@
 
 // Relayed reports whether an upstream is reached through other nodes.
 func (l *Links) Relayed(address string) bool {
-	if l == nil {
-		return false
-	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.state.Relayed(address)
@@ -233,14 +234,18 @@
 
 // Lost reports whether what this node has sent to an upstream over its own connections can't be answered any more.
 func (l *Links) Lost(address string) bool {
-	if l == nil {
-		return false
-	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.state.Lost(address)
 }
 
+// Doubtful reports whether the silence of an upstream may be that of this node's own connections.
+func (l *Links) Doubtful(address string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.state.Relayed(address) || l.state.Suspected(l.state.Service(address), time.Now())
+}
+
 // CutOff reports whether this node reaches no upstream of some service itself.
 func (l *Links) CutOff() bool {
 	l.mu.Lock()
--- a/pkg/decision/dispatch/runs.go
+++ b/pkg/decision/dispatch/runs.go
@@ -78,6 +78,17 @@
 	return d
 }
 
+// ForgetFailures drops what speaks against the upstreams at the given addresses: the failures were of connections that are no
+// longer used.
+func (s *State) ForgetFailures(addresses map[string]bool) {
+	for id, u := range s.byID {
+		if addresses[u.Address] {
+			u.failures, u.ejectedUntil, u.probing = 0, time.Time{}, false
+			s.ownEvidence.Forget(id)
+		}
+	}
+}
+
 // RecordRunTimes updates a service's average times by a complete online run. Runs that were queued are ignored, since
 // they show the wait and not the times of a run on a free slot.
 func (s *State) RecordRunTimes(service string, first, duration time.Duration, queued bool) {
--- a/pkg/edge/drain.go
+++ b/pkg/edge/drain.go
@@ -57,7 +57,7 @@
 		case <-ended:
 			break draining
 		case <-tick.C:
-			if time.Since(begun) > lateCallers && n.active.Load() == 0 && call.Err() != nil {
+			if time.Since(begun) > lateCallers && n.active.Load() == 0 && n.links.RelayedForOthers() == 0 && call.Err() != nil {
 				break draining
 			}
 		}
--- a/pkg/edge/node.go
+++ b/pkg/edge/node.go
@@ -175,11 +175,11 @@
 	}, log)
 	n.buildPeers()
 	n.placer = placer.New(s.AvailabilityZone, log)
-	n.links = uplink.New(uplink.Options{Dial: o.dialUpstream, Log: log, Metrics: uplink.NewMetrics(n.metrics)})
+	n.buildLinks(o)
 	n.client = forward.NewClient(p.HeaderNames(), n.links, n.placer.Announce)
 	n.failedRuns = failedruns.New(failedruns.Options{
 		Node: s.Name, Incarnation: n.fleet.Self().Incarnation, Store: n.store, Peers: n.peers, Others: n.failedRunHolders, Owner: n.owner,
-		Exchange: func() { n.exchange.Request(context.Background()) }, Log: log, Metrics: failedruns.NewMetrics(n.metrics),
+		Exchange: func() { n.exchange.Request(context.Background()) }, Connect: n.links.TryConnect, Log: log, Metrics: failedruns.NewMetrics(n.metrics),
 	})
 	n.streams = streamversions.New(streamversions.Options{
 		Peers: n.peers, Hubs: func() []string { return n.exchange.OtherHubs() }, Exchange: func() { n.exchange.Request(context.Background()) },
@@ -214,6 +214,28 @@
 	})
 }
 
+func (n *Node) buildLinks(o options) {
+	n.links = uplink.New(uplink.Options{
+		Dial: o.dialUpstream, Helpers: n.relayHelpers, Relay: n.peers.Relay, Draining: n.draining.Load,
+		Changed: func(addresses []string, _ bool) {
+			n.placer.ForgetFailures(addresses)
+			n.exchange.Request(context.Background())
+		},
+		Log: n.log, Metrics: uplink.NewMetrics(n.metrics),
+	})
+	n.peerServer.HandleRelays(n.links.Accept)
+}
+
+// relayHelpers returns the nodes that may connect to an upstream for this one, in an order that differs between upstreams and
+// between nodes, so that the load of a node that is cut off is divided among all others by their weights.
+func (n *Node) relayHelpers(address string) []string {
+	weights := n.fleet.AcceptingWeights()
+	for _, name := range n.exchange.CutOff() {
+		delete(weights, name)
+	}
+	return rendezvous.Ranked(n.settings.Name+" "+address, weights)
+}
+
 func (n *Node) buildMirror() {
 	n.mirror = mirror.New(mirror.Options{Store: n.store, Peers: n.peers, Others: n.fleet.OtherLive, Log: n.log},
 		mirror.Prefix{Name: n.platform.ConfigPrefix(), Handle: n.applyConfiguration},
@@ -238,7 +260,7 @@
 		Fleet: n.fleet, Peers: n.peers, OwnLoads: n.placer.OwnLoads, Wants: n.jobs.Wants, ApplyTotals: n.placer.ApplyTotals, Grants: n.placer.Grants,
 		Evidence: n.placer.Evidence, AddEvidence: n.placer.AddEvidence, Outliers: n.placer.Outliers, HubIntroduced: n.handleIntroduction,
 		Revisions: n.mirror.Revisions, HubAnswered: n.followHub, FailedRuns: n.failedRuns, Streams: n.streams, Announced: n.placer, Draining: n.draining.Load, Log: n.log,
-		Metrics: loadshare.NewMetrics(n.metrics), Waiting: n.jobs.Waiting, Retiring: n.knownRetiring,
+		Metrics: loadshare.NewMetrics(n.metrics), Waiting: n.jobs.Waiting, Retiring: n.knownRetiring, CutOff: n.links.CutOff,
 	})
 	callers := CallerOptions{Table: n.table.Load, Jobs: n.jobs, Draining: n.draining.Load, Log: n.log}
 	n.forwarder = forward.New(forward.Options{
--- a/pkg/forward/client.go
+++ b/pkg/forward/client.go
@@ -46,6 +46,9 @@
 	errCallerGone = Error.New("response could not be written to the caller")
 	// ErrUnresponsive means that the upstream sent no data for too long; the request may have run.
 	ErrUnresponsive = Error.New("upstream sent no data for too long")
+	// ErrOwnConnection means that a request failed since this node's own connections to the upstream do, while other nodes
+	// reach it. It comes with the error of the request.
+	ErrOwnConnection = Error.New("only this node does not reach the upstream")
 )
 
 const (
@@ -58,6 +61,9 @@
 	// onceIdleTimeout is how long an idle connection is kept for requests that may run only once: an upstream may drop an
 	// idle connection without notice, and a request sent on it then counts as one that may have run.
 	onceIdleTimeout = 1500 * time.Millisecond
+	// attributeTimeout bounds the check of an upstream whose run broke off: the request waits for it. It covers a connection
+	// through another node, but not one to a VM that does not answer.
+	attributeTimeout = 150 * time.Millisecond
 	// maxIdlePerUpstream is the number of idle connections kept to an upstream: one for each slot that a node is likely
 	// to use at once.
 	maxIdlePerUpstream = 32
@@ -333,7 +339,7 @@
 // than by an answer, a refusal or the caller.
 func BrokeOff(err error) bool {
 	var failure *failureResponse
-	for _, other := range []error{ErrNotRun, ErrMismatch, ErrUnsigned, ErrUnresponsive, errCallerGone} {
+	for _, other := range []error{ErrNotRun, ErrMismatch, ErrUnsigned, ErrUnresponsive, ErrOwnConnection, errCallerGone} {
 		if errors.Is(err, other) {
 			return false
 		}
@@ -341,6 +347,26 @@
 	return err != nil && !errors.As(err, &failure)
 }
 
+// Attribute adds ErrOwnConnection to the error of a request that failed without fault of its upstream.
+func (c *Client) Attribute(ctx context.Context, u dispatch.Upstream, err error) error {
+	ownFault := false
+	switch {
+	case errors.Is(err, ErrUnresponsive):
+		ownFault = c.links.Doubtful(u.Address)
+	case ctx.Err() == nil && BrokeOff(err):
+		ctx, cancel := context.WithTimeout(ctx, attributeTimeout)
+		defer cancel()
+		ownFault = c.links.Diagnose(ctx, u.Address) == uplink.ReachedByOthers
+	}
+	if ownFault {
+		return errs.Combine(ErrOwnConnection, err)
+	}
+	return err
+}
+
+// Lost reports whether what was sent to an upstream can't be answered any more, since this node's connections to it fail.
+func (c *Client) Lost(u dispatch.Upstream) bool { return c.links.Lost(u.Address) }
+
 // classify marks errors of requests that were never sent with ErrNotRun, and those caused by a dataTimer with
 // ErrUnresponsive.
 func classify(ctx context.Context, err error) error {
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -335,6 +335,7 @@
 	} else {
 		x.ran++
 	}
+	cause = x.options.Client.Attribute(ctx, choice.Upstream, cause)
 	x.reportFailure(ctx, choice.Upstream.ID, cause)
 	x.recordBrokenRun(ctx, choice.Upstream, cause)
 	fields := []any{
@@ -373,10 +374,10 @@
 // count as a failure.
 func (x *exchange) endMeasurement(ctx context.Context, cause error) {
 	switch {
+	case errors.Is(cause, ErrNotRun), errors.Is(cause, errCallerGone), errors.Is(cause, ErrOwnConnection), ctx.Err() != nil && !errors.Is(cause, ErrUnresponsive):
+		x.measurement.Flush()
 	case errors.Is(cause, ErrUnresponsive):
 		x.measurement.RecordTimeout()
-	case errors.Is(cause, ErrNotRun), errors.Is(cause, errCallerGone), ctx.Err() != nil:
-		x.measurement.Flush()
 	default:
 		x.measurement.RecordEnd(true)
 	}
@@ -387,6 +388,8 @@
 	var failure *failureResponse
 	switch {
 	case ctx.Err() != nil && !errors.Is(cause, ErrUnresponsive), errors.Is(cause, errCallerGone):
+	case errors.Is(cause, ErrOwnConnection):
+		x.options.Metrics.countOutcome("own_connection_failed")
 	case errors.Is(cause, ErrFull):
 		x.options.Placer.RecordRefusal(upstream)
 	case errors.Is(cause, ErrUnreachable):
--- a/pkg/forward/metrics.go
+++ b/pkg/forward/metrics.go
@@ -15,7 +15,8 @@
 func NewMetrics(set *metrics.Set) *Metrics { return &Metrics{set} }
 
 // countOutcome counts an event of a request: delivered, sent_again, refused, quarantined, failed, left (the caller
-// disconnected) or silence_borne (the upstream is unresponsive, but the budget allows no retry).
+// disconnected), silence_borne (the upstream is unresponsive, but the budget allows no retry) or own_connection_failed (only
+// this node does not reach the upstream).
 func (m *Metrics) countOutcome(outcome string) {
 	if m != nil {
 		m.set.GetOrCreateCounter(`trefoilplank_requests_total{outcome="` + outcome + `"}`).Inc()
--- a/pkg/forward/quarantine.go
+++ b/pkg/forward/quarantine.go
@@ -35,6 +35,7 @@
 		works.Parts = nil
 	}
 	switch {
+	case errors.Is(cause, ErrOwnConnection):
 	case errors.Is(cause, ErrUnresponsive):
 		x.options.FailedRuns.Silent(works, u, x.attemptStarted)
 	case ctx.Err() == nil && BrokeOff(cause):
--- a/pkg/forward/stream.go
+++ b/pkg/forward/stream.go
@@ -35,6 +35,9 @@
 	timeoutRetryRatio, timeoutRetryReserve = 0.04, 4
 	// minDataTimeout keeps delays of a busy node itself from being taken for an unresponsive upstream.
 	minDataTimeout = 120 * time.Millisecond
+	// lostCheckInterval is how often a request that must bear the silence of its upstream looks whether the node's connections
+	// to it have failed.
+	lostCheckInterval = 100 * time.Millisecond
 	// maxEventBytes limits the size of an incomplete event.
 	maxEventBytes = 1 << 20
 )
@@ -84,6 +87,10 @@
 	}
 	others := dispatch.OnlineRequest{Service: x.service, Exclude: append(slices.Clone(x.tried), choice.Upstream.ID), Continues: x.version}
 	t.timer = time.AfterFunc(wait, func() {
+		if x.options.Client.Lost(choice.Upstream) {
+			cancel(ErrUnresponsive)
+			return
+		}
 		// The upstream may be slow and sound. What it has sent is lost to the caller if no other one can go on.
 		if t.begun.Load() && !x.options.Placer.HasFreeSlot(others) {
 			t.timer.Reset(t.pause)
@@ -91,7 +98,9 @@
 		}
 		if x.takeTimeoutRetry() {
 			cancel(ErrUnresponsive)
+			return
 		}
+		t.timer.Reset(lostCheckInterval)
 	})
 	return t
 }
--- a/pkg/listjob/failedruns.go
+++ b/pkg/listjob/failedruns.go
@@ -67,6 +67,7 @@
 		runs.Failed(ctx, it.key, decision.Rejected, u.ID)
 	case errors.Is(err, errRunFailed):
 		runs.Failed(ctx, it.key, decision.Errored, u.ID)
+	case errors.Is(err, forward.ErrOwnConnection):
 	case errors.Is(err, forward.ErrUnresponsive):
 		runs.Silent(works, u, it.runStart)
 	case ctx.Err() == nil && forward.BrokeOff(err):
--- a/pkg/listjob/run.go
+++ b/pkg/listjob/run.go
@@ -72,10 +72,15 @@
 		}
 		measurement.RecordEvents(events, time.Now())
 	})
+	if errors.Is(context.Cause(ctx), forward.ErrUnresponsive) {
+		err = errors.Join(forward.ErrUnresponsive, err)
+	}
+	err = c.options.Client.Attribute(ctx, u, err)
 	switch {
-	case errors.Is(context.Cause(ctx), forward.ErrUnresponsive):
+	case errors.Is(err, forward.ErrOwnConnection):
+		measurement.Flush()
+	case errors.Is(err, forward.ErrUnresponsive):
 		measurement.RecordTimeout()
-		err = errors.Join(forward.ErrUnresponsive, err)
 	case errors.Is(err, forward.ErrNotRun), ctx.Err() != nil:
 		measurement.Flush()
 	default:
@@ -279,7 +284,7 @@
 		c.options.Placer.RecordRefusal(u.ID)
 	case errors.Is(err, forward.ErrUnreachable):
 		c.options.Placer.RecordFailure(u.ID, true, err)
-	case errors.Is(err, forward.ErrNotRun):
+	case errors.Is(err, forward.ErrNotRun), errors.Is(err, forward.ErrOwnConnection):
 	default:
 		c.options.Placer.RecordFailure(u.ID, false, err)
 		it.brokenRuns++
