Reach upstreams through other nodes on the interface for OpenAI clients too

Callers saw: at nodes cut off from upstreams 3 or 4 of 24 first attempts were served when connections were reset; when they hung, the other nodes served 15 of 24 streams, since a cut admission owner told them that upstreams were down. Cause: as on the users' platform, a node's own connections are its only way, and their failures count against the upstreams. Change: calls and polls of upstreams use the same links (uplink); the register's upstreams and the live members are passed to them. Drains wait for relayed connections. The cutter of the test moved to standin/network.

--- a/pkg/adapter/engine/engine_test.go
+++ b/pkg/adapter/engine/engine_test.go
@@ -18,6 +18,7 @@
 
 	"trefoilplank.example/api"
 	"trefoilplank.example/pkg/adapter/service"
+	"trefoilplank.example/pkg/controller/uplink"
 	"trefoilplank.example/pkg/serving"
 )
 
@@ -102,7 +103,7 @@
 	defer engine.Close()
 	u := api.Upstream{Name: "e", Address: engine.Listener.Addr().String(), Kind: api.UpstreamEngine}
 	var events int
-	_, err := New(service.New()).Stream(context.Background(), u, serving.Call{
+	_, err := New(service.New(uplink.New(uplink.Options{}))).Stream(context.Background(), u, serving.Call{
 		RequestID: "r", Method: "POST", Path: "/v1/completions", Header: http.Header{},
 	}, func(serving.StreamEvent) error { events++; return nil })
 	assert.Assert(t, errors.Is(err, serving.ErrMismatch), "%v", err)
--- a/pkg/adapter/service/service.go
+++ b/pkg/adapter/service/service.go
@@ -10,7 +10,6 @@
 	"context"
 	"encoding/json"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptrace"
 	"strings"
@@ -21,6 +20,7 @@
 
 	"trefoilplank.example/api"
 	"trefoilplank.example/pkg/adapter/dial"
+	"trefoilplank.example/pkg/controller/uplink"
 	"trefoilplank.example/pkg/serving"
 )
 
@@ -34,8 +34,6 @@
 	// matchWait is how long a call that received another call's answer waits for its own. Answers that an upstream
 	// swaps are sent together, so the second one follows within the time of one round trip.
 	matchWait = 500 * time.Millisecond
-	// dialTimeout bounds a connect; upstreams are at most a few milliseconds away.
-	dialTimeout = time.Second
 	// idleTimeout closes unused connections earlier than most servers do, so that no request is written to a connection
 	// that the server is closing.
 	idleTimeout = 30 * time.Second
@@ -45,21 +43,19 @@
 
 // Client calls upstreams. It is safe for concurrent use.
 type Client struct {
-	transport  *http.Transport
+	transport  *uplink.Transport
 	inProgress pendingCalls
 }
 
-// New returns a client with its own connection pool.
-func New() *Client {
-	dialer := &net.Dialer{Timeout: dialTimeout}
-	return &Client{transport: &http.Transport{
-		DialContext:         dialer.DialContext,
+// New returns a client with its own connection pool, whose connections links makes.
+func New(links *uplink.Links) *Client {
+	return &Client{transport: links.Transport(&http.Transport{
 		DisableCompression:  true,
 		MaxIdleConnsPerHost: maxIdlePerUpstream,
 		IdleConnTimeout:     idleTimeout,
 
 		MaxResponseHeaderBytes: dial.MaxResponseHeaderBytes,
-	}}
+	})}
 }
 
 // Close closes the idle connections.
--- a/pkg/controller/uplink/metrics.go
+++ b/pkg/controller/uplink/metrics.go
@@ -17,7 +17,7 @@
 	if m == nil {
 		return
 	}
-	m.set.NewGauge("trefoilplank_upstreams_reached_through_others", func() float64 { return float64(l.unreached()) })
+	m.set.NewGauge("trefoilplank_upstreams_reached_through_others", func() float64 { return float64(l.ReachedThroughOthers()) })
 	m.set.NewGauge("trefoilplank_connections_relayed_for_others", func() float64 { return float64(l.RelayedForOthers()) })
 }
 
--- a/pkg/controller/uplink/transport.go
+++ b/pkg/controller/uplink/transport.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"trefoilplank.example/pkg/adapter/dial"
 	"trefoilplank.example/pkg/decision/reach"
 )
 
@@ -37,6 +38,13 @@
 	return &Transport{l, t, relayed}
 }
 
+// HTTPClient returns an HTTP client with the defaults of net/http whose connections links make.
+func (l *Links) HTTPClient() *http.Client {
+	client := dial.NewHTTPClient()
+	client.Transport = l.Transport(client.Transport.(*http.Transport))
+	return client
+}
+
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
 	address := r.URL.Host
--- a/pkg/controller/uplink/uplink.go
+++ b/pkg/controller/uplink/uplink.go
@@ -254,8 +254,8 @@
 	return cutOff
 }
 
-// unreached returns the number of upstreams that are reached through other nodes.
-func (l *Links) unreached() int {
+// ReachedThroughOthers returns the number of upstreams that are reached through other nodes.
+func (l *Links) ReachedThroughOthers() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	n, _ := l.state.Unreached()
--- a/pkg/gateway/fakes_test.go
+++ b/pkg/gateway/fakes_test.go
@@ -24,6 +24,7 @@
 	"trefoilplank.example/pkg/adapter/engine"
 	"trefoilplank.example/pkg/adapter/service"
 	"trefoilplank.example/pkg/blackboard"
+	"trefoilplank.example/pkg/controller/uplink"
 	"trefoilplank.example/pkg/explain"
 	"trefoilplank.example/pkg/serving"
 )
@@ -272,7 +273,7 @@
 		f.slots.upstreams = append(f.slots.upstreams, u.Upstream)
 	}
 	f.board.Config.Set(testConfig(f.slots.upstreams))
-	client := service.New()
+	client := service.New(uplink.New(uplink.Options{}))
 	t.Cleanup(client.Close)
 	o := Options{
 		Node: "n1", Board: f.board, Slots: f.slots, Invoker: engine.New(client),
--- a/pkg/node/build.go
+++ b/pkg/node/build.go
@@ -8,7 +8,6 @@
 	"path/filepath"
 	"time"
 
-	"trefoilplank.example/pkg/adapter/dial"
 	"trefoilplank.example/pkg/adapter/engine"
 	"trefoilplank.example/pkg/adapter/peer"
 	"trefoilplank.example/pkg/adapter/service"
@@ -41,6 +40,7 @@
 	if err := n.buildPeers(); err != nil {
 		return err
 	}
+	n.buildLinks()
 	if n.settings.TLSCert != "" {
 		files, err := tlsfiles.Load(n.settings.TLSCert, n.settings.TLSKey)
 		if err != nil {
@@ -119,7 +119,7 @@
 	if err != nil {
 		return err
 	}
-	n.upstreamCalls = service.New()
+	n.upstreamCalls = service.New(n.links)
 	n.invoker = engine.New(n.upstreamCalls)
 	n.quarantine, err = quarantine.New(quarantine.Options{Self: name, Board: n.board, Peers: n.peerClient, Store: n.store, Explain: n.decisionLog}, n.peerServer)
 	if err != nil {
@@ -132,7 +132,7 @@
 		return err
 	}
 	n.observer = upstreams.New(upstreams.Options{
-		Self: name, Board: n.board, Prober: &upstreams.HTTPProber{Client: dial.NewHTTPClient()}, Log: n.decisionLog,
+		Self: name, Board: n.board, Prober: &upstreams.HTTPProber{Client: n.links.HTTPClient()}, Log: n.decisionLog,
 		// A closure, since admission is built later: it needs the observer for the upstreams' health.
 		Runs: func(upstream string) int { return n.admission.Runs(upstream) },
 	})
@@ -153,7 +153,7 @@
 	})
 	n.drainer = drain.New(drain.Options{
 		Board: n.board, AddressesValidUntil: n.gateway.AddressesValidUntil, AddressTTL: n.settings.AddressTTL,
-		Active: n.gateway.Active, Timeout: n.settings.DrainTimeout,
+		Active: func() int64 { return n.gateway.Active() + n.links.RelayedForOthers() }, Timeout: n.settings.DrainTimeout,
 	})
 	files := n.batch.Handler()
 	for _, pattern := range []string{"/v1/files", "/v1/files/", "/v1/batches", "/v1/batches/"} {
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -30,6 +30,7 @@
 	"trefoilplank.example/pkg/controller/membership"
 	"trefoilplank.example/pkg/controller/quarantine"
 	"trefoilplank.example/pkg/controller/reconcile"
+	"trefoilplank.example/pkg/controller/uplink"
 	"trefoilplank.example/pkg/controller/upstreams"
 	"trefoilplank.example/pkg/controller/vms"
 	leasedecision "trefoilplank.example/pkg/decision/lease"
@@ -65,6 +66,9 @@
 	claims     *claims.Controller
 	// idempotency is the owner of a part of the idempotency keys used on all nodes.
 	idempotency *idempotency.Controller
+	// links makes the connections to upstreams, and dialUpstream, if set, those of this node's own.
+	links        *uplink.Links
+	dialUpstream uplink.DialFunc
 	// upstreamCalls makes all calls to upstreams and holds their connections.
 	upstreamCalls *service.Client
 	observer      *upstreams.Observer
@@ -82,9 +86,20 @@
 	tls *tls.Config
 }
 
+// Option changes how a node is created.
+type Option func(*Node)
+
+// WithUpstreamDialer sets how the node connects to upstreams, in place of TCP connections that detect unreachable peers.
+func WithUpstreamDialer(d uplink.DialFunc) Option {
+	return func(n *Node) { n.dialUpstream = d }
+}
+
 // New opens the node's listeners and creates its controllers; Run starts them. The settings must have passed Check.
-func New(s Settings) (*Node, error) {
+func New(s Settings, options ...Option) (*Node, error) {
 	n := &Node{settings: s, board: blackboard.New(), decisionLog: explain.NewLog(s.Name, explainEntries, time.Now)}
+	for _, change := range options {
+		change(n)
+	}
 	n.publishVars()
 	if err := n.listen(); err != nil {
 		n.closeListeners()
@@ -199,6 +214,7 @@
 		"admission": n.admission.Run, "batch": n.batch.Run, "upstreams": n.observer.Run,
 		"idempotency": n.idempotency.Run, "quarantine": n.quarantine.Run, "changes": n.configChanges.Run,
 		"reports":   n.reporter.Run,
+		"links":     n.followRegister,
 		"reconcile": func(ctx context.Context) error { n.reconcile.Run(ctx); return nil },
 		"peers":     func(ctx context.Context) error { <-ctx.Done(); return n.peerServer.Close() },
 	}
--- a/standin/dev/dev.go
+++ b/standin/dev/dev.go
@@ -132,6 +132,11 @@
 // Start starts the stand-ins and nodes and returns once the sample configuration is in force on all nodes and they know
 // each other. Close stops the fleet.
 func Start(o Options) (*Fleet, error) {
+	return start(o, func(int) []node.Option { return nil })
+}
+
+// start is Start with options for each node.
+func start(o Options, nodeOptions func(node int) []node.Option) (*Fleet, error) {
 	standins, err := devfleet.Start(o.Seed)
 	if err != nil {
 		return nil, err
@@ -142,7 +147,7 @@
 	f.nodeGroup, ctx = errgroup.WithContext(ctx)
 	operatorKey := developmentKey("operator", o.Seed)
 	for i := range o.Nodes {
-		n, err := node.New(nodeSettings(o, i, standins, operatorKey))
+		n, err := node.New(nodeSettings(o, i, standins, operatorKey), nodeOptions(i)...)
 		if err != nil {
 			stop()
 			_ = standins.Close()
--- a/standin/engine/batch_test.go
+++ b/standin/engine/batch_test.go
@@ -22,6 +22,7 @@
 	"trefoilplank.example/pkg/batch/batchtest"
 	"trefoilplank.example/pkg/blackboard"
 	"trefoilplank.example/pkg/controller/batch"
+	"trefoilplank.example/pkg/controller/uplink"
 	"trefoilplank.example/pkg/serving"
 )
 
@@ -76,7 +77,7 @@
 	s := memstore.New()
 	_, err := s.Put(t.Context(), "nodes/a", []byte(`{"number":1}`), store.AnyRevision)
 	assert.NilError(t, err)
-	client := engine.New(service.New())
+	client := engine.New(service.New(uplink.New(uplink.Options{})))
 	o := batch.Options{Node: "a", Store: s, Board: board, Invoker: client}
 	n.exports = &exportRecorder{Resumer: client, requestIDs: map[string]bool{}}
 	if withResumer {
--- a/platform/cutfakes_test.go
+++ b/standin/network/cutter.go
@@ -1,4 +1,4 @@
-package platform
+package network
 
 import (
 	"context"
@@ -8,28 +8,28 @@
 	"time"
 )
 
-// cutMode is what a cut does to the connections of a node to upstreams.
-type cutMode string
+// Cut is what happens to the connections of a node to upstreams.
+type Cut string
 
 const (
-	// noCut lets all connections work. Those that lost data before stay silent.
-	noCut cutMode = ""
-	// hangs drops all data in both directions; new connections get no answer.
-	hangs cutMode = "hang"
-	// resets breaks open connections and refuses new ones.
-	resets cutMode = "reset"
-	// refusesNew and hangsNew let open connections live on; new ones are refused, or get no answer.
-	refusesNew cutMode = "refuse new"
-	hangsNew   cutMode = "hang new"
-	// losesAnswers and losesRequests drop the data of one direction; new connections get no answer.
-	losesAnswers  cutMode = "lose answers"
-	losesRequests cutMode = "lose requests"
+	// NoCut lets all connections work. Those that lost data before stay silent.
+	NoCut Cut = ""
+	// Hangs drops all data in both directions; new connections get no answer.
+	Hangs Cut = "hang"
+	// Resets breaks open connections and refuses new ones.
+	Resets Cut = "reset"
+	// RefusesNew and HangsNew let open connections live on; new ones are refused, or get no answer.
+	RefusesNew Cut = "refuse new"
+	HangsNew   Cut = "hang new"
+	// LosesAnswers and LosesRequests drop the data of one direction; new connections get no answer.
+	LosesAnswers  Cut = "lose answers"
+	LosesRequests Cut = "lose requests"
 )
 
-// cutter makes the connections of one node to upstreams and cuts them.
-type cutter struct {
+// Cutter makes the connections of one node to upstreams and cuts them. It is safe for concurrent use.
+type Cutter struct {
 	mu   sync.Mutex
-	mode cutMode
+	mode Cut
 	// applies reports whether the cut applies to an address.
 	applies func(address string) bool
 	conns   map[*cutConn]bool
@@ -38,19 +38,20 @@
 	changed chan struct{}
 }
 
-func newCutter() *cutter {
-	return &cutter{conns: map[*cutConn]bool{}, changed: make(chan struct{}), applies: func(string) bool { return true }}
+// NewCutter returns a Cutter that cuts nothing.
+func NewCutter() *Cutter {
+	return &Cutter{conns: map[*cutConn]bool{}, changed: make(chan struct{}), applies: func(string) bool { return true }}
 }
 
-// cut starts a cut from the addresses that applies reports, or ends it with noCut.
-func (c *cutter) cut(mode cutMode, applies func(address string) bool) {
+// Set starts a cut from the addresses that applies reports, or ends it with NoCut.
+func (c *Cutter) Set(mode Cut, applies func(address string) bool) {
 	c.mu.Lock()
 	c.mode, c.applies = mode, applies
 	close(c.changed)
 	c.changed = make(chan struct{})
 	var broken []*cutConn
 	for conn := range c.conns {
-		if mode == resets && applies(conn.address) {
+		if mode == Resets && applies(conn.address) {
 			broken = append(broken, conn)
 		}
 	}
@@ -62,22 +63,23 @@
 }
 
 // modeFor returns the mode that applies to an address, and a channel that is closed at the next change.
-func (c *cutter) modeFor(address string) (cutMode, <-chan struct{}) {
+func (c *Cutter) modeFor(address string) (Cut, <-chan struct{}) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.applies(address) {
-		return noCut, c.changed
+		return NoCut, c.changed
 	}
 	return c.mode, c.changed
 }
 
-func (c *cutter) dial(ctx context.Context, network, address string) (net.Conn, error) {
+// Dial connects to an upstream as the cut allows.
+func (c *Cutter) Dial(ctx context.Context, network, address string) (net.Conn, error) {
 	for {
 		mode, changed := c.modeFor(address)
 		switch mode {
-		case resets, refusesNew:
+		case Resets, RefusesNew:
 			return nil, &net.OpError{Op: "dial", Net: network, Err: syscall.ECONNREFUSED}
-		case noCut:
+		case NoCut:
 			conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
 			if err != nil {
 				return nil, err
@@ -97,8 +99,8 @@
 	}
 }
 
-// connections returns the number of connections made so far.
-func (c *cutter) connections() int {
+// Connections returns the number of connections made so far.
+func (c *Cutter) Connections() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.dialled
@@ -107,7 +109,7 @@
 // cutConn is a connection of a node to an upstream. Once it has lost data in a direction it carries none there any more.
 type cutConn struct {
 	net.Conn
-	cutter  *cutter
+	cutter  *Cutter
 	address string
 	once    sync.Once
 	closed  chan struct{}
@@ -121,7 +123,7 @@
 		n, err := c.Conn.Read(p)
 		mode, _ := c.cutter.modeFor(c.address)
 		c.mu.Lock()
-		c.lostIn = c.lostIn || mode == hangs || mode == losesAnswers
+		c.lostIn = c.lostIn || mode == Hangs || mode == LosesAnswers
 		lost := c.lostIn
 		c.mu.Unlock()
 		if !lost {
@@ -137,7 +139,7 @@
 func (c *cutConn) Write(p []byte) (int, error) {
 	mode, _ := c.cutter.modeFor(c.address)
 	c.mu.Lock()
-	c.lostOut = c.lostOut || mode == hangs || mode == losesRequests
+	c.lostOut = c.lostOut || mode == Hangs || mode == LosesRequests
 	lost := c.lostOut
 	c.mu.Unlock()
 	if lost {
