Keep streams from being joined of two versions after all nodes were killed

Cause: records of streams are in memory. A fresh node answered from the only version that its list had shown for the time that the caller had spent, worked out from the deadline that it announced. A caller that waits longer than the route, or announces a new deadline at each try, makes that half a second. Change: the version counts as the only one if no other has served for as long as a stream may last. What served before a node started comes from a history object in the store, which the hub writes when a service's versions change (one write at the first start, two a rollout) and each node reads once at its start. A version of the history that is missing from the list counts as just gone. first_start in the settings says that there is nothing to read. The announced deadline no longer decides; FindArgs.Within stays for nodes of earlier landings. The table of TestOnlyVersionWithinATime asserted answers after 4 s for a caller that says it began 2 s ago, which is the fault; TestOnlyVersionOfALifetime asserts the same cases without that trust.

--- a/pkg/controller/streamversions/streamversions.go
+++ b/pkg/controller/streamversions/streamversions.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"trefoilplank.example/pkg/adapter/peer"
+	"trefoilplank.example/pkg/adapter/store"
 	"trefoilplank.example/pkg/decision/dispatch"
 	"trefoilplank.example/pkg/decision/softwareversion"
 	"trefoilplank.example/pkg/eventlog"
@@ -37,6 +38,11 @@
 	Hubs func() []string
 	// Exchange starts an exchange with the hub.
 	Exchange func()
+	// Store holds the history of versions for processes that start later. IsHub reports whether this node writes it.
+	Store store.Store
+	IsHub func() bool
+	// FirstStart is set if no process of the deployment has run before.
+	FirstStart bool
 	// ListAge returns the age of this node's list of upstreams.
 	ListAge func() time.Duration
 	Log     *eventlog.Log
@@ -52,11 +58,15 @@
 	versions  *softwareversion.Versions
 	directory *softwareversion.Directory
 	expiredAt time.Time
+	// versionsChanged receives a value when the versions of a service have changed.
+	versionsChanged chan struct{}
 }
 
 // New returns a controller.
 func New(o Options) *Controller {
-	return &Controller{options: o, versions: softwareversion.NewVersions(), directory: softwareversion.NewDirectory()}
+	return &Controller{
+		options: o, versions: softwareversion.NewVersions(), directory: softwareversion.NewDirectory(), versionsChanged: make(chan struct{}, 1),
+	}
 }
 
 // Observe records the versions in a list of upstreams and sets in it when streams may begin on each. The streams of a
@@ -69,7 +79,12 @@
 	for _, u := range list {
 		before[u.Service] = c.versions.MustRecord(u.Service, now)
 	}
-	c.versions.Observe(list, now)
+	if c.versions.Observe(list, now) {
+		select {
+		case c.versionsChanged <- struct{}{}:
+		default:
+		}
+	}
 	for service, recorded := range before {
 		if !recorded && c.versions.MustRecord(service, now) {
 			c.directory.Touch(service)
@@ -98,13 +113,13 @@
 	return c.directory.Add(r, "", now) && c.versions.Several(r.Service, now)
 }
 
-// VersionOf returns the software version at which a stream of a service began, within the given time. It returns false if
-// neither this node nor those that it asks know it; the stream must not continue then. stream is empty if it is not named.
-func (c *Controller) VersionOf(ctx context.Context, stream, service string, within time.Duration) (version string, ok bool) {
+// VersionOf returns the software version at which a stream of a service began. It returns false if neither this node nor those
+// that it asks know it; the stream must not continue then. stream is empty if it is not named.
+func (c *Controller) VersionOf(ctx context.Context, stream, service string) (version string, ok bool) {
 	if c == nil {
 		return "", false
 	}
-	args := FindArgs{stream, service, min(within, softwareversion.Lifetime)}
+	args := FindArgs{stream, service, softwareversion.Lifetime}
 	if answer := c.find(args); answer.Known {
 		return answer.Version, true
 	}
@@ -141,7 +156,7 @@
 	if r, ok := c.directory.Find(args.Stream, now); ok {
 		return FindReply{Known: r.Service == args.Service, Version: r.Version}
 	}
-	version, only := c.versions.Only(args.Service, args.Within, now)
+	version, only := c.versions.Only(args.Service, now)
 	return FindReply{Known: only && recent, Version: version}
 }
 
@@ -176,10 +191,11 @@
 // Receiver is the net/rpc receiver "StreamVersions".
 type Receiver struct{ c *Controller }
 
-// FindArgs asks for the software version at which a stream of a service began, within the given time.
+// FindArgs asks for the software version at which a stream of a service began.
 type FindArgs struct {
 	Stream, Service string
-	Within          time.Duration
+	// Within is how long ago the stream began at most. Only nodes of earlier versions read it.
+	Within time.Duration
 }
 
 // FindReply answers FindArgs.
--- a/pkg/controller/streamversions/streamversions_test.go
+++ b/pkg/controller/streamversions/streamversions_test.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
 
 	"trefoilplank.example/pkg/adapter/peer"
+	"trefoilplank.example/pkg/adapter/store/memstore"
 	"trefoilplank.example/pkg/decision/dispatch"
 	"trefoilplank.example/pkg/decision/softwareversion"
 	"trefoilplank.example/pkg/eventlog"
@@ -30,17 +32,20 @@
 // age is how long nodes have run.
 const age = 10 * time.Second
 
-// add adds a node whose list of upstreams has the given age and versions.
+// add adds a node whose list of upstreams has the given age and versions, and which knows that no process ran before.
 func (n network) add(name string, listAge time.Duration, versions ...string) *Controller {
+	c := n.addWithoutHistory(name, listAge, versions...)
+	c.restore(softwareversion.History{CoveredSince: time.UnixMilli(0)})
+	return c
+}
+
+// addWithoutHistory is add for a node that does not know what served before its start.
+func (n network) addWithoutHistory(name string, listAge time.Duration, versions ...string) *Controller {
 	c := New(Options{
 		Peers: n, Hubs: func() []string { return []string{"lost", "hub", "successor"} }, Exchange: func() {},
 		ListAge: func() time.Duration { return listAge }, Log: &eventlog.Log{},
 	})
-	var list []dispatch.Upstream
-	for _, v := range versions {
-		list = append(list, dispatch.Upstream{ID: v, Service: "s", SoftwareVersion: v})
-	}
-	c.versions.Observe(list, time.Now().Add(-age))
+	c.versions.Observe(list(versions...), time.Now().Add(-age))
 	n[name] = c
 	return c
 }
@@ -52,27 +57,29 @@
 	for name, c := range map[string]struct {
 		own, hub func(network) *Controller
 		stream   string
-		within   time.Duration
 		want     string
 	}{
-		"one version, begun since the start": {
-			func(n network) *Controller { return n.add("own", recent, "v1") }, nil, "", 0, "v1"},
-		"one version, begun before the start": {
-			func(n network) *Controller { return n.add("own", recent, "v1") }, nil, "", time.Hour, "?"},
+		"one version, history known": {
+			func(n network) *Controller { return n.add("own", recent, "v1") }, nil, "", "v1"},
+		"one version, history not known": {
+			func(n network) *Controller { return n.addWithoutHistory("own", recent, "v1") }, nil, "", "?"},
+		"one version, history known to the hub": {
+			func(n network) *Controller { return n.addWithoutHistory("own", recent, "v1") },
+			func(n network) *Controller { return n.add("hub", recent, "v1") }, "", "v1"},
 		"old list": {
-			func(n network) *Controller { return n.add("own", old, "v1") }, nil, "", 0, "?"},
+			func(n network) *Controller { return n.add("own", old, "v1") }, nil, "", "?"},
 		"old list, the hub's is recent": {
 			func(n network) *Controller { return n.add("own", old, "v1") },
-			func(n network) *Controller { return n.add("hub", recent, "v1") }, "", 0, "v1"},
+			func(n network) *Controller { return n.add("hub", recent, "v1") }, "", "v1"},
 		"old list, the hub knows another version": {
 			func(n network) *Controller { return n.add("own", old, "v1") },
-			func(n network) *Controller { return n.add("hub", recent, "v1", "v2") }, "", 0, "?"},
+			func(n network) *Controller { return n.add("hub", recent, "v1", "v2") }, "", "?"},
 		"two versions, recorded at the hub": {
 			func(n network) *Controller { return n.add("own", recent, "v1", "v2") },
-			func(n network) *Controller { return n.add("hub", old, "v1", "v2") }, "stream", time.Second, "v2"},
+			func(n network) *Controller { return n.add("hub", old, "v1", "v2") }, "stream", "v2"},
 		"two versions, recorded nowhere": {
 			func(n network) *Controller { return n.add("own", recent, "v1", "v2") },
-			func(n network) *Controller { return n.add("hub", recent, "v1", "v2") }, "other", time.Second, "?"},
+			func(n network) *Controller { return n.add("hub", recent, "v1", "v2") }, "other", "?"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			n := network{}
@@ -80,7 +87,7 @@
 			if c.hub != nil {
 				c.hub(n).Began("stream", "s", "v2")
 			}
-			version, ok := own.VersionOf(context.Background(), c.stream, "s", c.within)
+			version, ok := own.VersionOf(context.Background(), c.stream, "s")
 			assert.Equal(t, ok, c.want != "?")
 			if ok {
 				assert.Equal(t, version, c.want)
@@ -101,12 +108,64 @@
 	assert.Equal(t, len(records), 2)
 	b.Add("a", records)
 	for stream, want := range map[string]string{"early": "v1", "late": "v2"} {
-		version, ok := b.VersionOf(context.Background(), stream, "s", time.Second)
+		version, ok := b.VersionOf(context.Background(), stream, "s")
 		assert.Assert(t, ok)
 		assert.Equal(t, version, want)
 	}
-	_, ok := b.VersionOf(context.Background(), "late", "other", time.Second)
+	_, ok := b.VersionOf(context.Background(), "late", "other")
 	assert.Assert(t, !ok)
 	records, _ = a.Since(revision, "b")
 	assert.Equal(t, len(records), 0)
 }
+
+// Guards against a history that is not written when versions change, that another node has changed, or that a fresh node does
+// not read or misreads.
+func TestHistoryReachesLaterProcesses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		s := memstore.New()
+		add := func(hub, first bool, versions ...string) *Controller {
+			c := New(Options{
+				Peers: network{}, Hubs: func() []string { return nil }, Exchange: func() {}, ListAge: func() time.Duration { return 0 },
+				Store: s, IsHub: func() bool { return hub }, FirstStart: first, Log: &eventlog.Log{},
+			})
+			go func() { _ = c.Run(ctx) }()
+			c.Observe(list(versions...))
+			return c
+		}
+		known := func(c *Controller) string {
+			time.Sleep(time.Second)
+			version, ok := c.VersionOf(ctx, "unknown stream", "s")
+			if !ok {
+				return "?"
+			}
+			return version
+		}
+		hub, other := add(true, true, "v1"), add(false, true, "v1")
+		assert.Equal(t, known(hub), "v1")
+		assert.Equal(t, known(other), "v1")
+		assert.Equal(t, known(add(false, false, "v1")), "v1")
+		assert.Equal(t, known(add(false, false, "v2")), "?", "v1 served before")
+		hub.Observe(list("v1", "v2"))
+		second := add(true, false, "v1", "v2")
+		time.Sleep(time.Second)
+		second.Observe(list("v2"))
+		time.Sleep(time.Second)
+		hub.Observe(list("v2"))
+		time.Sleep(time.Second)
+		assert.Equal(t, known(add(false, false, "v2")), "?", "v1 is gone lately")
+		time.Sleep(time.Minute)
+		assert.Equal(t, known(add(false, false, "v2")), "v2")
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// list returns a list of upstreams of the versions.
+func list(versions ...string) (l []dispatch.Upstream) {
+	for _, v := range versions {
+		l = append(l, dispatch.Upstream{ID: v, Service: "s", SoftwareVersion: v})
+	}
+	return l
+}
--- a/pkg/decision/softwareversion/softwareversion_test.go
+++ b/pkg/decision/softwareversion/softwareversion_test.go
@@ -20,32 +20,95 @@
 }
 
 // Guards against taking the version that serves now for the one that began a stream while another one served, or that may
-// have begun it before this node started.
-func TestOnlyVersionWithinATime(t *testing.T) {
+// have begun it before this node started. How long ago that was is not known: the stream may be as old as one can be.
+func TestOnlyVersionOfALifetime(t *testing.T) {
 	v := NewVersions()
 	at := func(s int) time.Time { return start.Add(time.Duration(s) * time.Second) }
-	only := func(within, now int) string {
-		version, ok := v.Only("s", time.Duration(within)*time.Second, at(now))
-		if !ok {
-			return "?"
-		}
-		return version
-	}
-	assert.Equal(t, only(0, 0), "?", "no list was seen")
+	only := func(now int) string { return onlyVersion(v, at(now)) }
+	assert.Equal(t, only(0), "?", "no list was seen")
 	v.Observe(upstreams("v1"), at(0))
-	assert.Equal(t, only(2, 3), "?", "the stream may have begun at a version that was gone before the node started")
-	assert.Equal(t, only(2, 4), "v1")
+	assert.Equal(t, only(31), "?", "the stream may have begun at a version that was gone before the node started")
+	assert.Equal(t, only(32), "v1")
 	v.Observe(upstreams("v1", "v2"), at(100))
-	assert.Equal(t, only(2, 101), "?")
+	assert.Equal(t, only(101), "?")
 	v.Observe(upstreams("v2"), at(110))
-	assert.Equal(t, only(2, 113), "?", "a node whose list is behind may have begun the stream at the version that is gone")
-	assert.Equal(t, only(2, 114), "v2")
+	assert.Equal(t, only(114), "?", "the stream may have begun at the version that is gone, however little time its caller has left")
+	assert.Equal(t, only(141), "?", "a node whose list is behind may have begun the stream at the version that is gone")
+	assert.Equal(t, only(142), "v2")
 	assert.Assert(t, v.MustRecord("s", at(112)))
 	assert.Assert(t, !v.MustRecord("s", at(150)))
 	v.Observe(nil, at(160))
-	assert.Equal(t, only(2, 161), "v2", "streams continue on upstreams whose entry is gone")
+	assert.Equal(t, only(161), "v2", "streams continue on upstreams whose entry is gone")
 	v.Observe(upstreams("v1"), at(200))
-	assert.Equal(t, only(2, 202), "v1", "v2 is gone for long")
+	assert.Equal(t, only(202), "v1", "v2 is gone for long")
+}
+
+// onlyVersion returns the only version of service s, or "?".
+func onlyVersion(v *Versions, now time.Time) string {
+	if version, ok := v.Only("s", now); ok {
+		return version
+	}
+	return "?"
+}
+
+// Guards against a fresh node that takes the version that it sees for the only one although another has left while no node ran,
+// and against one that refuses streams for as long as they may last although only one version ever served.
+func TestHistoryOfEarlierProcesses(t *testing.T) {
+	earlier := NewVersions()
+	earlier.Restore(History{CoveredSince: time.Unix(0, 0)}, start)
+	earlier.Observe(upstreams("v1"), start)
+	assert.Equal(t, onlyVersion(earlier, start), "v1", "no process ran before")
+	history := earlier.History()
+	now := start.Add(10 * time.Second)
+	for name, c := range map[string]struct {
+		list         []string
+		restoreFirst bool
+		history      History
+		soon, later  string
+	}{
+		"one version":                   {[]string{"v1"}, true, history, "v1", "v1"},
+		"one version, read late":        {[]string{"v1"}, false, history, "v1", "v1"},
+		"replaced meanwhile":            {[]string{"v2"}, true, history, "?", "v2"},
+		"replaced meanwhile, read late": {[]string{"v2"}, false, history, "?", "v2"},
+		"another one came":              {[]string{"v1", "v2"}, true, history, "?", "?"},
+		"no history":                    {[]string{"v1"}, true, History{}, "?", "v1"},
+		"short history":                 {[]string{"v1"}, true, History{CoveredSince: now.Add(-5 * time.Second)}, "?", "v1"},
+		"gone long ago": {[]string{"v1"}, true, History{
+			CoveredSince: time.Unix(0, 0), Gone: map[string]map[string]time.Time{"s": {"v1": {}, "v0": now.Add(-time.Minute)}}}, "v1", "v1"},
+		"gone lately": {[]string{"v1"}, true, History{
+			CoveredSince: time.Unix(0, 0), Gone: map[string]map[string]time.Time{"s": {"v1": {}, "v0": now.Add(-time.Second)}}}, "?", "v1"},
+		"gone in the future of this clock": {[]string{"v1"}, true, History{
+			CoveredSince: time.Unix(0, 0), Gone: map[string]map[string]time.Time{"s": {"v1": {}, "v0": now.Add(time.Hour)}}}, "?", "v1"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			v := NewVersions()
+			restore := func() {
+				if !c.history.CoveredSince.IsZero() {
+					v.Restore(c.history, now)
+				}
+			}
+			if c.restoreFirst {
+				restore()
+			}
+			v.Observe(upstreams(c.list...), now)
+			if !c.restoreFirst {
+				restore()
+			}
+			assert.Equal(t, onlyVersion(v, now.Add(3*time.Second)), c.soon)
+			assert.Equal(t, onlyVersion(v, now.Add(Lifetime+introduction)), c.later)
+		})
+	}
+}
+
+// Guards against changes of versions that no later process hears of.
+func TestObserveReportsChangesOfVersions(t *testing.T) {
+	v := NewVersions()
+	assert.Assert(t, v.Observe(upstreams("v1"), start))
+	assert.Assert(t, !v.Observe(upstreams("v1", "v1"), start))
+	assert.Assert(t, v.Observe(upstreams("v1", "v2"), start))
+	assert.Assert(t, v.Observe(upstreams("v2"), start))
+	assert.Assert(t, v.Observe(upstreams("v1", "v2"), start), "it is back")
+	assert.Assert(t, !v.Observe(upstreams("v2", "v1"), start))
 }
 
 // Guards against a stream that begins at a version which other nodes do not know yet, so that they continue it at another.
--- a/pkg/edge/node.go
+++ b/pkg/edge/node.go
@@ -183,6 +183,7 @@
 	})
 	n.streams = streamversions.New(streamversions.Options{
 		Peers: n.peers, Hubs: func() []string { return n.exchange.OtherHubs() }, Exchange: func() { n.exchange.Request(context.Background()) },
+		Store: n.store, IsHub: func() bool { return n.exchange.IsHub() }, FirstStart: s.FirstStart,
 		ListAge: func() time.Duration { return n.mirror.Age(p.UpstreamPrefix()) },
 		Log:     log, Metrics: streamversions.NewMetrics(n.metrics),
 	})
@@ -419,7 +420,7 @@
 	group, working := errgroup.WithContext(working)
 	group.Go(func() error { return n.peerServer.Serve(n.peerListen) })
 	for name, run := range map[string]func(context.Context) error{
-		"mirror": n.mirror.Run, "jobs": n.jobs.Run, "join": n.join, "failed runs": n.failedRuns.Run,
+		"mirror": n.mirror.Run, "jobs": n.jobs.Run, "join": n.join, "failed runs": n.failedRuns.Run, "versions": n.streams.Run,
 		"retirement": n.watchRetirements, "introductions": n.exchange.RunIntroductions, "registration": n.fleet.KeepRegistered, "removals": n.exchange.RunRemovals,
 	} {
 		group.Go(func() error {
--- a/pkg/edge/settings.go
+++ b/pkg/edge/settings.go
@@ -39,6 +39,8 @@
 	CPUShare float64 `toml:"cpu_share"`
 	Cores    float64 `toml:"cores"`
 	MemoryMB int     `toml:"memory_mb"`
+	// FirstStart is set if no process of the deployment has run before, so that the store holds nothing of them.
+	FirstStart bool `toml:"first_start"`
 	// Retires is set on a node whose VM may be retired; the node then hands over its jobs first.
 	Retires bool `toml:"retires"`
 
--- a/pkg/forward/deadlines.go
+++ b/pkg/forward/deadlines.go
@@ -18,10 +18,3 @@
 	l.byRoute[route] = max(l.byRoute[route], d)
 	return l.byRoute[route] - d
 }
-
-// longest returns the longest deadline seen on a route.
-func (l *longestDeadlines) longest(route string) time.Duration {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.byRoute[route]
-}
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -97,9 +97,8 @@
 	received time.Time
 	// deadline is when the caller or the route stops waiting.
 	deadline time.Time
-	// announced is the deadline that the caller announced, or 0; earlierAttempts is the time that it spent on earlier attempts,
-	// estimated from its deadline.
-	announced, earlierAttempts time.Duration
+	// earlierAttempts is the time that the caller spent on earlier attempts, estimated from its deadline.
+	earlierAttempts time.Duration
 	// ran counts the attempts that may have run; refused counts those that did not.
 	ran, refused int
 	tried        []string
@@ -218,15 +217,15 @@
 	if route.Timeout > 0 {
 		left = route.Timeout
 	}
-	var announced, earlierAttempts time.Duration
+	var earlierAttempts time.Duration
 	if ms, err := strconv.ParseInt(r.Header.Get(f.options.HeaderNames.Deadline), 10, 64); err == nil && ms > 0 {
-		announced = time.Duration(ms) * time.Millisecond
+		announced := time.Duration(ms) * time.Millisecond
 		earlierAttempts = f.deadlines.record(route.Name, announced)
 		left = min(left, announced)
 	}
 	id := r.Header.Get(f.options.HeaderNames.RequestID)
 	x := &exchange{
-		Forwarder: f, w: w, r: r, route: route, received: received, deadline: received.Add(left), announced: announced, earlierAttempts: earlierAttempts,
+		Forwarder: f, w: w, r: r, route: route, received: received, deadline: received.Add(left), earlierAttempts: earlierAttempts,
 		lastEvent: -1, stream: id,
 		request: Request{
 			ID: id, Method: r.Method, Host: r.Host, Target: r.RequestURI, Header: endToEnd(r.Header), Body: body, Once: !route.Repeatable(),
--- a/pkg/forward/version.go
+++ b/pkg/forward/version.go
@@ -3,16 +3,14 @@
 import (
 	"context"
 	"net/http"
-	"time"
 
 	"trefoilplank.example/pkg/decision/dispatch"
-	"trefoilplank.example/pkg/decision/softwareversion"
 )
 
 // findVersion finds the software version at which the stream began that the caller resumes. If it is not known, it
 // refuses the request: what two versions generate does not fit together.
 func (x *exchange) findVersion(ctx context.Context) bool {
-	version, ok := x.options.Streams.VersionOf(ctx, x.stream, x.service, x.beganWithin())
+	version, ok := x.options.Streams.VersionOf(ctx, x.stream, x.service)
 	if ok {
 		x.version = &version
 		return true
@@ -24,18 +22,6 @@
 	return false
 }
 
-// beganMargin is added to the time that a caller has spent on a stream, for delays on the way.
-const beganMargin = 500 * time.Millisecond
-
-// beganWithin returns the time within which the stream that the caller resumes began: callers announce what is left of the
-// time that they wait.
-func (x *exchange) beganWithin() time.Duration {
-	if x.announced == 0 {
-		return softwareversion.Lifetime
-	}
-	return max(0, max(x.route.Timeout, x.deadlines.longest(x.route.Name))-x.announced) + beganMargin
-}
-
 // resumes returns the ID of the request whose stream the caller resumes, or "".
 func (x *exchange) resumes() string {
 	if x.resumed {
