Let peers be silent for two seconds before their connection ends

With 2 s and probes from 1 s of idleness on, a silence that begins just before the first probe ended the connection after one second. Change: a user timeout of 3 s.

--- a/pkg/adapter/dial/dial.go
+++ b/pkg/adapter/dial/dial.go
@@ -11,10 +11,12 @@
 	"golang.org/x/sys/unix"
 )
 
-// With these values a connection to an unreachable or unresponsive peer ends within about two seconds, whether it is
-// idle (keep-alive probes) or waits for an acknowledgement (TCP_USER_TIMEOUT). Keep-alive times are whole seconds.
+// With these values a connection to an unreachable or unresponsive peer ends within about three seconds, whether it is
+// idle (keep-alive probes) or waits for an acknowledgement (TCP_USER_TIMEOUT). Keep-alive times are whole seconds. The user
+// timeout counts from the last data that arrived and also ends keep-alive probes, so a peer may fall silent for at least
+// userTimeout - keepAliveIdle at any moment.
 const (
-	userTimeout       = 2 * time.Second
+	userTimeout       = 3 * time.Second
 	keepAliveIdle     = time.Second
 	keepAliveInterval = time.Second
 	keepAliveCount    = 2
