Name the relaying node in logs and test lists of cut-off nodes and earlier landings

Cause: a request's log line did not tell that it went through another node, and nothing guarded the hub's list of nodes that are cut off nor calls to nodes that can't relay. Change: request answered has relayed_by, errors of relayed requests name the node; tests for the hub's list (sent once for each change, dropped with its hub or node) and for nodes that refuse the relay's handshake or have none.

--- a/pkg/adapter/peer/faults_test.go
+++ b/pkg/adapter/peer/faults_test.go
@@ -232,3 +232,39 @@
 		})
 	}
 }
+
+// TestRelayNeedsNodeThatRelays guards against a connection to a node that can't relay, such as one of an earlier version, that is
+// taken for a relayed one, and against an error of the node that loses its kind.
+func TestRelayNeedsNodeThatRelays(t *testing.T) {
+	s, address := startEcho(t, "secret")
+	c := peer.NewClient(peer.ClientOptions{Secret: "secret", Resolve: func(string) (string, bool) { return address, true }})
+	defer c.Close()
+	_, err := c.Relay(t.Context(), "other", "127.0.0.1:1")
+	assert.ErrorIs(t, err, peer.ErrUnknownMethod)
+
+	other := peer.NewClient(peer.ClientOptions{Secret: "another", Resolve: func(string) (string, bool) { return address, true }})
+	defer other.Close()
+	_, err = other.Relay(t.Context(), "other", "127.0.0.1:1")
+	assert.ErrorIs(t, err, peer.ErrUnreachable)
+	assert.NilError(t, s.Close())
+
+	// A node of an earlier version closes a connection whose first line it does not know.
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer l.Close()
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			conn.Close()
+		}
+	}()
+	earlier := peer.NewClient(peer.ClientOptions{Secret: "secret", Resolve: func(string) (string, bool) { return l.Addr().String(), true }})
+	defer earlier.Close()
+	begun := time.Now()
+	_, err = earlier.Relay(t.Context(), "other", "127.0.0.1:1")
+	assert.ErrorIs(t, err, peer.ErrUnreachable)
+	assert.Assert(t, time.Since(begun) < time.Second)
+}
--- a/pkg/controller/loadshare/loadshare_test.go
+++ b/pkg/controller/loadshare/loadshare_test.go
@@ -363,3 +363,33 @@
 	time.Sleep(time.Second)
 	assert.Assert(t, agreed(), "%v", chosen)
 }
+
+// Guards against nodes that are cut off from upstreams and are asked for help by others, against a list that is sent with each
+// answer, and against one that outlives its hub.
+func TestNodesThatAreCutOffAreTold(t *testing.T) {
+	h := testHub("a", "b")
+	now := time.Unix(100, 0)
+	report := func(node string, cutOff bool, seen int64) Totals {
+		var got Totals
+		now = now.Add(reviewInterval)
+		h.handleReport(Report{Node: node, CutOff: cutOff, CutOffSeen: seen}, &got, now)
+		return got
+	}
+	assert.Equal(t, report("a", false, 0).CutOffRevision, int64(0))
+	report("a", true, 0)
+	told := report("b", false, 0)
+	assert.DeepEqual(t, told.CutOff, []string{"a"})
+	again := report("b", false, told.CutOffRevision)
+	assert.Equal(t, again.CutOffRevision, told.CutOffRevision)
+	assert.Equal(t, len(again.CutOff), 0, "the list did not change")
+	report("a", false, told.CutOffRevision)
+	ended := report("b", false, told.CutOffRevision)
+	assert.Assert(t, ended.CutOffRevision != told.CutOffRevision)
+	assert.Equal(t, len(ended.CutOff), 0)
+	report("a", true, 0)
+	now = now.Add(unresponsiveAfter)
+	assert.Equal(t, len(report("b", false, 0).CutOff), 0, "the node no longer reports")
+	var fresh Totals
+	testHub("a", "b").handleReport(Report{Node: "b", CutOffSeen: told.CutOffRevision}, &fresh, now)
+	assert.Equal(t, fresh.CutOffRevision, int64(0), "the next hub's list replaces that of the last one")
+}
--- a/pkg/controller/uplink/relay.go
+++ b/pkg/controller/uplink/relay.go
@@ -82,9 +82,18 @@
 	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
 	defer cancel()
 	conn, err := l.options.Relay(ctx, node, address)
+	if err == nil {
+		conn = &relayedConn{conn, node}
+	}
 	attempts <- relayAttempt{node, conn, err}
 }
 
+// relayedConn is a connection through another node.
+type relayedConn struct {
+	net.Conn
+	node string
+}
+
 // closeLate closes the connections of the attempts that are still pending, which nobody uses.
 func closeLate(attempts <-chan relayAttempt, pending int) {
 	for range pending {
--- a/pkg/controller/uplink/transport.go
+++ b/pkg/controller/uplink/transport.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"time"
 
 	"trefoilplank.example/pkg/adapter/dial"
@@ -49,16 +52,49 @@
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
 	address := r.URL.Host
 	if t.links.path(address) == reach.Relayed {
-		return t.relayed.RoundTrip(r)
+		return t.roundTripRelayed(r)
 	}
 	resp, err := t.direct.RoundTrip(r)
 	var op *net.OpError
 	if errors.As(err, &op) && op.Op == "dial" && r.Context().Err() == nil && t.links.reachedAfterFailure(r.Context(), address) {
-		return t.relayed.RoundTrip(r)
+		return t.roundTripRelayed(r)
 	}
 	return resp, err
 }
 
+// roundTripRelayed sends a request over a connection through another node.
+func (t *Transport) roundTripRelayed(r *http.Request) (*http.Response, error) {
+	var relay string
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		if conn, ok := info.Conn.(*relayedConn); ok {
+			relay = conn.node
+		}
+	}}
+	resp, err := t.relayed.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
+	if err != nil {
+		if relay != "" {
+			err = fmt.Errorf("through %s: %w", relay, err)
+		}
+		return nil, err
+	}
+	resp.Body = &relayedBody{resp.Body, relay}
+	return resp, nil
+}
+
+// relayedBody is the body of an answer that came through another node.
+type relayedBody struct {
+	io.ReadCloser
+	relay string
+}
+
+// RelayOf returns the node through which an answer of a Transport came, or "" if it came directly.
+func RelayOf(resp *http.Response) string {
+	if body, ok := resp.Body.(*relayedBody); ok {
+		return body.relay
+	}
+	return ""
+}
+
 // reachedAfterFailure reports whether an upstream to which this node has just failed to connect is reached through another
 // node. Unless the node itself is suspected, the upstream probably is at fault; the others are then asked in the background.
 func (l *Links) reachedAfterFailure(ctx context.Context, address string) bool {
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -20,6 +20,7 @@
 	"trefoilplank.example/pkg/controller/failedruns"
 	"trefoilplank.example/pkg/controller/placer"
 	"trefoilplank.example/pkg/controller/streamversions"
+	"trefoilplank.example/pkg/controller/uplink"
 	"trefoilplank.example/pkg/decision/dispatch"
 	decision "trefoilplank.example/pkg/decision/failedruns"
 	"trefoilplank.example/pkg/decision/routing"
@@ -472,7 +473,7 @@
 		x.options.Placer.RecordOnlineRun(x.service, first, time.Since(sent), choice.Free <= 0 || x.ran > 0)
 		x.options.Log.Routine("request answered", "request", x.request.ID, "route", x.route.Name, "upstream", choice.Upstream.ID,
 			"status", resp.StatusCode, "free", choice.Free, "granted", choice.Granted, "totals_age_ms", choice.TotalsAge.Milliseconds(),
-			"resumes", x.resumes(), "version", choice.Upstream.SoftwareVersion, "first_ms", first.Milliseconds(), "total_ms", time.Since(x.received).Milliseconds(), "ran", x.ran+1)
+			"resumes", x.resumes(), "version", choice.Upstream.SoftwareVersion, "relayed_by", uplink.RelayOf(resp), "first_ms", first.Milliseconds(), "total_ms", time.Since(x.received).Milliseconds(), "ran", x.ran+1)
 	}
 	return err
 }
