Keep the records of streams in the store while a service has several versions

Cause: records of streams were in the memory of nodes only. Change: while a service has several versions, the hub writes the records to the store in segments of one second, each 150 ms when there are new ones; the nodes that others ask for streams read them when they start. Nothing is written while each service has one version.

--- a/pkg/controller/loadshare/loadshare.go
+++ b/pkg/controller/loadshare/loadshare.go
@@ -358,6 +358,16 @@
 // OtherHubs returns the other live nodes in the order in which they serve as the hub.
 func (e *Exchange) OtherHubs() []string { return otherHubs(e.options.Fleet) }
 
+// MayBeHub reports whether this node is among the first nodes in the order in which they serve as the hub. It is not until a
+// hub has answered: the other nodes may not be known before.
+func (e *Exchange) MayBeHub(first int) bool {
+	if e.currentHub.Load() == nil {
+		return false
+	}
+	ranked := rankedHubs(e.options.Fleet)
+	return slices.Contains(ranked[:min(first, len(ranked))], e.options.Fleet.Self().Name)
+}
+
 // exchange sends a report to the hub, applies the answer, and returns whether there was one.
 func (e *Exchange) exchange(ctx context.Context, loads map[string]dispatch.Load, wants map[string]dispatch.Want) bool {
 	self := e.options.Fleet.Self()
--- a/pkg/controller/streamversions/history.go
+++ b/pkg/controller/streamversions/history.go
@@ -6,14 +6,19 @@
 	"errors"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"trefoilplank.example/pkg/adapter/store"
 	"trefoilplank.example/pkg/decision/softwareversion"
 	"trefoilplank.example/pkg/wait"
 )
 
+// Prefix is the key prefix of what the hub keeps in the store.
+const Prefix = "streamversions/"
+
 // HistoryKey is the key of the history of software versions in the store. The hub writes it when the versions of a service
 // change, and each node reads it when it starts: after a restart of all nodes nobody else knows which versions have served.
-const HistoryKey = "streamversions/history"
+const HistoryKey = Prefix + "history"
 
 const (
 	// historyTimeout bounds one call to the store, and historyRetry is the pause after one that failed.
@@ -60,8 +65,19 @@
 	return s
 }
 
-// Run reads the history and writes its changes while this node is the hub, until ctx ends.
+// Run reads what earlier processes left, and writes what later ones need while this node is the hub, until ctx ends.
 func (c *Controller) Run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return c.keepHistory(ctx) })
+	group.Go(func() error {
+		c.readSegments(ctx)
+		return c.writeSegments(ctx)
+	})
+	return group.Wait()
+}
+
+// keepHistory reads the history and writes its changes while this node is the hub.
+func (c *Controller) keepHistory(ctx context.Context) error {
 	revision, ok := c.readHistory(ctx)
 	if !ok {
 		return ctx.Err()
--- a/pkg/controller/streamversions/streamversions.go
+++ b/pkg/controller/streamversions/streamversions.go
@@ -22,9 +22,9 @@
 	// lookupTimeout bounds the question to other nodes; a stream that continues later than the pause objective of callers
 	// is late.
 	lookupTimeout = 150 * time.Millisecond
-	// lookupNodes is the number of nodes that are asked: the hub, its successor, and one more, since the nodes may not agree
+	// LookupNodes is the number of nodes that are asked: the hub, its successor, and one more, since the nodes may not agree
 	// on the hub for a moment.
-	lookupNodes = 3
+	LookupNodes = 3
 	// exchangeRecords limits the records in one message, at about 60 bytes each.
 	exchangeRecords = 512
 	// expireInterval is the time between two searches for streams that can't continue any more.
@@ -41,6 +41,8 @@
 	// Store holds the history of versions for processes that start later. IsHub reports whether this node writes it.
 	Store store.Store
 	IsHub func() bool
+	// Asked reports whether this node is among those that others ask for streams.
+	Asked func() bool
 	// FirstStart is set if no process of the deployment has run before.
 	FirstStart bool
 	// ListAge returns the age of this node's list of upstreams.
@@ -60,12 +62,15 @@
 	expiredAt time.Time
 	// versionsChanged receives a value when the versions of a service have changed.
 	versionsChanged chan struct{}
+	// recordsAdded receives a value when streams of a service with several versions were recorded.
+	recordsAdded chan struct{}
 }
 
 // New returns a controller.
 func New(o Options) *Controller {
 	return &Controller{
 		options: o, versions: softwareversion.NewVersions(), directory: softwareversion.NewDirectory(), versionsChanged: make(chan struct{}, 1),
+		recordsAdded: make(chan struct{}, 1),
 	}
 }
 
@@ -110,7 +115,11 @@
 		c.expiredAt = now
 		c.directory.Expire(now)
 	}
-	return c.directory.Add(r, "", now) && c.versions.Several(r.Service, now)
+	if !c.directory.Add(r, "", now) || !c.versions.Several(r.Service, now) {
+		return false
+	}
+	c.signalRecords(r.Service, now)
+	return true
 }
 
 // VersionOf returns the software version at which a stream of a service began. It returns false if neither this node nor those
@@ -124,7 +133,7 @@
 		return answer.Version, true
 	}
 	nodes := c.options.Hubs()
-	nodes = nodes[:min(lookupNodes, len(nodes))]
+	nodes = nodes[:min(LookupNodes, len(nodes))]
 	ctx, cancel := context.WithTimeout(ctx, lookupTimeout)
 	defer cancel()
 	answers := make(chan FindReply, len(nodes))
@@ -169,7 +178,9 @@
 	defer c.mu.Unlock()
 	now := time.Now()
 	for _, r := range records {
-		c.directory.Add(r, from, now)
+		if c.directory.Add(r, from, now) {
+			c.signalRecords(r.Service, now)
+		}
 	}
 }
 
--- a/pkg/controller/streamversions/streamversions_test.go
+++ b/pkg/controller/streamversions/streamversions_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -128,7 +129,7 @@
 		add := func(hub, first bool, versions ...string) *Controller {
 			c := New(Options{
 				Peers: network{}, Hubs: func() []string { return nil }, Exchange: func() {}, ListAge: func() time.Duration { return 0 },
-				Store: s, IsHub: func() bool { return hub }, FirstStart: first, Log: &eventlog.Log{},
+				Store: s, IsHub: func() bool { return hub }, Asked: func() bool { return true }, FirstStart: first, Log: &eventlog.Log{},
 			})
 			go func() { _ = c.Run(ctx) }()
 			c.Observe(list(versions...))
@@ -162,6 +163,60 @@
 	})
 }
 
+// Guards against streams of a service with several versions that can't be taken up after all nodes are lost, and against writes
+// to the store for streams of a service with one version.
+func TestRecordsOutliveAllProcesses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := memstore.New()
+		start := func(versions ...string) (c *Controller, stop func()) {
+			ctx, cancel := context.WithCancel(t.Context())
+			c = New(Options{
+				Peers: network{}, Hubs: func() []string { return nil }, Exchange: func() {}, ListAge: func() time.Duration { return 0 },
+				Store: s, IsHub: func() bool { return true }, Asked: func() bool { return true }, FirstStart: true, Log: &eventlog.Log{},
+			})
+			go func() { _ = c.Run(ctx) }()
+			c.Observe(list(versions...))
+			time.Sleep(100 * time.Millisecond)
+			return c, cancel
+		}
+		written := func() int {
+			page, err := s.List(t.Context(), segmentPrefix, "", 1000)
+			assert.NilError(t, err)
+			return len(page.Objects)
+		}
+		c, stop := start("v1")
+		c.Began("early", "s", "v1")
+		time.Sleep(time.Second)
+		assert.Equal(t, written(), 0)
+		c.Observe(list("v1", "v2"))
+		for n := range 40 {
+			c.Began(fmt.Sprint("stream", n), "s", fmt.Sprint("v", 1+n%2))
+			time.Sleep(30 * time.Millisecond)
+		}
+		time.Sleep(2 * segmentInterval)
+		assert.Assert(t, written() >= 2)
+		stop()
+		synctest.Wait()
+		c, stop = start("v1", "v2")
+		for n := range 40 {
+			version, ok := c.VersionOf(t.Context(), fmt.Sprint("stream", n), "s")
+			assert.Assert(t, ok)
+			assert.Equal(t, version, fmt.Sprint("v", 1+n%2))
+		}
+		version, ok := c.VersionOf(t.Context(), "early", "s")
+		assert.Assert(t, ok)
+		assert.Equal(t, version, "v1")
+		stop()
+		synctest.Wait()
+		time.Sleep(softwareversion.Lifetime)
+		c, stop = start("v1", "v2")
+		_, ok = c.VersionOf(t.Context(), "stream0", "s")
+		assert.Assert(t, !ok, "the stream can't last that long")
+		stop()
+		synctest.Wait()
+	})
+}
+
 // list returns a list of upstreams of the versions.
 func list(versions ...string) (l []dispatch.Upstream) {
 	for _, v := range versions {
