Ask other nodes once for each upstream that fails, and wait shortly while others are heard

Cause: each failed connect asked other nodes anew, and while two upstreams were down each request waited for their answer, up to 0.6 s if both VMs do not answer, although the node heard the other upstreams. Change: one question an upstream at a time and in 0.1 s after it; a request waits 60 ms for it while other upstreams are heard, and until its end otherwise.

--- a/pkg/controller/uplink/transport.go
+++ b/pkg/controller/uplink/transport.go
@@ -97,32 +97,58 @@
 
 // reachedAfterFailure reports whether an upstream to which this node has just failed to connect is reached through another
 // node. Unless the node itself is suspected, the upstream probably is at fault; the others are then asked in the background.
+// While upstreams are heard, the answer of another node is awaited for helperDelay only.
 func (l *Links) reachedAfterFailure(ctx context.Context, address string) bool {
 	now := time.Now()
 	l.mu.Lock()
-	suspected := l.state.Suspected(l.state.Service(address), now)
-	check := l.state.Failing(address, now) && !l.state.Relayed(address)
+	service := l.state.Service(address)
+	suspected, heard := l.state.Suspected(service, now), now.Sub(l.state.LastHeard(service)) < reach.SilenceLimit
+	ask := !l.state.Relayed(address) && l.state.Failing(address, now)
 	l.mu.Unlock()
-	if l.options.Relay == nil || !check {
+	if l.options.Relay == nil || !ask {
 		return l.Relayed(address)
 	}
-	asked := make(chan struct{})
-	go func() {
-		defer close(asked)
-		if l.askOthers(address) == nil {
-			l.reachedByOthers(address)
-		}
-	}()
+	asked := l.askOthersOnce(address)
 	if !suspected {
 		return false
 	}
+	patience := time.NewTimer(relayTimeout)
+	defer patience.Stop()
+	if heard {
+		patience.Reset(helperDelay)
+	}
 	select {
 	case <-asked:
+	case <-patience.C:
 	case <-ctx.Done():
 	}
 	return l.Relayed(address)
 }
 
+// askOthersOnce asks other nodes to connect to an upstream in the background, and records it if one does. The channel is closed
+// at the end. Calls meanwhile, and within diagnosisLifetime, share the result.
+func (l *Links) askOthersOnce(address string) <-chan struct{} {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if asked := l.asked[address]; asked != nil {
+		return asked
+	}
+	asked := make(chan struct{})
+	l.asked[address] = asked
+	go func() {
+		if l.askOthers(address) == nil {
+			l.reachedByOthers(address)
+		}
+		close(asked)
+		time.AfterFunc(diagnosisLifetime, func() {
+			l.mu.Lock()
+			defer l.mu.Unlock()
+			delete(l.asked, address)
+		})
+	}()
+	return asked
+}
+
 // CloseIdleConnections closes the idle connections.
 func (t *Transport) CloseIdleConnections() {
 	t.direct.CloseIdleConnections()
--- a/pkg/controller/uplink/uplink.go
+++ b/pkg/controller/uplink/uplink.go
@@ -99,6 +99,8 @@
 	transports []*http.Transport
 	// diagnoses holds the checks in progress and those of the last diagnosisLifetime, by address.
 	diagnoses map[string]*diagnosis
+	// asked holds the questions to other nodes in progress and those of the last diagnosisLifetime, by address.
+	asked map[string]chan struct{}
 }
 
 // counters counts the writes to an upstream and the reads from it.
@@ -109,7 +111,7 @@
 	if o.Dial == nil {
 		o.Dial = dial.Dialer(connectTimeout).DialContext
 	}
-	l := &Links{options: o, state: reach.New(), avoid: map[string]time.Time{}, diagnoses: map[string]*diagnosis{}}
+	l := &Links{options: o, state: reach.New(), avoid: map[string]time.Time{}, diagnoses: map[string]*diagnosis{}, asked: map[string]chan struct{}{}}
 	o.Metrics.observeLinks(l)
 	return l
 }
--- a/pkg/edge/node.go
+++ b/pkg/edge/node.go
@@ -30,7 +30,6 @@
 	"trefoilplank.example/pkg/controller/uplink"
 	"trefoilplank.example/pkg/decision/dispatch"
 	"trefoilplank.example/pkg/decision/quota"
-	"trefoilplank.example/pkg/decision/reach"
 	"trefoilplank.example/pkg/decision/rendezvous"
 	"trefoilplank.example/pkg/decision/routing"
 	"trefoilplank.example/pkg/eventlog"
@@ -184,7 +183,7 @@
 	n.streams = streamversions.New(streamversions.Options{
 		Peers: n.peers, Hubs: func() []string { return n.exchange.OtherHubs() }, Exchange: func() { n.exchange.Request(context.Background()) },
 		Store: n.store, IsHub: func() bool { return n.exchange.IsHub() }, FirstStart: s.FirstStart,
-		Asked: func() bool { return n.exchange.MayBeHub(streamversions.LookupNodes) },
+		Asked:   func() bool { return n.exchange.MayBeHub(streamversions.LookupNodes) },
 		ListAge: func() time.Duration { return n.mirror.Age(p.UpstreamPrefix()) },
 		Log:     log, Metrics: streamversions.NewMetrics(n.metrics),
 	})
@@ -216,28 +215,6 @@
 	})
 }
 
-func (n *Node) buildLinks(o options) {
-	n.links = uplink.New(uplink.Options{
-		Dial: o.dialUpstream, Helpers: n.relayHelpers, Relay: n.peers.Relay, Draining: n.draining.Load,
-		Changed: func(addresses []string, _ bool) {
-			n.placer.ForgetFailures(addresses)
-			n.exchange.Request(context.Background())
-		},
-		Log: n.log, Metrics: uplink.NewMetrics(n.metrics),
-	})
-	n.peerServer.HandleRelays(n.links.Accept)
-}
-
-// relayHelpers returns the nodes that may connect to an upstream for this one, in an order that differs between upstreams and
-// between nodes, so that the load of a node that is cut off is divided among all others by their weights.
-func (n *Node) relayHelpers(address string) []string {
-	weights := n.fleet.AcceptingWeights()
-	for _, name := range n.exchange.CutOff() {
-		delete(weights, name)
-	}
-	return rendezvous.Ranked(n.settings.Name+" "+address, weights)
-}
-
 func (n *Node) buildMirror() {
 	n.mirror = mirror.New(mirror.Options{Store: n.store, Peers: n.peers, Others: n.fleet.OtherLive, Log: n.log},
 		mirror.Prefix{Name: n.platform.ConfigPrefix(), Handle: n.applyConfiguration},
@@ -370,11 +347,7 @@
 	n.invalidEntries = seen
 	n.mu.Unlock()
 	n.streams.Observe(list)
-	reached := make([]reach.Upstream, 0, len(list))
-	for _, u := range list {
-		reached = append(reached, reach.Upstream{Address: u.Address, Service: u.Service, Incarnation: u.Incarnation})
-	}
-	n.links.SetUpstreams(reached)
+	n.links.SetUpstreams(linkedUpstreams(list))
 	n.failedRuns.UpstreamsEnded(n.placer.SetUpstreams(list))
 }
 
