--- a/pkg/forward/fakes_test.go
+++ b/pkg/forward/fakes_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"gotest.tools/v3/assert"
 
 	"trefoilplank.example/pkg/controller/failedruns"
@@ -46,6 +47,8 @@
 	streams    *streamversions.Controller
 	// upstreams holds the fake upstreams by name.
 	upstreams map[string]*httptest.Server
+	forwarder *Forwarder
+	metrics   *metrics.Set
 	// drainEnd is when the node closes, or zero while it does not drain.
 	drainEnd time.Time
 }
@@ -95,12 +98,15 @@
 		Hubs: func() []string { return nil }, Exchange: func() {}, ListAge: func() time.Duration { return 0 }, Log: log,
 	})
 	f.streams.Observe(upstreams)
-	f.Server = httptest.NewServer(New(Options{
+	f.metrics = metrics.NewSet()
+	f.forwarder = New(Options{
 		HeaderNames: testHeaders, Placer: p, Client: client, Table: func() *routing.Table { return table },
 		FailedRuns: f.failedRuns, Streams: f.streams,
 		RequestSlots: func(context.Context) bool { return false }, Log: log,
 		Draining: func() bool { return !f.drainEnd.IsZero() }, DrainEnd: func() time.Time { return f.drainEnd },
-	}))
+		Metrics: NewMetrics(f.metrics),
+	})
+	f.Server = httptest.NewServer(f.forwarder)
 	t.Cleanup(f.Server.Close)
 	return f
 }
--- a/pkg/forward/forward_test.go
+++ b/pkg/forward/forward_test.go
@@ -296,3 +296,19 @@
 	assert.Equal(t, body, allEvents())
 	assert.Equal(t, len(f.requests()), 1)
 }
+
+// Guards against a request that bears the silence of its upstream, since the budget allows no retry, and then takes one retry
+// after the other from the budget of later requests.
+func TestBorneSilenceTakesNoFurtherRetries(t *testing.T) {
+	silent := func(_ *fixture, _ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }
+	f := newFixture(t, silent, silent)
+	for f.forwarder.takeTimeoutRetry() {
+	}
+	borne := f.metrics.GetOrCreateCounter(`trefoilplank_requests_total{outcome="silence_borne"}`)
+	before := borne.Get()
+	resp, _, err := f.call(t, "/idempotent/a", "body")
+	assert.NilError(t, err)
+	assert.Equal(t, resp.StatusCode, http.StatusGatewayTimeout)
+	assert.Equal(t, borne.Get()-before, uint64(1))
+	assert.Equal(t, len(f.requests()), 1)
+}
--- a/pkg/forward/stream.go
+++ b/pkg/forward/stream.go
@@ -49,6 +49,8 @@
 	pause time.Duration
 	// begun is set with the first event.
 	begun atomic.Bool
+	// borne is set while the request must bear the silence, since the budget allowed no retry.
+	borne atomic.Bool
 }
 
 // Stop stops the timer, so that it no longer cancels the attempt.
@@ -61,6 +63,7 @@
 // eventReceived restarts the timer for the next event, or stops it if pauses are not limited.
 func (t *dataTimer) eventReceived() {
 	t.begun.Store(true)
+	t.borne.Store(false)
 	switch {
 	case t.timer == nil:
 	case t.pause > 0:
@@ -96,10 +99,11 @@
 			t.timer.Reset(t.pause)
 			return
 		}
-		if x.takeTimeoutRetry() {
+		if !t.borne.Load() && x.takeTimeoutRetry() {
 			cancel(ErrUnresponsive)
 			return
 		}
+		t.borne.Store(true)
 		t.timer.Reset(lostCheckInterval)
 	})
 	return t
