Check unused upstreams too for their return after a cut

A node without requests of its own would have stayed cut off for good, and the others would not have asked it to relay. Change: polls check the upstreams that are reached through others, two each 0.1 s, and go on while there are any.

--- a/pkg/controller/uplink/diagnose.go
+++ b/pkg/controller/uplink/diagnose.go
@@ -133,6 +133,7 @@
 // reachedByOthers records that another node connects to an upstream. If this node's connections to it fail, it is reached
 // through other nodes from now on.
 func (l *Links) reachedByOthers(address string) {
+	defer l.watch() // The return is checked by polls.
 	now := time.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/pkg/controller/uplink/uplink.go
+++ b/pkg/controller/uplink/uplink.go
@@ -56,6 +56,8 @@
 	avoidTime = time.Second
 	// pollInterval is the time between two looks at the connections while data is awaited.
 	pollInterval = 100 * time.Millisecond
+	// maxReturnChecks is the number of checks that a poll begins of upstreams that are reached through other nodes.
+	maxReturnChecks = 2
 	// diagnosisLifetime is how long the result of a check is used for further failures of the same upstream.
 	diagnosisLifetime = 100 * time.Millisecond
 	// maxRelayed is the number of connections that this node relays for others at a time. Each takes two descriptors, two
@@ -191,7 +193,7 @@
 	return c.Conn.Write(p)
 }
 
-// watch schedules polls while data is awaited. It is called when a request is sent.
+// watch schedules polls, which go on while data is awaited or upstreams are reached through other nodes.
 func (l *Links) watch() {
 	if l.polling.CompareAndSwap(false, true) {
 		time.AfterFunc(pollInterval, l.poll)
@@ -213,9 +215,12 @@
 	now := time.Now()
 	l.mu.Lock()
 	l.state.Poll(activity, now)
-	checks := l.state.SilentChecks(now)
+	checks, returns := l.state.SilentChecks(now), l.state.ReturnChecks(maxReturnChecks, now)
 	waiting := l.state.Waiting()
 	l.mu.Unlock()
+	for _, address := range returns {
+		go l.check(address)
+	}
 	for _, address := range checks {
 		l.options.Log.Notice("upstreams owe answers and none is heard", "upstream_address", address)
 		go l.Diagnose(context.Background(), address)
--- a/pkg/controller/uplink/uplink_test.go
+++ b/pkg/controller/uplink/uplink_test.go
@@ -95,7 +95,6 @@
 	t.Helper()
 	for deadline := time.Now().Add(3 * time.Second); n.Relayed(address); time.Sleep(10 * time.Millisecond) {
 		assert.Assert(t, time.Now().Before(deadline), "the upstream is not reached directly again")
-		n.path(address) // Requests start the checks.
 	}
 }
 
@@ -122,7 +121,7 @@
 	assert.Assert(t, !nodes["b"].CutOff())
 	a.cut.Store(false)
 	for _, u := range upstreams {
-		awaitDirect(t, a, u.Address)
+		awaitDirect(t, a, u.Address) // No request is needed for the return.
 		_, err := get(t.Context(), transport, u.Address)
 		assert.NilError(t, err)
 	}
--- a/pkg/decision/reach/reach.go
+++ b/pkg/decision/reach/reach.go
@@ -134,10 +134,10 @@
 	}
 }
 
-// Waiting reports whether any upstream owes data, so that Poll must be called again.
+// Waiting reports whether any upstream owes data or has to be checked, so that Poll must be called again.
 func (s *State) Waiting() bool {
 	for _, l := range s.byAddress {
-		if !l.waitingSince.IsZero() {
+		if l.relayed || !l.waitingSince.IsZero() {
 			return true
 		}
 	}
@@ -248,6 +248,17 @@
 	return Relayed, l.takeCheck(now)
 }
 
+// ReturnChecks returns upstreams that are reached through other nodes and whose next check is due, at most limit: without
+// requests to them nothing else would show that they can be reached again. The caller must try to connect to each.
+func (s *State) ReturnChecks(limit int, now time.Time) (addresses []string) {
+	for address, l := range s.byAddress {
+		if len(addresses) < limit && l.relayed && l.takeCheck(now) {
+			addresses = append(addresses, address)
+		}
+	}
+	return addresses
+}
+
 // takeCheck reports whether a check is due, and postpones the next one.
 func (l *link) takeCheck(now time.Time) bool {
 	if now.Before(l.nextCheck) {
--- a/pkg/decision/reach/reach_test.go
+++ b/pkg/decision/reach/reach_test.go
@@ -136,6 +136,28 @@
 	assert.Assert(t, !s.Connected("u0", at(4600)), "it returned before")
 }
 
+// Guards against a node without requests that stays cut off for ever, and against checks of all its upstreams at once.
+func TestUpstreamsReturnWithoutRequests(t *testing.T) {
+	s := newState(5, 0)
+	s.ConnectFailed("u0", at(0))
+	s.ConnectFailed("u1", at(0))
+	s.OthersReach("u0", at(10))
+	assert.Assert(t, s.Waiting())
+	for ms := 300; ms < 2000; ms += 100 {
+		for _, address := range s.ReturnChecks(2, at(ms)) {
+			s.Connected(address, at(ms))
+		}
+	}
+	count, _ := s.Unreached()
+	assert.Equal(t, count, 0)
+	assert.Assert(t, !s.Waiting())
+	assert.Equal(t, len(s.ReturnChecks(2, at(3000))), 0)
+	s.ConnectFailed("u0", at(4000))
+	s.ConnectFailed("u1", at(4000))
+	assert.Equal(t, len(s.OthersReach("u0", at(4000))), 5)
+	assert.Equal(t, len(s.ReturnChecks(2, at(5000))), 2)
+}
+
 // Guards against requests in progress that wait for an upstream that can't answer, and against those that it still answers
 // being given up.
 func TestLostOnlyIfNothingArrives(t *testing.T) {
