Remove what the change left behind

Cause: the last look at the whole change: the check of an upstream stood twice in uplink, the cutter of the tests counted connections that nothing reads, and a comment of History named the wrong meaning of zero. No behaviour changes.

--- a/pkg/controller/uplink/diagnose.go
+++ b/pkg/controller/uplink/diagnose.go
@@ -57,13 +57,7 @@
 func (l *Links) diagnose(address string, d *diagnosis) {
 	begun := time.Now()
 	own := make(chan error, 1)
-	go func() {
-		conn, err := l.connect(context.Background(), "tcp", address)
-		if err == nil {
-			_ = conn.Close() // Nothing was sent.
-		}
-		own <- err
-	}()
+	go func() { own <- l.check(address) }()
 	var ownErr, otherErr error
 	ownEnded := false
 	timer := time.NewTimer(helperDelay)
--- a/pkg/controller/uplink/uplink.go
+++ b/pkg/controller/uplink/uplink.go
@@ -219,7 +219,7 @@
 	waiting := l.state.Waiting()
 	l.mu.Unlock()
 	for _, address := range returns {
-		go l.check(address)
+		go func() { _ = l.check(address) }() // The result is recorded.
 	}
 	for _, address := range checks {
 		l.options.Log.Notice("upstreams owe answers and none is heard", "upstream_address", address)
@@ -276,14 +276,16 @@
 	path, check := l.state.Path(address, time.Now())
 	l.mu.Unlock()
 	if check {
-		go l.check(address)
+		go func() { _ = l.check(address) }() // The result is recorded.
 	}
 	return path
 }
 
-// check tries to connect to an upstream directly.
-func (l *Links) check(address string) {
-	if conn, err := l.connect(context.Background(), "tcp", address); err == nil {
+// check connects to an upstream directly and closes the connection.
+func (l *Links) check(address string) error {
+	conn, err := l.connect(context.Background(), "tcp", address)
+	if err == nil {
 		_ = conn.Close() // Nothing was sent.
 	}
+	return err
 }
--- a/pkg/decision/softwareversion/versions.go
+++ b/pkg/decision/softwareversion/versions.go
@@ -51,7 +51,7 @@
 type History struct {
 	// CoveredSince is the time from which on no version is missing.
 	CoveredSince time.Time
-	// Gone holds, by service and version, when the last upstream of a version was gone, or zero if that is not known.
+	// Gone holds, by service and version, when the last upstream of a version was gone, or zero while there is one.
 	Gone map[string]map[string]time.Time
 }
 
--- a/standin/network/cutter.go
+++ b/standin/network/cutter.go
@@ -33,8 +33,6 @@
 	// applies reports whether the cut applies to an address.
 	applies func(address string) bool
 	conns   map[*cutConn]bool
-	// dialled counts the connections that were made.
-	dialled int
 	changed chan struct{}
 }
 
@@ -87,7 +85,6 @@
 			wrapped := &cutConn{Conn: conn, cutter: c, address: address, closed: make(chan struct{})}
 			c.mu.Lock()
 			c.conns[wrapped] = true
-			c.dialled++
 			c.mu.Unlock()
 			return wrapped, nil
 		}
@@ -99,13 +96,6 @@
 	}
 }
 
-// Connections returns the number of connections made so far.
-func (c *Cutter) Connections() int {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.dialled
-}
-
 // cutConn is a connection of a node to an upstream. Once it has lost data in a direction it carries none there any more.
 type cutConn struct {
 	net.Conn
