--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -22,7 +22,6 @@
 	name, caller, ready, settings, logFile string
 	cmd                                    *exec.Cmd
 	exited                                 chan struct{}
-	exitText                               string
 }
 
 // fleet is a small deployment: the nodes, the store, the replicas and the record of what was seen.
@@ -134,23 +133,13 @@
 		return err
 	}
 	n.exited = make(chan struct{})
-	go func(cmd *exec.Cmd, exited chan struct{}) {
-		err := cmd.Wait()
-		n.exitText = fmt.Sprint(err)
-		close(exited)
-	}(n.cmd, n.exited)
+	go func() {
+		_ = n.cmd.Wait() // The process is killed at the end.
+		close(n.exited)
+	}()
 	return nil
 }
 
-func (n *node) running() bool {
-	select {
-	case <-n.exited:
-		return false
-	default:
-		return true
-	}
-}
-
 // stop ends all processes and removes their files.
 func (f *fleet) stop() {
 	for _, n := range f.nodes {
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -40,15 +40,10 @@
 	serve fault = iota
 	// silent calls are neither carried out nor answered.
 	silent
-	// lost calls are carried out and not answered.
-	lost
-	// late calls are carried out some time later and not answered.
-	late
 )
 
 const (
 	storeLatency = 4 * time.Millisecond
-	lateDelay    = 3 * time.Second
 	// valueBytes is the store's limit on an object, and pageBytes that on a list.
 	valueBytes, pageBytes, pageItems = 1 << 20, 1 << 20, 500
 )
@@ -107,19 +102,7 @@
 	}
 	s.mu.Unlock()
 	time.Sleep(storeLatency)
-	switch f {
-	case silent:
-		<-r.Context().Done()
-		return
-	case late:
-		go func() {
-			time.Sleep(lateDelay)
-			s.change(r, kind, name, isStatus, in)
-		}()
-		<-r.Context().Done()
-		return
-	case lost:
-		s.change(r, kind, name, isStatus, in)
+	if f == silent {
 		<-r.Context().Done()
 		return
 	}
@@ -220,19 +203,6 @@
 	s.write(kind, object{Metadata: metadata{Name: name, Created: s.revision + 1}, Spec: text})
 }
 
-// remove deletes an object as the platform does when a replica has left.
-func (s *store) remove(kind, name string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if old := s.kinds[kind][name]; old != nil {
-		s.revision++
-		gone := *old
-		gone.Metadata.Revision = s.revision
-		delete(s.kinds[kind], name)
-		s.record(change{kind, gone, true, time.Now()})
-	}
-}
-
 func (s *store) list(w http.ResponseWriter, r *http.Request, kind string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
