List results that collect in an outage: limit log entries as they are encoded

Cause: an entry of the result log was limited by the length of its texts (600 KiB), the store limits the encoded value (1 MiB). encoding/json writes <, >, &, U+2028, U+2029 and control characters as six bytes, and the platform adapter escaped the value a second time. The store's refusal was taken for an outage, and the same entry was written again without end.

An entry that the store refuses because of its size is written again in halves, and the node keeps the lower limit.

--- a/pkg/listjob/controller.go
+++ b/pkg/listjob/controller.go
@@ -92,17 +92,21 @@
 	// wake makes schedule look for items to start at once.
 	wake    chan struct{}
 	lengths *lengthModel
+	// entryLimit is the size in bytes up to which this node writes entries of result logs.
+	entryLimit atomic.Int64
 	// slowUntil is the time, in Unix nanoseconds, until which the store counts as slow.
 	slowUntil atomic.Int64
 }
 
 // New returns a controller; Run starts its work.
 func New(o Options) *Controller {
-	return &Controller{
+	c := &Controller{
 		options: o, jobs: map[string]*job{}, knownOwners: map[string]owner{}, adopting: map[string]bool{}, undecided: map[string]chan struct{}{},
 		creating: map[string]bool{}, withdrawing: map[string]bool{}, lastRefusals: map[string]lastRefusal{}, wake: make(chan struct{}, 1),
 		lengths: newLengthModel(),
 	}
+	c.entryLimit.Store(maxEntryBytes)
+	return c
 }
 
 // Run schedules items and looks for orphaned jobs until ctx ends, then stops all runs.
--- a/pkg/listjob/fakes_test.go
+++ b/pkg/listjob/fakes_test.go
@@ -53,6 +53,8 @@
 	fail func(id string, run int) int
 	// version is the software version of the engine, which its events name if it is set.
 	version string
+	// data returns the data of an event in place of "ID-n", if it is set.
+	data func(id string, n int) string
 	// breakAt is the event in the middle of which the first run of each item breaks off, or 0. stallAt is the one in the middle
 	// of which it stalls, but for a byte every 100 ms.
 	breakAt, stallAt int
@@ -99,7 +101,7 @@
 			}
 			return
 		}
-		fmt.Fprintf(w, "id: %d\ndata: %s-%d%s\n\n", n, id, n, e.version)
+		fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, e.eventData(id, n))
 		w.(http.Flusher).Flush()
 		select {
 		case <-time.After(e.interval):
@@ -112,11 +114,18 @@
 func (e *engine) text(id string) string {
 	var lines []string
 	for n := range e.events {
-		lines = append(lines, fmt.Sprintf("%s-%d%s", id, n, e.version))
+		lines = append(lines, e.eventData(id, n))
 	}
 	return strings.Join(lines, "\n")
 }
 
+func (e *engine) eventData(id string, n int) string {
+	if e.data != nil {
+		return e.data(id, n)
+	}
+	return fmt.Sprintf("%s-%d%s", id, n, e.version)
+}
+
 // network connects controllers in process. Nodes in cut can't call others or be called.
 type network struct {
 	mu    sync.Mutex
--- a/pkg/listjob/job.go
+++ b/pkg/listjob/job.go
@@ -254,34 +254,16 @@
 // isOpen reports whether this node still has items of the job to finish. The caller holds j.mu.
 func (j *job) isOpen() bool { return !j.head.Ended && !j.released && len(j.results) < len(j.items) }
 
-// nextBatch returns the pending items whose results fit into one log entry, and drops items that were listed meanwhile.
-// The caller holds j.mu.
-func (j *job) nextBatch() []*item {
+// nextBatch returns the pending items whose results fit into one log entry of at most limit bytes, at least one if there is one,
+// and drops items that were listed meanwhile. The caller holds j.mu.
+func (j *job) nextBatch(limit int) []*item {
 	j.pending = slices.DeleteFunc(j.pending, func(it *item) bool { return it.phase == listed })
-	size := 0
+	size := entryOverhead
 	for n, it := range j.pending {
-		size += len(it.result.Text) + 200
-		if n > 0 && size > maxChunkBytes {
+		size += it.result.encodedLen()
+		if n > 0 && size > limit {
 			return j.pending[:n]
 		}
 	}
 	return j.pending
 }
-
-// maxReadBytes limits the results in one read.
-const maxReadBytes = 900 << 10
-
-// page returns the results that fit into one read, starting at position after, and at least one if there is one.
-func page(results []Result, after int) []Result {
-	if after >= len(results) {
-		return nil
-	}
-	size := 0
-	for n, r := range results[after:] {
-		size += len(r.Text) + 100
-		if n > 0 && size > maxReadBytes {
-			return results[after : after+n]
-		}
-	}
-	return results[after:]
-}
--- a/pkg/listjob/read.go
+++ b/pkg/listjob/read.go
@@ -73,7 +73,7 @@
 func (c *Controller) readOwned(ctx context.Context, j *job, after int, wait time.Duration) (Listing, bool) {
 	j.mu.Lock()
 	// An ended job is checked too: results that another owner listed before the end stay readable.
-	check := len(page(j.results, after)) == 0 && len(j.results) < len(j.items) && time.Since(j.logCheckedAt) > logCheckInterval
+	check := after >= len(j.results) && len(j.results) < len(j.items) && time.Since(j.logCheckedAt) > logCheckInterval
 	// Results that the previous owner added while nobody read the job are found only by reading the log once after
 	// contestedUntil.
 	contested := j.logCheckedAt.Before(j.contestedUntil)
--- a/pkg/listjob/run.go
+++ b/pkg/listjob/run.go
@@ -16,6 +16,7 @@
 	"trefoilplank.example/pkg/decision/routing"
 	"trefoilplank.example/pkg/eventstream"
 	"trefoilplank.example/pkg/forward"
+	"trefoilplank.example/pkg/jsontext"
 )
 
 const (
@@ -337,13 +338,17 @@
 	}
 }
 
-// commitResults writes queued results to the log until none are left.
+// commitResults writes queued results to the log until none are left. Entries that the store refuses because of their size are
+// written again as smaller ones.
 func (c *Controller) commitResults(j *job) {
 	wait := commitRetry
-	for {
-		j.waitForMore()
+	for collect := true; ; {
+		if collect {
+			j.waitForMore()
+		}
+		collect = true
 		j.mu.Lock()
-		batch := j.nextBatch()
+		batch := j.nextBatch(int(c.entryLimit.Load()))
 		if len(batch) == 0 || j.released {
 			j.committing = false
 			j.mu.Unlock()
@@ -356,25 +361,50 @@
 		}
 		number := j.nextEntry
 		j.mu.Unlock()
-		if err := c.writeEntry(j, number, e); err != nil {
+		err := c.writeEntry(j, number, e)
+		switch {
+		case err == nil:
+			wait = commitRetry
+		case errors.Is(err, store.ErrTooLarge) && c.lowerEntryLimit(e):
+			collect = false
+		default:
 			c.options.Log.Notice("results not stored, retrying", "job", j.head.ID, "entry", number, "results", len(e.Results), "error", err)
 			time.Sleep(wait + rand.N(wait/2))
 			wait = min(2*wait, commitRetryMax)
-			continue
 		}
-		wait = commitRetry
 	}
 }
 
+// lowerEntryLimit halves the limit on entries, after the store refused an entry because of its size. It returns false if the
+// entry can't be smaller.
+func (c *Controller) lowerEntryLimit(refused entry) bool {
+	if len(refused.Results) <= 1 {
+		return false
+	}
+	size := entryOverhead
+	for n := range refused.Results {
+		size += refused.Results[n].encodedLen()
+	}
+	limit := int64(max(size/2, minEntryBytes))
+	if limit < c.entryLimit.Load() {
+		c.entryLimit.Store(limit)
+	}
+	c.options.Log.Notice("store refused an entry because of its size, writing smaller ones", "results", len(refused.Results), "bytes", size, "limit", limit)
+	return true
+}
+
 // writeEntry creates a log entry, or adopts the entry that another node created under the same number.
 func (c *Controller) writeEntry(j *job, number int, e entry) error {
-	value, err := json.Marshal(e)
+	value, err := jsontext.Marshal(e)
 	if err != nil {
 		return Error.Wrap(err)
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), adoptTimeout)
 	defer cancel()
 	_, err = c.options.Store.Put(ctx, entryKey(j.head.ID, number), value, store.CreateOnly)
+	if errors.Is(err, store.ErrTooLarge) {
+		return err
+	}
 	if err != nil {
 		o, readErr := c.options.Store.Get(store.WithFresh(ctx), entryKey(j.head.ID, number))
 		if readErr != nil {
--- /dev/null
+++ b/pkg/listjob/size_test.go
@@ -0,0 +1,112 @@
+package listjob
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"trefoilplank.example/pkg/adapter/store"
+	"trefoilplank.example/pkg/adapter/store/memstore"
+	"trefoilplank.example/pkg/jsontext"
+)
+
+// resultStore is a store that can refuse the entries of result logs: while down is set, and those larger than limit if it is
+// set. entries counts those that it has stored.
+type resultStore struct {
+	store.Store
+	down    atomic.Bool
+	limit   int
+	entries atomic.Int64
+}
+
+func (s *resultStore) Put(ctx context.Context, key string, value []byte, expect int64) (int64, error) {
+	if !strings.HasPrefix(key, resultsKind) {
+		return s.Store.Put(ctx, key, value, expect)
+	}
+	if s.down.Load() {
+		return 0, store.ErrUnavailable
+	}
+	if s.limit > 0 && len(value) > s.limit {
+		return 0, store.ErrTooLarge
+	}
+	revision, err := s.Store.Put(ctx, key, value, expect)
+	if err == nil {
+		s.entries.Add(1)
+	}
+	return revision, err
+}
+
+// awaitFinished waits until all items of a job have a result that is not listed.
+func awaitFinished(t *testing.T, j *job) {
+	t.Helper()
+	for until := time.Now().Add(20 * time.Second); ; time.Sleep(20 * time.Millisecond) {
+		j.mu.Lock()
+		n := len(j.pending)
+		j.mu.Unlock()
+		if n == len(j.items) {
+			return
+		}
+		assert.Assert(t, time.Now().Before(until), "%d of %d items are finished", n, len(j.items))
+	}
+}
+
+// Guards against results that are never listed, because those that collect while the store is down exceed its limit on a value
+// once they are encoded: an entry was limited by the length of its texts, of which markup takes six times as much.
+func TestResultsThatCollectAreListed(t *testing.T) {
+	for name, data := range map[string]string{
+		"markup": `<w id="1"><l>tango</l></w>`, "line separators": "\u2028\u2029", "control characters": "\x01\x02", "quotes": `"\"`, "plain": "tango",
+	} {
+		t.Run(name, func(t *testing.T) {
+			s, net, e := &resultStore{Store: memstore.New()}, newNetwork(), newEngine(t, 10, 0)
+			e.data = func(id string, n int) string { return id + strings.Repeat(data, 3000/len(data)) }
+			s.down.Store(true)
+			a := net.addNode(t, s, e, "a", "b")
+			b := net.addNode(t, s, e, "b", "a")
+			assert.NilError(t, a.Accept(context.Background(), submission("j", 120)))
+			awaitFinished(t, a.ownedJob("j"))
+			s.down.Store(false)
+			results := readAll(t, a.Controller, "j", 10*time.Second)
+			checkResults(t, e, results)
+			stored, _, err := b.readLog(context.Background(), "j")
+			assert.NilError(t, err)
+			assert.DeepEqual(t, stored, results)
+		})
+	}
+}
+
+// Guards against results that are stored one by one, or never, because a store counts a value as larger than this node does.
+func TestStoreThatAcceptsLessGetsSmallerEntries(t *testing.T) {
+	s, net, e := &resultStore{Store: memstore.New(), limit: 100 << 10}, newNetwork(), newEngine(t, 10, 0)
+	e.data = func(id string, n int) string { return id + strings.Repeat("x", 1000) }
+	s.down.Store(true)
+	a := net.addNode(t, s, e, "a")
+	assert.NilError(t, a.Accept(context.Background(), submission("j", 100)))
+	awaitFinished(t, a.ownedJob("j"))
+	s.down.Store(false)
+	checkResults(t, e, readAll(t, a.Controller, "j", 10*time.Second))
+	assert.Assert(t, s.entries.Load() <= 25, "%d entries for 1 MB", s.entries.Load())
+}
+
+// Guards against a page of results that is larger than callers allow once it is encoded, and against one without results.
+func TestPageIsLimitedAsItIsEncoded(t *testing.T) {
+	var results []Result
+	for n := range 40 {
+		results = append(results, Result{ID: fmt.Sprint(n), State: Completed, Text: strings.Repeat(`<l class="x">`+"\x01", 4000)})
+	}
+	read := 0
+	for read < len(results) {
+		p := page(results, read)
+		assert.Assert(t, len(p) > 0)
+		encoded, err := jsontext.Marshal(p)
+		assert.NilError(t, err)
+		assert.Assert(t, len(encoded) <= 1_000_000, "page of %d bytes", len(encoded))
+		read += len(p)
+	}
+	large := []Result{{ID: "large", State: Completed, Text: strings.Repeat("\x01", 500_000)}, {ID: "next", State: Completed}}
+	assert.Equal(t, len(page(large, 0)), 1)
+}
