Store a result that is larger than a value of the store in pieces

Callers would have seen nothing listed of a job from the first result on whose text exceeds 1 MiB once it is encoded: 180,000 control characters are enough. Such an entry can't be made smaller, and everything behind it in the job's log waited.

Change: the text of such a result is stored in pieces before its entry, whose number in the log still fixes its position. The pieces of a writer whose entry lost are ignored. Texts are UTF-8, as event streams are by definition: bytes that are not become U+FFFD when the result is made, not when a node happens to read it from the store.

--- a/pkg/listjob/job.go
+++ b/pkg/listjob/job.go
@@ -113,15 +113,6 @@
 	return h, nil
 }
 
-// entry is one object of the result log.
-type entry struct {
-	// Node and Nonce make the entries of two writers differ, which shows whose create succeeded.
-	Node    string   `json:"node"`
-	Nonce   int64    `json:"nonce"`
-	Results []Result `json:"results"`
-}
-
-func entryKey(id string, number int) string { return fmt.Sprintf("%s%s/%06d", resultsKind, id, number) }
 func chunkKey(id string, number int) string { return fmt.Sprintf("%s%s.%03d", itemsKind, id, number) }
 
 // maxChunkBytes limits the bodies in one chunk: base64 makes them a third longer, and the store limits a value to 1
--- a/pkg/listjob/run.go
+++ b/pkg/listjob/run.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net/http"
 	"time"
+	"unicode/utf8"
 
 	"trefoilplank.example/pkg/adapter/store"
 	"trefoilplank.example/pkg/decision/dispatch"
@@ -16,7 +17,6 @@
 	"trefoilplank.example/pkg/decision/routing"
 	"trefoilplank.example/pkg/eventstream"
 	"trefoilplank.example/pkg/forward"
-	"trefoilplank.example/pkg/jsontext"
 )
 
 const (
@@ -243,7 +243,7 @@
 	result := Result{ID: it.ID}
 	switch {
 	case err == nil:
-		state, result.Text = Completed, string(it.text)
+		state, result.Text = Completed, decodeText(it.text)
 		c.observeLength(it.job, it, int(it.lines.Load()))
 	case stopped:
 		c.options.Metrics.countRun("stopped")
@@ -276,6 +276,15 @@
 	c.wakeUp()
 }
 
+// decodeText returns the text of an event stream, which is UTF-8 by definition: each byte that is not becomes the replacement
+// character, as it does in JSON, so that the text is the same at all nodes.
+func decodeText(text []byte) string {
+	if utf8.Valid(text) {
+		return string(text)
+	}
+	return string([]rune(string(text)))
+}
+
 // recordBrokenRun reports to placement a run that ended without a final answer, and delays the next run of the item
 // unless the upstream did not run it.
 // The caller holds the job's lock.
@@ -375,55 +384,22 @@
 	}
 }
 
-// lowerEntryLimit halves the limit on entries, after the store refused an entry because of its size. It returns false if the
-// entry can't be smaller.
+// lowerEntryLimit halves the limit on entries, after the store refused an entry because of its size. It returns false if entries
+// can't be smaller.
 func (c *Controller) lowerEntryLimit(refused entry) bool {
-	if len(refused.Results) <= 1 {
-		return false
-	}
 	size := entryOverhead
 	for n := range refused.Results {
 		size += refused.Results[n].encodedLen()
 	}
-	limit := int64(max(size/2, minEntryBytes))
-	if limit < c.entryLimit.Load() {
-		c.entryLimit.Store(limit)
+	limit := min(int64(size), c.entryLimit.Load()) / 2
+	if limit < minEntryBytes {
+		return false
 	}
+	c.entryLimit.Store(limit)
 	c.options.Log.Notice("store refused an entry because of its size, writing smaller ones", "results", len(refused.Results), "bytes", size, "limit", limit)
 	return true
 }
 
-// writeEntry creates a log entry, or adopts the entry that another node created under the same number.
-func (c *Controller) writeEntry(j *job, number int, e entry) error {
-	value, err := jsontext.Marshal(e)
-	if err != nil {
-		return Error.Wrap(err)
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), adoptTimeout)
-	defer cancel()
-	_, err = c.options.Store.Put(ctx, entryKey(j.head.ID, number), value, store.CreateOnly)
-	if errors.Is(err, store.ErrTooLarge) {
-		return err
-	}
-	if err != nil {
-		o, readErr := c.options.Store.Get(store.WithFresh(ctx), entryKey(j.head.ID, number))
-		if readErr != nil {
-			return errors.Join(err, readErr)
-		}
-		e = entry{}
-		if err := json.Unmarshal(o.Value, &e); err != nil {
-			return Error.Wrap(err)
-		}
-	}
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	if j.nextEntry == number {
-		j.nextEntry++
-		j.appendEntry(e.Results)
-	}
-	return nil
-}
-
 // putHead replaces a stored head that has the given revision, and returns the new revision.
 func (c *Controller) putHead(ctx context.Context, h head, revision int64) (int64, error) {
 	h.Order = h.order(revision)
--- a/pkg/listjob/size_test.go
+++ b/pkg/listjob/size_test.go
@@ -110,3 +110,63 @@
 	large := []Result{{ID: "large", State: Completed, Text: strings.Repeat("\x01", 500_000)}, {ID: "next", State: Completed}}
 	assert.Equal(t, len(page(large, 0)), 1)
 }
+
+// Guards against a result that is never listed because it alone exceeds the store's limit on a value, and stops all results of
+// its job behind it; and against one that is not whole at the node that takes the job over.
+func TestResultLargerThanAValueIsListed(t *testing.T) {
+	for name, limit := range map[string]int{"": 0, "store that accepts less": 300 << 10} {
+		t.Run(name, func(t *testing.T) {
+			s, net, e := &resultStore{Store: memstore.New(), limit: limit}, newNetwork(), newEngine(t, 10, 0)
+			e.data = func(id string, n int) string {
+				if id == "j-item1" {
+					return strings.Repeat("\x01<\u2028é🎵\"", 5000)
+				}
+				return id
+			}
+			a := net.addNode(t, s, e, "a", "b")
+			b := net.addNode(t, s, e, "b", "a")
+			assert.NilError(t, a.Accept(context.Background(), submission("j", 3)))
+			results := readAll(t, a.Controller, "j", 10*time.Second)
+			checkResults(t, e, results)
+			a.HandOver(context.Background())
+			assert.NilError(t, b.adopt(context.Background(), "j", nil))
+			assert.DeepEqual(t, readAll(t, b.Controller, "j", time.Second), results)
+		})
+	}
+}
+
+// Guards against a text of two writers: of two nodes that write the same entry one succeeds, and the pieces of the other are
+// not part of its result.
+func TestPiecesOfTheEntryThatFailedAreIgnored(t *testing.T) {
+	s, net, e := memstore.New(), newNetwork(), newEngine(t, 10, 0)
+	a := net.addNode(t, s, e, "a", "b")
+	b := net.addNode(t, s, e, "b", "a")
+	large := func(text string) entry {
+		return entry{Results: []Result{{ID: "j-item0", State: Completed, Text: strings.Repeat(text, 300_000)}}}
+	}
+	j := newJob(head{ID: "j"}, 1, submission("j", 2).Items)
+	other := newJob(head{ID: "j"}, 1, submission("j", 2).Items)
+	won, lost := large("\x01"), large("\x02")
+	won.Node, lost.Node = "a", "b"
+	assert.NilError(t, a.writeEntry(j, 0, won))
+	assert.NilError(t, b.writeEntry(other, 0, lost))
+	assert.DeepEqual(t, other.results, won.Results)
+	entries, err := b.readEntries(context.Background(), "j")
+	assert.NilError(t, err)
+	assert.DeepEqual(t, entries, [][]Result{won.Results})
+}
+
+// Guards against a text that differs between the node that ran the item and others, because it has bytes that are no UTF-8: in
+// JSON each of them is the replacement character.
+func TestTextThatIsNoUTF8IsTheSameEverywhere(t *testing.T) {
+	s, net, e := memstore.New(), newNetwork(), newEngine(t, 3, 0)
+	e.data = func(string, int) string { return "a\xff\xe2\x80b" }
+	a := net.addNode(t, s, e, "a", "b")
+	b := net.addNode(t, s, e, "b", "a")
+	assert.NilError(t, a.Accept(context.Background(), submission("j", 1)))
+	atOwner := readAll(t, a.Controller, "j", 10*time.Second)
+	assert.Equal(t, atOwner[0].Text, strings.Join([]string{"a\ufffd\ufffd\ufffdb", "a\ufffd\ufffd\ufffdb", "a\ufffd\ufffd\ufffdb"}, "\n"))
+	a.HandOver(context.Background())
+	assert.NilError(t, b.adopt(context.Background(), "j", nil))
+	assert.DeepEqual(t, readAll(t, b.Controller, "j", time.Second), atOwner)
+}
--- a/pkg/listjob/takeover.go
+++ b/pkg/listjob/takeover.go
@@ -5,11 +5,9 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"slices"
 	"sync"
 	"time"
 
-	"trefoilplank.example/pkg/adapter/store"
 	"trefoilplank.example/pkg/decision/rendezvous"
 )
 
@@ -167,32 +165,6 @@
 	return items, nil
 }
 
-// readLog returns all listed results and the number of the next log entry.
-func (c *Controller) readLog(ctx context.Context, id string) ([]Result, int, error) {
-	entries, err := c.readEntries(ctx, id)
-	return slices.Concat(entries...), len(entries), err
-}
-
-// readEntries returns the entries of a job's log in order.
-func (c *Controller) readEntries(ctx context.Context, id string) ([][]Result, error) {
-	log, err := store.ListAll(store.WithFresh(ctx), c.options.Store, resultsKind+id+"/")
-	if err != nil {
-		return nil, errors.Join(ErrUnavailable, err)
-	}
-	var entries [][]Result
-	for n, o := range log.Objects {
-		if o.Key != entryKey(id, n) {
-			return nil, errors.Join(ErrUnavailable, Error.New("entry %d of job %s lies at %q", n, id, o.Key))
-		}
-		var e entry
-		if err := json.Unmarshal(o.Value, &e); err != nil {
-			return nil, errors.Join(ErrUnavailable, err)
-		}
-		entries = append(entries, e.Results)
-	}
-	return entries, nil
-}
-
 // HandOver hands the open jobs to other nodes, with the state of their items. It is called once, when the node stops.
 func (c *Controller) HandOver(ctx context.Context) {
 	c.mu.Lock()
