Accept jobs with items that are larger than a value of the store

Callers got 503 with a Retry-After each time they submitted a job with an item whose body exceeds about 780 KB, although bodies of 4 MB are allowed on all deployments; with headers that take six bytes a character, far smaller ones.

Cause: chunks of items were limited by the length of bodies and headers, the store limits the encoded value; a single item had no smaller form, and the store's refusal was passed on as one that passes.

Change: a chunk that does not fit as it is encoded is split further, and the body of an item that alone does not fit goes on in the next chunks. An item whose path and headers alone do not fit is refused with 413, which callers do not repeat.

TestChunksFitIntoValues checks random items (rapid), TestItemThatCanNeverBeStoredIsRefusedForGood the 413.

--- a/pkg/listjob/accept.go
+++ b/pkg/listjob/accept.go
@@ -89,6 +89,8 @@
 	// RetryAfter is set if the job does not fit into the limit on waiting tokens now, and TooLarge if it never does.
 	RetryAfter time.Duration
 	TooLarge   bool
+	// ItemTooLarge is set if an item is too large to be stored.
+	ItemTooLarge bool
 }
 
 // refusal returns the error for a reply whose Refused is set.
@@ -96,6 +98,8 @@
 	switch {
 	case r.TooLarge:
 		return errors.Join(ErrRefused, ErrTooLarge)
+	case r.ItemTooLarge:
+		return errors.Join(ErrRefused, ErrItemTooLarge)
 	case r.RetryAfter > 0:
 		return &FullError{RetryAfter: r.RetryAfter}
 	}
@@ -109,6 +113,7 @@
 	err := r.c.acceptLocally(ctx, s)
 	*reply = AcceptReply{
 		Accepted: err == nil, Refused: errors.Is(err, ErrRefused), Full: errors.Is(err, errNoCapacity), TooLarge: errors.Is(err, ErrTooLarge),
+		ItemTooLarge: errors.Is(err, ErrItemTooLarge),
 	}
 	if full := (*FullError)(nil); errors.As(err, &full) {
 		reply.RetryAfter = full.RetryAfter
@@ -175,16 +180,13 @@
 // createJob stores a job: first its items, then its head, which makes it accepted. While the store is slow both are
 // written concurrently.
 func (c *Controller) createJob(ctx context.Context, s Submission) error {
-	var values [][]byte
-	for _, part := range chunks(s.Items) {
-		value, err := json.Marshal(part)
-		if err != nil {
-			return errors.Join(ErrRefused, err)
-		}
-		values = append(values, value)
+	values, err := encodeChunks(s.Items)
+	if err != nil {
+		c.options.Log.Notice("job refused", "job", s.ID, "reason", "items can't be stored", "error", err)
+		return errors.Join(ErrRefused, err)
 	}
 	c.setCreating(s.ID, true)
-	err := c.createStored(ctx, s, values)
+	err = c.createStored(ctx, s, values)
 	c.setCreating(s.ID, false)
 	if errors.Is(err, ErrUnknown) && c.waitingLimit(s.Host, s.Path) == 0 {
 		go c.followUp(ctx, s.ID)
--- a/pkg/listjob/job.go
+++ b/pkg/listjob/job.go
@@ -9,7 +9,6 @@
 import (
 	"cmp"
 	"encoding/json"
-	"fmt"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -31,6 +30,9 @@
 	ErrRefused = Error.New("refused")
 	// ErrUnknown means that the job may have been accepted.
 	ErrUnknown = Error.New("job may have been accepted")
+	// ErrItemTooLarge means that an item is too large to be stored, whatever its body, and the job will never be accepted. It
+	// accompanies ErrRefused.
+	ErrItemTooLarge = Error.New("path and headers of an item are too large")
 	// ErrUnavailable means that the node can't determine the answer now.
 	ErrUnavailable = Error.New("unavailable")
 )
@@ -113,30 +115,6 @@
 	return h, nil
 }
 
-func chunkKey(id string, number int) string { return fmt.Sprintf("%s%s.%03d", itemsKind, id, number) }
-
-// maxChunkBytes limits the bodies in one chunk: base64 makes them a third longer, and the store limits a value to 1
-// MiB.
-const maxChunkBytes = 600 << 10
-
-// chunks splits the items so that each chunk fits into a value of the store.
-func chunks(items []Item) [][]Item {
-	var out [][]Item
-	size := 0
-	for _, it := range items {
-		n := len(it.Body) + len(it.Path) + 200
-		for name, value := range it.Header {
-			n += len(name) + len(value)
-		}
-		if len(out) == 0 || size+n > maxChunkBytes {
-			out, size = append(out, nil), 0
-		}
-		out[len(out)-1] = append(out[len(out)-1], it)
-		size += n
-	}
-	return out
-}
-
 // phase is the progress of an item at the job's owner.
 type phase int
 
--- a/pkg/listjob/size_test.go
+++ b/pkg/listjob/size_test.go
@@ -1,14 +1,17 @@
 package listjob
 
 import (
+	"bytes"
 	"context"
 	"fmt"
+	"reflect"
 	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
 
 	"trefoilplank.example/pkg/adapter/store"
 	"trefoilplank.example/pkg/adapter/store/memstore"
@@ -170,3 +173,65 @@
 	assert.NilError(t, b.adopt(context.Background(), "j", nil))
 	assert.DeepEqual(t, readAll(t, b.Controller, "j", time.Second), atOwner)
 }
+
+// Guards against a job that is refused each time it is submitted, because a single item exceeds the store's limit on a value; and
+// against an item that is not whole at the node that takes the job over.
+func TestItemLargerThanAValueIsAccepted(t *testing.T) {
+	s, net, e := memstore.New(), newNetwork(), newEngine(t, 1000, 10*time.Millisecond)
+	a := net.addNode(t, s, e, "a", "b")
+	b := net.addNode(t, s, e, "b", "a")
+	sub := submission("j", 5)
+	for n := range sub.Items {
+		sub.Items[n].Body = bytes.Repeat([]byte{byte(n), 0xff}, 1<<n*50_000)
+		sub.Items[n].Header = map[string]string{"Model": strings.Repeat("<&>", 1000)}
+	}
+	assert.NilError(t, a.Accept(context.Background(), sub))
+	stored, err := a.readItems(context.Background(), a.ownedJob("j").head)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, stored, sub.Items)
+	a.HandOver(context.Background())
+	for _, it := range sub.Items {
+		body, err := b.Body(context.Background(), "j", it.ID)
+		assert.NilError(t, err)
+		assert.Assert(t, bytes.Equal(body, it.Body), it.ID)
+	}
+}
+
+// Guards against a job that its sender submits again and again, although it can never be stored: headers of an item exceed the
+// store's limit on a value.
+func TestItemThatCanNeverBeStoredIsRefusedForGood(t *testing.T) {
+	s, net, e := memstore.New(), newNetwork(), newEngine(t, 3, 0)
+	a := net.addNode(t, s, e, "a")
+	sub := submission("j", 2)
+	sub.Items[1].Header = map[string]string{"Model": strings.Repeat("x", store.MaxValueBytes)}
+	err := a.Accept(context.Background(), sub)
+	assert.ErrorIs(t, err, ErrRefused)
+	assert.ErrorIs(t, err, ErrItemTooLarge)
+}
+
+// Guards against a chunk that exceeds the store's limit on a value, whatever the items are, and against items that are lost or
+// changed in the chunks.
+func TestChunksFitIntoValues(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var items []Item
+		for n := range rapid.IntRange(1, 4).Draw(t, "items") {
+			it := Item{ID: fmt.Sprint(n), Path: "/" + strings.Repeat("<", rapid.IntRange(0, 10_000).Draw(t, "path")), Tokens: n}
+			if size := rapid.SampledFrom([]int{0, 1, 2, 100, 600_000, 750_000, 1_500_001}).Draw(t, "body"); size > 0 {
+				it.Body = bytes.Repeat([]byte{byte(n)}, size)
+			}
+			if size := rapid.IntRange(0, 50_000).Draw(t, "header"); size > 0 {
+				it.Header = map[string]string{"Model": strings.Repeat("\x01", size)}
+			}
+			items = append(items, it)
+		}
+		values, err := encodeChunks(items)
+		assert.NilError(t, err)
+		var got []Item
+		for _, value := range values {
+			assert.Assert(t, len(value) <= maxEntryBytes+2, "chunk of %d bytes", len(value))
+			got, err = appendChunk(got, value)
+			assert.NilError(t, err)
+		}
+		assert.Assert(t, reflect.DeepEqual(got, items))
+	})
+}
--- a/pkg/listjob/takeover.go
+++ b/pkg/listjob/takeover.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"errors"
 	"sync"
 	"time"
@@ -156,11 +155,9 @@
 		if err != nil {
 			return nil, errors.Join(ErrUnavailable, err)
 		}
-		var part []Item
-		if err := json.Unmarshal(o.Value, &part); err != nil {
+		if items, err = appendChunk(items, o.Value); err != nil {
 			return nil, errors.Join(ErrUnavailable, err)
 		}
-		items = append(items, part...)
 	}
 	return items, nil
 }
