Stop running items whose answers are too long at each run

An item whose answer exceeds 900 KiB took a slot again and again until its retention ended: nothing that can pass by itself keeps it from being done. Callers of other items had the slots less.

Cause: an answer that is too long counted as a run that broke off, which is repeated without end.

--- a/pkg/listjob/job.go
+++ b/pkg/listjob/job.go
@@ -144,8 +144,9 @@
 	// lines is the number of events in text. Placement reads it without holding the job's lock.
 	lines atomic.Int64
 	// failures counts responses with status 500; brokenRuns counts the runs that broke off without a final answer and
-	// sets the pause before the next run.
-	failures, brokenRuns int
+	// sets the pause before the next run; longAnswers counts the runs in which the upstream sent
+	// more than a text may have.
+	failures, brokenRuns, longAnswers int
 	notBefore            time.Time
 	// pausedUntil is the end of the last pause that was logged.
 	pausedUntil time.Time
--- a/pkg/listjob/run.go
+++ b/pkg/listjob/run.go
@@ -28,8 +28,7 @@
 	commitPoll = 100 * time.Millisecond
 	// commitRetry is the first pause after the store failed to store an entry; it doubles up to commitRetryMax.
 	commitRetry, commitRetryMax = 100 * time.Millisecond, time.Second
-	// maxEventBytes limits the size of an incomplete event, and maxTextBytes that of an item's text: a longer one fits into no
-	// entry of the log.
+	// maxEventBytes limits the size of an incomplete event, and maxTextBytes that of an item's text: callers accept reads of 1 MB.
 	maxEventBytes, maxTextBytes = 256 << 10, 900 << 10
 	// firstEventTimeout is how long a run may send no event at first before the item continues at another upstream: engines
 	// queue for less than two seconds. Between events it is paceTimeout times the usual time for one, at least
@@ -46,6 +45,9 @@
 // errItemRejected means that an upstream rejected an item for good (status 422).
 var errItemRejected = Error.New("upstream rejected the item")
 
+// errAnswerTooLong means that an upstream sent more than an item's text may have.
+var errAnswerTooLong = Error.New("answer is too long")
+
 // errRunFailed means that an upstream answered with status 500.
 var errRunFailed = Error.New("upstream answered with status 500")
 
@@ -161,7 +163,7 @@
 		case err != nil:
 			return Error.Wrap(err)
 		case len(buffer) > maxEventBytes:
-			return Error.New("incomplete event is longer than %d bytes", maxEventBytes)
+			return errors.Join(errAnswerTooLong, Error.New("incomplete event is longer than %d bytes", maxEventBytes))
 		}
 	}
 }
@@ -215,7 +217,7 @@
 		return err
 	}
 	if len(it.text)+len(data) > maxTextBytes {
-		return Error.New("text is longer than %d bytes", maxTextBytes)
+		return errors.Join(errAnswerTooLong, Error.New("text is longer than %d bytes", maxTextBytes))
 	}
 	if it.lines.Load() > 0 {
 		it.text = append(it.text, '\n')
@@ -300,7 +302,23 @@
 		it.brokenRuns++
 		wait := min(brokenRunPause<<min(it.brokenRuns-1, 10), brokenRunPauseMax)
 		it.notBefore = time.Now().Add(wait + rand.N(wait/2))
+		if errors.Is(err, errAnswerTooLong) {
+			it.longAnswers++
+			c.holdLongAnswer(it)
+		}
+	}
+}
+
+// holdLongAnswer keeps an item whose answers were too long at as many runs as the route allows from running again. It fails once
+// it may be given up. The caller holds the job's lock.
+func (c *Controller) holdLongAnswer(it *item) {
+	it.discardText()
+	if route := c.routeOf(it); route != nil && it.longAnswers < route.MaxAttempts {
+		return
 	}
+	it.notBefore = it.job.retryUntil
+	c.options.Log.Notice("item waits until it may be given up, since its answers are too long", "job", it.job.head.ID, "item", it.ID, "runs", it.longAnswers,
+		"for_ms", time.Until(it.notBefore).Milliseconds())
 }
 
 // routeOf returns the item's route in force, or nil.
--- a/pkg/listjob/size_test.go
+++ b/pkg/listjob/size_test.go
@@ -235,3 +235,29 @@
 		assert.Assert(t, reflect.DeepEqual(got, items))
 	})
 }
+
+// Guards against an item that takes a slot again and again, although its answer is longer than a text may be at each run.
+func TestItemWithAnswersThatAreTooLongStopsRunning(t *testing.T) {
+	s, net, e := memstore.New(), newNetwork(), newEngine(t, 5, 0)
+	e.data = func(id string, n int) string {
+		if id == "j-item1" {
+			return strings.Repeat("x", maxTextBytes/4)
+		}
+		return id
+	}
+	a := net.addNode(t, s, e, "a")
+	assert.NilError(t, a.Accept(context.Background(), submission("j", 2)))
+	j := a.ownedJob("j")
+	j.mu.Lock()
+	j.retryUntil = time.Now().Add(6 * time.Second)
+	j.mu.Unlock()
+	states := map[string]State{}
+	for _, r := range readAll(t, a.Controller, "j", 20*time.Second) {
+		states[r.ID] = r.State
+	}
+	assert.Assert(t, !time.Now().Before(j.retryUntil), "the item failed before it may be given up")
+	assert.DeepEqual(t, states, map[string]State{"j-item0": Completed, "j-item1": Failed})
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	assert.Equal(t, e.runs["j-item1"], 3)
+}
