Keep records of streams within a value of the store

After a loss of all nodes, callers' streams could not be taken up that began while the hub's segment of a second did not fit into a value of the store: with IDs of 8 KB 128 streams a second are enough, after an outage 8,192 records a try. A write that failed was only logged, its records were added to the segment again at each further try, and the next try waited for the next stream.

Records whose write failed are not kept twice and are tried again without a new stream. A store that counts more gets smaller parts.

--- a/pkg/controller/streamversions/segments.go
+++ b/pkg/controller/streamversions/segments.go
@@ -3,11 +3,14 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"trefoilplank.example/pkg/adapter/store"
 	"trefoilplank.example/pkg/decision/softwareversion"
+	"trefoilplank.example/pkg/jsontext"
 	"trefoilplank.example/pkg/wait"
 )
 
@@ -23,6 +26,11 @@
 	segmentInterval = 150 * time.Millisecond
 	// segmentRecords limits the records that are written at once.
 	segmentRecords = 8192
+	// maxPartBytes limits a part of a segment as it is encoded; a store may count the metadata of an object with its value.
+	// maxParts is the number of parts of a segment: what exceeds them is written in the next second.
+	maxPartBytes, maxParts = store.MaxValueBytes - 48<<10, 4
+	// minPartBytes is the smallest limit that is tried after the store has refused larger parts.
+	minPartBytes = 4 << 10
 	// segmentsPage is the number of segments in one answer of the store.
 	segmentsPage = 8
 	// rankReview and rankTime are how often and how long a node that has started looks whether others may ask it.
@@ -37,13 +45,22 @@
 	Streams map[string]map[string][]string `json:"streams"`
 }
 
-func (s *storedSegment) add(records []softwareversion.Record) {
+// with returns the segment with further records.
+func (s storedSegment) with(records []softwareversion.Record) storedSegment {
+	next := storedSegment{AtMS: s.AtMS, Streams: map[string]map[string][]string{}}
+	for service, versions := range s.Streams {
+		next.Streams[service] = map[string][]string{}
+		for version, streams := range versions {
+			next.Streams[service][version] = slices.Clone(streams)
+		}
+	}
 	for _, r := range records {
-		if s.Streams[r.Service] == nil {
-			s.Streams[r.Service] = map[string][]string{}
+		if next.Streams[r.Service] == nil {
+			next.Streams[r.Service] = map[string][]string{}
 		}
-		s.Streams[r.Service][r.Version] = append(s.Streams[r.Service][r.Version], r.Stream)
+		next.Streams[r.Service][r.Version] = append(next.Streams[r.Service][r.Version], r.Stream)
 	}
+	return next
 }
 
 func (s *storedSegment) records(now time.Time) (records []softwareversion.Record) {
@@ -68,10 +85,20 @@
 	}
 }
 
+// segmentWriter writes records to the segments of the store. A segment that does not fit into one value has several parts.
+type segmentWriter struct {
+	c *Controller
+	// written is the revision of the directory up to which records are written.
+	written int64
+	// part is the part of the segment that is being written, the number of which is number. limit is the size in bytes up to
+	// which parts are written.
+	part          storedSegment
+	number, limit int
+}
+
 // writeSegments writes new records while this node is the hub, until ctx ends.
 func (c *Controller) writeSegments(ctx context.Context) error {
-	var written int64
-	var segment storedSegment
+	w := segmentWriter{c: c, limit: maxPartBytes}
 	for {
 		select {
 		case <-ctx.Done():
@@ -81,32 +108,79 @@
 		if !c.options.IsHub() {
 			continue
 		}
-		now := time.Now()
-		c.mu.Lock()
-		records, revision := c.directory.Since(written, "", segmentRecords, func(service string) bool { return c.versions.Several(service, now) }, now)
-		c.mu.Unlock()
-		if begin := now.Truncate(segmentLength).UnixMilli(); segment.AtMS != begin {
-			segment = storedSegment{AtMS: begin, Streams: map[string]map[string][]string{}}
+		more, err := w.write(ctx, time.Now())
+		pause := segmentInterval
+		if err != nil {
+			c.options.Log.Notice("records of streams not written", "error", err)
+			more, pause = true, historyRetry
 		}
-		segment.add(records)
-		if err := c.writeSegment(ctx, segment); err != nil {
-			c.options.Log.Notice("records of streams not written", "records", len(records), "error", err)
-		} else {
-			written = revision
+		if more {
+			select {
+			case c.recordsAdded <- struct{}{}:
+			default:
+			}
 		}
-		_ = wait.Sleep(ctx, segmentInterval)
+		_ = wait.Sleep(ctx, pause)
 	}
 }
 
-func (c *Controller) writeSegment(ctx context.Context, s storedSegment) error {
-	value, err := json.Marshal(s)
-	if err != nil {
-		return err
+// write writes records that are not written yet, and reports whether there are more. Records whose write failed are written by a
+// later call.
+func (w *segmentWriter) write(ctx context.Context, now time.Time) (more bool, err error) {
+	if begin := now.Truncate(segmentLength).UnixMilli(); w.part.AtMS != begin {
+		w.part, w.number = storedSegment{AtMS: begin}, 0
+	}
+	for most := segmentRecords; ; {
+		records, revision := w.c.unwritten(w.written, most, now)
+		if len(records) == 0 {
+			w.written = revision
+			return false, nil
+		}
+		next := w.part.with(records)
+		value, err := jsontext.Marshal(next)
+		switch {
+		case err != nil:
+			return false, err
+		case len(value) <= w.limit:
+			err = w.put(ctx, value)
+			if errors.Is(err, store.ErrTooLarge) && w.limit/2 >= minPartBytes {
+				w.limit /= 2
+				continue
+			}
+			if err == nil {
+				w.part, w.written = next, revision
+			}
+			return len(records) == most, err
+		case len(w.part.Streams) > 0 && w.number+1 < maxParts:
+			w.part, w.number = storedSegment{AtMS: w.part.AtMS}, w.number+1
+		case len(w.part.Streams) > 0:
+			return true, nil // The segment is full. The rest goes into that of the next second.
+		case len(records) > 1:
+			most = len(records) / 2
+		default:
+			w.c.options.Log.Notice("record of a stream fits into no value of the store", "bytes", len(value))
+			w.written = revision
+			return true, nil
+		}
 	}
+}
+
+// unwritten returns up to most records of services with several versions that changed after a revision, and the revision that
+// they lead to.
+func (c *Controller) unwritten(revision int64, most int, now time.Time) ([]softwareversion.Record, int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.directory.Since(revision, "", most, func(service string) bool { return c.versions.Several(service, now) }, now)
+}
+
+func (w *segmentWriter) put(ctx context.Context, value []byte) error {
 	ctx, cancel := context.WithTimeout(ctx, historyTimeout)
 	defer cancel()
-	position := s.AtMS / segmentLength.Milliseconds() % segments
-	_, err = c.options.Store.Put(ctx, fmt.Sprint(segmentPrefix, position), value, store.AnyRevision)
+	key := fmt.Sprint(segmentPrefix, w.part.AtMS/segmentLength.Milliseconds()%segments)
+	if w.number > 0 {
+		key = fmt.Sprint(key, "-", w.number)
+	}
+	_, err := w.c.options.Store.Put(ctx, key, value, store.AnyRevision)
 	return err
 }
 
--- a/pkg/listjob/job.go
+++ b/pkg/listjob/job.go
@@ -144,10 +144,11 @@
 	// lines is the number of events in text. Placement reads it without holding the job's lock.
 	lines atomic.Int64
 	// failures counts responses with status 500; brokenRuns counts the runs that broke off without a final answer and
-	// sets the pause before the next run; longAnswers counts the runs in which the upstream sent
-	// more than a text may have.
-	failures, brokenRuns, longAnswers int
+	// sets the pause before the next run.
+	failures, brokenRuns int
 	notBefore            time.Time
+	// longAnswers counts the runs in which the upstream sent more than a text may have.
+	longAnswers int
 	// pausedUntil is the end of the last pause that was logged.
 	pausedUntil time.Time
 	// runLines is the number of events that the last run began with.
