Hand jobs over whose texts exceed a message between nodes

Cause: the limit on a message between nodes was not kept where the message is built.

Change: texts of half a message go with the job, finished results first, then the longest texts; the rest runs again. The fake network of the tests refuses large messages as the real one does.

--- a/pkg/listjob/fakes_test.go
+++ b/pkg/listjob/fakes_test.go
@@ -1,7 +1,9 @@
 package listjob
 
 import (
+	"bytes"
 	"context"
+	"encoding/gob"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
@@ -234,6 +236,13 @@
 	if target == nil || cut {
 		return peer.ErrUnreachable
 	}
+	var message bytes.Buffer
+	if err := gob.NewEncoder(&message).Encode(args); err != nil {
+		return err
+	}
+	if message.Len() > peer.MaxMessageBytes {
+		return peer.ErrTooLarge
+	}
 	_, name, _ := strings.Cut(method, ".")
 	out := reflect.ValueOf(target.Receiver()).MethodByName(name).Call([]reflect.Value{reflect.ValueOf(args), reflect.ValueOf(reply)})
 	err, _ := out[0].Interface().(error)
--- a/pkg/listjob/size_test.go
+++ b/pkg/listjob/size_test.go
@@ -261,3 +261,25 @@
 	defer e.mu.Unlock()
 	assert.Equal(t, e.runs["j-item1"], 3)
 }
+
+// Guards against a stopping node that hands a job to nobody, because the texts of its items exceed a message between nodes.
+func TestJobWithLongTextsIsHandedOver(t *testing.T) {
+	s, net, e := &resultStore{Store: memstore.New()}, newNetwork(), newEngine(t, 4, 0)
+	e.data = func(id string, _ int) string { return id + strings.Repeat("x", 200_000) }
+	s.down.Store(true)
+	a := net.addNode(t, s, e, "a", "b")
+	b := net.addNode(t, s, e, "b", "a")
+	assert.NilError(t, a.Accept(context.Background(), submission("j", 16)))
+	awaitFinished(t, a.ownedJob("j"))
+	s.down.Store(false)
+	a.HandOver(context.Background())
+	assert.Assert(t, b.ownedJob("j") != nil, "nobody runs the job")
+	checkResults(t, e, readAll(t, b.Controller, "j", 20*time.Second))
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	again := 0
+	for _, runs := range e.runs {
+		again += runs - 1
+	}
+	assert.Assert(t, again <= 12, "%d of 16 items ran again", again)
+}
--- a/pkg/listjob/takeover.go
+++ b/pkg/listjob/takeover.go
@@ -2,11 +2,14 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
+	"trefoilplank.example/pkg/adapter/peer"
 	"trefoilplank.example/pkg/decision/rendezvous"
 )
 
@@ -191,16 +194,50 @@
 	handOverTimeout = time.Second
 	// handOverAttempts is how many nodes are asked to take over a job; the first one may have begun to stop too.
 	handOverAttempts = 3
+	// maxHandOverBytes limits the texts that are handed over with a job: a message between nodes is limited too, and the rest
+	// can be run again.
+	maxHandOverBytes = peer.MaxMessageBytes / 2
 )
 
+// limitPartials returns the states of items that fit into a message: first those that are finished, then those with the longest
+// texts.
+func limitPartials(list []Partial) []Partial {
+	size := func(p Partial) int {
+		if p.Result != nil {
+			return len(p.Text) + len(p.Result.Text)
+		}
+		return len(p.Text)
+	}
+	slices.SortStableFunc(list, func(a, b Partial) int {
+		if a.Result != nil != (b.Result != nil) {
+			if a.Result != nil {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Compare(len(b.Text), len(a.Text))
+	})
+	total := 0
+	return slices.DeleteFunc(list, func(p Partial) bool {
+		// Counts of failures take no room.
+		if size(p) > 0 && total+size(p) > maxHandOverBytes {
+			return true
+		}
+		total += size(p)
+		return false
+	})
+}
+
 // handOverJob hands a job to its successor, or to the next node in rank if the call fails.
-func (c *Controller) handOverJob(ctx context.Context, id string, partials []Partial) {
+func (c *Controller) handOverJob(ctx context.Context, id string, all []Partial) {
+	known := len(all)
+	partials := limitPartials(all)
 	candidates := rendezvous.Ranked(id, c.options.Fleet.AcceptingWeights())
 	for _, to := range candidates[:min(handOverAttempts, len(candidates))] {
 		call, cancel := context.WithTimeout(ctx, handOverTimeout)
 		err := c.options.Peers.Call(call, to, "Jobs.Adopt", AdoptArgs{ID: id, Partials: partials}, &Nothing{})
 		cancel()
-		c.options.Log.Notice("asked another node to take over job", "job", id, "to", to, "partials", len(partials), "error", err)
+		c.options.Log.Notice("asked another node to take over job", "job", id, "to", to, "partials", len(partials), "left_out", known-len(partials), "error", err)
 		if err == nil {
 			c.options.Metrics.countJob("handed_on")
 			return
