Read output files whose commits decompress to more than 16 MiB

In the product's own batch interface, the content of an output file broke off, at each read, once the results of one commit exceeded 16 MiB: up to 32 MiB collect while the store is down, and one answer may have 64 MiB. All results were stored.

Change: results are decompressed as a stream and copied to the file without holding a line in memory. Results that earlier builds stored can be read too.

Evidence: TestOutputOfLargeCommitsIsRead failed before in all three cases with "decompressed size exceeds configured limit" (a commit after an outage, one answer, small commits in the record) and passes now (pkg/batch/jobstore 2.6 s).

--- a/pkg/batch/jobstore/content.go
+++ b/pkg/batch/jobstore/content.go
@@ -58,30 +58,26 @@
 }
 
 func (s Jobs) writePart(ctx context.Context, p jobstate.Part, failed bool, w io.Writer) error {
-	emit := func(l []byte) error {
-		_, err := w.Write(l)
-		return err
+	// The results of a commit have any size: they collect while the store is down, and an answer may have tens of megabytes.
+	copyLines := func(frames []byte) error {
+		return Error.Wrap(objects.DecompressStream(frames, func(r io.Reader) error { return line.CopyStored(w, r, failed) }))
 	}
 	if failed && p.Failed == 0 || !failed && p.Completed == 0 {
 		return nil
 	}
 	for _, ref := range p.Results {
-		data, err := objects.ReadPieces(ctx, s.Store, ref.Key, 0, ref.Pieces)
+		frames, err := objects.ReadFrames(ctx, s.Store, ref.Key, 0, ref.Pieces)
 		if err != nil {
 			return err
 		}
-		if err := line.SelectStored(data, failed, emit); err != nil {
-			return Error.Wrap(err)
+		if err := copyLines(frames); err != nil {
+			return err
 		}
 	}
 	if len(p.Inline) == 0 {
 		return nil
 	}
-	data, err := objects.Decompress(p.Inline)
-	if err != nil {
-		return Error.Wrap(err)
-	}
-	return Error.Wrap(line.SelectStored(data, failed, emit))
+	return copyLines(p.Inline)
 }
 
 // writeExpired writes an error line for each item that had no result at the end of the completion window.
--- a/pkg/batch/line/stored.go
+++ b/pkg/batch/line/stored.go
@@ -1,9 +1,12 @@
 package line
 
 import (
+	"bufio"
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
+	"io"
 	"strings"
 )
 
@@ -46,6 +49,45 @@
 	return nil
 }
 
+// CopyStored writes to w the lines of stored data that SelectStored would pass. It holds no line in memory, whatever its length.
+func CopyStored(w io.Writer, stored io.Reader, errorFile bool) error {
+	r := bufio.NewReader(stored)
+	for {
+		mark, err := r.ReadByte()
+		switch {
+		case errors.Is(err, io.EOF):
+			return nil
+		case err != nil:
+			return err
+		case mark != markOutput && mark != markError:
+			return fmt.Errorf("stored output line does not start with '+' or '-'")
+		}
+		if err := copyLine(w, r, (mark == markError) == errorFile); err != nil {
+			return err
+		}
+	}
+}
+
+// copyLine reads up to the end of a line and writes what it reads to w if wanted is set.
+func copyLine(w io.Writer, r *bufio.Reader, wanted bool) error {
+	for {
+		text, err := r.ReadSlice('\n')
+		if wanted {
+			if _, err := w.Write(text); err != nil {
+				return err
+			}
+		}
+		switch {
+		case err == nil:
+			return nil
+		case errors.Is(err, io.EOF):
+			return fmt.Errorf("stored output line has no line end")
+		case !errors.Is(err, bufio.ErrBufferFull):
+			return err
+		}
+	}
+}
+
 // OutputID returns the id of the output line of item n (from 0) of a job.
 func OutputID(job string, n int) string {
 	return fmt.Sprintf("batch_req_%s_%d", strings.TrimPrefix(job, "batch_"), n)
--- a/pkg/batch/objects/blob.go
+++ b/pkg/batch/objects/blob.go
@@ -4,13 +4,14 @@
 	"bytes"
 	"context"
 	"fmt"
+	"io"
 
 	"github.com/klauspost/compress/zstd"
 
 	"trefoilplank.example/pkg/adapter/store"
 )
 
-// MaxBlobBytes bounds the decompressed size of a value, so that a damaged value can't exhaust memory.
+// MaxBlobBytes bounds the decompressed size of a value that is held in memory, so that a damaged value can't exhaust it.
 const MaxBlobBytes = 16 << 20
 
 // pieceBytes is the size of the pieces that compressed data is split into, below store.MaxValueBytes.
@@ -68,6 +69,25 @@
 
 // ReadPieces reads the n pieces from first on that WritePieces stored below prefix, and returns their decompressed data.
 func ReadPieces(ctx context.Context, s store.Store, prefix string, first, n int) ([]byte, error) {
+	frames, err := ReadFrames(ctx, s, prefix, first, n)
+	if err != nil {
+		return nil, err
+	}
+	return Decompress(frames)
+}
+
+// DecompressStream passes the data of one or more frames, of any size, to use. It holds a window of the data in memory.
+func DecompressStream(frames []byte, use func(io.Reader) error) error {
+	r, err := zstd.NewReader(bytes.NewReader(frames), zstd.WithDecoderConcurrency(1), zstd.WithDecoderMaxMemory(MaxBlobBytes))
+	if err != nil {
+		return err
+	}
+	defer r.Close()
+	return use(r)
+}
+
+// ReadFrames is ReadPieces without decompressing the data.
+func ReadFrames(ctx context.Context, s store.Store, prefix string, first, n int) ([]byte, error) {
 	var data bytes.Buffer
 	for i := range n {
 		o, err := Get(ctx, s, PieceKey(prefix, first+i))
@@ -76,5 +96,5 @@
 		}
 		data.Write(o.Value)
 	}
-	return Decompress(data.Bytes())
+	return data.Bytes(), nil
 }
