Repeat the withdrawal of a job that no decision is pending for

A node ended with "close of nil channel" if a route got its limit on waiting tokens while a job of it was being stored and the first attempt to withdraw that job failed: all its callers lost their connections (read in the review, not shown there).

Cause: the withdrawal that goes on in the background ends the decision on the job; with none pending it closed a nil channel. Besides, other nodes could hand the job to this one meanwhile, as nothing marked it as undecided.

Change: such a withdrawal marks the job as undecided until it is stored, and a decision that is not pending is not ended.

Evidence: TestWithdrawalWithoutADecisionIsRepeated fails on the commit before (the job is not pending); without that check the test process ends with the panic. It passes now with the tests of the limit (3.5 s).

--- a/pkg/listjob/quota.go
+++ b/pkg/listjob/quota.go
@@ -116,7 +116,7 @@
 func (c *Controller) endDecision(id string, decided chan struct{}) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.withdrawing[id] && c.undecided[id] == decided {
+	if current, ok := c.undecided[id]; ok && !c.withdrawing[id] && current == decided {
 		delete(c.undecided, id)
 		close(decided)
 	}
@@ -313,6 +313,9 @@
 	}
 	c.mu.Lock()
 	c.withdrawing[h.ID] = true
+	if c.undecided[h.ID] == nil { // The route had no limit when the job came.
+		c.undecided[h.ID] = make(chan struct{})
+	}
 	c.mu.Unlock()
 	go func() {
 		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), repairTimeout)
--- a/pkg/listjob/quota_test.go
+++ b/pkg/listjob/quota_test.go
@@ -234,3 +234,40 @@
 	}
 	return 0, store.ErrUnknown
 }
+
+// Guards against the end of the process when a job is withdrawn that no decision is pending for, since its route got a limit on
+// waiting tokens while the job was being stored, and the first attempt to withdraw it fails.
+func TestWithdrawalWithoutADecisionIsRepeated(t *testing.T) {
+	s := &lossyStore{Store: memstore.New(), rng: rand.New(rand.NewPCG(7, 7))}
+	_, _, nodes := quotaFleet(t, s, 30*time.Second, "a")
+	ctx := context.Background()
+	h := head{ID: "j", Host: testHost, Path: "/b/j", Total: 1, Submitted: time.Now(), Owner: "a", Incarnation: 1}
+	revision, err := nodes[0].createHead(ctx, h)
+	assert.NilError(t, err)
+	failing, cancel := context.WithCancel(ctx)
+	cancel()
+	nodes[0].options.Store = cancelledStore{s}
+	assert.Assert(t, nodes[0].withdraw(failing, h, revision) != nil)
+	pending := func() bool {
+		nodes[0].mu.Lock()
+		defer nodes[0].mu.Unlock()
+		return nodes[0].undecided["j"] != nil
+	}
+	assert.Assert(t, pending(), "the job may be taken over while its withdrawal is not stored")
+	for until := time.Now().Add(5 * time.Second); pending(); time.Sleep(20 * time.Millisecond) {
+		assert.Assert(t, time.Now().Before(until), "the withdrawal is not repeated")
+	}
+	stored, _, err := nodes[0].readStoredHead(ctx, "j")
+	assert.NilError(t, err)
+	assert.Assert(t, stored.Refused)
+}
+
+// cancelledStore fails the writes of callers that have left.
+type cancelledStore struct{ store.Store }
+
+func (s cancelledStore) Put(ctx context.Context, key string, value []byte, expect int64) (int64, error) {
+	if ctx.Err() != nil {
+		return 0, store.ErrUnavailable
+	}
+	return s.Store.Put(ctx, key, value, expect)
+}
