Have owners of jobs find out by themselves that others may have taken over

Cause: a former owner learned that it was one from a single call, of the hub or of the new owner, which fails while the machine is frozen. After its first exchange it relied on its memory again: nothing on its own clock told it that it had not been heard for longer than the others wait.

Change: a state machine (pkg/decision/tenure) tells by the node's own clock whether others certainly count it as live, and since when without a gap: an answer of the hub confirms it for 1.2 s from the beginning of the exchange, the hub itself for 0.5 s, and only if more than half of the nodes report there and the hub knows the node's entry (Totals.Unconfirmed; earlier hubs do not set it). After a gap the node compares its jobs with the store before it starts items or answers without results; reads check the log meanwhile. The hub and new owners tell former owners until they answer (Jobs.Changed), so that nodes of earlier builds hear it too. A node is no longer counted as lost for takeovers because a single call to it failed.

--- a/pkg/controller/fleet/fleet.go
+++ b/pkg/controller/fleet/fleet.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"trefoilplank.example/pkg/adapter/store"
+	"trefoilplank.example/pkg/decision/tenure"
 	"trefoilplank.example/pkg/eventlog"
 	"trefoilplank.example/pkg/wait"
 )
@@ -29,6 +30,10 @@
 	hubReportMaxAge = 3 * time.Second
 	// hubReportFresh is how long after the last report of a hub this node relies on its view: three idle exchanges.
 	hubReportFresh = time.Second
+	// countedLostAfter is how long after the last report of a node the hub counts it as lost at the earliest, less the error of
+	// two clocks. hubPassedOver is the same for the node that is the hub: nodes of earlier versions that get no answer to one
+	// exchange, for 400 ms, take over its jobs at their next look, 100 ms later.
+	countedLostAfter, hubPassedOver = 1200 * time.Millisecond, 500 * time.Millisecond
 	// minKnownTime is how long a node must have known the members before it may consider others lost. A node that
 	// starts while the store is down learns them late, and then needs some exchanges to find the hub.
 	minKnownTime = 1500 * time.Millisecond
@@ -70,6 +75,8 @@
 	// suspects holds, by node, until when it is suspected.
 	suspects map[string]time.Time
 	draining map[string]bool
+	// tenure is how long this node certainly counts as live at the others.
+	tenure tenure.Tenure
 }
 
 // New returns a fleet that knows only the node itself.
@@ -238,6 +245,59 @@
 	return ok && (incarnation == 0 || m.Incarnation == incarnation) && !m.Draining && f.alive(name, time.Now())
 }
 
+// Lost reports whether another process is certainly gone or counts as lost: it is not registered, was restarted, drains, or the
+// hub reports it as unresponsive. A single call without an answer, after which the node is suspected, is not enough.
+func (f *Fleet) Lost(name string, incarnation int64) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if name == f.self.Name {
+		return incarnation != f.self.Incarnation
+	}
+	m, ok := f.members[name]
+	if !ok || m.Incarnation != incarnation || m.Draining {
+		return true
+	}
+	return f.unresponsive[name] && time.Since(f.reportedAt) <= hubReportMaxAge
+}
+
+// Confirm records that a hub, which may be this node, has answered a report that was sent at begun, and counts this node as
+// live.
+func (f *Fleet) Confirm(begun time.Time, isHub bool) {
+	bound := countedLostAfter
+	if isHub {
+		bound = hubPassedOver
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if gap := f.tenure.Confirm(begun, time.Now(), bound); gap > 0 {
+		f.log.Notice("other nodes may have counted this node as lost", "not_heard_ms", (gap + bound).Milliseconds(), "is_hub", isHub)
+	}
+}
+
+// CertainSince reports whether other nodes certainly count this node as live now, and since when: they may have taken over
+// before what it held.
+func (f *Fleet) CertainSince() (since time.Time, certain bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.tenure.HeldSince(), f.tenure.Held(time.Now())
+}
+
+// Successor returns the incarnation of a later process of a node, if one is registered.
+func (f *Fleet) Successor(name string, incarnation int64) (later int64, ok bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	m, ok := f.members[name]
+	return m.Incarnation, ok && m.Incarnation > incarnation
+}
+
+// Has reports whether a process is registered.
+func (f *Fleet) Has(name string, incarnation int64) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	m, ok := f.members[name]
+	return ok && m.Incarnation == incarnation
+}
+
 // OtherStartedBefore reports whether a known member other than this node started before cutoff. If so, the fleet was
 // already running, and all its entries exist.
 func (f *Fleet) OtherStartedBefore(cutoff time.Time) bool {
--- a/pkg/controller/fleet/fleet_test.go
+++ b/pkg/controller/fleet/fleet_test.go
@@ -166,3 +166,14 @@
 		assert.Equal(t, f.ViewMayDiffer(), c.may, "%d of %d lost", c.lost, c.nodes)
 	}
 }
+
+// TestSuspicionIsNoLoss guards against a node whose running jobs others take over because a single call to it got no answer.
+func TestSuspicionIsNoLoss(t *testing.T) {
+	f := testFleet("1", "2", "3")
+	f.Suspect("2", time.Minute, errors.New("no answer"))
+	assert.Assert(t, !f.Alive("2", 1) && !f.Lost("2", 1))
+	f.SetHubReport([]string{"2"}, nil)
+	assert.Assert(t, f.Lost("2", 1))
+	assert.Assert(t, f.Lost("3", 7) && f.Lost("4", 1), "another process, and a node without an entry")
+	assert.Assert(t, !f.Lost("1", 1) && f.Lost("1", 0))
+}
--- a/pkg/controller/loadshare/hub.go
+++ b/pkg/controller/loadshare/hub.go
@@ -35,6 +35,8 @@
 	reviewedAt                time.Time
 	unresponsive              []string
 	draining                  []string
+	// minority is set while at most half of the registered nodes report here: the others may have another hub.
+	minority bool
 	// cutOff are the nodes that report to reach no upstream of some service themselves, sorted. The revision changes with the
 	// list, and is 0 until one does.
 	cutOff         []string
@@ -72,7 +74,7 @@
 	return hub{
 		options: o, nodes: map[string]*nodeState{}, totals: map[string]dispatch.Load{}, grantedSlots: map[string]int{}, wants: map[string]dispatch.Want{},
 		nextIntroduction: map[string]time.Time{}, nextRemoval: map[string]time.Time{}, answeredAt: map[string]time.Time{},
-		waiting: quota.NewLedger(), index: newUpstreamIndex(o.Fleet.Self().Incarnation),
+		waiting: quota.NewLedger(), index: newUpstreamIndex(o.Fleet.Self().Incarnation), minority: true,
 	}
 }
 
@@ -110,6 +112,7 @@
 		reply.Loads = maps.Clone(h.totals)
 	}
 	reply.Silent, reply.Draining = h.unresponsive, h.draining
+	reply.Unconfirmed = h.minority || r.Draining || !h.options.Fleet.Has(r.Node, r.Incarnation)
 	reply.Outliers = h.outliers
 	if reply.CutOffRevision = h.cutOffRevision; r.CutOffSeen != h.cutOffRevision {
 		reply.CutOff = h.cutOff
@@ -238,6 +241,7 @@
 		h.options.Log.Notice("nodes that reach no upstreams of a service changed", "members", cutOff)
 		h.cutOff, h.cutOffRevision = cutOff, now.UnixNano()
 	}
+	h.minority = 2*recent <= len(h.options.Fleet.Known())
 	h.unresponsive = h.unresponsiveNodes(recent, now)
 }
 
--- a/pkg/controller/loadshare/loadshare.go
+++ b/pkg/controller/loadshare/loadshare.go
@@ -127,6 +127,9 @@
 	// report.
 	CutOff         []string
 	CutOffRevision int64
+	// Unconfirmed is set if other nodes may count the reporting node as lost all the same: the hub does not know its entry, or
+	// at most half of the registered nodes report to the hub.
+	Unconfirmed bool
 }
 
 // Announced holds what upstreams say of themselves in their answers, and the requests that count against their limits.
@@ -302,6 +305,14 @@
 	return hub != nil && hub.name == e.options.Fleet.Self().Name
 }
 
+// Hub returns the node that last answered as the hub, "" if the last exchange failed.
+func (e *Exchange) Hub() string {
+	if hub := e.currentHub.Load(); hub != nil {
+		return hub.name
+	}
+	return ""
+}
+
 // HubSweeps reports whether another node is the hub and reads the heads of all jobs and the VMs to be emptied for this one.
 func (e *Exchange) HubSweeps() bool {
 	hub := e.currentHub.Load()
@@ -421,6 +432,9 @@
 	e.options.ApplyTotals(totals.Loads, loads, totals.Outliers, totals.Grant)
 	e.options.HubAnswered(name, totals.Revisions)
 	e.options.Fleet.SetHubReport(totals.Silent, totals.Draining)
+	if !totals.Unconfirmed && !slices.Contains(totals.Silent, self.Name) {
+		e.options.Fleet.Confirm(begun, name == self.Name)
+	}
 	return true
 }
 
--- a/pkg/edge/node.go
+++ b/pkg/edge/node.go
@@ -231,6 +231,7 @@
 		Store: n.store, Peers: n.peers, Fleet: n.fleet, Placer: n.placer, Client: n.client, Table: n.table.Load,
 		FailedRuns: n.failedRuns, MemoryBytes: limit, Readable: seconds(n.settings.ReadableSeconds), Log: n.log, Metrics: listjob.NewMetrics(n.metrics),
 		IsHub: func() bool { return n.exchange.IsHub() }, HubSweeps: func() bool { return n.exchange.HubSweeps() },
+		Hub:        func() string { return n.exchange.Hub() },
 		HubWaiting: func(ctx context.Context) (map[string]int64, error) { return n.exchange.HubWaiting(ctx) },
 		ReserveWaiting: func(ctx context.Context, r quota.Reservation) (int64, error) {
 			return n.exchange.ReserveWaiting(ctx, r)
--- a/pkg/listjob/accept.go
+++ b/pkg/listjob/accept.go
@@ -199,7 +199,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if creating {
-		c.creating[id] = true
+		c.creating[id] = time.Now()
 	} else {
 		delete(c.creating, id)
 	}
--- a/pkg/listjob/controller.go
+++ b/pkg/listjob/controller.go
@@ -45,6 +45,8 @@
 	// IsHub reports whether this node is the hub, which sweeps the heads of all jobs for the others. HubSweeps reports whether
 	// this node has a hub that does.
 	IsHub, HubSweeps func() bool
+	// Hub returns the node that last answered as the hub, "" if none did.
+	Hub func() string
 	// MemoryBytes is the node's memory limit in bytes.
 	MemoryBytes int64
 	// Readable is how long after its submission a job must stay readable.
@@ -74,8 +76,8 @@
 	knownOwners map[string]owner
 	// stopping is set once the node hands its jobs over.
 	stopping bool
-	// adopting holds the IDs of the jobs that are being taken over.
-	adopting map[string]bool
+	// adopting holds the jobs that are being taken over, with the beginnings of these attempts.
+	adopting map[string]time.Time
 	// undecided holds the jobs whose heads are stored and that may not fit into the limit of their route; the channels are
 	// closed with the decision.
 	undecided map[string]chan struct{}
@@ -83,12 +85,17 @@
 	withdrawing map[string]bool
 	// lastRefusals holds the last refusals because of the limits of routes, by route.
 	lastRefusals map[string]lastRefusal
-	// swept is what the last sweep of this node as the hub found, by job. It is used by sweepLoop only.
+	// swept is what the last sweep of this node as the hub found, by job.
 	swept map[string]Owned
-	// sweeps counts them.
+	// sweeps counts them. It is used by sweepLoop only.
 	sweeps int
-	// creating holds the jobs whose heads are being created.
-	creating map[string]bool
+	// untold holds what other processes must be told of jobs.
+	untold map[owner]*untold
+	// creating holds the jobs whose heads are being created, with the beginnings of these attempts.
+	creating map[string]time.Time
+	// verifiedAt is when this node last began to compare all its jobs with the store, and sweptAt when it last began a sweep of
+	// its own, which may read a state that is a second old.
+	verifiedAt, sweptAt time.Time
 	// wake makes schedule look for items to start at once.
 	wake    chan struct{}
 	lengths *lengthModel
@@ -101,8 +108,8 @@
 // New returns a controller; Run starts its work.
 func New(o Options) *Controller {
 	c := &Controller{
-		options: o, jobs: map[string]*job{}, knownOwners: map[string]owner{}, adopting: map[string]bool{}, undecided: map[string]chan struct{}{},
-		creating: map[string]bool{}, withdrawing: map[string]bool{}, lastRefusals: map[string]lastRefusal{}, wake: make(chan struct{}, 1),
+		options: o, jobs: map[string]*job{}, knownOwners: map[string]owner{}, adopting: map[string]time.Time{}, undecided: map[string]chan struct{}{},
+		creating: map[string]time.Time{}, withdrawing: map[string]bool{}, lastRefusals: map[string]lastRefusal{}, untold: map[owner]*untold{}, wake: make(chan struct{}, 1),
 		lengths: newLengthModel(),
 	}
 	c.entryLimit.Store(maxEntryBytes)
@@ -134,6 +141,11 @@
 func (c *Controller) startJob(j *job) {
 	c.setTimes(j)
 	c.mu.Lock()
+	if begun, ok := c.creating[j.head.ID]; ok {
+		j.ownedAt = begun
+	} else {
+		j.ownedAt = c.adopting[j.head.ID]
+	}
 	c.jobs[j.head.ID] = j
 	delete(c.knownOwners, j.head.ID)
 	c.mu.Unlock()
--- a/pkg/listjob/entry.go
+++ b/pkg/listjob/entry.go
@@ -125,6 +125,8 @@
 			return errors.Join(err, readErr)
 		}
 		e.Results = results
+		// Another node writes this job's log, unless an earlier attempt of this one was carried out.
+		go c.compareWithHead(context.Background(), id)
 	}
 	j.mu.Lock()
 	defer j.mu.Unlock()
--- a/pkg/listjob/fakes_test.go
+++ b/pkg/listjob/fakes_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/gob"
+	"errors"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
@@ -133,8 +134,13 @@
 	mu    sync.Mutex
 	nodes map[string]*Controller
 	cut   map[string]bool
+	// frozen holds the nodes that are frozen: their loops and calls stand still, and calls to them get no answer.
+	frozen   map[string]frozenNode
+	frozenMu sync.Mutex
 	// unreported is set while the hub does not report nodes in cut as unresponsive.
 	unreported bool
+	// withoutCheck is set if nodes do not know the call Jobs.Check, as those of earlier builds.
+	withoutCheck bool
 	// failedRuns holds the failed runs of all nodes.
 	failedRuns *failedruns.Controller
 	// waitingLimit is the limit on the waiting tokens of the route.
@@ -150,13 +156,26 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for other := range n.nodes {
-		if other < name && !n.cut[other] {
+		if other < name && !n.cut[other] && n.awakening(other) == nil {
 			return false
 		}
 	}
 	return !n.cut[name]
 }
 
+// hub returns the hub's name.
+func (n *network) hub() string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	first := ""
+	for name := range n.nodes {
+		if !n.cut[name] && n.awakening(name) == nil && (first == "" || name < first) {
+			first = name
+		}
+	}
+	return first
+}
+
 // hubSweeps reports whether a node reaches the hub.
 func (n *network) hubSweeps(name string) bool {
 	n.mu.Lock()
@@ -173,7 +192,7 @@
 		return nil, peer.ErrUnreachable
 	}
 	for name, c := range n.nodes {
-		if !n.cut[name] {
+		if !n.cut[name] && n.awakening(name) == nil {
 			n.ledger.Report(name, c.Waiting())
 		}
 	}
@@ -202,7 +221,7 @@
 }
 
 func newNetwork() *network {
-	return &network{calls: map[string]int{}, ledger: quota.NewLedger(), nodes: map[string]*Controller{}, cut: map[string]bool{}, failedRuns: failedruns.New(failedruns.Options{
+	return &network{calls: map[string]int{}, ledger: quota.NewLedger(), nodes: map[string]*Controller{}, cut: map[string]bool{}, frozen: map[string]frozenNode{}, failedRuns: failedruns.New(failedruns.Options{
 		Node: "all", Others: func() []string { return nil }, Exchange: func() {}, Log: &eventlog.Log{},
 	})}
 }
@@ -222,20 +241,87 @@
 	delete(n.cut, name)
 }
 
+// frozenNode is a node that is frozen since a time; awake is closed when it wakes.
+type frozenNode struct {
+	since time.Time
+	awake chan struct{}
+}
+
+// unresponsiveAfter is the time without a report after which the hub reports a node as unresponsive.
+const unresponsiveAfter = 1300 * time.Millisecond
+
+// freeze stops a node until the returned function is called.
+func (n *network) freeze(name string) (wake func()) {
+	n.frozenMu.Lock()
+	defer n.frozenMu.Unlock()
+	awake := make(chan struct{})
+	n.frozen[name] = frozenNode{time.Now(), awake}
+	return func() {
+		n.frozenMu.Lock()
+		defer n.frozenMu.Unlock()
+		delete(n.frozen, name)
+		close(awake)
+	}
+}
+
+// awakening returns a channel that is closed when a frozen node wakes, nil for other nodes.
+func (n *network) awakening(name string) chan struct{} {
+	n.frozenMu.Lock()
+	defer n.frozenMu.Unlock()
+	return n.frozen[name].awake
+}
+
+// whileFrozen returns once a node is not frozen.
+func (n *network) whileFrozen(name string) {
+	if awake := n.awakening(name); awake != nil {
+		<-awake
+	}
+}
+
+// freezingStore is the store as a node reaches it.
+type freezingStore struct {
+	store.Store
+	network *network
+	self    string
+}
+
+func (s freezingStore) Get(ctx context.Context, key string) (store.Object, error) {
+	s.network.whileFrozen(s.self)
+	return s.Store.Get(ctx, key)
+}
+
+func (s freezingStore) List(ctx context.Context, prefix, after string, limit int) (store.Page, error) {
+	s.network.whileFrozen(s.self)
+	return s.Store.List(ctx, prefix, after, limit)
+}
+
+func (s freezingStore) Put(ctx context.Context, key string, value []byte, expect int64) (int64, error) {
+	s.network.whileFrozen(s.self)
+	return s.Store.Put(ctx, key, value, expect)
+}
+
 // caller makes the calls of one node.
 type caller struct {
 	network *network
 	self    string
 }
 
-func (c caller) Call(_ context.Context, node, method string, args, reply any) error {
+func (c caller) Call(ctx context.Context, node, method string, args, reply any) error {
+	c.network.whileFrozen(c.self)
+	if c.network.awakening(node) != nil {
+		<-ctx.Done()
+		return ctx.Err()
+	}
 	c.network.mu.Lock()
-	target, cut := c.network.nodes[node], c.network.cut[node] || c.network.cut[c.self]
+	target, cut, unknown := c.network.nodes[node], c.network.cut[node] || c.network.cut[c.self], c.network.withoutCheck
 	c.network.calls[method]++
 	c.network.mu.Unlock()
 	if target == nil || cut {
 		return peer.ErrUnreachable
 	}
+	if method == "Jobs.Check" && unknown {
+		return errors.New("rpc: can't find method Jobs.Check")
+	}
 	var message bytes.Buffer
 	if err := gob.NewEncoder(&message).Encode(args); err != nil {
 		return err
@@ -276,9 +362,9 @@
 	routes.Routes[0].MaxWaitingTokens = n.waitingLimit
 	table := routing.NewTable(routes)
 	c := New(Options{
-		Store: s, Peers: caller{n, name}, Fleet: f, Placer: p, Client: forward.NewClient(testHeaders, uplink.New(uplink.Options{}), p.Announce),
-		FailedRuns: n.failedRuns, Table: func() *routing.Table { return table }, MemoryBytes: 256 << 20, Readable: 2 * time.Minute, Log: log,
-		IsHub: func() bool { return n.isHub(name) }, HubSweeps: func() bool { return n.hubSweeps(name) },
+		Store: freezingStore{s, n, name}, Peers: caller{n, name}, Fleet: f, Placer: p, Client: forward.NewClient(testHeaders, uplink.New(uplink.Options{}), p.Announce),
+		FailedRuns: n.failedRuns, Table: func() *routing.Table { n.whileFrozen(name); return table }, MemoryBytes: 256 << 20, Readable: 2 * time.Minute, Log: log,
+		IsHub: func() bool { return n.isHub(name) }, HubSweeps: func() bool { return n.hubSweeps(name) }, Hub: n.hub,
 		HubWaiting:     func(context.Context) (map[string]int64, error) { return n.hubWaiting(name) },
 		ReserveWaiting: func(_ context.Context, r quota.Reservation) (int64, error) { return n.reserveWaiting(name, r) },
 	})
@@ -301,8 +387,16 @@
 // reportAsHub reports to a node which others are unresponsive, as the hub does in its answers to load reports.
 func (n *network) reportAsHub(ctx context.Context, f *fleet.Fleet, name string) {
 	for ctx.Err() == nil {
+		n.whileFrozen(name)
 		n.mu.Lock()
+		n.frozenMu.Lock()
 		var unresponsive []string
+		for other, f := range n.frozen {
+			if time.Since(f.since) > unresponsiveAfter {
+				unresponsive = append(unresponsive, other)
+			}
+		}
+		n.frozenMu.Unlock()
 		for other := range n.cut {
 			if !n.unreported {
 				unresponsive = append(unresponsive, other)
@@ -310,6 +404,7 @@
 		}
 		if !n.cut[name] {
 			f.SetHubReport(unresponsive, nil)
+			f.Confirm(time.Now(), false)
 		}
 		n.mu.Unlock()
 		_, _ = n.hubLedger(name) // Each node reports regularly.
--- a/pkg/listjob/job.go
+++ b/pkg/listjob/job.go
@@ -185,6 +185,8 @@
 	logCheckedAt time.Time
 	// contestedUntil is the time until which the previous owner may still add to the log.
 	contestedUntil time.Time
+	// ownedAt is a time before this node became the owner.
+	ownedAt time.Time
 	// unconfirmed is set while the head is stored and the items are not; acceptance must not be confirmed to the
 	// sender.
 	unconfirmed atomic.Bool
--- a/pkg/listjob/read.go
+++ b/pkg/listjob/read.go
@@ -71,17 +71,35 @@
 // readOwned reads from memory. While another node may own the job too and add to the log, it checks the log before it
 // answers without results. It returns false if the log can't be read or this node no longer owns the job.
 func (c *Controller) readOwned(ctx context.Context, j *job, after int, wait time.Duration) (Listing, bool) {
+	if c.mustCheckLog(j, after) && !c.checkLog(ctx, j) {
+		return Listing{}, false
+	}
+	l, ok := j.read(ctx, after, wait)
+	// The node may have been frozen since the check.
+	if ok && len(l.Results) == 0 && c.mustCheckLog(j, after) {
+		if !c.checkLog(ctx, j) {
+			return Listing{}, false
+		}
+		return j.read(ctx, after, 0)
+	}
+	return l, ok
+}
+
+// mustCheckLog reports whether another node may have listed results of a job, at a position from which this node has none.
+func (c *Controller) mustCheckLog(j *job, after int) bool {
+	o := c.ownership()
 	j.mu.Lock()
+	defer j.mu.Unlock()
 	// An ended job is checked too: results that another owner listed before the end stay readable.
-	check := after >= len(j.results) && len(j.results) < len(j.items) && time.Since(j.logCheckedAt) > logCheckInterval
-	// Results that the previous owner added while nobody read the job are found only by reading the log once after
-	// contestedUntil.
-	contested := j.logCheckedAt.Before(j.contestedUntil)
-	j.mu.Unlock()
-	if check && (contested || c.options.Fleet.ViewMayDiffer()) && !c.checkLog(ctx, j) {
-		return Listing{}, false
+	if after < len(j.results) || len(j.results) >= len(j.items) {
+		return false
+	}
+	if o.isCertain(j) && !c.options.Fleet.ViewMayDiffer() {
+		// Results that the previous owner added while nobody read the job are found only by reading the log once after
+		// contestedUntil.
+		return j.logCheckedAt.Before(j.contestedUntil) && o.now.Sub(j.logCheckedAt) > logCheckInterval
 	}
-	return j.read(ctx, after, wait)
+	return o.now.Sub(j.logCheckedAt) > logCheckInterval
 }
 
 // checkLog adds the log entries of other nodes to the job; it returns false if the log can't be read.
--- a/pkg/listjob/run.go
+++ b/pkg/listjob/run.go
@@ -51,8 +51,14 @@
 // errRunFailed means that an upstream answered with status 500.
 var errRunFailed = Error.New("upstream answered with status 500")
 
+// errMayBeLost means that another node may have taken the job over, or ended it, since the run was decided on.
+var errMayBeLost = errors.Join(forward.ErrNotRun, Error.New("job may have another owner"))
+
 // runItem sends an item to an upstream and collects its events.
 func (c *Controller) runItem(ctx context.Context, it *item, u dispatch.Upstream) error {
+	if !c.ownership().mayRun(it.job) {
+		return errMayBeLost
+	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	it.job.mu.Lock()
--- a/pkg/listjob/schedule.go
+++ b/pkg/listjob/schedule.go
@@ -143,14 +143,12 @@
 
 // waitingItems returns the items that can start, in no particular order.
 func (c *Controller) waitingItems(now time.Time) []*item {
-	c.mu.Lock()
-	jobs := make([]*job, 0, len(c.jobs))
-	for _, j := range c.jobs {
-		jobs = append(jobs, j)
-	}
-	c.mu.Unlock()
 	var list []*item
-	for _, j := range jobs {
+	o := c.ownership()
+	for _, j := range c.ownedJobs() {
+		if !o.mayRun(j) {
+			continue
+		}
 		j.mu.Lock()
 		if j.isOpen() {
 			for _, it := range j.items {
--- a/pkg/listjob/sweep.go
+++ b/pkg/listjob/sweep.go
@@ -84,6 +84,8 @@
 func (c *Controller) sweepLoop(ctx context.Context) {
 	var s sweeper
 	kept := time.Now()
+	var verified time.Time
+	var check hubCheck
 	for ctx.Err() == nil {
 		_ = wait.Sleep(ctx, checkInterval)
 		if now := time.Now(); now.Sub(kept) > sweepInterval {
@@ -91,19 +93,44 @@
 			c.markDoneJobs()
 			c.dropOldJobs(now)
 		}
+		c.deliver(ctx)
 		if c.options.Table() == nil {
 			continue // Without a configuration no job can run.
 		}
+		if now := time.Now(); now.Sub(verified) >= verifyRetry && c.mustVerify() {
+			verified = now
+			c.verify(ctx)
+		}
 		hub := c.options.IsHub()
 		c.mu.Lock()
 		ownsJobs := len(c.jobs) > 0
 		c.mu.Unlock()
-		if s.due(hub, !hub && c.options.HubSweeps(), ownsJobs, time.Now()) {
+		if s.due(hub, !hub && c.options.HubSweeps() && check.covers(ctx, c), ownsJobs, time.Now()) {
 			c.sweep(ctx, hub)
 		}
 	}
 }
 
+// hubCheck is when the hub last answered what changed of this node's jobs.
+type hubCheck struct{ asked, answered time.Time }
+
+// covers asks the hub if that is due, and reports whether it has answered lately, or need not be asked.
+func (h *hubCheck) covers(ctx context.Context, c *Controller) bool {
+	open := c.openJobs()
+	now := time.Now()
+	if len(open) == 0 {
+		h.answered = now
+		return true
+	}
+	if now.Sub(h.asked) >= hubSweepInterval {
+		h.asked = now
+		if hub := c.options.Hub(); hub != "" && c.checkAtHub(ctx, hub, open) {
+			h.answered = now
+		}
+	}
+	return now.Sub(h.answered) <= maxSweepAge
+}
+
 // sweep reads all heads and compares them with the state of this node, or of all nodes if it is the hub.
 func (c *Controller) sweep(ctx context.Context, hub bool) {
 	begun := time.Now()
@@ -111,6 +138,9 @@
 	if err != nil {
 		return // The store watches log that the store is unavailable.
 	}
+	c.mu.Lock()
+	c.sweptAt = begun
+	c.mu.Unlock()
 	c.recordStoreLatency(time.Since(begun))
 	var heads []sweptHead
 	for _, o := range page.Objects {
@@ -138,7 +168,7 @@
 	self := c.self()
 	headOwner := owner{h.Owner, h.Incarnation}
 	if c.ownedJob(h.ID) != nil {
-		c.compareOwned(Owned{ID: h.ID, Owner: h.Owner, Incarnation: h.Incarnation, Revision: revision, Ended: h.Ended})
+		c.compareOwned(ownedIn(h, revision))
 		return
 	}
 	if !c.orphaned(h) {
@@ -161,7 +191,7 @@
 
 // orphaned reports whether a job must be taken over: its owner is gone, and it must be run or read.
 func (c *Controller) orphaned(h head) bool {
-	return !h.Refused && (!h.Ended || time.Since(h.Submitted) <= c.options.Readable) && !c.options.Fleet.Alive(h.Owner, h.Incarnation)
+	return !h.Refused && (!h.Ended || time.Since(h.Submitted) <= c.options.Readable) && c.options.Fleet.Lost(h.Owner, h.Incarnation)
 }
 
 func (c *Controller) isStopping() bool {
@@ -198,26 +228,26 @@
 	previous := c.swept
 	c.sweeps++
 	retell := previous == nil || c.sweeps%retellSweeps == 0
-	c.swept = make(map[string]Owned, len(heads))
-	changes := map[string][]Owned{}
+	swept := make(map[string]Owned, len(heads))
 	for _, h := range heads {
-		now := Owned{ID: h.Head.ID, Owner: h.Head.Owner, Incarnation: h.Head.Incarnation, Revision: h.Revision, Ended: h.Head.Ended}
-		c.swept[now.ID] = now
+		now := ownedIn(h.Head, h.Revision)
+		swept[now.ID] = now
 		before, known := previous[now.ID]
 		if known && before.Owner != now.Owner && before.Owner != self {
-			changes[before.Owner] = append(changes[before.Owner], now)
+			c.tell(owner{before.Owner, before.Incarnation}, now)
 		}
 		readable := time.Since(h.Head.Submitted) <= c.options.Readable && !h.Head.Refused
 		if (retell && readable || known && now.Ended && !before.Ended) && now.Owner != self && c.options.Fleet.Alive(now.Owner, now.Incarnation) {
-			changes[now.Owner] = append(changes[now.Owner], now)
+			c.tell(owner{now.Owner, now.Incarnation}, now)
 		}
 		if c.orphaned(h.Head) && c.options.Fleet.MayDeclareLost() {
 			c.handToSuccessor(ctx, h)
 		}
 	}
-	for node, list := range changes {
-		go c.callSwept(ctx, node, "Jobs.Changed", ChangedArgs{Jobs: list})
-	}
+	c.mu.Lock()
+	c.swept = swept
+	c.mu.Unlock()
+	c.deliver(ctx)
 }
 
 // handToSuccessor asks the node that should take over an orphaned job to do so: the one that the owner's process ran on, if it
--- a/pkg/listjob/takeover.go
+++ b/pkg/listjob/takeover.go
@@ -49,9 +49,9 @@
 	ctx, cancel := context.WithTimeout(ctx, adoptTimeout)
 	defer cancel()
 	c.mu.Lock()
-	busy, stopping := c.adopting[id] || c.jobs[id] != nil || c.undecided[id] != nil || c.creating[id], c.stopping
+	busy, stopping := c.busyWith(id), c.stopping
 	if !busy && !stopping {
-		c.adopting[id] = true
+		c.adopting[id] = time.Now()
 	}
 	c.mu.Unlock()
 	switch {
@@ -78,7 +78,7 @@
 	if previous.Node != c.self().Node {
 		// The previous owner may be alive, and adds to the log until it learns of the takeover.
 		j.contestedUntil = time.Now().Add(contestPeriod)
-		go c.announceTo(previous.Node, id, j.revision)
+		c.tell(previous, Owned{ID: id, Owner: c.self().Node, Incarnation: c.self().Incarnation, Revision: j.revision, Ended: j.head.Ended})
 	}
 	c.startJob(j)
 	for _, it := range done {
@@ -91,6 +91,13 @@
 	return nil
 }
 
+// busyWith reports whether this node owns a job, or is about to. The caller holds c.mu.
+func (c *Controller) busyWith(id string) bool {
+	_, adopting := c.adopting[id]
+	_, creating := c.creating[id]
+	return adopting || creating || c.jobs[id] != nil || c.undecided[id] != nil
+}
+
 // restore sets the items to the state that an earlier owner had reached, and returns those that are finished.
 func (j *job) restore(partials []Partial) (done []*item) {
 	for _, p := range partials {
--- /dev/null
+++ b/pkg/listjob/tell.go
@@ -0,0 +1,77 @@
+package listjob
+
+import (
+	"context"
+	"time"
+)
+
+const (
+	// tellInterval is the least time between two attempts to tell a node what changed of jobs, and tellFor how long they go on:
+	// longer than a node is frozen or cut off without intervention.
+	tellInterval, tellFor = 500 * time.Millisecond, 2 * time.Minute
+)
+
+// untold is what a process must be told of jobs that it owns or owned.
+type untold struct {
+	jobs map[string]Owned
+	// until is when attempts end, and next when the next one may begin.
+	until, next time.Time
+	calling     bool
+}
+
+// tell has a process told what the store says of a job that it owns or owned, until it has answered.
+func (c *Controller) tell(process owner, stored Owned) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	u := c.untold[process]
+	if u == nil {
+		u = &untold{jobs: map[string]Owned{}}
+		c.untold[process] = u
+	}
+	u.until = time.Now().Add(tellFor)
+	if stored.Revision >= u.jobs[stored.ID].Revision {
+		u.jobs[stored.ID] = stored
+	}
+}
+
+// deliver tells processes what they must be told. A node that does not respond is told once it does.
+func (c *Controller) deliver(ctx context.Context) {
+	now := time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for process, u := range c.untold {
+		_, restarted := c.options.Fleet.Successor(process.Node, process.Incarnation)
+		switch {
+		case u.calling:
+		case restarted, now.After(u.until), len(u.jobs) == 0:
+			delete(c.untold, process)
+		case !now.Before(u.next) && c.options.Fleet.Alive(process.Node, process.Incarnation):
+			u.calling, u.next = true, now.Add(tellInterval)
+			list := make([]Owned, 0, len(u.jobs))
+			for _, stored := range u.jobs {
+				list = append(list, stored)
+			}
+			go c.deliverTo(ctx, process.Node, u, list)
+		}
+	}
+}
+
+func (c *Controller) deliverTo(ctx context.Context, node string, u *untold, list []Owned) {
+	ctx, cancel := context.WithTimeout(ctx, sweepCallTimeout)
+	defer cancel()
+	err := c.options.Peers.Call(ctx, node, "Jobs.Changed", ChangedArgs{Jobs: list}, &Nothing{})
+	if err != nil {
+		c.options.Log.Routine("node not told of changes of its jobs, retrying", "peer", node, "jobs", len(list), "error", err)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	u.calling = false
+	if err != nil {
+		return
+	}
+	for _, stored := range list {
+		if u.jobs[stored.ID] == stored {
+			delete(u.jobs, stored.ID)
+		}
+	}
+}
--- /dev/null
+++ b/pkg/listjob/tenure_test.go
@@ -0,0 +1,102 @@
+package listjob
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"trefoilplank.example/pkg/adapter/store/memstore"
+)
+
+// frozenOwner accepts jobs at a node, freezes it until others have taken them over and listed results, and wakes it.
+func frozenOwner(t *testing.T) (owner *node, ownEngine *engine) {
+	s, net := memstore.New(), newNetwork()
+	ownEngine, fast := newEngine(t, 1000, 20*time.Millisecond), newEngine(t, 3, time.Millisecond)
+	other := net.addNode(t, s, fast, "a", "b", "c")
+	owner = net.addNode(t, s, ownEngine, "b", "a", "c")
+	net.addNode(t, s, fast, "c", "a", "b")
+	time.Sleep(1600 * time.Millisecond) // Members must be known for a while before others may be declared lost.
+	for n := range 4 {
+		assert.NilError(t, owner.Accept(context.Background(), submission(fmt.Sprint("j", n), 2)))
+	}
+	time.Sleep(100 * time.Millisecond)
+	wake := net.freeze("b")
+	thawed := time.After(4 * time.Second) // The others have tried to tell the node by then.
+	for n := range 4 {
+		readAll(t, other.Controller, fmt.Sprint("j", n), 15*time.Second)
+	}
+	<-thawed
+	wake()
+	return owner, ownEngine
+}
+
+// Guards against a node that answers, after it was frozen, from what it knew of its jobs before: others had taken them over, and
+// callers had read results there that this node said it does not have. It was told so only while it was frozen.
+func TestFrozenOwnerDoesNotAnswerFromItsMemory(t *testing.T) {
+	owner, _ := frozenOwner(t)
+	for until := time.Now().Add(2 * time.Second); time.Now().Before(until); time.Sleep(50 * time.Millisecond) {
+		for n := range 4 {
+			l, err := owner.Read(context.Background(), fmt.Sprint("j", n), 0, 0)
+			assert.NilError(t, err)
+			assert.Equal(t, len(l.Results), 2)
+		}
+	}
+}
+
+// Guards against a node that goes on running items, after it was frozen, of jobs that others have taken over or that were ended
+// meanwhile.
+func TestFrozenOwnerGivesItsJobsUp(t *testing.T) {
+	owner, e := frozenOwner(t)
+	for until := time.Now().Add(time.Second); len(owner.ownedJobs()) > 0; time.Sleep(20 * time.Millisecond) {
+		assert.Assert(t, time.Now().Before(until), "%d jobs are still the node's own", len(owner.ownedJobs()))
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for id, runs := range e.runs {
+		assert.Equal(t, runs, 1, id)
+	}
+}
+
+// Guards against a node that acts on a job before it has found out that it was frozen: the first thing that it does is to look for
+// items to start.
+func TestFrozenOwnerStartsNoItems(t *testing.T) {
+	s, net, e := memstore.New(), newNetwork(), newEngine(t, 3, time.Millisecond)
+	owner := net.addNode(t, s, e, "b", "a")
+	net.addNode(t, s, e, "a", "b")
+	time.Sleep(300 * time.Millisecond)
+	j := newJob(head{ID: "j", Host: testHost, Path: "/b/j", Total: 1, Submitted: time.Now(), Owner: "b", Incarnation: 1}, 1, submission("j", 1).Items)
+	owner.startJob(j)
+	j.mu.Lock()
+	j.items[0].notBefore = time.Now().Add(4 * time.Second)
+	j.mu.Unlock()
+	owner.mu.Lock()
+	j.ownedAt = time.Now()
+	owner.mu.Unlock()
+	assert.Assert(t, owner.ownership().mayRun(j))
+	wake := net.freeze("b")
+	time.Sleep(5 * time.Second)
+	assert.Equal(t, len(owner.waitingItems(time.Now())), 0)
+	wake()
+}
+
+// Guards against a former owner of an earlier build, which does not look by itself, that goes on because the one call that tells it
+// got no answer.
+func TestFormerOwnerIsToldUntilItAnswers(t *testing.T) {
+	s, net, e := memstore.New(), newNetwork(), newEngine(t, 1000, 10*time.Millisecond)
+	a := net.addNode(t, s, e, "a", "b")
+	b := net.addNode(t, s, e, "b", "a")
+	net.withoutCheck = true
+	assert.NilError(t, a.Accept(context.Background(), submission("j", 2)))
+	a.stop()
+	net.cutOff("a", true)
+	assert.NilError(t, b.adopt(context.Background(), "j", nil))
+	time.Sleep(2 * sweepCallTimeout)
+	assert.Assert(t, a.ownedJob("j") != nil)
+	net.reconnect("a")
+	for until := time.Now().Add(2 * time.Second); a.ownedJob("j") != nil; time.Sleep(20 * time.Millisecond) {
+		assert.Assert(t, time.Now().Before(until), "the former owner goes on")
+	}
+}
