Expect earlier owners to add to the log after each takeover

Cause: the log was checked after a takeover only if the stored owner before has another name.

Change: it is checked after every takeover.

Evidence: TestRestartedOwnerExpectsEarlierOwners reads 0 of 1 results before, 1 now.

--- a/pkg/listjob/takeover.go
+++ b/pkg/listjob/takeover.go
@@ -75,9 +75,10 @@
 	}
 	c.observeListed(j)
 	done := j.restore(partials)
+	// Earlier owners may be alive, and add to the log until they learn of the takeover. That holds for an earlier process of this
+	// node too: there may have been an owner before it.
+	j.contestedUntil = time.Now().Add(contestPeriod)
 	if previous.Node != c.self().Node {
-		// The previous owner may be alive, and adds to the log until it learns of the takeover.
-		j.contestedUntil = time.Now().Add(contestPeriod)
 		c.tell(previous, Owned{ID: id, Owner: c.self().Node, Incarnation: c.self().Incarnation, Revision: j.revision, Ended: j.head.Ended})
 	}
 	c.startJob(j)
--- a/pkg/listjob/tenure_test.go
+++ b/pkg/listjob/tenure_test.go
@@ -82,6 +82,26 @@
 	wake()
 }
 
+// Guards against a job whose new owner is not told of results that earlier owners list, because the owner before it was an earlier
+// process of the same node.
+func TestRestartedOwnerExpectsEarlierOwners(t *testing.T) {
+	s, net, e := memstore.New(), newNetwork(), newEngine(t, 1000, 10*time.Millisecond)
+	a := net.addNode(t, s, e, "a", "b")
+	b := net.addNode(t, s, e, "b", "a")
+	assert.NilError(t, a.Accept(context.Background(), submission("j", 2)))
+	h, revision, err := a.readHead(context.Background(), "j")
+	assert.NilError(t, err)
+	time.Sleep(1600 * time.Millisecond) // The nodes know each other.
+	h.Owner, h.Incarnation = "b", 0     // The process of b before this one had taken the job over.
+	_, err = a.putHead(context.Background(), h, revision)
+	assert.NilError(t, err)
+	assert.NilError(t, b.adopt(context.Background(), "j", nil))
+	assert.NilError(t, a.writeEntry(a.ownedJob("j"), 0, entry{Node: "a", Results: []Result{{ID: "j-item1", State: Completed, Text: "listed by a"}}}))
+	l, err := b.Read(context.Background(), "j", 0, 0)
+	assert.NilError(t, err)
+	assert.Equal(t, len(l.Results), 1)
+}
+
 // Guards against a former owner of an earlier build, which does not look by itself, that goes on because the one call that tells it
 // got no answer.
 func TestFormerOwnerIsToldUntilItAnswers(t *testing.T) {
