Resume a job that is this node's by the store, and take none from a live owner

Callers' job was run by nobody if its stored owner is the hub and does not know that (a create that conflicts with its own earlier attempt, and a failed read after it). And a node that learned late that it had owned a job took it from the live owner of that moment.

A takeover because of an announcement did not look whether the stored owner is still this node.

Change: one way for both, resume: it reads the head anew and takes the job over only if its owner is this process.

Evidence: before, TestHubResumesAJobThatItDoesNotKnow: "the hub does not run its job"; TestLateNewsDoNotTakeAJobFromItsOwner: the live owner lost the job. Both pass now.

--- a/pkg/listjob/sweep.go
+++ b/pkg/listjob/sweep.go
@@ -171,6 +171,11 @@
 		c.compareOwned(ownedIn(h, revision))
 		return
 	}
+	if headOwner == self && !h.Refused && time.Since(h.Submitted) <= c.options.Readable {
+		// The write that made this node the owner got no answer, or the job's head was read before another node gave it up.
+		go c.resume(ctx, h.ID)
+		return
+	}
 	if !c.orphaned(h) {
 		return
 	}
@@ -207,7 +212,7 @@
 	j := c.ownedJob(stored.ID)
 	if j == nil {
 		if to == c.self() && !c.isStopping() {
-			go func() { _ = c.adopt(context.Background(), stored.ID, nil) }() // adopt logs its errors.
+			go c.resume(context.Background(), stored.ID)
 		}
 		return
 	}
@@ -222,6 +227,21 @@
 	}
 }
 
+// resume takes over a job that is this node's by the store, but does not run here.
+func (c *Controller) resume(ctx context.Context, id string) {
+	c.mu.Lock()
+	busy := c.busyWith(id) || c.stopping
+	c.mu.Unlock()
+	if busy {
+		return
+	}
+	h, revision, err := c.readHead(ctx, id)
+	if err != nil || (owner{h.Owner, h.Incarnation}) != c.self() {
+		return // The next sweep or announcement repeats it.
+	}
+	_ = c.adoptFrom(ctx, id, &sweptHead{h, revision}, nil) // adoptFrom logs its errors.
+}
+
 // sweepForOthers hands orphaned jobs to their successors, and tells owners what changed of their jobs since the last sweep.
 func (c *Controller) sweepForOthers(ctx context.Context, heads []sweptHead) {
 	self := c.self().Node
--- a/pkg/listjob/tenure_test.go
+++ b/pkg/listjob/tenure_test.go
@@ -102,6 +102,40 @@
 	assert.Equal(t, len(l.Results), 1)
 }
 
+// Guards against a job that nobody runs, because the node that owns it by the store, which does not know that, is the hub itself.
+func TestHubResumesAJobThatItDoesNotKnow(t *testing.T) {
+	s, net, e := memstore.New(), newNetwork(), newEngine(t, 3, time.Millisecond)
+	b := net.addNode(t, s, e, "b", "a")
+	assert.NilError(t, b.Accept(context.Background(), submission("j", 2)))
+	checkResults(t, e, readAll(t, b.Controller, "j", 10*time.Second))
+	h, revision, err := b.readHead(context.Background(), "j")
+	assert.NilError(t, err)
+	h.Owner = "a"
+	_, err = b.putHead(context.Background(), h, revision)
+	assert.NilError(t, err)
+	a := net.addNode(t, s, e, "a", "b")
+	for until := time.Now().Add(3 * time.Second); a.ownedJob("j") == nil; time.Sleep(20 * time.Millisecond) {
+		assert.Assert(t, time.Now().Before(until), "the hub does not run its job")
+	}
+}
+
+// Guards against an owner that takes a job from a live node, because it learns late that it owned the job before.
+func TestLateNewsDoNotTakeAJobFromItsOwner(t *testing.T) {
+	s, net, e := memstore.New(), newNetwork(), newEngine(t, 1000, 10*time.Millisecond)
+	a := net.addNode(t, s, e, "a", "b")
+	b := net.addNode(t, s, e, "b", "a")
+	assert.NilError(t, a.Accept(context.Background(), submission("j", 2)))
+	h, revision, err := a.readHead(context.Background(), "j")
+	assert.NilError(t, err)
+	assert.NilError(t, b.adopt(context.Background(), "j", nil))
+	for until := time.Now().Add(2 * time.Second); a.ownedJob("j") != nil; time.Sleep(20 * time.Millisecond) {
+		assert.Assert(t, time.Now().Before(until))
+	}
+	a.compareOwned(ownedIn(h, revision))
+	time.Sleep(300 * time.Millisecond)
+	assert.Assert(t, a.ownedJob("j") == nil && b.ownedJob("j") != nil)
+}
+
 // Guards against a former owner of an earlier build, which does not look by itself, that goes on because the one call that tells it
 // got no answer.
 func TestFormerOwnerIsToldUntilItAnswers(t *testing.T) {
