Have the next hub watch the upstreams too

Cause: the copy of the next hub was over a second old when it began to watch the store. It took that gap for an outage of the store, in which entries of live upstreams lapse, and kept those that vanished for 2.2 s, for itself and all others. Its log says "store watch works again" with outdated_ms of 1,054 to 1,088; the store was there all the time.

Change: the hub names the node that would follow it (Totals.Standby, not set by earlier builds), and that one watches the upstreams in the store itself besides. It sees no interruption when the hub is lost, sees a real outage with its own watch, and answers the others with an up-to-date copy at once. That costs the store one waiting call more.

--- a/pkg/controller/loadshare/loadshare.go
+++ b/pkg/controller/loadshare/loadshare.go
@@ -130,6 +130,8 @@
 	// Unconfirmed is set if other nodes may count the reporting node as lost all the same: the hub does not know its entry, or
 	// at most half of the registered nodes report to the hub.
 	Unconfirmed bool
+	// Standby is set for the node that would be the hub next.
+	Standby bool
 }
 
 // Announced holds what upstreams say of themselves in their answers, and the requests that count against their limits.
@@ -294,9 +296,9 @@
 
 // answeringHub is what the last answer of a hub says of it.
 type answeringHub struct {
-	name     string
-	sweeps   bool
-	retiring []string
+	name            string
+	sweeps, standby bool
+	retiring        []string
 }
 
 // IsHub reports whether this node is the hub by its last exchange.
@@ -319,6 +321,12 @@
 	return hub != nil && hub.sweeps && hub.name != e.options.Fleet.Self().Name
 }
 
+// IsStandby reports whether this node would be the hub next, as the hub's last answer says.
+func (e *Exchange) IsStandby() bool {
+	hub := e.currentHub.Load()
+	return hub != nil && hub.standby
+}
+
 // Retiring returns the nodes on VMs to be emptied, as the hub's last answer says.
 func (e *Exchange) Retiring() []string {
 	if hub := e.currentHub.Load(); hub != nil {
@@ -420,7 +428,7 @@
 	if totals.IndexedLoads != nil {
 		totals.Loads = e.index.expand(totals.IndexedLoads)
 	}
-	e.currentHub.Store(&answeringHub{name, totals.Sweeps, totals.Retiring})
+	e.currentHub.Store(&answeringHub{name, totals.Sweeps, totals.Standby, totals.Retiring})
 	if totals.CutOffRevision != e.cutOffSeen {
 		e.cutOffSeen = totals.CutOffRevision
 		e.cutOff.Store(&totals.CutOff)
--- a/pkg/controller/mirror/mirror.go
+++ b/pkg/controller/mirror/mirror.go
@@ -39,6 +39,9 @@
 	// LapseTime is the shortest interruption in which entries can expire although their owners are alive. After a shorter
 	// one entries that vanished are gone.
 	LapseTime time.Duration
+	// Standby is set if the node that would be followed next watches the prefix itself too: it then sees no interruption when the
+	// followed node is lost.
+	Standby bool
 	// Silence is the longest time for which a watch that works delivers nothing, or 0 if Age is not asked.
 	Silence time.Duration
 	// Handle is called with all objects after changes, by one goroutine at a time. It must not retain the map.
@@ -65,8 +68,8 @@
 	followed string
 	// uncoveredSince is when the followed node stopped covering all prefixes; zero while it covers them.
 	uncoveredSince time.Time
-	// watchResumed is closed while this node watches the store itself.
-	watchResumed chan struct{}
+	// standby is set while this node would be followed next.
+	standby bool
 }
 
 // prefixCopy is the copy of one prefix.
@@ -96,7 +99,8 @@
 	vanished map[string]time.Time
 	// compressed holds compressed values of large objects.
 	compressed map[string]compressedObject
-	// stopWatch ends this node's watch.
+	// watches is closed while this node watches the prefix itself, and stopWatch ends its watch.
+	watches   chan struct{}
 	stopWatch context.CancelFunc
 }
 
@@ -108,9 +112,9 @@
 
 // New returns a mirror of the prefixes.
 func New(o Options, prefixes ...Prefix) *Mirror {
-	m := &Mirror{options: o, copy: map[string]*prefixCopy{}, watchResumed: make(chan struct{}), followed: undecided, uncoveredSince: time.Now()}
+	m := &Mirror{options: o, copy: map[string]*prefixCopy{}, followed: undecided, uncoveredSince: time.Now()}
 	for _, p := range prefixes {
-		m.copy[p.Name] = &prefixCopy{prefix: p, objects: map[string]store.Object{}, vanished: map[string]time.Time{}, compressed: map[string]compressedObject{}, brokenAt: time.Now()}
+		m.copy[p.Name] = &prefixCopy{prefix: p, objects: map[string]store.Object{}, vanished: map[string]time.Time{}, compressed: map[string]compressedObject{}, brokenAt: time.Now(), watches: make(chan struct{})}
 	}
 	return m
 }
@@ -131,12 +135,12 @@
 	pause := retryMin
 	listed := false
 	for ctx.Err() == nil {
-		if !m.awaitWatching(ctx) {
+		if !c.awaitWatching(ctx) {
 			pause = retryMin
 			continue
 		}
 		err := m.watchOnce(ctx, c, &listed)
-		if m.followedNode() != "" {
+		if !c.mustWatch() {
 			c.markBroken(time.Now())
 			continue
 		}
@@ -154,19 +158,49 @@
 	}
 }
 
-// awaitWatching waits until this node must watch the store itself and returns true, or false when ctx ends before.
-func (m *Mirror) awaitWatching(ctx context.Context) bool {
-	m.mu.Lock()
-	resumed := m.watchResumed
-	m.mu.Unlock()
+// awaitWatching waits until this node must watch the prefix itself and returns true, or false when ctx ends before.
+func (c *prefixCopy) awaitWatching(ctx context.Context) bool {
+	c.mu.Lock()
+	watches := c.watches
+	c.mu.Unlock()
 	select {
-	case <-resumed:
+	case <-watches:
 		return true
 	case <-ctx.Done():
 		return false
 	}
 }
 
+// mustWatch reports whether this node must watch the prefix itself.
+func (c *prefixCopy) mustWatch() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return isClosed(c.watches)
+}
+
+func isClosed(c chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
+}
+
+// setMustWatch makes this node watch the prefix itself or not. c.mu is held.
+func (c *prefixCopy) setMustWatch(must bool) {
+	switch {
+	case must == isClosed(c.watches):
+	case must:
+		close(c.watches)
+	default:
+		c.watches = make(chan struct{})
+		if c.stopWatch != nil {
+			c.stopWatch()
+		}
+	}
+}
+
 // followedNode returns the followed node, which may be undecided; empty if this node watches the store itself.
 func (m *Mirror) followedNode() string {
 	m.mu.Lock()
@@ -181,7 +215,7 @@
 	c.mu.Lock()
 	c.stopWatch = cancel
 	c.mu.Unlock()
-	if m.followedNode() != "" {
+	if !c.mustWatch() {
 		return nil
 	}
 	return m.watchSession(ctx, c, listed)
@@ -229,16 +263,19 @@
 	}
 }
 
+// SetStandby sets whether this node would be followed if the followed one were lost. It takes effect with the next call of
+// FollowNode.
+func (m *Mirror) SetStandby(standby bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.standby = standby
+}
+
 // setFollowed sets the followed node, or none, and reads those of its copies that have changed.
 func (m *Mirror) setFollowed(ctx context.Context, node string, revisions map[string]int64) {
 	m.mu.Lock()
-	before := m.followed
+	before, standby := m.followed, m.standby
 	m.followed = node
-	if before == "" && node != "" {
-		m.watchResumed = make(chan struct{})
-	} else if before != "" && node == "" {
-		close(m.watchResumed)
-	}
 	m.mu.Unlock()
 	if before != node {
 		m.options.Log.Notice("followed node of the store copies changed", "through", node, "before", before)
@@ -246,13 +283,12 @@
 	for name, c := range m.copy {
 		from := source{node, revisions[name]}
 		c.mu.Lock()
-		if before == "" && node != "" && c.stopWatch != nil {
-			c.stopWatch()
-		}
+		c.setMustWatch(node == "" || standby && c.prefix.Standby)
 		if node != "" && c.readFrom == from {
 			c.followedAt = time.Now()
 		}
-		behind := node != "" && c.readFrom != from && !c.reading
+		watching := c.watching && isClosed(c.watches)
+		behind := node != "" && c.readFrom != from && !c.reading && !watching
 		c.reading = c.reading || behind
 		revision := c.revision
 		if !c.loaded {
