Begin each term of a hub with empty allowances of limited upstreams

Cause: each hub keeps a token bucket for a limited upstream, which saves the requests of 2 s. While the hub is frozen the next one gives them out; the bucket of the former hub has filled up by then, and is given out once more within the same 4 s.

Change: a hub that had no report for 0.5 s, its own included, may have been replaced: it empties its buckets before it grants. A hub of an earlier build does not (Totals.BeginsEmpty): nodes report to such a hub, when it is new to them, their requests of the last 2 s once more, which lowers its bucket by what the hub before has allowed.

--- a/pkg/controller/loadshare/hub.go
+++ b/pkg/controller/loadshare/hub.go
@@ -82,7 +82,8 @@
 func (h *hub) handleReport(r Report, reply *Totals, now time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if now.Sub(h.lastReportAt) > hubIdle {
+	sinceReport := now.Sub(h.lastReportAt)
+	if sinceReport > hubIdle {
 		h.activeSince = now
 	}
 	h.lastReportAt = now
@@ -93,7 +94,7 @@
 	}
 	before := n.report.Loads
 	h.removeFromTotals(n)
-	h.exchangeAnnounced(r, n.granted, reply)
+	h.exchangeAnnounced(r, n.granted, sinceReport, reply)
 	h.withdrawGrant(n)
 	n.report, n.receivedAt = r, now
 	delete(h.nextIntroduction, r.Node)
--- a/pkg/controller/loadshare/loadshare.go
+++ b/pkg/controller/loadshare/loadshare.go
@@ -119,6 +119,9 @@
 	// that upstreams name.
 	Announced     map[string]dispatch.Announcement
 	DividesLimits bool
+	// BeginsEmpty is set by hubs that allow no requests at once to limited upstreams when they begin to serve: the hub before may
+	// have allowed them.
+	BeginsEmpty bool
 	// Sweeps is set by hubs that read the heads of all jobs and the VMs to be emptied from the store for the other nodes, and
 	// Retiring are the nodes on those VMs.
 	Sweeps   bool
@@ -143,6 +146,8 @@
 	// limits when this node is the hub.
 	Started() map[string]int
 	CountStarted(map[string]int)
+	// BeginTerm is called when this node begins to serve as the hub, or may have been replaced as it for a while.
+	BeginTerm()
 	// SetHub is called with each answer of the hub: whether its grants keep the limits, and the number of nodes.
 	SetHub(dividesLimits bool, nodes int)
 }
@@ -201,9 +206,7 @@
 	// currentHub is the hub that answered the last exchange, or nil.
 	currentHub atomic.Pointer[answeringHub]
 	records    recordSync
-	// unreported are the requests to limited upstreams that no hub has confirmed. An exchange without an answer may count them
-	// twice, never not at all.
-	unreported map[string]int
+	limited    limitedRequests
 	// index is the hub's index of upstreams.
 	index upstreamIndex
 	// cutOff are the nodes that reach no upstream of some service, by the hub's answer of revision cutOffSeen.
@@ -433,10 +436,11 @@
 		e.cutOffSeen = totals.CutOffRevision
 		e.cutOff.Store(&totals.CutOff)
 	}
+	newHub := e.records.isNew(name, totals)
 	e.records.answered(name, sentUpTo, totals)
 	e.options.FailedRuns.Merge(e.records.hubProcess(), totals.FailedRuns)
 	e.options.Streams.Add(e.records.hubProcess(), totals.Streams)
-	e.applyAnnounced(totals)
+	e.applyAnnounced(totals, newHub)
 	e.options.ApplyTotals(totals.Loads, loads, totals.Outliers, totals.Grant)
 	e.options.HubAnswered(name, totals.Revisions)
 	e.options.Fleet.SetHubReport(totals.Silent, totals.Draining)
--- a/pkg/controller/loadshare/records.go
+++ b/pkg/controller/loadshare/records.go
@@ -37,11 +37,16 @@
 	return failedruns.PeerID(s.hub, s.incarnation)
 }
 
+// isNew reports whether an answer is from another process than the one before.
+func (s *recordSync) isNew(hub string, t Totals) bool {
+	return hub != s.hub || t.HubIncarnation != s.incarnation
+}
+
 // answered records the answer to a report with the records up to sentUpTo. Another process than the last one has sent all
 // that it has, and may lack what was not in the report.
 func (s *recordSync) answered(hub string, sentUpTo revisions, t Totals) {
 	seen := revisions{t.FailedRunsRevision, t.StreamsRevision}
-	if hub != s.hub || t.HubIncarnation != s.incarnation {
+	if s.isNew(hub, t) {
 		*s = recordSync{hub: hub, incarnation: t.HubIncarnation, seen: seen}
 		return
 	}
--- a/pkg/controller/placer/announced.go
+++ b/pkg/controller/placer/announced.go
@@ -55,3 +55,11 @@
 	defer p.mu.Unlock()
 	p.state.SetHub(dividesLimits, nodes)
 }
+
+// BeginTerm empties the allowances of limited upstreams. It is used when this node begins to serve as the hub, or may have been
+// replaced as it for a while.
+func (p *Placer) BeginTerm() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.state.BeginTerm(time.Now())
+}
--- a/pkg/decision/dispatch/announced.go
+++ b/pkg/decision/dispatch/announced.go
@@ -6,9 +6,9 @@
 )
 
 const (
-	// limitBurst is the time for whose requests a limited upstream may be sent requests at once, if it had fewer before; at
+	// LimitBurst is the time for whose requests a limited upstream may be sent requests at once, if it had fewer before; at
 	// least one.
-	limitBurst = 2 * time.Second
+	LimitBurst = 2 * time.Second
 	// minLimit is the least rate of requests that is sent to an upstream, per second. Without any, the end of its limit would
 	// not be seen.
 	minLimit = 0.2
@@ -47,7 +47,7 @@
 	if b.at.IsZero() {
 		b.at = now
 	}
-	most := max(1, rate*limitBurst.Seconds())
+	most := max(1, rate*LimitBurst.Seconds())
 	b.level = min(most, b.level+rate*now.Sub(b.at).Seconds())
 	b.at = now
 	return b.level
@@ -123,6 +123,14 @@
 	s.started[u.ID]++
 }
 
+// BeginTerm is called when this node begins to serve as the hub, or may have been replaced as it for a while: another hub may
+// have allowed all the requests that the limits leave.
+func (s *State) BeginTerm(now time.Time) {
+	for _, u := range s.byID {
+		u.announced.fleet = bucket{level: min(0, u.announced.fleet.level), at: now}
+	}
+}
+
 // Started returns the requests that this node has sent to each limited upstream since the last call.
 func (s *State) Started() map[string]int {
 	started := s.started
