--- a/pkg/controller/fleet/fleet.go
+++ b/pkg/controller/fleet/fleet.go
@@ -282,12 +282,12 @@
 	return f.tenure.HeldSince(), f.tenure.Held(time.Now())
 }
 
-// Successor returns the incarnation of a later process of a node, if one is registered.
-func (f *Fleet) Successor(name string, incarnation int64) (later int64, ok bool) {
+// Restarted reports whether a later process of a node is registered.
+func (f *Fleet) Restarted(name string, incarnation int64) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	m, ok := f.members[name]
-	return m.Incarnation, ok && m.Incarnation > incarnation
+	return ok && m.Incarnation > incarnation
 }
 
 // Has reports whether a process is registered.
--- a/pkg/controller/loadshare/hub.go
+++ b/pkg/controller/loadshare/hub.go
@@ -115,7 +115,7 @@
 	reply.Silent, reply.Draining = h.unresponsive, h.draining
 	reply.Unconfirmed = h.minority || r.Draining || !h.options.Fleet.Has(r.Node, r.Incarnation)
 	reply.Outliers = h.outliers
-	reply.Standby = r.Node == h.successor
+	reply.Successor = r.Node == h.successor
 	if reply.CutOffRevision = h.cutOffRevision; r.CutOffSeen != h.cutOffRevision {
 		reply.CutOff = h.cutOff
 	}
--- a/pkg/controller/loadshare/loadshare.go
+++ b/pkg/controller/loadshare/loadshare.go
@@ -133,8 +133,8 @@
 	// Unconfirmed is set if other nodes may count the reporting node as lost all the same: the hub does not know its entry, or
 	// at most half of the registered nodes report to the hub.
 	Unconfirmed bool
-	// Standby is set for the node that would be the hub next.
-	Standby bool
+	// Successor is set for the node that would be the hub next.
+	Successor bool
 }
 
 // Announced holds what upstreams say of themselves in their answers, and the requests that count against their limits.
@@ -299,9 +299,9 @@
 
 // answeringHub is what the last answer of a hub says of it.
 type answeringHub struct {
-	name            string
-	sweeps, standby bool
-	retiring        []string
+	name              string
+	sweeps, successor bool
+	retiring          []string
 }
 
 // IsHub reports whether this node is the hub by its last exchange.
@@ -324,10 +324,10 @@
 	return hub != nil && hub.sweeps && hub.name != e.options.Fleet.Self().Name
 }
 
-// IsStandby reports whether this node would be the hub next, as the hub's last answer says.
-func (e *Exchange) IsStandby() bool {
+// IsSuccessor reports whether this node would be the hub next, as the hub's last answer says.
+func (e *Exchange) IsSuccessor() bool {
 	hub := e.currentHub.Load()
-	return hub != nil && hub.standby
+	return hub != nil && hub.successor
 }
 
 // Retiring returns the nodes on VMs to be emptied, as the hub's last answer says.
@@ -431,7 +431,7 @@
 	if totals.IndexedLoads != nil {
 		totals.Loads = e.index.expand(totals.IndexedLoads)
 	}
-	e.currentHub.Store(&answeringHub{name, totals.Sweeps, totals.Standby, totals.Retiring})
+	e.currentHub.Store(&answeringHub{name, totals.Sweeps, totals.Successor, totals.Retiring})
 	if totals.CutOffRevision != e.cutOffSeen {
 		e.cutOffSeen = totals.CutOffRevision
 		e.cutOff.Store(&totals.CutOff)
--- a/pkg/controller/mirror/mirror.go
+++ b/pkg/controller/mirror/mirror.go
@@ -39,9 +39,9 @@
 	// LapseTime is the shortest interruption in which entries can expire although their owners are alive. After a shorter
 	// one entries that vanished are gone.
 	LapseTime time.Duration
-	// Standby is set if the node that would be followed next watches the prefix itself too: it then sees no interruption when the
+	// SuccessorWatches is set if the node that would be followed next watches the prefix itself too: it then sees no interruption when the
 	// followed node is lost.
-	Standby bool
+	SuccessorWatches bool
 	// Silence is the longest time for which a watch that works delivers nothing, or 0 if Age is not asked.
 	Silence time.Duration
 	// Handle is called with all objects after changes, by one goroutine at a time. It must not retain the map.
@@ -68,8 +68,8 @@
 	followed string
 	// uncoveredSince is when the followed node stopped covering all prefixes; zero while it covers them.
 	uncoveredSince time.Time
-	// standby is set while this node would be followed next.
-	standby bool
+	// successor is set while this node would be followed next.
+	successor bool
 }
 
 // prefixCopy is the copy of one prefix.
@@ -263,18 +263,18 @@
 	}
 }
 
-// SetStandby sets whether this node would be followed if the followed one were lost. It takes effect with the next call of
+// SetSuccessor sets whether this node would be followed if the followed one were lost. It takes effect with the next call of
 // FollowNode.
-func (m *Mirror) SetStandby(standby bool) {
+func (m *Mirror) SetSuccessor(successor bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.standby = standby
+	m.successor = successor
 }
 
 // setFollowed sets the followed node, or none, and reads those of its copies that have changed.
 func (m *Mirror) setFollowed(ctx context.Context, node string, revisions map[string]int64) {
 	m.mu.Lock()
-	before, standby := m.followed, m.standby
+	before, successor := m.followed, m.successor
 	m.followed = node
 	m.mu.Unlock()
 	if before != node {
@@ -283,7 +283,7 @@
 	for name, c := range m.copy {
 		from := source{node, revisions[name]}
 		c.mu.Lock()
-		c.setMustWatch(node == "" || standby && c.prefix.Standby)
+		c.setMustWatch(node == "" || successor && c.prefix.SuccessorWatches)
 		if node != "" && c.readFrom == from {
 			c.followedAt = time.Now()
 		}
--- a/pkg/controller/mirror/standby_test.go
+++ b/pkg/controller/mirror/successor_test.go
@@ -24,10 +24,10 @@
 	hub.WatchStore(context.Background())
 	p["hub"] = hub
 	next, v := startMirrorWithLapseTime(t, s, p, []string{"hub"}, grace, lapse)
-	next.copy["k/"].prefix.Standby = true
+	next.copy["k/"].prefix.SuccessorWatches = true
 	both := map[string]string{"k/left": "1", "k/stays": "1"}
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		next.SetStandby(true)
+		next.SetSuccessor(true)
 		next.FollowNode(context.Background(), "hub", hub.Revisions())
 		return v.showing(both)(t)
 	}, soon...)
@@ -52,18 +52,18 @@
 
 // Guards against a node that watches the store for good after it would have been followed next, and against copies that it then
 // no longer reads.
-func TestFormerStandbyFollowsAgain(t *testing.T) {
+func TestFormerSuccessorFollowsAgain(t *testing.T) {
 	s, own := &breakableStore{Store: memstore.New()}, &breakableStore{Store: memstore.New()}
 	p := peers{}
 	hub, _ := startMirror(t, s, p, nil, 0)
 	hub.WatchStore(context.Background())
 	p["hub"] = hub
 	m, v := startMirror(t, own, p, nil, 0)
-	m.copy["k/"].prefix.Standby = true
-	follow := func(standby bool, want map[string]string) {
+	m.copy["k/"].prefix.SuccessorWatches = true
+	follow := func(successor bool, want map[string]string) {
 		t.Helper()
 		poll.WaitOn(t, func(poll.LogT) poll.Result {
-			m.SetStandby(standby)
+			m.SetSuccessor(successor)
 			m.FollowNode(context.Background(), "hub", hub.Revisions())
 			return v.showing(want)(t)
 		}, soon...)
--- a/pkg/edge/node.go
+++ b/pkg/edge/node.go
@@ -219,7 +219,7 @@
 func (n *Node) buildMirror() {
 	n.mirror = mirror.New(mirror.Options{Store: n.store, Peers: n.peers, Others: n.fleet.OtherLive, Log: n.log},
 		mirror.Prefix{Name: n.platform.ConfigPrefix(), Handle: n.applyConfiguration},
-		mirror.Prefix{Name: n.platform.UpstreamPrefix(), Handle: n.applyUpstreams, AbsenceGrace: absenceGrace, LapseTime: lapseTime, Standby: true, Silence: watchSilence},
+		mirror.Prefix{Name: n.platform.UpstreamPrefix(), Handle: n.applyUpstreams, AbsenceGrace: absenceGrace, LapseTime: lapseTime, SuccessorWatches: true, Silence: watchSilence},
 		mirror.Prefix{Name: fleet.Prefix, Handle: n.fleet.SetRegistered},
 		mirror.Prefix{Name: failedruns.Prefix, Handle: n.failedRuns.SetStored},
 	)
@@ -265,7 +265,7 @@
 // followHub watches the store if this node is the hub. Otherwise it follows the hub's copies, which saves the store
 // one watch per node; the next hub watches the upstreams itself too.
 func (n *Node) followHub(hub string, revisions map[string]int64) {
-	n.mirror.SetStandby(n.exchange.IsStandby())
+	n.mirror.SetSuccessor(n.exchange.IsSuccessor())
 	if hub == n.settings.Name {
 		n.mirror.WatchStore(context.Background())
 		return
--- a/pkg/listjob/tell.go
+++ b/pkg/listjob/tell.go
@@ -40,10 +40,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for process, u := range c.untold {
-		_, restarted := c.options.Fleet.Successor(process.Node, process.Incarnation)
 		switch {
 		case u.calling:
-		case restarted, now.After(u.until), len(u.jobs) == 0:
+		case c.options.Fleet.Restarted(process.Node, process.Incarnation), now.After(u.until), len(u.jobs) == 0:
 			delete(c.untold, process)
 		case !now.Before(u.next) && c.options.Fleet.Alive(process.Node, process.Incarnation):
 			u.calling, u.next = true, now.Add(tellInterval)
