Read no more of an event than its limit while its buffer grows

A node held up to 2 MB for such an event in place of 1 MB, for each stream.

Cause: the buffer of an incomplete event doubled to 2 MiB at its limit of 1 MiB, and one read took all of that if the socket held it.

Change: the buffer grows to the limit and one read more; the same for items, where it doubled to 512 KiB.

--- a/pkg/forward/stream.go
+++ b/pkg/forward/stream.go
@@ -38,8 +38,8 @@
 	// lostCheckInterval is how often a request that must bear the silence of its upstream looks whether the node's connections
 	// to it have failed.
 	lostCheckInterval = 100 * time.Millisecond
-	// maxEventBytes limits the size of an incomplete event.
-	maxEventBytes = 1 << 20
+	// maxEventBytes limits the size of an incomplete event, and minReadBytes is the least room for a read.
+	maxEventBytes, minReadBytes = 1 << 20, 1 << 10
 )
 
 // dataTimer cancels an attempt of a repeatable request when its upstream sends no data for too long. pause is the
@@ -148,8 +148,8 @@
 	buffered := (*buffer)[:0]
 	wroteBefore := false // The upstream has sent an event of this attempt.
 	for {
-		if cap(buffered)-len(buffered) < 1<<10 {
-			buffered = append(make([]byte, 0, 2*cap(buffered)), buffered...)
+		if cap(buffered)-len(buffered) < minReadBytes {
+			buffered = append(make([]byte, 0, min(2*cap(buffered), maxEventBytes+minReadBytes)), buffered...)
 		}
 		n, err := resp.Body.Read(buffered[len(buffered):cap(buffered)])
 		buffered = buffered[:len(buffered)+n]
--- a/pkg/listjob/run.go
+++ b/pkg/listjob/run.go
@@ -29,7 +29,8 @@
 	// commitRetry is the first pause after the store failed to store an entry; it doubles up to commitRetryMax.
 	commitRetry, commitRetryMax = 100 * time.Millisecond, time.Second
 	// maxEventBytes limits the size of an incomplete event, and maxTextBytes that of an item's text: callers accept reads of 1 MB.
-	maxEventBytes, maxTextBytes = 256 << 10, 900 << 10
+	// minReadBytes is the least room for a read.
+	maxEventBytes, maxTextBytes, minReadBytes = 256 << 10, 900 << 10, 1 << 10
 	// firstEventTimeout is how long a run may send no event at first before the item continues at another upstream: engines
 	// queue for less than two seconds. Between events it is paceTimeout times the usual time for one, at least
 	// minEventTimeout; both double with each run of the item that broke off, up to maxEventTimeout, since an engine may be
@@ -147,8 +148,8 @@
 func (it *item) readEvents(body io.Reader, version string, received func(events int)) error {
 	buffer := make([]byte, 0, 8<<10)
 	for {
-		if cap(buffer)-len(buffer) < 1<<10 {
-			buffer = append(make([]byte, 0, 2*cap(buffer)), buffer...)
+		if cap(buffer)-len(buffer) < minReadBytes {
+			buffer = append(make([]byte, 0, min(2*cap(buffer), maxEventBytes+minReadBytes)), buffer...)
 		}
 		n, err := body.Read(buffer[len(buffer):cap(buffer)])
 		buffer = buffer[:len(buffer)+n]
