Check a log twice in one read only after a freeze

Cause: reads that wait for a result checked the log in the store before and after the wait for 20 s after each takeover, a list call each; the second check is for nodes that were frozen in between. And the hub copied the list of all nodes at each review, ten times a second, to count them. Change: the second check only while the job may have another owner; the count comes from the fleet.

--- a/pkg/controller/loadshare/hub.go
+++ b/pkg/controller/loadshare/hub.go
@@ -243,7 +243,7 @@
 		h.options.Log.Notice("nodes that reach no upstreams of a service changed", "members", cutOff)
 		h.cutOff, h.cutOffRevision = cutOff, now.UnixNano()
 	}
-	h.minority = 2*recent <= len(h.options.Fleet.Known())
+	h.minority = 2*recent <= h.options.Fleet.Size()
 	h.unresponsive = h.unresponsiveNodes(recent, now)
 }
 
--- a/pkg/listjob/read.go
+++ b/pkg/listjob/read.go
@@ -76,7 +76,7 @@
 	}
 	l, ok := j.read(ctx, after, wait)
 	// The node may have been frozen since the check.
-	if ok && len(l.Results) == 0 && c.mustCheckLog(j, after) {
+	if ok && len(l.Results) == 0 && !c.ownership().isCertain(j) && c.mustCheckLog(j, after) {
 		if !c.checkLog(ctx, j) {
 			return Listing{}, false
 		}
