Take in a loaded part only if its job is still open

Callers of the product's own interface saw items of a cancelled job run for seconds after it was cancelled (TestCancelAtAnyMoment, a known failure: "3 items ran after the cancel", two allowed).

Cause: the end of a job drops the parts that a node holds; one that is being claimed or loaded is none of them yet, and was taken in afterwards.

Change: under the lock under which the end drops parts, a loaded part is taken in only if its job is open, and released otherwise.

--- a/pkg/controller/batch/claim.go
+++ b/pkg/controller/batch/claim.go
@@ -341,8 +341,14 @@
 		c.releaseInBackground(job.summary, index, holder)
 		return false, err
 	}
-	c.explain(job.summary.ID, "", "", "claim", job.reason, map[string]any{"part": index, "token": held.Part().Token, "items": p.remaining})
 	c.mu.Lock()
+	if j := c.openJobs[job.summary.ID]; j == nil || j.ended {
+		// The job ended while the part was claimed and loaded, when there was nothing to drop yet.
+		c.mu.Unlock()
+		c.releaseInBackground(job.summary, index, holder)
+		return false, nil
+	}
+	c.explain(job.summary.ID, "", "", "claim", job.reason, map[string]any{"part": index, "token": held.Part().Token, "items": p.remaining})
 	c.parts[p.id] = p
 	for i, o := range p.recovered {
 		p.addResult(i, o)
--- a/pkg/controller/batch/run_test.go
+++ b/pkg/controller/batch/run_test.go
@@ -17,6 +17,7 @@
 
 	"trefoilplank.example/api"
 	"trefoilplank.example/pkg/adapter/peer"
+	"trefoilplank.example/pkg/adapter/store"
 	"trefoilplank.example/pkg/adapter/store/memstore"
 	"trefoilplank.example/pkg/decision/failedruns"
 	"trefoilplank.example/pkg/serving"
@@ -87,6 +88,40 @@
 	})
 }
 
+// slowChunks is a store in which reading the items of a part takes a second.
+type slowChunks struct{ store.Store }
+
+func (s slowChunks) Get(ctx context.Context, key string) (store.Object, error) {
+	if strings.HasPrefix(key, "files/data/") {
+		time.Sleep(time.Second)
+	}
+	return s.Store.Get(ctx, key)
+}
+
+// Guards against items of a cancelled job that run for seconds, until the first commit of their part: the part was being claimed
+// when the cancel came, so that there was nothing to drop.
+func TestPartLoadedAfterTheCancelDoesNotRun(t *testing.T) {
+	for _, notify := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			s, invoker, peers := slowChunks{memstore.New()}, &fakeInvoker{answer: answerAfter(1500 * time.Millisecond)}, fakePeers{}
+			change := func(o *Options) {
+				if notify {
+					o.Peers = peers
+				}
+			}
+			a := startNode(t, s, "a", invoker, 2, change)
+			defer a.close()
+			peers["a"] = a.Receiver()
+			job := a.submit(t, a.upload(t, chatFile(40)))
+			time.Sleep(500 * time.Millisecond)
+			decode(t, a.serve(httptest.NewRequest(http.MethodPost, "/v1/batches/"+job+"/cancel", nil)), http.StatusOK)
+			assert.Equal(t, a.await(t, job, time.Minute).Status, "cancelled")
+			time.Sleep(10 * time.Minute)
+			assert.Equal(t, invoker.total(), 0)
+		})
+	}
+}
+
 // Guards against runs that keep the engine busy after their job was cancelled.
 func TestCancelStopsRunsAtTheEngine(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
