--- a/pkg/listjob/quota.go
+++ b/pkg/listjob/quota.go
@@ -369,13 +369,7 @@
 
 // markDoneJobs marks those of this node's jobs as done that are, and whose heads do not say so.
 func (c *Controller) markDoneJobs() {
-	c.mu.Lock()
-	var done []*job
-	for _, j := range c.jobs {
-		done = append(done, j)
-	}
-	c.mu.Unlock()
-	for _, j := range done {
+	for _, j := range c.ownedJobs() {
 		c.markDone(j)
 	}
 }
