Expect earlier owners after a restart only where there was one lately

Cause: after a restart of all nodes each owner checked the logs of its jobs at every read for 20 s, since an owner before its own earlier process may have added to them.

Change: the head says when a node last took the job over from another one (taken_over; earlier builds ignore and drop it), and a restarted owner checks the log for what is left of 20 s after that. A loop whose context has ended does no last round.

Evidence: TestRestartedOwnerReadsItsLogOnce counts 4 reads of the log in 2 s more than needed before, none now; TestRestartedOwnerExpectsEarlierOwners, whose head names the takeover as the earlier process writes it, still passes.

--- a/pkg/listjob/job.go
+++ b/pkg/listjob/job.go
@@ -99,6 +99,8 @@
 	// Refused is set if the job was withdrawn because it did not fit into that limit. Such a job does not exist for callers
 	// and may be submitted again; earlier builds take it for an ended one.
 	Refused bool `json:"refused,omitempty"`
+	// TakenOver is when a node last took the job over from another one; zero if none has, or an earlier build did.
+	TakenOver time.Time `json:"taken_over,omitzero"`
 }
 
 // order returns the store revision at which the head was created; revision is that of its last change.
--- a/pkg/listjob/sweep.go
+++ b/pkg/listjob/sweep.go
@@ -86,8 +86,7 @@
 	kept := time.Now()
 	var verified time.Time
 	var check hubCheck
-	for ctx.Err() == nil {
-		_ = wait.Sleep(ctx, checkInterval)
+	for wait.Sleep(ctx, checkInterval) == nil {
 		if now := time.Now(); now.Sub(kept) > sweepInterval {
 			kept = now
 			c.markDoneJobs()
--- a/pkg/listjob/sweep_test.go
+++ b/pkg/listjob/sweep_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -19,11 +20,16 @@
 	store.Store
 	mu           sync.Mutex
 	lists, reads int
+	// logReads counts the lists of result logs.
+	logReads int
 }
 
 func (s *countingStore) List(ctx context.Context, prefix, after string, limit int) (store.Page, error) {
 	s.mu.Lock()
 	s.lists++
+	if strings.HasPrefix(prefix, resultsKind) {
+		s.logReads++
+	}
 	s.mu.Unlock()
 	return s.Store.List(ctx, prefix, after, limit)
 }
--- a/pkg/listjob/takeover.go
+++ b/pkg/listjob/takeover.go
@@ -75,9 +75,11 @@
 	}
 	c.observeListed(j)
 	done := j.restore(partials)
-	// Earlier owners may be alive, and add to the log until they learn of the takeover. That holds for an earlier process of this
-	// node too: there may have been an owner before it.
-	j.contestedUntil = time.Now().Add(contestPeriod)
+	// Earlier owners may be alive, and add to the log until they learn of the takeover: the one before an earlier process of this
+	// node too.
+	if left := min(contestPeriod, contestPeriod-time.Since(j.head.TakenOver)); left > 0 {
+		j.contestedUntil = time.Now().Add(left)
+	}
 	if previous.Node != c.self().Node {
 		c.tell(previous, Owned{ID: id, Owner: c.self().Node, Incarnation: c.self().Incarnation, Revision: j.revision, Ended: j.head.Ended})
 	}
@@ -138,6 +140,9 @@
 // claim writes this node into the head as the owner, unless it is the owner already, and reads the items and the log.
 func (c *Controller) claim(ctx context.Context, h head, revision int64) (*job, error) {
 	id, self := h.ID, c.self()
+	if h.Owner != self.Node {
+		h.TakenOver = time.Now().UTC()
+	}
 	if h.Owner != self.Node || h.Incarnation != self.Incarnation {
 		h.Owner, h.Incarnation = self.Node, self.Incarnation
 		var err error
--- a/pkg/listjob/tenure_test.go
+++ b/pkg/listjob/tenure_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"trefoilplank.example/pkg/adapter/store"
 	"trefoilplank.example/pkg/adapter/store/memstore"
 )
 
@@ -91,8 +93,8 @@
 	assert.NilError(t, a.Accept(context.Background(), submission("j", 2)))
 	h, revision, err := a.readHead(context.Background(), "j")
 	assert.NilError(t, err)
-	time.Sleep(1600 * time.Millisecond) // The nodes know each other.
-	h.Owner, h.Incarnation = "b", 0     // The process of b before this one had taken the job over.
+	time.Sleep(1600 * time.Millisecond)                      // The nodes know each other.
+	h.Owner, h.Incarnation, h.TakenOver = "b", 0, time.Now() // The process of b before this one had taken the job over.
 	_, err = a.putHead(context.Background(), h, revision)
 	assert.NilError(t, err)
 	assert.NilError(t, b.adopt(context.Background(), "j", nil))
@@ -102,6 +104,37 @@
 	assert.Equal(t, len(l.Results), 1)
 }
 
+// Guards against calls to the store for each read of a job that no other node has owned, because its owner was restarted: after a
+// restart of all nodes that doubled the calls of a day.
+func TestRestartedOwnerReadsItsLogOnce(t *testing.T) {
+	s, net, e := &countingStore{Store: memstore.New()}, newNetwork(), newEngine(t, 1000, 10*time.Millisecond)
+	b := net.addNode(t, s, e, "b", "a")
+	net.addNode(t, s, e, "a", "b")
+	time.Sleep(2500 * time.Millisecond) // The nodes know each other, and the first sweeps are over.
+	items, err := json.Marshal(submission("j", 2).Items)
+	assert.NilError(t, err)
+	_, err = s.Put(context.Background(), chunkKey("j", 0), items, store.CreateOnly)
+	assert.NilError(t, err)
+	value, err := json.Marshal(head{ID: "j", Host: testHost, Path: "/b/j", Total: 2, Chunks: 1, Submitted: time.Now(), Owner: "b"})
+	assert.NilError(t, err)
+	_, err = s.Put(context.Background(), headKind+"j", value, store.CreateOnly)
+	assert.NilError(t, err)
+	for until := time.Now().Add(3 * time.Second); b.ownedJob("j") == nil; time.Sleep(20 * time.Millisecond) {
+		assert.Assert(t, time.Now().Before(until))
+	}
+	s.mu.Lock()
+	before := s.logReads
+	s.mu.Unlock()
+	for range 10 {
+		_, err := b.Read(context.Background(), "j", 0, 0)
+		assert.NilError(t, err)
+		time.Sleep(200 * time.Millisecond)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	assert.Equal(t, s.logReads, before)
+}
+
 // Guards against a job that nobody runs, because the node that owns it by the store, which does not know that, is the hub itself.
 func TestHubResumesAJobThatItDoesNotKnow(t *testing.T) {
 	s, net, e := memstore.New(), newNetwork(), newEngine(t, 3, time.Millisecond)
@@ -145,6 +178,7 @@
 	net.withoutCheck = true
 	assert.NilError(t, a.Accept(context.Background(), submission("j", 2)))
 	a.stop()
+	time.Sleep(2 * checkInterval) // What node a had begun ends.
 	net.cutOff("a", true)
 	assert.NilError(t, b.adopt(context.Background(), "j", nil))
 	time.Sleep(2 * sweepCallTimeout)
