Let tests of jobs begin when their nodes have been heard, without races

TestNewOwnerReadsWhatItsPredecessorListed needs a former owner that lists results; under load it accepted the job before the fake hub had heard it, so that it compared its jobs with the store at once, rightly gave the job up and listed nothing. TestItemWithAnswersThatAreTooLongStopsRunning set a time of a running job: a data race of the test.

Change: the fake network hears a node when it is added, as the hub does before a node accepts jobs; retention and the time of ownership are set before the job starts. Checks and bounds are unchanged.

--- a/pkg/listjob/fakes_test.go
+++ b/pkg/listjob/fakes_test.go
@@ -143,8 +143,9 @@
 	withoutCheck bool
 	// failedRuns holds the failed runs of all nodes.
 	failedRuns *failedruns.Controller
-	// waitingLimit is the limit on the waiting tokens of the route.
+	// waitingLimit is the limit on the waiting tokens of the route, and retention its retention if it is set.
 	waitingLimit int64
+	retention    time.Duration
 	// calls counts the calls between nodes by method.
 	calls map[string]int
 	// ledger is the hub's.
@@ -356,10 +357,14 @@
 		members[key] = store.Object{Key: key, Value: fmt.Appendf(nil, `{"name":%q,"peer_address":%q,"incarnation":1,"weight":1}`, other, other)}
 	}
 	f.SetRegistered(members)
+	f.Confirm(time.Now(), false) // The hub hears a node before it accepts jobs.
 	p := placer.New("zone", log)
 	p.SetUpstreams([]dispatch.Upstream{e.upstream()})
 	routes := testTable().Configuration
 	routes.Routes[0].MaxWaitingTokens = n.waitingLimit
+	if n.retention > 0 {
+		routes.Routes[0].Retention = n.retention
+	}
 	table := routing.NewTable(routes)
 	c := New(Options{
 		Store: freezingStore{s, n, name}, Peers: caller{n, name}, Fleet: f, Placer: p, Client: forward.NewClient(testHeaders, uplink.New(uplink.Options{}), p.Announce),
--- a/pkg/listjob/size_test.go
+++ b/pkg/listjob/size_test.go
@@ -245,17 +245,15 @@
 		}
 		return id
 	}
+	net.retention = 6 * time.Second
 	a := net.addNode(t, s, e, "a")
+	accepted := time.Now()
 	assert.NilError(t, a.Accept(context.Background(), submission("j", 2)))
-	j := a.ownedJob("j")
-	j.mu.Lock()
-	j.retryUntil = time.Now().Add(6 * time.Second)
-	j.mu.Unlock()
 	states := map[string]State{}
 	for _, r := range readAll(t, a.Controller, "j", 20*time.Second) {
 		states[r.ID] = r.State
 	}
-	assert.Assert(t, !time.Now().Before(j.retryUntil), "the item failed before it may be given up")
+	assert.Assert(t, time.Since(accepted) >= net.retention, "the item failed before it may be given up")
 	assert.DeepEqual(t, states, map[string]State{"j-item0": Completed, "j-item1": Failed})
 	e.mu.Lock()
 	defer e.mu.Unlock()
