Keep late replies of the test network from their callers

Traced: the network of the tests returns to a caller whose time is over while net/rpc still decodes the reply into the caller's variable, which the caller reads (askOwners).

Change: the test network decodes into a value of its own and copies it only to callers that still wait.

--- a/pkg/gateway/peertest/peertest.go
+++ b/pkg/gateway/peertest/peertest.go
@@ -6,6 +6,7 @@
 	"context"
 	"net"
 	"net/rpc"
+	"reflect"
 	"sync"
 
 	"trefoilplank.example/pkg/adapter/peer"
@@ -106,12 +107,15 @@
 		<-ctx.Done()
 		return peer.ErrTimeout
 	}
-	call := client.Go(method, args, reply, make(chan *rpc.Call, 1))
+	// A reply may arrive after the caller has given up, and must not be written to the caller's variable then.
+	received := reflect.New(reflect.TypeOf(reply).Elem())
+	call := client.Go(method, args, received.Interface(), make(chan *rpc.Call, 1))
 	select {
 	case <-call.Done:
 		if lose {
 			return peer.ErrTimeout
 		}
+		reflect.ValueOf(reply).Elem().Set(received.Elem())
 		return call.Error
 	case <-ctx.Done():
 		return peer.ErrTimeout
