--- a/pkg/controller/mirror/mirror.go
+++ b/pkg/controller/mirror/mirror.go
@@ -95,8 +95,11 @@
 	// restoredAt is when the watch worked again after the last interruption in which entries can have expired; zero
 	// before the first one.
 	restoredAt time.Time
-	// vanished holds the keys whose objects vanished but are kept until the given time.
-	vanished map[string]time.Time
+	// vanished holds the objects that vanished but are kept until the given time.
+	vanished map[string]vanishedEntry
+	// removals are those that publish has not logged yet.
+	removals []removal
+	log      *eventlog.Log
 	// compressed holds compressed values of large objects.
 	compressed map[string]compressedObject
 	// watches is closed while this node watches the prefix itself, and stopWatch ends its watch.
@@ -114,7 +117,7 @@
 func New(o Options, prefixes ...Prefix) *Mirror {
 	m := &Mirror{options: o, copy: map[string]*prefixCopy{}, followed: undecided, uncoveredSince: time.Now()}
 	for _, p := range prefixes {
-		m.copy[p.Name] = &prefixCopy{prefix: p, objects: map[string]store.Object{}, vanished: map[string]time.Time{}, compressed: map[string]compressedObject{}, brokenAt: time.Now(), watches: make(chan struct{})}
+		m.copy[p.Name] = &prefixCopy{prefix: p, objects: map[string]store.Object{}, vanished: map[string]vanishedEntry{}, log: o.Log, compressed: map[string]compressedObject{}, brokenAt: time.Now(), watches: make(chan struct{})}
 	}
 	return m
 }
@@ -314,7 +317,7 @@
 		}
 		*listed = true
 		m.markWatching(c)
-		c.replace(page.Objects, page.Revision, time.Now())
+		c.replace(page.Objects, page.Revision, sourceStore, time.Now())
 	}
 	c.mu.Lock()
 	from := c.revision
@@ -380,7 +383,7 @@
 
 // replace sets the copy to a full list and publishes it. Entries that are missing from the list count as deleted. It
 // returns false, without an effect, for a list that is older than the copy.
-func (c *prefixCopy) replace(list []store.Object, revision int64, now time.Time) bool {
+func (c *prefixCopy) replace(list []store.Object, revision int64, source string, now time.Time) bool {
 	c.mu.Lock()
 	if c.loaded && revision < c.revision {
 		c.mu.Unlock()
@@ -392,8 +395,14 @@
 		delete(c.vanished, o.Key)
 	}
 	for key, o := range c.objects {
-		if _, ok := next[key]; !ok && c.keepVanished(key, now) {
+		if _, ok := next[key]; ok {
+			continue
+		}
+		gone := removal{key, removedByList, source, revision, now}
+		if c.keepVanished(gone, now) {
 			next[key] = o
+		} else {
+			c.removals = append(c.removals, gone)
 		}
 	}
 	c.objects, c.revision, c.content, c.loaded = next, revision, max(c.content+1, revision), true
@@ -403,19 +412,19 @@
 }
 
 // keepVanished reports whether an entry that vanished is still kept, until AbsenceGrace after the watch was restored.
-func (c *prefixCopy) keepVanished(key string, now time.Time) bool {
+func (c *prefixCopy) keepVanished(gone removal, now time.Time) bool {
 	if c.prefix.AbsenceGrace == 0 || c.restoredAt.IsZero() {
 		return false
 	}
-	until, ok := c.vanished[key]
+	v, ok := c.vanished[gone.key]
 	if !ok {
-		until = c.restoredAt.Add(c.prefix.AbsenceGrace)
-		c.vanished[key] = until
+		v = vanishedEntry{gone, c.restoredAt.Add(c.prefix.AbsenceGrace)}
+		c.vanished[gone.key] = v
 	}
-	if now.Before(until) {
+	if now.Before(v.until) {
 		return true
 	}
-	delete(c.vanished, key)
+	delete(c.vanished, gone.key)
 	return false
 }
 
@@ -431,7 +440,11 @@
 		delete(c.vanished, e.Object.Key)
 		return true
 	case store.EventDelete:
-		if !c.keepVanished(e.Object.Key, now) {
+		gone := removal{e.Object.Key, removedByEvent, sourceStore, e.Object.Revision, now}
+		if !c.keepVanished(gone, now) {
+			if _, ok := c.objects[e.Object.Key]; ok {
+				c.removals = append(c.removals, gone)
+			}
 			delete(c.objects, e.Object.Key)
 			c.content = max(c.content+1, c.revision)
 		}
@@ -446,8 +459,8 @@
 	c.mu.Lock()
 	now := time.Now()
 	var next time.Duration
-	for key, until := range c.vanished {
-		if left := until.Sub(now); left > 0 {
+	for key, v := range c.vanished {
+		if left := v.until.Sub(now); left > 0 {
 			if next == 0 || left < next {
 				next = left
 			}
@@ -455,10 +468,14 @@
 		}
 		delete(c.vanished, key)
 		delete(c.objects, key)
+		c.removals = append(c.removals, v.removal)
 		c.content++
 	}
 	objects := maps.Clone(c.objects)
+	removals := c.removals
+	c.removals = nil
 	c.mu.Unlock()
+	c.logRemovals(c.log, removals, now)
 	c.prefix.Handle(objects)
 	return next
 }
--- a/pkg/controller/mirror/peers.go
+++ b/pkg/controller/mirror/peers.go
@@ -283,7 +283,7 @@
 		c.mu.Lock()
 		watching := c.watching
 		c.mu.Unlock()
-		return !watching && c.replace(list, last.Revision, time.Now())
+		return !watching && c.replace(list, last.Revision, node, time.Now())
 	}
 }
 
--- a/pkg/controller/placer/placer.go
+++ b/pkg/controller/placer/placer.go
@@ -111,6 +111,11 @@
 func (p *Placer) SetUpstreams(list []dispatch.Upstream) (ended []dispatch.EndedUpstream) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	for _, u := range list {
+		if p.state.BeginsToDrain(u) {
+			p.log.Notice("upstream drains", "upstream", u.ID, "incarnation", u.Incarnation, "service", u.Service)
+		}
+	}
 	ended = p.state.SetUpstreams(list)
 	for _, u := range ended {
 		p.log.Notice("upstream ended", "upstream", u.ID, "incarnation", u.Incarnation, "service", u.Service, "draining", u.Draining,
--- a/pkg/controller/uplink/uplink.go
+++ b/pkg/controller/uplink/uplink.go
@@ -246,6 +246,13 @@
 	return l.state.Lost(address)
 }
 
+// SilentFor returns how long an upstream has owed data on this node's own connections, as of the last poll.
+func (l *Links) SilentFor(address string) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.state.SilentFor(address, time.Now())
+}
+
 // Doubtful reports whether the silence of an upstream may be that of this node's own connections.
 func (l *Links) Doubtful(address string) bool {
 	l.mu.Lock()
--- a/pkg/decision/dispatch/dispatch.go
+++ b/pkg/decision/dispatch/dispatch.go
@@ -185,6 +185,12 @@
 	return ended
 }
 
+// BeginsToDrain reports whether an upstream that is about to be set is draining and was not before.
+func (s *State) BeginsToDrain(u Upstream) bool {
+	known := s.byID[u.ID]
+	return u.Draining && known != nil && !known.Draining
+}
+
 // serviceState returns the state of a service, which is created if needed.
 func (s *State) serviceState(service string) *serviceState {
 	svc := s.services[service]
--- a/pkg/decision/reach/reach.go
+++ b/pkg/decision/reach/reach.go
@@ -290,6 +290,14 @@
 	return l != nil && !l.failingSince(now).IsZero()
 }
 
+// SilentFor returns how long an upstream has owed data, or 0 if it owes none.
+func (s *State) SilentFor(address string, now time.Time) time.Duration {
+	if l := s.byAddress[address]; l != nil && !l.waitingSince.IsZero() {
+		return now.Sub(l.waitingSince)
+	}
+	return 0
+}
+
 // Relayed reports whether an upstream is reached through other nodes.
 func (s *State) Relayed(address string) bool {
 	l := s.byAddress[address]
--- a/pkg/forward/answer.go
+++ b/pkg/forward/answer.go
@@ -97,6 +97,7 @@
 		return errs.Combine(errCallerGone, err)
 	}
 	if _, err := io.Copy(x.w, resp.Body); err != nil {
+		x.options.Log.Notice("answer broke off while it was relayed", "request", x.request.ID, "route", x.route.Name, "error", err)
 		x.abort()
 	}
 	return nil
--- a/pkg/forward/client.go
+++ b/pkg/forward/client.go
@@ -367,6 +367,9 @@
 // Lost reports whether what was sent to an upstream can't be answered any more, since this node's connections to it fail.
 func (c *Client) Lost(u dispatch.Upstream) bool { return c.links.Lost(u.Address) }
 
+// SilentFor returns how long an upstream has owed this node data, or 0 if it owes none.
+func (c *Client) SilentFor(u dispatch.Upstream) time.Duration { return c.links.SilentFor(u.Address) }
+
 // classify marks errors of requests that were never sent with ErrNotRun, and those caused by a dataTimer with
 // ErrUnresponsive.
 func classify(ctx context.Context, err error) error {
--- a/pkg/listjob/read.go
+++ b/pkg/listjob/read.go
@@ -349,6 +349,7 @@
 				return errors.Join(ErrUnavailable, err)
 			}
 		}
+		c.options.Log.Routine("end of job stored", "job", id, "revision", revision, "owner", h.Owner)
 		c.stopEnded(h, revision)
 		return nil
 	}
--- a/pkg/listjob/run.go
+++ b/pkg/listjob/run.go
@@ -242,12 +242,13 @@
 	it.cancelRun = nil
 	if it.phase != running {
 		it.job.mu.Unlock()
+		c.options.Log.Routine("run ended of an item that is listed already", "job", it.job.head.ID, "item", it.ID, "upstream", u.ID, "error", err)
 		return
 	}
 	it.phase, it.waitingSince = waiting, time.Now()
 	route := c.routeOf(it)
 	fields := []any{"job", it.job.head.ID, "item", it.ID, "upstream", u.ID, "after", it.lastEvent, "error", err, "failures", it.failures,
-		"ms", time.Since(it.runStart).Milliseconds(), "slack_ms", time.Until(it.job.due).Milliseconds()}
+		"ms", time.Since(it.runStart).Milliseconds(), "ended", it.job.head.Ended, "released", it.job.released, "slack_ms", time.Until(it.job.due).Milliseconds()}
 	state := State("")
 	result := Result{ID: it.ID}
 	switch {
