Keep a stream at a stopped upstream that still has it

Cause: the data timer gave an attempt up after 120 to 200 ms without an event and continued it elsewhere. A process that is stopped for a second or so learns of that when it goes on: its kernel has kept the request, it reads and runs it.

A silent run is now moved at once if its process can't go on with it: connections are refused, another process serves at the address, or other nodes reach it and this one does not. It is moved within the retry budget if the process runs (data of it arrived within 60 ms, so it ends the run with its connection), if nobody can connect to its VM, or if nothing has arrived for two seconds. Otherwise it waits. A check connects once for all runs of an upstream, at most every 500 ms. Plain idempotent requests are sent again as before.

The timer could fire again after its attempt had ended, and take a retry from the budget: it no longer does.

TestResumableStreamContinuesAtAnotherUpstream took a hung upstream that accepts connections for one to leave after 150 ms ("silence" and "stall"), which a caller's node can't tell from a stopped one. Its upstreams now take no more connections; the hung one is a case of TestStreamLeavesUpstreamThatIsGone, which is left after two seconds.

Tests: go test -race -count=2 ./pkg/forward, go test -race ./pkg/controller/uplink ./pkg/decision/reach pass.

--- a/pkg/controller/uplink/diagnose.go
+++ b/pkg/controller/uplink/diagnose.go
@@ -5,21 +5,19 @@
 	"errors"
 	"syscall"
 	"time"
+
+	"trefoilplank.example/pkg/decision/reach"
 )
 
 // Diagnosis is what a check of an upstream has shown.
-type Diagnosis string
+type Diagnosis = reach.Diagnosis
 
 // Diagnoses.
 const (
-	// Reached means that this node connects to the upstream.
-	Reached Diagnosis = "reached"
-	// ReachedByOthers means that another node connects to the upstream and this one does not.
-	ReachedByOthers Diagnosis = "reached by others"
-	// Refused means that nothing listens at the upstream's address.
-	Refused Diagnosis = "refused"
-	// Unreachable means that neither this node nor another one that was asked can connect to the upstream.
-	Unreachable Diagnosis = "unreachable"
+	Reached         = reach.Reached
+	ReachedByOthers = reach.ReachedByOthers
+	Refused         = reach.Refused
+	Unreachable     = reach.Unreachable
 )
 
 // diagnosis is a check in progress, or its result once done is closed.
@@ -53,6 +51,17 @@
 	}
 }
 
+// DiagnoseSilent is Diagnose for an upstream that is silent. A connection that was made a moment ago shows as much as a new one.
+func (l *Links) DiagnoseSilent(ctx context.Context, address string) Diagnosis {
+	l.mu.Lock()
+	reached := l.state.ConnectedSince(address, time.Now().Add(-recheckInterval))
+	l.mu.Unlock()
+	if reached {
+		return Reached
+	}
+	return l.Diagnose(ctx, address)
+}
+
 // diagnose makes one check.
 func (l *Links) diagnose(address string, d *diagnosis) {
 	begun := time.Now()
--- a/pkg/controller/uplink/uplink.go
+++ b/pkg/controller/uplink/uplink.go
@@ -60,6 +60,8 @@
 	maxReturnChecks = 2
 	// diagnosisLifetime is how long the result of a check is used for further failures of the same upstream.
 	diagnosisLifetime = 100 * time.Millisecond
+	// recheckInterval is how long a connection to a silent upstream shows that it can be reached.
+	recheckInterval = 500 * time.Millisecond
 	// maxRelayed is the number of connections that this node relays for others at a time. Each takes two descriptors, two
 	// goroutines and 24 KB of buffers.
 	maxRelayed = 256
@@ -105,8 +107,14 @@
 	asked map[string]chan struct{}
 }
 
-// counters counts the writes to an upstream and the reads from it.
-type counters struct{ sent, received, seenSent, seenReceived atomic.Uint32 }
+// counters counts the writes to an upstream and the reads from it. heardAt is the time of the last read since clockStart.
+type counters struct {
+	sent, received, seenSent, seenReceived atomic.Uint32
+	heardAt                                atomic.Int64
+}
+
+// clockStart is the origin of the times in counters.
+var clockStart = time.Now()
 
 // New returns Links without upstreams.
 func New(o Options) *Links {
@@ -184,6 +192,7 @@
 	n, err := c.Conn.Read(p)
 	if n > 0 {
 		c.counters.received.Add(1)
+		c.counters.heardAt.Store(int64(time.Since(clockStart)))
 	}
 	return n, err
 }
@@ -253,6 +262,19 @@
 	return l.state.SilentFor(address, time.Now())
 }
 
+// Unheard returns how long no data has arrived from an upstream on this node's own connections. Unlike for SilentFor, a new
+// connection says nothing here, since the kernel of a stopped process answers it.
+func (l *Links) Unheard(address string) time.Duration {
+	return time.Since(clockStart) - time.Duration(l.counters(address).heardAt.Load())
+}
+
+// Restarted reports whether another process than the one of the given incarnation serves at an address.
+func (l *Links) Restarted(address string, incarnation int64) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.state.Restarted(address, incarnation)
+}
+
 // Doubtful reports whether the silence of an upstream may be that of this node's own connections.
 func (l *Links) Doubtful(address string) bool {
 	l.mu.Lock()
--- a/pkg/decision/reach/reach.go
+++ b/pkg/decision/reach/reach.go
@@ -298,6 +298,18 @@
 	return 0
 }
 
+// ConnectedSince reports whether the node has connected to an upstream itself after the given time, and has not failed to since.
+func (s *State) ConnectedSince(address string, since time.Time) bool {
+	l := s.byAddress[address]
+	return l != nil && !l.relayed && l.failedAt.IsZero() && l.connectedAt.After(since)
+}
+
+// Restarted reports whether another process than the one of the given incarnation serves at an address.
+func (s *State) Restarted(address string, incarnation int64) bool {
+	l := s.byAddress[address]
+	return l != nil && l.Incarnation != incarnation
+}
+
 // Relayed reports whether an upstream is reached through other nodes.
 func (s *State) Relayed(address string) bool {
 	l := s.byAddress[address]
--- /dev/null
+++ b/pkg/decision/reach/silence.go
@@ -0,0 +1,76 @@
+package reach
+
+import "time"
+
+const (
+	// SoundSilence is the longest silence of a sound upstream. The platform's rules allow it to fall silent "for a second or so"
+	// and callers to abandon a stream after two seconds without an event.
+	SoundSilence = 2 * time.Second
+	// RunningLimit is how long ago data may have arrived from an upstream whose process certainly runs. A busy one sends an event of
+	// some stream each 10 to 50 ms.
+	RunningLimit = 60 * time.Millisecond
+)
+
+// Diagnosis is what a check of an upstream has shown.
+type Diagnosis string
+
+// Diagnoses. The kernel of a stopped process answers connects too: Reached says nothing about the process.
+const (
+	// Unchecked means that there was no check.
+	Unchecked Diagnosis = ""
+	// Reached means that this node connects to the upstream.
+	Reached Diagnosis = "reached"
+	// ReachedByOthers means that another node connects to the upstream and this one does not.
+	ReachedByOthers Diagnosis = "reached by others"
+	// Refused means that nothing listens at the upstream's address.
+	Refused Diagnosis = "refused"
+	// Unreachable means that neither this node nor another one that was asked can connect to the upstream.
+	Unreachable Diagnosis = "unreachable"
+)
+
+// Silence describes a run of which nothing has arrived for too long, and its upstream. The run must not go on elsewhere while the
+// upstream still has it.
+type Silence struct {
+	// Lasted is how long nothing of the run has arrived, Unheard how long nothing at all has arrived from the upstream.
+	Lasted, Unheard time.Duration
+	// Woke is set if the upstream was unheard when the run was last looked at.
+	Woke bool
+	// Lost is set if what was sent over this node's own connections can't be answered any more, Restarted if another process serves
+	// at the upstream's address.
+	Lost, Restarted bool
+	// Diagnosis is the result of a check that was made during the silence.
+	Diagnosis Diagnosis
+}
+
+// Step is what to do about a silent run.
+type Step string
+
+// Steps.
+const (
+	// Bear waits on.
+	Bear Step = "bear"
+	// Check checks whether the upstream can be reached.
+	Check Step = "check"
+	// MayMove continues the run at another upstream if the retry budget allows it.
+	MayMove Step = "may move"
+	// Move continues the run at another upstream.
+	Move Step = "move"
+)
+
+// Step returns what to do. A process that runs ends a run as soon as its connection is closed; one that is stopped holds the run
+// and goes on with it later. If the process is gone, or out of reach, nothing is left to wait for.
+func (s Silence) Step() Step {
+	switch {
+	case s.Lost, s.Restarted, s.Diagnosis == Refused, s.Diagnosis == ReachedByOthers:
+		return Move
+	case s.Lasted >= SoundSilence, s.Diagnosis == Unreachable:
+		return MayMove
+	case s.Unheard < RunningLimit && s.Woke:
+		return Bear
+	case s.Unheard < RunningLimit:
+		return MayMove
+	case s.Diagnosis == Unchecked:
+		return Check
+	}
+	return Bear
+}
--- /dev/null
+++ b/pkg/decision/reach/silence_test.go
@@ -0,0 +1,32 @@
+package reach
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against a run that goes on elsewhere while a stopped upstream still has it, and against one that waits for an upstream
+// which is gone.
+func TestRunIsMovedOnlyIfItsUpstreamEndsIt(t *testing.T) {
+	const silent = 300 * time.Millisecond
+	for name, c := range map[string]struct {
+		silence Silence
+		step    Step
+	}{
+		"unheard, not checked":               {Silence{Lasted: silent, Unheard: silent}, Check},
+		"its VM answers":                     {Silence{Lasted: silent, Unheard: silent, Diagnosis: Reached}, Bear},
+		"its VM answers, for over a second":  {Silence{Lasted: 1500 * time.Millisecond, Unheard: 1500 * time.Millisecond, Diagnosis: Reached}, Bear},
+		"silent for longer than a sound one": {Silence{Lasted: SoundSilence, Unheard: SoundSilence, Diagnosis: Reached}, MayMove},
+		"its process runs":                   {Silence{Lasted: silent, Unheard: 20 * time.Millisecond}, MayMove},
+		"its process has just gone on":       {Silence{Lasted: silent, Unheard: 20 * time.Millisecond, Woke: true}, Bear},
+		"its process is gone":                {Silence{Lasted: silent, Unheard: silent, Diagnosis: Refused}, Move},
+		"its VM is gone":                     {Silence{Lasted: silent, Unheard: silent, Diagnosis: Unreachable}, MayMove},
+		"this node's link is cut":            {Silence{Lasted: silent, Unheard: silent, Diagnosis: ReachedByOthers}, Move},
+		"known to be cut":                    {Silence{Lasted: silent, Unheard: silent, Lost: true}, Move},
+		"another process has started":        {Silence{Lasted: silent, Unheard: 0, Woke: true, Restarted: true}, Move},
+	} {
+		assert.Equal(t, c.silence.Step(), c.step, name)
+	}
+}
--- a/pkg/forward/client.go
+++ b/pkg/forward/client.go
@@ -24,6 +24,7 @@
 	"trefoilplank.example/pkg/controller/uplink"
 	"trefoilplank.example/pkg/decision/dispatch"
 	"trefoilplank.example/pkg/decision/failedruns"
+	"trefoilplank.example/pkg/decision/reach"
 )
 
 // Error is the class of the errors of this package.
@@ -364,8 +365,12 @@
 	return err
 }
 
-// Lost reports whether what was sent to an upstream can't be answered any more, since this node's connections to it fail.
-func (c *Client) Lost(u dispatch.Upstream) bool { return c.links.Lost(u.Address) }
+// silence describes the silence of an upstream, which has sent nothing of a run since the given time.
+func (c *Client) silence(u dispatch.Upstream, since time.Time) reach.Silence {
+	return reach.Silence{
+		Lasted: time.Since(since), Unheard: c.links.Unheard(u.Address), Lost: c.links.Lost(u.Address), Restarted: c.links.Restarted(u.Address, u.Incarnation),
+	}
+}
 
 // SilentFor returns how long an upstream has owed this node data, or 0 if it owes none.
 func (c *Client) SilentFor(u dispatch.Upstream) time.Duration { return c.links.SilentFor(u.Address) }
--- /dev/null
+++ b/pkg/forward/datatimer.go
@@ -0,0 +1,138 @@
+package forward
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"trefoilplank.example/pkg/decision/dispatch"
+	"trefoilplank.example/pkg/decision/reach"
+	"trefoilplank.example/pkg/decision/routing"
+)
+
+// silenceCheckInterval is how often a request that bears the silence of its upstream is looked at again. It is under half of the
+// time for which a run may go on at an upstream that the node reaches after another one has taken it over.
+const silenceCheckInterval = 100 * time.Millisecond
+
+// dataTimer cancels an attempt of a repeatable request when its upstream sends no data for too long.
+type dataTimer struct {
+	x        *exchange
+	upstream dispatch.Upstream
+	// others describes the request to placement, for the other upstreams.
+	others dispatch.OnlineRequest
+	cancel context.CancelCauseFunc
+	// pause is the limit between events, or 0 for none.
+	pause time.Duration
+
+	mu    sync.Mutex
+	timer *time.Timer
+	// stopped is set once the attempt has ended, begun with the first event.
+	stopped, begun bool
+	// lastEvent is when the last event arrived, or the attempt was sent.
+	lastEvent time.Time
+	// borne is set while the request must bear the silence, since the budget allowed no retry. unheard is set if the upstream was
+	// unheard when the attempt was last looked at.
+	borne, unheard bool
+}
+
+// Stop stops the timer, so that it no longer cancels the attempt.
+func (t *dataTimer) Stop() {
+	if t.timer == nil {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.stopped = true
+	t.timer.Stop()
+}
+
+// eventReceived restarts the timer for the next event, or stops it if pauses are not limited.
+func (t *dataTimer) eventReceived() {
+	if t.timer == nil {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.begun, t.borne, t.unheard, t.lastEvent = true, false, false, time.Now()
+	if t.pause > 0 {
+		t.timer.Reset(t.pause)
+	} else {
+		t.timer.Stop()
+	}
+}
+
+// startDataTimer starts the timer for the first byte. On the last attempt of a request it returns a timer that
+// never fires.
+func (x *exchange) startDataTimer(choice dispatch.Choice, cancel context.CancelCauseFunc) *dataTimer {
+	if x.lastAttempt() {
+		return &dataTimer{}
+	}
+	first := x.options.Placer.FirstEvent(x.service)
+	wait := max(minDataTimeout, time.Duration(firstByteFraction*float64(x.route.Objective))) + first + choice.Wait
+	if choice.Free <= 0 {
+		wait += x.route.Objective
+	}
+	t := &dataTimer{
+		x: x, upstream: choice.Upstream, cancel: cancel, lastEvent: time.Now(),
+		others: dispatch.OnlineRequest{Service: x.service, Exclude: append(slices.Clone(x.tried), choice.Upstream.ID), Continues: x.version},
+	}
+	if x.route.Kind == routing.KindStream && x.route.PauseObjective > 0 {
+		t.pause = max(minDataTimeout, time.Duration(pauseFraction*float64(x.route.PauseObjective)))
+	}
+	t.mu.Lock() // It may fire before t.timer is set.
+	defer t.mu.Unlock()
+	t.timer = time.AfterFunc(wait, t.fire)
+	return t
+}
+
+// fire decides on an attempt whose upstream has sent nothing for too long.
+func (t *dataTimer) fire() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	silence := t.x.options.Client.silence(t.upstream, t.lastEvent)
+	if t.stopped || silence.Lasted < minDataTimeout || t.begun && t.pause == 0 {
+		return // An event has arrived meanwhile.
+	}
+	silence.Woke = t.unheard
+	t.unheard = silence.Unheard >= reach.RunningLimit
+	step := silence.Step()
+	switch {
+	case step == reach.Move:
+	case t.begun && !t.x.options.Placer.HasFreeSlot(t.others):
+		// The upstream may be slow and sound. What it has sent is lost to the caller if no other one can go on.
+		t.timer.Reset(t.pause)
+		return
+	case t.x.route.Kind != routing.KindStream:
+		step = reach.MayMove // It may run at several upstreams.
+	case step == reach.Check:
+		if step = t.check(silence); step == "" {
+			return
+		}
+	}
+	switch {
+	case step == reach.Move:
+	case step == reach.MayMove && !t.borne && t.x.takeTimeoutRetry():
+	case step == reach.Bear && silence.Woke && !t.unheard:
+		t.timer.Reset(max(t.pause, minDataTimeout))
+		return
+	default:
+		t.borne = t.borne || step == reach.MayMove
+		t.timer.Reset(silenceCheckInterval)
+		return
+	}
+	t.cancel(ErrUnresponsive)
+}
+
+// check checks the upstream and returns what to do then, or "" if the attempt went on or ended meanwhile. t.mu is held before and
+// after, but not during the check.
+func (t *dataTimer) check(silence reach.Silence) reach.Step {
+	at := t.lastEvent
+	t.mu.Unlock()
+	silence.Diagnosis = t.x.options.Client.links.DiagnoseSilent(context.Background(), t.upstream.Address)
+	t.mu.Lock()
+	if t.stopped || t.lastEvent != at {
+		return ""
+	}
+	return silence.Step()
+}
--- a/pkg/forward/fakes_test.go
+++ b/pkg/forward/fakes_test.go
@@ -20,6 +20,7 @@
 	"trefoilplank.example/pkg/controller/streamversions"
 	"trefoilplank.example/pkg/controller/uplink"
 	"trefoilplank.example/pkg/decision/dispatch"
+	"trefoilplank.example/pkg/decision/reach"
 	"trefoilplank.example/pkg/decision/routing"
 	"trefoilplank.example/pkg/eventlog"
 )
@@ -45,8 +46,11 @@
 	cancelled  chan string
 	failedRuns *failedruns.Controller
 	streams    *streamversions.Controller
-	// upstreams holds the fake upstreams by name.
+	// upstreams holds the fake upstreams by name, processes their processes.
 	upstreams map[string]*httptest.Server
+	processes map[string]*process
+	placer    *placer.Placer
+	links     *uplink.Links
 	forwarder *Forwarder
 	metrics   *metrics.Set
 	// drainEnd is when the node closes, or zero while it does not drain.
@@ -63,13 +67,19 @@
 
 // newVersionFixture is newFixture with the software version of each upstream.
 func newVersionFixture(t *testing.T, versions []string, behaviours ...behaviour) *fixture {
-	f := &fixture{cancelled: make(chan string, 10), upstreams: map[string]*httptest.Server{}}
+	return newLinkedFixture(t, nil, versions, behaviours...)
+}
+
+// newLinkedFixture is newVersionFixture with options of the links to the upstreams, whose processes can be stopped if there are
+// any.
+func newLinkedFixture(t *testing.T, linkOptions *uplink.Options, versions []string, behaviours ...behaviour) *fixture {
+	f := &fixture{cancelled: make(chan string, 10), upstreams: map[string]*httptest.Server{}, processes: map[string]*process{}}
 	log := &eventlog.Log{}
 	p := placer.New("zone", log)
 	var upstreams []dispatch.Upstream
 	for n, b := range behaviours {
 		name := fmt.Sprint("u", n)
-		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			body, _ := io.ReadAll(r.Body)
 			f.mu.Lock()
 			f.received = append(f.received, receivedRequest{name, r.RequestURI, string(body), r.Header.Clone()})
@@ -78,18 +88,33 @@
 			w.Header().Set(testHeaders.Signature, name)
 			b(f, w, r)
 		}))
+		f.processes[name] = &process{}
+		if linkOptions != nil {
+			server.Listener = &processListener{server.Listener, f.processes[name]}
+		}
+		server.Start()
 		t.Cleanup(server.Close)
+		t.Cleanup(f.processes[name].resume)
 		f.upstreams[name] = server
 		upstreams = append(upstreams, dispatch.Upstream{
 			ID: name, Address: strings.TrimPrefix(server.URL, "http://"), Service: "s", AvailabilityZone: "zone", Slots: 8, SoftwareVersion: versions[n],
 		})
 	}
 	p.SetUpstreams(upstreams)
+	if linkOptions == nil {
+		linkOptions = &uplink.Options{}
+	}
+	f.placer, f.links = p, uplink.New(*linkOptions)
+	linked := make([]reach.Upstream, 0, len(upstreams))
+	for _, u := range upstreams {
+		linked = append(linked, reach.Upstream{Address: u.Address, Service: u.Service})
+	}
+	f.links.SetUpstreams(linked)
 	table := routing.NewTable(routing.Configuration{Routes: []routing.Route{
 		route("/stream/", routing.KindStream, true, 3), route("/once/", routing.KindStream, false, 1),
 		route("/idempotent/", routing.KindIdempotent, false, 3), route("/unsafe/", routing.KindNonIdempotent, false, 3),
 	}})
-	client := NewClient(testHeaders, uplink.New(uplink.Options{}), p.Announce)
+	client := NewClient(testHeaders, f.links, p.Announce)
 	t.Cleanup(client.Close)
 	f.failedRuns = failedruns.New(failedruns.Options{
 		Node: "node", Others: func() []string { return nil }, Owner: func(string) string { return "node" }, Exchange: func() {}, Log: log,
@@ -129,14 +154,14 @@
 	t.Helper()
 	req, err := http.NewRequest(http.MethodPost, f.URL, strings.NewReader(body))
 	assert.NilError(t, err)
-	for name, value := range header {
-		req.Header.Set(name, value)
-	}
 	path, query, hasQuery := strings.Cut(target, "?")
 	req.URL.Opaque, req.URL.RawQuery, req.URL.ForceQuery = path, query, hasQuery
 	req.Host = testHost
 	req.Header.Set(testHeaders.RequestID, "r1")
 	req.Header.Set(testHeaders.Deadline, "2000")
+	for name, value := range header {
+		req.Header.Set(name, value)
+	}
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
 		return nil, "", err
@@ -203,24 +228,27 @@
 	panic(http.ErrAbortHandler)
 }
 
-// unresponsiveOnce sends nothing to the first request until it is cancelled, and streams all events otherwise.
+// unresponsiveOnce takes no more connections and sends nothing to the first request until it is cancelled, and streams all events
+// otherwise.
 func unresponsiveOnce(f *fixture, w http.ResponseWriter, r *http.Request) {
 	if len(f.requests()) > 1 {
 		stream(w, r, 10)
 		return
 	}
+	f.upstreams[r.Header.Get(testHeaders.ExpectInstance)].Listener.Close()
 	<-r.Context().Done()
 	f.cancelled <- r.Header.Get(testHeaders.RequestID)
 }
 
-// stallsOnce sends three events to the first request and then nothing until it is cancelled, and streams all events
-// otherwise.
+// stallsOnce sends three events to the first request, takes no more connections and then sends nothing until it is cancelled, and
+// streams all events otherwise.
 func stallsOnce(f *fixture, w http.ResponseWriter, r *http.Request) {
 	if len(f.requests()) > 1 {
 		stream(w, r, 10)
 		return
 	}
 	stream(w, r, 3)
+	f.upstreams[r.Header.Get(testHeaders.ExpectInstance)].Listener.Close()
 	<-r.Context().Done()
 }
 
--- a/pkg/forward/stream.go
+++ b/pkg/forward/stream.go
@@ -6,16 +6,13 @@
 	"errors"
 	"io"
 	"net/http"
-	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/zeebo/errs"
 
 	"trefoilplank.example/pkg/decision/dispatch"
 	"trefoilplank.example/pkg/decision/retry"
-	"trefoilplank.example/pkg/decision/routing"
 	"trefoilplank.example/pkg/eventstream"
 )
 
@@ -35,80 +32,10 @@
 	timeoutRetryRatio, timeoutRetryReserve = 0.04, 4
 	// minDataTimeout keeps delays of a busy node itself from being taken for an unresponsive upstream.
 	minDataTimeout = 120 * time.Millisecond
-	// lostCheckInterval is how often a request that must bear the silence of its upstream looks whether the node's connections
-	// to it have failed.
-	lostCheckInterval = 100 * time.Millisecond
 	// maxEventBytes limits the size of an incomplete event, and minReadBytes is the least room for a read.
 	maxEventBytes, minReadBytes = 1 << 20, 1 << 10
 )
 
-// dataTimer cancels an attempt of a repeatable request when its upstream sends no data for too long. pause is the
-// limit between events, or 0 for none.
-type dataTimer struct {
-	timer *time.Timer
-	pause time.Duration
-	// begun is set with the first event.
-	begun atomic.Bool
-	// borne is set while the request must bear the silence, since the budget allowed no retry.
-	borne atomic.Bool
-}
-
-// Stop stops the timer, so that it no longer cancels the attempt.
-func (t *dataTimer) Stop() {
-	if t.timer != nil {
-		t.timer.Stop()
-	}
-}
-
-// eventReceived restarts the timer for the next event, or stops it if pauses are not limited.
-func (t *dataTimer) eventReceived() {
-	t.begun.Store(true)
-	t.borne.Store(false)
-	switch {
-	case t.timer == nil:
-	case t.pause > 0:
-		t.timer.Reset(t.pause)
-	default:
-		t.timer.Stop()
-	}
-}
-
-// startDataTimer starts the timer for the first byte. On the last attempt of a request it returns a timer that
-// never fires.
-func (x *exchange) startDataTimer(choice dispatch.Choice, cancel context.CancelCauseFunc) *dataTimer {
-	if x.lastAttempt() {
-		return &dataTimer{}
-	}
-	first := x.options.Placer.FirstEvent(x.service)
-	wait := max(minDataTimeout, time.Duration(firstByteFraction*float64(x.route.Objective))) + first + choice.Wait
-	if choice.Free <= 0 {
-		wait += x.route.Objective
-	}
-	t := &dataTimer{}
-	if x.route.Kind == routing.KindStream && x.route.PauseObjective > 0 {
-		t.pause = max(minDataTimeout, time.Duration(pauseFraction*float64(x.route.PauseObjective)))
-	}
-	others := dispatch.OnlineRequest{Service: x.service, Exclude: append(slices.Clone(x.tried), choice.Upstream.ID), Continues: x.version}
-	t.timer = time.AfterFunc(wait, func() {
-		if x.options.Client.Lost(choice.Upstream) {
-			cancel(ErrUnresponsive)
-			return
-		}
-		// The upstream may be slow and sound. What it has sent is lost to the caller if no other one can go on.
-		if t.begun.Load() && !x.options.Placer.HasFreeSlot(others) {
-			t.timer.Reset(t.pause)
-			return
-		}
-		if !t.borne.Load() && x.takeTimeoutRetry() {
-			cancel(ErrUnresponsive)
-			return
-		}
-		t.borne.Store(true)
-		t.timer.Reset(lostCheckInterval)
-	})
-	return t
-}
-
 // timeoutRetries limits how many requests are sent again because of an unresponsive upstream.
 type timeoutRetries struct {
 	mu     sync.Mutex
