Send new requests to upstreams that are heard

Requests kept being sent to an upstream whose process was stopped. They lay unread in its kernel for up to a second or so and were read after the upstream had left, or after their callers had gone.

Cause: placement knew nothing of a silence. It ended with the third failed attempt, or when the node's own runs filled the slots; once silence is borne, only with the latter.

An upstream that runs requests of the node and of which no data has arrived for 150 ms plus the usual time to a first event now gets new requests and items only if no other one of the service may be chosen; slots that the hub granted there are kept meanwhile. It returns with the first data, and after two seconds, when failures decide. Connects don't count as being heard, since the kernel of a stopped process answers them. Upstreams that are reached through other nodes never count as silent.

Tests: go test -race of pkg/decision/dispatch, pkg/controller/placer, pkg/controller/uplink, pkg/forward and pkg/edge.

--- a/pkg/controller/placer/placer.go
+++ b/pkg/controller/placer/placer.go
@@ -107,6 +107,13 @@
 	}
 }
 
+// SetHeard sets the function that returns when data last arrived from the upstream at an address. It must not call the placer.
+func (p *Placer) SetHeard(heardAt func(address string) time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.state.SetHeard(heardAt)
+}
+
 // SetUpstreams replaces the list of upstreams, and returns those that ended.
 func (p *Placer) SetUpstreams(list []dispatch.Upstream) (ended []dispatch.EndedUpstream) {
 	p.mu.Lock()
@@ -209,6 +216,7 @@
 	}
 	if choice.Verdict == dispatch.Send || choice.Verdict == dispatch.Preempt {
 		p.state.BeginRun(choice.Upstream.ID, false)
+		p.state.AwaitData(choice.Upstream.ID, now)
 	}
 	switch choice.Verdict {
 	case dispatch.Preempt:
@@ -248,6 +256,7 @@
 	run := bind(u)
 	run.Upstream, run.Started = u.ID, now
 	p.state.BeginRun(run.Upstream, true)
+	p.state.AwaitData(run.Upstream, now)
 	if p.runs[run.Upstream] == nil {
 		p.runs[run.Upstream] = map[*BatchRun]struct{}{}
 	}
--- a/pkg/controller/uplink/uplink.go
+++ b/pkg/controller/uplink/uplink.go
@@ -268,6 +268,15 @@
 	return time.Since(clockStart) - time.Duration(l.counters(address).heardAt.Load())
 }
 
+// HeardAt returns when data last arrived from an upstream. Data that comes through other nodes is not watched: it counts as heard.
+func (l *Links) HeardAt(address string) time.Time {
+	at := clockStart.Add(time.Duration(l.counters(address).heardAt.Load()))
+	if now := time.Now(); now.Sub(at) > reach.RunningLimit && l.Relayed(address) {
+		return now
+	}
+	return at
+}
+
 // Restarted reports whether another process than the one of the given incarnation serves at an address.
 func (l *Links) Restarted(address string, incarnation int64) bool {
 	l.mu.Lock()
--- a/pkg/decision/dispatch/candidates.go
+++ b/pkg/decision/dispatch/candidates.go
@@ -43,10 +43,10 @@
 	return false
 }
 
-// candidates returns the upstreams that may be chosen. Outliers and postponed upstreams are included only if there are no
+// candidates returns the upstreams that may be chosen. Outliers, silent and postponed upstreams are included only if there are no
 // others; if all are ejected, the result is the one whose ejection ends first.
 func (s *State) candidates(svc *serviceState, allowed filter, now time.Time) []*upstream {
-	var usable, postponed, outliers []*upstream
+	var usable, postponed, outliers, silent []*upstream
 	var firstToReturn *upstream
 	for _, u := range svc.upstreams {
 		if !allowed.allows(u) || allowed.sends && !s.mayTake(u, now) {
@@ -59,13 +59,15 @@
 			}
 		case allowed.postpones(u, now):
 			postponed = append(postponed, u)
+		case s.silent(u, now):
+			silent = append(silent, u)
 		case s.weight(u, now) < outlierWeight:
 			outliers = append(outliers, u)
 		default:
 			usable = append(usable, u)
 		}
 	}
-	for _, list := range [][]*upstream{usable, outliers, postponed} {
+	for _, list := range [][]*upstream{usable, outliers, silent, postponed} {
 		if len(list) > 0 {
 			return list
 		}
--- a/pkg/decision/dispatch/dispatch.go
+++ b/pkg/decision/dispatch/dispatch.go
@@ -103,6 +103,8 @@
 	probing bool
 	// announced is what the upstream says of itself.
 	announced announced
+	// awaitedSince is since when data of runs of this node is awaited, or zero.
+	awaitedSince time.Time
 }
 
 // serviceState holds the upstreams of one service, and the average duration of their runs and time to the first event.
@@ -135,6 +137,8 @@
 	started    map[string]int
 	hubDivides bool
 	nodes      int
+	// heardAt returns when an upstream was last heard; nil if that is not known.
+	heardAt func(address string) time.Time
 }
 
 // NewState returns an empty state.
@@ -167,7 +171,7 @@
 			known = &upstream{}
 		} else if known.Incarnation != u.Incarnation {
 			// Failures before the restart are no evidence against the new process. The node's runs stay counted until each ends.
-			known.failures, known.ejectedUntil, known.announced = 0, time.Time{}, announced{}
+			known.failures, known.ejectedUntil, known.announced, known.awaitedSince = 0, time.Time{}, announced{}, time.Time{}
 			s.ownEvidence.Forget(u.ID)
 			s.hubEvidence.Forget(u.ID)
 		}
@@ -361,7 +365,7 @@
 func (s *State) HasFreeSlot(request OnlineRequest, now time.Time) bool {
 	return slices.ContainsFunc(s.candidates(s.serviceState(request.Service), request.filter(), now), func(u *upstream) bool {
 		l := s.load(u, now)
-		return !now.Before(u.ejectedUntil) && l.Online+l.Batch < u.Slots
+		return !now.Before(u.ejectedUntil) && l.Online+l.Batch < u.Slots && !s.silent(u, now)
 	})
 }
 
--- a/pkg/decision/dispatch/grant.go
+++ b/pkg/decision/dispatch/grant.go
@@ -5,6 +5,7 @@
 	"math"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"time"
 )
 
@@ -268,14 +269,17 @@
 }
 
 // useGrant uses one granted slot of a service, preferably in the node's own zone and else drawn at random, and returns its
-// upstream. It returns false if there is none.
+// upstream. It returns false if there is none. A slot of a silent upstream is used only if none of the service is heard.
 func (s *State) useGrant(slots map[string]int, service string, allowed filter, now time.Time, rng *rand.Rand) (*upstream, bool) {
 	var best *upstream
 	equal := 0
+	allSilent := sync.OnceValue(func() bool {
+		return !slices.ContainsFunc(s.candidates(s.serviceState(service), allowed, now), func(u *upstream) bool { return !s.silent(u, now) })
+	})
 	for _, id := range slices.Sorted(maps.Keys(slots)) {
 		u := s.byID[id]
 		if slots[id] <= 0 || u == nil || !allowed.allows(u) || u.Service != service || now.Before(u.ejectedUntil) || allowed.postpones(u, now) ||
-			s.weight(u, now) < outlierWeight || !s.hubLimits(now) && !s.mayTake(u, now) {
+			s.weight(u, now) < outlierWeight || !s.hubLimits(now) && !s.mayTake(u, now) || s.silent(u, now) && !allSilent() {
 			continue
 		}
 		sameZone := u.AvailabilityZone == s.AvailabilityZone
--- a/pkg/decision/dispatch/runs.go
+++ b/pkg/decision/dispatch/runs.go
@@ -35,6 +35,7 @@
 	} else {
 		u.own.Online = max(0, u.own.Online-1)
 	}
+	s.stopAwaiting(u, now)
 	s.keepFreedSlot(u, now)
 }
 
--- a/pkg/edge/links.go
+++ b/pkg/edge/links.go
@@ -19,6 +19,7 @@
 		},
 		Log: n.log, Metrics: uplink.NewMetrics(n.metrics),
 	})
+	n.placer.SetHeard(n.links.HeardAt)
 	n.peerServer.HandleRelays(n.links.Accept)
 }
 
--- a/pkg/forward/fakes_test.go
+++ b/pkg/forward/fakes_test.go
@@ -50,6 +50,7 @@
 	upstreams map[string]*httptest.Server
 	processes map[string]*process
 	placer    *placer.Placer
+	list      []dispatch.Upstream
 	links     *uplink.Links
 	forwarder *Forwarder
 	metrics   *metrics.Set
@@ -104,12 +105,13 @@
 	if linkOptions == nil {
 		linkOptions = &uplink.Options{}
 	}
-	f.placer, f.links = p, uplink.New(*linkOptions)
+	f.placer, f.list, f.links = p, upstreams, uplink.New(*linkOptions)
 	linked := make([]reach.Upstream, 0, len(upstreams))
 	for _, u := range upstreams {
 		linked = append(linked, reach.Upstream{Address: u.Address, Service: u.Service})
 	}
 	f.links.SetUpstreams(linked)
+	p.SetHeard(f.links.HeardAt)
 	table := routing.NewTable(routing.Configuration{Routes: []routing.Route{
 		route("/stream/", routing.KindStream, true, 3), route("/once/", routing.KindStream, false, 1),
 		route("/idempotent/", routing.KindIdempotent, false, 3), route("/unsafe/", routing.KindNonIdempotent, false, 3),
--- a/pkg/forward/silent_test.go
+++ b/pkg/forward/silent_test.go
@@ -200,3 +200,52 @@
 		}
 	}
 }
+
+// Guards against requests that are sent to a stopped upstream while others are heard, and lie there unread until it goes on.
+func TestNewRequestsAvoidStoppedUpstream(t *testing.T) {
+	const (
+		upstreams = 4
+		interval  = 15 * time.Millisecond
+		silence   = 1200 * time.Millisecond
+		slots     = 32
+		// detection is how long a silence may last before it is noticed.
+		detection = 400 * time.Millisecond
+	)
+	slow := func(_ *fixture, w http.ResponseWriter, r *http.Request) { paced(w, r, 8*time.Millisecond) }
+	f := newLinkedFixture(t, &uplink.Options{}, make([]string, upstreams), slow, slow, slow, slow)
+	for n := range f.list {
+		f.list[n].Slots = slots
+	}
+	f.placer.SetUpstreams(f.list)
+	var calls sync.WaitGroup
+	send := func(until time.Time) {
+		for time.Now().Before(until) {
+			calls.Go(func() {
+				_, body, err := f.callWith(t, "/once/a", "prompt", map[string]string{testHeaders.Deadline: "2900"})
+				assert.Check(t, err)
+				assert.Check(t, body == allEvents())
+			})
+			time.Sleep(interval)
+		}
+	}
+	count := func() (all, stopped int) {
+		for _, r := range f.requests() {
+			if all++; r.upstream == "u0" {
+				stopped++
+			}
+		}
+		return all, stopped
+	}
+	send(time.Now().Add(400 * time.Millisecond))
+	_, before := count()
+	f.processes["u0"].stop()
+	begun := time.Now()
+	send(begun.Add(silence))
+	f.processes["u0"].resume()
+	calls.Wait()
+	all, stopped := count()
+	stopped -= before
+	t.Logf("%d of %d requests were sent to the stopped upstream", stopped, all)
+	const limit = int(detection/interval) / upstreams
+	assert.Assert(t, stopped <= limit, "%d requests were sent to the stopped upstream, more than its share of %s", stopped, detection)
+}
