Count no short silence as a failure of an upstream

After a process had been stopped for less than a second its upstream got no requests for up to some seconds more.

Cause: an idempotent request that is sent again after 120 ms or more of silence was recorded as a failure, and the third failure in a row ejects, for 0.4 s at first and twice as long with each further one.

Such a request says nothing against its upstream now, unless data of the upstream arrives all the while or the silence lasted for two seconds.

--- a/pkg/forward/client.go
+++ b/pkg/forward/client.go
@@ -47,6 +47,8 @@
 	errCallerGone = Error.New("response could not be written to the caller")
 	// ErrUnresponsive means that the upstream sent no data for too long; the request may have run.
 	ErrUnresponsive = Error.New("upstream sent no data for too long")
+	// errMaySound comes with ErrUnresponsive if the upstream may be silent and sound, which says nothing against it.
+	errMaySound = Error.New("upstream may be sound")
 	// ErrOwnConnection means that a request failed since this node's own connections to the upstream do, while other nodes
 	// reach it. It comes with the error of the request.
 	ErrOwnConnection = Error.New("only this node does not reach the upstream")
@@ -379,7 +381,7 @@
 // ErrUnresponsive.
 func classify(ctx context.Context, err error) error {
 	if cause := context.Cause(ctx); cause != nil && errors.Is(cause, ErrUnresponsive) {
-		return errs.Combine(ErrUnresponsive, err)
+		return errs.Combine(cause, err)
 	}
 	var op *net.OpError
 	switch {
--- a/pkg/forward/datatimer.go
+++ b/pkg/forward/datatimer.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/zeebo/errs"
+
 	"trefoilplank.example/pkg/decision/dispatch"
 	"trefoilplank.example/pkg/decision/reach"
 	"trefoilplank.example/pkg/decision/routing"
@@ -121,6 +123,10 @@
 		t.timer.Reset(silenceCheckInterval)
 		return
 	}
+	if t.x.route.Kind != routing.KindStream && t.unheard && silence.Lasted < reach.SoundSilence {
+		t.cancel(errs.Combine(ErrUnresponsive, errMaySound))
+		return
+	}
 	t.cancel(ErrUnresponsive)
 }
 
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -388,7 +388,7 @@
 func (x *exchange) reportFailure(ctx context.Context, upstream string, cause error) {
 	var failure *failureResponse
 	switch {
-	case ctx.Err() != nil && !errors.Is(cause, ErrUnresponsive), errors.Is(cause, errCallerGone):
+	case ctx.Err() != nil && !errors.Is(cause, ErrUnresponsive), errors.Is(cause, errCallerGone), errors.Is(cause, errMaySound):
 	case errors.Is(cause, ErrOwnConnection):
 		x.options.Metrics.countOutcome("own_connection_failed")
 	case errors.Is(cause, ErrFull):
--- a/pkg/forward/silent_test.go
+++ b/pkg/forward/silent_test.go
@@ -14,6 +14,7 @@
 	"gotest.tools/v3/assert"
 
 	"trefoilplank.example/pkg/controller/uplink"
+	"trefoilplank.example/pkg/decision/dispatch"
 	"trefoilplank.example/pkg/decision/reach"
 )
 
@@ -249,3 +250,39 @@
 	const limit = int(detection/interval) / upstreams
 	assert.Assert(t, stopped <= limit, "%d requests were sent to the stopped upstream, more than its share of %s", stopped, detection)
 }
+
+// Guards against an upstream that is ejected after it was silent for less than a second, since requests that may run twice were
+// sent to others meanwhile.
+func TestShortSilenceEjectsNoUpstream(t *testing.T) {
+	behaves := func(_ *fixture, w http.ResponseWriter, r *http.Request) {
+		if r.RequestURI == "/once/a" {
+			paced(w, r, 40*time.Millisecond)
+			return
+		}
+		time.Sleep(150 * time.Millisecond)
+		fmt.Fprint(w, "answer")
+	}
+	f := newLinkedFixture(t, &uplink.Options{}, make([]string, 2), behaves, behaves)
+	setDraining := func(draining bool) {
+		f.list[1].Draining = draining
+		f.placer.SetUpstreams(f.list)
+	}
+	setDraining(true)
+	var calls sync.WaitGroup
+	for _, target := range []string{"/once/a", "/idempotent/a", "/idempotent/a", "/idempotent/a", "/idempotent/a"} {
+		calls.Go(func() {
+			resp, _, err := f.call(t, target, "body")
+			assert.Check(t, err)
+			assert.Check(t, resp.StatusCode == http.StatusOK)
+		})
+	}
+	time.Sleep(100 * time.Millisecond)
+	f.processes["u0"].stop()
+	setDraining(false)
+	time.Sleep(700 * time.Millisecond)
+	assert.Assert(t, len(f.requests()) > 5, "no request was sent to the other upstream")
+	f.processes["u0"].resume()
+	time.Sleep(60 * time.Millisecond)
+	assert.Assert(t, f.placer.HasFreeSlot(dispatch.OnlineRequest{Service: "s", Exclude: []string{"u1"}}), "the upstream gets no requests")
+	calls.Wait()
+}
