Take no late refusal without an ID for the response to a request

Cause: a refusal (Not-Executed, or 421) without an echoed ID counted as the response to the request in progress. An upstream in trouble may send an extra response, which on a kept connection is read where the next response is expected.

TestLateRefusalWithoutIDBelongsToNoRequest failed before in both cases on a kept connection: "upstream did not run the request", while the upstream ran it. A refusal without an ID counts on a new connection only now; on a reused one it is a mismatch, after which the request may have run.

--- a/pkg/forward/client.go
+++ b/pkg/forward/client.go
@@ -10,6 +10,7 @@
 	"math"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"net/url"
 	"slices"
 	"strconv"
@@ -280,12 +281,14 @@
 	case r.Method == http.MethodTrace || r.Header.Get("Idempotency-Key") != "" || r.Header.Get("X-Idempotency-Key") != "":
 		transport = c.freshTransport
 	}
-	resp, err := transport.RoundTrip(req.WithContext(ctx))
+	reused := false
+	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { reused = info.Reused }})
+	resp, err := transport.RoundTrip(req.WithContext(traced))
 	if err != nil {
 		return nil, classify(ctx, err)
 	}
 	c.updateIdleTimeout(u.Service, resp.Header.Get("Keep-Alive"))
-	err = c.checkResponse(resp, r.ID)
+	err = c.checkResponse(resp, r.ID, reused)
 	if !errors.Is(err, ErrMismatch) && resp.StatusCode != http.StatusMisdirectedRequest {
 		c.announce(u, c.announcement(resp.Header))
 	}
@@ -310,10 +313,12 @@
 	return dispatch.Announcement{Limit: limit, Leaving: h.Get(c.headers.Leaving) != ""}
 }
 
-// checkResponse returns an error if the response refuses this request, belongs to another one or lacks the signature.
-func (c *Client) checkResponse(resp *http.Response, id string) error {
+// checkResponse returns an error if the response refuses this request, belongs to another one or lacks the signature. An
+// upstream may refuse a request before it has read its ID. On a reused connection a response without one may be a late copy that
+// belongs to an earlier request.
+func (c *Client) checkResponse(resp *http.Response, id string, reused bool) error {
 	notRun := resp.Header.Get(c.headers.NotRun) != "" || resp.StatusCode == http.StatusMisdirectedRequest
-	if echo := resp.Header.Get(c.headers.RequestID); echo != id && (echo != "" || !notRun) {
+	if echo := resp.Header.Get(c.headers.RequestID); echo != id && (echo != "" || !notRun || reused) {
 		return ErrMismatch
 	}
 	if !notRun {
