Await the node's own connection in the check of a silent stream

Cause: the check records a cut of the node as soon as another node has connected. That suits a broken run, whose caller waits, but a silent upstream is not known to have failed.

TestSilentUpstreamThatConnectsLateIsReached failed without the fix: "reached by others" != "reached".

--- a/pkg/controller/uplink/diagnose.go
+++ b/pkg/controller/uplink/diagnose.go
@@ -20,6 +20,12 @@
 	Unreachable     = reach.Unreachable
 )
 
+// diagnosisKey distinguishes checks. awaitOwn is set for one that waits for the end of this node's own attempt.
+type diagnosisKey struct {
+	address  string
+	awaitOwn bool
+}
+
 // diagnosis is a check in progress, or its result once done is closed.
 type diagnosis struct {
 	done   chan struct{}
@@ -30,17 +36,22 @@
 // Diagnose tries to connect to an upstream, directly and then through another node, and returns what that showed. Checks of
 // the same upstream at the same time are made once. If ctx ends before, it returns Unreachable.
 func (l *Links) Diagnose(ctx context.Context, address string) Diagnosis {
+	return l.sharedDiagnosis(ctx, diagnosisKey{address: address})
+}
+
+// sharedDiagnosis makes a check, or waits for the result of the same one.
+func (l *Links) sharedDiagnosis(ctx context.Context, key diagnosisKey) Diagnosis {
 	l.mu.Lock()
-	for a, d := range l.diagnoses {
+	for k, d := range l.diagnoses {
 		if !d.at.IsZero() && time.Since(d.at) > diagnosisLifetime {
-			delete(l.diagnoses, a)
+			delete(l.diagnoses, k)
 		}
 	}
-	d := l.diagnoses[address]
+	d := l.diagnoses[key]
 	if d == nil {
 		d = &diagnosis{done: make(chan struct{})}
-		l.diagnoses[address] = d
-		go l.diagnose(address, d)
+		l.diagnoses[key] = d
+		go l.diagnose(key, d)
 	}
 	l.mu.Unlock()
 	select {
@@ -51,7 +62,8 @@
 	}
 }
 
-// DiagnoseSilent is Diagnose for an upstream that is silent. A connection that was made a moment ago shows as much as a new one.
+// DiagnoseSilent is Diagnose for an upstream that is silent. A connection that was made a moment ago shows as much as a new one, and
+// another node's connection shows nothing before this node's own attempt has failed.
 func (l *Links) DiagnoseSilent(ctx context.Context, address string) Diagnosis {
 	l.mu.Lock()
 	reached := l.state.ConnectedSince(address, time.Now().Add(-recheckInterval))
@@ -59,12 +71,12 @@
 	if reached {
 		return Reached
 	}
-	return l.Diagnose(ctx, address)
+	return l.sharedDiagnosis(ctx, diagnosisKey{address, true})
 }
 
 // diagnose makes one check.
-func (l *Links) diagnose(address string, d *diagnosis) {
-	begun := time.Now()
+func (l *Links) diagnose(key diagnosisKey, d *diagnosis) {
+	address, begun := key.address, time.Now()
 	own := make(chan error, 1)
 	go func() { own <- l.check(address) }()
 	var ownErr, otherErr error
@@ -79,7 +91,7 @@
 	if !ownEnded || ownErr != nil {
 		otherErr = l.askOthers(address)
 	}
-	if !ownEnded && otherErr != nil {
+	if !ownEnded && (otherErr != nil || key.awaitOwn) {
 		ownErr, ownEnded = <-own, true
 	}
 	switch {
--- a/pkg/controller/uplink/uplink.go
+++ b/pkg/controller/uplink/uplink.go
@@ -101,8 +101,8 @@
 	state      *reach.State
 	avoid      map[string]time.Time
 	transports []*http.Transport
-	// diagnoses holds the checks in progress and those of the last diagnosisLifetime, by address.
-	diagnoses map[string]*diagnosis
+	// diagnoses holds the checks in progress and those of the last diagnosisLifetime.
+	diagnoses map[diagnosisKey]*diagnosis
 	// asked holds the questions to other nodes in progress and those of the last diagnosisLifetime, by address.
 	asked map[string]chan struct{}
 }
@@ -121,7 +121,7 @@
 	if o.Dial == nil {
 		o.Dial = dial.Dialer(connectTimeout).DialContext
 	}
-	l := &Links{options: o, state: reach.New(), avoid: map[string]time.Time{}, diagnoses: map[string]*diagnosis{}, asked: map[string]chan struct{}{}}
+	l := &Links{options: o, state: reach.New(), avoid: map[string]time.Time{}, diagnoses: map[diagnosisKey]*diagnosis{}, asked: map[string]chan struct{}{}}
 	o.Metrics.observeLinks(l)
 	return l
 }
--- a/pkg/controller/uplink/uplink_test.go
+++ b/pkg/controller/uplink/uplink_test.go
@@ -21,10 +21,11 @@
 	"trefoilplank.example/pkg/eventlog"
 )
 
-// node is a node with links to test upstreams. While cut is set its own connections are refused.
+// node is a node with links to test upstreams. While cut is set its own connections are refused; they take delay nanoseconds more.
 type node struct {
 	*Links
 	cut    atomic.Bool
+	delay  atomic.Int64
 	server *peer.Server
 	client *peer.Client
 }
@@ -44,6 +45,7 @@
 				if n.cut.Load() {
 					return nil, &net.OpError{Op: "dial", Net: network, Err: syscall.ECONNREFUSED}
 				}
+				time.Sleep(time.Duration(n.delay.Load()))
 				return (&net.Dialer{}).DialContext(ctx, network, address)
 			},
 			Helpers: func(string) (others []string) {
@@ -172,6 +174,28 @@
 	assert.Equal(t, a.Diagnose(t.Context(), down.Address), Refused)
 }
 
+// Guards against the silence of an upstream being taken for a cut of the node, whose own connection to it is only made later than
+// that of another node.
+func TestSilentUpstreamThatConnectsLateIsReached(t *testing.T) {
+	upstreams := startUpstreams(t, 2, func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
+	a := newNodes(t, []string{"a", "b"}, upstreams)["a"]
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go func() { _, _ = get(ctx, a.Transport(&http.Transport{}), upstreams[0].Address) }() // It ends with the test.
+	for deadline := time.Now().Add(5 * time.Second); a.SilentFor(upstreams[0].Address) < reach.SilenceLimit; time.Sleep(10 * time.Millisecond) {
+		assert.Assert(t, time.Now().Before(deadline), "the upstream is not silent")
+	}
+	time.Sleep(recheckInterval)
+	a.delay.Store(int64(2 * helperDelay))
+	diagnosed := make(chan Diagnosis, 1)
+	go func() { diagnosed <- a.DiagnoseSilent(ctx, upstreams[0].Address) }()
+	for len(diagnosed) == 0 {
+		assert.Assert(t, !a.Relayed(upstreams[0].Address))
+		time.Sleep(time.Millisecond)
+	}
+	assert.Equal(t, <-diagnosed, Reached)
+}
+
 // Guards against an answer that breaks off on a relayed connection and looks complete, and against one that ends with its
 // connection and looks broken off.
 func TestEndOfRelayedAnswerDiffersFromItsBreak(t *testing.T) {
