--- a/pkg/forward/client.go
+++ b/pkg/forward/client.go
@@ -10,6 +10,7 @@
 	"math"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"net/url"
 	"slices"
 	"strconv"
@@ -24,6 +25,7 @@
 	"trefoilplank.example/pkg/controller/uplink"
 	"trefoilplank.example/pkg/decision/dispatch"
 	"trefoilplank.example/pkg/decision/failedruns"
+	"trefoilplank.example/pkg/decision/reach"
 )
 
 // Error is the class of the errors of this package.
@@ -46,6 +48,8 @@
 	errCallerGone = Error.New("response could not be written to the caller")
 	// ErrUnresponsive means that the upstream sent no data for too long; the request may have run.
 	ErrUnresponsive = Error.New("upstream sent no data for too long")
+	// errMaySound comes with ErrUnresponsive if the upstream may be silent and sound, which says nothing against it.
+	errMaySound = Error.New("upstream may be sound")
 	// ErrOwnConnection means that a request failed since this node's own connections to the upstream do, while other nodes
 	// reach it. It comes with the error of the request.
 	ErrOwnConnection = Error.New("only this node does not reach the upstream")
@@ -277,12 +281,14 @@
 	case r.Method == http.MethodTrace || r.Header.Get("Idempotency-Key") != "" || r.Header.Get("X-Idempotency-Key") != "":
 		transport = c.freshTransport
 	}
-	resp, err := transport.RoundTrip(req.WithContext(ctx))
+	reused := false
+	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { reused = info.Reused }})
+	resp, err := transport.RoundTrip(req.WithContext(traced))
 	if err != nil {
 		return nil, classify(ctx, err)
 	}
 	c.updateIdleTimeout(u.Service, resp.Header.Get("Keep-Alive"))
-	err = c.checkResponse(resp, r.ID)
+	err = c.checkResponse(resp, r.ID, reused)
 	if !errors.Is(err, ErrMismatch) && resp.StatusCode != http.StatusMisdirectedRequest {
 		c.announce(u, c.announcement(resp.Header))
 	}
@@ -307,10 +313,12 @@
 	return dispatch.Announcement{Limit: limit, Leaving: h.Get(c.headers.Leaving) != ""}
 }
 
-// checkResponse returns an error if the response refuses this request, belongs to another one or lacks the signature.
-func (c *Client) checkResponse(resp *http.Response, id string) error {
+// checkResponse returns an error if the response refuses this request, belongs to another one or lacks the signature. An
+// upstream may refuse a request before it has read its ID. On a reused connection a response without one may be a late copy that
+// belongs to an earlier request.
+func (c *Client) checkResponse(resp *http.Response, id string, reused bool) error {
 	notRun := resp.Header.Get(c.headers.NotRun) != "" || resp.StatusCode == http.StatusMisdirectedRequest
-	if echo := resp.Header.Get(c.headers.RequestID); echo != id && (echo != "" || !notRun) {
+	if echo := resp.Header.Get(c.headers.RequestID); echo != id && (echo != "" || !notRun || reused) {
 		return ErrMismatch
 	}
 	if !notRun {
@@ -364,8 +372,12 @@
 	return err
 }
 
-// Lost reports whether what was sent to an upstream can't be answered any more, since this node's connections to it fail.
-func (c *Client) Lost(u dispatch.Upstream) bool { return c.links.Lost(u.Address) }
+// silence describes the silence of an upstream, which has sent nothing of a run since the given time.
+func (c *Client) silence(u dispatch.Upstream, since time.Time) reach.Silence {
+	return reach.Silence{
+		Lasted: time.Since(since), Unheard: c.links.Unheard(u.Address), Lost: c.links.Lost(u.Address), Restarted: c.links.Restarted(u.Address, u.Incarnation),
+	}
+}
 
 // SilentFor returns how long an upstream has owed this node data, or 0 if it owes none.
 func (c *Client) SilentFor(u dispatch.Upstream) time.Duration { return c.links.SilentFor(u.Address) }
@@ -374,7 +386,7 @@
 // ErrUnresponsive.
 func classify(ctx context.Context, err error) error {
 	if cause := context.Cause(ctx); cause != nil && errors.Is(cause, ErrUnresponsive) {
-		return errs.Combine(ErrUnresponsive, err)
+		return errs.Combine(cause, err)
 	}
 	var op *net.OpError
 	switch {
