Keep what a node is told of a job while it creates it or takes it over

Cause: the end is told to the owner in the store. While that node still creates the job, or takes it over, it does not hold the job in memory and dropped the call (Jobs.Stop, Jobs.Changed). It then started the job from the head that it had read or written before the end. If the answer to the create was lost and the head was read back after the end, the job even started at the revision of its end, which no later news exceeds, so that it ran to its end. Two attempts at a node could also start the same job twice, and the first one to return declared both as ended.

Evidence, both tests on the code before: TestJobEndedDuringATakeoverDoesNotRun: 2 (int) != 0 (int) TestJobEndedWhileItsCreatorAwaitsAnAnswerDoesNotRun: 2 (int) != 0 (int)

Why this works: the news is kept under the same lock under which the job becomes the node's own, and applied before the first item can start. An own head that was ended counts as one that exists.

Both tests pass now, with the other tests of takeovers and ends (-race).

--- a/pkg/listjob/accept.go
+++ b/pkg/listjob/accept.go
@@ -194,15 +194,27 @@
 	return err
 }
 
-// setCreating records whether the head of a job is being created.
+// creation is the beginning of the last attempt to create the head of a job, and the number of attempts in progress.
+type creation struct {
+	begun    time.Time
+	attempts int
+}
+
+// setCreating records that an attempt to create the head of a job begins or ends.
 func (c *Controller) setCreating(id string, creating bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	now := c.creating[id]
 	if creating {
-		c.creating[id] = time.Now()
-	} else {
-		delete(c.creating, id)
+		c.creating[id] = creation{time.Now(), now.attempts + 1}
+		return
 	}
+	if now.attempts--; now.attempts > 0 {
+		c.creating[id] = now
+		return
+	}
+	delete(c.creating, id)
+	c.dropMissed(id)
 }
 
 // createStored stores a job whose items are encoded as values.
@@ -290,12 +302,14 @@
 	}
 	c.options.Log.Routine("job accepted", "job", s.ID, "items", len(s.Items), "chunks", h.Chunks)
 	c.startJob(newJob(h, revision, s.Items))
-	c.announce(s.ID, revision)
+	if c.ownedJob(s.ID) != nil {
+		c.announce(s.ID, revision)
+	}
 	return nil
 }
 
 // createHead creates a head, in place of that of a refused job if there is one. A conflict with this node's own head is not
-// an error: the answer to an earlier write was lost.
+// an error, unless the job was ended meanwhile: the answer to an earlier write was lost.
 func (c *Controller) createHead(ctx context.Context, h head) (int64, error) {
 	value, err := json.Marshal(h)
 	if err != nil {
@@ -309,7 +323,7 @@
 	if readErr == nil && stored.Refused {
 		return c.replaceHead(ctx, h, storedRevision)
 	}
-	if readErr == nil && stored.Owner == h.Owner && stored.Incarnation == h.Incarnation && stored.Submitted.Equal(h.Submitted) {
+	if readErr == nil && !stored.Ended && stored.Owner == h.Owner && stored.Incarnation == h.Incarnation && stored.Submitted.Equal(h.Submitted) {
 		return storedRevision, nil
 	}
 	return 0, err
--- a/pkg/listjob/controller.go
+++ b/pkg/listjob/controller.go
@@ -91,8 +91,10 @@
 	sweeps int
 	// untold holds what other processes must be told of jobs.
 	untold map[owner]*untold
-	// creating holds the jobs whose heads are being created, with the beginnings of these attempts.
-	creating map[string]time.Time
+	// creating holds the jobs whose heads are being created.
+	creating map[string]creation
+	// missed holds what this node was told of jobs that it creates or takes over, until it owns them in memory.
+	missed map[string]Owned
 	// verifiedAt is when this node last began to compare all its jobs with the store, and sweptAt when it last began a sweep of
 	// its own, which may read a state that is a second old.
 	verifiedAt, sweptAt time.Time
@@ -109,7 +111,7 @@
 func New(o Options) *Controller {
 	c := &Controller{
 		options: o, jobs: map[string]*job{}, knownOwners: map[string]owner{}, adopting: map[string]time.Time{}, undecided: map[string]chan struct{}{},
-		creating: map[string]time.Time{}, withdrawing: map[string]bool{}, lastRefusals: map[string]lastRefusal{}, untold: map[owner]*untold{}, wake: make(chan struct{}, 1),
+		creating: map[string]creation{}, missed: map[string]Owned{}, withdrawing: map[string]bool{}, lastRefusals: map[string]lastRefusal{}, untold: map[owner]*untold{}, wake: make(chan struct{}, 1),
 		lengths: newLengthModel(),
 	}
 	c.entryLimit.Store(maxEntryBytes)
@@ -137,21 +139,55 @@
 	return owner{m.Name, m.Incarnation}
 }
 
-// startJob starts a job that this node owns.
+// startJob starts a job that this node owns, unless it was told of a later owner, or runs the job already.
 func (c *Controller) startJob(j *job) {
+	id := j.head.ID
 	c.setTimes(j)
 	c.mu.Lock()
-	if begun, ok := c.creating[j.head.ID]; ok {
-		j.ownedAt = begun
+	defer c.mu.Unlock()
+	if c.jobs[id] != nil {
+		return
+	}
+	if now, ok := c.missed[id]; ok && now.Revision > j.revision {
+		if to := (owner{now.Owner, now.Incarnation}); to != (owner{j.head.Owner, j.head.Incarnation}) {
+			j.released = true
+			c.knownOwners[id] = to
+			c.options.Log.Notice("job is now owned by another node", "job", id, "owner", to.Node)
+			return
+		}
+		j.head.Ended = j.head.Ended || now.Ended
+	}
+	if begun, ok := c.creating[id]; ok {
+		j.ownedAt = begun.begun
 	} else {
-		j.ownedAt = c.adopting[j.head.ID]
+		j.ownedAt = c.adopting[id]
 	}
-	c.jobs[j.head.ID] = j
-	delete(c.knownOwners, j.head.ID)
-	c.mu.Unlock()
+	c.jobs[id] = j
+	delete(c.knownOwners, id)
 	c.wakeUp()
 }
 
+// keepMissed keeps what this node is told of a job that it creates or takes over. The caller holds c.mu.
+func (c *Controller) keepMissed(stored Owned) {
+	if c.jobs[stored.ID] == nil && c.isStarting(stored.ID) && stored.Revision > c.missed[stored.ID].Revision {
+		c.missed[stored.ID] = stored
+	}
+}
+
+// dropMissed forgets it once this node neither creates the job nor takes it over. The caller holds c.mu.
+func (c *Controller) dropMissed(id string) {
+	if !c.isStarting(id) {
+		delete(c.missed, id)
+	}
+}
+
+// isStarting reports whether this node creates a job or takes it over. The caller holds c.mu.
+func (c *Controller) isStarting(id string) bool {
+	_, creating := c.creating[id]
+	_, adopting := c.adopting[id]
+	return creating || adopting
+}
+
 // setTimes sets when the job's results are due and until when items are run, from its route in force.
 func (c *Controller) setTimes(j *job) {
 	j.due, j.retryUntil = j.head.Submitted.Add(defaultCompletion), j.head.Submitted.Add(defaultRetention)
--- /dev/null
+++ b/pkg/listjob/ends_test.go
@@ -0,0 +1,130 @@
+package listjob
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"trefoilplank.example/pkg/adapter/store"
+	"trefoilplank.example/pkg/adapter/store/memstore"
+)
+
+// gatedStore lets calls wait: reads of items until itemsGate is closed, and the writes of a head after the first one, whose answer
+// is lost, until headGate is closed. Writes of heads fail while refuseHeads is set. Calls fail when their context ends.
+type gatedStore struct {
+	store.Store
+	itemsGate, headGate chan struct{}
+	mu                  sync.Mutex
+	headWrites          int
+	refuseHeads         bool
+}
+
+func (s *gatedStore) Get(ctx context.Context, key string) (store.Object, error) {
+	if s.itemsGate != nil && strings.HasPrefix(key, itemsKind) {
+		<-s.itemsGate
+	}
+	if ctx.Err() != nil {
+		return store.Object{}, store.ErrUnavailable
+	}
+	return s.Store.Get(ctx, key)
+}
+
+func (s *gatedStore) Put(ctx context.Context, key string, value []byte, revision int64) (int64, error) {
+	isHead := strings.HasPrefix(key, headKind)
+	s.mu.Lock()
+	if isHead {
+		s.headWrites++
+	}
+	first, refuse := s.headWrites == 1, isHead && s.refuseHeads
+	s.mu.Unlock()
+	switch {
+	case refuse, ctx.Err() != nil:
+		return 0, store.ErrUnavailable
+	case isHead && s.headGate != nil && first:
+		_, err := s.Store.Put(ctx, key, value, revision)
+		<-ctx.Done()
+		return 0, errors.Join(store.ErrUnknown, err)
+	case isHead && s.headGate != nil:
+		<-s.headGate
+	}
+	return s.Store.Put(ctx, key, value, revision)
+}
+
+func (s *gatedStore) setRefuseHeads(refuse bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refuseHeads = refuse
+}
+
+func (e *engine) totalRuns() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	sum := 0
+	for _, n := range e.runs {
+		sum += n
+	}
+	return sum
+}
+
+// awaitHead waits until the stored head of a job satisfies a condition.
+func awaitHead(t *testing.T, s store.Store, id string, within time.Duration, ok func(head) bool) {
+	t.Helper()
+	for until := time.Now().Add(within); ; time.Sleep(5 * time.Millisecond) {
+		if o, err := s.Get(context.Background(), headKind+id); err == nil {
+			h, err := decodeHead(o)
+			assert.NilError(t, err)
+			if ok(h) {
+				return
+			}
+		}
+		assert.Assert(t, time.Now().Before(until), "the head of job %s is not as expected after %v", id, within)
+	}
+}
+
+// Guards against items of an ended job that run at a node which takes the job over while it is ended: the node is told before it
+// owns the job in memory.
+func TestJobEndedDuringATakeoverDoesNotRun(t *testing.T) {
+	s, net := memstore.New(), newNetwork()
+	first, second := newEngine(t, 1000, 10*time.Millisecond), newEngine(t, 3, time.Millisecond)
+	gated := &gatedStore{Store: s, itemsGate: make(chan struct{})}
+	a := net.addNode(t, s, first, "a", "b", "c")
+	b := net.addNode(t, gated, second, "b", "a", "c")
+	c := net.addNode(t, s, first, "c", "a", "b")
+	assert.NilError(t, a.Accept(context.Background(), submission("j", 2)))
+	adopted := make(chan error, 1)
+	go func() { adopted <- b.adopt(context.Background(), "j", nil) }()
+	awaitHead(t, s, "j", time.Second, func(h head) bool { return h.Owner == "b" })
+	assert.NilError(t, c.End(context.Background(), "j"))
+	time.Sleep(50 * time.Millisecond) // The owner is told.
+	close(gated.itemsGate)
+	assert.NilError(t, <-adopted)
+	time.Sleep(2 * scheduleInterval)
+	assert.Equal(t, second.totalRuns(), 0)
+}
+
+// Guards against items of an ended job that run at the node that created it, since the answer to the write of its head was lost and
+// the job was confirmed at another node, and ended, before the creator read the head back.
+func TestJobEndedWhileItsCreatorAwaitsAnAnswerDoesNotRun(t *testing.T) {
+	s, net := memstore.New(), newNetwork()
+	own, other := newEngine(t, 3, time.Millisecond), newEngine(t, 3, time.Millisecond)
+	gated := &gatedStore{Store: s, headGate: make(chan struct{})}
+	a := net.addNode(t, gated, own, "a", "b")
+	b := net.addNode(t, s, other, "b", "a")
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	defer cancel()
+	created := make(chan error, 1)
+	go func() { created <- a.Accept(ctx, submission("j", 2)) }()
+	awaitHead(t, s, "j", time.Second, func(head) bool { return true })
+	assert.NilError(t, b.Accept(context.Background(), submission("j", 2)))
+	assert.NilError(t, b.End(context.Background(), "j"))
+	time.Sleep(50 * time.Millisecond) // The owner is told.
+	close(gated.headGate)
+	assert.NilError(t, <-created)
+	time.Sleep(2 * scheduleInterval)
+	assert.Equal(t, own.totalRuns(), 0)
+}
--- a/pkg/listjob/read.go
+++ b/pkg/listjob/read.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"time"
 
 	"trefoilplank.example/pkg/adapter/store"
@@ -379,7 +380,12 @@
 
 // Stop stops the work on a job whose end is stored.
 func (r *Receiver) Stop(args EndArgs, _ *Nothing) error {
-	if j := r.c.ownedJob(args.ID); j != nil {
+	self := r.c.self()
+	r.c.mu.Lock()
+	j := r.c.jobs[args.ID]
+	r.c.keepMissed(Owned{ID: args.ID, Owner: self.Node, Incarnation: self.Incarnation, Revision: math.MaxInt64, Ended: true})
+	r.c.mu.Unlock()
+	if j != nil {
 		r.c.stopJob(j)
 	}
 	return nil
--- a/pkg/listjob/sweep.go
+++ b/pkg/listjob/sweep.go
@@ -210,6 +210,9 @@
 	to := owner{stored.Owner, stored.Incarnation}
 	j := c.ownedJob(stored.ID)
 	if j == nil {
+		c.mu.Lock()
+		c.keepMissed(stored)
+		c.mu.Unlock()
 		if to == c.self() && !c.isStopping() {
 			go c.resume(context.Background(), stored.ID)
 		}
--- a/pkg/listjob/takeover.go
+++ b/pkg/listjob/takeover.go
@@ -63,6 +63,7 @@
 	defer func() {
 		c.mu.Lock()
 		delete(c.adopting, id)
+		c.dropMissed(id)
 		c.mu.Unlock()
 	}()
 	j, previous, err := c.takeOwnership(ctx, id, known)
@@ -84,6 +85,9 @@
 		c.tell(previous, Owned{ID: id, Owner: c.self().Node, Incarnation: c.self().Incarnation, Revision: j.revision, Ended: j.head.Ended})
 	}
 	c.startJob(j)
+	if c.ownedJob(id) != j {
+		return nil
+	}
 	for _, it := range done {
 		c.finishItem(it, it.result)
 	}
@@ -96,9 +100,7 @@
 
 // busyWith reports whether this node owns a job, or is about to. The caller holds c.mu.
 func (c *Controller) busyWith(id string) bool {
-	_, adopting := c.adopting[id]
-	_, creating := c.creating[id]
-	return adopting || creating || c.jobs[id] != nil || c.undecided[id] != nil
+	return c.isStarting(id) || c.jobs[id] != nil || c.undecided[id] != nil
 }
 
 // restore sets the items to the state that an earlier owner had reached, and returns those that are finished.
