Read a head again before a job is resumed from it

Cause: a takeover from a list that is a second old is safe because the write of the new owner fails if the head has changed. If the list names this node as the owner already, nothing is written, and the job was started from the old head: not ended. A head read just before had the same gap, up to the moment from which the node keeps what it is told.

Evidence, on the code before: TestOldHeadOfAnOwnJobIsReadAgain: j.isOpen() is true: items of an ended job may run

Why this works: the head is read after the takeover has begun, so that an end is either in it or kept. If it names another owner by then, the job is left to that one.

--- a/pkg/listjob/ends_test.go
+++ b/pkg/listjob/ends_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"strings"
 	"sync"
@@ -128,3 +129,37 @@
 	time.Sleep(2 * scheduleInterval)
 	assert.Equal(t, own.totalRuns(), 0)
 }
+
+// Guards against items of an ended job that run at its owner by the store, since it resumes the job from a list that is older than
+// the end.
+func TestOldHeadOfAnOwnJobIsReadAgain(t *testing.T) {
+	s, net, e := memstore.New(), newNetwork(), newEngine(t, 3, time.Millisecond)
+	a := net.addNode(t, s, e, "a")
+	items, err := json.Marshal(submission("j", 2).Items)
+	assert.NilError(t, err)
+	_, err = s.Put(context.Background(), chunkKey("j", 0), items, store.CreateOnly)
+	assert.NilError(t, err)
+	old := head{ID: "j", Host: testHost, Path: "/b/j", Total: 2, Chunks: 1, Submitted: time.Now(), Owner: "a", Incarnation: 1}
+	ended := old
+	ended.Ended = true
+	value, err := json.Marshal(ended)
+	assert.NilError(t, err)
+	revision, err := s.Put(context.Background(), headKind+"j", value, store.CreateOnly)
+	assert.NilError(t, err)
+	j, _, err := a.takeOwnership(context.Background(), "j", &sweptHead{old, revision - 1})
+	assert.NilError(t, err)
+	assert.Assert(t, !j.isOpen(), "items of an ended job may run")
+}
+
+// Guards against a node that takes a job from its owner, since an old list names the node itself as the owner.
+func TestOldHeadTakesNoJobFromItsOwner(t *testing.T) {
+	s, net, e := memstore.New(), newNetwork(), newEngine(t, 1000, 10*time.Millisecond)
+	a := net.addNode(t, s, e, "a", "b")
+	b := net.addNode(t, s, e, "b", "a")
+	assert.NilError(t, a.Accept(context.Background(), submission("j", 2)))
+	h, revision, err := a.readHead(context.Background(), "j")
+	assert.NilError(t, err)
+	h.Owner = "b"
+	_, _, err = b.takeOwnership(context.Background(), "j", &sweptHead{h, revision - 1})
+	assert.ErrorContains(t, err, "now owned by node a")
+}
--- a/pkg/listjob/takeover.go
+++ b/pkg/listjob/takeover.go
@@ -124,17 +124,22 @@
 }
 
 // takeOwnership makes this node the owner of a job and reads the job from the store. It also returns the previous owner. A
-// known head may be stale; the write of the owner fails then.
+// known head may be stale; the write of the owner fails then. One that names this node as the owner is read again, since
+// nothing is written.
 func (c *Controller) takeOwnership(ctx context.Context, id string, known *sweptHead) (*job, owner, error) {
 	var h head
 	var revision int64
 	var err error
-	if known != nil {
+	ownBefore := known != nil && (owner{known.Head.Owner, known.Head.Incarnation}) == c.self()
+	if known != nil && !ownBefore {
 		h, revision = known.Head, known.Revision
 	} else if h, revision, err = c.readHead(ctx, id); err != nil {
 		return nil, owner{}, err
 	}
 	previous := owner{h.Owner, h.Incarnation}
+	if ownBefore && previous != c.self() {
+		return nil, owner{}, Error.New("job is now owned by node %s", previous.Node)
+	}
 	j, err := c.claim(ctx, h, revision)
 	return j, previous, err
 }
