Tell the owner of a job of its end before the end is confirmed

Cause: the node that stored the end called the owner once, after the confirmation. It made no call if an earlier call to that node had failed a moment ago, or if it still held the job itself as a former owner, and a call that failed was not repeated: between two connects it fails at once. The hub did not tell a suspected owner either. An upstream that is silent for 1.3 s reads what was sent last after 4.0 s.

Evidence, on the code before: TestFormerOwnerTellsTheOwnerOfAnEnd: the owner was not told of the end TestSuspectedOwnerIsToldOfAnEnd: the owner was not told of the end TestHubTellsASuspectedOwnerOfAnEnd: the owner was not told of the end TestEndIsToldUntilTheOwnerAnswers: the owner was not told of the end

A call that fails is repeated every half second, by a loop that does not wait for the store, also to a node that is only suspected.

All four tests pass now (-race).

--- a/pkg/listjob/controller.go
+++ b/pkg/listjob/controller.go
@@ -123,6 +123,7 @@
 	var all sync.WaitGroup
 	all.Go(func() { c.schedule(ctx) })
 	all.Go(func() { c.sweepLoop(ctx) })
+	all.Go(func() { c.deliverLoop(ctx) })
 	all.Wait()
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/pkg/listjob/ends_test.go
+++ b/pkg/listjob/ends_test.go
@@ -163,3 +163,84 @@
 	_, _, err = b.takeOwnership(context.Background(), "j", &sweptHead{h, revision - 1})
 	assert.ErrorContains(t, err, "now owned by node a")
 }
+
+// Guards against an owner that is not told of the end of its job, since the node that confirms the end still holds the job from
+// the time in which it was the owner.
+func TestFormerOwnerTellsTheOwnerOfAnEnd(t *testing.T) {
+	s, net, e := memstore.New(), newNetwork(), newEngine(t, 1000, 10*time.Millisecond)
+	a := net.addNode(t, s, e, "a", "b")
+	b := net.addNode(t, s, e, "b", "a")
+	assert.NilError(t, a.Accept(context.Background(), submission("j", 2)))
+	a.stop()
+	time.Sleep(2 * checkInterval) // What node a had begun ends.
+	former := a.ownedJob("j")
+	assert.NilError(t, b.adopt(context.Background(), "j", nil))
+	a.mu.Lock()
+	a.jobs["j"] = former // Node a has not been told of the takeover.
+	a.mu.Unlock()
+	assert.NilError(t, a.End(context.Background(), "j"))
+	assert.Assert(t, !b.runs("j"), "the owner was not told of the end")
+	assert.Assert(t, a.ownedJob("j") == nil)
+}
+
+// runs reports whether a node may start items of a job.
+func (n *node) runs(id string) bool {
+	j := n.ownedJob(id)
+	if j == nil {
+		return false
+	}
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.isOpen()
+}
+
+// Guards against an end that is confirmed before the owner is told, and against an owner that is not told because a call to it
+// failed a moment ago: both left it to the sweeps of the hub, whose lists may be old.
+func TestSuspectedOwnerIsToldOfAnEnd(t *testing.T) {
+	s, net, e := memstore.New(), newNetwork(), newEngine(t, 1000, 10*time.Millisecond)
+	a := net.addNode(t, s, e, "a", "b")
+	b := net.addNode(t, s, e, "b", "a")
+	assert.NilError(t, b.Accept(context.Background(), submission("j", 2)))
+	a.fleet.Suspect("b", time.Minute, errors.New("connection lost"))
+	assert.NilError(t, a.End(context.Background(), "j"))
+	assert.Assert(t, !b.runs("j"), "the owner was not told of the end")
+}
+
+// Guards against an owner that the hub does not tell of the end of its job, because a call to it failed a moment ago.
+func TestHubTellsASuspectedOwnerOfAnEnd(t *testing.T) {
+	s, net, e := memstore.New(), newNetwork(), newEngine(t, 1000, 10*time.Millisecond)
+	a := net.addNode(t, s, e, "a", "b")
+	b := net.addNode(t, s, e, "b", "a")
+	assert.NilError(t, b.Accept(context.Background(), submission("j", 2)))
+	b.stop() // It does not look by itself.
+	a.stop()
+	time.Sleep(2 * checkInterval) // What the nodes had begun ends.
+	h, revision, err := a.readHead(context.Background(), "j")
+	assert.NilError(t, err)
+	a.fleet.Suspect("b", time.Minute, errors.New("connection lost"))
+	a.swept = map[string]Owned{"j": ownedIn(h, revision)}
+	h.Ended = true
+	a.sweepForOthers(context.Background(), []sweptHead{{h, revision + 1}})
+	for until := time.Now().Add(sweepCallTimeout); b.runs("j"); time.Sleep(5 * time.Millisecond) {
+		assert.Assert(t, time.Now().Before(until), "the owner was not told of the end")
+	}
+}
+
+// Guards against an owner that goes on because the call that tells it of the end failed, for instance between two connects.
+func TestEndIsToldUntilTheOwnerAnswers(t *testing.T) {
+	s, net, e := memstore.New(), newNetwork(), newEngine(t, 1000, 10*time.Millisecond)
+	net.addNode(t, s, e, "a", "b", "c").stop() // The hub sweeps no more.
+	b := net.addNode(t, s, e, "b", "a", "c")
+	c := net.addNode(t, s, e, "c", "a", "b")
+	assert.NilError(t, b.Accept(context.Background(), submission("j", 2)))
+	b.stop() // It does not look by itself.
+	time.Sleep(2 * checkInterval)
+	net.cutOff("b", true)
+	assert.NilError(t, c.End(context.Background(), "j"))
+	time.Sleep(50 * time.Millisecond)
+	assert.Assert(t, b.runs("j"))
+	net.reconnect("b")
+	for until := time.Now().Add(tellInterval + 2*checkInterval); b.runs("j"); time.Sleep(5 * time.Millisecond) {
+		assert.Assert(t, time.Now().Before(until), "the owner was not told of the end")
+	}
+}
--- a/pkg/listjob/read.go
+++ b/pkg/listjob/read.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"errors"
-	"math"
 	"time"
 
 	"trefoilplank.example/pkg/adapter/store"
@@ -298,95 +296,3 @@
 	}
 	return nil
 }
-
-// End ends a job that this node owns.
-func (r *Receiver) End(args EndArgs, reply *EndReply) error {
-	if r.c.ownedJob(args.ID) == nil {
-		return nil
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), endTimeout)
-	defer cancel()
-	err := r.c.endInStore(ctx, args.ID)
-	reply.Found = err == nil
-	return err
-}
-
-// endTimeout limits the time for storing the end of a job.
-const endTimeout = 3 * time.Second
-
-// End ends a job. It returns nil once the end is stored.
-func (c *Controller) End(ctx context.Context, id string) error {
-	ctx, cancel := context.WithTimeout(ctx, endTimeout)
-	defer cancel()
-	err := c.endInStore(ctx, id)
-	if err == nil || errors.Is(err, ErrNotFound) {
-		return err
-	}
-	jobOwner, _, ownerErr := c.ownerOf(ctx, id)
-	if ownerErr != nil || jobOwner == c.self() {
-		return err
-	}
-	var reply EndReply
-	if c.callOwner(ctx, jobOwner, id, "Jobs.End", EndArgs{ID: id}, time.Second, &reply) == nil && reply.Found {
-		return nil
-	}
-	return err
-}
-
-// endInStore marks the head as ended and stops the runs at the owner.
-func (c *Controller) endInStore(ctx context.Context, id string) error {
-	for {
-		h, revision, err := c.readHead(ctx, id)
-		if err != nil {
-			return err
-		}
-		if !h.Ended {
-			h.Ended = true
-			revision, err = c.putHead(ctx, h, revision)
-			if isConflict(err) {
-				continue
-			}
-			if err != nil {
-				return errors.Join(ErrUnavailable, err)
-			}
-		}
-		c.options.Log.Routine("end of job stored", "job", id, "revision", revision, "owner", h.Owner)
-		c.stopEnded(h, revision)
-		return nil
-	}
-}
-
-// stopEnded stops the work on an ended job, here or by a call to its owner.
-func (c *Controller) stopEnded(h head, revision int64) {
-	if j := c.ownedJob(h.ID); j != nil {
-		j.mu.Lock()
-		j.revision = max(j.revision, revision)
-		j.mu.Unlock()
-		c.stopJob(j)
-		return
-	}
-	jobOwner := owner{h.Owner, h.Incarnation}
-	if jobOwner == c.self() || !c.options.Fleet.Alive(jobOwner.Node, jobOwner.Incarnation) {
-		return
-	}
-	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), endTimeout)
-		defer cancel()
-		if err := c.options.Peers.Call(ctx, jobOwner.Node, "Jobs.Stop", EndArgs{ID: h.ID}, &Nothing{}); err != nil {
-			c.options.Log.Notice("job owner not notified of the job's end", "job", h.ID, "owner", jobOwner.Node, "error", err)
-		}
-	}()
-}
-
-// Stop stops the work on a job whose end is stored.
-func (r *Receiver) Stop(args EndArgs, _ *Nothing) error {
-	self := r.c.self()
-	r.c.mu.Lock()
-	j := r.c.jobs[args.ID]
-	r.c.keepMissed(Owned{ID: args.ID, Owner: self.Node, Incarnation: self.Incarnation, Revision: math.MaxInt64, Ended: true})
-	r.c.mu.Unlock()
-	if j != nil {
-		r.c.stopJob(j)
-	}
-	return nil
-}
--- a/pkg/listjob/sweep.go
+++ b/pkg/listjob/sweep.go
@@ -92,7 +92,6 @@
 			c.markDoneJobs()
 			c.dropOldJobs(now)
 		}
-		c.deliver(ctx)
 		if c.options.Table() == nil {
 			continue // Without a configuration no job can run.
 		}
@@ -259,7 +258,7 @@
 			c.tell(owner{before.Owner, before.Incarnation}, now)
 		}
 		readable := time.Since(h.Head.Submitted) <= c.options.Readable && !h.Head.Refused
-		if (retell && readable || known && now.Ended && !before.Ended) && now.Owner != self && c.options.Fleet.Alive(now.Owner, now.Incarnation) {
+		if (retell && readable && c.options.Fleet.Alive(now.Owner, now.Incarnation) || known && now.Ended && !before.Ended) && now.Owner != self {
 			c.tell(owner{now.Owner, now.Incarnation}, now)
 		}
 		if c.orphaned(h.Head) && c.options.Fleet.MayDeclareLost() {
--- a/pkg/listjob/tell.go
+++ b/pkg/listjob/tell.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"trefoilplank.example/pkg/wait"
 )
 
 const (
@@ -34,6 +36,13 @@
 	}
 }
 
+// deliverLoop tells processes what they must be told, until ctx ends. Sweeps wait for the store, and this does not.
+func (c *Controller) deliverLoop(ctx context.Context) {
+	for wait.Sleep(ctx, checkInterval) == nil {
+		c.deliver(ctx)
+	}
+}
+
 // deliver tells processes what they must be told. A node that does not respond is told once it does.
 func (c *Controller) deliver(ctx context.Context) {
 	now := time.Now()
@@ -44,7 +53,7 @@
 		case u.calling:
 		case c.options.Fleet.Restarted(process.Node, process.Incarnation), now.After(u.until), len(u.jobs) == 0:
 			delete(c.untold, process)
-		case !now.Before(u.next) && c.options.Fleet.Alive(process.Node, process.Incarnation):
+		case !now.Before(u.next) && !c.options.Fleet.Lost(process.Node, process.Incarnation):
 			u.calling, u.next = true, now.Add(tellInterval)
 			list := make([]Owned, 0, len(u.jobs))
 			for _, stored := range u.jobs {
