Carry an end of a job out although its caller left or it failed at first

Cause: the end ran under the context of the caller's request. A node that did not run for a moment reads a request whose caller has left already: its context ends at once, and nothing was stored. Nor was an end that the store did not take at the first attempt tried again.

Evidence, on the code before: TestEndWithoutItsCallerIsStored: the head of job j is not as expected after 1s TestEndThatTheStoreRefusedIsRepeated: the head of job j is not as expected after 3s

Why this works: an end that a node has read is stored whatever becomes of its caller, with a pause of a second or a little more between attempts, for two minutes. Callers get the outcome of the first attempt, as before. A job whose end fails at several calls is ended by one loop.

Both tests pass now (-race).

--- a/pkg/listjob/controller.go
+++ b/pkg/listjob/controller.go
@@ -93,6 +93,8 @@
 	untold map[owner]*untold
 	// creating holds the jobs whose heads are being created.
 	creating map[string]creation
+	// ending holds the jobs whose ends are stored by repeated attempts.
+	ending map[string]bool
 	// missed holds what this node was told of jobs that it creates or takes over, until it owns them in memory.
 	missed map[string]Owned
 	// verifiedAt is when this node last began to compare all its jobs with the store, and sweptAt when it last began a sweep of
@@ -111,7 +113,7 @@
 func New(o Options) *Controller {
 	c := &Controller{
 		options: o, jobs: map[string]*job{}, knownOwners: map[string]owner{}, adopting: map[string]time.Time{}, undecided: map[string]chan struct{}{},
-		creating: map[string]creation{}, missed: map[string]Owned{}, withdrawing: map[string]bool{}, lastRefusals: map[string]lastRefusal{}, untold: map[owner]*untold{}, wake: make(chan struct{}, 1),
+		creating: map[string]creation{}, missed: map[string]Owned{}, ending: map[string]bool{}, withdrawing: map[string]bool{}, lastRefusals: map[string]lastRefusal{}, untold: map[owner]*untold{}, wake: make(chan struct{}, 1),
 		lengths: newLengthModel(),
 	}
 	c.entryLimit.Store(maxEntryBytes)
--- a/pkg/listjob/ends.go
+++ b/pkg/listjob/ends.go
@@ -4,7 +4,10 @@
 	"context"
 	"errors"
 	"math"
+	"math/rand/v2"
 	"time"
+
+	"trefoilplank.example/pkg/wait"
 )
 
 // End ends a job that this node owns.
@@ -22,13 +25,57 @@
 const (
 	// endTimeout limits one attempt to store the end of a job.
 	endTimeout = 3 * time.Second
-	// endTellTimeout is how long the confirmation of an end waits for the job's owner: two thirds of what the platform allows until
-	// items stop are left then.
+	// endRetry is the pause after an attempt that failed, and endFor the time after which attempts end: an end that the platform
+	// did not get confirmed counts too, from four seconds of a calm store on.
+	endRetry, endFor = time.Second, 2 * time.Minute
+	// endTellTimeout is how long the confirmation of an end waits for the job's owner; the platform waits four seconds for it.
 	endTellTimeout = 500 * time.Millisecond
 )
 
-// End ends a job. It returns nil once the end is stored and the job's owner was told, if it answers soon.
+// End ends a job. It returns nil once the end is stored and the job's owner was told, if it answers soon. The end is stored also if
+// ctx ends before, or if the first attempt fails.
 func (c *Controller) End(ctx context.Context, id string) error {
+	first := make(chan error, 1)
+	go c.endUntilStored(context.WithoutCancel(ctx), id, first)
+	select {
+	case err := <-first:
+		return err
+	case <-ctx.Done():
+		return errors.Join(ErrUnavailable, ctx.Err())
+	}
+}
+
+// endUntilStored ends a job, with further attempts if the first one fails, whose outcome it sends to first.
+func (c *Controller) endUntilStored(ctx context.Context, id string, first chan<- error) {
+	begun := time.Now()
+	err := c.endOnce(ctx, id)
+	first <- err
+	if err == nil || errors.Is(err, ErrNotFound) || !c.beginEnding(id) {
+		return
+	}
+	for err != nil && !errors.Is(err, ErrNotFound) && time.Since(begun) < endFor {
+		_ = wait.Sleep(ctx, endRetry+rand.N(endRetry/2))
+		err = c.endOnce(ctx, id)
+	}
+	c.options.Log.Notice("finished storing the end of a job", "job", id, "ms", time.Since(begun).Milliseconds(), "error", err)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.ending, id)
+}
+
+// beginEnding reports whether no other call repeats the attempts to end a job.
+func (c *Controller) beginEnding(id string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ending[id] {
+		return false
+	}
+	c.ending[id] = true
+	return true
+}
+
+// endOnce makes one attempt to end a job.
+func (c *Controller) endOnce(ctx context.Context, id string) error {
 	ctx, cancel := context.WithTimeout(ctx, endTimeout)
 	defer cancel()
 	err := c.endInStore(ctx, id)
--- a/pkg/listjob/ends_test.go
+++ b/pkg/listjob/ends_test.go
@@ -244,3 +244,28 @@
 		assert.Assert(t, time.Now().Before(until), "the owner was not told of the end")
 	}
 }
+
+// Guards against an end that nobody carries out because the caller left before it was stored, at a node that did not run for a
+// moment: an end without a confirmation counts too.
+func TestEndWithoutItsCallerIsStored(t *testing.T) {
+	s, net, e := memstore.New(), newNetwork(), newEngine(t, 1000, 10*time.Millisecond)
+	a := net.addNode(t, &gatedStore{Store: s}, e, "a")
+	assert.NilError(t, a.Accept(context.Background(), submission("j", 2)))
+	gone, cancel := context.WithCancel(context.Background())
+	cancel()
+	assert.ErrorIs(t, a.End(gone, "j"), ErrUnavailable)
+	awaitHead(t, s, "j", time.Second, func(h head) bool { return h.Ended })
+}
+
+// Guards against an end that nobody carries out because the store did not accept it at first.
+func TestEndThatTheStoreRefusedIsRepeated(t *testing.T) {
+	s, net, e := memstore.New(), newNetwork(), newEngine(t, 1000, 10*time.Millisecond)
+	gated := &gatedStore{Store: s}
+	a := net.addNode(t, gated, e, "a")
+	assert.NilError(t, a.Accept(context.Background(), submission("j", 2)))
+	gated.setRefuseHeads(true)
+	assert.ErrorIs(t, a.End(context.Background(), "j"), ErrUnavailable)
+	gated.setRefuseHeads(false)
+	awaitHead(t, s, "j", 3*time.Second, func(h head) bool { return h.Ended })
+	assert.Assert(t, !a.runs("j"))
+}
