Leave an item at an upstream that falls silent for a second

Cause: a run was given up after 0.7 s without an event. Sound upstreams fall silent for a second or so; their kernels accept bytes and connections meanwhile.

Why this works: silence alone ends a run after two seconds. After 0.7 s a connection to the upstream is tried, as uplink does; if neither this node nor another one can connect, or only another one can, the run is given up as before. A connection that breaks ends it at once, as before.

TestItemLeavesAnUpstreamThatCanNotBeReached and the tests of stalled runs and of slow engines pass (-race).

--- a/pkg/listjob/controller.go
+++ b/pkg/listjob/controller.go
@@ -12,6 +12,7 @@
 	"trefoilplank.example/pkg/controller/failedruns"
 	"trefoilplank.example/pkg/controller/fleet"
 	"trefoilplank.example/pkg/controller/placer"
+	"trefoilplank.example/pkg/controller/uplink"
 	"trefoilplank.example/pkg/decision/quota"
 	"trefoilplank.example/pkg/decision/routing"
 	"trefoilplank.example/pkg/eventlog"
@@ -39,6 +40,8 @@
 	Fleet  *fleet.Fleet
 	Placer *placer.Placer
 	Client *forward.Client
+	// Diagnose tries to connect to an upstream, as uplink.Links does.
+	Diagnose func(ctx context.Context, address string) uplink.Diagnosis
 	// FailedRuns holds the failed runs of all nodes; nil if they are not recorded.
 	FailedRuns *failedruns.Controller
 	Table      func() *routing.Table
--- a/pkg/listjob/fakes_test.go
+++ b/pkg/listjob/fakes_test.go
@@ -61,6 +61,9 @@
 	// breakAt is the event in the middle of which the first run of each item breaks off, or 0. stallAt is the one in the middle
 	// of which it stalls, but for a byte every 100 ms.
 	breakAt, stallAt int
+	// pauseAt is the event before which the engine is silent for pause, once in each run that sends earlier ones, or 0.
+	pauseAt int
+	pause   time.Duration
 }
 
 func newEngine(t *testing.T, events int, interval time.Duration) *engine {
@@ -104,6 +107,9 @@
 			}
 			return
 		}
+		if e.pauseAt > 0 && n == e.pauseAt && n > first {
+			time.Sleep(e.pause)
+		}
 		fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, e.eventData(id, n))
 		w.(http.Flusher).Flush()
 		select {
@@ -366,8 +372,9 @@
 		routes.Routes[0].Retention = n.retention
 	}
 	table := routing.NewTable(routes)
+	links := uplink.New(uplink.Options{})
 	c := New(Options{
-		Store: freezingStore{s, n, name}, Peers: caller{n, name}, Fleet: f, Placer: p, Client: forward.NewClient(testHeaders, uplink.New(uplink.Options{}), p.Announce),
+		Store: freezingStore{s, n, name}, Peers: caller{n, name}, Fleet: f, Placer: p, Client: forward.NewClient(testHeaders, links, p.Announce), Diagnose: links.Diagnose,
 		FailedRuns: n.failedRuns, Table: func() *routing.Table { n.whileFrozen(name); return table }, MemoryBytes: 256 << 20, Readable: 2 * time.Minute, Log: log,
 		IsHub: func() bool { return n.isHub(name) }, HubSweeps: func() bool { return n.hubSweeps(name) }, Hub: n.hub,
 		HubWaiting:     func(context.Context) (map[string]int64, error) { return n.hubWaiting(name) },
--- a/pkg/listjob/run.go
+++ b/pkg/listjob/run.go
@@ -31,13 +31,6 @@
 	// maxEventBytes limits the size of an incomplete event, and maxTextBytes that of an item's text: callers accept reads of 1 MB.
 	// minReadBytes is the least room for a read.
 	maxEventBytes, maxTextBytes, minReadBytes = 256 << 10, 900 << 10, 1 << 10
-	// firstEventTimeout is how long a run may send no event at first before the item continues at another upstream: engines
-	// queue for less than two seconds. Between events it is paceTimeout times the usual time for one, at least
-	// minEventTimeout; both double with each run of the item that broke off, up to maxEventTimeout, since an engine may be
-	// slow and sound.
-	firstEventTimeout                = 2500 * time.Millisecond
-	paceTimeout                      = 8
-	minEventTimeout, maxEventTimeout = 700 * time.Millisecond, 6 * time.Second
 	// brokenRunPause is the pause after the first run of an item that broke off; it doubles with each further one up
 	// to brokenRunPauseMax.
 	brokenRunPause, brokenRunPauseMax = 200 * time.Millisecond, 4 * time.Second
@@ -65,15 +58,15 @@
 	it.job.mu.Lock()
 	request := newRequest(it.job.head, &it.Item)
 	it.beganWriting = false
-	first, between := eventTimeouts(c.lengths.pace(u.Service), it.brokenRuns)
+	timeouts := newEventTimeouts(c.lengths.pace(u.Service), it.brokenRuns)
 	it.job.mu.Unlock()
-	dataTimer := time.AfterFunc(first, func() { cancel(forward.ErrUnresponsive) })
-	defer dataTimer.Stop()
+	silence := c.watchSilence(ctx, u, timeouts, func() { cancel(forward.ErrUnresponsive) })
+	defer silence.stop()
 	measurement, started := c.options.Placer.MeasureRun(u.ID, false), time.Now()
 	received := 0
 	err := c.sendItem(ctx, it, u, request, func(events int) {
 		if events > 0 { // Bytes of an event that is never completed are no progress.
-			dataTimer.Reset(between)
+			silence.heard()
 		}
 		c.options.FailedRuns.Alive(u.ID, started)
 		if received += events; received > 1 && !it.beganWriting {
@@ -99,15 +92,6 @@
 	return err
 }
 
-// eventTimeouts returns how long a run may send no event at first and between events. pace is the usual time for an event of
-// the service, and brokenRuns the number of runs of the item that broke off.
-func eventTimeouts(pace time.Duration, brokenRuns int) (first, between time.Duration) {
-	const maxDoublings = 3
-	doublings := min(brokenRuns, maxDoublings)
-	limit := func(d time.Duration) time.Duration { return min(d<<doublings, max(d, maxEventTimeout)) }
-	return limit(firstEventTimeout), limit(max(minEventTimeout, min(paceTimeout*pace, maxEventTimeout)))
-}
-
 // newRequest returns an item as a request to an upstream.
 func newRequest(h head, it *Item) *forward.Request {
 	header := make(http.Header, len(it.Header))
