Hold an item that was stopped at a silent upstream

Cause: a run that is stopped for another request closes its connection, and the item waits for the next free slot. An upstream that is silent does not read the close, and the item goes on elsewhere meanwhile.

Evidence, on the code before: TestStoppedItemWaitsForASilentUpstream: the item went on after 6.118376ms

The test passes now (-race).

--- a/pkg/listjob/job.go
+++ b/pkg/listjob/job.go
@@ -137,7 +137,9 @@
 	// upstream of the last run went on after its first event.
 	key, fingerprint string
 	beganWriting     bool
-	phase            phase
+	// heardAt is when the last event of the last run arrived, zero if it had none. Only the goroutine of the run uses it.
+	heardAt time.Time
+	phase   phase
 	// text holds the data of the events received so far; lastEvent is the number of the last one, or -1.
 	text      []byte
 	lastEvent int64
--- a/pkg/listjob/run.go
+++ b/pkg/listjob/run.go
@@ -57,7 +57,7 @@
 	defer cancel(nil)
 	it.job.mu.Lock()
 	request := newRequest(it.job.head, &it.Item)
-	it.beganWriting = false
+	it.beganWriting, it.heardAt = false, time.Time{}
 	timeouts := newEventTimeouts(c.lengths.pace(u.Service), it.brokenRuns)
 	it.job.mu.Unlock()
 	silence := c.watchSilence(ctx, u, timeouts, func() { cancel(forward.ErrUnresponsive) })
@@ -67,6 +67,7 @@
 	err := c.sendItem(ctx, it, u, request, func(events int) {
 		if events > 0 { // Bytes of an event that is never completed are no progress.
 			silence.heard()
+			it.heardAt = time.Now()
 		}
 		c.options.FailedRuns.Alive(u.ID, started)
 		if received += events; received > 1 && !it.beganWriting {
@@ -240,6 +241,7 @@
 		state, result.Text = Completed, decodeText(it.text)
 		c.observeLength(it.job, it, int(it.lines.Load()))
 	case stopped:
+		c.holdSilent(it, u)
 		c.options.Metrics.countRun("stopped")
 		c.options.Log.Routine("run of item stopped", fields...)
 	case errors.Is(err, errItemRejected):
--- a/pkg/listjob/silence.go
+++ b/pkg/listjob/silence.go
@@ -6,6 +6,7 @@
 
 	"trefoilplank.example/pkg/controller/uplink"
 	"trefoilplank.example/pkg/decision/dispatch"
+	"trefoilplank.example/pkg/decision/reach"
 )
 
 const (
@@ -65,3 +66,14 @@
 	w.giveUp.Stop()
 	w.check.Stop()
 }
+
+// holdSilent delays the next run of an item whose run was stopped while its upstream was silent: that one goes on with the item
+// until it reads the end of the run. The caller holds the job's lock.
+func (c *Controller) holdSilent(it *item, u dispatch.Upstream) {
+	silent := time.Since(it.heardAt)
+	if it.heardAt.IsZero() || silent < reach.SilenceLimit || silent >= maxSoundSilence {
+		return
+	}
+	it.notBefore = time.Now().Add(maxSoundSilence - silent)
+	c.options.Log.Routine("item waits, since its upstream is silent", "job", it.job.head.ID, "item", it.ID, "upstream", u.ID, "silent_ms", silent.Milliseconds())
+}
--- a/pkg/listjob/silence_test.go
+++ b/pkg/listjob/silence_test.go
@@ -47,3 +47,28 @@
 	}
 	assert.Assert(t, time.Since(begun) >= minCheckDelay)
 }
+
+// Guards against an item that goes on at another upstream, because its run was stopped for another request, while its own upstream,
+// which is silent, can't read that.
+func TestStoppedItemWaitsForASilentUpstream(t *testing.T) {
+	s, net, e, other := memstore.New(), newNetwork(), newEngine(t, 12, 5*time.Millisecond), newEngine(t, 12, 5*time.Millisecond)
+	e.pauseAt, e.pause = 7, soundSilence
+	a := net.addNode(t, s, e, "a")
+	assert.NilError(t, a.Accept(context.Background(), submission("j", 1)))
+	it := a.ownedJob("j").items[0]
+	for until := time.Now().Add(time.Second); it.lines.Load() < int64(e.pauseAt); time.Sleep(5 * time.Millisecond) {
+		assert.Assert(t, time.Now().Before(until))
+	}
+	time.Sleep(soundSilence / 2)
+	stopped := time.Now()
+	it.job.mu.Lock()
+	it.cancelRun()
+	it.job.mu.Unlock()
+	a.placer.SetUpstreams([]dispatch.Upstream{e.upstream(), other.upstream()})
+	for e.totalRuns()+other.totalRuns() < 2 {
+		assert.Assert(t, time.Since(stopped) < 2*maxSoundSilence)
+		time.Sleep(5 * time.Millisecond)
+	}
+	assert.Assert(t, time.Since(stopped) >= soundSilence/2, "the item went on after %v", time.Since(stopped))
+	checkResults(t, e, readAll(t, a.Controller, "j", 10*time.Second))
+}
