Start items by an old belief only as long as a silent upstream leaves time

Cause: a node that others may count as lost started items for three seconds after it last compared its jobs with the store, which is all the time that the rule gives. What a silent upstream is sent then, it reads 1.3 s later.

A node that the hub hears is not concerned: it is told of ends.

The test passes now.

--- a/pkg/listjob/tenure.go
+++ b/pkg/listjob/tenure.go
@@ -10,9 +10,14 @@
 // An owner that was frozen, cut off or starved may have lost its jobs without being told. It learns so by its own clock: a job is
 // certainly its own only while the hub has answered its reports without a gap since it last compared the job with the store.
 
-// runBelief is how long after it last compared a job with the store a node starts items of it while others may count the node
-// as lost: an ended job must stop within three seconds.
-const runBelief = 3 * time.Second
+const (
+	// runBelief is how long after it last compared a job with the store a node starts items of it while others may count the node
+	// as lost: items of an ended job must not reach an upstream three seconds after the end, and a sound upstream that is silent
+	// reads them over a second after they were sent.
+	runBelief = 1500 * time.Millisecond
+	// staleListAge is how old a list may be that the store gives at a lower cost.
+	staleListAge = time.Second
+)
 
 // ownership is what this node knows at a moment of its owning jobs.
 type ownership struct {
@@ -45,7 +50,7 @@
 
 // mayRun reports whether items of the job may start.
 func (o ownership) mayRun(j *job) bool {
-	return o.isCertain(j) || o.now.Sub(o.comparedAt(j)) <= runBelief || o.now.Sub(o.sweptAt) <= runBelief
+	return o.isCertain(j) || o.now.Sub(o.comparedAt(j)) <= runBelief || o.now.Sub(o.sweptAt) <= runBelief-staleListAge
 }
 
 // mustVerify reports whether the hub hears this node again, and it has open jobs that others may have taken over or ended before.
