--- a/pkg/listjob/takeover.go
+++ b/pkg/listjob/takeover.go
@@ -63,6 +63,7 @@
 	defer func() {
 		c.mu.Lock()
 		delete(c.adopting, id)
+		c.dropMissed(id)
 		c.mu.Unlock()
 	}()
 	j, previous, err := c.takeOwnership(ctx, id, known)
@@ -84,6 +85,9 @@
 		c.tell(previous, Owned{ID: id, Owner: c.self().Node, Incarnation: c.self().Incarnation, Revision: j.revision, Ended: j.head.Ended})
 	}
 	c.startJob(j)
+	if c.ownedJob(id) != j {
+		return nil
+	}
 	for _, it := range done {
 		c.finishItem(it, it.result)
 	}
@@ -96,9 +100,7 @@
 
 // busyWith reports whether this node owns a job, or is about to. The caller holds c.mu.
 func (c *Controller) busyWith(id string) bool {
-	_, adopting := c.adopting[id]
-	_, creating := c.creating[id]
-	return adopting || creating || c.jobs[id] != nil || c.undecided[id] != nil
+	return c.isStarting(id) || c.jobs[id] != nil || c.undecided[id] != nil
 }
 
 // restore sets the items to the state that an earlier owner had reached, and returns those that are finished.
@@ -122,17 +124,22 @@
 }
 
 // takeOwnership makes this node the owner of a job and reads the job from the store. It also returns the previous owner. A
-// known head may be stale; the write of the owner fails then.
+// known head may be stale; the write of the owner fails then. One that names this node as the owner is read again, since
+// nothing is written.
 func (c *Controller) takeOwnership(ctx context.Context, id string, known *sweptHead) (*job, owner, error) {
 	var h head
 	var revision int64
 	var err error
-	if known != nil {
+	ownBefore := known != nil && (owner{known.Head.Owner, known.Head.Incarnation}) == c.self()
+	if known != nil && !ownBefore {
 		h, revision = known.Head, known.Revision
 	} else if h, revision, err = c.readHead(ctx, id); err != nil {
 		return nil, owner{}, err
 	}
 	previous := owner{h.Owner, h.Incarnation}
+	if ownBefore && previous != c.self() {
+		return nil, owner{}, Error.New("job is now owned by node %s", previous.Node)
+	}
 	j, err := c.claim(ctx, h, revision)
 	return j, previous, err
 }
