Keep vanished entries only after an outage of the store itself

Cause: a node took every second in which its copy was not kept up to date for an outage of the store, in which entries of live upstreams lapse: a lost or frozen hub and successor, or its own process being stopped or not scheduled. It then kept what the list lacked, and what events of the working watch removed, until 2.2 s after the gap. Only time in which the process ran counts (pkg/decision/outage): a process that is stopped makes no calls and reads no answers. An answer of the followed node that covers the prefix begins the measurement anew. The time since the copy was last current no longer matters. Weighed: asking the other watching node whether its watch was interrupted. On an overloaded machine both have gaps at once, and it is one more call on a path that may be broken. Counting failed calls alone: a call that ends by its own timer in a process that was not scheduled looks like one that the store left unanswered.

--- a/pkg/controller/mirror/mirror.go
+++ b/pkg/controller/mirror/mirror.go
@@ -12,6 +12,7 @@
 
 	"trefoilplank.example/pkg/adapter/peer"
 	"trefoilplank.example/pkg/adapter/store"
+	"trefoilplank.example/pkg/decision/outage"
 	"trefoilplank.example/pkg/eventlog"
 	"trefoilplank.example/pkg/wait"
 )
@@ -33,11 +34,11 @@
 type Prefix struct {
 	// Name is the key prefix, ending in a slash.
 	Name string
-	// AbsenceGrace is how long after an interruption of the watch entries that vanished are kept. Entries that expired
-	// while the store was down are written again by owners that are alive.
+	// AbsenceGrace is how long after an outage of the store entries that vanished are kept. Entries that expired while the
+	// store was down are written again by owners that are alive.
 	AbsenceGrace time.Duration
-	// LapseTime is the shortest interruption in which entries can expire although their owners are alive. After a shorter
-	// one entries that vanished are gone.
+	// LapseTime is the shortest outage in which entries can expire although their owners are alive. After a shorter one, or
+	// after a time in which only this node or the followed one did not run, entries that vanished are gone.
 	LapseTime time.Duration
 	// SuccessorWatches is set if the node that would be followed next watches the prefix itself too: it then sees no interruption when the
 	// followed node is lost.
@@ -92,8 +93,11 @@
 	// followedAt is when the copy was last known to be that of a node whose watch works, and deliveredAt when this node's
 	// watch last delivered something.
 	followedAt, deliveredAt time.Time
-	// restoredAt is when the watch worked again after the last interruption in which entries can have expired; zero
-	// before the first one.
+	// outage measures for how long the store has not answered, and outageBegun is signalled when it begins to.
+	outage      outage.Meter
+	outageBegun chan struct{}
+	// restoredAt is when the watch worked again after the last outage in which entries can have expired; zero before the
+	// first one.
 	restoredAt time.Time
 	// vanished holds the objects that vanished but are kept until the given time.
 	vanished map[string]vanishedEntry
@@ -117,7 +121,7 @@
 func New(o Options, prefixes ...Prefix) *Mirror {
 	m := &Mirror{options: o, copy: map[string]*prefixCopy{}, followed: undecided, uncoveredSince: time.Now()}
 	for _, p := range prefixes {
-		m.copy[p.Name] = &prefixCopy{prefix: p, objects: map[string]store.Object{}, vanished: map[string]vanishedEntry{}, log: o.Log, compressed: map[string]compressedObject{}, brokenAt: time.Now(), watches: make(chan struct{})}
+		m.copy[p.Name] = &prefixCopy{prefix: p, objects: map[string]store.Object{}, vanished: map[string]vanishedEntry{}, log: o.Log, compressed: map[string]compressedObject{}, brokenAt: time.Now(), watches: make(chan struct{}), outageBegun: make(chan struct{}, 1)}
 	}
 	return m
 }
@@ -128,6 +132,7 @@
 	for _, c := range m.copy {
 		all.Go(func() { m.runWatch(ctx, c) })
 		all.Go(func() { m.readPeersWhileBroken(ctx, c) })
+		all.Go(func() { c.measureOutages(ctx) })
 	}
 	all.Wait()
 	return ctx.Err()
@@ -199,9 +204,12 @@
 // Revisions there. If it does not cover all prefixes for longer than uncoveredMax, this node watches the store itself.
 func (m *Mirror) FollowNode(ctx context.Context, node string, revisions map[string]int64) {
 	covered := true
-	for name := range m.copy {
+	for name, c := range m.copy {
 		_, ok := revisions[name]
 		covered = covered && ok
+		if node != "" && !ok {
+			c.uncovered(time.Now())
+		}
 	}
 	m.mu.Lock()
 	if covered {
@@ -244,6 +252,9 @@
 		from := source{node, revisions[name]}
 		c.mu.Lock()
 		c.setMustWatch(node == "" || successor && c.prefix.SuccessorWatches)
+		if node != "" {
+			c.restartOutage(time.Now())
+		}
 		if node != "" && c.readFrom == from {
 			c.followedAt = time.Now()
 		}
@@ -359,13 +370,13 @@
 	if c.watching {
 		return
 	}
-	away, outdated := now.Sub(c.brokenAt), min(now.Sub(c.brokenAt), now.Sub(c.followedAt))
+	away, outdated, unanswered := now.Sub(c.brokenAt), min(now.Sub(c.brokenAt), now.Sub(c.followedAt)), c.outage.End(now)
 	if c.loaded {
-		if outdated >= c.prefix.LapseTime {
+		if unanswered >= c.prefix.LapseTime {
 			c.restoredAt = now
 		}
 		m.options.Log.Notice("store watch works again", "prefix", c.prefix.Name, "revision", c.revision, "away_ms", away.Milliseconds(),
-			"outdated_ms", outdated.Milliseconds())
+			"outdated_ms", outdated.Milliseconds(), "unanswered_ms", unanswered.Milliseconds())
 	}
 	c.watching = true
 }
@@ -378,6 +389,9 @@
 	if wasWatching {
 		c.watching, c.brokenAt = false, now
 	}
+	if isClosed(c.watches) {
+		c.beginOutage(now)
+	}
 	return wasWatching
 }
 
@@ -411,7 +425,7 @@
 	return true
 }
 
-// keepVanished reports whether an entry that vanished is still kept, until AbsenceGrace after the watch was restored.
+// keepVanished reports whether an entry that vanished is still kept, until AbsenceGrace after the end of an outage.
 func (c *prefixCopy) keepVanished(gone removal, now time.Time) bool {
 	if c.prefix.AbsenceGrace == 0 || c.restoredAt.IsZero() {
 		return false
--- a/pkg/controller/mirror/watching.go
+++ b/pkg/controller/mirror/watching.go
@@ -1,6 +1,9 @@
 package mirror
 
-import "context"
+import (
+	"context"
+	"time"
+)
 
 // awaitWatching waits until this node must watch the prefix itself and returns true, or false when ctx ends before.
 func (c *prefixCopy) awaitWatching(ctx context.Context) bool {
@@ -37,6 +40,9 @@
 	case must == isClosed(c.watches):
 	case must:
 		close(c.watches)
+		if !c.watching {
+			c.beginOutage(time.Now())
+		}
 	default:
 		c.watches = make(chan struct{})
 		if c.stopWatch != nil {
