End the read from a former hub when another one is followed

Callers saw: requests at upstreams that had left, up to a second after their hub froze. Cause: one read of a followed node's copy is in progress at a time. If the hub was frozen between its answer and the read of its copy, that read waited for peerTimeout (1 s), and the copy of the next hub, which the node followed after half a second, was not read before. Evidence: TestReadFromFrozenNodeDoesNotDelayTheNextHub before: following_test.go:136: timeout hit after 250ms: map[k/left:1 k/stays:1], want map[k/stays:2] Fix: a read from another node than the one that answers now is cancelled, and only the read in progress records what it has read. A list that is older than the copy is refused as before. Measured: go test -race -count=2 ./pkg/controller/mirror passes.

--- a/pkg/controller/mirror/following.go
+++ b/pkg/controller/mirror/following.go
@@ -94,26 +94,37 @@
 	if c.readFrom == from {
 		c.followedAt = now
 	}
-	if c.readFrom == from || c.reading || c.watching && isClosed(c.watches) {
+	if c.readFrom == from || c.watching && isClosed(c.watches) {
 		return
 	}
-	c.reading = true
+	if c.reading != nil {
+		if c.reading.from.node == from.node {
+			return
+		}
+		c.reading.cancel() // The node followed before may never answer.
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	c.reading = &copyRead{from, cancel}
 	revision := c.revision
 	if !c.loaded {
 		revision = -1
 	}
-	go m.readFollowed(ctx, c, from, revision)
+	go m.readFollowed(ctx, c, c.reading, revision)
 }
 
-// readFollowed reads the copy of the followed node, whose state was last reported as from. revision is that of this
+// readFollowed reads the copy of the followed node, whose state was last reported as read.from. revision is that of this
 // node's copy. A copy of the same revision is read too, since the content also changes when a vanished entry is
 // dropped.
-func (m *Mirror) readFollowed(ctx context.Context, c *prefixCopy, from source, revision int64) {
-	replaced := m.readPeer(ctx, c, from.node, revision, true)
+func (m *Mirror) readFollowed(ctx context.Context, c *prefixCopy, read *copyRead, revision int64) {
+	defer read.cancel()
+	replaced := m.readPeer(ctx, c, read.from.node, revision, true)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.reading = false
+	if c.reading != read {
+		return
+	}
+	c.reading = nil
 	if replaced {
-		c.readFrom, c.followedAt = from, time.Now()
+		c.readFrom, c.followedAt = read.from, time.Now()
 	}
 }
--- a/pkg/controller/mirror/following_test.go
+++ b/pkg/controller/mirror/following_test.go
@@ -74,6 +74,14 @@
 	}, soon...)
 }
 
+// readContent returns which content of the followed node's copy was last read.
+func (m *Mirror) readContent(prefix string) int64 {
+	c := m.copy[prefix]
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.readFrom.content
+}
+
 // Guards against requests to an upstream that has left, while the hub is lost and the next one watches the upstreams but does not cover all
 // other copies yet: the copy of the upstreams waited for these.
 func TestCoveredPrefixOfTheNextHubIsFollowedAtOnce(t *testing.T) {
@@ -91,3 +99,39 @@
 	node.FollowNode(context.Background(), "next", next.Revisions())
 	poll.WaitOn(t, v.showing(map[string]string{"k/stays": "1"}), poll.WithTimeout(uncoveredMax/2), poll.WithDelay(5*time.Millisecond))
 }
+
+// Guards against requests to an upstream that has left, because the copy of the next hub is not read while a read from the frozen one before
+// still waits for its answer.
+func TestReadFromFrozenNodeDoesNotDelayTheNextHub(t *testing.T) {
+	s := memstore.New()
+	put(t, s, "k/left", "1")
+	put(t, s, "k/stays", "1")
+	hub, next, node, v, p := followerOfTwo(t, s)
+	put(t, s, "k/stays", "2")
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if hub.Revisions()["k/"] > node.readContent("k/") {
+			return poll.Success()
+		}
+		return poll.Continue("the hub has not seen the change")
+	}, soon...)
+	name := "hub"
+	p.frozen.Store(&name)
+	node.FollowNode(context.Background(), "hub", hub.Revisions())
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if p.waiting.Load() > 0 {
+			return poll.Success()
+		}
+		return poll.Continue("the hub's copy is not read")
+	}, soon...)
+	assert.NilError(t, s.Delete(context.Background(), "k/left", store.AnyRevision))
+	next.WatchStore(context.Background())
+	next.awaitObjects(t, "k/", 1)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if len(next.Revisions()) == 2 {
+			return poll.Success()
+		}
+		return poll.Continue("the next hub does not cover all")
+	}, soon...)
+	node.FollowNode(context.Background(), "next", next.Revisions())
+	poll.WaitOn(t, v.showing(map[string]string{"k/stays": "2"}), poll.WithTimeout(peerTimeout/4), poll.WithDelay(5*time.Millisecond))
+}
--- a/pkg/controller/mirror/mirror.go
+++ b/pkg/controller/mirror/mirror.go
@@ -81,10 +81,10 @@
 	objects map[string]store.Object
 	// revision is the store revision up to which the copy is complete, and content grows with each change of the objects.
 	revision, content int64
-	// readFrom is the state of the followed node's copy that this one was last read from, and reading is set during a
-	// read.
+	// readFrom is the state of the followed node's copy that this one was last read from, and reading is the read in
+	// progress, or nil.
 	readFrom source
-	reading  bool
+	reading  *copyRead
 	// loaded is set once the copy was read in full from the store or a peer.
 	loaded bool
 	// watching is set while this node's watch works, and brokenAt is when it last stopped.
@@ -117,6 +117,12 @@
 	content int64
 }
 
+// copyRead is a read of a followed node's copy.
+type copyRead struct {
+	from   source
+	cancel context.CancelFunc
+}
+
 // New returns a mirror of the prefixes.
 func New(o Options, prefixes ...Prefix) *Mirror {
 	m := &Mirror{options: o, copy: map[string]*prefixCopy{}, followed: undecided, uncoveredSince: time.Now()}
