--- a/pkg/controller/mirror/mirror.go
+++ b/pkg/controller/mirror/mirror.go
@@ -12,6 +12,7 @@
 
 	"trefoilplank.example/pkg/adapter/peer"
 	"trefoilplank.example/pkg/adapter/store"
+	"trefoilplank.example/pkg/decision/outage"
 	"trefoilplank.example/pkg/eventlog"
 	"trefoilplank.example/pkg/wait"
 )
@@ -33,11 +34,11 @@
 type Prefix struct {
 	// Name is the key prefix, ending in a slash.
 	Name string
-	// AbsenceGrace is how long after an interruption of the watch entries that vanished are kept. Entries that expired
-	// while the store was down are written again by owners that are alive.
+	// AbsenceGrace is how long after an outage of the store entries that vanished are kept. Entries that expired while the
+	// store was down are written again by owners that are alive.
 	AbsenceGrace time.Duration
-	// LapseTime is the shortest interruption in which entries can expire although their owners are alive. After a shorter
-	// one entries that vanished are gone.
+	// LapseTime is the shortest outage in which entries can expire although their owners are alive. After a shorter one, or
+	// after a time in which only this node or the followed one did not run, entries that vanished are gone.
 	LapseTime time.Duration
 	// SuccessorWatches is set if the node that would be followed next watches the prefix itself too: it then sees no interruption when the
 	// followed node is lost.
@@ -80,10 +81,10 @@
 	objects map[string]store.Object
 	// revision is the store revision up to which the copy is complete, and content grows with each change of the objects.
 	revision, content int64
-	// readFrom is the state of the followed node's copy that this one was last read from, and reading is set during a
-	// read.
+	// readFrom is the state of the followed node's copy that this one was last read from, and reading is the read in
+	// progress, or nil.
 	readFrom source
-	reading  bool
+	reading  *copyRead
 	// loaded is set once the copy was read in full from the store or a peer.
 	loaded bool
 	// watching is set while this node's watch works, and brokenAt is when it last stopped.
@@ -92,8 +93,11 @@
 	// followedAt is when the copy was last known to be that of a node whose watch works, and deliveredAt when this node's
 	// watch last delivered something.
 	followedAt, deliveredAt time.Time
-	// restoredAt is when the watch worked again after the last interruption in which entries can have expired; zero
-	// before the first one.
+	// outage measures for how long the store has not answered, and outageBegun is signalled when it begins to.
+	outage      outage.Meter
+	outageBegun chan struct{}
+	// restoredAt is when the watch worked again after the last outage in which entries can have expired; zero before the
+	// first one.
 	restoredAt time.Time
 	// vanished holds the objects that vanished but are kept until the given time.
 	vanished map[string]vanishedEntry
@@ -113,11 +117,17 @@
 	content int64
 }
 
+// copyRead is a read of a followed node's copy.
+type copyRead struct {
+	from   source
+	cancel context.CancelFunc
+}
+
 // New returns a mirror of the prefixes.
 func New(o Options, prefixes ...Prefix) *Mirror {
 	m := &Mirror{options: o, copy: map[string]*prefixCopy{}, followed: undecided, uncoveredSince: time.Now()}
 	for _, p := range prefixes {
-		m.copy[p.Name] = &prefixCopy{prefix: p, objects: map[string]store.Object{}, vanished: map[string]vanishedEntry{}, log: o.Log, compressed: map[string]compressedObject{}, brokenAt: time.Now(), watches: make(chan struct{})}
+		m.copy[p.Name] = &prefixCopy{prefix: p, objects: map[string]store.Object{}, vanished: map[string]vanishedEntry{}, log: o.Log, compressed: map[string]compressedObject{}, brokenAt: time.Now(), watches: make(chan struct{}), outageBegun: make(chan struct{}, 1)}
 	}
 	return m
 }
@@ -128,6 +138,7 @@
 	for _, c := range m.copy {
 		all.Go(func() { m.runWatch(ctx, c) })
 		all.Go(func() { m.readPeersWhileBroken(ctx, c) })
+		all.Go(func() { c.measureOutages(ctx) })
 	}
 	all.Wait()
 	return ctx.Err()
@@ -181,99 +192,6 @@
 	return m.watchSession(ctx, c, listed)
 }
 
-const (
-	// undecided is the value of followed until the first call of WatchStore or FollowNode.
-	undecided = "?"
-	// uncoveredMax is how long the followed node may leave a prefix uncovered before this node watches the store
-	// itself. It allows for a renewed watch there. Together with the timeout of an unresponsive watch it must stay
-	// below two seconds.
-	uncoveredMax = 350 * time.Millisecond
-	// uncoveredAtStart is the same for a node that has no copy yet: when a deployment starts, its hub reads the store first.
-	uncoveredAtStart = time.Second
-)
-
-// WatchStore makes this node watch the store itself.
-func (m *Mirror) WatchStore(ctx context.Context) { m.setFollowed(ctx, "", nil) }
-
-// FollowNode makes this node read the copies of another node in place of the store. revisions is the result of
-// Revisions there. If it does not cover all prefixes for longer than uncoveredMax, this node watches the store itself.
-func (m *Mirror) FollowNode(ctx context.Context, node string, revisions map[string]int64) {
-	covered := true
-	for name := range m.copy {
-		_, ok := revisions[name]
-		covered = covered && ok
-	}
-	m.mu.Lock()
-	if covered {
-		m.uncoveredSince = time.Time{}
-	} else if m.uncoveredSince.IsZero() {
-		m.uncoveredSince = time.Now()
-	}
-	limit := uncoveredMax
-	if m.followed == undecided {
-		limit = uncoveredAtStart
-	}
-	waiting := !covered && m.followed != "" && time.Since(m.uncoveredSince) < limit
-	m.mu.Unlock()
-	switch {
-	case covered:
-		m.setFollowed(ctx, node, revisions)
-	case !waiting:
-		m.setFollowed(ctx, "", nil)
-	}
-}
-
-// SetSuccessor sets whether this node would be followed if the followed one were lost. It takes effect with the next call of
-// FollowNode.
-func (m *Mirror) SetSuccessor(successor bool) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.successor = successor
-}
-
-// setFollowed sets the followed node, or none, and reads those of its copies that have changed.
-func (m *Mirror) setFollowed(ctx context.Context, node string, revisions map[string]int64) {
-	m.mu.Lock()
-	before, successor := m.followed, m.successor
-	m.followed = node
-	m.mu.Unlock()
-	if before != node {
-		m.options.Log.Notice("followed node of the store copies changed", "through", node, "before", before)
-	}
-	for name, c := range m.copy {
-		from := source{node, revisions[name]}
-		c.mu.Lock()
-		c.setMustWatch(node == "" || successor && c.prefix.SuccessorWatches)
-		if node != "" && c.readFrom == from {
-			c.followedAt = time.Now()
-		}
-		watching := c.watching && isClosed(c.watches)
-		behind := node != "" && c.readFrom != from && !c.reading && !watching
-		c.reading = c.reading || behind
-		revision := c.revision
-		if !c.loaded {
-			revision = -1
-		}
-		c.mu.Unlock()
-		if behind {
-			go m.readFollowed(ctx, c, from, revision)
-		}
-	}
-}
-
-// readFollowed reads the copy of the followed node, whose state was last reported as from. revision is that of this
-// node's copy. A copy of the same revision is read too, since the content also changes when a vanished entry is
-// dropped.
-func (m *Mirror) readFollowed(ctx context.Context, c *prefixCopy, from source, revision int64) {
-	replaced := m.readPeer(ctx, c, from.node, revision, true)
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.reading = false
-	if replaced {
-		c.readFrom, c.followedAt = from, time.Now()
-	}
-}
-
 // Revisions returns the content revisions of the copies that this node's working watches keep up to date, by prefix.
 func (m *Mirror) Revisions() map[string]int64 {
 	all := map[string]int64{}
@@ -359,13 +277,13 @@
 	if c.watching {
 		return
 	}
-	away, outdated := now.Sub(c.brokenAt), min(now.Sub(c.brokenAt), now.Sub(c.followedAt))
+	away, outdated, unanswered := now.Sub(c.brokenAt), min(now.Sub(c.brokenAt), now.Sub(c.followedAt)), c.outage.End(now)
 	if c.loaded {
-		if outdated >= c.prefix.LapseTime {
+		if unanswered >= c.prefix.LapseTime {
 			c.restoredAt = now
 		}
 		m.options.Log.Notice("store watch works again", "prefix", c.prefix.Name, "revision", c.revision, "away_ms", away.Milliseconds(),
-			"outdated_ms", outdated.Milliseconds())
+			"outdated_ms", outdated.Milliseconds(), "unanswered_ms", unanswered.Milliseconds())
 	}
 	c.watching = true
 }
@@ -378,6 +296,9 @@
 	if wasWatching {
 		c.watching, c.brokenAt = false, now
 	}
+	if isClosed(c.watches) {
+		c.beginOutage(now)
+	}
 	return wasWatching
 }
 
@@ -411,7 +332,7 @@
 	return true
 }
 
-// keepVanished reports whether an entry that vanished is still kept, until AbsenceGrace after the watch was restored.
+// keepVanished reports whether an entry that vanished is still kept, until AbsenceGrace after the end of an outage.
 func (c *prefixCopy) keepVanished(gone removal, now time.Time) bool {
 	if c.prefix.AbsenceGrace == 0 || c.restoredAt.IsZero() {
 		return false
