Read the list of upstreams again after the process did not run

Cause: a node that goes on finds the requests that arrived meanwhile, and chose upstreams for them by its old copy before it had heard of the removal from its hub or its watch. A hub that goes on named its old copy as current to the others. Nothing checked an upstream between the choice and the send either. Fix: the process looks at its clock every 0.1 s and before it relies on a copy. After a gap of 0.4 s or more its copy of the upstreams is unconfirmed: a node that watches begins its watch anew and covers nothing until the store has answered that, a follower reads the copy of the node it follows; an answer that was already on its way proves nothing. Requests wait for that before an upstream is chosen, for 0.5 s after the gap at most, so that an outage of the store delays no others. Right before each send, of items too, the upstream must still be listed and not known to leave; else the request was not run and another upstream is chosen. No call is made while processes run.

--- a/pkg/controller/mirror/mirror.go
+++ b/pkg/controller/mirror/mirror.go
@@ -43,6 +43,8 @@
 	// SuccessorWatches is set if the node that would be followed next watches the prefix itself too: it then sees no interruption when the
 	// followed node is lost.
 	SuccessorWatches bool
+	// ConfirmAfterStall is set if the copy must be read again after a time in which this process did not run, before it is relied on.
+	ConfirmAfterStall bool
 	// Silence is the longest time for which a watch that works delivers nothing, or 0 if Age is not asked.
 	Silence time.Duration
 	// Handle is called with all objects after changes, by one goroutine at a time. It must not retain the map.
@@ -71,6 +73,10 @@
 	uncoveredSince time.Time
 	// successor is set while this node would be followed next.
 	successor bool
+
+	// lookedAt is when this process last looked at its clock.
+	lookMu   sync.Mutex
+	lookedAt time.Time
 }
 
 // prefixCopy is the copy of one prefix.
@@ -109,6 +115,9 @@
 	// watches is closed while this node watches the prefix itself, and stopWatch ends its watch.
 	watches   chan struct{}
 	stopWatch context.CancelFunc
+	// watchAnew is set if the watch was ended to begin at once again.
+	watchAnew    bool
+	confirmation confirmation
 }
 
 // source is the state of another node's copy: its node and its content.
@@ -135,6 +144,7 @@
 // Run keeps the copies of all prefixes up to date until ctx ends.
 func (m *Mirror) Run(ctx context.Context) error {
 	var all sync.WaitGroup
+	all.Go(func() { m.runLooks(ctx) })
 	for _, c := range m.copy {
 		all.Go(func() { m.runWatch(ctx, c) })
 		all.Go(func() { m.readPeersWhileBroken(ctx, c) })
@@ -163,6 +173,10 @@
 			m.options.Log.Notice("store compacted the history of the watch; listing again", "prefix", c.prefix.Name)
 			continue
 		}
+		if c.beginsAnew() {
+			pause = retryMin
+			continue
+		}
 		if c.markBroken(time.Now()) {
 			m.options.Log.Notice("store watch lost", "prefix", c.prefix.Name, "error", err)
 			pause = retryMin
@@ -194,6 +208,7 @@
 
 // Revisions returns the content revisions of the copies that this node's working watches keep up to date, by prefix.
 func (m *Mirror) Revisions() map[string]int64 {
+	m.look(time.Now())
 	all := map[string]int64{}
 	for name, c := range m.copy {
 		c.mu.Lock()
@@ -228,14 +243,16 @@
 
 // watchSession lists the prefix unless it was listed before, and applies the events of a watch until that breaks.
 func (m *Mirror) watchSession(ctx context.Context, c *prefixCopy, listed *bool) error {
+	stalls := c.stallCount()
 	if !*listed {
 		page, err := store.ListAll(ctx, m.options.Store, c.prefix.Name)
 		if err != nil {
 			return err
 		}
 		*listed = true
-		m.markWatching(c)
+		m.markWatching(c, stalls)
 		c.replace(page.Objects, page.Revision, sourceStore, time.Now())
+		c.confirm(stalls)
 	}
 	c.mu.Lock()
 	from := c.revision
@@ -253,13 +270,21 @@
 				c.publish()
 				return errors.New("watch ended")
 			}
-			m.markWatching(c)
+			unconfirmed := c.unconfirmed()
+			if !unconfirmed {
+				m.markWatching(c, stalls)
+			}
 			if e.Type == store.EventGone {
 				return store.ErrCompacted
 			}
 			if c.apply(e, time.Now()) {
 				publishTimer.Reset(publishDelay)
 			}
+			if unconfirmed && e.Type == store.EventSync {
+				m.markWatching(c, stalls)
+				c.publish()
+				c.confirm(stalls)
+			}
 		case <-publishTimer.C:
 			if next := c.publish(); next > 0 {
 				publishTimer.Reset(next)
@@ -268,10 +293,13 @@
 	}
 }
 
-// markWatching records that the watch works.
-func (m *Mirror) markWatching(c *prefixCopy) {
+// markWatching records that the watch works, which began after the given number of stalls.
+func (m *Mirror) markWatching(c *prefixCopy, stalls int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if stalls != c.confirmation.stalls {
+		return // What it delivers may be from before the stall.
+	}
 	now := time.Now()
 	c.deliveredAt = now
 	if c.watching {
--- a/pkg/controller/mirror/peers.go
+++ b/pkg/controller/mirror/peers.go
@@ -93,6 +93,7 @@
 	if err != nil {
 		return err
 	}
+	r.m.look(time.Now())
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	reply.Paged = args.MaxBytes > 0
@@ -253,6 +254,7 @@
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	args := ReadArgs{Prefix: c.prefix.Name, Revision: revision, Any: revision < 0, Same: same, MaxBytes: maxPageBytes}
+	stalls := c.stallCount()
 	for {
 		changed, last, err := m.readPages(ctx, node, args)
 		if err != nil {
@@ -283,7 +285,13 @@
 		c.mu.Lock()
 		watching := c.watching
 		c.mu.Unlock()
-		return !watching && c.replace(list, last.Revision, node, time.Now())
+		if watching || !c.replace(list, last.Revision, node, time.Now()) {
+			return false
+		}
+		if !args.Any {
+			c.confirm(stalls)
+		}
+		return true
 	}
 }
 
--- a/pkg/controller/mirror/watching.go
+++ b/pkg/controller/mirror/watching.go
@@ -50,3 +50,12 @@
 		}
 	}
 }
+
+// beginsAnew reports whether the watch was ended to begin at once again.
+func (c *prefixCopy) beginsAnew() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	anew := c.watchAnew
+	c.watchAnew = false
+	return anew
+}
--- a/pkg/controller/placer/placer.go
+++ b/pkg/controller/placer/placer.go
@@ -226,6 +226,13 @@
 	return p.state.HasFreeSlot(request, time.Now())
 }
 
+// MayUse reports whether an upstream that was chosen before is still listed and not known to leave.
+func (p *Placer) MayUse(u dispatch.Upstream) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.state.MayUse(u)
+}
+
 // EndOnline records the end of an online run that PlaceOnline admitted.
 func (p *Placer) EndOnline(upstream string) {
 	p.mu.Lock()
--- a/pkg/decision/dispatch/candidates.go
+++ b/pkg/decision/dispatch/candidates.go
@@ -23,6 +23,12 @@
 	return !u.Draining && !u.announced.leaving && !slices.Contains(f.exclude, u.ID) && (f.version == nil || u.SoftwareVersion == *f.version)
 }
 
+// MayUse reports whether an upstream that was chosen before is still listed and not known to leave.
+func (s *State) MayUse(chosen Upstream) bool {
+	u := s.byID[chosen.ID]
+	return u != nil && u.Incarnation == chosen.Incarnation && u.Address == chosen.Address && !u.Draining && !u.announced.leaving
+}
+
 // postpones reports whether an upstream should be chosen only if there is no other.
 func (f *filter) postpones(u *upstream, now time.Time) bool {
 	return f.begins && now.Before(u.StreamsFrom)
--- a/pkg/edge/node.go
+++ b/pkg/edge/node.go
@@ -175,7 +175,7 @@
 	n.buildPeers()
 	n.placer = placer.New(s.AvailabilityZone, log)
 	n.buildLinks(o)
-	n.client = forward.NewClient(p.HeaderNames(), n.links, n.placer.Announce)
+	n.client = forward.NewClient(p.HeaderNames(), n.links, n.placer.Announce, n.mayUse)
 	n.failedRuns = failedruns.New(failedruns.Options{
 		Node: s.Name, Incarnation: n.fleet.Self().Incarnation, Store: n.store, Peers: n.peers, Others: n.failedRunHolders, Owner: n.owner,
 		Exchange: func() { n.exchange.Request(context.Background()) }, Connect: n.links.TryConnect, Log: log, Metrics: failedruns.NewMetrics(n.metrics),
@@ -219,7 +219,7 @@
 func (n *Node) buildMirror() {
 	n.mirror = mirror.New(mirror.Options{Store: n.store, Peers: n.peers, Others: n.fleet.OtherLive, Log: n.log},
 		mirror.Prefix{Name: n.platform.ConfigPrefix(), Handle: n.applyConfiguration},
-		mirror.Prefix{Name: n.platform.UpstreamPrefix(), Handle: n.applyUpstreams, AbsenceGrace: absenceGrace, LapseTime: lapseTime, SuccessorWatches: true, Silence: watchSilence},
+		mirror.Prefix{Name: n.platform.UpstreamPrefix(), Handle: n.applyUpstreams, AbsenceGrace: absenceGrace, LapseTime: lapseTime, SuccessorWatches: true, Silence: watchSilence, ConfirmAfterStall: true},
 		mirror.Prefix{Name: fleet.Prefix, Handle: n.fleet.SetRegistered},
 		mirror.Prefix{Name: failedruns.Prefix, Handle: n.failedRuns.SetStored},
 	)
@@ -247,7 +247,7 @@
 	n.forwarder = forward.New(forward.Options{
 		HeaderNames: n.platform.HeaderNames(), Placer: n.placer, Client: n.client, FailedRuns: n.failedRuns, Streams: n.streams, Table: n.table.Load, Draining: n.draining.Load,
 		DrainEnd:     n.drainEndTime,
-		RequestSlots: n.exchange.ExchangeNow,
+		RequestSlots: n.exchange.ExchangeNow, AwaitUpstreams: n.awaitUpstreams,
 		BatchHandler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { n.callerHandler.ServeHTTP(w, r) }),
 		Log:          n.log, Metrics: requests,
 	})
@@ -335,25 +335,6 @@
 	n.log.Notice("configuration in force", "version", c.Version, "routes", len(c.Routes), "services", len(c.Services))
 }
 
-// applyUpstreams passes the registered upstreams to placement. It logs each invalid entry once.
-func (n *Node) applyUpstreams(objects map[string]store.Object) {
-	list, faults := n.platform.Upstreams(objects)
-	n.mu.Lock()
-	seen := map[string]string{}
-	for _, err := range faults {
-		text := err.Error()
-		seen[text] = text
-		if n.invalidEntries[text] == "" {
-			n.log.Notice("invalid upstream entry ignored", "error", text)
-		}
-	}
-	n.invalidEntries = seen
-	n.mu.Unlock()
-	n.streams.Observe(list)
-	n.links.SetUpstreams(linkedUpstreams(list))
-	n.failedRuns.UpstreamsEnded(n.placer.SetUpstreams(list))
-}
-
 // failedRunHolders returns the other live nodes in the order in which they are told of failed runs: by rendezvous
 // hashing, so that the records of all nodes do not lie at the same few ones.
 func (n *Node) failedRunHolders() []string {
--- a/pkg/forward/client.go
+++ b/pkg/forward/client.go
@@ -42,6 +42,8 @@
 	// ErrUnsigned means that a successful response lacks the upstream's signature, without which the caller can't use
 	// it; the request may have run.
 	ErrUnsigned = Error.New("response lacks the upstream's signature")
+	// ErrWithdrawn means that the request was not sent, since the upstream is known to be gone or leaving. It comes with ErrNotRun.
+	ErrWithdrawn = Error.New("upstream is gone or leaving")
 	// errCallerGone means that the response could not be written to the caller.
 	errCallerGone = Error.New("response could not be written to the caller")
 	// ErrUnresponsive means that the upstream sent no data for too long; the request may have run.
@@ -105,6 +107,8 @@
 	links   *uplink.Links
 	// announce receives what upstreams say of themselves in their answers.
 	announce func(dispatch.Upstream, dispatch.Announcement)
+	// mayUse reports whether requests may be sent to an upstream now; nil if all may. It may wait for what this node must learn first.
+	mayUse func(context.Context, dispatch.Upstream) bool
 	// pools holds the connections for repeatable requests, by service; onceTransport holds those for requests that may
 	// run only once.
 	mu            sync.Mutex
@@ -122,12 +126,13 @@
 }
 
 // NewClient returns a client with its own connection pools, whose connections links makes. announce receives what upstreams
-// say of themselves in their answers.
-func NewClient(names HeaderNames, links *uplink.Links, announce func(dispatch.Upstream, dispatch.Announcement)) *Client {
+// say of themselves in their answers. mayUse is asked right before each request is sent whether the upstream may be sent requests; if it
+// is nil, all may.
+func NewClient(names HeaderNames, links *uplink.Links, announce func(dispatch.Upstream, dispatch.Announcement), mayUse func(context.Context, dispatch.Upstream) bool) *Client {
 	fresh := newTransport(onceIdleTimeout)
 	fresh.DisableKeepAlives = true
 	return &Client{
-		headers: names, links: links, announce: announce, pools: map[string]*pool{}, onceTransport: links.Transport(newTransport(onceIdleTimeout)),
+		headers: names, links: links, announce: announce, mayUse: mayUse, pools: map[string]*pool{}, onceTransport: links.Transport(newTransport(onceIdleTimeout)),
 		freshTransport: links.Transport(fresh),
 	}
 }
@@ -244,6 +249,16 @@
 // last event received, or negative. Errors that match ErrNotRun mean that the upstream did not run the request; after
 // all others it may have.
 func (c *Client) Send(ctx context.Context, u dispatch.Upstream, r *Request, left time.Duration, lastEvent int64) (*http.Response, error) {
+	begun := time.Now()
+	if c.mayUse != nil && !c.mayUse(ctx, u) {
+		return nil, errs.Combine(ErrNotRun, ErrWithdrawn)
+	}
+	if err := ctx.Err(); err != nil {
+		return nil, errs.Combine(ErrNotRun, err)
+	}
+	if left > 0 {
+		left = max(time.Millisecond, left-time.Since(begun))
+	}
 	path, query, hasQuery := strings.Cut(r.Target, "?")
 	req := &http.Request{
 		Method: r.Method, Host: r.Host, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
--- a/pkg/forward/fakes_test.go
+++ b/pkg/forward/fakes_test.go
@@ -89,7 +89,7 @@
 		route("/stream/", routing.KindStream, true, 3), route("/once/", routing.KindStream, false, 1),
 		route("/idempotent/", routing.KindIdempotent, false, 3), route("/unsafe/", routing.KindNonIdempotent, false, 3),
 	}})
-	client := NewClient(testHeaders, uplink.New(uplink.Options{}), p.Announce)
+	client := NewClient(testHeaders, uplink.New(uplink.Options{}), p.Announce, nil)
 	t.Cleanup(client.Close)
 	f.failedRuns = failedruns.New(failedruns.Options{
 		Node: "node", Others: func() []string { return nil }, Owner: func(string) string { return "node" }, Exchange: func() {}, Log: log,
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -65,6 +65,8 @@
 	Table func() *routing.Table
 	// BatchHandler serves the requests on batch routes.
 	BatchHandler http.Handler
+	// AwaitUpstreams waits until the list of upstreams can be relied on, if the process did not run for a while; nil if it always can.
+	AwaitUpstreams func(ctx context.Context)
 	// RequestSlots asks the hub for slots immediately, and reports whether it answered in time.
 	RequestSlots func(ctx context.Context) bool
 	// Draining reports whether the node is draining. DrainEnd returns when the drain closes the connections that are
@@ -295,6 +297,9 @@
 // chooseUpstream chooses the upstream for the next attempt. When free slots are scarce it first asks the hub for
 // more.
 func (x *exchange) chooseUpstream(ctx context.Context) dispatch.Choice {
+	if x.options.AwaitUpstreams != nil {
+		x.options.AwaitUpstreams(ctx)
+	}
 	n := x.onlineRequest()
 	choice := x.options.Placer.PlaceOnline(n)
 	if choice.Verdict != dispatch.Ask {
@@ -388,7 +393,7 @@
 func (x *exchange) reportFailure(ctx context.Context, upstream string, cause error) {
 	var failure *failureResponse
 	switch {
-	case ctx.Err() != nil && !errors.Is(cause, ErrUnresponsive), errors.Is(cause, errCallerGone):
+	case ctx.Err() != nil && !errors.Is(cause, ErrUnresponsive), errors.Is(cause, errCallerGone), errors.Is(cause, ErrWithdrawn):
 	case errors.Is(cause, ErrOwnConnection):
 		x.options.Metrics.countOutcome("own_connection_failed")
 	case errors.Is(cause, ErrFull):
--- a/pkg/forward/resend_test.go
+++ b/pkg/forward/resend_test.go
@@ -45,7 +45,7 @@
 				}
 				conn.Close()
 			})
-			client := NewClient(testHeaders, uplink.New(uplink.Options{}), func(dispatch.Upstream, dispatch.Announcement) {})
+			client := NewClient(testHeaders, uplink.New(uplink.Options{}), func(dispatch.Upstream, dispatch.Announcement) {}, nil)
 			defer client.Close()
 			u := dispatch.Upstream{ID: "u0", Service: "s", Address: f.upstreams["u0"].Listener.Addr().String()}
 			send := func(id string) error {
