--- a/pkg/forward/lateanswer_test.go
+++ b/pkg/forward/lateanswer_test.go
@@ -46,7 +46,7 @@
 						}()
 					}
 				}()
-				client := NewClient(testHeaders, uplink.New(uplink.Options{}), func(dispatch.Upstream, dispatch.Announcement) {})
+				client := NewClient(testHeaders, uplink.New(uplink.Options{}), func(dispatch.Upstream, dispatch.Announcement) {}, nil)
 				defer client.Close()
 				send := func(target string) error {
 					u := dispatch.Upstream{ID: "u", Service: "s", Address: l.Addr().String()}
