Keep counting an upstream's connections while its entry is away

After an upstream's entry had vanished and come back, the upstream counted as unheard although it answered: placement avoided it, and a slow stream of it was borne for two seconds instead of going on elsewhere.

Cause: SetUpstreams dropped the counters of the vanished entry. Connections that were kept went on to write to them, while HeardAt and Unheard read new ones, which were zero.

TestKeptConnectionsAreHeardAfterAnEntryCameBack failed before: "heard 3.987986176s before the request" (the start of the process).

Counters are now dropped only if no connection that writes to them is open; connections are counted under the lock that SetUpstreams holds, so none is missed.

--- a/pkg/controller/uplink/uplink.go
+++ b/pkg/controller/uplink/uplink.go
@@ -107,10 +107,11 @@
 	asked map[string]chan struct{}
 }
 
-// counters counts the writes to an upstream and the reads from it. heardAt is the time of the last read since clockStart.
+// counters counts the writes to an upstream and the reads from it. heardAt is the time of the last read since clockStart, open the number
+// of connections that write to the counters.
 type counters struct {
 	sent, received, seenSent, seenReceived atomic.Uint32
-	heardAt                                atomic.Int64
+	heardAt, open                          atomic.Int64
 }
 
 // clockStart is the origin of the times in counters.
@@ -131,8 +132,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.state.SetUpstreams(list, time.Now())
-	l.traffic.Range(func(address, _ any) bool {
-		if !l.state.Known(address.(string)) {
+	l.traffic.Range(func(address, value any) bool {
+		// Kept connections are used again if the entry comes back. New ones are counted while l.mu is held.
+		if !l.state.Known(address.(string)) && value.(*counters).open.Load() == 0 {
 			l.traffic.Delete(address)
 		}
 		return true
@@ -162,7 +164,9 @@
 			l.options.Log.Notice("upstream is reached directly again", "upstream_address", address)
 			l.changed([]string{address}, true)
 		}
-		return &countedConn{conn, l.counters(address)}, nil
+		c := l.counters(address)
+		c.open.Add(1)
+		return &countedConn{Conn: conn, counters: c}, nil
 	case ctx.Err() != nil:
 		l.options.Metrics.countConnect("cancelled") // The end of a request says nothing about the connection.
 	default:
@@ -186,6 +190,15 @@
 type countedConn struct {
 	net.Conn
 	counters *counters
+	closed   atomic.Bool
+}
+
+// Close ends the connection.
+func (c *countedConn) Close() error {
+	if c.closed.CompareAndSwap(false, true) {
+		c.counters.open.Add(-1)
+	}
+	return c.Conn.Close()
 }
 
 func (c *countedConn) Read(p []byte) (int, error) {
--- a/pkg/forward/silent_test.go
+++ b/pkg/forward/silent_test.go
@@ -286,3 +286,20 @@
 	assert.Assert(t, f.placer.HasFreeSlot(dispatch.OnlineRequest{Service: "s", Exclude: []string{"u1"}}), "the upstream gets no requests")
 	calls.Wait()
 }
+
+// Guards against an upstream that counts as silent although it answers on connections kept while its entry was away.
+func TestKeptConnectionsAreHeardAfterAnEntryCameBack(t *testing.T) {
+	f := newLinkedFixture(t, &uplink.Options{}, make([]string, 1), func(_ *fixture, w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "answer") })
+	call := func() {
+		_, body, err := f.callWith(t, "/idempotent/a", "prompt", nil)
+		assert.NilError(t, err)
+		assert.Equal(t, body, "answer")
+	}
+	call()
+	address := f.list[0].Address
+	f.links.SetUpstreams(nil)
+	f.links.SetUpstreams([]reach.Upstream{{Address: address, Service: "s"}})
+	begun := time.Now()
+	call()
+	assert.Assert(t, f.links.HeardAt(address).After(begun), "heard %s before the request", begun.Sub(f.links.HeardAt(address)))
+}
