Judge a silent run over another node by its own connection

Cause: Lost and ReachedByOthers describe this node's own connections. They were applied to all runs, and Lost stays true for as long as the node is cut off, so that each pause longer than the limit gave Move.

TestStreamOverAnotherNodeStaysAtStoppedUpstream failed before: "2 (int) != 1 (int): the stream went on elsewhere", from u0 to u3, 155 ms after it was sent.

The transport now says that a request has got a connection through another node, before anything is sent on it. The silence of such a run is checked by a connect through another node: it leaves if the upstream is refused or unreachable there, is restarted or silent for two seconds, and is borne otherwise. Data that others receive is not taken for a sign of its process, since data may be held up on the way. Runs on this node's own connections are judged as before. A run without a connection counts as one of these: nothing of it was sent.

--- a/pkg/controller/uplink/diagnose.go
+++ b/pkg/controller/uplink/diagnose.go
@@ -18,12 +18,14 @@
 	ReachedByOthers = reach.ReachedByOthers
 	Refused         = reach.Refused
 	Unreachable     = reach.Unreachable
+	Unknown         = reach.Unknown
 )
 
-// diagnosisKey distinguishes checks. awaitOwn is set for one that waits for the end of this node's own attempt.
+// diagnosisKey distinguishes checks. awaitOwn is set for one that waits for the end of this node's own attempt, relayed for one that
+// makes none.
 type diagnosisKey struct {
-	address  string
-	awaitOwn bool
+	address           string
+	awaitOwn, relayed bool
 }
 
 // diagnosis is a check in progress, or its result once done is closed.
@@ -71,15 +73,51 @@
 	if reached {
 		return Reached
 	}
-	return l.sharedDiagnosis(ctx, diagnosisKey{address, true})
+	return l.sharedDiagnosis(ctx, diagnosisKey{address: address, awaitOwn: true})
+}
+
+// DiagnoseRelayed checks an upstream through another node only, for a run whose connection goes through one.
+func (l *Links) DiagnoseRelayed(ctx context.Context, address string) Diagnosis {
+	return l.sharedDiagnosis(ctx, diagnosisKey{address: address, relayed: true})
 }
 
 // diagnose makes one check.
 func (l *Links) diagnose(key diagnosisKey, d *diagnosis) {
-	address, begun := key.address, time.Now()
+	begun := time.Now()
+	var ownErr, otherErr error
+	if key.relayed {
+		d.result, otherErr = l.diagnoseRelayed(key.address)
+	} else {
+		d.result, ownErr, otherErr = l.diagnoseOwn(key)
+	}
+	l.options.Metrics.countDiagnosis(d.result)
+	l.options.Log.Routine("upstream checked", "upstream_address", key.address, "relayed", key.relayed, "result", d.result, "own_error", ownErr,
+		"other_error", otherErr, "ms", time.Since(begun).Milliseconds())
+	l.mu.Lock()
+	d.at = time.Now()
+	l.mu.Unlock()
+	close(d.done)
+}
+
+// diagnoseRelayed tries to connect through another node.
+func (l *Links) diagnoseRelayed(address string) (result Diagnosis, otherErr error) {
+	otherErr = l.askOthers(address)
+	switch {
+	case otherErr == nil:
+		return Reached, nil
+	case errors.Is(otherErr, ErrRefused):
+		return Refused, otherErr
+	case errors.Is(otherErr, ErrUnreachable):
+		return Unreachable, otherErr
+	}
+	return Unknown, otherErr
+}
+
+// diagnoseOwn tries to connect directly and then through another node.
+func (l *Links) diagnoseOwn(key diagnosisKey) (result Diagnosis, ownErr, otherErr error) {
+	address := key.address
 	own := make(chan error, 1)
 	go func() { own <- l.check(address) }()
-	var ownErr, otherErr error
 	ownEnded := false
 	timer := time.NewTimer(helperDelay)
 	defer timer.Stop()
@@ -96,25 +134,19 @@
 	}
 	switch {
 	case ownEnded && ownErr == nil:
-		d.result = Reached
+		result = Reached
 	case otherErr == nil:
-		d.result = ReachedByOthers
+		result = ReachedByOthers
 		l.reachedByOthers(address)
 		if !ownEnded {
 			go l.confirm(address, own)
 		}
 	case errors.Is(otherErr, ErrRefused), errors.Is(ownErr, syscall.ECONNREFUSED) && errors.Is(otherErr, ErrNoHelper):
-		d.result = Refused
+		result = Refused
 	default:
-		d.result = Unreachable
+		result = Unreachable
 	}
-	l.options.Metrics.countDiagnosis(d.result)
-	l.options.Log.Routine("upstream checked", "upstream_address", address, "result", d.result, "own_error", ownErr, "other_error", otherErr,
-		"ms", time.Since(begun).Milliseconds())
-	l.mu.Lock()
-	d.at = time.Now()
-	l.mu.Unlock()
-	close(d.done)
+	return result, ownErr, otherErr
 }
 
 // TryConnect checks whether an upstream takes connections, from any node. The error matches syscall.ECONNREFUSED if nothing
--- a/pkg/controller/uplink/transport.go
+++ b/pkg/controller/uplink/transport.go
@@ -69,6 +69,9 @@
 		if conn, ok := info.Conn.(*relayedConn); ok {
 			relay = conn.node
 		}
+		if relayed, ok := r.Context().Value(relayedKey{}).(func()); ok {
+			relayed()
+		}
 	}}
 	resp, err := t.relayed.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
 	if err != nil {
@@ -87,6 +90,15 @@
 	relay string
 }
 
+// relayedKey is the key of the function that OnRelayed sets.
+type relayedKey struct{}
+
+// OnRelayed returns a context for a request of a Transport that calls relayed if the request gets a connection through another node,
+// before anything is sent on it.
+func OnRelayed(ctx context.Context, relayed func()) context.Context {
+	return context.WithValue(ctx, relayedKey{}, relayed)
+}
+
 // RelayOf returns the node through which an answer of a Transport came, or "" if it came directly.
 func RelayOf(resp *http.Response) string {
 	if body, ok := resp.Body.(*relayedBody); ok {
--- a/pkg/decision/reach/silence.go
+++ b/pkg/decision/reach/silence.go
@@ -26,6 +26,8 @@
 	Refused Diagnosis = "refused"
 	// Unreachable means that neither this node nor another one that was asked can connect to the upstream.
 	Unreachable Diagnosis = "unreachable"
+	// Unknown means that no other node could be asked.
+	Unknown Diagnosis = "unknown"
 )
 
 // Silence describes a run of which nothing has arrived for too long, and its upstream. The run must not go on elsewhere while the
@@ -35,6 +37,9 @@
 	Lasted, Unheard time.Duration
 	// Woke is set if the upstream was unheard when the run was last looked at.
 	Woke bool
+	// Relayed is set if the run's connection goes through another node. This node's own connections then show nothing about it, and
+	// data may have been held up on the way.
+	Relayed bool
 	// Lost is set if what was sent over this node's own connections can't be answered any more, Restarted if another process serves
 	// at the upstream's address.
 	Lost, Restarted bool
@@ -57,17 +62,20 @@
 	Move Step = "move"
 )
 
+// Running reports whether the upstream's process certainly runs.
+func (s Silence) Running() bool { return !s.Relayed && s.Unheard < RunningLimit }
+
 // Step returns what to do. A process that runs ends a run as soon as its connection is closed; one that is stopped holds the run
 // and goes on with it later. If the process is gone, or out of reach, nothing is left to wait for.
 func (s Silence) Step() Step {
 	switch {
-	case s.Lost, s.Restarted, s.Diagnosis == Refused, s.Diagnosis == ReachedByOthers:
+	case s.Restarted, s.Diagnosis == Refused, !s.Relayed && (s.Lost || s.Diagnosis == ReachedByOthers):
 		return Move
 	case s.Lasted >= SoundSilence, s.Diagnosis == Unreachable:
 		return MayMove
-	case s.Unheard < RunningLimit && s.Woke:
+	case s.Running() && s.Woke:
 		return Bear
-	case s.Unheard < RunningLimit:
+	case s.Running():
 		return MayMove
 	case s.Diagnosis == Unchecked:
 		return Check
--- a/pkg/decision/reach/silence_test.go
+++ b/pkg/decision/reach/silence_test.go
@@ -25,6 +25,13 @@
 		"its VM is gone":                     {Silence{Lasted: silent, Unheard: silent, Diagnosis: Unreachable}, MayMove},
 		"this node's link is cut":            {Silence{Lasted: silent, Unheard: silent, Diagnosis: ReachedByOthers}, Move},
 		"known to be cut":                    {Silence{Lasted: silent, Unheard: silent, Lost: true}, Move},
+		"relayed, own connections lost":      {Silence{Lasted: silent, Unheard: silent, Relayed: true, Lost: true}, Check},
+		"relayed, others reach it":           {Silence{Lasted: silent, Unheard: silent, Relayed: true, Lost: true, Diagnosis: ReachedByOthers}, Bear},
+		"relayed, its VM answers":            {Silence{Lasted: silent, Unheard: silent, Relayed: true, Lost: true, Diagnosis: Reached}, Bear},
+		"relayed, heard on own connections":  {Silence{Lasted: silent, Unheard: 20 * time.Millisecond, Relayed: true}, Check},
+		"relayed, nobody to ask":             {Silence{Lasted: silent, Unheard: silent, Relayed: true, Lost: true, Diagnosis: Unknown}, Bear},
+		"relayed, silent for too long":       {Silence{Lasted: SoundSilence, Unheard: SoundSilence, Relayed: true, Lost: true}, MayMove},
+		"relayed, its process is gone":       {Silence{Lasted: silent, Unheard: silent, Relayed: true, Diagnosis: Refused}, Move},
 		"another process has started":        {Silence{Lasted: silent, Unheard: 0, Woke: true, Restarted: true}, Move},
 	} {
 		assert.Equal(t, c.silence.Step(), c.step, name)
--- a/pkg/forward/client.go
+++ b/pkg/forward/client.go
@@ -387,13 +387,23 @@
 	return err
 }
 
-// silence describes the silence of an upstream, which has sent nothing of a run since the given time.
-func (c *Client) silence(u dispatch.Upstream, since time.Time) reach.Silence {
+// silence describes the silence of an upstream, which has sent nothing of a run since the given time. relayed is set if the run's
+// connection goes through another node.
+func (c *Client) silence(u dispatch.Upstream, since time.Time, relayed bool) reach.Silence {
 	return reach.Silence{
-		Lasted: time.Since(since), Unheard: c.links.Unheard(u.Address), Lost: c.links.Lost(u.Address), Restarted: c.links.Restarted(u.Address, u.Incarnation),
+		Lasted: time.Since(since), Unheard: c.links.Unheard(u.Address), Relayed: relayed, Lost: c.links.Lost(u.Address),
+		Restarted: c.links.Restarted(u.Address, u.Incarnation),
 	}
 }
 
+// diagnose checks a silent upstream the way that its run's connection goes.
+func (c *Client) diagnose(u dispatch.Upstream, relayed bool) reach.Diagnosis {
+	if relayed {
+		return c.links.DiagnoseRelayed(context.Background(), u.Address)
+	}
+	return c.links.DiagnoseSilent(context.Background(), u.Address)
+}
+
 // SilentFor returns how long an upstream has owed this node data, or 0 if it owes none.
 func (c *Client) SilentFor(u dispatch.Upstream) time.Duration { return c.links.SilentFor(u.Address) }
 
--- a/pkg/forward/datatimer.go
+++ b/pkg/forward/datatimer.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/zeebo/errs"
@@ -24,6 +25,8 @@
 	// others describes the request to placement, for the other upstreams.
 	others dispatch.OnlineRequest
 	cancel context.CancelCauseFunc
+	// relayed is set once the attempt has a connection through another node.
+	relayed atomic.Bool
 	// pause is the limit between events, or 0 for none.
 	pause time.Duration
 
@@ -92,12 +95,12 @@
 func (t *dataTimer) fire() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	silence := t.x.options.Client.silence(t.upstream, t.lastEvent)
+	silence := t.x.options.Client.silence(t.upstream, t.lastEvent, t.relayed.Load())
 	if t.stopped || silence.Lasted < minDataTimeout || t.begun && t.pause == 0 {
 		return // An event has arrived meanwhile.
 	}
 	silence.Woke = t.unheard
-	t.unheard = silence.Unheard >= reach.RunningLimit
+	t.unheard = !silence.Running()
 	step := silence.Step()
 	switch {
 	case step == reach.Move:
@@ -135,7 +138,7 @@
 func (t *dataTimer) check(silence reach.Silence) reach.Step {
 	at := t.lastEvent
 	t.mu.Unlock()
-	silence.Diagnosis = t.x.options.Client.links.DiagnoseSilent(context.Background(), t.upstream.Address)
+	silence.Diagnosis = t.x.options.Client.diagnose(t.upstream, silence.Relayed)
 	t.mu.Lock()
 	if t.stopped || t.lastEvent != at {
 		return ""
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -452,7 +452,7 @@
 	sent := time.Now()
 	x.attemptStarted, x.beganWriting = sent, false
 	x.measurement = x.options.Placer.MeasureRun(choice.Upstream.ID, choice.Free <= 0)
-	resp, err := x.options.Client.Send(ctx, choice.Upstream, &x.request, time.Until(x.deadline), x.resumeFrom())
+	resp, err := x.options.Client.Send(uplink.OnRelayed(ctx, func() { timer.relayed.Store(true) }), choice.Upstream, &x.request, time.Until(x.deadline), x.resumeFrom())
 	if err != nil {
 		return err
 	}
--- a/pkg/forward/silent_test.go
+++ b/pkg/forward/silent_test.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -127,6 +128,27 @@
 	}
 }
 
+// Guards against a stream over a connection through another node that is begun elsewhere because this node's own connections are lost.
+func TestStreamOverAnotherNodeStaysAtStoppedUpstream(t *testing.T) {
+	stops := stopsOnce(3, func(f *fixture, name string) {
+		f.processes[name].stop()
+		time.AfterFunc(soundSilence, f.processes[name].resume)
+	})
+	f := newLinkedFixture(t, &uplink.Options{
+		Dial: func(_ context.Context, network, _ string) (net.Conn, error) {
+			return nil, &net.OpError{Op: "dial", Net: network, Err: syscall.EHOSTUNREACH}
+		},
+		Helpers: func(string) []string { return []string{"other"} },
+		Relay: func(ctx context.Context, _, address string) (net.Conn, error) {
+			return (&net.Dialer{}).DialContext(ctx, "tcp", address)
+		},
+	}, make([]string, 4), stops, stops, stops, stops)
+	_, body, err := f.callWith(t, "/stream/a", "prompt", map[string]string{testHeaders.Deadline: "2900"})
+	assert.NilError(t, err)
+	assert.Equal(t, body, allEvents())
+	assert.Equal(t, len(f.requests()), 1, "the stream went on elsewhere: %v", f.requests())
+}
+
 // Guards against a silence of all upstreams of a service being taken for a cut of the node: nothing is given up, sent again or
 // relayed because of it.
 func TestSilenceOfAllUpstreamsEndsNothing(t *testing.T) {
