Count no gap of this process as silence of an upstream

After this process had not run for two seconds, streams at sound upstreams were given up and begun elsewhere, although their events lay in this node's sockets; idempotent requests were sent again. A gap during a connect counted as a failure of the upstream.

Cause: timers fire before the sockets are read, and the silence was the time since the last event, the gap included: two seconds of it allow a stream to leave. A connect whose time was over on waking failed, although the kernel had connected.

reach.Quiet counts the time until a look that is late up to 0.1 s past its due time only, and says that the look is late. The timer of a request is then set again once, for 50 ms in which the sockets are read; what is heard in these counts as the first sign of an upstream that woke. A connect that ends over 0.1 s late is made again once, and is not recorded as failed if that one is late too. No goroutine or timer is added.

--- a/pkg/controller/uplink/uplink.go
+++ b/pkg/controller/uplink/uplink.go
@@ -149,11 +149,22 @@
 	return c.(*counters)
 }
 
-// connect makes a connection of this node to an upstream and records whether that succeeded.
-func (l *Links) connect(ctx context.Context, network, address string) (net.Conn, error) {
+// dial makes one attempt to connect and reports whether it failed while this process did not run: its time is over then, although the
+// kernel may have connected.
+func (l *Links) dial(ctx context.Context, network, address string) (conn net.Conn, stalled bool, err error) {
+	begun := time.Now()
 	dialCtx, cancel := context.WithTimeout(ctx, connectTimeout)
 	defer cancel()
-	conn, err := l.options.Dial(dialCtx, network, address)
+	conn, err = l.options.Dial(dialCtx, network, address)
+	return conn, err != nil && reach.Stalled(time.Since(begun), connectTimeout), err
+}
+
+// connect makes a connection of this node to an upstream and records whether that succeeded.
+func (l *Links) connect(ctx context.Context, network, address string) (net.Conn, error) {
+	conn, stalled, err := l.dial(ctx, network, address)
+	if stalled && ctx.Err() == nil {
+		conn, stalled, err = l.dial(ctx, network, address)
+	}
 	now := time.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -169,6 +180,8 @@
 		return &countedConn{Conn: conn, counters: c}, nil
 	case ctx.Err() != nil:
 		l.options.Metrics.countConnect("cancelled") // The end of a request says nothing about the connection.
+	case stalled:
+		l.options.Metrics.countConnect("stalled")
 	default:
 		l.options.Metrics.countConnect("failed")
 		heard := l.state.LastHeard(l.state.Service(address))
--- a/pkg/forward/client.go
+++ b/pkg/forward/client.go
@@ -387,11 +387,11 @@
 	return err
 }
 
-// silence describes the silence of an upstream, which has sent nothing of a run since the given time. relayed is set if the run's
+// silence describes the silence of an upstream, which has sent nothing of a run for the given time. relayed is set if the run's
 // connection goes through another node.
-func (c *Client) silence(u dispatch.Upstream, since time.Time, relayed bool) reach.Silence {
+func (c *Client) silence(u dispatch.Upstream, lasted time.Duration, relayed bool) reach.Silence {
 	return reach.Silence{
-		Lasted: time.Since(since), Unheard: c.links.Unheard(u.Address), Relayed: relayed, Lost: c.links.Lost(u.Address),
+		Lasted: lasted, Unheard: c.links.Unheard(u.Address), Relayed: relayed, Lost: c.links.Lost(u.Address),
 		Restarted: c.links.Restarted(u.Address, u.Incarnation),
 	}
 }
--- a/pkg/forward/datatimer.go
+++ b/pkg/forward/datatimer.go
@@ -18,6 +18,9 @@
 // time for which a run may go on at an upstream that the node reaches after another one has taken it over.
 const silenceCheckInterval = 100 * time.Millisecond
 
+// readTime is how long a process that goes on after a gap reads what has arrived meanwhile. Reads are due at once.
+const readTime = 50 * time.Millisecond
+
 // dataTimer cancels an attempt of a repeatable request when its upstream sends no data for too long.
 type dataTimer struct {
 	x        *exchange
@@ -34,8 +37,11 @@
 	timer *time.Timer
 	// stopped is set once the attempt has ended, begun with the first event.
 	stopped, begun bool
-	// lastEvent is when the last event arrived, or the attempt was sent.
+	// lastEvent is when the last event arrived, or the attempt was sent. quiet measures the silence since.
 	lastEvent time.Time
+	quiet     reach.Quiet
+	// stalled is set if the timer was late when it fired last, since this process did not run.
+	stalled bool
 	// borne is set while the request must bear the silence, since the budget allowed no retry. unheard is set if the upstream was
 	// unheard when the attempt was last looked at.
 	borne, unheard bool
@@ -59,7 +65,8 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.begun, t.borne, t.unheard, t.lastEvent = true, false, false, time.Now()
+	t.begun, t.borne, t.unheard, t.stalled, t.lastEvent = true, false, false, false, time.Now()
+	t.quiet.Begin(t.lastEvent, t.pause)
 	if t.pause > 0 {
 		t.timer.Reset(t.pause)
 	} else {
@@ -87,18 +94,34 @@
 	}
 	t.mu.Lock() // It may fire before t.timer is set.
 	defer t.mu.Unlock()
+	t.quiet.Begin(t.lastEvent, wait)
 	t.timer = time.AfterFunc(wait, t.fire)
 	return t
 }
 
+// lookAgain sets when the attempt is looked at again. t.mu is held.
+func (t *dataTimer) lookAgain(after time.Duration) {
+	t.quiet.Next(time.Now(), after)
+	t.timer.Reset(after)
+}
+
 // fire decides on an attempt whose upstream has sent nothing for too long.
 func (t *dataTimer) fire() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	silence := t.x.options.Client.silence(t.upstream, t.lastEvent, t.relayed.Load())
-	if t.stopped || silence.Lasted < minDataTimeout || t.begun && t.pause == 0 {
+	now := time.Now()
+	if t.stopped || !t.quiet.Due(now) || t.begun && t.pause == 0 {
 		return // An event has arrived meanwhile.
 	}
+	lasted, stalled := t.quiet.Look(now)
+	if stalled && !t.stalled {
+		// What arrived in the gap is read first. The upstream counts as unheard until then: all that is heard of it may be old.
+		t.stalled, t.unheard = true, true
+		t.lookAgain(readTime)
+		return
+	}
+	t.stalled = false
+	silence := t.x.options.Client.silence(t.upstream, lasted, t.relayed.Load())
 	silence.Woke = t.unheard
 	t.unheard = !silence.Running()
 	step := silence.Step()
@@ -106,7 +129,7 @@
 	case step == reach.Move:
 	case t.begun && !t.x.options.Placer.HasFreeSlot(t.others):
 		// The upstream may be slow and sound. What it has sent is lost to the caller if no other one can go on.
-		t.timer.Reset(t.pause)
+		t.lookAgain(t.pause)
 		return
 	case t.x.route.Kind != routing.KindStream:
 		step = reach.MayMove // It may run at several upstreams.
@@ -119,11 +142,11 @@
 	case step == reach.Move:
 	case step == reach.MayMove && !t.borne && t.x.takeTimeoutRetry():
 	case step == reach.Bear && silence.Woke && !t.unheard:
-		t.timer.Reset(max(t.pause, minDataTimeout))
+		t.lookAgain(max(t.pause, minDataTimeout))
 		return
 	default:
 		t.borne = t.borne || step == reach.MayMove
-		t.timer.Reset(silenceCheckInterval)
+		t.lookAgain(silenceCheckInterval)
 		return
 	}
 	if t.x.route.Kind != routing.KindStream && t.unheard && silence.Lasted < reach.SoundSilence {
