Await the node's own connection when polls check a silent service

When all upstreams of a service were silent, sound and slow to connect to, on a loaded machine for instance, they all became relayed at once, with a hop more for each request, and runs on this node's own connections counted as lost.

Cause: made the check of a silent stream wait for this node's own attempt, but polls still took another node's connection for the result after 60 ms.

TestSilentServiceThatConnectsLateIsNotRelayed failed before: "2 (int) != 0 (int)". Polls make the check that waits now, 300 ms at most unless this process does not run; another node is asked meanwhile as before.

The test passes in three of three runs of go test -race ./pkg/controller/uplink, and cut-off nodes are still found in time: go test -race -run TestCallersOfCutOffNodesAreServed ./platform passed in 46.6 s, one run, at a load of 173.

Checks of other callers (Attribute, TryConnect, list jobs) still use Diagnose, which does not wait.

--- a/pkg/controller/uplink/diagnose.go
+++ b/pkg/controller/uplink/diagnose.go
@@ -73,6 +73,11 @@
 	if reached {
 		return Reached
 	}
+	return l.diagnoseAwaitingOwn(ctx, address)
+}
+
+// diagnoseAwaitingOwn is Diagnose with a result only after this node's own attempt has ended.
+func (l *Links) diagnoseAwaitingOwn(ctx context.Context, address string) Diagnosis {
 	return l.sharedDiagnosis(ctx, diagnosisKey{address: address, awaitOwn: true})
 }
 
--- a/pkg/controller/uplink/uplink.go
+++ b/pkg/controller/uplink/uplink.go
@@ -258,7 +258,8 @@
 	}
 	for _, address := range checks {
 		l.options.Log.Notice("upstreams owe answers and none is heard", "upstream_address", address)
-		go l.Diagnose(context.Background(), address)
+		// A connection of the last half second, with which DiagnoseSilent is content, shows nothing about a cut since.
+		go l.diagnoseAwaitingOwn(context.Background(), address)
 	}
 	if waiting || len(activity) > 0 {
 		time.AfterFunc(pollInterval, l.poll)
--- a/pkg/controller/uplink/uplink_test.go
+++ b/pkg/controller/uplink/uplink_test.go
@@ -196,6 +196,23 @@
 	assert.Equal(t, <-diagnosed, Reached)
 }
 
+// Guards against the same for all upstreams of a silent service, which polls check.
+func TestSilentServiceThatConnectsLateIsNotRelayed(t *testing.T) {
+	upstreams := startUpstreams(t, 2, func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
+	a := newNodes(t, []string{"a", "b"}, upstreams)["a"]
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	transport := a.Transport(&http.Transport{})
+	for _, u := range upstreams {
+		go func() { _, _ = get(ctx, transport, u.Address) }() // It ends with the test.
+	}
+	time.Sleep(100 * time.Millisecond)
+	a.delay.Store(int64(2 * helperDelay))
+	for until := time.Now().Add(1300 * time.Millisecond); time.Now().Before(until); time.Sleep(time.Millisecond) {
+		assert.Equal(t, a.ReachedThroughOthers(), 0)
+	}
+}
+
 // Guards against an answer that breaks off on a relayed connection and looks complete, and against one that ends with its
 // connection and looks broken off.
 func TestEndOfRelayedAnswerDiffersFromItsBreak(t *testing.T) {
