Keep an item's run whose events arrive during the check of its upstream

Seen: a batch item began a second run, at the cost of a place and the pause after a broken run, although its upstream had gone on. A check that fails takes as long as its connects, and its result was carried out without a look whether events had arrived meanwhile. Before: TestRunThatGoesOnDuringItsCheckIsKept: "assertion failed: 2 (int) != 1 (int)" (runs of the item). Change: the watch counts arrivals, and a check that began before the last arrival gives nothing up. The next silence begins a check of its own. Measured: go test -race -count=3 of that test, TestItemLeavesAnUpstreamThatCanNotBeReached and TestItemStaysAtAnUpstreamThatFallsSilent passes.

--- a/pkg/listjob/silence.go
+++ b/pkg/listjob/silence.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"trefoilplank.example/pkg/controller/uplink"
@@ -42,22 +43,29 @@
 type silenceWatch struct {
 	timeouts      eventTimeouts
 	giveUp, check *time.Timer
+	// arrivals counts the calls of heard.
+	arrivals atomic.Int64
 }
 
 // watchSilence watches a run until stop is called.
 func (c *Controller) watchSilence(ctx context.Context, u dispatch.Upstream, t eventTimeouts, giveUp func()) *silenceWatch {
 	w := &silenceWatch{timeouts: t, giveUp: time.AfterFunc(t.first, giveUp)}
 	w.check = time.AfterFunc(t.first, func() {
-		if result := c.options.Diagnose(ctx, u.Address); result != uplink.Reached && ctx.Err() == nil {
-			c.options.Log.Notice("upstream of a run is silent and can't be connected to", "upstream", u.ID, "result", result)
-			giveUp()
+		arrivals := w.arrivals.Load()
+		result := c.options.Diagnose(ctx, u.Address)
+		// The upstream may have gone on during the check, which takes as long as its connects.
+		if result == uplink.Reached || ctx.Err() != nil || w.arrivals.Load() != arrivals {
+			return
 		}
+		c.options.Log.Notice("upstream of a run is silent and can't be connected to", "upstream", u.ID, "result", result)
+		giveUp()
 	})
 	return w
 }
 
 // heard records that events arrived.
 func (w *silenceWatch) heard() {
+	w.arrivals.Add(1)
 	w.giveUp.Reset(w.timeouts.between)
 	w.check.Reset(w.timeouts.check)
 }
--- a/pkg/listjob/silence_test.go
+++ b/pkg/listjob/silence_test.go
@@ -72,3 +72,17 @@
 	assert.Assert(t, time.Since(stopped) >= soundSilence/2, "the item went on after %v", time.Since(stopped))
 	checkResults(t, e, readAll(t, a.Controller, "j", 10*time.Second))
 }
+
+// Guards against a run that is given up because a check of its silent upstream fails, although events arrived during the check.
+func TestRunThatGoesOnDuringItsCheckIsKept(t *testing.T) {
+	s, net, e := memstore.New(), newNetwork(), newEngine(t, 30, 20*time.Millisecond)
+	e.pauseAt, e.pause = 7, minCheckDelay+100*time.Millisecond
+	a := net.addNode(t, s, e, "a")
+	a.options.Diagnose = func(context.Context, string) uplink.Diagnosis {
+		time.Sleep(300 * time.Millisecond) // The connect times out; the upstream has gone on meanwhile.
+		return uplink.Unreachable
+	}
+	assert.NilError(t, a.Accept(context.Background(), submission("j", 1)))
+	checkResults(t, e, readAll(t, a.Controller, "j", 10*time.Second))
+	assert.Equal(t, e.totalRuns(), 1)
+}
