Check silent upstreams of items by the node's own connect

Cause: pkg/edge gave pkg/listjob Links.Diagnose, which reports ReachedByOthers as soon as another node has connected, 60 ms after the own attempt began. Listjob gives a run up at any result but Reached. Links.DiagnoseSilent, which requests use, waits for the own attempt and takes a connection of the last 0.5 s as one. The wiring itself has no test: a node's own connect can't be delayed from pkg/edge.

--- a/pkg/listjob/controller.go
+++ b/pkg/listjob/controller.go
@@ -40,7 +40,7 @@
 	Fleet  *fleet.Fleet
 	Placer *placer.Placer
 	Client *forward.Client
-	// Diagnose tries to connect to an upstream, as uplink.Links does.
+	// Diagnose tries to connect to a silent upstream, as DiagnoseSilent of uplink.Links does.
 	Diagnose func(ctx context.Context, address string) uplink.Diagnosis
 	// FailedRuns holds the failed runs of all nodes; nil if they are not recorded.
 	FailedRuns *failedruns.Controller
--- a/pkg/listjob/fakes_test.go
+++ b/pkg/listjob/fakes_test.go
@@ -374,7 +374,7 @@
 	table := routing.NewTable(routes)
 	links := uplink.New(uplink.Options{})
 	c := New(Options{
-		Store: freezingStore{s, n, name}, Peers: caller{n, name}, Fleet: f, Placer: p, Client: forward.NewClient(testHeaders, links, p.Announce, nil), Diagnose: links.Diagnose,
+		Store: freezingStore{s, n, name}, Peers: caller{n, name}, Fleet: f, Placer: p, Client: forward.NewClient(testHeaders, links, p.Announce, nil), Diagnose: links.DiagnoseSilent,
 		FailedRuns: n.failedRuns, Table: func() *routing.Table { n.whileFrozen(name); return table }, MemoryBytes: 256 << 20, Readable: 2 * time.Minute, Log: log,
 		IsHub: func() bool { return n.isHub(name) }, HubSweeps: func() bool { return n.hubSweeps(name) }, Hub: n.hub,
 		HubWaiting:     func(context.Context) (map[string]int64, error) { return n.hubWaiting(name) },
