Count only time in which the node ran as silence of an item's upstream

Seen: after a node had not run for over two seconds, items it had running began anew elsewhere, although their upstreams had gone on and the events lay unread. Cause: the bounds on silence were plain timers. After a gap they fire before the sockets are read. Change: a clock of the controller, looked at each 0.1 s by a loop that exists, counts at most 0.2 s of the time between two looks. A timer that fires early by that clock is set to what is left, and nothing is due until the process has run for 0.1 s after a gap. A check during which the process was stopped is made again. No timer or goroutine per item is added. outage.Meter is not used: it measures one outage at a time and needs a look each 50 ms; this clock serves all runs.

--- a/pkg/listjob/controller.go
+++ b/pkg/listjob/controller.go
@@ -103,6 +103,8 @@
 	// verifiedAt is when this node last began to compare all its jobs with the store, and sweptAt when it last began a sweep of
 	// its own, which may read a state that is a second old.
 	verifiedAt, sweptAt time.Time
+	// ran is the time in which this process ran.
+	ran runClock
 	// wake makes schedule look for items to start at once.
 	wake    chan struct{}
 	lengths *lengthModel
--- a/pkg/listjob/run.go
+++ b/pkg/listjob/run.go
@@ -66,8 +66,8 @@
 	received := 0
 	err := c.sendItem(ctx, it, u, request, func(events int) {
 		if events > 0 { // Bytes of an event that is never completed are no progress.
-			silence.heard()
 			it.heardAt = time.Now()
+			silence.heard(it.heardAt)
 		}
 		c.options.FailedRuns.Alive(u.ID, started)
 		if received += events; received > 1 && !it.beganWriting {
--- a/pkg/listjob/silence.go
+++ b/pkg/listjob/silence.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"trefoilplank.example/pkg/controller/uplink"
@@ -39,22 +39,71 @@
 	return eventTimeouts{limit(firstEventTimeout), limit(max(minCheckDelay, between)), limit(max(maxSoundSilence, between))}
 }
 
+// maxRunStep is how much of the time between two looks at a runClock counts at most: the process was late by one interval, not stopped.
+const maxRunStep = 2 * checkInterval
+
+// runClock measures the time in which this process ran. What an upstream sent while the process was stopped or not scheduled lies unread, so
+// that time is no silence of the upstream. It is looked at each checkInterval.
+type runClock struct {
+	mu     sync.Mutex
+	lookAt time.Time
+	ran    time.Duration
+	// gapAt is when a look last found that the process had not run.
+	gapAt time.Time
+}
+
+// look returns the time in which the process ran.
+func (r *runClock) look(now time.Time) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if step := now.Sub(r.lookAt); step > 0 {
+		r.ran += min(step, maxRunStep)
+		r.lookAt = now
+		if step > maxRunStep {
+			r.gapAt = now
+		}
+	}
+	return r.ran
+}
+
+// hasCaughtUp reports whether the process has run for long enough to read what arrived before.
+func (r *runClock) hasCaughtUp(now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return now.Sub(r.gapAt) >= checkInterval
+}
+
 // silenceWatch gives a run up if its upstream sends no event for too long, or if it is silent and can't be connected to.
 type silenceWatch struct {
-	timeouts      eventTimeouts
+	clock    *runClock
+	timeouts eventTimeouts
+
+	mu sync.Mutex
+	// heardAt is the time by clock at which the last event arrived or, before the first one, the run was sent. arrivals counts the calls
+	// of heard.
+	heardAt       time.Duration
+	arrivals      int
+	stopped       bool
 	giveUp, check *time.Timer
-	// arrivals counts the calls of heard.
-	arrivals atomic.Int64
 }
 
-// watchSilence watches a run until stop is called.
+// watchSilence watches a run that is sent now, until stop is called.
 func (c *Controller) watchSilence(ctx context.Context, u dispatch.Upstream, t eventTimeouts, giveUp func()) *silenceWatch {
-	w := &silenceWatch{timeouts: t, giveUp: time.AfterFunc(t.first, giveUp)}
+	w := &silenceWatch{clock: &c.ran, timeouts: t, heardAt: c.ran.look(time.Now())}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.giveUp = time.AfterFunc(t.first, func() {
+		if w.giveUpDue(time.Now()) {
+			giveUp()
+		}
+	})
 	w.check = time.AfterFunc(t.first, func() {
-		arrivals := w.arrivals.Load()
+		begun, due := w.checkDue(time.Now())
+		if !due {
+			return
+		}
 		result := c.options.Diagnose(ctx, u.Address)
-		// The upstream may have gone on during the check, which takes as long as its connects.
-		if result == uplink.Reached || ctx.Err() != nil || w.arrivals.Load() != arrivals {
+		if result == uplink.Reached || ctx.Err() != nil || !w.stillSilent(begun, time.Now()) {
 			return
 		}
 		c.options.Log.Notice("upstream of a run is silent and can't be connected to", "upstream", u.ID, "result", result)
@@ -63,14 +112,84 @@
 	return w
 }
 
+// giveUpDue reports whether the run must be given up. If not, the timer runs on.
+func (w *silenceWatch) giveUpDue(now time.Time) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	limit := w.timeouts.first
+	if w.arrivals > 0 {
+		limit = w.timeouts.between
+	}
+	return w.isDue(w.giveUp, limit, now)
+}
+
+// checkBegin is the state at which a check of the upstream began; ran is the time of the clock.
+type checkBegin struct {
+	at       time.Time
+	ran      time.Duration
+	arrivals int
+}
+
+// checkDue reports whether the upstream must be checked. If not, the timer runs on.
+func (w *silenceWatch) checkDue(now time.Time) (checkBegin, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	limit := w.timeouts.first
+	if w.arrivals > 0 {
+		limit = w.timeouts.check
+	}
+	due := w.isDue(w.check, limit, now)
+	return checkBegin{now, w.clock.look(now), w.arrivals}, due
+}
+
+// isDue reports whether the silence has reached limit; otherwise it sets the timer to what is left. The caller holds w.mu.
+func (w *silenceWatch) isDue(timer *time.Timer, limit time.Duration, now time.Time) bool {
+	if w.stopped {
+		return false
+	}
+	left := limit - (w.clock.look(now) - w.heardAt)
+	if !w.clock.hasCaughtUp(now) {
+		left = max(left, checkInterval)
+	}
+	if left > 0 {
+		timer.Reset(left)
+		return false
+	}
+	return true
+}
+
+// stillSilent reports whether no events arrived during a check that failed, which takes as long as its connects. If this process was stopped
+// meanwhile, so that neither events nor the connect were read, the check is made again.
+func (w *silenceWatch) stillSilent(begun checkBegin, now time.Time) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.stopped || w.arrivals != begun.arrivals {
+		return false
+	}
+	if gap := now.Sub(begun.at) - (w.clock.look(now) - begun.ran); gap > maxRunStep {
+		w.check.Reset(checkInterval)
+		return false
+	}
+	return true
+}
+
 // heard records that events arrived.
-func (w *silenceWatch) heard() {
-	w.arrivals.Add(1)
+func (w *silenceWatch) heard(now time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.stopped {
+		return
+	}
+	w.heardAt, w.arrivals = w.clock.look(now), w.arrivals+1
 	w.giveUp.Reset(w.timeouts.between)
 	w.check.Reset(w.timeouts.check)
 }
 
+// stop ends the watch.
 func (w *silenceWatch) stop() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.stopped = true
 	w.giveUp.Stop()
 	w.check.Stop()
 }
--- a/pkg/listjob/tell.go
+++ b/pkg/listjob/tell.go
@@ -36,9 +36,11 @@
 	}
 }
 
-// deliverLoop tells processes what they must be told, until ctx ends. Sweeps wait for the store, and this does not.
+// deliverLoop tells processes what they must be told, and looks at the clock of this process, until ctx ends. Sweeps wait for the store, and
+// this does not.
 func (c *Controller) deliverLoop(ctx context.Context) {
 	for wait.Sleep(ctx, checkInterval) == nil {
+		c.ran.look(time.Now())
 		c.deliver(ctx)
 	}
 }
