Hold a stopped item also if its silent upstream sent no event

Seen: an item that was stopped for another request went on elsewhere at once, while its upstream, itself stopped, still had the request unread and ran it later. Cause: holdSilent ignored runs without a first event, which are those that lie unread. A run that was certainly not run (ErrNotRun, or not sent since the job may be lost) is not held.

--- a/pkg/listjob/job.go
+++ b/pkg/listjob/job.go
@@ -137,9 +137,10 @@
 	// upstream of the last run went on after its first event.
 	key, fingerprint string
 	beganWriting     bool
-	// heardAt is when the last event of the last run arrived, zero if it had none. Only the goroutine of the run uses it.
-	heardAt time.Time
-	phase   phase
+	// silentFor is how long the upstream had sent no event when the last run ended, 0 if that was not sent. Only the goroutine of the run
+	// uses it.
+	silentFor time.Duration
+	phase     phase
 	// text holds the data of the events received so far; lastEvent is the number of the last one, or -1.
 	text      []byte
 	lastEvent int64
--- a/pkg/listjob/run.go
+++ b/pkg/listjob/run.go
@@ -50,6 +50,7 @@
 
 // runItem sends an item to an upstream and collects its events.
 func (c *Controller) runItem(ctx context.Context, it *item, u dispatch.Upstream) error {
+	it.silentFor = 0
 	if !c.ownership().mayRun(it.job) {
 		return errMayBeLost
 	}
@@ -57,17 +58,16 @@
 	defer cancel(nil)
 	it.job.mu.Lock()
 	request := newRequest(it.job.head, &it.Item)
-	it.beganWriting, it.heardAt = false, time.Time{}
+	it.beganWriting = false
 	timeouts := newEventTimeouts(c.lengths.pace(u.Service), it.brokenRuns)
 	it.job.mu.Unlock()
 	silence := c.watchSilence(ctx, u, timeouts, func() { cancel(forward.ErrUnresponsive) })
-	defer silence.stop()
+	defer func() { it.silentFor = silence.stop(time.Now()) }()
 	measurement, started := c.options.Placer.MeasureRun(u.ID, false), time.Now()
 	received := 0
 	err := c.sendItem(ctx, it, u, request, func(events int) {
 		if events > 0 { // Bytes of an event that is never completed are no progress.
-			it.heardAt = time.Now()
-			silence.heard(it.heardAt)
+			silence.heard(time.Now())
 		}
 		c.options.FailedRuns.Alive(u.ID, started)
 		if received += events; received > 1 && !it.beganWriting {
@@ -241,7 +241,7 @@
 		state, result.Text = Completed, decodeText(it.text)
 		c.observeLength(it.job, it, int(it.lines.Load()))
 	case stopped:
-		c.holdSilent(it, u)
+		c.holdSilent(it, u, err)
 		c.options.Metrics.countRun("stopped")
 		c.options.Log.Routine("run of item stopped", fields...)
 	case errors.Is(err, errItemRejected):
--- a/pkg/listjob/silence.go
+++ b/pkg/listjob/silence.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
 	"trefoilplank.example/pkg/controller/uplink"
 	"trefoilplank.example/pkg/decision/dispatch"
 	"trefoilplank.example/pkg/decision/reach"
+	"trefoilplank.example/pkg/forward"
 )
 
 const (
@@ -185,20 +187,21 @@
 	w.check.Reset(w.timeouts.check)
 }
 
-// stop ends the watch.
-func (w *silenceWatch) stop() {
+// stop ends the watch and returns for how long no event had arrived.
+func (w *silenceWatch) stop(now time.Time) time.Duration {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.stopped = true
 	w.giveUp.Stop()
 	w.check.Stop()
+	return w.clock.look(now) - w.heardAt
 }
 
-// holdSilent delays the next run of an item whose run was stopped while its upstream was silent: that one goes on with the item
-// until it reads the end of the run. The caller holds the job's lock.
-func (c *Controller) holdSilent(it *item, u dispatch.Upstream) {
-	silent := time.Since(it.heardAt)
-	if it.heardAt.IsZero() || silent < reach.SilenceLimit || silent >= maxSoundSilence {
+// holdSilent delays the next run of an item whose run was stopped, with err, while its upstream was silent: that one goes on with the item
+// until it reads the end of the run, or begins it then if it had not read the request. The caller holds the job's lock.
+func (c *Controller) holdSilent(it *item, u dispatch.Upstream, err error) {
+	silent := it.silentFor
+	if errors.Is(err, forward.ErrNotRun) || silent < reach.SilenceLimit || silent >= maxSoundSilence {
 		return
 	}
 	it.notBefore = time.Now().Add(maxSoundSilence - silent)
--- a/pkg/listjob/silence_test.go
+++ b/pkg/listjob/silence_test.go
@@ -10,6 +10,7 @@
 	"trefoilplank.example/pkg/adapter/store/memstore"
 	"trefoilplank.example/pkg/controller/uplink"
 	"trefoilplank.example/pkg/decision/dispatch"
+	"trefoilplank.example/pkg/forward"
 )
 
 // soundSilence is a silence that sound upstreams show: their kernels accept connections meanwhile.
@@ -86,3 +87,44 @@
 	checkResults(t, e, readAll(t, a.Controller, "j", 10*time.Second))
 	assert.Equal(t, e.totalRuns(), 1)
 }
+
+// Guards against an item that goes on at another upstream at once, because its run was stopped before its first event: a run that lies
+// unread in a silent upstream has none.
+func TestStoppedItemWithoutEventsWaitsForASilentUpstream(t *testing.T) {
+	s, net, e, other := memstore.New(), newNetwork(), newEngine(t, 12, 5*time.Millisecond), newEngine(t, 12, 5*time.Millisecond)
+	e.fail = func(_ string, run int) int {
+		if run == 1 {
+			time.Sleep(soundSilence)
+		}
+		return 0
+	}
+	a := net.addNode(t, s, e, "a")
+	assert.NilError(t, a.Accept(context.Background(), submission("j", 1)))
+	for until := time.Now().Add(time.Second); e.totalRuns() == 0; time.Sleep(5 * time.Millisecond) {
+		assert.Assert(t, time.Now().Before(until))
+	}
+	time.Sleep(soundSilence / 2)
+	it, stopped := a.ownedJob("j").items[0], time.Now()
+	it.job.mu.Lock()
+	it.cancelRun()
+	it.job.mu.Unlock()
+	a.placer.SetUpstreams([]dispatch.Upstream{e.upstream(), other.upstream()})
+	for e.totalRuns()+other.totalRuns() < 2 {
+		assert.Assert(t, time.Since(stopped) < 2*maxSoundSilence)
+		time.Sleep(5 * time.Millisecond)
+	}
+	assert.Assert(t, time.Since(stopped) >= soundSilence/2, "the item went on after %v", time.Since(stopped))
+	checkResults(t, e, readAll(t, a.Controller, "j", 10*time.Second))
+}
+
+// Guards against an item that waits although no upstream has it: its run was stopped before it was sent.
+func TestStoppedItemThatWasNotSentDoesNotWait(t *testing.T) {
+	e := newEngine(t, 1, 0)
+	a := newNetwork().addNode(t, memstore.New(), e, "a")
+	it := newJob(head{ID: "j"}, 1, submission("j", 1).Items).items[0]
+	it.silentFor = maxSoundSilence / 2
+	a.holdSilent(it, e.upstream(), forward.ErrNotRun)
+	assert.Assert(t, it.notBefore.IsZero())
+	a.holdSilent(it, e.upstream(), context.Canceled)
+	assert.Assert(t, time.Until(it.notBefore) > maxSoundSilence/4)
+}
