Name the head in a call that hands a job over

Seen: two nodes ran items of a job, until one was told: a late call took it from its live owner. Cause: a node that stops asks a second node if the first one does not answer in a second. The call named no revision, so that the first one, when it went on, read the current head and claimed the job from the second. It was also offered on while the first node had already taken it over. Before: TestLateHandOverLeavesTheJobToItsOwner: "c (h.Owner string) != b (successor string)"; TestJobThatIsBeingTakenOverIsOfferedToNoOther: two owners. Change: the call names head and revision, as that of the hub does, so that the conditional write refuses a late one. After a call that fails the head is read again: a job that another node owns is offered no further, and one that still names the node that stops is offered by its new revision, first to the same node. A node that took a job over keeps its order in memory, as stored: without that the next owner would have taken a later revision for it (TestHandedOverJobKeepsItsOrder fails without the line). Measured: go test -race -count=3 of the four new tests and five of handing over passes.

--- a/pkg/listjob/fakes_test.go
+++ b/pkg/listjob/fakes_test.go
@@ -147,6 +147,9 @@
 	unreported bool
 	// withoutCheck is set if nodes do not know the call Jobs.Check, as those of earlier builds.
 	withoutCheck bool
+	// adoptsLate is a node that does not read the calls of Jobs.Adopt in time, which are kept in lateAdopts.
+	adoptsLate string
+	lateAdopts []AdoptArgs
 	// failedRuns holds the failed runs of all nodes.
 	failedRuns *failedruns.Controller
 	// waitingLimit is the limit on the waiting tokens of the route, and retention its retention if it is set.
@@ -322,7 +325,15 @@
 	c.network.mu.Lock()
 	target, cut, unknown := c.network.nodes[node], c.network.cut[node] || c.network.cut[c.self], c.network.withoutCheck
 	c.network.calls[method]++
+	adopt, late := args.(AdoptArgs)
+	if late = late && node == c.network.adoptsLate; late {
+		c.network.lateAdopts = append(c.network.lateAdopts, adopt)
+	}
 	c.network.mu.Unlock()
+	if late {
+		<-ctx.Done()
+		return ctx.Err()
+	}
 	if target == nil || cut {
 		return peer.ErrUnreachable
 	}
--- a/pkg/listjob/read.go
+++ b/pkg/listjob/read.go
@@ -212,7 +212,8 @@
 		Incarnation, Revision int64
 		Ended                 bool
 	}
-	// AdoptArgs asks a node to take over a job. Head is the stored head at Revision, if the caller has read it.
+	// AdoptArgs asks a node to take over a job. Head is the stored head at Revision, which must not have changed since; builds up to
+	// 4971d18 send none when they stop.
 	AdoptArgs struct {
 		ID       string
 		Partials []Partial
--- a/pkg/listjob/takeover.go
+++ b/pkg/listjob/takeover.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"cmp"
 	"context"
+	"encoding/json"
 	"errors"
 	"slices"
 	"sync"
@@ -147,6 +148,7 @@
 // claim writes this node into the head as the owner, unless it is the owner already, and reads the items and the log.
 func (c *Controller) claim(ctx context.Context, h head, revision int64) (*job, error) {
 	id, self := h.ID, c.self()
+	h.Order = h.order(revision) // As stored: the head is handed over with the job.
 	if h.Owner != self.Node {
 		h.TakenOver = time.Now().UTC()
 	}
@@ -200,10 +202,10 @@
 		j.released = j.isOpen()
 		stillOpen := j.released
 		j.stopRuns()
-		partials := j.partials()
+		partials, own := j.partials(), sweptHead{j.head, j.revision}
 		j.mu.Unlock()
 		if stillOpen {
-			calls.Go(func() { c.handOverJob(ctx, j.head.ID, partials) })
+			calls.Go(func() { c.handOverJob(ctx, own, partials) })
 		}
 	}
 	calls.Wait()
@@ -248,22 +250,51 @@
 	})
 }
 
-// handOverJob hands a job to its successor, or to the next node in rank if the call fails.
-func (c *Controller) handOverJob(ctx context.Context, id string, all []Partial) {
-	partials := limitPartials(all)
+// handOverJob hands a job to its successor, or to the next node in rank if the call fails. The calls name the head that may be replaced, so that
+// one that is read late takes the job from nobody.
+func (c *Controller) handOverJob(ctx context.Context, own sweptHead, all []Partial) {
+	id, partials := own.Head.ID, limitPartials(all)
 	candidates := rendezvous.Ranked(id, c.options.Fleet.AcceptingWeights())
 	for _, to := range candidates[:min(handOverAttempts, len(candidates))] {
-		call, cancel := context.WithTimeout(ctx, handOverTimeout)
-		err := c.options.Peers.Call(call, to, "Jobs.Adopt", AdoptArgs{ID: id, Partials: partials}, &Nothing{})
-		cancel()
-		c.options.Log.Notice("asked another node to take over job", "job", id, "to", to, "partials", len(partials), "left_out", len(all)-len(partials), "error", err)
-		if err == nil {
-			c.options.Metrics.countJob("handed_on")
-			return
+		for again := true; again; {
+			err := c.askToAdopt(ctx, to, own, partials)
+			c.options.Log.Notice("asked another node to take over job", "job", id, "to", to, "partials", len(partials), "left_out", len(all)-len(partials), "error", err)
+			if err == nil {
+				c.options.Metrics.countJob("handed_on")
+				return
+			}
+			// The node may have taken the job over without an answer in time, or the head may have been written meanwhile.
+			h, revision, err := c.readOwnHead(ctx, id)
+			if err == nil && (owner{h.Owner, h.Incarnation}) != c.self() || errors.Is(err, ErrNotFound) {
+				c.options.Log.Notice("job is now owned by another node", "job", id, "owner", h.Owner)
+				return
+			}
+			again = err == nil && revision != own.Revision
+			if again {
+				own = sweptHead{h, revision}
+			}
 		}
 	}
 }
 
+// readOwnHead reads the head of a job that is handed over.
+func (c *Controller) readOwnHead(ctx context.Context, id string) (head, int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, handOverTimeout)
+	defer cancel()
+	return c.readHead(ctx, id)
+}
+
+// askToAdopt asks a node to take over a job whose head is as in own.
+func (c *Controller) askToAdopt(ctx context.Context, node string, own sweptHead, partials []Partial) error {
+	value, err := json.Marshal(own.Head)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, handOverTimeout)
+	defer cancel()
+	return c.options.Peers.Call(ctx, node, "Jobs.Adopt", AdoptArgs{ID: own.Head.ID, Partials: partials, Head: value, Revision: own.Revision}, &Nothing{})
+}
+
 // partials returns the state of unlisted items that have received events or failures. The caller holds j.mu.
 func (j *job) partials() []Partial {
 	var list []Partial
