Count a job as owned since the first attempt to create it

Seen: by reading: a job could count as compared with the store later than it was, so that its items start for longer than they may after another node ended it. Cause: a second submission while the first one creates the job set the beginning of that attempt anew, which startJob takes for the time since which the job is owned. Before: TestJobIsOwnedSinceItsFirstAttempt: "20.144287ms later". Change: the beginning is that of the earliest attempt in progress. Measured: go test -race -count=2 of that test passes.

--- a/pkg/listjob/accept.go
+++ b/pkg/listjob/accept.go
@@ -194,7 +194,7 @@
 	return err
 }
 
-// creation is the beginning of the last attempt to create the head of a job, and the number of attempts in progress.
+// creation is the beginning of the earliest attempt to create the head of a job, and the number of attempts in progress.
 type creation struct {
 	begun    time.Time
 	attempts int
@@ -206,7 +206,11 @@
 	defer c.mu.Unlock()
 	now := c.creating[id]
 	if creating {
-		c.creating[id] = creation{time.Now(), now.attempts + 1}
+		if now.attempts == 0 {
+			now.begun = time.Now()
+		}
+		now.attempts++
+		c.creating[id] = now
 		return
 	}
 	if now.attempts--; now.attempts > 0 {
--- a/pkg/listjob/tenure_test.go
+++ b/pkg/listjob/tenure_test.go
@@ -185,3 +185,21 @@
 		assert.Assert(t, time.Now().Before(until), "the former owner goes on")
 	}
 }
+
+// Guards against a node that believes to have owned a job since a later time than it has compared it with the store, because a second
+// submission of it arrived while the first one created it.
+func TestJobIsOwnedSinceItsFirstAttempt(t *testing.T) {
+	a := newNetwork().addNode(t, memstore.New(), newEngine(t, 3, time.Millisecond), "a")
+	a.setCreating("j", true)
+	first := time.Now()
+	time.Sleep(20 * time.Millisecond)
+	a.setCreating("j", true)
+	j := newJob(head{ID: "j", Host: testHost, Path: "/b/j", Total: 1, Submitted: time.Now(), Owner: "a", Incarnation: 1, Ended: true}, 1, submission("j", 1).Items)
+	a.startJob(j)
+	assert.Assert(t, !j.ownedAt.After(first), "%v later", j.ownedAt.Sub(first))
+	a.setCreating("j", false)
+	a.setCreating("j", false)
+	a.setCreating("j", true)
+	assert.Assert(t, a.creating["j"].begun.After(first), "an attempt that ended counts")
+	a.setCreating("j", false)
+}
