End the attempts to store the end of a job with the node

Seen: by reading: a node that had stopped went on calling the store for up to two minutes, where its process goes on, as in tests. Cause: attempts after the first one ran with a context of their own. Before: TestEndIsNotRepeatedAfterTheNodeHasStopped: "assertion failed: h.Ended is true", after the node had stopped. Change: they end when the controller's work ends, after the node has drained. The caller, who got no confirmation, repeats the end at another node. Measured: go test -race -count=2 of that test and the others of ends passes.

--- a/pkg/listjob/controller.go
+++ b/pkg/listjob/controller.go
@@ -105,6 +105,9 @@
 	verifiedAt, sweptAt time.Time
 	// ran is the time in which this process ran.
 	ran runClock
+	// running ends, by stopped, with Run.
+	running context.Context
+	stopped context.CancelFunc
 	// wake makes schedule look for items to start at once.
 	wake    chan struct{}
 	lengths *lengthModel
@@ -121,12 +124,14 @@
 		creating: map[string]creation{}, missed: map[string]Owned{}, ending: map[string]bool{}, withdrawing: map[string]bool{}, lastRefusals: map[string]lastRefusal{}, untold: map[owner]*untold{}, wake: make(chan struct{}, 1),
 		lengths: newLengthModel(),
 	}
+	c.running, c.stopped = context.WithCancel(context.Background())
 	c.entryLimit.Store(maxEntryBytes)
 	return c
 }
 
 // Run schedules items and looks for orphaned jobs until ctx ends, then stops all runs.
 func (c *Controller) Run(ctx context.Context) error {
+	defer c.stopped()
 	var all sync.WaitGroup
 	all.Go(func() { c.schedule(ctx) })
 	all.Go(func() { c.sweepLoop(ctx) })
--- a/pkg/listjob/ends.go
+++ b/pkg/listjob/ends.go
@@ -45,7 +45,8 @@
 	}
 }
 
-// endUntilStored ends a job, with further attempts if the first one fails, whose outcome it sends to first.
+// endUntilStored ends a job, with further attempts if the first one fails, whose outcome it sends to first. They end with the node: the
+// caller of an end that was not confirmed repeats it at another.
 func (c *Controller) endUntilStored(ctx context.Context, id string, first chan<- error) {
 	begun := time.Now()
 	err := c.endOnce(ctx, id)
@@ -53,8 +54,10 @@
 	if err == nil || errors.Is(err, ErrNotFound) || !c.beginEnding(id) {
 		return
 	}
-	for err != nil && !errors.Is(err, ErrNotFound) && time.Since(begun) < endFor {
-		_ = wait.Sleep(ctx, endRetry+rand.N(endRetry/2))
+	ctx, cancel := context.WithTimeout(ctx, endFor)
+	defer cancel()
+	defer context.AfterFunc(c.running, cancel)()
+	for err != nil && !errors.Is(err, ErrNotFound) && wait.Sleep(ctx, endRetry+rand.N(endRetry/2)) == nil {
 		err = c.endOnce(ctx, id)
 	}
 	c.options.Log.Notice("finished storing the end of a job", "job", id, "ms", time.Since(begun).Milliseconds(), "error", err)
--- a/pkg/listjob/ends_test.go
+++ b/pkg/listjob/ends_test.go
@@ -285,3 +285,23 @@
 	}
 	assert.Assert(t, ownership{now: now, verifiedAt: now}.mayRun(j) && ownership{now: now, sweptAt: now}.mayRun(j))
 }
+
+// Guards against a node that goes on calling the store after it has stopped, since it repeats the end of a job.
+func TestEndIsNotRepeatedAfterTheNodeHasStopped(t *testing.T) {
+	s, net, e := memstore.New(), newNetwork(), newEngine(t, 1000, 10*time.Millisecond)
+	gated := &gatedStore{Store: s}
+	a := net.addNode(t, gated, e, "a")
+	assert.NilError(t, a.Accept(context.Background(), submission("j", 2)))
+	gated.setRefuseHeads(true)
+	assert.ErrorIs(t, a.End(context.Background(), "j"), ErrUnavailable)
+	a.stop()
+	time.Sleep(endRetry / 2)
+	gated.setRefuseHeads(false)
+	time.Sleep(2 * endRetry)
+	h, _, err := a.readHead(context.Background(), "j")
+	assert.NilError(t, err)
+	assert.Assert(t, !h.Ended)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	assert.Equal(t, len(a.ending), 0)
+}
