Take the former owner's job before the test gives it away

Seen: TestRestartedOwnerExpectsEarlierOwners panicked once in a whole run under load: a nil job in writeEntry. Cause: the test's. It names another owner in the stored head and then asks node a for its job. Change: the test takes the job before. What it stands for, a write of the former owner that is in progress, and what it checks, that the new owner reads it, are as before.

--- a/pkg/listjob/tenure_test.go
+++ b/pkg/listjob/tenure_test.go
@@ -90,12 +90,13 @@
 	assert.NilError(t, a.Accept(context.Background(), submission("j", 2)))
 	h, revision, err := a.readHead(context.Background(), "j")
 	assert.NilError(t, err)
-	time.Sleep(1600 * time.Millisecond)                      // The nodes know each other.
+	time.Sleep(1600 * time.Millisecond) // The nodes know each other.
+	before := a.ownedJob("j")
 	h.Owner, h.Incarnation, h.TakenOver = "b", 0, time.Now() // The process of b before this one had taken the job over.
 	_, err = a.putHead(context.Background(), h, revision)
 	assert.NilError(t, err)
 	assert.NilError(t, b.adopt(context.Background(), "j", nil))
-	assert.NilError(t, a.writeEntry(a.ownedJob("j"), 0, entry{Node: "a", Results: []Result{{ID: "j-item1", State: Completed, Text: "listed by a"}}}))
+	assert.NilError(t, a.writeEntry(before, 0, entry{Node: "a", Results: []Result{{ID: "j-item1", State: Completed, Text: "listed by a"}}}))
 	l, err := b.Read(context.Background(), "j", 0, 0)
 	assert.NilError(t, err)
 	assert.Equal(t, len(l.Results), 1)
