Let a test wait for the node whose fleet it replaces

Seen: a race was detected once in TestNodeWithoutMembersTakesOverNoJobs under load; its trace was lost. Cause: the test's. It replaces the fleet of node b after it has stopped it, and stop does not wait for the node's loops, which read it. Change: the test waits for the end of the node's work. What it checks is as before.

--- a/pkg/listjob/fakes_test.go
+++ b/pkg/listjob/fakes_test.go
@@ -363,6 +363,8 @@
 	fleet  *fleet.Fleet
 	placer *placer.Placer
 	stop   context.CancelFunc
+	// done is closed once the work of the controller has ended.
+	done <-chan struct{}
 }
 
 func (n *network) addNode(t *testing.T, s store.Store, e *engine, name string, others ...string) *node {
@@ -399,7 +401,7 @@
 	go func() { defer close(done); _ = c.Run(ctx) }()
 	go n.reportAsHub(ctx, f, name)
 	t.Cleanup(func() { cancel(); <-done })
-	return &node{c, f, p, cancel}
+	return &node{c, f, p, cancel, done}
 }
 
 // upstream returns the engine as an upstream.
--- a/pkg/listjob/listjob_test.go
+++ b/pkg/listjob/listjob_test.go
@@ -295,6 +295,7 @@
 	a := net.addNode(t, s, e, "a")
 	b := net.addNode(t, s, e, "b")
 	b.stop()
+	<-b.done // It reads its fleet, which the test replaces.
 	assert.NilError(t, a.Accept(context.Background(), submission("j", 2)))
 	time.Sleep(100 * time.Millisecond)
 	for range 3 {
