--- a/pkg/listjob/controller.go
+++ b/pkg/listjob/controller.go
@@ -40,7 +40,7 @@
 	Fleet  *fleet.Fleet
 	Placer *placer.Placer
 	Client *forward.Client
-	// Diagnose tries to connect to an upstream, as uplink.Links does.
+	// Diagnose tries to connect to a silent upstream, as DiagnoseSilent of uplink.Links does.
 	Diagnose func(ctx context.Context, address string) uplink.Diagnosis
 	// FailedRuns holds the failed runs of all nodes; nil if they are not recorded.
 	FailedRuns *failedruns.Controller
@@ -103,6 +103,11 @@
 	// verifiedAt is when this node last began to compare all its jobs with the store, and sweptAt when it last began a sweep of
 	// its own, which may read a state that is a second old.
 	verifiedAt, sweptAt time.Time
+	// ran is the time in which this process ran.
+	ran runClock
+	// running ends, by stopped, with Run.
+	running context.Context
+	stopped context.CancelFunc
 	// wake makes schedule look for items to start at once.
 	wake    chan struct{}
 	lengths *lengthModel
@@ -119,12 +124,14 @@
 		creating: map[string]creation{}, missed: map[string]Owned{}, ending: map[string]bool{}, withdrawing: map[string]bool{}, lastRefusals: map[string]lastRefusal{}, untold: map[owner]*untold{}, wake: make(chan struct{}, 1),
 		lengths: newLengthModel(),
 	}
+	c.running, c.stopped = context.WithCancel(context.Background())
 	c.entryLimit.Store(maxEntryBytes)
 	return c
 }
 
 // Run schedules items and looks for orphaned jobs until ctx ends, then stops all runs.
 func (c *Controller) Run(ctx context.Context) error {
+	defer c.stopped()
 	var all sync.WaitGroup
 	all.Go(func() { c.schedule(ctx) })
 	all.Go(func() { c.sweepLoop(ctx) })
--- a/pkg/listjob/fakes_test.go
+++ b/pkg/listjob/fakes_test.go
@@ -147,6 +147,9 @@
 	unreported bool
 	// withoutCheck is set if nodes do not know the call Jobs.Check, as those of earlier builds.
 	withoutCheck bool
+	// adoptsLate is a node that does not read the calls of Jobs.Adopt in time, which are kept in lateAdopts.
+	adoptsLate string
+	lateAdopts []AdoptArgs
 	// failedRuns holds the failed runs of all nodes.
 	failedRuns *failedruns.Controller
 	// waitingLimit is the limit on the waiting tokens of the route, and retention its retention if it is set.
@@ -322,7 +325,15 @@
 	c.network.mu.Lock()
 	target, cut, unknown := c.network.nodes[node], c.network.cut[node] || c.network.cut[c.self], c.network.withoutCheck
 	c.network.calls[method]++
+	adopt, late := args.(AdoptArgs)
+	if late = late && node == c.network.adoptsLate; late {
+		c.network.lateAdopts = append(c.network.lateAdopts, adopt)
+	}
 	c.network.mu.Unlock()
+	if late {
+		<-ctx.Done()
+		return ctx.Err()
+	}
 	if target == nil || cut {
 		return peer.ErrUnreachable
 	}
@@ -352,6 +363,8 @@
 	fleet  *fleet.Fleet
 	placer *placer.Placer
 	stop   context.CancelFunc
+	// done is closed once the work of the controller has ended.
+	done <-chan struct{}
 }
 
 func (n *network) addNode(t *testing.T, s store.Store, e *engine, name string, others ...string) *node {
@@ -374,7 +387,7 @@
 	table := routing.NewTable(routes)
 	links := uplink.New(uplink.Options{})
 	c := New(Options{
-		Store: freezingStore{s, n, name}, Peers: caller{n, name}, Fleet: f, Placer: p, Client: forward.NewClient(testHeaders, links, p.Announce, nil), Diagnose: links.Diagnose,
+		Store: freezingStore{s, n, name}, Peers: caller{n, name}, Fleet: f, Placer: p, Client: forward.NewClient(testHeaders, links, p.Announce, nil), Diagnose: links.DiagnoseSilent,
 		FailedRuns: n.failedRuns, Table: func() *routing.Table { n.whileFrozen(name); return table }, MemoryBytes: 256 << 20, Readable: 2 * time.Minute, Log: log,
 		IsHub: func() bool { return n.isHub(name) }, HubSweeps: func() bool { return n.hubSweeps(name) }, Hub: n.hub,
 		HubWaiting:     func(context.Context) (map[string]int64, error) { return n.hubWaiting(name) },
@@ -388,7 +401,7 @@
 	go func() { defer close(done); _ = c.Run(ctx) }()
 	go n.reportAsHub(ctx, f, name)
 	t.Cleanup(func() { cancel(); <-done })
-	return &node{c, f, p, cancel}
+	return &node{c, f, p, cancel, done}
 }
 
 // upstream returns the engine as an upstream.
--- a/pkg/listjob/tenure_test.go
+++ b/pkg/listjob/tenure_test.go
@@ -90,12 +90,13 @@
 	assert.NilError(t, a.Accept(context.Background(), submission("j", 2)))
 	h, revision, err := a.readHead(context.Background(), "j")
 	assert.NilError(t, err)
-	time.Sleep(1600 * time.Millisecond)                      // The nodes know each other.
+	time.Sleep(1600 * time.Millisecond) // The nodes know each other.
+	before := a.ownedJob("j")
 	h.Owner, h.Incarnation, h.TakenOver = "b", 0, time.Now() // The process of b before this one had taken the job over.
 	_, err = a.putHead(context.Background(), h, revision)
 	assert.NilError(t, err)
 	assert.NilError(t, b.adopt(context.Background(), "j", nil))
-	assert.NilError(t, a.writeEntry(a.ownedJob("j"), 0, entry{Node: "a", Results: []Result{{ID: "j-item1", State: Completed, Text: "listed by a"}}}))
+	assert.NilError(t, a.writeEntry(before, 0, entry{Node: "a", Results: []Result{{ID: "j-item1", State: Completed, Text: "listed by a"}}}))
 	l, err := b.Read(context.Background(), "j", 0, 0)
 	assert.NilError(t, err)
 	assert.Equal(t, len(l.Results), 1)
@@ -185,3 +186,21 @@
 		assert.Assert(t, time.Now().Before(until), "the former owner goes on")
 	}
 }
+
+// Guards against a node that believes to have owned a job since a later time than it has compared it with the store, because a second
+// submission of it arrived while the first one created it.
+func TestJobIsOwnedSinceItsFirstAttempt(t *testing.T) {
+	a := newNetwork().addNode(t, memstore.New(), newEngine(t, 3, time.Millisecond), "a")
+	a.setCreating("j", true)
+	first := time.Now()
+	time.Sleep(20 * time.Millisecond)
+	a.setCreating("j", true)
+	j := newJob(head{ID: "j", Host: testHost, Path: "/b/j", Total: 1, Submitted: time.Now(), Owner: "a", Incarnation: 1, Ended: true}, 1, submission("j", 1).Items)
+	a.startJob(j)
+	assert.Assert(t, !j.ownedAt.After(first), "%v later", j.ownedAt.Sub(first))
+	a.setCreating("j", false)
+	a.setCreating("j", false)
+	a.setCreating("j", true)
+	assert.Assert(t, a.creating["j"].begun.After(first), "an attempt that ended counts")
+	a.setCreating("j", false)
+}
