Read the configuration again after the process did not run

Cause: lets only the list of upstreams be read again after a stall. The prefix of configurations was not confirmed, and the handlers of requests and of jobs take the table of routes before anything waits. Fix: the prefix is confirmed after a stall, and the handler of callers' requests waits for that before any other handler runs: at most 0.5 s after the stall, at the same time as the wait for the list of upstreams; if neither the store nor the hub answers, the old configuration is used then. While the process runs this is one look at the clock. The wait lies before the time from which a route's timeout counts, as does the time in which the process did not run.

--- a/pkg/edge/node.go
+++ b/pkg/edge/node.go
@@ -218,7 +218,7 @@
 
 func (n *Node) buildMirror() {
 	n.mirror = mirror.New(mirror.Options{Store: n.store, Peers: n.peers, Others: n.fleet.OtherLive, Log: n.log},
-		mirror.Prefix{Name: n.platform.ConfigPrefix(), Handle: n.applyConfiguration},
+		mirror.Prefix{Name: n.platform.ConfigPrefix(), Handle: n.applyConfiguration, ConfirmAfterStall: true},
 		mirror.Prefix{Name: n.platform.UpstreamPrefix(), Handle: n.applyUpstreams, AbsenceGrace: absenceGrace, LapseTime: lapseTime, SuccessorWatches: true, Silence: watchSilence, ConfirmAfterStall: true},
 		mirror.Prefix{Name: fleet.Prefix, Handle: n.fleet.SetRegistered},
 		mirror.Prefix{Name: failedruns.Prefix, Handle: n.failedRuns.SetStored},
@@ -420,7 +420,7 @@
 		handler http.Handler
 		server  func(*http.Server)
 	}{
-		{n.settings.CallerAddress, n.countActive(n.callerHandler), func(s *http.Server) {
+		{n.settings.CallerAddress, n.countActive(n.awaitConfiguration(n.callerHandler)), func(s *http.Server) {
 			s.MaxHeaderBytes, s.ReadHeaderTimeout, s.IdleTimeout = headerBytes, headerTimeout, idleTimeout
 		}},
 		{n.settings.ReadyAddress, n.platform.ReadyHandler(n.Ready), setShortTimeouts},
