Name no copy as current after a stall in the pause between two watches

Nodes would go on following the old copy of a hub whose watch is broken, and a node's requests go by it. Cause: since a stall marks the watch session as ended to begin anew, also when no session runs, as in the pause before a retry. The mark stayed, and the next real break of the watch took it: the prefix was not marked as broken, and Revisions went on naming it. Evidence: TestBrokenWatchCoversNothingAfterAStallDuringAPause on, three of three: "timeout hit after 3s: 1 prefixes are covered, not 0". Fix: each session begins without the mark, under the lock under which it becomes the one that a stall ends. So only a stall during a session leaves the mark, and that stall has itself recorded that the watch does not work.

--- a/pkg/controller/mirror/mirror.go
+++ b/pkg/controller/mirror/mirror.go
@@ -115,7 +115,7 @@
 	// watches is closed while this node watches the prefix itself, and stopWatch ends its watch.
 	watches   chan struct{}
 	stopWatch context.CancelFunc
-	// watchAnew is set if the watch was ended to begin at once again.
+	// watchAnew is set if the watch session was ended to begin at once again.
 	watchAnew    bool
 	confirmation confirmation
 }
@@ -198,7 +198,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	c.mu.Lock()
-	c.stopWatch = cancel
+	c.stopWatch, c.watchAnew = cancel, false
 	c.mu.Unlock()
 	if !c.mustWatch() {
 		return nil
--- a/pkg/controller/mirror/stalls_test.go
+++ b/pkg/controller/mirror/stalls_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -101,3 +102,49 @@
 	s.mu.Unlock()
 	poll.WaitOn(t, covers, soon...)
 }
+
+// unansweredStore is a store that leaves calls for watches unanswered while hangs is set.
+type unansweredStore struct {
+	*breakableStore
+	hangs atomic.Bool
+}
+
+func (s *unansweredStore) Watch(ctx context.Context, prefix string, from int64) (<-chan store.Event, error) {
+	if s.hangs.Load() {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	return s.breakableStore.Watch(ctx, prefix, from)
+}
+
+// Guards against a hub that names its copy as current after its watch broke: it stalled once before, while no watch was in progress.
+func TestBrokenWatchCoversNothingAfterAStallDuringAPause(t *testing.T) {
+	s := &unansweredStore{breakableStore: &breakableStore{Store: memstore.New()}}
+	put(t, s, "k/a", "1")
+	hub, v := startMirror(t, s, nil, nil, 0)
+	confirmStalled(hub)
+	hub.WatchStore(context.Background())
+	poll.WaitOn(t, v.showing(map[string]string{"k/a": "1"}), soon...)
+	covers := func(want int) func(poll.LogT) poll.Result {
+		return func(poll.LogT) poll.Result {
+			if len(hub.Revisions()) == want {
+				return poll.Success()
+			}
+			return poll.Continue("%d prefixes are covered, not %d", len(hub.Revisions()), want)
+		}
+	}
+	poll.WaitOn(t, covers(1), soon...)
+	s.setDown(true)
+	poll.WaitOn(t, covers(0), soon...)
+	time.Sleep(300 * time.Millisecond) // The pause between attempts has grown.
+	hub.stall()
+	assert.Equal(t, len(hub.Revisions()), 0)
+	time.Sleep(time.Millisecond)
+	s.mu.Lock()
+	s.down = false
+	s.mu.Unlock()
+	poll.WaitOn(t, covers(1), soon...)
+	s.hangs.Store(true)
+	s.setDown(false) // The watch ends, and the next one gets no answer.
+	poll.WaitOn(t, covers(0), soon...)
+}
