Let the watch after a stall report at once whether there were changes

After a short stall of the hub all nodes can begin watches of their own, and requests at the hub and its followers wait for a quarter of a second. Cause: a hub that did not run covers nothing until the first call of its new watch has returned, and without changes that waits 0.2 s. Exchanges that began before the stall time out after 0.4 s, from where on followers count the 0.35 s after which they watch the store themselves.

--- a/pkg/adapter/store/client.go
+++ b/pkg/adapter/store/client.go
@@ -135,6 +135,16 @@
 // IsStale reports whether ctx allows lists that are seconds old.
 func IsStale(ctx context.Context) bool { return ctx.Value(staleKey{}) != nil }
 
+type earlySyncKey struct{}
+
+// WithEarlySync returns a context whose watches report at once whether there were changes, in place of waiting for the first one.
+func WithEarlySync(ctx context.Context) context.Context {
+	return context.WithValue(ctx, earlySyncKey{}, true)
+}
+
+// IsEarlySync reports whether ctx is one of WithEarlySync.
+func IsEarlySync(ctx context.Context) bool { return ctx.Value(earlySyncKey{}) != nil }
+
 type freshKey struct{}
 
 // WithFresh returns a context whose reads are always sent, instead of joining a shared read that began earlier.
--- a/pkg/controller/mirror/mirror.go
+++ b/pkg/controller/mirror/mirror.go
@@ -257,6 +257,9 @@
 	c.mu.Lock()
 	from := c.revision
 	c.mu.Unlock()
+	if c.unconfirmed() {
+		ctx = store.WithEarlySync(ctx) // Requests and followers wait for it.
+	}
 	events, err := m.options.Store.Watch(ctx, c.prefix.Name, from)
 	if err != nil {
 		return err
