Match items to routes after the configuration was read again

Cause: the search for free slots reads the table before anything waits; the wait before each send concerns the upstream only. Evidence: TestItemsAreMatchedAfterTheTableIsConfirmed without the wait: the table is read and "await" is missing. Fix: the search waits for the copy of the configuration first, as the handler of callers' requests does: at most 0.5 s after a stall, in which items could not be sent either. While the process runs this is one look at the clock. Measured: the test passes three of three with the race detector.

--- a/pkg/edge/configuration.go
+++ b/pkg/edge/configuration.go
@@ -1,12 +1,20 @@
 package edge
 
-import "net/http"
+import (
+	"context"
+	"net/http"
+)
 
-// awaitConfiguration delays requests until the configuration has been read again after a time in which this process did not run: the
-// handlers of requests and jobs take limits, routes and services from it.
+// awaitTable waits until the configuration has been read again after a time in which this process did not run.
+func (n *Node) awaitTable(ctx context.Context) {
+	n.mirror.AwaitConfirmed(ctx, n.platform.ConfigPrefix())
+}
+
+// awaitConfiguration delays requests until the configuration can be relied on: the handlers of requests and jobs take limits, routes and
+// services from it.
 func (n *Node) awaitConfiguration(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		n.mirror.AwaitConfirmed(r.Context(), n.platform.ConfigPrefix())
+		n.awaitTable(r.Context())
 		h.ServeHTTP(w, r)
 	})
 }
--- a/pkg/edge/node.go
+++ b/pkg/edge/node.go
@@ -229,7 +229,7 @@
 	requests := forward.NewMetrics(n.metrics)
 	n.jobs = listjob.New(listjob.Options{
 		Store: n.store, Peers: n.peers, Fleet: n.fleet, Placer: n.placer, Client: n.client, Table: n.table.Load,
-		FailedRuns: n.failedRuns, Diagnose: n.links.Diagnose, MemoryBytes: limit, Readable: seconds(n.settings.ReadableSeconds), Log: n.log, Metrics: listjob.NewMetrics(n.metrics),
+		AwaitTable: n.awaitTable, FailedRuns: n.failedRuns, Diagnose: n.links.Diagnose, MemoryBytes: limit, Readable: seconds(n.settings.ReadableSeconds), Log: n.log, Metrics: listjob.NewMetrics(n.metrics),
 		IsHub: func() bool { return n.exchange.IsHub() }, HubSweeps: func() bool { return n.exchange.HubSweeps() },
 		Hub:        func() string { return n.exchange.Hub() },
 		HubWaiting: func(ctx context.Context) (map[string]int64, error) { return n.exchange.HubWaiting(ctx) },
--- a/pkg/listjob/controller.go
+++ b/pkg/listjob/controller.go
@@ -45,6 +45,8 @@
 	// FailedRuns holds the failed runs of all nodes; nil if they are not recorded.
 	FailedRuns *failedruns.Controller
 	Table      func() *routing.Table
+	// AwaitTable waits until the table can be relied on, if the process did not run for a while; nil if it always can.
+	AwaitTable func(ctx context.Context)
 	// IsHub reports whether this node is the hub, which sweeps the heads of all jobs for the others. HubSweeps reports whether
 	// this node has a hub that does.
 	IsHub, HubSweeps func() bool
--- a/pkg/listjob/schedule.go
+++ b/pkg/listjob/schedule.go
@@ -45,6 +45,9 @@
 // startWaitingItems starts waiting items, the most urgent first, until their services have no free slot. Items
 // without a route or past retryUntil fail.
 func (c *Controller) startWaitingItems(ctx context.Context) {
+	if c.options.AwaitTable != nil {
+		c.options.AwaitTable(ctx)
+	}
 	table := c.options.Table()
 	if table == nil {
 		return
