Count the writes of a test's store without a race

Cause: TestSegmentsFitIntoValues failed once, at a load average over 200: the race detector reports the counter of the test's own store, which the writers of the history and of the segments share. Change: the counter is atomic. What the test checks is as before.

--- a/pkg/controller/streamversions/segments_test.go
+++ b/pkg/controller/streamversions/segments_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -22,11 +23,11 @@
 	store.Store
 	downUntil time.Time
 	limit     int
-	puts      int
+	puts      atomic.Int64
 }
 
 func (s *limitedStore) Put(ctx context.Context, key string, value []byte, expect int64) (int64, error) {
-	s.puts++
+	s.puts.Add(1)
 	switch {
 	case time.Now().Before(s.downUntil):
 		return 0, store.ErrUnavailable
@@ -82,7 +83,7 @@
 					time.Sleep(2 * segmentInterval)
 				}
 				stop()
-				assert.Assert(t, s.puts < 120, "%d writes", s.puts)
+				assert.Assert(t, s.puts.Load() < 120, "%d writes", s.puts.Load())
 				page, err := store.ListAll(t.Context(), s, segmentPrefix)
 				assert.NilError(t, err)
 				stored := map[string]int{}
