--- a/pkg/controller/mirror/mirror.go
+++ b/pkg/controller/mirror/mirror.go
@@ -115,7 +115,7 @@
 	// watches is closed while this node watches the prefix itself, and stopWatch ends its watch.
 	watches   chan struct{}
 	stopWatch context.CancelFunc
-	// watchAnew is set if the watch was ended to begin at once again.
+	// watchAnew is set if the watch session was ended to begin at once again.
 	watchAnew    bool
 	confirmation confirmation
 }
@@ -198,7 +198,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	c.mu.Lock()
-	c.stopWatch = cancel
+	c.stopWatch, c.watchAnew = cancel, false
 	c.mu.Unlock()
 	if !c.mustWatch() {
 		return nil
@@ -257,6 +257,9 @@
 	c.mu.Lock()
 	from := c.revision
 	c.mu.Unlock()
+	if c.unconfirmed() {
+		ctx = store.WithEarlySync(ctx) // Requests and followers wait for it.
+	}
 	events, err := m.options.Store.Watch(ctx, c.prefix.Name, from)
 	if err != nil {
 		return err
--- a/pkg/controller/uplink/uplink.go
+++ b/pkg/controller/uplink/uplink.go
@@ -107,10 +107,11 @@
 	asked map[string]chan struct{}
 }
 
-// counters counts the writes to an upstream and the reads from it. heardAt is the time of the last read since clockStart.
+// counters counts the writes to an upstream and the reads from it. heardAt is the time of the last read since clockStart, open the number
+// of connections that write to the counters.
 type counters struct {
 	sent, received, seenSent, seenReceived atomic.Uint32
-	heardAt                                atomic.Int64
+	heardAt, open                          atomic.Int64
 }
 
 // clockStart is the origin of the times in counters.
@@ -131,8 +132,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.state.SetUpstreams(list, time.Now())
-	l.traffic.Range(func(address, _ any) bool {
-		if !l.state.Known(address.(string)) {
+	l.traffic.Range(func(address, value any) bool {
+		// Kept connections are used again if the entry comes back. New ones are counted while l.mu is held.
+		if !l.state.Known(address.(string)) && value.(*counters).open.Load() == 0 {
 			l.traffic.Delete(address)
 		}
 		return true
@@ -147,11 +149,22 @@
 	return c.(*counters)
 }
 
-// connect makes a connection of this node to an upstream and records whether that succeeded.
-func (l *Links) connect(ctx context.Context, network, address string) (net.Conn, error) {
+// dial makes one attempt to connect and reports whether it failed while this process did not run: its time is over then, although the
+// kernel may have connected.
+func (l *Links) dial(ctx context.Context, network, address string) (conn net.Conn, stalled bool, err error) {
+	begun := time.Now()
 	dialCtx, cancel := context.WithTimeout(ctx, connectTimeout)
 	defer cancel()
-	conn, err := l.options.Dial(dialCtx, network, address)
+	conn, err = l.options.Dial(dialCtx, network, address)
+	return conn, err != nil && reach.Stalled(time.Since(begun), connectTimeout), err
+}
+
+// connect makes a connection of this node to an upstream and records whether that succeeded.
+func (l *Links) connect(ctx context.Context, network, address string) (net.Conn, error) {
+	conn, stalled, err := l.dial(ctx, network, address)
+	if stalled && ctx.Err() == nil {
+		conn, stalled, err = l.dial(ctx, network, address)
+	}
 	now := time.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -162,9 +175,13 @@
 			l.options.Log.Notice("upstream is reached directly again", "upstream_address", address)
 			l.changed([]string{address}, true)
 		}
-		return &countedConn{conn, l.counters(address)}, nil
+		c := l.counters(address)
+		c.open.Add(1)
+		return &countedConn{Conn: conn, counters: c}, nil
 	case ctx.Err() != nil:
 		l.options.Metrics.countConnect("cancelled") // The end of a request says nothing about the connection.
+	case stalled:
+		l.options.Metrics.countConnect("stalled")
 	default:
 		l.options.Metrics.countConnect("failed")
 		heard := l.state.LastHeard(l.state.Service(address))
@@ -186,6 +203,15 @@
 type countedConn struct {
 	net.Conn
 	counters *counters
+	closed   atomic.Bool
+}
+
+// Close ends the connection.
+func (c *countedConn) Close() error {
+	if c.closed.CompareAndSwap(false, true) {
+		c.counters.open.Add(-1)
+	}
+	return c.Conn.Close()
 }
 
 func (c *countedConn) Read(p []byte) (int, error) {
@@ -232,7 +258,8 @@
 	}
 	for _, address := range checks {
 		l.options.Log.Notice("upstreams owe answers and none is heard", "upstream_address", address)
-		go l.Diagnose(context.Background(), address)
+		// A connection of the last half second, with which DiagnoseSilent is content, shows nothing about a cut since.
+		go l.diagnoseAwaitingOwn(context.Background(), address)
 	}
 	if waiting || len(activity) > 0 {
 		time.AfterFunc(pollInterval, l.poll)
--- a/pkg/listjob/controller.go
+++ b/pkg/listjob/controller.go
@@ -40,11 +40,13 @@
 	Fleet  *fleet.Fleet
 	Placer *placer.Placer
 	Client *forward.Client
-	// Diagnose tries to connect to an upstream, as uplink.Links does.
+	// Diagnose tries to connect to a silent upstream, as DiagnoseSilent of uplink.Links does.
 	Diagnose func(ctx context.Context, address string) uplink.Diagnosis
 	// FailedRuns holds the failed runs of all nodes; nil if they are not recorded.
 	FailedRuns *failedruns.Controller
 	Table      func() *routing.Table
+	// AwaitTable waits until the table can be relied on, if the process did not run for a while; nil if it always can.
+	AwaitTable func(ctx context.Context)
 	// IsHub reports whether this node is the hub, which sweeps the heads of all jobs for the others. HubSweeps reports whether
 	// this node has a hub that does.
 	IsHub, HubSweeps func() bool
@@ -103,6 +105,11 @@
 	// verifiedAt is when this node last began to compare all its jobs with the store, and sweptAt when it last began a sweep of
 	// its own, which may read a state that is a second old.
 	verifiedAt, sweptAt time.Time
+	// ran is the time in which this process ran.
+	ran runClock
+	// running ends, by stopped, with Run.
+	running context.Context
+	stopped context.CancelFunc
 	// wake makes schedule look for items to start at once.
 	wake    chan struct{}
 	lengths *lengthModel
@@ -119,12 +126,14 @@
 		creating: map[string]creation{}, missed: map[string]Owned{}, ending: map[string]bool{}, withdrawing: map[string]bool{}, lastRefusals: map[string]lastRefusal{}, untold: map[owner]*untold{}, wake: make(chan struct{}, 1),
 		lengths: newLengthModel(),
 	}
+	c.running, c.stopped = context.WithCancel(context.Background())
 	c.entryLimit.Store(maxEntryBytes)
 	return c
 }
 
 // Run schedules items and looks for orphaned jobs until ctx ends, then stops all runs.
 func (c *Controller) Run(ctx context.Context) error {
+	defer c.stopped()
 	var all sync.WaitGroup
 	all.Go(func() { c.schedule(ctx) })
 	all.Go(func() { c.sweepLoop(ctx) })
