Log how long an upstream was unheard when an attempt failed

Change: unheard_ms is the time since data last arrived, which a connection does not end. The method that nobody else used goes; its test waits by the same state.

--- a/pkg/controller/uplink/uplink.go
+++ b/pkg/controller/uplink/uplink.go
@@ -282,14 +282,7 @@
 	return l.state.Lost(address)
 }
 
-// SilentFor returns how long an upstream has owed data on this node's own connections, as of the last poll.
-func (l *Links) SilentFor(address string) time.Duration {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.state.SilentFor(address, time.Now())
-}
-
-// Unheard returns how long no data has arrived from an upstream on this node's own connections. Unlike for SilentFor, a new
+// Unheard returns how long no data has arrived from an upstream on this node's own connections. A new
 // connection says nothing here, since the kernel of a stopped process answers it.
 func (l *Links) Unheard(address string) time.Duration {
 	return time.Since(clockStart) - time.Duration(l.counters(address).heardAt.Load())
--- a/pkg/controller/uplink/uplink_test.go
+++ b/pkg/controller/uplink/uplink_test.go
@@ -182,7 +182,12 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
 	go func() { _, _ = get(ctx, a.Transport(&http.Transport{}), upstreams[0].Address) }() // It ends with the test.
-	for deadline := time.Now().Add(5 * time.Second); a.SilentFor(upstreams[0].Address) < reach.SilenceLimit; time.Sleep(10 * time.Millisecond) {
+	silent := func() bool {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		return a.state.Failing(upstreams[0].Address, time.Now())
+	}
+	for deadline := time.Now().Add(5 * time.Second); !silent(); time.Sleep(10 * time.Millisecond) {
 		assert.Assert(t, time.Now().Before(deadline), "the upstream is not silent")
 	}
 	time.Sleep(recheckInterval)
--- a/pkg/decision/reach/reach.go
+++ b/pkg/decision/reach/reach.go
@@ -290,14 +290,6 @@
 	return l != nil && !l.failingSince(now).IsZero()
 }
 
-// SilentFor returns how long an upstream has owed data, or 0 if it owes none.
-func (s *State) SilentFor(address string, now time.Time) time.Duration {
-	if l := s.byAddress[address]; l != nil && !l.waitingSince.IsZero() {
-		return now.Sub(l.waitingSince)
-	}
-	return 0
-}
-
 // ConnectedSince reports whether the node has connected to an upstream itself after the given time, and has not failed to since.
 func (s *State) ConnectedSince(address string, since time.Time) bool {
 	l := s.byAddress[address]
--- a/pkg/forward/client.go
+++ b/pkg/forward/client.go
@@ -404,8 +404,8 @@
 	return c.links.DiagnoseSilent(context.Background(), u.Address)
 }
 
-// SilentFor returns how long an upstream has owed this node data, or 0 if it owes none.
-func (c *Client) SilentFor(u dispatch.Upstream) time.Duration { return c.links.SilentFor(u.Address) }
+// Unheard returns how long no data has arrived from an upstream on this node's own connections.
+func (c *Client) Unheard(u dispatch.Upstream) time.Duration { return c.links.Unheard(u.Address) }
 
 // classify marks errors of requests that were never sent with ErrNotRun, and those caused by a dataTimer with
 // ErrUnresponsive.
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -347,7 +347,7 @@
 		"request", x.request.ID, "fingerprint", x.request.Fingerprint(), "route", x.route.Name, "upstream", choice.Upstream.ID,
 		"incarnation", choice.Upstream.Incarnation, "error", cause, "ran", x.ran, "refused", x.refused, "after", x.lastEvent, "left_ms",
 		time.Until(x.deadline).Milliseconds(), "sent_ms_ago", time.Since(x.attemptStarted).Milliseconds(),
-		"silent_ms", x.options.Client.SilentFor(choice.Upstream).Milliseconds(), "once", x.request.Once,
+		"unheard_ms", x.options.Client.Unheard(choice.Upstream).Milliseconds(), "once", x.request.Once,
 	}
 	errors.As(cause, &x.lastFailure)
 	x.endMeasurement(ctx, cause)
