Quarantine a part of prompts only for crashes of different requests

Cause: behind proxies a crash is only suspected until the replica's entry shows its end. In the trace request part79 crashed three replicas with its three attempts, and part84 and part89, sent 0.12 and 0.36 s later, broke off at two of these, which had ended. 2 s later the three crashes were recorded, those of part84 and part89 not, as they began after the end. blame counted the requests of crashes and suspicions together, so the part counted as quarantined ("for_ms 600000"; a request was refused with left_ms 589804 at 22.121), until the last suspicion ended 10 s after part89 broke off, at 22.260: part299 ran and crashed the next replica at 22.375.

Change: a quarantine needs crashes that came with partRequests different requests; suspicions count only for the hold of suspectTime. So no quarantine is logged or stored that ends early, and the part is held, not quarantined, while only one request is known to crash. A run of the part after that is still allowed: one request that crashes upstreams says nothing of its parts. Evidence: TestQuarantineOfPartNeedsCrashesOfDifferentRequests failed before ("l.IsQuarantined(bad, at) is true: the crashes came with one request only") and passes.

--- a/pkg/decision/failedruns/blame.go
+++ b/pkg/decision/failedruns/blame.go
@@ -21,17 +21,17 @@
 	// crashes and suspects hold the times of the crashes, and of those together with the suspected ones, that nothing else
 	// explains, one for each process, in order.
 	crashes, suspects []time.Time
-	// limit is the number of crashes that suffice to keep the work from upstreams, and shared is set if they came with enough
-	// different requests.
-	limit  int
-	shared bool
+	// limit is the number of crashes that suffice to keep the work from upstreams. crashesShared is set if they came with
+	// enough different requests, and suspectsShared if they and the suspected ones did.
+	limit                         int
+	crashesShared, suspectsShared bool
 }
 
 // quarantines reports whether the crashes suffice to keep the work from upstreams.
-func (b blame) quarantines() bool { return b.shared && len(b.crashes) >= b.limit }
+func (b blame) quarantines() bool { return b.crashesShared && len(b.crashes) >= b.limit }
 
 // holds reports whether the suspected crashes suffice to hold the work back for a while.
-func (b blame) holds() bool { return b.shared && len(b.suspects) >= suspectUpstreams }
+func (b blame) holds() bool { return b.suspectsShared && len(b.suspects) >= suspectUpstreams }
 
 // lastCrash returns the time of the last crash; there must be one.
 func (b blame) lastCrash() time.Time { return b.crashes[len(b.crashes)-1] }
@@ -45,12 +45,15 @@
 		b.limit = partCrashes
 	}
 	first := map[process]*entry{}
-	requests := map[string]bool{}
+	crashed, suspected := map[string]bool{}, map[string]bool{} // by request
 	for _, e := range l.entries[work] {
 		if e.Cleared || !e.Kind.blames() || e.expired(now) {
 			continue
 		}
-		requests[cmp.Or(e.Request, e.Run)] = true
+		suspected[cmp.Or(e.Request, e.Run)] = true
+		if e.Kind == Crashed {
+			crashed[cmp.Or(e.Request, e.Run)] = true
+		}
 		if known := first[e.process()]; known == nil || cmp.Or(cmp.Compare(e.Kind, known.Kind), e.at.Compare(known.at)) < 0 {
 			first[e.process()] = e
 		}
@@ -58,7 +61,8 @@
 	if len(first) < quarantineCrashes {
 		return b
 	}
-	b.shared = !IsPart(work) || len(requests) >= partRequests
+	b.crashesShared = !IsPart(work) || len(crashed) >= partRequests
+	b.suspectsShared = !IsPart(work) || len(suspected) >= partRequests
 	explained := 0
 	for _, e := range slices.SortedFunc(maps.Values(first), func(a, b *entry) int { return a.at.Compare(b.at) }) {
 		if IsPart(work) && l.coveredByPart(e, first, held) {
--- a/pkg/decision/failedruns/works_test.go
+++ b/pkg/decision/failedruns/works_test.go
@@ -44,6 +44,42 @@
 	assert.Assert(t, !kept(l, start, "first", "bad"))
 }
 
+// Guards against quarantines of parts that end before their time: a run of a second request that broke off at an upstream which
+// had crashed before counted as a second request that crashes upstreams, but only until its suspicion ended.
+func TestQuarantineOfPartNeedsCrashesOfDifferentRequests(t *testing.T) {
+	l := NewLedger()
+	end := func(at time.Time, upstream string) {
+		records := l.Suspects(upstream, 1, time.Minute, at)
+		for n := range records {
+			records[n].Kind = Crashed
+		}
+		l.Merge(records, "", at)
+	}
+	broken := func(at time.Time, run, upstream, request string, lasted time.Duration) {
+		l.Merge(works(request, "bad").Records(Record{Run: run, Kind: Suspected, Upstream: upstream, Incarnation: 1, Lasted: lasted}), "", at)
+	}
+	for n := range 3 {
+		broken(start.Add(time.Duration(n)*50*time.Millisecond), fmt.Sprint(n), fmt.Sprint("u", n), "a", 20*time.Millisecond)
+	}
+	late := start.Add(250 * time.Millisecond)
+	broken(late, "3", "u2", "b", 5*time.Millisecond)
+	bad := PartWork("s", "bad")
+	for _, upstream := range []string{"u0", "u1", "u2"} {
+		end(start.Add(2*time.Second), upstream)
+	}
+	for at := start.Add(2 * time.Second); at.Before(late.Add(suspectTime)); at = at.Add(time.Second) {
+		assert.Assert(t, !l.IsQuarantined(bad, at), "the crashes came with one request only")
+		assert.Assert(t, l.QuarantinedFor(works("c", "bad"), at) <= late.Add(suspectTime).Sub(at), "longer than the suspicion lasts")
+	}
+	assert.Assert(t, kept(l, start.Add(3*time.Second), "bad"), "held back while the second request is suspected")
+	later := late.Add(suspectTime)
+	assert.Assert(t, !kept(l, later, "bad"))
+	broken(later, "4", "u3", "c", 20*time.Millisecond)
+	end(later.Add(2*time.Second), "u3")
+	assert.Assert(t, l.IsQuarantined(bad, later.Add(2*time.Second)))
+	assert.Assert(t, kept(l, later.Add(time.Minute), "bad"))
+}
+
 // Guards against sound requests that are kept from upstreams because they ran beside a request with a part that crashes them,
 // whatever their parts.
 func TestPartThatRanBesideACulpritIsNotBlamed(t *testing.T) {
