Check a request's upstream right before its first byte is written

A process that is stopped in between sends the request when it goes on.

Change: the connection asks again before the first write of a request, in the call that writes, and writes nothing if the upstream is gone. The request counts as not run and is placed again, as one that is withdrawn before.

--- a/pkg/controller/uplink/relay.go
+++ b/pkg/controller/uplink/relay.go
@@ -83,7 +83,7 @@
 	defer cancel()
 	conn, err := l.options.Relay(ctx, node, address)
 	if err == nil {
-		conn = &relayedConn{conn, node}
+		conn = &relayedConn{Conn: conn, node: node}
 	}
 	attempts <- relayAttempt{node, conn, err}
 }
@@ -91,6 +91,7 @@
 // relayedConn is a connection through another node.
 type relayedConn struct {
 	net.Conn
+	sendCheck
 	node string
 }
 
--- a/pkg/controller/uplink/uplink.go
+++ b/pkg/controller/uplink/uplink.go
@@ -202,6 +202,7 @@
 // countedConn counts the data on a connection of this node.
 type countedConn struct {
 	net.Conn
+	sendCheck
 	counters *counters
 	closed   atomic.Bool
 }
@@ -223,11 +224,6 @@
 	return n, err
 }
 
-func (c *countedConn) Write(p []byte) (int, error) {
-	c.counters.sent.Add(1)
-	return c.Conn.Write(p)
-}
-
 // watch schedules polls, which go on while data is awaited or upstreams are reached through other nodes.
 func (l *Links) watch() {
 	if l.polling.CompareAndSwap(false, true) {
--- a/pkg/forward/client.go
+++ b/pkg/forward/client.go
@@ -16,6 +16,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/zeebo/errs"
@@ -130,8 +131,8 @@
 }
 
 // NewClient returns a client with its own connection pools, whose connections links makes. announce receives what upstreams
-// say of themselves in their answers. mayUse is asked right before each request is sent whether the upstream may be sent requests; if it
-// is nil, all may.
+// say of themselves in their answers. mayUse is asked before each request is passed to a connection, and again right before its first byte
+// is written, whether the upstream may be sent requests; if it is nil, all may.
 func NewClient(names HeaderNames, links *uplink.Links, announce func(dispatch.Upstream, dispatch.Announcement), mayUse func(context.Context, dispatch.Upstream) bool) *Client {
 	fresh := newTransport(onceIdleTimeout)
 	fresh.DisableKeepAlives = true
@@ -248,16 +249,21 @@
 
 func (unreplayable) Close() error { return nil }
 
+// check returns an error if a request must not be sent to an upstream now.
+func (c *Client) check(ctx context.Context, u dispatch.Upstream) error {
+	if c.mayUse != nil && !c.mayUse(ctx, u) {
+		return ErrWithdrawn
+	}
+	return ctx.Err()
+}
+
 // Send sends the request and returns the response once its headers have arrived and were found to belong to the
 // request. left is the time given to the upstream; none is sent if it is not positive. lastEvent is the number of the
 // last event received, or negative. Errors that match ErrNotRun mean that the upstream did not run the request; after
 // all others it may have.
 func (c *Client) Send(ctx context.Context, u dispatch.Upstream, r *Request, left time.Duration, lastEvent int64) (*http.Response, error) {
 	begun := time.Now()
-	if c.mayUse != nil && !c.mayUse(ctx, u) {
-		return nil, errs.Combine(ErrNotRun, ErrWithdrawn)
-	}
-	if err := ctx.Err(); err != nil {
+	if err := c.check(ctx, u); err != nil {
 		return nil, errs.Combine(ErrNotRun, err)
 	}
 	if left > 0 {
@@ -297,8 +303,21 @@
 		transport = c.freshTransport
 	}
 	reused := false
-	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { reused = info.Reused }})
+	var unsent atomic.Pointer[error]
+	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		reused = info.Reused
+		uplink.CheckBeforeWrite(info.Conn, func() error {
+			err := c.check(ctx, u)
+			if err != nil {
+				unsent.Store(&err)
+			}
+			return err
+		})
+	}})
 	resp, err := transport.RoundTrip(req.WithContext(traced))
+	if cause := unsent.Load(); err != nil && cause != nil {
+		return nil, errs.Combine(ErrNotRun, *cause)
+	}
 	if err != nil {
 		return nil, classify(ctx, err)
 	}
--- a/pkg/forward/withdrawn_test.go
+++ b/pkg/forward/withdrawn_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"net/http"
 	"net/http/httptest"
+	"net/http/httptrace"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -37,3 +39,46 @@
 		assert.Assert(t, !reached)
 	}
 }
+
+// Guards against a request that is sent to an upstream which went after the request had been checked, while it waited for its connection: a node
+// that was stopped meanwhile sent it when it went on.
+func TestUpstreamWithdrawnDuringAConnectIsNotSentRequests(t *testing.T) {
+	for name, c := range map[string]struct {
+		method, body string
+		kept         bool
+	}{"new": {http.MethodPost, "b", false}, "kept": {http.MethodPost, "b", true}, "kept_without_body": {http.MethodGet, "", true}} {
+		t.Run(name, func(t *testing.T) {
+			var reached atomic.Int64
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				reached.Add(1)
+				w.Header().Set(testHeaders.RequestID, r.Header.Get(testHeaders.RequestID))
+				w.Header().Set(testHeaders.Signature, "s")
+			}))
+			defer server.Close()
+			u := dispatch.Upstream{ID: "u", Address: strings.TrimPrefix(server.URL, "http://"), Service: "s"}
+			var gone atomic.Bool
+			client := NewClient(testHeaders, uplink.New(uplink.Options{}), func(dispatch.Upstream, dispatch.Announcement) {},
+				func(context.Context, dispatch.Upstream) bool { return !gone.Load() })
+			send := func(ctx context.Context) error {
+				r := &Request{ID: "r", Method: c.method, Host: "h", Target: "/x", Header: http.Header{}, Body: []byte(c.body)}
+				resp, err := client.Send(ctx, u, r, time.Second, -1)
+				if err == nil {
+					discard(resp)
+				}
+				return err
+			}
+			want := int64(0)
+			if c.kept {
+				want = 1
+				assert.NilError(t, send(t.Context()))
+			}
+			err := send(httptrace.WithClientTrace(t.Context(), &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+				assert.Check(t, info.Reused == c.kept)
+				gone.Store(true)
+			}}))
+			assert.ErrorIs(t, err, ErrNotRun)
+			assert.ErrorIs(t, err, ErrWithdrawn)
+			assert.Equal(t, reached.Load(), want)
+		})
+	}
+}
