Read the upstreams elsewhere while the hub does not answer

Cause: a node learned of removals from the hub only, and gave up the hub and the next one one after the other, each after 0.4 s, before it watched the store itself.

Change: if the hub has not answered an exchange within 0.2 s, the node reads the copy of upstreams of the next hub, which watches them too, for 0.1 s at most, and then the changes in the store with one call (a watch that ends with its first answer), at most twice a second. While neither answers, the copy stays in use. A hub that pauses for less than 0.2 s causes no call; one that pauses for longer causes calls to the next hub and none to the store. Nothing new is said between nodes: nodes of earlier commits answer Mirror.Read as before.

--- a/pkg/adapter/store/client.go
+++ b/pkg/adapter/store/client.go
@@ -145,6 +145,16 @@
 // IsEarlySync reports whether ctx is one of WithEarlySync.
 func IsEarlySync(ctx context.Context) bool { return ctx.Value(earlySyncKey{}) != nil }
 
+type singleSyncKey struct{}
+
+// WithSingleSync returns a context whose watches end after they have reported, at once, what has changed so far.
+func WithSingleSync(ctx context.Context) context.Context {
+	return context.WithValue(WithEarlySync(ctx), singleSyncKey{}, true)
+}
+
+// IsSingleSync reports whether ctx is one of WithSingleSync.
+func IsSingleSync(ctx context.Context) bool { return ctx.Value(singleSyncKey{}) != nil }
+
 type freshKey struct{}
 
 // WithFresh returns a context whose reads are always sent, instead of joining a shared read that began earlier.
--- a/pkg/controller/loadshare/loadshare.go
+++ b/pkg/controller/loadshare/loadshare.go
@@ -37,6 +37,9 @@
 	intervalPerMember = 300 * time.Microsecond
 	// exchangeTimeout bounds the call to the hub; the platform's zones are at most a few milliseconds apart.
 	exchangeTimeout = 400 * time.Millisecond
+	// hubLate is the time without an answer after which a hub counts as late: more than a short pause of it takes. Without its answer, an idle
+	// node's copies of the store are at most idleInterval and this old when they are read elsewhere.
+	hubLate = 200 * time.Millisecond
 	// askTimeout is how long an arriving request waits for the hub's answer. After it, the request is placed by what
 	// this node knows.
 	askTimeout = 30 * time.Millisecond
@@ -175,6 +178,9 @@
 	// HubAnswered is called with an empty hub after an exchange that failed.
 	Revisions   func() map[string]int64
 	HubAnswered func(hub string, revisions map[string]int64)
+	// HubLate is called when another node has not answered as the hub within hubLate, with the node that would be the hub next, "" if there is
+	// none.
+	HubLate func(next string)
 	// HubIntroduced is called when a hub has introduced itself to this node.
 	HubIntroduced func(hub fleet.Member)
 	// FailedRuns holds the failed runs of all nodes; nil if they are not exchanged.
@@ -380,6 +386,16 @@
 // OtherHubs returns the other live nodes in the order in which they serve as the hub.
 func (e *Exchange) OtherHubs() []string { return otherHubs(e.options.Fleet) }
 
+// hubAfter returns the other node that would be the hub if the given one were lost, or "" if there is none.
+func (e *Exchange) hubAfter(hub string) string {
+	for _, name := range e.OtherHubs() {
+		if name != hub {
+			return name
+		}
+	}
+	return ""
+}
+
 // Joined reports whether a hub has answered, which also tells that other nodes are known.
 func (e *Exchange) Joined() bool { return e.currentHub.Load() != nil }
 
@@ -411,6 +427,10 @@
 	sentUpTo := e.records.addTo(&r, name, e.options.FailedRuns, e.options.Streams)
 	callCtx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
+	if e.options.HubLate != nil && name != self.Name {
+		late := time.AfterFunc(hubLate, func() { e.options.HubLate(e.hubAfter(name)) })
+		defer late.Stop()
+	}
 	var totals Totals
 	begun := time.Now()
 	err := e.options.Peers.Call(callCtx, name, "Load.Report", r, &totals)
--- a/pkg/controller/mirror/mirror.go
+++ b/pkg/controller/mirror/mirror.go
@@ -99,6 +99,10 @@
 	// followedAt is when the copy was last known to be that of a node whose watch works, and deliveredAt when this node's
 	// watch last delivered something.
 	followedAt, deliveredAt time.Time
+	// elsewhere is set while the copy is read elsewhere since the followed node is late, and storeReadAt is when the store was last read
+	// in its place.
+	elsewhere   bool
+	storeReadAt time.Time
 	// outage measures for how long the store has not answered, and outageBegun is signalled when it begins to.
 	outage      outage.Meter
 	outageBegun chan struct{}
