Read the store after a gap if the followed node does not answer

Cause: after its gap a node waited half a second for the followed node to confirm its copies, and then used them as they were; the hub answered 0.72 s after the node went on.

Change: if the followed node has not confirmed a copy 0.2 s after a gap was noticed, the node reads the changes of that prefix from the store, with one call. While neither answers, the copies are used half a second after the gap as before, so that an outage of the store stops nothing.

Evidence: TestStalledNodeReadsTheStoreWhileItsHubIsStopped fails before ("the copy is old"); it counts one call. TestStalledNodeAsksItsHubOnly counts none while the hub answers.

--- a/pkg/controller/mirror/stalls.go
+++ b/pkg/controller/mirror/stalls.go
@@ -15,6 +15,9 @@
 	// confirmWait is how long after a stall a request waits for copies to be read again: the first call of a new watch takes 0.2 s, and
 	// another node may read this one's copy after it. While neither the store nor another node answers, the copies are used as they are.
 	confirmWait = 500 * time.Millisecond
+	// storeReadAfter is how long after a stall the followed node may leave a copy unconfirmed before this node reads the store: the followed node
+	// may not have run either.
+	storeReadAfter = 200 * time.Millisecond
 	// confirmTimeout bounds a read of the followed node's copy after a stall, and confirmRetry is the pause between two.
 	confirmTimeout, confirmRetry = 200 * time.Millisecond, 20 * time.Millisecond
 )
@@ -85,10 +88,17 @@
 	}
 }
 
-// confirmFollowed reads the copy of the followed node until that shows a state after the stall of the given number, for confirmWait.
+// confirmFollowed reads the copy of the followed node until that shows a state after the stall of the given number, for confirmWait. It reads
+// the store too once storeReadAfter is over.
 func (m *Mirror) confirmFollowed(c *prefixCopy, stall int) {
 	ctx, cancel := context.WithTimeout(context.Background(), confirmWait)
 	defer cancel()
+	direct := time.AfterFunc(storeReadAfter, func() {
+		if c.unconfirmed() && c.stallCount() == stall {
+			m.readStore(c)
+		}
+	})
+	defer direct.Stop()
 	for ctx.Err() == nil {
 		node := m.followedNode()
 		c.mu.Lock()
