Await a second gap of the process too before a request is sent

A request that waited for its copies to be confirmed after a gap was sent when the wait ended, although the process had been stopped again meanwhile: whatever ended the wait could be from before the second gap.

Change: the wait looks at the clock again when it ends.

Evidence: TestSecondStallIsAwaitedToo fails before ("it waited for 500ms", of 950 ms).

--- a/pkg/controller/mirror/stalls.go
+++ b/pkg/controller/mirror/stalls.go
@@ -141,19 +141,22 @@
 // AwaitConfirmed waits until the copy of a prefix shows what happened while this process did not run, for confirmWait after that. It returns
 // at once while the process runs.
 func (m *Mirror) AwaitConfirmed(ctx context.Context, prefix string) {
-	m.look(time.Now())
 	c := m.copy[prefix]
-	c.mu.Lock()
-	done, left := c.confirmation.done, confirmWait-time.Since(c.confirmation.since)
-	c.mu.Unlock()
-	if done == nil || left <= 0 {
-		return
-	}
-	t := time.NewTimer(left)
-	defer t.Stop()
-	select {
-	case <-done:
-	case <-t.C:
-	case <-ctx.Done():
+	// The process may be stopped again meanwhile.
+	for ctx.Err() == nil {
+		m.look(time.Now())
+		c.mu.Lock()
+		done, left := c.confirmation.done, confirmWait-time.Since(c.confirmation.since)
+		c.mu.Unlock()
+		if done == nil || left <= 0 {
+			return
+		}
+		t := time.NewTimer(left)
+		select {
+		case <-done:
+		case <-t.C:
+		case <-ctx.Done():
+		}
+		t.Stop()
 	}
 }
