Close a connection on which a late copy without a body arrived

A late copy of a refusal on a kept connection gave the request in progress 502 (the mismatch is recognized by the ID), and with it the next requests on that connection, each of which got the answer to the one before.

Cause: the client closed the copy's body to close the connection. net/http keeps the connection if the body is empty, as that of a refusal usually is.

Change: the client closes the connection itself. A request that has just taken it meanwhile ends as one that may have run, as it did before by a mismatch.

--- a/pkg/forward/client.go
+++ b/pkg/forward/client.go
@@ -296,21 +296,23 @@
 	case r.Method == http.MethodTrace || r.Header.Get("Idempotency-Key") != "" || r.Header.Get("X-Idempotency-Key") != "":
 		transport = c.freshTransport
 	}
-	reused := false
-	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { reused = info.Reused }})
+	var conn httptrace.GotConnInfo
+	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { conn = info }})
 	resp, err := transport.RoundTrip(req.WithContext(traced))
 	if err != nil {
 		return nil, classify(ctx, err)
 	}
 	c.updateIdleTimeout(u.Service, resp.Header.Get("Keep-Alive"))
-	err = c.checkResponse(resp, r.ID, reused)
+	err = c.checkResponse(resp, r.ID, conn.Reused)
 	if !errors.Is(err, ErrMismatch) && resp.StatusCode != http.StatusMisdirectedRequest {
 		c.announce(u, c.announcement(resp.Header))
 	}
 	if err != nil {
 		if errors.Is(err, ErrMismatch) {
-			// Closing the unread body closes the connection, on which the response to this request may still arrive.
+			// The response to this request may still arrive on the connection. Closing an unread body closes the connection, but
+			// not if the body is empty.
 			_ = resp.Body.Close()
+			_ = conn.Conn.Close()
 		} else {
 			discard(resp)
 		}
