Send a request again to the same address on a new connection

A request that may run only once is sent to an upstream whose address has passed to another one (its process has started again) and refused with 421. It is sent to the new upstream at that address, on the kept connection. If the 421 comes twice, the second copy bears the request's ID and counts as the answer to this attempt: not run. The request is then sent elsewhere or answered 503 while the new upstream runs it.

Cause: the ID identifies a request, not an attempt, and attempts of one request at one address may share a connection.

Change: a request goes to an address at which it was refused only on a connection of its own. The connection isn't closed after a refusal, since another request may already use it.

Items of jobs get a new Request for each run and are not covered; they may run more than once.

--- a/pkg/forward/client.go
+++ b/pkg/forward/client.go
@@ -118,8 +118,9 @@
 	mu            sync.Mutex
 	pools         map[string]*pool
 	onceTransport *uplink.Transport
-	// freshTransport keeps no connections. It is for the other requests without a body that net/http would resend on a kept
-	// connection: those with a method or a key by which they count as idempotent.
+	// freshTransport keeps no connections. It is for requests that were refused at the same address, and for the other requests
+	// without a body that net/http would resend on a kept connection: those with a method or a key by which they count as
+	// idempotent.
 	freshTransport *uplink.Transport
 }
 
@@ -207,6 +208,8 @@
 	Body   []byte
 	// Once is set for a request that must not run more than once.
 	Once bool
+	// refusedAt holds the addresses at which an attempt was refused.
+	refusedAt []string
 }
 
 // Fingerprint identifies equal requests: those with the same host, target and body. Their ids differ.
@@ -296,6 +299,9 @@
 	case r.Method == http.MethodTrace || r.Header.Get("Idempotency-Key") != "" || r.Header.Get("X-Idempotency-Key") != "":
 		transport = c.freshTransport
 	}
+	if slices.Contains(r.refusedAt, u.Address) {
+		transport = c.freshTransport // A second copy of the refusal may arrive on the kept connection, and has the ID of this request.
+	}
 	var conn httptrace.GotConnInfo
 	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { conn = info }})
 	resp, err := transport.RoundTrip(req.WithContext(traced))
@@ -314,6 +320,9 @@
 			_ = resp.Body.Close()
 			_ = conn.Conn.Close()
 		} else {
+			if errors.Is(err, ErrNotRun) {
+				r.refusedAt = append(r.refusedAt, u.Address)
+			}
 			discard(resp)
 		}
 		return nil, err
--- a/pkg/forward/secondcopy_test.go
+++ b/pkg/forward/secondcopy_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -77,6 +78,30 @@
 	return client
 }
 
+// Guards against a request that runs and counts as not run: its address has passed to another upstream, the first attempt was
+// refused with 421, and the second copy of that answer arrives where the answer to the next attempt is expected.
+func TestSecondCopyOf421IsNotTakenForTheAnswerOfTheNextAttempt(t *testing.T) {
+	var copies sync.Map
+	l := newScriptedUpstream(t, func(connection, _ int, r *http.Request) string {
+		id := r.Header.Get("X-Id")
+		if r.Header.Get("X-Expect") != "new" {
+			copies.Store(connection, scriptedAnswer("421 Misdirected", id, "X-Not-Run: 1\r\n"))
+			return scriptedAnswer("421 Misdirected", id, "X-Not-Run: 1\r\n")
+		}
+		late, _ := copies.LoadAndDelete(connection)
+		if late == nil {
+			late = ""
+		}
+		return late.(string) + scriptedAnswer("200 OK", id, "")
+	})
+	client := newScriptedClient(t)
+	request := newOnceRequest("a")
+	assert.ErrorIs(t, send(t, client, "old", l.Addr().String(), request), ErrNotRun)
+	err := send(t, client, "new", l.Addr().String(), request)
+	assert.Assert(t, !errors.Is(err, ErrNotRun), "the upstream ran the request: %v", err)
+	assert.NilError(t, err)
+}
+
 // Guards against a connection that goes on to be used after a late copy without a body was taken from it: each later request then
 // gets the answer to the one before.
 func TestConnectionWithALateCopyIsNotUsedAgain(t *testing.T) {
