--- a/pkg/forward/client.go
+++ b/pkg/forward/client.go
@@ -119,8 +119,9 @@
 	mu            sync.Mutex
 	pools         map[string]*pool
 	onceTransport *uplink.Transport
-	// freshTransport keeps no connections. It is for the other requests without a body that net/http would resend on a kept
-	// connection: those with a method or a key by which they count as idempotent.
+	// freshTransport keeps no connections. It is for requests that were refused at the same address, and for the other requests
+	// without a body that net/http would resend on a kept connection: those with a method or a key by which they count as
+	// idempotent.
 	freshTransport *uplink.Transport
 }
 
@@ -208,6 +209,8 @@
 	Body   []byte
 	// Once is set for a request that must not run more than once.
 	Once bool
+	// refusedAt holds the addresses at which an attempt was refused.
+	refusedAt []string
 }
 
 // Fingerprint identifies equal requests: those with the same host, target and body. Their ids differ.
@@ -302,14 +305,19 @@
 	case r.Method == http.MethodTrace || r.Header.Get("Idempotency-Key") != "" || r.Header.Get("X-Idempotency-Key") != "":
 		transport = c.freshTransport
 	}
-	reused := false
+	if slices.Contains(r.refusedAt, u.Address) {
+		transport = c.freshTransport // A second copy of the refusal may arrive on the kept connection, and has the ID of this request.
+	}
+	var conn httptrace.GotConnInfo
 	var unsent atomic.Pointer[error]
 	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		reused = info.Reused
+		conn = info
 		uplink.CheckBeforeWrite(info.Conn, func() error {
 			err := c.check(ctx, u)
 			if err != nil {
 				unsent.Store(&err)
+			} else {
+				unsent.Store(nil) // net/http may use another connection if nothing was written on the first one.
 			}
 			return err
 		})
@@ -322,15 +330,20 @@
 		return nil, classify(ctx, err)
 	}
 	c.updateIdleTimeout(u.Service, resp.Header.Get("Keep-Alive"))
-	err = c.checkResponse(resp, r.ID, reused)
+	err = c.checkResponse(resp, r.ID, conn.Reused)
 	if !errors.Is(err, ErrMismatch) && resp.StatusCode != http.StatusMisdirectedRequest {
 		c.announce(u, c.announcement(resp.Header))
 	}
 	if err != nil {
 		if errors.Is(err, ErrMismatch) {
-			// Closing the unread body closes the connection, on which the response to this request may still arrive.
+			// The response to this request may still arrive on the connection. Closing an unread body closes the connection, but
+			// not if the body is empty.
 			_ = resp.Body.Close()
+			_ = conn.Conn.Close()
 		} else {
+			if errors.Is(err, ErrNotRun) {
+				r.refusedAt = append(r.refusedAt, u.Address)
+			}
 			discard(resp)
 		}
 		return nil, err
