Count only time in which the process runs as that of a connect

Cause: a connect got 300 ms by the clock, and one that was over after less than 400 ms was not taken for one during which the process did not run. A node that did not run for 0.2 to 0.4 s took an answered connect for a failed one. With another node's connect the upstream then counts as reached by others, with another failure as unreachable: both move its runs at once, also when the node relays for others. Change: a connect ends once the process has run for 300 ms, and then for reach.ReadTime (50 ms) more in which what arrived is read. The default dialer has no time limit of its own any more.

--- a/pkg/controller/uplink/uplink.go
+++ b/pkg/controller/uplink/uplink.go
@@ -41,8 +41,8 @@
 )
 
 const (
-	// connectTimeout bounds a connection attempt of this node: upstreams are a few milliseconds away, and a VM without power
-	// does not answer.
+	// connectTimeout of the time in which this process runs bounds a connection attempt of this node: upstreams are a few milliseconds
+	// away, and a VM without power does not answer.
 	connectTimeout = 300 * time.Millisecond
 	// relayTimeout bounds a connection attempt through one other node, which includes one of that node. If it has not ended after
 	// nextHelperDelay, a further node is asked too.
@@ -120,7 +120,7 @@
 // New returns Links without upstreams.
 func New(o Options) *Links {
 	if o.Dial == nil {
-		o.Dial = dial.Dialer(connectTimeout).DialContext
+		o.Dial = dial.Dialer(0).DialContext // Its context limits the time.
 	}
 	l := &Links{options: o, state: reach.New(), avoid: map[string]time.Time{}, diagnoses: map[diagnosisKey]*diagnosis{}, asked: map[string]chan struct{}{}}
 	o.Metrics.observeLinks(l)
@@ -149,14 +149,13 @@
 	return c.(*counters)
 }
 
-// dial makes one attempt to connect and reports whether it failed while this process did not run: its time is over then, although the
-// kernel may have connected.
+// dial makes one attempt to connect, for connectTimeout of the time in which this process runs, and reports whether it ended while the
+// process did not run.
 func (l *Links) dial(ctx context.Context, network, address string) (conn net.Conn, stalled bool, err error) {
-	begun := time.Now()
-	dialCtx, cancel := context.WithTimeout(ctx, connectTimeout)
-	defer cancel()
+	dialCtx, wait := withRunTime(ctx, connectTimeout)
 	conn, err = l.options.Dial(dialCtx, network, address)
-	return conn, err != nil && reach.Stalled(time.Since(begun), connectTimeout), err
+	late := wait.stop()
+	return conn, err != nil && late, err
 }
 
 // connect makes a connection of this node to an upstream and records whether that succeeded.
--- a/pkg/decision/reach/quiet.go
+++ b/pkg/decision/reach/quiet.go
@@ -6,6 +6,9 @@
 // package outage); one that was stopped for a second, as the platform's rules allow, is later.
 const MaxLate = 100 * time.Millisecond
 
+// ReadTime is how long a process that goes on after a gap reads what has arrived meanwhile. Reads are due at once.
+const ReadTime = 50 * time.Millisecond
+
 // Stalled reports whether this process did not run for a while, since it saw the end of a wait that late.
 func Stalled(waited, limit time.Duration) bool { return waited > limit+MaxLate }
 
--- a/pkg/forward/datatimer.go
+++ b/pkg/forward/datatimer.go
@@ -18,9 +18,6 @@
 // time for which a run may go on at an upstream that the node reaches after another one has taken it over.
 const silenceCheckInterval = 100 * time.Millisecond
 
-// readTime is how long a process that goes on after a gap reads what has arrived meanwhile. Reads are due at once.
-const readTime = 50 * time.Millisecond
-
 // dataTimer cancels an attempt of a repeatable request when its upstream sends no data for too long.
 type dataTimer struct {
 	x        *exchange
@@ -117,7 +114,7 @@
 	if stalled && !t.stalled {
 		// What arrived in the gap is read first. The upstream counts as unheard until then: all that is heard of it may be old.
 		t.stalled, t.unheard = true, true
-		t.lookAgain(readTime)
+		t.lookAgain(reach.ReadTime)
 		return
 	}
 	t.stalled = false
