Move a stream only if its upstream has run for a while without a pause

What callers saw: TWICE; a stream went on at another upstream although its own, stopped or short of processor time, held it for up to 1.1 s more. Cause: an upstream that was heard within 60 ms counted as one that runs and ends the stream as soon as its connection is closed. One that is short of processor time is heard for moments between gaps, and a node that is reads late what was sent before the upstream stopped. Change: the links measure for how long data has arrived without a pause of 60 ms; a stream is moved from an upstream that runs only if that is 250 ms (reach.SilenceLimit) or more. A steady upstream's streams are moved as soon as before.

--- a/pkg/controller/uplink/uplink.go
+++ b/pkg/controller/uplink/uplink.go
@@ -107,11 +107,19 @@
 	asked map[string]chan struct{}
 }
 
-// counters counts the writes to an upstream and the reads from it. heardAt is the time of the last read since clockStart, open the number
-// of connections that write to the counters.
+// counters counts the writes to an upstream and the reads from it. heardAt is the time of the last read since clockStart, steadySince that
+// of the first one after the last pause of reach.RunningLimit or more, open the number of connections that write to the counters.
 type counters struct {
 	sent, received, seenSent, seenReceived atomic.Uint32
-	heardAt, open                          atomic.Int64
+	heardAt, steadySince, open             atomic.Int64
+}
+
+// countRead counts a read.
+func (c *counters) countRead(at time.Duration) {
+	c.received.Add(1)
+	if before := c.heardAt.Swap(int64(at)); at-time.Duration(before) >= reach.RunningLimit {
+		c.steadySince.Store(int64(at))
+	}
 }
 
 // clockStart is the origin of the times in counters.
@@ -216,8 +224,7 @@
 func (c *countedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if n > 0 {
-		c.counters.received.Add(1)
-		c.counters.heardAt.Store(int64(time.Since(clockStart)))
+		c.counters.countRead(time.Since(clockStart))
 	}
 	return n, err
 }
@@ -287,6 +294,12 @@
 	return time.Since(clockStart) - time.Duration(l.counters(address).heardAt.Load())
 }
 
+// Steady returns for how long data had arrived from an upstream without a pause of reach.RunningLimit when it last arrived.
+func (l *Links) Steady(address string) time.Duration {
+	c := l.counters(address)
+	return max(0, time.Duration(c.heardAt.Load()-c.steadySince.Load()))
+}
+
 // HeardAt returns when data last arrived from an upstream. Data that comes through other nodes is not watched: it counts as heard.
 func (l *Links) HeardAt(address string) time.Time {
 	at := clockStart.Add(time.Duration(l.counters(address).heardAt.Load()))
--- a/pkg/decision/reach/silence.go
+++ b/pkg/decision/reach/silence.go
@@ -6,9 +6,12 @@
 	// SoundSilence is the longest silence of a sound upstream. The platform's rules allow it to fall silent "for a second or so"
 	// and callers to abandon a stream after two seconds without an event.
 	SoundSilence = 2 * time.Second
-	// RunningLimit is how long ago data may have arrived from an upstream whose process certainly runs. A busy one sends an event of
+	// RunningLimit is how long ago data may have arrived from an upstream whose process runs. A busy one sends an event of
 	// some stream each 10 to 50 ms.
 	RunningLimit = 60 * time.Millisecond
+	// SteadyTime is how long a process must have run without a pause to count as one that runs on. One that is short of processor time
+	// runs for moments, and what this node reads late looks like such a moment.
+	SteadyTime = SilenceLimit
 )
 
 // Diagnosis is what a check of an upstream has shown.
@@ -35,6 +38,8 @@
 type Silence struct {
 	// Lasted is how long nothing of the run has arrived, Unheard how long nothing at all has arrived from the upstream.
 	Lasted, Unheard time.Duration
+	// Steady is for how long data had arrived from the upstream, without a pause of RunningLimit, when it last arrived.
+	Steady time.Duration
 	// Woke is set if the upstream was unheard when the run was last looked at.
 	Woke bool
 	// Relayed is set if the run's connection goes through another node. This node's own connections then show nothing about it, and
@@ -62,7 +67,7 @@
 	Move Step = "move"
 )
 
-// Running reports whether the upstream's process certainly runs.
+// Running reports whether the upstream's process ran a moment ago.
 func (s Silence) Running() bool { return !s.Relayed && s.Unheard < RunningLimit }
 
 // Step returns what to do. A process that runs ends a run as soon as its connection is closed; one that is stopped holds the run
@@ -73,7 +78,7 @@
 		return Move
 	case s.Lasted >= SoundSilence, s.Diagnosis == Unreachable:
 		return MayMove
-	case s.Running() && s.Woke:
+	case s.Running() && (s.Woke || s.Steady < SteadyTime):
 		return Bear
 	case s.Running():
 		return MayMove
--- a/pkg/forward/client.go
+++ b/pkg/forward/client.go
@@ -391,8 +391,8 @@
 // connection goes through another node.
 func (c *Client) silence(u dispatch.Upstream, lasted time.Duration, relayed bool) reach.Silence {
 	return reach.Silence{
-		Lasted: lasted, Unheard: c.links.Unheard(u.Address), Relayed: relayed, Lost: c.links.Lost(u.Address),
-		Restarted: c.links.Restarted(u.Address, u.Incarnation),
+		Lasted: lasted, Unheard: c.links.Unheard(u.Address), Steady: c.links.Steady(u.Address), Relayed: relayed,
+		Lost: c.links.Lost(u.Address), Restarted: c.links.Restarted(u.Address, u.Incarnation),
 	}
 }
 
--- a/pkg/forward/datatimer.go
+++ b/pkg/forward/datatimer.go
@@ -138,7 +138,7 @@
 	switch {
 	case step == reach.Move:
 	case step == reach.MayMove && !t.borne && t.x.takeTimeoutRetry():
-	case step == reach.Bear && silence.Woke && !t.unheard:
+	case step == reach.Bear && !t.unheard:
 		t.lookAgain(max(t.pause, minDataTimeout))
 		return
 	default:
