Use the longest silence of a sound upstream from one place

listjob's maxSoundSilence and reach.SoundSilence were the same two seconds. The behaviour is unchanged; the tests that name the constant use the other name.

--- a/pkg/listjob/silence.go
+++ b/pkg/listjob/silence.go
@@ -15,14 +15,11 @@
 const (
 	// firstEventTimeout is how long a run may send no event at first before the item continues at another upstream: engines
 	// queue for less than two seconds. Between events it is paceTimeout times the usual time for one, at least
-	// maxSoundSilence; both double with each run of the item that broke off, up to maxEventTimeout, since an engine may be
+	// reach.SoundSilence; both double with each run of the item that broke off, up to maxEventTimeout, since an engine may be
 	// slow and sound.
 	firstEventTimeout = 2500 * time.Millisecond
 	paceTimeout       = 8
 	maxEventTimeout   = 6 * time.Second
-	// maxSoundSilence is how long an upstream that accepts connections may send nothing and still go on with what it runs: by the
-	// platform, a sound replica may fall silent for a second or so.
-	maxSoundSilence = 2 * time.Second
 	// minCheckDelay is the least silence between events after which a connection to the upstream is tried.
 	minCheckDelay = 700 * time.Millisecond
 )
@@ -38,7 +35,7 @@
 	doublings := min(brokenRuns, maxDoublings)
 	limit := func(d time.Duration) time.Duration { return min(d<<doublings, max(d, maxEventTimeout)) }
 	between := min(paceTimeout*pace, maxEventTimeout)
-	return eventTimeouts{limit(firstEventTimeout), limit(max(minCheckDelay, between)), limit(max(maxSoundSilence, between))}
+	return eventTimeouts{limit(firstEventTimeout), limit(max(minCheckDelay, between)), limit(max(reach.SoundSilence, between))}
 }
 
 // maxRunStep is how much of the time between two looks at a runClock counts at most: the process was late by one interval, not stopped.
@@ -201,9 +198,9 @@
 // until it reads the end of the run, or begins it then if it had not read the request. The caller holds the job's lock.
 func (c *Controller) holdSilent(it *item, u dispatch.Upstream, err error) {
 	silent := it.silentFor
-	if errors.Is(err, forward.ErrNotRun) || silent < reach.SilenceLimit || silent >= maxSoundSilence {
+	if errors.Is(err, forward.ErrNotRun) || silent < reach.SilenceLimit || silent >= reach.SoundSilence {
 		return
 	}
-	it.notBefore = time.Now().Add(maxSoundSilence - silent)
+	it.notBefore = time.Now().Add(reach.SoundSilence - silent)
 	c.options.Log.Routine("item waits, since its upstream is silent", "job", it.job.head.ID, "item", it.ID, "upstream", u.ID, "silent_ms", silent.Milliseconds())
 }
--- a/pkg/listjob/silence_test.go
+++ b/pkg/listjob/silence_test.go
@@ -10,6 +10,7 @@
 	"trefoilplank.example/pkg/adapter/store/memstore"
 	"trefoilplank.example/pkg/controller/uplink"
 	"trefoilplank.example/pkg/decision/dispatch"
+	"trefoilplank.example/pkg/decision/reach"
 	"trefoilplank.example/pkg/forward"
 )
 
@@ -43,7 +44,7 @@
 	begun := time.Now()
 	a.placer.SetUpstreams([]dispatch.Upstream{e.upstream(), other.upstream()})
 	for e.totalRuns()+other.totalRuns() < 2 {
-		assert.Assert(t, time.Since(begun) < maxSoundSilence, "the item waits for an upstream that is gone")
+		assert.Assert(t, time.Since(begun) < reach.SoundSilence, "the item waits for an upstream that is gone")
 		time.Sleep(5 * time.Millisecond)
 	}
 	assert.Assert(t, time.Since(begun) >= minCheckDelay)
@@ -67,7 +68,7 @@
 	it.job.mu.Unlock()
 	a.placer.SetUpstreams([]dispatch.Upstream{e.upstream(), other.upstream()})
 	for e.totalRuns()+other.totalRuns() < 2 {
-		assert.Assert(t, time.Since(stopped) < 2*maxSoundSilence)
+		assert.Assert(t, time.Since(stopped) < 2*reach.SoundSilence)
 		time.Sleep(5 * time.Millisecond)
 	}
 	assert.Assert(t, time.Since(stopped) >= soundSilence/2, "the item went on after %v", time.Since(stopped))
@@ -110,7 +111,7 @@
 	it.job.mu.Unlock()
 	a.placer.SetUpstreams([]dispatch.Upstream{e.upstream(), other.upstream()})
 	for e.totalRuns()+other.totalRuns() < 2 {
-		assert.Assert(t, time.Since(stopped) < 2*maxSoundSilence)
+		assert.Assert(t, time.Since(stopped) < 2*reach.SoundSilence)
 		time.Sleep(5 * time.Millisecond)
 	}
 	assert.Assert(t, time.Since(stopped) >= soundSilence/2, "the item went on after %v", time.Since(stopped))
@@ -122,9 +123,9 @@
 	e := newEngine(t, 1, 0)
 	a := newNetwork().addNode(t, memstore.New(), e, "a")
 	it := newJob(head{ID: "j"}, 1, submission("j", 1).Items).items[0]
-	it.silentFor = maxSoundSilence / 2
+	it.silentFor = reach.SoundSilence / 2
 	a.holdSilent(it, e.upstream(), forward.ErrNotRun)
 	assert.Assert(t, it.notBefore.IsZero())
 	a.holdSilent(it, e.upstream(), context.Canceled)
-	assert.Assert(t, time.Until(it.notBefore) > maxSoundSilence/4)
+	assert.Assert(t, time.Until(it.notBefore) > reach.SoundSilence/4)
 }
--- a/pkg/listjob/stopped_test.go
+++ b/pkg/listjob/stopped_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"trefoilplank.example/pkg/adapter/store/memstore"
+	"trefoilplank.example/pkg/decision/reach"
 )
 
 // engineVariable names the engine of a node that TestRunOfAStoppedNodeIsKept starts as a process of its own.
@@ -49,7 +50,7 @@
 	}
 	time.Sleep(stoppedEvents / 3 * e.interval)
 	assert.NilError(t, node.Process.Signal(syscall.SIGSTOP))
-	time.Sleep(maxSoundSilence + 500*time.Millisecond)
+	time.Sleep(reach.SoundSilence + 500*time.Millisecond)
 	assert.NilError(t, node.Process.Signal(syscall.SIGCONT))
 	assert.NilError(t, <-ended)
 	assert.Equal(t, e.totalRuns(), stoppedItems)
@@ -66,7 +67,7 @@
 			w.clock.look(now)
 		}
 	}
-	for _, ranBefore := range []time.Duration{0, minCheckDelay / 2, minCheckDelay - checkInterval, maxSoundSilence - checkInterval} {
+	for _, ranBefore := range []time.Duration{0, minCheckDelay / 2, minCheckDelay - checkInterval, reach.SoundSilence - checkInterval} {
 		clock := &runClock{}
 		w := &silenceWatch{clock: clock, timeouts: newEventTimeouts(0, 0), giveUp: idle(), check: idle(), heardAt: clock.look(now)}
 		w.heard(now)
@@ -87,7 +88,7 @@
 		assert.Assert(t, due)
 		run(w, maxRunStep)
 		assert.Assert(t, w.stillSilent(begun, now))
-		run(w, maxSoundSilence)
+		run(w, reach.SoundSilence)
 		assert.Assert(t, w.giveUpDue(now))
 		w.heard(now)
 		assert.Assert(t, !w.stillSilent(begun, now) && !w.giveUpDue(now))
