--- a/pkg/controller/uplink/uplink.go
+++ b/pkg/controller/uplink/uplink.go
@@ -41,8 +41,8 @@
 )
 
 const (
-	// connectTimeout bounds a connection attempt of this node: upstreams are a few milliseconds away, and a VM without power
-	// does not answer.
+	// connectTimeout of the time in which this process runs bounds a connection attempt of this node: upstreams are a few milliseconds
+	// away, and a VM without power does not answer.
 	connectTimeout = 300 * time.Millisecond
 	// relayTimeout bounds a connection attempt through one other node, which includes one of that node. If it has not ended after
 	// nextHelperDelay, a further node is asked too.
@@ -107,11 +107,19 @@
 	asked map[string]chan struct{}
 }
 
-// counters counts the writes to an upstream and the reads from it. heardAt is the time of the last read since clockStart, open the number
-// of connections that write to the counters.
+// counters counts the writes to an upstream and the reads from it. heardAt is the time of the last read since clockStart, steadySince that
+// of the first one after the last pause of reach.RunningLimit or more, open the number of connections that write to the counters.
 type counters struct {
 	sent, received, seenSent, seenReceived atomic.Uint32
-	heardAt, open                          atomic.Int64
+	heardAt, steadySince, open             atomic.Int64
+}
+
+// countRead counts a read.
+func (c *counters) countRead(at time.Duration) {
+	c.received.Add(1)
+	if before := c.heardAt.Swap(int64(at)); at-time.Duration(before) >= reach.RunningLimit {
+		c.steadySince.Store(int64(at))
+	}
 }
 
 // clockStart is the origin of the times in counters.
@@ -120,7 +128,7 @@
 // New returns Links without upstreams.
 func New(o Options) *Links {
 	if o.Dial == nil {
-		o.Dial = dial.Dialer(connectTimeout).DialContext
+		o.Dial = dial.Dialer(0).DialContext // Its context limits the time.
 	}
 	l := &Links{options: o, state: reach.New(), avoid: map[string]time.Time{}, diagnoses: map[diagnosisKey]*diagnosis{}, asked: map[string]chan struct{}{}}
 	o.Metrics.observeLinks(l)
@@ -149,14 +157,13 @@
 	return c.(*counters)
 }
 
-// dial makes one attempt to connect and reports whether it failed while this process did not run: its time is over then, although the
-// kernel may have connected.
+// dial makes one attempt to connect, for connectTimeout of the time in which this process runs, and reports whether it ended while the
+// process did not run.
 func (l *Links) dial(ctx context.Context, network, address string) (conn net.Conn, stalled bool, err error) {
-	begun := time.Now()
-	dialCtx, cancel := context.WithTimeout(ctx, connectTimeout)
-	defer cancel()
+	dialCtx, wait := withRunTime(ctx, connectTimeout)
 	conn, err = l.options.Dial(dialCtx, network, address)
-	return conn, err != nil && reach.Stalled(time.Since(begun), connectTimeout), err
+	late := wait.stop()
+	return conn, err != nil && late, err
 }
 
 // connect makes a connection of this node to an upstream and records whether that succeeded.
@@ -218,8 +225,7 @@
 func (c *countedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if n > 0 {
-		c.counters.received.Add(1)
-		c.counters.heardAt.Store(int64(time.Since(clockStart)))
+		c.counters.countRead(time.Since(clockStart))
 	}
 	return n, err
 }
@@ -284,6 +290,12 @@
 	return time.Since(clockStart) - time.Duration(l.counters(address).heardAt.Load())
 }
 
+// Steady returns for how long data had arrived from an upstream without a pause of reach.RunningLimit when it last arrived.
+func (l *Links) Steady(address string) time.Duration {
+	c := l.counters(address)
+	return max(0, time.Duration(c.heardAt.Load()-c.steadySince.Load()))
+}
+
 // HeardAt returns when data last arrived from an upstream. Data that comes through other nodes is not watched: it counts as heard.
 func (l *Links) HeardAt(address string) time.Time {
 	at := clockStart.Add(time.Duration(l.counters(address).heardAt.Load()))
