Drop answers of the load hub that are read after a gap of this process

Cause: an answer of the hub that lay in the socket while this process did not run for seconds was applied as if it were new: loads, grants, and the revisions of the hub's copies. net/rpc's answer and the call's timeout are then ready at once, and either may win. Change: an answer that took longer than the timeout of the call and the time by which a running process is late is not applied; the next exchange asks again. The hub isn't suspected. Measured: pkg/controller/loadshare passes with the race detector.

--- a/pkg/controller/loadshare/loadshare.go
+++ b/pkg/controller/loadshare/loadshare.go
@@ -22,6 +22,7 @@
 	"trefoilplank.example/pkg/decision/failedruns"
 	"trefoilplank.example/pkg/decision/outlier"
 	"trefoilplank.example/pkg/decision/quota"
+	"trefoilplank.example/pkg/decision/reach"
 	"trefoilplank.example/pkg/decision/rendezvous"
 	"trefoilplank.example/pkg/decision/softwareversion"
 	"trefoilplank.example/pkg/eventlog"
@@ -444,6 +445,11 @@
 		e.currentHub.Store(nil)
 		return false
 	}
+	if took := time.Since(begun); reach.Stalled(took, exchangeTimeout) {
+		// This process did not run. Loads, grants and revisions may be as old as the call.
+		e.options.Log.Notice("answer of the load hub read late, asking again", "hub", name, "ms", took.Milliseconds())
+		return false
+	}
 	if name != e.lastHub {
 		e.options.Log.Notice("load hub chosen", "hub", name, "before", e.lastHub)
 		e.lastHub = name
