Count a request of which nothing was written as not run

A request that may run only once ended with 502 although its upstream never got a byte. Cause: the check before the first byte may wait for half a second. If the upstream closes the kept connection meanwhile, net/http returns its EOF, which counted as a run, since only errors of a connect and of a rewound body were told apart. A check that failed on one connection also stood for a request that net/http had then written to another. Change: the connection tells of its first write, how many bytes the system has taken included. A request of which nothing was taken on any connection has not run; one of which a byte was taken may have.

--- a/pkg/controller/uplink/relay.go
+++ b/pkg/controller/uplink/relay.go
@@ -91,7 +91,7 @@
 // relayedConn is a connection through another node.
 type relayedConn struct {
 	net.Conn
-	sendCheck
+	firstWrite
 	node string
 }
 
--- a/pkg/controller/uplink/uplink.go
+++ b/pkg/controller/uplink/uplink.go
@@ -209,7 +209,7 @@
 // countedConn counts the data on a connection of this node.
 type countedConn struct {
 	net.Conn
-	sendCheck
+	firstWrite
 	counters *counters
 	closed   atomic.Bool
 }
--- a/pkg/forward/client.go
+++ b/pkg/forward/client.go
@@ -209,6 +209,9 @@
 	Body   []byte
 	// Once is set for a request that must not run more than once.
 	Once bool
+	// MaySend is called before the request is sent, and again right before its first byte is written. With an error nothing is sent. Nil
+	// allows all.
+	MaySend func() error
 	// refusedAt holds the addresses at which an attempt was refused.
 	refusedAt []string
 }
@@ -253,20 +256,68 @@
 func (unreplayable) Close() error { return nil }
 
 // check returns an error if a request must not be sent to an upstream now.
-func (c *Client) check(ctx context.Context, u dispatch.Upstream) error {
+func (c *Client) check(ctx context.Context, u dispatch.Upstream, r *Request) error {
 	if c.mayUse != nil && !c.mayUse(ctx, u) {
 		return ErrWithdrawn
 	}
+	if r.MaySend != nil {
+		if err := r.MaySend(); err != nil {
+			return err
+		}
+	}
 	return ctx.Err()
 }
 
+// writing follows the first write of a request. net/http may use another connection if nothing was written on the first one.
+type writing struct {
+	check func() error
+	// begun is set once anything of the request was written.
+	begun atomic.Bool
+	// stopped is the error of the last check that kept the request from being written.
+	stopped atomic.Pointer[error]
+}
+
+// on watches the first write on a connection that the request has got.
+func (w *writing) on(conn net.Conn) {
+	if !uplink.WatchFirstWrite(conn, w) {
+		w.begun.Store(true)
+	}
+}
+
+// Check implements uplink.FirstWrite.
+func (w *writing) Check() error {
+	err := w.check()
+	if err != nil {
+		w.stopped.Store(&err)
+	}
+	return err
+}
+
+// Written implements uplink.FirstWrite.
+func (w *writing) Written(n int) {
+	if n > 0 {
+		w.begun.Store(true)
+	}
+}
+
+// attribute adds ErrNotRun, and the error of the check, to the error of a request of which nothing was written.
+func (w *writing) attribute(err error) error {
+	if w.begun.Load() {
+		return err
+	}
+	if stopped := w.stopped.Load(); stopped != nil {
+		err = *stopped
+	}
+	return errs.Combine(ErrNotRun, err)
+}
+
 // Send sends the request and returns the response once its headers have arrived and were found to belong to the
 // request. left is the time given to the upstream; none is sent if it is not positive. lastEvent is the number of the
 // last event received, or negative. Errors that match ErrNotRun mean that the upstream did not run the request; after
 // all others it may have.
 func (c *Client) Send(ctx context.Context, u dispatch.Upstream, r *Request, left time.Duration, lastEvent int64) (*http.Response, error) {
 	begun := time.Now()
-	if err := c.check(ctx, u); err != nil {
+	if err := c.check(ctx, u, r); err != nil {
 		return nil, errs.Combine(ErrNotRun, err)
 	}
 	if left > 0 {
@@ -309,25 +360,14 @@
 		transport = c.freshTransport // A second copy of the refusal may arrive on the kept connection, and has the ID of this request.
 	}
 	var conn httptrace.GotConnInfo
-	var unsent atomic.Pointer[error]
+	sent := &writing{check: func() error { return c.check(ctx, u, r) }}
 	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		conn = info
-		uplink.CheckBeforeWrite(info.Conn, func() error {
-			err := c.check(ctx, u)
-			if err != nil {
-				unsent.Store(&err)
-			} else {
-				unsent.Store(nil) // net/http may use another connection if nothing was written on the first one.
-			}
-			return err
-		})
+		sent.on(info.Conn)
 	}})
 	resp, err := transport.RoundTrip(req.WithContext(traced))
-	if cause := unsent.Load(); err != nil && cause != nil {
-		return nil, errs.Combine(ErrNotRun, *cause)
-	}
 	if err != nil {
-		return nil, classify(ctx, err)
+		return nil, sent.attribute(classify(ctx, err))
 	}
 	c.updateIdleTimeout(u.Service, resp.Header.Get("Keep-Alive"))
 	err = c.checkResponse(resp, r.ID, conn.Reused)
