Check the owner of an item's job right before its first byte is written

Cause: an item's run asked once whether this node still owns the job and may start items. Connecting, and a node that does not run for seconds, come after that: the item was written by the old belief, after the end of its job had been confirmed. Change: the same question is asked again right before the first byte, with the check of the upstream. The item counts as not run.

--- a/pkg/listjob/run.go
+++ b/pkg/listjob/run.go
@@ -51,13 +51,20 @@
 // runItem sends an item to an upstream and collects its events.
 func (c *Controller) runItem(ctx context.Context, it *item, u dispatch.Upstream) error {
 	it.silentFor = 0
-	if !c.ownership().mayRun(it.job) {
-		return errMayBeLost
+	mayRun := func() error {
+		if !c.ownership().mayRun(it.job) {
+			return errMayBeLost
+		}
+		return nil
+	}
+	if err := mayRun(); err != nil {
+		return err
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	it.job.mu.Lock()
 	request := newRequest(it.job.head, &it.Item)
+	request.MaySend = mayRun
 	it.beganWriting = false
 	timeouts := newEventTimeouts(c.lengths.pace(u.Service), it.brokenRuns)
 	it.job.mu.Unlock()
