Handle the lists of a store copy in the order of their revisions

Cause: the copy of a prefix was cloned under a lock and handled after it. Watches, reads of the hub, and reads elsewhere publish at the same time: one that was not scheduled for a moment handled its older list after the newer one, and upstreams that were gone, or an older configuration, stayed in use until the next change. Change: one list of a prefix is cloned and handled at a time.

--- a/pkg/controller/mirror/mirror.go
+++ b/pkg/controller/mirror/mirror.go
@@ -122,6 +122,8 @@
 	// watchAnew is set if the watch session was ended to begin at once again.
 	watchAnew    bool
 	confirmation confirmation
+	// handling is held while a list is passed to Handle, so that no older one is passed after it.
+	handling chan struct{}
 }
 
 // source is the state of another node's copy: its node and its content.
@@ -140,7 +142,7 @@
 func New(o Options, prefixes ...Prefix) *Mirror {
 	m := &Mirror{options: o, copy: map[string]*prefixCopy{}, followed: undecided, uncoveredSince: time.Now()}
 	for _, p := range prefixes {
-		m.copy[p.Name] = &prefixCopy{prefix: p, objects: map[string]store.Object{}, vanished: map[string]vanishedEntry{}, log: o.Log, compressed: map[string]compressedObject{}, brokenAt: time.Now(), watches: make(chan struct{}), outageBegun: make(chan struct{}, 1)}
+		m.copy[p.Name] = &prefixCopy{prefix: p, objects: map[string]store.Object{}, vanished: map[string]vanishedEntry{}, log: o.Log, compressed: map[string]compressedObject{}, brokenAt: time.Now(), watches: make(chan struct{}), outageBegun: make(chan struct{}, 1), handling: make(chan struct{}, 1)}
 	}
 	return m
 }
@@ -412,6 +414,8 @@
 // publish drops the vanished entries whose time is over and calls Handle with the objects. It returns the time until the
 // next vanished entry must be dropped, 0 if there is none.
 func (c *prefixCopy) publish() time.Duration {
+	c.handling <- struct{}{}
+	defer func() { <-c.handling }()
 	c.mu.Lock()
 	now := time.Now()
 	var next time.Duration
