Keep vanished entries at a node that follows its hub again after an outage

After an outage of the store sound upstreams could be missing at one node. Cause: a node that followed the hub again after an outage dropped what it had measured of it. Change: the end of an outage is recorded in the same way whether this node's own watch or the followed node shows it.

--- a/pkg/controller/mirror/mirror.go
+++ b/pkg/controller/mirror/mirror.go
@@ -314,11 +314,8 @@
 	if c.watching {
 		return
 	}
-	away, outdated, unanswered := now.Sub(c.brokenAt), min(now.Sub(c.brokenAt), now.Sub(c.followedAt)), c.outage.End(now)
+	away, outdated, unanswered := now.Sub(c.brokenAt), min(now.Sub(c.brokenAt), now.Sub(c.followedAt)), c.endOutage(now)
 	if c.loaded {
-		if unanswered >= c.prefix.LapseTime {
-			c.restoredAt = now
-		}
 		m.options.Log.Notice("store watch works again", "prefix", c.prefix.Name, "revision", c.revision, "away_ms", away.Milliseconds(),
 			"outdated_ms", outdated.Milliseconds(), "unanswered_ms", unanswered.Milliseconds())
 	}
--- a/pkg/controller/mirror/outages.go
+++ b/pkg/controller/mirror/outages.go
@@ -19,12 +19,22 @@
 
 // restartOutage records that the store has answered the followed node: an outage in progress begins now. c.mu is held.
 func (c *prefixCopy) restartOutage(now time.Time) {
-	c.outage.End(now)
+	c.endOutage(now)
 	if isClosed(c.watches) && !c.watching {
 		c.beginOutage(now)
 	}
 }
 
+// endOutage ends an outage, if there is one, and returns for how long the store did not answer. Entries that can have expired in it are kept
+// for a while if they vanish. c.mu is held.
+func (c *prefixCopy) endOutage(now time.Time) time.Duration {
+	unanswered := c.outage.End(now)
+	if c.loaded && unanswered >= c.prefix.LapseTime {
+		c.restoredAt = now
+	}
+	return unanswered
+}
+
 // uncovered records that the followed node gets no answer from the store.
 func (c *prefixCopy) uncovered(now time.Time) {
 	c.mu.Lock()
