Take no older entries from the next hub, and none from the store while it answers

Cause: the next hub's copy was taken at an equal revision too. An entry that only the next hub keeps after an outage of its own came back, and stayed, since the hub's copy counted as read. And a next hub that knew nothing newer did not count as an answer: each node then called the store. Change: a reply says whether the copy is up to date and holds nothing newer (Current, false from earlier builds), which confirms the caller's copy. After a read elsewhere the followed node's copy is read again.

--- a/pkg/controller/mirror/following.go
+++ b/pkg/controller/mirror/following.go
@@ -117,14 +117,14 @@
 // dropped.
 func (m *Mirror) readFollowed(ctx context.Context, c *prefixCopy, read *copyRead, revision int64) {
 	defer read.cancel()
-	replaced := m.readPeer(ctx, c, read.from.node, revision, true)
+	result := m.readPeer(ctx, c, read.from.node, revision, true)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.reading != read {
 		return
 	}
 	c.reading = nil
-	if replaced {
+	if result == replaced {
 		c.readFrom, c.followedAt = read.from, time.Now()
 	}
 }
--- a/pkg/controller/mirror/late.go
+++ b/pkg/controller/mirror/late.go
@@ -48,8 +48,8 @@
 	if next != "" {
 		ctx, cancel := context.WithTimeout(context.Background(), otherTimeout)
 		defer cancel()
-		if m.readPeer(ctx, c, next, revision, true) {
-			c.followed(begun)
+		if m.readPeer(ctx, c, next, revision, false) != notRead {
+			c.readElsewhereAt(begun)
 			return
 		}
 	}
@@ -61,10 +61,12 @@
 	}
 }
 
-// followed records that the copy is that of the store or of a node whose watch works, as of the given time.
-func (c *prefixCopy) followed(at time.Time) {
+// readElsewhereAt records that the copy is that of the store, or of a node whose watch works, as of the given time. The copy of the followed node is
+// read again once it answers: it may hold other entries that are kept for a while.
+func (c *prefixCopy) readElsewhereAt(at time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.readFrom = source{}
 	if at.After(c.followedAt) {
 		c.followedAt = at
 	}
@@ -99,7 +101,7 @@
 		return
 	}
 	c.confirm(stalls)
-	c.followed(begun)
+	c.readElsewhereAt(begun)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.restartOutage(now)
--- a/pkg/controller/mirror/peers.go
+++ b/pkg/controller/mirror/peers.go
@@ -50,6 +50,8 @@
 	Digest uint64
 	// Large are changed objects that are too large for a page, without their values; see ReadPart.
 	Large []LargeObject
+	// Current is set if the peer's watch works and its copy holds nothing newer than the caller's revision. Earlier builds do not set it.
+	Current bool
 }
 
 // LargeObject is an object whose value is read in parts.
@@ -98,6 +100,7 @@
 	defer c.mu.Unlock()
 	reply.Paged = args.MaxBytes > 0
 	if !c.watching && !args.Any || !c.loaded || c.revision < args.Revision || c.revision == args.Revision && !args.Same {
+		reply.Current = c.watching && c.loaded
 		return nil
 	}
 	reply.Fresh, reply.Revision = true, c.revision
@@ -248,9 +251,20 @@
 	}
 }
 
-// readPeer reads the copy of a peer if it is newer than revision, or of the same revision if same is set, and reports whether
-// it replaced this node's copy.
-func (m *Mirror) readPeer(ctx context.Context, c *prefixCopy, node string, revision int64, same bool) bool {
+// peerRead is the result of a read of a peer's copy.
+type peerRead int
+
+const (
+	// notRead means that the peer did not answer, or can't keep its copy up to date.
+	notRead peerRead = iota
+	// nothingNewer means that the peer keeps its copy up to date and has no newer one.
+	nothingNewer
+	// replaced means that the peer's copy has replaced this node's.
+	replaced
+)
+
+// readPeer reads the copy of a peer if it is newer than revision, or of the same revision if same is set.
+func (m *Mirror) readPeer(ctx context.Context, c *prefixCopy, node string, revision int64, same bool) peerRead {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	args := ReadArgs{Prefix: c.prefix.Name, Revision: revision, Any: revision < 0, Same: same, MaxBytes: maxPageBytes}
@@ -259,14 +273,18 @@
 		changed, last, err := m.readPages(ctx, node, args)
 		if err != nil {
 			m.options.Log.Routine("reading a store copy from a peer failed", "prefix", c.prefix.Name, "peer", node, "error", err)
-			return false
+			return notRead
 		}
 		if !last.Fresh && args.Same && !last.Paged {
 			args.Revision, args.Same = args.Revision-1, false // An earlier build does not know Same.
 			continue
 		}
 		if !last.Fresh {
-			return false
+			if last.Current && !args.Any {
+				c.confirm(stalls)
+				return nothingNewer
+			}
+			return notRead
 		}
 		list, complete := c.mergeChanges(changed, last)
 		if !complete {
@@ -276,7 +294,7 @@
 			case args.Revision >= 0:
 				args.Revision = -1 // The unchanged objects differ, so the full copy is read.
 			default:
-				return false // The peer's copy changed meanwhile; the next answer of the hub names its new state.
+				return notRead // The peer's copy changed meanwhile; the next answer of the hub names its new state.
 			}
 			continue
 		}
@@ -286,12 +304,12 @@
 		watching := c.watching
 		c.mu.Unlock()
 		if watching || !c.replace(list, last.Revision, node, time.Now()) {
-			return false
+			return notRead
 		}
 		if !args.Any {
 			c.confirm(stalls)
 		}
-		return true
+		return replaced
 	}
 }
 
