Bound the wait for confirmed copies at a node that stops again and again

Cause: each gap begins the wait anew. Change: a request waits for three times the wait after one gap at most, and then goes by the copy as it is.

--- a/pkg/controller/mirror/stalls.go
+++ b/pkg/controller/mirror/stalls.go
@@ -15,6 +15,8 @@
 	// confirmWait is how long after a stall a request waits for copies to be read again: the first call of a new watch takes 0.2 s, and
 	// another node may read this one's copy after it. While neither the store nor another node answers, the copies are used as they are.
 	confirmWait = 500 * time.Millisecond
+	// maxConfirmWait is how long a request waits in all if the process is stopped again meanwhile.
+	maxConfirmWait = 3 * confirmWait
 	// storeReadAfter is how long after a stall the followed node may leave a copy unconfirmed before this node reads the store: the followed node
 	// may not have run either.
 	storeReadAfter = 200 * time.Millisecond
@@ -141,14 +143,14 @@
 // AwaitConfirmed waits until the copy of a prefix shows what happened while this process did not run, for confirmWait after that. It returns
 // at once while the process runs.
 func (m *Mirror) AwaitConfirmed(ctx context.Context, prefix string) {
-	c := m.copy[prefix]
+	c, until := m.copy[prefix], time.Now().Add(maxConfirmWait)
 	// The process may be stopped again meanwhile.
 	for ctx.Err() == nil {
 		m.look(time.Now())
 		c.mu.Lock()
 		done, left := c.confirmation.done, confirmWait-time.Since(c.confirmation.since)
 		c.mu.Unlock()
-		if done == nil || left <= 0 {
+		if left = min(left, time.Until(until)); done == nil || left <= 0 {
 			return
 		}
 		t := time.NewTimer(left)
