--- a/pkg/controller/uplink/uplink.go
+++ b/pkg/controller/uplink/uplink.go
@@ -114,12 +114,13 @@
 	heardAt, steadySince, open             atomic.Int64
 }
 
-// countRead counts a read.
+// countRead counts a read. The end of a pause is visible before the read, so that nobody sees a steady time over it.
 func (c *counters) countRead(at time.Duration) {
 	c.received.Add(1)
-	if before := c.heardAt.Swap(int64(at)); at-time.Duration(before) >= reach.RunningLimit {
+	if at-time.Duration(c.heardAt.Load()) >= reach.RunningLimit {
 		c.steadySince.Store(int64(at))
 	}
+	c.heardAt.Store(int64(at))
 }
 
 // clockStart is the origin of the times in counters.
