Take no old entry at an address for a restart

What callers could see: TWICE; a stream or a retry moves at the first silence of its upstream, although that one is only stopped. Cause: a replica's entry stays until three reports are missed, and an address is used again. While two entries have one address, the links knew the incarnation of whichever came last in the list, which is in no order; if it was the old one, each run at the new process counted as one whose process was replaced, which moves it without a check. Evidence: TestOldEntryIsNoRestart fails before, "s.Restarted(address, 2) is true: [{10.0.0.1:80 s 2} {10.0.0.1:80 s 1}]". Change: a process was replaced if a later start is listed at its address. Starts are Unix milliseconds of the replicas; one after a clock was set back is noticed by its connections only. Result: pkg/decision/reach and pkg/controller/uplink pass with -race, and TestStreamLeavesUpstreamThatIsGone with its case of a restart.

--- a/pkg/decision/reach/reach.go
+++ b/pkg/decision/reach/reach.go
@@ -32,7 +32,7 @@
 // Upstream is an upstream as this package sees it.
 type Upstream struct {
 	Address, Service string
-	// Incarnation changes when another process serves at the address.
+	// Incarnation is greater when a later process serves at the address.
 	Incarnation int64
 }
 
@@ -83,7 +83,10 @@
 type State struct {
 	byAddress map[string]*link
 	byService map[string][]*link
-	polledAt  time.Time
+	// newest is the last incarnation at each address: the entry of an upstream that is gone may still be there when another one has its
+	// address.
+	newest   map[string]int64
+	polledAt time.Time
 }
 
 // New returns a state without upstreams.
@@ -94,8 +97,9 @@
 // SetUpstreams replaces the list of upstreams. Links to those that remain keep their state.
 func (s *State) SetUpstreams(list []Upstream, now time.Time) {
 	byAddress := make(map[string]*link, len(list))
-	byService := map[string][]*link{}
+	byService, newest := map[string][]*link{}, make(map[string]int64, len(list))
 	for _, u := range list {
+		newest[u.Address] = max(newest[u.Address], u.Incarnation)
 		l := s.byAddress[u.Address]
 		switch {
 		case l == nil || l.Service != u.Service:
@@ -107,7 +111,7 @@
 		byAddress[u.Address] = l
 		byService[u.Service] = append(byService[u.Service], l)
 	}
-	s.byAddress, s.byService = byAddress, byService
+	s.byAddress, s.byService, s.newest = byAddress, byService, newest
 }
 
 // Known reports whether an address is that of an upstream.
@@ -296,10 +300,9 @@
 	return l != nil && !l.relayed && l.failedAt.IsZero() && l.connectedAt.After(since)
 }
 
-// Restarted reports whether another process than the one of the given incarnation serves at an address.
+// Restarted reports whether a later process than the one of the given incarnation serves at an address.
 func (s *State) Restarted(address string, incarnation int64) bool {
-	l := s.byAddress[address]
-	return l != nil && l.Incarnation != incarnation
+	return s.newest[address] > incarnation
 }
 
 // Relayed reports whether an upstream is reached through other nodes.
--- a/pkg/decision/reach/silence_test.go
+++ b/pkg/decision/reach/silence_test.go
@@ -38,3 +38,21 @@
 		assert.Equal(t, c.silence.Step(), c.step, name)
 	}
 }
+
+// Guards against a run that goes on elsewhere while its stopped upstream has it, because the entry of an upstream that is gone has the
+// same address.
+func TestOldEntryIsNoRestart(t *testing.T) {
+	const address = "10.0.0.1:80"
+	entry := func(service string, incarnation int64) Upstream {
+		return Upstream{Address: address, Service: service, Incarnation: incarnation}
+	}
+	now := time.Unix(1000, 0)
+	for _, service := range []string{"s", "other"} {
+		for _, list := range [][]Upstream{{entry("s", 2), entry(service, 1)}, {entry(service, 1), entry("s", 2)}} {
+			s := New()
+			s.SetUpstreams(list, now)
+			assert.Assert(t, !s.Restarted(address, 2), "%v", list)
+			assert.Assert(t, s.Restarted(address, 1), "%v", list)
+		}
+	}
+}
