--- a/pkg/listjob/fakes_test.go
+++ b/pkg/listjob/fakes_test.go
@@ -6,6 +6,7 @@
 	"encoding/gob"
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"reflect"
@@ -137,6 +138,8 @@
 
 // network connects controllers in process. Nodes in cut can't call others or be called.
 type network struct {
+	// logTo is where the logs of nodes go, if it is set.
+	logTo io.Writer
 	mu    sync.Mutex
 	nodes map[string]*Controller
 	cut   map[string]bool
@@ -369,6 +372,9 @@
 
 func (n *network) addNode(t *testing.T, s store.Store, e *engine, name string, others ...string) *node {
 	log := &eventlog.Log{}
+	if n.logTo != nil {
+		log = eventlog.New(n.logTo, name)
+	}
 	f := fleet.New(s, fleet.Member{Name: name, PeerAddress: name, Incarnation: 1, Weight: 1}, log)
 	members := map[string]store.Object{}
 	for _, other := range append(others, name) {
