Withdraw a job whose head may yet replace that of an earlier refusal

What callers saw: a job on a route with a limit on waiting tokens was refused, came again, got no answer (504), and ran later though nothing had admitted it, beyond the limit.

Cause: the second submission writes its head in place of the refused one. If that write gets no answer, the job is withdrawn; the withdrawal took the head of the earlier refusal for its own and wrote nothing, so the write could still be carried out seconds later, since its condition held.

Change: only the refusal of this submission counts as the withdrawal; that of an earlier one is written again, which changes its revision.

--- a/pkg/listjob/quota.go
+++ b/pkg/listjob/quota.go
@@ -291,21 +291,28 @@
 	attempt := func(ctx context.Context) (bool, error) {
 		ctx, cancel := context.WithTimeout(ctx, withdrawTimeout)
 		defer cancel()
-		_, err := c.replaceHead(ctx, refused, revision)
-		if err == nil || !isConflict(err) {
-			return err == nil, err
-		}
-		stored, storedRevision, err := c.readStoredHead(ctx, h.ID)
-		switch {
-		case err != nil:
-			return false, err
-		case stored.Refused:
-			return true, nil
-		case stored.Owner != h.Owner || stored.Incarnation != h.Incarnation:
-			return true, Error.New("node %s took the job over", stored.Owner)
+		for {
+			_, err := c.replaceHead(ctx, refused, revision)
+			if err == nil || !isConflict(err) {
+				return err == nil, err
+			}
+			stored, storedRevision, err := c.readStoredHead(ctx, h.ID)
+			own := stored.Owner == h.Owner && stored.Incarnation == h.Incarnation
+			switch {
+			case err != nil:
+				return false, err
+			case stored.Refused && own && stored.Submitted.Equal(h.Submitted):
+				return true, nil
+			case stored.Refused:
+				// That was an earlier submission. The write of h in its place may be carried out later, while the revision stays.
+				revision = storedRevision
+				continue
+			case !own:
+				return true, Error.New("node %s took the job over", stored.Owner)
+			}
+			revision = storedRevision
+			return false, Error.New("job was stored in the meantime")
 		}
-		revision = storedRevision
-		return false, Error.New("job was stored in the meantime")
 	}
 	done, err := attempt(ctx)
 	if done {
