Use the limit of an outlier that is granted to a node before refusing requests

A node skips granted slots of outliers even when it has no other, and what is granted to one node counts as outstanding for the others, so nobody used the limit until the evidence had faded.

Change: a request for which only limited upstreams are left, and for which the hub was asked, uses a granted slot of an outlier before it is refused. Other granted slots, upstreams without a limit and the hub come first as before.

--- a/pkg/decision/dispatch/candidates.go
+++ b/pkg/decision/dispatch/candidates.go
@@ -14,9 +14,13 @@
 	begins bool
 	// sends is set if a request of this node is sent without a grant, so that limits apply.
 	sends bool
+	// outliers is set if granted slots of outliers may be used.
+	outliers bool
 }
 
-func (r *OnlineRequest) filter() filter { return filter{r.Exclude, r.Continues, r.Begins, true} }
+func (r *OnlineRequest) filter() filter {
+	return filter{exclude: r.Exclude, version: r.Continues, begins: r.Begins, sends: true}
+}
 
 // allows reports whether an upstream may be chosen at all.
 func (f *filter) allows(u *upstream) bool {
--- a/pkg/decision/dispatch/dispatch.go
+++ b/pkg/decision/dispatch/dispatch.go
@@ -320,7 +320,7 @@
 		}
 	}
 	if len(candidates) == 0 {
-		return s.askOrRefuseLimited(choice, request, rng)
+		return s.askOrRefuseLimited(choice, request, now, rng)
 	}
 	best, free := s.drawByFreeSlots(candidates, now, rng, freeSlots)
 	choice.Upstream, choice.Free = best.Upstream, free
@@ -351,12 +351,20 @@
 }
 
 // askOrRefuseLimited decides on a request for which only limited upstreams are left, and none of their requests is granted to
-// this node.
-func (s *State) askOrRefuseLimited(choice Choice, request OnlineRequest, rng *rand.Rand) Choice {
+// this node, or only those of outliers. These are used in the end: no other node can use what is granted to this one.
+func (s *State) askOrRefuseLimited(choice Choice, request OnlineRequest, now time.Time, rng *rand.Rand) Choice {
 	if !request.HubAsked && choice.TotalsAge <= maxTotalsAgeToAsk {
 		choice.Verdict = Ask
 		return choice
 	}
+	if choice.TotalsAge <= maxTotalsAge {
+		allowed := request.filter()
+		allowed.outliers = true
+		if u, ok := s.useGrant(s.granted.Online, request.Service, allowed, now, rng); ok {
+			choice.Verdict, choice.Upstream, choice.Free, choice.Granted = Send, u.Upstream, 1, true
+			return choice
+		}
+	}
 	choice.Verdict, choice.RetryAfter = Refuse, boundedRetryAfter(minRetryAfter, request.Remaining, rng)
 	return choice
 }
--- a/pkg/decision/dispatch/grant.go
+++ b/pkg/decision/dispatch/grant.go
@@ -279,7 +279,7 @@
 	for _, id := range slices.Sorted(maps.Keys(slots)) {
 		u := s.byID[id]
 		if slots[id] <= 0 || u == nil || !allowed.allows(u) || u.Service != service || now.Before(u.ejectedUntil) || allowed.postpones(u, now) ||
-			s.weight(u, now) < outlierWeight || !s.hubLimits(now) && !s.mayTake(u, now) || s.silent(u, now) && !allSilent() {
+			!allowed.outliers && s.weight(u, now) < outlierWeight || !s.hubLimits(now) && !s.mayTake(u, now) || s.silent(u, now) && !allSilent() {
 			continue
 		}
 		sameZone := u.AvailabilityZone == s.AvailabilityZone
