Name what is recorded after a read elsewhere

Cause: the name of a method read like an action of its own. Change: a rename without a change of behaviour.

--- a/pkg/controller/mirror/late.go
+++ b/pkg/controller/mirror/late.go
@@ -49,7 +49,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), otherTimeout)
 		defer cancel()
 		if m.readPeer(ctx, c, next, revision, false) != notRead {
-			c.readElsewhereAt(begun)
+			c.recordReadElsewhere(begun)
 			return
 		}
 	}
@@ -61,9 +61,9 @@
 	}
 }
 
-// readElsewhereAt records that the copy is that of the store, or of a node whose watch works, as of the given time. The copy of the followed node is
+// recordReadElsewhere records that the copy is that of the store, or of a node whose watch works, as of the given time. The copy of the followed node is
 // read again once it answers: it may hold other entries that are kept for a while.
-func (c *prefixCopy) readElsewhereAt(at time.Time) {
+func (c *prefixCopy) recordReadElsewhere(at time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.readFrom = source{}
@@ -101,7 +101,7 @@
 		return
 	}
 	c.confirm(stalls)
-	c.readElsewhereAt(begun)
+	c.recordReadElsewhere(begun)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.restartOutage(now)
