Decode customers, their key digests and the bounds on removing keys

Cause: the configuration of some deployments has customers with keys and limits, which the adapter dropped, and the settings lacked the bounds on the removal of keys and the descriptor limit. Nothing uses them yet.

--- a/pkg/decision/routing/routing.go
+++ b/pkg/decision/routing/routing.go
@@ -51,6 +51,8 @@
 	Completion, Retention time.Duration
 	// MaxWaitingTokens limits the tokens of the unfinished items of all jobs on a batch route, over all nodes; 0 is no limit.
 	MaxWaitingTokens int64
+	// Public routes need no key.
+	Public bool
 }
 
 // Repeatable reports whether a request of the route may run more than once.
@@ -81,6 +83,8 @@
 	Routes   []Route
 	Services []Service
 	Limits   Limits
+	// Customers hold the keys of callers. Without customers no request needs a key.
+	Customers []Customer
 }
 
 // Table finds routes by host and path and services by name. It is immutable.
@@ -88,6 +92,10 @@
 	Configuration
 	routesByHost   map[string][]*Route
 	servicesByName map[string]*Service
+	// SharedKeys is the number of keys that a further customer holds too.
+	SharedKeys      int
+	customersByKey  map[Digest]*Customer
+	customersByName map[string]*Customer
 }
 
 // NewTable indexes a configuration.
@@ -103,6 +111,7 @@
 	for i := range t.Services {
 		t.servicesByName[t.Services[i].Name] = &t.Services[i]
 	}
+	t.indexCustomers()
 	return t
 }
 
--- a/pkg/decision/routing/routing_test.go
+++ b/pkg/decision/routing/routing_test.go
@@ -55,3 +55,14 @@
 	assert.Equal(t, (&Route{Service: "x"}).Pick(0.5), "x")
 	assert.Equal(t, (&Route{Service: "x", Split: []WeightedService{{"a", 0}}}).Pick(0.5), "x")
 }
+
+// A key that two customers hold must not make a caller's identity depend on the order of a map.
+func TestFirstCustomerWithKeyHasIt(t *testing.T) {
+	shared, own := KeyDigest("shared"), KeyDigest("own")
+	table := NewTable(Configuration{Customers: []Customer{{Name: "a", Keys: []Digest{shared}}, {Name: "b", Keys: []Digest{shared, own}}}})
+	assert.Equal(t, table.CustomerByKey(shared).Name, "a")
+	assert.Equal(t, table.CustomerByKey(own).Name, "b")
+	assert.Assert(t, table.CustomerByKey(KeyDigest("other")) == nil)
+	assert.Equal(t, table.SharedKeys, 1)
+	assert.Assert(t, !NewTable(Configuration{}).HasCustomers())
+}
--- a/pkg/edge/settings.go
+++ b/pkg/edge/settings.go
@@ -50,6 +50,15 @@
 	AddressTTL float64 `toml:"address_ttl_seconds"`
 	// ReadableSeconds is how long after its submission a job must stay readable.
 	ReadableSeconds float64 `toml:"job_readable_seconds"`
+
+	// StrictRevocation is set if no request may run that a caller sends later than RevocationMS after its key was removed,
+	// also at nodes that the store can't reach.
+	StrictRevocation bool    `toml:"strict_revocation"`
+	RevocationMS     float64 `toml:"revocation_ms"`
+	// LimitWindowSeconds is the sliding window over which customers' limits are judged.
+	LimitWindowSeconds float64 `toml:"limit_window_seconds"`
+	// MaxDescriptors is the limit on the descriptors of the process; 0 if it is not known.
+	MaxDescriptors int `toml:"max_descriptors"`
 }
 
 // Findings holds all errors of a settings file, one per setting.
@@ -67,6 +76,8 @@
 	defaultAddressTTL = 1
 	// defaultReadableSeconds is how long a job stays readable if the platform sets no time.
 	defaultReadableSeconds = 120
+	// defaultRevocationMS and defaultLimitWindowSeconds apply if the platform names no bounds.
+	defaultRevocationMS, defaultLimitWindowSeconds = 5000, 5
 )
 
 // ReadSettings reads and checks a settings file. An error of type Findings lists every fault with its key.
@@ -80,7 +91,7 @@
 
 // ParseSettings parses and checks the text of a settings file.
 func ParseSettings(text string) (Settings, error) {
-	s := Settings{DrainSeconds: defaultDrainSeconds, AddressTTL: defaultAddressTTL, ReadableSeconds: defaultReadableSeconds, Cores: 1}
+	s := Settings{DrainSeconds: defaultDrainSeconds, AddressTTL: defaultAddressTTL, ReadableSeconds: defaultReadableSeconds, Cores: 1, RevocationMS: defaultRevocationMS, LimitWindowSeconds: defaultLimitWindowSeconds}
 	meta, err := toml.Decode(text, &s)
 	if err != nil {
 		return s, Findings{err.Error()}
@@ -138,11 +149,15 @@
 	for _, d := range []struct {
 		key   string
 		value float64
-	}{{"drain_seconds", s.DrainSeconds}, {"address_ttl_seconds", s.AddressTTL}, {"job_readable_seconds", s.ReadableSeconds}} {
+	}{{"drain_seconds", s.DrainSeconds}, {"address_ttl_seconds", s.AddressTTL}, {"job_readable_seconds", s.ReadableSeconds},
+		{"revocation_ms", s.RevocationMS}, {"limit_window_seconds", s.LimitWindowSeconds}} {
 		if d.value <= 0 {
 			add("%s: %v must be above 0", d.key, d.value)
 		}
 	}
+	if s.MaxDescriptors < 0 {
+		add("max_descriptors: %d must not be negative", s.MaxDescriptors)
+	}
 	return f
 }
 
