Check the keys of requests and name the customer to upstreams

Cause: requests of customers ran without a valid key, and upstreams got the key and whatever name the caller sent.

--- a/pkg/forward/answer.go
+++ b/pkg/forward/answer.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/zeebo/errs"
 )
@@ -126,3 +127,9 @@
 		x.options.Log.Routine("response could not be written to caller", "request", x.request.ID, "error", err)
 	}
 }
+
+// Refuse responds that the request was not run, with the time after which to retry.
+func Refuse(w http.ResponseWriter, status int, after time.Duration) {
+	w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
+	w.WriteHeader(status)
+}
--- a/pkg/forward/client.go
+++ b/pkg/forward/client.go
@@ -100,6 +100,8 @@
 	Limit string
 	// Leaving is set on the answers of an upstream that is about to leave.
 	Leaving string
+	// Customer carries the name of the customer on whose behalf a request is sent.
+	Customer string
 }
 
 // maxSharedParts limits the parts of a prompt that are considered. Sharing becomes rarer towards the end of a prompt.
@@ -208,6 +210,10 @@
 	Body   []byte
 	// Once is set for a request that must not run more than once.
 	Once bool
+	// Customer is the name of the customer that sent the request, or "". If Identified is set, the upstream gets this name and neither
+	// the header of that kind that the caller sent nor its key.
+	Customer   string
+	Identified bool
 	// MaySend is called before the request is sent, and again right before its first byte is written. With an error nothing is sent. Nil
 	// allows all.
 	MaySend func() error
@@ -292,6 +298,7 @@
 	for name, values := range r.Header {
 		req.Header[name] = values
 	}
+	c.identify(req.Header, r)
 	if _, ok := req.Header["User-Agent"]; !ok {
 		req.Header["User-Agent"] = []string{""} // An empty value keeps net/http from sending its own.
 	}
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -9,7 +9,6 @@
 	"context"
 	"errors"
 	"io"
-	"maps"
 	"net/http"
 	"strconv"
 	"strings"
@@ -17,6 +16,7 @@
 
 	"github.com/zeebo/xxh3"
 
+	"trefoilplank.example/pkg/controller/customers"
 	"trefoilplank.example/pkg/controller/failedruns"
 	"trefoilplank.example/pkg/controller/placer"
 	"trefoilplank.example/pkg/controller/streamversions"
@@ -63,6 +63,11 @@
 	Streams *streamversions.Controller
 	// Table returns the routes in force, or nil before a configuration is known.
 	Table func() *routing.Table
+	// Customers checks the keys of requests; nil if there are no customers. CustomerMetrics counts their requests.
+	Customers       *customers.Checker
+	CustomerMetrics *customers.Metrics
+	// Limiter limits the requests of customers; nil if there are no limits.
+	Limiter Limiter
 	// BatchHandler serves the requests on batch routes.
 	BatchHandler http.Handler
 	// AwaitUpstreams waits until the list of upstreams can be relied on, if the process did not run for a while; nil if it always can.
@@ -97,13 +102,16 @@
 	route    *routing.Route
 	service  string
 	request  Request
+	caller   customers.Caller
 	received time.Time
 	// deadline is when the caller or the route stops waiting.
 	deadline time.Time
 	// earlierAttempts is the time that the caller spent on earlier attempts, estimated from its deadline.
 	earlierAttempts time.Duration
-	// ran counts the attempts that may have run; refused counts those that did not.
+	// ran counts the attempts that may have run; refused counts those that did not. mayHaveRun is set once an upstream may have run the
+	// request.
 	ran, refused int
+	mayHaveRun   bool
 	tried        []string
 	// lastEvent is the number of the last event that was sent to the caller, or -1.
 	lastEvent int64
@@ -158,13 +166,24 @@
 		f.options.BatchHandler.ServeHTTP(w, r)
 		return
 	}
+	// A caller without a valid key is refused before the node reads the body.
+	if _, refusal := f.options.Customers.Identify(r.Header, route.Public); refusal.Status != 0 {
+		f.refuseCaller(w, r, route, refusal)
+		return
+	}
 	body, status := ReadBody(w, r, table.Limits.BodyBytes)
 	if status != 0 {
 		f.options.Log.Notice("request body rejected", "request", r.Header.Get(f.options.HeaderNames.RequestID), "status", status)
 		w.WriteHeader(status)
 		return
 	}
+	caller, refusal := f.options.Customers.Identify(r.Header, route.Public)
+	if refusal.Status != 0 {
+		f.refuseCaller(w, r, route, refusal)
+		return
+	}
 	x := f.newExchange(w, r, route, body, received)
+	x.setCaller(caller)
 	if f.drainWouldCut(x.service, received) {
 		f.options.Log.Notice("request refused", "request", x.request.ID, "route", route.Name, "reason", "node drains and would close before a usual run ends")
 		f.options.Metrics.countOutcome("refused")
@@ -173,7 +192,10 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), x.deadline)
 	defer cancel()
-	x.run(ctx)
+	if x.takeLimit(ctx) {
+		defer x.returnLimit()
+		x.run(ctx)
+	}
 }
 
 // drainWouldCut reports whether the node is draining and would probably close before a run that begins now ends.
@@ -182,12 +204,6 @@
 	return !drainEnd.IsZero() && now.Add(longRunFactor*f.options.Placer.RunDuration(service)+drainSlack).After(drainEnd)
 }
 
-// Refuse responds that the request was not run, with the time after which to retry.
-func Refuse(w http.ResponseWriter, status int, after time.Duration) {
-	w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
-	w.WriteHeader(status)
-}
-
 // ReadBody reads a request body of at most limit bytes. If the body is too long or incomplete, status is the response
 // status to send; otherwise it is 0.
 func ReadBody(w http.ResponseWriter, r *http.Request, limit int) (body []byte, status int) {
@@ -244,26 +260,6 @@
 	return x
 }
 
-// connectionHeaders apply to a single connection and are not forwarded.
-var connectionHeaders = []string{
-	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer",
-	"Transfer-Encoding", "Upgrade", "Content-Length", "Expect",
-}
-
-// endToEnd returns a copy of the headers without those that apply to a single connection.
-func endToEnd(h http.Header) http.Header {
-	out := maps.Clone(h)
-	for _, value := range h["Connection"] {
-		for _, name := range strings.Split(value, ",") {
-			delete(out, http.CanonicalHeaderKey(strings.TrimSpace(name)))
-		}
-	}
-	for _, name := range connectionHeaders {
-		delete(out, name)
-	}
-	return out
-}
-
 // run sends the request until it is answered, refused or out of attempts.
 func (x *exchange) run(ctx context.Context) {
 	_ = http.NewResponseController(x.w).SetWriteDeadline(x.deadline.Add(writeGrace)) // Without it a write blocks until the connection ends.
@@ -282,6 +278,7 @@
 		}
 		err := x.attemptAndRelease(ctx, choice)
 		if err == nil {
+			x.options.CustomerMetrics.CountRequest(x.caller.Name(), "delivered")
 			x.options.FailedRuns.Survived(x.works().Request)
 			x.partsSurvived()
 			x.countResponse()
@@ -339,6 +336,7 @@
 		x.refused++
 	} else {
 		x.ran++
+		x.mayHaveRun = true
 	}
 	cause = x.options.Client.Attribute(ctx, choice.Upstream, cause)
 	x.reportFailure(ctx, choice.Upstream.ID, cause)
@@ -352,6 +350,10 @@
 	errors.As(cause, &x.lastFailure)
 	x.endMeasurement(ctx, cause)
 	switch {
+	case errors.Is(cause, errKeyRemoved):
+		x.options.Log.Notice("request not sent, since its key was removed", fields...)
+		x.refuseRemoved()
+		return false
 	case x.r.Context().Err() != nil, errors.Is(cause, errCallerGone):
 		x.options.Metrics.countOutcome("left")
 		x.options.Log.Routine("caller disconnected", fields...)
@@ -393,7 +395,7 @@
 func (x *exchange) reportFailure(ctx context.Context, upstream string, cause error) {
 	var failure *failureResponse
 	switch {
-	case ctx.Err() != nil && !errors.Is(cause, ErrUnresponsive), errors.Is(cause, errCallerGone), errors.Is(cause, errMaySound), errors.Is(cause, ErrWithdrawn):
+	case ctx.Err() != nil && !errors.Is(cause, ErrUnresponsive), errors.Is(cause, errCallerGone), errors.Is(cause, errMaySound), errors.Is(cause, ErrWithdrawn), errors.Is(cause, errKeyRemoved):
 	case errors.Is(cause, ErrOwnConnection):
 		x.options.Metrics.countOutcome("own_connection_failed")
 	case errors.Is(cause, ErrFull):
@@ -417,6 +419,7 @@
 		return
 	}
 	x.options.Metrics.countOutcome("refused")
+	x.options.CustomerMetrics.CountRequest(x.caller.Name(), "no_room")
 	Refuse(x.w, http.StatusServiceUnavailable, choice.RetryAfter)
 }
 
@@ -457,6 +460,7 @@
 		return err
 	}
 	defer resp.Body.Close()
+	x.mayHaveRun = true
 	x.options.Placer.RecordAnswer(choice.Upstream.ID, x.options.Client.ReportedRequests(resp.Header))
 	if resp.StatusCode >= 500 || impliesNotRun(resp.StatusCode) {
 		return x.handleFailureResponse(ctx, resp)
