--- a/pkg/listjob/accept.go
+++ b/pkg/listjob/accept.go
@@ -226,7 +226,7 @@
 	self := c.self()
 	h := head{
 		ID: s.ID, Host: s.Host, Path: s.Path, Total: len(s.Items), Chunks: len(values), Submitted: time.Now().UTC(),
-		Owner: self.Node, Incarnation: self.Incarnation, Tokens: totalTokens(s.Items),
+		Owner: self.Node, Incarnation: self.Incarnation, Tokens: totalTokens(s.Items), Customer: s.Customer,
 	}
 	if c.waitingLimit(s.Host, s.Path) > 0 {
 		decided, isFirst := c.beginDecision(s.ID)
--- a/pkg/listjob/controller.go
+++ b/pkg/listjob/controller.go
@@ -88,7 +88,7 @@
 	undecided map[string]chan struct{}
 	// withdrawing holds those of them that do not fit, while their withdrawal is not stored.
 	withdrawing map[string]bool
-	// lastRefusals holds the last refusals because of the limits of routes, by route.
+	// lastRefusals holds the last refusals because of the limits of routes, by limitName.
 	lastRefusals map[string]lastRefusal
 	// swept is what the last sweep of this node as the hub found, by job.
 	swept map[string]Owned
--- a/pkg/listjob/job.go
+++ b/pkg/listjob/job.go
@@ -54,6 +54,8 @@
 	// Host and Path select the route.
 	Host, Path string
 	Items      []Item
+	// Customer is the name of the customer whose job it is, or "".
+	Customer string
 }
 
 // State is the final state of an item.
@@ -101,6 +103,8 @@
 	Refused bool `json:"refused,omitempty"`
 	// TakenOver is when a node last took the job over from another one; zero if none has, or an earlier build did.
 	TakenOver time.Time `json:"taken_over,omitzero"`
+	// Customer is the name of the customer whose job it is, "" if there is none. Builds up to a9253e5 drop it when they write the head.
+	Customer string `json:"customer,omitempty"`
 }
 
 // order returns the store revision at which the head was created; revision is that of its last change.
--- a/pkg/listjob/quota.go
+++ b/pkg/listjob/quota.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"time"
@@ -81,7 +82,7 @@
 			if waiting == nil {
 				waiting = map[string]quota.Waiting{}
 			}
-			waiting[id] = quota.Waiting{Route: route.Name, Tokens: j.waitingTokens()}
+			waiting[id] = quota.Waiting{Route: limitName(route.Name, j.head.Customer), Tokens: j.waitingTokens()}
 		}
 		j.mu.Unlock()
 	}
@@ -177,26 +178,28 @@
 func (c *Controller) refuseEarly(ctx context.Context, s Submission) error {
 	route, tokens := c.batchRoute(s.Host, s.Path), totalTokens(s.Items)
 	c.mu.Lock()
-	last, ok := c.lastRefusals[route.Name]
+	last, ok := c.lastRefusals[limitName(route.Name, s.Customer)]
 	c.mu.Unlock()
 	if ok && time.Now().Before(last.until) && tokens >= last.tokens {
 		return last.err
 	}
 	ask, cancel := context.WithTimeout(ctx, hubWaitingTimeout)
 	defer cancel()
-	excess, err := c.options.ReserveWaiting(ask, quota.Reservation{Job: s.ID, Route: route.Name, Tokens: tokens, Limit: route.MaxWaitingTokens})
+	excess, err := c.options.ReserveWaiting(ask, quota.Reservation{Job: s.ID, Route: limitName(route.Name, s.Customer), Tokens: tokens, Limit: route.MaxWaitingTokens})
 	if err != nil || excess == 0 {
 		return nil // Without the hub the claims in the store decide.
 	}
-	return c.rememberRefusal(route, tokens, excess)
+	return c.rememberRefusal(route, s.Customer, tokens, excess)
 }
 
-// rememberRefusal returns the error for a job that exceeds the limit of its route, and keeps it for other jobs.
-func (c *Controller) rememberRefusal(route *routing.Route, tokens, excess int64) error {
+// rememberRefusal returns the error for a job that exceeds the limit of its route, and keeps it for other jobs of its customer.
+func (c *Controller) rememberRefusal(route *routing.Route, customer string, tokens, excess int64) error {
 	full := &FullError{RetryAfter: quota.RetryAfter(route.MaxWaitingTokens, excess, route.Completion)}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.lastRefusals[route.Name] = lastRefusal{time.Now().Add(fullMemory), tokens, full}
+	now := time.Now()
+	maps.DeleteFunc(c.lastRefusals, func(_ string, r lastRefusal) bool { return now.After(r.until) })
+	c.lastRefusals[limitName(route.Name, customer)] = lastRefusal{now.Add(fullMemory), tokens, full}
 	return full
 }
 
@@ -207,7 +210,7 @@
 	if route == nil || route.MaxWaitingTokens == 0 {
 		return nil
 	}
-	d, err := c.decideQuota(ctx, route, quota.Claim{Job: h.ID, Order: revision, Tokens: h.Tokens})
+	d, err := c.decideQuota(ctx, route, h.Customer, quota.Claim{Job: h.ID, Order: revision, Tokens: h.Tokens})
 	if err == nil && d.Verdict == quota.Admitted {
 		return nil
 	}
@@ -219,13 +222,13 @@
 	if err != nil {
 		return errors.Join(ErrRefused, err)
 	}
-	return c.rememberRefusal(route, h.Tokens, d.Excess)
+	return c.rememberRefusal(route, h.Customer, h.Tokens, d.Excess)
 }
 
 // decideQuota decides on a claim by the stored heads. The hub is asked for the tokens of unfinished items only if the job
 // does not fit beside the full claims of the others.
-func (c *Controller) decideQuota(ctx context.Context, route *routing.Route, claim quota.Claim) (quota.Decision, error) {
-	claims, err := c.readClaims(ctx, route)
+func (c *Controller) decideQuota(ctx context.Context, route *routing.Route, customer string, claim quota.Claim) (quota.Decision, error) {
+	claims, err := c.readClaims(ctx, route, customer)
 	if err != nil {
 		return quota.Decision{}, err
 	}
@@ -258,8 +261,8 @@
 	}
 }
 
-// readClaims returns the claims of all jobs of a route that are stored and neither refused, ended nor done.
-func (c *Controller) readClaims(ctx context.Context, route *routing.Route) ([]quota.Claim, error) {
+// readClaims returns the claims of all jobs of a customer on a route that are stored and neither refused, ended nor done.
+func (c *Controller) readClaims(ctx context.Context, route *routing.Route, customer string) ([]quota.Claim, error) {
 	heads, err := store.ListAll(store.WithFresh(ctx), c.options.Store, headKind)
 	if err != nil {
 		return nil, err
@@ -271,7 +274,7 @@
 			c.options.Log.Notice("job head can't be decoded", "key", o.Key, "error", err)
 			continue
 		}
-		if h.Refused || h.Ended || h.Done {
+		if h.Refused || h.Ended || h.Done || h.Customer != customer {
 			continue
 		}
 		if r := c.batchRoute(h.Host, h.Path); r != nil && r.Name == route.Name {
--- a/pkg/listjob/run.go
+++ b/pkg/listjob/run.go
@@ -65,6 +65,7 @@
 	it.job.mu.Lock()
 	request := newRequest(it.job.head, &it.Item)
 	request.MaySend = mayRun
+	request.Identified = request.Identified || c.hasCustomers()
 	it.beganWriting = false
 	timeouts := newEventTimeouts(c.lengths.pace(u.Service), it.brokenRuns)
 	it.job.mu.Unlock()
@@ -106,7 +107,9 @@
 	for name, value := range it.Header {
 		header.Set(name, value)
 	}
-	return &forward.Request{ID: it.ID, Method: http.MethodPost, Host: h.Host, Target: it.Path, Header: header, Body: it.Body}
+	return &forward.Request{
+		ID: it.ID, Method: http.MethodPost, Host: h.Host, Target: it.Path, Header: header, Body: it.Body, Customer: h.Customer, Identified: h.Customer != "",
+	}
 }
 
 // sendItem makes one call for an item; received is called with the number of events that arrived together.
