Require keys on all paths of a deployment with customers

Cause: no handler checked keys. Change: the node hands a customers.Checker to the forwarder and to the platform's handler of job requests, which use it before and after a body is read; the name of the header is set by the adapter. The age of the configuration is 0 until the mirror tells it, and no Limiter is wired.

--- a/pkg/edge/configuration.go
+++ b/pkg/edge/configuration.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 )
 
 // awaitTable waits until the configuration has been read again after a time in which this process did not run.
@@ -18,3 +19,6 @@
 		h.ServeHTTP(w, r)
 	})
 }
+
+// keysAge returns the time since this node's copy of the configuration was known to be the store's newest. The mirror does not tell it yet.
+func (n *Node) keysAge() time.Duration { return 0 }
--- a/pkg/edge/node.go
+++ b/pkg/edge/node.go
@@ -21,6 +21,7 @@
 	"trefoilplank.example/pkg/adapter/dial"
 	"trefoilplank.example/pkg/adapter/peer"
 	"trefoilplank.example/pkg/adapter/store"
+	"trefoilplank.example/pkg/controller/customers"
 	"trefoilplank.example/pkg/controller/failedruns"
 	"trefoilplank.example/pkg/controller/fleet"
 	"trefoilplank.example/pkg/controller/loadshare"
@@ -101,6 +102,8 @@
 	Table   func() *routing.Table
 	Forward http.Handler
 	Jobs    *listjob.Controller
+	// Customers checks the keys of requests.
+	Customers *customers.Checker
 	// Draining reports whether the node drains; responses then close their connections.
 	Draining func() bool
 	Log      *eventlog.Log
@@ -243,9 +246,14 @@
 		Revisions: n.mirror.Revisions, HubAnswered: n.followHub, HubLate: n.mirror.FollowedLate, FailedRuns: n.failedRuns, Streams: n.streams, Announced: n.placer, Draining: n.draining.Load, Log: n.log,
 		Metrics: loadshare.NewMetrics(n.metrics), Waiting: n.jobs.Waiting, Retiring: n.knownRetiring, CutOff: n.links.CutOff,
 	})
-	callers := CallerOptions{Table: n.table.Load, Jobs: n.jobs, Draining: n.draining.Load, Log: n.log}
+	perCustomer := customers.NewMetrics(n.metrics)
+	checker := customers.New(customers.Options{
+		Table: n.table.Load, KeysAge: n.keysAge, Strict: n.settings.StrictRevocation, Revocation: milliseconds(n.settings.RevocationMS), Metrics: perCustomer,
+	})
+	callers := CallerOptions{Table: n.table.Load, Jobs: n.jobs, Customers: checker, Draining: n.draining.Load, Log: n.log}
 	n.forwarder = forward.New(forward.Options{
 		HeaderNames: n.platform.HeaderNames(), Placer: n.placer, Client: n.client, FailedRuns: n.failedRuns, Streams: n.streams, Table: n.table.Load, Draining: n.draining.Load,
+		Customers: checker, CustomerMetrics: perCustomer,
 		DrainEnd:     n.drainEndTime,
 		RequestSlots: n.exchange.ExchangeNow, AwaitUpstreams: n.awaitUpstreams,
 		BatchHandler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { n.callerHandler.ServeHTTP(w, r) }),
@@ -331,8 +339,12 @@
 	if old != nil && c.Version <= old.Version {
 		return
 	}
-	n.table.Store(routing.NewTable(c))
-	n.log.Notice("configuration in force", "version", c.Version, "routes", len(c.Routes), "services", len(c.Services))
+	table := routing.NewTable(c)
+	n.table.Store(table)
+	n.log.Notice("configuration in force", "version", c.Version, "routes", len(c.Routes), "services", len(c.Services), "customers", len(c.Customers))
+	if table.SharedKeys > 0 {
+		n.log.Notice("keys are listed for more than one customer, the first one in the list has them", "version", c.Version, "keys", table.SharedKeys)
+	}
 }
 
 // failedRunHolders returns the other live nodes in the order in which they are told of failed runs: by rendezvous
--- a/pkg/edge/settings.go
+++ b/pkg/edge/settings.go
@@ -162,3 +162,5 @@
 }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+func milliseconds(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
