Carry the moment at which a store call began with its answer

A node with strict key revocation must know up to which moment its configuration was the store's newest, and the mirror only knew when events arrived. No call is added.

--- a/pkg/adapter/store/client.go
+++ b/pkg/adapter/store/client.go
@@ -20,6 +20,7 @@
 	"golang.org/x/sync/singleflight"
 
 	"trefoilplank.example/pkg/adapter/dial"
+	"trefoilplank.example/pkg/boottime"
 )
 
 // Defaults of Options.
@@ -238,6 +239,8 @@
 	Key      string    `json:"key"`
 	Value    []byte    `json:"value"`
 	Revision int64     `json:"revision"`
+	// Begun is set by transports within this process; see Event.
+	Begun time.Duration `json:"begun,omitempty"`
 }
 
 // wirePage is the JSON form of a list response.
@@ -249,12 +252,18 @@
 
 // listOnce makes one attempt to read a page.
 func (c *Client) listOnce(ctx context.Context, prefix, after string, limit int) (Page, error) {
+	begun := boottime.Now()
+	if IsStale(ctx) {
+		begun = 0
+	}
 	query := url.Values{"prefix": {prefix}, "after": {after}, "limit": {strconv.Itoa(limit)}}
 	body, _, err := c.sendRequest(ctx, c.reads, "list", http.MethodGet, "/objects?"+query.Encode(), nil, AnyRevision)
 	if err != nil {
 		return Page{}, readError(err)
 	}
-	return decodePage(body)
+	p, err := decodePage(body)
+	p.Begun = begun
+	return p, err
 }
 
 func decodePage(body []byte) (Page, error) {
--- a/pkg/adapter/store/store.go
+++ b/pkg/adapter/store/store.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/zeebo/errs"
 )
@@ -51,6 +52,8 @@
 	Next string
 	// Revision is the store revision that the page was read at.
 	Revision int64
+	// Begun is when the call that read the page was begun, by package boottime; 0 if the page may be older than that.
+	Begun time.Duration
 }
 
 // EventType says what a watch event reports.
@@ -71,6 +74,9 @@
 type Event struct {
 	Type   EventType
 	Object Object
+	// Begun is set in an EventSync if the watch is known to be complete up to a moment: the one at which the call that showed so was
+	// begun, by package boottime.
+	Begun time.Duration
 }
 
 // Store is the object API. All methods may block for as long as ctx allows.
--- a/pkg/adapter/store/watch.go
+++ b/pkg/adapter/store/watch.go
@@ -73,7 +73,7 @@
 	}
 	switch w.Type {
 	case EventPut, EventDelete, EventSync, EventGone:
-		return Event{Type: w.Type, Object: Object{Key: w.Key, Value: w.Value, Revision: w.Revision}}, nil
+		return Event{Type: w.Type, Object: Object{Key: w.Key, Value: w.Value, Revision: w.Revision}, Begun: w.Begun}, nil
 	}
 	return Event{}, Error.New("unknown event type %q", w.Type)
 }
@@ -88,7 +88,7 @@
 			return Page{}, err
 		}
 		if after == "" {
-			all.Revision = p.Revision
+			all.Revision, all.Begun = p.Revision, p.Begun
 		}
 		all.Objects = append(all.Objects, p.Objects...)
 		if p.Next == "" {
