Keep the age of the configuration copy and pass it between nodes

A node could not tell how long ago its configuration was the store's newest: a follower only knew that the hub's watch worked. A mirror prefix with InForce now keeps that moment for what is in force, from lists and polls by their beginning, and from the hub's and peers' answers as an age, if the copy holds all changes of theirs. A copy above MaxAge is read from the store with short calls, and beside a hub of an earlier build the node watches itself. Events no longer replace newer objects of such a prefix.

--- a/pkg/controller/loadshare/hub.go
+++ b/pkg/controller/loadshare/hub.go
@@ -121,6 +121,9 @@
 	}
 	reply.Grant = h.grant(n, now)
 	reply.Revisions = h.options.Revisions()
+	if h.options.Ages != nil {
+		reply.Ages = h.options.Ages()
+	}
 	reply.Sweeps = true
 	if h.options.Retiring != nil {
 		reply.Retiring = h.options.Retiring()
--- a/pkg/controller/loadshare/loadshare.go
+++ b/pkg/controller/loadshare/loadshare.go
@@ -20,6 +20,7 @@
 	"trefoilplank.example/pkg/controller/streamversions"
 	"trefoilplank.example/pkg/decision/dispatch"
 	"trefoilplank.example/pkg/decision/failedruns"
+	"trefoilplank.example/pkg/decision/keyvalidity"
 	"trefoilplank.example/pkg/decision/outlier"
 	"trefoilplank.example/pkg/decision/quota"
 	"trefoilplank.example/pkg/decision/reach"
@@ -139,6 +140,8 @@
 	Unconfirmed bool
 	// Successor is set for the node that would be the hub next.
 	Successor bool
+	// Ages are the ages of the hub's copies of the store, by prefix; empty if the hub does not keep them.
+	Ages map[string]keyvalidity.Age
 }
 
 // Announced holds what upstreams say of themselves in their answers, and the requests that count against their limits.
@@ -179,6 +182,10 @@
 	// HubAnswered is called with an empty hub after an exchange that failed.
 	Revisions   func() map[string]int64
 	HubAnswered func(hub string, revisions map[string]int64)
+	// Ages returns the ages of this node's copies of the store, and ApplyAges receives those of the hub, before HubAnswered is called, with the
+	// moment at which the exchange was begun, by package boottime. Both are nil if ages are not kept.
+	Ages      func() map[string]keyvalidity.Age
+	ApplyAges func(begun time.Duration, ages map[string]keyvalidity.Age)
 	// HubLate is called when another node has not answered as the hub within hubLate, with the node that would be the hub next, "" if there is
 	// none.
 	HubLate func(next string)
@@ -433,7 +440,7 @@
 		defer late.Stop()
 	}
 	var totals Totals
-	begun := time.Now()
+	begun, bootBegun := time.Now(), e.ageClock()
 	err := e.options.Peers.Call(callCtx, name, "Load.Report", r, &totals)
 	e.options.Metrics.observeExchange(err == nil, time.Since(begun))
 	if err != nil {
@@ -445,6 +452,7 @@
 		e.currentHub.Store(nil)
 		return false
 	}
+	e.applyAges(bootBegun, totals)
 	if took := time.Since(begun); reach.Stalled(took, exchangeTimeout) {
 		// This process did not run. Loads, grants and revisions may be as old as the call.
 		e.options.Log.Notice("answer of the load hub read late, asking again", "hub", name, "ms", took.Milliseconds())
--- a/pkg/controller/mirror/following.go
+++ b/pkg/controller/mirror/following.go
@@ -68,7 +68,7 @@
 // setFollowed sets the followed node, or none, and reads those of its copies that have changed.
 func (m *Mirror) setFollowed(ctx context.Context, node string, revisions map[string]int64) {
 	m.mu.Lock()
-	before, successor := m.followed, m.successor
+	before, successor, agesMissing := m.followed, m.successor, m.agesMissing
 	m.followed = node
 	m.mu.Unlock()
 	if before != node {
@@ -76,7 +76,7 @@
 	}
 	for name, c := range m.copy {
 		c.mu.Lock()
-		c.setMustWatch(node == "" || successor && c.prefix.SuccessorWatches)
+		c.setMustWatch(node == "" || successor && c.prefix.SuccessorWatches || agesMissing && c.prefix.InForce != nil)
 		c.mu.Unlock()
 		if node != "" {
 			m.followCopy(ctx, c, source{node, revisions[name]})
@@ -91,10 +91,11 @@
 	defer c.mu.Unlock()
 	now := time.Now()
 	c.restartOutage(now)
-	if c.readFrom == from {
+	same := c.readFrom == from && !c.lacksFollowed
+	if same {
 		c.followedAt = now
 	}
-	if c.readFrom == from || c.watching && isClosed(c.watches) {
+	if same || c.watching && isClosed(c.watches) {
 		return
 	}
 	if c.reading != nil {
@@ -125,6 +126,6 @@
 	}
 	c.reading = nil
 	if result == replaced {
-		c.readFrom, c.followedAt = read.from, time.Now()
+		c.readFrom, c.followedAt, c.lacksFollowed = read.from, time.Now(), false
 	}
 }
--- a/pkg/controller/mirror/late.go
+++ b/pkg/controller/mirror/late.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"trefoilplank.example/pkg/adapter/store"
+	"trefoilplank.example/pkg/decision/keyvalidity"
 )
 
 const (
@@ -88,16 +89,16 @@
 	c.mu.Unlock()
 	ctx, cancel := context.WithTimeout(context.Background(), storeReadTimeout)
 	defer cancel()
-	revision, err := m.readChanges(ctx, c.prefix.Name, objects, revision)
+	revision, asOf, err := m.readChanges(ctx, c.prefix.Name, objects, revision)
 	list := slices.Collect(maps.Values(objects))
 	if errors.Is(err, store.ErrCompacted) {
 		var page store.Page
 		page, err = store.ListAll(ctx, m.options.Store, c.prefix.Name)
-		list, revision = page.Objects, page.Revision
+		list, revision, asOf = page.Objects, page.Revision, page.Begun
 	}
 	now := time.Now()
 	m.options.Log.Notice("store read in place of the followed node", "prefix", c.prefix.Name, "revision", revision, "ms", now.Sub(begun).Milliseconds(), "error", err)
-	if err != nil || c.mustWatch() || !c.replace(list, revision, sourceStore, now) {
+	if err != nil || c.mustWatch() || !c.replace(list, revision, sourceStore, keyvalidity.Known{AsOf: asOf, Changed: revision}, now) {
 		return
 	}
 	c.confirm(stalls)
@@ -107,13 +108,13 @@
 	c.restartOutage(now)
 }
 
-// readChanges applies the changes of a prefix after a revision to objects, and returns the revision up to which they are complete.
-func (m *Mirror) readChanges(ctx context.Context, prefix string, objects map[string]store.Object, revision int64) (int64, error) {
+// readChanges applies the changes of a prefix after a revision to objects, and returns the revision and the moment up to which they are complete.
+func (m *Mirror) readChanges(ctx context.Context, prefix string, objects map[string]store.Object, revision int64) (int64, time.Duration, error) {
 	ctx, cancel := context.WithCancel(store.WithSingleSync(ctx))
 	defer cancel()
 	events, err := m.options.Store.Watch(ctx, prefix, revision)
 	if err != nil {
-		return 0, err
+		return 0, 0, err
 	}
 	for e := range events {
 		revision = max(revision, e.Object.Revision)
@@ -123,10 +124,10 @@
 		case store.EventDelete:
 			delete(objects, e.Object.Key)
 		case store.EventSync:
-			return revision, nil
+			return revision, e.Begun, nil
 		case store.EventGone:
-			return 0, store.ErrCompacted
+			return 0, 0, store.ErrCompacted
 		}
 	}
-	return 0, store.ErrUnavailable
+	return 0, 0, store.ErrUnavailable
 }
--- a/pkg/controller/mirror/mirror.go
+++ b/pkg/controller/mirror/mirror.go
@@ -8,10 +8,13 @@
 	"maps"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"trefoilplank.example/pkg/adapter/peer"
 	"trefoilplank.example/pkg/adapter/store"
+	"trefoilplank.example/pkg/boottime"
+	"trefoilplank.example/pkg/decision/keyvalidity"
 	"trefoilplank.example/pkg/decision/outage"
 	"trefoilplank.example/pkg/eventlog"
 	"trefoilplank.example/pkg/wait"
@@ -47,6 +50,11 @@
 	ConfirmAfterStall bool
 	// Silence is the longest time for which a watch that works delivers nothing, or 0 if Age is not asked.
 	Silence time.Duration
+	// InForce is set if the age of what is in force must be known: it reports whether the objects last passed to Handle are in force. The
+	// copy is then known to be current up to the moment at which a call was begun, and nodes tell each other its age.
+	InForce func() bool
+	// MaxAge is the age from which on this node reads the store itself, also while it follows another node; used with InForce.
+	MaxAge time.Duration
 	// Handle is called with all objects after changes, by one goroutine at a time. It must not retain the map.
 	Handle func(objects map[string]store.Object)
 }
@@ -58,6 +66,8 @@
 	// Others returns the names of the other live nodes.
 	Others func() []string
 	Log    *eventlog.Log
+	// Now returns the time by a clock that runs while the machine is suspended; nil selects boottime.Now.
+	Now func() time.Duration
 }
 
 // Mirror keeps copies of some prefixes of the store.
@@ -73,6 +83,8 @@
 	uncoveredSince time.Time
 	// successor is set while this node would be followed next.
 	successor bool
+	// agesMissing is set while the hub sends no ages of its copies, as earlier builds do not.
+	agesMissing bool
 
 	// lookedAt is when this process last looked at its clock.
 	lookMu   sync.Mutex
@@ -122,6 +134,16 @@
 	// watchAnew is set if the watch session was ended to begin at once again.
 	watchAnew    bool
 	confirmation confirmation
+	// known is what is known of the copy's age if that is kept, and inForceUpTo its InForceUpTo, in nanoseconds.
+	known       keyvalidity.Copy
+	inForceUpTo atomic.Int64
+	// lastChange is a revision up to which all changes lie that the copy holds. It is not known between a deletion, which may carry
+	// the revision of the change before, and the next sync event; deleted is set meanwhile.
+	lastChange int64
+	deleted    bool
+	// lacksFollowed is set if the hub's age shows that the copy lacks changes, though it is that of the content that the hub reports:
+	// another process of the same node may count the same.
+	lacksFollowed bool
 	// handling is held while a list is passed to Handle, so that no older one is passed after it.
 	handling chan struct{}
 }
@@ -140,6 +162,9 @@
 
 // New returns a mirror of the prefixes.
 func New(o Options, prefixes ...Prefix) *Mirror {
+	if o.Now == nil {
+		o.Now = boottime.Now
+	}
 	m := &Mirror{options: o, copy: map[string]*prefixCopy{}, followed: undecided, uncoveredSince: time.Now()}
 	for _, p := range prefixes {
 		m.copy[p.Name] = &prefixCopy{prefix: p, objects: map[string]store.Object{}, vanished: map[string]vanishedEntry{}, log: o.Log, compressed: map[string]compressedObject{}, brokenAt: time.Now(), watches: make(chan struct{}), outageBegun: make(chan struct{}, 1), handling: make(chan struct{}, 1)}
@@ -155,6 +180,9 @@
 		all.Go(func() { m.runWatch(ctx, c) })
 		all.Go(func() { m.readPeersWhileBroken(ctx, c) })
 		all.Go(func() { c.measureOutages(ctx) })
+		if c.prefix.InForce != nil {
+			all.Go(func() { m.confirmOld(ctx, c) })
+		}
 	}
 	all.Wait()
 	return ctx.Err()
@@ -187,6 +215,9 @@
 			m.options.Log.Notice("store watch lost", "prefix", c.prefix.Name, "error", err)
 			pause = retryMin
 		}
+		if m.isOld(c) {
+			pause = min(pause, oldRetryMax)
+		}
 		_ = wait.Sleep(ctx, pause+rand.N(pause/2))
 		pause = min(2*pause, retryMax)
 	}
@@ -251,19 +282,19 @@
 func (m *Mirror) watchSession(ctx context.Context, c *prefixCopy, listed *bool) error {
 	stalls := c.stallCount()
 	if !*listed {
-		page, err := store.ListAll(ctx, m.options.Store, c.prefix.Name)
+		page, err := m.list(ctx, c)
 		if err != nil {
 			return err
 		}
 		*listed = true
 		m.markWatching(c, stalls)
-		c.replace(page.Objects, page.Revision, sourceStore, time.Now())
+		c.replace(page.Objects, page.Revision, sourceStore, keyvalidity.Known{AsOf: page.Begun, Changed: page.Revision}, time.Now())
 		c.confirm(stalls)
 	}
 	c.mu.Lock()
 	from := c.revision
 	c.mu.Unlock()
-	if c.unconfirmed() {
+	if c.unconfirmed() || m.isOld(c) {
 		ctx = store.WithEarlySync(ctx) // Requests and followers wait for it.
 	}
 	events, err := m.options.Store.Watch(ctx, c.prefix.Name, from)
@@ -336,9 +367,9 @@
 	return wasWatching
 }
 
-// replace sets the copy to a full list and publishes it. Entries that are missing from the list count as deleted. It
+// replace sets the copy to a full list, of which known is known, and publishes it. Entries that are missing from the list count as deleted. It
 // returns false, without an effect, for a list that is older than the copy.
-func (c *prefixCopy) replace(list []store.Object, revision int64, source string, now time.Time) bool {
+func (c *prefixCopy) replace(list []store.Object, revision int64, source string, known keyvalidity.Known, now time.Time) bool {
 	c.mu.Lock()
 	if c.loaded && revision < c.revision {
 		c.mu.Unlock()
@@ -361,6 +392,8 @@
 		}
 	}
 	c.objects, c.revision, c.content, c.loaded = next, revision, max(c.content+1, revision), true
+	c.lastChange, c.deleted = revision, false
+	c.confirmKnown(known)
 	c.mu.Unlock()
 	c.publish()
 	return true
@@ -387,8 +420,14 @@
 func (c *prefixCopy) apply(e store.Event, now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.supersedes(e) {
+		return false
+	}
 	c.revision = max(c.revision, e.Object.Revision)
 	switch e.Type {
+	case store.EventSync:
+		// All events that the call showed have been applied.
+		c.confirmSync(e.Begun)
 	case store.EventPut:
 		c.objects[e.Object.Key] = e.Object
 		c.content = max(c.content+1, c.revision)
@@ -431,8 +470,10 @@
 	objects := maps.Clone(c.objects)
 	removals := c.removals
 	c.removals = nil
+	content, asOf := c.content, c.known.Known().AsOf
 	c.mu.Unlock()
 	c.logRemovals(c.log, removals, now)
 	c.prefix.Handle(objects)
+	c.recordPassed(content, asOf)
 	return next
 }
--- a/pkg/controller/mirror/peers.go
+++ b/pkg/controller/mirror/peers.go
@@ -13,6 +13,7 @@
 
 	"trefoilplank.example/pkg/adapter/peer"
 	"trefoilplank.example/pkg/adapter/store"
+	"trefoilplank.example/pkg/decision/keyvalidity"
 	"trefoilplank.example/pkg/wait"
 )
 
@@ -52,6 +53,8 @@
 	Large []LargeObject
 	// Current is set if the peer's watch works and its copy holds nothing newer than the caller's revision. Earlier builds do not set it.
 	Current bool
+	// Age is that of the peer's copy, also if Fresh is not set; nil if the peer does not keep it.
+	Age *keyvalidity.Age
 }
 
 // LargeObject is an object whose value is read in parts.
@@ -99,6 +102,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	reply.Paged = args.MaxBytes > 0
+	reply.Age = r.m.ageOf(c)
 	if !c.watching && !args.Any || !c.loaded || c.revision < args.Revision || c.revision == args.Revision && !args.Same {
 		reply.Current = c.watching && c.loaded
 		return nil
@@ -268,7 +272,7 @@
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	args := ReadArgs{Prefix: c.prefix.Name, Revision: revision, Any: revision < 0, Same: same, MaxBytes: maxPageBytes}
-	stalls := c.stallCount()
+	stalls, begun := c.stallCount(), m.options.Now()
 	for {
 		changed, last, err := m.readPages(ctx, node, args)
 		if err != nil {
@@ -280,6 +284,7 @@
 			continue
 		}
 		if !last.Fresh {
+			m.confirmAge(c, last.Age, begun)
 			if last.Current && !args.Any {
 				c.confirm(stalls)
 				return nothingNewer
@@ -303,7 +308,7 @@
 		c.mu.Lock()
 		watching := c.watching
 		c.mu.Unlock()
-		if watching || !c.replace(list, last.Revision, node, time.Now()) {
+		if watching || !c.replace(list, last.Revision, node, knownFrom(last.Age, begun), time.Now()) {
 			return notRead
 		}
 		if !args.Any {
