Supply the age of the configuration in force to the check of keys

The check of callers' keys needs the age of the configuration in force, and nothing showed an operator that keys lapsed.

--- a/pkg/edge/node.go
+++ b/pkg/edge/node.go
@@ -131,6 +131,8 @@
 
 	table    atomic.Pointer[routing.Table]
 	draining atomic.Bool
+	// copyInForce is set if the table is that of the copy of the configuration that applyConfiguration was last called with.
+	copyInForce bool
 	// retiring are the nodes on VMs to be emptied, as this node last read them from the store.
 	retiring atomic.Pointer[[]string]
 	// drainEnd is when the current drain ends, or nil.
@@ -189,6 +191,7 @@
 		Log:     log, Metrics: streamversions.NewMetrics(n.metrics),
 	})
 	n.buildMirror()
+	n.registerKeyMetrics()
 	return n, n.buildServing(limit)
 }
 
@@ -218,7 +221,7 @@
 
 func (n *Node) buildMirror() {
 	n.mirror = mirror.New(mirror.Options{Store: n.store, Peers: n.peers, Others: n.fleet.OtherLive, Log: n.log},
-		mirror.Prefix{Name: n.platform.ConfigPrefix(), Handle: n.applyConfiguration, ConfirmAfterStall: true},
+		mirror.Prefix{Name: n.platform.ConfigPrefix(), Handle: n.applyConfiguration, ConfirmAfterStall: true, InForce: n.configurationInForce(), MaxAge: n.confirmAge()},
 		mirror.Prefix{Name: n.platform.UpstreamPrefix(), Handle: n.applyUpstreams, AbsenceGrace: absenceGrace, LapseTime: lapseTime, SuccessorWatches: true, Silence: watchSilence, ConfirmAfterStall: true},
 		mirror.Prefix{Name: fleet.Prefix, Handle: n.fleet.SetRegistered},
 		mirror.Prefix{Name: failedruns.Prefix, Handle: n.failedRuns.SetStored},
@@ -237,11 +240,12 @@
 			return n.exchange.ReserveWaiting(ctx, r)
 		},
 	})
+	ages, applyAges := n.ageExchange()
 	n.exchange = loadshare.New(loadshare.Options{
 		Fleet: n.fleet, Peers: n.peers, OwnLoads: n.placer.OwnLoads, Wants: n.jobs.Wants, ApplyTotals: n.placer.ApplyTotals, Grants: n.placer.Grants,
 		Evidence: n.placer.Evidence, AddEvidence: n.placer.AddEvidence, Outliers: n.placer.Outliers, HubIntroduced: n.handleIntroduction,
 		Revisions: n.mirror.Revisions, HubAnswered: n.followHub, HubLate: n.mirror.FollowedLate, FailedRuns: n.failedRuns, Streams: n.streams, Announced: n.placer, Draining: n.draining.Load, Log: n.log,
-		Metrics: loadshare.NewMetrics(n.metrics), Waiting: n.jobs.Waiting, Retiring: n.knownRetiring, CutOff: n.links.CutOff,
+		Metrics: loadshare.NewMetrics(n.metrics), Waiting: n.jobs.Waiting, Retiring: n.knownRetiring, CutOff: n.links.CutOff, Ages: ages, ApplyAges: applyAges,
 	})
 	callers := CallerOptions{Table: n.table.Load, Jobs: n.jobs, Draining: n.draining.Load, Log: n.log}
 	n.forwarder = forward.New(forward.Options{
@@ -317,24 +321,6 @@
 // start within 0.3 s.
 const joinTime = 600 * time.Millisecond
 
-// applyConfiguration puts a configuration in force unless its version is not newer than the current one.
-func (n *Node) applyConfiguration(objects map[string]store.Object) {
-	c, ok, err := n.platform.Configuration(objects)
-	if err != nil {
-		n.log.Notice("configuration can't be decoded, keeping the one in force", "error", err)
-		return
-	}
-	if !ok {
-		return
-	}
-	old := n.table.Load()
-	if old != nil && c.Version <= old.Version {
-		return
-	}
-	n.table.Store(routing.NewTable(c))
-	n.log.Notice("configuration in force", "version", c.Version, "routes", len(c.Routes), "services", len(c.Services))
-}
-
 // failedRunHolders returns the other live nodes in the order in which they are told of failed runs: by rendezvous
 // hashing, so that the records of all nodes do not lie at the same few ones.
 func (n *Node) failedRunHolders() []string {
@@ -379,7 +365,7 @@
 	group.Go(func() error { return n.peerServer.Serve(n.peerListen) })
 	for name, run := range map[string]func(context.Context) error{
 		"mirror": n.mirror.Run, "jobs": n.jobs.Run, "join": n.join, "failed runs": n.failedRuns.Run, "versions": n.streams.Run,
-		"retirement": n.watchRetirements, "introductions": n.exchange.RunIntroductions, "registration": n.fleet.KeepRegistered, "removals": n.exchange.RunRemovals,
+		"retirement": n.watchRetirements, "introductions": n.exchange.RunIntroductions, "registration": n.fleet.KeepRegistered, "removals": n.exchange.RunRemovals, "keys": n.watchKeys,
 	} {
 		group.Go(func() error {
 			if err := run(working); err != nil && working.Err() == nil {
