--- a/pkg/controller/customers/customers.go
+++ b/pkg/controller/customers/customers.go
@@ -5,16 +5,15 @@
 	"net/http"
 	"time"
 
+	"trefoilplank.example/pkg/decision/keyvalidity"
 	"trefoilplank.example/pkg/decision/routing"
 )
 
 const (
-	// confirmedWithin is how recently the configuration must have been confirmed for a key that it lacks to be called unknown. A younger
-	// configuration may hold the key; callers repeat a 503 at another node, but not a 401.
-	confirmedWithin = time.Second
-	// strictFraction of the time within which removed keys must be refused is how long keys are accepted after the last confirmation. The
-	// rest allows for errors of the clock's rate.
-	strictFraction = 0.95
+	// confirmedWithin is how recently the configuration must have been confirmed for a key that it lacks to be called unknown: in normal
+	// operation the last confirmation is at most 1.8 s old. A younger configuration may hold the key; callers repeat a 503 at another node,
+	// but not a 401.
+	confirmedWithin = 2 * time.Second
 	// retryAfter is the Retry-After of a request whose key can't be checked now: another node can probably check it, and this one confirms
 	// its configuration within a watch call of 0.7 s.
 	retryAfter = 300 * time.Millisecond
@@ -117,7 +116,7 @@
 
 // acceptable reports whether keys may be accepted by a configuration that was confirmed age ago.
 func (c *Checker) acceptable(age time.Duration) bool {
-	return !c.options.Strict || age <= time.Duration(strictFraction*float64(c.options.Revocation))
+	return !c.options.Strict || keyvalidity.Valid(age, c.options.Revocation)
 }
 
 // StillHolds returns why a request that waited may no longer be sent: because its key was removed, or given to another customer.
