Carry customers' requests in the reports to the hub

Cause: the hub has to know the requests of customers at all nodes, and nodes have to learn its decisions, without calls of their own. Change: Report and Totals gain the field Customers, which is absent without customers; hub and nodes pass it to an interface.

--- a/pkg/controller/loadshare/loadshare.go
+++ b/pkg/controller/loadshare/loadshare.go
@@ -18,6 +18,7 @@
 	controller "trefoilplank.example/pkg/controller/failedruns"
 	"trefoilplank.example/pkg/controller/fleet"
 	"trefoilplank.example/pkg/controller/streamversions"
+	"trefoilplank.example/pkg/decision/customerlimit"
 	"trefoilplank.example/pkg/decision/dispatch"
 	"trefoilplank.example/pkg/decision/failedruns"
 	"trefoilplank.example/pkg/decision/outlier"
@@ -94,6 +95,8 @@
 	// answer.
 	CutOff     bool
 	CutOffSeen int64
+	// Customers is what the hub is told of the requests of customers, nil if there are no customers.
+	Customers *customerlimit.Report
 }
 
 // Totals is the hub's answer to a report.
@@ -139,6 +142,8 @@
 	Unconfirmed bool
 	// Successor is set for the node that would be the hub next.
 	Successor bool
+	// Customers is the answer about customers, nil if there are none.
+	Customers *customerlimit.Answer
 }
 
 // Announced holds what upstreams say of themselves in their answers, and the requests that count against their limits.
@@ -197,6 +202,8 @@
 	Retiring func() []string
 	// CutOff reports whether this node reaches no upstream of some service itself; nil if it is not known.
 	CutOff func() bool
+	// Customers keeps the limits of customers over all nodes; nil if there are no limits.
+	Customers Customers
 	// Draining reports whether the node accepts no new callers.
 	Draining func() bool
 	Log      *eventlog.Log
@@ -425,6 +432,7 @@
 		r.CutOff, r.CutOffSeen = e.options.CutOff(), e.cutOffSeen
 	}
 	e.addAnnounced(&r)
+	sentCustomers := e.addCustomers(&r, name)
 	sentUpTo := e.records.addTo(&r, name, e.options.FailedRuns, e.options.Streams)
 	callCtx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
@@ -467,6 +475,7 @@
 	e.options.FailedRuns.Merge(e.records.hubProcess(), totals.FailedRuns)
 	e.options.Streams.Add(e.records.hubProcess(), totals.Streams)
 	e.applyAnnounced(totals, newHub)
+	e.applyCustomers(sentCustomers, totals)
 	e.options.ApplyTotals(totals.Loads, loads, totals.Outliers, totals.Grant)
 	e.options.HubAnswered(name, totals.Revisions)
 	e.options.Fleet.SetHubReport(totals.Silent, totals.Draining)
@@ -485,5 +494,6 @@
 // Report stores a node's report and answers with the totals.
 func (r *Receiver) Report(args Report, reply *Totals) error {
 	r.hub.handleReport(args, reply, time.Now())
+	r.hub.options.answerCustomers(args, reply)
 	return nil
 }
