Keep customers' rate limits on each node and at the hub

Cause: a node had no place that counts requests against the limits of customers over all nodes. Change: controller customerlimits with Take and Return as forward will call them, wired to the load exchange and the setting limit_window_seconds; forward does not call it yet.

--- a/pkg/edge/node.go
+++ b/pkg/edge/node.go
@@ -21,6 +21,7 @@
 	"trefoilplank.example/pkg/adapter/dial"
 	"trefoilplank.example/pkg/adapter/peer"
 	"trefoilplank.example/pkg/adapter/store"
+	"trefoilplank.example/pkg/controller/customerlimits"
 	"trefoilplank.example/pkg/controller/failedruns"
 	"trefoilplank.example/pkg/controller/fleet"
 	"trefoilplank.example/pkg/controller/loadshare"
@@ -119,6 +120,7 @@
 	fleet         *fleet.Fleet
 	mirror        *mirror.Mirror
 	exchange      *loadshare.Exchange
+	limits        *customerlimits.Controller
 	placer        *placer.Placer
 	failedRuns    *failedruns.Controller
 	streams       *streamversions.Controller
@@ -237,11 +239,15 @@
 			return n.exchange.ReserveWaiting(ctx, r)
 		},
 	})
+	n.limits = customerlimits.New(customerlimits.Options{
+		Table: n.table.Load, Nodes: n.fleet.Size, ExchangeNow: func(ctx context.Context) bool { return n.exchange.ExchangeNow(ctx) },
+		Window: seconds(n.settings.LimitWindowSeconds), Log: n.log, Metrics: customerlimits.NewMetrics(n.metrics),
+	})
 	n.exchange = loadshare.New(loadshare.Options{
 		Fleet: n.fleet, Peers: n.peers, OwnLoads: n.placer.OwnLoads, Wants: n.jobs.Wants, ApplyTotals: n.placer.ApplyTotals, Grants: n.placer.Grants,
 		Evidence: n.placer.Evidence, AddEvidence: n.placer.AddEvidence, Outliers: n.placer.Outliers, HubIntroduced: n.handleIntroduction,
 		Revisions: n.mirror.Revisions, HubAnswered: n.followHub, HubLate: n.mirror.FollowedLate, FailedRuns: n.failedRuns, Streams: n.streams, Announced: n.placer, Draining: n.draining.Load, Log: n.log,
-		Metrics: loadshare.NewMetrics(n.metrics), Waiting: n.jobs.Waiting, Retiring: n.knownRetiring, CutOff: n.links.CutOff,
+		Metrics: loadshare.NewMetrics(n.metrics), Waiting: n.jobs.Waiting, Retiring: n.knownRetiring, CutOff: n.links.CutOff, Customers: n.limits,
 	})
 	callers := CallerOptions{Table: n.table.Load, Jobs: n.jobs, Draining: n.draining.Load, Log: n.log}
 	n.forwarder = forward.New(forward.Options{
