Merge the limits of customers over all nodes

Cause: limits were built beside identity. Change: the forwarder takes each request from the limit of its customer.

--- a/pkg/edge/node.go
+++ b/pkg/edge/node.go
@@ -21,6 +21,7 @@
 	"trefoilplank.example/pkg/adapter/dial"
 	"trefoilplank.example/pkg/adapter/peer"
 	"trefoilplank.example/pkg/adapter/store"
+	"trefoilplank.example/pkg/controller/customerlimits"
 	"trefoilplank.example/pkg/controller/customers"
 	"trefoilplank.example/pkg/controller/failedruns"
 	"trefoilplank.example/pkg/controller/fleet"
@@ -122,6 +123,7 @@
 	fleet         *fleet.Fleet
 	mirror        *mirror.Mirror
 	exchange      *loadshare.Exchange
+	limits        *customerlimits.Controller
 	placer        *placer.Placer
 	failedRuns    *failedruns.Controller
 	streams       *streamversions.Controller
@@ -244,11 +246,16 @@
 		},
 	})
 	ages, applyAges := n.ageExchange()
+	n.limits = customerlimits.New(customerlimits.Options{
+		Table: n.table.Load, Nodes: n.fleet.Size, ExchangeNow: func(ctx context.Context) bool { return n.exchange.ExchangeNow(ctx) },
+		Window: seconds(n.settings.LimitWindowSeconds), Log: n.log, Metrics: customerlimits.NewMetrics(n.metrics),
+	})
 	n.exchange = loadshare.New(loadshare.Options{
 		Fleet: n.fleet, Peers: n.peers, OwnLoads: n.placer.OwnLoads, Wants: n.jobs.Wants, ApplyTotals: n.placer.ApplyTotals, Grants: n.placer.Grants,
 		Evidence: n.placer.Evidence, AddEvidence: n.placer.AddEvidence, Outliers: n.placer.Outliers, HubIntroduced: n.handleIntroduction,
 		Revisions: n.mirror.Revisions, HubAnswered: n.followHub, HubLate: n.mirror.FollowedLate, FailedRuns: n.failedRuns, Streams: n.streams, Announced: n.placer, Draining: n.draining.Load, Log: n.log,
-		Metrics: loadshare.NewMetrics(n.metrics), Waiting: n.jobs.Waiting, Retiring: n.knownRetiring, CutOff: n.links.CutOff, Ages: ages, ApplyAges: applyAges,
+		Metrics: loadshare.NewMetrics(n.metrics), Waiting: n.jobs.Waiting, Retiring: n.knownRetiring, CutOff: n.links.CutOff,
+		Ages: ages, ApplyAges: applyAges, Customers: n.limits,
 	})
 	perCustomer := customers.NewMetrics(n.metrics)
 	checker := customers.New(customers.Options{
@@ -257,7 +264,7 @@
 	callers := CallerOptions{Table: n.table.Load, Jobs: n.jobs, Customers: checker, Draining: n.draining.Load, Log: n.log}
 	n.forwarder = forward.New(forward.Options{
 		HeaderNames: n.platform.HeaderNames(), Placer: n.placer, Client: n.client, FailedRuns: n.failedRuns, Streams: n.streams, Table: n.table.Load, Draining: n.draining.Load,
-		Customers: checker, CustomerMetrics: perCustomer,
+		Customers: checker, CustomerMetrics: perCustomer, Limiter: n.limits,
 		DrainEnd:     n.drainEndTime,
 		RequestSlots: n.exchange.ExchangeNow, AwaitUpstreams: n.awaitUpstreams,
 		BatchHandler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { n.callerHandler.ServeHTTP(w, r) }),
