Pace a node's store calls while the store is disrupted

The hub's answers say whether the store answers the hub. Calls are counted by kind, operation and outcome.

--- a/pkg/adapter/store/client.go
+++ b/pkg/adapter/store/client.go
@@ -190,7 +190,7 @@
 	wait := newBackOff()
 	for attempt := 1; ; attempt++ {
 		v, err := read()
-		if err == nil || !errors.Is(err, ErrUnavailable) || attempt == maxAttempts {
+		if err == nil || !errors.Is(err, ErrUnavailable) || errors.Is(err, ErrHeldBack) || attempt == maxAttempts {
 			return v, err
 		}
 		if sleep(ctx, wait.NextBackOff()) != nil {
@@ -309,11 +309,11 @@
 	return answer, resp.Header, err
 }
 
-// transportError returns ErrUnavailable when the request was never sent because the connect failed, and ErrUnknown
-// when it may have been sent and only the response is missing.
+// transportError returns ErrUnavailable when the request was never sent because the connect failed or the store is
+// disrupted, and ErrUnknown when it may have been sent and only the response is missing.
 func transportError(err error) error {
 	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
+	if errors.Is(err, ErrHeldBack) || errors.As(err, &op) && op.Op == "dial" {
 		return unavailable(err)
 	}
 	return unknown(err)
@@ -357,9 +357,9 @@
 // Error implements error.
 func (e *outcomeError) Error() string { return fmt.Sprintf("%v: %v", e.outcome, e.cause) }
 
-// Is matches the outcome, and the cause only for the context errors that callers test for.
+// Is matches the outcome, and the cause only for ErrHeldBack and the context errors that callers test for.
 func (e *outcomeError) Is(target error) bool {
-	if target == context.Canceled || target == context.DeadlineExceeded {
+	if target == context.Canceled || target == context.DeadlineExceeded || target == ErrHeldBack {
 		return errors.Is(e.cause, target)
 	}
 	return target == e.outcome
--- a/pkg/adapter/store/store.go
+++ b/pkg/adapter/store/store.go
@@ -18,6 +18,9 @@
 	ErrConflict = Error.New("revision conflict")
 	// ErrUnavailable means that the store gave no usable answer and the call was not applied.
 	ErrUnavailable = Error.New("unavailable")
+	// ErrHeldBack means that the call was not sent, since the store is disrupted; it also matches ErrUnavailable. Sending the call again at once
+	// would not help.
+	ErrHeldBack = Error.New("store is disrupted, call not sent")
 	// ErrUnknown means that the answer to a write is missing, so it may or may not have been applied.
 	ErrUnknown = Error.New("outcome unknown")
 	// ErrTooLarge means that the value is larger than MaxValueBytes.
--- a/pkg/adapter/store/write.go
+++ b/pkg/adapter/store/write.go
@@ -96,13 +96,15 @@
 		case !errors.Is(err, ErrUnavailable):
 			return 0, err
 		}
-		if lost {
+		heldBack := errors.Is(err, ErrHeldBack)
+		if lost && !heldBack {
 			settled, revision, err := w.readBack(ctx, err)
 			if settled {
 				return revision, err
 			}
+			heldBack = heldBack || errors.Is(err, ErrHeldBack)
 		}
-		if attempt == maxAttempts || sleep(ctx, wait.NextBackOff()) != nil {
+		if attempt == maxAttempts || heldBack || sleep(ctx, wait.NextBackOff()) != nil {
 			if lost {
 				return 0, unknown(err)
 			}
--- a/pkg/controller/loadshare/loadshare.go
+++ b/pkg/controller/loadshare/loadshare.go
@@ -17,6 +17,7 @@
 	"trefoilplank.example/pkg/adapter/peer"
 	controller "trefoilplank.example/pkg/controller/failedruns"
 	"trefoilplank.example/pkg/controller/fleet"
+	"trefoilplank.example/pkg/controller/storecalls"
 	"trefoilplank.example/pkg/controller/streamversions"
 	"trefoilplank.example/pkg/decision/dispatch"
 	"trefoilplank.example/pkg/decision/failedruns"
@@ -139,6 +140,8 @@
 	Unconfirmed bool
 	// Successor is set for the node that would be the hub next.
 	Successor bool
+	// StoreDisrupted is set while the store does not answer the hub's own calls.
+	StoreDisrupted bool
 }
 
 // Announced holds what upstreams say of themselves in their answers, and the requests that count against their limits.
@@ -197,6 +200,8 @@
 	Retiring func() []string
 	// CutOff reports whether this node reaches no upstream of some service itself; nil if it is not known.
 	CutOff func() bool
+	// Store paces this node's calls to the store by what the hub finds of its own; nil if they are not paced.
+	Store *storecalls.Gate
 	// Draining reports whether the node accepts no new callers.
 	Draining func() bool
 	Log      *eventlog.Log
@@ -440,6 +445,7 @@
 		if ctx.Err() == nil {
 			e.options.Fleet.Suspect(name, suspectFor, err)
 			e.cachedHub = hubChoice{}
+			e.options.Store.HubReports(false, false)
 			e.options.HubAnswered("", nil)
 		}
 		e.currentHub.Store(nil)
@@ -457,6 +463,7 @@
 	if totals.IndexedLoads != nil {
 		totals.Loads = e.index.expand(totals.IndexedLoads)
 	}
+	e.options.Store.HubReports(totals.StoreDisrupted && name != self.Name, name != self.Name)
 	e.currentHub.Store(&answeringHub{name, totals.Sweeps, totals.Successor, totals.Retiring})
 	if totals.CutOffRevision != e.cutOffSeen {
 		e.cutOffSeen = totals.CutOffRevision
--- a/pkg/edge/node.go
+++ b/pkg/edge/node.go
@@ -26,6 +26,7 @@
 	"trefoilplank.example/pkg/controller/loadshare"
 	"trefoilplank.example/pkg/controller/mirror"
 	"trefoilplank.example/pkg/controller/placer"
+	"trefoilplank.example/pkg/controller/storecalls"
 	"trefoilplank.example/pkg/controller/streamversions"
 	"trefoilplank.example/pkg/controller/uplink"
 	"trefoilplank.example/pkg/decision/dispatch"
@@ -71,6 +72,8 @@
 
 // Platform translates between a node and a platform.
 type Platform interface {
+	// PaceStoreCalls sets the gate that admits the calls to the store; it is called before StoreTransport.
+	PaceStoreCalls(*storecalls.Gate)
 	// StoreTransport returns the transport that carries the store client's calls to the platform's store.
 	StoreTransport(address string) http.RoundTripper
 	// HeaderNames returns the names of request and response headers.
@@ -113,6 +116,7 @@
 	log      *eventlog.Log
 
 	store         *store.Client
+	storeCalls    *storecalls.Gate
 	peerServer    *peer.Server
 	peers         *peer.Client
 	peerListen    net.Listener
@@ -165,6 +169,8 @@
 	if n.peerListen, err = listenInRange(s.IP, s.InternalPorts); err != nil {
 		return nil, err
 	}
+	n.storeCalls = storecalls.New(storecalls.Options{Urgency: storeUrgency(p.ConfigPrefix()), Log: log, Metrics: n.metrics})
+	p.PaceStoreCalls(n.storeCalls)
 	n.store = store.NewClient(s.StoreAddress, store.Options{
 		Transport: p.StoreTransport(s.StoreAddress), CallTimeout: storeTimeout, WatchTimeout: watchTimeout,
 	})
@@ -241,7 +247,7 @@
 		Fleet: n.fleet, Peers: n.peers, OwnLoads: n.placer.OwnLoads, Wants: n.jobs.Wants, ApplyTotals: n.placer.ApplyTotals, Grants: n.placer.Grants,
 		Evidence: n.placer.Evidence, AddEvidence: n.placer.AddEvidence, Outliers: n.placer.Outliers, HubIntroduced: n.handleIntroduction,
 		Revisions: n.mirror.Revisions, HubAnswered: n.followHub, HubLate: n.mirror.FollowedLate, FailedRuns: n.failedRuns, Streams: n.streams, Announced: n.placer, Draining: n.draining.Load, Log: n.log,
-		Metrics: loadshare.NewMetrics(n.metrics), Waiting: n.jobs.Waiting, Retiring: n.knownRetiring, CutOff: n.links.CutOff,
+		Metrics: loadshare.NewMetrics(n.metrics), Waiting: n.jobs.Waiting, Retiring: n.knownRetiring, CutOff: n.links.CutOff, Store: n.storeCalls,
 	})
 	callers := CallerOptions{Table: n.table.Load, Jobs: n.jobs, Draining: n.draining.Load, Log: n.log}
 	n.forwarder = forward.New(forward.Options{
--- a/pkg/listjob/job.go
+++ b/pkg/listjob/job.go
@@ -10,6 +10,7 @@
 	"cmp"
 	"encoding/json"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -80,6 +81,12 @@
 	resultsKind = "jobresults-"
 )
 
+// OwnsKind reports whether objects of a kind, the part of a key before its slash, are those of jobs.
+func OwnsKind(kind string) bool {
+	kind += "/"
+	return kind == headKind || kind == itemsKind || strings.HasPrefix(kind, resultsKind)
+}
+
 // head is the stored description of a job. A job is accepted once its head is stored.
 type head struct {
 	ID          string    `json:"id"`
