Let a watch that was broken report at once

Cause: the first call of a watch waits 0.2 s for changes, so the copies of the hub, and a probe that is such a call, showed only 0.2 s after the store's return that it works. Change: a watch session that begins while the watch does not work asks for an early report, as one after a stall does.

--- a/pkg/controller/mirror/mirror.go
+++ b/pkg/controller/mirror/mirror.go
@@ -261,9 +261,9 @@
 		c.confirm(stalls)
 	}
 	c.mu.Lock()
-	from := c.revision
+	from, broken := c.revision, !c.watching
 	c.mu.Unlock()
-	if c.unconfirmed() {
+	if broken || c.unconfirmed() {
 		ctx = store.WithEarlySync(ctx) // Requests and followers wait for it.
 	}
 	events, err := m.options.Store.Watch(ctx, c.prefix.Name, from)
