Share the knowledge of the store's state between the nodes

Cause: after the store's return each node read it itself, with 929 calls of 60 nodes, since the hub learned of it as late as the others; while it was disrupted, nodes whose hub had found that out probed as often as others. Change: a node that finds the store's return tells the hub, which probes at once. Nodes whose hub reports a disruption probe every 1.5 s, and leave reads to the hub for up to 0.9 s after it.

--- a/pkg/controller/loadshare/hub.go
+++ b/pkg/controller/loadshare/hub.go
@@ -121,6 +121,9 @@
 	}
 	reply.Grant = h.grant(n, now)
 	reply.Revisions = h.options.Revisions()
+	if r.StoreReturned {
+		h.options.Store.NodeReturned()
+	}
 	reply.Sweeps, reply.StoreDisrupted = true, h.options.Store.Disrupted()
 	if h.options.Retiring != nil {
 		reply.Retiring = h.options.Retiring()
--- a/pkg/controller/loadshare/loadshare.go
+++ b/pkg/controller/loadshare/loadshare.go
@@ -95,6 +95,8 @@
 	// answer.
 	CutOff     bool
 	CutOffSeen int64
+	// StoreReturned is set if the store answers the node again while it does not answer the hub by the last answer.
+	StoreReturned bool
 }
 
 // Totals is the hub's answer to a report.
@@ -429,6 +431,7 @@
 	if e.options.CutOff != nil {
 		r.CutOff, r.CutOffSeen = e.options.CutOff(), e.cutOffSeen
 	}
+	r.StoreReturned = e.options.Store.Returned()
 	e.addAnnounced(&r)
 	sentUpTo := e.records.addTo(&r, name, e.options.FailedRuns, e.options.Streams)
 	callCtx, cancel := context.WithTimeout(ctx, exchangeTimeout)
@@ -463,7 +466,6 @@
 	if totals.IndexedLoads != nil {
 		totals.Loads = e.index.expand(totals.IndexedLoads)
 	}
-	e.options.Store.HubReports(totals.StoreDisrupted && name != self.Name, name != self.Name)
 	e.currentHub.Store(&answeringHub{name, totals.Sweeps, totals.Successor, totals.Retiring})
 	if totals.CutOffRevision != e.cutOffSeen {
 		e.cutOffSeen = totals.CutOffRevision
@@ -476,6 +478,7 @@
 	e.applyAnnounced(totals, newHub)
 	e.options.ApplyTotals(totals.Loads, loads, totals.Outliers, totals.Grant)
 	e.options.HubAnswered(name, totals.Revisions)
+	e.options.Store.HubReports(totals.StoreDisrupted && name != self.Name, name != self.Name)
 	e.options.Fleet.SetHubReport(totals.Silent, totals.Draining)
 	if !totals.Unconfirmed && !slices.Contains(totals.Silent, self.Name) {
 		e.options.Fleet.Confirm(begun, name == self.Name)
--- a/pkg/controller/storecalls/storecalls.go
+++ b/pkg/controller/storecalls/storecalls.go
@@ -35,12 +35,18 @@
 	return c.Operation == "create" || c.Operation == "replace" || c.Operation == "delete"
 }
 
+// passedOn reports whether the hub passes the result of the call on while the store answers it: its copies of the store, the VMs to be emptied, and
+// what its sweeps of the jobs find.
+func (c Call) passedOn() bool { return c.Operation == "list" || c.Operation == "watch" }
+
 // Options configures a Gate. All fields may be left empty.
 type Options struct {
 	// Urgency returns the urgency of a call.
 	Urgency func(Call) storepacing.Urgency
-	Log     *eventlog.Log
-	Metrics *metrics.Set
+	// Returned is called when this node has found the store's return before its hub, which Returned then reports.
+	Returned func()
+	Log      *eventlog.Log
+	Metrics  *metrics.Set
 }
 
 // Gate admits the calls of a node to the store. It is safe for concurrent use. A nil Gate admits all calls.
@@ -56,10 +62,11 @@
 	held  int
 }
 
-// round is a wait for the result of a probe. failed is set before ended is closed.
+// round is a wait for the result of a probe. failed and hub are set before ended is closed: whether the probe has failed, and whether the hub
+// has found the store's return.
 type round struct {
-	ended  chan struct{}
-	failed bool
+	ended       chan struct{}
+	failed, hub bool
 }
 
 func newRound() *round { return &round{ended: make(chan struct{})} }
@@ -106,7 +113,7 @@
 	for {
 		now := time.Now()
 		g.mu.Lock()
-		ticket, ok, at := g.circuit.Admit(urgency, now)
+		ticket, ok, at := g.circuit.Admit(urgency, c.passedOn(), now)
 		current := g.round
 		g.mu.Unlock()
 		if ok {
@@ -122,8 +129,11 @@
 		select {
 		case <-current.ended:
 			t.Stop()
-			if current.failed {
+			switch {
+			case current.failed:
 				return ticket, g.heldBack(errProbeFailed)
+			case current.hub && c.passedOn():
+				return ticket, g.heldBack(errHubReads)
 			}
 		case <-t.C:
 		case <-ctx.Done():
@@ -133,7 +143,10 @@
 	}
 }
 
-var errProbeFailed = errors.New("another call failed meanwhile")
+var (
+	errProbeFailed = errors.New("another call failed meanwhile")
+	errHubReads    = errors.New("the hub reads the store again")
+)
 
 func (g *Gate) heldBack(cause error) error {
 	g.mu.Lock()
@@ -172,13 +185,16 @@
 		g.since = time.Time{}
 	}
 	if shared || o == storepacing.Abandoned {
-		g.endRound(o == storepacing.Failed)
+		g.endRound(o == storepacing.Failed, false)
+	}
+	if shared && g.options.Returned != nil && g.circuit.Returned(now) {
+		go g.options.Returned()
 	}
 }
 
 // endRound makes the calls that wait fail or ask again. g.mu is held.
-func (g *Gate) endRound(failed bool) {
-	g.round.failed = failed
+func (g *Gate) endRound(failed, hub bool) {
+	g.round.failed, g.round.hub = failed, hub
 	close(g.round.ended)
 	g.round = newRound()
 }
@@ -191,7 +207,29 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.circuit.HubReports(disrupted, known, time.Now()) {
-		g.endRound(false)
+		g.endRound(false, known)
+	}
+}
+
+// Returned reports whether this node has lately found the store's return before its hub.
+func (g *Gate) Returned() bool {
+	if g == nil {
+		return false
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.circuit.Returned(time.Now())
+}
+
+// NodeReturned records at the hub that another node has found the store's return.
+func (g *Gate) NodeReturned() {
+	if g == nil {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.circuit.NodeReturned(time.Now()) {
+		g.endRound(false, false)
 	}
 }
 
@@ -202,7 +240,7 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.circuit.Disrupted()
+	return g.circuit.Disrupted(time.Now())
 }
 
 func (g *Gate) notice(event string, fields ...any) {
--- a/pkg/decision/storepacing/storepacing.go
+++ b/pkg/decision/storepacing/storepacing.go
@@ -16,16 +16,25 @@
 	// maxPause bounds the pause between probes of a node whose hub does not report a disruption, or that is the hub: with the random part and the
 	// time until the hub's next answers it leaves one of the two seconds in which all nodes must work again.
 	maxPause = 500 * time.Millisecond
-	// maxFollowerPause is the same for a node whose hub reports a disruption. It must still notice alone if only the hub is cut off, and the hub's
-	// next answer, at most 0.3 s later, ends the pause when the store answers the hub.
-	maxFollowerPause = 1500 * time.Millisecond
+	// followerPause is the pause between probes of a node whose hub reports a disruption too. With 60 such nodes one of them notices the store's
+	// return within 25 ms, which the hub and then all others learn from the reports. With the random part it leaves a node that notices alone
+	// within two seconds.
+	followerPause = 1500 * time.Millisecond
 	// probeOverdue is how long a probe may go unanswered before the next one may be sent: the store answers within milliseconds, and a probe that
 	// was sent just before the store returned may never be answered.
 	probeOverdue = 300 * time.Millisecond
+	// settleTime is how long the hub reports a disruption after it has ended: its watches show first that its copies are current, and the
+	// other nodes would read the store themselves meanwhile. A watch that was broken reports after 20 ms.
+	settleTime = 100 * time.Millisecond
+	// catchUpTime is how long a node that has found the store's return before its hub leaves reads to it whose results the hub passes on: the
+	// exchange with the hub, the hub's probe, settleTime and the next exchange, 0.3 s later.
+	catchUpTime = 900 * time.Millisecond
+	// reportTime is how long a node reports that it has found the store's return: the exchange that follows at once, or the next one.
+	reportTime = 500 * time.Millisecond
 	// answeredLately is how long an answer counts against the hub's report of a disruption.
 	answeredLately = 300 * time.Millisecond
-	// urgentPart is the part of the pause after which an urgent call may be a probe.
-	urgentPart = 0.5
+	// urgentPart is the part of the pause after which an urgent call may be a probe, so that it is the one that goes first.
+	urgentPart = 0.8
 )
 
 // Urgency orders the calls that wait.
@@ -74,6 +83,11 @@
 	failedAt, answeredAt time.Time
 	pause, drawn         time.Duration
 	hubDisrupted         bool
+	// confirmed is set once a probe of this disruption has failed, and returnedAt is when the last such disruption ended.
+	confirmed  bool
+	returnedAt time.Time
+	// leaveUntil is until when reads are left to the hub.
+	leaveUntil time.Time
 }
 
 // New returns a closed circuit. random returns numbers in [0, 1).
@@ -82,12 +96,23 @@
 // Open reports whether calls have to wait for a probe.
 func (c *Circuit) Open() bool { return c.open }
 
-// Disrupted reports whether the store does not answer this node's own calls, for the answers of the hub.
-func (c *Circuit) Disrupted() bool { return c.open && c.own }
+// Disrupted reports whether the store does not answer this node's own calls, or did not until settleTime ago, for the answers of the hub.
+func (c *Circuit) Disrupted(now time.Time) bool {
+	return c.open && c.own || now.Sub(c.returnedAt) < settleTime
+}
+
+// Returned reports whether this node has lately found the store's return before its hub, for the reports to it.
+func (c *Circuit) Returned(now time.Time) bool {
+	return c.hubDisrupted && !c.open && now.Sub(c.returnedAt) < reportTime
+}
 
 // Admit returns whether a call may be sent now. If not, at is when to ask again at the latest; a result of another call can make that earlier.
-func (c *Circuit) Admit(u Urgency, now time.Time) (t Ticket, ok bool, at time.Time) {
+// passedOn is set for reads whose results the hub passes on while the store answers it.
+func (c *Circuit) Admit(u Urgency, passedOn bool, now time.Time) (t Ticket, ok bool, at time.Time) {
 	if !c.open {
+		if passedOn && now.Before(c.leaveUntil) {
+			return Ticket{}, false, c.leaveUntil
+		}
 		return Ticket{}, true, time.Time{}
 	}
 	if c.unanswered {
@@ -113,7 +138,12 @@
 	current := t.probe == c.probes && c.unanswered
 	switch o {
 	case Answered:
-		shared = c.open
+		if shared = c.open; c.confirmed {
+			c.confirmed, c.returnedAt = false, now
+			if c.hubDisrupted {
+				c.leaveUntil = now.Add(catchUpTime)
+			}
+		}
 		c.open, c.own, c.unanswered, c.failures, c.answeredAt = false, false, false, 0, now
 	case Abandoned:
 		if c.open && current {
@@ -127,7 +157,7 @@
 				c.setPause(firstPause)
 			}
 		case t.probe > 0 && current:
-			c.unanswered, c.own, c.failedAt, shared = false, true, now, true
+			c.unanswered, c.own, c.confirmed, c.failedAt, shared = false, true, true, now, true
 			c.setPause(2 * c.pause)
 		}
 	}
@@ -136,11 +166,10 @@
 
 // setPause sets the pause before the next probe, with up to half of it added or subtracted at random.
 func (c *Circuit) setPause(pause time.Duration) {
-	limit := maxPause
-	if c.hubDisrupted {
-		limit = maxFollowerPause
+	c.pause = min(pause, maxPause)
+	if c.hubDisrupted && c.confirmed {
+		c.pause = followerPause // The hub's calls and this node's own agree.
 	}
-	c.pause = min(max(pause, firstPause), limit)
 	c.drawn = time.Duration((0.75 + 0.5*c.random()) * float64(c.pause))
 }
 
@@ -150,6 +179,9 @@
 func (c *Circuit) HubReports(disrupted, hubKnown bool, now time.Time) bool {
 	before := c.hubDisrupted
 	c.hubDisrupted = disrupted
+	if !disrupted {
+		c.leaveUntil = time.Time{}
+	}
 	switch {
 	case disrupted == before:
 		return false
@@ -157,13 +189,21 @@
 		c.open, c.failures, c.unanswered, c.failedAt = true, 0, false, now
 		c.pause, c.drawn = firstPause, 0
 	case !disrupted && c.open && hubKnown:
-		c.unanswered = false
-		c.pause, c.drawn = firstPause, 0
-		return true
-	case !disrupted && c.open:
-		c.drawn = min(c.drawn, maxPause)
-		c.pause = min(c.pause, maxPause)
-		return true
+		c.probeNow()
+	case !disrupted:
+		c.drawn, c.pause = min(c.drawn, maxPause), min(c.pause, maxPause)
+	}
+	return !disrupted
+}
+
+// NodeReturned records at the hub that the store has answered another node to which it did not answer before. It reports whether calls that
+// wait must ask again.
+func (c *Circuit) NodeReturned(now time.Time) bool {
+	if !c.open || now.Sub(c.failedAt) < firstPause {
+		return false
 	}
-	return false
+	c.probeNow()
+	return true
 }
+
+func (c *Circuit) probeNow() { c.unanswered, c.pause, c.drawn = false, firstPause, 0 }
--- a/pkg/edge/node.go
+++ b/pkg/edge/node.go
@@ -169,7 +169,7 @@
 	if n.peerListen, err = listenInRange(s.IP, s.InternalPorts); err != nil {
 		return nil, err
 	}
-	n.storeCalls = storecalls.New(storecalls.Options{Urgency: storeUrgency(p.ConfigPrefix()), Log: log, Metrics: n.metrics})
+	n.storeCalls = storecalls.New(storecalls.Options{Urgency: storeUrgency(p.ConfigPrefix()), Returned: func() { n.exchange.Request(context.Background()) }, Log: log, Metrics: n.metrics})
 	p.PaceStoreCalls(n.storeCalls)
 	n.store = store.NewClient(s.StoreAddress, store.Options{
 		Transport: p.StoreTransport(s.StoreAddress), CallTimeout: storeTimeout, WatchTimeout: watchTimeout,
