--- a/pkg/controller/loadshare/hub.go
+++ b/pkg/controller/loadshare/hub.go
@@ -124,7 +124,10 @@
 	if h.options.Ages != nil {
 		reply.Ages = h.options.Ages()
 	}
-	reply.Sweeps = true
+	if r.StoreReturned {
+		h.options.Store.NodeReturned()
+	}
+	reply.Sweeps, reply.StoreDisrupted = true, h.options.Store.Disrupted()
 	if h.options.Retiring != nil {
 		reply.Retiring = h.options.Retiring()
 	}
