--- a/pkg/controller/customers/customers.go
+++ b/pkg/controller/customers/customers.go
@@ -119,7 +119,8 @@
 	return !c.options.Strict || keyvalidity.Valid(age, c.options.Revocation)
 }
 
-// StillHolds returns why a request that waited may no longer be sent: because its key was removed, or given to another customer.
+// StillHolds returns why a request that waited may no longer be sent: because its key was removed, or given to another customer. It counts
+// nothing, since a request may be checked several times.
 func (c *Checker) StillHolds(caller Caller) Refusal {
 	if c == nil || caller.Customer == nil {
 		return Refusal{}
@@ -132,6 +133,5 @@
 	case now != nil:
 		return notConfirmed
 	}
-	c.options.Metrics.count(unknownKey)
 	return unauthorized
 }
--- a/pkg/forward/customer.go
+++ b/pkg/forward/customer.go
@@ -84,6 +84,7 @@
 	if refusal.Status == 0 { // The key came back meanwhile.
 		refusal = customers.Refusal{Status: http.StatusServiceUnavailable, RetryAfter: notReadyRetry}
 	}
+	x.options.CustomerMetrics.CountRequest(x.caller.Name(), "key_removed")
 	RefuseCaller(x.w, refusal)
 }
 
