--- a/pkg/forward/fakes_test.go
+++ b/pkg/forward/fakes_test.go
@@ -62,18 +62,18 @@
 
 // newFixture starts a forwarder with the upstreams u0, u1, …, each with the given behaviour. Every response echoes
 // the request's ID and is signed unless the behaviour changes that.
-func newFixture(t *testing.T, behaviours ...behaviour) *fixture {
+func newFixture(t testing.TB, behaviours ...behaviour) *fixture {
 	return newVersionFixture(t, make([]string, len(behaviours)), behaviours...)
 }
 
 // newVersionFixture is newFixture with the software version of each upstream.
-func newVersionFixture(t *testing.T, versions []string, behaviours ...behaviour) *fixture {
+func newVersionFixture(t testing.TB, versions []string, behaviours ...behaviour) *fixture {
 	return newLinkedFixture(t, nil, versions, behaviours...)
 }
 
 // newLinkedFixture is newVersionFixture with options of the links to the upstreams, whose processes can be stopped if there are
 // any.
-func newLinkedFixture(t *testing.T, linkOptions *uplink.Options, versions []string, behaviours ...behaviour) *fixture {
+func newLinkedFixture(t testing.TB, linkOptions *uplink.Options, versions []string, behaviours ...behaviour) *fixture {
 	f := &fixture{cancelled: make(chan string, 10), upstreams: map[string]*httptest.Server{}, processes: map[string]*process{}}
 	log := &eventlog.Log{}
 	p := placer.New("zone", log)
