Resume streams only for the customer that began them

Cause: a customer could take up another one's stream at the version that began it. Change: records of streams name their customer, and a look-up names the customer that asks; a record of another customer refuses it with 503, at the hub too, and counts as foreign. Records without a customer, from earlier builds or from the store's segments, may be resumed by all; where one version serves, only the node that began the stream knows its customer.

--- a/pkg/controller/streamversions/segments_test.go
+++ b/pkg/controller/streamversions/segments_test.go
@@ -72,14 +72,14 @@
 				id := func(n int) string { return fmt.Sprintf("%0*d", 8, n) + strings.Repeat(filler, c.idBytes-8) }
 				controller, stop := start()
 				for n := range c.streams {
-					controller.Began(id(n), "s", fmt.Sprint("v", 1+n%2))
+					controller.Began(id(n), "s", fmt.Sprint("v", 1+n%2), "")
 					if n%(1+c.streams/40) == 0 {
 						time.Sleep(20 * time.Millisecond)
 					}
 				}
 				time.Sleep(c.down + 2*time.Second)
 				if name == "record that fits nowhere" {
-					controller.Began("later", "s", "v1")
+					controller.Began("later", "s", "v1", "")
 					time.Sleep(2 * segmentInterval)
 				}
 				stop()
@@ -98,12 +98,12 @@
 				controller, stop = start()
 				defer stop()
 				if name == "record that fits nowhere" {
-					_, ok := controller.VersionOf(t.Context(), "later", "s")
+					_, ok := controller.VersionOf(t.Context(), "later", "s", "")
 					assert.Assert(t, ok, "later streams must not wait for it")
 					return
 				}
 				for n := range c.streams {
-					version, ok := controller.VersionOf(t.Context(), id(n), "s")
+					version, ok := controller.VersionOf(t.Context(), id(n), "s", "")
 					assert.Assert(t, ok, "stream %d of %d", n, c.streams)
 					assert.Equal(t, version, fmt.Sprint("v", 1+n%2))
 				}
--- a/pkg/controller/streamversions/streamversions.go
+++ b/pkg/controller/streamversions/streamversions.go
@@ -105,10 +105,10 @@
 	}
 }
 
-// Began records that a stream began, or has continued, at a software version. With several versions the hub gets the record
+// Began records that a stream of a customer, "" if there is none, began, or has continued, at a software version. With several versions the hub gets the record
 // at once, since the node may be lost at any time, and otherwise with the next exchange.
-func (c *Controller) Began(stream, service, version string) {
-	if c != nil && c.add(softwareversion.Record{Stream: stream, Service: service, Version: version}) {
+func (c *Controller) Began(stream, service, version, customer string) {
+	if c != nil && c.add(softwareversion.Record{Stream: stream, Service: service, Version: version, Customer: customer}) {
 		c.options.Exchange()
 	}
 }
@@ -130,21 +130,24 @@
 }
 
 // VersionOf returns the software version at which a stream of a service began. It returns false if neither this node nor those
-// that it asks know it; the stream must not continue then. stream is empty if it is not named. Shortly after a start it waits
+// that it asks know it, or if another customer began the stream; it must not continue then. stream is empty if it is not named. Shortly after a start it waits
 // until this node knows whom to ask, and they have read what earlier processes left.
-func (c *Controller) VersionOf(ctx context.Context, stream, service string) (version string, ok bool) {
+func (c *Controller) VersionOf(ctx context.Context, stream, service, customer string) (version string, ok bool) {
 	if c == nil {
 		return "", false
 	}
-	args := FindArgs{stream, service, softwareversion.Lifetime}
+	args := FindArgs{Stream: stream, Service: service, Within: softwareversion.Lifetime, Customer: customer}
 	for begun := time.Now(); ; {
 		answer := c.find(args)
-		if !answer.Known {
+		if !answer.Known && !answer.Foreign {
 			answer = c.askOthers(ctx, args, answer.Reading)
 		}
 		switch {
 		case answer.Known:
 			return answer.Version, true
+		case answer.Foreign:
+			c.options.Metrics.countLookup("foreign")
+			return "", false
 		case !answer.Reading && c.options.Joined(), time.Since(begun) >= startWait, wait.Sleep(ctx, startPoll) != nil:
 			c.options.Metrics.countLookup("unknown")
 			return "", false
@@ -174,6 +177,9 @@
 			c.options.Metrics.countLookup("found")
 			return answer
 		}
+		if answer.Foreign {
+			return answer
+		}
 		reading = reading || answer.Reading
 	}
 	return FindReply{Reading: reading}
@@ -186,6 +192,9 @@
 	defer c.mu.Unlock()
 	now := time.Now()
 	if r, ok := c.directory.Find(args.Stream, now); ok {
+		if !r.MayResume(args.Customer) {
+			return FindReply{Foreign: true}
+		}
 		return FindReply{Known: r.Service == args.Service, Version: r.Version}
 	}
 	version, only := c.versions.Only(args.Service, now)
@@ -230,6 +239,8 @@
 	Stream, Service string
 	// Within is how long ago the stream began at most. Only nodes of earlier versions read it.
 	Within time.Duration
+	// Customer is the name of the customer that takes the stream up, or "".
+	Customer string
 }
 
 // FindReply answers FindArgs.
@@ -238,6 +249,8 @@
 	Version string
 	// Reading is set if the version is not known and the node has not yet read what earlier processes left.
 	Reading bool
+	// Foreign is set if another customer began the stream.
+	Foreign bool
 }
 
 // Find answers by what this node knows.
--- a/pkg/controller/streamversions/streamversions_test.go
+++ b/pkg/controller/streamversions/streamversions_test.go
@@ -88,9 +88,9 @@
 			n := network{}
 			own := c.own(n)
 			if c.hub != nil {
-				c.hub(n).Began("stream", "s", "v2")
+				c.hub(n).Began("stream", "s", "v2", "")
 			}
-			version, ok := own.VersionOf(context.Background(), c.stream, "s")
+			version, ok := own.VersionOf(context.Background(), c.stream, "s", "")
 			assert.Equal(t, ok, c.want != "?")
 			if ok {
 				assert.Equal(t, version, c.want)
@@ -104,18 +104,18 @@
 func TestRecordsAreExchangedOnceVersionsDiffer(t *testing.T) {
 	n := network{}
 	a, b := n.add("a", 0, "v1"), n.add("b", 0, "v1")
-	a.Began("early", "s", "v1")
+	a.Began("early", "s", "v1", "")
 	a.Observe([]dispatch.Upstream{{ID: "u", Service: "s", SoftwareVersion: "v1"}, {ID: "v", Service: "s", SoftwareVersion: "v2"}})
-	a.Began("late", "s", "v2")
+	a.Began("late", "s", "v2", "")
 	records, revision := a.Since(0, "b")
 	assert.Equal(t, len(records), 2)
 	b.Add("a", records)
 	for stream, want := range map[string]string{"early": "v1", "late": "v2"} {
-		version, ok := b.VersionOf(context.Background(), stream, "s")
+		version, ok := b.VersionOf(context.Background(), stream, "s", "")
 		assert.Assert(t, ok)
 		assert.Equal(t, version, want)
 	}
-	_, ok := b.VersionOf(context.Background(), "late", "other")
+	_, ok := b.VersionOf(context.Background(), "late", "other", "")
 	assert.Assert(t, !ok)
 	records, _ = a.Since(revision, "b")
 	assert.Equal(t, len(records), 0)
@@ -139,7 +139,7 @@
 		}
 		known := func(c *Controller) string {
 			time.Sleep(time.Second)
-			version, ok := c.VersionOf(ctx, "unknown stream", "s")
+			version, ok := c.VersionOf(ctx, "unknown stream", "s", "")
 			if !ok {
 				return "?"
 			}
@@ -187,12 +187,12 @@
 			return len(page.Objects)
 		}
 		c, stop := start("v1")
-		c.Began("early", "s", "v1")
+		c.Began("early", "s", "v1", "")
 		time.Sleep(time.Second)
 		assert.Equal(t, written(), 0)
 		c.Observe(list("v1", "v2"))
 		for n := range 40 {
-			c.Began(fmt.Sprint("stream", n), "s", fmt.Sprint("v", 1+n%2))
+			c.Began(fmt.Sprint("stream", n), "s", fmt.Sprint("v", 1+n%2), "")
 			time.Sleep(30 * time.Millisecond)
 		}
 		time.Sleep(2 * segmentInterval)
@@ -201,18 +201,18 @@
 		synctest.Wait()
 		c, stop = start("v1", "v2")
 		for n := range 40 {
-			version, ok := c.VersionOf(t.Context(), fmt.Sprint("stream", n), "s")
+			version, ok := c.VersionOf(t.Context(), fmt.Sprint("stream", n), "s", "")
 			assert.Assert(t, ok)
 			assert.Equal(t, version, fmt.Sprint("v", 1+n%2))
 		}
-		version, ok := c.VersionOf(t.Context(), "early", "s")
+		version, ok := c.VersionOf(t.Context(), "early", "s", "")
 		assert.Assert(t, ok)
 		assert.Equal(t, version, "v1")
 		stop()
 		synctest.Wait()
 		time.Sleep(softwareversion.Lifetime)
 		c, stop = start("v1", "v2")
-		_, ok = c.VersionOf(t.Context(), "stream0", "s")
+		_, ok = c.VersionOf(t.Context(), "stream0", "s", "")
 		assert.Assert(t, !ok, "the stream can't last that long")
 		stop()
 		synctest.Wait()
@@ -233,15 +233,15 @@
 			hub.Add("store", []softwareversion.Record{{Stream: "stream", Service: "s", Version: "v2"}})
 			hub.reading.Store(false)
 		})
-		version, ok := own.VersionOf(t.Context(), "stream", "s")
+		version, ok := own.VersionOf(t.Context(), "stream", "s", "")
 		assert.Assert(t, ok)
 		assert.Equal(t, version, "v2")
 		begun := time.Now()
-		_, ok = own.VersionOf(t.Context(), "unknown", "s")
+		_, ok = own.VersionOf(t.Context(), "unknown", "s", "")
 		assert.Assert(t, !ok)
 		assert.Equal(t, time.Since(begun), time.Duration(0), "nobody will know more")
 		hub.reading.Store(true)
-		_, ok = own.VersionOf(t.Context(), "unknown", "s")
+		_, ok = own.VersionOf(t.Context(), "unknown", "s", "")
 		assert.Assert(t, !ok)
 		assert.Equal(t, time.Since(begun), startWait)
 	})
@@ -254,3 +254,23 @@
 	}
 	return l
 }
+
+// Guards against a stream that another customer takes up at a node that asks the hub, and against one that its customer can't take up there,
+// or whose customer a node of an earlier build did not pass on.
+func TestStreamBelongsToItsCustomerAtAllNodes(t *testing.T) {
+	n := network{}
+	own, hub, begun := n.add("own", 0, "v1", "v2"), n.add("hub", 0, "v1", "v2"), n.add("begun", 0, "v1", "v2")
+	begun.Began("north's", "s", "v2", "north")
+	records, _ := begun.Since(0, "hub")
+	hub.Add("begun", records)
+	hub.Began("unknown", "s", "v1", "")
+	for _, c := range []struct {
+		stream, customer string
+		ok               bool
+	}{{"north's", "north", true}, {"north's", "south", false}, {"north's", "", false}, {"unknown", "south", true}, {"unknown", "", true}} {
+		for _, node := range []*Controller{own, hub} {
+			_, ok := node.VersionOf(t.Context(), c.stream, "s", c.customer)
+			assert.Equal(t, ok, c.ok, "%+v", c)
+		}
+	}
+}
--- a/pkg/decision/softwareversion/directory.go
+++ b/pkg/decision/softwareversion/directory.go
@@ -12,6 +12,8 @@
 type Record struct {
 	// Stream is the id of the request that brought the stream's first event.
 	Stream, Service, Version string
+	// Customer is the name of the customer that began the stream, "" if it is not known. Nodes of earlier builds pass records on without it.
+	Customer string
 	// Age is the time since the stream's last known event. Nodes exchange ages, since their clocks differ.
 	Age time.Duration
 }
@@ -62,6 +64,9 @@
 	return true
 }
 
+// MayResume reports whether a customer may take the stream up. Without its customer, the stream may be taken up by all.
+func (r Record) MayResume(customer string) bool { return r.Customer == "" || r.Customer == customer }
+
 // Touch makes Since return the streams of a service again.
 func (d *Directory) Touch(service string) {
 	for element, n := d.byRevision.Front(), d.byRevision.Len(); n > 0; n-- {
--- a/pkg/forward/customer_test.go
+++ b/pkg/forward/customer_test.go
@@ -263,3 +263,27 @@
 	_, returned := limiter.counts(0)
 	assert.Equal(t, returned, 0)
 }
+
+// Guards against a stream that goes on for another customer than the one that began it, and against one that does not go on for its own
+// customer or whose customer is not known.
+func TestStreamIsResumedOnlyForItsCustomer(t *testing.T) {
+	f := newFixture(t, streamsAll)
+	table := useCustomers(f, nil)
+	table.set(north(), routing.Customer{Name: "south", Keys: []routing.Digest{routing.KeyDigest("south-key")}})
+	resp, _, err := f.callWith(t, "/stream/a", "b", withKey(testKey)) // Its ID is r1.
+	assert.NilError(t, err)
+	assert.Equal(t, resp.StatusCode, http.StatusOK)
+	f.streams.Began("unknown customer", "s", "", "")
+	for _, c := range []struct {
+		stream, key string
+		status      int
+	}{{"r1", testKey, 200}, {"r1", "south-key", 503}, {"r1", testKey, 200}, {"unknown customer", "south-key", 200}, {"unknown customer", testKey, 200}} {
+		h := withKey(c.key)
+		h[testHeaders.Resumes], h[testHeaders.LastEventID] = c.stream, "3"
+		before := len(f.requests())
+		resp, _, err := f.callWith(t, "/stream/a", "b", h)
+		assert.NilError(t, err)
+		assert.Equal(t, resp.StatusCode, c.status, "%+v", c)
+		assert.Equal(t, len(f.requests())-before == 1, c.status == 200, "%+v", c)
+	}
+}
--- a/pkg/forward/version_test.go
+++ b/pkg/forward/version_test.go
@@ -36,7 +36,7 @@
 	}
 	rest := allEvents()[strings.Index(allEvents(), "id: 4"):]
 	f := newVersionFixture(t, []string{"v1", "v2", "v1"}, streamsAll, streamsAll, streamsAll)
-	f.streams.Began("begun", "s", "v2")
+	f.streams.Began("begun", "s", "v2", "")
 	for range 10 {
 		resp, body := resume(f, "begun")
 		assert.Equal(t, resp.StatusCode, http.StatusOK)
@@ -45,7 +45,7 @@
 	for _, r := range f.requests() {
 		assert.Equal(t, r.upstream, "u1")
 	}
-	f.streams.Began("ended", "s", "v3")
+	f.streams.Began("ended", "s", "v3", "")
 	for _, stream := range []string{"ended", "unknown", ""} {
 		resp, _ := resume(f, stream)
 		assert.Equal(t, resp.StatusCode, http.StatusServiceUnavailable, stream)
