Decode load reports of upstreams with further figures

Cause: ReportedRequests required exactly three figures in the load header and dropped the report of an upstream that adds a fourth, its momentary slowness, so nodes without totals saw none of its load. Change: pkg/decision/loadreport decodes running, waiting, slots and the fourth figure once, ignores further ones, bounds all of them and keeps the time of arrival; an older report no longer replaces a newer one.

--- a/pkg/controller/placer/placer.go
+++ b/pkg/controller/placer/placer.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"trefoilplank.example/pkg/decision/dispatch"
+	"trefoilplank.example/pkg/decision/loadreport"
 	"trefoilplank.example/pkg/decision/outlier"
 	"trefoilplank.example/pkg/eventlog"
 )
@@ -303,12 +304,11 @@
 	}
 }
 
-// RecordAnswer records an answer of an upstream. busy is the load that the upstream reported with it, or -1 if it
-// reported none.
-func (p *Placer) RecordAnswer(id string, busy int) {
+// RecordAnswer records an answer of an upstream and the load that the upstream reported with it.
+func (p *Placer) RecordAnswer(id string, report loadreport.Report) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.state.RecordAnswer(id, busy, time.Now())
+	p.state.RecordAnswer(id, report)
 }
 
 // RecordRefusal records that an upstream refused a request because it is full.
--- a/pkg/decision/dispatch/dispatch.go
+++ b/pkg/decision/dispatch/dispatch.go
@@ -12,6 +12,7 @@
 	"slices"
 	"time"
 
+	"trefoilplank.example/pkg/decision/loadreport"
 	"trefoilplank.example/pkg/decision/outlier"
 )
 
@@ -92,9 +93,8 @@
 	// own holds the current runs of this node, total those of all nodes as of the last exchange, and ownReported the part
 	// of total that this node reported.
 	own, ownReported, total Load
-	// observedBusy is the number of busy slots that the upstream last reported with an answer, at observedAt.
-	observedBusy int
-	observedAt   time.Time
+	// report is the load that the upstream last reported with an answer to this node.
+	report loadreport.Report
 
 	// failures counts failures since the last answer.
 	failures     int
@@ -233,8 +233,8 @@
 		return u.total.Minus(u.ownReported).Plus(u.own)
 	}
 	l := u.own
-	if now.Sub(u.observedAt) <= maxObservedAge {
-		l.Online = max(l.Online, u.observedBusy-l.Batch)
+	if u.report.Age(now) <= maxObservedAge {
+		l.Online = max(l.Online, u.report.Busy()-l.Batch)
 	}
 	return l
 }
--- a/pkg/decision/dispatch/runs.go
+++ b/pkg/decision/dispatch/runs.go
@@ -3,6 +3,8 @@
 import (
 	"math/rand/v2"
 	"time"
+
+	"trefoilplank.example/pkg/decision/loadreport"
 )
 
 // BeginRun counts a run that this node starts on an upstream.
@@ -39,15 +41,15 @@
 	s.keepFreedSlot(u, now)
 }
 
-// RecordAnswer records that an upstream answered, with the number of busy slots that it reported (negative if none).
-func (s *State) RecordAnswer(id string, busySlots int, now time.Time) {
+// RecordAnswer records that an upstream answered, with the load that it reported.
+func (s *State) RecordAnswer(id string, report loadreport.Report) {
 	u := s.byID[id]
 	if u == nil {
 		return
 	}
 	u.failures, u.ejectedUntil = 0, time.Time{}
-	if busySlots >= 0 {
-		u.observedBusy, u.observedAt = busySlots, now
+	if report.Known() && !report.At.Before(u.report.At) {
+		u.report = report
 	}
 }
 
@@ -55,7 +57,7 @@
 func (s *State) RecordRefusal(id string, now time.Time) {
 	if u := s.byID[id]; u != nil {
 		u.total.Online = max(u.total.Online, u.Slots+u.ownReported.Online)
-		u.observedBusy, u.observedAt = u.Slots, now
+		u.report = loadreport.Report{Running: u.Slots, Slots: u.Slots, At: now}
 	}
 }
 
--- a/pkg/forward/client.go
+++ b/pkg/forward/client.go
@@ -25,6 +25,7 @@
 	"trefoilplank.example/pkg/controller/uplink"
 	"trefoilplank.example/pkg/decision/dispatch"
 	"trefoilplank.example/pkg/decision/failedruns"
+	"trefoilplank.example/pkg/decision/loadreport"
 	"trefoilplank.example/pkg/decision/reach"
 )
 
@@ -85,7 +86,7 @@
 	ExpectInstance string
 	// NotRun is set on a response to a request that was not run.
 	NotRun string
-	// Load carries the upstream's load as "running,waiting,slots".
+	// Load carries the upstream's load as "running,waiting,slots" with further figures; see loadreport.Parse.
 	Load string
 	// LastEventID carries the number of the last event received, when a stream is resumed.
 	LastEventID string
@@ -453,17 +454,7 @@
 	return Error.Wrap(err)
 }
 
-// ReportedRequests returns the number of running and waiting requests that a response's load header reports, or -1 if
-// there is none.
-func (c *Client) ReportedRequests(h http.Header) int {
-	parts := strings.Split(h.Get(c.headers.Load), ",")
-	if len(parts) != 3 {
-		return -1
-	}
-	running, err1 := strconv.Atoi(strings.TrimSpace(parts[0]))
-	waiting, err2 := strconv.Atoi(strings.TrimSpace(parts[1]))
-	if err1 != nil || err2 != nil {
-		return -1
-	}
-	return running + waiting
+// ReportedLoad returns the load that the upstream reports in a response's header, which has just arrived.
+func (c *Client) ReportedLoad(h http.Header) loadreport.Report {
+	return loadreport.Parse(h.Get(c.headers.Load), time.Now())
 }
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -457,7 +457,7 @@
 		return err
 	}
 	defer resp.Body.Close()
-	x.options.Placer.RecordAnswer(choice.Upstream.ID, x.options.Client.ReportedRequests(resp.Header))
+	x.options.Placer.RecordAnswer(choice.Upstream.ID, x.options.Client.ReportedLoad(resp.Header))
 	if resp.StatusCode >= 500 || impliesNotRun(resp.StatusCode) {
 		return x.handleFailureResponse(ctx, resp)
 	}
--- a/pkg/listjob/run.go
+++ b/pkg/listjob/run.go
@@ -116,7 +116,7 @@
 		return err
 	}
 	defer resp.Body.Close()
-	c.options.Placer.RecordAnswer(u.ID, c.options.Client.ReportedRequests(resp.Header))
+	c.options.Placer.RecordAnswer(u.ID, c.options.Client.ReportedLoad(resp.Header))
 	switch {
 	case resp.StatusCode == http.StatusUnprocessableEntity:
 		return errItemRejected
