Use uneven upstreams by their speed

Cause: all slots of a service's upstreams counted the same, so requests queued at slow machines for longer than they could wait while fast ones had room. Change: the hub learns each upstream's time of work relative to the mean of its service from the times between events that nodes report already, and from the reported momentary slowness with its age (pkg/decision/upstreamspeed); its answers bring a byte for each upstream every 0.2 s while some are uneven. Draws and grants weigh free slots by 1/slowness, and queue places follow the wait and the first event on each upstream. Passed: go test of dispatch, upstreamspeed, outlier; with -race loadshare and placer.

--- a/pkg/controller/loadshare/hub.go
+++ b/pkg/controller/loadshare/hub.go
@@ -44,6 +44,8 @@
 	// successor is the node that would be the hub if this one were lost.
 	successor string
 	outliers  map[string]float64
+	// slowness is the time of work on the uneven upstreams.
+	slowness map[string]float64
 	// index numbers the upstreams in the totals.
 	index upstreamIndex
 	// packed are the totals at packedAt for a node that lacks the index.
@@ -66,6 +68,8 @@
 	// counted is set while the report is included in the totals and wants.
 	counted bool
 	granted map[string]int
+	// slownessAt is when the node was last sent the slowness of upstreams.
+	slownessAt time.Time
 	// warm is when the node last reported a run on each upstream.
 	warm map[string]time.Time
 }
@@ -109,6 +113,7 @@
 	}
 	if r.Indexed {
 		reply.IndexedLoads = h.indexedLoads(r, before, now)
+		h.addSlowness(n, reply.IndexedLoads, now)
 	} else {
 		reply.Loads = maps.Clone(h.totals)
 	}
@@ -210,6 +215,7 @@
 func (h *hub) review(now time.Time) {
 	h.reviewedAt = now
 	h.outliers = h.options.Outliers()
+	h.updateSlowness()
 	h.successor = ""
 	if others := otherHubs(h.options.Fleet); len(others) > 0 {
 		h.successor = others[0]
--- a/pkg/controller/loadshare/index.go
+++ b/pkg/controller/loadshare/index.go
@@ -14,6 +14,9 @@
 	IDs      []string
 	// Counts holds online, batch and non-preemptible batch runs of each upstream.
 	Counts []uint32
+	// Slowness is the time of work on each upstream in units of 1/slownessUnits of the usual one, or 0 if it is the usual one. It is
+	// empty while all upstreams are alike, and in answers between those that bring it.
+	Slowness []byte
 }
 
 const (
--- a/pkg/controller/loadshare/loadshare.go
+++ b/pkg/controller/loadshare/loadshare.go
@@ -171,6 +171,8 @@
 	// Both are used when this node is the hub.
 	AddEvidence func(map[string]outlier.Evidence)
 	Outliers    func() map[string]float64
+	// Speeds holds how long work takes on uneven upstreams; nil if it is not exchanged.
+	Speeds Speeds
 	// Grants returns a node's part of the free slots, for what it wants and what all nodes want together. grantedSlots
 	// holds the slots that were granted and are not yet reported as runs; warm reports whether the node had a run on an
 	// upstream within dispatch.WarmConnectionTime. It is used when this node is the hub.
@@ -456,6 +458,7 @@
 	}
 	if totals.IndexedLoads != nil {
 		totals.Loads = e.index.expand(totals.IndexedLoads)
+		e.applySlowness(totals.IndexedLoads)
 	}
 	e.currentHub.Store(&answeringHub{name, totals.Sweeps, totals.Successor, totals.Retiring})
 	if totals.CutOffRevision != e.cutOffSeen {
--- a/pkg/controller/loadshare/metrics.go
+++ b/pkg/controller/loadshare/metrics.go
@@ -24,3 +24,10 @@
 	m.set.GetOrCreateCounter(`trefoilplank_exchanges_total{outcome="answered"}`).Inc()
 	m.set.GetOrCreateHistogram(`trefoilplank_exchange_seconds`).Update(took.Seconds())
 }
+
+// setUneven records how many upstreams are uneven by the evidence of all nodes, while this node is the hub.
+func (m *Metrics) setUneven(upstreams int) {
+	if m != nil {
+		m.set.GetOrCreateGauge(`trefoilplank_uneven_upstreams`, nil).Set(float64(upstreams))
+	}
+}
--- a/pkg/controller/placer/evidence.go
+++ b/pkg/controller/placer/evidence.go
@@ -96,6 +96,7 @@
 func (p *Placer) Evidence() map[string]outlier.Evidence {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.addMoments(time.Now())
 	e := p.evidence
 	p.evidence = map[string]outlier.Evidence{}
 	return e
--- a/pkg/controller/placer/placer.go
+++ b/pkg/controller/placer/placer.go
@@ -41,6 +41,8 @@
 	arrivalRates map[string]*arrivalRate
 	// evidence is the evidence from runs, by upstream, since the last call of Evidence.
 	evidence map[string]outlier.Evidence
+	// moments holds the last report of each upstream that reports its momentary slowness, since the last call of Evidence.
+	moments map[string]loadreport.Report
 }
 
 // arrivalRate is the moving average of the arrivals of one service per second.
@@ -91,7 +93,7 @@
 			r.windowCount, r.windowStart = 0, now
 		}
 		if r.perSecond > minArrivalRate || r.waiting > 0 {
-			wants[service] = dispatch.Want{Rate: r.perSecond, Waiting: r.waiting, Queue: p.state.QueuePerSlot(service, r.objective)}
+			wants[service] = p.state.WithQueue(dispatch.Want{Rate: r.perSecond, Waiting: r.waiting}, service, r.objective)
 		}
 	}
 	return wants
@@ -309,6 +311,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.state.RecordAnswer(id, report)
+	p.recordMoment(id, report)
 }
 
 // RecordRefusal records that an upstream refused a request because it is full.
--- a/pkg/decision/dispatch/dispatch.go
+++ b/pkg/decision/dispatch/dispatch.go
@@ -14,6 +14,7 @@
 
 	"trefoilplank.example/pkg/decision/loadreport"
 	"trefoilplank.example/pkg/decision/outlier"
+	"trefoilplank.example/pkg/decision/upstreamspeed"
 )
 
 const (
@@ -93,6 +94,9 @@
 	// own holds the current runs of this node, total those of all nodes as of the last exchange, and ownReported the part
 	// of total that this node reported.
 	own, ownReported, total Load
+	// slowness is the time of work on the upstream as a multiple of the usual one, by the hub's answers, and hubSlowness the same by
+	// the evidence of all nodes, if this node is the hub; 0 if it is the usual one.
+	slowness, hubSlowness float64
 	// report is the load that the upstream last reported with an answer to this node.
 	report loadreport.Report
 
@@ -132,6 +136,10 @@
 	// node and of all nodes.
 	ownWeights, fleetWeights map[string]float64
 	weightsUpdatedAt         time.Time
+	// speeds holds the evidence of all nodes on the speed of upstreams, if this node is the hub. slownessAt is when the hub last
+	// sent a slowness.
+	speeds     *upstreamspeed.Tracker
+	slownessAt time.Time
 	// started counts the requests that were sent to limited upstreams and are not reported yet. hubDivides is set if the hub
 	// divides the limits, and nodes is the number of nodes that share them otherwise.
 	started    map[string]int
@@ -145,6 +153,7 @@
 func NewState(availabilityZone string) *State {
 	return &State{
 		AvailabilityZone: availabilityZone, byID: map[string]*upstream{}, services: map[string]*serviceState{}, ownEvidence: outlier.New(), hubEvidence: outlier.New(),
+		speeds: upstreamspeed.New(),
 	}
 }
 
@@ -174,6 +183,8 @@
 			known.failures, known.ejectedUntil, known.announced, known.awaitedSince = 0, time.Time{}, announced{}, time.Time{}
 			s.ownEvidence.Forget(u.ID)
 			s.hubEvidence.Forget(u.ID)
+			s.speeds.Forget(u.ID)
+			known.slowness, known.hubSlowness = 0, 0
 		}
 		known.Upstream = u
 		byID[u.ID] = known
@@ -398,7 +409,7 @@
 		return u.Slots - l.Online - l.Firm - (l.Batch-l.Firm+1)/2
 	})
 	queued := max(0, 1-free)
-	wait := time.Duration(queued) * svc.runDuration / time.Duration(max(1, u.Slots-s.load(s.byID[u.ID], now).Firm))
+	wait := time.Duration(float64(queued)*s.slowness(u, now)*float64(svc.runDuration)) / time.Duration(max(1, u.Slots-s.load(s.byID[u.ID], now).Firm))
 	choice.Upstream, choice.Free, choice.Wait = u.Upstream, free, wait
 	allowed := svc.allowedWait(request.Objective)
 	if request.HubAnswered {
@@ -436,27 +447,30 @@
 // is distributed like a sum of exponentials, most of which must be shorter than allowed.
 const meanWaitFraction = 0.5
 
-// QueuePerSlot returns how many requests may wait per slot of a service's upstreams such that most are still on time.
-func (s *State) QueuePerSlot(service string, objective time.Duration) float64 {
+// WithQueue returns the demand with how many requests may wait per slot of a service's upstreams such that most are still on time.
+func (s *State) WithQueue(w Want, service string, objective time.Duration) Want {
 	svc := s.serviceState(service)
-	return max(0, meanWaitFraction*float64(svc.allowedWait(objective))/float64(max(svc.runDuration, time.Millisecond)))
+	perTime := meanWaitFraction / float64(max(svc.runDuration, time.Millisecond))
+	w.Queue = max(0, perTime*float64(svc.allowedWait(objective)))
+	w.QueueFirst = perTime * float64(svc.firstEvent)
+	return w
 }
 
 // drawByFreeSlots draws a candidate at random, with a probability that grows with its free slots, and returns it with
-// their number. If no candidate has free slots, it returns the least loaded one.
+// their number and its speed. If no candidate has free slots, it returns the one with the shortest expected wait.
 func (s *State) drawByFreeSlots(candidates []*upstream, now time.Time, rng *rand.Rand, free func(*upstream) int) (*upstream, int) {
 	var drawn, leastLoaded *upstream
 	var total float64
-	maxFree := math.MinInt
+	leastWait, leastFree := math.MaxFloat64, 0
 	for _, u := range candidates {
 		n := free(u)
-		if n > maxFree || n == maxFree && rng.IntN(2) == 0 {
-			leastLoaded, maxFree = u, n
+		if wait := float64(1-n) * s.slowness(u, now); wait < leastWait || wait == leastWait && rng.IntN(2) == 0 {
+			leastLoaded, leastWait, leastFree = u, wait, n
 		}
 		if n <= 0 {
 			continue
 		}
-		weight := math.Pow(float64(n), freeSlotsExponent) * s.weight(u, now)
+		weight := math.Pow(float64(n), freeSlotsExponent) * s.weight(u, now) / s.slowness(u, now)
 		if u.AvailabilityZone == s.AvailabilityZone {
 			weight *= sameZoneWeight
 		}
@@ -466,7 +480,7 @@
 		}
 	}
 	if drawn == nil {
-		return leastLoaded, maxFree
+		return leastLoaded, leastFree
 	}
 	return drawn, free(drawn)
 }
--- a/pkg/decision/dispatch/evidence.go
+++ b/pkg/decision/dispatch/evidence.go
@@ -22,6 +22,7 @@
 	for id, e := range evidence {
 		if s.byID[id] != nil {
 			s.hubEvidence.Add(id, e, now)
+			s.speeds.Add(id, e, now)
 		}
 	}
 }
--- a/pkg/decision/dispatch/grant.go
+++ b/pkg/decision/dispatch/grant.go
@@ -20,6 +20,9 @@
 	Waiting int
 	// Queue is how many requests may wait per slot of an engine and still be on time.
 	Queue float64
+	// QueueFirst is the part of Queue that the time to the first event on a usual upstream takes away. With it the hub knows how many
+	// may wait on a slower or faster one.
+	QueueFirst float64
 }
 
 const (
@@ -52,7 +55,7 @@
 // together, totals their runs, and outstanding the slots that are granted but not yet reported as runs. warm reports
 // whether the node has a connection to an upstream.
 func (s *State) Grants(service string, want, demand Want, totals map[string]Load, outstanding map[string]int, warm func(upstream string) bool, now time.Time) Grant {
-	weight := func(u *upstream) float64 { return s.weight(u, now) }
+	weight := func(u *upstream) float64 { return s.weight(u, now) / u.grantSlowness() }
 	// limited holds the slots of limited upstreams, and free those of all others.
 	free := slotPool{entries: make([]poolEntry, 0, len(s.serviceState(service).upstreams)), warm: warm, weight: weight}
 	limited := slotPool{warm: warm, weight: weight}
@@ -74,7 +77,7 @@
 		g.Online = first.allocate(arrivals)
 		g.Online = addSlots(g.Online, second.allocate(arrivals-sumSlots(g.Online)))
 		if missing := arrivals - sumSlots(g.Online); missing > 0 {
-			places := s.queuePlaces(service, want.Queue, totals, outstanding, now)
+			places := s.queuePlaces(service, want, totals, outstanding, now)
 			places.warm, places.weight = warm, weight
 			g.Queue = places.allocate(missing)
 		}
@@ -146,7 +149,7 @@
 // queuePlaces returns the places in the engines' queues from which a request gets a slot in time. Batch runs reduce them
 // only if they can't be preempted. Places beyond these are not granted: requests there got no answer for long, were sent
 // again and filled further queues.
-func (s *State) queuePlaces(service string, perSlot float64, totals map[string]Load, outstanding map[string]int, now time.Time) slotPool {
+func (s *State) queuePlaces(service string, want Want, totals map[string]Load, outstanding map[string]int, now time.Time) slotPool {
 	beginning, _ := s.grantCandidates(s.serviceState(service), now)
 	places := slotPool{}
 	for _, u := range beginning {
@@ -155,7 +158,7 @@
 		}
 		l := totals[u.ID]
 		slots := u.Slots - l.Firm
-		perUpstream := min(maxQueuedPerUpstream, int(math.Round(perSlot*float64(slots))))
+		perUpstream := min(maxQueuedPerUpstream, int(math.Round(want.queueAt(u.grantSlowness())*float64(slots))))
 		if n := slots + perUpstream - l.Online - outstanding[u.ID]; n > 0 && perUpstream > 0 {
 			places.add(u, min(n, perUpstream))
 		}
--- a/pkg/decision/dispatch/model_test.go
+++ b/pkg/decision/dispatch/model_test.go
@@ -7,12 +7,16 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"trefoilplank.example/pkg/decision/outlier"
 )
 
 // model simulates a fleet in virtual time: nodes that each decide with their own State, a hub, and engines that admit
 // requests in the order of arrival. A simulation takes seconds of processor time.
 type model struct {
-	rng          *rand.Rand
+	rng *rand.Rand
+	// arrivals draws the arrivals of uneven models apart from all decisions, so that variants get the same ones.
+	arrivals     *rand.Rand
 	now          time.Time
 	events       eventQueue
 	engines      map[string]*modelEngine
@@ -27,6 +31,9 @@
 	arrived, onTime, refused, late, preempted, batchDone, batchDue int
 	// retried counts the refused requests that were retried, retriedOnTime those served on time after the retry.
 	retried, retriedOnTime int
+	// firsts are the times from arrival to the first event, served the requests that each engine served.
+	firsts []time.Duration
+	served map[string]int
 }
 
 // modelParams are the parameters of a simulation.
@@ -45,6 +52,8 @@
 	objective, exchangeInterval              time.Duration
 	duration                                 time.Duration
 	seed                                     uint64
+	// uneven makes engines differ; nil if all are equal.
+	uneven *unevenParams
 }
 
 // modelNode is a serving node.
@@ -57,6 +66,8 @@
 	waitingForHub  int
 	nonPreemptible bool
 	running        map[string][]*modelRun
+	// evidence is that of the node's runs since its last report.
+	evidence map[string]outlier.Evidence
 }
 
 // modelRun is a run of a request or batch item, queued or admitted at an engine.
@@ -80,6 +91,8 @@
 	slots      int
 	slotsInUse int
 	queue      []*modelRun
+	// slowness is the time of work as a multiple of the usual one.
+	slowness float64
 }
 
 type event struct {
@@ -104,19 +117,19 @@
 
 func newModel(p modelParams) *model {
 	m := &model{
-		rng: rand.New(rand.NewPCG(p.seed, 1)), now: time.Unix(1_000_000, 0), engines: map[string]*modelEngine{}, hub: NewState("z0"),
-		reports: map[string]map[string]Load{}, grantsByNode: map[string]map[string]int{}, wants: map[string]Want{}, params: p,
+		rng: rand.New(rand.NewPCG(p.seed, 1)), arrivals: rand.New(rand.NewPCG(p.seed, 2)), now: time.Unix(1_000_000, 0), engines: map[string]*modelEngine{}, hub: NewState("z0"),
+		reports: map[string]map[string]Load{}, grantsByNode: map[string]map[string]int{}, wants: map[string]Want{}, params: p, served: map[string]int{},
 	}
 	var list []Upstream
 	for n := range p.engines {
 		id := fmt.Sprintf("u%03d", n)
-		m.engines[id] = &modelEngine{id: id, slots: p.slots}
+		m.engines[id] = &modelEngine{id: id, slots: p.slots, slowness: p.uneven.slowness(n)}
 		list = append(list, Upstream{ID: id, Service: "s", AvailabilityZone: fmt.Sprint("z", n%3), Slots: p.slots})
 	}
 	m.hub.SetUpstreams(list)
 	for n := range p.nodes {
 		node := &modelNode{name: fmt.Sprint("n", n), state: NewState(fmt.Sprint("z", n%3)),
-			running: map[string][]*modelRun{}, nonPreemptible: p.nonPreemptible}
+			running: map[string][]*modelRun{}, nonPreemptible: p.nonPreemptible, evidence: map[string]outlier.Evidence{}}
 		node.state.SetUpstreams(list)
 		m.nodes = append(m.nodes, node)
 		m.after(time.Duration(m.rng.Float64()*float64(p.exchangeInterval)), func() { m.exchange(node) })
@@ -145,7 +158,11 @@
 
 // nextInterval draws the time to the next event of a Poisson process with rate events per second.
 func (m *model) nextInterval(rate float64) time.Duration {
-	return time.Duration(m.rng.ExpFloat64() / rate * float64(time.Second))
+	rng := m.rng
+	if m.params.uneven != nil {
+		rng = m.arrivals
+	}
+	return time.Duration(rng.ExpFloat64() / rate * float64(time.Second))
 }
 
 // arrive has a request arrive at a random node and schedules the next arrival.
@@ -243,8 +260,12 @@
 		}
 		e.slotsInUse++
 		r.holdsSlot, r.admittedAt = true, m.now
+		first := m.now.Add(m.params.firstEventAt(e, m.now)).Sub(r.arrivedAt)
+		m.answer(r, e)
 		if !r.batch {
-			switch onTime := m.now.Add(m.params.firstEvent).Sub(r.arrivedAt) <= m.params.objective; {
+			m.firsts = append(m.firsts, first)
+			m.served[e.id]++
+			switch onTime := first <= m.params.objective; {
 			case onTime && r.retried:
 				m.retriedOnTime++
 			case onTime:
@@ -253,7 +274,7 @@
 				m.late++
 			}
 		}
-		m.after(r.remaining, func() { m.finish(r) })
+		m.after(time.Duration(float64(r.remaining)*e.slowness), func() { m.finish(r) })
 	}
 }
 
@@ -261,8 +282,9 @@
 	if r.ended {
 		return
 	}
+	m.recordRun(r)
 	if !r.batch {
-		r.node.state.RecordRunTimes("s", m.params.firstEvent, m.now.Sub(r.arrivedAt), r.admittedAt != r.arrivedAt)
+		r.node.state.RecordRunTimes("s", m.params.firstEventAt(r.engine, r.admittedAt), m.now.Sub(r.arrivedAt), r.admittedAt != r.arrivedAt)
 	}
 	if r.batch {
 		m.batchDone++
@@ -274,7 +296,7 @@
 func (m *model) preemptRun(r *modelRun) {
 	left := r.remaining
 	if r.holdsSlot {
-		left -= m.now.Sub(r.admittedAt) - m.params.firstEvent
+		left -= time.Duration(float64(m.now.Sub(r.admittedAt))/r.engine.slowness) - m.params.firstEvent
 	}
 	m.end(r)
 	r.node.waitingItems = append(r.node.waitingItems, min(left, r.remaining))
@@ -316,8 +338,11 @@
 	delete(m.grantsByNode, n.name)
 	m.wants[n.name] = Want{
 		Items: min(len(n.waitingItems), 64), Waiting: n.waitingForHub, Rate: m.params.rate(m.elapsed()) / float64(m.params.nodes),
-		Queue: n.state.QueuePerSlot("s", m.params.objective),
 	}
+	m.wants[n.name] = n.state.WithQueue(m.wants[n.name], "s", m.params.objective)
+	m.hub.AddHubEvidence(n.evidence, m.now)
+	n.evidence = map[string]outlier.Evidence{}
+	slowness := m.hubSlowness()
 	totals := map[string]Load{}
 	for _, r := range m.reports {
 		for id, l := range r {
@@ -339,6 +364,7 @@
 	m.grantsByNode[n.name] = g.Slots()
 	m.after(time.Millisecond, func() {
 		n.state.SetTotals(totals, loads, m.now)
+		n.state.SetSlowness(slowness, m.now)
 		n.state.SetGrants(g)
 		runsToPreempt := n.state.RunsToPreempt(m.now, m.rng)
 		for _, id := range slices.Sorted(maps.Keys(runsToPreempt)) {
--- a/pkg/decision/outlier/outlier.go
+++ b/pkg/decision/outlier/outlier.go
@@ -49,6 +49,10 @@
 	// Runs is the number of ended runs, Broken the number of those that failed, broke off or stalled after an event. A
 	// stall before the first event may be due to a queue and is no evidence.
 	Runs, Broken int
+	// Slowness is the slowness that the upstream last reported of itself, as a multiple of the usual time, and SlownessAge the time
+	// since; 0 if it reported none.
+	Slowness    float64
+	SlownessAge time.Duration
 }
 
 // AddGap adds n events after the first one, for which a node waited d in total.
@@ -71,6 +75,9 @@
 	e.FirstTime += o.FirstTime
 	e.Runs += o.Runs
 	e.Broken += o.Broken
+	if o.Slowness > 0 {
+		e.Slowness, e.SlownessAge = o.Slowness, o.SlownessAge
+	}
 }
 
 // decayingMean is a sum of times and their number. Both decay, so that recent times weigh more in the mean.
--- a/pkg/edge/node.go
+++ b/pkg/edge/node.go
@@ -239,7 +239,7 @@
 	})
 	n.exchange = loadshare.New(loadshare.Options{
 		Fleet: n.fleet, Peers: n.peers, OwnLoads: n.placer.OwnLoads, Wants: n.jobs.Wants, ApplyTotals: n.placer.ApplyTotals, Grants: n.placer.Grants,
-		Evidence: n.placer.Evidence, AddEvidence: n.placer.AddEvidence, Outliers: n.placer.Outliers, HubIntroduced: n.handleIntroduction,
+		Evidence: n.placer.Evidence, AddEvidence: n.placer.AddEvidence, Outliers: n.placer.Outliers, Speeds: n.placer, HubIntroduced: n.handleIntroduction,
 		Revisions: n.mirror.Revisions, HubAnswered: n.followHub, HubLate: n.mirror.FollowedLate, FailedRuns: n.failedRuns, Streams: n.streams, Announced: n.placer, Draining: n.draining.Load, Log: n.log,
 		Metrics: loadshare.NewMetrics(n.metrics), Waiting: n.jobs.Waiting, Retiring: n.knownRetiring, CutOff: n.links.CutOff,
 	})
