Read bodies in pieces as they arrive, and refuse those that gave way

Cause: a body was allocated by its announced length, or doubled while it was read, and was kept until its caller went on. Change: ReadBody moves to body.go and reads pieces of up to 256 KiB, each at most as large as all before it, and joins them at the end; a body that gave way gets 503 with Retry-After, one that took too long 408; a body over the limit is dropped, up to its limit once more, so that its caller can read the 413.

--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -8,7 +8,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"maps"
 	"net/http"
 	"strconv"
@@ -37,6 +36,8 @@
 	notReadyRetry = 300 * time.Millisecond
 	// drainRetry is the Retry-After of a node that is about to close: other nodes can serve the request at once.
 	drainRetry = 50 * time.Millisecond
+	// noRoomRetry is the Retry-After of a node that gave up a request body since it needed the room.
+	noRoomRetry = 300 * time.Millisecond
 	// longRunFactor times the usual duration is how long nearly all runs take; drainSlack is what waiting for a slot
 	// and a second attempt may add. The end of the drain would cut a response that begins later than that.
 	longRunFactor, drainSlack = 2, time.Second
@@ -184,35 +185,12 @@
 
 // Refuse responds that the request was not run, with the time after which to retry.
 func Refuse(w http.ResponseWriter, status int, after time.Duration) {
-	w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
+	setRetryAfter(w, after)
 	w.WriteHeader(status)
 }
 
-// ReadBody reads a request body of at most limit bytes. If the body is too long or incomplete, status is the response
-// status to send; otherwise it is 0.
-func ReadBody(w http.ResponseWriter, r *http.Request, limit int) (body []byte, status int) {
-	if limit <= 0 {
-		limit = defaultBodyBytes
-	}
-	if r.ContentLength == 0 {
-		return nil, 0
-	}
-	reader := http.MaxBytesReader(w, r.Body, int64(limit))
-	var err error
-	if n := r.ContentLength; n > 0 && n <= int64(limit) {
-		body = make([]byte, n)
-		_, err = io.ReadFull(reader, body)
-	} else {
-		body, err = io.ReadAll(reader)
-	}
-	var tooLong *http.MaxBytesError
-	switch {
-	case err == nil:
-		return body, 0
-	case errors.As(err, &tooLong):
-		return nil, http.StatusRequestEntityTooLarge
-	}
-	return nil, http.StatusBadRequest
+func setRetryAfter(w http.ResponseWriter, after time.Duration) {
+	w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
 }
 
 func (f *Forwarder) newExchange(w http.ResponseWriter, r *http.Request, route *routing.Route, body []byte, received time.Time) *exchange {
