Tell the account of connections when another node has proved itself

Cause: connections to the internal port count as those of strangers until the handshake is complete. Change: the peer server calls Identified on connections that have it. Measured: the tests of pkg/adapter/peer pass under race.

--- a/pkg/adapter/peer/server.go
+++ b/pkg/adapter/peer/server.go
@@ -30,6 +30,9 @@
 
 var _ Registrar = (*Server)(nil)
 
+// Accounted is a connection that counts as one of a stranger until Identified is called: the other side knows the secret.
+type Accounted interface{ Identified() }
+
 // NewServer returns a server; a nil tls selects plain TCP.
 func NewServer(secret string, tls *tls.Config) *Server {
 	s := &Server{
@@ -107,6 +110,9 @@
 		klog.V(1).Infof("peer handshake from %s failed: %v", conn.RemoteAddr(), err)
 		return
 	}
+	if accounted, ok := conn.(Accounted); ok {
+		accounted.Identified()
+	}
 	if asked == relayProtocol {
 		s.serveRelay(conn)
 		return
