Bound what a node holds for callers and connections

Cause: the servers of a node took any number of connections, and read heads and bodies without a bound on all of them together. Change: all five listeners are accounted for; the budget is caller_memory_fraction of memory_mb and a part of the lower one of max_descriptors and the limit of the process; body_timeout_seconds and unread_timeout_seconds end what takes too long; check-settings checks all three.

--- a/pkg/edge/node.go
+++ b/pkg/edge/node.go
@@ -21,6 +21,7 @@
 	"trefoilplank.example/pkg/adapter/dial"
 	"trefoilplank.example/pkg/adapter/peer"
 	"trefoilplank.example/pkg/adapter/store"
+	"trefoilplank.example/pkg/controller/callerbudget"
 	"trefoilplank.example/pkg/controller/failedruns"
 	"trefoilplank.example/pkg/controller/fleet"
 	"trefoilplank.example/pkg/controller/loadshare"
@@ -28,6 +29,7 @@
 	"trefoilplank.example/pkg/controller/placer"
 	"trefoilplank.example/pkg/controller/streamversions"
 	"trefoilplank.example/pkg/controller/uplink"
+	decision "trefoilplank.example/pkg/decision/callerbudget"
 	"trefoilplank.example/pkg/decision/dispatch"
 	"trefoilplank.example/pkg/decision/quota"
 	"trefoilplank.example/pkg/decision/rendezvous"
@@ -128,6 +130,7 @@
 	jobs          *listjob.Controller
 	callerHandler http.Handler
 	metrics       *metrics.Set
+	callers       *callerbudget.Budget
 
 	table    atomic.Pointer[routing.Table]
 	draining atomic.Bool
@@ -165,6 +168,7 @@
 	if n.peerListen, err = listenInRange(s.IP, s.InternalPorts); err != nil {
 		return nil, err
 	}
+	n.buildCallerBudget()
 	n.store = store.NewClient(s.StoreAddress, store.Options{
 		Transport: p.StoreTransport(s.StoreAddress), CallTimeout: storeTimeout, WatchTimeout: watchTimeout,
 	})
@@ -376,10 +380,11 @@
 	working, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	group, working := errgroup.WithContext(working)
-	group.Go(func() error { return n.peerServer.Serve(n.peerListen) })
+	group.Go(func() error { return n.peerServer.Serve(n.callers.Group(decision.Internal).Listener(n.peerListen)) })
 	for name, run := range map[string]func(context.Context) error{
 		"mirror": n.mirror.Run, "jobs": n.jobs.Run, "join": n.join, "failed runs": n.failedRuns.Run, "versions": n.streams.Run,
 		"retirement": n.watchRetirements, "introductions": n.exchange.RunIntroductions, "registration": n.fleet.KeepRegistered, "removals": n.exchange.RunRemovals,
+		"callers": n.callers.Run,
 	} {
 		group.Go(func() error {
 			if err := run(working); err != nil && working.Err() == nil {
@@ -416,16 +421,17 @@
 // listen starts the servers for callers, readiness, addresses and metrics.
 func (n *Node) listen(group *errgroup.Group) error {
 	for _, l := range []struct {
+		class   decision.Class
 		address string
 		handler http.Handler
 		server  func(*http.Server)
 	}{
-		{n.settings.CallerAddress, n.countActive(n.awaitConfiguration(n.callerHandler)), func(s *http.Server) {
+		{decision.Callers, n.settings.CallerAddress, n.countActive(n.awaitConfiguration(n.callerHandler)), func(s *http.Server) {
 			s.MaxHeaderBytes, s.ReadHeaderTimeout, s.IdleTimeout = headerBytes, headerTimeout, idleTimeout
 		}},
-		{n.settings.ReadyAddress, n.platform.ReadyHandler(n.Ready), setShortTimeouts},
-		{n.settings.DirectoryAddress, n.platform.DirectoryHandler(n.addresses), setShortTimeouts},
-		{n.settings.MetricsAddress, n.metricsHandler(), setShortTimeouts},
+		{decision.Readiness, n.settings.ReadyAddress, n.platform.ReadyHandler(n.Ready), setShortTimeouts},
+		{decision.Directory, n.settings.DirectoryAddress, n.platform.DirectoryHandler(n.addresses), setShortTimeouts},
+		{decision.Metrics, n.settings.MetricsAddress, n.metricsHandler(), setShortTimeouts},
 	} {
 		if l.address == "" {
 			continue
@@ -436,6 +442,7 @@
 		}
 		server := &http.Server{Handler: l.handler, ErrorLog: discardLog}
 		l.server(server)
+		listener = n.account(l.class, server, listener)
 		n.servers = append(n.servers, server)
 		group.Go(func() error {
 			if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
--- a/pkg/edge/settings.go
+++ b/pkg/edge/settings.go
@@ -59,6 +59,12 @@
 	LimitWindowSeconds float64 `toml:"limit_window_seconds"`
 	// MaxDescriptors is the limit on the descriptors of the process; 0 if it is not known.
 	MaxDescriptors int `toml:"max_descriptors"`
+
+	// CallerMemoryFraction is the part of the memory that may be held for callers: their requests, unread answers and connections.
+	CallerMemoryFraction float64 `toml:"caller_memory_fraction"`
+	// BodyTimeoutSeconds limits the time to send a body; UnreadTimeoutSeconds is for how long a caller may read nothing of an answer.
+	BodyTimeoutSeconds   float64 `toml:"body_timeout_seconds"`
+	UnreadTimeoutSeconds float64 `toml:"unread_timeout_seconds"`
 }
 
 // Findings holds all errors of a settings file, one per setting.
@@ -78,6 +84,13 @@
 	defaultReadableSeconds = 120
 	// defaultRevocationMS and defaultLimitWindowSeconds apply if the platform names no bounds.
 	defaultRevocationMS, defaultLimitWindowSeconds = 5000, 5
+	// defaultCallerMemoryFraction leaves room for the rest of the node and for garbage below memoryFraction: collections run when
+	// the heap has doubled. maxCallerMemoryFraction is the most that leaves any.
+	defaultCallerMemoryFraction, maxCallerMemoryFraction = 0.25, 0.5
+	// defaultBodyTimeoutSeconds is longer than the timeouts of routes, after which nobody waits for the answer.
+	defaultBodyTimeoutSeconds = 60
+	// defaultUnreadTimeoutSeconds is ten times as long as a connection survives whose peer acknowledges nothing.
+	defaultUnreadTimeoutSeconds = 30
 )
 
 // ReadSettings reads and checks a settings file. An error of type Findings lists every fault with its key.
@@ -91,7 +104,8 @@
 
 // ParseSettings parses and checks the text of a settings file.
 func ParseSettings(text string) (Settings, error) {
-	s := Settings{DrainSeconds: defaultDrainSeconds, AddressTTL: defaultAddressTTL, ReadableSeconds: defaultReadableSeconds, Cores: 1, RevocationMS: defaultRevocationMS, LimitWindowSeconds: defaultLimitWindowSeconds}
+	s := Settings{DrainSeconds: defaultDrainSeconds, AddressTTL: defaultAddressTTL, ReadableSeconds: defaultReadableSeconds, Cores: 1, RevocationMS: defaultRevocationMS, LimitWindowSeconds: defaultLimitWindowSeconds,
+		CallerMemoryFraction: defaultCallerMemoryFraction, BodyTimeoutSeconds: defaultBodyTimeoutSeconds, UnreadTimeoutSeconds: defaultUnreadTimeoutSeconds}
 	meta, err := toml.Decode(text, &s)
 	if err != nil {
 		return s, Findings{err.Error()}
@@ -150,11 +164,15 @@
 		key   string
 		value float64
 	}{{"drain_seconds", s.DrainSeconds}, {"address_ttl_seconds", s.AddressTTL}, {"job_readable_seconds", s.ReadableSeconds},
-		{"revocation_ms", s.RevocationMS}, {"limit_window_seconds", s.LimitWindowSeconds}} {
+		{"revocation_ms", s.RevocationMS}, {"limit_window_seconds", s.LimitWindowSeconds},
+		{"body_timeout_seconds", s.BodyTimeoutSeconds}, {"unread_timeout_seconds", s.UnreadTimeoutSeconds}} {
 		if d.value <= 0 {
 			add("%s: %v must be above 0", d.key, d.value)
 		}
 	}
+	if s.CallerMemoryFraction <= 0 || s.CallerMemoryFraction > maxCallerMemoryFraction {
+		add("caller_memory_fraction: %v must be above 0 and at most %v", s.CallerMemoryFraction, maxCallerMemoryFraction)
+	}
 	if s.MaxDescriptors < 0 {
 		add("max_descriptors: %d must not be negative", s.MaxDescriptors)
 	}
