Let callers that keep sending give way last

Cause: the time that a phase had taken counted in full, so an upload of minutes at full speed, or the answer of a long stream, would have given way before a caller that had just stopped. Change: the time counts as far as the caller is late against 64 KiB a second, at least a tenth of it, and only stalls count for answers.

--- a/pkg/controller/callerbudget/conn.go
+++ b/pkg/controller/callerbudget/conn.go
@@ -39,7 +39,9 @@
 	// began and progressed are when the phase began and when the caller last sent or read something, as Budget.now counts.
 	began, progressed  atomic.Int64
 	bytes, descriptors atomic.Int64
-	served             atomic.Bool
+	// arrived are the bytes that arrived in the phase.
+	arrived atomic.Int64
+	served  atomic.Bool
 	// evicted is why the connection gave way. forgotten is set once it holds nothing in the account.
 	evicted   atomic.Int32
 	forgotten atomic.Bool
@@ -59,13 +61,15 @@
 	now := c.group.budget.now()
 	c.began.Store(now)
 	c.progressed.Store(now)
+	c.arrived.Store(0)
 	c.phase.Store(int32(p))
 }
 
 func (c *conn) holder(now int64) decision.Holder {
 	return decision.Holder{
 		Phase: c.currentPhase(), Usage: decision.Usage{Bytes: c.bytes.Load(), Descriptors: c.descriptors.Load()},
-		Age: time.Duration(now - c.began.Load()), Stalled: time.Duration(now - c.progressed.Load()), Served: c.served.Load(),
+		Age: time.Duration(now - c.began.Load()), Stalled: time.Duration(now - c.progressed.Load()), Received: c.arrived.Load(),
+		Served: c.served.Load(),
 	}
 }
 
@@ -148,10 +152,12 @@
 		return true
 	case decision.Body:
 		c.progressed.Store(c.group.budget.now())
+		c.arrived.Add(int64(len(data)))
 		return true
 	default:
 		c.progressed.Store(c.group.budget.now())
 	}
+	c.arrived.Add(int64(len(data)))
 	before := decision.HeadBytes(c.headBytes, c.headLines)
 	c.headBytes += len(data)
 	c.headLines += bytes.Count(data, []byte{'\n'})
--- a/pkg/decision/callerbudget/callerbudget.go
+++ b/pkg/decision/callerbudget/callerbudget.go
@@ -81,6 +81,8 @@
 	Usage Usage
 	// Age is the time since the phase began, Stalled that since the caller last sent or read something.
 	Age, Stalled time.Duration
+	// Received are the bytes that arrived in the phase.
+	Received int64
 	// Served is set if a request on the connection was answered before.
 	Served bool
 }
@@ -88,6 +90,10 @@
 const (
 	// slowPart is the weight of the time that a caller takes while it makes progress, relative to time without progress.
 	slowPart = 0.25
+	// steadyRate is the rate in bytes per second at which a caller is not late: a body of 4 MiB then takes 64 s, as long as bodies
+	// may take by default. steadyPart is the part of its time that counts nevertheless, so that nobody holds much for long.
+	steadyRate = 64 << 10
+	steadyPart = 0.1
 	// servedPart is the weight of an idle connection on which requests were answered: its caller will probably use it again.
 	servedPart = 0.05
 	// descriptorBytes is the weight of a descriptor in bytes, so that connections without data are compared by their time.
@@ -100,20 +106,24 @@
 	slack = 0.05
 )
 
-// weight returns how early a holder gives way: by what it holds and for how long. A caller that sends or reads steadily weighs a
-// quarter of one that has stopped. Requests that are being served do not give way, since their answers are under way.
+// weight returns how early a holder gives way: by what it holds and for how long. The time since the caller last sent or read
+// something counts in full, and the time by which it is late by a quarter. Requests that are being served do not give way, since
+// their answers are under way.
 func (h Holder) weight() float64 {
 	if h.Phase == Serving || h.Phase == Answer && h.Stalled < minUnread {
 		return 0
 	}
 	held := float64(h.Usage.Bytes + descriptorBytes*h.Usage.Descriptors)
-	if h.Phase == Idle && h.Served {
+	switch {
+	case h.Phase == Answer:
+		return held * h.Stalled.Seconds()
+	case h.Phase == Idle && h.Served:
 		held *= servedPart
-	}
-	if h.Phase == Closing {
+	case h.Phase == Closing:
 		held *= closingPart
 	}
-	return held * (slowPart*h.Age.Seconds() + h.Stalled.Seconds())
+	late := max(h.Age.Seconds()-float64(h.Received)/steadyRate, steadyPart*h.Age.Seconds())
+	return held * (slowPart*late + h.Stalled.Seconds())
 }
 
 // Victims returns the indexes of the connections to be closed, so that the rest is within the limit, in the order in which
--- a/pkg/decision/callerbudget/callerbudget_test.go
+++ b/pkg/decision/callerbudget/callerbudget_test.go
@@ -59,6 +59,18 @@
 	}
 }
 
+// Guards against giving up those that make progress before those that send a byte at a time, and a long stream whose caller reads.
+func TestProgressGivesWayLast(t *testing.T) {
+	holders := []Holder{
+		{Phase: Body, Usage: Usage{4 * mb, 2}, Age: 10 * time.Second, Stalled: 10 * time.Millisecond, Received: 4 * mb},
+		{Phase: Body, Usage: Usage{ConnectionBytes + 100, 2}, Age: 30 * time.Second, Stalled: 100 * time.Millisecond, Received: 300},
+		{Phase: Body, Usage: Usage{ConnectionBytes, 2}, Age: 30 * time.Second, Stalled: 10 * time.Millisecond, Received: 100 * mb},
+		{Phase: Answer, Usage: Usage{ConnectionBytes + 32<<10, 2}, Age: time.Hour, Stalled: 10 * time.Millisecond},
+	}
+	assert.DeepEqual(t, Victims(holders, usage(holders), Usage{Descriptors: 3}), []int{0, 1, 2})
+	assert.DeepEqual(t, Victims(holders[1:], usage(holders[1:]), Usage{Descriptors: 5}), []int{0})
+}
+
 // Guards against giving up requests while there is room: a caller may take its whole time limit to send one.
 func TestNobodyGivesWayWithinTheLimit(t *testing.T) {
 	slow := []Holder{{Phase: Body, Usage: Usage{4 * mb, 2}, Age: 15 * time.Second, Stalled: time.Second}}
