Account for connections below TLS, and for bodies that are passed on

Cause: the product's own interface wraps its connections in TLS and in those of earlyerror, and its uploads keep nothing of what they read. Change: the account finds its connection below others, keeps hooks that a server has, has a class for the server for operators, and Uncounted for bodies that are passed on; the peer server tells the account below TLS.

--- a/pkg/adapter/peer/server.go
+++ b/pkg/adapter/peer/server.go
@@ -98,6 +98,7 @@
 // ServeConn serves one connection until it ends.
 func (s *Server) ServeConn(conn net.Conn) {
 	defer conn.Close()
+	accounted, _ := conn.(Accounted)
 	if s.tls != nil {
 		conn = tls.Server(conn, s.tls)
 	}
@@ -110,7 +111,7 @@
 		klog.V(1).Infof("peer handshake from %s failed: %v", conn.RemoteAddr(), err)
 		return
 	}
-	if accounted, ok := conn.(Accounted); ok {
+	if accounted != nil {
 		accounted.Identified()
 	}
 	if asked == relayProtocol {
--- a/pkg/controller/callerbudget/callerbudget.go
+++ b/pkg/controller/callerbudget/callerbudget.go
@@ -13,7 +13,6 @@
 	"github.com/zeebo/errs"
 
 	decision "trefoilplank.example/pkg/decision/callerbudget"
-	"trefoilplank.example/pkg/eventlog"
 )
 
 // Errors of request bodies whose connection gave way. The request has not run.
@@ -33,10 +32,15 @@
 	BodyTimeout, UnreadTimeout time.Duration
 	// HeadBytes returns the limit on header sections, or 0 for that of the server.
 	HeadBytes func() int
-	Log       *eventlog.Log
+	Log       Log
 	Metrics   *metrics.Set
 }
 
+// Log takes the lines of the account: an event, and names and values in turn.
+type Log interface {
+	Notice(event string, fields ...any)
+}
+
 // Budget is the account of one node.
 type Budget struct {
 	options Options
--- a/pkg/controller/callerbudget/callerbudget_test.go
+++ b/pkg/controller/callerbudget/callerbudget_test.go
@@ -20,8 +20,9 @@
 
 // newServer starts a server that answers with the length of the body, and returns its group and address.
 func newServer(t *testing.T, o Options) (*Group, string) {
-	o.Log, o.Metrics = eventlog.New(io.Discard, "test"), metrics.NewSet()
-	t.Cleanup(o.Log.Close)
+	log := eventlog.New(io.Discard, "test")
+	t.Cleanup(log.Close)
+	o.Log, o.Metrics = log, metrics.NewSet()
 	b := New(o)
 	g := b.Group(decision.Callers)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
--- a/pkg/controller/callerbudget/conn.go
+++ b/pkg/controller/callerbudget/conn.go
@@ -224,18 +224,41 @@
 // connKey is the key of the connection in the context of its requests.
 type connKey struct{}
 
-// Serve makes a server account for its connections and requests. Its listener must be one of Listener.
+// Serve makes a server account for its connections and requests. Its listener must be one of Listener, or wrap the connections of
+// one in types that have NetConn.
 func (g *Group) Serve(s *http.Server) {
-	next := s.Handler
+	next, connContext, connState := s.Handler, s.ConnContext, s.ConnState
 	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { g.serve(next, w, r) })
-	s.ConnContext = func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) }
+	s.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+		if connContext != nil {
+			ctx = connContext(ctx, c)
+		}
+		return context.WithValue(ctx, connKey{}, unwrap(c))
+	}
 	s.ConnState = func(c net.Conn, state http.ConnState) {
-		if held, ok := c.(*conn); ok && state == http.StateIdle {
+		if connState != nil {
+			connState(c, state)
+		}
+		if held := unwrap(c); held != nil && state == http.StateIdle {
 			held.answered()
 		}
 	}
 }
 
+// unwrap returns the accounted connection below others, or nil.
+func unwrap(c net.Conn) *conn {
+	for {
+		switch wrapped := c.(type) {
+		case *conn:
+			return wrapped
+		case interface{ NetConn() net.Conn }:
+			c = wrapped.NetConn()
+		default:
+			return nil
+		}
+	}
+}
+
 func connOf(ctx context.Context) *conn {
 	c, _ := ctx.Value(connKey{}).(*conn)
 	return c
@@ -283,9 +306,11 @@
 }
 
 // Read reads from the body. Its error says if the connection gave way; the request must not run then.
-func (b *body) Read(p []byte) (int, error) {
+func (b *body) Read(p []byte) (int, error) { return b.read(p, true) }
+
+func (b *body) read(p []byte, counts bool) (int, error) {
 	n, err := b.ReadCloser.Read(p)
-	if n > 0 && b.conn.currentPhase() == decision.Body {
+	if counts && n > 0 && b.conn.currentPhase() == decision.Body {
 		b.conn.reserve(int64(n))
 	}
 	switch {
@@ -307,10 +332,21 @@
 	return c == nil || c.reserve(bytes)
 }
 
-// Discard reads and drops up to n bytes of a request body, which do not count.
-func Discard(r io.ReadCloser, n int64) {
+// Uncounted returns the body of a request without the account of what was read of it, for handlers that keep nothing of it.
+func Uncounted(r io.ReadCloser) io.ReadCloser {
 	if b, ok := r.(*body); ok {
-		r = b.ReadCloser
+		return &passedBody{b}
 	}
-	_, _ = io.CopyN(io.Discard, r, n) // The body may be shorter.
+	return r
+}
+
+// passedBody is a body that is passed on as it is read.
+type passedBody struct{ *body }
+
+// Read reads from the body.
+func (b *passedBody) Read(p []byte) (int, error) { return b.read(p, false) }
+
+// Discard reads and drops up to n bytes of a request body, which do not count.
+func Discard(r io.ReadCloser, n int64) {
+	_, _ = io.CopyN(io.Discard, Uncounted(r), n) // The body may be shorter.
 }
--- a/pkg/controller/callerbudget/metrics.go
+++ b/pkg/controller/callerbudget/metrics.go
@@ -24,7 +24,7 @@
 
 var classNames = map[decision.Class]string{
 	decision.Callers: "callers", decision.Readiness: "readiness", decision.Directory: "directory", decision.Metrics: "metrics",
-	decision.Internal: "internal",
+	decision.Operators: "operators", decision.Internal: "internal",
 }
 
 var phaseNames = map[decision.Phase]string{
--- a/pkg/decision/callerbudget/callerbudget.go
+++ b/pkg/decision/callerbudget/callerbudget.go
@@ -29,6 +29,8 @@
 	Readiness
 	Directory
 	Metrics
+	// Operators is the server of the product's own interface for operators. A node has it in place of a directory.
+	Operators
 	// Internal is the port for other nodes. Its budget holds for connections that have not identified themselves yet.
 	Internal
 )
@@ -39,6 +41,7 @@
 	Callers:   {0.84, 0.6},
 	Readiness: {0.04, 0.03},
 	Directory: {0.08, 0.06},
+	Operators: {0.08, 0.06},
 	Metrics:   {0.04, 0.03},
 	Internal:  {0, 0.06},
 }
--- a/pkg/decision/callerbudget/callerbudget_test.go
+++ b/pkg/decision/callerbudget/callerbudget_test.go
@@ -89,6 +89,9 @@
 	for c := range parts {
 		l := Limit(c, 32*mb, 3075)
 		assert.Assert(t, l.Descriptors >= minDescriptors)
+		if c == Operators {
+			continue // In place of Directory.
+		}
 		sum.Bytes += l.Bytes
 		sum.Descriptors += l.Descriptors
 	}
--- a/pkg/gateway/earlyerror/earlyerror.go
+++ b/pkg/gateway/earlyerror/earlyerror.go
@@ -115,6 +115,9 @@
 	return nil
 }
 
+// NetConn returns the connection below.
+func (c *conn) NetConn() net.Conn { return c.Conn }
+
 // parseStatusLine parses the status line of an answer; ok is false unless it is an error answer.
 func parseStatusLine(b []byte) (status int, reason string, ok bool) {
 	line, _, _ := strings.Cut(string(b), "\r\n")
