Bound what the product's own interface holds for callers and connections

Cause: trefoilplank serve took any number of connections and heads of up to 1 MB each, without a bound on all together. Measured: the tests of pkg/gateway, pkg/node, pkg/operator and pkg/batch/handler pass under race; no crowd was sent to this interface yet.

--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -27,6 +27,7 @@
 
 	"trefoilplank.example/api"
 	"trefoilplank.example/pkg/blackboard"
+	"trefoilplank.example/pkg/controller/callerbudget"
 	"trefoilplank.example/pkg/controller/claims"
 	"trefoilplank.example/pkg/controller/idempotency"
 	"trefoilplank.example/pkg/decision/retry"
@@ -150,7 +151,7 @@
 func (g *Gateway) Mount(pattern string, h http.Handler) {
 	g.mux.HandleFunc(pattern, func(w http.ResponseWriter, r *http.Request) {
 		if r.Body != http.NoBody {
-			r.Body = &idleBody{r.Body, http.NewResponseController(w), g.BodyTimeout}
+			r.Body = &idleBody{callerbudget.Uncounted(r.Body), http.NewResponseController(w), g.BodyTimeout}
 		}
 		h.ServeHTTP(w, r)
 	})
--- a/pkg/gateway/identity.go
+++ b/pkg/gateway/identity.go
@@ -9,6 +9,8 @@
 	"strings"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"trefoilplank.example/api"
 	"trefoilplank.example/pkg/serving"
 )
@@ -77,9 +79,15 @@
 	if s := body.Error.RetryAfterSeconds; s > 0 {
 		h.Set("Retry-After", itoa(s))
 	}
+	text, err := json.Marshal(body)
+	if err != nil {
+		klog.ErrorS(err, "Encoding an error answer failed", "request", out.RequestID)
+	}
+	// With a length the answer is complete also if the connection is closed before the handler returns.
+	h.Set("Content-Length", itoa(len(text)+1))
 	w.WriteHeader(out.Status)
 	// The error is ignored: it means that the caller has disconnected.
-	_ = json.NewEncoder(w).Encode(body)
+	_, _ = w.Write(append(text, '\n'))
 }
 
 // writeJSON answers 200 with the JSON form of v.
--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -15,6 +15,7 @@
 
 	"trefoilplank.example/api"
 	"trefoilplank.example/pkg/adapter/service"
+	"trefoilplank.example/pkg/controller/callerbudget"
 	"trefoilplank.example/pkg/gateway/prompt"
 	"trefoilplank.example/pkg/serving"
 )
@@ -75,9 +76,13 @@
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
-		_, _ = io.CopyN(io.Discard, r.Body, maxDiscardBytes)
+		callerbudget.Discard(r.Body, maxDiscardBytes)
 		return nil, api.Errorf(http.StatusRequestEntityTooLarge, api.CodeTooLarge, api.NotRun,
 			"the body is larger than %d bytes", g.MaxBodyBytes)
+	case errors.Is(err, callerbudget.ErrNoRoom):
+		refusal := api.Errorf(http.StatusServiceUnavailable, api.CodeNoCapacity, api.NotRun, "the node has no room for the body")
+		refusal.RetryAfter = retryAfter
+		return nil, refusal
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return nil, api.Errorf(http.StatusRequestTimeout, api.CodeDeadline, api.NotRun, "the body did not arrive in time")
 	default:
--- a/pkg/node/flags.go
+++ b/pkg/node/flags.go
@@ -14,10 +14,11 @@
 type Flags struct {
 	Settings
 
-	LeaseDuration unparsed `long:"lease-duration" env:"TREFOILPLANK_LEASE_DURATION" default:"30s" description:"how long a node's lease lasts without renewal; the same on all nodes"`
-	DrainTimeout  unparsed `long:"drain-timeout" env:"TREFOILPLANK_DRAIN_TIMEOUT" default:"10m" description:"longest time that a drain waits for requests in progress"`
-	AddressTTL    unparsed `long:"address-ttl" env:"TREFOILPLANK_ADDRESS_TTL" default:"5s" description:"time for which callers keep an address answer"`
-	Verbosity     unparsed `short:"v" long:"verbosity" env:"TREFOILPLANK_VERBOSITY" default:"0" description:"log verbosity, 0 to 10"`
+	CallerMemoryMB unparsed `long:"caller-memory-mb" env:"TREFOILPLANK_CALLER_MEMORY_MB" default:"0" description:"memory in MB that may be held for callers; 0 is an eighth of the machine's"`
+	LeaseDuration  unparsed `long:"lease-duration" env:"TREFOILPLANK_LEASE_DURATION" default:"30s" description:"how long a node's lease lasts without renewal; the same on all nodes"`
+	DrainTimeout   unparsed `long:"drain-timeout" env:"TREFOILPLANK_DRAIN_TIMEOUT" default:"10m" description:"longest time that a drain waits for requests in progress"`
+	AddressTTL     unparsed `long:"address-ttl" env:"TREFOILPLANK_ADDRESS_TTL" default:"5s" description:"time for which callers keep an address answer"`
+	Verbosity      unparsed `short:"v" long:"verbosity" env:"TREFOILPLANK_VERBOSITY" default:"0" description:"log verbosity, 0 to 10"`
 }
 
 // unparsed is the text of a number or duration.
@@ -47,6 +48,9 @@
 	parseDuration(&s.DrainTimeout, "drain-timeout", f.DrainTimeout)
 	parseDuration(&s.AddressTTL, "address-ttl", f.AddressTTL)
 	var err error
+	if s.CallerMemoryMB, err = strconv.Atoi(string(f.CallerMemoryMB)); err != nil {
+		faults = append(faults, fmt.Sprintf("--caller-memory-mb: %q is not a number", f.CallerMemoryMB))
+	}
 	if s.Verbosity, err = strconv.Atoi(string(f.Verbosity)); err != nil {
 		faults = append(faults, fmt.Sprintf("-v: %q is not a number", f.Verbosity))
 	}
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -33,6 +33,7 @@
 	"trefoilplank.example/pkg/controller/uplink"
 	"trefoilplank.example/pkg/controller/upstreams"
 	"trefoilplank.example/pkg/controller/vms"
+	budgetdecision "trefoilplank.example/pkg/decision/callerbudget"
 	leasedecision "trefoilplank.example/pkg/decision/lease"
 	"trefoilplank.example/pkg/explain"
 	"trefoilplank.example/pkg/gateway"
@@ -185,11 +186,18 @@
 		group.Go(func() error { return controllerError(working, name, run(working)) })
 	}
 	callers, operators := gateway.NewServer(n.gateway), gateway.NewServer(n.operator)
-	callerListener := earlyerror.WrapListener(callers, n.withTLS(n.callers), n.settings.Name)
-	operatorListener := earlyerror.WrapListener(operators, n.withTLS(n.operators), n.settings.Name)
+	budget := n.newCallerBudget()
+	forCallers, forOperators := budget.Group(budgetdecision.Callers), budget.Group(budgetdecision.Operators)
+	callerListener := earlyerror.WrapListener(callers, n.withTLS(forCallers.Listener(n.callers)), n.settings.Name)
+	operatorListener := earlyerror.WrapListener(operators, n.withTLS(forOperators.Listener(n.operators)), n.settings.Name)
+	forCallers.Serve(callers)
+	forOperators.Serve(operators)
+	group.Go(func() error { return controllerError(working, "callers", budget.Run(working)) })
 	group.Go(func() error { return serverError(n.drainer.Serve(callers, callerListener, callers.Serve)) })
 	group.Go(func() error { return serverError(operators.Serve(operatorListener)) })
-	group.Go(func() error { return serverError(n.peerServer.Serve(n.peers)) })
+	group.Go(func() error {
+		return serverError(n.peerServer.Serve(budget.Group(budgetdecision.Internal).Listener(n.peers)))
+	})
 	klog.InfoS("Node serves", "node", n.settings.Name, "address", n.Address(), "adminAddress", n.AdminAddress(),
 		"peerAddress", n.memberRecord().PeerAddress, "peerListens", n.peers.Addr().String())
 	select {
--- a/pkg/node/settings.go
+++ b/pkg/node/settings.go
@@ -45,6 +45,9 @@
 	PeerTLSKey  string `long:"peer-tls-key" env:"TREFOILPLANK_PEER_TLS_KEY" description:"key file of --peer-tls-cert"`
 	PeerTLSCA   string `long:"peer-tls-ca" env:"TREFOILPLANK_PEER_TLS_CA" description:"CA file that other nodes' certificates are checked against"`
 
+	// CallerMemoryMB is the memory that may be held for callers, or 0 for an eighth of the machine's.
+	CallerMemoryMB int
+
 	Verbosity int
 	LogFormat string `long:"log-format" env:"TREFOILPLANK_LOG_FORMAT" default:"text" description:"log format, text or json"`
 }
@@ -102,6 +105,9 @@
 			addFault("--join: %q must be IP:port", address)
 		}
 	}
+	if s.CallerMemoryMB < 0 {
+		addFault("--caller-memory-mb: must not be negative")
+	}
 	if s.Verbosity < 0 || s.Verbosity > 10 {
 		addFault("-v: must be between 0 and 10")
 	}
