Leave room beside large requests that are being served, and a fifth of the memory for callers

Cause: complete bodies of legal size on a slow route do not give way, so a few of them would have held all room and no further caller could connect. Change: a complete request of more than 64 KiB gets 503, not run, if it and those that are served would hold more than six tenths of the bytes; one alone is always served; caller_memory_fraction is 0.2 by default.

--- a/pkg/controller/callerbudget/callerbudget.go
+++ b/pkg/controller/callerbudget/callerbudget.go
@@ -91,11 +91,13 @@
 	// serves is set if each request needs a connection to an upstream.
 	serves             bool
 	bytes, descriptors atomic.Int64
-	mu                 sync.Mutex // guards the fields below
-	conns              map[*conn]struct{}
-	holders            []decision.Holder
-	held               []*conn
-	log                series
+	// served are the bytes of the requests that are being served.
+	served  atomic.Int64
+	mu      sync.Mutex // guards the fields below
+	conns   map[*conn]struct{}
+	holders []decision.Holder
+	held    []*conn
+	log     series
 }
 
 func (g *Group) used() decision.Usage {
--- a/pkg/controller/callerbudget/conn.go
+++ b/pkg/controller/callerbudget/conn.go
@@ -284,7 +284,9 @@
 		c.setPhase(decision.Serving)
 	} else {
 		c.setPhase(decision.Body)
-		r.Body = &body{r.Body, c}
+		b := &body{ReadCloser: r.Body, conn: c}
+		r.Body = b
+		defer func() { g.served.Add(-b.admitted) }()
 	}
 	if g.serves {
 		c.add(0, 1)
@@ -303,6 +305,28 @@
 type body struct {
 	io.ReadCloser
 	conn *conn
+	// admitted are the bytes of the complete request, once it may be served. refused is set if it may not.
+	admitted int64
+	refused  bool
+}
+
+// admit reports whether the complete request may be served.
+func (b *body) admit() bool {
+	g, bytes := b.conn.group, b.conn.bytes.Load()
+	switch {
+	case b.refused:
+		return false
+	case b.admitted > 0:
+	case decision.MayServe(bytes, g.served.Load(), g.limit):
+		b.admitted = bytes
+		g.served.Add(bytes)
+	default:
+		b.refused = true
+		g.countReason("served_full")
+		b.conn.add(min(0, decision.ConnectionBytes-bytes), 0)
+		return false
+	}
+	return true
 }
 
 // Read reads from the body. Its error says if the connection gave way; the request must not run then.
@@ -313,6 +337,9 @@
 	if counts && n > 0 && b.conn.currentPhase() == decision.Body {
 		b.conn.reserve(int64(n))
 	}
+	if err == io.EOF && counts && !b.admit() {
+		return 0, ErrNoRoom
+	}
 	switch {
 	case err == io.EOF && b.conn.phase.CompareAndSwap(int32(decision.Body), int32(decision.Serving)):
 		b.conn.wrote.Store(false) // The server may have written that it expects the body.
--- a/pkg/decision/callerbudget/callerbudget.go
+++ b/pkg/decision/callerbudget/callerbudget.go
@@ -168,6 +168,20 @@
 	return victims
 }
 
+const (
+	// servedShare is the share of the bytes that large requests may hold while they are served, since those do not give way: the
+	// rest is for connections and for requests that arrive.
+	servedShare = 0.6
+	// smallRequest is the size up to which a request is served in any case.
+	smallRequest = 64 << 10
+)
+
+// MayServe reports whether a request that holds a number of bytes may be served while others that are served hold some. It is
+// refused otherwise: it has arrived, but has not run.
+func MayServe(bytes, served int64, limit Usage) bool {
+	return limit.Bytes == 0 || served == 0 || bytes <= smallRequest || served+bytes <= int64(servedShare*float64(limit.Bytes))
+}
+
 // Estimates of what net/http and the node hold beyond the bytes that arrive.
 const (
 	// ConnectionBytes are the buffers of a connection for reading and writing, 4 KiB each, its goroutine and its state.
--- a/pkg/decision/callerbudget/callerbudget_test.go
+++ b/pkg/decision/callerbudget/callerbudget_test.go
@@ -99,3 +99,18 @@
 	assert.Equal(t, Limit(Callers, 32*mb, 0).Descriptors, int64(0), "an unknown limit is none")
 	assert.Assert(t, HeadBytes(16<<10, 2300) > 200<<10, "2,300 fields in 16 KiB took 250 KB")
 }
+
+// Guards against complete requests of legal size, on a slow route, that hold everything: they do not give way, so that nobody else
+// could connect.
+func TestServedRequestsLeaveRoomForOthers(t *testing.T) {
+	limit := Limit(Callers, 36*mb, 3075)
+	served := int64(0)
+	for range 400 {
+		if MayServe(4*mb, served, limit) {
+			served += 4 * mb
+		}
+	}
+	assert.Equal(t, served, int64(16*mb))
+	assert.Assert(t, MayServe(2000, served, limit), "a small request is served")
+	assert.Assert(t, MayServe(4*mb, 0, limit), "a single request of the largest size is served")
+}
--- a/pkg/edge/settings.go
+++ b/pkg/edge/settings.go
@@ -86,7 +86,7 @@
 	defaultRevocationMS, defaultLimitWindowSeconds = 5000, 5
 	// defaultCallerMemoryFraction leaves room for the rest of the node and for garbage below memoryFraction: collections run when
 	// the heap has doubled. maxCallerMemoryFraction is the most that leaves any.
-	defaultCallerMemoryFraction, maxCallerMemoryFraction = 0.25, 0.5
+	defaultCallerMemoryFraction, maxCallerMemoryFraction = 0.2, 0.5
 	// defaultBodyTimeoutSeconds is longer than the timeouts of routes, after which nobody waits for the answer.
 	defaultBodyTimeoutSeconds = 60
 	// defaultUnreadTimeoutSeconds is ten times as long as a connection survives whose peer acknowledges nothing.
