--- a/pkg/edge/node.go
+++ b/pkg/edge/node.go
@@ -21,6 +21,7 @@
 	"trefoilplank.example/pkg/adapter/dial"
 	"trefoilplank.example/pkg/adapter/peer"
 	"trefoilplank.example/pkg/adapter/store"
+	"trefoilplank.example/pkg/controller/callerbudget"
 	"trefoilplank.example/pkg/controller/customerlimits"
 	"trefoilplank.example/pkg/controller/customers"
 	"trefoilplank.example/pkg/controller/failedruns"
@@ -31,6 +32,7 @@
 	"trefoilplank.example/pkg/controller/storecalls"
 	"trefoilplank.example/pkg/controller/streamversions"
 	"trefoilplank.example/pkg/controller/uplink"
+	decision "trefoilplank.example/pkg/decision/callerbudget"
 	"trefoilplank.example/pkg/decision/dispatch"
 	"trefoilplank.example/pkg/decision/quota"
 	"trefoilplank.example/pkg/decision/rendezvous"
@@ -137,6 +139,7 @@
 	jobs          *listjob.Controller
 	callerHandler http.Handler
 	metrics       *metrics.Set
+	callers       *callerbudget.Budget
 
 	table    atomic.Pointer[routing.Table]
 	draining atomic.Bool
@@ -178,6 +181,7 @@
 	}
 	n.storeCalls = storecalls.New(storecalls.Options{Urgency: storeUrgency(p.ConfigPrefix()), Returned: func() { n.exchange.Request(context.Background()) }, Log: log, Metrics: n.metrics})
 	p.PaceStoreCalls(n.storeCalls)
+	n.buildCallerBudget()
 	n.store = store.NewClient(s.StoreAddress, store.Options{
 		Transport: p.StoreTransport(s.StoreAddress), CallTimeout: storeTimeout, WatchTimeout: watchTimeout,
 	})
@@ -383,10 +387,11 @@
 	working, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	group, working := errgroup.WithContext(working)
-	group.Go(func() error { return n.peerServer.Serve(n.peerListen) })
+	group.Go(func() error { return n.peerServer.Serve(n.callers.Group(decision.Internal).Listener(n.peerListen)) })
 	for name, run := range map[string]func(context.Context) error{
 		"mirror": n.mirror.Run, "jobs": n.jobs.Run, "join": n.join, "failed runs": n.failedRuns.Run, "versions": n.streams.Run,
-		"retirement": n.watchRetirements, "introductions": n.exchange.RunIntroductions, "registration": n.fleet.KeepRegistered, "removals": n.exchange.RunRemovals, "keys": n.watchKeys,
+		"retirement": n.watchRetirements, "introductions": n.exchange.RunIntroductions, "registration": n.fleet.KeepRegistered, "removals": n.exchange.RunRemovals,
+		"keys": n.watchKeys, "callers": n.callers.Run,
 	} {
 		group.Go(func() error {
 			if err := run(working); err != nil && working.Err() == nil {
@@ -423,16 +428,17 @@
 // listen starts the servers for callers, readiness, addresses and metrics.
 func (n *Node) listen(group *errgroup.Group) error {
 	for _, l := range []struct {
+		class   decision.Class
 		address string
 		handler http.Handler
 		server  func(*http.Server)
 	}{
-		{n.settings.CallerAddress, n.countActive(n.awaitConfiguration(n.callerHandler)), func(s *http.Server) {
+		{decision.Callers, n.settings.CallerAddress, n.countActive(n.awaitConfiguration(n.callerHandler)), func(s *http.Server) {
 			s.MaxHeaderBytes, s.ReadHeaderTimeout, s.IdleTimeout = headerBytes, headerTimeout, idleTimeout
 		}},
-		{n.settings.ReadyAddress, n.platform.ReadyHandler(n.Ready), setShortTimeouts},
-		{n.settings.DirectoryAddress, n.platform.DirectoryHandler(n.addresses), setShortTimeouts},
-		{n.settings.MetricsAddress, n.metricsHandler(), setShortTimeouts},
+		{decision.Readiness, n.settings.ReadyAddress, n.platform.ReadyHandler(n.Ready), setShortTimeouts},
+		{decision.Directory, n.settings.DirectoryAddress, n.platform.DirectoryHandler(n.addresses), setShortTimeouts},
+		{decision.Metrics, n.settings.MetricsAddress, n.metricsHandler(), setShortTimeouts},
 	} {
 		if l.address == "" {
 			continue
@@ -443,6 +449,7 @@
 		}
 		server := &http.Server{Handler: l.handler, ErrorLog: discardLog}
 		l.server(server)
+		listener = n.account(l.class, server, listener)
 		n.servers = append(n.servers, server)
 		group.Go(func() error {
 			if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
--- a/pkg/forward/answer.go
+++ b/pkg/forward/answer.go
@@ -130,6 +130,10 @@
 
 // Refuse responds that the request was not run, with the time after which to retry.
 func Refuse(w http.ResponseWriter, status int, after time.Duration) {
-	w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
+	setRetryAfter(w, after)
 	w.WriteHeader(status)
 }
+
+func setRetryAfter(w http.ResponseWriter, after time.Duration) {
+	w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
+}
