Do not run items again whose results were handed over

Cause: adoptFrom started a job before it queued the results that its former owner handed over, so the scheduler could start these items in between; a busy machine made that likely (TestJobWithLongTextsIsHandedOver: 16 of 16 items ran again). Change: restore marks these items as finished before the job starts. The new test checks the state before the start; it can't show the race itself.

--- a/pkg/listjob/takeover.go
+++ b/pkg/listjob/takeover.go
@@ -76,7 +76,7 @@
 		return err
 	}
 	c.observeListed(j)
-	done := j.restore(partials)
+	j.restore(partials)
 	// Earlier owners may be alive, and add to the log until they learn of the takeover: the one before an earlier process of this
 	// node too.
 	if left := min(contestPeriod, contestPeriod-time.Since(j.head.TakenOver)); left > 0 {
@@ -89,9 +89,7 @@
 	if c.ownedJob(id) != j {
 		return nil
 	}
-	for _, it := range done {
-		c.finishItem(it, it.result)
-	}
+	c.commitRestored(j)
 	go c.markDone(j)
 	c.announce(id, j.revision)
 	c.options.Metrics.countJob("taken_over")
@@ -104,8 +102,19 @@
 	return c.isStarting(id) || c.jobs[id] != nil || c.undecided[id] != nil
 }
 
-// restore sets the items to the state that an earlier owner had reached, and returns those that are finished.
-func (j *job) restore(partials []Partial) (done []*item) {
+// commitRestored writes the results that an earlier owner handed over to the log.
+func (c *Controller) commitRestored(j *job) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if len(j.pending) > 0 && !j.committing {
+		j.committing = true
+		go c.commitResults(j)
+	}
+}
+
+// restore sets the items to the state that an earlier owner had reached. It is called before the job is started, since items that are
+// finished would be run again.
+func (j *job) restore(partials []Partial) {
 	for _, p := range partials {
 		it := j.byID[p.ID]
 		if it == nil || it.phase != waiting {
@@ -114,14 +123,13 @@
 		it.failures = p.Failures
 		switch {
 		case p.Result != nil:
-			it.result = *p.Result
-			done = append(done, it)
+			it.phase, it.result = finished, *p.Result
+			j.pending = append(j.pending, it)
 		case p.HasVersion:
 			it.text, it.lastEvent, it.version, it.waitingSince = p.Text, p.After, &p.SoftwareVersion, time.Now()
 			it.lines.Store(int64(p.Lines))
 		}
 	}
-	return done
 }
 
 // takeOwnership makes this node the owner of a job and reads the job from the store. It also returns the previous owner. A
--- a/pkg/listjob/takeover_test.go
+++ b/pkg/listjob/takeover_test.go
@@ -106,3 +106,16 @@
 	others[0].HandOver(context.Background())
 	awaitHead(t, s, "j", time.Second, func(h head) bool { return h.Owner == others[1].self().Node && h.Order == created })
 }
+
+// Guards against an item that is run again although its result was handed over: the scheduler started it between the start of the job and
+// the queueing of its result, which a busy machine made likely.
+func TestHandedOverResultsAreNotRunAgain(t *testing.T) {
+	j := newJob(head{ID: "j", Host: testHost}, 1, submission("j", 3).Items)
+	result := Result{ID: "j-item1", State: Completed, Text: "text"}
+	j.restore([]Partial{{ID: "j-item0", Failures: 1}, {ID: "j-item1", Result: &result}})
+	assert.Equal(t, j.items[0].phase, waiting)
+	assert.Equal(t, j.items[1].phase, finished)
+	assert.Equal(t, j.items[2].phase, waiting)
+	assert.Equal(t, len(j.pending), 1)
+	assert.Equal(t, j.pending[0].result.Text, "text")
+}
