Read the store once for a job that its customer does not have

Cause: a look-up of a job that is not found read the store again for a job without a customer, twice the calls at any node.

--- a/pkg/listjob/controller.go
+++ b/pkg/listjob/controller.go
@@ -90,10 +90,12 @@
 	withdrawing map[string]bool
 	// lastRefusals holds the last refusals because of the limits of routes, by limitName.
 	lastRefusals map[string]lastRefusal
-	// swept is what the last sweep of this node as the hub found, by job.
-	swept map[string]Owned
-	// sweeps counts them. It is used by sweepLoop only.
+	// swept is what the last sweep of this node as the hub found, by job. sweeps counts these sweeps; it is used by sweepLoop only.
+	swept  map[string]Owned
 	sweeps int
+	// onlyCustomersAt is when the last of these sweeps began, if it found no job without a customer.
+	onlyCustomersAt time.Time
+	onlyCustomers   onlyCustomers
 	// untold holds what other processes must be told of jobs.
 	untold map[owner]*untold
 	// creating holds the jobs whose heads are being created.
--- a/pkg/listjob/fakes_test.go
+++ b/pkg/listjob/fakes_test.go
@@ -158,6 +158,9 @@
 	// waitingLimit is the limit on the waiting tokens of the route, and retention its retention if it is set.
 	waitingLimit int64
 	retention    time.Duration
+	// customers and publicBatch are those of the configuration.
+	customers   []routing.Customer
+	publicBatch bool
 	// calls counts the calls between nodes by method.
 	calls map[string]int
 	// ledger is the hub's.
@@ -386,7 +389,7 @@
 	p := placer.New("zone", log)
 	p.SetUpstreams([]dispatch.Upstream{e.upstream()})
 	routes := testTable().Configuration
-	routes.Routes[0].MaxWaitingTokens = n.waitingLimit
+	routes.Customers, routes.Routes[0].Public, routes.Routes[0].MaxWaitingTokens = n.customers, n.publicBatch, n.waitingLimit
 	if n.retention > 0 {
 		routes.Routes[0].Retention = n.retention
 	}
--- a/pkg/listjob/sweep.go
+++ b/pkg/listjob/sweep.go
@@ -87,6 +87,7 @@
 	var verified time.Time
 	var check hubCheck
 	for wait.Sleep(ctx, checkInterval) == nil {
+		c.onlyCustomers.observe(c.options.Table(), time.Now())
 		if now := time.Now(); now.Sub(kept) > sweepInterval {
 			kept = now
 			c.markDoneJobs()
@@ -250,7 +251,9 @@
 	c.sweeps++
 	retell := previous == nil || c.sweeps%retellSweeps == 0
 	swept := make(map[string]Owned, len(heads))
+	onlyCustomers := true
 	for _, h := range heads {
+		onlyCustomers = onlyCustomers && isScoped(h.Head.ID)
 		now := ownedIn(h.Head, h.Revision)
 		swept[now.ID] = now
 		before, known := previous[now.ID]
@@ -267,6 +270,10 @@
 	}
 	c.mu.Lock()
 	c.swept = swept
+	c.onlyCustomersAt = time.Time{}
+	if onlyCustomers {
+		c.onlyCustomersAt = c.sweptAt
+	}
 	c.mu.Unlock()
 	c.deliver(ctx)
 }
--- a/pkg/listjob/tenure.go
+++ b/pkg/listjob/tenure.go
@@ -139,10 +139,12 @@
 // CheckArgs asks the hub which jobs have changed since the given revisions of their heads.
 type CheckArgs struct{ Jobs map[string]int64 }
 
-// CheckReply is the hub's answer. Swept is false if the node has not read the heads lately.
+// CheckReply is the hub's answer. Swept is false if the node has not read the heads lately. OnlyCustomers is set if it has, and all jobs are
+// those of customers; hubs of builds before this field never set it.
 type CheckReply struct {
-	Swept   bool
-	Changed []Owned
+	Swept         bool
+	Changed       []Owned
+	OnlyCustomers bool
 }
 
 // Check answers by the last sweep of this node.
@@ -150,6 +152,7 @@
 	r.c.mu.Lock()
 	defer r.c.mu.Unlock()
 	reply.Swept = r.c.swept != nil && time.Since(r.c.sweptAt) <= maxSweepAge
+	reply.OnlyCustomers = time.Since(r.c.onlyCustomersAt) <= maxSweepAge
 	for id, revision := range args.Jobs {
 		if now, ok := r.c.swept[id]; ok && now.Revision > revision {
 			reply.Changed = append(reply.Changed, now)
