Keep requests in their zone while it has room

Cause: a fixed factor of 1.3 in the draw and the order of granted slots sent six of ten requests to another zone although each zone had room, and nothing related the load that leaves a zone to its need. Change: nodes report their zone with their demand; the hub decides with the pure package zonespill which part of each zone's load leaves it, from the avoided loss against the cost of path and bytes, with hysteresis. Grants and draws follow that part, and requests leave by need when no candidate of their zone has a free slot.

--- a/pkg/controller/loadshare/hub.go
+++ b/pkg/controller/loadshare/hub.go
@@ -160,8 +160,7 @@
 		h.totals[id] = h.totals[id].Plus(l)
 	}
 	for service, w := range n.report.Wants {
-		sum := h.wants[service]
-		h.wants[service] = dispatch.Want{Items: sum.Items + w.Items, Urgent: sum.Urgent + w.Urgent, Rate: sum.Rate + w.Rate}
+		h.wants[service] = h.wants[service].Plus(w)
 	}
 }
 
@@ -179,8 +178,7 @@
 		}
 	}
 	for service, w := range n.report.Wants {
-		sum := h.wants[service]
-		h.wants[service] = dispatch.Want{Items: sum.Items - w.Items, Urgent: sum.Urgent - w.Urgent, Rate: max(0, sum.Rate-w.Rate)}
+		h.wants[service] = h.wants[service].Minus(w)
 	}
 }
 
@@ -202,6 +200,7 @@
 		maps.Copy(all.Online, g.Online)
 		maps.Copy(all.Batch, g.Batch)
 		maps.Copy(all.Queue, g.Queue)
+		all.Leaving = dispatch.AddLeaving(all.Leaving, g.Leaving)
 	}
 	n.granted = all.Slots()
 	for id, count := range n.granted {
--- a/pkg/controller/placer/speed.go
+++ b/pkg/controller/placer/speed.go
@@ -43,3 +43,13 @@
 	defer p.mu.Unlock()
 	p.state.SetSlowness(slowness, time.Now())
 }
+
+// Zone returns the availability zone of this node.
+func (p *Placer) Zone() string { return p.state.AvailabilityZone }
+
+// OutOfZone returns how many runs this node has started on upstreams in other zones.
+func (p *Placer) OutOfZone() float64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return float64(p.state.OutOfZone())
+}
--- a/pkg/decision/dispatch/dispatch.go
+++ b/pkg/decision/dispatch/dispatch.go
@@ -15,6 +15,7 @@
 	"trefoilplank.example/pkg/decision/loadreport"
 	"trefoilplank.example/pkg/decision/outlier"
 	"trefoilplank.example/pkg/decision/upstreamspeed"
+	"trefoilplank.example/pkg/decision/zonespill"
 )
 
 const (
@@ -38,8 +39,6 @@
 	minEjection, maxEjection = 400 * time.Millisecond, 5 * time.Second
 	// failuresToEject is how many answers in a row must fail before an upstream that accepts connections is ejected.
 	failuresToEject = 3
-	// sameZoneWeight is the factor by which an upstream in the node's own zone is more likely to be chosen.
-	sameZoneWeight = 1.3
 	// WarmConnectionTime is how long after a run the connection to its upstream is probably still open.
 	WarmConnectionTime = 6 * time.Second
 	// minFreeWithoutAsking is the least number of free slots with which an upstream is used without asking the hub. With
@@ -119,6 +118,12 @@
 	// beginning and all are the candidates for the hub's grants at candidatesAt; see grantCandidates.
 	beginning, all []*upstream
 	candidatesAt   time.Time
+	// spill decides how much leaves each zone, if this node is the hub, and leaving is its decision at leavingAt. owed is the part of a
+	// granted slot that should have left its zone; see homeZone.
+	spill     zonespill.Spill
+	leaving   map[string]float64
+	leavingAt time.Time
+	owed      map[string]float64
 }
 
 // State holds the load of all upstreams as one node knows it. It is not safe for concurrent use.
@@ -140,6 +145,8 @@
 	// sent a slowness.
 	speeds     *upstreamspeed.Tracker
 	slownessAt time.Time
+	// outOfZone counts the runs of this node on upstreams in other zones.
+	outOfZone int
 	// started counts the requests that were sent to limited upstreams and are not reported yet. hubDivides is set if the hub
 	// divides the limits, and nodes is the number of nodes that share them otherwise.
 	started    map[string]int
@@ -210,7 +217,7 @@
 func (s *State) serviceState(service string) *serviceState {
 	svc := s.services[service]
 	if svc == nil {
-		svc = &serviceState{runDuration: defaultRunDuration, firstEvent: defaultFirstEvent}
+		svc = &serviceState{runDuration: defaultRunDuration, firstEvent: defaultFirstEvent, owed: map[string]float64{}}
 		s.services[service] = svc
 	}
 	return svc
@@ -333,7 +340,7 @@
 	if len(candidates) == 0 {
 		return s.askOrRefuseLimited(choice, request, now, rng)
 	}
-	best, free := s.drawByFreeSlots(candidates, now, rng, freeSlots)
+	best, free := s.drawByZone(request.Service, candidates, now, rng, freeSlots)
 	choice.Upstream, choice.Free = best.Upstream, free
 	if free >= minFreeWithoutAsking {
 		choice.Verdict = Send
@@ -447,12 +454,13 @@
 // is distributed like a sum of exponentials, most of which must be shorter than allowed.
 const meanWaitFraction = 0.5
 
-// WithQueue returns the demand with how many requests may wait per slot of a service's upstreams such that most are still on time.
+// WithQueue returns the demand with the node's zone and how many requests may wait per slot of a service's upstreams such that most are still on time.
 func (s *State) WithQueue(w Want, service string, objective time.Duration) Want {
 	svc := s.serviceState(service)
 	perTime := meanWaitFraction / float64(max(svc.runDuration, time.Millisecond))
 	w.Queue = max(0, perTime*float64(svc.allowedWait(objective)))
 	w.QueueFirst = perTime * float64(svc.firstEvent)
+	w.Zone = s.AvailabilityZone
 	return w
 }
 
@@ -471,9 +479,6 @@
 			continue
 		}
 		weight := math.Pow(float64(n), freeSlotsExponent) * s.weight(u, now) / s.slowness(u, now)
-		if u.AvailabilityZone == s.AvailabilityZone {
-			weight *= sameZoneWeight
-		}
 		total += weight
 		if rng.Float64()*total < weight {
 			drawn = u
--- a/pkg/decision/dispatch/grant.go
+++ b/pkg/decision/dispatch/grant.go
@@ -23,6 +23,9 @@
 	// QueueFirst is the part of Queue that the time to the first event on a usual upstream takes away. With it the hub knows how many
 	// may wait on a slower or faster one.
 	QueueFirst float64
+	// Zone is the availability zone of the node. ZoneRates are the rates of a sum of demands by zone; it is not sent.
+	Zone      string
+	ZoneRates map[string]float64
 }
 
 const (
@@ -38,6 +41,9 @@
 	// Online slots are for arriving requests, Batch slots for batch runs. Queue places are for arriving requests that
 	// find no free slot, as many as can be served on time.
 	Online, Batch, Queue map[string]int
+	// Leaving is the part of the node's requests that should leave its zone, by service; those whose requests should stay while there
+	// is room are left out.
+	Leaving map[string]float64
 }
 
 // Slots returns the sum of all slots and queue places of a grant by upstream ID.
@@ -57,10 +63,11 @@
 func (s *State) Grants(service string, want, demand Want, totals map[string]Load, outstanding map[string]int, warm func(upstream string) bool, now time.Time) Grant {
 	weight := func(u *upstream) float64 { return s.weight(u, now) / u.grantSlowness() }
 	// limited holds the slots of limited upstreams, and free those of all others.
-	free := slotPool{entries: make([]poolEntry, 0, len(s.serviceState(service).upstreams)), warm: warm, weight: weight}
-	limited := slotPool{warm: warm, weight: weight}
-	online := 0
 	svc := s.serviceState(service)
+	zone := &homeZone{name: want.Zone, leaving: s.leavingPart(svc, want, demand, totals, now), owed: svc.owed}
+	free := slotPool{entries: make([]poolEntry, 0, len(svc.upstreams)), warm: warm, weight: weight, zone: zone}
+	limited := slotPool{warm: warm, weight: weight, zone: zone}
+	online := 0
 	beginning, all := s.grantCandidates(svc, now)
 	for _, u := range beginning {
 		online += totals[u.ID].Online
@@ -69,6 +76,9 @@
 	// Reserve slots for the arrivals at other nodes until their next reports.
 	reserve := int(math.Ceil(reserveFactor*math.Sqrt(float64(online)) + max(0, demand.Rate-want.Rate)*arrivalWindow.Seconds()))
 	var g Grant
+	if zone.leaving > 0 {
+		g.Leaving = map[string]float64{service: zone.leaving}
+	}
 	if arrivals := want.Waiting + int(math.Round(want.Rate*arrivalWindow.Seconds())); arrivals > 0 {
 		first, second := &free, &limited
 		if free.total < arrivals+reserve {
@@ -78,7 +88,7 @@
 		g.Online = addSlots(g.Online, second.allocate(arrivals-sumSlots(g.Online)))
 		if missing := arrivals - sumSlots(g.Online); missing > 0 {
 			places := s.queuePlaces(service, want, totals, outstanding, now)
-			places.warm, places.weight = warm, weight
+			places.warm, places.weight, places.zone = warm, weight, zone
 			g.Queue = places.allocate(missing)
 		}
 	}
@@ -184,6 +194,8 @@
 	warm func(upstream string) bool
 	// weight returns the fraction of normal work that an upstream should get.
 	weight func(u *upstream) float64
+	// zone is that of the node.
+	zone *homeZone
 }
 
 // poolEntry holds the free slots of one upstream.
@@ -192,6 +204,8 @@
 	free     int
 	// bonus is warmConnectionBonus if the node has a connection to the upstream, else 0.
 	bonus, weight float64
+	// home is set if it is in the node's zone.
+	home bool
 }
 
 // add adds n slots of an upstream that is not in the pool.
@@ -204,6 +218,7 @@
 func (p *slotPool) rate() {
 	for ; p.rated < len(p.entries); p.rated++ {
 		e := &p.entries[p.rated]
+		e.home = p.zone.name != "" && e.upstream.AvailabilityZone == p.zone.name
 		if e.weight = p.weight(e.upstream); p.warm(e.upstream.ID) {
 			e.bonus = warmConnectionBonus
 		}
@@ -226,8 +241,9 @@
 // compared, since a new connection costs a round trip and a handshake. A larger bonus overloads the upstreams in use.
 const warmConnectionBonus = 1
 
-// allocate removes up to n slots, each from the upstream with the most free ones, and returns them by upstream ID. This
-// leaves free slots on all upstreams for later arrivals.
+// allocate removes up to n slots and returns them by upstream ID: those that should leave the node's zone from other ones, the others
+// from the node's own, and each from the upstream with the most free ones there. This leaves free slots on all upstreams for later
+// arrivals. Where one part has too few free slots, the other has the rest.
 func (p *slotPool) allocate(n int) map[string]int {
 	if n <= 0 || p.total == 0 {
 		return nil
@@ -235,6 +251,7 @@
 	p.rate()
 	allocated := map[string]int{}
 	for ; n > 0 && p.total > 0; n-- {
+		home := !p.zone.nextLeaves()
 		var best *poolEntry
 		most := 0.0
 		for i := range p.entries {
@@ -243,6 +260,13 @@
 				continue
 			}
 			left := (float64(e.free) + e.bonus) * e.weight
+			preferred := e.home == home
+			if best != nil && preferred != (best.home == home) {
+				if preferred {
+					best, most = e, left
+				}
+				continue
+			}
 			if best == nil || left > most || left == most && e.upstream.ID < best.upstream.ID {
 				best, most = e, left
 			}
@@ -265,17 +289,18 @@
 
 // SetGrants replaces the slots granted to this node.
 func (s *State) SetGrants(g Grant) {
-	s.granted = Grant{Online: maps.Clone(g.Online), Batch: maps.Clone(g.Batch), Queue: maps.Clone(g.Queue)}
+	s.granted = Grant{Online: maps.Clone(g.Online), Batch: maps.Clone(g.Batch), Queue: maps.Clone(g.Queue), Leaving: g.Leaving}
 	if s.granted.Online == nil {
 		s.granted.Online = map[string]int{}
 	}
 }
 
-// useGrant uses one granted slot of a service, preferably in the node's own zone and else drawn at random, and returns its
-// upstream. It returns false if there is none. A slot of a silent upstream is used only if none of the service is heard.
+// useGrant uses one granted slot of a service, drawn among those in the node's own zone or, as far as its requests should leave it,
+// those elsewhere, and returns its upstream. It returns false if there is none. A slot of a silent upstream is used only if none of the service is heard.
 func (s *State) useGrant(slots map[string]int, service string, allowed filter, now time.Time, rng *rand.Rand) (*upstream, bool) {
 	var best *upstream
 	equal := 0
+	home := s.staysHome(service, now, rng)
 	allSilent := sync.OnceValue(func() bool {
 		return !slices.ContainsFunc(s.candidates(s.serviceState(service), allowed, now), func(u *upstream) bool { return !s.silent(u, now) })
 	})
@@ -285,11 +310,11 @@
 			!allowed.outliers && s.weight(u, now) < outlierWeight || !s.hubLimits(now) && !s.mayTake(u, now) || s.silent(u, now) && !allSilent() {
 			continue
 		}
-		sameZone := u.AvailabilityZone == s.AvailabilityZone
+		preferred := s.isHome(u) == home
 		switch {
-		case best == nil || sameZone && best.AvailabilityZone != s.AvailabilityZone:
+		case best == nil || preferred && s.isHome(best) != home:
 			best, equal = u, 1
-		case sameZone == (best.AvailabilityZone == s.AvailabilityZone):
+		case preferred == (s.isHome(best) == home):
 			if equal++; rng.IntN(equal) == 0 {
 				best = u
 			}
--- a/pkg/decision/dispatch/model_test.go
+++ b/pkg/decision/dispatch/model_test.go
@@ -34,6 +34,7 @@
 	// firsts are the times from arrival to the first event, served the requests that each engine served.
 	firsts []time.Duration
 	served map[string]int
+	zones  map[string]*zoneCounts
 }
 
 // modelParams are the parameters of a simulation.
@@ -54,6 +55,8 @@
 	seed                                     uint64
 	// uneven makes engines differ; nil if all are equal.
 	uneven *unevenParams
+	// zones places engines and arrivals; nil if both are spread over three zones equally.
+	zones *zoneParams
 }
 
 // modelNode is a serving node.
@@ -118,13 +121,13 @@
 func newModel(p modelParams) *model {
 	m := &model{
 		rng: rand.New(rand.NewPCG(p.seed, 1)), arrivals: rand.New(rand.NewPCG(p.seed, 2)), now: time.Unix(1_000_000, 0), engines: map[string]*modelEngine{}, hub: NewState("z0"),
-		reports: map[string]map[string]Load{}, grantsByNode: map[string]map[string]int{}, wants: map[string]Want{}, params: p, served: map[string]int{},
+		reports: map[string]map[string]Load{}, grantsByNode: map[string]map[string]int{}, wants: map[string]Want{}, params: p, served: map[string]int{}, zones: map[string]*zoneCounts{},
 	}
 	var list []Upstream
 	for n := range p.engines {
 		id := fmt.Sprintf("u%03d", n)
 		m.engines[id] = &modelEngine{id: id, slots: p.slots, slowness: p.uneven.slowness(n)}
-		list = append(list, Upstream{ID: id, Service: "s", AvailabilityZone: fmt.Sprint("z", n%3), Slots: p.slots})
+		list = append(list, Upstream{ID: id, Service: "s", AvailabilityZone: p.zones.engineZone(n), Slots: p.slots})
 	}
 	m.hub.SetUpstreams(list)
 	for n := range p.nodes {
@@ -159,7 +162,7 @@
 // nextInterval draws the time to the next event of a Poisson process with rate events per second.
 func (m *model) nextInterval(rate float64) time.Duration {
 	rng := m.rng
-	if m.params.uneven != nil {
+	if m.params.uneven != nil || m.params.zones != nil {
 		rng = m.arrivals
 	}
 	return time.Duration(rng.ExpFloat64() / rate * float64(time.Second))
@@ -169,7 +172,7 @@
 func (m *model) arrive() {
 	m.after(m.nextInterval(m.params.rate(m.elapsed())), m.arrive)
 	m.arrived++
-	node := m.nodes[m.rng.IntN(len(m.nodes))]
+	node := m.arrivalNode()
 	m.place(node, m.now, OnlineRequest{Service: "s", FirstDecision: true, Objective: m.params.objective, Remaining: 5 * time.Second})
 }
 
@@ -197,6 +200,7 @@
 			return
 		}
 		m.refused++
+		m.zone(node).refused++
 		return
 	case Preempt:
 		m.preemptRun(node.batchRun(c.Upstream.ID))
@@ -264,6 +268,7 @@
 		m.answer(r, e)
 		if !r.batch {
 			m.firsts = append(m.firsts, first)
+			m.countZones(r, first)
 			m.served[e.id]++
 			switch onTime := first <= m.params.objective; {
 			case onTime && r.retried:
@@ -284,7 +289,9 @@
 	}
 	m.recordRun(r)
 	if !r.batch {
-		r.node.state.RecordRunTimes("s", m.params.firstEventAt(r.engine, r.admittedAt), m.now.Sub(r.arrivedAt), r.admittedAt != r.arrivedAt)
+		for _, s := range []*State{r.node.state, m.hub} { // The hub is a node and has runs of its own.
+			s.RecordRunTimes("s", m.params.firstEventAt(r.engine, r.admittedAt), m.now.Sub(r.arrivedAt), r.admittedAt != r.arrivedAt)
+		}
 	}
 	if r.batch {
 		m.batchDone++
@@ -337,7 +344,7 @@
 	m.reports[n.name] = loads
 	delete(m.grantsByNode, n.name)
 	m.wants[n.name] = Want{
-		Items: min(len(n.waitingItems), 64), Waiting: n.waitingForHub, Rate: m.params.rate(m.elapsed()) / float64(m.params.nodes),
+		Items: min(len(n.waitingItems), 64), Waiting: n.waitingForHub, Rate: m.nodeRate(n),
 	}
 	m.wants[n.name] = n.state.WithQueue(m.wants[n.name], "s", m.params.objective)
 	m.hub.AddHubEvidence(n.evidence, m.now)
@@ -357,8 +364,7 @@
 	}
 	var all Want
 	for _, w := range m.wants {
-		all.Items += w.Items
-		all.Rate += w.Rate
+		all = all.Plus(w)
 	}
 	g := m.hub.Grants("s", m.wants[n.name], all, totals, outstanding, func(string) bool { return false }, m.now)
 	m.grantsByNode[n.name] = g.Slots()
--- a/pkg/decision/dispatch/runs.go
+++ b/pkg/decision/dispatch/runs.go
@@ -21,6 +21,9 @@
 	if u.failures >= failuresToEject {
 		u.probing = true
 	}
+	if !s.isHome(u) {
+		s.outOfZone++
+	}
 	s.take(u)
 }
 
--- a/pkg/edge/node.go
+++ b/pkg/edge/node.go
@@ -227,6 +227,7 @@
 
 func (n *Node) buildServing(limit int64) error {
 	requests := forward.NewMetrics(n.metrics)
+	n.metrics.NewGauge("trefoilplank_requests_out_of_zone_total", n.placer.OutOfZone)
 	n.jobs = listjob.New(listjob.Options{
 		Store: n.store, Peers: n.peers, Fleet: n.fleet, Placer: n.placer, Client: n.client, Table: n.table.Load,
 		AwaitTable: n.awaitTable, FailedRuns: n.failedRuns, Diagnose: n.links.DiagnoseSilent, MemoryBytes: limit, Readable: seconds(n.settings.ReadableSeconds), Log: n.log, Metrics: listjob.NewMetrics(n.metrics),
--- a/pkg/listjob/schedule.go
+++ b/pkg/listjob/schedule.go
@@ -136,6 +136,7 @@
 			continue
 		}
 		want.Items++
+		want.Zone = c.options.Placer.Zone()
 		if c.orderItem(it, table.Service(service)).Urgent(urgentSlack, now) {
 			want.Urgent++
 		}
