Name return times at which refused requests can pass

All requests refused at the same time were told to come back when the window had room for one of them, so most were refused again. The hub now hands out return times in order, each when the window has room beside those told before; nodes give one to each request.

--- a/pkg/decision/customerlimit/customerlimit.go
+++ b/pkg/decision/customerlimit/customerlimit.go
@@ -44,6 +44,12 @@
 	// minRefuse and maxRefuse bound how long a node refuses without asking the hub again. The lower one keeps it to 50 asks
 	// per second, the upper one limits the loss if a limit rises or tokens return.
 	minRefuse, maxRefuse = 20 * time.Millisecond, 250 * time.Millisecond
+	// returnHorizon is the time beyond which return times count for no later request, so that a long overload does not fill the
+	// list of them: clients wait 5 s at most.
+	returnHorizon = 10 * time.Second
+	// maxReturns is the number of return times that a grant may name: more than a node refuses within maxRefuse, and a message
+	// of a few hundred bytes.
+	maxReturns = 64
 	// freeRequests is the number of requests that a node may accept between two exchanges without asking, beside three
 	// times its recent rate: a customer that sends everything to a few nodes is then noticed with the third request.
 	freeRequests = 2
@@ -114,6 +120,8 @@
 	// Tokens may be spent within tokenLife. If there are none, a token is expected after RetryAfter.
 	Tokens     int
 	RetryAfter time.Duration
+	// Returns are the times after which refused requests may return, one for each, in order.
+	Returns []time.Duration
 }
 
 // history counts requests by slot of the window.
--- a/pkg/decision/customerlimit/hub.go
+++ b/pkg/decision/customerlimit/hub.go
@@ -41,7 +41,9 @@
 	held, charged int
 	// chargedSlot is the slot of the history in which charged are counted.
 	chargedSlot int64
-	demand      smoothed
+	// named are the return times that the node got and has not given to refused requests yet.
+	named  []time.Time
+	demand smoothed
 }
 
 // account is what was accepted of a customer.
@@ -52,9 +54,11 @@
 	level float64
 	at    time.Time
 	// held are the tokens that nodes may still spend.
-	held             int
-	demand           smoothed
-	history          history
+	held    int
+	demand  smoothed
+	history history
+	// returns are the times at which refused requests were told to return.
+	returns          []time.Time
 	constrained      bool
 	constrainedSince time.Time
 }
@@ -149,6 +153,7 @@
 	}
 	accepted, refused := reported.Accepted-u.accepted, reported.Refused-u.refused
 	u.accepted, u.refused = reported.Accepted, reported.Refused
+	u.named = u.named[min(max(0, int(refused)), len(u.named)):]
 	a := h.account(reported.Customer, now)
 	if a == nil {
 		return
@@ -193,6 +198,8 @@
 	g.Tokens = int(max(0, min(math.Floor(free), float64(reported.Waiting)+math.Floor(max(0, ahead-float64(reported.Held))))))
 	if g.Tokens < reported.Waiting {
 		g.RetryAfter = a.retryAfter(now, h.window, g.Tokens)
+		refused := reported.Waiting - g.Tokens + int(math.Ceil(u.demand.value*maxRefuse.Seconds()))
+		g.Returns = a.reserve(now, h.window, u, g.Tokens, min(refused, maxReturns))
 	}
 	if g.Tokens > 0 || reported.Waiting > 0 {
 		u.held += g.Tokens
@@ -210,7 +217,33 @@
 func (a *account) retryAfter(now time.Time, window time.Duration, tokens int) time.Duration {
 	taken := float64(a.held + tokens + 1)
 	refill := time.Duration(max(0, taken-a.level) / a.rate * float64(time.Second))
-	return max(refill, a.history.untilBelow(a.capacity-taken, now, window))
+	// Requests beyond a whole window pass when those that return before them have left it too.
+	windows := math.Ceil(taken/math.Floor(a.capacity)) - 1
+	later := time.Duration(windows * float64(window+window/slots))
+	return max(refill, later+a.history.untilBelow(a.capacity-(taken-windows*math.Floor(a.capacity)), now, window))
+}
+
+// reserve names return times for a number of requests that a node refuses, each when the window has room for it beside those that
+// were told to return before. They replace the times that the node has not given to requests.
+func (a *account) reserve(now time.Time, window time.Duration, u *use, tokens, count int) (returns []time.Duration) {
+	for _, unused := range u.named {
+		if i := slices.Index(a.returns, unused); i >= 0 {
+			a.returns = slices.Delete(a.returns, i, i+1)
+		}
+	}
+	u.named = nil
+	for len(a.returns) > 0 && !a.returns[0].After(now) {
+		a.returns = a.returns[1:]
+	}
+	for range count {
+		after := a.retryAfter(now, window, tokens+len(a.returns))
+		returns = append(returns, after)
+		if after <= returnHorizon {
+			a.returns = append(a.returns, now.Add(after))
+			u.named = append(u.named, now.Add(after))
+		}
+	}
+	return returns
 }
 
 // account returns the account of a customer, brought up to date, or nil if the customer has no limit.
--- a/pkg/decision/customerlimit/model_test.go
+++ b/pkg/decision/customerlimit/model_test.go
@@ -166,19 +166,23 @@
 }
 
 // arrive is a request of the customer at a node.
-func (m *model) arrive(i int) {
+func (m *model) arrive(i int) { m.arriveThen(i, func(Verdict, time.Duration) {}) }
+
+// arriveThen is a request of the customer at a node; then is told whether it ran.
+func (m *model) arriveThen(i int, then func(v Verdict, retry time.Duration)) {
 	n := m.nodes[i]
 	m.arrived = append(m.arrived, m.now)
 	if n.down {
 		return
 	}
 	m.on(n, func() {
-		v, _ := n.state.Take(m.now, customer, m.limit(), len(m.nodes))
+		v, retry := n.state.Take(m.now, customer, m.limit(), len(m.nodes))
 		if v == Pass {
 			m.runs = append(m.runs, m.now)
 			m.began(n)
 		}
 		if v != Ask {
+			then(v, retry)
 			return
 		}
 		n.state.Wait(m.now, customer)
@@ -190,10 +194,12 @@
 			}
 			decided = true
 			n.runningRequests--
-			if v, _ := n.state.TakeAsked(m.now, customer, m.limit(), len(m.nodes), answered); v == Pass {
+			v, retry := n.state.TakeAsked(m.now, customer, m.limit(), len(m.nodes), answered)
+			if v == Pass {
 				m.runs = append(m.runs, m.now)
 				m.began(n)
 			}
+			then(v, retry)
 		}
 		m.request(n, i, decide)
 		m.after(testAsk, func() { m.on(n, func() { decide(false) }) })
--- a/pkg/decision/customerlimit/node.go
+++ b/pkg/decision/customerlimit/node.go
@@ -39,7 +39,9 @@
 	tokens                                int
 	tokensAt                              time.Time
 	refuseUntil, retryAt                  time.Time
-	history                               history
+	// returns are the return times that the hub named and no request has got yet.
+	returns []time.Time
+	history history
 	// share is the bucket of the node's equal share, for times without a hub. It bounds what the window of a node with less
 	// than its share since the last answer leaves, as other nodes may have had more.
 	share   float64
@@ -74,7 +76,7 @@
 	case n.mayPass(customer, c, now):
 		return n.pass(c)
 	case now.Before(c.refuseUntil):
-		return n.refuse(c, c.retryAt.Sub(now))
+		return n.refuse(c, c.returnAfter(now))
 	}
 	return Ask, 0
 }
@@ -93,7 +95,18 @@
 		n.unansweredAt = now
 		return n.takeShare(c, now, l, size)
 	}
-	return n.refuse(c, max(minRefuse, c.retryAt.Sub(now)))
+	return n.refuse(c, max(minRefuse, c.returnAfter(now)))
+}
+
+// returnAfter returns the time after which the next refused request may return.
+func (c *local) returnAfter(now time.Time) time.Duration {
+	for len(c.returns) > 0 {
+		c.retryAt, c.returns = c.returns[0], c.returns[1:]
+		if c.retryAt.After(now) {
+			break
+		}
+	}
+	return c.retryAt.Sub(now)
 }
 
 // mayPass spends a token, or reports whether a request may pass without one.
@@ -217,7 +230,10 @@
 		if g.Tokens > 0 {
 			c.tokens, c.tokensAt = c.tokens+g.Tokens, now
 		}
-		c.refuseUntil = time.Time{}
+		c.refuseUntil, c.returns = time.Time{}, nil
+		for _, after := range g.Returns {
+			c.returns = append(c.returns, now.Add(after))
+		}
 		if g.RetryAfter > 0 {
 			c.retryAt = now.Add(g.RetryAfter)
 			c.refuseUntil = now.Add(min(max(minRefuse, g.RetryAfter), maxRefuse))
