Bound the customers that a node keeps figures of

Entries of customers at nodes were never removed, as the hub would take totals that begin again for returned requests. From 1,000 on, a node now drops the one unused for longest if its figures are confirmed and it had no request in the last window; reports carry Since, by which the hub notices that totals began again.

New tests: without the removal a node keeps 5,001 customers, now at most 1,000; without Since the hub counts 23 of 25 requests, now 25.

--- a/pkg/decision/customerlimit/customerlimit.go
+++ b/pkg/decision/customerlimit/customerlimit.go
@@ -47,6 +47,9 @@
 	// returnHorizon is the time beyond which return times count for no later request, so that a long overload does not fill the
 	// list of them: clients wait 5 s at most.
 	returnHorizon = 10 * time.Second
+	// maxCustomers is the number of customers above which a node drops those unused for longest: about ten times the typical
+	// number, and below 1 MB.
+	maxCustomers = 1000
 	// maxReturns is the number of return times that a grant may name: more than a node refuses within maxRefuse, and a message
 	// of a few hundred bytes.
 	maxReturns = 64
@@ -95,6 +98,8 @@
 	// Accepted and Refused are totals since the start of the process: a repeated report counts nothing twice, and a lost one
 	// loses nothing.
 	Accepted, Refused int64
+	// Since differs from that of earlier reports if the totals began again, as the node had dropped the customer.
+	Since int64
 	// Waiting is the number of requests that wait for a token, and Held that of unspent tokens that the node keeps.
 	Waiting, Held int
 	// Recent are the accepted requests of the last window by slot, the current one first, if the report is whole.
--- a/pkg/decision/customerlimit/hub.go
+++ b/pkg/decision/customerlimit/hub.go
@@ -35,7 +35,7 @@
 
 // use is what the hub knows of a customer at a node.
 type use struct {
-	accepted, refused int64
+	accepted, refused, since int64
 	// held are the tokens that the node may still spend; charged are those that were counted as spent because it did not
 	// report, and may prove unspent.
 	held, charged int
@@ -151,6 +151,10 @@
 		u = &use{}
 		n.uses[reported.Customer] = u
 	}
+	if known && reported.Since != u.since {
+		u.accepted, u.refused = 0, 0
+	}
+	u.since = reported.Since
 	accepted, refused := reported.Accepted-u.accepted, reported.Refused-u.refused
 	u.accepted, u.refused = reported.Accepted, reported.Refused
 	u.named = u.named[min(max(0, int(refused)), len(u.named)):]
--- a/pkg/decision/customerlimit/node.go
+++ b/pkg/decision/customerlimit/node.go
@@ -34,6 +34,9 @@
 // local is what a node knows of a customer.
 type local struct {
 	accepted, refused, waiting int64
+	// since is the number of reports before the totals began.
+	since  int64
+	usedAt time.Time
 	// confirmed and confirmedRefused are the totals that the hub has, reported those in the last answered report.
 	confirmed, confirmedRefused, reported int64
 	tokens                                int
@@ -56,13 +59,34 @@
 func (n *Node) local(customer string, now time.Time) *local {
 	c := n.customers[customer]
 	if c == nil {
-		c = &local{}
-		n.customers[customer] = c // Never removed: the hub would take totals that begin again for returned requests.
+		n.dropUnused(now)
+		c = &local{since: n.seq}
+		n.customers[customer] = c
 	}
+	c.usedAt = now
 	c.history.advance(now, n.window)
 	return c
 }
 
+// dropUnused makes room for a customer. Customers that the hub has no confirmed figures of, and those with requests in the last
+// window, which a new hub must learn, are kept.
+func (n *Node) dropUnused(now time.Time) {
+	for len(n.customers) >= maxCustomers {
+		var oldest string
+		var oldestAt time.Time
+		for customer, c := range n.customers {
+			confirmed := c.accepted == c.confirmed && c.refused == c.confirmedRefused && c.waiting == 0 && c.tokens == 0
+			if confirmed && now.Sub(c.usedAt) > n.window+n.window/slots && (oldest == "" || c.usedAt.Before(oldestAt)) {
+				oldest, oldestAt = customer, c.usedAt
+			}
+		}
+		if oldest == "" {
+			return
+		}
+		delete(n.customers, oldest)
+	}
+}
+
 // Take decides on a request. size is the number of nodes. After Ask, the caller calls Wait, exchanges with the hub, and calls
 // TakeAsked.
 func (n *Node) Take(now time.Time, customer string, l Limit, size int) (Verdict, time.Duration) {
@@ -184,7 +208,7 @@
 		if now.Sub(c.tokensAt) >= keepTokens {
 			c.tokens = 0
 		}
-		u := Use{Customer: customer, Accepted: c.accepted, Refused: c.refused, Waiting: int(c.waiting), Held: c.tokens}
+		u := Use{Customer: customer, Since: c.since, Accepted: c.accepted, Refused: c.refused, Waiting: int(c.waiting), Held: c.tokens}
 		if whole {
 			c.history.advance(now, n.window)
 			u.Recent = c.history.recent()
