--- a/pkg/decision/customerlimit/faults_test.go
+++ b/pkg/decision/customerlimit/faults_test.go
@@ -106,7 +106,6 @@
 		for limitName, l := range map[string]Limit{"largest": typical["largest"], "usual": typical["usual"]} {
 			for usual, before := range map[string]float64{"over the limit": 7.5, "usual rate before": 1} {
 				t.Run(fmt.Sprint(name, ", ", limitName, ", ", usual), func(t *testing.T) {
-					t.Parallel()
 					worst, used, ofWindow := 0.0, 1e9, 1e9
 					for seed := range uint64(2) {
 						m := newModel(seed, testNodes, l)
--- a/pkg/decision/customerlimit/limit_test.go
+++ b/pkg/decision/customerlimit/limit_test.go
@@ -46,7 +46,6 @@
 			},
 		} {
 			t.Run(fmt.Sprint(name, ", ", place), func(t *testing.T) {
-				t.Parallel()
 				m := newModel(1, testNodes, l)
 				m.others(300, 45*time.Second)
 				any := func() int { return m.random.IntN(testNodes) }
--- a/pkg/decision/customerlimit/rules_test.go
+++ b/pkg/decision/customerlimit/rules_test.go
@@ -188,7 +188,6 @@
 	high, low := Limit{120, 120}, Limit{12, 12}
 	for name, period := range map[string]time.Duration{"each 0.7 s": 700 * time.Millisecond, "each 3 s": 3 * time.Second, "each 11 s": 11 * time.Second} {
 		t.Run(name, func(t *testing.T) {
-			t.Parallel()
 			m := newModel(1, testNodes, high)
 			inForce := func(at time.Time) Limit {
 				if at.Sub(testStart)/period%2 == 0 {
