Log why a drain ends and which requests it accepts

Cause: of a request that is cut around SIGTERM no line says whether it was accepted too late, read while the node closed, or cut by another signal. Change: a line for each request that is accepted while the node drains, with the time left to both, and one when the drain stops waiting, with the reason and what is open.

--- a/pkg/edge/drain.go
+++ b/pkg/edge/drain.go
@@ -51,6 +51,7 @@
 	ended := time.After(limit)
 	tick := time.NewTicker(50 * time.Millisecond)
 	defer tick.Stop()
+	reason := "time is over"
 draining:
 	for {
 		select {
@@ -58,10 +59,12 @@
 			break draining
 		case <-tick.C:
 			if time.Since(begun) > lateCallers && n.active.Load() == 0 && n.links.RelayedForOthers() == 0 && call.Err() != nil {
+				reason = "no request in progress"
 				break draining
 			}
 		}
 	}
+	n.log.Notice("drain stops waiting", "reason", reason, "ms", time.Since(begun).Milliseconds(), "active", n.active.Load(), "relayed", n.links.RelayedForOthers())
 	leave, cancel := context.WithTimeout(ctx, leaveTimeout)
 	defer cancel()
 	for _, s := range n.servers {
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -191,6 +191,10 @@
 		Refuse(w, http.StatusServiceUnavailable, drainRetry)
 		return
 	}
+	if end := f.options.DrainEnd(); !end.IsZero() {
+		f.options.Log.Routine("request accepted while draining", "request", x.request.ID, "route", route.Name,
+			"drain_left_ms", time.Until(end).Milliseconds(), "left_ms", time.Until(x.deadline).Milliseconds())
+	}
 	ctx, cancel := context.WithDeadline(r.Context(), x.deadline)
 	defer cancel()
 	if x.takeLimit(ctx) {
