Accept in a drain only what it leaves time for, and answer all that was accepted

Callers saw connections closed without an answer around SIGTERM, for requests that an upstream had. Cause: a draining node accepted a request if a usual run would end before the drain, whatever its upstream did, and closed what was open when the time was over; between the check that nothing is in progress and the closing of connections further requests came in. So the node promised an answer on an estimate and ended it by a clock. Change, one design for every way to drain (stop signal, retirement of a VM, the product's own interface): a pure plan admits a request if its deadline lies before the end of the drain; callers that could not know of the drain yet are also admitted if a usual run fits. All others get 503 at once. A gate counts requests and is closed only while none is in progress; new connections are refused before open ones are. What is still open at the end is told so: 503 if it has not run, else 504. The plan does not move with SIGHUP, and callers with answers of an earlier, longer TTL are waited for. Calls on jobs, and runs with an idempotency key, follow the same plan.

--- a/pkg/controller/drain/drain.go
+++ b/pkg/controller/drain/drain.go
@@ -1,7 +1,7 @@
 // Package drain takes a node out of service without interrupting requests. At the start, address answers stop naming
 // the node and it reports that it is not ready. It accepts connections until the last address answer with its address
 // has expired, since callers use the address until then. After that it closes its listeners and waits for the requests
-// in progress.
+// in progress. Requests that are not done when the time for the drain is over get an error response.
 package drain
 
 import (
@@ -9,24 +9,21 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"k8s.io/klog/v2"
 
 	"trefoilplank.example/pkg/blackboard"
+	decision "trefoilplank.example/pkg/decision/drain"
 )
 
 const (
 	// propagationTime is how long other nodes may still give out this node's address, until they learn of the drain by
 	// their next membership exchange.
 	propagationTime = 2 * time.Second
-	// pollInterval is the time between two checks of the number of requests in progress.
-	pollInterval = 20 * time.Millisecond
-	// idleTime is how long the node must have no request in progress before it closes idle connections, so that a request
-	// that is in flight on one of them is still read.
-	idleTime = 250 * time.Millisecond
-	// shutdownTimeout is how long, at the end of the drain, a connection may take to send its first request.
-	shutdownTimeout = time.Second
+	// stopTime is the part of the time for a drain in which the last requests are ended and their answers written.
+	stopTime = answerTime + shutdownTime
 )
 
 // Options holds the dependencies and settings of a Controller.
@@ -36,9 +33,11 @@
 	AddressesValidUntil func() time.Time
 	// AddressTTL is the lifetime of address answers, which is the same on all nodes.
 	AddressTTL time.Duration
-	// Active returns the number of requests in progress.
-	Active func() int64
-	// Timeout bounds the wait for requests in progress; 0 means no bound.
+	// Servers are those for callers.
+	Servers *Servers
+	// Relayed returns the number of connections that are relayed for other nodes; nil if there are none.
+	Relayed func() int64
+	// Timeout bounds the drain; 0 means no bound.
 	Timeout time.Duration
 }
 
@@ -47,10 +46,7 @@
 	Options
 	once sync.Once
 	done chan struct{}
-
-	mu        sync.Mutex
-	listeners []*listener
-	servers   []*http.Server
+	plan atomic.Pointer[decision.Plan]
 }
 
 // New returns a controller.
@@ -58,49 +54,25 @@
 
 // Serve serves callers on l until the node is drained; then it returns nil.
 func (c *Controller) Serve(s *http.Server, l net.Listener, serve func(net.Listener) error) error {
-	wrapped := &listener{Listener: l, closed: make(chan struct{})}
-	c.mu.Lock()
-	c.listeners = append(c.listeners, wrapped)
-	c.servers = append(c.servers, s)
-	c.mu.Unlock()
-	if err := serve(wrapped); err != nil && err != http.ErrServerClosed {
+	if err := c.Servers.Serve(s, l, serve); err != nil {
 		return err
 	}
 	<-c.done
 	return nil
 }
 
-// listener is a net.Listener whose socket can be closed without an error for the server, which would otherwise return
-// while requests are in progress. Accept then blocks until Close.
-type listener struct {
-	net.Listener
-	once   sync.Once
-	closed chan struct{}
-}
-
-// closeSocket makes the listener refuse new connections.
-func (l *listener) closeSocket() error { return l.Listener.Close() }
-
-// Accept implements net.Listener.
-func (l *listener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if err == nil {
-		return conn, nil
+// Plan returns the schedule of the drain, or the zero plan while the node does not drain.
+func (c *Controller) Plan() decision.Plan {
+	if p := c.plan.Load(); p != nil {
+		return *p
 	}
-	<-l.closed
-	return nil, http.ErrServerClosed
-}
-
-// Close implements net.Listener.
-func (l *listener) Close() error {
-	l.once.Do(func() { close(l.closed) })
-	return l.Listener.Close()
+	return decision.Plan{}
 }
 
 // Drain starts the drain unless it has started, and waits until the node is drained or ctx ends.
 func (c *Controller) Drain(ctx context.Context) error {
 	c.once.Do(func() {
-		c.Board.Draining.Set(true)
+		c.begin()
 		go c.run()
 	})
 	select {
@@ -111,75 +83,37 @@
 	}
 }
 
-// Done returns a channel that is closed when the node is drained.
-func (c *Controller) Done() <-chan struct{} { return c.done }
-
-// run drains the node: it waits for address answers to expire, closes the listeners, waits for the requests in progress,
-// and shuts down the servers.
-func (c *Controller) run() {
-	defer close(c.done)
+// begin makes the node name other nodes only, and plans the drain.
+func (c *Controller) begin() {
 	begun := time.Now()
+	c.Board.Draining.Set(true)
 	until := begun.Add(c.AddressTTL + propagationTime)
 	if own := c.AddressesValidUntil(); own.After(until) {
 		until = own
 	}
-	klog.InfoS("Draining", "refuseAt", until)
-	time.Sleep(time.Until(until))
-	c.mu.Lock()
-	listeners, servers := c.listeners, c.servers
-	c.mu.Unlock()
-	for _, l := range listeners {
-		if err := l.closeSocket(); err != nil {
-			klog.ErrorS(err, "Closing a listener failed")
+	plan := decision.Plan{Begun: begun, LateCallers: until, Quiet: until}
+	if c.Timeout > 0 {
+		if plan.End = begun.Add(c.Timeout - stopTime); plan.End.Before(until) {
+			plan.End = until
 		}
 	}
-	klog.InfoS("Refusing new connections", "inProgress", c.Active())
-	c.waitIdle(begun)
-	var group sync.WaitGroup
-	for _, s := range servers {
-		group.Go(func() { c.shutdownServer(s, begun) })
-	}
-	group.Wait()
-	klog.InfoS("Drained", "took", time.Since(begun))
+	c.plan.Store(&plan)
 }
 
-// shutdownServer shuts a server down, which closes its idle connections and waits for the others. It closes the
-// remaining connections when no request is in progress, since they have sent none, or at the timeout.
-func (c *Controller) shutdownServer(s *http.Server, begun time.Time) {
-	for {
-		ctx, stop := context.WithTimeout(context.Background(), shutdownTimeout)
-		err := s.Shutdown(ctx)
-		stop()
-		if err == nil {
-			return
-		}
-		if c.Active() == 0 || c.timedOut(begun) {
-			s.Close()
-			return
-		}
-	}
-}
-
-// timedOut reports whether the drain takes longer than Timeout.
-func (c *Controller) timedOut(begun time.Time) bool {
-	return c.Timeout > 0 && time.Since(begun) > c.Timeout
-}
+// Done returns a channel that is closed when the node is drained.
+func (c *Controller) Done() <-chan struct{} { return c.done }
 
-// waitIdle returns when no request has been in progress for idleTime, or at the timeout.
-func (c *Controller) waitIdle(begun time.Time) {
-	idleSince := time.Now()
-	for {
-		now := time.Now()
-		if c.Active() > 0 {
-			idleSince = now
-		}
-		if now.Sub(idleSince) >= idleTime {
-			return
-		}
-		if c.timedOut(begun) {
-			klog.InfoS("Drain timed out with requests in progress", "inProgress", c.Active())
-			return
-		}
-		time.Sleep(pollInterval)
+// run drains the node: it waits for address answers to expire, closes the listeners, waits for the requests in progress,
+// and shuts down the servers.
+func (c *Controller) run() {
+	defer close(c.done)
+	plan := c.Plan()
+	klog.InfoS("Draining", "refuseAt", plan.Quiet, "endAt", plan.End)
+	time.Sleep(time.Until(plan.Quiet))
+	if err := c.Servers.Refuse(); err != nil {
+		klog.ErrorS(err, "Closing a listener failed")
 	}
+	klog.InfoS("Refusing new connections", "inProgress", c.Servers.Gate.Active())
+	ended := c.Servers.Stop(plan.End, c.Relayed)
+	klog.InfoS("Drained", "took", time.Since(plan.Begun), "ended", ended)
 }
--- /dev/null
+++ b/pkg/controller/drain/servers.go
@@ -0,0 +1,133 @@
+package drain
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+const (
+	// pollInterval is the time between two checks of the number of requests in progress.
+	pollInterval = 20 * time.Millisecond
+	// idleTime is how long no request must be in progress before the gate closes, so that a request that is in flight on an open
+	// connection is still read.
+	idleTime = 250 * time.Millisecond
+	// answerTime is how long requests that are ended have to write their answers.
+	answerTime = 200 * time.Millisecond
+	// shutdownTime is how long the last answers may take to be written, and connections on which nothing was sent to be closed.
+	shutdownTime = 200 * time.Millisecond
+)
+
+// Servers are the HTTP servers for callers. They stop without losing the answer to a request that was let in.
+type Servers struct {
+	// Gate lets the requests of all servers in.
+	Gate *Gate
+
+	mu        sync.Mutex
+	listeners []*listener
+	servers   []*http.Server
+}
+
+// NewServers returns no servers yet.
+func NewServers() *Servers { return &Servers{Gate: NewGate()} }
+
+// Serve serves callers on l until the server is shut down; then it returns nil. The handler of the server must be that of the gate.
+func (s *Servers) Serve(server *http.Server, l net.Listener, serve func(net.Listener) error) error {
+	wrapped := &listener{Listener: l, closed: make(chan struct{})}
+	server.BaseContext = func(net.Listener) context.Context { return s.Gate.Context() }
+	s.mu.Lock()
+	s.listeners = append(s.listeners, wrapped)
+	s.servers = append(s.servers, server)
+	s.mu.Unlock()
+	if err := serve(wrapped); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+// listener is a net.Listener whose socket can be closed without an error for the server, which would otherwise return
+// while requests are in progress. Accept then blocks until Close.
+type listener struct {
+	net.Listener
+	once   sync.Once
+	closed chan struct{}
+}
+
+// closeSocket makes the listener refuse new connections.
+func (l *listener) closeSocket() error { return l.Listener.Close() }
+
+// Accept implements net.Listener.
+func (l *listener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err == nil {
+		return conn, nil
+	}
+	<-l.closed
+	return nil, http.ErrServerClosed
+}
+
+// Close implements net.Listener.
+func (l *listener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return l.Listener.Close()
+}
+
+// Refuse makes new connections fail, so that callers go elsewhere at once. Those on open connections are served.
+func (s *Servers) Refuse() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var errs []error
+	for _, l := range s.listeners {
+		errs = append(errs, l.closeSocket())
+	}
+	return errors.Join(errs...)
+}
+
+// Stop serves open connections until nothing has been in progress for idleTime, or until end; a zero end means no limit. Then it lets no
+// request in, ends those that remain, and closes all connections once their answers are written. It returns the number of requests
+// that it ended. other returns what else is in progress, and may be nil.
+func (s *Servers) Stop(end time.Time, other func() int64) (ended int64) {
+	s.awaitIdle(end, other)
+	s.Gate.Close()
+	if ended = s.Gate.Active(); ended > 0 {
+		s.Gate.End()
+		for until := time.Now().Add(answerTime); s.Gate.Active() > 0 && time.Now().Before(until); {
+			time.Sleep(pollInterval)
+		}
+	}
+	s.mu.Lock()
+	servers := s.servers
+	s.mu.Unlock()
+	var group sync.WaitGroup
+	for _, server := range servers {
+		group.Go(func() {
+			ctx, cancel := context.WithTimeout(context.Background(), shutdownTime)
+			defer cancel()
+			if server.Shutdown(ctx) != nil { // A connection has not sent its first request, or its caller does not read.
+				_ = server.Close() // Nothing can be done about an error.
+			}
+		})
+	}
+	group.Wait()
+	return ended
+}
+
+// awaitIdle returns when nothing has been in progress for idleTime, with the gate closed, or at end.
+func (s *Servers) awaitIdle(end time.Time, other func() int64) {
+	idleSince := time.Now()
+	for {
+		now := time.Now()
+		switch {
+		case !end.IsZero() && !now.Before(end):
+			return
+		case s.Gate.Active() > 0 || other != nil && other() > 0:
+			idleSince = now
+		case now.Sub(idleSince) >= idleTime && s.Gate.CloseIfIdle():
+			return
+		}
+		time.Sleep(pollInterval)
+	}
+}
--- a/pkg/edge/drain.go
+++ b/pkg/edge/drain.go
@@ -2,76 +2,108 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
+
+	decision "trefoilplank.example/pkg/decision/drain"
 )
 
 const (
-	// drainMargin is the part of the drain time that is reserved for closing connections and leaving the fleet.
-	drainMargin = 800 * time.Millisecond
-	// leaveTimeout limits closing the connections and leaving the fleet.
-	leaveTimeout = 500 * time.Millisecond
+	// drainMargin is the part of the time to stop that is reserved for the last answers, closing connections and leaving the fleet.
+	drainMargin = 600 * time.Millisecond
+	// leaveTimeout limits leaving the fleet.
+	leaveTimeout = 300 * time.Millisecond
+	// drainPoll is the time between two checks of what is in progress.
+	drainPoll = 50 * time.Millisecond
 )
 
 // ttlOverrun is the multiple of the TTL for which some callers cache an address answer.
 const ttlOverrun = 3
 
-// lateCallerTime returns how long a draining node must expect new callers, which have cached an answer with its
-// address. It is at most half of the drain, to leave time for their requests.
-func lateCallerTime(ttl, limit time.Duration) time.Duration {
-	return min(ttlOverrun*ttl+drainMargin, limit/2)
+// drainPlan returns the schedule of the drain, or the zero plan while the node does not drain.
+func (n *Node) drainPlan() decision.Plan {
+	if p := n.plan.Load(); p != nil {
+		return *p
+	}
+	return decision.Plan{}
 }
 
-// drainEndTime returns when the drain closes what is still open, or zero while the node does not drain.
-func (n *Node) drainEndTime() time.Time {
-	if end := n.drainEnd.Load(); end != nil {
-		return *end
-	}
-	return time.Time{}
+// admitCall reports whether the node accepts a call on jobs whose caller waits until deadline.
+func (n *Node) admitCall(deadline time.Time) bool {
+	return n.drainPlan().Admit(time.Now(), deadline, 0) != decision.Refused
 }
 
-// drain removes the node from address answers, hands over its jobs and waits for requests in progress. Callers that
-// still have its address are served meanwhile, on connections that close after the response.
-func (n *Node) drain(ctx context.Context) {
+// refuseStopping refuses a request that came after the last one that the node accepts.
+func (n *Node) refuseStopping(w http.ResponseWriter, _ *http.Request) {
+	w.Header()["Connection"] = []string{"close"}
+	n.forwarder.RefuseDraining(w)
+}
+
+// stopServing takes the node out of service, once: it removes the node from address answers, hands over its jobs and waits until nothing
+// is in progress or the time to stop is over. Callers that still have its address are served meanwhile, on connections that close
+// after the response. Both a stop signal and the retirement of the VM end the service this way.
+func (n *Node) stopServing(ctx context.Context) {
+	n.stopOnce.Do(func() {
+		defer close(n.stopped)
+		n.runDrain(ctx)
+	})
+	<-n.stopped
+}
+
+func (n *Node) runDrain(ctx context.Context) {
 	begun := time.Now()
-	limit, ttl := n.reloadableSettings()
-	limit -= drainMargin
-	drainEnd := begun.Add(limit)
-	n.drainEnd.Store(&drainEnd)
+	limit, addressesEnd := n.drainTimes(begun)
+	plan := decision.NewPlan(begun, limit, addressesEnd)
+	n.plan.Store(&plan)
 	n.draining.Store(true)
-	n.log.Notice("node draining", "limit_ms", limit.Milliseconds(), "active", n.active.Load())
-	call, cancel := context.WithTimeout(ctx, limit/2)
+	n.log.Notice("node draining", "limit_ms", limit.Milliseconds(), "active", n.servers.Gate.Active())
+	handedOver := make(chan struct{})
 	go func() {
+		defer close(handedOver)
+		call, cancel := context.WithTimeout(ctx, limit/2)
 		defer cancel()
 		if err := n.fleet.Drain(call); err != nil {
 			n.log.Notice("drain could not be registered in the store", "error", err)
 		}
 		n.jobs.HandOver(call)
 	}()
-	lateCallers := lateCallerTime(ttl, limit)
-	ended := time.After(limit)
-	tick := time.NewTicker(50 * time.Millisecond)
+	reason := n.awaitQuiet(plan, handedOver)
+	n.log.Notice("drain stops waiting", "reason", reason, "ms", time.Since(begun).Milliseconds(), "active", n.servers.Gate.Active(), "relayed", n.links.RelayedForOthers())
+	_ = n.servers.Refuse() // An error means that the listener is closed.
+	ended := n.servers.Stop(plan.End, n.links.RelayedForOthers)
+	n.log.Notice("node drained", "ms", time.Since(begun).Milliseconds(), "ended", ended, "active", n.servers.Gate.Active())
+}
+
+// awaitQuiet returns when no more callers are expected, nothing is in progress and the jobs are handed over, or when the drain ends, and says
+// which.
+func (n *Node) awaitQuiet(plan decision.Plan, handedOver <-chan struct{}) (reason string) {
+	quiet := plan.Quiet
+	if n.settings.CallerAddress == "" {
+		quiet = plan.Begun
+	}
+	tick := time.NewTicker(drainPoll)
 	defer tick.Stop()
-	reason := "time is over"
-draining:
-	for {
+	for now := range tick.C {
+		if !now.Before(plan.End) {
+			return "time is over"
+		}
 		select {
-		case <-ended:
-			break draining
-		case <-tick.C:
-			if time.Since(begun) > lateCallers && n.active.Load() == 0 && n.links.RelayedForOthers() == 0 && call.Err() != nil {
-				reason = "no request in progress"
-				break draining
+		case <-handedOver:
+			if now.After(quiet) && n.servers.Gate.Active() == 0 && n.links.RelayedForOthers() == 0 {
+				return "no request in progress"
 			}
+		default:
 		}
 	}
-	n.log.Notice("drain stops waiting", "reason", reason, "ms", time.Since(begun).Milliseconds(), "active", n.active.Load(), "relayed", n.links.RelayedForOthers())
+	return ""
+}
+
+// drain stops the service and leaves the fleet.
+func (n *Node) drain(ctx context.Context) {
+	n.stopServing(ctx)
 	leave, cancel := context.WithTimeout(ctx, leaveTimeout)
 	defer cancel()
-	for _, s := range n.servers {
-		_ = s.Shutdown(leave) // Requests that have not ended in time are closed with the node.
-	}
 	if err := n.fleet.Leave(leave); err != nil {
 		n.log.Notice("node could not be removed from the store", "error", err)
 	}
-	n.log.Notice("node drained", "ms", time.Since(begun).Milliseconds(), "active", n.active.Load())
 }
--- a/pkg/edge/node.go
+++ b/pkg/edge/node.go
@@ -24,6 +24,7 @@
 	"trefoilplank.example/pkg/controller/callerbudget"
 	"trefoilplank.example/pkg/controller/customerlimits"
 	"trefoilplank.example/pkg/controller/customers"
+	"trefoilplank.example/pkg/controller/drain"
 	"trefoilplank.example/pkg/controller/failedruns"
 	"trefoilplank.example/pkg/controller/fleet"
 	"trefoilplank.example/pkg/controller/loadshare"
@@ -34,6 +35,7 @@
 	"trefoilplank.example/pkg/controller/uplink"
 	decision "trefoilplank.example/pkg/decision/callerbudget"
 	"trefoilplank.example/pkg/decision/dispatch"
+	drainplan "trefoilplank.example/pkg/decision/drain"
 	"trefoilplank.example/pkg/decision/quota"
 	"trefoilplank.example/pkg/decision/rendezvous"
 	"trefoilplank.example/pkg/decision/routing"
@@ -110,9 +112,12 @@
 	Jobs    *listjob.Controller
 	// Customers checks the keys of requests.
 	Customers *customers.Checker
-	// Draining reports whether the node drains; responses then close their connections.
-	Draining func() bool
-	Log      *eventlog.Log
+	// Draining reports whether the node drains; responses then close their connections. Admit reports whether the node accepts a call
+	// whose caller waits until deadline; RefuseDraining answers one that it does not accept.
+	Draining       func() bool
+	Admit          func(deadline time.Time) bool
+	RefuseDraining func(w http.ResponseWriter)
+	Log            *eventlog.Log
 }
 
 // Node is a running node.
@@ -147,12 +152,18 @@
 	copyInForce bool
 	// retiring are the nodes on VMs to be emptied, as this node last read them from the store.
 	retiring atomic.Pointer[[]string]
-	// drainEnd is when the current drain ends, or nil.
-	drainEnd       atomic.Pointer[time.Time]
-	active         atomic.Int64
-	servers        []*http.Server
+	// plan is the schedule of the drain, or nil while the node does not drain.
+	plan atomic.Pointer[drainplan.Plan]
+	// servers are those for callers, internal the ones for readiness, addresses and metrics.
+	servers  *drain.Servers
+	internal []*http.Server
+	// stopped is closed when the service has stopped.
+	stopOnce       sync.Once
+	stopped        chan struct{}
 	mu             sync.Mutex
 	invalidEntries map[string]string
+	// oldAddressesEnd is until when callers may use answers with an earlier TTL.
+	oldAddressesEnd time.Time
 }
 
 // Option changes how a node is created.
@@ -174,7 +185,7 @@
 	limit := int64(s.MemoryMB) << 20
 	debug.SetMemoryLimit(int64(memoryFraction * float64(limit)))
 	debug.SetGCPercent(gcPercent)
-	n := &Node{settings: s, platform: p, log: log, metrics: metrics.NewSet(), invalidEntries: map[string]string{}}
+	n := &Node{settings: s, platform: p, log: log, metrics: metrics.NewSet(), invalidEntries: map[string]string{}, servers: drain.NewServers(), stopped: make(chan struct{})}
 	var err error
 	if n.peerListen, err = listenInRange(s.IP, s.InternalPorts); err != nil {
 		return nil, err
@@ -272,11 +283,11 @@
 	checker := customers.New(customers.Options{
 		Table: n.table.Load, KeysAge: n.keysAge, Strict: n.settings.StrictRevocation, Revocation: milliseconds(n.settings.RevocationMS), Metrics: perCustomer,
 	})
-	callers := CallerOptions{Table: n.table.Load, Jobs: n.jobs, Customers: checker, Draining: n.draining.Load, Log: n.log}
+	callers := CallerOptions{Table: n.table.Load, Jobs: n.jobs, Customers: checker, Draining: n.draining.Load, Admit: n.admitCall, RefuseDraining: func(w http.ResponseWriter) { n.forwarder.RefuseDraining(w) }, Log: n.log}
 	n.forwarder = forward.New(forward.Options{
 		HeaderNames: n.platform.HeaderNames(), Placer: n.placer, Client: n.client, FailedRuns: n.failedRuns, Streams: n.streams, Table: n.table.Load, Draining: n.draining.Load,
 		Customers: checker, CustomerMetrics: perCustomer, Limiter: n.limits,
-		DrainEnd:     n.drainEndTime,
+		DrainPlan:    n.drainPlan,
 		RequestSlots: n.exchange.ExchangeNow, AwaitUpstreams: n.awaitUpstreams,
 		BatchHandler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { n.callerHandler.ServeHTTP(w, r) }),
 		Log:          n.log, Metrics: requests,
@@ -367,15 +378,33 @@
 func (n *Node) Reload(s Settings) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	n.oldAddressesEnd = n.addressesEnd(time.Now())
 	n.settings.DrainSeconds, n.settings.AddressTTL, n.settings.ReadableSeconds = s.DrainSeconds, s.AddressTTL, s.ReadableSeconds
 	n.log.Notice("settings reloaded", "drain_seconds", s.DrainSeconds, "address_ttl_seconds", s.AddressTTL)
 }
 
-// reloadableSettings returns the drain time and the address TTL, which may change while the node runs.
-func (n *Node) reloadableSettings() (drain, addressTTL time.Duration) {
+// drainTimes returns how long a drain that begins now may take, and until when callers may use the node's address. A change of the settings
+// does not change a drain that has begun: the requests that it has accepted keep their time.
+func (n *Node) drainTimes(now time.Time) (limit time.Duration, addressesEnd time.Time) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return seconds(n.settings.DrainSeconds), seconds(n.settings.AddressTTL)
+	return max(0, seconds(n.settings.DrainSeconds)-drainMargin), n.addressesEnd(now)
+}
+
+// addressesEnd returns until when callers may use answers that they have got by now. The caller holds n.mu.
+func (n *Node) addressesEnd(now time.Time) time.Time {
+	end := now.Add(ttlOverrun * seconds(n.settings.AddressTTL))
+	if end.Before(n.oldAddressesEnd) {
+		return n.oldAddressesEnd
+	}
+	return end
+}
+
+// addressTTL returns how long callers may cache an address answer, which may change while the node runs.
+func (n *Node) addressTTL() time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return seconds(n.settings.AddressTTL)
 }
 
 // Ready reports whether the node accepts callers' requests.
@@ -408,7 +437,8 @@
 	select {
 	case <-ctx.Done():
 		n.drain(working)
-	case <-working.Done():
+	case <-working.Done(): // A part of the node has failed; the requests in progress end with an answer.
+		n.servers.Stop(time.Now(), nil)
 	}
 	stop()
 	n.close()
@@ -418,8 +448,8 @@
 }
 
 func (n *Node) close() {
-	for _, s := range n.servers {
-		_ = s.Close() // Open connections were given their time in drain.
+	for _, s := range n.internal {
+		_ = s.Close()
 	}
 	_ = n.peerServer.Close()
 	n.peers.Close()
@@ -434,7 +464,7 @@
 		handler http.Handler
 		server  func(*http.Server)
 	}{
-		{decision.Callers, n.settings.CallerAddress, n.countActive(n.awaitConfiguration(n.callerHandler)), func(s *http.Server) {
+		{decision.Callers, n.settings.CallerAddress, n.servers.Gate.Handler(n.awaitConfiguration(n.callerHandler), http.HandlerFunc(n.refuseStopping)), func(s *http.Server) {
 			s.MaxHeaderBytes, s.ReadHeaderTimeout, s.IdleTimeout = headerBytes, headerTimeout, idleTimeout
 		}},
 		{decision.Readiness, n.settings.ReadyAddress, n.platform.ReadyHandler(n.Ready), setShortTimeouts},
@@ -451,7 +481,11 @@
 		server := &http.Server{Handler: l.handler, ErrorLog: discardLog}
 		l.server(server)
 		listener = n.account(l.class, server, listener)
-		n.servers = append(n.servers, server)
+		if l.class == decision.Callers {
+			group.Go(func() error { return n.servers.Serve(server, listener, server.Serve) })
+			continue
+		}
+		n.internal = append(n.internal, server)
 		group.Go(func() error {
 			if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 				return err
@@ -474,17 +508,7 @@
 	s.ReadTimeout, s.WriteTimeout, s.IdleTimeout, s.MaxHeaderBytes = shortTimeout, shortTimeout, shortTimeout, 8<<10
 }
 
-// countActive counts the requests in progress.
-func (n *Node) countActive(h http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		n.active.Add(1)
-		defer n.active.Add(-1)
-		h.ServeHTTP(w, r)
-	})
-}
-
 // addresses returns the addresses for a caller in an availability zone, and how long it may cache them.
 func (n *Node) addresses(availabilityZone string) ([]string, time.Duration) {
-	_, ttl := n.reloadableSettings()
-	return n.fleet.CallerAddresses(availabilityZone), ttl
+	return n.fleet.CallerAddresses(availabilityZone), n.addressTTL()
 }
--- a/pkg/edge/retire.go
+++ b/pkg/edge/retire.go
@@ -71,11 +71,7 @@
 			}
 			if node == n.settings.Name && !n.draining.Load() {
 				n.log.Notice("VM is to be retired, emptying node", "node", node)
-				n.draining.Store(true)
-				if err := n.fleet.Drain(ctx); err != nil {
-					n.log.Notice("drain could not be registered in the store", "error", err)
-				}
-				n.jobs.HandOver(ctx)
+				n.stopServing(ctx)
 			}
 			if err := n.platform.ReportRetired(ctx, node); err != nil {
 				n.log.Notice("emptied node could not be reported, retrying", "node", node, "error", err)
--- a/pkg/edge/settings_test.go
+++ b/pkg/edge/settings_test.go
@@ -6,6 +6,9 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	decision "trefoilplank.example/pkg/decision/drain"
+	"trefoilplank.example/pkg/eventlog"
 )
 
 const validSettings = `name = "edge-1"
@@ -74,8 +77,16 @@
 }
 
 // Guards against a node that closes its port while callers still connect to it: some cache an address answer for
-// three times its TTL.
+// three times its TTL, also for the TTL that a change of the settings has shortened.
 func TestDrainWaitsForCallersWithCachedAddresses(t *testing.T) {
-	assert.Assert(t, lateCallerTime(time.Second, 10*time.Second) >= 3*time.Second)
-	assert.Equal(t, lateCallerTime(10*time.Second, 7*time.Second), 3500*time.Millisecond)
+	now := time.Now()
+	n := &Node{settings: Settings{DrainSeconds: 10, AddressTTL: 1}}
+	_, end := n.drainTimes(now)
+	assert.Assert(t, end.Sub(now) >= 3*time.Second)
+	n = &Node{settings: Settings{DrainSeconds: 10, AddressTTL: 1.3}, log: &eventlog.Log{}}
+	n.Reload(Settings{DrainSeconds: 10, AddressTTL: 0.1})
+	limit, end := n.drainTimes(now)
+	assert.Assert(t, end.Sub(now) >= 3900*time.Millisecond)
+	assert.Equal(t, decision.NewPlan(now, 7*time.Second, now.Add(30*time.Second)).Quiet, now.Add(3500*time.Millisecond))
+	assert.Assert(t, limit < 10*time.Second)
 }
--- a/pkg/forward/fakes_test.go
+++ b/pkg/forward/fakes_test.go
@@ -20,6 +20,7 @@
 	"trefoilplank.example/pkg/controller/streamversions"
 	"trefoilplank.example/pkg/controller/uplink"
 	"trefoilplank.example/pkg/decision/dispatch"
+	"trefoilplank.example/pkg/decision/drain"
 	"trefoilplank.example/pkg/decision/reach"
 	"trefoilplank.example/pkg/decision/routing"
 	"trefoilplank.example/pkg/eventlog"
@@ -130,7 +131,7 @@
 		HeaderNames: testHeaders, Placer: p, Client: client, Table: func() *routing.Table { return table },
 		FailedRuns: f.failedRuns, Streams: f.streams,
 		RequestSlots: func(context.Context) bool { return false }, Log: log,
-		Draining: func() bool { return !f.drainEnd.IsZero() }, DrainEnd: func() time.Time { return f.drainEnd },
+		Draining: func() bool { return !f.drainEnd.IsZero() }, DrainPlan: func() drain.Plan { return drain.Plan{End: f.drainEnd} },
 		Metrics: NewMetrics(f.metrics),
 	})
 	f.Server = httptest.NewServer(f.forwarder)
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -16,11 +16,13 @@
 	"github.com/zeebo/xxh3"
 
 	"trefoilplank.example/pkg/controller/customers"
+	"trefoilplank.example/pkg/controller/drain"
 	"trefoilplank.example/pkg/controller/failedruns"
 	"trefoilplank.example/pkg/controller/placer"
 	"trefoilplank.example/pkg/controller/streamversions"
 	"trefoilplank.example/pkg/controller/uplink"
 	"trefoilplank.example/pkg/decision/dispatch"
+	drainplan "trefoilplank.example/pkg/decision/drain"
 	decision "trefoilplank.example/pkg/decision/failedruns"
 	"trefoilplank.example/pkg/decision/routing"
 	"trefoilplank.example/pkg/eventlog"
@@ -38,9 +40,6 @@
 	drainRetry = 50 * time.Millisecond
 	// noRoomRetry is the Retry-After of a node that gave up a request body since it needed the room.
 	noRoomRetry = 300 * time.Millisecond
-	// longRunFactor times the usual duration is how long nearly all runs take; drainSlack is what waiting for a slot
-	// and a second attempt may add. The end of the drain would cut a response that begins later than that.
-	longRunFactor, drainSlack = 2, time.Second
 	// writeGrace is how long after a request's deadline writes to a caller that does not read are still allowed.
 	writeGrace = time.Second
 	// repeatDeadlineFraction of the longest deadline seen on a route separates first attempts from repeated ones,
@@ -75,12 +74,12 @@
 	AwaitUpstreams func(ctx context.Context)
 	// RequestSlots asks the hub for slots immediately, and reports whether it answered in time.
 	RequestSlots func(ctx context.Context) bool
-	// Draining reports whether the node is draining. DrainEnd returns when the drain closes the connections that are
-	// still open, or zero while the node does not drain.
-	Draining func() bool
-	DrainEnd func() time.Time
-	Log      *eventlog.Log
-	Metrics  *Metrics
+	// Draining reports whether the node is draining. DrainPlan returns the schedule of the drain, or the zero plan while it does not
+	// drain.
+	Draining  func() bool
+	DrainPlan func() drainplan.Plan
+	Log       *eventlog.Log
+	Metrics   *Metrics
 }
 
 // Forwarder is the HTTP handler of callers' requests.
@@ -185,16 +184,10 @@
 	}
 	x := f.newExchange(w, r, route, body, received)
 	x.setCaller(caller)
-	if f.drainWouldCut(x.service, received) {
-		f.options.Log.Notice("request refused", "request", x.request.ID, "route", route.Name, "reason", "node drains and would close before a usual run ends")
-		f.options.Metrics.countOutcome("refused")
-		Refuse(w, http.StatusServiceUnavailable, drainRetry)
+	if !x.admitted() {
+		f.RefuseDraining(w)
 		return
 	}
-	if end := f.options.DrainEnd(); !end.IsZero() {
-		f.options.Log.Routine("request accepted while draining", "request", x.request.ID, "route", route.Name,
-			"drain_left_ms", time.Until(end).Milliseconds(), "left_ms", time.Until(x.deadline).Milliseconds())
-	}
 	ctx, cancel := context.WithDeadline(r.Context(), x.deadline)
 	defer cancel()
 	if x.takeLimit(ctx) {
@@ -203,10 +196,31 @@
 	}
 }
 
-// drainWouldCut reports whether the node is draining and would probably close before a run that begins now ends.
-func (f *Forwarder) drainWouldCut(service string, now time.Time) bool {
-	drainEnd := f.options.DrainEnd()
-	return !drainEnd.IsZero() && now.Add(longRunFactor*f.options.Placer.RunDuration(service)+drainSlack).After(drainEnd)
+// admitted reports whether the node accepts the request: while it drains, it may have to end the request before its deadline.
+func (x *exchange) admitted() bool {
+	plan := x.options.DrainPlan()
+	if plan.End.IsZero() {
+		return true
+	}
+	now := time.Now()
+	verdict := plan.Admit(now, x.deadline, x.options.Placer.RunDuration(x.service))
+	fields := []any{
+		"request", x.request.ID, "route", x.route.Name, "since_ms", now.Sub(plan.Begun).Milliseconds(), "drain_left_ms", plan.End.Sub(now).Milliseconds(),
+		"left_ms", x.deadline.Sub(now).Milliseconds(),
+	}
+	x.options.Metrics.countDraining(verdict)
+	if verdict == drainplan.Refused {
+		x.options.Log.Notice("request refused", append(fields, "reason", "node drains and would end the request before its deadline")...)
+		return false
+	}
+	x.options.Log.Routine("request accepted while draining", append(fields, "time", verdict)...)
+	return true
+}
+
+// RefuseDraining responds to a request that the node does not accept since it drains.
+func (f *Forwarder) RefuseDraining(w http.ResponseWriter) {
+	f.options.Metrics.countOutcome("refused")
+	Refuse(w, http.StatusServiceUnavailable, drainRetry)
 }
 
 func (f *Forwarder) newExchange(w http.ResponseWriter, r *http.Request, route *routing.Route, body []byte, received time.Time) *exchange {
@@ -332,6 +346,16 @@
 		x.options.Log.Notice("request not sent, since its key was removed", fields...)
 		x.refuseRemoved()
 		return false
+	case drain.Ended(x.r.Context()) && !errors.Is(cause, errCallerGone):
+		x.options.Log.Notice("request ended since the drain is over", fields...)
+		x.options.Metrics.countOutcome("drain_over")
+		if x.ran == 0 && !x.headersSent {
+			x.options.CustomerMetrics.CountRequest(x.caller.Name(), "no_room")
+			Refuse(x.w, http.StatusServiceUnavailable, drainRetry)
+			return false
+		}
+		x.fail(http.StatusGatewayTimeout)
+		return false
 	case x.r.Context().Err() != nil, errors.Is(cause, errCallerGone):
 		x.options.Metrics.countOutcome("left")
 		x.options.Log.Routine("caller disconnected", fields...)
--- a/pkg/gateway/drain_test.go
+++ b/pkg/gateway/drain_test.go
@@ -25,7 +25,7 @@
 	f.board.Members.Set(blackboard.Members{Self: "n1", Live: map[string]blackboard.Member{
 		"n1": {Name: "n1", Address: "10.0.0.1:1"}, "n2": {Name: "n2", Address: "10.0.0.2:1"},
 	}})
-	c := drain.New(drain.Options{Board: f.board, AddressesValidUntil: f.AddressesValidUntil, AddressTTL: f.AddressTTL, Active: f.Active})
+	c := drain.New(drain.Options{Board: f.board, AddressesValidUntil: f.AddressesValidUntil, AddressTTL: f.AddressTTL, Servers: &drain.Servers{Gate: f.Gate}})
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	server := NewServer(f.Gateway)
--- a/pkg/gateway/execute.go
+++ b/pkg/gateway/execute.go
@@ -14,6 +14,7 @@
 
 	"trefoilplank.example/api"
 	"trefoilplank.example/pkg/adapter/service"
+	"trefoilplank.example/pkg/controller/drain"
 	"trefoilplank.example/pkg/decision/retry"
 	"trefoilplank.example/pkg/explain"
 	"trefoilplank.example/pkg/serving"
@@ -257,6 +258,11 @@
 	case errors.As(err, &e):
 		copied := *e
 		e = &copied
+	case drain.Ended(ctx) && !rs.mayHaveRun:
+		return errStopping()
+	case drain.Ended(ctx):
+		e = api.Errorf(http.StatusGatewayTimeout, api.CodeNotReady, api.Unknown, "the node stopped before the upstream answered")
+		e.RetryAfter = retryAfter
 	case ctx.Err() != nil || errors.Is(err, context.DeadlineExceeded):
 		e = api.Errorf(http.StatusGatewayTimeout, api.CodeDeadline, api.NotRun, "the deadline has passed")
 		e.RetryAfter = retryAfter
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -29,7 +29,9 @@
 	"trefoilplank.example/pkg/blackboard"
 	"trefoilplank.example/pkg/controller/callerbudget"
 	"trefoilplank.example/pkg/controller/claims"
+	"trefoilplank.example/pkg/controller/drain"
 	"trefoilplank.example/pkg/controller/idempotency"
+	decision "trefoilplank.example/pkg/decision/drain"
 	"trefoilplank.example/pkg/decision/retry"
 	"trefoilplank.example/pkg/explain"
 	"trefoilplank.example/pkg/serving"
@@ -74,6 +76,10 @@
 	MemberLoad func(node string) float64
 	// Random returns a number in [0,1).
 	Random func() float64
+	// Gate lets requests in until the node stops. New makes one if it is nil.
+	Gate *drain.Gate
+	// DrainPlan returns the schedule of the drain, or the zero plan while the node does not drain; nil if it never does.
+	DrainPlan func() decision.Plan
 }
 
 // Defaults of Options.
@@ -96,6 +102,12 @@
 	if o.Random == nil {
 		o.Random = rand.Float64
 	}
+	if o.Gate == nil {
+		o.Gate = drain.NewGate()
+	}
+	if o.DrainPlan == nil {
+		o.DrainPlan = func() decision.Plan { return decision.Plan{} }
+	}
 	if o.Explain == nil {
 		o.Explain = explain.NewLog(o.Node, 1, time.Now)
 	}
@@ -122,8 +134,6 @@
 	// firstCrashes holds the time of the first crash within retry.Window by upstream.
 	firstCrashes map[string]time.Time
 
-	// active is the number of requests in progress.
-	active atomic.Int64
 	// addressesValidUntil is the Unix time in nanoseconds at which the last answer to GET /v1/addresses expires.
 	addressesValidUntil atomic.Int64
 }
@@ -158,18 +168,21 @@
 }
 
 // Active returns the number of requests in progress.
-func (g *Gateway) Active() int64 { return g.active.Load() }
+func (g *Gateway) Active() int64 { return g.Gate.Active() }
 
 // servicePrefix is handled before the mux, which would redirect a path with "//" or ".." to its cleaned form.
 const servicePrefix = "/v1/services/"
 
 // ServeHTTP implements http.Handler.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	g.active.Add(1)
-	defer g.active.Add(-1)
 	id := g.Node + "-" + ulid.Make().String()
 	w.Header().Set(api.HeaderRequestID, id)
 	ctx := serving.WithRequestID(r.Context(), id)
+	if !g.Gate.Enter() {
+		refuseUnread(w, r.WithContext(ctx), errStopping())
+		return
+	}
+	defer g.Gate.Leave()
 	defer func() {
 		if p := recover(); p != nil {
 			if p == http.ErrAbortHandler {
@@ -207,6 +220,13 @@
 	g.mux.ServeHTTP(w, r)
 }
 
+// errStopping refuses a request that the node would have to end before its deadline. Other nodes can serve it.
+func errStopping() error {
+	e := api.Errorf(http.StatusServiceUnavailable, api.CodeNotReady, api.NotRun, "the node stops")
+	e.RetryAfter = retryAfter
+	return e
+}
+
 // unreadBodyTimeout bounds how long the server reads the unread body of a refused request before it answers.
 const unreadBodyTimeout = time.Second
 
--- a/pkg/gateway/handlers.go
+++ b/pkg/gateway/handlers.go
@@ -12,6 +12,7 @@
 
 	"trefoilplank.example/api"
 	"trefoilplank.example/pkg/decision/address"
+	decision "trefoilplank.example/pkg/decision/drain"
 	"trefoilplank.example/pkg/serving"
 )
 
@@ -115,6 +116,11 @@
 
 // limitAndRun checks the institution's limits, runs the request and answers.
 func (g *Gateway) limitAndRun(w http.ResponseWriter, r *http.Request, rs *requestState) {
+	if g.DrainPlan().Admit(time.Now(), rs.req.Deadline, 0) == decision.Refused {
+		g.explainDecision(rs, "", "refuse", "the node drains and would end the request before its deadline", nil)
+		WriteError(w, r, errStopping())
+		return
+	}
 	leave, err := g.applyLimits(r.Context(), rs.req.Institution)
 	if err != nil {
 		g.explainDecision(rs, "", "refuse", err.Error(), map[string]any{"institution": rs.req.Institution})
--- a/pkg/gateway/keyed.go
+++ b/pkg/gateway/keyed.go
@@ -9,6 +9,7 @@
 
 	"trefoilplank.example/api"
 	"trefoilplank.example/pkg/controller/claims"
+	"trefoilplank.example/pkg/controller/drain"
 	"trefoilplank.example/pkg/decision/idempotency"
 	"trefoilplank.example/pkg/serving"
 )
@@ -51,10 +52,16 @@
 	return api.Errorf(http.StatusConflict, api.CodeConflict, api.NotRun, "the idempotency key was used for another request body")
 }
 
-// detachFromCaller returns a context that ends at the deadline, or rejoinWindow after ctx, the caller's context, ends.
+// detachFromCaller returns a context that ends at the deadline, or rejoinWindow after ctx, the caller's context, ends. If ctx ends since
+// the node stops, the other context ends at once, so that the caller still gets an answer.
 func detachFromCaller(ctx context.Context, deadline time.Time) (context.Context, context.CancelFunc) {
-	run, cancel := context.WithDeadline(context.WithoutCancel(ctx), deadline)
+	limited, cancel := context.WithDeadline(context.WithoutCancel(ctx), deadline)
+	run, end := context.WithCancelCause(limited)
 	stop := context.AfterFunc(ctx, func() {
+		if drain.Ended(ctx) {
+			end(drain.ErrEnded)
+			return
+		}
 		select {
 		case <-time.After(rejoinWindow):
 			cancel()
@@ -63,6 +70,7 @@
 	})
 	return run, func() {
 		stop()
+		end(nil)
 		cancel()
 	}
 }
--- a/pkg/node/build.go
+++ b/pkg/node/build.go
@@ -28,6 +28,7 @@
 	"trefoilplank.example/pkg/controller/reconcile"
 	"trefoilplank.example/pkg/controller/upstreams"
 	"trefoilplank.example/pkg/controller/vms"
+	drainplan "trefoilplank.example/pkg/decision/drain"
 	leasedecision "trefoilplank.example/pkg/decision/lease"
 	"trefoilplank.example/pkg/gateway"
 	"trefoilplank.example/pkg/gateway/tlsfiles"
@@ -147,13 +148,15 @@
 	if err != nil {
 		return err
 	}
+	servers := drain.NewServers()
 	n.gateway = gateway.New(gateway.Options{
+		Gate: servers.Gate, DrainPlan: func() drainplan.Plan { return n.drainer.Plan() },
 		Node: name, Board: n.board, Slots: n.admission, Invoker: n.invoker, Limiter: n.limits, Quarantine: n.quarantine,
 		Idempotency: n.idempotency, Claims: n.claims, Explain: n.decisionLog, Objectives: n.burn, AddressTTL: n.settings.AddressTTL,
 	})
 	n.drainer = drain.New(drain.Options{
 		Board: n.board, AddressesValidUntil: n.gateway.AddressesValidUntil, AddressTTL: n.settings.AddressTTL,
-		Active: func() int64 { return n.gateway.Active() + n.links.RelayedForOthers() }, Timeout: n.settings.DrainTimeout,
+		Servers: servers, Relayed: func() int64 { return n.links.RelayedForOthers() }, Timeout: n.settings.DrainTimeout,
 	})
 	files := n.batch.Handler()
 	for _, pattern := range []string{"/v1/files", "/v1/files/", "/v1/batches", "/v1/batches/"} {
