Let a second SIGTERM leave the drain alone

Callers saw all connections closed at once when a node that drained got a second SIGTERM, as signals do that overlap: the handler was removed after the first one. Change: further SIGTERMs are ignored until the process has ended; a second SIGINT, at a terminal, still kills it. The handlers of SIGTERM and SIGHUP are set before the settings are read: a SIGHUP between the start and the handler would have ended the process (read, not shown).

--- a/cmd/internal/daemon/daemon.go
+++ b/cmd/internal/daemon/daemon.go
@@ -91,11 +91,24 @@
 // usageError marks an error caused by flags, environment or settings; it ends the process with exitUsage.
 type usageError struct{ error }
 
-// signalContext returns a context that SIGINT or SIGTERM ends. A second signal kills the process.
+// signalContext returns a context that SIGINT or SIGTERM ends. A second SIGINT kills the process. Further SIGTERMs change nothing: whoever
+// stops a process may send it more than once, and the process ends when its requests have their answers.
 func signalContext() (context.Context, func()) {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	context.AfterFunc(ctx, stop)
-	return ctx, stop
+	ctx, cancel := context.WithCancel(context.Background())
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	go func() {
+		select {
+		case <-signals:
+			signal.Reset(os.Interrupt)
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	return ctx, func() {
+		signal.Stop(signals)
+		cancel()
+	}
 }
 
 const serveHelp = `Runs one node. Every VM runs the same program; each flag has an environment variable TREFOILPLANK_<FLAG>.
--- a/cmd/internal/daemon/edge.go
+++ b/cmd/internal/daemon/edge.go
@@ -18,6 +18,10 @@
 
 // Execute runs one node on the users' platform until a signal stops it. SIGHUP makes it read its settings again.
 func (c *edgeCommand) Execute(args []string) error {
+	ctx, stop := signalContext()
+	defer stop()
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP) // Before the settings are read, so that no change of them is missed, or ends the process.
 	settings, err := edge.ReadSettings(c.Settings)
 	if err := errors.Join(rejectArguments(args), err); err != nil {
 		return &usageError{err}
@@ -28,10 +32,6 @@
 	if err != nil {
 		return err
 	}
-	ctx, stop := signalContext()
-	defer stop()
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
 	go func() {
 		for range hangups {
 			reloadSettings(c.Settings, n, log)
