Go on accepting callers after a failed accept, and serve nothing after a stop

A review of the new servers showed two faults of theirs. One connection that could not be accepted for lack of descriptors ended the accepting of callers for good, while the node called itself ready: every error counted as the closing of the socket. And a server that began to serve after all were stopped was stopped by nobody, so that the process did not end when a part of it failed at the start. Change: only a closed socket ends the accepting; servers that were stopped register no more.

--- a/pkg/controller/drain/drain.go
+++ b/pkg/controller/drain/drain.go
@@ -18,13 +18,9 @@
 	decision "trefoilplank.example/pkg/decision/drain"
 )
 
-const (
-	// propagationTime is how long other nodes may still give out this node's address, until they learn of the drain by
-	// their next membership exchange.
-	propagationTime = 2 * time.Second
-	// stopTime is the part of the time for a drain in which the last requests are ended and their answers written.
-	stopTime = answerTime + shutdownTime
-)
+// propagationTime is how long other nodes may still give out this node's address, until they learn of the drain by
+// their next membership exchange.
+const propagationTime = 2 * time.Second
 
 // Options holds the dependencies and settings of a Controller.
 type Options struct {
@@ -93,7 +89,7 @@
 	}
 	plan := decision.Plan{Begun: begun, LateCallers: until, Quiet: until}
 	if c.Timeout > 0 {
-		if plan.End = begun.Add(c.Timeout - stopTime); plan.End.Before(until) {
+		if plan.End = begun.Add(c.Timeout - StopTime); plan.End.Before(until) {
 			plan.End = until
 		}
 	}
--- a/pkg/controller/drain/servers.go
+++ b/pkg/controller/drain/servers.go
@@ -18,7 +18,9 @@
 	// answerTime is how long requests that are ended have to write their answers.
 	answerTime = 200 * time.Millisecond
 	// shutdownTime is how long the last answers may take to be written, and connections on which nothing was sent to be closed.
-	shutdownTime = 200 * time.Millisecond
+	shutdownTime = 150 * time.Millisecond
+	// StopTime is how much longer than until its end Stop takes.
+	StopTime = answerTime + pollInterval + shutdownTime
 )
 
 // Servers are the HTTP servers for callers. They stop without losing the answer to a request that was let in.
@@ -26,28 +28,42 @@
 	// Gate lets the requests of all servers in.
 	Gate *Gate
 
-	mu        sync.Mutex
+	mu        sync.Mutex // guards the fields below
 	listeners []*listener
 	servers   []*http.Server
+	// stopped is set once no server may begin to serve any more.
+	stopped bool
 }
 
 // NewServers returns no servers yet.
 func NewServers() *Servers { return &Servers{Gate: NewGate()} }
 
-// Serve serves callers on l until the server is shut down; then it returns nil. The handler of the server must be that of the gate.
+// Serve serves callers on l until the server is shut down; then it returns nil, as it does at once after Stop. The handler of the server must
+// be that of the gate.
 func (s *Servers) Serve(server *http.Server, l net.Listener, serve func(net.Listener) error) error {
 	wrapped := &listener{Listener: l, closed: make(chan struct{})}
 	server.BaseContext = func(net.Listener) context.Context { return s.Gate.Context() }
-	s.mu.Lock()
-	s.listeners = append(s.listeners, wrapped)
-	s.servers = append(s.servers, server)
-	s.mu.Unlock()
+	if !s.add(server, wrapped) {
+		return l.Close()
+	}
 	if err := serve(wrapped); !errors.Is(err, http.ErrServerClosed) {
 		return err
 	}
 	return nil
 }
 
+// add registers a server, and returns false if it must not serve any more.
+func (s *Servers) add(server *http.Server, l *listener) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.stopped {
+		return false
+	}
+	s.listeners = append(s.listeners, l)
+	s.servers = append(s.servers, server)
+	return true
+}
+
 // listener is a net.Listener whose socket can be closed without an error for the server, which would otherwise return
 // while requests are in progress. Accept then blocks until Close.
 type listener struct {
@@ -62,8 +78,8 @@
 // Accept implements net.Listener.
 func (l *listener) Accept() (net.Conn, error) {
 	conn, err := l.Listener.Accept()
-	if err == nil {
-		return conn, nil
+	if !errors.Is(err, net.ErrClosed) {
+		return conn, err // The server repeats an Accept that failed for lack of descriptors.
 	}
 	<-l.closed
 	return nil, http.ErrServerClosed
@@ -99,6 +115,7 @@
 		}
 	}
 	s.mu.Lock()
+	s.stopped = true
 	servers := s.servers
 	s.mu.Unlock()
 	var group sync.WaitGroup
@@ -106,9 +123,8 @@
 		group.Go(func() {
 			ctx, cancel := context.WithTimeout(context.Background(), shutdownTime)
 			defer cancel()
-			if server.Shutdown(ctx) != nil { // A connection has not sent its first request, or its caller does not read.
-				_ = server.Close() // Nothing can be done about an error.
-			}
+			_ = server.Shutdown(ctx) // An error means that a listener was closed before, or that connections are left.
+			_ = server.Close()       // It closes connections that have sent nothing, and those of callers that do not read.
 		})
 	}
 	group.Wait()
