Stop within the time that the platform gives, and report a VM as emptied only then

The margin now is the sum of its parts and a tenth of a second for the signal. A retirement that came while the node already drained was reported as done at once; it now waits for the same end. A failure that an upstream had returned is passed on at the end of the drain, not replaced by 504.

--- a/pkg/edge/drain.go
+++ b/pkg/edge/drain.go
@@ -5,14 +5,16 @@
 	"net/http"
 	"time"
 
+	"trefoilplank.example/pkg/controller/drain"
 	decision "trefoilplank.example/pkg/decision/drain"
 )
 
 const (
-	// drainMargin is the part of the time to stop that is reserved for the last answers, closing connections and leaving the fleet.
-	drainMargin = 600 * time.Millisecond
 	// leaveTimeout limits leaving the fleet.
-	leaveTimeout = 300 * time.Millisecond
+	leaveTimeout = 230 * time.Millisecond
+	// drainMargin is the part of the time to stop that is reserved for the last answers, closing connections and leaving the fleet, and
+	// for the time from the signal to the begin of the drain.
+	drainMargin = drain.StopTime + leaveTimeout + 100*time.Millisecond
 	// drainPoll is the time between two checks of what is in progress.
 	drainPoll = 50 * time.Millisecond
 )
@@ -41,16 +43,17 @@
 
 // stopServing takes the node out of service, once: it removes the node from address answers, hands over its jobs and waits until nothing
 // is in progress or the time to stop is over. Callers that still have its address are served meanwhile, on connections that close
-// after the response. Both a stop signal and the retirement of the VM end the service this way.
-func (n *Node) stopServing(ctx context.Context) {
+// after the response. Both a stop signal and the retirement of the VM end the service this way; each waits until it has ended. If
+// awaitOthers is set, a node that serves no callers waits as long as callers are waited for, so that other nodes learn that it drains.
+func (n *Node) stopServing(ctx context.Context, awaitOthers bool) {
 	n.stopOnce.Do(func() {
 		defer close(n.stopped)
-		n.runDrain(ctx)
+		n.runDrain(ctx, awaitOthers || n.settings.CallerAddress != "")
 	})
 	<-n.stopped
 }
 
-func (n *Node) runDrain(ctx context.Context) {
+func (n *Node) runDrain(ctx context.Context, awaitOthers bool) {
 	begun := time.Now()
 	limit, addressesEnd := n.drainTimes(begun)
 	plan := decision.NewPlan(begun, limit, addressesEnd)
@@ -67,40 +70,46 @@
 		}
 		n.jobs.HandOver(call)
 	}()
-	reason := n.awaitQuiet(plan, handedOver)
+	quiet := begun
+	if awaitOthers {
+		quiet = plan.Quiet
+	}
+	reason := n.awaitQuiet(quiet, plan.End, handedOver)
 	n.log.Notice("drain stops waiting", "reason", reason, "ms", time.Since(begun).Milliseconds(), "active", n.servers.Gate.Active(), "relayed", n.links.RelayedForOthers())
 	_ = n.servers.Refuse() // An error means that the listener is closed.
 	ended := n.servers.Stop(plan.End, n.links.RelayedForOthers)
 	n.log.Notice("node drained", "ms", time.Since(begun).Milliseconds(), "ended", ended, "active", n.servers.Gate.Active())
 }
 
-// awaitQuiet returns when no more callers are expected, nothing is in progress and the jobs are handed over, or when the drain ends, and says
-// which.
-func (n *Node) awaitQuiet(plan decision.Plan, handedOver <-chan struct{}) (reason string) {
-	quiet := plan.Quiet
-	if n.settings.CallerAddress == "" {
-		quiet = plan.Begun
-	}
+// awaitQuiet returns when, from quiet on, nothing is in progress and the jobs are handed over, or at end, and says which.
+func (n *Node) awaitQuiet(quiet, end time.Time, handedOver <-chan struct{}) (reason string) {
+	over := time.After(time.Until(end))
 	tick := time.NewTicker(drainPoll)
 	defer tick.Stop()
-	for now := range tick.C {
-		if !now.Before(plan.End) {
-			return "time is over"
-		}
+	for {
 		select {
-		case <-handedOver:
-			if now.After(quiet) && n.servers.Gate.Active() == 0 && n.links.RelayedForOthers() == 0 {
+		case <-over:
+			return "time is over"
+		case now := <-tick.C:
+			if !now.Before(quiet) && isClosed(handedOver) && n.servers.Gate.Active() == 0 && n.links.RelayedForOthers() == 0 {
 				return "no request in progress"
 			}
-		default:
 		}
 	}
-	return ""
+}
+
+func isClosed(c <-chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
 }
 
 // drain stops the service and leaves the fleet.
 func (n *Node) drain(ctx context.Context) {
-	n.stopServing(ctx)
+	n.stopServing(ctx, true)
 	leave, cancel := context.WithTimeout(ctx, leaveTimeout)
 	defer cancel()
 	if err := n.fleet.Leave(leave); err != nil {
--- a/pkg/edge/retire.go
+++ b/pkg/edge/retire.go
@@ -69,9 +69,9 @@
 			if reported[node] || !n.mayReportRetired(node, missingSince) {
 				continue
 			}
-			if node == n.settings.Name && !n.draining.Load() {
+			if node == n.settings.Name {
 				n.log.Notice("VM is to be retired, emptying node", "node", node)
-				n.stopServing(ctx)
+				n.stopServing(ctx, false)
 			}
 			if err := n.platform.ReportRetired(ctx, node); err != nil {
 				n.log.Notice("emptied node could not be reported, retrying", "node", node, "error", err)
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -349,12 +349,15 @@
 	case drain.Ended(x.r.Context()) && !errors.Is(cause, errCallerGone):
 		x.options.Log.Notice("request ended since the drain is over", fields...)
 		x.options.Metrics.countOutcome("drain_over")
-		if x.ran == 0 && !x.headersSent {
+		switch {
+		case x.ran == 0 && !x.headersSent:
 			x.options.CustomerMetrics.CountRequest(x.caller.Name(), "no_room")
 			Refuse(x.w, http.StatusServiceUnavailable, drainRetry)
-			return false
+		case x.lastFailure != nil:
+			x.respondWithFailure()
+		default:
+			x.fail(http.StatusGatewayTimeout)
 		}
-		x.fail(http.StatusGatewayTimeout)
 		return false
 	case x.r.Context().Err() != nil, errors.Is(cause, errCallerGone):
 		x.options.Metrics.countOutcome("left")
