Accept late callers by a usual run for two fifths of the drain at most

With addresses that are cached for longer than a second, streams were accepted by a usual run up to half of the time to stop, and could be broken off at its end although they came later than the three seconds in which that is allowed. Change: two fifths of the drain, 2.9 of 7.3 s.

--- a/pkg/decision/drain/drain.go
+++ b/pkg/decision/drain/drain.go
@@ -12,6 +12,8 @@
 	longRunFactor, runSlack = 2, time.Second
 	// lateRequest is how long after the last new caller its request is awaited, before the node stops for lack of requests.
 	lateRequest = 800 * time.Millisecond
+	// lateCallerPart of the drain is how long callers are accepted whose requests may outlast it, at most.
+	lateCallerPart = 0.4
 )
 
 // Plan is the schedule of a drain. The zero value is that of a node that does not drain.
@@ -28,9 +30,11 @@
 // NewPlan returns the schedule of a drain that begins at a moment and takes a limited time. Callers may use the node's address until
 // addressesEnd. They are waited for during half of the time at most, which leaves the other half for their requests.
 func NewPlan(begun time.Time, limit time.Duration, addressesEnd time.Time) Plan {
-	half := begun.Add(limit / 2)
 	return Plan{
-		Begun: begun, LateCallers: earlier(addressesEnd, half), Quiet: earlier(addressesEnd.Add(lateRequest), half), End: begun.Add(limit),
+		Begun:       begun,
+		LateCallers: earlier(addressesEnd, begun.Add(time.Duration(lateCallerPart*float64(limit)))),
+		Quiet:       earlier(addressesEnd.Add(lateRequest), begun.Add(limit/2)),
+		End:         begun.Add(limit),
 	}
 }
 
--- a/pkg/decision/drain/drain_test.go
+++ b/pkg/decision/drain/drain_test.go
@@ -27,6 +27,7 @@
 		{"early, long limit", 0.1, 15.1, 0.1, Usual},
 		{"early, long limit, long run", 0.1, 15.1, 4, Refused},
 		{"last new caller, limit beyond the end", 2.9, 7.9, 0.6, Usual},
+		{"caller after the last new one, limit beyond the end", 3, 8, 0.6, Refused},
 		{"late, limit ends in time", 4.3, 7.3, 0.1, Whole},
 		{"late, limit ends at the end", 4.4, 7.4, 0.1, Whole},
 		{"late, limit beyond the end, usual run would end in time", 4.5, 7.5, 0.1, Refused},
@@ -37,6 +38,10 @@
 		got := p.Admit(at(c.at), at(c.deadline), time.Duration(c.usual*float64(time.Second)))
 		assert.Equal(t, got, c.want, c.name)
 	}
+	// Addresses that may be cached longer leave no less time for requests.
+	p = NewPlan(begun, 7400*time.Millisecond, at(15))
+	assert.Equal(t, p.Admit(at(2.9), at(7.9), 600*time.Millisecond), Usual)
+	assert.Equal(t, p.Admit(at(3), at(8), 600*time.Millisecond), Refused)
 	assert.Equal(t, Plan{}.Admit(at(100), at(200), time.Hour), Whole)
 }
 
