Accept connections again after one could not be accepted

Callers would see: a node whose descriptors run short for a moment accepts no connection any more, and stays ready. Change: only a closed socket ends accepting; the server tries others again.

--- a/pkg/controller/drain/servers.go
+++ b/pkg/controller/drain/servers.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -52,18 +53,22 @@
 // while requests are in progress. Accept then blocks until Close.
 type listener struct {
 	net.Listener
-	once   sync.Once
-	closed chan struct{}
+	once    sync.Once
+	refuses atomic.Bool
+	closed  chan struct{}
 }
 
 // closeSocket makes the listener refuse new connections.
-func (l *listener) closeSocket() error { return l.Listener.Close() }
+func (l *listener) closeSocket() error {
+	l.refuses.Store(true)
+	return l.Listener.Close()
+}
 
-// Accept implements net.Listener.
+// Accept implements net.Listener. The server tries again after a failure that does not come from closeSocket or Close.
 func (l *listener) Accept() (net.Conn, error) {
 	conn, err := l.Listener.Accept()
-	if err == nil {
-		return conn, nil
+	if err == nil || !l.refuses.Load() {
+		return conn, err
 	}
 	<-l.closed
 	return nil, http.ErrServerClosed
@@ -72,7 +77,7 @@
 // Close implements net.Listener.
 func (l *listener) Close() error {
 	l.once.Do(func() { close(l.closed) })
-	return l.Listener.Close()
+	return l.closeSocket()
 }
 
 // Refuse makes new connections fail, so that callers go elsewhere at once. Those on open connections are served.
