Count no refused request among those that a drain ends

Operators would see `Drained ended=1` although nothing was ended. Cause: a request at a closed gate was counted for a moment before it was refused. Change: the gate counts it only if it lets it in.

--- a/pkg/controller/drain/gate.go
+++ b/pkg/controller/drain/gate.go
@@ -32,11 +32,15 @@
 
 // Enter counts a request. It returns false if the gate is closed; Leave must be called otherwise.
 func (g *Gate) Enter() bool {
-	if g.state.Add(1)&closedBit == 0 {
-		return true
+	for {
+		state := g.state.Load()
+		if state&closedBit != 0 {
+			return false
+		}
+		if g.state.CompareAndSwap(state, state+1) {
+			return true
+		}
 	}
-	g.state.Add(-1)
-	return false
 }
 
 // Leave ends the count of a request.
