Refuse in a drain what can't be repeated and might have to be ended

Callers saw `unknown` for calls that must not run twice, with which nothing can be done: a draining node accepts callers that could not know of the drain if a usual run ends in time, and ends the run with the drain when its upstream is silent. Cause: the estimate by which requests that can be repeated are accepted was used for all. Change: a request that can't be repeated is accepted only if the drain leaves it all the time for which its caller waits; otherwise it is refused at once with not-run, and another node runs it. Price: such calls with long timeouts are refused from the beginning of a short drain on, also while upstreams are sound.

--- a/pkg/gateway/handlers.go
+++ b/pkg/gateway/handlers.go
@@ -116,7 +116,7 @@
 
 // limitAndRun checks the institution's limits, runs the request and answers.
 func (g *Gateway) limitAndRun(w http.ResponseWriter, r *http.Request, rs *requestState) {
-	if g.DrainPlan().Admit(time.Now(), rs.req.Deadline, 0) == decision.Refused {
+	if !g.admitDuringDrain(rs) {
 		g.explainDecision(rs, "", "refuse", "the node drains and would end the request before its deadline", nil)
 		WriteError(w, r, errStopping())
 		return
@@ -137,6 +137,18 @@
 	g.runAndAnswer(ctx, w, r, rs)
 }
 
+// admitDuringDrain reports whether the node accepts the request. A draining node may have to end one that is accepted for its usual duration
+// only; of a request that can't be repeated the outcome would then be unknown, while other nodes can still run it.
+func (g *Gateway) admitDuringDrain(rs *requestState) bool {
+	switch g.DrainPlan().Admit(time.Now(), rs.req.Deadline, 0) {
+	case decision.Whole:
+		return true
+	case decision.Usual:
+		return rs.repeatable
+	}
+	return false
+}
+
 // runAndAnswer runs the request, writes the answer, and returns the result.
 func (g *Gateway) runAndAnswer(ctx context.Context, w http.ResponseWriter, r *http.Request, rs *requestState) (*serving.Result, error) {
 	if rs.stream {
