Close the connection behind a refusal of a node that stops

Callers would see the next request on that connection cut: the node refuses a request at its closed gate, keeps the connection, and closes it within 0.4 s. Cause: the header that sends callers of a draining node elsewhere was set behind the gate only. Change: it is set before.

--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -178,6 +178,10 @@
 	id := g.Node + "-" + ulid.Make().String()
 	w.Header().Set(api.HeaderRequestID, id)
 	ctx := serving.WithRequestID(r.Context(), id)
+	if g.Board.Draining.Value() {
+		// Closing the connection makes the caller send its next request to another node.
+		w.Header().Set("Connection", "close")
+	}
 	if !g.Gate.Enter() {
 		refuseUnread(w, r.WithContext(ctx), errStopping())
 		return
@@ -193,10 +197,6 @@
 				"internal error"))
 		}
 	}()
-	if g.Board.Draining.Value() {
-		// Closing the connection makes the caller send its next request to another node.
-		w.Header().Set("Connection", "close")
-	}
 	if headerBytes(r) > MaxHeaderBytes {
 		refuseUnread(w, r.WithContext(ctx), api.Errorf(http.StatusRequestHeaderFieldsTooLarge, api.CodeTooLarge, api.NotRun,
 			"the header is larger than %d bytes", MaxHeaderBytes))
