Answer requests whose bodies are still arriving when the node stops

Callers saw a closed connection without an answer for an upload or a request whose body was still being sent when the time of the drain was over. Cause: the end of a drain ends the contexts of requests, and a read of a body does not notice; it lasts up to 30 s. Change: it ends with them, and the request is refused with 503 not_ready and not-run; so are calls on files and batches that have not taken effect. An upload that ends so leaves its cleaning to retention, which has time for it. Evidence: TestBodyInProgressAtTheEndIsRefused (completion, service calls with and without a key, upload in a file and in a form's head), before: 6 of 6 end with an unexpected EOF; now all get 503 not_ready not-run. go test -race ./pkg/batch/handler and the tests of bodies and uploads of ./pkg/gateway pass.

--- a/pkg/batch/handler/files.go
+++ b/pkg/batch/handler/files.go
@@ -13,6 +13,7 @@
 	"trefoilplank.example/api"
 	"trefoilplank.example/pkg/adapter/store"
 	"trefoilplank.example/pkg/batch/filestore"
+	"trefoilplank.example/pkg/controller/drain"
 	"trefoilplank.example/pkg/serving"
 )
 
@@ -71,8 +72,8 @@
 		m, err = h.acceptFile(ctx, m)
 	}
 	if !u.DigestOnly {
-		// An upload with an unknown outcome may have been accepted, so retention cleans it up.
-		if err == nil || !errors.Is(err, store.ErrUnknown) {
+		// An upload with an unknown outcome may have been accepted, so retention cleans it up, as it does if there is no time left.
+		if err == nil || !errors.Is(err, store.ErrUnknown) && !drain.Ended(ctx) {
 			h.cleanUpUpload(ctx, u.Meta.ID, err == nil && m.ID == u.Meta.ID)
 		}
 	}
--- a/pkg/batch/handler/handler.go
+++ b/pkg/batch/handler/handler.go
@@ -18,6 +18,7 @@
 	"trefoilplank.example/pkg/adapter/store"
 	"trefoilplank.example/pkg/batch/filestore"
 	"trefoilplank.example/pkg/batch/jobstore"
+	"trefoilplank.example/pkg/controller/drain"
 	"trefoilplank.example/pkg/decision/jobstate"
 	"trefoilplank.example/pkg/serving"
 )
@@ -26,6 +27,8 @@
 const (
 	// retryAfter is the retry time in answers to callers while the store does not answer.
 	retryAfter = 5 * time.Second
+	// stoppingRetryAfter is the retry time while only this node can't serve a call.
+	stoppingRetryAfter = time.Second
 	// DefaultRetention is how long files, and jobs after their end, are kept.
 	DefaultRetention = 30 * 24 * time.Hour
 )
@@ -92,11 +95,21 @@
 			err = f(w, r, id)
 		}
 		if err != nil {
-			writeError(w, r, err)
+			writeError(w, r, endedError(r.Context(), err))
 		}
 	}
 }
 
+// endedError replaces the error of a call that was ended since the node stops, unless it may have taken effect: another node can serve it.
+func endedError(ctx context.Context, err error) error {
+	if !drain.Ended(ctx) || apiError(err).Outcome != api.NotRun {
+		return err
+	}
+	e := api.Errorf(http.StatusServiceUnavailable, api.CodeNotReady, api.NotRun, "the node stops")
+	e.RetryAfter = stoppingRetryAfter
+	return e
+}
+
 func writeError(w http.ResponseWriter, r *http.Request, err error) {
 	e := apiError(err)
 	e.RequestID = serving.RequestIDFrom(r.Context())
--- a/pkg/gateway/drainend_test.go
+++ b/pkg/gateway/drainend_test.go
@@ -7,12 +7,16 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/assert/cmp"
 
 	"trefoilplank.example/api"
+	"trefoilplank.example/pkg/adapter/store/memstore"
+	"trefoilplank.example/pkg/batch/handler"
 	"trefoilplank.example/pkg/controller/drain"
 	decision "trefoilplank.example/pkg/decision/drain"
 )
@@ -21,6 +25,7 @@
 type stoppingNode struct {
 	*fixture
 	servers *drain.Servers
+	plan    atomic.Pointer[decision.Plan]
 	address string
 	served  chan error
 }
@@ -30,6 +35,8 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(f.t, err)
 	n := &stoppingNode{fixture: f, servers: &drain.Servers{Gate: f.Gate}, address: l.Addr().String(), served: make(chan error, 1)}
+	n.plan.Store(&decision.Plan{})
+	n.DrainPlan = func() decision.Plan { return *n.plan.Load() }
 	server := NewServer(f.Gateway)
 	go func() { n.served <- n.servers.Serve(server, l, server.Serve) }()
 	n.url = "http://" + n.address
@@ -39,7 +46,7 @@
 // stop ends the node as a drain of a limited time does, and returns how many requests that ended.
 func (n *stoppingNode) stop(limit time.Duration) int64 {
 	plan := decision.NewPlan(time.Now(), limit, time.Now())
-	n.DrainPlan = func() decision.Plan { return plan }
+	n.plan.Store(&plan)
 	n.board.Draining.Set(true)
 	assert.NilError(n.t, n.servers.Refuse())
 	ended := n.servers.Stop(plan.End, nil)
@@ -93,3 +100,34 @@
 	assert.Equal(t, fmt.Sprint(r.status, " ", detail.Code, " ", r.outcome, " ", detail.RetryAfterSeconds), "503 not_ready not-run 1")
 	assert.Equal(t, r.header.Get("Connection"), "close")
 }
+
+// Guards against a connection that is closed without an answer when a node stops while the body of the request arrives: it has not run.
+func TestBodyInProgressAtTheEndIsRefused(t *testing.T) {
+	f := newFixture(t, nil, newUpstream(t, "e1", api.UpstreamEngine), newUpstream(t, "s1", api.UpstreamService))
+	config := f.board.Config.Value()
+	config.Register.Callers[0].Grants.Batch = true
+	f.board.Config.Set(config)
+	f.Mount("/v1/files", handler.New(handler.Options{Store: memstore.New()}))
+	n := startStoppingNode(f)
+	form := "--x\r\nContent-Disposition: form-data; name=\"purpose\"\r\n\r\nbatch\r\n--x\r\n" +
+		"Content-Disposition: form-data; name=\"file\"; filename=\"a\"\r\n\r\n{\"custom_id\":"
+	answers := map[string]func() (reply, api.ErrorDetail){}
+	for name, text := range map[string]string{
+		"completion": requestHead("POST", "/v1/chat/completions", 500) + `{"model":`,
+		"service":    requestHead("POST", "/v1/services/status/note", 500) + "a",
+		"unsent":     requestHead("POST", "/v1/services/status/note", 500),
+		"keyed":      requestHead("POST", "/v1/services/status/note", 500, api.HeaderIdempotencyKey, "a", api.HeaderNonIdempotent, "true") + "a",
+		"upload":     requestHead("POST", "/v1/files", 5000, "Content-Type", "multipart/form-data; boundary=x") + form,
+		"form":       requestHead("POST", "/v1/files", 5000, "Content-Type", "multipart/form-data; boundary=x") + "--x\r\nContent-",
+	} {
+		_, answers[name] = n.begin(text)
+	}
+	eventually(t, "the requests are in progress", func() bool { return n.Active() == int64(len(answers)) })
+	assert.Equal(t, n.stop(300*time.Millisecond), int64(len(answers)))
+	for name, answer := range answers {
+		r, detail := answer()
+		assert.Check(t, r.err, name)
+		assert.Check(t, cmp.Equal(fmt.Sprint(r.status, " ", detail.Code, " ", r.outcome), "503 not_ready not-run"), name)
+		assert.Check(t, detail.RetryAfterSeconds > 0, name)
+	}
+}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -161,7 +161,7 @@
 func (g *Gateway) Mount(pattern string, h http.Handler) {
 	g.mux.HandleFunc(pattern, func(w http.ResponseWriter, r *http.Request) {
 		if r.Body != http.NoBody {
-			r.Body = &idleBody{callerbudget.Uncounted(r.Body), http.NewResponseController(w), g.BodyTimeout}
+			r.Body = &idleBody{callerbudget.Uncounted(r.Body), r.Context(), http.NewResponseController(w), g.BodyTimeout}
 		}
 		h.ServeHTTP(w, r)
 	})
--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -15,6 +15,7 @@
 
 	"trefoilplank.example/api"
 	"trefoilplank.example/pkg/controller/callerbudget"
+	"trefoilplank.example/pkg/controller/drain"
 	"trefoilplank.example/pkg/gateway/prompt"
 	"trefoilplank.example/pkg/pieces"
 	"trefoilplank.example/pkg/serving"
@@ -64,8 +65,11 @@
 	control := http.NewResponseController(w)
 	// The error is ignored: a writer without deadlines, as in a test, is read without one.
 	_ = control.SetReadDeadline(time.Now().Add(g.BodyTimeout))
+	stop := endReadWithNode(r.Context(), control)
+	defer stop()
 	body, err := pieces.Read(http.MaxBytesReader(w, r.Body, g.MaxBodyBytes), r.ContentLength)
 	if err == nil {
+		stop()
 		// A remaining deadline would end the background read with which net/http detects a disconnect.
 		_ = control.SetReadDeadline(time.Time{})
 		return body, nil
@@ -75,6 +79,8 @@
 	w.Header().Set("Connection", "close")
 	var tooLarge *http.MaxBytesError
 	switch {
+	case drain.Ended(r.Context()):
+		return nil, errStopping()
 	case errors.As(err, &tooLarge):
 		callerbudget.Discard(r.Body, maxDiscardBytes)
 		return nil, api.Errorf(http.StatusRequestEntityTooLarge, api.CodeTooLarge, api.NotRun,
@@ -90,9 +96,22 @@
 	}
 }
 
-// idleBody is a request body whose Read fails when nothing arrives within idle.
+// past is a deadline that has passed.
+var past = time.Unix(1, 0)
+
+// endReadWithNode makes reads of a request's body fail once the node ends the request. stop ends that.
+func endReadWithNode(ctx context.Context, control *http.ResponseController) (stop func() bool) {
+	return context.AfterFunc(ctx, func() {
+		if drain.Ended(ctx) {
+			_ = control.SetReadDeadline(past)
+		}
+	})
+}
+
+// idleBody is a request body whose Read fails when nothing arrives within idle, or with drain.ErrEnded when the node ends the request.
 type idleBody struct {
 	io.ReadCloser
+	ctx     context.Context
 	control *http.ResponseController
 	idle    time.Duration
 }
@@ -100,7 +119,12 @@
 func (b *idleBody) Read(p []byte) (int, error) {
 	// The error is ignored: a writer without deadlines, as in a test, is read without one.
 	_ = b.control.SetReadDeadline(time.Now().Add(b.idle))
+	stop := endReadWithNode(b.ctx, b.control)
 	n, err := b.ReadCloser.Read(p)
+	stop()
+	if err != nil && drain.Ended(b.ctx) {
+		return n, drain.ErrEnded
+	}
 	if errors.Is(err, io.EOF) {
 		// A remaining deadline would end the background read with which net/http detects a disconnect.
 		_ = b.control.SetReadDeadline(time.Time{})
