Tell a request that waits for a slot at the end of a drain that the node stops

Callers saw 504 deadline_exceeded long before their deadline. Cause: admission answers a request whose context has ended as one whose deadline has passed, and the gateway passes that on. Change: a request that has not run when the drain ends it gets 503 not_ready with not-run, whatever it waited for; its key and its claim are free for another node, as before.

--- a/pkg/gateway/drainend_test.go
+++ b/pkg/gateway/drainend_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -19,6 +20,7 @@
 	"trefoilplank.example/pkg/batch/handler"
 	"trefoilplank.example/pkg/controller/drain"
 	decision "trefoilplank.example/pkg/decision/drain"
+	"trefoilplank.example/pkg/serving"
 )
 
 // stoppingNode is a gateway whose drain a test ends.
@@ -131,3 +133,37 @@
 		assert.Check(t, detail.RetryAfterSeconds > 0, name)
 	}
 }
+
+// waitingSlots grants no slot. Requests wait for one until they end, as at an admission owner.
+type waitingSlots struct{ serving.SlotAllocator }
+
+func (waitingSlots) Acquire(ctx context.Context, r serving.Request) (*serving.Slot, error) {
+	<-ctx.Done()
+	return nil, api.Errorf(http.StatusGatewayTimeout, api.CodeDeadline, api.NotRun, "the request was given up while it waited for a slot")
+}
+
+// Guards against requests that wait for a slot when a node stops and are told that their deadline has passed: they have not run, and
+// another node can serve them at once, also under the same key.
+func TestRequestWaitingForASlotAtTheEndIsRefused(t *testing.T) {
+	s := newUpstream(t, "s1", api.UpstreamService)
+	nodes, _, _ := startKeyedNodes(t, 2, s)
+	nodes[0].Slots = waitingSlots{}
+	n := startStoppingNode(nodes[0])
+	var answers []func() (reply, api.ErrorDetail)
+	for _, header := range [][]string{nil, {api.HeaderNonIdempotent, "true", api.HeaderIdempotencyKey, "a"}, {api.HeaderIdempotencyKey, "b"}} {
+		_, answer := n.begin(requestHead("POST", "/v1/services/status/charge", 1, header...) + "5")
+		answers = append(answers, answer)
+	}
+	eventually(t, "the requests are in progress", func() bool { return n.Active() == int64(len(answers)) })
+	assert.Equal(t, n.stop(300*time.Millisecond), int64(len(answers)))
+	for _, answer := range answers {
+		r, detail := answer()
+		assert.NilError(t, r.err)
+		assert.Equal(t, fmt.Sprint(r.status, " ", detail.Code, " ", r.outcome), "503 not_ready not-run")
+	}
+	for _, key := range []string{"a", "b"} {
+		r := nodes[1].send(context.Background(), "POST", "/v1/services/status/charge", "5", api.HeaderNonIdempotent, fmt.Sprint(key == "a"), api.HeaderIdempotencyKey, key)
+		assert.Equal(t, r.status, 200, r.body)
+	}
+	assert.Equal(t, s.runCount(), 2)
+}
--- a/pkg/gateway/execute.go
+++ b/pkg/gateway/execute.go
@@ -255,11 +255,11 @@
 func (g *Gateway) finalError(ctx context.Context, rs *requestState, err error) error {
 	var e *api.Error
 	switch {
-	case errors.As(err, &e):
+	case errors.As(err, &e) && (!drain.Ended(ctx) || e.Outcome != api.NotRun):
 		copied := *e
 		e = &copied
 	case drain.Ended(ctx) && !rs.mayHaveRun:
-		return errStopping()
+		e = errStopping()
 	case drain.Ended(ctx):
 		e = api.Errorf(http.StatusGatewayTimeout, api.CodeNotReady, api.Unknown, "the node stopped before the upstream answered")
 		e.RetryAfter = retryAfter
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -221,7 +221,7 @@
 }
 
 // errStopping refuses a request that the node would have to end before its deadline. Other nodes can serve it.
-func errStopping() error {
+func errStopping() *api.Error {
 	e := api.Errorf(http.StatusServiceUnavailable, api.CodeNotReady, api.NotRun, "the node stops")
 	e.RetryAfter = retryAfter
 	return e
