End keyed runs with the node, and let a joined request run again elsewhere

Callers saw: a request that had joined a keyed run at a stopping node got that node's 504 instead of an answer, or, if the run's first caller had left, waited until other nodes noticed the loss of the node. Cause: the run's answer to its own caller, that the node stopped, was passed to those that joined it at sound nodes; and a run whose caller had left was not ended with the drain, since it had stopped following its caller's context. Change: such runs end with the node whether their callers have left or not, and report their end; if the answer is not kept, one of the joined requests runs at its own node. A call that can't be repeated keeps its answer, which is unknown, and its claim. Evidence: TestKeyedRunsAtTheEnd, before: 504 for the joined lookup; with the caller gone 2 of 2 runs are still in progress when the node has stopped, and one test waits 30 s. Now the lookup gets 200, the charge is unknown for the joined request and for a resend, and three runs are made in all.

--- a/pkg/gateway/drainend_test.go
+++ b/pkg/gateway/drainend_test.go
@@ -167,3 +167,64 @@
 	}
 	assert.Equal(t, s.runCount(), 2)
 }
+
+// Guards against runs that nobody hears of when the node stops that made them: of requests with a key that wait for such a run at another
+// node, one that can be repeated runs again there, and one that can't be is unknown and is never run a second time. That holds
+// too if the caller of the run has left.
+func TestKeyedRunsAtTheEnd(t *testing.T) {
+	for _, left := range []bool{false, true} {
+		t.Run(fmt.Sprint("caller has left ", left), func(t *testing.T) {
+			s := newUpstream(t, "s1", api.UpstreamService)
+			var silent atomic.Bool
+			silent.Store(true)
+			s.fault = func(_ *fakeUpstream, _ http.ResponseWriter, r *http.Request, _ []byte) bool {
+				if silent.Load() {
+					<-r.Context().Done()
+				}
+				return silent.Load()
+			}
+			nodes, _, _ := startKeyedNodes(t, 2, s)
+			n := startStoppingNode(nodes[0])
+			calls := map[string]string{
+				"lookup": requestHead("GET", "/v1/services/status/record", 0, api.HeaderIdempotencyKey, "a"),
+				"charge": requestHead("POST", "/v1/services/status/charge", 1, api.HeaderIdempotencyKey, "b", api.HeaderNonIdempotent, "true") + "5",
+			}
+			answers := map[string]func() (reply, api.ErrorDetail){}
+			for name, text := range calls {
+				conn, answer := n.begin(text)
+				answers[name] = answer
+				eventually(t, "the request runs", func() bool { return s.runCount() == len(answers) })
+				if left {
+					assert.NilError(t, conn.Close())
+				}
+			}
+			joined := map[string]chan reply{"lookup": make(chan reply, 1), "charge": make(chan reply, 1)}
+			go func() {
+				joined["lookup"] <- nodes[1].send(context.Background(), "GET", "/v1/services/status/record", "", api.HeaderIdempotencyKey, "a")
+			}()
+			go func() { joined["charge"] <- charge(nodes[1], api.HeaderIdempotencyKey, "b") }()
+			time.Sleep(100 * time.Millisecond)
+			stopped := make(chan int64, 1)
+			go func() { stopped <- n.stop(300 * time.Millisecond) }()
+			time.Sleep(200 * time.Millisecond)
+			silent.Store(false)
+			assert.Equal(t, <-stopped, int64(len(calls)))
+			assert.Equal(t, n.Active(), int64(0))
+			for name, answer := range answers {
+				if left {
+					continue
+				}
+				r, detail := answer()
+				assert.NilError(t, r.err, name)
+				assert.Equal(t, fmt.Sprint(r.status, " ", detail.Code, " ", r.outcome), "504 not_ready unknown", name)
+			}
+			r := <-joined["lookup"]
+			assert.Equal(t, r.status, 200, r.body)
+			r = <-joined["charge"]
+			assert.Equal(t, r.outcome, "unknown", r.body)
+			r = charge(nodes[1], api.HeaderIdempotencyKey, "b")
+			assert.Equal(t, r.outcome, "unknown", r.body)
+			assert.Equal(t, s.runCount(), 3)
+		})
+	}
+}
--- a/pkg/gateway/keyed.go
+++ b/pkg/gateway/keyed.go
@@ -41,9 +41,16 @@
 		WriteError(w, r, e)
 	default:
 		rec := &responseRecorder{w: w, control: http.NewResponseController(w)}
-		defer func() { ticket.End(r.Context(), rec.answer(rs), rs.keepAnswer(rec)) }()
-		runCtx, stop := detachFromCaller(r.Context(), rs.req.Deadline)
+		runCtx, stop := g.detachFromCaller(r.Context(), rs.req.Deadline)
 		defer stop()
+		defer func() {
+			answer, keep := rec.answer(rs), rs.keepAnswer(rec)
+			if drain.Ended(runCtx) && !keep {
+				// One of the requests that joined the run may run at another node.
+				answer = nil
+			}
+			ticket.End(r.Context(), answer, keep)
+		}()
 		rec.res, rec.err = g.runAndAnswer(runCtx, rec, r, rs)
 	}
 }
@@ -52,16 +59,13 @@
 	return api.Errorf(http.StatusConflict, api.CodeConflict, api.NotRun, "the idempotency key was used for another request body")
 }
 
-// detachFromCaller returns a context that ends at the deadline, or rejoinWindow after ctx, the caller's context, ends. If ctx ends since
-// the node stops, the other context ends at once, so that the caller still gets an answer.
-func detachFromCaller(ctx context.Context, deadline time.Time) (context.Context, context.CancelFunc) {
+// detachFromCaller returns a context that ends at the deadline, rejoinWindow after ctx, the caller's context, ends, or when the node ends
+// its requests.
+func (g *Gateway) detachFromCaller(ctx context.Context, deadline time.Time) (context.Context, context.CancelFunc) {
 	limited, cancel := context.WithDeadline(context.WithoutCancel(ctx), deadline)
 	run, end := context.WithCancelCause(limited)
+	stopEnding := context.AfterFunc(g.Gate.Context(), func() { end(drain.ErrEnded) })
 	stop := context.AfterFunc(ctx, func() {
-		if drain.Ended(ctx) {
-			end(drain.ErrEnded)
-			return
-		}
 		select {
 		case <-time.After(rejoinWindow):
 			cancel()
@@ -70,6 +74,7 @@
 	})
 	return run, func() {
 		stop()
+		stopEnding()
 		end(nil)
 		cancel()
 	}
