Tell a joined request at the end of a drain that the node stops

Callers saw 504 deadline_exceeded before their deadline. Cause: the answer to a request that waits for one with the same key knew only the deadline. Change: it is 504 not_ready, and unknown as before, since the other one may succeed; a resend joins it at another node. Evidence: TestJoinedRequestAtTheEnd, before: 504 deadline_exceeded unknown 0.2 s after the request; now 504 not_ready unknown.

--- a/pkg/gateway/drainend_test.go
+++ b/pkg/gateway/drainend_test.go
@@ -228,3 +228,21 @@
 		})
 	}
 }
+
+// Guards against a request that waits for an equal one at another node when its own node stops, and is told that its deadline has passed.
+func TestJoinedRequestAtTheEnd(t *testing.T) {
+	s := newUpstream(t, "s1", api.UpstreamService)
+	s.fault = delayed(time.Second)
+	nodes, _, _ := startKeyedNodes(t, 2, s)
+	n := startStoppingNode(nodes[0])
+	first := make(chan reply, 1)
+	go func() { first <- charge(nodes[1], api.HeaderIdempotencyKey, "a") }()
+	eventually(t, "the request runs", func() bool { return s.runCount() == 1 })
+	_, answer := n.begin(requestHead("POST", "/v1/services/status/charge", 1, api.HeaderIdempotencyKey, "a", api.HeaderNonIdempotent, "true") + "5")
+	eventually(t, "the request waits", func() bool { return n.Active() == 1 })
+	assert.Equal(t, n.stop(200*time.Millisecond), int64(1))
+	r, detail := answer()
+	assert.NilError(t, r.err)
+	assert.Equal(t, fmt.Sprint(r.status, " ", detail.Code, " ", r.outcome), "504 not_ready unknown")
+	assert.Equal(t, (<-first).status, 200)
+}
--- a/pkg/gateway/keyed.go
+++ b/pkg/gateway/keyed.go
@@ -37,6 +37,9 @@
 		// An equal request is still running and may succeed, so the outcome is unknown.
 		e := api.Errorf(http.StatusGatewayTimeout, api.CodeDeadline, api.Unknown,
 			"the deadline passed while a request with the same key was running")
+		if drain.Ended(ctx) {
+			e = api.Errorf(http.StatusGatewayTimeout, api.CodeNotReady, api.Unknown, "the node stopped while a request with the same key was running")
+		}
 		e.RetryAfter = retryAfter
 		WriteError(w, r, e)
 	default:
