Accept in a drain only such file and batch calls as it leaves time for

Callers would see an upload or a download ended with the node that accepted it late in its drain. Cause: calls of mounted handlers have no deadline, and were accepted until the end. Change: they count as requests whose callers wait for the default time (2 min): accepted while callers come that could not know of the drain and a second is left, later only if the drain leaves that time, and refused at once with 503 not_ready and not-run otherwise. Evidence: TestCallsWithoutDeadlineDuringADrain, before: 200 to a call 0.5 s before the end, and (not reached by the test then) for each later one; now 503 within 0.5 s, also with a body unsent, and 200 where there is time.

--- a/pkg/gateway/drainend_test.go
+++ b/pkg/gateway/drainend_test.go
@@ -246,3 +246,42 @@
 	assert.Equal(t, fmt.Sprint(r.status, " ", detail.Code, " ", r.outcome), "504 not_ready unknown")
 	assert.Equal(t, (<-first).status, 200)
 }
+
+// Guards against uploads and downloads that a draining node accepts although it may have to end them, and against short calls that it
+// refuses although their callers could not know of the drain or it has time for them.
+func TestCallsWithoutDeadlineDuringADrain(t *testing.T) {
+	f := newFixture(t, nil)
+	f.Mount("/v1/files", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body) // The test does not send all of it.
+		fmt.Fprint(w, "{}")
+	}))
+	n := startStoppingNode(f)
+	now := time.Now()
+	for _, c := range []struct {
+		name   string
+		plan   decision.Plan
+		status int
+	}{
+		{"no drain", decision.Plan{}, 200},
+		{"callers could not know", decision.Plan{Begun: now, LateCallers: now.Add(time.Minute), End: now.Add(time.Minute)}, 200},
+		{"callers could not know, no time left", decision.Plan{Begun: now, LateCallers: now.Add(time.Minute), End: now.Add(time.Second / 2)}, 503},
+		{"late", decision.Plan{Begun: now, LateCallers: now, End: now.Add(time.Minute)}, 503},
+		{"late, and there is time", decision.Plan{Begun: now, LateCallers: now, End: now.Add(time.Hour)}, 200},
+	} {
+		n.plan.Store(&c.plan)
+		n.board.Draining.Set(!c.plan.End.IsZero())
+		_, answer := n.begin(requestHead("GET", "/v1/files", 0))
+		r, _ := answer()
+		assert.NilError(t, r.err, c.name)
+		assert.Equal(t, r.status, c.status, c.name)
+		if c.status == 200 {
+			continue
+		}
+		_, answer = n.begin(requestHead("POST", "/v1/files", 500) + "a")
+		begun := time.Now()
+		r, detail := answer()
+		assert.NilError(t, r.err, c.name)
+		assert.Equal(t, fmt.Sprint(r.status, " ", detail.Code, " ", r.outcome, " ", detail.RetryAfterSeconds), "503 not_ready not-run 1", c.name)
+		assert.Assert(t, time.Since(begun) < unreadBodyTimeout/2, "refused after %s", time.Since(begun))
+	}
+}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -157,9 +157,13 @@
 
 // Mount adds a handler of another package. The handler runs after authentication, with the identity and the request
 // ID in its context. A read of the body fails when the caller sends nothing for BodyTimeout; the entire upload may
-// take longer. Mount must be called before the gateway serves.
+// take longer. A draining node accepts requests as if their callers waited for Timeout. Mount must be called before the gateway serves.
 func (g *Gateway) Mount(pattern string, h http.Handler) {
 	g.mux.HandleFunc(pattern, func(w http.ResponseWriter, r *http.Request) {
+		if now := time.Now(); g.DrainPlan().Admit(now, now.Add(g.Timeout), 0) == decision.Refused {
+			refuseUnread(w, r, errStopping())
+			return
+		}
 		if r.Body != http.NoBody {
 			r.Body = &idleBody{callerbudget.Uncounted(r.Body), r.Context(), http.NewResponseController(w), g.BodyTimeout}
 		}
