Let a node of the product's own interface survive SIGHUP

Callers saw all requests of a node cut at once: SIGHUP killed `trefoilplank serve`. Cause: no handler. Change: the signal is logged and nothing else happens; a node has nothing to read again, since its configuration comes from the store and certificate files are read when they change. `dev` still ends with its terminal. A second SIGTERM is not part of this change.

--- a/cmd/internal/daemon/daemon.go
+++ b/cmd/internal/daemon/daemon.go
@@ -27,13 +27,14 @@
 
 type serveCommand struct{ node.Flags }
 
-// Execute runs one node until a signal stops it.
+// Execute runs one node until SIGINT or SIGTERM stops it.
 func (c *serveCommand) Execute(args []string) error {
 	settings, err := c.Read()
 	if err := errors.Join(rejectArguments(args), err); err != nil {
 		return &usageError{err}
 	}
 	logs.Setup(settings.LogFormat, settings.Verbosity)
+	logHangups()
 	ctx, stop := signalContext()
 	defer stop()
 	n, err := node.New(settings)
--- a/cmd/scenarios/fleet_test.go
+++ b/cmd/scenarios/fleet_test.go
@@ -277,13 +277,13 @@
 }
 
 var signals = map[string]syscall.Signal{
-	"KILL": syscall.SIGKILL, "TERM": syscall.SIGTERM, "INT": syscall.SIGINT, "STOP": syscall.SIGSTOP, "CONT": syscall.SIGCONT,
+	"KILL": syscall.SIGKILL, "TERM": syscall.SIGTERM, "INT": syscall.SIGINT, "STOP": syscall.SIGSTOP, "CONT": syscall.SIGCONT, "HUP": syscall.SIGHUP,
 }
 
-// signalNode sends a signal to a node, and after KILL waits for its end: signal NAME KILL|TERM|INT|STOP|CONT.
+// signalNode sends a signal to a node, and after KILL waits for its end: signal NAME KILL|TERM|INT|STOP|CONT|HUP.
 func signalNode(ts *testscript.TestScript, _ bool, args []string) {
 	if len(args) != 2 || signals[args[1]] == 0 {
-		ts.Fatalf("usage: signal NAME KILL|TERM|INT|STOP|CONT")
+		ts.Fatalf("usage: signal NAME KILL|TERM|INT|STOP|CONT|HUP")
 	}
 	p := fleetOf(ts).node(ts, args[0])
 	ts.Check(p.cmd.Process.Signal(signals[args[1]]))
