Answer calls of operators that are in progress when a drained node stops

Operators saw a closed connection without an answer, for a change of the configuration too, of which they then could not know whether it was accepted. Cause: the interface for operators was closed at once when the node had drained, with all calls in progress. Change: it stops as the one for callers does: new connections are refused first, calls in progress have 5 s, the gate closes while none is in progress, and later ones get 503 not_ready with not-run.

--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -185,7 +185,9 @@
 	for name, run := range n.controllers() {
 		group.Go(func() error { return controllerError(working, name, run(working)) })
 	}
-	callers, operators := gateway.NewServer(n.gateway), gateway.NewServer(n.operator)
+	operatorServers := drain.NewServers()
+	callers := gateway.NewServer(n.gateway)
+	operators := gateway.NewServer(operatorServers.Gate.Handler(n.operator, operator.RefuseStopping(n.settings.Name)))
 	budget := n.newCallerBudget()
 	forCallers, forOperators := budget.Group(budgetdecision.Callers), budget.Group(budgetdecision.Operators)
 	callerListener := earlyerror.WrapListener(callers, n.withTLS(forCallers.Listener(n.callers)), n.settings.Name)
@@ -194,7 +196,7 @@
 	forOperators.Serve(operators)
 	group.Go(func() error { return controllerError(working, "callers", budget.Run(working)) })
 	group.Go(func() error { return serverError(n.drainer.Serve(callers, callerListener, callers.Serve)) })
-	group.Go(func() error { return serverError(operators.Serve(operatorListener)) })
+	group.Go(func() error { return serverError(operatorServers.Serve(operators, operatorListener, operators.Serve)) })
 	group.Go(func() error {
 		return serverError(n.peerServer.Serve(budget.Group(budgetdecision.Internal).Listener(n.peers)))
 	})
@@ -206,9 +208,9 @@
 	case <-n.drainer.Done():
 	case <-working.Done():
 	}
+	stopOperators(operatorServers)
 	n.leaveFleet()
 	stop()
-	_ = operators.Close()
 	err := group.Wait()
 	_ = n.lease.Release(context.WithoutCancel(ctx))
 	n.close()
@@ -240,6 +242,16 @@
 	return tls.NewListener(l, n.tls)
 }
 
+// operatorStopTime is how long calls of operators that are in progress may take once the node is drained, such as the change of a
+// configuration while the store is slow.
+const operatorStopTime = 5 * time.Second
+
+// stopOperators closes the servers for operators. Calls that are in progress are answered.
+func stopOperators(s *drain.Servers) {
+	_ = s.Refuse() // An error means that a listener is closed.
+	s.Stop(time.Now().Add(operatorStopTime), nil)
+}
+
 // leaveTimeout bounds the calls by which a drained node informs other nodes before it stops.
 const leaveTimeout = 3 * time.Second
 
--- a/pkg/operator/operator.go
+++ b/pkg/operator/operator.go
@@ -119,6 +119,20 @@
 	})
 }
 
+// stoppingRetryAfter is the retry time while only this node can't serve a call.
+const stoppingRetryAfter = time.Second
+
+// RefuseStopping returns the handler for the calls that a node does not accept any more since it stops.
+func RefuseStopping(node string) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(api.HeaderRequestID, node+"-"+ulid.Make().String())
+		w.Header().Set("Connection", "close")
+		e := api.Errorf(http.StatusServiceUnavailable, api.CodeNotReady, api.NotRun, "the node stops")
+		e.RetryAfter = stoppingRetryAfter
+		writeError(w, e)
+	})
+}
+
 func notFound(w http.ResponseWriter, r *http.Request) {
 	writeError(w, api.Errorf(http.StatusNotFound, api.CodeNotFound, api.NotRun, "no %s %s here", r.Method, r.URL.Path))
 }
