Test that stopping servers serve open TLS connections

Cause: whether connections that are open, or whose handshake has not begun, when new ones are refused are served with TLS too was only read. Change: the test of open connections runs with TLS as well.

--- a/pkg/controller/drain/servers_test.go
+++ b/pkg/controller/drain/servers_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"bufio"
+	"crypto/tls"
+	"crypto/x509"
 	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -23,6 +26,8 @@
 	address string
 	release chan struct{}
 	served  chan error
+	// secure is set if the server uses TLS.
+	secure *tls.Config
 	// handled and refused count the requests that were let in and those that were not.
 	handled, refused atomic.Int64
 }
@@ -68,6 +73,9 @@
 	assert.NilError(s.t, err)
 	s.t.Cleanup(func() { _ = c.Close() })
 	assert.NilError(s.t, c.SetDeadline(time.Now().Add(10*time.Second)))
+	if s.secure != nil {
+		c = tls.Client(c, s.secure) // The handshake comes with the first request.
+	}
 	return &testConn{c, bufio.NewReader(c)}
 }
 
@@ -94,7 +102,19 @@
 
 // Guards against a stop that cuts requests: those in progress, and those on connections that were opened before new ones are refused.
 func TestStopServesOpenConnections(t *testing.T) {
-	s := startServers(t, nil)
+	t.Run("plain", func(t *testing.T) { testStopServesOpenConnections(t, startServers(t, nil)) })
+	t.Run("TLS", func(t *testing.T) {
+		other := httptest.NewTLSServer(nil)
+		defer other.Close()
+		s := startServers(t, func(l net.Listener) net.Listener { return tls.NewListener(l, other.TLS) })
+		roots := x509.NewCertPool()
+		roots.AddCert(other.Certificate())
+		s.secure = &tls.Config{RootCAs: roots, ServerName: "example.com"}
+		testStopServesOpenConnections(t, s)
+	})
+}
+
+func testStopServesOpenConnections(t *testing.T, s *testServers) {
 	waiting, kept, unused := s.dial(), s.dial(), s.dial()
 	got, err := kept.send("/")
 	assert.NilError(t, err)
