End the service of a node of which a part has failed

Callers of a node of the product's own interface got no end of their requests when a controller of it failed: nothing stopped the servers, and the process waited for them without an end (read; older than this work). Change: the service is aborted, with an error response for what is in progress, and new connections are refused; the platform's node does the same. Evidence: TestAbortAnswersRequests (new function; before there was nothing to call).

--- a/pkg/controller/drain/drain.go
+++ b/pkg/controller/drain/drain.go
@@ -79,6 +79,16 @@
 	}
 }
 
+// Abort ends the service at once, unless a drain has started: requests in progress get an error response. It waits for its end.
+func (c *Controller) Abort() {
+	c.once.Do(func() {
+		defer close(c.done)
+		_ = c.Servers.Refuse() // An error means that a listener is closed.
+		c.Servers.Stop(time.Now(), nil)
+	})
+	<-c.done
+}
+
 // begin makes the node name other nodes only, and plans the drain.
 func (c *Controller) begin() {
 	begun := time.Now()
--- a/pkg/controller/drain/gate_test.go
+++ b/pkg/controller/drain/gate_test.go
@@ -3,11 +3,15 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
+
+	"trefoilplank.example/pkg/blackboard"
 )
 
 // Guards against a request that is let in while the gate closes for lack of requests, and would be cut.
@@ -81,3 +85,20 @@
 	assert.Assert(t, !Ended(limited) && !Ended(left) && !Ended(context.Background()))
 	assert.Assert(t, errors.Is(request.Err(), context.Canceled))
 }
+
+// Guards against a node that does not end after a part of it has failed, since its servers go on, and cuts what is in progress.
+func TestAbortAnswersRequests(t *testing.T) {
+	s := startServers(t, nil)
+	c := New(Options{Board: blackboard.New(), AddressesValidUntil: time.Now, Servers: s.Servers})
+	answers := make(chan string, 1)
+	conn := s.dial()
+	go func() {
+		answer, err := conn.send("/wait")
+		answers <- fmt.Sprint(answer, " ", err)
+	}()
+	s.await(1)
+	c.Abort()
+	assert.Equal(t, <-answers, "504 ended true <nil>")
+	assert.NilError(t, <-s.served)
+	<-c.Done()
+}
--- a/pkg/edge/node.go
+++ b/pkg/edge/node.go
@@ -438,6 +438,7 @@
 	case <-ctx.Done():
 		n.drain(working)
 	case <-working.Done(): // A part of the node has failed; the requests in progress end with an answer.
+		_ = n.servers.Refuse() // An error means that a listener is closed.
 		n.servers.Stop(time.Now(), nil)
 	}
 	stop()
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -206,7 +206,8 @@
 	case <-ctx.Done():
 		_ = n.drainer.Drain(working)
 	case <-n.drainer.Done():
-	case <-working.Done():
+	case <-working.Done(): // A controller has failed.
+		n.drainer.Abort()
 	}
 	stopOperators(operatorServers)
 	n.leaveFleet()
