Keep the end of a job back in the test of a caller that left before it was stored

Both answers are right then; the test means the other order. Change: the store of the test holds the write back until the caller was told.

--- a/pkg/listjob/ends_test.go
+++ b/pkg/listjob/ends_test.go
@@ -20,9 +20,11 @@
 type gatedStore struct {
 	store.Store
 	itemsGate, headGate chan struct{}
-	mu                  sync.Mutex
-	headWrites          int
-	refuseHeads         bool
+	// endGate, if set, delays the writes of heads after the first one until it is closed.
+	endGate     chan struct{}
+	mu          sync.Mutex
+	headWrites  int
+	refuseHeads bool
 }
 
 func (s *gatedStore) Get(ctx context.Context, key string) (store.Object, error) {
@@ -43,6 +45,9 @@
 	}
 	first, refuse := s.headWrites == 1, isHead && s.refuseHeads
 	s.mu.Unlock()
+	if isHead && !first && s.endGate != nil {
+		<-s.endGate
+	}
 	switch {
 	case refuse, ctx.Err() != nil:
 		return 0, store.ErrUnavailable
@@ -249,11 +254,13 @@
 // moment: an end without a confirmation counts too.
 func TestEndWithoutItsCallerIsStored(t *testing.T) {
 	s, net, e := memstore.New(), newNetwork(), newEngine(t, 1000, 10*time.Millisecond)
-	a := net.addNode(t, &gatedStore{Store: s}, e, "a")
+	gated := &gatedStore{Store: s, endGate: make(chan struct{})} // The caller leaves before the end is stored.
+	a := net.addNode(t, gated, e, "a")
 	assert.NilError(t, a.Accept(context.Background(), submission("j", 2)))
 	gone, cancel := context.WithCancel(context.Background())
 	cancel()
 	assert.ErrorIs(t, a.End(gone, "j"), ErrUnavailable)
+	close(gated.endGate)
 	awaitHead(t, s, "j", time.Second, func(h head) bool { return h.Ended })
 }
 
