Test that streams are ended whole at the end of a drain

Cause: what callers get of streams that have begun when the time of a drain is over was only read. Change: a test with an engine that goes on, one that is silent after two events, and one that is silent from the beginning. Evidence: it passes on the code as it is (one run with -race); no fault was found.

--- a/pkg/gateway/drainend_test.go
+++ b/pkg/gateway/drainend_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -285,3 +287,42 @@
 		assert.Assert(t, time.Since(begun) < unreadBodyTimeout/2, "refused after %s", time.Since(begun))
 	}
 }
+
+// Guards against streams that break off when the node stops: one that has begun ends with an error event, whether its engine goes on or is
+// silent, and one that has not begun gets an error response.
+func TestStreamsAtTheEnd(t *testing.T) {
+	e := newUpstream(t, "e1", api.UpstreamEngine)
+	e.tokens, e.tokenInterval = 1000, 10*time.Millisecond
+	e.fault = func(f *fakeUpstream, w http.ResponseWriter, r *http.Request, body []byte) bool {
+		switch {
+		case bytes.Contains(body, []byte("silent")):
+			f.stream(w, r.Header.Get("X-Request-Id"), 0, 2, false)
+			<-r.Context().Done()
+		case bytes.Contains(body, []byte("none")):
+			<-r.Context().Done()
+		default:
+			return false
+		}
+		return true
+	}
+	n := startStoppingNode(newFixture(t, nil, e))
+	answers := map[string]func() (reply, api.ErrorDetail){}
+	for _, text := range []string{"goes on", "silent", "none"} {
+		body := chatBody(text, true)
+		_, answers[text] = n.begin(requestHead("POST", "/v1/chat/completions", len(body)) + body)
+	}
+	eventually(t, "the streams have begun", func() bool { return e.runCount() == len(answers) })
+	time.Sleep(100 * time.Millisecond)
+	assert.Equal(t, n.stop(300*time.Millisecond), int64(len(answers)))
+	for text, answer := range answers {
+		r, detail := answer()
+		assert.NilError(t, r.err, text)
+		if text == "none" {
+			assert.Equal(t, fmt.Sprint(r.status, " ", detail.Code, " ", r.outcome), "504 not_ready unknown")
+			continue
+		}
+		assert.Equal(t, r.status, 200, text)
+		_, last, found := strings.Cut(r.body, "event: error\n")
+		assert.Assert(t, found && strings.Contains(last, `"outcome":"unknown"`) && !strings.Contains(r.body, "[DONE]"), "%s: %s", text, r.body)
+	}
+}
