--- a/pkg/ctl/help.go
+++ b/pkg/ctl/help.go
@@ -59,7 +59,8 @@
   trefoilctl explain member mu-3
   trefoilctl explain configuration 42`
 
-	drainHelp = `Makes the node at --server leave: it is no longer given to callers, and nothing in progress is cut.
+	drainHelp = `Makes the node at --server leave: it is no longer given to callers, and stops once what is in
+progress is done, for which it waits for its --drain-timeout at most.
 
 Example:
   trefoilctl --server 10.0.0.5:18081 drain`
