Hand over the jobs that are being accepted, and ask again

Callers of a job that a node accepted around SIGTERM waited until that node was gone and the hub found the job without an owner; partial texts were lost. Cause: HandOver listed the jobs once, so that one whose head was being stored or taken over came after it, and it asked each successor once, so that a job stayed if the store failed for a moment; a job whose items were not stored yet was given to a node that could not read them. Change: no creation begins once the node hands over, HandOver waits for those in progress and hands their jobs over too, and it asks again until its time ends or all other nodes stop.

--- a/pkg/listjob/accept.go
+++ b/pkg/listjob/accept.go
@@ -185,7 +185,9 @@
 		c.options.Log.Notice("job refused", "job", s.ID, "reason", "items can't be stored", "error", err)
 		return errors.Join(ErrRefused, err)
 	}
-	c.setCreating(s.ID, true)
+	if !c.setCreating(s.ID, true) {
+		return errNoCapacity
+	}
 	err = c.createStored(ctx, s, values)
 	c.setCreating(s.ID, false)
 	if errors.Is(err, ErrUnknown) && c.waitingLimit(s.Host, s.Path) == 0 {
@@ -200,25 +202,30 @@
 	attempts int
 }
 
-// setCreating records that an attempt to create the head of a job begins or ends.
-func (c *Controller) setCreating(id string, creating bool) {
+// setCreating records that an attempt to create the head of a job begins or ends. It returns false if none may begin, since the node hands its
+// jobs over.
+func (c *Controller) setCreating(id string, creating bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.creating[id]
 	if creating {
+		if c.stopping {
+			return false
+		}
 		if now.attempts == 0 {
 			now.begun = time.Now()
 		}
 		now.attempts++
 		c.creating[id] = now
-		return
+		return true
 	}
 	if now.attempts--; now.attempts > 0 {
 		c.creating[id] = now
-		return
+		return true
 	}
 	delete(c.creating, id)
 	c.dropMissed(id)
+	return true
 }
 
 // createStored stores a job whose items are encoded as values.
--- /dev/null
+++ b/pkg/listjob/handover_test.go
@@ -0,0 +1,104 @@
+package listjob
+
+import (
+	"context"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"trefoilplank.example/pkg/adapter/store"
+	"trefoilplank.example/pkg/adapter/store/memstore"
+)
+
+// headStore is a store whose writes of heads wait until opened is closed, or fail while failing is set.
+type headStore struct {
+	store.Store
+	// arrived is closed with the first write of a head.
+	arrived chan struct{}
+	opened  chan struct{}
+	writes  atomic.Int64
+	failing atomic.Bool
+}
+
+func newHeadStore(s store.Store) *headStore {
+	return &headStore{Store: s, arrived: make(chan struct{}), opened: make(chan struct{})}
+}
+
+func (s *headStore) Put(ctx context.Context, key string, value []byte, expect int64) (int64, error) {
+	if strings.HasPrefix(key, headKind) {
+		if s.writes.Add(1) == 1 {
+			close(s.arrived)
+		}
+		if s.failing.Load() {
+			return 0, store.ErrUnavailable
+		}
+		<-s.opened
+	}
+	return s.Store.Put(ctx, key, value, expect)
+}
+
+// handOverWhile begins a hand-over, opens the store a little later, and waits for the end of the hand-over.
+func (n *node) handOverWhile(s *headStore) {
+	handedOver := make(chan struct{})
+	go func() { defer close(handedOver); n.HandOver(context.Background()) }()
+	time.Sleep(50 * time.Millisecond)
+	close(s.opened)
+	<-handedOver
+}
+
+// Guards against an accepted job that stays with a node until it is gone, since the job was being stored when the node handed its jobs
+// over.
+func TestJobThatIsBeingAcceptedIsHandedOver(t *testing.T) {
+	s, net, e := memstore.New(), newNetwork(), newEngine(t, 1000, 10*time.Millisecond)
+	slow := newHeadStore(s)
+	a := net.addNode(t, slow, e, "a", "b")
+	b := net.addNode(t, s, e, "b", "a")
+	accepted := make(chan error, 1)
+	go func() { accepted <- a.Accept(context.Background(), submission("j", 1)) }()
+	<-slow.arrived
+	a.handOverWhile(slow)
+	assert.NilError(t, <-accepted)
+	awaitHead(t, s, "j", time.Second, func(h head) bool { return h.Owner == "b" })
+	assert.Assert(t, b.ownedJob("j") != nil)
+}
+
+// Guards against a job that stays with a node until it is gone, since the node was taking the job over from a lost one when it handed its
+// jobs over.
+func TestJobThatIsBeingTakenOverIsHandedOver(t *testing.T) {
+	s, net, e := memstore.New(), newNetwork(), newEngine(t, 1000, 10*time.Millisecond)
+	slow := newHeadStore(s)
+	lost := net.addNode(t, s, e, "lost", "a", "b")
+	assert.NilError(t, lost.Accept(context.Background(), submission("j", 1)))
+	lost.stop()
+	net.cutOff("lost", false)
+	a := net.addNode(t, slow, e, "a", "b", "lost")
+	b := net.addNode(t, s, e, "b", "a", "lost")
+	taken := make(chan error, 1)
+	go func() { taken <- a.adopt(context.Background(), "j", nil) }()
+	<-slow.arrived
+	a.handOverWhile(slow)
+	assert.NilError(t, <-taken)
+	awaitHead(t, s, "j", time.Second, func(h head) bool { return h.Owner == "b" })
+	assert.Assert(t, b.ownedJob("j") != nil)
+}
+
+// Guards against a job that nobody runs until its node is gone, since no node could take it over at the first attempt: the store was
+// unavailable for a moment.
+func TestHandOverIsRepeated(t *testing.T) {
+	s, net, e := memstore.New(), newNetwork(), newEngine(t, 1000, 10*time.Millisecond)
+	failing := newHeadStore(s)
+	close(failing.opened)
+	failing.failing.Store(true)
+	a := net.addNode(t, s, e, "a", "b")
+	b := net.addNode(t, failing, e, "b", "a")
+	assert.NilError(t, a.Accept(context.Background(), submission("j", 1)))
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	time.AfterFunc(400*time.Millisecond, func() { failing.failing.Store(false) })
+	a.HandOver(ctx)
+	assert.NilError(t, ctx.Err())
+	assert.Assert(t, b.ownedJob("j") != nil)
+}
--- a/pkg/listjob/takeover.go
+++ b/pkg/listjob/takeover.go
@@ -12,6 +12,7 @@
 
 	"trefoilplank.example/pkg/adapter/peer"
 	"trefoilplank.example/pkg/decision/rendezvous"
+	"trefoilplank.example/pkg/wait"
 )
 
 // adoptTimeout limits one attempt to take over a job, and one write to its log. A failed takeover is repeated by the
@@ -59,7 +60,7 @@
 	case busy:
 		return nil
 	case stopping:
-		return Error.New("node stops")
+		return errStopping
 	}
 	defer func() {
 		c.mu.Lock()
@@ -195,28 +196,48 @@
 	return items, nil
 }
 
-// HandOver hands the open jobs to other nodes, with the state of their items. It is called once, when the node stops.
+// HandOver hands the open jobs to other nodes, with the state of their items. It is called once, when the node stops, and returns when no job
+// is left that another node could take over, or ctx ends. It waits for jobs that are being accepted or taken over meanwhile: nobody runs a
+// job that a stopping node keeps until it is gone.
 func (c *Controller) HandOver(ctx context.Context) {
 	c.mu.Lock()
 	c.stopping = true
-	var jobs []*job
-	for _, j := range c.jobs {
-		jobs = append(jobs, j)
-	}
 	c.mu.Unlock()
 	var calls sync.WaitGroup
-	for _, j := range jobs {
-		j.mu.Lock()
-		j.released = j.isOpen()
-		stillOpen := j.released
-		j.stopRuns()
-		partials, own := j.partials(), sweptHead{j.head, j.revision}
-		j.mu.Unlock()
-		if stillOpen {
-			calls.Go(func() { c.handOverJob(ctx, own, partials) })
+	defer calls.Wait()
+	for {
+		jobs, more := c.jobsToHandOver()
+		for _, j := range jobs {
+			j.mu.Lock()
+			stillOpen := j.isOpen()
+			j.released = j.released || stillOpen
+			j.stopRuns()
+			partials, own := j.partials(), sweptHead{j.head, j.revision}
+			j.mu.Unlock()
+			if stillOpen {
+				calls.Go(func() { c.handOverUntilDone(ctx, own, partials) })
+			}
+		}
+		if !more || wait.Sleep(ctx, handOverPoll) != nil {
+			return
 		}
 	}
-	calls.Wait()
+}
+
+// jobsToHandOver returns the jobs of this node. more is set if others may follow: those that are being accepted or taken over, and those
+// whose items are not stored yet, which no other node can read.
+func (c *Controller) jobsToHandOver() (jobs []*job, more bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	more = len(c.creating)+len(c.adopting) > 0
+	for _, j := range c.jobs {
+		if j.unconfirmed.Load() {
+			more = more || time.Since(j.head.Submitted) < repairTimeout
+			continue
+		}
+		jobs = append(jobs, j)
+	}
+	return jobs, more
 }
 
 const (
@@ -224,6 +245,8 @@
 	handOverTimeout = time.Second
 	// handOverAttempts is how many nodes are asked to take over a job; the first one may have begun to stop too.
 	handOverAttempts = 3
+	// handOverRetry is the pause after these attempts have failed, and handOverPoll the time between two checks for further jobs.
+	handOverRetry, handOverPoll = 200 * time.Millisecond, 20 * time.Millisecond
 	// maxHandOverBytes limits the texts that are handed over with a job: a message between nodes is limited too, and the rest
 	// can be run again.
 	maxHandOverBytes = peer.MaxMessageBytes / 2
@@ -258,31 +281,56 @@
 	})
 }
 
-// handOverJob hands a job to its successor, or to the next node in rank if the call fails. The calls name the head that may be replaced, so that
-// one that is read late takes the job from nobody.
-func (c *Controller) handOverJob(ctx context.Context, own sweptHead, all []Partial) {
-	id, partials := own.Head.ID, limitPartials(all)
-	candidates := rendezvous.Ranked(id, c.options.Fleet.AcceptingWeights())
-	for _, to := range candidates[:min(handOverAttempts, len(candidates))] {
+// errStopping means that a node takes over no jobs, since it stops.
+var errStopping = Error.New("node stops")
+
+func init() { peer.RegisterError("listjob.stopping", errStopping) }
+
+// handOverUntilDone hands a job over, with further attempts while ctx lasts and there are nodes that do not stop.
+func (c *Controller) handOverUntilDone(ctx context.Context, own sweptHead, partials []Partial) {
+	id, all := own.Head.ID, len(partials)
+	partials = limitPartials(partials)
+	for {
+		candidates := rendezvous.Ranked(id, c.options.Fleet.AcceptingWeights())
+		err := c.handOverJob(ctx, &own, candidates[:min(handOverAttempts, len(candidates))], partials, all)
+		if err == nil {
+			return
+		}
+		if errors.Is(err, errStopping) || wait.Sleep(ctx, handOverRetry) != nil {
+			c.options.Log.Notice("job not handed over", "job", id, "partials", len(partials), "error", err)
+			return
+		}
+	}
+}
+
+// handOverJob hands a job to its successor, or to the next node in rank if the call fails. It returns nil if another node owns the job, and
+// errStopping if all nodes stop. The calls name the head that may be replaced, so that one that is read late takes the job from nobody.
+func (c *Controller) handOverJob(ctx context.Context, own *sweptHead, candidates []string, partials []Partial, all int) error {
+	id, failed := own.Head.ID, errStopping
+	for _, to := range candidates {
 		for again := true; again; {
-			err := c.askToAdopt(ctx, to, own, partials)
-			c.options.Log.Notice("asked another node to take over job", "job", id, "to", to, "partials", len(partials), "left_out", len(all)-len(partials), "error", err)
+			err := c.askToAdopt(ctx, to, *own, partials)
+			c.options.Log.Notice("asked another node to take over job", "job", id, "to", to, "partials", len(partials), "left_out", all-len(partials), "error", err)
 			if err == nil {
 				c.options.Metrics.countJob("handed_on")
-				return
+				return nil
+			}
+			if !errors.Is(err, errStopping) {
+				failed = err
 			}
 			// The node may have taken the job over without an answer in time, or the head may have been written meanwhile.
 			h, revision, err := c.readOwnHead(ctx, id)
 			if err == nil && (owner{h.Owner, h.Incarnation}) != c.self() || errors.Is(err, ErrNotFound) {
 				c.options.Log.Notice("job is now owned by another node", "job", id, "owner", h.Owner)
-				return
+				return nil
 			}
 			again = err == nil && revision != own.Revision
 			if again {
-				own = sweptHead{h, revision}
+				*own = sweptHead{h, revision}
 			}
 		}
 	}
+	return failed
 }
 
 // readOwnHead reads the head of a job that is handed over.
