Hand jobs over while the drain is registered, and as long as the drain lasts

Jobs of a node that stops waited for 1.2 s or more before another node ran them, or until the node was gone, if the store did not answer the write that registers the drain. Cause: the node handed its jobs over after that write, within the same half of its time to stop. Change: it does both at the same time, and the hand-over may last as long as the drain; a node whose VM was emptied before its stop signal gives it the time that is left.

--- a/pkg/edge/drain.go
+++ b/pkg/edge/drain.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"time"
 
 	decision "trefoilplank.example/pkg/decision/drain"
@@ -57,26 +58,33 @@
 	n.plan.Store(&plan)
 	n.draining.Store(true)
 	n.log.Notice("node draining", "limit_ms", limit.Milliseconds(), "active", n.servers.Gate.Active())
-	handedOver := make(chan struct{})
-	go func() {
-		defer close(handedOver)
+	go n.handOver(ctx, limit)
+	reason := n.awaitQuiet(plan)
+	n.log.Notice("drain stops waiting", "reason", reason, "ms", time.Since(begun).Milliseconds(), "active", n.servers.Gate.Active(), "relayed", n.links.RelayedForOthers())
+	_ = n.servers.Refuse() // An error means that the listener is closed.
+	ended := n.servers.Stop(plan.End, n.links.RelayedForOthers)
+	n.log.Notice("node drained", "ms", time.Since(begun).Milliseconds(), "ended", ended, "active", n.servers.Gate.Active())
+}
+
+// handOver registers the drain and hands the jobs over, at the same time: other nodes may reach the store while this one does not. It ends
+// when the jobs are handed over or ctx ends, which may be after the drain.
+func (n *Node) handOver(ctx context.Context, limit time.Duration) {
+	defer close(n.handedOver)
+	var registration sync.WaitGroup
+	registration.Go(func() {
 		call, cancel := context.WithTimeout(ctx, limit/2)
 		defer cancel()
 		if err := n.fleet.Drain(call); err != nil {
 			n.log.Notice("drain could not be registered in the store", "error", err)
 		}
-		n.jobs.HandOver(call)
-	}()
-	reason := n.awaitQuiet(plan, handedOver)
-	n.log.Notice("drain stops waiting", "reason", reason, "ms", time.Since(begun).Milliseconds(), "active", n.servers.Gate.Active(), "relayed", n.links.RelayedForOthers())
-	_ = n.servers.Refuse() // An error means that the listener is closed.
-	ended := n.servers.Stop(plan.End, n.links.RelayedForOthers)
-	n.log.Notice("node drained", "ms", time.Since(begun).Milliseconds(), "ended", ended, "active", n.servers.Gate.Active())
+	})
+	n.jobs.HandOver(ctx)
+	registration.Wait()
 }
 
 // awaitQuiet returns when no more callers are expected, nothing is in progress and the jobs are handed over, or when the drain ends, and says
 // which.
-func (n *Node) awaitQuiet(plan decision.Plan, handedOver <-chan struct{}) (reason string) {
+func (n *Node) awaitQuiet(plan decision.Plan) (reason string) {
 	quiet := plan.Quiet
 	if n.settings.CallerAddress == "" {
 		quiet = plan.Begun
@@ -88,7 +96,7 @@
 			return "time is over"
 		}
 		select {
-		case <-handedOver:
+		case <-n.handedOver:
 			if now.After(quiet) && n.servers.Gate.Active() == 0 && n.links.RelayedForOthers() == 0 {
 				return "no request in progress"
 			}
@@ -98,9 +106,17 @@
 	return ""
 }
 
-// drain stops the service and leaves the fleet.
+// drain stops the service and leaves the fleet. If the service has stopped before, since the VM is to be retired, it gives the hand-over of
+// the jobs the time that is left.
 func (n *Node) drain(ctx context.Context) {
+	limit, _ := n.drainTimes(time.Now())
+	end, stop := context.WithTimeout(ctx, limit)
+	defer stop()
 	n.stopServing(ctx)
+	select {
+	case <-n.handedOver:
+	case <-end.Done():
+	}
 	leave, cancel := context.WithTimeout(ctx, leaveTimeout)
 	defer cancel()
 	if err := n.fleet.Leave(leave); err != nil {
--- a/pkg/edge/node.go
+++ b/pkg/edge/node.go
@@ -157,11 +157,11 @@
 	// servers are those for callers, internal the ones for readiness, addresses and metrics.
 	servers  *drain.Servers
 	internal []*http.Server
-	// stopped is closed when the service has stopped.
-	stopOnce       sync.Once
-	stopped        chan struct{}
-	mu             sync.Mutex
-	invalidEntries map[string]string
+	// stopped is closed when the service has stopped, handedOver when the jobs are handed over.
+	stopOnce            sync.Once
+	stopped, handedOver chan struct{}
+	mu                  sync.Mutex
+	invalidEntries      map[string]string
 	// oldAddressesEnd is until when callers may use answers with an earlier TTL.
 	oldAddressesEnd time.Time
 }
@@ -185,7 +185,7 @@
 	limit := int64(s.MemoryMB) << 20
 	debug.SetMemoryLimit(int64(memoryFraction * float64(limit)))
 	debug.SetGCPercent(gcPercent)
-	n := &Node{settings: s, platform: p, log: log, metrics: metrics.NewSet(), invalidEntries: map[string]string{}, servers: drain.NewServers(), stopped: make(chan struct{})}
+	n := &Node{settings: s, platform: p, log: log, metrics: metrics.NewSet(), invalidEntries: map[string]string{}, servers: drain.NewServers(), stopped: make(chan struct{}), handedOver: make(chan struct{})}
 	var err error
 	if n.peerListen, err = listenInRange(s.IP, s.InternalPorts); err != nil {
 		return nil, err
