Confirm a takeover only once the job is owned

A job that a stopping node handed over was run by nobody until that node was gone. Cause: a node that was asked again while its first takeover was in progress answered as if it owned the job, and the first attempt failed.

--- a/pkg/listjob/handover_test.go
+++ b/pkg/listjob/handover_test.go
@@ -102,3 +102,20 @@
 	assert.NilError(t, ctx.Err())
 	assert.Assert(t, b.ownedJob("j") != nil)
 }
+
+// Guards against a job that nobody runs, since a node that was asked twice to take it over confirmed that while its first attempt was in progress,
+// and that failed.
+func TestTakeoverInProgressIsNotConfirmed(t *testing.T) {
+	s, net, e := memstore.New(), newNetwork(), newEngine(t, 1000, 10*time.Millisecond)
+	slow := newHeadStore(s)
+	a := net.addNode(t, s, e, "a", "b")
+	b := net.addNode(t, slow, e, "b", "a")
+	assert.NilError(t, a.Accept(context.Background(), submission("j", 1)))
+	first := make(chan error, 1)
+	go func() { first <- b.Receiver().Adopt(AdoptArgs{ID: "j"}, &Nothing{}) }()
+	<-slow.arrived
+	assert.ErrorIs(t, b.Receiver().Adopt(AdoptArgs{ID: "j"}, &Nothing{}), errTakingOver)
+	close(slow.opened)
+	assert.NilError(t, <-first)
+	assert.NilError(t, b.Receiver().Adopt(AdoptArgs{ID: "j"}, &Nothing{}))
+}
--- a/pkg/listjob/read.go
+++ b/pkg/listjob/read.go
@@ -266,7 +266,10 @@
 	return nil
 }
 
-// Adopt takes over a job from a node that is stopping.
+// errTakingOver means that a node has not taken a job over yet, or another one has.
+var errTakingOver = Error.New("job is not taken over yet")
+
+// Adopt takes over a job from a node that is stopping. It returns nil only if this node owns the job: the other node forgets it then.
 func (r *Receiver) Adopt(args AdoptArgs, reply *Nothing) error {
 	reply.Done = true
 	var known *sweptHead
@@ -277,6 +280,9 @@
 	if err != nil && known != nil {
 		go r.c.followUp(context.Background(), args.ID)
 	}
+	if err == nil && r.c.ownedJob(args.ID) == nil {
+		return errTakingOver
+	}
 	return err
 }
 
