Report a VM as emptied only once its service has stopped and its jobs are handed over

The platform removes a VM at once when it is reported as emptied. Cause: a retirement that came while the node drained after a stop signal was reported without waiting for the drain, and one whose jobs no other node could take over in half the time to stop was reported without them. Change: the report waits for the drain, whoever began it, and for the hand-over, which lasts as long as it takes.

--- a/pkg/edge/retire.go
+++ b/pkg/edge/retire.go
@@ -69,9 +69,8 @@
 			if reported[node] || !n.mayReportRetired(node, missingSince) {
 				continue
 			}
-			if node == n.settings.Name && !n.draining.Load() {
-				n.log.Notice("VM is to be retired, emptying node", "node", node)
-				n.stopServing(ctx)
+			if node == n.settings.Name && !n.empty(ctx) {
+				continue
 			}
 			if err := n.platform.ReportRetired(ctx, node); err != nil {
 				n.log.Notice("emptied node could not be reported, retrying", "node", node, "error", err)
@@ -84,6 +83,18 @@
 	return ctx.Err()
 }
 
+// empty stops the service of this node, unless a stop signal has done so, and reports whether it holds neither requests nor jobs any longer.
+func (n *Node) empty(ctx context.Context) bool {
+	n.log.Notice("VM is to be retired, emptying node", "node", n.settings.Name)
+	n.stopServing(ctx)
+	select {
+	case <-n.handedOver:
+		return ctx.Err() == nil
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // mayReportRetired reports whether this node may report a VM as empty: its own, or one whose node has been
 // missing from the live nodes for longer than lostVMDelay.
 func (n *Node) mayReportRetired(node string, missingSince map[string]time.Time) bool {
