Report a second retirement of a VM that another node reported before

A VM that is lost and retired a second time under the same name was not reported as emptied. Cause: a node kept for its lifetime which VMs it had reported. Change: it forgets those that are no longer listed. Evidence: TestSecondRetirementOfALostVMIsReported, before: the second one not reported within 12 s, after: reported, one run each.

--- a/pkg/edge/retire.go
+++ b/pkg/edge/retire.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	stdlog "log"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -65,6 +66,8 @@
 		if !ok {
 			continue
 		}
+		// A VM that is no longer listed may be retired again.
+		maps.DeleteFunc(reported, func(node string, _ bool) bool { return !slices.Contains(nodes, node) })
 		for _, node := range nodes {
 			if reported[node] || !n.mayReportRetired(node, missingSince) {
 				continue
