Leave the fleet within the time to stop

A node whose drain lasted to its end, with bodies that were still arriving, ran 8.0 s after SIGTERM of 8 and was killed, if the store did not answer when it left the fleet. Cause: the margin of 0.6 s for the end holds the last answers (0.2 s), closing connections (0.2 s) and 0.2 of the 0.3 s for leaving. Change: leaving ends 0.1 s before the time to stop does.

--- a/pkg/edge/drain.go
+++ b/pkg/edge/drain.go
@@ -12,8 +12,9 @@
 const (
 	// drainMargin is the part of the time to stop that is reserved for the last answers, closing connections and leaving the fleet.
 	drainMargin = 600 * time.Millisecond
-	// leaveTimeout limits leaving the fleet.
-	leaveTimeout = 300 * time.Millisecond
+	// leaveTimeout limits leaving the fleet. It ends exitTime before the time to stop does, since the last answers and closing connections may
+	// have taken the rest.
+	leaveTimeout, exitTime = 300 * time.Millisecond, 100 * time.Millisecond
 	// drainPoll is the time between two checks of what is in progress.
 	drainPoll = 50 * time.Millisecond
 )
@@ -109,7 +110,8 @@
 // drain stops the service and leaves the fleet. If the service has stopped before, since the VM is to be retired, it gives the hand-over of
 // the jobs the time that is left.
 func (n *Node) drain(ctx context.Context) {
-	limit, _ := n.drainTimes(time.Now())
+	begun := time.Now()
+	limit, _ := n.drainTimes(begun)
 	end, stop := context.WithTimeout(ctx, limit)
 	defer stop()
 	n.stopServing(ctx)
@@ -117,7 +119,7 @@
 	case <-n.handedOver:
 	case <-end.Done():
 	}
-	leave, cancel := context.WithTimeout(ctx, leaveTimeout)
+	leave, cancel := context.WithTimeout(ctx, min(leaveTimeout, time.Until(begun.Add(limit+drainMargin-exitTime))))
 	defer cancel()
 	if err := n.fleet.Leave(leave); err != nil {
 		n.log.Notice("node could not be removed from the store", "error", err)
