--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -157,11 +157,15 @@
 
 // Mount adds a handler of another package. The handler runs after authentication, with the identity and the request
 // ID in its context. A read of the body fails when the caller sends nothing for BodyTimeout; the entire upload may
-// take longer. Mount must be called before the gateway serves.
+// take longer. A draining node accepts requests as if their callers waited for Timeout. Mount must be called before the gateway serves.
 func (g *Gateway) Mount(pattern string, h http.Handler) {
 	g.mux.HandleFunc(pattern, func(w http.ResponseWriter, r *http.Request) {
+		if now := time.Now(); g.DrainPlan().Admit(now, now.Add(g.Timeout), 0) == decision.Refused {
+			refuseUnread(w, r, errStopping())
+			return
+		}
 		if r.Body != http.NoBody {
-			r.Body = &idleBody{callerbudget.Uncounted(r.Body), http.NewResponseController(w), g.BodyTimeout}
+			r.Body = &idleBody{callerbudget.Uncounted(r.Body), r.Context(), http.NewResponseController(w), g.BodyTimeout}
 		}
 		h.ServeHTTP(w, r)
 	})
@@ -178,6 +182,10 @@
 	id := g.Node + "-" + ulid.Make().String()
 	w.Header().Set(api.HeaderRequestID, id)
 	ctx := serving.WithRequestID(r.Context(), id)
+	if g.Board.Draining.Value() {
+		// Closing the connection makes the caller send its next request to another node.
+		w.Header().Set("Connection", "close")
+	}
 	if !g.Gate.Enter() {
 		refuseUnread(w, r.WithContext(ctx), errStopping())
 		return
@@ -193,10 +201,6 @@
 				"internal error"))
 		}
 	}()
-	if g.Board.Draining.Value() {
-		// Closing the connection makes the caller send its next request to another node.
-		w.Header().Set("Connection", "close")
-	}
 	if headerBytes(r) > MaxHeaderBytes {
 		refuseUnread(w, r.WithContext(ctx), api.Errorf(http.StatusRequestHeaderFieldsTooLarge, api.CodeTooLarge, api.NotRun,
 			"the header is larger than %d bytes", MaxHeaderBytes))
@@ -221,7 +225,7 @@
 }
 
 // errStopping refuses a request that the node would have to end before its deadline. Other nodes can serve it.
-func errStopping() error {
+func errStopping() *api.Error {
 	e := api.Errorf(http.StatusServiceUnavailable, api.CodeNotReady, api.NotRun, "the node stops")
 	e.RetryAfter = retryAfter
 	return e
