Refuse in a drain before the body is read what can only be refused

Callers that send their body slowly learned only when it was complete that a draining node could not serve them, and kept the node from ending: gone 7.9 s after SIGTERM. Change: the same decision is made on the head too, where only a certain refusal counts. The decision moves to a file of its own, the times of a drain to that of the drain.

--- a/pkg/edge/node.go
+++ b/pkg/edge/node.go
@@ -383,30 +383,6 @@
 	n.log.Notice("settings reloaded", "drain_seconds", s.DrainSeconds, "address_ttl_seconds", s.AddressTTL)
 }
 
-// drainTimes returns how long a drain that begins now may take, and until when callers may use the node's address. A change of the settings
-// does not change a drain that has begun: the requests that it has accepted keep their time.
-func (n *Node) drainTimes(now time.Time) (limit time.Duration, addressesEnd time.Time) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return max(0, seconds(n.settings.DrainSeconds)-drainMargin), n.addressesEnd(now)
-}
-
-// addressesEnd returns until when callers may use answers that they have got by now. The caller holds n.mu.
-func (n *Node) addressesEnd(now time.Time) time.Time {
-	end := now.Add(ttlOverrun * seconds(n.settings.AddressTTL))
-	if end.Before(n.oldAddressesEnd) {
-		return n.oldAddressesEnd
-	}
-	return end
-}
-
-// addressTTL returns how long callers may cache an address answer, which may change while the node runs.
-func (n *Node) addressTTL() time.Duration {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return seconds(n.settings.AddressTTL)
-}
-
 // Ready reports whether the node accepts callers' requests.
 func (n *Node) Ready() bool { return !n.draining.Load() && n.table.Load() != nil }
 
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -36,8 +36,6 @@
 	// notReadyRetry is the Retry-After of a node that has no configuration yet; store watches deliver one within
 	// milliseconds.
 	notReadyRetry = 300 * time.Millisecond
-	// drainRetry is the Retry-After of a node that is about to close: other nodes can serve the request at once.
-	drainRetry = 50 * time.Millisecond
 	// noRoomRetry is the Retry-After of a node that gave up a request body since it needed the room.
 	noRoomRetry = 300 * time.Millisecond
 	// writeGrace is how long after a request's deadline writes to a caller that does not read are still allowed.
@@ -171,6 +169,10 @@
 		f.refuseCaller(w, r, route, refusal)
 		return
 	}
+	if !f.admits(r.Header.Get(f.options.HeaderNames.RequestID), route, received.Add(f.timeLeft(r, route)), 0, false) {
+		f.RefuseDraining(w)
+		return
+	}
 	body, status := ReadBody(w, r, table.Limits.BodyBytes)
 	if status != 0 {
 		f.options.Log.Notice("request body rejected", "request", r.Header.Get(f.options.HeaderNames.RequestID), "status", status)
@@ -184,7 +186,7 @@
 	}
 	x := f.newExchange(w, r, route, body, received)
 	x.setCaller(caller)
-	if !x.admitted() {
+	if !f.admits(x.request.ID, route, x.deadline, f.options.Placer.RunDuration(x.service), true) {
 		f.RefuseDraining(w)
 		return
 	}
@@ -196,43 +198,32 @@
 	}
 }
 
-// admitted reports whether the node accepts the request: while it drains, it may have to end the request before its deadline.
-func (x *exchange) admitted() bool {
-	plan := x.options.DrainPlan()
-	if plan.End.IsZero() {
-		return true
-	}
-	now := time.Now()
-	verdict := plan.Admit(now, x.deadline, x.options.Placer.RunDuration(x.service))
-	fields := []any{
-		"request", x.request.ID, "route", x.route.Name, "since_ms", now.Sub(plan.Begun).Milliseconds(), "drain_left_ms", plan.End.Sub(now).Milliseconds(),
-		"left_ms", x.deadline.Sub(now).Milliseconds(),
+// announced returns how long the caller says that it waits, or 0 if it does not say.
+func (f *Forwarder) announced(r *http.Request) time.Duration {
+	ms, err := strconv.ParseInt(r.Header.Get(f.options.HeaderNames.Deadline), 10, 64)
+	if err != nil || ms <= 0 {
+		return 0
 	}
-	x.options.Metrics.countDraining(verdict)
-	if verdict == drainplan.Refused {
-		x.options.Log.Notice("request refused", append(fields, "reason", "node drains and would end the request before its deadline")...)
-		return false
-	}
-	x.options.Log.Routine("request accepted while draining", append(fields, "time", verdict)...)
-	return true
+	return time.Duration(ms) * time.Millisecond
 }
 
-// RefuseDraining responds to a request that the node does not accept since it drains.
-func (f *Forwarder) RefuseDraining(w http.ResponseWriter) {
-	f.options.Metrics.countOutcome("refused")
-	Refuse(w, http.StatusServiceUnavailable, drainRetry)
-}
-
-func (f *Forwarder) newExchange(w http.ResponseWriter, r *http.Request, route *routing.Route, body []byte, received time.Time) *exchange {
+// timeLeft returns how long a request that has just come may take.
+func (f *Forwarder) timeLeft(r *http.Request, route *routing.Route) time.Duration {
 	left := defaultDeadline
 	if route.Timeout > 0 {
 		left = route.Timeout
 	}
+	if announced := f.announced(r); announced > 0 {
+		return min(left, announced)
+	}
+	return left
+}
+
+func (f *Forwarder) newExchange(w http.ResponseWriter, r *http.Request, route *routing.Route, body []byte, received time.Time) *exchange {
+	left := f.timeLeft(r, route)
 	var earlierAttempts time.Duration
-	if ms, err := strconv.ParseInt(r.Header.Get(f.options.HeaderNames.Deadline), 10, 64); err == nil && ms > 0 {
-		announced := time.Duration(ms) * time.Millisecond
+	if announced := f.announced(r); announced > 0 {
 		earlierAttempts = f.deadlines.record(route.Name, announced)
-		left = min(left, announced)
 	}
 	id := r.Header.Get(f.options.HeaderNames.RequestID)
 	x := &exchange{
