Hand jobs over to any node that does not stop, with growing pauses

Each further attempt followed after 0.2 s, on a store that may be failing. Change: stopping nodes are passed over; without a live node the attempts go on while others are known; pauses grow from 0.2 to 2 s, with jitter. Evidence: TestHandOverAwaitsASuccessor and TestHandOverPassesOverStoppingNodes, new; not run on the code before.

--- a/pkg/listjob/handover_test.go
+++ b/pkg/listjob/handover_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -11,6 +13,7 @@
 
 	"trefoilplank.example/pkg/adapter/store"
 	"trefoilplank.example/pkg/adapter/store/memstore"
+	"trefoilplank.example/pkg/decision/rendezvous"
 )
 
 // headStore is a store whose writes of heads wait until opened is closed, or fail while failing is set.
@@ -107,6 +110,40 @@
 	assert.Assert(t, b.ownedJob("j") != nil)
 }
 
+// Guards against a job that nobody runs until its node is gone, since no other node seemed to live when it handed its jobs over.
+func TestHandOverAwaitsASuccessor(t *testing.T) {
+	s, net, e := memstore.New(), newNetwork(), newEngine(t, 1000, 10*time.Millisecond)
+	a := net.addNode(t, s, e, "a", "b")
+	b := net.addNode(t, s, e, "b", "a")
+	assert.NilError(t, a.Accept(context.Background(), submission("j", 1)))
+	a.options.Fleet.Suspect("b", 400*time.Millisecond, errors.New("no answer"))
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	a.HandOver(ctx)
+	assert.NilError(t, ctx.Err())
+	assert.Assert(t, b.ownedJob("j") != nil)
+}
+
+// Guards against a job that nobody runs until its node is gone, since the nodes that were asked first stop too while others do not.
+func TestHandOverPassesOverStoppingNodes(t *testing.T) {
+	s, net, e := memstore.New(), newNetwork(), newEngine(t, 1000, 10*time.Millisecond)
+	names := []string{"a", "b", "c", "d", "e", "f"}
+	nodes := map[string]*node{}
+	for _, name := range names {
+		nodes[name] = net.addNode(t, s, e, name, slices.DeleteFunc(slices.Clone(names), func(other string) bool { return other == name })...)
+	}
+	assert.NilError(t, nodes["a"].Accept(context.Background(), submission("j", 1)))
+	ranked := rendezvous.Ranked("j", nodes["a"].options.Fleet.AcceptingWeights())
+	for _, name := range ranked[:len(ranked)-1] {
+		nodes[name].HandOver(context.Background())
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	nodes["a"].HandOver(ctx)
+	assert.NilError(t, ctx.Err())
+	assert.Assert(t, nodes[ranked[len(ranked)-1]].ownedJob("j") != nil)
+}
+
 // Guards against a job that nobody runs, since a node that was asked twice to take it over confirmed that while its first attempt was in progress,
 // and that failed.
 func TestTakeoverInProgressIsNotConfirmed(t *testing.T) {
--- a/pkg/listjob/takeover.go
+++ b/pkg/listjob/takeover.go
@@ -6,11 +6,13 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
 
 	"trefoilplank.example/pkg/adapter/peer"
+	"trefoilplank.example/pkg/controller/fleet"
 	"trefoilplank.example/pkg/decision/rendezvous"
 	"trefoilplank.example/pkg/wait"
 )
@@ -245,8 +247,9 @@
 	handOverTimeout = time.Second
 	// handOverAttempts is how many nodes are asked to take over a job; the first one may have begun to stop too.
 	handOverAttempts = 3
-	// handOverRetry is the pause after these attempts have failed, and handOverPoll the time between two checks for further jobs.
-	handOverRetry, handOverPoll = 200 * time.Millisecond, 20 * time.Millisecond
+	// handOverRetry is the pause after these attempts have failed for the first time, maxHandOverRetry the longest one, and handOverPoll the
+	// time between two checks for further jobs.
+	handOverRetry, maxHandOverRetry, handOverPoll = 200 * time.Millisecond, 2 * time.Second, 20 * time.Millisecond
 	// maxHandOverBytes limits the texts that are handed over with a job: a message between nodes is limited too, and the rest
 	// can be run again.
 	maxHandOverBytes = peer.MaxMessageBytes / 2
@@ -281,33 +284,49 @@
 	})
 }
 
-// errStopping means that a node takes over no jobs, since it stops.
-var errStopping = Error.New("node stops")
+var (
+	// errStopping means that a node takes over no jobs, since it stops.
+	errStopping = Error.New("node stops")
+	// errNoSuccessor means that no other node lives, as far as this one knows.
+	errNoSuccessor = Error.New("no other node lives")
+)
 
 func init() { peer.RegisterError("listjob.stopping", errStopping) }
 
-// handOverUntilDone hands a job over, with further attempts while ctx lasts and there are nodes that do not stop.
+// handOverUntilDone hands a job over, with further attempts while ctx lasts and there are nodes that do not stop. The pauses grow, since each
+// attempt costs other nodes and the store several calls.
 func (c *Controller) handOverUntilDone(ctx context.Context, own sweptHead, partials []Partial) {
 	id, all := own.Head.ID, len(partials)
 	partials = limitPartials(partials)
-	for {
-		candidates := rendezvous.Ranked(id, c.options.Fleet.AcceptingWeights())
-		err := c.handOverJob(ctx, &own, candidates[:min(handOverAttempts, len(candidates))], partials, all)
+	for pause := handOverRetry; ; pause = min(2*pause, maxHandOverRetry) {
+		err := c.handOverJob(ctx, &own, rendezvous.Ranked(id, c.options.Fleet.AcceptingWeights()), partials, all)
 		if err == nil {
 			return
 		}
-		if errors.Is(err, errStopping) || wait.Sleep(ctx, handOverRetry) != nil {
+		if !c.successorMayCome(err) || wait.Sleep(ctx, pause+rand.N(pause/2)) != nil {
 			c.options.Log.Notice("job not handed over", "job", id, "partials", len(partials), "error", err)
 			return
 		}
 	}
 }
 
-// handOverJob hands a job to its successor, or to the next node in rank if the call fails. It returns nil if another node owns the job, and
-// errStopping if all nodes stop. The calls name the head that may be replaced, so that one that is read late takes the job from nobody.
+// successorMayCome reports whether a job that was not handed over with an error may be taken over later: not if all other nodes stop.
+func (c *Controller) successorMayCome(err error) bool {
+	if !errors.Is(err, errNoSuccessor) {
+		return !errors.Is(err, errStopping)
+	}
+	self := c.self().Node
+	return slices.ContainsFunc(c.options.Fleet.Known(), func(m fleet.Member) bool { return m.Name != self && !m.Draining })
+}
+
+// handOverJob hands a job to its successor, or to the next node in rank if the call fails; nodes that stop are passed over. It returns nil if
+// another node owns the job, errStopping if all candidates stop, and errNoSuccessor if there are none. The calls name the head that may be replaced, so that one that is read late takes the job from nobody.
 func (c *Controller) handOverJob(ctx context.Context, own *sweptHead, candidates []string, partials []Partial, all int) error {
-	id, failed := own.Head.ID, errStopping
+	id, failed, asked := own.Head.ID, errNoSuccessor, 0
 	for _, to := range candidates {
+		if asked == handOverAttempts {
+			break
+		}
 		for again := true; again; {
 			err := c.askToAdopt(ctx, to, *own, partials)
 			c.options.Log.Notice("asked another node to take over job", "job", id, "to", to, "partials", len(partials), "left_out", all-len(partials), "error", err)
@@ -315,9 +334,13 @@
 				c.options.Metrics.countJob("handed_on")
 				return nil
 			}
-			if !errors.Is(err, errStopping) {
-				failed = err
+			if errors.Is(err, errStopping) {
+				if asked == 0 {
+					failed = errStopping
+				}
+				break
 			}
+			failed = err
 			// The node may have taken the job over without an answer in time, or the head may have been written meanwhile.
 			h, revision, err := c.readOwnHead(ctx, id)
 			if err == nil && (owner{h.Owner, h.Incarnation}) != c.self() || errors.Is(err, ErrNotFound) {
@@ -328,6 +351,9 @@
 			if again {
 				*own = sweptHead{h, revision}
 			}
+			if !again {
+				asked++
+			}
 		}
 	}
 	return failed
