Ask for the usual duration of runs only while the node drains

Each request took the placer's lock for a figure that only a drain needs, and a request that a drain ended was counted under two outcomes. Change: the figure is asked for once the plan has an end; such requests are counted in trefoilplank_drain_requests_total. A test has the case of late callers, which the forwarder's tests lacked.

--- a/pkg/forward/draining.go
+++ b/pkg/forward/draining.go
@@ -12,16 +12,18 @@
 const drainRetry = 50 * time.Millisecond
 
 // admits reports whether the node accepts a request whose caller waits until deadline: while it drains, it may have to end the request
-// before. usual is the usual duration of its run. whole is set once the body was read; before that, which may take long, only a refusal
-// is certain if usual is 0.
-func (f *Forwarder) admits(request string, route *routing.Route, deadline time.Time, usual time.Duration, whole bool) bool {
+// before. service is empty while the body is not read, which may take long: then only a refusal is certain.
+func (f *Forwarder) admits(request string, route *routing.Route, deadline time.Time, service string) bool {
 	plan := f.options.DrainPlan()
 	if plan.End.IsZero() {
 		return true
 	}
-	now := time.Now()
+	now, usual := time.Now(), time.Duration(0)
+	if service != "" {
+		usual = f.options.Placer.RunDuration(service)
+	}
 	verdict := plan.Admit(now, deadline, usual)
-	if !whole && verdict != drainplan.Refused {
+	if service == "" && verdict != drainplan.Refused {
 		return true
 	}
 	fields := []any{
@@ -33,7 +35,7 @@
 		f.options.Log.Notice("request refused", append(fields, "reason", "node drains and would end the request before its deadline")...)
 		return false
 	}
-	f.options.Log.Routine("request accepted while draining", append(fields, "time", verdict)...)
+	f.options.Log.Routine("request accepted while draining", append(fields, "verdict", verdict)...)
 	return true
 }
 
--- a/pkg/forward/fakes_test.go
+++ b/pkg/forward/fakes_test.go
@@ -57,6 +57,8 @@
 	metrics   *metrics.Set
 	// drainEnd is when the node closes, or zero while it does not drain.
 	drainEnd time.Time
+	// lateCallers is until when a draining node accepts requests by the usual duration of their runs.
+	lateCallers time.Time
 }
 
 type behaviour func(f *fixture, w http.ResponseWriter, r *http.Request)
@@ -131,7 +133,7 @@
 		HeaderNames: testHeaders, Placer: p, Client: client, Table: func() *routing.Table { return table },
 		FailedRuns: f.failedRuns, Streams: f.streams,
 		RequestSlots: func(context.Context) bool { return false }, Log: log,
-		Draining: func() bool { return !f.drainEnd.IsZero() }, DrainPlan: func() drain.Plan { return drain.Plan{End: f.drainEnd} },
+		Draining: func() bool { return !f.drainEnd.IsZero() }, DrainPlan: func() drain.Plan { return drain.Plan{End: f.drainEnd, LateCallers: f.lateCallers} },
 		Metrics: NewMetrics(f.metrics),
 	})
 	f.Server = httptest.NewServer(f.forwarder)
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -169,7 +169,7 @@
 		f.refuseCaller(w, r, route, refusal)
 		return
 	}
-	if !f.admits(r.Header.Get(f.options.HeaderNames.RequestID), route, received.Add(f.timeLeft(r, route)), 0, false) {
+	if !f.admits(r.Header.Get(f.options.HeaderNames.RequestID), route, received.Add(f.timeLeft(r, route)), "") {
 		f.RefuseDraining(w)
 		return
 	}
@@ -186,7 +186,7 @@
 	}
 	x := f.newExchange(w, r, route, body, received)
 	x.setCaller(caller)
-	if !f.admits(x.request.ID, route, x.deadline, f.options.Placer.RunDuration(x.service), true) {
+	if !f.admits(x.request.ID, route, x.deadline, x.service) {
 		f.RefuseDraining(w)
 		return
 	}
@@ -339,11 +339,10 @@
 		return false
 	case drain.Ended(x.r.Context()) && !errors.Is(cause, errCallerGone):
 		x.options.Log.Notice("request ended since the drain is over", fields...)
-		x.options.Metrics.countOutcome("drain_over")
+		x.options.Metrics.countDraining("ended")
 		switch {
 		case x.ran == 0 && !x.headersSent:
-			x.options.CustomerMetrics.CountRequest(x.caller.Name(), "no_room")
-			Refuse(x.w, http.StatusServiceUnavailable, drainRetry)
+			x.RefuseDraining(x.w)
 		case x.lastFailure != nil:
 			x.respondWithFailure()
 		default:
--- a/pkg/forward/forward_test.go
+++ b/pkg/forward/forward_test.go
@@ -172,6 +172,21 @@
 	}
 }
 
+// Guards against callers refused that a draining node could serve, as they could not know of the drain, and against those accepted whose usual run
+// does not fit.
+func TestLateCallersAreAcceptedByUsualRuns(t *testing.T) {
+	for _, c := range []struct {
+		left   time.Duration
+		status int
+	}{{2900 * time.Millisecond, http.StatusOK}, {900 * time.Millisecond, http.StatusServiceUnavailable}} {
+		f := newFixture(t, streamsAll)
+		f.drainEnd, f.lateCallers = time.Now().Add(c.left), time.Now().Add(time.Second)
+		resp, _, err := f.callWith(t, "/once/a", "prompt", map[string]string{testHeaders.Deadline: "3000"})
+		assert.NilError(t, err)
+		assert.Equal(t, resp.StatusCode, c.status)
+	}
+}
+
 // Guards against a run that continues at the upstream after its caller has disconnected.
 func TestRunIsCancelledWhenCallerDisconnects(t *testing.T) {
 	f := newFixture(t, func(f *fixture, _ http.ResponseWriter, r *http.Request) {
--- a/pkg/forward/metrics.go
+++ b/pkg/forward/metrics.go
@@ -16,15 +16,15 @@
 func NewMetrics(set *metrics.Set) *Metrics { return &Metrics{set} }
 
 // countOutcome counts an event of a request: delivered, sent_again, refused, quarantined, failed, left (the caller
-// disconnected), silence_borne (the upstream is unresponsive, but the budget allows no retry), own_connection_failed (only
-// this node does not reach the upstream) or drain_over (the time of the drain was over).
+// disconnected), silence_borne (the upstream is unresponsive, but the budget allows no retry) or own_connection_failed (only
+// this node does not reach the upstream).
 func (m *Metrics) countOutcome(outcome string) {
 	if m != nil {
 		m.set.GetOrCreateCounter(`trefoilplank_requests_total{outcome="` + outcome + `"}`).Inc()
 	}
 }
 
-// countDraining counts a decision on a request that came while the node drained.
+// countDraining counts a decision on a request that came while the node drained, or one that was ended since the drain was over.
 func (m *Metrics) countDraining(v drain.Verdict) {
 	if m != nil {
 		m.set.GetOrCreateCounter(`trefoilplank_drain_requests_total{verdict="` + string(v) + `"}`).Inc()
