End the service at once when a part of the node fails during a drain

Change: an abort ends the service also during a drain, and the platform's node stops waiting. The fields and constants of the plan say what they are; the margin counts both polls.

--- a/pkg/controller/drain/drain.go
+++ b/pkg/controller/drain/drain.go
@@ -79,14 +79,11 @@
 	}
 }
 
-// Abort ends the service at once, unless a drain has started: requests in progress get an error response. It waits for its end.
+// Abort ends the service at once, also during a drain: requests in progress get an error response.
 func (c *Controller) Abort() {
-	c.once.Do(func() {
-		defer close(c.done)
-		_ = c.Servers.Refuse() // An error means that a listener is closed.
-		c.Servers.Stop(time.Now(), nil)
-	})
-	<-c.done
+	_ = c.Servers.Refuse() // An error means that a listener is closed.
+	c.Servers.Stop(time.Now(), nil)
+	c.once.Do(func() { close(c.done) })
 }
 
 // begin makes the node name other nodes only, and plans the drain.
--- a/pkg/controller/drain/servers.go
+++ b/pkg/controller/drain/servers.go
@@ -20,8 +20,8 @@
 	answerTime = 200 * time.Millisecond
 	// shutdownTime is how long the last answers may take to be written, and connections on which nothing was sent to be closed.
 	shutdownTime = 150 * time.Millisecond
-	// StopTime is how much longer than until its end Stop takes.
-	StopTime = answerTime + pollInterval + shutdownTime
+	// StopTime is how much longer than until its end Stop takes. Both waits may last a poll longer.
+	StopTime = answerTime + 2*pollInterval + shutdownTime
 )
 
 // Servers are the HTTP servers for callers. They stop without losing the answer to a request that was let in.
@@ -36,7 +36,7 @@
 	stopped bool
 }
 
-// NewServers returns no servers yet.
+// NewServers returns an empty set of servers with an open gate.
 func NewServers() *Servers { return &Servers{Gate: NewGate()} }
 
 // Serve serves callers on l until the server is shut down; then it returns nil, as it does at once after Stop. The handler of the server must
--- a/pkg/decision/drain/drain.go
+++ b/pkg/decision/drain/drain.go
@@ -1,7 +1,7 @@
 // Package drain decides which requests a stopping node still accepts, so that none of them is without an answer when the process
 // ends.
 //
-// It answers this load pattern: callers go on using the node, over open connections and cached addresses, while upstreams are
+// It is made for this load pattern: callers go on using the node, over open connections and cached addresses, while upstreams are
 // silent or slow, so that a run can last as long as its caller waits.
 package drain
 
@@ -12,14 +12,15 @@
 	longRunFactor, runSlack = 2, time.Second
 	// lateRequest is how long after the last new caller its request is awaited, before the node stops for lack of requests.
 	lateRequest = 800 * time.Millisecond
-	// lateCallerPart of the drain is how long callers are accepted whose requests may outlast it, at most.
-	lateCallerPart = 0.4
+	// lateCallerPart of the drain is how long callers are accepted whose requests may outlast it, at most, and quietPart how long the node
+	// waits for callers before it stops for lack of requests. The first is shorter since such requests need the rest of the drain.
+	lateCallerPart, quietPart = 0.4, 0.5
 )
 
 // Plan is the schedule of a drain. The zero value is that of a node that does not drain.
 type Plan struct {
 	Begun time.Time
-	// LateCallers is until when callers come that could not learn of the drain.
+	// LateCallers is until when callers that could not learn of the drain are accepted if a usual run fits.
 	LateCallers time.Time
 	// Quiet is from when on the node stops as soon as no request is in progress.
 	Quiet time.Time
@@ -28,12 +29,12 @@
 }
 
 // NewPlan returns the schedule of a drain that begins at a moment and takes a limited time. Callers may use the node's address until
-// addressesEnd. They are waited for during half of the time at most, which leaves the other half for their requests.
+// addressesEnd; they are waited for during a part of the time at most, which leaves the rest for their requests.
 func NewPlan(begun time.Time, limit time.Duration, addressesEnd time.Time) Plan {
 	return Plan{
 		Begun:       begun,
 		LateCallers: earlier(addressesEnd, begun.Add(time.Duration(lateCallerPart*float64(limit)))),
-		Quiet:       earlier(addressesEnd.Add(lateRequest), begun.Add(limit/2)),
+		Quiet:       earlier(addressesEnd.Add(lateRequest), begun.Add(time.Duration(quietPart*float64(limit)))),
 		End:         begun.Add(limit),
 	}
 }
--- a/pkg/edge/drain.go
+++ b/pkg/edge/drain.go
@@ -13,7 +13,7 @@
 const (
 	// leaveTimeout limits leaving the fleet, and exitTime is what remains for the time from the signal to the begin of the drain and for the
 	// end of the process.
-	leaveTimeout, exitTime = 230 * time.Millisecond, 100 * time.Millisecond
+	leaveTimeout, exitTime = 210 * time.Millisecond, 100 * time.Millisecond
 	// drainMargin is the part of the time to stop that is reserved for the last answers, closing connections and leaving the fleet.
 	drainMargin = drain.StopTime + leaveTimeout + exitTime
 	// drainPoll is the time between two checks of what is in progress.
@@ -90,10 +90,13 @@
 	if awaitOthers {
 		quiet = plan.Quiet
 	}
-	reason := n.awaitQuiet(quiet, plan.End)
+	end, reason := plan.End, n.awaitQuiet(ctx, quiet, plan.End)
+	if ctx.Err() != nil {
+		end = time.Now()
+	}
 	n.log.Notice("drain stops waiting", "reason", reason, "ms", time.Since(begun).Milliseconds(), "active", n.servers.Gate.Active(), "relayed", n.links.RelayedForOthers())
 	_ = n.servers.Refuse() // An error means that the listener is closed.
-	ended := n.servers.Stop(plan.End, n.links.RelayedForOthers)
+	ended := n.servers.Stop(end, n.links.RelayedForOthers)
 	n.log.Notice("node drained", "ms", time.Since(begun).Milliseconds(), "ended", ended, "active", n.servers.Gate.Active())
 }
 
@@ -113,8 +116,9 @@
 	registration.Wait()
 }
 
-// awaitQuiet returns when, from quiet on, nothing is in progress and the jobs are handed over, or at end, and says which.
-func (n *Node) awaitQuiet(quiet, end time.Time) (reason string) {
+// awaitQuiet returns when, from quiet on, nothing is in progress and the jobs are handed over, at end, or when a part of the node has failed, and
+// says which.
+func (n *Node) awaitQuiet(ctx context.Context, quiet, end time.Time) (reason string) {
 	over := time.After(time.Until(end))
 	tick := time.NewTicker(drainPoll)
 	defer tick.Stop()
@@ -122,6 +126,8 @@
 		select {
 		case <-over:
 			return "time is over"
+		case <-ctx.Done():
+			return "a part of the node has failed"
 		case now := <-tick.C:
 			if !now.Before(quiet) && isClosed(n.handedOver) && n.servers.Gate.Active() == 0 && n.links.RelayedForOthers() == 0 {
 				return "no request in progress"
@@ -139,9 +145,9 @@
 	}
 }
 
-// drain stops the service and leaves the fleet. If the service has stopped before, since the VM is to be retired, it gives the hand-over of
+// shutDown stops the service and leaves the fleet. If the service has stopped before, since the VM is to be retired, it gives the hand-over of
 // the jobs the time that is left.
-func (n *Node) drain(ctx context.Context) {
+func (n *Node) shutDown(ctx context.Context) {
 	begun := time.Now()
 	limit, _ := n.drainTimes(begun)
 	end, stop := context.WithTimeout(ctx, limit)
--- a/pkg/edge/node.go
+++ b/pkg/edge/node.go
@@ -412,7 +412,7 @@
 	}
 	select {
 	case <-ctx.Done():
-		n.drain(working)
+		n.shutDown(working)
 	case <-working.Done(): // A part of the node has failed; the requests in progress end with an answer.
 		_ = n.servers.Refuse() // An error means that a listener is closed.
 		n.servers.Stop(time.Now(), nil)
--- a/pkg/edge/retire.go
+++ b/pkg/edge/retire.go
@@ -72,7 +72,7 @@
 			if reported[node] || !n.mayReportRetired(node, missingSince) {
 				continue
 			}
-			if node == n.settings.Name && !n.empty(ctx) {
+			if node == n.settings.Name && !n.emptyForRetirement(ctx) {
 				continue
 			}
 			if err := n.platform.ReportRetired(ctx, node); err != nil {
@@ -86,8 +86,8 @@
 	return ctx.Err()
 }
 
-// empty stops the service of this node, unless a stop signal has done so, and reports whether it holds neither requests nor jobs any longer.
-func (n *Node) empty(ctx context.Context) bool {
+// emptyForRetirement stops the service of this node, unless a stop signal has done so, and reports whether it holds neither requests nor jobs any longer.
+func (n *Node) emptyForRetirement(ctx context.Context) bool {
 	n.log.Notice("VM is to be retired, emptying node", "node", n.settings.Name)
 	n.stopServing(ctx, false)
 	select {
--- a/pkg/edge/settings_test.go
+++ b/pkg/edge/settings_test.go
@@ -89,4 +89,7 @@
 	assert.Assert(t, end.Sub(now) >= 3900*time.Millisecond)
 	assert.Equal(t, decision.NewPlan(now, 7*time.Second, now.Add(30*time.Second)).Quiet, now.Add(3500*time.Millisecond))
 	assert.Assert(t, limit < 10*time.Second)
+	// The node stays for as long.
+	assert.Assert(t, !decision.NewPlan(now, limit, now.Add(3*time.Second)).Quiet.Before(now.Add(3*time.Second)))
+	assert.Assert(t, !decision.NewPlan(now, limit, end).Quiet.Before(now.Add(3900*time.Millisecond)))
 }
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -204,7 +204,9 @@
 		"peerAddress", n.memberRecord().PeerAddress, "peerListens", n.peers.Addr().String())
 	select {
 	case <-ctx.Done():
-		_ = n.drainer.Drain(working)
+		if n.drainer.Drain(working) != nil { // A controller has failed meanwhile.
+			n.drainer.Abort()
+		}
 	case <-n.drainer.Done():
 	case <-working.Done(): // A controller has failed.
 		n.drainer.Abort()
