Say nothing as not run that a cancelled connection may still have written, and run nothing after the end of a drain

Cause, read: the end of a drain frees the slots of the requests that it ends; one that waited got a slot, and was sent before its own end reached it. It was then cancelled while net/http wrote it, and counted as not written. Change: nothing is sent once the drain has ended requests; a request that is cancelled on a connection may have run.

--- a/pkg/adapter/service/service.go
+++ b/pkg/adapter/service/service.go
@@ -229,7 +229,9 @@
 // classifyError turns an error of a round trip into serving.ErrNotStarted, serving.ErrInterrupted or
 // serving.ErrUpstreamCrashed.
 func (c *Client) classifyError(ctx, run context.Context, u api.Upstream, pending *pendingCall, p *progress, err error) error {
-	if !p.connected.Load() || !p.wroteHeaders.Load() || nothingWritten(err) {
+	// A request that is cancelled on a connection may be written while its round trip returns.
+	cancelled := run.Err() != nil && p.connected.Load()
+	if !cancelled && (!p.connected.Load() || !p.wroteHeaders.Load()) || nothingWritten(err) {
 		return errs.Combine(serving.ErrNotStarted, err)
 	}
 	if run.Err() != nil {
--- a/pkg/gateway/execute.go
+++ b/pkg/gateway/execute.go
@@ -127,7 +127,12 @@
 	if alone {
 		ctx = service.WithProbe(ctx)
 	}
-	if err := g.ensureClaim(ctx, rs); err != nil {
+	err = g.ensureClaim(ctx, rs)
+	if err == nil && g.Gate.Context().Err() != nil {
+		// The end of a drain frees slots, and ends this request a moment later.
+		err = errStopping()
+	}
+	if err != nil {
 		g.releaseUnused(slot)
 		g.reportToQuarantine(ctx, rs, attempt{upstream: slot.Upstream.Name, err: err})
 		return attempt{}, err
