--- a/pkg/controller/drain/gate_test.go
+++ b/pkg/controller/drain/gate_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"runtime"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -27,6 +28,7 @@
 					inside.Add(1)
 					inside.Add(-1)
 					g.Leave()
+					runtime.Gosched() // Else the gate is hardly ever idle on a busy machine.
 				}
 			})
 		}
@@ -55,6 +57,7 @@
 				if g.Enter() {
 					t.Error("entered a closed gate")
 				}
+				runtime.Gosched()
 			}
 		})
 	}
