--- a/review/standin-2/fleet.go
+++ b/review/standin-2/fleet.go
@@ -58,7 +58,9 @@
 	storeAddress    string
 	// nodes are those on edge machines, storage those on storage machines.
 	nodes, storage []*node
-	replicas       []*replica
+	// added are the path prefixes of the batch routes that the operator has added.
+	added    []string
+	replicas []*replica
 	// memoryMB is the memory of an edge machine.
 	memoryMB int
 }
@@ -209,12 +211,16 @@
 
 // putConfiguration writes the desired state.
 func (f *fleet) putConfiguration(version int) {
+	routes := []any{
+		map[string]any{"name": "r-stream", "host": host, "path-prefix": streamPath, "kind": "streaming", "timeout-ms": 5000, "slo-ms": 300, "priority": 0, "service": serviceName, "max-attempts": 2, "sticky": true, "resumable": true, "gap-aim-ms": 300},
+		map[string]any{"name": "r-lots", "host": host, "path-prefix": batchPath, "kind": "batch", "timeout-ms": 15000, "slo-ms": 400, "priority": 2, "service": serviceName, "max-attempts": 3, "sticky": true, "gap-aim-ms": 300, "completion-ms": 18000, "retention-s": 600},
+	}
+	for _, path := range f.added {
+		routes = append(routes, map[string]any{"name": "r-" + strings.Trim(path, "/"), "host": host, "path-prefix": path, "kind": "batch", "timeout-ms": 15000, "slo-ms": 400, "priority": 2, "service": serviceName, "max-attempts": 3, "sticky": true, "gap-aim-ms": 300, "completion-ms": 18000, "retention-s": 600})
+	}
 	f.store.operatorPut("config", "main", map[string]any{
-		"version": version,
-		"routes": []any{
-			map[string]any{"name": "r-stream", "host": host, "path-prefix": streamPath, "kind": "streaming", "timeout-ms": 5000, "slo-ms": 300, "priority": 0, "service": serviceName, "max-attempts": 2, "sticky": true, "resumable": true, "gap-aim-ms": 300},
-			map[string]any{"name": "r-lots", "host": host, "path-prefix": batchPath, "kind": "batch", "timeout-ms": 15000, "slo-ms": 400, "priority": 2, "service": serviceName, "max-attempts": 3, "sticky": true, "gap-aim-ms": 300, "completion-ms": 18000, "retention-s": 600},
-		},
+		"version":  version,
+		"routes":   routes,
 		"services": []any{map[string]any{"name": serviceName, "health-path": "/health", "max-conns": 240}},
 		"limits":   map[string]any{"max-header-bytes": 16384, "max-body-bytes": 4194304, "header-timeout-ms": 5000, "idle-timeout-ms": 20000},
 	})
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -15,6 +15,7 @@
 	"majority-lost":      majorityLost,
 	"finished-jobs":      finishedJobs,
 	"two-hubs":           twoHubs,
+	"new-route":          newRoute,
 }
 
 func main() {
