Start nodes of the cases on other ports when one is taken

A case could not run when another process had taken a port between its choice and its use (seen once beside the tests of platform/rig). Lists of the stand-in store are also encoded once for the copied heads.

--- a/review/standin-2/fleet.go
+++ b/review/standin-2/fleet.go
@@ -99,15 +99,33 @@
 	return f, nil
 }
 
-func (f *fleet) addNode(name, zone string) (*node, error) {
-	ports, err := freePorts(4)
-	if err != nil {
-		return nil, err
-	}
-	address := func(p int) string { return fmt.Sprintf("127.0.0.1:%d", p) }
-	n := &node{name: name, zone: zone, front: address(ports[0]), ready: address(ports[1]), directory: address(ports[2]), internal: ports[3], fleet: f}
+func (f *fleet) addNode(name, zone string) *node {
+	n := &node{name: name, zone: zone, fleet: f}
 	f.nodes = append(f.nodes, n)
-	return n, nil
+	return n
+}
+
+// startWithFreePorts starts a process for the first time, with other ports if one of them was taken meanwhile.
+func (n *node) startWithFreePorts() error {
+	for range 5 {
+		ports, err := freePorts(4)
+		if err != nil {
+			return err
+		}
+		address := func(p int) string { return fmt.Sprintf("127.0.0.1:%d", p) }
+		n.front, n.ready, n.directory, n.internal = address(ports[0]), address(ports[1]), address(ports[2]), ports[3]
+		n.started = false
+		if err := n.start(); err != nil {
+			return err
+		}
+		select {
+		case <-n.exited:
+			n.fleet.rec.add("%s: process ended at its start, trying other ports", n.name)
+		case <-time.After(200 * time.Millisecond):
+			return nil
+		}
+	}
+	return fmt.Errorf("%s does not start", n.name)
 }
 
 // start starts the process with the settings that deploy/settings.toml.tmpl gives on a small deployment.
--- a/review/standin-2/history.go
+++ b/review/standin-2/history.go
@@ -73,6 +73,7 @@
 	for _, o := range copies {
 		s.revision++
 		o.Metadata.Revision, o.Metadata.Created = s.revision, s.revision
+		o.text, _ = json.Marshal(o)
 		s.kind("jobs").objects[o.Metadata.Name] = o
 	}
 	s.kind("jobs").sorted = nil
--- a/review/standin-2/registration.go
+++ b/review/standin-2/registration.go
@@ -18,22 +18,18 @@
 		f.replicas = append(f.replicas, p)
 	}
 	for i := range storage {
-		n, err := f.addNode(fmt.Sprintf("storage-z%d-1", i+1), fmt.Sprintf("z%d", i+1))
-		if err != nil {
-			return err
-		}
-		n.storage = true
-		if err := n.start(); err != nil {
-			return err
-		}
+		f.addNode(fmt.Sprintf("storage-z%d-1", i+1), fmt.Sprintf("z%d", i+1)).storage = true
 	}
 	f.storage, f.nodes = f.nodes, nil
 	for i := range nodes {
-		n, err := f.addNode(fmt.Sprintf("edge-z%d-%d", i%3+1, i/3+1), fmt.Sprintf("z%d", i%3+1))
-		if err != nil {
-			return err
-		}
-		if err := n.start(); err != nil {
+		f.addNode(fmt.Sprintf("edge-z%d-%d", i%3+1, i/3+1), fmt.Sprintf("z%d", i%3+1))
+	}
+	starting := make(chan error, len(f.storage)+len(f.nodes))
+	for _, n := range append(slices.Clone(f.storage), f.nodes...) {
+		go func() { starting <- n.startWithFreePorts() }()
+	}
+	for range cap(starting) {
+		if err := <-starting; err != nil {
 			return err
 		}
 	}
--- a/review/standin-2/replica.go
+++ b/review/standin-2/replica.go
@@ -29,7 +29,6 @@
 
 	mu               sync.Mutex
 	running, waiting int
-	seq              int
 	lastHad          map[string]time.Time
 	tokens           chan struct{}
 	server           *http.Server
--- a/review/standin-2/store.go
+++ b/review/standin-2/store.go
@@ -1,7 +1,9 @@
 package main
 
 import (
+	"bytes"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -32,6 +34,8 @@
 	Metadata metadata        `json:"metadata"`
 	Spec     json.RawMessage `json:"spec"`
 	Status   json.RawMessage `json:"status"`
+	// text is the object as JSON, where that is kept.
+	text json.RawMessage
 }
 
 type change struct {
@@ -213,7 +217,7 @@
 
 func (s *store) put(k *kindState, kind string, o object) object {
 	s.revision++
-	o.Metadata.Revision = s.revision
+	o.Metadata.Revision, o.text = s.revision, nil
 	k.objects[o.Metadata.Name] = o
 	k.append(change{o, false})
 	if kind == "members" || kind == "jobs" && !s.quiet {
@@ -266,7 +270,7 @@
 		first++
 	}
 	names = names[first:]
-	items, size, more := []object{}, 0, false
+	items, size, more := [][]byte{}, 0, false
 	for _, name := range names {
 		o := k.objects[name]
 		size += len(o.Spec)
@@ -274,11 +278,16 @@
 			more = true
 			break
 		}
-		items = append(items, o)
+		text := o.text
+		if text == nil {
+			text, _ = json.Marshal(o)
+		}
+		items = append(items, text)
 	}
 	revision := s.revision
 	s.mu.Unlock()
-	writeJSON(w, http.StatusOK, map[string]any{"items": items, "more": more, "current-rev": revision})
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = fmt.Fprintf(w, `{"items":[%s],"more":%t,"current-rev":%d}`, bytes.Join(items, []byte(",")), more, revision)
 }
 
 func (s *store) watch(w http.ResponseWriter, r *http.Request, kind string) {
