--- a/review/standin-2/fleet.go
+++ b/review/standin-2/fleet.go
@@ -94,7 +94,7 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &fleet{program: program, folder: folder, rec: rec, store: newStore(rec), storeAddress: l.Addr().String(), memoryMB: 284}
+	f := &fleet{program: program, folder: folder, rec: rec, store: newStore(rec), storeAddress: l.Addr().String(), memoryMB: memoryMB}
 	go f.store.serve(l)
 	return f, nil
 }
@@ -128,21 +128,21 @@
 	return fmt.Errorf("%s does not start", n.name)
 }
 
-// start starts the process with the settings that deploy/settings.toml.tmpl gives on a small deployment.
+// start starts the process with the settings that deploy/settings.toml.tmpl gives on anldm-liquida.
 func (n *node) start() error {
 	path := filepath.Join(n.fleet.folder, n.name+".toml")
 	text := fmt.Sprintf("name = %q\navailability_zone = %q\nregion = \"r\"\nip = \"127.0.0.1\"\ninternal_ports = [%d,%d]\nstore_address = %q\ncores = 1\n",
 		n.name, n.zone, n.internal, n.internal, n.fleet.storeAddress)
 	if n.storage {
-		text += "cpu_share = 0.8\nmemory_mb = 314\nretires = true\n"
+		text += "cpu_share = 0.8\nmemory_mb = 154\nmax_descriptors = 8200\nretires = true\n"
 	} else {
-		text += fmt.Sprintf("caller_address = %q\nready_address = %q\ndirectory_address = %q\ncpu_share = 0.4\nmemory_mb = %d\n", n.front, n.ready, n.directory, n.fleet.memoryMB)
+		text += fmt.Sprintf("caller_address = %q\nready_address = %q\ndirectory_address = %q\ncpu_share = 0.4\nmemory_mb = %d\nmax_descriptors = 4200\n", n.front, n.ready, n.directory, n.fleet.memoryMB)
 	}
 	if !n.started {
 		text += "first_start = true\n"
 	}
 	n.started = true
-	text += fmt.Sprintf("drain_seconds = %d\njob_readable_seconds = 120\nmax_descriptors = 4100\n", graceSeconds)
+	text += fmt.Sprintf("drain_seconds = %d\njob_readable_seconds = 120\n", graceSeconds)
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		return err
 	}
--- a/review/standin-2/history.go
+++ b/review/standin-2/history.go
@@ -99,7 +99,7 @@
 	return nil
 }
 
-// memoryMB is the memory of an edge machine of the small deployment with the least.
+// memoryMB is the memory of an edge machine of anldm-liquida.
 const memoryMB = 134
 
 // overLimit is a process that used more than memory-mb: the platform kills it, and starts it again after a short delay.
@@ -112,7 +112,6 @@
 // processes that use more than memory-mb.
 func finishedJobs(f *fleet, trouble bool) (bool, error) {
 	f.store.quiet = true
-	f.memoryMB = memoryMB
 	hours := 72.0
 	if text := os.Getenv("HOURS"); text != "" {
 		hours, _ = strconv.ParseFloat(text, 64)
