Show that an item whose replicas crash again and again is left lying

An item under which five replicas crashed, one at a time, 3 to 25 s apart, waits for 48 s after the last crash while all replicas are idle: the ledger of failed runs counts each crash against the item and doubles its pause.

The stand-in also gets a store whose cheap lists are some seconds old, and partitions between machines.

--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -1,4 +1,4 @@
 #!/usr/bin/env bash
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
-exec target/review-2/standin2 two-hubs target/trefoilplank review/10/record.txt
+exec target/review-2/standin2 crashed-items target/trefoilplank review/10/record.txt
--- a/review/standin-2/fleet.go
+++ b/review/standin-2/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/base64"
 	"encoding/json"
@@ -49,6 +50,8 @@
 	started                             bool
 	// storage is set for a process on a storage machine, which takes no callers.
 	storage bool
+	// ip is the address of the machine towards other nodes; 127.0.0.1 if it is empty.
+	ip string
 }
 
 type fleet struct {
@@ -63,6 +66,10 @@
 	replicas []*replica
 	// memoryMB is the memory of an edge machine.
 	memoryMB int
+	// eventTime is the replicas' pause between events, if it is not the usual one.
+	eventTime time.Duration
+	// beforeStart is called for each node of startSmall before it starts; nil if there is nothing to do.
+	beforeStart func(i int, n *node) error
 }
 
 const graceSeconds = 8
@@ -131,8 +138,8 @@
 // start starts the process with the settings that deploy/settings.toml.tmpl gives on anldm-liquida.
 func (n *node) start() error {
 	path := filepath.Join(n.fleet.folder, n.name+".toml")
-	text := fmt.Sprintf("name = %q\navailability_zone = %q\nregion = \"r\"\nip = \"127.0.0.1\"\ninternal_ports = [%d,%d]\nstore_address = %q\ncores = 1\n",
-		n.name, n.zone, n.internal, n.internal, n.fleet.storeAddress)
+	text := fmt.Sprintf("name = %q\navailability_zone = %q\nregion = \"r\"\nip = %q\ninternal_ports = [%d,%d]\nstore_address = %q\ncores = 1\n",
+		n.name, n.zone, cmp.Or(n.ip, "127.0.0.1"), n.internal, n.internal, n.fleet.storeAddress)
 	if n.storage {
 		text += "cpu_share = 0.8\nmemory_mb = 154\nmax_descriptors = 8200\nretires = true\n"
 	} else {
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -16,6 +16,8 @@
 	"finished-jobs":      finishedJobs,
 	"two-hubs":           twoHubs,
 	"new-route":          newRoute,
+	"stale-list":         staleList,
+	"crashed-items":      crashedItems,
 }
 
 func main() {
--- a/review/standin-2/registration.go
+++ b/review/standin-2/registration.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"fmt"
 	"net/http"
 	"slices"
@@ -15,6 +16,7 @@
 		if err != nil {
 			return err
 		}
+		p.eventTime = cmp.Or(f.eventTime, eventTime)
 		f.replicas = append(f.replicas, p)
 	}
 	for i := range storage {
@@ -24,6 +26,13 @@
 	for i := range nodes {
 		f.addNode(fmt.Sprintf("edge-z%d-%d", i%3+1, i/3+1), fmt.Sprintf("z%d", i%3+1))
 	}
+	for i, n := range append(slices.Clone(f.storage), f.nodes...) {
+		if f.beforeStart != nil {
+			if err := f.beforeStart(i, n); err != nil {
+				return err
+			}
+		}
+	}
 	starting := make(chan error, len(f.storage)+len(f.nodes))
 	for _, n := range append(slices.Clone(f.storage), f.nodes...) {
 		go func() { starting <- n.startWithFreePorts() }()
--- a/review/standin-2/replica.go
+++ b/review/standin-2/replica.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -30,10 +31,16 @@
 	mu               sync.Mutex
 	running, waiting int
 	lastHad          map[string]time.Time
-	tokens           chan struct{}
-	server           *http.Server
-	limit            float64
-	starts           []time.Time
+	// arrivals holds when each request reached the replica that it began to run.
+	arrivals map[string][]time.Time
+	tokens   chan struct{}
+	server   *http.Server
+	limit    float64
+	// now holds the requests that run.
+	now map[string]bool
+	// eventTime is the pause between events.
+	eventTime time.Duration
+	starts    []time.Time
 }
 
 func startReplica(id, service, zone string, slots, events int, s *store, rec *recorder) (*replica, error) {
@@ -43,7 +50,7 @@
 	}
 	p := &replica{
 		id: id, address: l.Addr().String(), service: service, zone: zone, slots: slots, events: events, born: time.Now().UnixMilli(), store: s, rec: rec,
-		lastHad: map[string]time.Time{}, tokens: make(chan struct{}, slots),
+		lastHad: map[string]time.Time{}, arrivals: map[string][]time.Time{}, now: map[string]bool{}, eventTime: eventTime, tokens: make(chan struct{}, slots),
 	}
 	p.server = &http.Server{Handler: p, IdleTimeout: 5 * time.Second}
 	go func() { _ = p.server.Serve(l) }()
@@ -71,8 +78,22 @@
 	return p.lastHad[id]
 }
 
+// runs reports whether the replica runs a request now.
+func (p *replica) runs(id string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.now[id]
+}
+
+// begins returns when the runs of a request reached the replica.
+func (p *replica) begins(id string) []time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Clone(p.arrivals[id])
+}
+
 func (p *replica) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	id, h := r.Header.Get("Request-Id"), w.Header()
+	id, h, arrived := r.Header.Get("Request-Id"), w.Header(), time.Now()
 	if id == "" {
 		if r.URL.Path == "/health" {
 			h.Set("Instance-Id", p.id)
@@ -122,6 +143,8 @@
 		p.running++
 		p.lastHad[id] = time.Now()
 		p.starts = append(p.starts, time.Now())
+		p.arrivals[id] = append(p.arrivals[id], arrived)
+		p.now[id] = true
 		p.mu.Unlock()
 	case <-ctx.Done():
 		p.mu.Lock()
@@ -138,6 +161,7 @@
 		p.mu.Lock()
 		p.running--
 		p.lastHad[id] = time.Now()
+		delete(p.now, id)
 		p.mu.Unlock()
 		<-p.tokens
 	}()
@@ -156,7 +180,7 @@
 			p.rec.add("replica %s: request %s cut at event %d", p.id, id, n)
 			panic(http.ErrAbortHandler)
 		}
-		pause = eventTime
+		pause = p.eventTime
 		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s-%d\n\n", n, id, n); err != nil {
 			panic(http.ErrAbortHandler)
 		}
--- a/review/standin-2/store.go
+++ b/review/standin-2/store.go
@@ -41,6 +41,7 @@
 type change struct {
 	Object  object `json:"object"`
 	Deleted bool   `json:"deleted"`
+	at      time.Time
 }
 
 type kindState struct {
@@ -77,7 +78,11 @@
 	missingKind func(kind string) map[string]object
 	// quiet keeps the writes of job heads out of the record.
 	quiet bool
-	rec   *recorder
+	// staleAge is how old the lists are that calls with stale-ok get; 0 for lists of the moment.
+	staleAge time.Duration
+	// rewrite changes the spec of an object that the system writes; nil leaves all as they are.
+	rewrite func(kind, name string, spec json.RawMessage) json.RawMessage
+	rec     *recorder
 }
 
 func newStore(rec *recorder) *store {
@@ -123,7 +128,11 @@
 		case q.Has("watch"):
 			s.watch(w, r, kind)
 		case name == "":
-			s.list(w, kind, q.Get("after"))
+			age := time.Duration(0)
+			if q.Has("stale-ok") {
+				age = s.staleAge
+			}
+			s.list(w, kind, q.Get("after"), age)
 		default:
 			s.get(w, kind, name)
 		}
@@ -133,6 +142,9 @@
 		name = in.Metadata.Name
 	}
 	in.Metadata.Name = name
+	if s.rewrite != nil && len(in.Spec) > 0 {
+		in.Spec = s.rewrite(kind, name, in.Spec)
+	}
 	if text := q.Get("revision"); text != "" {
 		in.Metadata.Revision, _ = strconv.ParseInt(text, 10, 64)
 	}
@@ -209,7 +221,7 @@
 		delete(k.objects, name)
 		s.revision++
 		old.Metadata.Revision = s.revision
-		k.append(change{old, true})
+		k.append(change{old, true, time.Now()})
 		return http.StatusOK, old
 	}
 	return http.StatusMethodNotAllowed, object{}
@@ -219,7 +231,7 @@
 	s.revision++
 	o.Metadata.Revision, o.text = s.revision, nil
 	k.objects[o.Metadata.Name] = o
-	k.append(change{o, false})
+	k.append(change{o, false, time.Now()})
 	if kind == "members" || kind == "jobs" && !s.quiet {
 		s.rec.add("store: %s/%s revision %d: %s", kind, o.Metadata.Name, s.revision, o.Spec)
 	}
@@ -247,9 +259,28 @@
 	writeJSON(w, http.StatusOK, o)
 }
 
-func (s *store) list(w http.ResponseWriter, kind, after string) {
+// before returns the objects of a kind, and the store's revision, as they were at a moment.
+func (k *kindState) before(moment time.Time) (*kindState, int64) {
+	then, revision := &kindState{objects: map[string]object{}}, int64(1)
+	for _, c := range k.log {
+		if c.at.After(moment) {
+			break
+		}
+		if revision = c.Object.Metadata.Revision; c.Deleted {
+			delete(then.objects, c.Object.Metadata.Name)
+		} else {
+			then.objects[c.Object.Metadata.Name] = c.Object
+		}
+	}
+	return then, revision
+}
+
+func (s *store) list(w http.ResponseWriter, kind, after string, age time.Duration) {
 	s.mu.Lock()
-	k := s.kind(kind)
+	k, revision := s.kind(kind), s.revision
+	if age > 0 {
+		k, revision = k.before(time.Now().Add(-age))
+	}
 	if len(k.objects) == 0 && s.missingKind != nil {
 		if objects := s.missingKind(kind); objects != nil {
 			k = &kindState{objects: objects}
@@ -284,7 +315,6 @@
 		}
 		items = append(items, text)
 	}
-	revision := s.revision
 	s.mu.Unlock()
 	w.Header().Set("Content-Type", "application/json")
 	_, _ = fmt.Fprintf(w, `{"items":[%s],"more":%t,"current-rev":%d}`, bytes.Join(items, []byte(",")), more, revision)
