Give streams the time that the gap and their events take

Cause: TestOwnGapIsNoSilenceOfTheUpstream stops its own process for two seconds; with its events a stream takes 2.9 s of the 3 s that its route allowed, so that it failed on a busy machine for want of time. What it guards against, upstreams that are left for a gap of this process, is not bounded by that. Change: the routes of this test allow 9 s.

--- a/pkg/forward/owngap_test.go
+++ b/pkg/forward/owngap_test.go
@@ -24,10 +24,19 @@
 	_ = wake.Wait()
 }
 
+// allow sets the time that requests may take on all routes.
+func (f *fixture) allow(timeout time.Duration) {
+	routes := f.forwarder.options.Table().Routes
+	for i := range routes {
+		routes[i].Timeout = timeout
+	}
+}
+
 // Guards against streams that are given up at sound upstreams since this process itself did not run for two seconds.
 func TestOwnGapIsNoSilenceOfTheUpstream(t *testing.T) {
 	slow := func(_ *fixture, w http.ResponseWriter, r *http.Request) { paced(w, r, 60*time.Millisecond) }
 	f := newLinkedFixture(t, &uplink.Options{}, make([]string, 4), slow, slow, slow, slow)
+	f.allow(9 * time.Second) // The gap and the events alone take 2.9 s.
 	var calls sync.WaitGroup
 	const streams = 8
 	for n := range streams {
