Use no answer that is none in HTTP or was cut off

Callers got: a part of an answer as a complete one, when the upstream answered a long upload at once with a 200 without a length and reset the connection meanwhile; heads with a blank or a control byte in a field's name, or a body that was not the upstream's; nothing at all for a status of 000. Cause: each reader relied on net/http, which is liberal in what it takes for an answer, and reports a reset to the system call that comes first: if that is a write of the request, the reader sees a plain end. Change: pkg/adapter/answers checks each answer before anything of it is used, in the transports of forwarded requests, items, engines, services, polls, the store, lists and operators. A body that ends with its connection is complete only if its request was written whole. Nodes that relay connections say when the data broke off.

--- a/pkg/adapter/dial/dial.go
+++ b/pkg/adapter/dial/dial.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"trefoilplank.example/pkg/adapter/answers"
 )
 
 // With these values a connection to an unreachable or unresponsive peer ends within about three seconds, whether it is
@@ -31,11 +33,16 @@
 	return &net.Dialer{Timeout: timeout, KeepAliveConfig: keepAlive, Control: setUserTimeout}
 }
 
-// NewHTTPClient returns an HTTP client with the defaults of net/http that limits the heads of answers.
-func NewHTTPClient() *http.Client {
+// NewHTTPTransport returns a transport with the defaults of net/http that limits the heads of answers.
+func NewHTTPTransport() *http.Transport {
 	transport := http.DefaultTransport.(*http.Transport).Clone()
 	transport.MaxResponseHeaderBytes = MaxResponseHeaderBytes
-	return &http.Client{Transport: transport}
+	return transport
+}
+
+// NewHTTPClient returns an HTTP client with such a transport that checks answers.
+func NewHTTPClient() *http.Client {
+	return &http.Client{Transport: answers.Transport{Base: NewHTTPTransport()}}
 }
 
 // ListenConfig returns a listener configuration that sets the same options on accepted connections.
--- a/pkg/adapter/peer/relay.go
+++ b/pkg/adapter/peer/relay.go
@@ -21,6 +21,8 @@
 	relayOpenTimeout = 5 * time.Second
 	// closeTimeout is how long a node waits for the other one to close a relayed connection whose data has ended.
 	closeTimeout = 2 * time.Second
+	// writeEndTime is how long the end of a target's data waits for a write to it, and writeEndPoll the time between checks.
+	writeEndTime, writeEndPoll = 100 * time.Millisecond, 5 * time.Millisecond
 )
 
 // relayRequest asks for a connection to an address.
@@ -30,10 +32,11 @@
 type relayReply struct{ Error string }
 
 // segment is a part of the data on a relayed connection. The last one of each direction has End set: without it the data
-// broke off.
+// broke off. BrokeOff is set in the last one if it is known that they did; nodes of earlier builds wait for the end of the connection.
 type segment struct {
-	Data []byte
-	End  bool
+	Data     []byte
+	End      bool
+	BrokeOff bool
 }
 
 // ErrBrokeOff means that a relayed connection ended before its data did.
@@ -114,18 +117,19 @@
 // relayData passes data on between a client and a target until either side has ended or broken off, and closes both.
 func relayData(client *relayedConn, target net.Conn) {
 	var sending sync.WaitGroup
+	out := &watchedWriter{Writer: target}
 	sending.Go(func() {
 		// The client closes when it no longer waits for an answer; the target must hear that at once. If the target has ended
 		// first, what the client still sends is read and dropped, since closing a connection with unread data would reset it
 		// before the client has read the answer.
-		if _, err := io.CopyBuffer(onlyWriter{target}, onlyReader{client}, make([]byte, segmentBytes)); err != nil && !errors.Is(err, ErrBrokeOff) {
+		if _, err := io.CopyBuffer(out, onlyReader{client}, make([]byte, segmentBytes)); err != nil && !errors.Is(err, ErrBrokeOff) {
 			_, _ = io.Copy(io.Discard, onlyReader{client}) // Ends with the connection.
 		}
 		_ = target.Close()
 	})
 	_, err := io.CopyBuffer(onlyWriter{client}, onlyReader{target}, make([]byte, segmentBytes))
 	if err == nil {
-		err = client.end()
+		err = client.end(out.failed())
 	}
 	if err == nil {
 		err = client.SetReadDeadline(time.Now().Add(closeTimeout))
@@ -143,6 +147,40 @@
 type onlyReader struct{ io.Reader }
 type onlyWriter struct{ io.Writer }
 
+// watchedWriter remembers a write that failed. A connection that is reset while it is written to reports that to the writer only, and looks to
+// the reader as if the other side had ended it.
+type watchedWriter struct {
+	io.Writer
+	mu sync.Mutex
+	// begun and ended count the writes, and broken is set once one has failed.
+	begun, ended int
+	broken       bool
+}
+
+func (w *watchedWriter) Write(p []byte) (int, error) {
+	w.mu.Lock()
+	w.begun++
+	w.mu.Unlock()
+	n, err := w.Writer.Write(p)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.ended++
+	w.broken = w.broken || err != nil
+	return n, err
+}
+
+// failed reports whether a write has failed, or one does not end within writeEndTime.
+func (w *watchedWriter) failed() bool {
+	for until := time.Now().Add(writeEndTime); ; time.Sleep(writeEndPoll) {
+		w.mu.Lock()
+		writing, broken := w.begun > w.ended, w.broken
+		w.mu.Unlock()
+		if broken || !writing || time.Now().After(until) {
+			return broken || writing
+		}
+	}
+}
+
 // relayedConn is one side of a relayed connection. Data travels in segments, so that its end differs from a break.
 type relayedConn struct {
 	net.Conn
@@ -164,6 +202,9 @@
 		if err := c.stream.readHeader(&next); err != nil {
 			return 0, fmt.Errorf("%w: %w", ErrBrokeOff, notEOF(err))
 		}
+		if next.BrokeOff {
+			return 0, fmt.Errorf("%w: connection was reset", ErrBrokeOff)
+		}
 		c.unread, c.ended = next.Data, next.End
 	}
 	n := copy(p, c.unread)
@@ -194,9 +235,9 @@
 	return written, nil
 }
 
-// end tells the other side that the data is complete.
-func (c *relayedConn) end() error {
+// end tells the other side that the data is complete, or broke off.
+func (c *relayedConn) end(brokeOff bool) error {
 	c.writing.Lock()
 	defer c.writing.Unlock()
-	return c.stream.write(segment{End: true})
+	return c.stream.write(segment{End: !brokeOff, BrokeOff: brokeOff})
 }
--- a/pkg/adapter/service/service.go
+++ b/pkg/adapter/service/service.go
@@ -12,13 +12,13 @@
 	"io"
 	"net/http"
 	"net/http/httptrace"
-	"strings"
 	"sync/atomic"
 	"time"
 
 	"github.com/zeebo/errs"
 
 	"trefoilplank.example/api"
+	"trefoilplank.example/pkg/adapter/answers"
 	"trefoilplank.example/pkg/adapter/dial"
 	"trefoilplank.example/pkg/controller/uplink"
 	"trefoilplank.example/pkg/serving"
@@ -211,7 +211,7 @@
 			return nil, err
 		}
 		resp, err := c.transport.RoundTrip(req)
-		if err != nil && try == 0 && nothingWritten(err) {
+		if err != nil && try == 0 && answers.NothingWritten(err) {
 			p.wroteHeaders.Store(false)
 			p.connected.Store(false)
 			continue
@@ -220,18 +220,12 @@
 	}
 }
 
-// nothingWritten reports whether err is what net/http returns when a reused connection failed before the first byte of
-// a request whose body can't be sent again. The error has no exported value, so its text is compared.
-func nothingWritten(err error) bool {
-	return strings.Contains(err.Error(), "cannot rewind body after connection loss")
-}
-
 // classifyError turns an error of a round trip into serving.ErrNotStarted, serving.ErrInterrupted or
 // serving.ErrUpstreamCrashed.
 func (c *Client) classifyError(ctx, run context.Context, u api.Upstream, pending *pendingCall, p *progress, err error) error {
 	// A request that is cancelled on a connection may be written while its round trip returns.
 	cancelled := run.Err() != nil && p.connected.Load()
-	if !cancelled && (!p.connected.Load() || !p.wroteHeaders.Load()) || nothingWritten(err) {
+	if !cancelled && (!p.connected.Load() || !p.wroteHeaders.Load()) || answers.NothingWritten(err) {
 		return errs.Combine(serving.ErrNotStarted, err)
 	}
 	if run.Err() != nil {
--- a/pkg/adapter/store/client.go
+++ b/pkg/adapter/store/client.go
@@ -19,6 +19,7 @@
 	"github.com/cenkalti/backoff/v5"
 	"golang.org/x/sync/singleflight"
 
+	"trefoilplank.example/pkg/adapter/answers"
 	"trefoilplank.example/pkg/adapter/dial"
 	"trefoilplank.example/pkg/boottime"
 )
@@ -94,7 +95,7 @@
 	}
 	return &Client{
 		baseURL:      strings.TrimRight(address, "/"),
-		http:         &http.Client{Transport: o.Transport},
+		http:         &http.Client{Transport: answers.Transport{Base: o.Transport}},
 		timeout:      o.CallTimeout,
 		watchTimeout: o.WatchTimeout,
 		reads:        newBudget(o.ReadsPerSecond, DefaultReadsPerSecond),
--- a/pkg/adapter/vmlist/vmlist.go
+++ b/pkg/adapter/vmlist/vmlist.go
@@ -14,6 +14,7 @@
 	"github.com/zeebo/errs"
 	"k8s.io/klog/v2"
 
+	"trefoilplank.example/pkg/adapter/answers"
 	"trefoilplank.example/pkg/blackboard"
 )
 
@@ -46,9 +47,12 @@
 	if !strings.Contains(address, "://") {
 		address = "http://" + address
 	}
+	if transport == nil {
+		transport = http.DefaultTransport
+	}
 	return &Poller{
 		url: strings.TrimRight(address, "/") + "/vms", board: b, interval: DefaultInterval,
-		http: &http.Client{Transport: transport, Timeout: requestTimeout},
+		http: &http.Client{Transport: answers.Transport{Base: transport}, Timeout: requestTimeout},
 	}
 }
 
--- a/pkg/controller/reconcile/engines.go
+++ b/pkg/controller/reconcile/engines.go
@@ -12,6 +12,7 @@
 	"github.com/zeebo/errs"
 
 	"trefoilplank.example/api"
+	"trefoilplank.example/pkg/adapter/answers"
 	"trefoilplank.example/pkg/adapter/dial"
 	"trefoilplank.example/pkg/decision/reconcile"
 )
@@ -42,9 +43,9 @@
 
 // NewHTTPEngines returns an HTTPEngines that keeps few idle connections, since state is read rarely.
 func NewHTTPEngines() *HTTPEngines {
-	return &HTTPEngines{&http.Client{Transport: &http.Transport{
+	return &HTTPEngines{&http.Client{Transport: answers.Transport{Base: &http.Transport{
 		MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: dial.MaxResponseHeaderBytes,
-	}}}
+	}}}}
 }
 
 // maxStateBytes bounds the body of an engine's answer to GET /state.
--- a/pkg/controller/uplink/transport.go
+++ b/pkg/controller/uplink/transport.go
@@ -10,6 +10,7 @@
 	"net/http/httptrace"
 	"time"
 
+	"trefoilplank.example/pkg/adapter/answers"
 	"trefoilplank.example/pkg/adapter/dial"
 	"trefoilplank.example/pkg/decision/reach"
 )
@@ -43,9 +44,7 @@
 
 // HTTPClient returns an HTTP client with the defaults of net/http whose connections links make.
 func (l *Links) HTTPClient() *http.Client {
-	client := dial.NewHTTPClient()
-	client.Transport = l.Transport(client.Transport.(*http.Transport))
-	return client
+	return &http.Client{Transport: l.Transport(dial.NewHTTPTransport())}
 }
 
 // RoundTrip implements http.RoundTripper.
@@ -54,7 +53,7 @@
 	if t.links.path(address) == reach.Relayed {
 		return t.roundTripRelayed(r)
 	}
-	resp, err := t.direct.RoundTrip(r)
+	resp, err := answers.RoundTrip(t.direct, r)
 	var op *net.OpError
 	if errors.As(err, &op) && op.Op == "dial" && r.Context().Err() == nil && t.links.reachedAfterFailure(r.Context(), address) {
 		return t.roundTripRelayed(r)
@@ -73,7 +72,7 @@
 			relayed()
 		}
 	}}
-	resp, err := t.relayed.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
+	resp, err := answers.RoundTrip(t.relayed, r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
 	if err != nil {
 		if relay != "" {
 			err = fmt.Errorf("through %s: %w", relay, err)
--- a/pkg/ctl/client.go
+++ b/pkg/ctl/client.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"trefoilplank.example/api"
+	"trefoilplank.example/pkg/adapter/dial"
 	"trefoilplank.example/pkg/operator"
 )
 
@@ -94,6 +95,8 @@
 	return body, resp.Header, nil
 }
 
+var httpClient = dial.NewHTTPClient()
+
 // sendRequest sends a request and returns the response with its body unread.
 func (a *app) sendRequest(ctx context.Context, server, key string, c call, body io.Reader) (*http.Response, error) {
 	if !strings.Contains(server, "://") {
@@ -111,7 +114,7 @@
 			req.Header.Set(k, v)
 		}
 	}
-	return http.DefaultClient.Do(req)
+	return httpClient.Do(req)
 }
 
 // printAnswer prints the answer as JSON with --json; otherwise it decodes the answer and passes it to print.
--- a/pkg/forward/answer.go
+++ b/pkg/forward/answer.go
@@ -21,12 +21,6 @@
 	return fmt.Sprintf("upstream answered with status %d", e.response.StatusCode)
 }
 
-// EndsWithConnection reports whether the body of a response has neither a length nor chunks, so that a connection which ends
-// early can look like its end.
-func EndsWithConnection(resp *http.Response) bool {
-	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
-}
-
 // resumeFrom returns the number of the last event that was sent to the caller, after which the next attempt continues.
 // It returns -1 before the response has begun; the caller's own Last-Event-ID header is then forwarded.
 func (x *exchange) resumeFrom() int64 {
--- a/pkg/forward/client.go
+++ b/pkg/forward/client.go
@@ -21,6 +21,7 @@
 	"github.com/zeebo/errs"
 	"github.com/zeebo/xxh3"
 
+	"trefoilplank.example/pkg/adapter/answers"
 	"trefoilplank.example/pkg/adapter/dial"
 	"trefoilplank.example/pkg/controller/uplink"
 	"trefoilplank.example/pkg/decision/dispatch"
@@ -453,9 +454,7 @@
 	switch {
 	case errors.As(err, &op) && op.Op == "dial":
 		return errs.Combine(ErrNotRun, ErrUnreachable, err)
-	case strings.Contains(err.Error(), "cannot rewind body after connection loss"):
-		// net/http returns this error only when a reused connection failed before the first byte of a request was
-		// written; it exports no value for it.
+	case answers.NothingWritten(err):
 		return errs.Combine(ErrNotRun, err)
 	}
 	return Error.Wrap(err)
--- a/pkg/forward/stream.go
+++ b/pkg/forward/stream.go
@@ -11,6 +11,7 @@
 
 	"github.com/zeebo/errs"
 
+	"trefoilplank.example/pkg/adapter/answers"
 	"trefoilplank.example/pkg/decision/dispatch"
 	"trefoilplank.example/pkg/decision/retry"
 	"trefoilplank.example/pkg/eventstream"
@@ -100,7 +101,7 @@
 		switch {
 		case errors.Is(err, io.EOF) && len(buffered) > 0:
 			return Error.New("stream ended within an event")
-		case errors.Is(err, io.EOF) && (!x.headersSent || !wroteBefore && EndsWithConnection(resp)):
+		case errors.Is(err, io.EOF) && (!x.headersSent || !wroteBefore && answers.EndsWithConnection(resp)):
 			return Error.New("stream ended without a complete event")
 		case errors.Is(err, io.EOF):
 			return nil
--- a/pkg/listjob/run.go
+++ b/pkg/listjob/run.go
@@ -11,6 +11,7 @@
 	"time"
 	"unicode/utf8"
 
+	"trefoilplank.example/pkg/adapter/answers"
 	"trefoilplank.example/pkg/adapter/store"
 	"trefoilplank.example/pkg/decision/dispatch"
 	decision "trefoilplank.example/pkg/decision/failedruns"
@@ -132,7 +133,7 @@
 	if err := it.readEvents(resp.Body, u.SoftwareVersion, received); err != nil {
 		return err
 	}
-	if it.lastEvent == before && forward.EndsWithConnection(resp) {
+	if it.lastEvent == before && answers.EndsWithConnection(resp) {
 		return Error.New("stream ended without a complete event")
 	}
 	return nil
