Let an item under which upstreams crashed wait for six seconds at most

Cause: its pause doubled with each crash that nothing else explained, up to three minutes, and only a whole run, which the pause itself prevents, takes crashes back. Change: the pause is 3 s, and 6 s once a run after a pause has crashed too, for items and parts of prompts. An item's single run counts from its begin to its end, no longer from when the item was looked at.

--- a/pkg/controller/failedruns/failedruns.go
+++ b/pkg/controller/failedruns/failedruns.go
@@ -165,7 +165,6 @@
 		if last, ok := c.trials[work]; ok && now.Sub(last) < trialTime {
 			return last.Add(trialTime)
 		}
-		c.trials[work] = now
 	}
 	return until
 }
--- a/pkg/controller/failedruns/failedruns_test.go
+++ b/pkg/controller/failedruns/failedruns_test.go
@@ -273,3 +273,30 @@
 	nodes[2].Merge("other", crashesLongAgo("second"))
 	assert.Assert(t, !nodes[2].TryTrial(context.Background(), failedruns.Works{Request: "second"}), "the node that grants trials is lost")
 }
+
+// Guards against items that are held back for a run of another one which never began, for want of a slot, or has ended.
+func TestItemsWaitOnlyForRunsInProgress(t *testing.T) {
+	c := newNetwork().add("a", nil)
+	works := func(request string) func() failedruns.Works {
+		return func() failedruns.Works {
+			return failedruns.Works{Request: request, Parts: []string{failedruns.PartWork("s", "part")}}
+		}
+	}
+	var records []failedruns.Record
+	for n := range 4 {
+		r := failedruns.Record{Run: fmt.Sprint(n), Kind: failedruns.Crashed, Upstream: fmt.Sprint("u", n), Incarnation: 1, Age: time.Minute}
+		records = append(records, works(fmt.Sprint("crashed", n))().Records(r)...)
+	}
+	c.mu.Lock()
+	c.merge("test", records...)
+	c.mu.Unlock()
+	mayRun := func(request string) bool { return !time.Now().Before(c.PausedUntil(works(request))) }
+	assert.Assert(t, mayRun("first"))
+	assert.Assert(t, mayRun("first"), "the first item found no slot, and holds itself back")
+	assert.Assert(t, mayRun("second"), "no run has begun")
+	trial := c.ItemBegan(works("second"))
+	assert.Assert(t, !trial.IsZero())
+	assert.Assert(t, !mayRun("first"), "both items run at the same time")
+	c.ItemEnded(works("second")(), trial)
+	assert.Assert(t, mayRun("first"), "the run of the second item has ended")
+}
--- a/pkg/controller/failedruns/trial.go
+++ b/pkg/controller/failedruns/trial.go
@@ -73,3 +73,33 @@
 	c.trials[work] = now
 	return true
 }
+
+// ItemBegan records that a batch item is sent to an upstream, so that others with a part under which upstreams have crashed wait for
+// its end. It returns what ItemEnded needs, zero if the item has no such part.
+func (c *Controller) ItemBegan(works func() failedruns.Works) (trial time.Time) {
+	if c == nil || !c.blames.Load() {
+		return time.Time{}
+	}
+	w := works()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	for _, work := range c.ledger.Blamed(failedruns.Works{Parts: w.Parts}, now) {
+		c.trials[work], trial = now, now
+	}
+	return trial
+}
+
+// ItemEnded records the end of a run that ItemBegan recorded, however it ended.
+func (c *Controller) ItemEnded(works failedruns.Works, trial time.Time) {
+	if c == nil || trial.IsZero() {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, part := range works.Parts {
+		if c.trials[part].Equal(trial) {
+			delete(c.trials, part)
+		}
+	}
+}
--- a/pkg/decision/failedruns/blame.go
+++ b/pkg/decision/failedruns/blame.go
@@ -251,7 +251,7 @@
 		var end time.Time
 		switch b := l.blame(work, held, math.MaxInt, now); {
 		case b.quarantines():
-			end = b.lastCrash().Add(min(Lifetime, itemPause<<min(pausesEnded(b.crashes), maxPauseDoublings)))
+			end = b.lastCrash().Add(itemPauseAfter(b.crashes))
 		case b.holds():
 			end = b.suspects[len(b.suspects)-1].Add(itemPause)
 		}
@@ -262,13 +262,13 @@
 	return until
 }
 
-// pausesEnded returns how many pauses of an item ended with another crash. Crashes before the first pause, or at nodes that
-// did not know of it yet, follow each other in less than itemPause.
-func pausesEnded(crashes []time.Time) (n int) {
+// itemPauseAfter returns the pause of an item after the last of the crashes under it: maxItemPause if any run after a pause ended
+// with one. Crashes before the first pause, or at nodes that did not know of it yet, follow each other in less than itemPause.
+func itemPauseAfter(crashes []time.Time) time.Duration {
 	for i := 1; i < len(crashes); i++ {
 		if crashes[i].Sub(crashes[i-1]) >= itemPause {
-			n++
+			return maxItemPause
 		}
 	}
-	return n
+	return itemPause
 }
--- a/pkg/decision/failedruns/failedruns.go
+++ b/pkg/decision/failedruns/failedruns.go
@@ -36,12 +36,11 @@
 	// suspectUpstreams is the number of upstreams that must have crashed or broken off a run, the last within suspectTime,
 	// for a request to be held back until suspectTime has passed. It bounds the runs of a request whose crashes show late.
 	suspectUpstreams, suspectTime = 3, 10 * time.Second
-	// itemPause is the pause after the second crash that nothing else explains under a batch item; it doubles each time that
-	// the run after a pause crashes another upstream. An item can only end by its own result, so it is repeated rarely
-	// instead of being refused.
-	itemPause = 3 * time.Second
-	// maxPauseDoublings keeps the pause from overflowing; it is above Lifetime by then.
-	maxPauseDoublings = 6
+	// itemPause is the pause after the second crash that nothing else explains under a batch item, and maxItemPause the one
+	// after each later crash that ended a run after a pause. An item is never refused and can only end by its own result, so the
+	// pause does not depend on the number of crashes: a bounded pause spares the other requests on the upstreams, and lets an item
+	// that others crashed be finished soon after the last crash.
+	itemPause, maxItemPause = 3 * time.Second, 6 * time.Second
 	// aliveMargin is how long after a recorded crash an upstream must deliver data on a connection opened before it, to
 	// count as alive: data sent before the crash arrives within it.
 	aliveMargin = 100 * time.Millisecond
--- a/pkg/listjob/schedule.go
+++ b/pkg/listjob/schedule.go
@@ -8,6 +8,7 @@
 	"trefoilplank.example/pkg/controller/placer"
 	"trefoilplank.example/pkg/decision/batchorder"
 	"trefoilplank.example/pkg/decision/dispatch"
+	decision "trefoilplank.example/pkg/decision/failedruns"
 	"trefoilplank.example/pkg/decision/routing"
 )
 
@@ -203,6 +204,7 @@
 	}
 	it.runLines = it.lines.Load()
 	it.job.mu.Unlock()
+	trial := c.options.FailedRuns.ItemBegan(func() decision.Works { return c.works(it) })
 	go func() {
 		defer cancel()
 		began := time.Now()
@@ -210,6 +212,7 @@
 		c.lengths.observePace(need.service, it.lines.Load()-it.runLines, time.Since(began))
 		c.options.Placer.EndBatch(run)
 		c.recordFailedRun(ctx, it, upstream, err)
+		c.options.FailedRuns.ItemEnded(c.works(it), trial)
 		c.runEnded(ctx, it, upstream, err)
 	}()
 	return true
