Keep the entry of a node that of its running process

Cause: a node wrote its entry without a condition. A write whose answer was lost may be carried out seconds later, so that of a killed process replaced the entry of its successor; nobody confirmed the node from then on, and its jobs were neither run nor taken over. Change: all writes of a node's own entry name the revision that they replace, and the entry is compared with the process for as long as it runs. A process that has left removes its own entry only.

--- a/pkg/controller/fleet/fleet.go
+++ b/pkg/controller/fleet/fleet.go
@@ -4,11 +4,8 @@
 package fleet
 
 import (
-	"context"
 	"encoding/json"
-	"errors"
 	"maps"
-	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -16,15 +13,12 @@
 	"trefoilplank.example/pkg/adapter/store"
 	"trefoilplank.example/pkg/decision/tenure"
 	"trefoilplank.example/pkg/eventlog"
-	"trefoilplank.example/pkg/wait"
 )
 
 // Prefix is the key prefix of the member entries in the store.
 const Prefix = "members/"
 
 const (
-	// registerRetry is the time between attempts to register; up to half of it is added at random.
-	registerRetry = 300 * time.Millisecond
 	// hubReportMaxAge is how long a hub's report of unresponsive nodes is used. After it all registered nodes count as
 	// live again, since a node that gets no reports does not know which are unresponsive.
 	hubReportMaxAge = 3 * time.Second
@@ -63,10 +57,8 @@
 	self    Member
 	members map[string]Member
 	// revisions holds the store revisions of the members' entries.
-	revisions map[string]int64
-	// registered is set while the node's own entry should be in the store; entryRemoved is signalled when it is removed.
-	registered   bool
-	entryRemoved chan struct{}
+	revisions    map[string]int64
+	registration registration
 	// knownSince is when the registered members were first seen; zero before.
 	knownSince time.Time
 	// unresponsive and draining are the nodes in the last report of the hub, which came at reportedAt.
@@ -81,7 +73,7 @@
 
 // New returns a fleet that knows only the node itself.
 func New(s store.Store, self Member, log *eventlog.Log) *Fleet {
-	return &Fleet{store: s, log: log, self: self, members: map[string]Member{}, suspects: map[string]time.Time{}, entryRemoved: make(chan struct{}, 1)}
+	return &Fleet{store: s, log: log, self: self, members: map[string]Member{}, suspects: map[string]time.Time{}, registration: newRegistration()}
 }
 
 // SetRegistered sets the registered members from their entries, as a mirror passes them to Prefix.Handle.
@@ -98,13 +90,6 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	_, here := next[f.self.Name]
-	if _, was := f.members[f.self.Name]; f.registered && was && !here {
-		select {
-		case f.entryRemoved <- struct{}{}:
-		default:
-		}
-	}
 	for name, m := range next {
 		if old, ok := f.members[name]; !ok || old.Incarnation != m.Incarnation || old.Draining != m.Draining {
 			f.log.Notice("member entry is new or changed", "member", name, "incarnation", m.Incarnation, "draining", m.Draining)
@@ -117,6 +102,7 @@
 		}
 	}
 	f.members, f.revisions = next, revisions
+	f.observeOwnEntry()
 	if f.knownSince.IsZero() && len(next) > 0 {
 		f.knownSince = time.Now()
 	}
@@ -408,89 +394,3 @@
 	}
 	return append(near, far...)
 }
-
-// Register writes the node's entry, with retries until it succeeds or ctx ends.
-func (f *Fleet) Register(ctx context.Context) error {
-	for ctx.Err() == nil {
-		err := f.writeEntry(ctx)
-		if err == nil {
-			f.mu.Lock()
-			f.registered = true
-			f.mu.Unlock()
-			f.log.Notice("node registered", "incarnation", f.Self().Incarnation)
-			return nil
-		}
-		f.log.Notice("node not registered yet", "error", err)
-		_ = wait.Sleep(ctx, registerRetry+rand.N(registerRetry/2))
-	}
-	return ctx.Err()
-}
-
-// KeepRegistered writes the node's entry again whenever it was removed, until ctx ends. Other nodes remove the entry of a
-// node that is unresponsive for long, although it may only have been disconnected.
-func (f *Fleet) KeepRegistered(ctx context.Context) error {
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-f.entryRemoved:
-		}
-		f.log.Notice("own entry was removed", "incarnation", f.Self().Incarnation)
-		if err := f.Register(ctx); err != nil {
-			return err
-		}
-	}
-}
-
-// Remove deletes the entry of another node unless it was written again since this node read it.
-func (f *Fleet) Remove(ctx context.Context, name string) {
-	f.mu.Lock()
-	revision, known := f.revisions[name]
-	incarnation := f.members[name].Incarnation
-	f.mu.Unlock()
-	if !known || name == f.Self().Name {
-		return
-	}
-	err := f.store.Delete(ctx, Prefix+name, revision)
-	f.log.Notice("deleted the entry of a lost node", "member", name, "incarnation", incarnation, "error", err)
-}
-
-// writeEntry writes the node's entry. An entry that is not known to exist is created first: replacing one that is missing
-// takes a call more.
-func (f *Fleet) writeEntry(ctx context.Context) error {
-	self := f.Self()
-	value, err := json.Marshal(self)
-	if err != nil {
-		return err
-	}
-	f.mu.Lock()
-	_, exists := f.members[self.Name]
-	f.mu.Unlock()
-	if !exists {
-		if _, err = f.store.Put(ctx, Prefix+self.Name, value, store.CreateOnly); !errors.Is(err, store.ErrConflict) {
-			return err
-		}
-	}
-	_, err = f.store.Put(ctx, Prefix+self.Name, value, store.AnyRevision)
-	return err
-}
-
-// Drain marks the node as one that accepts no new callers and writes its entry.
-func (f *Fleet) Drain(ctx context.Context) error {
-	f.mu.Lock()
-	f.self.Draining = true
-	f.mu.Unlock()
-	return f.writeEntry(ctx)
-}
-
-// Leave deletes the node's entry.
-func (f *Fleet) Leave(ctx context.Context) error {
-	f.mu.Lock()
-	f.registered = false
-	f.mu.Unlock()
-	err := f.store.Delete(ctx, Prefix+f.Self().Name, store.AnyRevision)
-	if errors.Is(err, store.ErrNotFound) {
-		return nil
-	}
-	return err
-}
