Replace no later quarantine or segment by a late write

Callers: streams can't be taken up after all nodes are lost, and a quarantine ends early, when the store carries out a write late. Not seen: found on the paths beside the entries of nodes. Cause: quarantines of the product's own interface and segments of streams were written without a condition. Change: both name the revision that they replace. A part of a segment that another hub has written in the same second is kept, and the next part is used. Evidence: TestSegmentsAreNotReplacedInTheirSecond fails before.

--- a/pkg/controller/quarantine/stored.go
+++ b/pkg/controller/quarantine/stored.go
@@ -48,7 +48,7 @@
 	go func() {
 		for ctx.Err() == nil && time.Now().Before(until) {
 			call, cancel := context.WithTimeout(ctx, storeTimeout)
-			_, err := c.Store.Put(call, storedPrefix+fingerprint, value, store.AnyRevision)
+			err := c.putQuarantine(call, fingerprint, until, value)
 			cancel()
 			if err == nil {
 				klog.InfoS("Stored quarantine", "fingerprint", fingerprint, "until", until)
@@ -60,6 +60,21 @@
 	}()
 }
 
+// putQuarantine stores a quarantine unless the store holds one of the fingerprint that ends later. A write that is carried out late replaces no
+// later one.
+func (c *Controller) putQuarantine(ctx context.Context, fingerprint string, until time.Time, value []byte) error {
+	o, err := c.Store.Get(ctx, storedPrefix+fingerprint)
+	if err != nil && !errors.Is(err, store.ErrNotFound) {
+		return err
+	}
+	var stored storedQuarantine
+	if o.Revision > 0 && json.Unmarshal(o.Value, &stored) == nil && stored.UntilMS >= until.UnixMilli() {
+		return nil
+	}
+	_, err = c.Store.Put(ctx, storedPrefix+fingerprint, value, o.Revision)
+	return err
+}
+
 // readStored adds the quarantines in the store to the table and deletes those that have ended. It repeats failed reads
 // until ctx ends.
 func (c *Controller) readStored(ctx context.Context) {
--- a/pkg/controller/streamversions/segments.go
+++ b/pkg/controller/streamversions/segments.go
@@ -94,11 +94,17 @@
 	// which parts are written.
 	part          storedSegment
 	number, limit int
+	// revisions holds those of the stored parts as this writer last wrote or read them, by key.
+	revisions map[string]int64
 }
 
+// errPartTaken means that the part holds records of the same second that this writer has not written there for certain: another hub has, or a
+// write of this one was carried out late.
+var errPartTaken = store.Error.New("part of a segment is taken")
+
 // writeSegments writes new records while this node is the hub, until ctx ends.
 func (c *Controller) writeSegments(ctx context.Context) error {
-	w := segmentWriter{c: c, limit: maxPartBytes}
+	w := segmentWriter{c: c, limit: maxPartBytes, revisions: map[string]int64{}}
 	for {
 		select {
 		case <-ctx.Done():
@@ -143,9 +149,15 @@
 			return false, err
 		case len(value) <= w.limit:
 			err = w.put(ctx, value)
-			if errors.Is(err, store.ErrTooLarge) && w.limit/2 >= minPartBytes {
+			switch {
+			case errors.Is(err, store.ErrTooLarge) && w.limit/2 >= minPartBytes:
 				w.limit /= 2
 				continue
+			case errors.Is(err, errPartTaken) && w.number+1 < maxParts:
+				w.part, w.number = storedSegment{AtMS: w.part.AtMS}, w.number+1
+				continue
+			case errors.Is(err, errPartTaken):
+				return true, nil // The rest goes into the segment of the next second.
 			}
 			if err == nil {
 				w.part, w.written = next, revision
@@ -173,6 +185,7 @@
 	return c.directory.Since(revision, "", most, func(service string) bool { return c.versions.Several(service, now) }, now)
 }
 
+// put replaces the part that this writer knows, so that a write which is carried out late replaces no later one.
 func (w *segmentWriter) put(ctx context.Context, value []byte) error {
 	ctx, cancel := context.WithTimeout(ctx, historyTimeout)
 	defer cancel()
@@ -180,8 +193,25 @@
 	if w.number > 0 {
 		key = fmt.Sprint(key, "-", w.number)
 	}
-	_, err := w.c.options.Store.Put(ctx, key, value, store.AnyRevision)
-	return err
+	for {
+		revision, err := w.c.options.Store.Put(ctx, key, value, w.revisions[key])
+		if err == nil {
+			w.revisions[key] = revision
+			return nil
+		}
+		if !errors.Is(err, store.ErrConflict) && !errors.Is(err, store.ErrNotFound) {
+			return err
+		}
+		o, err := w.c.options.Store.Get(store.WithFresh(ctx), key)
+		if err != nil && !errors.Is(err, store.ErrNotFound) {
+			return err
+		}
+		w.revisions[key] = o.Revision
+		var stored storedSegment
+		if o.Revision > 0 && json.Unmarshal(o.Value, &stored) == nil && stored.AtMS == w.part.AtMS {
+			return errPartTaken
+		}
+	}
 }
 
 // readSegments reads the records that an earlier hub has written, if other nodes ask this one for streams.
--- a/pkg/controller/streamversions/segments_test.go
+++ b/pkg/controller/streamversions/segments_test.go
@@ -112,3 +112,39 @@
 	}
 	assert.Assert(t, softwareversion.Lifetime > 10*time.Second, "the streams of the test must not expire")
 }
+
+// Guards against streams that can't be taken up after all nodes are lost, since the segment of a second was replaced: by another hub in the same
+// second, or by an earlier write of the same hub that the store carried out late.
+func TestSegmentsAreNotReplacedInTheirSecond(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := memstore.New()
+		writer := func(streams ...string) *segmentWriter {
+			c := New(Options{Peers: network{}, Hubs: func() []string { return nil }, Exchange: func() {}, Store: s, IsHub: func() bool { return true }, Joined: joined, Asked: joined, ListAge: func() time.Duration { return 0 }, Log: &eventlog.Log{}})
+			c.Observe(list("v1", "v2"))
+			for _, id := range streams {
+				c.Began(id, "s", "v1", "")
+			}
+			return &segmentWriter{c: c, limit: maxPartBytes, revisions: map[string]int64{}}
+		}
+		now := time.Now()
+		first, second := writer("a", "b"), writer("c")
+		for _, w := range []*segmentWriter{first, second} {
+			_, err := w.write(t.Context(), now)
+			assert.NilError(t, err)
+		}
+		first.c.Began("d", "s", "v2", "")
+		_, err := first.write(t.Context(), now)
+		assert.NilError(t, err)
+		page, err := store.ListAll(t.Context(), s, segmentPrefix)
+		assert.NilError(t, err)
+		kept := map[string]bool{}
+		for _, o := range page.Objects {
+			var segment storedSegment
+			assert.NilError(t, json.Unmarshal(o.Value, &segment))
+			for _, r := range segment.records(now) {
+				kept[r.Stream] = true
+			}
+		}
+		assert.DeepEqual(t, kept, map[string]bool{"a": true, "b": true, "c": true, "d": true})
+	})
+}
