Find lost nodes through the store when most nodes are lost

Cause: the hub declares nodes lost only while half of the registered ones report, and nothing else ends that state: the others are never confirmed and run no new jobs. Candidates for the hub are asked together, so that several lost ones do not hide it.

--- a/pkg/controller/fleet/fleet.go
+++ b/pkg/controller/fleet/fleet.go
@@ -46,6 +46,10 @@
 	// Weight is the node's share of work that is divided between nodes, according to its processor.
 	Weight   float64 `json:"weight"`
 	Draining bool    `json:"draining,omitempty"`
+	// AnswersChallenges is set by builds that undo any change of their entry. Challenged is the Unix time in nanoseconds at which another
+	// node marked the entry to learn whether this one is alive, 0 in the entry that a process writes.
+	AnswersChallenges bool  `json:"answers_challenges,omitempty"`
+	Challenged        int64 `json:"challenged,omitempty"`
 }
 
 // Fleet is one node's view of all nodes. It is safe for concurrent use.
@@ -64,8 +68,8 @@
 	// unresponsive and draining are the nodes in the last report of the hub, which came at reportedAt.
 	unresponsive map[string]bool
 	reportedAt   time.Time
-	// suspects holds, by node, until when it is suspected.
-	suspects map[string]time.Time
+	// suspects holds the nodes that did not answer.
+	suspects map[string]suspicion
 	draining map[string]bool
 	// tenure is how long this node certainly counts as live at the others.
 	tenure tenure.Tenure
@@ -73,7 +77,8 @@
 
 // New returns a fleet that knows only the node itself.
 func New(s store.Store, self Member, log *eventlog.Log) *Fleet {
-	return &Fleet{store: s, log: log, self: self, members: map[string]Member{}, suspects: map[string]time.Time{}, registration: newRegistration()}
+	self.AnswersChallenges = true
+	return &Fleet{store: s, log: log, self: self, members: map[string]Member{}, suspects: map[string]suspicion{}, registration: newRegistration()}
 }
 
 // SetRegistered sets the registered members from their entries, as a mirror passes them to Prefix.Handle.
@@ -181,7 +186,7 @@
 	if name == f.self.Name {
 		return true
 	}
-	if now.Before(f.suspects[name]) {
+	if now.Before(f.suspects[name].until) {
 		return false
 	}
 	return !f.unresponsive[name] || now.Sub(f.reportedAt) > hubReportMaxAge
@@ -202,8 +207,8 @@
 	if now.Sub(f.reportedAt) > hubReportFresh || divided {
 		return true
 	}
-	for _, until := range f.suspects {
-		if now.Before(until) {
+	for _, s := range f.suspects {
+		if now.Before(s.until) {
 			return true
 		}
 	}
@@ -276,12 +281,12 @@
 	return ok && m.Incarnation > incarnation
 }
 
-// Has reports whether a process is registered.
-func (f *Fleet) Has(name string, incarnation int64) bool {
+// MayConfirm reports whether a process is registered and not challenged, so that it may be confirmed to be live.
+func (f *Fleet) MayConfirm(name string, incarnation int64) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	m, ok := f.members[name]
-	return ok && m.Incarnation == incarnation
+	return ok && m.Incarnation == incarnation && m.Challenged == 0
 }
 
 // OtherStartedBefore reports whether a known member other than this node started before cutoff. If so, the fleet was
@@ -341,16 +346,6 @@
 	return m.PeerAddress, ok
 }
 
-// Suspect removes a node from the live ones for d, after a call to it failed with cause.
-func (f *Fleet) Suspect(name string, d time.Duration, cause error) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if !time.Now().Before(f.suspects[name]) {
-		f.log.Notice("node suspected", "member", name, "for_ms", d.Milliseconds(), "error", cause)
-	}
-	f.suspects[name] = time.Now().Add(d)
-}
-
 // SetHubReport sets the unresponsive and the draining nodes from a report of the hub.
 func (f *Fleet) SetHubReport(unresponsive, draining []string) {
 	f.mu.Lock()
--- a/pkg/controller/fleet/registration.go
+++ b/pkg/controller/fleet/registration.go
@@ -65,7 +65,7 @@
 		return false
 	}
 	entry, exists := f.members[f.self.Name]
-	if exists && entry.Incarnation == f.self.Incarnation && entry.Draining == f.self.Draining {
+	if exists && entry.Incarnation == f.self.Incarnation && entry.Draining == f.self.Draining && entry.Challenged == 0 {
 		return false
 	}
 	// A copy that may be older than the last write shows nothing.
--- a/pkg/controller/loadshare/hub.go
+++ b/pkg/controller/loadshare/hub.go
@@ -6,7 +6,9 @@
 	"sync"
 	"time"
 
+	"trefoilplank.example/pkg/controller/fleet"
 	"trefoilplank.example/pkg/decision/dispatch"
+	"trefoilplank.example/pkg/decision/lostnodes"
 	"trefoilplank.example/pkg/decision/quota"
 )
 
@@ -59,6 +61,12 @@
 	answeredAt map[string]time.Time
 	// nextRemoval is when the next attempt to remove the entry of a lost node may be made.
 	nextRemoval map[string]time.Time
+	// challenges holds the nodes that are challenged while at most half of all report here, and toChallenge those whose entries must be
+	// marked now.
+	challenges  lostnodes.Challenges
+	toChallenge []string
+	// entriesOld is set while some nodes are not heard, and the copy of the entries is so old that these may have challenged others.
+	entriesOld bool
 }
 
 // nodeState is what the hub knows of one node.
@@ -118,7 +126,7 @@
 		reply.Loads = maps.Clone(h.totals)
 	}
 	reply.Silent, reply.Draining = h.unresponsive, h.draining
-	reply.Unconfirmed = h.minority || r.Draining || !h.options.Fleet.Has(r.Node, r.Incarnation)
+	reply.Unconfirmed = h.minority || h.entriesOld || r.Draining || !h.options.Fleet.MayConfirm(r.Node, r.Incarnation)
 	reply.Outliers = h.outliers
 	reply.Successor = r.Node == h.successor
 	if reply.CutOffRevision = h.cutOffRevision; r.CutOffSeen != h.cutOffRevision {
@@ -254,25 +262,50 @@
 		h.options.Log.Notice("nodes that reach no upstreams of a service changed", "members", cutOff)
 		h.cutOff, h.cutOffRevision = cutOff, now.UnixNano()
 	}
-	h.minority = 2*recent <= h.options.Fleet.Size()
-	h.unresponsive = h.unresponsiveNodes(recent, now)
+	h.findLostNodes(recent, now)
 }
 
-// unresponsiveNodes returns the registered nodes that do not report. recent is the number of nodes that do; if they are
-// too few, the hub itself is probably cut off and unresponsiveNodes returns none.
-func (h *hub) unresponsiveNodes(recent int, now time.Time) (unresponsive []string) {
-	if now.Sub(h.activeSince) < hubWarmUp {
-		return nil
-	}
+// findLostNodes updates what the hub knows of nodes that do not report. recent is the number of nodes that do.
+func (h *hub) findLostNodes(recent int, now time.Time) {
 	known := h.options.Fleet.Known()
-	if float64(recent) < minReportingPart*float64(len(known)) {
-		return nil
+	h.toChallenge, h.unresponsive = nil, nil
+	lost := 0
+	switch {
+	case now.Sub(h.activeSince) < hubWarmUp:
+	case float64(recent) >= minReportingPart*float64(len(known)):
+		h.challenges = lostnodes.Challenges{}
+		h.unresponsive = h.silentFor(unresponsiveAfter, known, now)
+	default:
+		// The hub itself may be cut off, so that only nodes which do not undo a change of their entries are lost.
+		unheard := h.options.Fleet.Unheard(h.silentFor(lostnodes.UnheardTime, known, now))
+		h.toChallenge, h.unresponsive = h.challenges.Review(unheard, now.Add(-h.entriesAge()), now)
+		lost = len(h.unresponsive)
 	}
+	h.minority = 2*recent <= len(known)-lost
+	h.entriesOld = recent < len(known)-lost && h.entriesAge() > lostnodes.ConfirmAge
+}
+
+func (h *hub) entriesAge() time.Duration {
+	if h.options.EntriesAge == nil {
+		return 0
+	}
+	return h.options.EntriesAge()
+}
+
+// lastHeard returns when a node last reported, or when this one became the hub if it has not since.
+func (h *hub) lastHeard(name string) time.Time {
+	if n := h.nodes[name]; n != nil {
+		return n.receivedAt
+	}
+	return h.activeSince
+}
+
+// silentFor returns the registered nodes that have not reported for the given time.
+func (h *hub) silentFor(d time.Duration, known []fleet.Member, now time.Time) (silent []string) {
 	for _, m := range known {
-		n := h.nodes[m.Name]
-		if (n == nil || now.Sub(n.receivedAt) > unresponsiveAfter) && now.Sub(h.answeredAt[m.Name]) > answerLifetime && now.UnixNano()-m.Incarnation > int64(hubWarmUp) {
-			unresponsive = append(unresponsive, m.Name)
+		if now.Sub(h.lastHeard(m.Name)) > d && now.Sub(h.answeredAt[m.Name]) > answerLifetime && now.UnixNano()-m.Incarnation > int64(hubWarmUp) {
+			silent = append(silent, m.Name)
 		}
 	}
-	return unresponsive
+	return silent
 }
--- a/pkg/controller/loadshare/introduce.go
+++ b/pkg/controller/loadshare/introduce.go
@@ -47,21 +47,27 @@
 	return ctx.Err()
 }
 
-// RunRemovals removes the entries of lost nodes while this node is the hub. It runs until ctx ends. It is separate from
+// RunRemovals removes the entries of lost nodes, and challenges nodes that may be lost, while this node is the hub. It runs until ctx ends. It is separate from
 // RunIntroductions because it waits for the store, which may not answer, and nodes that are not called in time count as
 // unresponsive.
 func (e *Exchange) RunRemovals(ctx context.Context) error {
 	for ctx.Err() == nil {
 		_ = wait.Sleep(ctx, introduceInterval)
-		for _, name := range e.hub.nodesToRemove(time.Now()) {
-			remove, cancel := context.WithTimeout(ctx, removeTimeout)
-			e.options.Fleet.Remove(remove, name)
-			cancel()
-		}
+		changeEntries(ctx, e.hub.nodesToRemove(time.Now()), e.options.Fleet.Remove)
+		changeEntries(ctx, e.hub.nodesToChallenge(time.Now()), e.options.Fleet.Challenge)
 	}
 	return ctx.Err()
 }
 
+// changeEntries changes the entries of nodes one after the other, each for removeTimeout at most.
+func changeEntries(ctx context.Context, names []string, change func(context.Context, string)) {
+	for _, name := range names {
+		call, cancel := context.WithTimeout(ctx, removeTimeout)
+		change(call, name)
+		cancel()
+	}
+}
+
 // nodesToRemove returns the nodes that have been unresponsive for so long that their entries must be removed now. It
 // returns none unless this node is a hub.
 func (h *hub) nodesToRemove(now time.Time) (names []string) {
@@ -80,6 +86,18 @@
 	return names
 }
 
+// nodesToChallenge returns the nodes whose entries must be marked now, once. It returns none unless this node is a hub.
+func (h *hub) nodesToChallenge(now time.Time) []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	names := h.toChallenge
+	h.toChallenge = nil
+	if now.Sub(h.lastReportAt) > hubIdle {
+		return nil
+	}
+	return names
+}
+
 // introduce sends this node's own entry to a node that does not report.
 func (e *Exchange) introduce(ctx context.Context, name string) {
 	ctx, cancel := context.WithTimeout(ctx, introduceTimeout)
@@ -111,11 +129,7 @@
 	}
 	self := h.options.Fleet.Self().Name
 	for _, m := range h.options.Fleet.Known() {
-		lastHeard := h.activeSince
-		if n := h.nodes[m.Name]; n != nil {
-			lastHeard = n.receivedAt
-		}
-		sinceHeard := now.Sub(lastHeard)
+		sinceHeard := now.Sub(h.lastHeard(m.Name))
 		if m.Name == self || sinceHeard < introduceAfter || now.Before(h.nextIntroduction[m.Name]) {
 			continue
 		}
@@ -129,6 +143,7 @@
 
 // Introduce handles a call by which a hub introduces itself to this node.
 func (r *Receiver) Introduce(args Introduction, _ *struct{}) error {
+	r.hub.options.Fleet.Heard(args.Member.Name)
 	r.hub.options.HubIntroduced(args.Member)
 	return nil
 }
--- a/pkg/controller/loadshare/loadshare.go
+++ b/pkg/controller/loadshare/loadshare.go
@@ -102,6 +102,8 @@
 	// HubAnswered is called with an empty hub after an exchange that failed.
 	Revisions   func() map[string]int64
 	HubAnswered func(hub string, revisions map[string]int64)
+	// EntriesAge returns the age of this node's copy of the members' entries; nil if it is always current.
+	EntriesAge func() time.Duration
 	// Ages returns the ages of this node's copies of the store, and ApplyAges receives those of the hub, before HubAnswered is called, with the
 	// moment at which the exchange was begun, by package boottime. Both are nil if ages are not kept.
 	Ages      func() map[string]keyvalidity.Age
@@ -138,9 +140,11 @@
 type Exchange struct {
 	options Options
 	hub     hub
-	// lastHub is the hub that answered last. It and cachedHub are used by one exchange at a time.
+	// lastHub is the hub that answered last. It, cachedHub and unanswered are used by one exchange at a time.
 	lastHub   string
 	cachedHub hubChoice
+	// unanswered is the number of exchanges without an answer since the last one with.
+	unanswered int
 	// currentHub is the hub that answered the last exchange, or nil.
 	currentHub atomic.Pointer[answeringHub]
 	records    recordSync
@@ -375,6 +379,7 @@
 			e.cachedHub = hubChoice{}
 			e.options.Store.HubReports(false, false)
 			e.options.HubAnswered("", nil)
+			e.searchHub(ctx)
 		}
 		e.currentHub.Store(nil)
 		return false
@@ -385,6 +390,8 @@
 		e.options.Log.Notice("answer of the load hub read late, asking again", "hub", name, "ms", took.Milliseconds())
 		return false
 	}
+	e.unanswered = 0
+	e.options.Fleet.Heard(name)
 	if name != e.lastHub {
 		e.options.Log.Notice("load hub chosen", "hub", name, "before", e.lastHub)
 		e.lastHub = name
--- a/pkg/controller/mirror/mirror.go
+++ b/pkg/controller/mirror/mirror.go
@@ -48,7 +48,7 @@
 	SuccessorWatches bool
 	// ConfirmAfterStall is set if the copy must be read again after a time in which this process did not run, before it is relied on.
 	ConfirmAfterStall bool
-	// Silence is the longest time for which a watch that works delivers nothing, or 0 if Age is not asked.
+	// Silence is the longest time for which a watch that works delivers nothing; Age leaves it out.
 	Silence time.Duration
 	// InForce is set if the age of what is in force must be known: it reports whether the objects last passed to Handle are in force. The
 	// copy is then known to be current up to the moment at which a call was begun, and nodes tell each other its age.
--- a/pkg/edge/node.go
+++ b/pkg/edge/node.go
@@ -278,6 +278,7 @@
 		Revisions: n.mirror.Revisions, HubAnswered: n.followHub, HubLate: n.mirror.FollowedLate, FailedRuns: n.failedRuns, Streams: n.streams, Announced: n.placer, Draining: n.draining.Load, Log: n.log,
 		Metrics: loadshare.NewMetrics(n.metrics), Waiting: n.jobs.Waiting, Retiring: n.knownRetiring, CutOff: n.links.CutOff,
 		Ages: ages, ApplyAges: applyAges, Customers: n.limits, Store: n.storeCalls,
+		EntriesAge: func() time.Duration { return n.mirror.Age(fleet.Prefix) },
 	})
 	perCustomer := customers.NewMetrics(n.metrics)
 	checker := customers.New(customers.Options{
