End no item by a configuration older than its job

Cause: the successor learns of a configuration up to 0.4 s later, failed for good what it found no route for, and took the times of the job from the older table for as long as it owned it. Change: the head of a job names the version of the configuration by which it was accepted; a node whose own is older neither runs nor fails its items, and one that is asked to accept a job waits for the version. The data race of TestEndedJobKeepsWhatAnotherOwnerListed with the job's due time, which refused a landing, is gone: the times are atomic.

--- a/pkg/listjob/accept.go
+++ b/pkg/listjob/accept.go
@@ -17,6 +17,7 @@
 // call.
 func (c *Controller) Accept(ctx context.Context, s Submission) error {
 	begun := time.Now()
+	s.TableVersion = max(s.TableVersion, c.tableVersion())
 	err := c.acceptLocally(ctx, s)
 	outcome := "accepted"
 	if errors.Is(err, errNoCapacity) {
@@ -111,6 +112,11 @@
 func (r *Receiver) Accept(s Submission, reply *AcceptReply) error {
 	ctx, cancel := context.WithTimeout(context.Background(), acceptTimeout-acceptMargin)
 	defer cancel()
+	if !r.c.awaitTable(ctx, s.TableVersion) {
+		r.c.options.Log.Notice("job refused", "job", s.ID, "reason", "older configuration than at the node that asks", "version", r.c.tableVersion(), "asked", s.TableVersion)
+		*reply = AcceptReply{Refused: true, Full: true}
+		return nil
+	}
 	err := r.c.acceptLocally(ctx, s)
 	*reply = AcceptReply{
 		Accepted: err == nil, Refused: errors.Is(err, ErrRefused), Full: errors.Is(err, errNoCapacity), TooLarge: errors.Is(err, ErrTooLarge),
@@ -235,6 +241,7 @@
 	h := head{
 		ID: s.ID, Host: s.Host, Path: s.Path, Total: len(s.Items), Chunks: len(values), Submitted: time.Now().UTC(),
 		Owner: self.Node, Incarnation: self.Incarnation, Tokens: totalTokens(s.Items), Customer: s.Customer,
+		TableVersion: max(s.TableVersion, c.tableVersion()),
 	}
 	if c.waitingLimit(s.Host, s.Path) > 0 {
 		decided, isFirst := c.beginDecision(s.ID)
--- a/pkg/listjob/controller.go
+++ b/pkg/listjob/controller.go
@@ -159,7 +159,7 @@
 // startJob starts a job that this node owns, unless it was told of a later owner, or runs the job already.
 func (c *Controller) startJob(j *job) {
 	id := j.head.ID
-	c.setTimes(j)
+	c.setTimes(j, c.options.Table())
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.jobs[id] != nil {
@@ -205,29 +205,6 @@
 	return creating || adopting
 }
 
-// setTimes sets when the job's results are due and until when items are run, from its route in force.
-func (c *Controller) setTimes(j *job) {
-	j.due, j.retryUntil = j.head.Submitted.Add(defaultCompletion), j.head.Submitted.Add(defaultRetention)
-	table := c.options.Table()
-	if table == nil {
-		return
-	}
-	if r := table.Match(j.head.Host, j.head.Path); r != nil {
-		if r.Completion > 0 {
-			j.due = j.head.Submitted.Add(r.Completion)
-		}
-		if r.Retention > 0 {
-			j.retryUntil = j.head.Submitted.Add(r.Retention)
-		}
-	}
-}
-
-// Defaults for jobs whose route sets no times.
-const (
-	defaultCompletion = time.Minute
-	defaultRetention  = time.Hour
-)
-
 func (c *Controller) wakeUp() {
 	select {
 	case c.wake <- struct{}{}:
--- a/pkg/listjob/fakes_test.go
+++ b/pkg/listjob/fakes_test.go
@@ -163,6 +163,9 @@
 	publicBatch bool
 	// calls counts the calls between nodes by method.
 	calls map[string]int
+	// tables are the configurations of nodes that have another one than the others.
+	tables   map[string]*routing.Table
+	tablesMu sync.Mutex
 	// ledger is the hub's.
 	ledger *quota.Ledger
 }
@@ -397,7 +400,7 @@
 	links := uplink.New(uplink.Options{})
 	c := New(Options{
 		Store: freezingStore{s, n, name}, Peers: caller{n, name}, Fleet: f, Placer: p, Client: forward.NewClient(testHeaders, links, p.Announce, nil), Diagnose: links.DiagnoseSilent,
-		FailedRuns: n.failedRuns, Table: func() *routing.Table { n.whileFrozen(name); return table }, MemoryBytes: 256 << 20, Readable: 2 * time.Minute, Log: log,
+		FailedRuns: n.failedRuns, Table: func() *routing.Table { n.whileFrozen(name); return n.tableOf(name, table) }, MemoryBytes: 256 << 20, Readable: 2 * time.Minute, Log: log,
 		IsHub: func() bool { return n.isHub(name) }, HubSweeps: func() bool { return n.hubSweeps(name) }, Hub: n.hub,
 		HubWaiting:     func(context.Context) (map[string]int64, error) { return n.hubWaiting(name) },
 		ReserveWaiting: func(_ context.Context, r quota.Reservation) (int64, error) { return n.reserveWaiting(name, r) },
--- a/pkg/listjob/job.go
+++ b/pkg/listjob/job.go
@@ -57,6 +57,8 @@
 	Items      []Item
 	// Customer is the name of the customer whose job it is, or "".
 	Customer string
+	// TableVersion is the least version of the configuration by which the job may be accepted.
+	TableVersion int64
 }
 
 // State is the final state of an item.
@@ -112,6 +114,8 @@
 	TakenOver time.Time `json:"taken_over,omitzero"`
 	// Customer is the name of the customer whose job it is, "" if there is none. Builds up to a9253e5 drop it when they write the head.
 	Customer string `json:"customer,omitempty"`
+	// TableVersion is the version of the configuration by which the job was accepted, 0 if a build up to 72b0519 has written the head.
+	TableVersion int64 `json:"table_version,omitempty"`
 }
 
 // order returns the store revision at which the head was created; revision is that of its last change.
@@ -208,8 +212,8 @@
 	unconfirmed atomic.Bool
 	// released is set once this node no longer owns the job.
 	released bool
-	// due and retryUntil come from the route: when results are due, and until when items are run.
-	due, retryUntil time.Time
+	// times come from the route.
+	times atomic.Pointer[jobTimes]
 }
 
 func newJob(h head, revision int64, items []Item) *job {
--- a/pkg/listjob/listjob_test.go
+++ b/pkg/listjob/listjob_test.go
@@ -270,9 +270,7 @@
 	assert.NilError(t, a.Accept(context.Background(), submission("j", 2)))
 	// A job that is due soon is listed before a reads the heads itself.
 	j := a.ownedJob("j")
-	j.mu.Lock()
-	j.due = time.Now().Add(urgentSlack)
-	j.mu.Unlock()
+	j.times.Store(&jobTimes{due: time.Now().Add(urgentSlack), retryUntil: j.retryUntil(), fromRoute: true})
 	net.cutOff("a", true)
 	assert.NilError(t, b.adopt(context.Background(), "j", nil))
 	var results []Result
--- a/pkg/listjob/run.go
+++ b/pkg/listjob/run.go
@@ -244,7 +244,7 @@
 	it.phase, it.waitingSince = waiting, time.Now()
 	route := c.routeOf(it)
 	fields := []any{"job", it.job.head.ID, "item", it.ID, "upstream", u.ID, "after", it.lastEvent, "error", err, "failures", it.failures,
-		"ms", time.Since(it.runStart).Milliseconds(), "ended", it.job.head.Ended, "released", it.job.released, "slack_ms", time.Until(it.job.due).Milliseconds()}
+		"ms", time.Since(it.runStart).Milliseconds(), "ended", it.job.head.Ended, "released", it.job.released, "slack_ms", time.Until(it.job.due()).Milliseconds()}
 	state := State("")
 	result := Result{ID: it.ID}
 	switch {
@@ -321,7 +321,7 @@
 	if route := c.routeOf(it); route != nil && it.longAnswers < route.MaxAttempts {
 		return
 	}
-	it.notBefore = it.job.retryUntil
+	it.notBefore = it.job.retryUntil()
 	c.options.Log.Notice("item waits until it may be given up, since its answers are too long", "job", it.job.head.ID, "item", it.ID, "runs", it.longAnswers,
 		"for_ms", time.Until(it.notBefore).Milliseconds())
 }
@@ -358,11 +358,11 @@
 // waitForMore waits up to maxCommitDelay for more results. It returns early if no result is missing, or if the job was
 // released or is due soon.
 func (j *job) waitForMore() {
-	delay := min(maxCommitDelay, time.Until(j.due)/commitDelayParts)
+	delay := min(maxCommitDelay, time.Until(j.due())/commitDelayParts)
 	for waited := time.Duration(0); waited < delay; waited += commitPoll {
 		time.Sleep(commitPoll)
 		j.mu.Lock()
-		complete := len(j.results)+len(j.pending) >= len(j.items) || j.released || time.Until(j.due) < urgentSlack
+		complete := len(j.results)+len(j.pending) >= len(j.items) || j.released || time.Until(j.due()) < urgentSlack
 		j.mu.Unlock()
 		if complete {
 			return
--- a/pkg/listjob/schedule.go
+++ b/pkg/listjob/schedule.go
@@ -44,7 +44,7 @@
 }
 
 // startWaitingItems starts waiting items, the most urgent first, until their services have no free slot. Items
-// without a route or past retryUntil fail.
+// whose route was removed or that are past retryUntil fail.
 func (c *Controller) startWaitingItems(ctx context.Context) {
 	if c.options.AwaitTable != nil {
 		c.options.AwaitTable(ctx)
@@ -55,12 +55,16 @@
 	}
 	now := time.Now()
 	blocked := map[slotKind]bool{}
-	list := c.waitingItems(now)
+	list := c.waitingItems(table, now)
 	c.sortByUrgency(list, table, now)
 	for _, it := range list {
 		route := table.Match(it.job.head.Host, it.Path)
-		if route == nil || now.After(it.job.retryUntil) {
-			c.options.Log.Notice("item failed: no route or past its retention", "job", it.job.head.ID, "item", it.ID, "route_gone", route == nil, "after", it.lastEvent)
+		if route == nil && !it.job.routeRemoved(now) {
+			continue
+		}
+		if route == nil || now.After(it.job.retryUntil()) {
+			c.options.Log.Notice("item failed: no route or past its retention", "job", it.job.head.ID, "item", it.ID, "route_gone", route == nil, "after", it.lastEvent,
+				"table_version", table.Version, "accepted_version", it.job.head.TableVersion)
 			c.finishItem(it, Result{ID: it.ID, State: Failed})
 			continue
 		}
@@ -81,7 +85,7 @@
 
 // orderItem returns what the order of items depends on.
 func (c *Controller) orderItem(it *item, service *routing.Service) batchorder.Item {
-	return batchorder.Item{Due: it.job.due, Remaining: c.remainingTime(it, service), Received: it.lines.Load()}
+	return batchorder.Item{Due: it.job.due(), Remaining: c.remainingTime(it, service), Received: it.lines.Load()}
 }
 
 // sortByUrgency sorts waiting items, the first to start first.
@@ -126,7 +130,7 @@
 	}
 	now := time.Now()
 	wants := c.options.Placer.Arrivals()
-	for _, it := range c.waitingItems(now) {
+	for _, it := range c.waitingItems(table, now) {
 		route := table.Match(it.job.head.Host, it.Path)
 		if route == nil {
 			continue
@@ -146,14 +150,15 @@
 	return wants
 }
 
-// waitingItems returns the items that can start, in no particular order.
-func (c *Controller) waitingItems(now time.Time) []*item {
+// waitingItems returns the items that can start by a configuration, in no particular order.
+func (c *Controller) waitingItems(table *routing.Table, now time.Time) []*item {
 	var list []*item
 	o := c.ownership()
 	for _, j := range c.ownedJobs() {
-		if !o.mayRun(j) {
+		if !o.mayRun(j) || !j.covers(table) {
 			continue
 		}
+		c.setTimes(j, table)
 		j.mu.Lock()
 		if j.isOpen() {
 			for _, it := range j.items {
--- a/pkg/listjob/tenure_test.go
+++ b/pkg/listjob/tenure_test.go
@@ -77,7 +77,7 @@
 	assert.Assert(t, owner.ownership().mayRun(j))
 	wake := net.freeze("b")
 	time.Sleep(5 * time.Second)
-	assert.Equal(t, len(owner.waitingItems(time.Now())), 0)
+	assert.Equal(t, len(owner.waitingItems(testTable(), time.Now())), 0)
 	wake()
 }
 
