Remove finished jobs, and keep them in nobody's memory

Cause: nothing removed a finished job from the store. The hub read the heads of all jobs into memory each 0.7 s, finished jobs of any age were taken over after a restart, and each node remembered the owner of each job for as long as it ran. Change: ten minutes after its retention and the time for which it is readable a job is over: it is handled as unknown, and the hub removes it, slowly and under the condition of its head's revision. Heads are read page by page, and owners are forgotten.

--- a/pkg/adapter/store/watch.go
+++ b/pkg/adapter/store/watch.go
@@ -81,25 +81,37 @@
 // ListAll reads all pages below prefix. The returned Revision is that of the first page, so that a watch from it
 // reports every change since.
 func ListAll(ctx context.Context, s Store, prefix string) (Page, error) {
-	var all Page
+	var objects []Object
+	all, err := ListEach(ctx, s, prefix, func(page []Object) { objects = append(objects, page...) })
+	all.Objects = objects
+	if err != nil {
+		return Page{}, err
+	}
+	return all, nil
+}
+
+// ListEach is ListAll for objects that need not be held in memory at once: it calls handle with each page, and returns a page without objects. Pages
+// that were read before an error have been handled.
+func ListEach(ctx context.Context, s Store, prefix string, handle func([]Object)) (Page, error) {
+	var first Page
 	for after := ""; ; {
 		p, err := s.List(ctx, prefix, after, listPageSize)
 		if err != nil {
 			return Page{}, err
 		}
 		if after == "" {
-			all.Revision, all.Begun = p.Revision, p.Begun
+			first.Revision, first.Begun = p.Revision, p.Begun
 		}
-		all.Objects = append(all.Objects, p.Objects...)
+		handle(p.Objects)
 		if p.Next == "" {
-			return all, nil
+			return first, nil
 		}
 		after = p.Next
 	}
 }
 
 const (
-	// listPageSize is the number of objects that ListAll requests in one page.
+	// listPageSize is the number of objects that ListAll and ListEach request in one page.
 	listPageSize = 500
 	// maxFollowRetryDelay bounds the time between attempts, so that the end of an outage is noticed within seconds.
 	maxFollowRetryDelay = 5 * time.Second
--- a/pkg/listjob/accept.go
+++ b/pkg/listjob/accept.go
@@ -47,7 +47,7 @@
 	}
 	c.mu.Lock()
 	existing := c.jobs[s.ID]
-	jobOwner, knownElsewhere := c.knownOwners[s.ID]
+	jobOwner, knownElsewhere := c.knownOwners.get(s.ID)
 	used, stopping := c.jobMemory(), c.stopping
 	c.mu.Unlock()
 	limit := c.waitingLimit(s.Host, s.Path)
--- a/pkg/listjob/controller.go
+++ b/pkg/listjob/controller.go
@@ -78,7 +78,7 @@
 	mu sync.Mutex
 	// jobs holds the jobs that this node owns; knownOwners caches the owners of other jobs.
 	jobs        map[string]*job
-	knownOwners map[string]owner
+	knownOwners knownOwners
 	// stopping is set once the node hands its jobs over.
 	stopping bool
 	// adopting holds the jobs that are being taken over, with the beginnings of these attempts.
@@ -117,6 +117,8 @@
 	lengths *lengthModel
 	// entryLimit is the size in bytes up to which this node writes entries of result logs.
 	entryLimit atomic.Int64
+	// removing is set while this node removes jobs from the store.
+	removing atomic.Bool
 	// slowUntil is the time, in Unix nanoseconds, until which the store counts as slow.
 	slowUntil atomic.Int64
 }
@@ -124,7 +126,7 @@
 // New returns a controller; Run starts its work.
 func New(o Options) *Controller {
 	c := &Controller{
-		options: o, jobs: map[string]*job{}, knownOwners: map[string]owner{}, adopting: map[string]time.Time{}, undecided: map[string]chan struct{}{},
+		options: o, jobs: map[string]*job{}, adopting: map[string]time.Time{}, undecided: map[string]chan struct{}{},
 		creating: map[string]creation{}, missed: map[string]Owned{}, ending: map[string]bool{}, withdrawing: map[string]bool{}, lastRefusals: map[string]lastRefusal{}, untold: map[owner]*untold{}, wake: make(chan struct{}, 1),
 		lengths: newLengthModel(),
 	}
@@ -168,7 +170,7 @@
 	if now, ok := c.missed[id]; ok && now.Revision > j.revision {
 		if to := (owner{now.Owner, now.Incarnation}); to != (owner{j.head.Owner, j.head.Incarnation}) {
 			j.released = true
-			c.knownOwners[id] = to
+			c.knownOwners.set(id, to)
 			c.options.Log.Notice("job is now owned by another node", "job", id, "owner", to.Node)
 			return
 		}
@@ -180,7 +182,7 @@
 		j.ownedAt = c.adopting[id]
 	}
 	c.jobs[id] = j
-	delete(c.knownOwners, id)
+	c.knownOwners.drop(id)
 	c.wakeUp()
 }
 
@@ -219,17 +221,17 @@
 	return c.jobs[id]
 }
 
-// readHead reads a job's head and its revision. The error is ErrNotFound if the job does not exist or was refused, and
+// readHead reads a job's head and its revision. The error is ErrNotFound if the job does not exist, was refused or is over, and
 // matches ErrUnavailable otherwise.
 func (c *Controller) readHead(ctx context.Context, id string) (head, int64, error) {
 	h, revision, err := c.readStoredHead(ctx, id)
-	if err == nil && h.Refused {
+	if err == nil && (h.Refused || c.isOver(h, c.options.Table(), time.Now())) {
 		return head{}, 0, ErrNotFound
 	}
 	return h, revision, err
 }
 
-// readStoredHead is readHead for the heads of refused jobs too.
+// readStoredHead is readHead for the heads of refused jobs and of those that are over too.
 func (c *Controller) readStoredHead(ctx context.Context, id string) (head, int64, error) {
 	o, err := c.options.Store.Get(store.WithFresh(ctx), headKind+id)
 	if errors.Is(err, store.ErrNotFound) {
@@ -245,10 +247,11 @@
 	return h, o.Revision, nil
 }
 
-// dropOldJobs removes finished jobs that need not be readable any longer.
+// dropOldJobs forgets finished jobs that need not be readable any longer, and owners of jobs that were not looked up lately.
 func (c *Controller) dropOldJobs(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.knownOwners.rotate(now, c.options.Readable+readableMargin)
 	for id, j := range c.jobs {
 		j.mu.Lock()
 		old := now.Sub(j.head.Submitted) > c.options.Readable+readableMargin && !j.isOpen()
@@ -263,7 +266,7 @@
 func (c *Controller) relinquish(j *job, to owner) {
 	c.mu.Lock()
 	delete(c.jobs, j.head.ID)
-	c.knownOwners[j.head.ID] = to
+	c.knownOwners.set(j.head.ID, to)
 	c.mu.Unlock()
 	j.mu.Lock()
 	j.released = true
@@ -291,6 +294,7 @@
 	j.stopRuns()
 	close(j.changed)
 	j.changed = make(chan struct{})
+	listed := len(j.results)
 	j.mu.Unlock()
-	c.options.Log.Routine("job ended", "job", j.head.ID, "listed", len(j.results), "total", j.head.Total)
+	c.options.Log.Routine("job ended", "job", j.head.ID, "listed", listed, "total", j.head.Total)
 }
--- a/pkg/listjob/customers.go
+++ b/pkg/listjob/customers.go
@@ -178,7 +178,7 @@
 		return true
 	}
 	c.mu.Lock()
-	_, known := c.knownOwners[id]
+	_, known := c.knownOwners.get(id)
 	known = known || c.jobs[id] != nil
 	c.mu.Unlock()
 	if !known {
--- a/pkg/listjob/lookups_test.go
+++ b/pkg/listjob/lookups_test.go
@@ -132,7 +132,7 @@
 	assert.NilError(t, a.Accept(context.Background(), submission("legacy", 1)))
 	for end := time.Now().Add(20 * time.Second); ; time.Sleep(5 * time.Millisecond) {
 		b.mu.Lock()
-		_, told := b.knownOwners["legacy"]
+		_, told := b.knownOwners.get("legacy")
 		b.mu.Unlock()
 		if told {
 			break
--- a/pkg/listjob/owners.go
+++ b/pkg/listjob/owners.go
@@ -63,7 +63,7 @@
 	}
 	r.c.mu.Lock()
 	defer r.c.mu.Unlock()
-	if known, ok := r.c.knownOwners[args.ID]; ok {
+	if known, ok := r.c.knownOwners.get(args.ID); ok {
 		*reply = LocateReply{Found: true, Owner: known.Node, Incarnation: known.Incarnation}
 	}
 	return nil
@@ -94,7 +94,7 @@
 // the job does not exist.
 func (c *Controller) ownerOf(ctx context.Context, id string) (owner, head, error) {
 	c.mu.Lock()
-	known, ok := c.knownOwners[id]
+	known, ok := c.knownOwners.get(id)
 	c.mu.Unlock()
 	if ok && c.options.Fleet.Alive(known.Node, known.Incarnation) {
 		return known, head{}, nil
@@ -109,7 +109,7 @@
 		found = owner{h.Owner, h.Incarnation}
 	}
 	c.mu.Lock()
-	c.knownOwners[id] = found
+	c.knownOwners.set(id, found)
 	c.mu.Unlock()
 	return found, h, nil
 }
--- a/pkg/listjob/quota.go
+++ b/pkg/listjob/quota.go
@@ -261,25 +261,27 @@
 	}
 }
 
-// readClaims returns the claims of all jobs of a customer on a route that are stored and neither refused, ended nor done.
+// readClaims returns the claims of all jobs of a customer on a route that are stored and neither refused, ended, done nor over.
 func (c *Controller) readClaims(ctx context.Context, route *routing.Route, customer string) ([]quota.Claim, error) {
-	heads, err := store.ListAll(store.WithFresh(ctx), c.options.Store, headKind)
-	if err != nil {
-		return nil, err
-	}
 	var claims []quota.Claim
-	for _, o := range heads.Objects {
-		h, err := decodeHead(o)
-		if err != nil {
-			c.options.Log.Notice("job head can't be decoded", "key", o.Key, "error", err)
-			continue
-		}
-		if h.Refused || h.Ended || h.Done || h.Customer != customer {
-			continue
-		}
-		if r := c.batchRoute(h.Host, h.Path); r != nil && r.Name == route.Name {
-			claims = append(claims, quota.Claim{Job: h.ID, Order: h.order(o.Revision), Tokens: h.Tokens})
+	table, now := c.options.Table(), time.Now()
+	_, err := store.ListEach(store.WithFresh(ctx), c.options.Store, headKind, func(page []store.Object) {
+		for _, o := range page {
+			h, err := decodeHead(o)
+			if err != nil {
+				c.options.Log.Notice("job head can't be decoded", "key", o.Key, "error", err)
+				continue
+			}
+			if h.Refused || h.Ended || h.Done || h.Customer != customer || c.isOver(h, table, now) {
+				continue
+			}
+			if r := c.batchRoute(h.Host, h.Path); r != nil && r.Name == route.Name {
+				claims = append(claims, quota.Claim{Job: h.ID, Order: h.order(o.Revision), Tokens: h.Tokens})
+			}
 		}
+	})
+	if err != nil {
+		return nil, err
 	}
 	return claims, nil
 }
--- a/pkg/listjob/read.go
+++ b/pkg/listjob/read.go
@@ -55,8 +55,8 @@
 	if err != nil || !reply.found() {
 		c.options.Log.Routine("job owner did not answer or does not own the job", "job", id, "owner", jobOwner.Node, "method", method, "error", err)
 		c.mu.Lock()
-		if c.knownOwners[id] == jobOwner {
-			delete(c.knownOwners, id)
+		if known, ok := c.knownOwners.get(id); ok && known == jobOwner {
+			c.knownOwners.drop(id)
 		}
 		c.mu.Unlock()
 	}
@@ -262,7 +262,7 @@
 	}
 	r.c.mu.Lock()
 	defer r.c.mu.Unlock()
-	r.c.knownOwners[args.ID] = owner{args.Owner, args.Incarnation}
+	r.c.knownOwners.set(args.ID, owner{args.Owner, args.Incarnation})
 	return nil
 }
 
--- a/pkg/listjob/sweep.go
+++ b/pkg/listjob/sweep.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"trefoilplank.example/pkg/adapter/store"
@@ -132,8 +133,28 @@
 
 // sweep reads all heads and compares them with the state of this node, or of all nodes if it is the hub.
 func (c *Controller) sweep(ctx context.Context, hub bool) {
-	begun := time.Now()
-	page, err := store.ListAll(store.WithStale(ctx), c.options.Store, headKind)
+	begun, read := time.Now(), store.WithStale(ctx)
+	table, now := c.options.Table(), time.Now()
+	var heads, over []sweptHead
+	var newest time.Time
+	_, err := store.ListEach(read, c.options.Store, headKind, func(page []store.Object) {
+		for _, o := range page {
+			h, err := decodeHead(o)
+			if err != nil {
+				c.options.Log.Notice("job head can't be decoded", "key", o.Key, "error", err)
+				continue
+			}
+			if h.Submitted.After(newest) {
+				newest = h.Submitted
+			}
+			switch {
+			case !c.isOver(h, table, now):
+				heads = append(heads, sweptHead{h, o.Revision})
+			case len(over) < maxRemovals:
+				over = append(over, sweptHead{h, o.Revision})
+			}
+		}
+	})
 	if err != nil {
 		return // The store watches log that the store is unavailable.
 	}
@@ -141,18 +162,15 @@
 	c.sweptAt = begun
 	c.mu.Unlock()
 	c.recordStoreLatency(time.Since(begun))
-	var heads []sweptHead
-	for _, o := range page.Objects {
-		h, err := decodeHead(o)
-		if err != nil {
-			c.options.Log.Notice("job head can't be decoded", "key", o.Key, "error", err)
-			continue
-		}
-		c.checkHead(ctx, h, o.Revision)
-		heads = append(heads, sweptHead{h, o.Revision})
+	for _, h := range heads {
+		c.checkHead(ctx, h.Head, h.Revision)
 	}
 	if hub {
 		c.sweepForOthers(ctx, heads)
+		if newest.Before(now) {
+			now = newest // A node whose clock is ahead removes nothing.
+		}
+		c.removeOver(ctx, slices.DeleteFunc(over, func(h sweptHead) bool { return !c.isOver(h.Head, table, now) }))
 	}
 }
 
--- a/pkg/listjob/takeover.go
+++ b/pkg/listjob/takeover.go
@@ -88,6 +88,7 @@
 	if previous.Node != c.self().Node {
 		c.tell(previous, Owned{ID: id, Owner: c.self().Node, Incarnation: c.self().Incarnation, Revision: j.revision, Ended: j.head.Ended})
 	}
+	listed := len(j.results) // Items may run from startJob on.
 	c.startJob(j)
 	if c.ownedJob(id) != j {
 		return nil
@@ -96,7 +97,7 @@
 	go c.markDone(j)
 	c.announce(id, j.revision)
 	c.options.Metrics.countJob("taken_over")
-	c.options.Log.Notice("job taken over", "job", id, "listed", len(j.results), "total", j.head.Total, "partials", len(partials))
+	c.options.Log.Notice("job taken over", "job", id, "listed", listed, "total", j.head.Total, "partials", len(partials))
 	return nil
 }
 
--- a/pkg/listjob/tenure.go
+++ b/pkg/listjob/tenure.go
@@ -104,16 +104,17 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, verifyTimeout)
 	defer cancel()
-	page, err := store.ListAll(store.WithFresh(ctx), c.options.Store, headKind)
+	_, err := store.ListEach(store.WithFresh(ctx), c.options.Store, headKind, func(page []store.Object) {
+		for _, o := range page {
+			if h, err := decodeHead(o); err == nil && c.ownedJob(h.ID) != nil { // Sweeps log heads that can't be decoded.
+				c.compareOwned(ownedIn(h, o.Revision))
+			}
+		}
+	})
 	if err != nil {
 		c.options.Log.Notice("own jobs not compared with the store, retrying", "jobs", len(before), "error", err)
 		return
 	}
-	for _, o := range page.Objects {
-		if h, err := decodeHead(o); err == nil && c.ownedJob(h.ID) != nil { // Sweeps log heads that can't be decoded.
-			c.compareOwned(ownedIn(h, o.Revision))
-		}
-	}
 	c.mu.Lock()
 	c.verifiedAt = begun
 	c.mu.Unlock()
