Run nothing by a list that is seconds old

The node that ran the job could not be called by other nodes, and called them. Cause: who stores an end tells the owner only. Change: what a node could not tell an owner it also reports to the hub (Jobs.Reported), which answers by whichever is newer. A node that is not certain of its jobs runs them by present lists only.

--- a/pkg/listjob/controller.go
+++ b/pkg/listjob/controller.go
@@ -96,6 +96,8 @@
 	// onlyCustomersAt is when the last of these sweeps began, if it found no job without a customer.
 	onlyCustomersAt time.Time
 	onlyCustomers   onlyCustomers
+	// reported holds what other nodes have told this one of jobs, as the hub, while its sweeps do not show it.
+	reported map[string]reportedJob
 	// untold holds what other processes must be told of jobs.
 	untold map[owner]*untold
 	// creating holds the jobs whose heads are being created.
@@ -104,9 +106,9 @@
 	ending map[string]bool
 	// missed holds what this node was told of jobs that it creates or takes over, until it owns them in memory.
 	missed map[string]Owned
-	// verifiedAt is when this node last began to compare all its jobs with the store, and sweptAt when it last began a sweep of
-	// its own, which may read a state that is a second old.
-	verifiedAt, sweptAt time.Time
+	// verifiedAt is when this node last began to compare all its jobs with the store, sweptAt when it last began a sweep of its
+	// own, and sweptFreshAt one that read the store's present state: others may be seconds old.
+	verifiedAt, sweptAt, sweptFreshAt time.Time
 	// ran is the time in which this process ran.
 	ran runClock
 	// running ends, by stopped, with Run.
@@ -127,7 +129,7 @@
 func New(o Options) *Controller {
 	c := &Controller{
 		options: o, jobs: map[string]*job{}, adopting: map[string]time.Time{}, undecided: map[string]chan struct{}{},
-		creating: map[string]creation{}, missed: map[string]Owned{}, ending: map[string]bool{}, withdrawing: map[string]bool{}, lastRefusals: map[string]lastRefusal{}, untold: map[owner]*untold{}, wake: make(chan struct{}, 1),
+		creating: map[string]creation{}, missed: map[string]Owned{}, reported: map[string]reportedJob{}, ending: map[string]bool{}, withdrawing: map[string]bool{}, lastRefusals: map[string]lastRefusal{}, untold: map[owner]*untold{}, wake: make(chan struct{}, 1),
 		lengths: newLengthModel(),
 	}
 	c.running, c.stopped = context.WithCancel(context.Background())
--- a/pkg/listjob/customers.go
+++ b/pkg/listjob/customers.go
@@ -19,6 +19,8 @@
 	scopeBytes = 16
 	// onlyCustomersFor is how long an answer of the hub that all jobs are those of customers is used.
 	onlyCustomersFor = 2 * time.Second
+	// staleListAge is how old a list may be that the store gives at a lower cost: seconds, as the platform says.
+	staleListAge = 5 * time.Second
 	// customersSettle is how long the configuration must have required keys for all jobs before such an answer is used: a configuration is in
 	// force at all nodes within 3 s, and the answer may tell of the heads as they were before.
 	customersSettle = 3*time.Second + onlyCustomersFor + maxSweepAge + staleListAge
--- a/pkg/listjob/ends_test.go
+++ b/pkg/listjob/ends_test.go
@@ -280,17 +280,17 @@
 // Guards against items of an ended job that an upstream reads too late, since a node that others may count as lost starts them by
 // what it knew seconds ago, and the upstream is silent when they are sent.
 func TestBeliefLeavesTimeForASilentUpstream(t *testing.T) {
-	const cancelTime, listAge = 3 * time.Second, time.Second // By the platform.
+	const cancelTime = 3 * time.Second // By the platform.
 	now, j := time.Unix(1000, 0), &job{}
 	for age := time.Duration(0); age < 2*cancelTime; age += 10 * time.Millisecond {
 		if (ownership{now: now, verifiedAt: now.Add(-age)}).mayRun(j) {
 			assert.Assert(t, age+soundSilence < cancelTime, "items start %v after the comparison", age)
 		}
-		if (ownership{now: now, sweptAt: now.Add(-age)}).mayRun(j) {
-			assert.Assert(t, age+listAge+soundSilence < cancelTime, "items start %v after a sweep", age)
+		if (ownership{now: now, sweptFreshAt: now.Add(-age)}).mayRun(j) {
+			assert.Assert(t, age+soundSilence < cancelTime, "items start %v after a sweep", age)
 		}
 	}
-	assert.Assert(t, ownership{now: now, verifiedAt: now}.mayRun(j) && ownership{now: now, sweptAt: now}.mayRun(j))
+	assert.Assert(t, ownership{now: now, verifiedAt: now}.mayRun(j) && ownership{now: now, sweptFreshAt: now}.mayRun(j))
 }
 
 // Guards against a node that goes on calling the store after it has stopped, since it repeats the end of a job.
--- a/pkg/listjob/fakes_test.go
+++ b/pkg/listjob/fakes_test.go
@@ -143,6 +143,8 @@
 	mu    sync.Mutex
 	nodes map[string]*Controller
 	cut   map[string]bool
+	// deaf holds nodes that can't be called, but call others.
+	deaf map[string]bool
 	// frozen holds the nodes that are frozen: their loops and calls stand still, and calls to them get no answer.
 	frozen   map[string]frozenNode
 	frozenMu sync.Mutex
@@ -240,7 +242,7 @@
 }
 
 func newNetwork() *network {
-	return &network{calls: map[string]int{}, ledger: quota.NewLedger(), nodes: map[string]*Controller{}, cut: map[string]bool{}, frozen: map[string]frozenNode{}, failedRuns: failedruns.New(failedruns.Options{
+	return &network{calls: map[string]int{}, ledger: quota.NewLedger(), nodes: map[string]*Controller{}, cut: map[string]bool{}, deaf: map[string]bool{}, frozen: map[string]frozenNode{}, failedRuns: failedruns.New(failedruns.Options{
 		Node: "all", Others: func() []string { return nil }, Exchange: func() {}, Log: &eventlog.Log{},
 	})}
 }
@@ -269,8 +271,11 @@
 // unresponsiveAfter is the time without a report after which the hub reports a node as unresponsive.
 const unresponsiveAfter = 1300 * time.Millisecond
 
-// freeze stops a node until the returned function is called.
+// freeze stops a node until the returned function is called. It takes n.mu, so that the hub is not asking the node when it stops: the hub
+// would hold that lock, and the node's own, until the node wakes.
 func (n *network) freeze(name string) (wake func()) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
 	n.frozenMu.Lock()
 	defer n.frozenMu.Unlock()
 	awake := make(chan struct{})
@@ -332,7 +337,7 @@
 		return ctx.Err()
 	}
 	c.network.mu.Lock()
-	target, cut, unknown := c.network.nodes[node], c.network.cut[node] || c.network.cut[c.self], c.network.withoutCheck
+	target, cut, unknown := c.network.nodes[node], c.network.cut[node] || c.network.cut[c.self] || c.network.deaf[node], c.network.withoutCheck
 	c.network.calls[method]++
 	adopt, late := args.(AdoptArgs)
 	if late = late && node == c.network.adoptsLate; late {
--- a/pkg/listjob/sweep.go
+++ b/pkg/listjob/sweep.go
@@ -131,9 +131,14 @@
 	return now.Sub(h.answered) <= maxSweepAge
 }
 
-// sweep reads all heads and compares them with the state of this node, or of all nodes if it is the hub.
+// sweep reads all heads and compares them with the state of this node, or of all nodes if it is the hub. The cheap lists of the store may be
+// seconds old; a node whose jobs others may have ended needs a present one to go on with them.
 func (c *Controller) sweep(ctx context.Context, hub bool) {
-	begun, read := time.Now(), store.WithStale(ctx)
+	begun, fresh := time.Now(), c.hasUncertainJobs()
+	read := store.WithStale(ctx)
+	if fresh {
+		read = store.WithFresh(ctx)
+	}
 	table, now := c.options.Table(), time.Now()
 	var heads, over []sweptHead
 	var newest time.Time
@@ -160,6 +165,9 @@
 	}
 	c.mu.Lock()
 	c.sweptAt = begun
+	if fresh {
+		c.sweptFreshAt = begun
+	}
 	c.mu.Unlock()
 	c.recordStoreLatency(time.Since(begun))
 	for _, h := range heads {
@@ -288,6 +296,7 @@
 	}
 	c.mu.Lock()
 	c.swept = swept
+	c.dropReported(time.Now())
 	c.onlyCustomersAt = time.Time{}
 	if onlyCustomers {
 		c.onlyCustomersAt = c.sweptAt
--- a/pkg/listjob/tell.go
+++ b/pkg/listjob/tell.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"trefoilplank.example/pkg/wait"
@@ -36,6 +37,12 @@
 	}
 }
 
+// reportedJob is what the store says of a job by the node that wrote it, kept until a time.
+type reportedJob struct {
+	Owned
+	until time.Time
+}
+
 // deliverLoop tells processes what they must be told, and looks at the clock of this process, until ctx ends. Sweeps wait for the store, and
 // this does not.
 func (c *Controller) deliverLoop(ctx context.Context) {
@@ -62,10 +69,55 @@
 				list = append(list, stored)
 			}
 			go c.deliverTo(ctx, process.Node, u, list)
+			go c.reportToHub(ctx, process.Node, list)
+		}
+	}
+}
+
+// reportToHub tells the hub what a process must be told, unless the process is the hub. A process that can't be called may still call the hub,
+// whose own lists may be seconds old.
+func (c *Controller) reportToHub(ctx context.Context, process string, list []Owned) {
+	hub := c.options.Hub()
+	switch {
+	case c.options.IsHub():
+		c.keepReported(list)
+	case hub != "" && hub != process:
+		c.callSwept(ctx, hub, "Jobs.Reported", ChangedArgs{Jobs: list})
+	}
+}
+
+// Reported keeps what another node says of jobs whose owners, or former owners, it could not tell. Builds up to 72b0519 lack the method.
+func (r *Receiver) Reported(args ChangedArgs, _ *Nothing) error {
+	r.c.keepReported(args.Jobs)
+	return nil
+}
+
+// keepReported keeps what is newer than the last sweep.
+func (c *Controller) keepReported(list []Owned) {
+	now := time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.dropReported(now)
+	for _, stored := range list {
+		if stored.Revision > c.latest(stored.ID).Revision {
+			c.reported[stored.ID] = reportedJob{stored, now.Add(tellFor)}
 		}
 	}
 }
 
+// latest returns the newest that this node knows, as the hub, of a job's head. The caller holds c.mu.
+func (c *Controller) latest(id string) Owned {
+	if r := c.reported[id]; r.Revision > c.swept[id].Revision {
+		return r.Owned
+	}
+	return c.swept[id]
+}
+
+// dropReported forgets what the last sweep shows, or what is old. The caller holds c.mu.
+func (c *Controller) dropReported(now time.Time) {
+	maps.DeleteFunc(c.reported, func(id string, r reportedJob) bool { return now.After(r.until) || c.swept[id].Revision >= r.Revision })
+}
+
 func (c *Controller) deliverTo(ctx context.Context, node string, u *untold, list []Owned) {
 	ctx, cancel := context.WithTimeout(ctx, sweepCallTimeout)
 	defer cancel()
--- a/pkg/listjob/tenure.go
+++ b/pkg/listjob/tenure.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"trefoilplank.example/pkg/adapter/store"
@@ -15,8 +16,6 @@
 	// as lost: items of an ended job must not reach an upstream three seconds after the end, and a sound upstream that is silent
 	// reads them over a second after they were sent.
 	runBelief = 1500 * time.Millisecond
-	// staleListAge is how old a list may be that the store gives at a lower cost.
-	staleListAge = time.Second
 )
 
 // ownership is what this node knows at a moment of its owning jobs.
@@ -25,15 +24,15 @@
 	// certain is set if other nodes certainly count this node as live, without a gap since the time since.
 	certain bool
 	since   time.Time
-	// verifiedAt and sweptAt are those of the controller.
-	verifiedAt, sweptAt time.Time
+	// verifiedAt and sweptFreshAt are those of the controller.
+	verifiedAt, sweptFreshAt time.Time
 }
 
 func (c *Controller) ownership() ownership {
 	since, certain := c.options.Fleet.CertainSince()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return ownership{time.Now(), certain, since, c.verifiedAt, c.sweptAt}
+	return ownership{time.Now(), certain, since, c.verifiedAt, c.sweptFreshAt}
 }
 
 // isCertain reports whether a job is certainly this node's, so that nothing of it changed without this node.
@@ -50,7 +49,13 @@
 
 // mayRun reports whether items of the job may start.
 func (o ownership) mayRun(j *job) bool {
-	return o.isCertain(j) || o.now.Sub(o.comparedAt(j)) <= runBelief || o.now.Sub(o.sweptAt) <= runBelief-staleListAge
+	return o.isCertain(j) || o.now.Sub(o.comparedAt(j)) <= runBelief || o.now.Sub(o.sweptFreshAt) <= runBelief
+}
+
+// hasUncertainJobs reports whether this node has open jobs that others may have taken over or ended.
+func (c *Controller) hasUncertainJobs() bool {
+	o := c.ownership()
+	return slices.ContainsFunc(c.openJobs(), func(j *job) bool { return !o.isCertain(j) })
 }
 
 // mustVerify reports whether the hub hears this node again, and it has open jobs that others may have taken over or ended before.
@@ -60,12 +65,7 @@
 	if !o.certain {
 		return false
 	}
-	for _, j := range c.openJobs() {
-		if !o.isCertain(j) {
-			return true
-		}
-	}
-	return false
+	return c.hasUncertainJobs()
 }
 
 func (c *Controller) ownedJobs() []*job {
@@ -148,14 +148,14 @@
 	OnlyCustomers bool
 }
 
-// Check answers by the last sweep of this node.
+// Check answers by the last sweep of this node, and by what other nodes have reported since.
 func (r *Receiver) Check(args CheckArgs, reply *CheckReply) error {
 	r.c.mu.Lock()
 	defer r.c.mu.Unlock()
 	reply.Swept = r.c.swept != nil && time.Since(r.c.sweptAt) <= maxSweepAge
 	reply.OnlyCustomers = time.Since(r.c.onlyCustomersAt) <= maxSweepAge
 	for id, revision := range args.Jobs {
-		if now, ok := r.c.swept[id]; ok && now.Revision > revision {
+		if now := r.c.latest(id); now.Revision > revision {
 			reply.Changed = append(reply.Changed, now)
 		}
 	}
