Connect once more before an upstream counts as reached by others only

Cause: an upstream that restarts refuses connections until it listens. A node that was refused asks another one, which connects a millisecond later: the crash was taken for a fault of the node's own connections and counted nowhere. Change: a node that was refused connects once more after another one did.

--- a/pkg/controller/uplink/diagnose.go
+++ b/pkg/controller/uplink/diagnose.go
@@ -138,7 +138,7 @@
 		ownErr, ownEnded = <-own, true
 	}
 	switch {
-	case ownEnded && ownErr == nil:
+	case ownEnded && ownErr == nil, otherErr == nil && l.acceptsNow(address, ownErr):
 		result = Reached
 	case otherErr == nil:
 		result = ReachedByOthers
@@ -154,6 +154,12 @@
 	return result, ownErr, otherErr
 }
 
+// acceptsNow reports whether this node connects to an upstream that refused its connection with ownErr before another node connected.
+// An upstream that restarts refuses connections until it listens.
+func (l *Links) acceptsNow(address string, ownErr error) bool {
+	return errors.Is(ownErr, syscall.ECONNREFUSED) && l.check(address) == nil
+}
+
 // TryConnect checks whether an upstream takes connections, from any node. The error matches syscall.ECONNREFUSED if nothing
 // listens at its address.
 func (l *Links) TryConnect(ctx context.Context, address string) error {
@@ -168,7 +174,7 @@
 
 // confirm records that another node connects to an upstream, once this node's own attempt has failed.
 func (l *Links) confirm(address string, own <-chan error) {
-	if err := <-own; err != nil {
+	if err := <-own; err != nil && !l.acceptsNow(address, err) {
 		l.reachedByOthers(address)
 	}
 }
--- a/pkg/controller/uplink/transport.go
+++ b/pkg/controller/uplink/transport.go
@@ -55,7 +55,7 @@
 	}
 	resp, err := answers.RoundTrip(t.direct, r)
 	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" && r.Context().Err() == nil && t.links.reachedAfterFailure(r.Context(), address) {
+	if errors.As(err, &op) && op.Op == "dial" && r.Context().Err() == nil && t.links.reachedAfterFailure(r.Context(), address, op) {
 		return t.roundTripRelayed(r)
 	}
 	return resp, err
@@ -109,7 +109,7 @@
 // reachedAfterFailure reports whether an upstream to which this node has just failed to connect is reached through another
 // node. Unless the node itself is suspected, the upstream probably is at fault; the others are then asked in the background.
 // While upstreams are heard, the answer of another node is awaited for helperDelay only.
-func (l *Links) reachedAfterFailure(ctx context.Context, address string) bool {
+func (l *Links) reachedAfterFailure(ctx context.Context, address string, ownErr error) bool {
 	now := time.Now()
 	l.mu.Lock()
 	service := l.state.Service(address)
@@ -119,7 +119,7 @@
 	if l.options.Relay == nil || !ask {
 		return l.Relayed(address)
 	}
-	asked := l.askOthersOnce(address)
+	asked := l.askOthersOnce(address, ownErr)
 	if !suspected {
 		return false
 	}
@@ -136,9 +136,9 @@
 	return l.Relayed(address)
 }
 
-// askOthersOnce asks other nodes to connect to an upstream in the background, and records it if one does. The channel is closed
-// at the end. Calls meanwhile, and within diagnosisLifetime, share the result.
-func (l *Links) askOthersOnce(address string) <-chan struct{} {
+// askOthersOnce asks other nodes in the background to connect to an upstream to which this node failed to connect, and records it if
+// only they do. The channel is closed at the end. Calls meanwhile, and within diagnosisLifetime, share the result.
+func (l *Links) askOthersOnce(address string, ownErr error) <-chan struct{} {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if asked := l.asked[address]; asked != nil {
@@ -147,7 +147,7 @@
 	asked := make(chan struct{})
 	l.asked[address] = asked
 	go func() {
-		if l.askOthers(address) == nil {
+		if l.askOthers(address) == nil && !l.acceptsNow(address, ownErr) {
 			l.reachedByOthers(address)
 		}
 		close(asked)
--- a/pkg/controller/uplink/uplink_test.go
+++ b/pkg/controller/uplink/uplink_test.go
@@ -21,13 +21,16 @@
 	"trefoilplank.example/pkg/eventlog"
 )
 
-// node is a node with links to test upstreams. While cut is set its own connections are refused; they take delay nanoseconds more.
+// node is a node with links to test upstreams. While cut is set its own connections are refused, as are the next refusals ones; they
+// take delay nanoseconds more.
 type node struct {
 	*Links
-	cut    atomic.Bool
-	delay  atomic.Int64
-	server *peer.Server
-	client *peer.Client
+	cut   atomic.Bool
+	delay atomic.Int64
+	// refusals is negative or zero if no connection is refused.
+	refusals atomic.Int64
+	server   *peer.Server
+	client   *peer.Client
 }
 
 // newNodes returns nodes that relay for each other, with links to the upstreams.
@@ -42,7 +45,7 @@
 		n.client = peer.NewClient(peer.ClientOptions{Self: name, Secret: "secret", Resolve: func(other string) (string, bool) { return addresses[other], true }})
 		n.Links = New(Options{
 			Dial: func(ctx context.Context, network, address string) (net.Conn, error) {
-				if n.cut.Load() {
+				if n.cut.Load() || n.refusals.Add(-1) >= 0 {
 					return nil, &net.OpError{Op: "dial", Net: network, Err: syscall.ECONNREFUSED}
 				}
 				time.Sleep(time.Duration(n.delay.Load()))
@@ -174,6 +177,23 @@
 	assert.Equal(t, a.Diagnose(t.Context(), down.Address), Refused)
 }
 
+// Guards against an upstream that restarts, refuses a connection of this node and takes that of another one a moment later: it was
+// taken for one that only this node does not reach, and its crash was not blamed on the request that it ran.
+func TestUpstreamThatRestartsIsNotReachedByOthersOnly(t *testing.T) {
+	upstreams := startUpstreams(t, 2, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "answer") })
+	a := newNodes(t, []string{"a", "b"}, upstreams)["a"]
+	transport := a.Transport(&http.Transport{})
+	t.Cleanup(transport.CloseIdleConnections)
+	a.refusals.Store(1)
+	assert.Equal(t, a.Diagnose(t.Context(), upstreams[0].Address), Reached)
+	assert.Assert(t, !a.Relayed(upstreams[0].Address))
+	a.refusals.Store(1)
+	_, err := get(t.Context(), transport, upstreams[1].Address)
+	assert.Assert(t, errors.Is(err, syscall.ECONNREFUSED), "%v", err)
+	<-a.askOthersOnce(upstreams[1].Address, err) // Waits for the question that the failure began.
+	assert.Assert(t, !a.Relayed(upstreams[1].Address))
+}
+
 // Guards against the silence of an upstream being taken for a cut of the node, whose own connection to it is only made later than
 // that of another node.
 func TestSilentUpstreamThatConnectsLateIsReached(t *testing.T) {
