Keep the kernel's receive buffer out of the count of an answer without an end

The test counts what an upstream gets rid of: what the node reads, at most 1 MB of an event, and what sockets hold. The upstream's send buffer was set, the node's receive buffer was not; the kernel lets it grow to tens of megabytes, which are not the node's memory. Change: the test's node connects with a receive buffer that does not grow. The bounds are the same, and nothing is left out.

--- a/pkg/forward/endless_test.go
+++ b/pkg/forward/endless_test.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"net/http"
@@ -9,12 +10,27 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"trefoilplank.example/pkg/adapter/dial"
+	"trefoilplank.example/pkg/controller/uplink"
 )
 
 // maxEndlessBytes is how much an upstream may get rid of on one connection before it is closed: what the node reads, and what
 // the socket buffers hold.
 const maxEndlessBytes = 1 << 20
 
+// socketBuffer is the size in bytes that is set for the buffers of sockets; the kernel takes twice of it.
+const socketBuffer = 64 << 10
+
+// dialSmall connects with a receive buffer that does not grow: a kernel may let it take tens of megabytes, which are not the node's memory.
+func dialSmall(ctx context.Context, network, address string) (net.Conn, error) {
+	conn, err := dial.Dialer(0).DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return conn, conn.(*net.TCPConn).SetReadBuffer(socketBuffer)
+}
+
 // sendsEndlessly returns a behaviour that sends begin and then repeats text until the connection is closed, and the number of
 // bytes that each connection took.
 func sendsEndlessly(begin, text string) (behaviour, <-chan int) {
@@ -25,7 +41,10 @@
 			panic(err)
 		}
 		defer conn.Close()
-		_ = conn.(*net.TCPConn).SetWriteBuffer(64 << 10)
+		if p, ok := conn.(*processConn); ok {
+			conn = p.Conn
+		}
+		_ = conn.(*net.TCPConn).SetWriteBuffer(socketBuffer)
 		begin := strings.NewReplacer("$id", r.Header.Get(testHeaders.RequestID)).Replace(begin)
 		total := 0
 		for data := begin + text; ; data = text {
@@ -61,7 +80,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			endless, sent := sendsEndlessly(c.begin, c.text)
-			f := newFixture(t, endless, streamsAll)
+			f := newLinkedFixture(t, &uplink.Options{Dial: dialSmall}, make([]string, 2), endless, streamsAll)
 			asked := false
 			for n := 0; n < 20 && !asked; n++ {
 				resp, body, err := f.call(t, c.target, "x")
