--- a/pkg/listjob/listjob_test.go
+++ b/pkg/listjob/listjob_test.go
@@ -71,19 +71,27 @@
 	checkResults(t, e, readAll(t, a.Controller, "j", 20*time.Second))
 }
 
-// Guards against a read without the results that the previous owner listed after a network partition healed, when
-// nobody read the job until the contest period was over. A client had read seven results, none of which could be
-// read at the end.
-func TestLogIsReadOnceAfterContestPeriod(t *testing.T) {
+// takenOverJob returns the owner of job j, which it has taken over from node a. listByA lists a result as a would, which does not know that yet.
+func takenOverJob(t *testing.T) (b *node, listByA func() error) {
 	s, net, e := memstore.New(), newNetwork(), newEngine(t, 1000, 20*time.Millisecond)
 	a := net.addNode(t, s, e, "a", "b")
-	b := net.addNode(t, s, e, "b", "a")
+	b = net.addNode(t, s, e, "b", "a")
 	assert.NilError(t, a.Accept(context.Background(), submission("j", 2)))
 	assert.NilError(t, b.adopt(context.Background(), "j", nil))
 	value, err := json.Marshal(entry{Node: "a", Results: []Result{{ID: "j-item1", State: Completed, Text: "listed by a"}}})
 	assert.NilError(t, err)
-	_, err = s.Put(context.Background(), entryKey("j", 0), value, store.CreateOnly)
-	assert.NilError(t, err)
+	return b, func() error {
+		_, err := s.Put(context.Background(), entryKey("j", 0), value, store.CreateOnly)
+		return err
+	}
+}
+
+// Guards against a read without the results that the previous owner listed after a network partition healed, when
+// nobody read the job until the contest period was over. A client had read seven results, none of which could be
+// read at the end.
+func TestLogIsReadOnceAfterContestPeriod(t *testing.T) {
+	b, listByA := takenOverJob(t)
+	assert.NilError(t, listByA())
 	assert.NilError(t, b.End(context.Background(), "j"))
 	j := b.ownedJob("j")
 	j.mu.Lock()
@@ -97,17 +105,8 @@
 // Guards against a read that waits at the new owner of a job and ends without the results that its predecessor listed meanwhile: the store
 // may carry out a write seconds after its caller was lost.
 func TestWaitingReadEndsWithWhatAnotherOwnerListed(t *testing.T) {
-	s, net, e := memstore.New(), newNetwork(), newEngine(t, 1000, 20*time.Millisecond)
-	a := net.addNode(t, s, e, "a", "b")
-	b := net.addNode(t, s, e, "b", "a")
-	assert.NilError(t, a.Accept(context.Background(), submission("j", 2)))
-	assert.NilError(t, b.adopt(context.Background(), "j", nil))
-	value, err := json.Marshal(entry{Node: "a", Results: []Result{{ID: "j-item1", State: Completed, Text: "listed by a"}}})
-	assert.NilError(t, err)
-	time.AfterFunc(300*time.Millisecond, func() {
-		_, err := s.Put(context.Background(), entryKey("j", 0), value, store.CreateOnly)
-		assert.Check(t, err)
-	})
+	b, listByA := takenOverJob(t)
+	time.AfterFunc(300*time.Millisecond, func() { assert.Check(t, listByA()) })
 	l, err := b.Read(context.Background(), "j", 0, 1500*time.Millisecond)
 	assert.NilError(t, err)
 	assert.Equal(t, len(l.Results), 1)
