Test that a stored quarantine is not replaced by an earlier end

Change: TestStoredQuarantineIsNotReplacedByAnEarlierEnd, with the later end stored before the read and between the read and the write.

--- a/pkg/controller/quarantine/stored_test.go
+++ b/pkg/controller/quarantine/stored_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
 	"testing"
 	"time"
 
@@ -56,3 +59,46 @@
 	assert.Equal(t, verdict, serving.VerdictQuarantined)
 	assert.Assert(t, left < quarantine.QuarantineDuration)
 }
+
+// racingStore carries out another write between a read and the write that follows it.
+type racingStore struct {
+	store.Store
+	between func()
+}
+
+func (s racingStore) Get(ctx context.Context, key string) (store.Object, error) {
+	o, err := s.Store.Get(ctx, key)
+	s.between()
+	return o, err
+}
+
+// Guards against a quarantine that ends early for nodes that start later, since a write of an earlier end is carried out after that of a later
+// one.
+func TestStoredQuarantineIsNotReplacedByAnEarlierEnd(t *testing.T) {
+	early, late := time.Now().Add(time.Minute), time.Now().Add(2*time.Minute)
+	encode := func(until time.Time) []byte {
+		value, err := json.Marshal(storedQuarantine{"x", until.UnixMilli()})
+		assert.NilError(t, err)
+		return value
+	}
+	for _, afterRead := range []bool{false, true} {
+		t.Run(fmt.Sprint("after the read ", afterRead), func(t *testing.T) {
+			objects := memstore.New()
+			write := func() {
+				_, err := objects.Put(t.Context(), storedPrefix+"x", encode(late), store.AnyRevision)
+				assert.NilError(t, err)
+			}
+			c := &Controller{Options: Options{Store: objects}}
+			if afterRead {
+				c.Store = racingStore{objects, write}
+			} else {
+				write()
+			}
+			err := c.putQuarantine(t.Context(), "x", early, encode(early))
+			assert.Equal(t, errors.Is(err, store.ErrConflict), afterRead, "%v", err)
+			o, err := objects.Get(t.Context(), storedPrefix+"x")
+			assert.NilError(t, err)
+			assert.Equal(t, string(o.Value), string(encode(late)))
+		})
+	}
+}
