Grant what the limits of outliers leave before requests are refused

Callers got 503 while an upstream that names a limit of requests per second got none for seconds. Cause: where upstreams answer within a millisecond, one answer after 90 ms makes an upstream an outlier for the whole fleet, for 6 s. The hub granted nothing of an outlier's limit while the service had other upstreams, also if their limits were used up. Change: the hub grants what the limits of outliers leave after all else. Nodes use such a grant last, as before.

--- a/pkg/decision/dispatch/announced_test.go
+++ b/pkg/decision/dispatch/announced_test.go
@@ -36,6 +36,38 @@
 	assert.Equal(t, choose(true).Verdict, Refuse, "nothing is granted")
 }
 
+// Guards against requests that are refused for seconds after a single late answer, while the limit of the upstream that sent it is left: the hub
+// granted nothing of the limits of outliers to any node. Other limits, and upstreams without one, are granted first.
+func TestLimitOfOutlierIsGrantedLast(t *testing.T) {
+	s, _ := newTestState(6, 8)
+	now := time.Unix(1000, 0)
+	var ids []string
+	for _, u := range s.services["s"].upstreams {
+		ids = append(ids, u.ID)
+		s.Announce(u.ID, Announcement{Limit: 1, Incarnation: u.Incarnation}, now)
+		s.AddHubEvidence(map[string]outlier.Evidence{u.ID: {Firsts: 4, FirstTime: 4 * time.Millisecond}}, now)
+		u.announced.fleet.available(u.announced.limit, now)
+	}
+	s.AddHubEvidence(map[string]outlier.Evidence{ids[0]: {Firsts: 1, FirstTime: 90 * time.Millisecond}}, now)
+	now = now.Add(time.Second) // Each limit leaves one request.
+	s.SetFleetWeights(s.HubWeights(now))
+	s.SetTotals(nil, nil, now)
+	assert.Assert(t, s.weight(s.byID[ids[0]], now) < outlierWeight)
+	grants := func(arrivals int, outstanding map[string]int) map[string]int {
+		want := Want{Waiting: arrivals}
+		return s.Grants("s", want, want, nil, outstanding, func(string) bool { return false }, now).Online
+	}
+	assert.Equal(t, grants(5, nil)[ids[0]], 0, "others are granted first")
+	assert.Equal(t, sumSlots(grants(5, nil)), 5)
+	assert.Equal(t, grants(6, nil)[ids[0]], 1)
+	assert.Equal(t, sumSlots(grants(9, nil)), 6, "more than the limits is granted")
+	assert.Equal(t, grants(6, map[string]int{ids[0]: 1})[ids[0]], 0, "the slot is granted to another node")
+	s.Announce(ids[1], Announcement{Incarnation: s.byID[ids[1]].Incarnation}, now)
+	assert.Equal(t, grants(9, nil)[ids[0]], 0, "an upstream without a limit has slots")
+	s.byID[ids[0]].ejectedUntil = now.Add(time.Second)
+	assert.Equal(t, grants(20, nil)[ids[0]], 0, "the upstream fails")
+}
+
 // Guards against a granted slot of an outlier that is used although upstreams without a limit are left.
 func TestGrantedLimitOfOutlierIsLeftWhileOthersHaveSlots(t *testing.T) {
 	s, rng := newTestState(6, 8)
--- a/pkg/decision/dispatch/candidates.go
+++ b/pkg/decision/dispatch/candidates.go
@@ -33,6 +33,11 @@
 	return u != nil && u.Incarnation == chosen.Incarnation && u.Address == chosen.Address && !u.Draining && !u.announced.leaving
 }
 
+// ejected reports whether an upstream gets no runs because of failures, or none beside the one that tests it.
+func (u *upstream) ejected(now time.Time) bool {
+	return now.Before(u.ejectedUntil) || u.failures >= failuresToEject && u.probing
+}
+
 // postpones reports whether an upstream should be chosen only if there is no other.
 func (f *filter) postpones(u *upstream, now time.Time) bool {
 	return f.begins && now.Before(u.StreamsFrom)
@@ -63,7 +68,7 @@
 			continue
 		}
 		switch {
-		case now.Before(u.ejectedUntil) || u.failures >= failuresToEject && u.probing:
+		case u.ejected(now):
 			if firstToReturn == nil || u.ejectedUntil.Before(firstToReturn.ejectedUntil) {
 				firstToReturn = u
 			}
--- a/pkg/decision/dispatch/grant.go
+++ b/pkg/decision/dispatch/grant.go
@@ -90,6 +90,12 @@
 			places := s.queuePlaces(service, want, totals, outstanding, now)
 			places.warm, places.weight, places.zone = warm, weight, zone
 			g.Queue = places.allocate(missing)
+			// What is still missing would be refused while a limit is left.
+			outliers := slotPool{warm: warm, weight: weight, zone: zone}
+			for _, u := range s.limitedOutliers(svc, missing-sumSlots(g.Queue), now) {
+				s.addFree(&free, &outliers, u, totals[u.ID], outstanding[u.ID], now)
+			}
+			g.Online = addSlots(g.Online, outliers.allocate(missing-sumSlots(g.Queue)))
 		}
 	}
 	if want.Items <= 0 {
@@ -125,6 +131,23 @@
 	return svc.beginning, svc.all
 }
 
+// limitedOutliers returns the upstreams of a service that name a limit and are no candidates for grants because they are outliers. It
+// returns none if no slots are missing.
+func (s *State) limitedOutliers(svc *serviceState, missing int, now time.Time) (outliers []*upstream) {
+	if missing <= 0 {
+		return nil
+	}
+	beginning, _ := s.grantCandidates(svc, now)
+	allowed := filter{begins: true}
+	for _, u := range svc.upstreams {
+		if u.limited() && allowed.allows(u) && !allowed.postpones(u, now) && !u.ejected(now) && !s.silent(u, now) && s.weight(u, now) < outlierWeight &&
+			!slices.Contains(beginning, u) {
+			outliers = append(outliers, u)
+		}
+	}
+	return outliers
+}
+
 // batchPart returns the part of the limits of a service's upstreams that its other upstreams leave to batch runs: online
 // requests need the rest.
 func (s *State) batchPart(svc *serviceState, onlineRate float64) float64 {
