Use no answer whose reason holds a control character

Callers got the status and body of an answer whose status line held a control character: no answer in HTTP. Cause: net/http checks the code of the status line only, and pkg/adapter/answers checked the fields only. Change: the reason is checked like the value of a field. Evidence: three heads of TestMalformedAnswersFail fail before. TestSoundAnswersPass has a reason with a tab and letters beyond ASCII.

--- a/pkg/adapter/answers/answers.go
+++ b/pkg/adapter/answers/answers.go
@@ -96,6 +96,9 @@
 	if resp.StatusCode < firstFinalStatus || resp.StatusCode > lastStatus {
 		return errs.Combine(ErrMalformed, Error.New("status %d", resp.StatusCode))
 	}
+	if !httpguts.ValidHeaderFieldValue(resp.Status) {
+		return errs.Combine(ErrMalformed, Error.New("reason of status %d holds a control character", resp.StatusCode))
+	}
 	for name, values := range resp.Header {
 		if !httpguts.ValidHeaderFieldName(name) {
 			return errs.Combine(ErrMalformed, Error.New("name of a field is no token"))
--- a/pkg/adapter/answers/answers_test.go
+++ b/pkg/adapter/answers/answers_test.go
@@ -52,13 +52,14 @@
 }
 
 // Guards against answers of a server in trouble that are passed on as if they were answers: with a status that HTTP does not have, a field
-// name that is no token, so that a length is not known, or control characters.
+// name that is no token, so that a length is not known, or control characters in a field or the reason.
 func TestMalformedAnswersFail(t *testing.T) {
 	const body = "\r\n\r\nhello"
 	for _, head := range []string{
 		"HTTP/1.1 000 Trouble\r\nContent-Length: 5", "HTTP/1.1 099 Trouble\r\nContent-Length: 5", "HTTP/1.1 +20 Trouble\r\nContent-Length: 5",
 		"HTTP/1.1 -20 Trouble\r\nContent-Length: 5", "HTTP/1.1 20 Trouble\r\nContent-Length: 5", "HTTP/1.1 2000 Trouble\r\nContent-Length: 5",
 		"HTTP/1.1 600 Trouble\r\nContent-Length: 5", "HTTP/1.1 999 Trouble\r\nContent-Length: 5", "HTTP/1.1 101 Switching\r\nConnection: Upgrade\r\nUpgrade: x",
+		"HTTP/1.1 200 O\x01K\r\nContent-Length: 5", "HTTP/1.1 200 O\x7fK\r\nContent-Length: 5", "HTTP/1.1 200 O\rK\r\nContent-Length: 5",
 		"HTTP/2.0 200 OK\r\nContent-Length: 5", "HTTP/3.1 200 OK\r\nContent-Length: 5",
 		"HTTP/1.1 200 OK\r\nContent-Length : 3", "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked", "HTTP/1.1 200 OK\r\nContent Length: 5",
 		"HTTP/1.1 200 OK\r\nContent-Length: 5\r\nX Y: z", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nX : z", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nX\tY: z",
@@ -81,7 +82,7 @@
 func TestSoundAnswersPass(t *testing.T) {
 	for _, answer := range []string{
 		"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n", "HTTP/1.1 200 OK\r\n\r\nhello",
-		"HTTP/1.0 200 OK\r\n\r\nhello", "HTTP/1.1 200\r\nContent-Length: 5\r\n\r\nhello", "HTTP/1.1 599 Odd\r\nx!#$%&'*+-.^_`|~0: a\tb \xc3\xa9\r\nContent-Length: 5\r\n\r\nhello",
+		"HTTP/1.0 200 OK\r\n\r\nhello", "HTTP/1.1 200\r\nContent-Length: 5\r\n\r\nhello", "HTTP/1.1 200 \t\xc3\xa9(!)\r\nContent-Length: 5\r\n\r\nhello", "HTTP/1.1 599 Odd\r\nx!#$%&'*+-.^_`|~0: a\tb \xc3\xa9\r\nContent-Length: 5\r\n\r\nhello",
 		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello", "HTTP/1.1 200 OK\r\nX:\r\nContent-Length: 5\r\n\r\nhello",
 	} {
 		t.Run(strings.ReplaceAll(answer, "\r\n", " | "), func(t *testing.T) {
