Set up the limits of two tests in one place

Nothing changes for callers: tests only. Cause: TestLimitOfOutlierIsGrantedLast repeated the set-up of TestGrantedLimitOfOutlierIsUsedLast. Change: announceLimits serves both; their assertions stay as they were. Result: go test -race -run 'Limit|Grant|Outlier' ./pkg/decision/dispatch, go vet and staticcheck of the package pass.

--- a/pkg/decision/dispatch/announced_test.go
+++ b/pkg/decision/dispatch/announced_test.go
@@ -9,14 +9,21 @@
 	"trefoilplank.example/pkg/decision/outlier"
 )
 
+// announceLimits has all upstreams of the service name a limit, and returns their IDs.
+func announceLimits(s *State, limit float64, now time.Time) (ids []string) {
+	for _, u := range s.services["s"].upstreams {
+		ids = append(ids, u.ID)
+		s.Announce(u.ID, Announcement{Limit: limit, Incarnation: u.Incarnation}, now)
+	}
+	return ids
+}
+
 // Guards against requests that are refused while the limit of an outlier, granted to this node, is left: other nodes can't use it.
 func TestGrantedLimitOfOutlierIsUsedLast(t *testing.T) {
 	s, rng := newTestState(6, 8)
 	now := time.Unix(1000, 0)
-	var ids []string
+	ids := announceLimits(s, 5, now)
 	for _, u := range s.services["s"].upstreams {
-		ids = append(ids, u.ID)
-		s.Announce(u.ID, Announcement{Limit: 5, Incarnation: u.Incarnation}, now)
 		s.AddOwnEvidence(u.ID, outlier.Evidence{Firsts: 4, FirstTime: 4 * time.Millisecond}, now)
 	}
 	s.AddOwnEvidence(ids[0], outlier.Evidence{Firsts: 1, FirstTime: 100 * time.Millisecond}, now)
@@ -41,10 +48,8 @@
 func TestLimitOfOutlierIsGrantedLast(t *testing.T) {
 	s, _ := newTestState(6, 8)
 	now := time.Unix(1000, 0)
-	var ids []string
+	ids := announceLimits(s, 1, now)
 	for _, u := range s.services["s"].upstreams {
-		ids = append(ids, u.ID)
-		s.Announce(u.ID, Announcement{Limit: 1, Incarnation: u.Incarnation}, now)
 		s.AddHubEvidence(map[string]outlier.Evidence{u.ID: {Firsts: 4, FirstTime: 4 * time.Millisecond}}, now)
 		u.announced.fleet.available(u.announced.limit, now)
 	}
